--- /dev/null
+++ b/Makefile
@@ -0,0 +1,29 @@
+# `make demo` and `make test` need nothing but Python 3.11 or newer, and make.
+
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+
+.PHONY: demo test lint unit setup check-model bench clean
+
+setup: $(VENV)/.done
+
+$(VENV)/.done: pyproject.toml constraints.txt
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --disable-pip-version-check -c constraints.txt -e '.[dev]'
+	touch $@
+
+demo: setup
+	$(BIN)/python -m demo.run
+
+test: lint unit
+
+lint: setup
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+
+unit: setup
+	$(BIN)/nose2 --verbose -s tests -t .
+
+clean:
+	rm -rf $(VENV) build *.egg-info src/*.egg-info
--- /dev/null
+++ b/demo/__init__.py
@@ -0,0 +1,1 @@
+"""The demonstration that ``make demo`` runs."""
--- /dev/null
+++ b/src/snowdock/__main__.py
@@ -0,0 +1,5 @@
+"""Run the command-line tool as ``python -m snowdock``."""
+
+from .cli import main
+
+main()
--- /dev/null
+++ b/src/snowdock/cli/application.py
@@ -0,0 +1,23 @@
+"""The application: all commands under one name."""
+
+import sys
+
+from cleo.application import Application
+
+from .. import __version__
+from .commands import COMMANDS
+
+__all__ = ["main", "make_application"]
+
+
+def make_application() -> Application:
+    """Put the commands together."""
+    application = Application("snowdock", __version__)
+    for command in COMMANDS:
+        application.add(command())
+    return application
+
+
+def main() -> None:
+    """Run the command line and end with its status."""
+    sys.exit(make_application().run())
--- /dev/null
+++ b/src/snowdock/decisions/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions: functions of what is known, without input or output."""
--- /dev/null
+++ b/src/snowdock/decisions/minion_choice.py
@@ -0,0 +1,77 @@
+"""Which minion a request goes to, and which minions are set aside for a while."""
+
+import dataclasses
+import random
+from collections.abc import Iterable
+from typing import Protocol
+
+__all__ = ["Health", "MinionLike", "choose", "note_result"]
+
+_SET_ASIDE_FAILURES = 3
+_FIRST_PAUSE_SECONDS = 0.5
+_LONGEST_PAUSE_SECONDS = 30.0
+
+
+class MinionLike(Protocol):
+    """What the choice needs to know of a minion."""
+
+    name: str
+    hall: str
+
+
+@dataclasses.dataclass(slots=True)
+class Health:
+    """A minion's record: failures in a row, and until when it is set aside."""
+
+    failures: int = 0
+    until: float = 0.0
+    on_probe: bool = False
+
+
+def choose(
+    candidates: Iterable[tuple[MinionLike, int, Health]], hall: str, wanted: str, now: float
+) -> MinionLike | None:
+    """Choose among minions with idle slots.
+
+    The wanted one goes first, if it is there; then near ones, then the ones with most idle
+    slots. One that is set aside gets one request at a time after its pause, as a probe.
+
+    Parameters
+    ----------
+    candidates
+        Minions with their idle slots and records.
+    hall
+        The data hall of this node.
+    wanted
+        The minion that a session stays with, or nothing.
+    now
+        The monotonic clock.
+
+    Returns
+    -------
+    MinionLike or None
+        None where there is none to choose.
+    """
+    best, best_key = None, None
+    for minion, idle, health in candidates:
+        if wanted and minion.name != wanted:
+            continue
+        if health.failures >= _SET_ASIDE_FAILURES and (health.on_probe or health.until > now):
+            continue
+        key = (health.failures == 0, minion.hall == hall, idle, random.random())
+        if best_key is None or key > best_key:
+            best, best_key = minion, key
+    return best
+
+
+def note_result(health: Health, failed: bool, now: float) -> None:
+    """Write down how a request to a minion went."""
+    health.on_probe = False
+    if not failed:
+        health.failures = 0
+        health.until = 0.0
+        return
+    health.failures += 1
+    excess = max(0, health.failures - _SET_ASIDE_FAILURES)
+    pause = min(_FIRST_PAUSE_SECONDS * 2**excess, _LONGEST_PAUSE_SECONDS)
+    health.until = now + pause * random.uniform(0.5, 1.0)
--- /dev/null
+++ b/src/snowdock/decisions/orders.py
@@ -0,0 +1,93 @@
+"""What a worker is to be told, worked out from the shared state."""
+
+import dataclasses
+from collections.abc import Mapping
+
+from ..errors import InvalidInput
+from ..leases import ORDER_VALID_MS
+from ..platform.workers import AttemptReport, StartOrder, StopOrder, SyncOrder
+from ..state import State, TaskState, VmState, Work, parse_attempt_id
+
+__all__ = ["WorkerOrder", "build_order"]
+
+_RUNNING = "running"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WorkerOrder:
+    """An order and the address that it goes to."""
+
+    address: str
+    order: SyncOrder
+
+
+def build_order(
+    state: State, name: str, reports: Mapping[str, AttemptReport], now_ms: int
+) -> WorkerOrder | None:
+    """Make the order for one worker.
+
+    Parameters
+    ----------
+    state
+        The shared state.
+    name
+        The worker.
+    reports
+        What the worker told last; closed attempts among them are to be forgotten there.
+    now_ms
+        The sender's clock.
+
+    Returns
+    -------
+    WorkerOrder or None
+        None where the worker is unknown or gone: then nobody may renew anything on it.
+    """
+    worker = state.workers.get(name)
+    if worker is None or worker.state == VmState.GONE:
+        return None
+    renew, start, stop = [], [], []
+    not_after_ms = now_ms + ORDER_VALID_MS
+    for attempt in worker.attempts:
+        number, task_number, _ = parse_attempt_id(attempt)
+        work = state.works[number]
+        task = work.tasks[task_number]
+        if task.stopping:
+            stop.append(StopOrder(attempt, "stop" if work.cancelled else "checkpoint"))
+        elif task.state == TaskState.PLACED:
+            start.append(_start_order(attempt, work, not_after_ms))
+        else:
+            renew.append(attempt)
+    forget = []
+    for attempt, report in reports.items():
+        if attempt in worker.attempts:
+            continue
+        if report.state != _RUNNING:
+            forget.append(attempt)
+        elif _is_closed(state, attempt):
+            stop.append(StopOrder(attempt, "stop"))
+    lease_ms = state.configuration.declarations.limits.lease_ms
+    order = SyncOrder(worker.boot, lease_ms, not_after_ms, renew, start, stop, forget)
+    return WorkerOrder(worker.address, order)
+
+
+def _start_order(attempt: str, work: Work, not_after_ms: int) -> StartOrder:
+    spec = work.spec
+    size = spec.size
+    return StartOrder(attempt, size.cpu, size.memory, size.accelerators, spec.run_ms, not_after_ms)
+
+
+def _is_closed(state: State, attempt: str) -> bool:
+    """Tell whether an attempt that a worker still runs was surely closed on the log.
+
+    A node that lags behind may see an attempt that it has not read of yet; that one is left
+    alone.
+    """
+    try:
+        number, task_number, count = parse_attempt_id(attempt)
+    except InvalidInput:
+        return False
+    work = state.works.get(number)
+    if work is None or task_number >= len(work.tasks):
+        return False
+    task = work.tasks[task_number]
+    return task.attempt > count or (task.attempt == count and not task.holds_room)
--- /dev/null
+++ b/src/snowdock/errors.py
@@ -0,0 +1,182 @@
+"""Failures that snowdock reports, one class for each.
+
+Each class carries a machine-readable ``code`` and the HTTP ``status`` with which the API
+answers it, so that no layer above has to translate.
+"""
+
+__all__ = [
+    "BodyTooLarge",
+    "ConfigurationConflict",
+    "DeclarationError",
+    "DeclarationErrors",
+    "Draining",
+    "InvalidInput",
+    "LogExpired",
+    "LogUnavailable",
+    "MethodNotAllowed",
+    "NotFound",
+    "Overloaded",
+    "PlatformError",
+    "PolicyError",
+    "SettingsErrors",
+    "SnowdockError",
+    "Unauthorized",
+    "UnsupportedMedia",
+    "VerdictUnknown",
+    "Voided",
+    "WorkImpossible",
+]
+
+
+class SnowdockError(Exception):
+    """Base of every failure that snowdock reports by type."""
+
+    code = "internal"
+    status = 500
+    retry_after_seconds: float | None = None
+
+
+class InvalidInput(SnowdockError):
+    """A request, field or body is malformed."""
+
+    code = "invalid_input"
+    status = 400
+
+
+class BodyTooLarge(InvalidInput):
+    """A body exceeds the size that the API accepts."""
+
+    code = "body_too_large"
+    status = 413
+
+
+class UnsupportedMedia(InvalidInput):
+    """A body has another content type than the call takes."""
+
+    code = "unsupported_media_type"
+    status = 415
+
+
+class MethodNotAllowed(SnowdockError):
+    """The path exists, but not with this method."""
+
+    code = "method_not_allowed"
+    status = 405
+
+
+class Unauthorized(SnowdockError):
+    """A token is missing, unknown, or lacks the role that the call needs."""
+
+    code = "unauthorized"
+    status = 401
+
+
+class NotFound(SnowdockError):
+    """The named thing does not exist."""
+
+    code = "not_found"
+    status = 404
+
+
+class ConfigurationConflict(SnowdockError):
+    """A change was made from a version that is no longer current."""
+
+    code = "configuration_conflict"
+    status = 409
+
+
+class Voided(SnowdockError):
+    """A proposal was found invalid at its offset in the log."""
+
+    code = "voided"
+    status = 409
+
+
+class WorkImpossible(SnowdockError):
+    """No VM of the pool could ever hold one task of the work."""
+
+    code = "work_impossible"
+    status = 422
+
+
+class Overloaded(SnowdockError):
+    """A bounded queue is full; nothing was run."""
+
+    code = "overloaded"
+    status = 503
+
+    def __init__(self, message: str, retry_after_seconds: float = 1.0) -> None:
+        super().__init__(message)
+        self.retry_after_seconds = retry_after_seconds
+
+
+class Draining(Overloaded):
+    """The node is on its way out and takes no new work."""
+
+    code = "draining"
+
+
+class LogUnavailable(Overloaded):
+    """The platform's log did not take the record; nothing was accepted."""
+
+    code = "log_unavailable"
+
+
+class VerdictUnknown(SnowdockError):
+    """The record may be on the log, but its verdict was not seen in time."""
+
+    code = "verdict_unknown"
+    status = 504
+
+
+class PlatformError(SnowdockError):
+    """An outside system answered with an error or not at all."""
+
+    code = "platform_error"
+    status = 502
+
+
+class LogExpired(PlatformError):
+    """The wanted offset is older than what the log still holds."""
+
+    code = "log_expired"
+
+    def __init__(self, message: str, first: int) -> None:
+        super().__init__(message)
+        self.first = first
+
+
+class PolicyError(SnowdockError):
+    """A policy program does not compile, fails on a sample, or is too slow."""
+
+    code = "policy_error"
+    status = 400
+
+
+class DeclarationError(InvalidInput):
+    """One mistake in a declaration, with its file, section and key."""
+
+    code = "invalid_declaration"
+
+    def __init__(self, file: str, section: str, key: str, problem: str) -> None:
+        place = f"{file} [{section}]" + (f" {key}" if key else "")
+        super().__init__(f"{place}: {problem}")
+        self.file = file
+        self.section = section
+        self.key = key
+        self.problem = problem
+
+
+class DeclarationErrors(ExceptionGroup):
+    """Every mistake found in one set of declarations."""
+
+    code = "invalid_declaration"
+    status = 400
+
+    def derive(self, excs):
+        """Keep the type when the group is split."""
+        return DeclarationErrors(self.message, excs)
+
+
+class SettingsErrors(DeclarationErrors):
+    """Every mistake found in a node's settings file."""
--- /dev/null
+++ b/src/snowdock/node/api.py
@@ -0,0 +1,452 @@
+"""The HTTP API of a node, served by waitress."""
+
+import dataclasses
+import re
+from collections.abc import Callable, Iterable
+from urllib.parse import parse_qs
+
+import msgspec
+import pykka
+
+from ..decisions.placements import fits_nowhere
+from ..declarations import WorkSpec, parse_declarations, parse_work
+from ..effects import Accepted, Verdict
+from ..errors import (
+    BodyTooLarge,
+    ConfigurationConflict,
+    DeclarationErrors,
+    Draining,
+    InvalidInput,
+    MethodNotAllowed,
+    NotFound,
+    Overloaded,
+    SnowdockError,
+    UnsupportedMedia,
+    VerdictUnknown,
+    Voided,
+    WorkImpossible,
+)
+from ..policies import PolicyBook
+from ..records import ConfigurationProposed, Record, WorkCancelled, WorkSubmitted
+from ..request_ids import new_request_id
+from . import reports
+from .logs import log_error, log_event
+from .messages import Propose, View
+from .metrics import Metrics
+from .parts import Parts
+from .peer_messages import CallOutcome, CallRequest
+from .requests import RequestHandler
+
+__all__ = ["Api"]
+
+_JSON = "application/json"
+_TEXT = "text/plain"
+_KEY = re.compile(r"^[A-Za-z0-9._:-]{1,100}$")
+_REQUEST_ID = re.compile(r"^[A-Za-z0-9._-]{1,80}$")
+_ASK_SECONDS = 10.0
+_MAX_DEADLINE_MS = 600_000
+_PEOPLE_PRIORITY = 90
+_HOP_HEADERS = {"connection", "host", "content-length", "transfer-encoding", "user-agent"}
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HttpRequest:
+    """An HTTP request; header names are in lower case."""
+
+    method: str
+    path: str
+    query: str
+    headers: dict[str, str]
+    body: bytes
+
+    def option(self, name: str) -> str:
+        """Give a query parameter, or nothing."""
+        return parse_qs(self.query).get(name, [""])[0]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HttpAnswer:
+    """An HTTP answer."""
+
+    status: int
+    body: bytes
+    content_type: str = _JSON
+    headers: dict[str, str] = dataclasses.field(default_factory=dict)
+
+
+class Problem(msgspec.Struct):
+    """The body of every failure."""
+
+    code: str
+    message: str
+    details: list[str] = []
+    outcome: str = ""
+
+
+class ConfigurationChange(msgspec.Struct, forbid_unknown_fields=True):
+    """The body of a configuration change: files by name, made from version ``base``."""
+
+    base: int
+    files: dict[str, str]
+    author: str = ""
+
+
+class SubmittedWork(msgspec.Struct):
+    """One piece of accepted work."""
+
+    work: int
+    name: str
+
+
+class Changed(msgspec.Struct):
+    """The version that a change made."""
+
+    version: int
+
+
+def _json(value: object, status: int = 200) -> HttpAnswer:
+    return HttpAnswer(status, msgspec.json.encode(value))
+
+
+def _problem(error: SnowdockError | DeclarationErrors) -> HttpAnswer:
+    details = [str(e) for e in error.exceptions] if isinstance(error, ExceptionGroup) else []
+    message = error.message if isinstance(error, ExceptionGroup) else str(error)
+    retry_after = getattr(error, "retry_after_seconds", None)
+    headers = {} if retry_after is None else {"Retry-After": _whole_seconds(retry_after)}
+    body = msgspec.json.encode(Problem(error.code, message, details))
+    return HttpAnswer(error.status, body, headers=headers)
+
+
+def _whole_seconds(seconds: float) -> str:
+    """Write seconds as the header wants them: whole, and at least one."""
+    return str(max(1, -int(-seconds // 1)))
+
+
+class Api:
+    """The WSGI application.
+
+    Parameters
+    ----------
+    parts
+        The node.
+    requests
+        Carries out callers' requests.
+    metrics
+        The node's metrics.
+    """
+
+    def __init__(self, parts: Parts, requests: RequestHandler, metrics: Metrics) -> None:
+        self._parts = parts
+        self._requests = requests
+        self._metrics = metrics
+        self._draining = False
+        self._in_flight = 0
+        self._routes: list[tuple[str, re.Pattern, Callable[..., HttpAnswer]]] = [
+            ("GET", re.compile(r"/healthz"), self._health),
+            ("GET", re.compile(r"/readyz"), self._ready),
+            ("GET", re.compile(r"/metrics"), self._render_metrics),
+            ("GET", re.compile(r"/v1/version"), self._version),
+            ("GET", re.compile(r"/v1/status"), self._status),
+            ("GET", re.compile(r"/v1/nodes"), self._nodes),
+            ("GET", re.compile(r"/v1/workers"), self._workers),
+            ("GET", re.compile(r"/v1/minions"), self._minions),
+            ("GET", re.compile(r"/v1/configuration"), self._configuration),
+            ("POST", re.compile(r"/v1/configuration"), self._change),
+            ("POST", re.compile(r"/v1/drain"), self._drain),
+            ("GET", re.compile(r"/v1/work"), self._works),
+            ("POST", re.compile(r"/v1/work"), self._submit),
+            ("GET", re.compile(r"/v1/work/(\d{1,18})"), self._work),
+            ("POST", re.compile(r"/v1/work/(\d{1,18})/cancel"), self._cancel),
+        ]
+        self.request_drain: Callable[[], None] = lambda: None
+
+    @property
+    def in_flight(self) -> int:
+        """Requests that are being handled."""
+        return self._in_flight
+
+    def drain(self) -> None:
+        """Take no new work and say so to the balancer."""
+        self._draining = True
+
+    # -- WSGI ------------------------------------------------------------------------------
+
+    def __call__(self, environ: dict, start_response: Callable) -> Iterable[bytes]:
+        """Answer one request."""
+        self._in_flight += 1
+        try:
+            answer = self._answer(environ)
+        finally:
+            self._in_flight -= 1
+        headers = {
+            "Content-Type": answer.content_type,
+            "Content-Length": str(len(answer.body)),
+            **answer.headers,
+        }
+        start_response(f"{answer.status} {_reason(answer.status)}", list(headers.items()))
+        return [answer.body]
+
+    def _answer(self, environ: dict) -> HttpAnswer:
+        try:
+            return self._dispatch(self._read(environ))
+        except (SnowdockError, DeclarationErrors) as error:
+            return _problem(error)
+        except (pykka.Timeout, pykka.ActorDeadError) as error:
+            log_error("api_overloaded", error)
+            return _problem(Overloaded("the node is too busy; nothing was done"))
+        except Exception as error:
+            log_error("api_failed", error, path=environ.get("PATH_INFO", ""))
+            return _problem(SnowdockError("an unexpected failure; see the node's log"))
+
+    def _read(self, environ: dict) -> HttpRequest:
+        limit = self._parts.settings.node.max_body_bytes
+        body = environ["wsgi.input"].read(limit + 1)
+        if len(body) > limit:
+            raise BodyTooLarge(f"the body is larger than {limit} bytes")
+        headers = {
+            key[5:].replace("_", "-").lower(): value
+            for key, value in environ.items()
+            if key.startswith("HTTP_")
+        }
+        if environ.get("CONTENT_TYPE"):
+            headers["content-type"] = environ["CONTENT_TYPE"]
+        # WSGI hands paths over as Latin-1; what is not UTF-8 stays as it is.
+        path = environ.get("PATH_INFO", "").encode("latin-1").decode("utf-8", "replace")
+        return HttpRequest(
+            environ["REQUEST_METHOD"], path, environ.get("QUERY_STRING", ""), headers, body
+        )
+
+    def _dispatch(self, request: HttpRequest) -> HttpAnswer:
+        if request.path.startswith("/call/"):
+            return self._call(request)
+        allowed = set()
+        for method, pattern, handler in self._routes:
+            match = pattern.fullmatch(request.path)
+            if match is None:
+                continue
+            if method == request.method:
+                return handler(request, *match.groups())
+            allowed.add(method)
+        if allowed:
+            raise MethodNotAllowed(f"allowed here: {', '.join(sorted(allowed))}")
+        raise NotFound(f"no such path: {request.path[:100]}")
+
+    # -- reading ---------------------------------------------------------------------------
+
+    def _view(self, function: Callable) -> object:
+        return self._parts.state.ask(View(function), timeout=_ASK_SECONDS)
+
+    def _health(self, request: HttpRequest) -> HttpAnswer:
+        self._view(lambda parts: None)
+        return _json({"healthy": True})
+
+    def _ready(self, request: HttpRequest) -> HttpAnswer:
+        ready = self._view(lambda parts: parts.ready) and not self._draining
+        return _json({"ready": ready}, 200 if ready else 503)
+
+    def _render_metrics(self, request: HttpRequest) -> HttpAnswer:
+        content, content_type = self._metrics.render()
+        return HttpAnswer(200, content, content_type)
+
+    def _version(self, request: HttpRequest) -> HttpAnswer:
+        node = self._parts.settings.node.name
+        return _json(self._view(lambda parts: reports.version_report(parts, node)))
+
+    def _status(self, request: HttpRequest) -> HttpAnswer:
+        return _json(self._view(reports.cluster_status))
+
+    def _nodes(self, request: HttpRequest) -> HttpAnswer:
+        return _json(self._view(reports.node_reports))
+
+    def _workers(self, request: HttpRequest) -> HttpAnswer:
+        return _json(self._view(reports.worker_reports))
+
+    def _minions(self, request: HttpRequest) -> HttpAnswer:
+        return _json(self._view(reports.minion_reports))
+
+    def _configuration(self, request: HttpRequest) -> HttpAnswer:
+        return _json(self._view(reports.configuration))
+
+    def _works(self, request: HttpRequest) -> HttpAnswer:
+        return _json(self._view(reports.work_reports))
+
+    def _work(self, request: HttpRequest, number: str) -> HttpAnswer:
+        def show(parts) -> reports.WorkReport | None:
+            work = parts.state.works.get(int(number))
+            return None if work is None else reports.work_report(parts, work, True)
+
+        found = self._view(show)
+        if found is None:
+            raise NotFound(f"no work {number}")
+        return _json(found)
+
+    # -- changing --------------------------------------------------------------------------
+
+    def _propose(self, *records: Record) -> tuple[Verdict, ...]:
+        future = pykka.ThreadingFuture()
+        self._parts.writer.tell(Propose(records, future.set))
+        seconds = self._parts.settings.timing.verdict_ms / 1000
+        try:
+            result = future.get(timeout=seconds)
+        except pykka.Timeout:
+            raise VerdictUnknown(
+                "the record may be on the log; send it again with the same key to learn"
+            ) from None
+        if isinstance(result, SnowdockError):
+            raise result
+        return result
+
+    def _change(self, request: HttpRequest) -> HttpAnswer:
+        _want_type(request, _JSON)
+        try:
+            change = msgspec.json.decode(request.body, type=ConfigurationChange)
+        except msgspec.MsgspecError as error:
+            raise InvalidInput(f"the body does not fit: {error}") from error
+        declarations = parse_declarations(change.files)
+        PolicyBook.check(declarations)
+        if request.option("dry_run") == "true":
+            return _json(Changed(0))
+        (verdict,) = self._propose(
+            ConfigurationProposed(change.base, declarations, change.author[:100])
+        )
+        if isinstance(verdict, Accepted):
+            log_event("configuration_accepted", version=verdict.reference, author=change.author)
+            return _json(Changed(verdict.reference))
+        raise ConfigurationConflict(verdict.reason)
+
+    def _submit(self, request: HttpRequest) -> HttpAnswer:
+        _want_type(request, _TEXT)
+        if self._draining:
+            raise Draining("the node is on its way out; nothing was accepted")
+        key = request.headers.get("snowdock-key", "")
+        if not _KEY.match(key):
+            raise InvalidInput("header Snowdock-Key: 1 to 100 of A-Z a-z 0-9 . _ : - are needed")
+        try:
+            text = request.body.decode("utf-8")
+        except UnicodeDecodeError as error:
+            raise InvalidInput("the body is not UTF-8") from error
+        specs = parse_work("work", text)
+        for spec in specs:
+            self._check_possible(spec)
+        records = tuple(WorkSubmitted(f"{key}/{spec.name}", spec) for spec in specs)
+        verdicts = self._propose(*records)
+        for verdict in verdicts:
+            if not isinstance(verdict, Accepted):
+                raise Voided(f"not accepted: {verdict.reason}")
+        accepted = [
+            SubmittedWork(verdict.reference, spec.name)
+            for verdict, spec in zip(verdicts, specs, strict=True)
+        ]
+        return _json(accepted, 201)
+
+    def _check_possible(self, spec: WorkSpec) -> None:
+        """Say at once what no worker and no quota could ever hold."""
+
+        def check(parts) -> str:
+            team = parts.state.configuration.declarations.teams.get(spec.team)
+            if team is None:
+                return f"unknown team {spec.team}"
+            if not team.quota.holds(spec.size):
+                return f"one task is larger than the quota of team {spec.team}"
+            index = parts.scheduler.index
+            if len(index) and fits_nowhere(index, spec.size):
+                return "no worker could ever hold one task"
+            return ""
+
+        problem = self._view(check)
+        if problem:
+            raise WorkImpossible(f"[{spec.kind} {spec.name}]: {problem}")
+
+    def _cancel(self, request: HttpRequest, number: str) -> HttpAnswer:
+        (verdict,) = self._propose(WorkCancelled(int(number)))
+        if isinstance(verdict, Accepted):
+            return _json({"cancelled": int(number)})
+        raise NotFound(verdict.reason) if "unknown" in verdict.reason else Voided(verdict.reason)
+
+    def _drain(self, request: HttpRequest) -> HttpAnswer:
+        self.request_drain()
+        return _json({"draining": True}, 202)
+
+    # -- callers' requests -----------------------------------------------------------------
+
+    def _call(self, request: HttpRequest) -> HttpAnswer:
+        try:
+            call = _read_call(request)
+        except SnowdockError as error:
+            answer = _problem(error)
+            return dataclasses.replace(
+                answer, headers={**answer.headers, "Snowdock-Outcome": "not-run"}
+            )
+        outcome = self._requests.handle(call)
+        return _show_outcome(call, outcome)
+
+
+def _read_call(request: HttpRequest) -> CallRequest:
+    headers = request.headers
+    _, _, rest = request.path.partition("/call/")
+    endpoint, _, path = rest.partition("/")
+    repeatable = headers.get("snowdock-repeatable", "yes").lower()
+    if repeatable not in ("yes", "no"):
+        raise InvalidInput("header Snowdock-Repeatable is yes or no; nothing was run")
+    request_id = headers.get("snowdock-request-id", "")
+    if not request_id and repeatable == "no":
+        raise InvalidInput("a not-repeatable request needs Snowdock-Request-Id; nothing was run")
+    if request_id and not _REQUEST_ID.match(request_id):
+        raise InvalidInput("header Snowdock-Request-Id is malformed; nothing was run")
+    query = f"?{request.query}" if request.query else ""
+    passed = {
+        name: value
+        for name, value in headers.items()
+        if name not in _HOP_HEADERS and not name.startswith("snowdock-")
+    }
+    return CallRequest(
+        request_id=request_id or new_request_id(),
+        endpoint=endpoint,
+        method=request.method,
+        path=f"/{path}{query}",
+        headers=passed,
+        body=request.body,
+        deadline_ms=_number(headers, "snowdock-deadline-ms", 5000, _MAX_DEADLINE_MS),
+        priority=_number(headers, "snowdock-priority", _PEOPLE_PRIORITY, 100),
+        repeatable=repeatable == "yes",
+        session=headers.get("snowdock-session", ""),
+        trace=headers.get("traceparent", ""),
+    )
+
+
+def _number(headers: dict[str, str], name: str, default: int, most: int) -> int:
+    text = headers.get(name)
+    if text is None:
+        return default
+    if not text.isascii() or not text.isdigit() or not 0 < int(text[:12]) <= most:
+        raise InvalidInput(f"header {name} is a number from 1 to {most}; nothing was run")
+    return int(text)
+
+
+def _show_outcome(call: CallRequest, outcome: CallOutcome) -> HttpAnswer:
+    headers = {
+        "Snowdock-Request-Id": call.request_id,
+        "Snowdock-Outcome": outcome.outcome.replace("_", "-"),
+    }
+    if outcome.minion:
+        headers["Snowdock-Session"] = outcome.minion
+    if outcome.retry_after_seconds:
+        headers["Retry-After"] = _whole_seconds(outcome.retry_after_seconds)
+    if not outcome.code:
+        content_type = next(
+            (v for k, v in outcome.headers.items() if k.lower() == "content-type"),
+            "application/octet-stream",
+        )
+        return HttpAnswer(outcome.status, outcome.body, content_type, headers)
+    body = msgspec.json.encode(Problem(outcome.code, outcome.reason, [], outcome.outcome))
+    return HttpAnswer(outcome.status, body, headers=headers)
+
+
+def _want_type(request: HttpRequest, wanted: str) -> None:
+    given = request.headers.get("content-type", "").partition(";")[0].strip().lower()
+    if given != wanted:
+        raise UnsupportedMedia(f"content type {wanted} is needed, not {given[:60]!r}")
+
+
+def _reason(status: int) -> str:
+    return "OK" if status < 400 else "Failed"
--- /dev/null
+++ b/src/snowdock/node/daemon.py
@@ -0,0 +1,230 @@
+"""``snowdockd``: starts a node's parts, and stops them in order."""
+
+import argparse
+import contextlib
+import os
+import secrets
+import signal
+import sys
+import threading
+import time
+
+import pykka
+import waitress
+
+from ..errors import InvalidInput, PlatformError, SettingsErrors
+from ..platform._http import Client
+from ..platform.logs import LogClient
+from ..platform.minions import MinionClient
+from ..platform.vms import VmListClient
+from ..platform.workers import WorkerClient
+from ..records import NodeDraining, NodeLeft
+from ..settings import Settings, read_settings
+from ..state import Member, decode_state, encode_state
+from .api import Api
+from .log_actors import LogReader, LogWriter
+from .logs import log_error, log_event, start_logging
+from .messages import PeerHeard, PeerIdle, Propose, StateLoaded, Tick, View
+from .metrics import Metrics
+from .parts import Parts
+from .peer_messages import Heartbeat, StateGiven, StateWanted
+from .peers import Peers
+from .requests import RequestHandler
+from .router import Router
+from .state_actor import StateActor
+from .vm_watcher import VmWatcher
+from .worker_driver import WorkerDriver
+
+__all__ = ["Node", "main"]
+
+_TICK_SECONDS = 0.1
+_CONNECTIONS_PER_MINION = 64
+_SEED_SECONDS = 2.0
+_STOP_POLL_SECONDS = 0.02
+_LEAVE_SECONDS = 3.0
+
+
+class Node:
+    """All parts of one node."""
+
+    def __init__(self, settings: Settings) -> None:
+        self._settings = settings
+        self._failed = False
+        self._stopping = threading.Event()
+        self._stopped = threading.Event()
+        node = settings.node
+        timing = settings.timing
+        self._parts = Parts(settings, incarnation=secrets.token_hex(6))
+        metrics = Metrics()
+        client = Client(node.name, settings.platform.timeout_ms / 1000)
+        log = LogClient(client, settings.platform.log)
+        workers = WorkerClient(client)
+        self._requests = RequestHandler(
+            self._parts, MinionClient(node.name, _CONNECTIONS_PER_MINION), metrics
+        )
+        self._api = Api(self._parts, self._requests, metrics)
+        self._api.request_drain = self._stopping.set
+        host, _, port = node.api.rpartition(":")
+        self._server = waitress.create_server(
+            self._api,
+            host=host,
+            port=int(port),
+            threads=node.threads,
+            max_request_body_size=node.max_body_bytes,
+            clear_untrusted_proxy_headers=True,
+        )
+        self._parts.api_address = f"{host}:{self._server.effective_port}"
+        self._parts.fail = self._fail
+        self._peers = Peers(self._parts, self._answer_peer, self._heard)
+        self._requests.set_peers(self._peers)
+        self._parts.peers_changed = self._set_peers
+        parts = self._parts
+        parts.writer = LogWriter.start(
+            log,
+            node.name,
+            parts.incarnation,
+            timing.append_interval_ms / 1000,
+            lambda: parts.applied_offset,
+        )
+        parts.router = Router.start(parts)
+        parts.driver = WorkerDriver.start(parts, workers)
+        parts.state = StateActor.start(parts, metrics)
+        parts.watcher = VmWatcher.start(parts, VmListClient(client, settings.platform.vms), workers)
+        parts.reader = LogReader.start(log, timing.poll_ms / 1000, parts.state)
+
+    def run(self) -> int:
+        """Serve until told to stop; give the exit status."""
+        self._peers.start()
+        self._ask_seeds()
+        self._parts.reader.tell(Tick())
+        threading.Thread(target=self._tick, name="ticks", daemon=True).start()
+        threading.Thread(target=self._watch_vms, name="vm-ticks", daemon=True).start()
+        threading.Thread(target=self._server.run, name="api", daemon=True).start()
+        log_event("started", api=self._parts.api_address, incarnation=self._parts.incarnation)
+        self._stopping.wait()
+        return self._stop()
+
+    def stop(self) -> None:
+        """Ask for a planned stop."""
+        self._stopping.set()
+
+    def _fail(self) -> None:
+        """End at once: nothing is given back, as if the process had been killed."""
+        sys.stderr.flush()
+        self._failed = True
+        self._stopping.set()
+
+    # -- ticks -----------------------------------------------------------------------------
+
+    def _tick(self) -> None:
+        while not self._stopped.wait(_TICK_SECONDS):
+            for actor in (self._parts.state, self._parts.driver, self._parts.router):
+                with contextlib.suppress(pykka.ActorDeadError):
+                    actor.tell(Tick())
+
+    def _watch_vms(self) -> None:
+        interval = self._settings.timing.vms_interval_ms / 1000
+        while not self._stopped.wait(interval):
+            # Asked, not told: looks at a slow list must not pile up.
+            try:
+                self._parts.watcher.ask(Tick())
+            except pykka.ActorDeadError:
+                return
+
+    # -- peers -----------------------------------------------------------------------------
+
+    def _set_peers(self, members: dict[str, Member]) -> None:
+        own = self._settings.node.name
+        self._peers.set_addresses(
+            {name: member.peer_address for name, member in members.items() if name != own}
+        )
+
+    def _heard(self, beat: Heartbeat) -> None:
+        self._parts.state.tell(
+            PeerHeard(beat.node, beat.incarnation, beat.offset, beat.digest_offset, beat.digest)
+        )
+        self._parts.router.tell(PeerIdle(beat.node, beat.idle_slots))
+
+    def _answer_peer(self, question):
+        if isinstance(question, StateWanted):
+            data = self._parts.state.ask(View(lambda parts: encode_state(parts.state)))
+            return StateGiven(question.number, data)
+        return self._requests.answer_peer(question)
+
+    def _ask_seeds(self) -> None:
+        """Take the newest state that a peer has; the log goes on from there."""
+        for address in self._settings.node.seed_addresses:
+            if address == self._settings.node.peer:
+                continue
+            try:
+                given = self._peers.ask_address(address, StateWanted, _SEED_SECONDS)
+                state = decode_state(given.data)
+            except (PlatformError, InvalidInput) as error:
+                log_event("seed_silent", address=address, reason=str(error))
+                continue
+            log_event("state_from_peer", address=address, offset=state.offset)
+            loaded = StateLoaded(state)
+            self._parts.state.ask(loaded)
+            self._parts.reader.ask(loaded)
+            return
+
+    # -- the end ---------------------------------------------------------------------------
+
+    def _stop(self) -> int:
+        if self._failed:
+            log_error("stopped", "a part of the node failed")
+            return 1
+        log_event("draining")
+        name = self._settings.node.name
+        self._api.drain()
+        self._parts.writer.tell(Propose((NodeDraining(name),)))
+        self._wait_for_requests()
+        self._requests.drain()
+        self._wait_for_requests()
+        self._leave(name)
+        self._stopped.set()
+        self._server.close()
+        self._peers.stop()
+        pykka.ActorRegistry.stop_all(block=False)
+        log_event("stopped")
+        return 0
+
+    def _wait_for_requests(self) -> None:
+        end = time.monotonic() + self._settings.timing.drain_ms / 1000
+        while self._api.in_flight and time.monotonic() < end:
+            time.sleep(_STOP_POLL_SECONDS)
+
+    def _leave(self, name: str) -> None:
+        done = threading.Event()
+        self._parts.writer.tell(Propose((NodeLeft(name),), lambda result: done.set()))
+        if not done.wait(_LEAVE_SECONDS):
+            log_event("left_silently", reason="the log did not answer")
+
+
+def main() -> None:
+    """Run the daemon."""
+    parser = argparse.ArgumentParser(prog="snowdockd", description=__doc__)
+    parser.add_argument("--settings", required=True, help="the node's INI file")
+    parser.add_argument("--check", action="store_true", help="check the settings and end")
+    options = parser.parse_args()
+    try:
+        settings = read_settings(options.settings)
+    except SettingsErrors as errors:
+        for error in errors.exceptions:
+            print(f"snowdockd: {error}", file=sys.stderr)
+        sys.exit(2)
+    if options.check:
+        print("the settings are good")
+        return
+    start_logging(settings.node.name)
+    node = Node(settings)
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: node.stop())
+    status = node.run()
+    sys.stderr.flush()
+    # Threads that wait for outside systems may not end by themselves.
+    os._exit(status)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/snowdock/node/log_actors.py
@@ -0,0 +1,290 @@
+"""The two actors that talk to the platform's log: one appends, one reads."""
+
+import threading
+import time
+from collections.abc import Callable
+
+import pykka
+
+from ..errors import (
+    InvalidInput,
+    LogExpired,
+    LogUnavailable,
+    PlatformError,
+    SnowdockError,
+    VerdictUnknown,
+)
+from ..platform.logs import LogClient, RawEntry
+from ..records import Batch, Record, SnapshotPart, decode_batch, encode_batch
+from ..state import State, decode_state
+from .logs import log_error, log_event
+from .messages import BatchSeen, EntriesRead, LogFailed, Propose, StateLoaded, Tick
+
+__all__ = ["LogReader", "LogWriter", "newest_snapshot"]
+
+_RETRY_SECONDS = 0.2
+_MAX_BATCH_RECORDS = 512
+_MAX_QUEUED_RECORDS = 20_000
+
+
+class LogWriter(pykka.ThreadingActor):
+    """Appends batches, one at a time, each until it is surely on the log.
+
+    A batch whose answer was lost is appended again under the same sequence number; the
+    reducer finds the second copy void. So the order of a node's records is kept.
+
+    Parameters
+    ----------
+    log
+        The log.
+    node, incarnation
+        The sender in each batch.
+    interval
+        Seconds from one append to the next, which keeps the node within its budget.
+    read_offset
+        Tells how far this node has acted on the log.
+    """
+
+    def __init__(
+        self,
+        log: LogClient,
+        node: str,
+        incarnation: str,
+        interval: float,
+        read_offset: Callable[[], int],
+    ) -> None:
+        super().__init__()
+        self._log = log
+        self._node = node
+        self._incarnation = incarnation
+        self._interval = interval
+        self._read_offset = read_offset
+        self._sequence = 0
+        self._queue: list[Propose] = []
+        self._queued_records = 0
+        self._in_flight: Batch | None = None
+        self._waiting: dict[int, list[Propose]] = {}
+        self._next_append = 0.0
+        self._timer_set = False
+        self._failing = False
+
+    def on_receive(self, message: object) -> None:
+        """Take a proposal, a verdict or the time to append."""
+        if isinstance(message, Propose):
+            self._take(message)
+        elif isinstance(message, BatchSeen):
+            self._judged(message)
+        elif isinstance(message, Tick):
+            self._timer_set = False
+            self._append()
+        self._set_timer()
+
+    def on_stop(self) -> None:
+        """Tell everyone who still waits that the verdict will not be seen here."""
+        for proposals in self._waiting.values():
+            for proposal in proposals:
+                _refuse(proposal, VerdictUnknown("the node stops; ask another with the same key"))
+        for proposal in self._queue:
+            _refuse(proposal, LogUnavailable("the node stops; nothing was recorded"))
+
+    def _take(self, proposal: Propose) -> None:
+        # A caller's proposal is refused at once while the log is down: it has not been sent,
+        # so "not recorded" is certain. The node's own records wait.
+        if self._failing and proposal.reply is not None:
+            _refuse(proposal, LogUnavailable("the log is down; nothing was recorded"))
+            return
+        if self._queued_records + len(proposal.records) > _MAX_QUEUED_RECORDS:
+            _refuse(proposal, LogUnavailable("too much waits for the log; nothing was recorded"))
+            return
+        self._queue.append(proposal)
+        self._queued_records += len(proposal.records)
+
+    def _set_timer(self) -> None:
+        if self._timer_set or not (self._queue or self._in_flight):
+            return
+        self._timer_set = True
+        delay = self._next_append - time.monotonic()
+        if delay <= 0:
+            self.actor_ref.tell(Tick())
+        else:
+            timer = threading.Timer(delay, self._tell_tick)
+            timer.daemon = True
+            timer.start()
+
+    def _tell_tick(self) -> None:
+        if self.actor_ref.is_alive():
+            self.actor_ref.tell(Tick())
+
+    def _next_batch(self) -> Batch:
+        taken, records = [], []
+        while self._queue and len(records) < _MAX_BATCH_RECORDS:
+            proposal = self._queue.pop(0)
+            taken.append(proposal)
+            records.extend(proposal.records)
+        self._queued_records -= len(records)
+        self._sequence += 1
+        self._waiting[self._sequence] = taken
+        return self._make(records)
+
+    def _make(self, records: list[Record]) -> Batch:
+        return Batch(
+            self._node,
+            self._incarnation,
+            self._sequence,
+            self._read_offset(),
+            int(time.time() * 1000),
+            records,
+        )
+
+    def _append(self) -> None:
+        if self._in_flight is None:
+            if not self._queue:
+                return
+            self._in_flight = self._next_batch()
+        try:
+            self._log.append(encode_batch(self._in_flight))
+        except PlatformError as error:
+            self._note_failure(error)
+            return
+        if self._failing:
+            log_event("log_append_recovered")
+        self._failing = False
+        self._in_flight = None
+        self._next_append = time.monotonic() + self._interval
+
+    def _note_failure(self, error: PlatformError) -> None:
+        self._next_append = time.monotonic() + _RETRY_SECONDS
+        if self._failing:
+            return
+        self._failing = True
+        log_error("log_append_failed", error, sequence=self._sequence)
+        kept = []
+        for proposal in self._queue:
+            if proposal.reply is None:
+                kept.append(proposal)
+            else:
+                _refuse(proposal, LogUnavailable("the log is down; nothing was recorded"))
+        self._queue = kept
+        self._queued_records = sum(len(proposal.records) for proposal in kept)
+
+    def _judged(self, seen: BatchSeen) -> None:
+        judged = seen.judged
+        if self._in_flight is not None and judged.sequence == self._sequence:
+            # The append's answer was lost, but the batch is there.
+            self._in_flight = None
+            self._failing = False
+        verdicts = list(judged.verdicts)
+        for proposal in self._waiting.pop(judged.sequence, []):
+            own = tuple(verdicts[: len(proposal.records)])
+            del verdicts[: len(proposal.records)]
+            if proposal.reply is not None:
+                proposal.reply(own)
+
+
+def _refuse(proposal: Propose, error: SnowdockError) -> None:
+    if proposal.reply is not None:
+        proposal.reply(error)
+
+
+class LogReader(pykka.ThreadingActor):
+    """Reads the log from the start, or from the newest snapshot, and follows it.
+
+    Parameters
+    ----------
+    log
+        The log.
+    wait_seconds
+        How long one read waits for news.
+    target
+        The actor that gets `EntriesRead`, `StateLoaded` and `LogFailed`.
+    """
+
+    def __init__(self, log: LogClient, wait_seconds: float, target: pykka.ActorRef) -> None:
+        super().__init__()
+        self._log = log
+        self._wait = wait_seconds
+        self._target = target
+        self._next = 0
+        self._seeking: list[RawEntry] | None = None
+        self._failing = False
+
+    def on_receive(self, message: object) -> None:
+        """Read once and go on; a `StateLoaded` names the offset to go on from."""
+        if isinstance(message, StateLoaded):
+            self._next = max(self._next, message.state.offset + 1)
+            return
+        try:
+            self._read()
+            self._failing = False
+        except LogExpired as expired:
+            log_event("log_expired", wanted=self._next, first=expired.first)
+            self._next = expired.first
+            self._seeking = []
+        except PlatformError as error:
+            self._fail(error)
+        self.actor_ref.tell(Tick())
+
+    def _fail(self, error: PlatformError) -> None:
+        if not self._failing:
+            log_error("log_read_failed", error)
+        self._failing = True
+        self._target.tell(LogFailed(str(error)))
+        time.sleep(_RETRY_SECONDS)
+
+    def _read(self) -> None:
+        asked_at = time.monotonic()
+        page = self._log.read(self._next, self._wait)
+        if page.entries:
+            self._next = page.entries[-1].offset + 1
+        if self._seeking is None:
+            self._target.tell(EntriesRead(tuple(page.entries), page.end, asked_at))
+            return
+        self._seeking.extend(page.entries)
+        if self._next >= page.end:
+            self._load_snapshot(page.end, asked_at)
+
+    def _load_snapshot(self, end: int, asked_at: float) -> None:
+        state = newest_snapshot(self._seeking)
+        if state is None:
+            log_error("snapshot_missing", "no whole snapshot on the log", end=end)
+            return
+        log_event("snapshot_loaded", offset=state.offset)
+        later = tuple(entry for entry in self._seeking if entry.offset > state.offset)
+        self._seeking = None
+        self._target.tell(StateLoaded(state))
+        self._target.tell(EntriesRead(later, end, asked_at))
+
+
+def newest_snapshot(entries: list[RawEntry]) -> State | None:
+    """Find the newest whole snapshot whose next entry is still among the entries.
+
+    Parameters
+    ----------
+    entries
+        All entries that the log still holds, in order.
+
+    Returns
+    -------
+    State or None
+        The decoded snapshot.
+    """
+    parts: dict[tuple[str, int], dict[int, SnapshotPart]] = {}
+    for entry in entries:
+        try:
+            batch = decode_batch(entry.data)
+        except InvalidInput:
+            continue
+        for record in batch.records:
+            if isinstance(record, SnapshotPart):
+                found = parts.setdefault((batch.incarnation, record.offset), {})
+                found[record.index] = record
+    first = entries[0].offset if entries else 0
+    whole = [
+        found
+        for (_, offset), found in parts.items()
+        if len(found) == next(iter(found.values())).total and offset + 1 >= first
+    ]
+    if not whole:
+        return None
+    newest = max(whole, key=lambda found: found[0].offset)
+    return decode_state(b"".join(newest[index].data for index in range(len(newest))))
--- /dev/null
+++ b/src/snowdock/node/metrics.py
@@ -0,0 +1,59 @@
+"""Metrics by aioprometheus.
+
+The library is made for asyncio, but its counters, gauges and its ``render`` are ordinary
+functions. A node has no event loop: `render_metrics` is called by the HTTP API's threads.
+"""
+
+import threading
+import time
+
+import aioprometheus
+from aioprometheus.collectors import Registry
+
+__all__ = ["Metrics"]
+
+_QUANTILES = ((0.5, 0.02), (0.9, 0.01), (0.99, 0.001))
+
+
+class Metrics:
+    """All metrics of one node.
+
+    aioprometheus counts by reading and writing back, so a lock keeps threads apart.
+    """
+
+    def __init__(self) -> None:
+        self._registry = Registry()
+        self._lock = threading.Lock()
+        self._metrics: dict[str, aioprometheus.Collector] = {}
+
+    def _find(self, kind: type, name: str, doc: str, **options):
+        if name not in self._metrics:
+            self._metrics[name] = kind(f"snowdock_{name}", doc, registry=self._registry, **options)
+        return self._metrics[name]
+
+    def count(self, name: str, doc: str, amount: int = 1, **labels: str) -> None:
+        """Add to a counter."""
+        with self._lock:
+            self._find(aioprometheus.Counter, name, doc).add(labels, amount)
+
+    def set(self, name: str, doc: str, value: float, **labels: str) -> None:
+        """Set a gauge."""
+        with self._lock:
+            self._find(aioprometheus.Gauge, name, doc).set(labels, value)
+
+    def observe(self, name: str, doc: str, value: float, **labels: str) -> None:
+        """Add an observation to a summary with the quantiles 0.5, 0.9 and 0.99."""
+        with self._lock:
+            found = self._find(aioprometheus.Summary, name, doc, invariants=_QUANTILES)
+            found.observe(labels, value)
+
+    def render(self) -> tuple[bytes, str]:
+        """Give all metrics in the text format, and its content type."""
+        with self._lock:
+            self._find(
+                aioprometheus.Gauge,
+                "process_cpu_seconds",
+                "Processor time of this process in seconds.",
+            ).set({}, time.process_time())
+            content, headers = aioprometheus.render(self._registry, ["text/plain"])
+        return content, headers["Content-Type"]
--- /dev/null
+++ b/src/snowdock/node/peers.py
@@ -0,0 +1,241 @@
+"""Sockets to the other nodes, by pyzmq: one thread owns them all."""
+
+import concurrent.futures
+import contextlib
+import itertools
+import queue
+import threading
+import time
+from collections.abc import Callable
+
+import pykka
+import zmq
+
+from ..errors import InvalidInput, PlatformError
+from .logs import log_error
+from .parts import Parts
+from .peer_messages import (
+    AnswerGiven,
+    AnswerWanted,
+    CallAnswered,
+    CallForwarded,
+    Heartbeat,
+    PeerMessage,
+    StateGiven,
+    StateWanted,
+    decode_peer_message,
+    encode_peer_message,
+)
+
+__all__ = ["Peers"]
+
+_MAX_QUEUED_MESSAGES = 1000
+_MAX_MESSAGE_BYTES = 64 * 1024 * 1024
+_ANSWERERS = 16
+_POLL_MS = 100
+
+Answer = StateGiven | CallAnswered | AnswerGiven
+Question = StateWanted | CallForwarded | AnswerWanted
+
+
+class Peers:
+    """Sends heartbeats and questions to peers and answers theirs.
+
+    pyzmq's sockets belong to one thread; other threads hand messages over through a queue
+    and wake that thread through an in-process socket.
+
+    Parameters
+    ----------
+    parts
+        The node.
+    answer
+        Makes the answer to a question; called on one of a few threads.
+    heard
+        Called with each heartbeat.
+    """
+
+    def __init__(
+        self,
+        parts: Parts,
+        answer: Callable[[Question], Answer | None],
+        heard: Callable[[Heartbeat], None],
+    ) -> None:
+        self._parts = parts
+        self._answer = answer
+        self._heard = heard
+        self._context = zmq.Context()
+        self._outgoing: queue.SimpleQueue = queue.SimpleQueue()
+        self._wake_lock = threading.Lock()
+        self._wake = self._context.socket(zmq.PAIR)
+        self._woken = self._context.socket(zmq.PAIR)
+        self._woken.bind("inproc://wake")
+        self._wake.connect("inproc://wake")
+        self._listener = self._socket(zmq.ROUTER)
+        self._listener.bind(f"tcp://{parts.settings.node.peer}")
+        self._dealers: dict[str, zmq.Socket] = {}
+        self._addresses: dict[str, str] = {}
+        self._numbers = itertools.count(1)
+        self._questions: dict[int, pykka.Future] = {}
+        self._questions_lock = threading.Lock()
+        self._answerers = concurrent.futures.ThreadPoolExecutor(_ANSWERERS, "peer-answer")
+        self._stopped = threading.Event()
+        self._next_beat = 0.0
+        self._thread = threading.Thread(target=self._run, name="peers", daemon=True)
+
+    def _socket(self, kind: int) -> zmq.Socket:
+        socket = self._context.socket(kind)
+        socket.linger = 0
+        socket.sndhwm = socket.rcvhwm = _MAX_QUEUED_MESSAGES
+        socket.maxmsgsize = _MAX_MESSAGE_BYTES
+        return socket
+
+    def start(self) -> None:
+        """Start the thread that owns the sockets."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Close all sockets."""
+        self._stopped.set()
+        self._thread.join()
+        self._answerers.shutdown(wait=False, cancel_futures=True)
+        self._context.destroy(linger=0)
+
+    def set_addresses(self, addresses: dict[str, str]) -> None:
+        """Name the peers and where they listen."""
+        self._hand_over(("addresses", dict(addresses), b""))
+
+    def ask(self, node: str, make: Callable[[int], Question], timeout: float) -> Answer:
+        """Send a question to a peer and wait for the answer.
+
+        Raises
+        ------
+        PlatformError
+            If there is no answer in time; the peer may have acted on the question.
+        """
+        number = next(self._numbers)
+        future = pykka.ThreadingFuture()
+        with self._questions_lock:
+            self._questions[number] = future
+        self._hand_over(("send", node, encode_peer_message(make(number))))
+        try:
+            return future.get(timeout=timeout)
+        except pykka.Timeout as error:
+            raise PlatformError(f"peer {node} did not answer") from error
+        finally:
+            with self._questions_lock:
+                self._questions.pop(number, None)
+
+    def ask_address(self, address: str, make: Callable[[int], Question], timeout: float) -> Answer:
+        """Ask a peer that is known by its address only."""
+        self._hand_over(("connect", address, address.encode()))
+        return self.ask(address, make, timeout)
+
+    def _hand_over(self, item: tuple) -> None:
+        self._outgoing.put(item)
+        # A full wake queue means that the thread has been woken often enough.
+        with self._wake_lock, contextlib.suppress(zmq.Again):
+            self._wake.send(b"", zmq.NOBLOCK)
+
+    def _run(self) -> None:
+        poller = zmq.Poller()
+        poller.register(self._listener, zmq.POLLIN)
+        poller.register(self._woken, zmq.POLLIN)
+        while not self._stopped.is_set():
+            for socket, _ in poller.poll(_POLL_MS):
+                try:
+                    self._serve(socket)
+                except (InvalidInput, ValueError) as error:
+                    log_error("peer_message_dropped", error)
+            known = set(self._dealers.values())
+            for socket in known - {s for s, _ in poller.sockets}:
+                poller.register(socket, zmq.POLLIN)
+            for socket in {s for s, _ in poller.sockets} - known:
+                if socket not in (self._listener, self._woken):
+                    poller.unregister(socket)
+                    socket.close()
+            self._beat()
+
+    def _serve(self, socket: zmq.Socket) -> None:
+        if socket is self._woken:
+            socket.recv()
+            self._send_outgoing()
+        elif socket is self._listener:
+            sender, data = socket.recv_multipart()
+            self._take(sender, decode_peer_message(data))
+        else:
+            self._take_answer(decode_peer_message(socket.recv()))
+
+    def _send_outgoing(self) -> None:
+        while not self._outgoing.empty():
+            kind, target, data = self._outgoing.get()
+            if kind == "addresses":
+                self._reconnect(target)
+            elif kind == "connect":
+                self._connect(target, data.decode())
+            elif kind == "answer":
+                self._try_send(self._listener, [target, data])
+            elif target in self._dealers:
+                self._try_send(self._dealers[target], [data])
+
+    @staticmethod
+    def _try_send(socket: zmq.Socket, frames: list[bytes]) -> None:
+        try:
+            socket.send_multipart(frames, zmq.NOBLOCK)
+        except zmq.ZMQError as error:
+            # A full queue or a peer that went away; whoever asked runs into its timeout.
+            log_error("peer_send_failed", error)
+
+    def _reconnect(self, addresses: dict[str, str]) -> None:
+        for node in list(self._dealers):
+            if addresses.get(node) != self._addresses.get(node):
+                del self._dealers[node]
+                del self._addresses[node]
+        for node, address in addresses.items():
+            self._connect(node, address)
+
+    def _connect(self, node: str, address: str) -> None:
+        if node in self._dealers:
+            return
+        socket = self._socket(zmq.DEALER)
+        socket.connect(f"tcp://{address}")
+        self._dealers[node] = socket
+        self._addresses[node] = address
+
+    def _take(self, sender: bytes, message: PeerMessage) -> None:
+        if isinstance(message, Heartbeat):
+            self._heard(message)
+        elif isinstance(message, Question):
+            self._answerers.submit(self._answer_one, sender, message)
+
+    def _answer_one(self, sender: bytes, question: Question) -> None:
+        answer = self._answer(question)
+        if answer is not None:
+            self._hand_over(("answer", sender, encode_peer_message(answer)))
+
+    def _take_answer(self, message: PeerMessage) -> None:
+        if not isinstance(message, Answer):
+            return
+        with self._questions_lock:
+            future = self._questions.pop(message.number, None)
+        if future is not None:
+            future.set(message)
+
+    def _beat(self) -> None:
+        now = time.monotonic()
+        if now < self._next_beat:
+            return
+        parts = self._parts
+        self._next_beat = now + parts.settings.timing.heartbeat_ms / 1000
+        digest_offset, digest = parts.digest
+        data = encode_peer_message(
+            Heartbeat(
+                parts.settings.node.name,
+                parts.incarnation,
+                parts.applied_offset,
+                digest_offset,
+                digest,
+                parts.idle_slots,
+            )
+        )
+        for dealer in self._dealers.values():
+            self._try_send(dealer, [data])
--- /dev/null
+++ b/src/snowdock/node/requests.py
@@ -0,0 +1,366 @@
+"""Callers' requests: routed to a minion, forwarded, and answered whole.
+
+A caller is told one of three things: ``ran`` with the whole answer, ``not_run`` with when to
+come back, or ``unknown`` for a not-repeatable request that may have run.
+"""
+
+import dataclasses
+import secrets
+import time
+
+import msgspec
+import pykka
+
+from ..decisions.retries import RetryBudget, backoff_seconds
+from ..declarations import Endpoint
+from ..effects import Accepted
+from ..errors import (
+    Draining,
+    InvalidInput,
+    NotFound,
+    Overloaded,
+    PlatformError,
+    SnowdockError,
+)
+from ..platform.minions import Exchange, ExchangeResult, MinionClient
+from ..records import RequestEnded, RequestIntended
+from ..request_ids import request_time_ms
+from .answers import AnswerBook
+from .logs import log_event
+from .messages import Acquire, Granted, LentByPeer, Propose, Refused, Released, View
+from .metrics import Metrics
+from .parts import Parts
+from .peer_messages import (
+    AnswerGiven,
+    AnswerWanted,
+    CallAnswered,
+    CallForwarded,
+    CallOutcome,
+    CallRequest,
+)
+from .peers import Peers
+from .traces import span
+
+__all__ = ["RequestHandler", "outcome_of"]
+
+_MAX_TRIES = 4
+_PEER_ASK_SECONDS = 2.0
+_LOG_RETRY_SECONDS = 1.0
+_MIN_SECONDS = 0.001
+
+
+def outcome_of(error: SnowdockError) -> CallOutcome:
+    """Tell a caller of a failure before which nothing was run."""
+    return CallOutcome(
+        "not_run",
+        error.status,
+        code=error.code,
+        reason=str(error),
+        retry_after_seconds=error.retry_after_seconds or 0.0,
+    )
+
+
+@dataclasses.dataclass(slots=True)
+class _Try:
+    """What is known while a request is worked on; ``deadline`` is on the monotonic clock."""
+
+    request: CallRequest
+    endpoint: Endpoint
+    deadline: float
+    may_lend: bool
+    intended: bool = False
+    tries: int = 0
+    failed: set[str] = dataclasses.field(default_factory=set)
+
+    @property
+    def seconds_left(self) -> float:
+        """Time until the deadline."""
+        return self.deadline - time.monotonic()
+
+
+class RequestHandler:
+    """Carries out requests; its methods are called on the HTTP API's and the peers' threads."""
+
+    def __init__(self, parts: Parts, client: MinionClient, metrics: Metrics) -> None:
+        self._parts = parts
+        self._client = client
+        self._metrics = metrics
+        self._answers = AnswerBook()
+        self._budget = RetryBudget()
+        self._peers: Peers | None = None
+        self._draining = False
+
+    def set_peers(self, peers: Peers) -> None:
+        """Name the peers; done once, before the first request."""
+        self._peers = peers
+
+    def drain(self) -> None:
+        """Refuse requests from now on; those in flight go on."""
+        self._draining = True
+
+    # -- entry points ----------------------------------------------------------------------
+
+    def handle(self, request: CallRequest, may_lend: bool = True) -> CallOutcome:
+        """Carry out a request.
+
+        Parameters
+        ----------
+        request
+            The request.
+        may_lend
+            Whether a peer may run it; a peer's own requests are not handed on again.
+
+        Returns
+        -------
+        CallOutcome
+            The final word on this try of the caller.
+        """
+        with span(
+            "request", request.trace, request=request.request_id, endpoint=request.endpoint
+        ) as current:
+            traced = msgspec.structs.replace(request, trace=current.traceparent)
+            outcome = self._handle(traced, may_lend)
+        self._metrics.count(
+            "requests_total",
+            "Requests by endpoint and outcome.",
+            endpoint=request.endpoint,
+            outcome=outcome.outcome,
+        )
+        return outcome
+
+    def _handle(self, request: CallRequest, may_lend: bool) -> CallOutcome:
+        try:
+            if self._draining:
+                raise Draining("the node is on its way out; nothing was run")
+            endpoint = self._find_endpoint(request)
+            known = self._known(request)
+            if known is not None:
+                return known
+            deadline = time.monotonic() + request.deadline_ms / 1000
+            return self._run(_Try(request, endpoint, deadline, may_lend))
+        except SnowdockError as error:
+            return outcome_of(error)
+
+    def answer_peer(self, question: CallForwarded | AnswerWanted) -> CallAnswered | AnswerGiven:
+        """Answer a peer's question about a request."""
+        if isinstance(question, AnswerWanted):
+            return AnswerGiven(question.number, self._answers.find(question.request_id))
+        return CallAnswered(question.number, self.handle(question.request, may_lend=False))
+
+    def _find_endpoint(self, request: CallRequest) -> Endpoint:
+        found = self._parts.state.ask(
+            View(
+                lambda parts: parts.state.configuration.declarations.endpoints.get(request.endpoint)
+            )
+        )
+        if found is None:
+            raise NotFound(f"no endpoint {request.endpoint}; nothing was run")
+        return found
+
+    # -- at most once ----------------------------------------------------------------------
+
+    def _known(self, request: CallRequest) -> CallOutcome | None:
+        """Answer a not-repeatable request whose id is on the log already."""
+        if request.repeatable:
+            return None
+        if request_time_ms(request.request_id) is None:
+            raise InvalidInput("a not-repeatable request needs a version 7 UUID as its id")
+        found = self._parts.state.ask(
+            View(lambda parts: parts.state.requests.get(request.request_id))
+        )
+        return None if found is None else self._tell_known(request, found)
+
+    def _tell_known(self, request: CallRequest, found) -> CallOutcome:
+        if found.outcome == "not_run":
+            return CallOutcome(
+                "not_run", 503, code="not_run", reason="this id was not run; use a new one"
+            )
+        kept = self._kept_answer(request.request_id, found.node)
+        if kept is not None:
+            return kept
+        if found.outcome == "ran":
+            return CallOutcome(
+                "ran", 410, code="answer_gone", reason="it ran; its answer is no longer kept"
+            )
+        return CallOutcome(
+            "unknown",
+            504,
+            code="outcome_unknown",
+            reason="it may have run or may still run; ask again with the same id",
+            retry_after_seconds=_LOG_RETRY_SECONDS,
+        )
+
+    def _kept_answer(self, request_id: str, node: str) -> CallOutcome | None:
+        if node == self._parts.settings.node.name:
+            return self._answers.find(request_id)
+        try:
+            given = self._peers.ask(
+                node, lambda number: AnswerWanted(number, request_id), _PEER_ASK_SECONDS
+            )
+        except PlatformError:
+            return None
+        return given.outcome
+
+    def _intend(self, work: _Try, minion: str) -> CallOutcome | None:
+        """Put the intent on the log; an outcome means that the request must not be sent."""
+        request = work.request
+        future = pykka.ThreadingFuture()
+        record = RequestIntended(request.request_id, minion)
+        self._parts.writer.tell(Propose((record,), future.set))
+        try:
+            result = future.get(timeout=max(work.seconds_left, _MIN_SECONDS))
+        except pykka.Timeout:
+            # The intent may come onto the log later, but this node does not act on it.
+            self._note_end(request, "not_run")
+            raise Overloaded("the log was too slow; nothing was run", _LOG_RETRY_SECONDS) from None
+        if isinstance(result, SnowdockError):
+            raise result
+        if isinstance(result[0], Accepted):
+            work.intended = True
+            return None
+        known = self._known(request)
+        if known is not None:
+            return known
+        raise InvalidInput(f"{result[0].reason}; nothing was run")
+
+    def _note_end(self, request: CallRequest, outcome: str) -> None:
+        self._parts.writer.tell(Propose((RequestEnded(request.request_id, outcome),)))
+
+    # -- trying ----------------------------------------------------------------------------
+
+    def _run(self, work: _Try) -> CallOutcome:
+        outcome = self._run_tries(work)
+        if work.intended:
+            self._answers.keep(work.request.request_id, outcome)
+            self._note_end(work.request, outcome.outcome)
+        return outcome
+
+    def _run_tries(self, work: _Try) -> CallOutcome:
+        while True:
+            slot = self._find_slot(work)
+            if isinstance(slot, Refused):
+                return outcome_of(
+                    Overloaded(f"{slot.reason}; nothing was run", slot.retry_after_seconds)
+                )
+            if isinstance(slot, LentByPeer):
+                outcome = self._forward_to_peer(work, slot.node)
+                if outcome is not None:
+                    return outcome
+                work.may_lend = False
+                continue
+            outcome = self._try_minion(work, slot)
+            if outcome is not None:
+                return outcome
+
+    def _find_slot(self, work: _Try):
+        request = work.request
+        future = pykka.ThreadingFuture()
+        self._parts.router.tell(
+            Acquire(
+                group=work.endpoint.minions,
+                queue_limit=work.endpoint.queue,
+                priority=request.priority,
+                deadline=work.deadline,
+                excluded=frozenset(work.failed),
+                may_lend=work.may_lend and not work.intended,
+                may_wait=work.may_lend or work.tries > 0,
+                slot=future,
+                wanted=request.session,
+            )
+        )
+        # The router answers every asker at its deadline; the slack covers a slow thread.
+        return future.get(timeout=max(work.seconds_left, 0) + 5)
+
+    def _forward_to_peer(self, work: _Try, node: str) -> CallOutcome | None:
+        """Let a peer run the request; None means that it surely was not run there."""
+        left = work.seconds_left
+        request = msgspec.structs.replace(work.request, deadline_ms=max(1, round(left * 1000)))
+        try:
+            with span("peer", request.trace, peer=node) as current:
+                traced = msgspec.structs.replace(request, trace=current.traceparent)
+                given = self._peers.ask(
+                    node, lambda number: CallForwarded(number, traced), max(left, _MIN_SECONDS)
+                )
+        except PlatformError as error:
+            return None if request.repeatable else _unknown(str(error))
+        outcome = given.outcome
+        if outcome.outcome == "not_run" and outcome.status in (503,) and left > _MIN_SECONDS:
+            return None
+        return outcome
+
+    def _try_minion(self, work: _Try, slot: Granted) -> CallOutcome | None:
+        request = work.request
+        started = time.monotonic()
+        exchange = Exchange(ExchangeResult.NOT_RUN, reason="not sent")
+        try:
+            if not request.repeatable and not work.intended:
+                refused = self._intend(work, slot.minion)
+                if refused is not None:
+                    return refused
+            exchange = self._send(work, slot)
+        finally:
+            # Where the request may still run at the minion, its slot is held back for as long
+            # as any request may take: closing the connection does not end it there.
+            seconds = time.monotonic() - started
+            failed = work.tries > 0 and exchange.result != ExchangeResult.RAN
+            is_unknown = exchange.result == ExchangeResult.UNKNOWN
+            hold = work.endpoint.deadline_ms / 1000 if is_unknown else 0.0
+            self._parts.router.tell(Released(slot.minion, failed, seconds, hold))
+        return self._judge(work, slot, exchange)
+
+    def _send(self, work: _Try, slot: Granted) -> Exchange:
+        request = work.request
+        work.tries += 1
+        with span("minion", request.trace, minion=slot.minion) as current:
+            headers = {**request.headers, "traceparent": current.traceparent}
+            return self._client.forward(
+                slot.address,
+                request.method,
+                request.path,
+                request.request_id,
+                headers,
+                request.body,
+                max(work.seconds_left, _MIN_SECONDS),
+            )
+
+    def _judge(self, work: _Try, slot: Granted, exchange: Exchange) -> CallOutcome | None:
+        """Decide after one try: the final outcome, or None for another try."""
+        request = work.request
+        if exchange.result == ExchangeResult.RAN:
+            self._budget.note_success()
+            answer = exchange.answer
+            return CallOutcome(
+                "ran", answer.status, answer.headers, answer.body, minion=slot.minion
+            )
+        log_event(
+            "try_failed", request=request.request_id, minion=slot.minion, reason=exchange.reason
+        )
+        may_have_run = exchange.result == ExchangeResult.UNKNOWN
+        if may_have_run and not request.repeatable:
+            return _unknown(exchange.reason)
+        work.failed.add(slot.minion)
+        pause = backoff_seconds(work.tries, secrets.SystemRandom().random())
+        is_last = work.tries >= _MAX_TRIES or pause >= work.seconds_left
+        if is_last or not self._budget.take():
+            return _given_up(request, exchange, may_have_run)
+        self._metrics.count("retries_total", "Tries after the first one.")
+        time.sleep(pause)
+        return None
+
+
+def _unknown(reason: str) -> CallOutcome:
+    return CallOutcome(
+        "unknown",
+        504,
+        code="outcome_unknown",
+        reason=f"{reason}; it may have run: ask again with the same id to learn",
+        retry_after_seconds=_LOG_RETRY_SECONDS,
+    )
+
+
+def _given_up(request: CallRequest, exchange: Exchange, may_have_run: bool) -> CallOutcome:
+    if may_have_run:
+        return _unknown(exchange.reason)
+    return outcome_of(
+        Overloaded(f"no minion took it: {exchange.reason}; nothing was run", _LOG_RETRY_SECONDS)
+    )
--- /dev/null
+++ b/src/snowdock/node/state_actor.py
@@ -0,0 +1,521 @@
+"""The actor that owns the shared state: it folds the log and decides what follows."""
+
+import dataclasses
+import random
+import time
+from collections.abc import Callable
+
+import pykka
+
+from ..decisions import ownership
+from ..decisions.shares import target_share
+from ..effects import (
+    AttemptAssigned,
+    AttemptClosed,
+    BatchJudged,
+    ConfigurationInForce,
+    MembersChanged,
+    SharesChanged,
+    StopWanted,
+    Void,
+    WorkerAdded,
+    WorkerWithdrawn,
+    WorkFinished,
+    WorkQueued,
+)
+from ..errors import InvalidInput
+from ..leases import earliest_loss_ms
+from ..platform.workers import SyncAnswer
+from ..policies import Alarm, PolicyBook
+from ..records import (
+    AttemptEnded,
+    AttemptLost,
+    AttemptStarted,
+    NodeJoined,
+    Record,
+    SnapshotPart,
+    TasksPlaced,
+    WorkerSeen,
+    decode_batch,
+)
+from ..reducer import Entry, reduce
+from ..reducer._minions import slots_of
+from ..state import (
+    MemberState,
+    Outcome,
+    State,
+    TaskState,
+    VmState,
+    attempt_id,
+    digest,
+    encode_state,
+    parse_attempt_id,
+)
+from .logs import log_error, log_event
+from .messages import (
+    AssignmentChanged,
+    BatchSeen,
+    EntriesRead,
+    LogConfirmed,
+    LogFailed,
+    MinionsChanged,
+    MinionView,
+    PeerHeard,
+    Propose,
+    StateLoaded,
+    SyncAnswered,
+    SyncFailed,
+    Tick,
+    View,
+    WorkerPoked,
+)
+from .metrics import Metrics
+from .parts import Parts
+from .scheduler import Scheduler
+
+__all__ = ["StateActor", "StateParts"]
+
+_RERANK_SECONDS = 2.0
+_SNAPSHOT_PART_BYTES = 500_000
+_DIGEST_ENTRIES = 500
+_REPROPOSE_SECONDS = 30.0
+
+
+@dataclasses.dataclass(slots=True)
+class StateParts:
+    """What a `View` may look at."""
+
+    state: State
+    active: list[str]
+    scheduler: Scheduler
+    policies: PolicyBook
+    ready: bool
+    log_end: int
+    diverged: bool
+
+
+class StateActor(pykka.ThreadingActor):
+    """Owns the state of one node.
+
+    Parameters
+    ----------
+    parts
+        The node's settings, identity and other actors.
+    metrics
+        The node's metrics.
+    """
+
+    def __init__(self, parts: Parts, metrics: Metrics) -> None:
+        super().__init__()
+        self._parts = parts
+        self._metrics = metrics
+        self._state = State()
+        self._policies = PolicyBook(self._raise_alarm)
+        self._scheduler = Scheduler(self._policies, random.Random())
+        self._peers_heard: dict[str, float] = {}
+        self._proposed_at: dict[str, float] = {}
+        self._joined_proposed = False
+        self._is_member = False
+        self._log_end = 0
+        self._diverged = False
+        self._digests: dict[int, str] = {}
+        self._next_rerank = 0.0
+        self._last_snapshot = 0
+        self._drivable: tuple[str, ...] = ()
+        self._handlers: dict[type, Callable] = {
+            EntriesRead: self._read_entries,
+            StateLoaded: self._load,
+            View: self._view,
+            Tick: self._tick,
+            SyncAnswered: self._sync_answered,
+            SyncFailed: self._sync_failed,
+            PeerHeard: self._peer_heard,
+            LogFailed: self._log_failed,
+        }
+        self._effect_handlers: dict[type, Callable] = {
+            BatchJudged: self._on_judged,
+            ConfigurationInForce: self._on_configuration,
+            WorkQueued: self._on_queued,
+            WorkFinished: self._on_finished,
+            AttemptAssigned: self._on_assigned,
+            AttemptClosed: self._on_closed,
+            StopWanted: self._on_stop_wanted,
+            WorkerAdded: self._on_worker,
+            WorkerWithdrawn: self._on_worker,
+            MembersChanged: self._on_members,
+            SharesChanged: self._on_shares,
+        }
+
+    @property
+    def _name(self) -> str:
+        return self._parts.settings.node.name
+
+    def on_receive(self, message: object) -> object:
+        """Dispatch by the message's type."""
+        return self._handlers[type(message)](message)
+
+    def on_failure(self, exception_type, exception_value, traceback) -> None:
+        """Say why the actor stopped; the daemon ends with it."""
+        log_error("state_actor_failed", repr(exception_value))
+        self._parts.fail()
+
+    # -- the log ---------------------------------------------------------------------------
+
+    def _read_entries(self, message: EntriesRead) -> None:
+        self._log_end = max(self._log_end, message.end)
+        for raw in message.entries:
+            try:
+                batch = decode_batch(raw.data)
+            except InvalidInput as error:
+                log_error("entry_unreadable", error, offset=raw.offset)
+                continue
+            for effect in reduce(self._state, Entry(raw.offset, batch)):
+                self._effect_handlers[type(effect)](effect)
+            if raw.offset % _DIGEST_ENTRIES == 0:
+                self._note_digest()
+        self._parts.applied_offset = self._state.offset
+        self._parts.driver.tell(LogConfirmed(message.asked_at))
+        if not self._joined_proposed and self._state.offset + 1 >= message.end:
+            self._join()
+        self._schedule()
+
+    def _log_failed(self, message: LogFailed) -> None:
+        self._metrics.count("log_read_failures_total", "Reads of the log that failed.")
+
+    def _load(self, message: StateLoaded) -> None:
+        if message.state.offset <= self._state.offset:
+            return
+        self._state = message.state
+        self._log_end = max(self._log_end, message.state.offset + 1)
+        self._last_snapshot = message.state.offset
+        self._policies.replace(self._state.configuration.declarations)
+        for worker in self._state.workers.values():
+            self._scheduler.index.update(worker)
+        self._refresh_queue()
+        self._on_members(MembersChanged())
+
+    def _join(self) -> None:
+        self._joined_proposed = True
+        node = self._parts.settings.node
+        self._propose(
+            NodeJoined(
+                node.name, self._parts.incarnation, node.hall, self._parts.api_address, node.peer
+            )
+        )
+
+    def _propose(self, *records: Record) -> None:
+        if records and not self._diverged:
+            self._parts.writer.tell(Propose(records))
+
+    # -- effects ---------------------------------------------------------------------------
+
+    def _on_judged(self, effect: BatchJudged) -> None:
+        voids = [verdict for verdict in effect.verdicts if isinstance(verdict, Void)]
+        if effect.incarnation != self._parts.incarnation:
+            return
+        if voids:
+            self._metrics.count("voids_total", "Own records found void.", len(voids))
+        if not self._is_member:
+            self._is_member = True
+            log_event("joined", offset=self._state.offset)
+            self._on_members(MembersChanged())
+        self._parts.writer.tell(BatchSeen(effect))
+
+    def _on_configuration(self, effect: ConfigurationInForce) -> None:
+        log_event("configuration_in_force", version=effect.version)
+        self._metrics.set(
+            "configuration_version", "Version of the configuration in force.", effect.version
+        )
+        self._policies.replace(self._state.configuration.declarations)
+        self._refresh_queue()
+        self._refresh_minions()
+
+    def _on_queued(self, effect: WorkQueued) -> None:
+        if self._acts_on(f"work/{effect.work}"):
+            self._scheduler.enqueue(effect.work)
+            self._next_rerank = 0.0
+
+    def _on_finished(self, effect: WorkFinished) -> None:
+        self._scheduler.drop(effect.work)
+        work = self._state.works[effect.work]
+        log_event("work_finished", work=effect.work, name=work.spec.name)
+
+    def _on_assigned(self, effect: AttemptAssigned) -> None:
+        worker = self._state.workers[effect.worker]
+        self._scheduler.index.update(worker)
+        if not self._state.works[effect.work].queued:
+            self._scheduler.drop(effect.work)
+        self._poke(effect.worker)
+
+    def _on_closed(self, effect: AttemptClosed) -> None:
+        name = attempt_id(effect.work, effect.task, effect.attempt)
+        self._proposed_at.pop(name, None)
+        self._proposed_at.pop(f"{name}/started", None)
+        worker = self._state.workers[effect.worker]
+        self._scheduler.index.update(worker)
+        work = self._state.works[effect.work]
+        if effect.outcome == Outcome.FAILED and work.number in self._scheduler.reasons:
+            self._scheduler.delay(work, work.tasks[effect.task].failures)
+        self._scheduler.note_room()
+
+    def _on_stop_wanted(self, effect: StopWanted) -> None:
+        self._poke(effect.worker)
+
+    def _on_worker(self, effect: WorkerAdded | WorkerWithdrawn) -> None:
+        self._scheduler.index.update(self._state.workers[effect.worker])
+        self._scheduler.note_room()
+        self._assign_workers()
+        if isinstance(effect, WorkerWithdrawn) and effect.gone:
+            # Any batch confirms to have read so far; an idle node has to send one.
+            self._parts.writer.tell(Propose(()))
+
+    def _on_members(self, effect: MembersChanged) -> None:
+        self._assign_workers()
+        self._refresh_queue()
+        self._refresh_minions()
+        self._parts.peers_changed(dict(self._state.members))
+
+    def _on_shares(self, effect: SharesChanged) -> None:
+        self._refresh_minions()
+
+    # -- who acts --------------------------------------------------------------------------
+
+    def _active_nodes(self) -> list[str]:
+        """Members that seem alive and are not on their way out."""
+        horizon = time.monotonic() - self._parts.settings.timing.silence_ms / 1000
+        return [
+            member.name
+            for member in self._state.members.values()
+            if member.state == MemberState.LIVE
+            and (member.name == self._name or self._peers_heard.get(member.name, 0) > horizon)
+        ]
+
+    def _acts_on(self, thing: str) -> bool:
+        return ownership.owner(thing, self._active_nodes()) == self._name
+
+    def _assign_workers(self) -> None:
+        if not self._is_member:
+            return
+        nodes = self._active_nodes()
+        own = {
+            worker.name: worker.address
+            for worker in self._state.workers.values()
+            if worker.state != VmState.GONE
+            and ownership.owner(f"worker/{worker.name}", nodes) == self._name
+        }
+        self._parts.driver.tell(AssignmentChanged(own))
+
+    def _refresh_queue(self) -> None:
+        """Take over the works that are this node's to place now."""
+        nodes = self._active_nodes()
+        own = {
+            number
+            for number, work in self._state.works.items()
+            if not work.finished_ms
+            and work.queued
+            and ownership.owner(f"work/{number}", nodes) == self._name
+        }
+        self._scheduler.keep_only(own)
+        self._next_rerank = 0.0
+
+    def _refresh_minions(self) -> None:
+        member = self._state.members.get(self._name)
+        may_take = self._is_member and member is not None and member.state == MemberState.LIVE
+        live = [m.name for m in self._state.members.values() if m.state == MemberState.LIVE]
+        views = tuple(self._minion_view(minion, live) for minion in self._state.minions.values())
+        self._parts.router.tell(MinionsChanged(views, may_take))
+
+    def _minion_view(self, minion, live: list[str]) -> MinionView:
+        slots = slots_of(self._state, minion)
+        cooling = sum(c.slots for c in self._state.cooling if c.minion == minion.name)
+        return MinionView(
+            name=minion.name,
+            group=minion.group,
+            hall=minion.hall,
+            address=minion.address,
+            share=minion.shares.get(self._name, 0),
+            target=target_share(minion.name, slots, self._name, live),
+            unshared=slots - cooling - sum(minion.shares.values()),
+            is_live=minion.state == VmState.LIVE,
+        )
+
+    def _poke(self, worker: str) -> None:
+        self._parts.driver.tell(WorkerPoked(worker))
+
+    # -- time ------------------------------------------------------------------------------
+
+    def _tick(self, message: Tick) -> None:
+        now = time.monotonic()
+        active = tuple(self._active_nodes())
+        if active != self._drivable:
+            self._drivable = active
+            log_event("active_nodes", nodes=",".join(active))
+            self._on_members(MembersChanged())
+        self._declare_lost()
+        self._maybe_snapshot()
+        wake = self._scheduler.next_wake
+        if wake is not None and wake <= now:
+            self._scheduler.note_room()
+        self._schedule()
+        self._set_gauges()
+
+    def _set_gauges(self) -> None:
+        gauge = self._metrics.set
+        gauge("queued_works", "Works that wait here.", self._scheduler.queue_length)
+        gauge("queued_tasks", "Tasks of the cluster that wait.", self._state.queued_tasks)
+        gauge("members", "Nodes that are members.", len(self._state.members))
+        gauge("log_offset", "Offset of the newest entry applied.", self._state.offset)
+        gauge("log_lag_entries", "Entries not yet applied.", self._log_end - self._state.offset - 1)
+
+    def _schedule(self) -> None:
+        if not self._is_member or self._diverged:
+            return
+        now = time.monotonic()
+        if now >= self._next_rerank:
+            self._scheduler.rerank(self._state)
+            self._next_rerank = now + _RERANK_SECONDS
+        started = time.perf_counter()
+        records = self._scheduler.run(self._state)
+        if records:
+            seconds = (time.perf_counter() - started) / len(records)
+            self._metrics.observe("decision_seconds", "Time of one placement decision.", seconds)
+        for record in records:
+            self._propose_placement(record)
+
+    def _propose_placement(self, record: TasksPlaced) -> None:
+        """Propose, and hear of the verdict as a message of its own."""
+        ref = self.actor_ref
+
+        def reply(result: object) -> None:
+            verdict = result[0] if isinstance(result, tuple) else None
+            ref.tell(View(lambda parts: parts.scheduler.judged(parts.state, record, verdict)))
+
+        self._parts.writer.tell(Propose((record,), reply))
+
+    def _declare_lost(self) -> None:
+        """Propose the end of attempts on gone workers, once no lease of theirs can hold."""
+        margin = self._state.configuration.declarations.limits.clock_margin_ms
+        now_ms = int(time.time() * 1000)
+        for worker in self._state.workers.values():
+            if worker.state != VmState.GONE or not worker.attempts or not worker.fenced_ms:
+                continue
+            lease = self._state.longest_lease_ms
+            earliest = earliest_loss_ms(worker.fenced_ms, lease, margin)
+            if now_ms < earliest or not self._acts_on(f"worker/{worker.name}"):
+                continue
+            fresh = [name for name in worker.attempts if self._may_propose(name)]
+            self._propose(*(AttemptLost(*parse_attempt_id(name)) for name in fresh))
+
+    def _maybe_snapshot(self) -> None:
+        every = self._parts.settings.timing.snapshot_entries
+        if self._state.offset - self._last_snapshot < every or not self._is_member:
+            return
+        self._last_snapshot = self._state.offset
+        if not self._acts_on(f"snapshot/{self._state.offset // every}"):
+            return
+        data = encode_state(self._state)
+        pieces = [
+            data[start : start + _SNAPSHOT_PART_BYTES]
+            for start in range(0, len(data), _SNAPSHOT_PART_BYTES)
+        ]
+        log_event("snapshot_written", offset=self._state.offset, bytes=len(data))
+        for index, piece in enumerate(pieces):
+            self._propose(SnapshotPart(self._state.offset, index, len(pieces), piece))
+
+    # -- peers -----------------------------------------------------------------------------
+
+    def _note_digest(self) -> None:
+        self._digests[self._state.offset] = digest(self._state)
+        while len(self._digests) > 8:
+            del self._digests[next(iter(self._digests))]
+        self._parts.digest = (self._state.offset, self._digests[self._state.offset])
+
+    def _peer_heard(self, message: PeerHeard) -> None:
+        member = self._state.members.get(message.node)
+        if member is not None and member.incarnation == message.incarnation:
+            self._peers_heard[message.node] = time.monotonic()
+        own = self._digests.get(message.digest_offset)
+        if own is not None and own != message.digest and not self._diverged:
+            self._diverged = True
+            log_error("state_diverged", "digests differ", offset=message.digest_offset)
+            self._metrics.set("diverged", "1 where a peer's state differs.", 1)
+
+    # -- workers ---------------------------------------------------------------------------
+
+    def _sync_failed(self, message: SyncFailed) -> None:
+        self._metrics.count("worker_sync_failures_total", "Calls to workers that failed.")
+
+    def _sync_answered(self, message: SyncAnswered) -> None:
+        worker = self._state.workers.get(message.worker)
+        if worker is None:
+            return
+        if message.answer.boot != worker.boot:
+            self._note_boot(worker, message.answer)
+            return
+        records = []
+        for name, report in message.answer.attempts.items():
+            record = self._judge_report(name, report.state)
+            if record is not None:
+                records.append(record)
+        self._propose(*records)
+
+    def _note_boot(self, worker, answer: SyncAnswer) -> None:
+        if not self._may_propose(f"{worker.name}/{answer.boot}"):
+            return
+        self._propose(
+            WorkerSeen(
+                worker.name,
+                answer.boot,
+                type(worker.capacity)(answer.cpu, answer.memory, answer.accelerators),
+                worker.rack,
+                worker.hall,
+                worker.address,
+            )
+        )
+
+    def _judge_report(self, name: str, state: str) -> Record | None:
+        try:
+            number, task_number, attempt = parse_attempt_id(name)
+        except InvalidInput:
+            return None
+        work = self._state.works.get(number)
+        if work is None or task_number >= len(work.tasks):
+            return None
+        task = work.tasks[task_number]
+        if task.attempt != attempt or not task.holds_room:
+            return None
+        if state == "running":
+            if task.state != TaskState.PLACED or not self._may_propose(f"{name}/started"):
+                return None
+            return AttemptStarted(number, task_number, attempt)
+        if not self._may_propose(name):
+            return None
+        return AttemptEnded(number, task_number, attempt, state)
+
+    def _may_propose(self, name: str) -> bool:
+        """Tell, and note, whether a thing is to be proposed: not twice in a short time.
+
+        It is proposed again later, since a full writer may have refused it.
+        """
+        now = time.monotonic()
+        if now - self._proposed_at.get(name, -_REPROPOSE_SECONDS) < _REPROPOSE_SECONDS:
+            return False
+        self._proposed_at[name] = now
+        return True
+
+    def _view(self, message: View) -> object:
+        return message.function(
+            StateParts(
+                self._state,
+                self._active_nodes(),
+                self._scheduler,
+                self._policies,
+                self._is_member and not self._diverged,
+                self._log_end,
+                self._diverged,
+            )
+        )
+
+    def _raise_alarm(self, alarm: Alarm) -> None:
+        log_error("policy_failed", alarm.problem, program=alarm.program, function=alarm.function)
+        self._metrics.count("policy_failures_total", "Policy calls that failed.")
--- /dev/null
+++ b/src/snowdock/policies.py
@@ -0,0 +1,230 @@
+"""Policy programs: compiled, tried on samples, bounded in time, replaced only by good ones.
+
+A program is Starlark text with five functions; see ``docs/policies.md``. It decides for one
+kind of work who is admitted, in which order, which VM is best, whom to move, and when to
+try again.
+"""
+
+import dataclasses
+import time
+from collections.abc import Callable, Mapping
+
+import starlark
+
+from .declarations import KINDS, Declarations
+from .errors import DeclarationError, DeclarationErrors, PolicyError
+from .programs import shipped_programs
+
+__all__ = ["Alarm", "PolicyBook", "Program", "compile_program"]
+
+CALL_SECONDS = 0.01
+"""The longest that one call may take; a call that takes longer fails."""
+
+_FUNCTIONS = ("admit", "rank", "score", "preempt", "backoff_seconds")
+_SHIPPED_FOR_KIND = {
+    "service": "service_spread.star",
+    "batch": "waiting_first.star",
+    "gang": "gang.star",
+}
+_PREEMPTIONS = ("", "checkpoint", "stop")
+_CACHE_ENTRIES = 50_000
+
+_SAMPLE_WORK = {
+    "kind": "batch",
+    "name": "sample",
+    "team": "sample",
+    "tasks": 4,
+    "cpu": 2.0,
+    "memory_gb": 4.0,
+    "accelerators": 0,
+    "run_seconds": 60.0,
+    "priority": 50,
+    "urgent": False,
+    "waited_seconds": 12.0,
+}
+_SAMPLE_VM = {
+    "free_fraction": 0.5,
+    "failure_streak": 0,
+    "same_vm": 1,
+    "same_rack": 1,
+    "same_hall": 2,
+    "accelerators": 0,
+}
+_SAMPLES = {
+    "admit": ((_SAMPLE_WORK,),),
+    "rank": ((_SAMPLE_WORK,), ({**_SAMPLE_WORK, "urgent": True, "waited_seconds": 0.0},)),
+    "score": ((_SAMPLE_WORK, _SAMPLE_VM), (_SAMPLE_WORK, {**_SAMPLE_VM, "free_fraction": 0.0})),
+    "preempt": ((_SAMPLE_WORK, {**_SAMPLE_WORK, "priority": 10}),),
+    "backoff_seconds": ((_SAMPLE_WORK, 0), (_SAMPLE_WORK, 20)),
+}
+
+
+def _is_number(value: object) -> bool:
+    return isinstance(value, int | float) and not isinstance(value, bool) and value == value
+
+
+_RESULT_CHECKS: Mapping[str, tuple[Callable[[object], bool], str]] = {
+    "admit": (lambda v: v is True or isinstance(v, str), "True or a reason"),
+    "rank": (_is_number, "a number"),
+    "score": (lambda v: v is None or _is_number(v), "a number, or None for unfit"),
+    "preempt": (lambda v: v in _PREEMPTIONS, "'', 'checkpoint' or 'stop'"),
+    "backoff_seconds": (lambda v: _is_number(v) and v >= 0, "a number that is not negative"),
+}
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Alarm:
+    """A program failed at run time and a shipped one answered in its place."""
+
+    program: str
+    function: str
+    problem: str
+
+
+class Program:
+    """A compiled program whose calls are bounded in time and checked in result."""
+
+    def __init__(self, name: str, module: starlark.FrozenModule) -> None:
+        self._name = name
+        self._module = module
+
+    @property
+    def name(self) -> str:
+        """The program's file name."""
+        return self._name
+
+    def call(self, function: str, *arguments: object) -> object:
+        """Call one of the program's functions.
+
+        Raises
+        ------
+        PolicyError
+            If it fails, takes longer than `CALL_SECONDS`, or gives an unusable result.
+        """
+        end = time.perf_counter() + CALL_SECONDS
+        options = starlark.EvalOptions(check_cancelled=lambda: time.perf_counter() > end)
+        try:
+            value = self._module.call_with(options, function, *arguments).value
+        except starlark.StarlarkError as error:
+            raise PolicyError(f"{self._name}: {function}: {_first_line(error)}") from error
+        is_good, expected = _RESULT_CHECKS[function]
+        if not is_good(value):
+            raise PolicyError(f"{self._name}: {function} gave {value!r}, expected {expected}")
+        return value
+
+
+def _first_line(error: Exception) -> str:
+    lines = [line.strip() for line in str(error).splitlines()]
+    told = [line for line in lines if line.startswith(("error", "-->"))]
+    return " ".join(told) or " ".join(lines)
+
+
+def compile_program(name: str, text: str) -> Program:
+    """Compile a program and try each function on samples.
+
+    Parameters
+    ----------
+    name
+        Its file name, for messages.
+    text
+        Its source.
+
+    Returns
+    -------
+    Program
+        The tried program.
+
+    Raises
+    ------
+    PolicyError
+        With the line, if it does not compile or fails on a sample.
+    """
+    module = starlark.Module()
+    end = time.perf_counter() + CALL_SECONDS
+    options = starlark.EvalOptions(check_cancelled=lambda: time.perf_counter() > end)
+    try:
+        tree = starlark.parse(name, text)
+        starlark.eval_with(options, module, tree, starlark.Globals.standard())
+    except starlark.StarlarkError as error:
+        raise PolicyError(f"{name}: {_first_line(error)}") from error
+    program = Program(name, module.freeze())
+    for function in _FUNCTIONS:
+        for sample in _SAMPLES[function]:
+            program.call(function, *sample)
+    return program
+
+
+class PolicyBook:
+    """The programs in force, one for each kind of work.
+
+    Parameters
+    ----------
+    alarm
+        Told of each run-time failure; the shipped program answers in its place.
+    """
+
+    def __init__(self, alarm: Callable[[Alarm], None]) -> None:
+        self._alarm = alarm
+        self._shipped = self._compile_for_kinds(Declarations())
+        self._current = dict(self._shipped)
+        self._scores: dict[tuple, object] = {}
+
+    @staticmethod
+    def _compile_for_kinds(declarations: Declarations) -> dict[str, Program]:
+        texts = {**shipped_programs(), **declarations.programs}
+        made, errors = {}, []
+        for kind in KINDS:
+            policy = declarations.policies.get(kind)
+            name = policy.program if policy else _SHIPPED_FOR_KIND[kind]
+            try:
+                made[kind] = compile_program(name, texts[name])
+            except PolicyError as error:
+                errors.append(DeclarationError(name, f"policy {kind}", "program", str(error)))
+        if errors:
+            raise DeclarationErrors("a policy program is not usable", errors)
+        return made
+
+    @classmethod
+    def check(cls, declarations: Declarations) -> None:
+        """Try all programs of a configuration before it is published.
+
+        Raises
+        ------
+        DeclarationErrors
+            With one `DeclarationError` for each program that does not work.
+        """
+        cls._compile_for_kinds(declarations)
+
+    def replace(self, declarations: Declarations) -> None:
+        """Put a configuration's programs in force.
+
+        A program that was accepted elsewhere and does not compile here leaves the old one
+        of its kind in force and raises an alarm.
+        """
+        self._scores.clear()
+        try:
+            self._current = self._compile_for_kinds(declarations)
+        except DeclarationErrors as errors:
+            for error in errors.exceptions:
+                self._alarm(Alarm(error.file, "compile", error.problem))
+
+    def call(self, kind: str, function: str, *arguments: object) -> object:
+        """Ask the program of a kind, or the shipped one where that fails."""
+        try:
+            return self._current[kind].call(function, *arguments)
+        except PolicyError as error:
+            self._alarm(Alarm(self._current[kind].name, function, str(error)))
+            return self._shipped[kind].call(function, *arguments)
+
+    def score(self, kind: str, work: Mapping, vm: Mapping) -> float | None:
+        """Score a VM for a work; equal inputs are asked once.
+
+        A score may not depend on how long the work has waited: that is the rank's matter,
+        and would make each question a new one.
+        """
+        key = (kind, work["name"], work["team"], *vm.values())
+        if key not in self._scores:
+            if len(self._scores) >= _CACHE_ENTRIES:
+                self._scores.clear()
+            self._scores[key] = self.call(kind, "score", work, vm)
+        return self._scores[key]
--- /dev/null
+++ b/src/snowdock/records.py
@@ -0,0 +1,332 @@
+"""Records of the platform's log: the only way to change shared state.
+
+A record is a proposal. The reducer decides at its offset whether it is valid or void, the
+same on every node. Records are array-encoded structs, so a batch carries no field names.
+"""
+
+import zlib
+
+import msgspec
+
+from .declarations import Declarations, Size, WorkSpec
+from .errors import InvalidInput
+
+__all__ = [
+    "AttemptEnded",
+    "AttemptLost",
+    "AttemptStarted",
+    "Batch",
+    "ConfigurationProposed",
+    "MinionGone",
+    "MinionLeaving",
+    "MinionSeen",
+    "NodeDraining",
+    "NodeGone",
+    "NodeJoined",
+    "NodeLeft",
+    "Placement",
+    "Record",
+    "RequestEnded",
+    "RequestIntended",
+    "SlotsReturned",
+    "SlotsTaken",
+    "SnapshotPart",
+    "StopRequested",
+    "TasksPlaced",
+    "WorkCancelled",
+    "WorkSubmitted",
+    "WorkerGone",
+    "WorkerLeaving",
+    "WorkerSeen",
+    "decode_batch",
+    "encode_batch",
+]
+
+_MAX_BATCH_BYTES = 16 * 1024 * 1024
+
+
+class _Record(msgspec.Struct, array_like=True, frozen=True, tag=True):
+    """Base of all records."""
+
+
+class NodeJoined(_Record, tag="nj"):
+    """A node process starts with empty memory under a new incarnation."""
+
+    node: str
+    incarnation: str
+    hall: str
+    api_address: str
+    peer_address: str
+
+
+class NodeDraining(_Record, tag="nd"):
+    """A node takes no new work and ends what it has in flight."""
+
+    node: str
+
+
+class NodeLeft(_Record, tag="nl"):
+    """A node gave back all it held and stops."""
+
+    node: str
+
+
+class NodeGone(_Record, tag="ng"):
+    """The VM list says that the node's VM is gone and a lease has passed since."""
+
+    node: str
+    incarnation: str
+
+
+class ConfigurationProposed(_Record, tag="cp"):
+    """An operator's change, made from version ``base``."""
+
+    base: int
+    declarations: Declarations
+    author: str
+
+
+class WorkerSeen(_Record, tag="ws"):
+    """A worker answered with its capacity; ``boot`` names one start of its VM."""
+
+    worker: str
+    boot: str
+    capacity: Size
+    rack: str
+    hall: str
+    address: str
+
+
+class WorkerLeaving(_Record, tag="wl"):
+    """The VM list says that the worker is leaving; it gets no new tasks."""
+
+    worker: str
+
+
+class WorkerGone(_Record, tag="wg"):
+    """The VM list no longer names the worker's VM; nobody may renew its leases."""
+
+    worker: str
+    boot: str
+
+
+class WorkSubmitted(_Record, tag="su"):
+    """A caller submits work; ``key`` makes a repeated submission the same work."""
+
+    key: str
+    spec: WorkSpec
+
+
+class WorkCancelled(_Record, tag="ca"):
+    """A caller gives up a piece of work."""
+
+    work: int
+
+
+class Placement(msgspec.Struct, array_like=True, frozen=True):
+    """One task put on one worker."""
+
+    task: int
+    worker: str
+
+
+class TasksPlaced(_Record, tag="tp"):
+    """Tasks of one work are given places, all or none of them."""
+
+    work: int
+    placements: list[Placement]
+
+
+class AttemptStarted(_Record, tag="as"):
+    """A worker confirmed that an attempt runs."""
+
+    work: int
+    task: int
+    attempt: int
+
+
+class AttemptEnded(_Record, tag="ae"):
+    """A worker answered that an attempt is over and will not be accepted again.
+
+    ``outcome`` is one of the values of `snowdock.state.Outcome`.
+    """
+
+    work: int
+    task: int
+    attempt: int
+    outcome: str
+
+
+class AttemptLost(_Record, tag="al"):
+    """An attempt on a gone worker is surely over: see ``docs/design/protocol.md``."""
+
+    work: int
+    task: int
+    attempt: int
+
+
+class StopRequested(_Record, tag="sr"):
+    """A running attempt has to make room; ``how`` is ``checkpoint`` or ``stop``."""
+
+    work: int
+    task: int
+    attempt: int
+    how: str
+
+
+class MinionSeen(_Record, tag="ms"):
+    """The VM list names a minion of a group."""
+
+    minion: str
+    group: str
+    hall: str
+    address: str
+
+
+class MinionLeaving(_Record, tag="ml"):
+    """The VM list says that the minion is leaving; it gets no new requests."""
+
+    minion: str
+
+
+class MinionGone(_Record, tag="mg"):
+    """The VM list no longer names the minion."""
+
+    minion: str
+
+
+class SlotsTaken(_Record, tag="st"):
+    """The sending node takes unshared slots of a minion."""
+
+    minion: str
+    slots: int
+
+
+class SlotsReturned(_Record, tag="sv"):
+    """The sending node gives back slots that it no longer uses."""
+
+    minion: str
+    slots: int
+
+
+class RequestIntended(_Record, tag="ri"):
+    """The sending node is about to forward a request that must not be repeated."""
+
+    request: str
+    minion: str
+
+
+class RequestEnded(_Record, tag="re"):
+    """A not-repeatable request came to an end: ``ran``, ``not_run`` or ``unknown``."""
+
+    request: str
+    outcome: str
+
+
+class SnapshotPart(_Record, tag="sn"):
+    """A piece of the encoded state as it stood after ``offset``."""
+
+    offset: int
+    index: int
+    total: int
+    data: bytes
+
+
+Record = (
+    NodeJoined
+    | NodeDraining
+    | NodeLeft
+    | NodeGone
+    | ConfigurationProposed
+    | WorkerSeen
+    | WorkerLeaving
+    | WorkerGone
+    | WorkSubmitted
+    | WorkCancelled
+    | TasksPlaced
+    | AttemptStarted
+    | AttemptEnded
+    | AttemptLost
+    | StopRequested
+    | MinionSeen
+    | MinionLeaving
+    | MinionGone
+    | SlotsTaken
+    | SlotsReturned
+    | RequestIntended
+    | RequestEnded
+    | SnapshotPart
+)
+
+
+class Batch(msgspec.Struct, array_like=True, frozen=True):
+    """One append: the proposals of one node incarnation, in order.
+
+    Attributes
+    ----------
+    node, incarnation
+        The sender.
+    sequence
+        Counts the sender's batches from 1; a repeated one is void.
+    read_offset
+        The offset up to which the sender had acted on the log when it sent this.
+    at_ms
+        The sender's clock in milliseconds since the epoch.
+    records
+        The proposals.
+    """
+
+    node: str
+    incarnation: str
+    sequence: int
+    read_offset: int
+    at_ms: int
+    records: list[Record]
+
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(Batch)
+
+
+def encode_batch(batch: Batch) -> bytes:
+    """Encode and compress a batch.
+
+    Parameters
+    ----------
+    batch
+        What to encode.
+
+    Returns
+    -------
+    bytes
+        The body of one append.
+    """
+    return zlib.compress(_encoder.encode(batch), 6)
+
+
+def decode_batch(data: bytes) -> Batch:
+    """Decode one append's body.
+
+    Parameters
+    ----------
+    data
+        What `encode_batch` gave.
+
+    Returns
+    -------
+    Batch
+        The decoded batch.
+
+    Raises
+    ------
+    InvalidInput
+        If the bytes are not a batch, or would expand beyond 16 MiB.
+    """
+    try:
+        inflater = zlib.decompressobj()
+        raw = inflater.decompress(data, _MAX_BATCH_BYTES)
+        if not inflater.eof:
+            raise InvalidInput("batch is truncated or too large")
+        return _decoder.decode(raw)
+    except (zlib.error, msgspec.MsgspecError) as error:
+        raise InvalidInput(f"not a batch: {error}") from error
--- /dev/null
+++ b/src/snowdock/reducer/_members.py
@@ -0,0 +1,96 @@
+"""Nodes: joining, draining, leaving, and what they have confirmed to have read."""
+
+from ..effects import Accepted as _Accepted
+from ..effects import MembersChanged, Verdict
+from ..records import Batch, NodeDraining, NodeGone, NodeJoined, NodeLeft
+from ..state import Member, MemberState, State
+from . import _minions
+from ._tools import Context, require
+
+__all__ = ["HANDLERS", "confirm_reading", "fence_workers"]
+
+
+def confirm_reading(state: State, batch: Batch) -> None:
+    """Take over what a known sender says of its own progress."""
+    member = state.members.get(batch.node)
+    if member is not None and member.incarnation == batch.incarnation:
+        member.sequence = batch.sequence
+        member.read_offset = max(member.read_offset, batch.read_offset)
+
+
+def fence_workers(state: State) -> None:
+    """Note the workers whose end every member has confirmed to have read.
+
+    A member confirms by any batch with a high enough read offset. One that joined later
+    counts as having confirmed: it acts only after reading its own joining.
+    """
+    if not state.unfenced:
+        return
+    slowest = min((member.read_offset for member in state.members.values()), default=-1)
+    for name in list(state.unfenced):
+        worker = state.workers[name]
+        if slowest >= worker.gone_offset:
+            worker.fenced_ms = state.now_ms
+            state.unfenced.remove(name)
+
+
+def _joined(context: Context, record: NodeJoined) -> Verdict:
+    state, batch = context.state, context.batch
+    require(record.node == batch.node, "a node joins only for itself")
+    require(record.incarnation == batch.incarnation, "a node joins only for itself")
+    known = state.members.get(record.node)
+    require(known is None or known.incarnation != record.incarnation, "joined already")
+    if known is not None:
+        _retire(context, known)
+    state.members[record.node] = Member(
+        name=record.node,
+        incarnation=record.incarnation,
+        hall=record.hall,
+        api_address=record.api_address,
+        peer_address=record.peer_address,
+        read_offset=context.offset,
+        sequence=batch.sequence,
+    )
+    context.effects.append(MembersChanged())
+    return _Accepted(context.offset)
+
+
+def _draining(context: Context, record: NodeDraining) -> Verdict:
+    require(record.node == context.batch.node, "a node drains only itself")
+    context.state.members[record.node].state = MemberState.DRAINING
+    context.effects.append(MembersChanged())
+    return _Accepted()
+
+
+def _left(context: Context, record: NodeLeft) -> Verdict:
+    state = context.state
+    require(record.node == context.batch.node, "a node leaves only for itself")
+    member = state.members.pop(record.node)
+    _minions.return_all(context, record.node)
+    state.retired[member.incarnation] = state.now_ms
+    context.effects.append(MembersChanged())
+    return _Accepted()
+
+
+def _gone(context: Context, record: NodeGone) -> Verdict:
+    state = context.state
+    member = state.members.get(record.node)
+    require(member is not None, "unknown node")
+    require(member.incarnation == record.incarnation, "another incarnation joined")
+    del state.members[record.node]
+    _retire(context, member)
+    context.effects.append(MembersChanged())
+    return _Accepted()
+
+
+def _retire(context: Context, member: Member) -> None:
+    context.state.retired[member.incarnation] = context.state.now_ms
+    _minions.cool_all(context, member.name)
+
+
+HANDLERS = {
+    NodeJoined: _joined,
+    NodeDraining: _draining,
+    NodeLeft: _left,
+    NodeGone: _gone,
+}
--- /dev/null
+++ b/src/snowdock/reducer/_placements.py
@@ -0,0 +1,58 @@
+"""Placement: room is checked here, at the record's offset, and nowhere else for good."""
+
+from ..declarations import ZERO
+from ..effects import Accepted, AttemptAssigned, Verdict
+from ..records import TasksPlaced
+from ..state import State, VmState, Work
+from ._tools import Context, hold_room, require
+
+__all__ = ["HANDLERS"]
+
+
+def _placed(context: Context, record: TasksPlaced) -> Verdict:
+    state = context.state
+    work = state.works.get(record.work)
+    require(work is not None and not work.cancelled, "no such work to place")
+    _check_tasks(work, record)
+    _check_room(state, work, record)
+    _check_quota(state, work, len(record.placements))
+    for placement in record.placements:
+        worker = state.workers[placement.worker]
+        attempt = hold_room(state, work, placement.task, worker)
+        context.effects.append(
+            AttemptAssigned(work.number, placement.task, attempt, placement.worker)
+        )
+    return Accepted()
+
+
+def _check_tasks(work: Work, record: TasksPlaced) -> None:
+    queued = set(work.queued)
+    numbers = [placement.task for placement in record.placements]
+    require(numbers, "no tasks")
+    require(len(set(numbers)) == len(numbers), "a task is named twice")
+    require(queued.issuperset(numbers), "a task is not queued")
+    if work.spec.kind == "gang":
+        require(len(numbers) == len(queued), "a gang is placed as a whole")
+        require(not any(task.holds_room for task in work.tasks), "the gang is not stopped yet")
+
+
+def _check_room(state: State, work: Work, record: TasksPlaced) -> None:
+    free = {}
+    for placement in record.placements:
+        worker = state.workers.get(placement.worker)
+        require(worker is not None and worker.state == VmState.LIVE, "the worker is not live")
+        left = free.get(placement.worker, worker.free)
+        require(left.holds(work.spec.size), f"no room on {placement.worker}")
+        free[placement.worker] = left.minus(work.spec.size)
+
+
+def _check_quota(state: State, work: Work, count: int) -> None:
+    team = state.configuration.declarations.teams.get(work.spec.team)
+    require(team is not None, "the team is no longer declared")
+    wanted = state.usage.get(work.spec.team, ZERO)
+    for _ in range(count):
+        wanted = wanted.plus(work.spec.size)
+    require(team.quota.holds(wanted), "over the team's quota")
+
+
+HANDLERS = {TasksPlaced: _placed}
--- /dev/null
+++ b/src/snowdock/reducer/_tools.py
@@ -0,0 +1,121 @@
+"""What the reducer's parts share: the context of a record, checks, and room accounting."""
+
+import dataclasses
+
+from ..declarations import ZERO, Size
+from ..effects import AttemptClosed, Effect, WorkFinished
+from ..records import Batch
+from ..state import Outcome, State, Task, TaskState, Work, Worker, attempt_id
+
+__all__ = [
+    "RECORDS_PER_ENTRY",
+    "Context",
+    "InvalidRecord",
+    "close_attempt",
+    "find_attempt",
+    "hold_room",
+    "note_if_over",
+    "require",
+    "set_task_state",
+]
+
+RECORDS_PER_ENTRY = 4096
+"""Work numbers are ``offset * RECORDS_PER_ENTRY + index``, so they never repeat."""
+
+
+class InvalidRecord(Exception):
+    """A record does not fit the state at its offset and is void."""
+
+    def __init__(self, reason: str) -> None:
+        super().__init__(reason)
+        self.reason = reason
+
+
+@dataclasses.dataclass(slots=True)
+class Context:
+    """Where a record stands: the state, the effects so far, its batch and its place."""
+
+    state: State
+    effects: list[Effect]
+    batch: Batch
+    offset: int
+    index: int
+
+    @property
+    def number(self) -> int:
+        """A number that belongs to this record alone."""
+        return self.offset * RECORDS_PER_ENTRY + self.index
+
+
+def require(condition: object, reason: str) -> None:
+    """Find the record void unless the condition holds."""
+    if not condition:
+        raise InvalidRecord(reason)
+
+
+def find_attempt(state: State, work: int, task: int, attempt: int) -> tuple[Work, Task]:
+    """Find an attempt that holds room; anything else makes the record void."""
+    found = state.works.get(work)
+    require(found is not None, "unknown work")
+    require(0 <= task < len(found.tasks), "unknown task")
+    entry = found.tasks[task]
+    require(entry.attempt == attempt and entry.holds_room, "the attempt is not current")
+    return found, entry
+
+
+def set_task_state(state: State, task: Task, value: TaskState) -> None:
+    """Change a task's state and keep the count of queued tasks."""
+    state.queued_tasks += (value == TaskState.QUEUED) - (task.state == TaskState.QUEUED)
+    task.state = value
+
+
+def hold_room(state: State, work: Work, number: int, worker: Worker) -> int:
+    """Give a task's next attempt room on a worker.
+
+    Returns
+    -------
+    int
+        The attempt's number.
+    """
+    task = work.tasks[number]
+    task.attempt += 1
+    task.worker = worker.name
+    task.stopping = False
+    set_task_state(state, task, TaskState.PLACED)
+    size = work.spec.size
+    worker.attempts[attempt_id(work.number, number, task.attempt)] = size
+    worker.used = worker.used.plus(size)
+    _add_usage(state, work.spec.team, size)
+    return task.attempt
+
+
+def _add_usage(state: State, team: str, size: Size) -> None:
+    state.usage[team] = state.usage.get(team, ZERO).plus(size)
+
+
+def _subtract_usage(state: State, team: str, size: Size) -> None:
+    left = state.usage[team].minus(size)
+    if left == ZERO:
+        del state.usage[team]
+    else:
+        state.usage[team] = left
+
+
+def close_attempt(context: Context, work: Work, number: int, outcome: Outcome) -> None:
+    """Free an attempt's room and tell of its end; the task's next state is the caller's."""
+    state = context.state
+    task = work.tasks[number]
+    worker = state.workers[task.worker]
+    size = worker.attempts.pop(attempt_id(work.number, number, task.attempt))
+    worker.used = worker.used.minus(size)
+    _subtract_usage(state, work.spec.team, size)
+    context.effects.append(
+        AttemptClosed(work.number, number, task.attempt, task.worker, outcome.value)
+    )
+
+
+def note_if_over(context: Context, work: Work) -> None:
+    """Tell of the work's end, once, when its last task has ended."""
+    if work.finished_ms == 0 and work.is_over:
+        work.finished_ms = context.state.now_ms
+        context.effects.append(WorkFinished(work.number))
--- /dev/null
+++ b/src/snowdock/reducer/_workers.py
@@ -0,0 +1,72 @@
+"""Workers as the VM list and their own answers show them."""
+
+from ..effects import Accepted, StopWanted, Verdict, WorkerAdded, WorkerWithdrawn
+from ..records import WorkerGone, WorkerLeaving, WorkerSeen
+from ..state import VmState, Worker, parse_attempt_id
+from ._tools import Context, require
+
+__all__ = ["HANDLERS"]
+
+
+def _seen(context: Context, record: WorkerSeen) -> Verdict:
+    workers = context.state.workers
+    known = workers.get(record.worker)
+    require(known is None or known.boot != record.boot, "known already")
+    # Attempts of an earlier boot keep their room until each is recorded as ended: the new
+    # boot answers for them that they are absent.
+    attempts = {} if known is None else known.attempts
+    require(known is None or known.state != VmState.GONE or not attempts, "attempts are open")
+    made = Worker(
+        name=record.worker,
+        boot=record.boot,
+        capacity=record.capacity,
+        rack=record.rack,
+        hall=record.hall,
+        address=record.address,
+        attempts=attempts,
+    )
+    for size in attempts.values():
+        made.used = made.used.plus(size)
+    workers[record.worker] = made
+    if record.worker in context.state.unfenced:
+        context.state.unfenced.remove(record.worker)
+    context.effects.append(WorkerAdded(record.worker))
+    return Accepted()
+
+
+def _leaving(context: Context, record: WorkerLeaving) -> Verdict:
+    worker = context.state.workers.get(record.worker)
+    require(worker is not None, "unknown worker")
+    require(worker.state == VmState.LIVE, "not live")
+    worker.state = VmState.LEAVING
+    context.effects.append(WorkerWithdrawn(worker.name, gone=False))
+    for name in worker.attempts:
+        _move_away(context, name)
+    return Accepted()
+
+
+def _move_away(context: Context, name: str) -> None:
+    number, task, attempt = parse_attempt_id(name)
+    work = context.state.works[number]
+    # A session that may not be dropped stays until the VM ends it.
+    if not work.spec.preemptible or work.tasks[task].stopping:
+        return
+    work.tasks[task].stopping = True
+    worker = work.tasks[task].worker
+    context.effects.append(StopWanted(number, task, attempt, worker, "checkpoint"))
+
+
+def _gone(context: Context, record: WorkerGone) -> Verdict:
+    state = context.state
+    worker = state.workers.get(record.worker)
+    require(worker is not None, "unknown worker")
+    require(worker.boot == record.boot, "another boot was seen")
+    require(worker.state != VmState.GONE, "gone already")
+    worker.state = VmState.GONE
+    worker.gone_offset = context.offset
+    state.unfenced.append(worker.name)
+    context.effects.append(WorkerWithdrawn(worker.name, gone=True))
+    return Accepted()
+
+
+HANDLERS = {WorkerSeen: _seen, WorkerLeaving: _leaving, WorkerGone: _gone}
--- /dev/null
+++ b/src/snowdock/reducer/_works.py
@@ -0,0 +1,192 @@
+"""Work: submission, cancellation, and what the end of an attempt means for its task."""
+
+from ..declarations import WorkSpec
+from ..effects import Accepted, StopWanted, Verdict, WorkQueued
+from ..leases import earliest_loss_ms
+from ..records import (
+    AttemptEnded,
+    AttemptLost,
+    AttemptStarted,
+    StopRequested,
+    WorkCancelled,
+    WorkSubmitted,
+)
+from ..state import Outcome, State, Task, TaskState, VmState, Work
+from ._tools import (
+    RECORDS_PER_ENTRY,
+    Context,
+    close_attempt,
+    find_attempt,
+    note_if_over,
+    require,
+    set_task_state,
+)
+
+__all__ = ["HANDLERS", "cancel", "create", "service_number"]
+
+_FINISHED_KEPT = 20_000
+"""Finished works whose outcome is kept for reading."""
+
+
+def service_number(context: Context, index: int) -> int:
+    """Give a declared service a work number: counted down from the entry's last one."""
+    return (context.offset + 1) * RECORDS_PER_ENTRY - 1 - index
+
+
+def create(context: Context, number: int, key: str, spec: WorkSpec) -> None:
+    """Put new work into the state, all tasks queued."""
+    state = context.state
+    tasks = [Task() for _ in range(spec.tasks)]
+    state.works[number] = Work(number, key, spec, tasks, state.now_ms)
+    state.keys[key] = number
+    state.queued_tasks += spec.tasks
+    context.effects.append(WorkQueued(number))
+
+
+def _submitted(context: Context, record: WorkSubmitted) -> Verdict:
+    state = context.state
+    known = state.keys.get(record.key)
+    if known is not None:
+        # The same submission again, after a lost answer: the same work.
+        require(state.works[known].spec == record.spec, "the key names other work")
+        return Accepted(known)
+    spec = record.spec
+    declarations = state.configuration.declarations
+    require(spec.team in declarations.teams, f"unknown team {spec.team}")
+    limit = declarations.limits.queued_tasks
+    require(state.queued_tasks + spec.tasks <= limit, "too many tasks are queued")
+    _forget_old(state)
+    create(context, context.number, record.key, spec)
+    return Accepted(context.number)
+
+
+def _forget_old(state: State) -> None:
+    """Keep memory bounded: the oldest finished works go first."""
+    if len(state.works) < _FINISHED_KEPT:
+        return
+    for number in list(state.works)[: _FINISHED_KEPT // 10]:
+        work = state.works[number]
+        if work.finished_ms:
+            del state.works[number]
+            if state.keys.get(work.key) == number:
+                del state.keys[work.key]
+
+
+def _cancelled(context: Context, record: WorkCancelled) -> Verdict:
+    work = context.state.works.get(record.work)
+    require(work is not None, "unknown work")
+    require(work.spec.kind != "service", "a declared service ends by a configuration")
+    cancel(context, work)
+    return Accepted(work.number)
+
+
+def cancel(context: Context, work: Work) -> None:
+    """Give up a work; doing so twice, or after its end, changes nothing."""
+    if work.cancelled or work.is_over:
+        return
+    work.cancelled = True
+    for number, task in enumerate(work.tasks):
+        if task.state == TaskState.QUEUED:
+            set_task_state(context.state, task, TaskState.CANCELLED)
+        elif task.holds_room:
+            _want_stop(context, work, number, "stop")
+    note_if_over(context, work)
+
+
+def _want_stop(context: Context, work: Work, number: int, how: str) -> None:
+    task = work.tasks[number]
+    if task.stopping:
+        return
+    task.stopping = True
+    context.effects.append(StopWanted(work.number, number, task.attempt, task.worker, how))
+
+
+def _started(context: Context, record: AttemptStarted) -> Verdict:
+    state = context.state
+    work, task = find_attempt(state, record.work, record.task, record.attempt)
+    require(task.state == TaskState.PLACED, "started already")
+    set_task_state(state, task, TaskState.RUNNING)
+    if work.started_ms == 0:
+        work.started_ms = state.now_ms
+    return Accepted()
+
+
+def _stop_requested(context: Context, record: StopRequested) -> Verdict:
+    work, task = find_attempt(context.state, record.work, record.task, record.attempt)
+    require(work.spec.preemptible, "the work may not be dropped")
+    require(not task.stopping, "stopping already")
+    _want_stop(context, work, record.task, record.how)
+    return Accepted()
+
+
+def _ended(context: Context, record: AttemptEnded) -> Verdict:
+    work, _ = find_attempt(context.state, record.work, record.task, record.attempt)
+    try:
+        outcome = Outcome(record.outcome)
+    except ValueError:
+        outcome = None
+    require(outcome not in (None, Outcome.LOST), "not an outcome that a worker tells")
+    _end(context, work, record.task, outcome)
+    return Accepted()
+
+
+def _lost(context: Context, record: AttemptLost) -> Verdict:
+    state = context.state
+    work, task = find_attempt(state, record.work, record.task, record.attempt)
+    worker = state.workers[task.worker]
+    require(worker.state == VmState.GONE, "the worker's VM is not gone")
+    require(worker.fenced_ms > 0, "a member may still renew the lease")
+    margin = state.configuration.declarations.limits.clock_margin_ms
+    earliest = earliest_loss_ms(worker.fenced_ms, state.longest_lease_ms, margin)
+    require(context.batch.at_ms >= earliest, "the lease may still hold")
+    _end(context, work, record.task, Outcome.LOST)
+    return Accepted()
+
+
+def _end(context: Context, work: Work, number: int, outcome: Outcome) -> None:
+    state = context.state
+    task = work.tasks[number]
+    worker = state.workers[task.worker]
+    close_attempt(context, work, number, outcome)
+    if outcome == Outcome.FAILED:
+        worker.streak += 1
+        task.failures += 1
+    elif outcome == Outcome.SUCCEEDED:
+        worker.streak = 0
+    set_task_state(state, task, _next_state(work, task, outcome))
+    if task.state == TaskState.FAILED and work.spec.kind == "gang":
+        cancel(context, work)
+    elif task.state == TaskState.QUEUED:
+        _requeued(context, work)
+    note_if_over(context, work)
+
+
+def _next_state(work: Work, task: Task, outcome: Outcome) -> TaskState:
+    is_service = work.spec.kind == "service"
+    if outcome == Outcome.SUCCEEDED and not is_service:
+        return TaskState.SUCCEEDED
+    if work.cancelled:
+        return TaskState.CANCELLED
+    if outcome == Outcome.FAILED and not is_service and task.failures > work.spec.retries:
+        return TaskState.FAILED
+    return TaskState.QUEUED
+
+
+def _requeued(context: Context, work: Work) -> None:
+    """Queue again; the rest of a gang is stopped first, since it starts only as a whole."""
+    if work.spec.kind == "gang":
+        for number, task in enumerate(work.tasks):
+            if task.holds_room:
+                _want_stop(context, work, number, "checkpoint")
+    if not (work.spec.kind == "gang" and any(task.holds_room for task in work.tasks)):
+        context.effects.append(WorkQueued(work.number))
+
+
+HANDLERS = {
+    WorkSubmitted: _submitted,
+    WorkCancelled: _cancelled,
+    AttemptStarted: _started,
+    AttemptEnded: _ended,
+    AttemptLost: _lost,
+    StopRequested: _stop_requested,
+}
--- /dev/null
+++ b/src/snowdock/state.py
@@ -0,0 +1,267 @@
+"""The shared state that every node folds from the log.
+
+All of it is encodable, so that a snapshot is one call. Only the reducer changes it.
+"""
+
+import hashlib
+from enum import StrEnum
+
+import msgspec
+
+from .declarations import ZERO, Declarations, Size, WorkSpec
+from .errors import InvalidInput
+
+__all__ = [
+    "Configuration",
+    "Cooling",
+    "Member",
+    "MemberState",
+    "Minion",
+    "Outcome",
+    "Request",
+    "State",
+    "Task",
+    "TaskState",
+    "VmState",
+    "Work",
+    "Worker",
+    "attempt_id",
+    "decode_state",
+    "digest",
+    "encode_state",
+    "parse_attempt_id",
+]
+
+
+class TaskState(StrEnum):
+    """Where a task stands."""
+
+    QUEUED = "queued"
+    PLACED = "placed"
+    RUNNING = "running"
+    SUCCEEDED = "succeeded"
+    FAILED = "failed"
+    CANCELLED = "cancelled"
+
+
+class Outcome(StrEnum):
+    """How an attempt ended. Only ``failed`` is held against the task and the worker."""
+
+    SUCCEEDED = "succeeded"
+    FAILED = "failed"
+    REFUSED = "refused"
+    LAPSED = "lapsed"
+    STOPPED = "stopped"
+    ABSENT = "absent"
+    LOST = "lost"
+
+
+class VmState(StrEnum):
+    """What the VM list says of a worker or minion."""
+
+    LIVE = "live"
+    LEAVING = "leaving"
+    GONE = "gone"
+
+
+class MemberState(StrEnum):
+    """Whether a node takes new work."""
+
+    LIVE = "live"
+    DRAINING = "draining"
+
+
+class Task(msgspec.Struct, array_like=True):
+    """One task of a work; ``attempt`` counts its starts."""
+
+    state: TaskState = TaskState.QUEUED
+    attempt: int = 0
+    worker: str = ""
+    failures: int = 0
+    stopping: bool = False
+
+    @property
+    def holds_room(self) -> bool:
+        """Whether an attempt holds room on a worker now."""
+        return self.state in (TaskState.PLACED, TaskState.RUNNING)
+
+    @property
+    def is_over(self) -> bool:
+        """Whether nothing more will happen to the task."""
+        return self.state in (TaskState.SUCCEEDED, TaskState.FAILED, TaskState.CANCELLED)
+
+
+class Work(msgspec.Struct, array_like=True):
+    """An accepted piece of work. Times are milliseconds since the epoch."""
+
+    number: int
+    key: str
+    spec: WorkSpec
+    tasks: list[Task]
+    submitted_ms: int
+    started_ms: int = 0
+    finished_ms: int = 0
+    cancelled: bool = False
+
+    @property
+    def queued(self) -> list[int]:
+        """Numbers of the tasks that wait for a place."""
+        return [n for n, task in enumerate(self.tasks) if task.state == TaskState.QUEUED]
+
+    @property
+    def is_over(self) -> bool:
+        """Whether all tasks have come to an end."""
+        return all(task.is_over for task in self.tasks)
+
+
+class Worker(msgspec.Struct, array_like=True):
+    """A worker VM, what it has, and what is promised of it.
+
+    ``attempts`` maps an attempt id to the size that it holds. ``streak`` counts failures in
+    a row. ``gone_offset`` is the offset from which nobody may renew its leases, and
+    ``fenced_ms`` the time at which all members had confirmed that they had read it.
+    """
+
+    name: str
+    boot: str
+    capacity: Size
+    rack: str
+    hall: str
+    address: str
+    state: VmState = VmState.LIVE
+    used: Size = ZERO
+    attempts: dict[str, Size] = {}
+    streak: int = 0
+    gone_offset: int = -1
+    fenced_ms: int = 0
+
+    @property
+    def free(self) -> Size:
+        """What is not promised yet."""
+        return self.capacity.minus(self.used)
+
+
+class Minion(msgspec.Struct, array_like=True):
+    """A minion and how its slots are divided: ``shares`` maps nodes to slots."""
+
+    name: str
+    group: str
+    hall: str
+    address: str
+    state: VmState = VmState.LIVE
+    shares: dict[str, int] = {}
+
+
+class Cooling(msgspec.Struct, array_like=True):
+    """Slots of a node that ended without giving them back.
+
+    Requests that it forwarded may still run at the minion until ``until_ms``.
+    """
+
+    minion: str
+    slots: int
+    until_ms: int
+
+
+class Member(msgspec.Struct, array_like=True):
+    """A node. ``read_offset`` is how far it confirmed to have acted on the log."""
+
+    name: str
+    incarnation: str
+    hall: str
+    api_address: str
+    peer_address: str
+    state: MemberState = MemberState.LIVE
+    read_offset: int = -1
+    sequence: int = 0
+
+
+class Request(msgspec.Struct, array_like=True):
+    """A not-repeatable request that a node was allowed to forward."""
+
+    node: str
+    incarnation: str
+    minion: str
+    at_ms: int
+    outcome: str = ""
+
+
+class Configuration(msgspec.Struct, array_like=True):
+    """The configuration in force; its version is the record's offset, 0 when none is."""
+
+    version: int = 0
+    author: str = ""
+    declarations: Declarations = Declarations()
+
+
+class State(msgspec.Struct, array_like=True):
+    """Everything that the nodes share.
+
+    ``now_ms`` is the newest clock reading seen on the log, so that time passes the same way
+    on every node. ``retired`` keeps, for ended incarnations, nothing but their names, so
+    that a process that wakes up late cannot append any more.
+    """
+
+    offset: int = -1
+    now_ms: int = 0
+    configuration: Configuration = msgspec.field(default_factory=Configuration)
+    longest_lease_ms: int = 0
+    members: dict[str, Member] = msgspec.field(default_factory=dict)
+    retired: dict[str, int] = msgspec.field(default_factory=dict)
+    workers: dict[str, Worker] = msgspec.field(default_factory=dict)
+    unfenced: list[str] = msgspec.field(default_factory=list)
+    works: dict[int, Work] = msgspec.field(default_factory=dict)
+    keys: dict[str, int] = msgspec.field(default_factory=dict)
+    usage: dict[str, Size] = msgspec.field(default_factory=dict)
+    queued_tasks: int = 0
+    minions: dict[str, Minion] = msgspec.field(default_factory=dict)
+    cooling: list[Cooling] = msgspec.field(default_factory=list)
+    requests: dict[str, Request] = msgspec.field(default_factory=dict)
+
+
+def attempt_id(work: int, task: int, attempt: int) -> str:
+    """Name an attempt for workers, logs and people."""
+    return f"{work}.{task}.{attempt}"
+
+
+def parse_attempt_id(text: str) -> tuple[int, int, int]:
+    """Read back what `attempt_id` wrote.
+
+    Raises
+    ------
+    InvalidInput
+        If the text is no attempt id.
+    """
+    try:
+        work, task, attempt = map(int, text.split("."))
+    except ValueError as error:
+        raise InvalidInput(f"not an attempt id: {text!r}") from error
+    return work, task, attempt
+
+
+_encoder = msgspec.msgpack.Encoder(order="deterministic")
+_decoder = msgspec.msgpack.Decoder(State)
+
+
+def encode_state(state: State) -> bytes:
+    """Encode the whole state; equal states give equal bytes."""
+    return _encoder.encode(state)
+
+
+def decode_state(data: bytes) -> State:
+    """Decode a snapshot.
+
+    Raises
+    ------
+    InvalidInput
+        If the bytes are not a state.
+    """
+    try:
+        return _decoder.decode(data)
+    except msgspec.MsgspecError as error:
+        raise InvalidInput(f"not a snapshot: {error}") from error
+
+
+def digest(state: State) -> str:
+    """Name the state's content, to compare two nodes at the same offset."""
+    return hashlib.blake2b(encode_state(state), digest_size=8).hexdigest()
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of snowdock."""
--- /dev/null
+++ b/tests/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the outside systems, one process each."""
--- /dev/null
+++ b/tests/standins/vms.py
@@ -0,0 +1,63 @@
+"""Stand-in for the platform's VM list; shows changes with a lag."""
+
+import threading
+import time
+
+import msgspec
+
+from tests.standins._http import Answer, Request, Standin, json_answer, parser
+
+
+class VmBook:
+    """The VMs; ``POST /set`` adds or changes one, ``POST /remove`` ends one."""
+
+    def __init__(self, lag_seconds: float) -> None:
+        self._lag = lag_seconds
+        self._lock = threading.Lock()
+        self._history: list[tuple[float, dict[str, dict]]] = [(0.0, {})]
+
+    def change(self, vms: list[dict], removed: list[str]) -> None:
+        with self._lock:
+            book = dict(self._history[-1][1])
+            for vm in vms:
+                book[vm["name"]] = vm
+            for name in removed:
+                book.pop(name, None)
+            self._history.append((time.monotonic(), book))
+
+    def read(self, since: int) -> dict:
+        horizon = time.monotonic() - self._lag
+        with self._lock:
+            shown = max(n for n, (at, _) in enumerate(self._history) if at <= horizon)
+            if shown == since:
+                return {"version": shown, "vms": None}
+            return {"version": shown, "vms": list(self._history[shown][1].values())}
+
+
+def main() -> None:
+    options = parser(__doc__)
+    options.add_argument("--lag-ms", type=int, default=200)
+    given = options.parse_args()
+    book = VmBook(given.lag_ms / 1000)
+
+    def handle(request: Request) -> Answer:
+        if request.path == "/vms":
+            return json_answer(book.read(int(request.query["since"])))
+        if request.path == "/set":
+            vms = msgspec.json.decode(request.body)
+            book.change(vms, [])
+            standin.note("set", vms=[f"{vm['name']}:{vm['state']}" for vm in vms])
+            return json_answer({})
+        if request.path == "/remove":
+            names = msgspec.json.decode(request.body)
+            book.change([], names)
+            standin.note("removed", vms=names)
+            return json_answer({})
+        return Answer(404)
+
+    standin = Standin(handle)
+    standin.serve(given.port)
+
+
+if __name__ == "__main__":
+    main()
