Model the protocol, tie the models to the reducer, mend what the checker found

Ruled out: one large model of everything (over 3,000,000 states without an end, with the log as part of the state); keeping whole logs in the placement model (600,000 states at 4 records). A node's knowledge is the meaning of the prefix that it read, so four small models suffice.

Change: four models for minicheck; each rule can be left out by name and must then be refuted; random walks of each model are replayed against the real reducer. Three faults found and mended: - a lease holds up to and including its last millisecond, so a loss is valid only after it; - a node that saw no verdict on an intent said "not run" of an id which another node may have run: it now says "unknown", and that asking again is safe; - a node that starts again showed versions that it read halfway: it now refuses until caught up.

--- a/Makefile
+++ b/Makefile
@@ -25,5 +25,8 @@
 unit: setup
 	$(BIN)/nose2 --verbose -s tests -t .
 
+check-model: setup
+	$(BIN)/python -m specs.check
+
 clean:
 	rm -rf $(VENV) build *.egg-info src/*.egg-info
--- /dev/null
+++ b/specs/__init__.py
@@ -0,0 +1,1 @@
+"""Small specifications of the protocol for an explicit-state model checker."""
--- /dev/null
+++ b/specs/check.py
@@ -0,0 +1,126 @@
+"""Check all models, and that each rule left out is refuted: ``python -m specs.check``.
+
+Prints a line for each search. Ends with status 1 if the protocol as it is does not hold within
+the bounds, or if a rule can be left out without the checker noticing.
+"""
+
+import argparse
+import dataclasses
+import sys
+import time
+from types import ModuleType
+
+from minicheck import check_liveness, check_safety
+
+from . import configuration_model, placement_model, request_model, slot_model
+
+__all__ = ["SMALL", "Result", "check", "main"]
+
+_MAX_STATES = 500_000
+_LIMITS_LEFT_OUT = (10_000, 40_000, 150_000)
+"""A refutation is sound in an unfinished search, so short ones are tried first."""
+
+
+@dataclasses.dataclass(frozen=True)
+class Result:
+    """What one search found: None means undecided within the bounds."""
+
+    model: str
+    left_out: str
+    holds: bool | None
+    can_finish: bool | None
+    states: int
+    seconds: float
+    steps: int
+
+    @property
+    def is_expected(self) -> bool:
+        """Whether the protocol holds, or the left-out rule was missed."""
+        if self.left_out:
+            return self.holds is False
+        return self.holds is True and self.can_finish is True
+
+
+FULL = {
+    placement_model: placement_model.Bounds(),
+    request_model: request_model.Bounds(),
+    slot_model: slot_model.Bounds(),
+    configuration_model: configuration_model.Bounds(),
+}
+
+SMALL = {
+    placement_model: placement_model.Bounds(ticks=4, restarts=0),
+    request_model: request_model.Bounds(restarts=1),
+    slot_model: slot_model.Bounds(ticks=2),
+    configuration_model: configuration_model.Bounds(records=2),
+}
+"""Bounds for every run of the tests."""
+
+
+def check(module: ModuleType, bounds: object, left_out: str = "") -> Result:
+    """Search one model exhaustively within its bounds.
+
+    Parameters
+    ----------
+    module
+        The model's module.
+    bounds
+        Its bounds.
+    left_out
+        A rule to leave out, or nothing.
+    """
+    started = time.perf_counter()
+    protocol = module.make_model(bounds, left_out)
+    for limit in _LIMITS_LEFT_OUT if left_out else (_MAX_STATES,):
+        found = check_safety(protocol, max_states=limit)
+        verdicts = [verdict["holds"] for verdict in found["properties"].values()]
+        holds = False if False in verdicts else (None if None in verdicts else True)
+        if holds is not None:
+            break
+    can_finish = None
+    if not left_out and holds:
+        can_finish = check_liveness(protocol)["holds"]
+    traces = [v["counterexample"] for v in found["properties"].values() if v["counterexample"]]
+    return Result(
+        module.__name__.rpartition(".")[2],
+        left_out,
+        holds,
+        can_finish,
+        found["reachable_states"],
+        time.perf_counter() - started,
+        min((len(trace) - 1 for trace in traces), default=0),
+    )
+
+
+def describe(result: Result) -> str:
+    """Write a result as one line."""
+    what = f"without {result.left_out}" if result.left_out else "as it is"
+    if result.holds is False:
+        verdict = f"refuted in {result.steps} steps"
+    else:
+        verdict = {True: "holds", None: "undecided"}[result.holds]
+        verdict += f", can finish: {result.can_finish}" if not result.left_out else ""
+    mark = "ok  " if result.is_expected else "FAIL"
+    counted = f"{result.states} states, {result.seconds:.1f} s"
+    return f"{mark} {result.model:20} {what:36} {verdict} ({counted})"
+
+
+def main() -> int:
+    """Check everything."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--small", action="store_true", help="use the bounds of the tests")
+    options = parser.parse_args()
+    all_bounds = SMALL if options.small else FULL
+    is_good = True
+    for module, bounds in all_bounds.items():
+        print(f"{module.__name__}: {bounds}")
+        for left_out in ("", *module.RULES):
+            # Leaving a rule out is refuted best within the larger bounds.
+            result = check(module, FULL[module] if left_out else bounds, left_out)
+            print(describe(result), flush=True)
+            is_good = is_good and result.is_expected
+    return 0 if is_good else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/specs/placement_model.py
@@ -0,0 +1,333 @@
+"""The protocol of one task: placed, run under a lease, declared lost, placed again.
+
+Two nodes read one log at their own speed; two workers run what arrives in time. Any step may
+be followed by any other, so pauses, late orders and slow readers are all covered, and a node
+may restart with empty memory. Worker 0 may vanish from the VM list and go on running all the
+same: that is the worst case of a list that is wrong.
+
+A node's knowledge is the meaning of the prefix that it has read, so the log itself need not
+be part of the state. Each rule that safety rests on can be left out, by name, to see the
+checker find the failure.
+"""
+
+import dataclasses
+import functools
+from typing import NamedTuple
+
+from minicheck import Protocol
+
+__all__ = ["RULES", "Append", "Bounds", "State", "make_model", "parse_append"]
+
+LEASE = 1
+VALID = 1
+MARGIN = 1
+SKEW = 1
+"""The workers' clocks are behind the nodes' by the whole margin."""
+
+RULES = (
+    "fence",
+    "fence_by_all",
+    "order_validity",
+    "clock_margin",
+    "lease_wait",
+    "join_before_acting",
+    "refused_stays_refused",
+    "placed_only_when_queued",
+)
+"""Rules that may be left out."""
+
+
+@dataclasses.dataclass(frozen=True)
+class Bounds:
+    """How far the search goes."""
+
+    ticks: int = 4
+    attempts: int = 2
+    restarts: int = 1
+    orders: int = 1
+
+
+class View(NamedTuple):
+    """What a prefix of the log means.
+
+    ``confirmed`` tells of each node whether it has confirmed the end of worker 0, and
+    ``fenced`` when the last one did.
+    """
+
+    queued: bool = False
+    attempt: int = 1
+    worker: int = 0
+    gone: bool = False
+    confirmed: tuple = (False, False)
+    fenced: int = -1
+    done: bool = False
+
+
+class Node(NamedTuple):
+    """What a node knows; one that starts again acts only after reading its own joining."""
+
+    view: View = View()
+    joined: bool = True
+
+
+class Worker(NamedTuple):
+    """What really runs: the attempt (0 for none), its lease, and ids never to be started."""
+
+    attempt: int = 0
+    lease_until: int = 0
+    refused: frozenset = frozenset()
+
+
+class Order(NamedTuple):
+    """An order on its way: start or renew an attempt."""
+
+    worker: int
+    attempt: int
+    built: int
+
+
+class State(NamedTuple):
+    """Everything: the time, the log's meaning, and what nodes, workers and the wire hold."""
+
+    now: int = 0
+    truth: View = View()
+    nodes: tuple = (Node(), Node())
+    workers: tuple = (Worker(), Worker())
+    orders: frozenset = frozenset()
+    restarts: int = 0
+
+
+class Append(NamedTuple):
+    """A record that a node appends; the subject is a worker or an attempt."""
+
+    node: int
+    kind: str
+    subject: int
+
+    @property
+    def label(self) -> str:
+        """The step's name in a trace."""
+        return f"node {self.node} appends {self.kind} {self.subject}"
+
+
+def parse_append(label: str) -> Append | None:
+    """Read back an append from a step's name, or None for another step."""
+    words = label.split()
+    if len(words) != 5 or words[2] != "appends":
+        return None
+    return Append(int(words[1]), words[3], int(words[4]))
+
+
+def _set(values: tuple, index: int, value: object) -> tuple:
+    return (*values[:index], value, *values[index + 1 :])
+
+
+class Rules:
+    """The protocol's rules, of which one may be left out."""
+
+    def __init__(self, left_out: str, attempts: int) -> None:
+        self._left_out = left_out
+        self._attempts = attempts
+
+    def holds(self, rule: str) -> bool:
+        """Tell whether a rule is in force."""
+        return rule != self._left_out
+
+    def earliest_loss(self, fenced: int) -> int:
+        """Give the last moment at which an attempt on a fenced worker may still run."""
+        lease = LEASE if self.holds("lease_wait") else 0
+        margin = MARGIN if self.holds("clock_margin") else 0
+        return fenced + VALID + lease + margin
+
+    def judge(self, view: View, append: Append, now: int) -> View | None:
+        """Apply a record at its offset; None where it is void."""
+        if append.kind == "confirm":
+            return view
+        if append.kind == "gone":
+            return None if view.gone else view._replace(gone=True)
+        if append.kind == "place":
+            return self._place(view, append.subject)
+        if view.done or view.queued or append.subject != view.attempt:
+            return None
+        if append.kind == "end":
+            # An attempt that failed is tried again, unless it was the last one.
+            is_last = view.attempt >= self._attempts
+            return view._replace(done=True) if is_last else view._replace(queued=True)
+        return view._replace(queued=True) if self._may_be_lost(view, now) else None
+
+    def _place(self, view: View, worker: int) -> View | None:
+        if not view.queued and self.holds("placed_only_when_queued"):
+            return None
+        if worker == 0 and view.gone:
+            return None
+        return view._replace(queued=False, attempt=view.attempt + 1, worker=worker)
+
+    def _may_be_lost(self, view: View, now: int) -> bool:
+        if view.worker != 0 or not view.gone:
+            return False
+        if not self.holds("fence"):
+            return True
+        return view.fenced >= 0 and now > self.earliest_loss(view.fenced)
+
+    def confirm(self, view: View, node: int, now: int) -> View:
+        """Note that a node has read of the worker's end."""
+        view = view._replace(confirmed=_set(view.confirmed, node, True))
+        enough = all if self.holds("fence_by_all") else any
+        if view.fenced < 0 and enough(view.confirmed):
+            view = view._replace(fenced=now)
+        return view
+
+
+class Model:
+    """Makes the transitions."""
+
+    def __init__(self, bounds: Bounds, rules: Rules) -> None:
+        self._bounds = bounds
+        self._rules = rules
+
+    def transitions(self, values: tuple) -> list:
+        """List what can happen next; nothing that matters does once the task has ended."""
+        state = State(*values)
+        if state.truth.done:
+            return []
+        steps = [*self._tick(state), *self._worker_steps(state), *self._restarts(state)]
+        for number, node in enumerate(state.nodes):
+            steps += self._node_steps(state, number, node)
+        return [(label, tuple(after)) for label, after in steps]
+
+    def _tick(self, state: State) -> list:
+        # What time does before the worker is declared gone is covered by "ends".
+        if state.now >= self._bounds.ticks or not state.truth.gone:
+            return []
+        local = state.now + 1 - SKEW
+        workers = tuple(_lapse(worker, local) for worker in state.workers)
+        orders = state.orders
+        if self._rules.holds("order_validity"):
+            orders = frozenset(order for order in orders if local <= order.built + VALID)
+        return [("tick", state._replace(now=state.now + 1, workers=workers, orders=orders))]
+
+    def _node_steps(self, state: State, number: int, node: Node) -> list:
+        steps = []
+        if node.view != state.truth or not node.joined:
+            after = _set(state.nodes, number, Node(state.truth))
+            steps.append((f"node {number} reads", state._replace(nodes=after)))
+        if node.joined or not self._rules.holds("join_before_acting"):
+            steps += self._appends(state, number, node.view)
+            steps += self._orders(state, number, node.view)
+        return steps
+
+    def _appends(self, state: State, number: int, view: View) -> list:
+        steps = []
+        for kind, subject in self._wanted(state, number, view):
+            append = Append(number, kind, subject)
+            truth = state.truth
+            if view.gone:
+                truth = self._rules.confirm(truth, number, state.now)
+            judged = self._rules.judge(truth, append, state.now)
+            steps.append((append.label, state._replace(truth=truth if judged is None else judged)))
+        return steps
+
+    def _wanted(self, state: State, number: int, view: View) -> list:
+        wanted = []
+        may_place = view.queued or not self._rules.holds("placed_only_when_queued")
+        if may_place and not view.done and view.attempt < self._bounds.attempts:
+            wanted += [("place", w) for w in (0, 1) if w == 1 or not view.gone]
+        if not view.gone and not view.queued and view.worker == 0:
+            wanted.append(("gone", 0))
+        if view.gone and not view.confirmed[number]:
+            wanted.append(("confirm", number))
+        if not view.queued and view.worker == 0 and view.gone:
+            wanted.append(("lost", view.attempt))
+        if not view.queued and view.attempt in state.workers[view.worker].refused:
+            wanted.append(("end", view.attempt))
+        return wanted
+
+    def _orders(self, state: State, number: int, view: View) -> list:
+        if view.queued or (view.gone and view.worker == 0):
+            return []
+        order = Order(view.worker, view.attempt, state.now)
+        if order in state.orders or len(state.orders) >= self._bounds.orders:
+            return []
+        label = f"node {number} sends order for attempt {view.attempt} to worker {view.worker}"
+        return [(label, state._replace(orders=state.orders | {order}))]
+
+    def _worker_steps(self, state: State) -> list:
+        steps = []
+        for order in state.orders:
+            left = state.orders - {order}
+            worker = self._obey(state.now, state.workers[order.worker], order)
+            workers = _set(state.workers, order.worker, worker)
+            label = f"worker {order.worker} gets the order of {order.built}"
+            steps.append((label, state._replace(workers=workers, orders=left)))
+            steps.append(("an order is lost", state._replace(orders=left)))
+        for number, worker in enumerate(state.workers):
+            if worker.attempt:
+                workers = _set(state.workers, number, _end(worker))
+                steps.append((f"worker {number} ends", state._replace(workers=workers)))
+        return steps
+
+    def _obey(self, now: int, worker: Worker, order: Order) -> Worker:
+        local = now - SKEW
+        if local > order.built + VALID and self._rules.holds("order_validity"):
+            return worker
+        if order.attempt in worker.refused and self._rules.holds("refused_stays_refused"):
+            return worker
+        return worker._replace(attempt=order.attempt, lease_until=local + LEASE)
+
+    def _restarts(self, state: State) -> list:
+        if state.restarts >= self._bounds.restarts:
+            return []
+        steps = []
+        for number in (0, 1):
+            truth = state.truth
+            if truth.gone:
+                truth = self._rules.confirm(truth, number, state.now)
+            # It reads the log from its start, where worker 0 is not gone yet.
+            nodes = _set(state.nodes, number, Node(View(), joined=False))
+            after = state._replace(truth=truth, nodes=nodes, restarts=state.restarts + 1)
+            steps.append((f"node {number} restarts", after))
+        return steps
+
+
+def _end(worker: Worker) -> Worker:
+    return worker._replace(attempt=0, refused=worker.refused | {worker.attempt})
+
+
+def _lapse(worker: Worker, local: int) -> Worker:
+    return _end(worker) if worker.attempt and worker.lease_until < local else worker
+
+
+def make_model(bounds: Bounds, left_out: str = "") -> Protocol:
+    """Make the model for the checker.
+
+    Parameters
+    ----------
+    bounds
+        How far the search goes.
+    left_out
+        One of `RULES`, to see what it is for; nothing for the protocol as it is.
+    """
+    model = Model(bounds, Rules(left_out, bounds.attempts))
+    return Protocol(
+        name="placement" + (f" without {left_out}" if left_out else ""),
+        candidate=not left_out,
+        fields=State._fields,
+        initial=tuple(State()),
+        transitions=model.transitions,
+        invariants={"one_place": _one_place, "queued_means_idle": _queued_means_idle},
+        goal=functools.partial(_is_settled, bounds),
+    )
+
+
+def _one_place(state: dict) -> bool:
+    return sum(1 for worker in state["workers"] if worker.attempt) <= 1
+
+
+def _queued_means_idle(state: dict) -> bool:
+    """While the log says that the task waits, nothing of it runs."""
+    return not state["truth"].queued or not any(w.attempt for w in state["workers"])
+
+
+def _is_settled(bounds: Bounds, state: dict) -> bool:
+    """Tell whether the task has ended, or time is up."""
+    return state["truth"].done or state["now"] >= bounds.ticks
--- /dev/null
+++ b/specs/request_model.py
@@ -0,0 +1,221 @@
+"""The protocol of one not-repeatable request: at most one run, and "not run" said truly.
+
+A caller asks two nodes with the same id, one after the other or at once. Appends may arrive
+late, twice, or never; nodes may give up waiting, and restart with empty memory.
+"""
+
+import dataclasses
+from typing import NamedTuple
+
+from minicheck import Protocol
+
+__all__ = ["RULES", "Append", "Bounds", "State", "make_model", "parse_append"]
+
+RULES = (
+    "intent_before_sending",
+    "one_intent",
+    "own_incarnation",
+    "giving_up_is_final",
+    "no_retry_after_sending",
+    "not_run_needs_a_verdict",
+)
+"""Rules that may be left out."""
+
+IDLE, WAITING, SENT, OVER = "idle", "waiting", "sent", "over"
+
+
+@dataclasses.dataclass(frozen=True)
+class Bounds:
+    """How far the search goes."""
+
+    restarts: int = 2
+    resends: int = 1
+
+
+class Node(NamedTuple):
+    """One node's try: its incarnation, where it stands, and what its caller was told."""
+
+    incarnation: int = 0
+    phase: str = IDLE
+    told: str = ""
+
+
+class Append(NamedTuple):
+    """An intent on its way to the log."""
+
+    node: int
+    incarnation: int
+
+    @property
+    def label(self) -> str:
+        """The step's name in a trace."""
+        return f"log takes the intent of node {self.node} incarnation {self.incarnation}"
+
+
+class State(NamedTuple):
+    """``holder`` is whose intent is valid; ``wire`` holds appends, ``sent`` requests."""
+
+    holder: tuple = ()
+    log: tuple = ()
+    ended: str = ""
+    nodes: tuple = (Node(), Node())
+    wire: frozenset = frozenset()
+    sent: tuple = ()
+    runs: tuple = ()
+    restarts: int = 0
+    resends: int = 0
+
+
+def parse_append(label: str) -> Append | None:
+    """Read back an append from a step's name, or None for another step."""
+    words = label.split()
+    if words[:2] != ["log", "takes"]:
+        return None
+    return Append(int(words[6]), int(words[8]))
+
+
+def _set(values: tuple, index: int, value: object) -> tuple:
+    return (*values[:index], value, *values[index + 1 :])
+
+
+class Model:
+    """Makes the transitions; ``left_out`` names the rule that is left out, if any."""
+
+    def __init__(self, bounds: Bounds, left_out: str) -> None:
+        self._bounds = bounds
+        self._left_out = left_out
+
+    def _holds(self, rule: str) -> bool:
+        return rule != self._left_out
+
+    def transitions(self, values: tuple) -> list:
+        """List what can happen next."""
+        state = State(*values)
+        steps = [*self._log_steps(state), *self._minion_steps(state)]
+        for number, node in enumerate(state.nodes):
+            steps += self._node_steps(state, number, node)
+        return [(label, tuple(after)) for label, after in steps]
+
+    def _node_steps(self, state: State, number: int, node: Node) -> list:
+        steps = []
+
+        def step(label: str, changed: Node, **fields: object) -> None:
+            nodes = _set(state.nodes, number, changed)
+            steps.append((f"node {number} {label}", state._replace(nodes=nodes, **fields)))
+
+        if node.phase == IDLE:
+            intent = Append(number, node.incarnation)
+            if state.holder:
+                self._tell_known(state, node, step)
+            step("proposes", node._replace(phase=WAITING), wire=state.wire | {intent})
+            if not self._holds("intent_before_sending"):
+                step("sends", node._replace(phase=SENT), sent=(*state.sent, number))
+        if node.phase == WAITING:
+            self._wait(state, number, node, step)
+        if node.phase == SENT:
+            self._sent(state, number, node, step)
+        if state.restarts < self._bounds.restarts:
+            fresh = Node(node.incarnation + 1)
+            step("restarts", fresh, restarts=state.restarts + 1)
+        return steps
+
+    def _tell_known(self, state: State, node: Node, step) -> None:
+        told = {"not_run": "not_run", "ran": "ran"}.get(state.ended, "unknown")
+        step(f"tells {told}", node._replace(phase=OVER, told=told))
+
+    def _is_own(self, state: State, number: int, node: Node) -> bool:
+        if not state.holder:
+            return False
+        if not self._holds("own_incarnation"):
+            return state.holder[0] == number
+        return state.holder == (number, node.incarnation)
+
+    def _wait(self, state: State, number: int, node: Node, step) -> None:
+        intent = Append(number, node.incarnation)
+        if state.resends < self._bounds.resends:
+            step("appends again", node, wire=state.wire | {intent}, resends=state.resends + 1)
+        is_own = self._is_own(state, number, node)
+        # The verdict on the record that was read back, or any own intent already there.
+        judged = intent in state.log or (is_own and not self._holds("own_incarnation"))
+        gave_up = state.ended and self._holds("giving_up_is_final")
+        if judged and is_own and not gave_up:
+            step("sends", node._replace(phase=SENT), sent=(*state.sent, number))
+        elif judged:
+            self._tell_known(state, node, step)
+        # Without a verdict the node cannot know of another node's try with the same id.
+        knows = (judged and is_own) or not self._holds("not_run_needs_a_verdict")
+        told = "not_run" if knows and not state.ended else "unknown"
+        ended = state.ended or ("not_run" if is_own else "")
+        after = OVER if self._holds("giving_up_is_final") else WAITING
+        step("gives up", node._replace(phase=after, told=told), ended=ended)
+
+    def _sent(self, state: State, number: int, node: Node, step) -> None:
+        is_own = self._is_own(state, number, node)
+        if number in state.runs:
+            ended = state.ended or ("ran" if is_own else "")
+            step("gets the answer", node._replace(phase=OVER, told="ran"), ended=ended)
+        step("loses the answer", node._replace(phase=OVER, told="unknown"))
+        if not self._holds("no_retry_after_sending") and len(state.sent) < 2:
+            step("sends again", node, sent=(*state.sent, number))
+        elif number not in state.sent and number not in state.runs:
+            # The connection was refused: no byte went out.
+            ended = state.ended or ("not_run" if is_own else "")
+            step("was refused", node._replace(phase=OVER, told="not_run"), ended=ended)
+
+    def _log_steps(self, state: State) -> list:
+        steps = []
+        for intent in state.wire:
+            left = state.wire - {intent}
+            holder = state.holder
+            if not holder or not self._holds("one_intent"):
+                holder = tuple(intent)
+            node = state.nodes[intent.node]
+            # A node that gave up sent the end right behind the intent.
+            gave_up = node.told == "unknown" and holder == tuple(intent)
+            ended = "not_run" if gave_up and not state.ended else state.ended
+            taken = state._replace(wire=left, holder=holder, log=(*state.log, intent), ended=ended)
+            if intent in state.log:
+                # The same batch again is void, by its sequence number.
+                taken = state._replace(wire=left)
+            # An incarnation that was replaced can append no more.
+            if state.nodes[intent.node].incarnation != intent.incarnation:
+                taken = state._replace(wire=left)
+            steps.append((intent.label, taken))
+            steps.append(("an append is lost", state._replace(wire=left)))
+        return steps
+
+    @staticmethod
+    def _minion_steps(state: State) -> list:
+        steps = []
+        for index, number in enumerate(state.sent):
+            left = (*state.sent[:index], *state.sent[index + 1 :])
+            ran = state._replace(sent=left, runs=(*state.runs, number))
+            steps.append((f"the minion runs the request of node {number}", ran))
+            steps.append(("a request is lost", state._replace(sent=left)))
+        return steps
+
+
+def make_model(bounds: Bounds, left_out: str = "") -> Protocol:
+    """Make the model for the checker; ``left_out`` is one of `RULES`, or nothing."""
+    model = Model(bounds, left_out)
+    return Protocol(
+        name="request" + (f" without {left_out}" if left_out else ""),
+        candidate=not left_out,
+        fields=State._fields,
+        initial=tuple(State()),
+        transitions=model.transitions,
+        invariants={"at_most_once": _at_most_once, "not_run_is_true": _not_run_is_true},
+        goal=lambda state: all(node.phase == OVER for node in state["nodes"]),
+    )
+
+
+def _at_most_once(state: dict) -> bool:
+    return len(state["runs"]) <= 1
+
+
+def _not_run_is_true(state: dict) -> bool:
+    """Check that a try of which "not run" was told neither ran nor is on its way."""
+    return not any(
+        node.told == "not_run" and (number in state["runs"] or number in state["sent"])
+        for number, node in enumerate(state["nodes"])
+    ) and not (state["ended"] == "not_run" and (state["runs"] or state["sent"]))
--- a/src/snowdock/errors.py
+++ b/src/snowdock/errors.py
@@ -20,6 +20,7 @@
     "PolicyError",
     "SettingsErrors",
     "SnowdockError",
+    "Starting",
     "Unauthorized",
     "UnsupportedMedia",
     "VerdictUnknown",
@@ -116,6 +117,12 @@
     code = "draining"
 
 
+class Starting(Overloaded):
+    """The node has not read enough of the log to serve yet; nothing was run."""
+
+    code = "starting"
+
+
 class LogUnavailable(Overloaded):
     """The platform's log did not take the record; nothing was accepted."""
 
--- a/src/snowdock/leases.py
+++ b/src/snowdock/leases.py
@@ -7,7 +7,10 @@
 
 
 def earliest_loss_ms(fenced_ms: int, lease_ms: int, clock_margin_ms: int) -> int:
-    """Tell from when on an attempt on a gone worker is surely over.
+    """Tell after which moment an attempt on a gone worker is surely over.
+
+    The moment itself is not yet safe: an order is taken, and a lease holds, up to and
+    including its last millisecond. The model checker found this.
 
     An order built just before its sender confirmed the fence may arrive until
     `ORDER_VALID_MS` later, and renew for a whole lease. The margin covers the difference
--- a/src/snowdock/node/reports.py
+++ b/src/snowdock/node/reports.py
@@ -1,6 +1,7 @@
 """What the API shows of the state."""
 
 from ..declarations import Declarations
+from ..errors import Starting
 from ..state import TaskState, VmState, Work
 from .report_models import (
     ClusterStatus,
@@ -26,13 +27,32 @@
 
 
 def version_report(parts: StateParts, node: str) -> VersionReport:
-    """Tell the version in force."""
+    """Tell the version in force.
+
+    Raises
+    ------
+    Starting
+        If the node has not read the log far enough to know.
+    """
+    _want_serving(parts)
     current = parts.state.configuration
     return VersionReport(current.version, current.author, node, parts.state.offset, parts.log_end)
 
 
+def _want_serving(parts: StateParts) -> None:
+    if not parts.serving:
+        raise Starting("the node is still reading the log; nothing was run")
+
+
 def configuration(parts: StateParts) -> Declarations:
-    """Give the declarations in force."""
+    """Give the declarations in force.
+
+    Raises
+    ------
+    Starting
+        If the node has not read the log far enough to know.
+    """
+    _want_serving(parts)
     return parts.state.configuration.declarations
 
 
--- a/src/snowdock/node/requests.py
+++ b/src/snowdock/node/requests.py
@@ -21,6 +21,7 @@
     Overloaded,
     PlatformError,
     SnowdockError,
+    VerdictUnknown,
 )
 from ..platform.minions import Exchange, ExchangeResult, MinionClient
 from ..records import RequestEnded, RequestIntended
@@ -39,6 +40,7 @@
     CallRequest,
 )
 from .peers import Peers
+from .reports import configuration
 from .traces import span
 
 __all__ = ["RequestHandler", "outcome_of"]
@@ -149,9 +151,7 @@
 
     def _find_endpoint(self, request: CallRequest) -> Endpoint:
         found = self._parts.state.ask(
-            View(
-                lambda parts: parts.state.configuration.declarations.endpoints.get(request.endpoint)
-            )
+            View(lambda parts: configuration(parts).endpoints.get(request.endpoint))
         )
         if found is None:
             raise NotFound(f"no endpoint {request.endpoint}; nothing was run")
@@ -212,9 +212,9 @@
         except pykka.Timeout:
             # The intent may come onto the log later, but this node does not act on it.
             self._note_end(request, "not_run")
-            raise Overloaded("the log was too slow; nothing was run", _LOG_RETRY_SECONDS) from None
+            return _undecided(VerdictUnknown("the log was too slow"))
         if isinstance(result, SnowdockError):
-            raise result
+            return _undecided(result)
         if isinstance(result[0], Accepted):
             work.intended = True
             return None
@@ -358,6 +358,22 @@
     )
 
 
+def _undecided(error: SnowdockError) -> CallOutcome:
+    """Tell of a not-repeatable request on whose intent no verdict was seen.
+
+    "Not run" would be too much to say, although this try sent nothing: the caller may be
+    asking again, and another node may have run the id. The model checker found this.
+    """
+    return CallOutcome(
+        "unknown",
+        503,
+        code=error.code,
+        reason=f"{error}; this try sent nothing, an earlier one with the same id may have: "
+        "asking again with the same id is safe",
+        retry_after_seconds=error.retry_after_seconds or _LOG_RETRY_SECONDS,
+    )
+
+
 def _given_up(request: CallRequest, exchange: Exchange, may_have_run: bool) -> CallOutcome:
     if may_have_run:
         return _unknown(exchange.reason)
--- a/src/snowdock/node/state_actor.py
+++ b/src/snowdock/node/state_actor.py
@@ -89,6 +89,7 @@
     active: list[str]
     scheduler: Scheduler
     policies: PolicyBook
+    serving: bool
     ready: bool
     log_end: int
     diverged: bool
@@ -116,6 +117,8 @@
         self._proposed_at: dict[str, float] = {}
         self._joined_proposed = False
         self._is_member = False
+        self._first_end: int | None = None
+        self._serving = False
         self._log_end = 0
         self._diverged = False
         self._digests: dict[int, str] = {}
@@ -163,6 +166,8 @@
 
     def _read_entries(self, message: EntriesRead) -> None:
         self._log_end = max(self._log_end, message.end)
+        if self._first_end is None:
+            self._first_end = message.end
         for raw in message.entries:
             try:
                 batch = decode_batch(raw.data)
@@ -175,6 +180,9 @@
                 self._note_digest()
         self._parts.applied_offset = self._state.offset
         self._parts.driver.tell(LogConfirmed(message.asked_at))
+        # A node that shows what it read halfway would fall back behind what the process
+        # before it had shown.
+        self._serving = self._serving or self._state.offset + 1 >= self._first_end
         if not self._joined_proposed and self._state.offset + 1 >= message.end:
             self._join()
         self._schedule()
@@ -186,6 +194,7 @@
         if message.state.offset <= self._state.offset:
             return
         self._state = message.state
+        self._serving = True
         self._log_end = max(self._log_end, message.state.offset + 1)
         self._last_snapshot = message.state.offset
         self._policies.replace(self._state.configuration.declarations)
@@ -401,7 +410,7 @@
                 continue
             lease = self._state.longest_lease_ms
             earliest = earliest_loss_ms(worker.fenced_ms, lease, margin)
-            if now_ms < earliest or not self._acts_on(f"worker/{worker.name}"):
+            if now_ms <= earliest or not self._acts_on(f"worker/{worker.name}"):
                 continue
             fresh = [name for name in worker.attempts if self._may_propose(name)]
             self._propose(*(AttemptLost(*parse_attempt_id(name)) for name in fresh))
@@ -510,6 +519,7 @@
                 self._active_nodes(),
                 self._scheduler,
                 self._policies,
+                self._serving,
                 self._is_member and not self._diverged,
                 self._log_end,
                 self._diverged,
--- a/src/snowdock/node/vm_watcher.py
+++ b/src/snowdock/node/vm_watcher.py
@@ -124,7 +124,7 @@
                 continue
             since = self._missing_since_ms.setdefault(member.incarnation, now_ms)
             lease = max(state.longest_lease_ms, limits.lease_ms)
-            if now_ms >= earliest_loss_ms(since, lease, limits.clock_margin_ms):
+            if now_ms > earliest_loss_ms(since, lease, limits.clock_margin_ms):
                 found.append(NodeGone(member.name, member.incarnation))
         return found
 
--- a/src/snowdock/reducer/_works.py
+++ b/src/snowdock/reducer/_works.py
@@ -138,7 +138,7 @@
     require(worker.fenced_ms > 0, "a member may still renew the lease")
     margin = state.configuration.declarations.limits.clock_margin_ms
     earliest = earliest_loss_ms(worker.fenced_ms, state.longest_lease_ms, margin)
-    require(context.batch.at_ms >= earliest, "the lease may still hold")
+    require(context.batch.at_ms > earliest, "the lease may still hold")
     _end(context, work, record.task, Outcome.LOST)
     return Accepted()
 
