--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements: each prints its figures; ``docs/BENCH.md`` keeps them with their date."""
--- /dev/null
+++ b/bench/slopes.py
@@ -0,0 +1,221 @@
+"""Slopes behind ``docs/CAPACITY.md``: ``python -m bench.slopes``.
+
+Measures, at several sizes, what one more worker, task, start, change or peer costs a node in
+memory, processor time and bytes, and works out a node's share at the target from them.
+"""
+
+import gc
+import os
+import subprocess
+import sys
+import time
+import zlib
+
+import msgspec
+
+from bench.tools import ACCELERATORS, CPU, HALLS, MEMORY, TEAMS, Feed, fill, resident_mb, timed
+from snowdock.decisions.orders import build_order
+from snowdock.declarations import Declarations, Endpoint, Service, Size, Team, WorkSpec
+from snowdock.node.peer_messages import Heartbeat, encode_peer_message
+from snowdock.platform.workers import AttemptReport, SyncAnswer
+from snowdock.programs import shipped_programs
+from snowdock.records import (
+    AttemptEnded,
+    AttemptStarted,
+    Batch,
+    ConfigurationProposed,
+    Placement,
+    TasksPlaced,
+    WorkSubmitted,
+    decode_batch,
+    encode_batch,
+)
+from snowdock.reducer import Entry, reduce
+from snowdock.state import State, digest, encode_state
+
+SIZES = ((130, 1_300), (325, 3_250), (650, 6_500), (1_300, 13_000))
+TARGET_WORKERS = 1_300
+TARGET_TASKS = 13_000
+TARGET_STARTS = 280
+TARGET_JOBS_A_DAY = 13_000
+TARGET_CHANGES_A_DAY = 1_100
+TARGET_NODES = 9
+SYNC_SECONDS = 30
+CPU_BUDGET = 0.019
+BYTES_BUDGET = 5_000
+MEMORY_BUDGET_MB = 64
+DAY = 86_400
+HEADER_BYTES = 250
+"""Bytes of an HTTP exchange's heads, both ways, as the stand-ins send and get them."""
+
+
+def line(what: str, value: float, unit: str) -> None:
+    """Print one figure."""
+    print(f"  {what:58} {value:12.3f} {unit}", flush=True)
+
+
+def measure_memory() -> float:
+    """Print the state's memory at each size; give the slope in MB a thousand tasks.
+
+    Each size is measured in a process of its own, since freed memory is seldom returned.
+    """
+    print("memory of the state (a process for each size)")
+    points = []
+    for workers, tasks in SIZES:
+        code = (
+            "import gc; from bench.tools import fill, resident_mb; from bench import slopes;"
+            f"b = resident_mb(); f = fill({workers}, {tasks}); gc.collect();"
+            "print(resident_mb() - b)"
+        )
+        out = subprocess.run(
+            [sys.executable, "-c", code], capture_output=True, text=True, check=True
+        )
+        points.append((tasks, float(out.stdout)))
+        line(f"{workers} workers, {tasks} tasks", points[-1][1], "MB")
+    (small, low), (large, high) = points[0], points[-1]
+    slope = (high - low) / (large - small) * 1000
+    line("slope, for a thousand tasks and a hundred workers", slope, "MB")
+    return slope
+
+
+def task_batches(feed: Feed, works: int, tasks: int) -> list[Batch]:
+    """Make the records of works that are submitted, placed, started and ended.
+
+    The batches are reduced as they are made, since later records name numbers that the
+    reducer gives.
+    """
+    batches = []
+    workers = list(feed.state.workers)
+
+    def append(*records) -> None:
+        batch = feed.batch(records)
+        batches.append(batch)
+        reduce(feed.state, Entry(feed.state.offset + 1, batch))
+
+    for number in range(works):
+        spec = WorkSpec("batch", f"w{number}", "team-1", tasks, Size(100, 100), run_ms=5000)
+        append(WorkSubmitted(f"{os.urandom(8).hex()}/w", spec))
+        work = next(reversed(feed.state.works))
+        chosen = [workers[(number * 37 + n * 101) % len(workers)] for n in range(tasks)]
+        append(TasksPlaced(work, [Placement(n, name) for n, name in enumerate(chosen)]))
+        append(*(AttemptStarted(work, n, 1) for n in range(tasks)))
+        append(*(AttemptEnded(work, n, 1, "succeeded") for n in range(tasks)))
+    return batches
+
+
+def measure_log(works: int = 100, tasks: int = 28) -> tuple[float, float]:
+    """Print time and bytes of a task's records; give seconds and bytes for one task."""
+    print("the log: a task submitted, placed, started and ended")
+    seconds = bytes_a_task = 0.0
+    for workers, running in SIZES:
+        feed = fill(workers, running)
+        snapshot = encode_state(feed.state)
+        batches = task_batches(feed, works, tasks)
+        # As the log carries them: 28 tasks in a batch each 100 ms are 280 starts a second.
+        data = [encode_batch(batch) for batch in batches]
+        state = msgspec.msgpack.decode(snapshot, type=State)
+        offset = state.offset
+        started = time.process_time()
+        for number, raw in enumerate(data):
+            reduce(state, Entry(offset + 1 + number, decode_batch(raw)))
+        seconds = (time.process_time() - started) / (works * tasks)
+        bytes_a_task = sum(map(len, data)) / (works * tasks)
+        line(f"{workers} workers: decode and reduce, for a task", seconds * 1e6, "us")
+        line(f"{workers} workers: compressed, for a task", bytes_a_task, "bytes")
+    return seconds, bytes_a_task
+
+
+def measure_orders() -> tuple[float, float]:
+    """Print time and bytes of one call to a worker with ten tasks; give both."""
+    print("orders: one call to a worker with ten running tasks")
+    state = fill(TARGET_WORKERS, TARGET_TASKS).state
+    names = list(state.workers)
+    reports = {n: AttemptReport("running", 500, 1024) for n in state.workers[names[0]].attempts}
+    seconds = timed(lambda: [build_order(state, name, reports, 0) for name in names]) / len(names)
+    order = build_order(state, names[0], reports, 0).order
+    body = msgspec.json.encode(order)
+    answer = SyncAnswer(names[0], "0123abcd", CPU, MEMORY, ACCELERATORS)
+    total = len(body) + len(msgspec.json.encode(answer)) + HEADER_BYTES
+    line("build the order", seconds * 1e6, "us")
+    line("bytes of order and answer with heads", total, "bytes")
+    return seconds, total
+
+
+def measure_snapshot() -> None:
+    """Print size and time of snapshots and digests."""
+    print("snapshots")
+    for workers, tasks in SIZES:
+        state = fill(workers, tasks).state
+        data = encode_state(state)
+        line(f"{workers} workers: size", len(data) / 1e6, "MB")
+        line(f"{workers} workers: compressed", len(zlib.compress(data)) / 1e6, "MB")
+        line(f"{workers} workers: encode", timed(lambda s=state: encode_state(s)) * 1e3, "ms")
+        line(f"{workers} workers: digest", timed(lambda s=state: digest(s)) * 1e3, "ms")
+
+
+def measure_configuration() -> float:
+    """Print the bytes of a change of a large configuration; give them."""
+    print("configuration: 51 teams, 40 services, 7 endpoints, 4 programs in one change")
+    declarations = Declarations(
+        teams={f"team-{n}": Team(cpu=100 + n, memory_gb=400 + n) for n in range(TEAMS)},
+        services={
+            f"service-{n}": Service(f"team-{n}", tasks=65, cpu=0.5, memory_gb=1) for n in range(40)
+        },
+        endpoints={f"endpoint-{n}": Endpoint(f"minions-{n}") for n in range(HALLS)},
+        programs=shipped_programs(),
+    )
+    batch = Batch("bench", "b", 1, 0, 0, [ConfigurationProposed(0, declarations, "operator")])
+    data = encode_batch(batch)
+    line("bytes on the log", len(data), "bytes")
+    line("at 1,100 a day", len(data) * TARGET_CHANGES_A_DAY / DAY, "bytes/s")
+    return len(data)
+
+
+def measure_heartbeat() -> float:
+    """Print the bytes of a heartbeat; give them."""
+    beat = Heartbeat(
+        "entry-4", "0123456789ab", 10**7, 10**7, "0123456789abcdef", True, {"settlement": 21}
+    )
+    size = len(encode_peer_message(beat))
+    print("peers")
+    line("a heartbeat", size, "bytes")
+    return size
+
+
+def work_out(
+    memory: float, log: tuple[float, float], orders: tuple[float, float], change: float, beat: float
+) -> None:
+    """Print a node's share at the target, against its budgets."""
+    print(f"worked out at the target, a node of {TARGET_NODES}")
+    task_seconds, task_bytes = log
+    order_seconds, order_bytes = orders
+    calls = TARGET_WORKERS / TARGET_NODES / SYNC_SECONDS
+    lines = (
+        ("log at the peak", TARGET_STARTS * task_bytes, TARGET_STARTS * task_seconds),
+        (f"workers, a call each {SYNC_SECONDS} s", calls * order_bytes, calls * order_seconds),
+        ("configuration", change * TARGET_CHANGES_A_DAY / DAY, 0.0),
+        ("heartbeats out and in, each second", 2 * (TARGET_NODES - 1) * beat, 0.0),
+    )
+    for what, rate, share in lines:
+        line(f"{what}: bytes a second", rate, "B/s")
+        line(f"{what}: part of a core (our own code)", share * 100, "%")
+    line("all bytes", sum(rate for _, rate, _ in lines), f"B/s of {BYTES_BUDGET}")
+    total_share = sum(share for _, _, share in lines) * 100
+    line("all processor time of our own code", total_share, f"% of {CPU_BUDGET * 100:.1f}")
+    line("state", memory * TARGET_TASKS / 1000, f"MB of {MEMORY_BUDGET_MB} with all else")
+
+
+def main() -> None:
+    """Measure all, then work out the target."""
+    gc.collect()
+    line("this process before anything", resident_mb(), "MB")
+    memory = measure_memory()
+    log = measure_log()
+    orders = measure_orders()
+    measure_snapshot()
+    change = measure_configuration()
+    work_out(memory, log, orders, change, measure_heartbeat())
+
+
+if __name__ == "__main__":
+    main()
--- a/src/snowdock/node/daemon.py
+++ b/src/snowdock/node/daemon.py
@@ -54,7 +54,7 @@
         self._stopped = threading.Event()
         node = settings.node
         timing = settings.timing
-        self._parts = Parts(settings, incarnation=secrets.token_hex(6))
+        self._parts = Parts(settings, incarnation=secrets.token_hex(4))
         metrics = Metrics()
         client = Client(node.name, settings.platform.timeout_ms / 1000)
         log = LogClient(client, settings.platform.log)
@@ -85,6 +85,7 @@
             parts.incarnation,
             timing.append_interval_ms / 1000,
             lambda: parts.applied_offset,
+            self._note_append,
         )
         parts.router = Router.start(parts)
         parts.driver = WorkerDriver.start(parts, workers)
@@ -108,6 +109,9 @@
         """Ask for a planned stop."""
         self._stopping.set()
 
+    def _note_append(self, answered: bool) -> None:
+        self._parts.appends_to_log = answered
+
     def _fail(self) -> None:
         """End at once: nothing is given back, as if the process had been killed."""
         sys.stderr.flush()
@@ -141,7 +145,14 @@
 
     def _heard(self, beat: Heartbeat) -> None:
         self._parts.state.tell(
-            PeerHeard(beat.node, beat.incarnation, beat.offset, beat.digest_offset, beat.digest)
+            PeerHeard(
+                beat.node,
+                beat.incarnation,
+                beat.offset,
+                beat.digest_offset,
+                beat.digest,
+                beat.reaches_log,
+            )
         )
         self._parts.router.tell(PeerIdle(beat.node, beat.idle_slots))
 
--- a/src/snowdock/node/log_actors.py
+++ b/src/snowdock/node/log_actors.py
@@ -15,7 +15,16 @@
     VerdictUnknown,
 )
 from ..platform.logs import LogClient, RawEntry
-from ..records import Batch, Record, SnapshotPart, decode_batch, encode_batch
+from ..records import (
+    AttemptEnded,
+    AttemptStarted,
+    Batch,
+    Record,
+    SnapshotPart,
+    TasksPlaced,
+    decode_batch,
+    encode_batch,
+)
 from ..state import State, decode_state
 from .logs import log_error, log_event
 from .messages import BatchSeen, EntriesRead, LogFailed, Propose, StateLoaded, Tick
@@ -25,6 +34,7 @@
 _RETRY_SECONDS = 0.2
 _MAX_BATCH_RECORDS = 512
 _MAX_QUEUED_RECORDS = 20_000
+_BATCH_ORDER = {AttemptEnded: 0, AttemptStarted: 1, TasksPlaced: 3}
 
 
 class LogWriter(pykka.ThreadingActor):
@@ -43,6 +53,8 @@
         Seconds from one append to the next, which keeps the node within its budget.
     read_offset
         Tells how far this node has acted on the log.
+    note_answered
+        Called after each append with whether it was answered.
     """
 
     def __init__(
@@ -52,6 +64,7 @@
         incarnation: str,
         interval: float,
         read_offset: Callable[[], int],
+        note_answered: Callable[[bool], None],
     ) -> None:
         super().__init__()
         self._log = log
@@ -59,6 +72,7 @@
         self._incarnation = incarnation
         self._interval = interval
         self._read_offset = read_offset
+        self._note_answered = note_answered
         self._sequence = 0
         self._queue: list[Propose] = []
         self._queued_records = 0
@@ -116,6 +130,9 @@
             self.actor_ref.tell(Tick())
 
     def _next_batch(self) -> Batch:
+        # Ends go first, since they free room, and placements last; records of one kind
+        # that stand together also take fewer bytes.
+        self._queue.sort(key=_batch_order)
         taken, records = [], []
         while self._queue and len(records) < _MAX_BATCH_RECORDS:
             proposal = self._queue.pop(0)
@@ -144,8 +161,10 @@
         try:
             self._log.append(encode_batch(self._in_flight))
         except PlatformError as error:
+            self._note_answered(False)
             self._note_failure(error)
             return
+        self._note_answered(True)
         if self._failing:
             log_event("log_append_recovered")
         self._failing = False
@@ -173,6 +192,7 @@
             # The append's answer was lost, but the batch is there.
             self._in_flight = None
             self._failing = False
+            self._note_answered(True)
         verdicts = list(judged.verdicts)
         for proposal in self._waiting.pop(judged.sequence, []):
             own = tuple(verdicts[: len(proposal.records)])
@@ -181,6 +201,11 @@
                 proposal.reply(own)
 
 
+def _batch_order(proposal: Propose) -> int:
+    first = proposal.records[0] if proposal.records else None
+    return _BATCH_ORDER.get(type(first), 2)
+
+
 def _refuse(proposal: Propose, error: SnowdockError) -> None:
     if proposal.reply is not None:
         proposal.reply(error)
--- a/src/snowdock/node/messages.py
+++ b/src/snowdock/node/messages.py
@@ -113,6 +113,7 @@
     offset: int
     digest_offset: int
     digest: str
+    reaches_log: bool
 
 
 @_message
--- a/src/snowdock/node/parts.py
+++ b/src/snowdock/node/parts.py
@@ -33,6 +33,8 @@
         How far the node has acted on the log.
     digest
         The newest offset at which the state was digested, and the digest.
+    reads_log, appends_to_log
+        Whether the last read, and the last append, were answered.
     idle_slots
         Idle slots of this node by minion group, told to peers.
     """
@@ -50,4 +52,11 @@
     fail: Callable[[], None] = _ignore
     applied_offset: int = -1
     digest: tuple[int, str] = (-1, "")
+    reads_log: bool = True
+    appends_to_log: bool = True
     idle_slots: dict[str, int] = dataclasses.field(default_factory=dict)
+
+    @property
+    def reaches_log(self) -> bool:
+        """Whether this node can both read and append."""
+        return self.reads_log and self.appends_to_log
--- a/src/snowdock/node/peer_messages.py
+++ b/src/snowdock/node/peer_messages.py
@@ -57,13 +57,17 @@
 
 
 class Heartbeat(_PeerMessage, tag="h"):
-    """A node is alive and has applied the log up to ``offset``."""
+    """A node is alive and has applied the log up to ``offset``.
+
+    ``reaches_log`` tells whether its last read and its last append were answered.
+    """
 
     node: str
     incarnation: str
     offset: int
     digest_offset: int
     digest: str
+    reaches_log: bool
     idle_slots: dict[str, int]
 
 
--- a/src/snowdock/node/peers.py
+++ b/src/snowdock/node/peers.py
@@ -234,6 +234,7 @@
                 parts.applied_offset,
                 digest_offset,
                 digest,
+                parts.reaches_log,
                 parts.idle_slots,
             )
         )
--- a/src/snowdock/node/requests.py
+++ b/src/snowdock/node/requests.py
@@ -71,6 +71,7 @@
     deadline: float
     may_lend: bool
     intended: bool = False
+    may_have_run: bool = False
     tries: int = 0
     failed: set[str] = dataclasses.field(default_factory=set)
 
@@ -239,9 +240,7 @@
         while True:
             slot = self._find_slot(work)
             if isinstance(slot, Refused):
-                return outcome_of(
-                    Overloaded(f"{slot.reason}; nothing was run", slot.retry_after_seconds)
-                )
+                return _given_up(work, slot.reason, slot.retry_after_seconds)
             if isinstance(slot, LentByPeer):
                 outcome = self._forward_to_peer(work, slot.node)
                 if outcome is not None:
@@ -282,6 +281,7 @@
                     node, lambda number: CallForwarded(number, traced), max(left, _MIN_SECONDS)
                 )
         except PlatformError as error:
+            work.may_have_run = True
             return None if request.repeatable else _unknown(str(error))
         outcome = given.outcome
         if outcome.outcome == "not_run" and outcome.status in (503,) and left > _MIN_SECONDS:
@@ -335,14 +335,15 @@
         log_event(
             "try_failed", request=request.request_id, minion=slot.minion, reason=exchange.reason
         )
-        may_have_run = exchange.result == ExchangeResult.UNKNOWN
-        if may_have_run and not request.repeatable:
-            return _unknown(exchange.reason)
+        if exchange.result == ExchangeResult.UNKNOWN:
+            work.may_have_run = True
+            if not request.repeatable:
+                return _unknown(exchange.reason)
         work.failed.add(slot.minion)
         pause = backoff_seconds(work.tries, secrets.SystemRandom().random())
         is_last = work.tries >= _MAX_TRIES or pause >= work.seconds_left
         if is_last or not self._budget.take():
-            return _given_up(request, exchange, may_have_run)
+            return _given_up(work, exchange.reason, _LOG_RETRY_SECONDS)
         self._metrics.count("retries_total", "Tries after the first one.")
         time.sleep(pause)
         return None
@@ -374,9 +375,8 @@
     )
 
 
-def _given_up(request: CallRequest, exchange: Exchange, may_have_run: bool) -> CallOutcome:
-    if may_have_run:
-        return _unknown(exchange.reason)
-    return outcome_of(
-        Overloaded(f"no minion took it: {exchange.reason}; nothing was run", _LOG_RETRY_SECONDS)
-    )
+def _given_up(work: _Try, reason: str, retry_after_seconds: float) -> CallOutcome:
+    """Tell the end of a request: "not run" only where no try of it may have run."""
+    if work.may_have_run:
+        return _unknown(reason)
+    return outcome_of(Overloaded(f"{reason}; nothing was run", retry_after_seconds))
--- a/src/snowdock/node/router.py
+++ b/src/snowdock/node/router.py
@@ -30,6 +30,8 @@
 _MAX_RETRY_SECONDS = 30.0
 _TYPICAL_SECONDS = 0.05
 _SMOOTHING = 0.1
+_WORTH_SENDING = 0.5
+"""A request that has less than this part of a typical run left is not sent any more."""
 _PEER_IDLE_SECONDS = 3.0
 _REPROPOSE_SECONDS = 5.0
 
@@ -102,6 +104,9 @@
         group = message.group
         if not self._waiting.get(group) and self._grant(message):
             return
+        if self._is_hopeless(message):
+            message.slot.set(Refused("no other minion is left", self._retry_after(group)))
+            return
         peer = self._idle_peer(group) if message.may_lend else None
         if peer is not None:
             message.slot.set(LentByPeer(peer))
@@ -112,6 +117,11 @@
             return
         heapq.heappush(queue, (-message.priority, next(self._order), message))
 
+    def _is_hopeless(self, message: Acquire) -> bool:
+        """Tell whether waiting cannot help: every minion with slots here was tried."""
+        usable = [s.view.name for s in self._by_group.get(message.group, ()) if s.usable]
+        return bool(usable) and message.excluded.issuperset(usable)
+
     def _grant(self, message: Acquire) -> bool:
         now = time.monotonic()
         candidates = (
@@ -172,9 +182,10 @@
         now = time.monotonic()
         while queue:
             message = queue[0][2]
-            if message.deadline <= now:
+            if message.deadline <= now + self._seconds * _WORTH_SENDING:
+                # What would be answered too late only takes a slot from the next one.
                 heapq.heappop(queue)
-                message.slot.set(Refused("the deadline passed", self._retry_after(group)))
+                message.slot.set(Refused("too little time is left", self._retry_after(group)))
             elif self._grant(message):
                 heapq.heappop(queue)
             else:
--- a/src/snowdock/node/state_actor.py
+++ b/src/snowdock/node/state_actor.py
@@ -76,6 +76,7 @@
 __all__ = ["StateActor", "StateParts"]
 
 _RERANK_SECONDS = 2.0
+_COOLING_LOOK_SECONDS = 1.0
 _SNAPSHOT_PART_BYTES = 500_000
 _DIGEST_ENTRIES = 500
 _REPROPOSE_SECONDS = 30.0
@@ -113,7 +114,7 @@
         self._state = State()
         self._policies = PolicyBook(self._raise_alarm)
         self._scheduler = Scheduler(self._policies, random.Random())
-        self._peers_heard: dict[str, float] = {}
+        self._peers_heard: dict[str, tuple[float, bool]] = {}
         self._proposed_at: dict[str, float] = {}
         self._joined_proposed = False
         self._is_member = False
@@ -123,6 +124,7 @@
         self._diverged = False
         self._digests: dict[int, str] = {}
         self._next_rerank = 0.0
+        self._next_cooling_look = 0.0
         self._last_snapshot = 0
         self._drivable: tuple[str, ...] = ()
         self._handlers: dict[type, Callable] = {
@@ -165,6 +167,7 @@
     # -- the log ---------------------------------------------------------------------------
 
     def _read_entries(self, message: EntriesRead) -> None:
+        self._parts.reads_log = True
         self._log_end = max(self._log_end, message.end)
         if self._first_end is None:
             self._first_end = message.end
@@ -188,6 +191,7 @@
         self._schedule()
 
     def _log_failed(self, message: LogFailed) -> None:
+        self._parts.reads_log = False
         self._metrics.count("log_read_failures_total", "Reads of the log that failed.")
 
     def _load(self, message: StateLoaded) -> None:
@@ -290,14 +294,22 @@
     # -- who acts --------------------------------------------------------------------------
 
     def _active_nodes(self) -> list[str]:
-        """Members that seem alive and are not on their way out."""
+        """Members that seem able to act.
+
+        They are alive, not on their way out, and reach the log. Where none reaches the log,
+        all that are alive count: running work still has to be looked after.
+        """
         horizon = time.monotonic() - self._parts.settings.timing.silence_ms / 1000
-        return [
-            member.name
-            for member in self._state.members.values()
-            if member.state == MemberState.LIVE
-            and (member.name == self._name or self._peers_heard.get(member.name, 0) > horizon)
-        ]
+        alive, able = [], []
+        for member in self._state.members.values():
+            heard, reaches_log = self._peers_heard.get(member.name, (0.0, False))
+            if member.name == self._name:
+                heard, reaches_log = horizon + 1, self._parts.reaches_log
+            if member.state == MemberState.LIVE and heard > horizon:
+                alive.append(member.name)
+                if reaches_log:
+                    able.append(member.name)
+        return able or alive
 
     def _acts_on(self, thing: str) -> bool:
         return ownership.owner(thing, self._active_nodes()) == self._name
@@ -336,7 +348,13 @@
 
     def _minion_view(self, minion, live: list[str]) -> MinionView:
         slots = slots_of(self._state, minion)
-        cooling = sum(c.slots for c in self._state.cooling if c.minion == minion.name)
+        # Time on the log stands still while nothing is appended; taking the slots moves it on.
+        now_ms = int(time.time() * 1000)
+        cooling = sum(
+            entry.slots
+            for entry in self._state.cooling
+            if entry.minion == minion.name and entry.until_ms > now_ms
+        )
         return MinionView(
             name=minion.name,
             group=minion.group,
@@ -362,6 +380,9 @@
             self._on_members(MembersChanged())
         self._declare_lost()
         self._maybe_snapshot()
+        if self._state.cooling and now >= self._next_cooling_look:
+            self._next_cooling_look = now + _COOLING_LOOK_SECONDS
+            self._refresh_minions()
         wake = self._scheduler.next_wake
         if wake is not None and wake <= now:
             self._scheduler.note_room()
@@ -442,7 +463,7 @@
     def _peer_heard(self, message: PeerHeard) -> None:
         member = self._state.members.get(message.node)
         if member is not None and member.incarnation == message.incarnation:
-            self._peers_heard[message.node] = time.monotonic()
+            self._peers_heard[message.node] = (time.monotonic(), message.reaches_log)
         own = self._digests.get(message.digest_offset)
         if own is not None and own != message.digest and not self._diverged:
             self._diverged = True
--- a/src/snowdock/node/worker_driver.py
+++ b/src/snowdock/node/worker_driver.py
@@ -34,6 +34,7 @@
     due: float
     busy: bool = False
     poked: bool = False
+    watched: bool = False
     reports: dict[str, AttemptReport] = dataclasses.field(default_factory=dict)
 
 
@@ -118,6 +119,7 @@
                 driven.due = now + self._interval
                 continue
             driven.busy = True
+            driven.watched = bool(order.order.renew or order.order.start or order.order.stop)
             self._callers.submit(self._call, name, order)
 
     def _build(self, state, names: list[str]) -> dict[str, WorkerOrder | None]:
@@ -151,13 +153,11 @@
             driven.due = now + _RETRY_SECONDS
         else:
             driven.reports = message.reports
-            driven.due = now if driven.poked else now + self._next_interval(message.reports)
+            driven.due = now if driven.poked else now + self._interval_of(driven)
         driven.poked = False
 
-    def _next_interval(self, reports: dict[str, AttemptReport]) -> float:
+    def _interval_of(self, driven: _Driven) -> float:
         """Look sooner where something runs whose end somebody waits for."""
-        return self._interval if not reports else min(self._interval, self._watch_seconds)
-
-    @property
-    def _watch_seconds(self) -> float:
-        return self._parts.settings.timing.watch_interval_ms / 1000
+        if not driven.watched and not driven.reports:
+            return self._interval
+        return min(self._interval, self._parts.settings.timing.watch_interval_ms / 1000)
--- a/src/snowdock/platform/workers.py
+++ b/src/snowdock/platform/workers.py
@@ -51,7 +51,11 @@
 
 
 class SyncAnswer(msgspec.Struct, frozen=True):
-    """A worker's answer; ``boot`` names the start of its VM."""
+    """A worker's answer; ``boot`` names the start of its VM.
+
+    ``attempts`` leaves out what was named to be renewed and still runs: most calls change
+    nothing, and saying so for each task would be most of their bytes.
+    """
 
     worker: str
     boot: str
@@ -78,7 +82,7 @@
         return decode_json(self._client.exchange("GET", f"{address}/status"), SyncAnswer)
 
     def sync(self, address: str, order: SyncOrder) -> SyncAnswer:
-        """Give orders and get the state of every attempt named in them.
+        """Give orders and get the state of every attempt that is not just running on.
 
         Raises
         ------
--- a/src/snowdock/records.py
+++ b/src/snowdock/records.py
@@ -4,10 +4,13 @@
 same on every node. Records are array-encoded structs, so a batch carries no field names.
 """
 
+import itertools
+import typing
 import zlib
 
 import msgspec
 
+from .columns import from_columns, to_columns
 from .declarations import Declarations, Size, WorkSpec
 from .errors import InvalidInput
 
@@ -284,8 +287,32 @@
     records: list[Record]
 
 
+class _Run(msgspec.Struct, array_like=True, frozen=True):
+    """Records of one kind that follow each other, as columns."""
+
+    tag: str
+    count: int
+    columns: list
+
+
+class _WireBatch(msgspec.Struct, array_like=True, frozen=True):
+    """A batch as it is on the log."""
+
+    node: str
+    incarnation: str
+    sequence: int
+    read_offset: int
+    at_ms: int
+    runs: list[_Run]
+
+
+_KINDS = {kind.__struct_config__.tag: kind for kind in typing.get_args(Record)}
+_MAX_RECORDS = 4096
+_RAW_DEFLATE = -zlib.MAX_WBITS
+"""Without head and checksum: the log keeps what it was given."""
+
 _encoder = msgspec.msgpack.Encoder()
-_decoder = msgspec.msgpack.Decoder(Batch)
+_decoder = msgspec.msgpack.Decoder(_WireBatch)
 
 
 def encode_batch(batch: Batch) -> bytes:
@@ -301,7 +328,16 @@
     bytes
         The body of one append.
     """
-    return zlib.compress(_encoder.encode(batch), 6)
+    runs = []
+    for kind, group in itertools.groupby(batch.records, type):
+        records = list(group)
+        tag = kind.__struct_config__.tag
+        runs.append(_Run(tag, len(records), to_columns(kind, records)))
+    wire = _WireBatch(
+        batch.node, batch.incarnation, batch.sequence, batch.read_offset, batch.at_ms, runs
+    )
+    deflater = zlib.compressobj(zlib.Z_BEST_COMPRESSION, zlib.DEFLATED, _RAW_DEFLATE)
+    return deflater.compress(_encoder.encode(wire)) + deflater.flush()
 
 
 def decode_batch(data: bytes) -> Batch:
@@ -320,13 +356,19 @@
     Raises
     ------
     InvalidInput
-        If the bytes are not a batch, or would expand beyond 16 MiB.
+        If the bytes are not a batch, or would expand beyond 16 MiB or 4096 records.
     """
     try:
-        inflater = zlib.decompressobj()
+        inflater = zlib.decompressobj(_RAW_DEFLATE)
         raw = inflater.decompress(data, _MAX_BATCH_BYTES)
         if not inflater.eof:
             raise InvalidInput("batch is truncated or too large")
-        return _decoder.decode(raw)
+        wire = _decoder.decode(raw)
     except (zlib.error, msgspec.MsgspecError) as error:
         raise InvalidInput(f"not a batch: {error}") from error
+    records: list[Record] = []
+    for run in wire.runs:
+        if run.tag not in _KINDS or not 0 <= run.count <= _MAX_RECORDS - len(records):
+            raise InvalidInput("an unknown kind of record, or too many records")
+        records.extend(from_columns(_KINDS[run.tag], run.columns, run.count))
+    return Batch(wire.node, wire.incarnation, wire.sequence, wire.read_offset, wire.at_ms, records)
--- a/src/snowdock/reducer/_tools.py
+++ b/src/snowdock/reducer/_tools.py
@@ -63,10 +63,12 @@
     return found, entry
 
 
-def set_task_state(state: State, task: Task, value: TaskState) -> None:
-    """Change a task's state and keep the count of queued tasks."""
+def set_task_state(state: State, work: Work, task: Task, value: TaskState) -> None:
+    """Change a task's state and keep the counts of queued and of open tasks."""
     state.queued_tasks += (value == TaskState.QUEUED) - (task.state == TaskState.QUEUED)
+    was_over = task.is_over
     task.state = value
+    work.open_tasks += was_over - task.is_over
 
 
 def hold_room(state: State, work: Work, number: int, worker: Worker) -> int:
@@ -81,7 +83,7 @@
     task.attempt += 1
     task.worker = worker.name
     task.stopping = False
-    set_task_state(state, task, TaskState.PLACED)
+    set_task_state(state, work, task, TaskState.PLACED)
     size = work.spec.size
     worker.attempts[attempt_id(work.number, number, task.attempt)] = size
     worker.used = worker.used.plus(size)
--- a/src/snowdock/reducer/_works.py
+++ b/src/snowdock/reducer/_works.py
@@ -37,7 +37,7 @@
     """Put new work into the state, all tasks queued."""
     state = context.state
     tasks = [Task() for _ in range(spec.tasks)]
-    state.works[number] = Work(number, key, spec, tasks, state.now_ms)
+    state.works[number] = Work(number, key, spec, tasks, state.now_ms, open_tasks=spec.tasks)
     state.keys[key] = number
     state.queued_tasks += spec.tasks
     context.effects.append(WorkQueued(number))
@@ -87,7 +87,7 @@
     work.cancelled = True
     for number, task in enumerate(work.tasks):
         if task.state == TaskState.QUEUED:
-            set_task_state(context.state, task, TaskState.CANCELLED)
+            set_task_state(context.state, work, task, TaskState.CANCELLED)
         elif task.holds_room:
             _want_stop(context, work, number, "stop")
     note_if_over(context, work)
@@ -105,7 +105,7 @@
     state = context.state
     work, task = find_attempt(state, record.work, record.task, record.attempt)
     require(task.state == TaskState.PLACED, "started already")
-    set_task_state(state, task, TaskState.RUNNING)
+    set_task_state(state, work, task, TaskState.RUNNING)
     if work.started_ms == 0:
         work.started_ms = state.now_ms
     return Accepted()
@@ -153,7 +153,7 @@
         task.failures += 1
     elif outcome == Outcome.SUCCEEDED:
         worker.streak = 0
-    set_task_state(state, task, _next_state(work, task, outcome))
+    set_task_state(state, work, task, _next_state(work, task, outcome))
     if task.state == TaskState.FAILED and work.spec.kind == "gang":
         cancel(context, work)
     elif task.state == TaskState.QUEUED:
--- a/src/snowdock/state.py
+++ b/src/snowdock/state.py
@@ -56,6 +56,9 @@
     LOST = "lost"
 
 
+_OVER = frozenset((TaskState.SUCCEEDED, TaskState.FAILED, TaskState.CANCELLED))
+
+
 class VmState(StrEnum):
     """What the VM list says of a worker or minion."""
 
@@ -88,11 +91,15 @@
     @property
     def is_over(self) -> bool:
         """Whether nothing more will happen to the task."""
-        return self.state in (TaskState.SUCCEEDED, TaskState.FAILED, TaskState.CANCELLED)
+        return self.state in _OVER
 
 
 class Work(msgspec.Struct, array_like=True):
-    """An accepted piece of work. Times are milliseconds since the epoch."""
+    """An accepted piece of work. Times are milliseconds since the epoch.
+
+    ``open_tasks`` counts the tasks that have not come to an end: looking through all of them
+    at each end would make a work's cost grow with the square of its tasks.
+    """
 
     number: int
     key: str
@@ -102,6 +109,7 @@
     started_ms: int = 0
     finished_ms: int = 0
     cancelled: bool = False
+    open_tasks: int = 0
 
     @property
     def queued(self) -> list[int]:
@@ -111,7 +119,7 @@
     @property
     def is_over(self) -> bool:
         """Whether all tasks have come to an end."""
-        return all(task.is_over for task in self.tasks)
+        return self.open_tasks == 0
 
 
 class Worker(msgspec.Struct, array_like=True):
@@ -239,7 +247,8 @@
     return work, task, attempt
 
 
-_encoder = msgspec.msgpack.Encoder(order="deterministic")
+# Dictionaries keep the order in which the log filled them, which is the same on every node.
+_encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(State)
 
 
--- a/tests/standins/cluster.py
+++ b/tests/standins/cluster.py
@@ -15,7 +15,7 @@
 import urllib3
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
-WAIT_SECONDS = 60
+WAIT_SECONDS = 40
 POLL_SECONDS = 0.05
 
 
@@ -23,14 +23,19 @@
     """A condition did not come true in a long time."""
 
 
-def wait_for(condition: Callable[[], object], what: str, seconds: float = WAIT_SECONDS):
-    """Wait until a condition gives something true, and give that back."""
+def wait_for(
+    condition: Callable[[], object],
+    what: str,
+    seconds: float = WAIT_SECONDS,
+    accept: Callable[[object], bool] = bool,
+):
+    """Wait until a condition gives something that is accepted, and give that back."""
     end = time.monotonic() + seconds
     last = None
     while time.monotonic() < end:
         try:
             last = condition()
-            if last:
+            if accept(last):
                 return last
         except (urllib3.exceptions.HTTPError, msgspec.MsgspecError) as error:
             last = error
@@ -110,7 +115,7 @@
     ) -> None:
         self._folder = tempfile.TemporaryDirectory(prefix="snowdock-")
         self.folder = pathlib.Path(self._folder.name)
-        self._http = urllib3.PoolManager(maxsize=16, retries=False)
+        self._http = urllib3.PoolManager(maxsize=128, retries=False)
         self._timing = {
             "poll_ms": 1000,
             "vms_interval_ms": 300,
--- a/tests/standins/workers.py
+++ b/tests/standins/workers.py
@@ -111,7 +111,11 @@
                     self._end(stop.attempt, attempt, "stopped")
             named = {*order.renew, *(s.attempt for s in order.start)}
             named |= {s.attempt for s in order.stop}
-            return self._answer(named)
+            answer = self._answer(named)
+            for name in order.renew:
+                if answer.attempts[name].state == "running":
+                    del answer.attempts[name]
+            return answer
 
     def _answer(self, named: set[str]) -> SyncAnswer:
         reports = {}
--- /dev/null
+++ b/tests/test_decisions.py
@@ -0,0 +1,170 @@
+"""Tests of placement, ownership, shares, minion choice and retries."""
+
+import random
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from snowdock.decisions.minion_choice import Health, choose, note_result
+from snowdock.decisions.ownership import owner
+from snowdock.decisions.placements import Waiting, place
+from snowdock.decisions.retries import RetryBudget, backoff_seconds
+from snowdock.decisions.room import RoomIndex
+from snowdock.decisions.shares import target_share
+from snowdock.declarations import ZERO, Declarations, Size, Team, WorkSpec
+from snowdock.node.messages import MinionView
+from snowdock.policies import PolicyBook
+from snowdock.records import TasksPlaced
+from snowdock.state import Configuration, State, Task, Work, Worker
+
+NODES = ["a", "b", "c", "d"]
+
+
+def cluster(sizes: list[Size], quota: float = 1000) -> tuple[State, RoomIndex]:
+    team = Team(cpu=quota, memory_gb=10_000, accelerators=1000)
+    state = State(configuration=Configuration(1, "", Declarations(teams={"t": team})))
+    index = RoomIndex(random.Random(1))
+    for n, size in enumerate(sizes):
+        worker = Worker(f"w{n}", "b", size, f"r{n // 2}", f"h{n % 2}", "")
+        state.workers[worker.name] = worker
+        index.update(worker)
+    return state, index
+
+
+def work(kind: str, tasks: int, size: Size) -> Work:
+    spec = WorkSpec(kind, "x", "t", tasks, size)
+    return Work(1, "k", spec, [Task() for _ in range(tasks)], 0, open_tasks=tasks)
+
+
+class TestPlace(unittest.TestCase):
+    def setUp(self) -> None:
+        self.alarms: list = []
+        self.policies = PolicyBook(self.alarms.append)
+
+    def place(self, state, index, made):
+        return place(made, state, index, self.policies, ZERO)
+
+    @settings(max_examples=100, deadline=None)
+    @given(
+        st.lists(
+            st.builds(Size, st.integers(0, 8), st.integers(0, 8), st.integers(0, 2)),
+            min_size=1,
+            max_size=30,
+        ),
+        st.builds(Size, st.integers(1, 4), st.integers(1, 4), st.integers(0, 1)),
+        st.integers(1, 6),
+    )
+    def test_finds_room_if_there_is_any(self, sizes: list, size: Size, tasks: int) -> None:
+        """A task is placed exactly if some worker has room, and never where there is none."""
+        state, index = cluster([Size(s.cpu, s.memory, s.accelerators) for s in sizes])
+        result = self.place(state, index, work("batch", tasks, size))
+        fits = [s for s in sizes if s.holds(size)]
+        self.assertEqual(isinstance(result, TasksPlaced), bool(fits))
+        for name in state.workers:
+            free = index.free(name)
+            self.assertTrue(min(free.cpu, free.memory, free.accelerators) >= 0)
+
+    def test_gang_is_whole_or_nothing(self) -> None:
+        """A gang that does not fit as a whole reserves nothing."""
+        state, index = cluster([Size(4, 4)] * 3)
+        result = self.place(state, index, work("gang", 4, Size(3, 3)))
+        self.assertEqual(result, Waiting("no room for all 4 tasks at once"))
+        self.assertEqual([index.free(name) for name in state.workers], [Size(4, 4)] * 3)
+        result = self.place(state, index, work("gang", 3, Size(3, 3)))
+        self.assertEqual(len(result.placements), 3)
+
+    def test_service_is_spread(self) -> None:
+        """A service's tasks go to different data halls and racks first."""
+        state, index = cluster([Size(16, 16)] * 8)
+        result = self.place(state, index, work("service", 4, Size(1, 1)))
+        chosen = [state.workers[p.worker] for p in result.placements]
+        self.assertEqual(len({w.name for w in chosen}), 4)
+        self.assertEqual(sum(w.hall == "h0" for w in chosen), 2)
+
+    def test_accelerators_are_kept_for_those_that_need_them(self) -> None:
+        """Work without accelerators goes to workers without, while there is room."""
+        state, index = cluster([Size(4, 4, 8), Size(4, 4, 0)])
+        result = self.place(state, index, work("batch", 4, Size(1, 1)))
+        self.assertNotIn("w0", {p.worker for p in result.placements[:1]})
+
+    def test_reasons(self) -> None:
+        """Waiting work says why: quota, no room, or never any room."""
+        state, index = cluster([Size(4000, 4)], quota=0.001)
+        made = work("batch", 1, Size(2, 1))
+        self.assertEqual(self.place(state, index, made), Waiting("team t is at its quota"))
+        state, index = cluster([Size(4, 4)])
+        made = work("batch", 1, Size(5, 1))
+        self.assertEqual(
+            self.place(state, index, made), Waiting("no worker could ever hold one task")
+        )
+
+    def test_failing_worker_gets_one_task_at_a_time(self) -> None:
+        """A worker with a long record of failures is only probed."""
+        state, index = cluster([Size(8, 8)])
+        state.workers["w0"].streak = 9
+        index.update(state.workers["w0"])
+        result = self.place(state, index, work("batch", 4, Size(1, 1)))
+        self.assertEqual(len(result.placements), 1)
+
+
+class TestOwnership(unittest.TestCase):
+    @given(st.text(max_size=20), st.permutations(NODES))
+    def test_all_agree_and_few_move(self, thing: str, nodes: list) -> None:
+        """The order of the nodes is all the same, and only a leaver's things move."""
+        first = owner(thing, nodes)
+        self.assertEqual(first, owner(thing, NODES))
+        left = [node for node in NODES if node != "a"]
+        if first != "a":
+            self.assertEqual(owner(thing, left), first)
+
+    @given(st.text(max_size=20), st.integers(0, 64), st.integers(1, 4))
+    def test_targets_add_up(self, minion: str, slots: int, count: int) -> None:
+        """The nodes' targets add up to all slots of a minion."""
+        nodes = NODES[:count]
+        total = sum(target_share(minion, slots, node, nodes) for node in NODES)
+        self.assertEqual(total, slots)
+
+
+class TestMinionChoice(unittest.TestCase):
+    @staticmethod
+    def view(name: str, hall: str) -> MinionView:
+        return MinionView(name, "g", hall, "", 8, 8, 0, True)
+
+    def test_near_ones_go_first(self) -> None:
+        """A minion of the own data hall is chosen although another has more idle slots."""
+        near, far = self.view("n", "h1"), self.view("f", "h2")
+        candidates = [(near, 1, Health()), (far, 8, Health())]
+        self.assertEqual(choose(candidates, "h1", "", 0.0), near)
+
+    def test_failing_one_is_set_aside_and_probed(self) -> None:
+        """After failures in a row a minion rests, then gets one request as a probe."""
+        health = Health()
+        for _ in range(3):
+            note_result(health, True, 0.0)
+        minion = self.view("n", "h1")
+        self.assertIsNone(choose([(minion, 8, health)], "h1", "", 0.0))
+        self.assertEqual(choose([(minion, 8, health)], "h1", "", 60.0), minion)
+        health.on_probe = True
+        self.assertIsNone(choose([(minion, 8, health)], "h1", "", 60.0))
+        note_result(health, False, 60.0)
+        self.assertEqual(choose([(minion, 8, health)], "h1", "", 60.0), minion)
+
+
+class TestRetries(unittest.TestCase):
+    def test_budget_is_spent_and_earned(self) -> None:
+        """Retries stop when the budget is spent, and come back with successes."""
+        budget = RetryBudget()
+        while budget.take():
+            pass
+        for _ in range(9):
+            budget.note_success()
+        self.assertFalse(budget.take())
+        for _ in range(2):
+            budget.note_success()
+        self.assertTrue(budget.take())
+
+    @given(st.integers(1, 50), st.floats(0, 1))
+    def test_backoff_is_bounded(self, tries: int, fraction: float) -> None:
+        """The pause never exceeds its bound."""
+        self.assertTrue(0 <= backoff_seconds(tries, fraction) <= 1)
--- /dev/null
+++ b/tests/test_failures.py
@@ -0,0 +1,375 @@
+"""Failures brought about over real processes, judged by the stand-ins' ledgers.
+
+Each test asks two things: that the work ends well once the fault is over, and that no promise
+was broken meanwhile.
+"""
+
+import concurrent.futures
+import signal
+import time
+import unittest
+
+import msgspec
+
+from snowdock.request_ids import new_request_id
+from tests.standins.cluster import Cluster, wait_for
+from tests.standins.witness import check_promises
+
+LEASE_MS = 1500
+DECLARATIONS = f"""
+[limits]
+lease_ms = {LEASE_MS}
+clock_margin_ms = 200
+[team t]
+cpu = 200
+memory_gb = 800
+[endpoint settlement]
+minions = settlement
+deadline_ms = 3000
+"""
+BATCH = """
+[batch {name}]
+team = t
+tasks = {tasks}
+cpu = 2
+memory_gb = 2
+run_seconds = {seconds}
+"""
+LONGER_THAN_LEASE = LEASE_MS / 1000 * 2.5
+
+
+class FailureCase(unittest.TestCase):
+    """Starts a cluster for each test and checks the promises at its end."""
+
+    NODES = 3
+    OPTIONS: dict = {}  # noqa: RUF012
+
+    def setUp(self) -> None:
+        self.cluster = Cluster(workers=4, minions=3, rack=2, **self.OPTIONS)
+        self.addCleanup(self.cluster.close)
+        self.cluster.start_nodes(self.NODES)
+        answer = self.cluster.apply("node-0", {"c.ini": DECLARATIONS})
+        self.assertEqual(answer.status, 200, answer.data)
+        self.cluster.wait_version(msgspec.json.decode(answer.data)["version"])
+        wait_for(self.slots_divided, "all slots of the minions are divided among the nodes")
+
+    def slots_divided(self) -> bool:
+        return all(
+            sum(minion["shares"].values()) == 8
+            for node in self.cluster.nodes
+            for minion in self.cluster.get(node, "/v1/minions")
+        )
+
+    def submit(self, node: str, name: str, tasks: int, seconds: float) -> int:
+        text = BATCH.format(name=name, tasks=tasks, seconds=seconds)
+        return self.cluster.submit(node, text, name)[0]
+
+    def wait_running(self, node: str, work: int, count: int) -> dict:
+        def running() -> dict | None:
+            report = self.cluster.get(node, f"/v1/work/{work}")
+            return report if report["counts"].get("running") == count else None
+
+        return wait_for(running, f"{count} tasks of {work} run")
+
+    def assert_succeeds(self, node: str, work: int) -> None:
+        self.assertEqual(self.cluster.wait_work(node, work)["state"], "succeeded")
+
+    def assert_promises(self, once: frozenset[str] = frozenset()) -> None:
+        self.assertEqual(check_promises(self.cluster, once=once), [])
+
+    def events(self, kind: str) -> list[dict]:
+        return [e for e in self.cluster.ledger(self.cluster.workers) if e["event"] == kind]
+
+
+class TestNodes(FailureCase):
+    def test_killed_node_and_vanished_worker_at_once(self) -> None:
+        """Two faults together: a node is killed and a worker's VM ends; all work is done."""
+        work = self.submit("node-1", "w", 12, 2)
+        report = self.wait_running("node-1", work, 12)
+        self.cluster.kill_node("node-0", vm_gone=True)
+        lost = report["tasks"][0]["worker"]
+        self.cluster.set_faults(self.cluster.workers, {"*": {"refuse": True, "path": f"/{lost}/"}})
+        self.cluster.remove_vms([lost])
+        self.assert_succeeds("node-1", work)
+        self.assert_promises()
+
+    def test_paused_node_renews_nothing_when_it_wakes(self) -> None:
+        """A node stopped for longer than a lease, with its worker lost meanwhile, does no harm."""
+        work = self.submit("node-1", "w", 8, 4)
+        report = self.wait_running("node-1", work, 8)
+        self.cluster.nodes["node-0"].signal(signal.SIGSTOP)
+        # The list is wrong: the worker goes on running what its lease covers.
+        self.cluster.remove_vms([report["tasks"][0]["worker"]])
+        time.sleep(LONGER_THAN_LEASE)
+        self.cluster.nodes["node-0"].signal(signal.SIGCONT)
+        self.assert_succeeds("node-1", work)
+        self.cluster.wait_ready("node-0")
+        self.assert_promises()
+
+    def test_planned_stop_cuts_no_request(self) -> None:
+        """A node told to stop answers what is in flight, whole, and ends with status 0."""
+        with concurrent.futures.ThreadPoolExecutor(4) as callers:
+            slow = [
+                callers.submit(self.cluster.call, "node-0", b"slow", **{"x-work-ms": "1200"})
+                for _ in range(4)
+            ]
+            wait_for(
+                lambda: (
+                    len(
+                        [
+                            e
+                            for e in self.cluster.ledger(self.cluster.minions)
+                            if e["event"] == "ran"
+                        ]
+                    )
+                    == 4
+                ),
+                "the requests are in flight",
+            )
+            self.cluster.nodes["node-0"].signal(signal.SIGTERM)
+            answers = [future.result() for future in slow]
+        for answer in answers:
+            self.assertEqual(answer.status, 200)
+            self.assertTrue(answer.data.endswith(b"slow"))
+        self.assertEqual(self.cluster.nodes["node-0"].wait(), 0)
+        wait_for(lambda: len(self.cluster.get("node-1", "/v1/nodes")) == 2, "it has left")
+        self.assert_promises()
+
+    def test_idle_slots_return_from_a_killed_node(self) -> None:
+        """A killed node's slots are divided among the others once they must be idle."""
+        self.cluster.kill_node("node-0", vm_gone=True)
+
+        def divided() -> bool:
+            minions = self.cluster.get("node-1", "/v1/minions")
+            return all(
+                sum(m["shares"].values()) == 8 and "node-0" not in m["shares"] for m in minions
+            )
+
+        wait_for(divided, "all slots are divided among two nodes")
+        self.assert_promises()
+
+
+class TestLog(FailureCase):
+    def test_work_outlives_an_outage(self) -> None:
+        """With the log down for longer than a lease, running tasks go on and nothing is lost."""
+        work = self.submit("node-0", "w", 6, 3)
+        self.wait_running("node-0", work, 6)
+        self.cluster.set_faults(self.cluster.log, {"*": {"refuse": True}})
+        text = BATCH.format(name="late", tasks=1, seconds=0.2)
+        headers = {"Content-Type": "text/plain", "Snowdock-Key": "late"}
+
+        def refused() -> bool:
+            answer = self.cluster.request("node-1", "POST", "/v1/work", text.encode(), headers)
+            return answer.status == 503 and int(answer.headers["Retry-After"]) >= 1
+
+        wait_for(refused, "new work is refused with Retry-After")
+        time.sleep(LONGER_THAN_LEASE)
+        self.cluster.set_faults(self.cluster.log, {})
+        self.assert_succeeds("node-1", work)
+        self.assertEqual(self.events("lapsed"), [])
+        accepted = wait_for(
+            lambda: self.cluster.request("node-1", "POST", "/v1/work", text.encode(), headers),
+            "the log takes work again",
+            accept=lambda answer: answer.status == 201,
+        )
+        late = msgspec.json.decode(accepted.data)[0]["work"]
+        self.assert_succeeds("node-0", late)
+        self.assert_promises()
+
+    def test_requests_during_an_outage(self) -> None:
+        """Repeatable requests go on; a not-repeatable one is unknown at worst, and not sent."""
+        self.cluster.set_faults(self.cluster.log, {"*": {"refuse": True}})
+        request_id = new_request_id()
+        once = {"snowdock-request-id": request_id, "snowdock-repeatable": "no"}
+        self.assertEqual(self.cluster.call("node-0", b"a").status, 200)
+        answer = self.cluster.call("node-0", b"pay", **once, **{"snowdock-deadline-ms": "900"})
+        self.assertEqual(answer.headers["Snowdock-Outcome"], "unknown")
+        self.assertIn("Retry-After", answer.headers)
+        ran = [e["request"] for e in self.cluster.ledger(self.cluster.minions)]
+        self.assertNotIn(request_id, ran)
+        self.assert_promises(frozenset([request_id]))
+
+    def test_node_starts_during_an_outage(self) -> None:
+        """A node that starts while the log is down has the configuration from its peers."""
+        version = self.cluster.get("node-1", "/v1/version")["version"]
+        self.cluster.set_faults(self.cluster.log, {"*": {"refuse": True}})
+        self.cluster.kill_node("node-0")
+        self.cluster.start_node("node-0", seeds=["node-1", "node-2"])
+        wait_for(
+            lambda: self.cluster.get("node-0", "/v1/version").get("version") == version,
+            "the new node shows the version in force",
+        )
+        self.cluster.set_faults(self.cluster.log, {})
+        self.cluster.wait_ready("node-0")
+        self.assert_succeeds("node-0", self.submit("node-0", "w", 2, 0.2))
+        self.assert_promises()
+
+    def test_lost_append_answers(self) -> None:
+        """Appends whose answers are lost take effect once."""
+        self.cluster.set_faults(self.cluster.log, {"*": {"lose": True, "path": "/append"}})
+        works = [self.submit(f"node-{n}", f"w{n}", 3, 0.3) for n in range(3)]
+        self.cluster.set_faults(self.cluster.log, {})
+        for work in works:
+            self.assert_succeeds("node-1", work)
+        self.assertEqual(len(self.cluster.get("node-0", "/v1/work")), 3)
+        self.assertEqual(len(self.events("started")), 9)
+        self.assert_promises()
+
+    def test_node_cut_from_the_log(self) -> None:
+        """A node that alone cannot reach the log serves its slots; the others do the work."""
+        self.cluster.set_faults(self.cluster.log, {"node-0": {"refuse": True}})
+        work = self.submit("node-1", "w", 8, 0.5)
+        self.assertEqual(self.cluster.call("node-0", b"a").status, 200)
+        self.assert_succeeds("node-1", work)
+        self.cluster.set_faults(self.cluster.log, {})
+        self.cluster.wait_work("node-0", work)
+        self.assert_promises()
+
+
+class TestRetention(FailureCase):
+    OPTIONS = {"retention": 60, "timing": {"snapshot_entries": 15}}  # noqa: RUF012
+
+    def test_new_node_starts_from_a_snapshot(self) -> None:
+        """Once the log's start is gone, a new node reads snapshot and tail, and agrees."""
+        number = 0
+        while self.cluster.get("node-0", "/v1/version")["log_end"] < 120:
+            self.submit(f"node-{number % 3}", f"w{number}", 1, 0.05)
+            number += 1
+        self.cluster.start_node("node-3")
+        self.cluster.wait_ready("node-3")
+        seen = {w["work"] for w in self.cluster.get("node-3", "/v1/work")}
+        self.assertEqual(seen, {w["work"] for w in self.cluster.get("node-0", "/v1/work")})
+        self.assert_succeeds("node-3", self.submit("node-3", "last", 2, 0.1))
+        self.assert_promises()
+
+
+class TestWorkers(FailureCase):
+    def test_lost_answers_of_starts(self) -> None:
+        """Orders whose answers are lost start each attempt once."""
+        self.cluster.set_faults(self.cluster.workers, {"*": {"lose": True, "path": "/sync"}})
+        work = self.submit("node-0", "w", 6, 0.3)
+        wait_for(lambda: len(self.events("started")) >= 6, "all started unseen")
+        self.cluster.set_faults(self.cluster.workers, {})
+        self.assert_succeeds("node-1", work)
+        self.assert_promises()
+
+    def test_late_orders_are_refused(self) -> None:
+        """Orders that take longer on their way than they are valid start nothing."""
+        self.cluster.set_faults(self.cluster.workers, {"*": {"slow_ms": 2500, "path": "/sync"}})
+        work = self.submit("node-0", "w", 4, 0.3)
+        time.sleep(4)
+        self.assertEqual(self.events("started"), [])
+        self.cluster.set_faults(self.cluster.workers, {})
+        self.assert_succeeds("node-1", work)
+        self.assert_promises()
+
+    def test_worker_that_vanishes_from_the_list_but_runs(self) -> None:
+        """A task is placed elsewhere only after its lease lapsed where it still ran."""
+        work = self.submit("node-0", "w", 8, 4)
+        report = self.wait_running("node-0", work, 8)
+        gone = report["tasks"][0]["worker"]
+        self.cluster.remove_vms([gone])
+        self.assert_succeeds("node-1", work)
+        self.assertTrue([e for e in self.events("lapsed") if e["worker"] == gone])
+        self.assert_promises()
+
+    def test_rebooted_worker(self) -> None:
+        """Tasks of a worker that started again are run again, and never twice at once."""
+        work = self.submit("node-0", "w", 8, 1.5)
+        report = self.wait_running("node-0", work, 8)
+        name = report["tasks"][0]["worker"]
+        self.cluster.post(f"{self.cluster.workers}/{name}/reboot", {})
+        self.assert_succeeds("node-1", work)
+        self.assert_promises()
+
+    def test_leaving_worker_gets_nothing_new(self) -> None:
+        """A leaving VM is given no new task, and its tasks move away by checkpoint."""
+        name = self.cluster.worker_names[0]
+        first = self.submit("node-0", "w", 16, 1)
+        self.wait_running("node-0", first, 16)
+        self.cluster.set_vms([self.cluster.worker_vm(name, "leaving")])
+        wait_for(
+            lambda: all(
+                w["state"] == "leaving"
+                for n in range(3)
+                for w in self.cluster.get(f"node-{n}", "/v1/workers")
+                if w["name"] == name
+            ),
+            "all nodes know that it leaves",
+        )
+        since = int(time.time() * 1000)
+        works = [self.submit(f"node-{n}", f"x{n}", 8, 0.1) for n in range(3)]
+        for work in [first, *works]:
+            self.assert_succeeds("node-1", work)
+        late = [e for e in self.events("started") if e["worker"] == name and e["at_ms"] > since]
+        self.assertEqual(late, [])
+        self.assertTrue([e for e in self.events("stopped") if e["worker"] == name])
+        self.assert_promises()
+
+    def test_worker_that_fails_everything_is_set_aside(self) -> None:
+        """A worker on which every task fails does not keep work from ending."""
+        bad = self.cluster.worker_names[1]
+        self.cluster.post(f"{self.cluster.workers}/{bad}/fail_all?on=1", {})
+        work = self.submit("node-0", "w", 24, 0.2)
+        self.assert_succeeds("node-1", work)
+        self.assert_promises()
+
+
+class TestMinions(FailureCase):
+    def test_leaving_minion_gets_nothing_new(self) -> None:
+        """A leaving minion is sent no new request once the nodes know."""
+        name = self.cluster.minion_names[0]
+        self.cluster.set_vms([self.cluster.minion_vm(name, "leaving")])
+        wait_for(
+            lambda: all(
+                m["state"] == "leaving"
+                for n in range(3)
+                for m in self.cluster.get(f"node-{n}", "/v1/minions")
+                if m["name"] == name
+            ),
+            "all nodes know that it leaves",
+        )
+        before = len(self._ran(name))
+        for number in range(30):
+            self.assertEqual(self.cluster.call(f"node-{number % 3}", b"x").status, 200)
+        self.assertEqual(len(self._ran(name)), before)
+
+    def _ran(self, name: str) -> list[dict]:
+        ledger = self.cluster.ledger(self.cluster.minions)
+        return [e for e in ledger if e["event"] == "ran" and e["minion"] == name]
+
+    def test_overload_is_refused_early_and_slots_are_kept(self) -> None:
+        """What is told as not run did not run, and no minion is overrun."""
+
+        def call(number: int):
+            headers = {"x-work-ms": "300", "snowdock-deadline-ms": "1000"}
+            return self.cluster.call(f"node-{number % 3}", b"x", **headers)
+
+        with concurrent.futures.ThreadPoolExecutor(96) as callers:
+            answers = list(callers.map(call, range(200)))
+        ran = {e["request"] for e in self.cluster.ledger(self.cluster.minions)}
+        refused = [a for a in answers if a.headers["Snowdock-Outcome"] == "not-run"]
+        self.assertTrue(refused)
+        for answer in refused:
+            self.assertIn("Retry-After", answer.headers)
+            self.assertNotIn(answer.headers["Snowdock-Request-Id"], ran)
+        self.assert_promises()
+
+    def test_wrong_and_late_answers_reach_nobody(self) -> None:
+        """An answer to another request, or one that comes too late, is given to no caller."""
+        wrong = self.cluster.call("node-0", b"a", **{"x-behave": "wrong_id"})
+        self.assertEqual(wrong.headers["Snowdock-Outcome"], "unknown")
+        late = self.cluster.call(
+            "node-0", b"b", **{"x-behave": "hang", "snowdock-deadline-ms": "300"}
+        )
+        self.assertEqual(late.headers["Snowdock-Outcome"], "unknown")
+        for number in range(20):
+            body = f"c{number}".encode()
+            answer = self.cluster.call("node-0", body)
+            self.assertTrue(answer.data.endswith(b": " + body))
+        self.assert_promises()
+
+    def test_not_run_is_never_said_after_an_unknown_try(self) -> None:
+        """Once one try may have run, giving up later is told as unknown."""
+        answer = self.cluster.call("node-0", b"a", **{"x-behave": "truncate"})
+        self.assertEqual(answer.headers["Snowdock-Outcome"], "unknown")
--- /dev/null
+++ b/tests/test_settings.py
@@ -0,0 +1,50 @@
+"""Tests of a node's settings and of the page that describes them."""
+
+import tempfile
+import unittest
+
+import msgspec
+
+from snowdock.errors import SettingsErrors
+from snowdock.settings import NodeSettings, PlatformSettings, TimingSettings, read_settings
+from tests.standins.cluster import ROOT
+
+GOOD = "[node]\nname = n\nhall = h\napi = 127.0.0.1:0\npeer = 127.0.0.1:1\n"
+GOOD += "[platform]\nlog = http://127.0.0.1:1\nvms = http://127.0.0.1:1\n"
+
+
+def read(text: str):
+    with tempfile.NamedTemporaryFile("w", suffix=".ini") as file:
+        file.write(text)
+        file.flush()
+        return read_settings(file.name)
+
+
+class TestReadSettings(unittest.TestCase):
+    def test_defaults(self) -> None:
+        """What is not named has its default."""
+        self.assertEqual(read(GOOD).timing, TimingSettings())
+
+    def test_every_mistake_is_named(self) -> None:
+        """All mistakes come at once, with section and key."""
+        text = GOOD.replace("127.0.0.1:0", "somewhere") + "[timing]\npoll_ms = 0\nx = 1\n[y]\n"
+        with self.assertRaises(SettingsErrors) as caught:
+            read(text)
+        found = {(e.section, e.key) for e in caught.exception.exceptions}
+        expected = {("node", "api"), ("timing", "poll_ms"), ("timing", "x"), ("y", "")}
+        self.assertEqual(found, expected)
+
+    def test_a_missing_file_is_a_mistake(self) -> None:
+        """A file that cannot be read is told by type."""
+        with self.assertRaises(SettingsErrors):
+            read_settings("/nonexistent/node.ini")
+
+    def test_the_page_names_every_setting_with_its_default(self) -> None:
+        """The reference page and the code agree."""
+        page = (ROOT / "docs" / "settings.md").read_text(encoding="utf-8")
+        for model in (NodeSettings, PlatformSettings, TimingSettings):
+            for field in msgspec.structs.fields(model):
+                default = "needed" if field.required else f"`{field.default}`"
+                if field.default == "":
+                    default = "none"
+                self.assertIn(f"| `{field.name}` | {default} |", page)
