Make room for urgent work, ask policies for admission, guard the API and the peers

Cause: policies had functions that nothing asked (admit, preempt), so urgent work waited behind what ran; anybody could change the configuration; any process could speak as a peer.

Conclusion: what policies promise is asked; throttling instead of ending is still missing.

--- a/src/snowdock/cli/client.py
+++ b/src/snowdock/cli/client.py
@@ -10,6 +10,7 @@
 __all__ = ["NODES_VARIABLE", "ApiClient", "ApiFailure", "NoNodeAnswers", "Problem"]
 
 NODES_VARIABLE = "SNOWDOCK_NODES"
+TOKEN_VARIABLE = "SNOWDOCK_TOKEN"
 _TIMEOUT_SECONDS = 10.0
 
 
@@ -49,6 +50,9 @@
 
     def __init__(self, nodes: str) -> None:
         self._nodes = [node.strip() for node in nodes.split(",") if node.strip()]
+        token = os.environ.get(TOKEN_VARIABLE)
+        headers = {"Authorization": f"Bearer {token}"} if token else {}
+        self._headers = headers
         self._pool = urllib3.PoolManager(retries=False)
 
     @classmethod
@@ -80,7 +84,7 @@
                     method,
                     f"http://{node}{path}",
                     body=body or None,
-                    headers=headers or {},
+                    headers={**self._headers, **(headers or {})},
                     timeout=_TIMEOUT_SECONDS,
                 )
             except urllib3.exceptions.NewConnectionError as error:
--- a/src/snowdock/cli/commands.py
+++ b/src/snowdock/cli/commands.py
@@ -1,11 +1,13 @@
 """The commands of ``snowdock``."""
 
 import pathlib
+import secrets
 import sys
 import time
 import uuid
 
 import msgspec
+import zmq
 from cleo.commands.command import Command
 from cleo.helpers import argument, option
 
@@ -373,7 +375,24 @@
         raise InvalidInput(f"no node {wanted}")
 
 
+class KeysCommand(_SnowdockCommand):
+    """Make keys for the nodes of a new cluster."""
+
+    name = "keys"
+    description = "Print a new pair of keys for the nodes' settings, and a token."
+
+    def run_command(self) -> int | None:
+        """Make and print them."""
+        public, secret = zmq.curve_keypair()
+        self.line("[security]")
+        self.line(f"peer_public_key = {public.decode()}")
+        self.line(f"peer_secret_key = {secret.decode()}")
+        self.line("; a token for the tokens file")
+        self.line(f"; token = {secrets.token_urlsafe(32)}")
+
+
 COMMANDS = (
+    KeysCommand,
     ValidateCommand,
     ApplyCommand,
     GetCommand,
--- a/src/snowdock/decisions/placements.py
+++ b/src/snowdock/decisions/placements.py
@@ -19,9 +19,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Waiting:
-    """Why a work cannot be placed now."""
+    """Why a work cannot be placed now; ``needs_room`` if ending other work would help."""
 
     reason: str
+    needs_room: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -128,8 +129,8 @@
     if fits_nowhere(index, spec.size):
         return Waiting("no worker could ever hold one task")
     if spec.kind == "gang":
-        return Waiting(f"no room for all {spec.tasks} tasks at once")
-    return Waiting("no room now")
+        return Waiting(f"no room for all {spec.tasks} tasks at once", needs_room=True)
+    return Waiting("no room now", needs_room=True)
 
 
 def _choose(work: Work, count: int, index: RoomIndex, policies: PolicyBook) -> list[str]:
--- /dev/null
+++ b/src/snowdock/decisions/preemption.py
@@ -0,0 +1,97 @@
+"""Making room for work that its policy puts before running work."""
+
+import dataclasses
+import random
+from collections.abc import Iterator
+
+from ..declarations import ZERO, Size
+from ..policies import PolicyBook
+from ..records import StopRequested
+from ..state import State, VmState, Work, Worker, parse_attempt_id
+from .placements import describe
+
+__all__ = ["make_room"]
+
+_LOOKED_AT = 24
+"""Workers that are looked at for one decision."""
+
+
+@dataclasses.dataclass(slots=True)
+class _Plan:
+    """What has to end on one worker so that a task fits there."""
+
+    stops: list[StopRequested] = dataclasses.field(default_factory=list)
+    freed: Size = ZERO
+
+
+def make_room(
+    work: Work, state: State, policies: PolicyBook, source: random.Random
+) -> list[StopRequested]:
+    """Choose running attempts to end so that a work's queued tasks find room.
+
+    Parameters
+    ----------
+    work
+        The work that found no room.
+    state
+        The shared state.
+    policies
+        Asked for each possible victim whether and how it is to end.
+    source
+        Chooses the workers that are looked at.
+
+    Returns
+    -------
+    list of StopRequested
+        The fewest ends found; empty where the policy allows none, and for a gang where not
+        all of its tasks would find room. Work that may not be dropped is never named.
+    """
+    live = [w for w in state.workers.values() if w.state == VmState.LIVE]
+    live = [w for w in live if w.capacity.holds(work.spec.size)]
+    wanted = len(work.queued)
+    looked_at = source.sample(live, min(len(live), max(_LOOKED_AT, 2 * wanted)))
+    plans = [_plan(work, worker, state, policies) for worker in looked_at]
+    found = sorted((plan for plan in plans if plan is not None), key=lambda p: len(p.stops))
+    chosen = found[:wanted]
+    if work.spec.kind == "gang" and len(chosen) < wanted:
+        return []
+    return [stop for plan in chosen for stop in plan.stops]
+
+
+def _plan(work: Work, worker: Worker, state: State, policies: PolicyBook) -> _Plan | None:
+    """Plan for one worker; None where the allowed ends would not free enough."""
+    plan = _Plan()
+    missing = work.spec.size.minus(worker.free)
+    described = describe(work.spec, 0)
+    leaving = _stopping_size(worker, state)
+    if leaving.holds(missing):
+        # Enough is on its way out already; ending more would be waste.
+        return None
+    for number, task, attempt, victim in _victims(worker, state):
+        if plan.freed.plus(leaving).holds(missing):
+            break
+        how = policies.call(work.spec.kind, "preempt", described, describe(victim.spec, 0))
+        if how:
+            plan.stops.append(StopRequested(number, task, attempt, how))
+            plan.freed = plan.freed.plus(victim.spec.size)
+    return plan if plan.stops and plan.freed.plus(leaving).holds(missing) else None
+
+
+def _stopping_size(worker: Worker, state: State) -> Size:
+    total = ZERO
+    for name, size in worker.attempts.items():
+        number, task, _ = parse_attempt_id(name)
+        if state.works[number].tasks[task].stopping:
+            total = total.plus(size)
+    return total
+
+
+def _victims(worker: Worker, state: State) -> Iterator[tuple[int, int, int, Work]]:
+    """Give the attempts that may be ended, the lowest priority first."""
+    found = []
+    for name in worker.attempts:
+        number, task, attempt = parse_attempt_id(name)
+        victim = state.works[number]
+        if victim.spec.preemptible and not victim.tasks[task].stopping:
+            found.append((number, task, attempt, victim))
+    return iter(sorted(found, key=lambda entry: entry[3].spec.priority))
--- a/src/snowdock/errors.py
+++ b/src/snowdock/errors.py
@@ -10,6 +10,7 @@
     "DeclarationError",
     "DeclarationErrors",
     "Draining",
+    "Forbidden",
     "InvalidInput",
     "LogExpired",
     "LogUnavailable",
@@ -21,6 +22,7 @@
     "SettingsErrors",
     "SnowdockError",
     "Starting",
+    "TokensUnreadable",
     "Unauthorized",
     "UnsupportedMedia",
     "VerdictUnknown",
@@ -66,12 +68,25 @@
 
 
 class Unauthorized(SnowdockError):
-    """A token is missing, unknown, or lacks the role that the call needs."""
+    """A token is missing or unknown."""
 
     code = "unauthorized"
     status = 401
 
 
+class Forbidden(SnowdockError):
+    """A token's role does not suffice for the call."""
+
+    code = "forbidden"
+    status = 403
+
+
+class TokensUnreadable(SnowdockError):
+    """The tokens file cannot be used; what was read before stays in force."""
+
+    code = "tokens_unreadable"
+
+
 class NotFound(SnowdockError):
     """The named thing does not exist."""
 
--- a/src/snowdock/node/api.py
+++ b/src/snowdock/node/api.py
@@ -2,13 +2,14 @@
 
 import dataclasses
 import re
+import time
 from collections.abc import Callable, Iterable
 from urllib.parse import parse_qs
 
 import msgspec
 import pykka
 
-from ..decisions.placements import fits_nowhere
+from ..decisions.placements import describe, fits_nowhere
 from ..declarations import WorkSpec, parse_declarations, parse_work
 from ..effects import Accepted, Verdict
 from ..errors import (
@@ -21,6 +22,7 @@
     NotFound,
     Overloaded,
     SnowdockError,
+    Starting,
     UnsupportedMedia,
     VerdictUnknown,
     Voided,
@@ -28,6 +30,7 @@
 )
 from ..policies import PolicyBook
 from ..records import ConfigurationProposed, Record, WorkCancelled, WorkSubmitted
+from ..reducer import offset_of
 from ..request_ids import new_request_id
 from . import reports
 from .logs import log_error, log_event
@@ -36,6 +39,7 @@
 from .parts import Parts
 from .peer_messages import CallOutcome, CallRequest
 from .requests import RequestHandler
+from .tokens import Role, TokenBook
 
 __all__ = ["Api"]
 
@@ -44,9 +48,23 @@
 _KEY = re.compile(r"^[A-Za-z0-9._:-]{1,100}$")
 _REQUEST_ID = re.compile(r"^[A-Za-z0-9._-]{1,80}$")
 _ASK_SECONDS = 10.0
+_CATCH_UP_SECONDS = 2.0
+_CATCH_UP_POLL_SECONDS = 0.01
+_CATCH_UP_ENTRIES = 10_000
+"""Numbers further ahead than this are not a lag but a mistake."""
+
 _MAX_DEADLINE_MS = 600_000
 _PEOPLE_PRIORITY = 90
-_HOP_HEADERS = {"connection", "host", "content-length", "transfer-encoding", "user-agent"}
+_OPEN_PATHS = ("/healthz", "/readyz", "/metrics")
+_OPERATORS_PATHS = ("/v1/configuration", "/v1/drain")
+_HOP_HEADERS = {
+    "authorization",
+    "connection",
+    "host",
+    "content-length",
+    "transfer-encoding",
+    "user-agent",
+}
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -133,10 +151,15 @@
         Carries out callers' requests.
     metrics
         The node's metrics.
+    tokens
+        Who may call what.
     """
 
-    def __init__(self, parts: Parts, requests: RequestHandler, metrics: Metrics) -> None:
+    def __init__(
+        self, parts: Parts, requests: RequestHandler, metrics: Metrics, tokens: TokenBook
+    ) -> None:
         self._parts = parts
+        self._tokens = tokens
         self._requests = requests
         self._metrics = metrics
         self._draining = False
@@ -217,6 +240,9 @@
         )
 
     def _dispatch(self, request: HttpRequest) -> HttpAnswer:
+        if request.path not in _OPEN_PATHS:
+            wanted = Role.OPERATOR if _is_for_operators(request) else Role.CALLER
+            self._tokens.check(request.headers.get("authorization", ""), wanted)
         if request.path.startswith("/call/"):
             return self._call(request)
         allowed = set()
@@ -275,11 +301,23 @@
             work = parts.state.works.get(int(number))
             return None if work is None else reports.work_report(parts, work, True)
 
+        self._catch_up(offset_of(int(number)))
         found = self._view(show)
         if found is None:
             raise NotFound(f"no work {number}")
         return _json(found)
 
+    def _catch_up(self, offset: int) -> None:
+        """Wait until this node has read an offset that another one has told of.
+
+        Work accepted through one node would else be unknown at the next for a moment.
+        """
+        end = time.monotonic() + _CATCH_UP_SECONDS
+        while self._parts.applied_offset < offset <= self._parts.applied_offset + _CATCH_UP_ENTRIES:
+            if time.monotonic() > end:
+                raise Starting("this node has not read that far yet")
+            time.sleep(_CATCH_UP_POLL_SECONDS)
+
     # -- changing --------------------------------------------------------------------------
 
     def _propose(self, *records: Record) -> tuple[Verdict, ...]:
@@ -351,7 +389,8 @@
             index = parts.scheduler.index
             if len(index) and fits_nowhere(index, spec.size):
                 return "no worker could ever hold one task"
-            return ""
+            admitted = parts.policies.call(spec.kind, "admit", describe(spec, 0))
+            return "" if admitted is True else f"the policy does not admit it: {admitted}"
 
         problem = self._view(check)
         if problem:
@@ -381,6 +420,10 @@
         return _show_outcome(call, outcome)
 
 
+def _is_for_operators(request: HttpRequest) -> bool:
+    return request.method != "GET" and request.path in _OPERATORS_PATHS
+
+
 def _read_call(request: HttpRequest) -> CallRequest:
     headers = request.headers
     _, _, rest = request.path.partition("/call/")
--- a/src/snowdock/node/daemon.py
+++ b/src/snowdock/node/daemon.py
@@ -12,7 +12,7 @@
 import pykka
 import waitress
 
-from ..errors import InvalidInput, PlatformError, SettingsErrors
+from ..errors import InvalidInput, PlatformError, SettingsErrors, TokensUnreadable
 from ..platform._http import Client
 from ..platform.logs import LogClient
 from ..platform.minions import MinionClient
@@ -32,6 +32,7 @@
 from .requests import RequestHandler
 from .router import Router
 from .state_actor import StateActor
+from .tokens import TokenBook
 from .vm_watcher import VmWatcher
 from .worker_driver import WorkerDriver
 
@@ -62,7 +63,8 @@
         self._requests = RequestHandler(
             self._parts, MinionClient(node.name, _CONNECTIONS_PER_MINION), metrics
         )
-        self._api = Api(self._parts, self._requests, metrics)
+        tokens = TokenBook(settings.security.tokens_file)
+        self._api = Api(self._parts, self._requests, metrics, tokens)
         self._api.request_drain = self._stopping.set
         host, _, port = node.api.rpartition(":")
         self._server = waitress.create_server(
@@ -228,7 +230,11 @@
         print("the settings are good")
         return
     start_logging(settings.node.name)
-    node = Node(settings)
+    try:
+        node = Node(settings)
+    except TokensUnreadable as error:
+        print(f"snowdockd: {error}", file=sys.stderr)
+        sys.exit(2)
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, lambda *_: node.stop())
     status = node.run()
--- a/src/snowdock/node/peers.py
+++ b/src/snowdock/node/peers.py
@@ -2,6 +2,7 @@
 
 import concurrent.futures
 import contextlib
+import hmac
 import itertools
 import queue
 import threading
@@ -10,6 +11,7 @@
 
 import pykka
 import zmq
+from zmq.auth.thread import ThreadAuthenticator
 
 from ..errors import InvalidInput, PlatformError
 from .logs import log_error
@@ -38,6 +40,17 @@
 Question = StateWanted | CallForwarded | AnswerWanted
 
 
+class _OneKey:
+    """Knows the one public key whose holders are peers."""
+
+    def __init__(self, public_key: str) -> None:
+        self._key = public_key.encode()
+
+    def callback(self, domain: str, key: bytes) -> bool:
+        """Tell whether a key, in Z85, may connect; pyzmq names this method."""
+        return hmac.compare_digest(key, self._key)
+
+
 class Peers:
     """Sends heartbeats and questions to peers and answers theirs.
 
@@ -70,6 +83,7 @@
         self._woken = self._context.socket(zmq.PAIR)
         self._woken.bind("inproc://wake")
         self._wake.connect("inproc://wake")
+        self._authenticator = self._start_authenticator()
         self._listener = self._socket(zmq.ROUTER)
         self._listener.bind(f"tcp://{parts.settings.node.peer}")
         self._dealers: dict[str, zmq.Socket] = {}
@@ -82,8 +96,26 @@
         self._next_beat = 0.0
         self._thread = threading.Thread(target=self._run, name="peers", daemon=True)
 
+    def _start_authenticator(self) -> ThreadAuthenticator | None:
+        """Let only holders of the cluster's keys in, if there are keys."""
+        public = self._parts.settings.security.peer_public_key
+        if not public:
+            return None
+        authenticator = ThreadAuthenticator(self._context)
+        authenticator.start()
+        authenticator.configure_curve_callback(credentials_provider=_OneKey(public))
+        return authenticator
+
     def _socket(self, kind: int) -> zmq.Socket:
         socket = self._context.socket(kind)
+        security = self._parts.settings.security
+        if security.peer_public_key:
+            socket.curve_publickey = security.peer_public_key.encode()
+            socket.curve_secretkey = security.peer_secret_key.encode()
+            if kind == zmq.ROUTER:
+                socket.curve_server = True
+            else:
+                socket.curve_serverkey = security.peer_public_key.encode()
         socket.linger = 0
         socket.sndhwm = socket.rcvhwm = _MAX_QUEUED_MESSAGES
         socket.maxmsgsize = _MAX_MESSAGE_BYTES
@@ -98,6 +130,8 @@
         self._stopped.set()
         self._thread.join()
         self._answerers.shutdown(wait=False, cancel_futures=True)
+        if self._authenticator is not None:
+            self._authenticator.stop()
         self._context.destroy(linger=0)
 
     def set_addresses(self, addresses: dict[str, str]) -> None:
--- a/src/snowdock/node/scheduler.py
+++ b/src/snowdock/node/scheduler.py
@@ -5,26 +5,37 @@
 import time
 
 from ..decisions.placements import Waiting, describe, place
+from ..decisions.preemption import make_room
 from ..decisions.room import RoomIndex
 from ..declarations import ZERO, Size
 from ..effects import Accepted, Verdict
 from ..policies import PolicyBook
-from ..records import TasksPlaced
+from ..records import StopRequested, TasksPlaced
 from ..state import State, Work
 
-__all__ = ["Scheduler"]
+__all__ = ["Pass", "Scheduler"]
 
+_PREEMPTION_SECONDS = 3.0
 _PASS_RECORDS = 200
 """The most records of one pass, so that the node's other matters are not held up."""
 
 
 @dataclasses.dataclass(slots=True)
 class _Queued:
-    """A work that waits here; ``not_before`` is on the monotonic clock, in seconds."""
+    """A work that waits here; its times are on the monotonic clock, in seconds."""
 
     work: int
     rank: float = 0.0
     not_before: float = 0.0
+    next_preemption: float = 0.0
+
+
+@dataclasses.dataclass(slots=True)
+class Pass:
+    """What one pass over the queue proposes."""
+
+    placements: list[TasksPlaced] = dataclasses.field(default_factory=list)
+    stops: list[StopRequested] = dataclasses.field(default_factory=list)
 
 
 class Scheduler:
@@ -40,6 +51,7 @@
 
     def __init__(self, policies: PolicyBook, random_source: random.Random) -> None:
         self._policies = policies
+        self._random = random_source
         self._index = RoomIndex(random_source)
         self._queue: dict[int, _Queued] = {}
         self._proposed: dict[int, TasksPlaced] = {}
@@ -100,7 +112,7 @@
             entry.rank = float(self._policies.call(work.spec.kind, "rank", described))
         self._dirty = True
 
-    def run(self, state: State) -> list[TasksPlaced]:
+    def run(self, state: State) -> Pass:
         """Make one pass over the queue.
 
         Parameters
@@ -110,14 +122,15 @@
 
         Returns
         -------
-        list of TasksPlaced
-            Records to propose; `judged` is to be called for each.
+        Pass
+            Records to propose; `judged` is to be called for each placement.
         """
         if not self._dirty:
-            return []
+            return Pass()
         self._dirty = False
         now = time.monotonic()
-        records: list[TasksPlaced] = []
+        result = Pass()
+        records = result.placements
         hopeless: dict[tuple, Waiting] = {}
         for entry in sorted(self._queue.values(), key=lambda e: (-e.rank, e.work)):
             if entry.work in self._proposed:
@@ -125,13 +138,18 @@
             if entry.not_before > now:
                 self._reasons[entry.work] = "waits after a failure"
                 continue
-            result = self._place(state, entry.work, hopeless)
-            if isinstance(result, TasksPlaced):
-                records.append(result)
+            placed = self._place(state, entry.work, hopeless)
+            if isinstance(placed, TasksPlaced):
+                records.append(placed)
+            elif placed.needs_room and entry.next_preemption <= now:
+                # What is asked to end needs a while to do so.
+                entry.next_preemption = now + _PREEMPTION_SECONDS
+                work = state.works[entry.work]
+                result.stops += make_room(work, state, self._policies, self._random)
             if len(records) >= _PASS_RECORDS:
                 self._dirty = True
                 break
-        return records
+        return result
 
     def _place(self, state: State, number: int, hopeless: dict[tuple, Waiting]):
         work = state.works[number]
--- a/src/snowdock/node/state_actor.py
+++ b/src/snowdock/node/state_actor.py
@@ -405,11 +405,16 @@
             self._scheduler.rerank(self._state)
             self._next_rerank = now + _RERANK_SECONDS
         started = time.perf_counter()
-        records = self._scheduler.run(self._state)
-        if records:
-            seconds = (time.perf_counter() - started) / len(records)
+        decided = self._scheduler.run(self._state)
+        if decided.placements:
+            seconds = (time.perf_counter() - started) / len(decided.placements)
             self._metrics.observe("decision_seconds", "Time of one placement decision.", seconds)
-        for record in records:
+        if decided.stops:
+            self._metrics.count(
+                "preemptions_total", "Attempts ended for others.", len(decided.stops)
+            )
+            self._propose(*decided.stops)
+        for record in decided.placements:
             self._propose_placement(record)
 
     def _propose_placement(self, record: TasksPlaced) -> None:
--- a/src/snowdock/reducer/__init__.py
+++ b/src/snowdock/reducer/__init__.py
@@ -10,9 +10,9 @@
 from ..records import Batch, NodeJoined
 from ..state import State
 from . import _configurations, _members, _minions, _placements, _requests, _workers, _works
-from ._tools import Context, InvalidRecord
+from ._tools import RECORDS_PER_ENTRY, Context, InvalidRecord
 
-__all__ = ["Entry", "reduce"]
+__all__ = ["Entry", "offset_of", "reduce"]
 
 _HANDLERS = {
     **_members.HANDLERS,
@@ -70,6 +70,11 @@
     return effects
 
 
+def offset_of(number: int) -> int:
+    """Tell at which offset a work was accepted, from its number."""
+    return number // RECORDS_PER_ENTRY
+
+
 def _admit(state: State, entry: Entry) -> bool:
     """Refuse repeated batches and batches of incarnations that were replaced or never joined."""
     batch = entry.batch
--- a/src/snowdock/settings.py
+++ b/src/snowdock/settings.py
@@ -10,7 +10,14 @@
 from .declarations import check_section
 from .errors import DeclarationError, SettingsErrors
 
-__all__ = ["NodeSettings", "PlatformSettings", "Settings", "TimingSettings", "read_settings"]
+__all__ = [
+    "NodeSettings",
+    "PlatformSettings",
+    "SecuritySettings",
+    "Settings",
+    "TimingSettings",
+    "read_settings",
+]
 
 Address = Annotated[str, Meta(pattern=r"^(\d{1,3}\.){3}\d{1,3}:\d{1,5}$")]
 Url = Annotated[str, Meta(pattern=r"^http://[^\s]+$")]
@@ -111,15 +118,39 @@
     snapshot_entries: Annotated[int, Meta(ge=10, le=1_000_000)] = 20_000
 
 
+class SecuritySettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Section ``[security]``: who may talk to the node.
+
+    Attributes
+    ----------
+    tokens_file
+        File with the bearer tokens of operators and callers; without one all may do all.
+    peer_public_key
+        The cluster's public key, the same on all nodes, as ``snowdock keys`` prints it.
+    peer_secret_key
+        The cluster's secret key; with both, a peer that does not hold them is not heard.
+    """
+
+    tokens_file: str = ""
+    peer_public_key: Annotated[str, Meta(pattern=r"^$|^\S{40}$")] = ""
+    peer_secret_key: Annotated[str, Meta(pattern=r"^$|^\S{40}$")] = ""
+
+
 class Settings(msgspec.Struct, frozen=True):
     """All settings of one node."""
 
     node: NodeSettings
     platform: PlatformSettings
     timing: TimingSettings = TimingSettings()
+    security: SecuritySettings = SecuritySettings()
 
 
-_SECTIONS = {"node": NodeSettings, "platform": PlatformSettings, "timing": TimingSettings}
+_SECTIONS = {
+    "node": NodeSettings,
+    "platform": PlatformSettings,
+    "timing": TimingSettings,
+    "security": SecuritySettings,
+}
 
 
 def read_settings(path: str) -> Settings:
--- a/tests/standins/cluster.py
+++ b/tests/standins/cluster.py
@@ -112,6 +112,8 @@
         lag_ms: int = 200,
         timing: dict[str, int] | None = None,
         worker_size: tuple[int, int, int] = (16_000, 65_536, 0),
+        security: dict[str, str] | None = None,
+        token: str = "",
     ) -> None:
         self._folder = tempfile.TemporaryDirectory(prefix="snowdock-")
         self.folder = pathlib.Path(self._folder.name)
@@ -126,6 +128,8 @@
             **(timing or {}),
         }
         self._halls = halls
+        self._security = security or {}
+        self._token = token
         self.nodes: dict[str, Process] = {}
         self.addresses: dict[str, str] = {}
         self.peers: dict[str, str] = {}
@@ -207,6 +211,7 @@
         lines += [f"seeds = {', '.join(self.peers[seed] for seed in seeds)}"]
         lines += ["[platform]", f"log = {self.log}", f"vms = {self.vms}", "timeout_ms = 1000"]
         lines += ["[timing]", *(f"{key} = {value}" for key, value in self._timing.items())]
+        lines += ["[security]", *(f"{key} = {value}" for key, value in self._security.items())]
         settings = self.folder / f"{name}.ini"
         settings.write_text("\n".join(lines), encoding="utf-8")
         entry = {"name": name, "role": "entry", "state": "live", "address": api, "hall": hall}
@@ -267,10 +272,14 @@
             method,
             f"http://{self.addresses[node]}{path}",
             body=body or None,
-            headers=headers or {},
+            headers={**self._authorization, **(headers or {})},
             timeout=timeout,
         )
 
+    @property
+    def _authorization(self) -> dict[str, str]:
+        return {"Authorization": f"Bearer {self._token}"} if self._token else {}
+
     def get(self, node: str, path: str):
         return msgspec.json.decode(self.request(node, "GET", path).data)
 
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -3,20 +3,22 @@
 import random
 import unittest
 
+import msgspec
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from snowdock.decisions.minion_choice import Health, choose, note_result
 from snowdock.decisions.ownership import owner
 from snowdock.decisions.placements import Waiting, place
+from snowdock.decisions.preemption import make_room
 from snowdock.decisions.retries import RetryBudget, backoff_seconds
 from snowdock.decisions.room import RoomIndex
 from snowdock.decisions.shares import target_share
 from snowdock.declarations import ZERO, Declarations, Size, Team, WorkSpec
 from snowdock.node.messages import MinionView
 from snowdock.policies import PolicyBook
-from snowdock.records import TasksPlaced
-from snowdock.state import Configuration, State, Task, Work, Worker
+from snowdock.records import StopRequested, TasksPlaced
+from snowdock.state import Configuration, State, Task, TaskState, Work, Worker
 
 NODES = ["a", "b", "c", "d"]
 
@@ -69,7 +71,7 @@
         """A gang that does not fit as a whole reserves nothing."""
         state, index = cluster([Size(4, 4)] * 3)
         result = self.place(state, index, work("gang", 4, Size(3, 3)))
-        self.assertEqual(result, Waiting("no room for all 4 tasks at once"))
+        self.assertEqual(result, Waiting("no room for all 4 tasks at once", needs_room=True))
         self.assertEqual([index.free(name) for name in state.workers], [Size(4, 4)] * 3)
         result = self.place(state, index, work("gang", 3, Size(3, 3)))
         self.assertEqual(len(result.placements), 3)
@@ -108,6 +110,49 @@
         self.assertEqual(len(result.placements), 1)
 
 
+class TestMakeRoom(unittest.TestCase):
+    def setUp(self) -> None:
+        self.alarms: list = []
+        self.state, _ = cluster([Size(4, 4)] * 2)
+        self.urgent = work("batch", 1, Size(3, 3))
+        self.urgent.spec = msgspec.structs.replace(self.urgent.spec, priority=90)
+
+    def run_on(self, number: int, worker: str, size: Size, **fields) -> None:
+        spec = msgspec.structs.replace(WorkSpec("batch", "v", "t", 1, size), **fields)
+        task = Task(TaskState.RUNNING, 1, worker)
+        self.state.works[number] = Work(number, f"k{number}", spec, [task], 0, open_tasks=1)
+        found = self.state.workers[worker]
+        found.attempts = {**found.attempts, f"{number}.0.1": size}
+        found.used = found.used.plus(size)
+
+    def make_room(self) -> list:
+        policies = PolicyBook(self.alarms.append)
+        return make_room(self.urgent, self.state, policies, random.Random(1))
+
+    def test_lowest_priority_ends_first_and_no_more_than_needed(self) -> None:
+        """The fewest attempts of lower priority are ended, by checkpoint."""
+        for number, priority in ((11, 10), (12, 20)):
+            self.run_on(number, "w0", Size(2, 2), priority=priority)
+        self.run_on(13, "w1", Size(4, 4), priority=95)
+        self.assertEqual(
+            self.make_room(),
+            [StopRequested(11, 0, 1, "checkpoint"), StopRequested(12, 0, 1, "checkpoint")],
+        )
+
+    def test_what_may_not_be_dropped_stays(self) -> None:
+        """Nothing is ended where only such work, or work of higher priority, runs."""
+        self.run_on(11, "w0", Size(4, 4), priority=0, preemptible=False)
+        self.run_on(12, "w1", Size(4, 4), priority=90)
+        self.assertEqual(self.make_room(), [])
+
+    def test_what_ends_already_is_counted(self) -> None:
+        """While enough is on its way out, nothing more is ended on that worker."""
+        self.run_on(11, "w0", Size(4, 4), priority=1)
+        self.run_on(12, "w1", Size(4, 4), priority=99)
+        self.state.works[11].tasks[0].stopping = True
+        self.assertEqual(self.make_room(), [])
+
+
 class TestOwnership(unittest.TestCase):
     @given(st.text(max_size=20), st.permutations(NODES))
     def test_all_agree_and_few_move(self, thing: str, nodes: list) -> None:
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -315,6 +315,22 @@
         self.assert_promises()
 
 
+class TestPreemption(FailureCase):
+    def test_urgent_work_makes_room(self) -> None:
+        """On a full cluster urgent work starts, and what made room for it is run again."""
+        low = self.submit("node-0", "low", 32, 6)
+        self.wait_running("node-0", low, 32)
+        text = BATCH.format(name="urgent", tasks=4, seconds=0.2)
+        text += "priority = 90\nurgent = true\n"
+        urgent = self.cluster.submit("node-1", text, "urgent")[0]
+        self.assert_succeeds("node-2", urgent)
+        report = self.cluster.get("node-0", f"/v1/work/{low}")
+        self.assertEqual(report["finished_ms"], 0, "the urgent work did not go first")
+        self.assertGreaterEqual(len(self.events("stopped")), 4)
+        self.assert_succeeds("node-0", low)
+        self.assert_promises()
+
+
 class TestMinions(FailureCase):
     def test_leaving_minion_gets_nothing_new(self) -> None:
         """A leaving minion is sent no new request once the nodes know."""
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -6,7 +6,13 @@
 import msgspec
 
 from snowdock.errors import SettingsErrors
-from snowdock.settings import NodeSettings, PlatformSettings, TimingSettings, read_settings
+from snowdock.settings import (
+    NodeSettings,
+    PlatformSettings,
+    SecuritySettings,
+    TimingSettings,
+    read_settings,
+)
 from tests.standins.cluster import ROOT
 
 GOOD = "[node]\nname = n\nhall = h\napi = 127.0.0.1:0\npeer = 127.0.0.1:1\n"
@@ -42,7 +48,7 @@
     def test_the_page_names_every_setting_with_its_default(self) -> None:
         """The reference page and the code agree."""
         page = (ROOT / "docs" / "settings.md").read_text(encoding="utf-8")
-        for model in (NodeSettings, PlatformSettings, TimingSettings):
+        for model in (NodeSettings, PlatformSettings, TimingSettings, SecuritySettings):
             for field in msgspec.structs.fields(model):
                 default = "needed" if field.required else f"`{field.default}`"
                 if field.default == "":
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -40,6 +40,14 @@
         )
         self.assertEqual(check_promises(self.cluster), [])
 
+    def test_work_is_known_at_every_node_at_once(self) -> None:
+        """Work accepted through one node is never unknown at another (found by a failed run)."""
+        for number in range(30):
+            text = BATCH.format(name="seen", tasks=1)
+            work = self.cluster.submit("node-0", text, f"seen-{number}")[0]
+            for node in ("node-1", "node-2"):
+                self.assertEqual(self.cluster.request(node, "GET", f"/v1/work/{work}").status, 200)
+
     def test_same_key_is_same_work(self) -> None:
         """A submission that is sent again under its key is not run a second time."""
         text = BATCH.format(name="twice", tasks=2)
