Work out the capacity from slopes, halve an idle node, bound what is kept of ended work

Measuring for it showed three things: an idle node spent 1.4 to 1.6 % of a core on its timers; 20,000 ended works were kept whole, by the slope some 64 MB at the target; calls to workers, not the log, are what the peak costs.

Ruled out: the log as the cause of the peak's processor time (1.0 to 1.4 % worked out, against 2.3 to 2.6 % for calls; a call is 0.69 ms, nearly all of it the HTTP client).

--- a/bench/end_to_end.py
+++ b/bench/end_to_end.py
@@ -8,20 +8,25 @@
 import os
 import time
 
+import msgspec
 import urllib3
 
 from bench.tools import percentile
+from snowdock.settings import TimingSettings
 from tests.standins.cluster import ROOT, Cluster, wait_for
 from tests.standins.witness import check_promises
 
 EXAMPLE = ROOT / "examples" / "merchant-settlement"
 LOG_MS = 5
 SINGLE_JOBS = 60
-BURST_TASKS = 600
+RATE = 280
+RATE_SECONDS = 10
+STEP_SECONDS = 0.1
 REQUESTS = 600
 WORK_MS = 10
 HALF, FULL = 8, 16
-IDLE_SECONDS = 10
+IDLE_SECONDS = 20
+SETTLE_SECONDS = 5
 BATCH = "[batch {name}]\nteam = payouts\ntasks = {tasks}\ncpu = 0.5\nmemory_gb = 0.5\n"
 BATCH += "run_seconds = {seconds}\n"
 
@@ -63,14 +68,27 @@
 
 
 def measure_starts(cluster: Cluster) -> None:
-    """Print how many starts a second the cluster holds while the queue is never empty."""
+    """Print what it takes to hold the target's peak of starts for a while."""
     works = []
     started = time.time()
-    for number in range(6):
-        text = BATCH.format(name=f"burst-{number}", tasks=BURST_TASKS // 6, seconds=0.2)
-        works += cluster.submit(f"node-{number % 3}", text, f"burst-{number}")
-    for work in works:
-        cluster.wait_work("node-0", work)
+    before = {name: cpu_seconds(node.pid) for name, node in cluster.nodes.items()}
+
+    def submit(number: int) -> list[int]:
+        time.sleep(max(0.0, started + number * STEP_SECONDS - time.time()))
+        text = BATCH.format(name="peak", tasks=round(RATE * STEP_SECONDS), seconds=0.3)
+        return cluster.submit(f"node-{number % 3}", text, f"peak-{number}")
+
+    with concurrent.futures.ThreadPoolExecutor(8) as callers:
+        for made in callers.map(submit, range(round(RATE_SECONDS / STEP_SECONDS))):
+            works += made
+    reports = [cluster.wait_work("node-0", work) for work in works]
+    seconds = time.time() - started
+    for name, node in cluster.nodes.items():
+        share = (cpu_seconds(node.pid) - before[name]) / seconds * 100
+        print(f"  at the peak {name}: {share:.1f} % of a core, {resident_mb(node.pid):.1f} MB")
+    waits = [report["started_ms"] - report["submitted_ms"] for report in reports]
+    p50, p99 = percentile(waits, 0.5), percentile(waits, 0.99)
+    print(f"  waiting at the peak, first task of {len(waits)} works: p50 {p50} ms, p99 {p99} ms")
     ledger = cluster.ledger(cluster.workers)
     starts = sorted(e["at_ms"] for e in ledger if e["event"] == "started")
     starts = [at for at in starts if at >= started * 1000]
@@ -140,8 +158,19 @@
     print(f"longest {max(seconds) * 1e3:.0f} ms (as asked every 50 ms)")
 
 
+def measure_idle_cluster() -> None:
+    """Print what idle nodes use with the settings' defaults."""
+    timing = msgspec.to_builtins(TimingSettings())
+    with Cluster(workers=24, minions=24, rack=6, halls=4, timing=timing) as cluster:
+        cluster.start_nodes(3)
+        cluster.command("apply", str(EXAMPLE), "--wait")
+        time.sleep(SETTLE_SECONDS)
+        measure_idle(cluster)
+
+
 def main() -> None:
-    """Measure everything in one cluster."""
+    """Measure everything."""
+    measure_idle_cluster()
     timing = {"vms_interval_ms": 1000, "heartbeat_ms": 1000, "silence_ms": 3000}
     with Cluster(workers=24, minions=24, rack=6, halls=4, timing=timing) as cluster:
         cluster.set_faults(cluster.log, {"*": {"slow_ms": LOG_MS, "path": "/append"}})
@@ -154,7 +183,6 @@
             ),
             "the slots are divided",
         )
-        measure_idle(cluster)
         measure_waiting(cluster)
         measure_starts(cluster)
         for at_once in (HALF, FULL):
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -17,7 +17,8 @@
 from snowdock.decisions.orders import build_order
 from snowdock.declarations import Declarations, Endpoint, Service, Size, Team, WorkSpec
 from snowdock.node.peer_messages import Heartbeat, encode_peer_message
-from snowdock.platform.workers import AttemptReport, SyncAnswer
+from snowdock.platform._http import Client
+from snowdock.platform.workers import AttemptReport, SyncAnswer, SyncOrder, WorkerClient
 from snowdock.programs import shipped_programs
 from snowdock.records import (
     AttemptEnded,
@@ -32,6 +33,7 @@
 )
 from snowdock.reducer import Entry, reduce
 from snowdock.state import State, digest, encode_state
+from tests.standins.cluster import Cluster
 
 SIZES = ((130, 1_300), (325, 3_250), (650, 6_500), (1_300, 13_000))
 TARGET_WORKERS = 1_300
@@ -41,6 +43,7 @@
 TARGET_CHANGES_A_DAY = 1_100
 TARGET_NODES = 9
 SYNC_SECONDS = 30
+CALLS = 1_000
 CPU_BUDGET = 0.019
 BYTES_BUDGET = 5_000
 MEMORY_BUDGET_MB = 64
@@ -62,22 +65,41 @@
     print("memory of the state (a process for each size)")
     points = []
     for workers, tasks in SIZES:
-        code = (
-            "import gc; from bench.tools import fill, resident_mb; from bench import slopes;"
-            f"b = resident_mb(); f = fill({workers}, {tasks}); gc.collect();"
-            "print(resident_mb() - b)"
-        )
-        out = subprocess.run(
-            [sys.executable, "-c", code], capture_output=True, text=True, check=True
-        )
-        points.append((tasks, float(out.stdout)))
+        points.append((tasks, _grown_mb(f"fill({workers}, {tasks})")))
         line(f"{workers} workers, {tasks} tasks", points[-1][1], "MB")
     (small, low), (large, high) = points[0], points[-1]
     slope = (high - low) / (large - small) * 1000
     line("slope, for a thousand tasks and a hundred workers", slope, "MB")
+    for works in (TARGET_JOBS_A_DAY // 4, TARGET_JOBS_A_DAY // 2, TARGET_JOBS_A_DAY):
+        grown = _grown_mb(f"slopes.finish(fill(130, 0), {works})")
+        line(f"{works} ended works of ten tasks, nearly all folded", grown, "MB")
     return slope
 
 
+def _grown_mb(expression: str) -> float:
+    """Give by how much memory grows where an expression's value is kept."""
+    code = (
+        "import gc; from bench.tools import fill, resident_mb; from bench import slopes;"
+        f"before = resident_mb(); kept = {expression}; gc.collect();"
+        "print(resident_mb() - before)"
+    )
+    out = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True)
+    return float(out.stdout)
+
+
+def finish(feed: Feed, works: int) -> Feed:
+    """Run works of ten tasks to their end; give the feed for its state."""
+    workers = list(feed.state.workers)
+    for number in range(works):
+        spec = WorkSpec("batch", f"work-{number}", "team-1", 10, Size(100, 100), run_ms=5000)
+        feed.append(WorkSubmitted(f"{number:032x}/work", spec))
+        work = next(reversed(feed.state.works))
+        spread = [Placement(n, workers[(number + n) % len(workers)]) for n in range(10)]
+        feed.append(TasksPlaced(work, spread))
+        feed.append(*(AttemptEnded(work, n, 1, "succeeded") for n in range(10)))
+    return feed
+
+
 def task_batches(feed: Feed, works: int, tasks: int) -> list[Batch]:
     """Make the records of works that are submitted, placed, started and ended.
 
@@ -138,7 +160,23 @@
     total = len(body) + len(msgspec.json.encode(answer)) + HEADER_BYTES
     line("build the order", seconds * 1e6, "us")
     line("bytes of order and answer with heads", total, "bytes")
-    return seconds, total
+    return seconds + measure_call(), total
+
+
+def measure_call() -> float:
+    """Print the processor time of one call to a worker's stand-in; give it in seconds."""
+    with Cluster(workers=1, minions=1) as cluster:
+        client = WorkerClient(Client("bench", timeout=5))
+        address = f"{cluster.workers}/{cluster.worker_names[0]}"
+        boot = client.status(address).boot
+        order = SyncOrder(boot, 30_000, 2**52, [], [], [], [])
+        client.sync(address, order)
+        started = time.process_time()
+        for _ in range(CALLS):
+            client.sync(address, order)
+        seconds = (time.process_time() - started) / CALLS
+    line("send an order over HTTP and read the answer", seconds * 1e6, "us")
+    return seconds
 
 
 def measure_snapshot() -> None:
@@ -190,7 +228,13 @@
     task_seconds, task_bytes = log
     order_seconds, order_bytes = orders
     calls = TARGET_WORKERS / TARGET_NODES / SYNC_SECONDS
+    peak_calls = TARGET_STARTS / TARGET_NODES
     lines = (
+        (
+            "a call for each start at the peak",
+            peak_calls * order_bytes,
+            peak_calls * order_seconds,
+        ),
         ("log at the peak", TARGET_STARTS * task_bytes, TARGET_STARTS * task_seconds),
         (f"workers, a call each {SYNC_SECONDS} s", calls * order_bytes, calls * order_seconds),
         ("configuration", change * TARGET_CHANGES_A_DAY / DAY, 0.0),
--- a/src/snowdock/node/daemon.py
+++ b/src/snowdock/node/daemon.py
@@ -38,7 +38,7 @@
 
 __all__ = ["Node", "main"]
 
-_TICK_SECONDS = 0.1
+_TICK_SECONDS = 0.25
 _CONNECTIONS_PER_MINION = 64
 _SEED_SECONDS = 2.0
 _STOP_POLL_SECONDS = 0.02
--- a/src/snowdock/node/peers.py
+++ b/src/snowdock/node/peers.py
@@ -34,7 +34,7 @@
 _MAX_QUEUED_MESSAGES = 1000
 _MAX_MESSAGE_BYTES = 64 * 1024 * 1024
 _ANSWERERS = 16
-_POLL_MS = 100
+_POLL_MS = 250
 
 Answer = StateGiven | CallAnswered | AnswerGiven
 Question = StateWanted | CallForwarded | AnswerWanted
--- a/src/snowdock/node/reports.py
+++ b/src/snowdock/node/reports.py
@@ -99,16 +99,13 @@
 def _work_state(work: Work) -> str:
     if not work.finished_ms:
         return "open"
-    if all(task.state == TaskState.SUCCEEDED for task in work.tasks):
+    if set(work.counts) == {TaskState.SUCCEEDED.value}:
         return "succeeded"
     return "cancelled" if work.cancelled else "failed"
 
 
 def work_report(parts: StateParts, work: Work, with_tasks: bool) -> WorkReport:
     """Show one work."""
-    counts: dict[str, int] = {}
-    for task in work.tasks:
-        counts[task.state.value] = counts.get(task.state.value, 0) + 1
     tasks = [
         TaskReport(number, task.state.value, task.attempt, task.worker, task.failures)
         for number, task in enumerate(work.tasks)
@@ -119,7 +116,7 @@
         work.spec.name,
         work.spec.team,
         _work_state(work),
-        counts,
+        work.counts,
         work.submitted_ms,
         work.started_ms,
         work.finished_ms,
--- a/src/snowdock/reducer/_tools.py
+++ b/src/snowdock/reducer/_tools.py
@@ -8,11 +8,14 @@
 from ..state import Outcome, State, Task, TaskState, Work, Worker, attempt_id
 
 __all__ = [
+    "FINISHED_TASKS_KEPT",
+    "KEY_WINDOW_MS",
     "RECORDS_PER_ENTRY",
     "Context",
     "InvalidRecord",
     "close_attempt",
     "find_attempt",
+    "forget_old",
     "hold_room",
     "note_if_over",
     "require",
@@ -23,6 +26,17 @@
 """Work numbers are ``offset * RECORDS_PER_ENTRY + index``, so they never repeat."""
 
 
+FINISHED_TASKS_KEPT = 10_000
+"""Tasks of ended works that are kept one by one."""
+
+KEY_WINDOW_MS = 8 * 3600 * 1000
+"""How long after a work's end its key, and the counts of its tasks, are kept.
+
+At the target's 13,000 jobs a day these are some 4 MB; a whole day's would be 11 MB, which a
+node does not have (``docs/CAPACITY.md``).
+"""
+
+
 class InvalidRecord(Exception):
     """A record does not fit the state at its offset and is void."""
 
@@ -121,3 +135,25 @@
     if work.finished_ms == 0 and work.is_over:
         work.finished_ms = context.state.now_ms
         context.effects.append(WorkFinished(work.number))
+        _keep_finished(context.state, work)
+
+
+def _keep_finished(state: State, work: Work) -> None:
+    """Keep the tasks of the newest ended works, and fold those of older ones into counts."""
+    state.finished.append(work.number)
+    state.finished_tasks += len(work.tasks)
+    while state.finished_tasks > FINISHED_TASKS_KEPT and len(state.finished) > 1:
+        oldest = state.works[state.finished.pop(0)]
+        state.finished_tasks -= len(oldest.tasks)
+        oldest.folded = oldest.counts
+        oldest.tasks = []
+        state.folded.append(oldest.number)
+
+
+def forget_old(state: State) -> None:
+    """Forget folded works, and their keys, once no caller asks again for the same work."""
+    horizon = state.now_ms - KEY_WINDOW_MS
+    while state.folded and state.works[state.folded[0]].finished_ms < horizon:
+        work = state.works.pop(state.folded.pop(0))
+        if state.keys.get(work.key) == work.number:
+            del state.keys[work.key]
--- a/src/snowdock/reducer/_works.py
+++ b/src/snowdock/reducer/_works.py
@@ -11,12 +11,13 @@
     WorkCancelled,
     WorkSubmitted,
 )
-from ..state import Outcome, State, Task, TaskState, VmState, Work
+from ..state import Outcome, Task, TaskState, VmState, Work
 from ._tools import (
     RECORDS_PER_ENTRY,
     Context,
     close_attempt,
     find_attempt,
+    forget_old,
     note_if_over,
     require,
     set_task_state,
@@ -24,9 +25,6 @@
 
 __all__ = ["HANDLERS", "cancel", "create", "service_number"]
 
-_FINISHED_KEPT = 20_000
-"""Finished works whose outcome is kept for reading."""
-
 
 def service_number(context: Context, index: int) -> int:
     """Give a declared service a work number: counted down from the entry's last one."""
@@ -55,23 +53,11 @@
     require(spec.team in declarations.teams, f"unknown team {spec.team}")
     limit = declarations.limits.queued_tasks
     require(state.queued_tasks + spec.tasks <= limit, "too many tasks are queued")
-    _forget_old(state)
+    forget_old(state)
     create(context, context.number, record.key, spec)
     return Accepted(context.number)
 
 
-def _forget_old(state: State) -> None:
-    """Keep memory bounded: the oldest finished works go first."""
-    if len(state.works) < _FINISHED_KEPT:
-        return
-    for number in list(state.works)[: _FINISHED_KEPT // 10]:
-        work = state.works[number]
-        if work.finished_ms:
-            del state.works[number]
-            if state.keys.get(work.key) == number:
-                del state.keys[work.key]
-
-
 def _cancelled(context: Context, record: WorkCancelled) -> Verdict:
     work = context.state.works.get(record.work)
     require(work is not None, "unknown work")
--- a/src/snowdock/state.py
+++ b/src/snowdock/state.py
@@ -4,6 +4,7 @@
 """
 
 import hashlib
+from collections import Counter
 from enum import StrEnum
 
 import msgspec
@@ -98,7 +99,8 @@
     """An accepted piece of work. Times are milliseconds since the epoch.
 
     ``open_tasks`` counts the tasks that have not come to an end: looking through all of them
-    at each end would make a work's cost grow with the square of its tasks.
+    at each end would make a work's cost grow with the square of its tasks. ``folded`` stands
+    in place of the tasks of a work that ended a while ago: how many ended in which state.
     """
 
     number: int
@@ -110,6 +112,12 @@
     finished_ms: int = 0
     cancelled: bool = False
     open_tasks: int = 0
+    folded: dict[str, int] = {}
+
+    @property
+    def counts(self) -> dict[str, int]:
+        """How many tasks are in which state."""
+        return dict(self.folded) or dict(Counter(task.state.value for task in self.tasks))
 
     @property
     def queued(self) -> list[int]:
@@ -207,7 +215,8 @@
 
     ``now_ms`` is the newest clock reading seen on the log, so that time passes the same way
     on every node. ``retired`` keeps, for ended incarnations, nothing but their names, so
-    that a process that wakes up late cannot append any more.
+    that a process that wakes up late cannot append any more. ``finished`` lists ended works
+    whose tasks are still kept, ``folded`` those of which only counts are, the oldest first.
     """
 
     offset: int = -1
@@ -222,6 +231,9 @@
     keys: dict[str, int] = msgspec.field(default_factory=dict)
     usage: dict[str, Size] = msgspec.field(default_factory=dict)
     queued_tasks: int = 0
+    finished: list[int] = msgspec.field(default_factory=list)
+    finished_tasks: int = 0
+    folded: list[int] = msgspec.field(default_factory=list)
     minions: dict[str, Minion] = msgspec.field(default_factory=dict)
     cooling: list[Cooling] = msgspec.field(default_factory=list)
     requests: dict[str, Request] = msgspec.field(default_factory=dict)
--- a/tests/test_reducer.py
+++ b/tests/test_reducer.py
@@ -30,6 +30,7 @@
     WorkSubmitted,
 )
 from snowdock.reducer import Entry, reduce
+from snowdock.reducer._tools import FINISHED_TASKS_KEPT, KEY_WINDOW_MS
 from snowdock.state import (
     State,
     TaskState,
@@ -302,3 +303,43 @@
         self.assertEqual(journal.add(SlotsTaken("m", 3)), [True])
         reduce(journal.state, Entry(journal.state.offset + 1, journal.entries[-1].batch))
         self.assertEqual(journal.state.minions["m"].shares, {"n": 3})
+
+
+class TestFinishedWork(unittest.TestCase):
+    def setUp(self) -> None:
+        self.journal = Journal()
+
+    def run_work(self, key: str, tasks: int) -> int:
+        spec = WorkSpec("batch", "x", "t", tasks, Size(1, 1))
+        self.journal.add(WorkSubmitted(key, spec))
+        work = next(reversed(self.journal.state.works))
+        placed = TasksPlaced(work, [Placement(n, "w1") for n in range(tasks)])
+        self.assertEqual(self.journal.add(placed), [True])
+        self.journal.add(*(AttemptEnded(work, n, 1, "succeeded") for n in range(tasks)))
+        return work
+
+    def test_old_tasks_are_folded_into_counts(self) -> None:
+        """What is kept of ended work is bounded in tasks; older outcomes stay as counts."""
+        size = FINISHED_TASKS_KEPT // 4
+        first = self.run_work("first", size)
+        for number in range(6):
+            self.run_work(f"k{number}", size)
+        state = self.journal.state
+        self.assertLessEqual(sum(len(w.tasks) for w in state.works.values()), 4 * size)
+        self.assertEqual(state.works[first].counts, {"succeeded": size})
+        self.assertTrue(state.works[first].is_over)
+
+    def test_key_outlives_the_tasks(self) -> None:
+        """A key names the same work for its whole window, also after its tasks were folded."""
+        size = FINISHED_TASKS_KEPT // 4
+        first = self.run_work("first", size)
+        for number in range(6):
+            self.run_work(f"k{number}", size)
+        spec = WorkSpec("batch", "x", "t", size, Size(1, 1))
+        count = len(self.journal.state.works)
+        self.assertEqual(self.journal.add(WorkSubmitted("first", spec)), [True])
+        self.assertEqual(len(self.journal.state.works), count)
+        self.journal.now_ms += KEY_WINDOW_MS + 1
+        self.run_work("later", 1)
+        self.assertFalse(first in self.journal.state.works)
+        self.assertFalse("first" in self.journal.state.keys)
