Mend what a newcomer stumbles over, and three faults found while reading

Cause: state_actor.py (557 lines) and api.py (495) had several jobs; the models, the worker reports and two actors each wrote the same things again; messages to the peers' thread were bare tuples.

Found: which nodes act was worked out anew at each question, and compared with its last value only at ticks, so a short change in between was never followed up: each node took the other for the owner of a new work for good. Hints now change only where things are taken over (test_nothing_changes_between_refreshes).

Other faults found: waiting requests never went to peers whose idle slots were heard of later (test_idle_slots_of_peers_are_used: seen to fail first, one node answered all 20); a process that another one replaced under its name went on (test_superseded_process_ends); a session whose minion is gone waited until its deadline (test_session_outlives_its_node).

Change: hints, repeat guard, worker reports, minion views, HTTP models and calls are modules of their own; one way to find an attempt by its name; shared tools for the models.

--- a/Makefile
+++ b/Makefile
@@ -28,5 +28,13 @@
 check-model: setup
 	$(BIN)/python -m specs.check
 
+bench: setup
+	$(BIN)/python -m bench.decisions
+	$(BIN)/python -m bench.packing
+	$(BIN)/python -m bench.log_bytes
+	$(BIN)/python -m bench.slopes
+	$(BIN)/python -m bench.end_to_end
+	$(BIN)/python -m bench.overload
+
 clean:
 	rm -rf $(VENV) build *.egg-info src/*.egg-info
--- a/demo/run.py
+++ b/demo/run.py
@@ -12,7 +12,6 @@
 
 EXAMPLE = ROOT / "examples" / "merchant-settlement"
 REQUESTS = 60
-SECONDS_OF_WORK = 1
 
 
 class Summary:
--- a/src/snowdock/decisions/orders.py
+++ b/src/snowdock/decisions/orders.py
@@ -3,10 +3,9 @@
 import dataclasses
 from collections.abc import Mapping
 
-from ..errors import InvalidInput
 from ..leases import ORDER_VALID_MS
 from ..platform.workers import AttemptReport, StartOrder, StopOrder, SyncOrder
-from ..state import State, TaskState, VmState, Work, parse_attempt_id
+from ..state import State, TaskState, VmState, Work, find_named_attempt, parse_attempt_id
 
 __all__ = ["WorkerOrder", "build_order"]
 
@@ -63,8 +62,12 @@
             continue
         if report.state != _RUNNING:
             forget.append(attempt)
-        elif _is_closed(state, attempt):
-            stop.append(StopOrder(attempt, "stop"))
+        else:
+            # A node that lags behind may see an attempt that it has not read of yet; only
+            # one that was surely closed is stopped.
+            found = find_named_attempt(state, attempt)
+            if found is not None and found.is_closed:
+                stop.append(StopOrder(attempt, "stop"))
     lease_ms = state.configuration.declarations.limits.lease_ms
     order = SyncOrder(worker.boot, lease_ms, not_after_ms, renew, start, stop, forget)
     return WorkerOrder(worker.address, order)
@@ -74,20 +77,3 @@
     spec = work.spec
     size = spec.size
     return StartOrder(attempt, size.cpu, size.memory, size.accelerators, spec.run_ms, not_after_ms)
-
-
-def _is_closed(state: State, attempt: str) -> bool:
-    """Tell whether an attempt that a worker still runs was surely closed on the log.
-
-    A node that lags behind may see an attempt that it has not read of yet; that one is left
-    alone.
-    """
-    try:
-        number, task_number, count = parse_attempt_id(attempt)
-    except InvalidInput:
-        return False
-    work = state.works.get(number)
-    if work is None or task_number >= len(work.tasks):
-        return False
-    task = work.tasks[task_number]
-    return task.attempt > count or (task.attempt == count and not task.holds_room)
--- /dev/null
+++ b/src/snowdock/decisions/worker_reports.py
@@ -0,0 +1,48 @@
+"""What a worker's answer means for the shared state."""
+
+from ..declarations import Size
+from ..platform.workers import SyncAnswer
+from ..records import AttemptEnded, AttemptStarted, Record, WorkerSeen
+from ..state import State, TaskState, find_named_attempt
+
+__all__ = ["judge_answer"]
+
+_RUNNING = "running"
+
+
+def judge_answer(state: State, name: str, answer: SyncAnswer) -> list[Record]:
+    """Work out what is to be recorded of a worker's answer.
+
+    Parameters
+    ----------
+    state
+        The shared state.
+    name
+        The worker that answered.
+    answer
+        Its answer.
+
+    Returns
+    -------
+    list of Record
+        Starts and ends that the state does not show yet. If the worker has started again,
+        only that: its answer says nothing of attempts that were ordered for an earlier boot.
+    """
+    worker = state.workers.get(name)
+    if worker is None:
+        return []
+    if answer.boot != worker.boot:
+        capacity = Size(answer.cpu, answer.memory, answer.accelerators)
+        return [WorkerSeen(name, answer.boot, capacity, worker.rack, worker.hall, worker.address)]
+    records = (_judge(state, attempt, r.state) for attempt, r in answer.attempts.items())
+    return [record for record in records if record is not None]
+
+
+def _judge(state: State, name: str, told: str) -> Record | None:
+    found = find_named_attempt(state, name)
+    if found is None or not found.is_current:
+        return None
+    ids = (found.work.number, found.number, found.count)
+    if told != _RUNNING:
+        return AttemptEnded(*ids, told)
+    return AttemptStarted(*ids) if found.task.state == TaskState.PLACED else None
--- a/src/snowdock/node/api.py
+++ b/src/snowdock/node/api.py
@@ -4,7 +4,6 @@
 import re
 import time
 from collections.abc import Callable, Iterable
-from urllib.parse import parse_qs
 
 import msgspec
 import pykka
@@ -31,13 +30,13 @@
 from ..policies import PolicyBook
 from ..records import ConfigurationProposed, Record, WorkCancelled, WorkSubmitted
 from ..reducer import offset_of
-from ..request_ids import new_request_id
 from . import reports
+from .calls import read_call, show_outcome
+from .http_models import HttpAnswer, HttpRequest, json_answer, problem_answer
 from .logs import log_error, log_event
 from .messages import Propose, View
 from .metrics import Metrics
 from .parts import Parts
-from .peer_messages import CallOutcome, CallRequest
 from .requests import RequestHandler
 from .tokens import Role, TokenBook
 
@@ -46,59 +45,14 @@
 _JSON = "application/json"
 _TEXT = "text/plain"
 _KEY = re.compile(r"^[A-Za-z0-9._:-]{1,100}$")
-_REQUEST_ID = re.compile(r"^[A-Za-z0-9._-]{1,80}$")
 _ASK_SECONDS = 10.0
 _CATCH_UP_SECONDS = 2.0
 _CATCH_UP_POLL_SECONDS = 0.01
 _CATCH_UP_ENTRIES = 10_000
 """Numbers further ahead than this are not a lag but a mistake."""
 
-_MAX_DEADLINE_MS = 600_000
-_PEOPLE_PRIORITY = 90
 _OPEN_PATHS = ("/healthz", "/readyz", "/metrics")
 _OPERATORS_PATHS = ("/v1/configuration", "/v1/drain")
-_HOP_HEADERS = {
-    "authorization",
-    "connection",
-    "host",
-    "content-length",
-    "transfer-encoding",
-    "user-agent",
-}
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class HttpRequest:
-    """An HTTP request; header names are in lower case."""
-
-    method: str
-    path: str
-    query: str
-    headers: dict[str, str]
-    body: bytes
-
-    def option(self, name: str) -> str:
-        """Give a query parameter, or nothing."""
-        return parse_qs(self.query).get(name, [""])[0]
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class HttpAnswer:
-    """An HTTP answer."""
-
-    status: int
-    body: bytes
-    content_type: str = _JSON
-    headers: dict[str, str] = dataclasses.field(default_factory=dict)
-
-
-class Problem(msgspec.Struct):
-    """The body of every failure."""
-
-    code: str
-    message: str
-    details: list[str] = []
-    outcome: str = ""
 
 
 class ConfigurationChange(msgspec.Struct, forbid_unknown_fields=True):
@@ -122,24 +76,6 @@
     version: int
 
 
-def _json(value: object, status: int = 200) -> HttpAnswer:
-    return HttpAnswer(status, msgspec.json.encode(value))
-
-
-def _problem(error: SnowdockError | DeclarationErrors) -> HttpAnswer:
-    details = [str(e) for e in error.exceptions] if isinstance(error, ExceptionGroup) else []
-    message = error.message if isinstance(error, ExceptionGroup) else str(error)
-    retry_after = getattr(error, "retry_after_seconds", None)
-    headers = {} if retry_after is None else {"Retry-After": _whole_seconds(retry_after)}
-    body = msgspec.json.encode(Problem(error.code, message, details))
-    return HttpAnswer(error.status, body, headers=headers)
-
-
-def _whole_seconds(seconds: float) -> str:
-    """Write seconds as the header wants them: whole, and at least one."""
-    return str(max(1, -int(-seconds // 1)))
-
-
 class Api:
     """The WSGI application.
 
@@ -213,13 +149,13 @@
         try:
             return self._dispatch(self._read(environ))
         except (SnowdockError, DeclarationErrors) as error:
-            return _problem(error)
+            return problem_answer(error)
         except (pykka.Timeout, pykka.ActorDeadError) as error:
             log_error("api_overloaded", error)
-            return _problem(Overloaded("the node is too busy; nothing was done"))
+            return problem_answer(Overloaded("the node is too busy; nothing was done"))
         except Exception as error:
             log_error("api_failed", error, path=environ.get("PATH_INFO", ""))
-            return _problem(SnowdockError("an unexpected failure; see the node's log"))
+            return problem_answer(SnowdockError("an unexpected failure; see the node's log"))
 
     def _read(self, environ: dict) -> HttpRequest:
         limit = self._parts.settings.node.max_body_bytes
@@ -264,11 +200,11 @@
 
     def _health(self, request: HttpRequest) -> HttpAnswer:
         self._view(lambda parts: None)
-        return _json({"healthy": True})
+        return json_answer({"healthy": True})
 
     def _ready(self, request: HttpRequest) -> HttpAnswer:
         ready = self._view(lambda parts: parts.ready) and not self._draining
-        return _json({"ready": ready}, 200 if ready else 503)
+        return json_answer({"ready": ready}, 200 if ready else 503)
 
     def _render_metrics(self, request: HttpRequest) -> HttpAnswer:
         content, content_type = self._metrics.render()
@@ -276,25 +212,25 @@
 
     def _version(self, request: HttpRequest) -> HttpAnswer:
         node = self._parts.settings.node.name
-        return _json(self._view(lambda parts: reports.version_report(parts, node)))
+        return json_answer(self._view(lambda parts: reports.version_report(parts, node)))
 
     def _status(self, request: HttpRequest) -> HttpAnswer:
-        return _json(self._view(reports.cluster_status))
+        return json_answer(self._view(reports.cluster_status))
 
     def _nodes(self, request: HttpRequest) -> HttpAnswer:
-        return _json(self._view(reports.node_reports))
+        return json_answer(self._view(reports.node_reports))
 
     def _workers(self, request: HttpRequest) -> HttpAnswer:
-        return _json(self._view(reports.worker_reports))
+        return json_answer(self._view(reports.worker_reports))
 
     def _minions(self, request: HttpRequest) -> HttpAnswer:
-        return _json(self._view(reports.minion_reports))
+        return json_answer(self._view(reports.minion_reports))
 
     def _configuration(self, request: HttpRequest) -> HttpAnswer:
-        return _json(self._view(reports.configuration))
+        return json_answer(self._view(reports.configuration))
 
     def _works(self, request: HttpRequest) -> HttpAnswer:
-        return _json(self._view(reports.work_reports))
+        return json_answer(self._view(reports.work_reports))
 
     def _work(self, request: HttpRequest, number: str) -> HttpAnswer:
         def show(parts) -> reports.WorkReport | None:
@@ -305,7 +241,7 @@
         found = self._view(show)
         if found is None:
             raise NotFound(f"no work {number}")
-        return _json(found)
+        return json_answer(found)
 
     def _catch_up(self, offset: int) -> None:
         """Wait until this node has read an offset that another one has told of.
@@ -343,13 +279,13 @@
         declarations = parse_declarations(change.files)
         PolicyBook.check(declarations)
         if request.option("dry_run") == "true":
-            return _json(Changed(0))
+            return json_answer(Changed(0))
         (verdict,) = self._propose(
             ConfigurationProposed(change.base, declarations, change.author[:100])
         )
         if isinstance(verdict, Accepted):
             log_event("configuration_accepted", version=verdict.reference, author=change.author)
-            return _json(Changed(verdict.reference))
+            return json_answer(Changed(verdict.reference))
         raise ConfigurationConflict(verdict.reason)
 
     def _submit(self, request: HttpRequest) -> HttpAnswer:
@@ -375,7 +311,7 @@
             SubmittedWork(verdict.reference, spec.name)
             for verdict, spec in zip(verdicts, specs, strict=True)
         ]
-        return _json(accepted, 201)
+        return json_answer(accepted, 201)
 
     def _check_possible(self, spec: WorkSpec) -> None:
         """Say at once what no worker and no quota could ever hold."""
@@ -399,92 +335,31 @@
     def _cancel(self, request: HttpRequest, number: str) -> HttpAnswer:
         (verdict,) = self._propose(WorkCancelled(int(number)))
         if isinstance(verdict, Accepted):
-            return _json({"cancelled": int(number)})
+            return json_answer({"cancelled": int(number)})
         raise NotFound(verdict.reason) if "unknown" in verdict.reason else Voided(verdict.reason)
 
     def _drain(self, request: HttpRequest) -> HttpAnswer:
         self.request_drain()
-        return _json({"draining": True}, 202)
+        return json_answer({"draining": True}, 202)
 
     # -- callers' requests -----------------------------------------------------------------
 
     def _call(self, request: HttpRequest) -> HttpAnswer:
         try:
-            call = _read_call(request)
+            call = read_call(request)
         except SnowdockError as error:
-            answer = _problem(error)
+            answer = problem_answer(error)
             return dataclasses.replace(
                 answer, headers={**answer.headers, "Snowdock-Outcome": "not-run"}
             )
         outcome = self._requests.handle(call)
-        return _show_outcome(call, outcome)
+        return show_outcome(call, outcome)
 
 
 def _is_for_operators(request: HttpRequest) -> bool:
     return request.method != "GET" and request.path in _OPERATORS_PATHS
 
 
-def _read_call(request: HttpRequest) -> CallRequest:
-    headers = request.headers
-    _, _, rest = request.path.partition("/call/")
-    endpoint, _, path = rest.partition("/")
-    repeatable = headers.get("snowdock-repeatable", "yes").lower()
-    if repeatable not in ("yes", "no"):
-        raise InvalidInput("header Snowdock-Repeatable is yes or no; nothing was run")
-    request_id = headers.get("snowdock-request-id", "")
-    if not request_id and repeatable == "no":
-        raise InvalidInput("a not-repeatable request needs Snowdock-Request-Id; nothing was run")
-    if request_id and not _REQUEST_ID.match(request_id):
-        raise InvalidInput("header Snowdock-Request-Id is malformed; nothing was run")
-    query = f"?{request.query}" if request.query else ""
-    passed = {
-        name: value
-        for name, value in headers.items()
-        if name not in _HOP_HEADERS and not name.startswith("snowdock-")
-    }
-    return CallRequest(
-        request_id=request_id or new_request_id(),
-        endpoint=endpoint,
-        method=request.method,
-        path=f"/{path}{query}",
-        headers=passed,
-        body=request.body,
-        deadline_ms=_number(headers, "snowdock-deadline-ms", 5000, _MAX_DEADLINE_MS),
-        priority=_number(headers, "snowdock-priority", _PEOPLE_PRIORITY, 100),
-        repeatable=repeatable == "yes",
-        session=headers.get("snowdock-session", ""),
-        trace=headers.get("traceparent", ""),
-    )
-
-
-def _number(headers: dict[str, str], name: str, default: int, most: int) -> int:
-    text = headers.get(name)
-    if text is None:
-        return default
-    if not text.isascii() or not text.isdigit() or not 0 < int(text[:12]) <= most:
-        raise InvalidInput(f"header {name} is a number from 1 to {most}; nothing was run")
-    return int(text)
-
-
-def _show_outcome(call: CallRequest, outcome: CallOutcome) -> HttpAnswer:
-    headers = {
-        "Snowdock-Request-Id": call.request_id,
-        "Snowdock-Outcome": outcome.outcome.replace("_", "-"),
-    }
-    if outcome.minion:
-        headers["Snowdock-Session"] = outcome.minion
-    if outcome.retry_after_seconds:
-        headers["Retry-After"] = _whole_seconds(outcome.retry_after_seconds)
-    if not outcome.code:
-        content_type = next(
-            (v for k, v in outcome.headers.items() if k.lower() == "content-type"),
-            "application/octet-stream",
-        )
-        return HttpAnswer(outcome.status, outcome.body, content_type, headers)
-    body = msgspec.json.encode(Problem(outcome.code, outcome.reason, [], outcome.outcome))
-    return HttpAnswer(outcome.status, body, headers=headers)
-
-
 def _want_type(request: HttpRequest, wanted: str) -> None:
     given = request.headers.get("content-type", "").partition(";")[0].strip().lower()
     if given != wanted:
--- a/src/snowdock/node/messages.py
+++ b/src/snowdock/node/messages.py
@@ -5,6 +5,7 @@
 
 import pykka
 
+from ..decisions.shares import MinionView
 from ..effects import BatchJudged
 from ..platform.logs import RawEntry
 from ..platform.workers import SyncAnswer
@@ -20,7 +21,6 @@
     "LentByPeer",
     "LogConfirmed",
     "LogFailed",
-    "MinionView",
     "MinionsChanged",
     "PeerHeard",
     "PeerIdle",
@@ -154,20 +154,6 @@
     problem: str
 
 
-@_message
-class MinionView:
-    """A minion as this node may use it: ``share`` slots are its own."""
-
-    name: str
-    group: str
-    hall: str
-    address: str
-    share: int
-    target: int
-    unshared: int
-    is_live: bool
-
-
 @_message
 class MinionsChanged:
     """All minions, and whether this node still takes slots."""
--- a/src/snowdock/node/peers.py
+++ b/src/snowdock/node/peers.py
@@ -2,6 +2,7 @@
 
 import concurrent.futures
 import contextlib
+import dataclasses
 import hmac
 import itertools
 import queue
@@ -40,6 +41,39 @@
 Question = StateWanted | CallForwarded | AnswerWanted
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Addresses:
+    """All peers and where they listen."""
+
+    addresses: dict[str, str]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Connect:
+    """One more peer, known by its address only."""
+
+    address: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Ask:
+    """A question on its way to a peer."""
+
+    node: str
+    data: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Reply:
+    """An answer on its way back to a socket's identity."""
+
+    identity: bytes
+    data: bytes
+
+
+_Outgoing = _Addresses | _Connect | _Ask | _Reply
+
+
 class _OneKey:
     """Knows the one public key whose holders are peers."""
 
@@ -77,7 +111,7 @@
         self._answer = answer
         self._heard = heard
         self._context = zmq.Context()
-        self._outgoing: queue.SimpleQueue = queue.SimpleQueue()
+        self._outgoing: queue.SimpleQueue[_Outgoing] = queue.SimpleQueue()
         self._wake_lock = threading.Lock()
         self._wake = self._context.socket(zmq.PAIR)
         self._woken = self._context.socket(zmq.PAIR)
@@ -136,7 +170,7 @@
 
     def set_addresses(self, addresses: dict[str, str]) -> None:
         """Name the peers and where they listen."""
-        self._hand_over(("addresses", dict(addresses), b""))
+        self._hand_over(_Addresses(dict(addresses)))
 
     def ask(self, node: str, make: Callable[[int], Question], timeout: float) -> Answer:
         """Send a question to a peer and wait for the answer.
@@ -150,7 +184,7 @@
         future = pykka.ThreadingFuture()
         with self._questions_lock:
             self._questions[number] = future
-        self._hand_over(("send", node, encode_peer_message(make(number))))
+        self._hand_over(_Ask(node, encode_peer_message(make(number))))
         try:
             return future.get(timeout=timeout)
         except pykka.Timeout as error:
@@ -161,10 +195,10 @@
 
     def ask_address(self, address: str, make: Callable[[int], Question], timeout: float) -> Answer:
         """Ask a peer that is known by its address only."""
-        self._hand_over(("connect", address, address.encode()))
+        self._hand_over(_Connect(address))
         return self.ask(address, make, timeout)
 
-    def _hand_over(self, item: tuple) -> None:
+    def _hand_over(self, item: _Outgoing) -> None:
         self._outgoing.put(item)
         # A full wake queue means that the thread has been woken often enough.
         with self._wake_lock, contextlib.suppress(zmq.Again):
@@ -201,15 +235,15 @@
 
     def _send_outgoing(self) -> None:
         while not self._outgoing.empty():
-            kind, target, data = self._outgoing.get()
-            if kind == "addresses":
-                self._reconnect(target)
-            elif kind == "connect":
-                self._connect(target, data.decode())
-            elif kind == "answer":
-                self._try_send(self._listener, [target, data])
-            elif target in self._dealers:
-                self._try_send(self._dealers[target], [data])
+            item = self._outgoing.get()
+            if isinstance(item, _Addresses):
+                self._reconnect(item.addresses)
+            elif isinstance(item, _Connect):
+                self._connect(item.address, item.address)
+            elif isinstance(item, _Reply):
+                self._try_send(self._listener, [item.identity, item.data])
+            elif item.node in self._dealers:
+                self._try_send(self._dealers[item.node], [item.data])
 
     @staticmethod
     def _try_send(socket: zmq.Socket, frames: list[bytes]) -> None:
@@ -244,7 +278,7 @@
     def _answer_one(self, sender: bytes, question: Question) -> None:
         answer = self._answer(question)
         if answer is not None:
-            self._hand_over(("answer", sender, encode_peer_message(answer)))
+            self._hand_over(_Reply(sender, encode_peer_message(answer)))
 
     def _take_answer(self, message: PeerMessage) -> None:
         if not isinstance(message, Answer):
--- a/src/snowdock/node/requests.py
+++ b/src/snowdock/node/requests.py
@@ -49,6 +49,8 @@
 _PEER_ASK_SECONDS = 2.0
 _LOG_RETRY_SECONDS = 1.0
 _MIN_SECONDS = 0.001
+_ROUTER_SLACK_SECONDS = 5.0
+_BUSY = Overloaded.status
 
 
 def outcome_of(error: SnowdockError) -> CallOutcome:
@@ -268,7 +270,7 @@
             )
         )
         # The router answers every asker at its deadline; the slack covers a slow thread.
-        return future.get(timeout=max(work.seconds_left, 0) + 5)
+        return future.get(timeout=max(work.seconds_left, 0) + _ROUTER_SLACK_SECONDS)
 
     def _forward_to_peer(self, work: _Try, node: str) -> CallOutcome | None:
         """Let a peer run the request; None means that it surely was not run there."""
@@ -283,10 +285,8 @@
         except PlatformError as error:
             work.may_have_run = True
             return None if request.repeatable else _unknown(str(error))
-        outcome = given.outcome
-        if outcome.outcome == "not_run" and outcome.status in (503,) and left > _MIN_SECONDS:
-            return None
-        return outcome
+        was_refused = given.outcome.outcome == "not_run" and given.outcome.status == _BUSY
+        return None if was_refused else given.outcome
 
     def _try_minion(self, work: _Try, slot: Granted) -> CallOutcome | None:
         request = work.request
--- a/src/snowdock/node/router.py
+++ b/src/snowdock/node/router.py
@@ -8,13 +8,13 @@
 import pykka
 
 from ..decisions.minion_choice import Health, choose, note_result
+from ..decisions.shares import MinionView
 from ..records import SlotsReturned, SlotsTaken
 from .messages import (
     Acquire,
     Granted,
     LentByPeer,
     MinionsChanged,
-    MinionView,
     PeerIdle,
     Propose,
     Refused,
@@ -91,7 +91,7 @@
             return self._change(message)
         if isinstance(message, PeerIdle):
             self._peers[message.node] = (time.monotonic(), dict(message.idle_slots))
-            return None
+            return self._lend_waiting(message.idle_slots)
         if isinstance(message, Tick):
             return self._tick()
         if isinstance(message, View):
@@ -104,8 +104,9 @@
         group = message.group
         if not self._waiting.get(group) and self._grant(message):
             return
-        if self._is_hopeless(message):
-            message.slot.set(Refused("no other minion is left", self._retry_after(group)))
+        hopeless = self._why_hopeless(message)
+        if hopeless:
+            message.slot.set(Refused(hopeless, self._retry_after(group)))
             return
         peer = self._idle_peer(group) if message.may_lend else None
         if peer is not None:
@@ -117,10 +118,16 @@
             return
         heapq.heappush(queue, (-message.priority, next(self._order), message))
 
-    def _is_hopeless(self, message: Acquire) -> bool:
-        """Tell whether waiting cannot help: every minion with slots here was tried."""
+    def _why_hopeless(self, message: Acquire) -> str:
+        """Say why waiting cannot help, or nothing where it can."""
+        if message.wanted:
+            wanted = self._slots.get(message.wanted)
+            if wanted is None or not wanted.view.is_live:
+                return "the session's minion is gone"
         usable = [s.view.name for s in self._by_group.get(message.group, ()) if s.usable]
-        return bool(usable) and message.excluded.issuperset(usable)
+        if usable and message.excluded.issuperset(usable):
+            return "no other minion is left"
+        return ""
 
     def _grant(self, message: Acquire) -> bool:
         now = time.monotonic()
@@ -138,6 +145,21 @@
         message.slot.set(Granted(found.name, found.address))
         return True
 
+    def _lend_waiting(self, idle_slots: dict[str, int]) -> None:
+        """Hand waiting requests to a peer that has just told of idle slots."""
+        for group in idle_slots:
+            queue = self._waiting.get(group, [])
+            for entry in sorted(queue, key=lambda waiting: waiting[:2]):
+                message = entry[2]
+                if not message.may_lend:
+                    continue
+                node = self._idle_peer(group)
+                if node is None:
+                    break
+                queue.remove(entry)
+                message.slot.set(LentByPeer(node))
+            heapq.heapify(queue)
+
     def _idle_peer(self, group: str) -> str | None:
         horizon = time.monotonic() - _PEER_IDLE_SECONDS
         idle = {
--- a/src/snowdock/node/state_actor.py
+++ b/src/snowdock/node/state_actor.py
@@ -8,7 +8,8 @@
 import pykka
 
 from ..decisions import ownership
-from ..decisions.shares import target_share
+from ..decisions.shares import view_minions
+from ..decisions.worker_reports import judge_answer
 from ..effects import (
     AttemptAssigned,
     AttemptClosed,
@@ -25,32 +26,26 @@
 )
 from ..errors import InvalidInput
 from ..leases import earliest_loss_ms
-from ..platform.workers import SyncAnswer
 from ..policies import Alarm, PolicyBook
 from ..records import (
-    AttemptEnded,
     AttemptLost,
-    AttemptStarted,
     NodeJoined,
     Record,
     SnapshotPart,
     TasksPlaced,
-    WorkerSeen,
     decode_batch,
 )
 from ..reducer import Entry, reduce
-from ..reducer._minions import slots_of
 from ..state import (
     MemberState,
     Outcome,
     State,
-    TaskState,
     VmState,
-    attempt_id,
     digest,
     encode_state,
     parse_attempt_id,
 )
+from .hints import Hints
 from .logs import log_error, log_event
 from .messages import (
     AssignmentChanged,
@@ -59,7 +54,6 @@
     LogConfirmed,
     LogFailed,
     MinionsChanged,
-    MinionView,
     PeerHeard,
     Propose,
     StateLoaded,
@@ -71,6 +65,7 @@
 )
 from .metrics import Metrics
 from .parts import Parts
+from .repeats import RepeatGuard
 from .scheduler import Scheduler
 
 __all__ = ["StateActor", "StateParts"]
@@ -87,7 +82,7 @@
     """What a `View` may look at."""
 
     state: State
-    active: list[str]
+    active: tuple[str, ...]
     scheduler: Scheduler
     policies: PolicyBook
     serving: bool
@@ -114,8 +109,9 @@
         self._state = State()
         self._policies = PolicyBook(self._raise_alarm)
         self._scheduler = Scheduler(self._policies, random.Random())
-        self._peers_heard: dict[str, tuple[float, bool]] = {}
-        self._proposed_at: dict[str, float] = {}
+        timing = parts.settings.timing
+        self._hints = Hints(self._name, timing.silence_ms / 1000, lambda: parts.reaches_log)
+        self._repeats = RepeatGuard(_REPROPOSE_SECONDS)
         self._joined_proposed = False
         self._is_member = False
         self._first_end: int | None = None
@@ -126,7 +122,6 @@
         self._next_rerank = 0.0
         self._next_cooling_look = 0.0
         self._last_snapshot = 0
-        self._drivable: tuple[str, ...] = ()
         self._handlers: dict[type, Callable] = {
             EntriesRead: self._read_entries,
             StateLoaded: self._load,
@@ -244,7 +239,7 @@
         self._refresh_minions()
 
     def _on_queued(self, effect: WorkQueued) -> None:
-        if self._acts_on(f"work/{effect.work}"):
+        if self._hints.is_own(f"work/{effect.work}"):
             self._scheduler.enqueue(effect.work)
             self._next_rerank = 0.0
 
@@ -261,9 +256,6 @@
         self._poke(effect.worker)
 
     def _on_closed(self, effect: AttemptClosed) -> None:
-        name = attempt_id(effect.work, effect.task, effect.attempt)
-        self._proposed_at.pop(name, None)
-        self._proposed_at.pop(f"{name}/started", None)
         worker = self._state.workers[effect.worker]
         self._scheduler.index.update(worker)
         work = self._state.works[effect.work]
@@ -283,6 +275,12 @@
             self._parts.writer.tell(Propose(()))
 
     def _on_members(self, effect: MembersChanged) -> None:
+        member = self._state.members.get(self._name)
+        if self._is_member and (member is None or member.incarnation != self._parts.incarnation):
+            # Its slots are being given to others, and nothing that it appends counts.
+            log_error("superseded", "another process joined as this node, or its VM is gone")
+            self._parts.fail()
+        self._hints.refresh(self._state.members)
         self._assign_workers()
         self._refresh_queue()
         self._refresh_minions()
@@ -293,31 +291,10 @@
 
     # -- who acts --------------------------------------------------------------------------
 
-    def _active_nodes(self) -> list[str]:
-        """Members that seem able to act.
-
-        They are alive, not on their way out, and reach the log. Where none reaches the log,
-        all that are alive count: running work still has to be looked after.
-        """
-        horizon = time.monotonic() - self._parts.settings.timing.silence_ms / 1000
-        alive, able = [], []
-        for member in self._state.members.values():
-            heard, reaches_log = self._peers_heard.get(member.name, (0.0, False))
-            if member.name == self._name:
-                heard, reaches_log = horizon + 1, self._parts.reaches_log
-            if member.state == MemberState.LIVE and heard > horizon:
-                alive.append(member.name)
-                if reaches_log:
-                    able.append(member.name)
-        return able or alive
-
-    def _acts_on(self, thing: str) -> bool:
-        return ownership.owner(thing, self._active_nodes()) == self._name
-
     def _assign_workers(self) -> None:
         if not self._is_member:
             return
-        nodes = self._active_nodes()
+        nodes = self._hints.active
         own = {
             worker.name: worker.address
             for worker in self._state.workers.values()
@@ -328,7 +305,7 @@
 
     def _refresh_queue(self) -> None:
         """Take over the works that are this node's to place now."""
-        nodes = self._active_nodes()
+        nodes = self._hints.active
         own = {
             number
             for number, work in self._state.works.items()
@@ -342,30 +319,9 @@
     def _refresh_minions(self) -> None:
         member = self._state.members.get(self._name)
         may_take = self._is_member and member is not None and member.state == MemberState.LIVE
-        live = [m.name for m in self._state.members.values() if m.state == MemberState.LIVE]
-        views = tuple(self._minion_view(minion, live) for minion in self._state.minions.values())
+        views = view_minions(self._state, self._name, int(time.time() * 1000))
         self._parts.router.tell(MinionsChanged(views, may_take))
 
-    def _minion_view(self, minion, live: list[str]) -> MinionView:
-        slots = slots_of(self._state, minion)
-        # Time on the log stands still while nothing is appended; taking the slots moves it on.
-        now_ms = int(time.time() * 1000)
-        cooling = sum(
-            entry.slots
-            for entry in self._state.cooling
-            if entry.minion == minion.name and entry.until_ms > now_ms
-        )
-        return MinionView(
-            name=minion.name,
-            group=minion.group,
-            hall=minion.hall,
-            address=minion.address,
-            share=minion.shares.get(self._name, 0),
-            target=target_share(minion.name, slots, self._name, live),
-            unshared=slots - cooling - sum(minion.shares.values()),
-            is_live=minion.state == VmState.LIVE,
-        )
-
     def _poke(self, worker: str) -> None:
         self._parts.driver.tell(WorkerPoked(worker))
 
@@ -373,10 +329,8 @@
 
     def _tick(self, message: Tick) -> None:
         now = time.monotonic()
-        active = tuple(self._active_nodes())
-        if active != self._drivable:
-            self._drivable = active
-            log_event("active_nodes", nodes=",".join(active))
+        if self._hints.refresh(self._state.members):
+            log_event("active_nodes", nodes=",".join(self._hints.active))
             self._on_members(MembersChanged())
         self._declare_lost()
         self._maybe_snapshot()
@@ -436,17 +390,17 @@
                 continue
             lease = self._state.longest_lease_ms
             earliest = earliest_loss_ms(worker.fenced_ms, lease, margin)
-            if now_ms <= earliest or not self._acts_on(f"worker/{worker.name}"):
+            if now_ms <= earliest or not self._hints.is_own(f"worker/{worker.name}"):
                 continue
-            fresh = [name for name in worker.attempts if self._may_propose(name)]
-            self._propose(*(AttemptLost(*parse_attempt_id(name)) for name in fresh))
+            lost = (AttemptLost(*parse_attempt_id(name)) for name in worker.attempts)
+            self._propose(*(record for record in lost if self._repeats.may_pass(record)))
 
     def _maybe_snapshot(self) -> None:
         every = self._parts.settings.timing.snapshot_entries
         if self._state.offset - self._last_snapshot < every or not self._is_member:
             return
         self._last_snapshot = self._state.offset
-        if not self._acts_on(f"snapshot/{self._state.offset // every}"):
+        if not self._hints.is_own(f"snapshot/{self._state.offset // every}"):
             return
         data = encode_state(self._state)
         pieces = [
@@ -468,7 +422,7 @@
     def _peer_heard(self, message: PeerHeard) -> None:
         member = self._state.members.get(message.node)
         if member is not None and member.incarnation == message.incarnation:
-            self._peers_heard[message.node] = (time.monotonic(), message.reaches_log)
+            self._hints.hear(message.node, message.reaches_log)
         own = self._digests.get(message.digest_offset)
         if own is not None and own != message.digest and not self._diverged:
             self._diverged = True
@@ -481,68 +435,14 @@
         self._metrics.count("worker_sync_failures_total", "Calls to workers that failed.")
 
     def _sync_answered(self, message: SyncAnswered) -> None:
-        worker = self._state.workers.get(message.worker)
-        if worker is None:
-            return
-        if message.answer.boot != worker.boot:
-            self._note_boot(worker, message.answer)
-            return
-        records = []
-        for name, report in message.answer.attempts.items():
-            record = self._judge_report(name, report.state)
-            if record is not None:
-                records.append(record)
-        self._propose(*records)
-
-    def _note_boot(self, worker, answer: SyncAnswer) -> None:
-        if not self._may_propose(f"{worker.name}/{answer.boot}"):
-            return
-        self._propose(
-            WorkerSeen(
-                worker.name,
-                answer.boot,
-                type(worker.capacity)(answer.cpu, answer.memory, answer.accelerators),
-                worker.rack,
-                worker.hall,
-                worker.address,
-            )
-        )
-
-    def _judge_report(self, name: str, state: str) -> Record | None:
-        try:
-            number, task_number, attempt = parse_attempt_id(name)
-        except InvalidInput:
-            return None
-        work = self._state.works.get(number)
-        if work is None or task_number >= len(work.tasks):
-            return None
-        task = work.tasks[task_number]
-        if task.attempt != attempt or not task.holds_room:
-            return None
-        if state == "running":
-            if task.state != TaskState.PLACED or not self._may_propose(f"{name}/started"):
-                return None
-            return AttemptStarted(number, task_number, attempt)
-        if not self._may_propose(name):
-            return None
-        return AttemptEnded(number, task_number, attempt, state)
-
-    def _may_propose(self, name: str) -> bool:
-        """Tell, and note, whether a thing is to be proposed: not twice in a short time.
-
-        It is proposed again later, since a full writer may have refused it.
-        """
-        now = time.monotonic()
-        if now - self._proposed_at.get(name, -_REPROPOSE_SECONDS) < _REPROPOSE_SECONDS:
-            return False
-        self._proposed_at[name] = now
-        return True
+        records = judge_answer(self._state, message.worker, message.answer)
+        self._propose(*(record for record in records if self._repeats.may_pass(record)))
 
     def _view(self, message: View) -> object:
         return message.function(
             StateParts(
                 self._state,
-                self._active_nodes(),
+                self._hints.active,
                 self._scheduler,
                 self._policies,
                 self._serving,
--- a/src/snowdock/node/vm_watcher.py
+++ b/src/snowdock/node/vm_watcher.py
@@ -24,6 +24,7 @@
 from .logs import log_error
 from .messages import Propose, Tick, View
 from .parts import Parts
+from .repeats import RepeatGuard
 
 __all__ = ["VmWatcher"]
 
@@ -45,7 +46,7 @@
         self._workers = workers
         self._vms: dict[str, Vm] | None = None
         self._missing_since_ms: dict[str, int] = {}
-        self._proposed_at: dict[Record, float] = {}
+        self._repeats = RepeatGuard(_REFRESH_SECONDS)
         self._failing = False
 
     def on_receive(self, message: object) -> None:
@@ -79,17 +80,10 @@
             record = self._ask_worker(vm)
             if record is not None:
                 records.append(record)
-        fresh = tuple(record for record in records if self._is_fresh(record))
+        fresh = tuple(record for record in records if self._repeats.may_pass(record))
         if fresh:
             self._parts.writer.tell(Propose(fresh))
 
-    def _is_fresh(self, record: Record) -> bool:
-        now = time.monotonic()
-        if now - self._proposed_at.get(record, -_REFRESH_SECONDS) < _REFRESH_SECONDS:
-            return False
-        self._proposed_at[record] = now
-        return True
-
     def _ask_worker(self, vm: Vm) -> WorkerSeen | None:
         try:
             answer = self._workers.status(vm.address)
--- a/src/snowdock/reducer/__init__.py
+++ b/src/snowdock/reducer/__init__.py
@@ -10,9 +10,10 @@
 from ..records import Batch, NodeJoined
 from ..state import State
 from . import _configurations, _members, _minions, _placements, _requests, _workers, _works
+from ._minions import slots_of
 from ._tools import RECORDS_PER_ENTRY, Context, InvalidRecord
 
-__all__ = ["Entry", "offset_of", "reduce"]
+__all__ = ["Entry", "offset_of", "reduce", "slots_of"]
 
 _HANDLERS = {
     **_members.HANDLERS,
--- a/src/snowdock/state.py
+++ b/src/snowdock/state.py
@@ -18,6 +18,7 @@
     "Member",
     "MemberState",
     "Minion",
+    "NamedAttempt",
     "Outcome",
     "Request",
     "State",
@@ -30,6 +31,7 @@
     "decode_state",
     "digest",
     "encode_state",
+    "find_named_attempt",
     "parse_attempt_id",
 ]
 
@@ -259,6 +261,37 @@
     return work, task, attempt
 
 
+class NamedAttempt(msgspec.Struct, frozen=True):
+    """What an attempt's id stands for; ``count`` need not be the task's newest attempt."""
+
+    work: Work
+    number: int
+    task: Task
+    count: int
+
+    @property
+    def is_current(self) -> bool:
+        """Whether this very attempt holds room now."""
+        return self.task.attempt == self.count and self.task.holds_room
+
+    @property
+    def is_closed(self) -> bool:
+        """Whether the attempt was surely closed, not just unknown to a state that lags."""
+        return self.task.attempt >= self.count and not self.is_current
+
+
+def find_named_attempt(state: State, name: str) -> NamedAttempt | None:
+    """Find an attempt by its id, or give None where the state knows no such task."""
+    try:
+        number, task_number, count = parse_attempt_id(name)
+    except InvalidInput:
+        return None
+    work = state.works.get(number)
+    if work is None or not 0 <= task_number < len(work.tasks):
+        return None
+    return NamedAttempt(work, task_number, work.tasks[task_number], count)
+
+
 # Dictionaries keep the order in which the log filled them, which is the same on every node.
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(State)
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -13,9 +13,8 @@
 from snowdock.decisions.preemption import make_room
 from snowdock.decisions.retries import RetryBudget, backoff_seconds
 from snowdock.decisions.room import RoomIndex
-from snowdock.decisions.shares import target_share
+from snowdock.decisions.shares import MinionView, target_share
 from snowdock.declarations import ZERO, Declarations, Size, Team, WorkSpec
-from snowdock.node.messages import MinionView
 from snowdock.policies import PolicyBook
 from snowdock.records import StopRequested, TasksPlaced
 from snowdock.state import Configuration, State, Task, TaskState, Work, Worker
