Refuse early what cannot be answered in time

Requests that wait hold a thread of the HTTP server each; with all 48 taken the next ones waited unseen, so their deadline began late, the bounded queue was never full, and refusals came after 1,366 ms. The queue also took in what it could not serve in time.

Change: a request is refused at once where the queue ahead of it, counted by priority, outlasts its deadline, or where three quarters of the threads are taken; what has less than a typical run left is not sent.

--- a/src/snowdock/node/requests.py
+++ b/src/snowdock/node/requests.py
@@ -4,9 +4,12 @@
 come back, or ``unknown`` for a not-repeatable request that may have run.
 """
 
+import contextlib
 import dataclasses
 import secrets
+import threading
 import time
+from collections.abc import Iterator
 
 import msgspec
 import pykka
@@ -50,6 +53,7 @@
 _LOG_RETRY_SECONDS = 1.0
 _MIN_SECONDS = 0.001
 _ROUTER_SLACK_SECONDS = 5.0
+_THREADS_FOR_CALLS = 0.75
 _BUSY = Overloaded.status
 
 
@@ -94,6 +98,9 @@
         self._budget = RetryBudget()
         self._peers: Peers | None = None
         self._draining = False
+        self._in_flight = 0
+        self._count_lock = threading.Lock()
+        self._most_in_flight = max(1, round(parts.settings.node.threads * _THREADS_FOR_CALLS))
 
     def set_peers(self, peers: Peers) -> None:
         """Name the peers; done once, before the first request."""
@@ -134,9 +141,27 @@
         return outcome
 
     def _handle(self, request: CallRequest, may_lend: bool) -> CallOutcome:
+        with self._counted():
+            return self._handle_counted(request, may_lend)
+
+    @contextlib.contextmanager
+    def _counted(self) -> Iterator[None]:
+        with self._count_lock:
+            self._in_flight += 1
+        try:
+            yield
+        finally:
+            with self._count_lock:
+                self._in_flight -= 1
+
+    def _handle_counted(self, request: CallRequest, may_lend: bool) -> CallOutcome:
         try:
             if self._draining:
                 raise Draining("the node is on its way out; nothing was run")
+            # Requests that wait hold a thread of the HTTP server each. With all of them taken,
+            # the next request would wait unseen, past its deadline, before it is refused.
+            if self._in_flight > self._most_in_flight:
+                raise Overloaded("too many requests are in flight here; nothing was run")
             endpoint = self._find_endpoint(request)
             known = self._known(request)
             if known is not None:
--- a/src/snowdock/node/router.py
+++ b/src/snowdock/node/router.py
@@ -30,8 +30,8 @@
 _MAX_RETRY_SECONDS = 30.0
 _TYPICAL_SECONDS = 0.05
 _SMOOTHING = 0.1
-_WORTH_SENDING = 0.5
-"""A request that has less than this part of a typical run left is not sent any more."""
+_WORTH_SENDING = 1.0
+"""A request that has less than this many typical runs left is not sent any more."""
 _PEER_IDLE_SECONDS = 3.0
 _REPROPOSE_SECONDS = 5.0
 
@@ -116,6 +116,10 @@
         if not message.may_wait or len(queue) >= message.queue_limit:
             message.slot.set(Refused("no slot is free", self._retry_after(group)))
             return
+        if time.monotonic() + self._wait_for(message) > message.deadline:
+            # Waiting would end in a refusal all the same; now the caller can turn elsewhere.
+            message.slot.set(Refused("the queue is too long", self._retry_after(group)))
+            return
         heapq.heappush(queue, (-message.priority, next(self._order), message))
 
     def _why_hopeless(self, message: Acquire) -> str:
@@ -174,11 +178,19 @@
         self._peers[node][1][group] -= 1
         return node
 
+    def _wait_for(self, message: Acquire) -> float:
+        """Work out when a request that joins the queue now would be answered."""
+        queue = self._waiting.get(message.group, ())
+        ahead = sum(1 for priority, _, _ in queue if -priority >= message.priority)
+        return self._seconds_until_free(message.group, ahead) + self._seconds
+
+    def _seconds_until_free(self, group: str, ahead: int) -> float:
+        slots = sum(s.usable for s in self._by_group.get(group, ())) or 1
+        return self._seconds * (ahead + 1) / slots
+
     def _retry_after(self, group: str) -> float:
         """Work out from the queue when a slot is likely to be free."""
-        slots = sum(s.usable for s in self._by_group.get(group, ())) or 1
-        queued = len(self._waiting.get(group, ())) + 1
-        seconds = self._seconds * queued / slots
+        seconds = self._seconds_until_free(group, len(self._waiting.get(group, ())))
         return min(max(seconds, _MIN_RETRY_SECONDS), _MAX_RETRY_SECONDS)
 
     # -- giving back -----------------------------------------------------------------------
