--- a/src/snowdock/cli/client.py
+++ b/src/snowdock/cli/client.py
@@ -6,23 +6,15 @@
 import urllib3
 
 from ..errors import SnowdockError
+from ..node.http_models import Problem
 
-__all__ = ["NODES_VARIABLE", "ApiClient", "ApiFailure", "NoNodeAnswers", "Problem"]
+__all__ = ["NODES_VARIABLE", "ApiClient", "ApiFailure", "NoNodeAnswers"]
 
 NODES_VARIABLE = "SNOWDOCK_NODES"
 TOKEN_VARIABLE = "SNOWDOCK_TOKEN"
 _TIMEOUT_SECONDS = 10.0
 
 
-class Problem(msgspec.Struct):
-    """A failure as the API tells it."""
-
-    code: str
-    message: str
-    details: list[str] = []
-    outcome: str = ""
-
-
 class NoNodeAnswers(SnowdockError):
     """None of the named nodes answered."""
 
--- a/src/snowdock/node/state_actor.py
+++ b/src/snowdock/node/state_actor.py
@@ -29,6 +29,7 @@
 from ..policies import Alarm, PolicyBook
 from ..records import (
     AttemptLost,
+    AttemptStarted,
     NodeJoined,
     Record,
     SnapshotPart,
@@ -121,7 +122,7 @@
         self._digests: dict[int, str] = {}
         self._next_rerank = 0.0
         self._next_cooling_look = 0.0
-        self._last_snapshot = 0
+        self._snapshot_interval = 0
         self._handlers: dict[type, Callable] = {
             EntriesRead: self._read_entries,
             StateLoaded: self._load,
@@ -195,7 +196,8 @@
         self._state = message.state
         self._serving = True
         self._log_end = max(self._log_end, message.state.offset + 1)
-        self._last_snapshot = message.state.offset
+        every = self._parts.settings.timing.snapshot_entries
+        self._snapshot_interval = message.state.offset // every
         self._policies.replace(self._state.configuration.declarations)
         for worker in self._state.workers.values():
             self._scheduler.index.update(worker)
@@ -397,10 +399,13 @@
 
     def _maybe_snapshot(self) -> None:
         every = self._parts.settings.timing.snapshot_entries
-        if self._state.offset - self._last_snapshot < every or not self._is_member:
+        # Counted in whole intervals of the log, not from this node's start: all nodes have to
+        # ask at the same time whose turn it is, or it may be nobody's.
+        interval = self._state.offset // every
+        if interval <= self._snapshot_interval or not self._is_member:
             return
-        self._last_snapshot = self._state.offset
-        if not self._hints.is_own(f"snapshot/{self._state.offset // every}"):
+        self._snapshot_interval = interval
+        if not self._hints.is_own(f"snapshot/{interval}"):
             return
         data = encode_state(self._state)
         pieces = [
@@ -436,7 +441,21 @@
 
     def _sync_answered(self, message: SyncAnswered) -> None:
         records = judge_answer(self._state, message.worker, message.answer)
-        self._propose(*(record for record in records if self._repeats.may_pass(record)))
+        fresh = [record for record in records if self._repeats.may_pass(record)]
+        for record in fresh:
+            if isinstance(record, AttemptStarted) and record.attempt == 1:
+                self._observe_waiting(record)
+        self._propose(*fresh)
+
+    def _observe_waiting(self, record: AttemptStarted) -> None:
+        work = self._state.works[record.work]
+        seconds = max(0.0, time.time() - work.submitted_ms / 1000)
+        self._metrics.observe(
+            "waiting_seconds",
+            "Time from submission to a task's first start, by kind of work.",
+            seconds,
+            kind=work.spec.kind,
+        )
 
     def _view(self, message: View) -> object:
         return message.function(
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -48,6 +48,13 @@
             for node in ("node-1", "node-2"):
                 self.assertEqual(self.cluster.request(node, "GET", f"/v1/work/{work}").status, 200)
 
+    def test_waiting_is_told_in_metrics(self) -> None:
+        """After work has run, some node's metrics tell how long it waited."""
+        work = self.cluster.submit("node-0", BATCH.format(name="seen", tasks=2), "metrics")[0]
+        self.cluster.wait_work("node-0", work)
+        pages = [self.cluster.request(f"node-{n}", "GET", "/metrics").data for n in range(3)]
+        self.assertTrue(any(b'snowdock_waiting_seconds_count{kind="batch"}' in p for p in pages))
+
     def test_same_key_is_same_work(self) -> None:
         """A submission that is sent again under its key is not run a second time."""
         text = BATCH.format(name="twice", tasks=2)
