Wait for requests run for peers in a planned stop; count what is in flight in one way

Cause, found on reading the whole change once more: the API and the request handler each counted what is in flight. The API's count was a bare += on many threads, which can lose counts, and a planned stop waited for that one only. Requests that a node runs for a peer come in over its sockets and are in the handler's count alone, so a stop cut them off.

Ruled out: a second wait beside the first for peers' requests only; the lost counts would stay.

Change: one counter, locked, for both; a stop waits until both are empty. Also, without a change of behaviour: the models' four copies of making a protocol are one function, and an argument that nothing read is gone from the columns.

Conclusion: the promise of the planned stop now also covers lent requests.

--- a/specs/configuration_model.py
+++ b/specs/configuration_model.py
@@ -9,7 +9,7 @@
 
 from minicheck import Protocol
 
-from .tools import Rules, replaced
+from .tools import Rules, make_protocol, replaced
 
 __all__ = ["RULES", "Append", "Bounds", "State", "make_model", "parse_append"]
 
@@ -125,18 +125,17 @@
 def make_model(bounds: Bounds, left_out: str = "") -> Protocol:
     """Make the model for the checker; ``left_out`` is one of `RULES`, or nothing."""
     model = Model(bounds, Rules(left_out))
-    return Protocol(
-        name="configuration" + (f" without {left_out}" if left_out else ""),
-        candidate=not left_out,
-        fields=State._fields,
-        initial=tuple(State()),
-        transitions=model.transitions,
-        invariants={
+    return make_protocol(
+        "configuration",
+        left_out,
+        State(),
+        model.transitions,
+        {
             "never_falls_back": lambda state: not state["fell"],
             "no_change_is_overwritten_unseen": _not_overwritten,
             "one_change_one_version": _one_version,
         },
-        goal=lambda state: (
+        lambda state: (
             len(state["log"]) >= bounds.records
             or all(node.read == len(state["log"]) and not node.pending for node in state["nodes"])
         ),
--- a/specs/placement_model.py
+++ b/specs/placement_model.py
@@ -16,7 +16,7 @@
 
 from minicheck import Protocol
 
-from .tools import Rules, replaced
+from .tools import Rules, make_protocol, replaced
 
 __all__ = ["RULES", "Append", "Bounds", "State", "make_model", "parse_append"]
 
@@ -302,14 +302,13 @@
         One of `RULES`, to see what it is for; nothing for the protocol as it is.
     """
     model = Model(bounds, PlacementRules(left_out, bounds.attempts))
-    return Protocol(
-        name="placement" + (f" without {left_out}" if left_out else ""),
-        candidate=not left_out,
-        fields=State._fields,
-        initial=tuple(State()),
-        transitions=model.transitions,
-        invariants={"one_place": _one_place, "queued_means_idle": _queued_means_idle},
-        goal=functools.partial(_is_settled, bounds),
+    return make_protocol(
+        "placement",
+        left_out,
+        State(),
+        model.transitions,
+        {"one_place": _one_place, "queued_means_idle": _queued_means_idle},
+        functools.partial(_is_settled, bounds),
     )
 
 
--- a/specs/request_model.py
+++ b/specs/request_model.py
@@ -9,7 +9,7 @@
 
 from minicheck import Protocol
 
-from .tools import Rules, replaced
+from .tools import Rules, make_protocol, replaced
 
 __all__ = ["RULES", "Append", "Bounds", "State", "make_model", "parse_append"]
 
@@ -193,14 +193,13 @@
 def make_model(bounds: Bounds, left_out: str = "") -> Protocol:
     """Make the model for the checker; ``left_out`` is one of `RULES`, or nothing."""
     model = Model(bounds, Rules(left_out))
-    return Protocol(
-        name="request" + (f" without {left_out}" if left_out else ""),
-        candidate=not left_out,
-        fields=State._fields,
-        initial=tuple(State()),
-        transitions=model.transitions,
-        invariants={"at_most_once": _at_most_once, "not_run_is_true": _not_run_is_true},
-        goal=lambda state: all(node.phase == OVER for node in state["nodes"]),
+    return make_protocol(
+        "request",
+        left_out,
+        State(),
+        model.transitions,
+        {"at_most_once": _at_most_once, "not_run_is_true": _not_run_is_true},
+        lambda state: all(node.phase == OVER for node in state["nodes"]),
     )
 
 
--- a/specs/slot_model.py
+++ b/specs/slot_model.py
@@ -9,7 +9,7 @@
 
 from minicheck import Protocol
 
-from .tools import Rules, replaced
+from .tools import Rules, make_protocol, replaced
 
 __all__ = ["RULES", "SLOTS", "Append", "Bounds", "State", "make_model", "parse_append"]
 
@@ -165,14 +165,13 @@
 def make_model(bounds: Bounds, left_out: str = "") -> Protocol:
     """Make the model for the checker; ``left_out`` is one of `RULES`, or nothing."""
     model = Model(bounds, Rules(left_out))
-    return Protocol(
-        name="slots" + (f" without {left_out}" if left_out else ""),
-        candidate=not left_out,
-        fields=State._fields,
-        initial=tuple(State()),
-        transitions=model.transitions,
-        invariants={"never_over_slots": _never_over_slots},
-        goal=lambda state: sum(state["shares"]) == SLOTS or state["now"] >= bounds.ticks,
+    return make_protocol(
+        "slots",
+        left_out,
+        State(),
+        model.transitions,
+        {"never_over_slots": _never_over_slots},
+        lambda state: sum(state["shares"]) == SLOTS or state["now"] >= bounds.ticks,
     )
 
 
--- a/specs/tools.py
+++ b/specs/tools.py
@@ -1,6 +1,10 @@
 """What the models share."""
 
-__all__ = ["Rules", "replaced"]
+from collections.abc import Callable
+
+from minicheck import Protocol
+
+__all__ = ["Rules", "make_protocol", "replaced"]
 
 
 def replaced(values: tuple, index: int, value: object) -> tuple:
@@ -17,3 +21,39 @@
     def holds(self, rule: str) -> bool:
         """Tell whether a rule is in force."""
         return rule != self._left_out
+
+
+def make_protocol(
+    name: str,
+    left_out: str,
+    initial: tuple,
+    transitions: Callable[[tuple], list],
+    invariants: dict[str, Callable[[dict], bool]],
+    goal: Callable[[dict], bool],
+) -> Protocol:
+    """Make the checker's protocol of a model whose states are one kind of named tuple.
+
+    Parameters
+    ----------
+    name
+        The model's name.
+    left_out
+        The rule that is left out, or nothing.
+    initial
+        The first state, a named tuple.
+    transitions
+        Gives labels and next states.
+    invariants
+        What must hold in every state, by name.
+    goal
+        What has to stay within reach.
+    """
+    return Protocol(
+        name=name + (f" without {left_out}" if left_out else ""),
+        candidate=not left_out,
+        fields=initial._fields,
+        initial=tuple(initial),
+        transitions=transitions,
+        invariants=invariants,
+        goal=goal,
+    )
--- a/src/snowdock/columns.py
+++ b/src/snowdock/columns.py
@@ -82,7 +82,7 @@
     fields = _fields(kind)
     try:
         read = [
-            list(_read_column(sort, hint, column, count))
+            list(_read_column(sort, hint, column))
             for (_, sort, hint), column in zip(fields, columns, strict=True)
         ]
         if any(len(column) != count for column in read):
@@ -95,7 +95,7 @@
         raise InvalidInput(f"not columns of {kind.__name__}: {error}") from error
 
 
-def _read_column(sort: str, hint: type, column: object, count: int) -> Iterable:
+def _read_column(sort: str, hint: type, column: object) -> Iterable:
     if sort == "number":
         return itertools.accumulate(column)
     if sort == "text":
--- a/src/snowdock/node/api.py
+++ b/src/snowdock/node/api.py
@@ -33,6 +33,7 @@
 from . import reports
 from .calls import read_call, show_outcome
 from .http_models import HttpAnswer, HttpRequest, json_answer, problem_answer
+from .in_flight import InFlight
 from .logs import log_error, log_event
 from .messages import Propose, View
 from .metrics import Metrics
@@ -99,7 +100,7 @@
         self._requests = requests
         self._metrics = metrics
         self._draining = False
-        self._in_flight = 0
+        self._in_flight = InFlight()
         self._routes: list[tuple[str, re.Pattern, Callable[..., HttpAnswer]]] = [
             ("GET", re.compile(r"/healthz"), self._health),
             ("GET", re.compile(r"/readyz"), self._ready),
@@ -122,7 +123,7 @@
     @property
     def in_flight(self) -> int:
         """Requests that are being handled."""
-        return self._in_flight
+        return self._in_flight.count
 
     def drain(self) -> None:
         """Take no new work and say so to the balancer."""
@@ -132,11 +133,8 @@
 
     def __call__(self, environ: dict, start_response: Callable) -> Iterable[bytes]:
         """Answer one request."""
-        self._in_flight += 1
-        try:
+        with self._in_flight.one_more():
             answer = self._answer(environ)
-        finally:
-            self._in_flight -= 1
         headers = {
             "Content-Type": answer.content_type,
             "Content-Length": str(len(answer.body)),
--- a/src/snowdock/node/daemon.py
+++ b/src/snowdock/node/daemon.py
@@ -204,7 +204,8 @@
 
     def _wait_for_requests(self) -> None:
         end = time.monotonic() + self._settings.timing.drain_ms / 1000
-        while self._api.in_flight and time.monotonic() < end:
+        # Requests that run here for a peer came in over its sockets, not over the API.
+        while (self._api.in_flight or self._requests.in_flight) and time.monotonic() < end:
             time.sleep(_STOP_POLL_SECONDS)
 
     def _leave(self, name: str) -> None:
--- a/src/snowdock/node/requests.py
+++ b/src/snowdock/node/requests.py
@@ -4,12 +4,9 @@
 come back, or ``unknown`` for a not-repeatable request that may have run.
 """
 
-import contextlib
 import dataclasses
 import secrets
-import threading
 import time
-from collections.abc import Iterator
 
 import msgspec
 import pykka
@@ -30,6 +27,7 @@
 from ..records import RequestEnded, RequestIntended
 from ..request_ids import request_time_ms
 from .answers import AnswerBook
+from .in_flight import InFlight
 from .logs import log_event
 from .messages import Acquire, Granted, LentByPeer, Propose, Refused, Released, View
 from .metrics import Metrics
@@ -98,10 +96,14 @@
         self._budget = RetryBudget()
         self._peers: Peers | None = None
         self._draining = False
-        self._in_flight = 0
-        self._count_lock = threading.Lock()
+        self._in_flight = InFlight()
         self._most_in_flight = max(1, round(parts.settings.node.threads * _THREADS_FOR_CALLS))
 
+    @property
+    def in_flight(self) -> int:
+        """Requests that are being carried out, those of peers included."""
+        return self._in_flight.count
+
     def set_peers(self, peers: Peers) -> None:
         """Name the peers; done once, before the first request."""
         self._peers = peers
@@ -141,26 +143,16 @@
         return outcome
 
     def _handle(self, request: CallRequest, may_lend: bool) -> CallOutcome:
-        with self._counted():
+        with self._in_flight.one_more():
             return self._handle_counted(request, may_lend)
 
-    @contextlib.contextmanager
-    def _counted(self) -> Iterator[None]:
-        with self._count_lock:
-            self._in_flight += 1
-        try:
-            yield
-        finally:
-            with self._count_lock:
-                self._in_flight -= 1
-
     def _handle_counted(self, request: CallRequest, may_lend: bool) -> CallOutcome:
         try:
             if self._draining:
                 raise Draining("the node is on its way out; nothing was run")
             # Requests that wait hold a thread of the HTTP server each. With all of them taken,
             # the next request would wait unseen, past its deadline, before it is refused.
-            if self._in_flight > self._most_in_flight:
+            if self._in_flight.count > self._most_in_flight:
                 raise Overloaded("too many requests are in flight here; nothing was run")
             endpoint = self._find_endpoint(request)
             known = self._known(request)
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -159,6 +159,24 @@
         wait_for(lambda: len(self.cluster.get("node-1", "/v1/nodes")) == 2, "it has left")
         self.assert_promises()
 
+    def test_planned_stop_cuts_no_lent_request(self) -> None:
+        """A node told to stop also ends what it runs for a peer, so that none runs twice."""
+
+        def ran() -> list[dict]:
+            return [e for e in self.cluster.ledger(self.cluster.minions) if e["event"] == "ran"]
+
+        with concurrent.futures.ThreadPoolExecutor(20) as callers:
+            calls = [
+                callers.submit(self.cluster.call, "node-0", b"x", **{"x-work-ms": "1000"})
+                for _ in range(20)
+            ]
+            wait_for(lambda: any(e["agent"] == "node-1" for e in ran()), "node-1 runs some")
+            self.cluster.nodes["node-1"].signal(signal.SIGTERM)
+            statuses = {call.result().status for call in calls}
+        self.assertEqual(statuses, {200})
+        self.assertEqual(len(ran()), 20)
+        self.assertEqual(self.cluster.nodes["node-1"].wait(), 0)
+
     def test_session_outlives_its_node(self) -> None:
         """A session goes on at its minion through another node after its own was killed."""
         answer = self.cluster.call("node-0", b"first")
