--- a/src/snowdock/decisions/placements.py
+++ b/src/snowdock/decisions/placements.py
@@ -57,6 +57,9 @@
         "priority": spec.priority,
         "urgent": spec.urgent,
         "waited_seconds": waited_ms / 1000,
+        # Declared work has no objective of its own.
+        "slack_seconds": 0.0,
+        "overdue": 0.0,
     }
 
 
--- /dev/null
+++ b/src/snowdock/entry/election.py
@@ -0,0 +1,318 @@
+"""Which node leads: agreed by conditional appends to the store.
+
+A claim is appended on condition that nobody has appended since the claimant last looked, and
+a leader renews its record often. So a claim succeeds only where the leader has been silent,
+and the claim's offset gives an epoch that rises with each leader.
+"""
+
+import dataclasses
+import random
+import threading
+import time
+from collections.abc import Callable
+
+import msgspec
+
+from ..errors import (
+    AppendConflict,
+    CallUnanswered,
+    LogExpired,
+    PlatformError,
+    StoreRefused,
+)
+from ..node.logs import log_event
+from ..platform.store import KeyedRecord, StoreClient
+from .messages import Beat
+from .topics import LEADER_KEY, LEADERS_TOPIC, PART
+
+__all__ = ["Election", "Identity", "LeaderRecord"]
+
+_RENEW_SECONDS = 0.3
+"""Time between a leader's renewals; each is one write to the store."""
+
+_BEAT_SILENCE_SECONDS = 0.7
+"""Without a heartbeat of the leader for this long (three are due), the store is asked."""
+
+_STALE_RENEWAL_SECONDS = 1.2
+"""A leader whose own renewal is this old may have lost the store; the store is asked."""
+
+_PROBE_SECONDS = 0.7
+"""How long the store is watched for a renewal before a claim: two renewals are due."""
+
+_CALL_SECONDS = 1.0
+_PAUSE_SECONDS = 0.1
+_JITTER_SECONDS = 0.08
+"""Spreads claims of nodes that miss the leader at the same time."""
+
+_ISOLATED_SECONDS = 3.0
+"""A leader that reaches neither the store nor any peer for this long may have been replaced
+without learning of it, and gives no more orders."""
+
+
+class LeaderRecord(msgspec.Struct, frozen=True, array_like=True):
+    """Who leads: its node, process and peer address, its epoch, and whether it has resigned."""
+
+    node: str
+    incarnation: str
+    address: str
+    epoch: int
+    resigned: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Identity:
+    """A node, one start of its process, and where its peers connect."""
+
+    node: str
+    incarnation: str
+    address: str
+
+
+class Election:
+    """Follows who leads, and claims or renews the leadership of this node.
+
+    Parameters
+    ----------
+    store
+        The store.
+    identity
+        This node.
+    elected
+        Called with the epoch when this node has become the leader.
+    deposed
+        Called with the reason when it no longer leads.
+    leader_changed
+        Called with the record of another node that leads now.
+    """
+
+    def __init__(
+        self,
+        store: StoreClient,
+        identity: Identity,
+        elected: Callable[[int], None],
+        deposed: Callable[[str], None],
+        leader_changed: Callable[[LeaderRecord], None],
+    ) -> None:
+        self._store = store
+        self._identity = identity
+        self._elected = elected
+        self._deposed = deposed
+        self._leader_changed = leader_changed
+        self._stopped = threading.Event()
+        self._nudged = threading.Event()
+        self._may_claim = True
+        self._leader: LeaderRecord | None = None
+        self._next_offset: int | None = None
+        self._own_epoch = 0
+        self._renewed_at = 0.0
+        self._resigned = False
+        self._beat_at = 0.0
+        self._beat_renewed_s = 0.0
+        self._peer_heard_at = 0.0
+        self._thread = threading.Thread(target=self._run, name="election", daemon=True)
+
+    @property
+    def leader(self) -> LeaderRecord | None:
+        """The newest leader known, this node or another."""
+        return self._leader
+
+    @property
+    def own_epoch(self) -> int:
+        """The epoch in which this node leads; 0 where it does not."""
+        return self._own_epoch
+
+    @property
+    def renewed_s(self) -> float:
+        """Seconds since this node's leadership was last on record."""
+        return time.monotonic() - self._renewed_at
+
+    @property
+    def is_isolated(self) -> bool:
+        """Whether this node reaches neither the store nor a peer, having had peers before."""
+        if not self._peer_heard_at or self.renewed_s < _ISOLATED_SECONDS:
+            return False
+        return time.monotonic() - self._peer_heard_at > _ISOLATED_SECONDS
+
+    def make_beat(self) -> Beat:
+        """Make the heartbeat to send to peers."""
+        identity = self._identity
+        return Beat(
+            identity.node, identity.address, self._own_epoch, self.renewed_s, self._resigned
+        )
+
+    def hear(self, beat: Beat) -> None:
+        """Take over a peer's heartbeat."""
+        now = time.monotonic()
+        self._peer_heard_at = now
+        leader = self._leader
+        if leader is None or beat.node != leader.node:
+            return
+        if beat.epoch >= leader.epoch:
+            self._beat_at = now
+            self._beat_renewed_s = beat.renewed_s
+        elif beat.resigned:
+            self._beat_at = 0.0
+            self._nudged.set()
+
+    def start(self) -> None:
+        """Start following and, where nobody leads, claiming."""
+        self._thread.start()
+
+    def resign(self) -> None:
+        """Give the leadership back, and claim it no more; for a planned stop."""
+        self._may_claim = False
+        epoch, self._own_epoch = self._own_epoch, 0
+        if not epoch:
+            return
+        self._resigned = True
+        try:
+            self._append(epoch, True)
+        except PlatformError as error:
+            log_event("resign_unrecorded", epoch=epoch, reason=str(error))
+
+    def abandon(self, reason: str) -> None:
+        """Lead no more: another node has been seen to lead."""
+        if self._own_epoch:
+            self._own_epoch = 0
+            self._next_offset = None
+            self._deposed(reason)
+
+    def stop(self) -> None:
+        """Stop following."""
+        self._stopped.set()
+        self._nudged.set()
+
+    # -- the thread ------------------------------------------------------------------------
+
+    def _run(self) -> None:
+        while not self._stopped.is_set():
+            try:
+                pause = self._renew() if self._own_epoch else self._follow()
+            except PlatformError as error:
+                log_event("election_call_failed", reason=str(error), epoch=self._own_epoch)
+                pause = _PAUSE_SECONDS
+            self._nudged.wait(pause)
+            self._nudged.clear()
+
+    def _append(self, epoch: int, resigned: bool) -> None:
+        """Append an own record, on condition that nobody has appended since the last look."""
+        identity = self._identity
+        record = LeaderRecord(
+            identity.node, identity.incarnation, identity.address, epoch, resigned
+        )
+        offset = self._store.append(
+            LEADERS_TOPIC,
+            PART,
+            [KeyedRecord(LEADER_KEY, msgspec.msgpack.encode(record))],
+            _CALL_SECONDS,
+            expected_end=self._next_offset,
+        )
+        self._next_offset = offset + 1
+
+    def _renew(self) -> float:
+        epoch = self._own_epoch
+        while self._own_epoch == epoch and not self._stopped.is_set():
+            began = time.monotonic()
+            try:
+                self._append(epoch, False)
+            except AppendConflict:
+                if not self._still_leads(epoch):
+                    self.abandon("another node has claimed the leadership")
+                    return 0.0
+                continue
+            except (CallUnanswered, StoreRefused) as error:
+                log_event("renewal_failed", epoch=epoch, reason=str(error))
+                self._stopped.wait(_PAUSE_SECONDS)
+                continue
+            self._renewed_at = began
+            return max(0.0, began + _RENEW_SECONDS - time.monotonic())
+        return 0.0
+
+    def _still_leads(self, epoch: int) -> bool:
+        """Read on after a conflict; only an own renewal whose answer was lost explains it."""
+        page = self._store.read(LEADERS_TOPIC, PART, self._next_offset, 0.0)
+        self._next_offset = page.next_offset
+        found = [_decode(record) for record in page.records if record.value]
+        return all(
+            record.epoch == epoch and record.incarnation == self._identity.incarnation
+            for record in found
+        )
+
+    def _follow(self) -> float:
+        if self._next_offset is None:
+            self._read_newest()
+        if self._leader_is_heard():
+            return _PAUSE_SECONDS
+        if self._leader is not None and not self._leader.resigned and self._watch_store():
+            return 0.0
+        if self._may_claim:
+            self._stopped.wait(random.uniform(0, _JITTER_SECONDS))
+            self._claim()
+            return 0.0
+        self._watch_store()
+        return _PAUSE_SECONDS
+
+    def _leader_is_heard(self) -> bool:
+        now = time.monotonic()
+        return (
+            now - self._beat_at < _BEAT_SILENCE_SECONDS
+            and self._beat_renewed_s < _STALE_RENEWAL_SECONDS
+        )
+
+    def _read_newest(self) -> None:
+        page = self._store.newest(LEADERS_TOPIC, PART, _CALL_SECONDS)
+        self._next_offset = page.next_offset
+        self._take(page.records)
+
+    def _watch_store(self) -> bool:
+        """Wait for a record of a leader; tell whether there was one."""
+        try:
+            page = self._store.read(LEADERS_TOPIC, PART, self._next_offset, _PROBE_SECONDS)
+        except LogExpired:
+            self._next_offset = None
+            return True
+        self._next_offset = page.next_offset
+        self._take(page.records)
+        return bool(page.records) and not self._leader.resigned
+
+    def _take(self, records: list[KeyedRecord]) -> None:
+        before = self._leader
+        for record in records:
+            if record.key == LEADER_KEY and record.value:
+                self._leader = _decode(record)
+        leader = self._leader
+        if leader is None or leader == before:
+            return
+        log_event("leader_seen", leader=leader.node, epoch=leader.epoch, resigned=leader.resigned)
+        if leader.incarnation == self._identity.incarnation and not leader.resigned:
+            # An own claim whose answer was lost.
+            self._win(leader)
+        elif leader.incarnation != self._identity.incarnation:
+            self._beat_at = 0.0 if leader.resigned else time.monotonic()
+            self._beat_renewed_s = 0.0
+            self._leader_changed(leader)
+
+    def _claim(self) -> None:
+        epoch = self._next_offset + 1
+        try:
+            self._append(epoch, False)
+        except AppendConflict:
+            log_event("claim_lost", epoch=epoch)
+            self._watch_store()
+            return
+        identity = self._identity
+        log_event("claim_won", epoch=epoch)
+        self._win(LeaderRecord(identity.node, identity.incarnation, identity.address, epoch))
+
+    def _win(self, record: LeaderRecord) -> None:
+        self._leader = record
+        self._renewed_at = time.monotonic()
+        self._own_epoch = record.epoch
+        self._elected(record.epoch)
+
+
+def _decode(record: KeyedRecord) -> LeaderRecord:
+    try:
+        return msgspec.msgpack.decode(record.value, type=LeaderRecord)
+    except msgspec.MsgspecError as error:
+        raise PlatformError(f"a leader's record does not fit: {error}") from error
--- /dev/null
+++ b/src/snowdock/entry/intake.py
@@ -0,0 +1,255 @@
+"""Callers' requests: jobs are taken in, shown, counted and cancelled."""
+
+import dataclasses
+import http
+import math
+import time
+from collections.abc import Callable, Iterable
+
+from ..errors import (
+    BodyTooLarge,
+    CallUnanswered,
+    LogUnavailable,
+    MethodNotAllowed,
+    NotFound,
+    PlatformError,
+    SnowdockError,
+    Starting,
+    StoreRefused,
+    UnsupportedMedia,
+    VerdictUnknown,
+)
+from ..jobs.model import Configuration, JobId, JobStatus, Queue
+from ..jobs.progress import AcceptedJob, cancel_key, encode
+from ..node.http_models import HttpAnswer, problem_answer
+from ..node.in_flight import InFlight
+from ..node.logs import log_error, log_event
+from ..node.metrics import Metrics
+from ..platform.job_bodies import decode_job, encode_status, encode_waiting, is_job_id
+from ..platform.store import KeyedRecord, StoreClient
+from .topics import JOBS_TOPIC, PART
+
+__all__ = ["Intake", "IntakeParts", "JobGone"]
+
+_JSON = "application/json"
+_APPEND_SECONDS = 0.8
+"""One try to put a job on record: an append takes some 10 ms, and a slow store some 300."""
+
+_INTAKE_SECONDS = 2.0
+"""All tries together: callers wait about 3 s, and retries of theirs meet other nodes."""
+
+_RETRY_SECONDS = 0.05
+_DOWN_FAILURES = 2
+_DOWN_SECONDS = 0.4
+"""After some failures in a row the store counts as down for this long; then one request tries."""
+
+_RETRY_AFTER_SECONDS = 1.0
+
+
+class JobGone(SnowdockError):
+    """There is no such job."""
+
+    code = "job_gone"
+    status = 410
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class IntakeParts:
+    """What the intake needs of its node.
+
+    Attributes
+    ----------
+    store
+        The store.
+    configuration
+        Gives the configuration in force, or None before the first.
+    find_status
+        Gives a job's status within some seconds; raises `JobGone` or `Starting`.
+    count_waiting
+        Gives a queue's waiting jobs within some seconds; raises `Starting`.
+    metrics
+        Counts requests by outcome.
+    """
+
+    store: StoreClient
+    configuration: Callable[[], Configuration | None]
+    find_status: Callable[[JobId, float], JobStatus]
+    count_waiting: Callable[[str, float], int]
+    metrics: Metrics
+
+
+class _StoreHealth:
+    """Whether appends have been failing lately."""
+
+    def __init__(self) -> None:
+        self._failures = 0
+        self._failed_at = 0.0
+
+    @property
+    def is_down(self) -> bool:
+        """Whether to refuse at once rather than to try."""
+        if self._failures < _DOWN_FAILURES:
+            return False
+        return time.monotonic() - self._failed_at < _DOWN_SECONDS
+
+    def note(self, succeeded: bool) -> None:
+        """Take over how an append went."""
+        if succeeded:
+            self._failures = 0
+        else:
+            self._failures += 1
+            self._failed_at = time.monotonic()
+
+
+class Intake:
+    """The WSGI application that callers talk to."""
+
+    def __init__(self, parts: IntakeParts) -> None:
+        self._parts = parts
+        self._health = _StoreHealth()
+        self._in_flight = InFlight()
+
+    @property
+    def in_flight(self) -> int:
+        """Requests that are being handled."""
+        return self._in_flight.count
+
+    def __call__(self, environ: dict, start_response: Callable) -> Iterable[bytes]:
+        """Answer one request."""
+        began = time.monotonic()
+        with self._in_flight.one_more():
+            answer = self._answer(environ)
+        headers = {
+            "Content-Type": answer.content_type,
+            "Content-Length": str(len(answer.body)),
+            **answer.headers,
+        }
+        method = environ["REQUEST_METHOD"]
+        self._parts.metrics.observe(
+            "request_seconds",
+            "Time of a caller's request.",
+            time.monotonic() - began,
+            method=method if method in ("GET", "POST", "DELETE") else "other",
+            status=str(answer.status),
+        )
+        reason = http.HTTPStatus(answer.status).phrase
+        start_response(f"{answer.status} {reason}", list(headers.items()))
+        return [answer.body]
+
+    def _answer(self, environ: dict) -> HttpAnswer:
+        path = environ.get("PATH_INFO", "")
+        try:
+            return self._dispatch(environ, path)
+        except SnowdockError as error:
+            log_event(
+                "request_refused",
+                method=environ["REQUEST_METHOD"],
+                path=path[:120],
+                status=error.status,
+                reason=f"{error.code}: {error}"[:200],
+            )
+            return problem_answer(error)
+        except Exception as error:
+            log_error("request_failed", error, path=path[:120])
+            return problem_answer(SnowdockError("an unexpected failure; see the node's log"))
+
+    def _dispatch(self, environ: dict, path: str) -> HttpAnswer:
+        began = time.monotonic()
+        configuration = self._parts.configuration()
+        if configuration is None:
+            raise Starting("this node has no configuration yet; nothing was taken")
+        host = environ.get("HTTP_HOST", "").rpartition(":")
+        name = host[0] if host[1] and host[2].isdigit() else environ.get("HTTP_HOST", "")
+        queue = configuration.find_queue(name.lower(), path)
+        if queue is None:
+            raise NotFound("no queue at this host and path")
+        method = environ["REQUEST_METHOD"]
+        job = path[len(queue.path_prefix) :]
+        if not job and method == "GET":
+            waiting = self._parts.count_waiting(queue.name, _seconds_left(environ, began))
+            return HttpAnswer(200, encode_waiting(waiting), _JSON)
+        if not is_job_id(job):
+            raise NotFound("no such job")
+        if method == "POST":
+            return self._submit(environ, configuration, queue, job, began)
+        if method == "GET":
+            status = self._parts.find_status(job, _seconds_left(environ, began))
+            return HttpAnswer(200, encode_status(status), _JSON)
+        if method == "DELETE":
+            self._record(KeyedRecord(cancel_key(job), b"1"), began)
+            log_event("job_cancel_recorded", job=job, queue=queue.name)
+            return HttpAnswer(200, b"{}", _JSON)
+        raise MethodNotAllowed("GET, POST and DELETE are allowed here")
+
+    def _submit(
+        self,
+        environ: dict,
+        configuration: Configuration,
+        queue: Queue,
+        job: JobId,
+        began: float,
+    ) -> HttpAnswer:
+        given = environ.get("CONTENT_TYPE", "").partition(";")[0].strip().lower()
+        if given and given != _JSON:
+            raise UnsupportedMedia(f"content type {_JSON} is needed, not {given[:60]!r}")
+        body = environ["wsgi.input"].read()
+        limit = configuration.limits.max_body_bytes
+        if limit and len(body) > limit:
+            raise BodyTooLarge(f"the body is larger than {limit} bytes")
+        spec = decode_job(queue.name, body)
+        accepted = AcceptedJob(
+            spec, round(time.time() * 1000), queue.service, queue.priority, queue.max_attempts
+        )
+        self._record(KeyedRecord(job, encode(accepted)), began)
+        log_event(
+            "job_accepted",
+            job=job,
+            queue=queue.name,
+            configuration=configuration.version,
+            ms=(time.monotonic() - began) * 1000,
+        )
+        return HttpAnswer(200, b"{}", _JSON)
+
+    def _record(self, record: KeyedRecord, began: float) -> None:
+        """Put a record on the store; the caller's answer rests on it.
+
+        Raises
+        ------
+        LogUnavailable
+            If it is surely not on record.
+        VerdictUnknown
+            If it may be, or may still get there.
+        """
+        if self._health.is_down:
+            raise LogUnavailable("the store is away; nothing was recorded", _RETRY_AFTER_SECONDS)
+        maybe_done = False
+        end = began + _INTAKE_SECONDS
+        while True:
+            try:
+                self._parts.store.append(JOBS_TOPIC, PART, [record], _APPEND_SECONDS)
+            except StoreRefused as error:
+                problem: PlatformError = error
+            except CallUnanswered as error:
+                problem = error
+                maybe_done = maybe_done or not error.unsent
+            else:
+                self._health.note(True)
+                return
+            self._health.note(False)
+            if self._health.is_down or time.monotonic() + _RETRY_SECONDS > end:
+                break
+            time.sleep(_RETRY_SECONDS)
+        if maybe_done:
+            raise VerdictUnknown(f"it may be on record; send it again: {problem}") from problem
+        raise LogUnavailable(f"nothing was recorded: {problem}", _RETRY_AFTER_SECONDS) from problem
+
+
+def _seconds_left(environ: dict, began: float) -> float:
+    """Give how long the caller still waits, with a little left for the way back."""
+    try:
+        given = float(environ.get("HTTP_X_DEADLINE_MS", "")) / 1000
+    except ValueError:
+        given = _INTAKE_SECONDS
+    if not math.isfinite(given):
+        given = _INTAKE_SECONDS
+    return max(0.1, min(given * 0.8, _INTAKE_SECONDS) - (time.monotonic() - began))
--- /dev/null
+++ b/src/snowdock/entry/leader.py
@@ -0,0 +1,375 @@
+"""The leader: an actor that feeds events to the reducer and carries its effects out."""
+
+import collections
+import dataclasses
+import threading
+import time
+from collections.abc import Callable
+
+import pykka
+
+from ..errors import InvalidInput, PlatformError, ProducerFenced
+from ..jobs.cell import Cell, CellSettings
+from ..jobs.events import (
+    AskAdvice,
+    CloseWorker,
+    ConfigurationChanged,
+    Decided,
+    DropJobs,
+    Event,
+    JobAccepted,
+    JobCancelled,
+    OpenWorker,
+    Persist,
+    PublishStatus,
+    RenewAnswered,
+    SendRenew,
+    SendStart,
+    SendStop,
+    StepDown,
+    Ticked,
+    WorkerDelisted,
+    WorkerListed,
+)
+from ..jobs.model import Configuration
+from ..jobs.policy import make_policy
+from ..jobs.progress import CANCEL_PREFIX, decode_accepted, decode_progress
+from ..jobs.reducer import reduce
+from ..jobs.takeover import RecordedJobs, restore
+from ..node.logs import log_error, log_event
+from ..node.metrics import Metrics
+from ..platform.store import KeyedRecord, StoreClient
+from ..platform.worker_list import WORKER_TOPIC, decode_worker_entry
+from .advisers import Advisers
+from .progress_writer import ProgressWriter, drop_jobs, fence_progress
+from .statuses import StatusBook
+from .tails import Tail
+from .topics import JOBS_TOPIC, PART, PROGRESS_TOPIC
+from .worker_link import WorkerLink
+
+__all__ = ["Leader", "LeaderContext", "LeaderHandle", "start_leader"]
+
+_TICK_SECONDS = 0.1
+_READ_SECONDS = 3.0
+_TAKEOVER_RETRY_SECONDS = 0.1
+_JOBS_WAIT_SECONDS = 0.5
+"""How long one read of new jobs waits: also how stale "no such job" may be."""
+
+_WORKERS_WAIT_SECONDS = 1.0
+_WORKERS_PAUSE_SECONDS = 0.2
+"""Entries change often and together; a few tenths later is early enough."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LeaderContext:
+    """What a leader needs of its node.
+
+    Attributes
+    ----------
+    store
+        The store.
+    epoch
+        Its epoch, which is also its fencing token at the workers.
+    settings
+        The times it goes by.
+    make_advisers
+        Makes what spreads questions to the advice service, given where answers go.
+    configuration
+        Gives the configuration in force.
+    may_order
+        Whether orders may go out: not while the node may have been replaced unknowingly.
+    step_down
+        Called with the reason when another node leads.
+    metrics
+        The node's metrics.
+    """
+
+    store: StoreClient
+    epoch: int
+    settings: CellSettings
+    make_advisers: Callable[[Callable[[Event], None]], Advisers]
+    configuration: Callable[[], Configuration]
+    may_order: Callable[[], bool]
+    step_down: Callable[[str], None]
+    metrics: Metrics
+
+
+class Leader(pykka.ThreadingActor):
+    """Owns the leader's state; every message is an event.
+
+    Parameters
+    ----------
+    context
+        What it needs of its node.
+    statuses
+        What callers are shown.
+    recorded
+        What the store keeps of jobs.
+    """
+
+    def __init__(
+        self, context: LeaderContext, statuses: StatusBook, recorded: RecordedJobs
+    ) -> None:
+        super().__init__()
+        self._context = context
+        self._statuses = statuses
+        self._links: dict[str, WorkerLink] = {}
+        self._stepped_down = False
+        post = self.actor_ref.tell
+        self._writer = ProgressWriter(
+            context.store, context.epoch, post, self._step_down, context.metrics
+        )
+        self._advisers = context.make_advisers(post)
+        now = time.monotonic()
+        policy = make_policy(self._raise_alarm, lambda: self._cell)
+        self._cell = Cell(context.settings, context.epoch, policy, now)
+        self._cell.configuration = context.configuration()
+        restore(self._cell, recorded, now, _wall_ms())
+        self._handlers: dict[type, Callable] = {
+            Persist: self._writer.write,
+            SendStart: self._send_order,
+            SendStop: self._send_order,
+            SendRenew: self._send_renew,
+            AskAdvice: self._advisers.ask,
+            OpenWorker: self._open,
+            CloseWorker: self._close,
+            PublishStatus: self._statuses.publish,
+            DropJobs: self._drop,
+            StepDown: lambda effect: self._step_down(effect.reason),
+            Decided: _log_decision,
+        }
+
+    def on_start(self) -> None:
+        """Start writing."""
+        self._writer.start()
+
+    def on_stop(self) -> None:
+        """Order nothing more."""
+        self._writer.stop()
+        self._advisers.stop()
+        for link in self._links.values():
+            link.close()
+
+    def on_receive(self, message: Event) -> None:
+        """Take one event."""
+        if self._stepped_down:
+            return
+        began = time.monotonic()
+        for effect in reduce(self._cell, message, began, _wall_ms()):
+            self._handlers[type(effect)](effect)
+
+    def on_failure(self, exception_type, exception_value, traceback) -> None:
+        """Give the leadership up: another node goes on from what is on record."""
+        log_error("leader_failed", exception_value)
+        self._step_down(f"the leader failed: {exception_value}")
+
+    def _raise_alarm(self, alarm) -> None:
+        log_event(
+            "policy_failed", program=alarm.program, function=alarm.function, problem=alarm.problem
+        )
+
+    def _step_down(self, reason: str) -> None:
+        if not self._stepped_down:
+            self._stepped_down = True
+            self._context.step_down(reason)
+
+    def _open(self, effect: OpenWorker) -> None:
+        self._links[effect.life] = WorkerLink(
+            effect.life, effect.address, self.actor_ref.tell, self._context.metrics
+        )
+
+    def _close(self, effect: CloseWorker) -> None:
+        link = self._links.pop(effect.life, None)
+        if link is not None:
+            link.close()
+
+    def _send_order(self, effect: SendStart | SendStop) -> None:
+        link = self._links.get(effect.life)
+        if link is not None and self._context.may_order():
+            link.order(effect.order)
+
+    def _send_renew(self, effect: SendRenew) -> None:
+        link = self._links.get(effect.life)
+        if link is None:
+            return
+        if self._context.may_order():
+            link.renew(effect.order)
+        else:
+            self.actor_ref.tell(RenewAnswered(effect.life, effect.order, None))
+
+    def _drop(self, effect: DropJobs) -> None:
+        self._statuses.forget(effect.jobs)
+        threading.Thread(target=self._drop_records, args=(effect,), daemon=True).start()
+
+    def _drop_records(self, effect: DropJobs) -> None:
+        try:
+            drop_jobs(self._context.store, effect.jobs)
+        except PlatformError as error:
+            # They stay on record, are final, and cost only room.
+            log_event("jobs_not_dropped", count=len(effect.jobs), reason=str(error))
+
+
+def _log_decision(effect: Decided) -> None:
+    log_event(effect.decision, subject=effect.subject, **dict(effect.fields))
+
+
+def _wall_ms() -> float:
+    return time.time() * 1000
+
+
+class LeaderHandle:
+    """One leadership of this node: its actor, and the threads that feed it."""
+
+    def __init__(self, context: LeaderContext, actor: pykka.ActorRef, statuses: StatusBook) -> None:
+        self._context = context
+        self._actor = actor
+        self._statuses = statuses
+        self._listed: set[str] = set()
+        self._stopped = threading.Event()
+        self._jobs = Tail(
+            context.store,
+            JOBS_TOPIC,
+            PART,
+            _JOBS_WAIT_SECONDS,
+            0.0,
+            self._take_job,
+            lambda records: collections.deque(map(self._take_job, records), 0),
+        )
+        self._workers = Tail(
+            context.store,
+            WORKER_TOPIC,
+            PART,
+            _WORKERS_WAIT_SECONDS,
+            _WORKERS_PAUSE_SECONDS,
+            self._take_worker,
+            self._take_all_workers,
+        )
+
+    @property
+    def statuses(self) -> StatusBook:
+        """What callers are shown."""
+        return self._statuses
+
+    @property
+    def epoch(self) -> int:
+        """The epoch in which this node leads."""
+        return self._context.epoch
+
+    @property
+    def jobs_read_at(self) -> float:
+        """The steady time up to which all jobs taken in are known, in seconds."""
+        return self._jobs.read_at
+
+    def start(self, jobs_offset: int) -> None:
+        """Start feeding the actor."""
+        self._workers.start()
+        self._jobs.start(jobs_offset)
+        threading.Thread(target=self._tick, name="leader-ticks", daemon=True).start()
+
+    def configure(self, configuration: Configuration) -> None:
+        """Tell of a newer configuration."""
+        self._tell(ConfigurationChanged(configuration))
+
+    def stop(self) -> None:
+        """Stop leading."""
+        self._stopped.set()
+        self._jobs.stop()
+        self._workers.stop()
+        self._actor.stop(block=False)
+
+    def _tell(self, event: Event) -> None:
+        try:
+            self._actor.tell(event)
+        except pykka.ActorDeadError:
+            self._stopped.set()
+
+    def _tick(self) -> None:
+        while not self._stopped.wait(_TICK_SECONDS):
+            self._tell(Ticked())
+
+    def _take_job(self, record: KeyedRecord) -> None:
+        if record.value is None:
+            return
+        if record.key.startswith(CANCEL_PREFIX):
+            self._tell(JobCancelled(record.key.removeprefix(CANCEL_PREFIX)))
+            return
+        try:
+            self._tell(JobAccepted(record.key, decode_accepted(record.value)))
+        except InvalidInput as error:
+            log_error("job_record_unusable", error, job=record.key)
+
+    def _take_worker(self, record: KeyedRecord) -> None:
+        if record.value is None:
+            self._listed.discard(record.key)
+            self._tell(WorkerDelisted(record.key))
+            return
+        try:
+            entry = decode_worker_entry(record.key, record.value)
+        except PlatformError as error:
+            log_error("worker_entry_unusable", error, worker=record.key)
+            return
+        self._listed.add(record.key)
+        self._tell(WorkerListed(entry))
+
+    def _take_all_workers(self, records: list[KeyedRecord]) -> None:
+        for life in self._listed - {record.key for record in records}:
+            self._tell(WorkerDelisted(life))
+        self._listed = set()
+        for record in records:
+            self._take_worker(record)
+
+
+def _read_recorded(store: StoreClient) -> tuple[RecordedJobs, int]:
+    progress = {}
+    for record in store.newest(PROGRESS_TOPIC, PART, _READ_SECONDS).records:
+        if record.value:
+            progress[record.key] = decode_progress(record.value)
+    jobs = store.newest(JOBS_TOPIC, PART, _READ_SECONDS)
+    accepted, cancelled = {}, set()
+    for record in jobs.records:
+        if record.key.startswith(CANCEL_PREFIX):
+            cancelled.add(record.key.removeprefix(CANCEL_PREFIX))
+        elif record.value:
+            accepted[record.key] = decode_accepted(record.value)
+    return RecordedJobs(accepted, cancelled, progress), jobs.next_offset
+
+
+def start_leader(context: LeaderContext, is_wanted: Callable[[], bool]) -> LeaderHandle | None:
+    """Take over from earlier leaders and start leading.
+
+    Parameters
+    ----------
+    context
+        What the leader needs of its node.
+    is_wanted
+        Whether this node still leads in this epoch; asked between tries.
+
+    Returns
+    -------
+    LeaderHandle or None
+        None where another node leads meanwhile.
+    """
+    began = time.monotonic()
+    while is_wanted():
+        try:
+            fence_progress(context.store, context.epoch, _READ_SECONDS)
+            recorded, jobs_offset = _read_recorded(context.store)
+        except ProducerFenced as error:
+            context.step_down(str(error))
+            return None
+        except PlatformError as error:
+            log_event("takeover_delayed", epoch=context.epoch, reason=str(error))
+            time.sleep(_TAKEOVER_RETRY_SECONDS)
+            continue
+        statuses = StatusBook()
+        actor = Leader.start(context, statuses, recorded)
+        handle = LeaderHandle(context, actor, statuses)
+        handle.start(jobs_offset)
+        log_event(
+            "leading",
+            epoch=context.epoch,
+            jobs=len(recorded.accepted),
+            seconds=time.monotonic() - began,
+        )
+        return handle
+    return None
--- /dev/null
+++ b/src/snowdock/entry/messages.py
@@ -0,0 +1,116 @@
+"""Messages between entry VMs, encoded as arrays by msgspec."""
+
+import msgspec
+
+from ..errors import InvalidInput
+from ..jobs.model import JobId, JobStatus
+from ..node.peers import PeerMessages
+
+__all__ = [
+    "ENTRY_MESSAGES",
+    "AdviceAsked",
+    "AdviceReply",
+    "Beat",
+    "CountAsked",
+    "CountReply",
+    "StatusAsked",
+    "StatusReply",
+]
+
+
+class _EntryMessage(msgspec.Struct, array_like=True, frozen=True, tag=True):
+    """Base of the messages; ``number`` ties a reply to its question."""
+
+
+class Beat(_EntryMessage, tag="b"):
+    """A node is alive.
+
+    Attributes
+    ----------
+    node, address
+        Who, and where its peers connect.
+    epoch
+        The epoch in which it leads; 0 where it does not.
+    renewed_s
+        For a leader: seconds since its leadership was last on record.
+    resigned
+        Whether it has just given its leadership back.
+    """
+
+    node: str
+    address: str
+    epoch: int
+    renewed_s: float
+    resigned: bool = False
+
+
+class StatusAsked(_EntryMessage, tag="s"):
+    """Where does a job stand."""
+
+    number: int
+    job: JobId
+
+
+class StatusReply(_EntryMessage, tag="S"):
+    """A job's status; none where it is unknown, and ``is_sure`` if that can be relied on."""
+
+    number: int
+    status: JobStatus | None
+    is_sure: bool
+
+
+class CountAsked(_EntryMessage, tag="c"):
+    """How many jobs of a queue wait."""
+
+    number: int
+    queue: str
+
+
+class CountReply(_EntryMessage, tag="C"):
+    """The count; ``is_sure`` unless the sender does not lead or lags."""
+
+    number: int
+    waiting: int
+    is_sure: bool
+
+
+class AdviceAsked(_EntryMessage, tag="a"):
+    """The leader has a node ask the advice service."""
+
+    number: int
+    job: JobId
+    repetition: int
+    step: int
+    workers: list[str]
+    seconds: float
+
+
+class AdviceReply(_EntryMessage, tag="A"):
+    """The service's answer: tickets by worker; none where there was no answer."""
+
+    number: int
+    tickets: dict[str, str] | None
+
+
+EntryMessage = (
+    Beat | StatusAsked | StatusReply | CountAsked | CountReply | AdviceAsked | AdviceReply
+)
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(EntryMessage)
+
+
+def _decode(data: bytes) -> EntryMessage:
+    try:
+        return _decoder.decode(data)
+    except msgspec.MsgspecError as error:
+        raise InvalidInput(f"not an entry message: {error}") from error
+
+
+ENTRY_MESSAGES = PeerMessages(
+    encode=_encoder.encode,
+    decode=_decode,
+    heartbeat=Beat,
+    questions=(StatusAsked, CountAsked, AdviceAsked),
+    answers=(StatusReply, CountReply, AdviceReply),
+)
--- /dev/null
+++ b/src/snowdock/entry/probes.py
@@ -0,0 +1,67 @@
+"""Readiness probes and metrics, on listeners of their own so that callers cannot crowd them out."""
+
+import threading
+from collections.abc import Callable, Iterable
+
+import waitress
+
+from ..node.http_models import HttpAnswer, json_answer
+from ..node.metrics import Metrics
+
+__all__ = ["METRICS_PORT", "Probes"]
+
+METRICS_PORT = 9464
+"""Where metrics are served; the deploy file names the same port."""
+
+_READY_PATH = "/v1/readiness"
+_METRICS_PATH = "/metrics"
+_THREADS = 2
+
+
+class Probes:
+    """The WSGI application for the balancer's probes and the operators' metrics.
+
+    Parameters
+    ----------
+    ready_address
+        IP number and port of the readiness probes.
+    is_ready
+        Whether new connections are wanted.
+    metrics
+        The node's metrics.
+    """
+
+    def __init__(self, ready_address: str, is_ready: Callable[[], bool], metrics: Metrics) -> None:
+        self._is_ready = is_ready
+        self._metrics = metrics
+        host = ready_address.rpartition(":")[0]
+        self._server = waitress.create_server(
+            self,
+            listen=f"{ready_address} {host}:{METRICS_PORT}",
+            threads=_THREADS,
+            ident=None,
+        )
+
+    def start(self) -> None:
+        """Serve on a thread."""
+        threading.Thread(target=self._server.run, name="probes", daemon=True).start()
+
+    def __call__(self, environ: dict, start_response: Callable) -> Iterable[bytes]:
+        """Answer one request."""
+        answer = self._answer(environ.get("PATH_INFO", ""))
+        phrase = "OK" if answer.status == 200 else "Unavailable"
+        headers = [
+            ("Content-Type", answer.content_type),
+            ("Content-Length", str(len(answer.body))),
+        ]
+        start_response(f"{answer.status} {phrase}", headers)
+        return [answer.body]
+
+    def _answer(self, path: str) -> HttpAnswer:
+        if path == _READY_PATH:
+            ready = self._is_ready()
+            return json_answer({"ready": ready}, 200 if ready else 503)
+        if path == _METRICS_PATH:
+            content, content_type = self._metrics.render()
+            return HttpAnswer(200, content, content_type)
+        return json_answer({"code": "not_found"}, 404)
--- /dev/null
+++ b/src/snowdock/entry/tails.py
@@ -0,0 +1,120 @@
+"""Threads that follow keyed topics of the store."""
+
+import threading
+import time
+from collections.abc import Callable
+
+from ..errors import LogExpired, PlatformError
+from ..node.logs import log_event
+from ..platform.store import KeyedRecord, StoreClient
+
+__all__ = ["Tail"]
+
+_CALL_SECONDS = 1.5
+_RETRY_SECONDS = 0.15
+
+_SNAPSHOT_AFTER_SECONDS = 1.0
+"""After the store was away for this long, all newest records are read: entries that lapsed
+meanwhile may have left no record."""
+
+
+class Tail:
+    """Follows one partition of a keyed topic.
+
+    Parameters
+    ----------
+    store
+        The store.
+    topic, part
+        What is followed.
+    wait_seconds
+        How long one read waits for news.
+    pause_seconds
+        Pause after each read with news, to take several together.
+    take
+        Called with each record, in order.
+    take_all
+        Called with the newest records of all keys: at the start, and where some were missed.
+    """
+
+    def __init__(
+        self,
+        store: StoreClient,
+        topic: str,
+        part: int,
+        wait_seconds: float,
+        pause_seconds: float,
+        take: Callable[[KeyedRecord], None],
+        take_all: Callable[[list[KeyedRecord]], None],
+    ) -> None:
+        self._store = store
+        self._topic = topic
+        self._part = part
+        self._wait_seconds = wait_seconds
+        self._pause_seconds = pause_seconds
+        self._take = take
+        self._take_all = take_all
+        self._next_offset: int | None = None
+        self._read_at = 0.0
+        self._failing_since: float | None = None
+        self._stopped = threading.Event()
+        self._thread = threading.Thread(target=self._run, name=f"tail-{topic}", daemon=True)
+
+    @property
+    def read_at(self) -> float:
+        """The steady time at which the last answered read began, in seconds."""
+        return self._read_at
+
+    def start(self, next_offset: int | None = None) -> None:
+        """Start following from an offset, or from the newest records."""
+        self._next_offset = next_offset
+        self._read_at = time.monotonic()
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Stop following."""
+        self._stopped.set()
+
+    def _run(self) -> None:
+        while not self._stopped.is_set():
+            try:
+                self._step()
+            except LogExpired as error:
+                log_event("history_expired", topic=self._topic, first=error.first)
+                self._next_offset = None
+            except PlatformError as error:
+                self._note_failure(error)
+                self._stopped.wait(_RETRY_SECONDS)
+
+    def _step(self) -> None:
+        began = time.monotonic()
+        if self._next_offset is None:
+            page = self._store.newest(self._topic, self._part, _CALL_SECONDS)
+            self._note_success(began)
+            self._next_offset = page.next_offset
+            self._take_all(page.records)
+            return
+        page = self._store.read(self._topic, self._part, self._next_offset, self._wait_seconds)
+        self._note_success(began)
+        if self._next_offset is None:
+            return
+        self._next_offset = page.next_offset
+        for record in page.records:
+            self._take(record)
+        if page.records and self._pause_seconds:
+            self._stopped.wait(self._pause_seconds)
+
+    def _note_failure(self, error: PlatformError) -> None:
+        if self._failing_since is None:
+            self._failing_since = time.monotonic()
+            log_event("dependency_lost", dependency="store", topic=self._topic, reason=str(error))
+
+    def _note_success(self, began: float) -> None:
+        self._read_at = began
+        if self._failing_since is None:
+            return
+        seconds = time.monotonic() - self._failing_since
+        self._failing_since = None
+        log_event("dependency_regained", dependency="store", topic=self._topic, seconds=seconds)
+        if seconds > _SNAPSHOT_AFTER_SECONDS:
+            self._next_offset = None
--- a/src/snowdock/errors.py
+++ b/src/snowdock/errors.py
@@ -5,7 +5,9 @@
 """
 
 __all__ = [
+    "AppendConflict",
     "BodyTooLarge",
+    "CallUnanswered",
     "ConfigurationConflict",
     "DeclarationError",
     "DeclarationErrors",
@@ -19,9 +21,12 @@
     "Overloaded",
     "PlatformError",
     "PolicyError",
+    "ProducerFenced",
     "SettingsErrors",
+    "SettingsUnreadable",
     "SnowdockError",
     "Starting",
+    "StoreRefused",
     "TokensUnreadable",
     "Unauthorized",
     "UnsupportedMedia",
@@ -168,6 +173,50 @@
         self.first = first
 
 
+class CallUnanswered(PlatformError):
+    """An outside system gave no whole answer; the call may have been carried out.
+
+    Attributes
+    ----------
+    unsent
+        Whether there was not even a connection, so that nothing can have been done.
+    """
+
+    code = "call_unanswered"
+
+    def __init__(self, message: str, unsent: bool) -> None:
+        super().__init__(message)
+        self.unsent = unsent
+
+
+class StoreRefused(PlatformError):
+    """The platform's store turned a call away; nothing was done."""
+
+    code = "store_refused"
+
+
+class AppendConflict(PlatformError):
+    """A conditional append found the partition's end elsewhere; nothing was done."""
+
+    code = "append_conflict"
+
+    def __init__(self, message: str, end: int) -> None:
+        super().__init__(message)
+        self.end = end
+
+
+class ProducerFenced(PlatformError):
+    """Another producer with a higher epoch has taken over; nothing was done."""
+
+    code = "producer_fenced"
+
+
+class SettingsUnreadable(SnowdockError):
+    """The platform's settings file is missing, malformed or incomplete."""
+
+    code = "settings_unreadable"
+
+
 class PolicyError(SnowdockError):
     """A policy program does not compile, fails on a sample, or is too slow."""
 
--- /dev/null
+++ b/src/snowdock/jobs/advising.py
@@ -0,0 +1,138 @@
+"""Advice from outside: which workers may run a step, and when it is worth asking."""
+
+from ..declarations import Size
+from .cell import Advice, Cell, Step
+from .events import AdviceAnswered, AdviceFailed, AskAdvice
+from .orders import AdviceWanted
+from .workers import Worker
+
+__all__ = ["needs_advice", "take_advice", "take_advice_failure", "ticket_holds", "want_advice"]
+
+_MOST_ASKED = 100
+"""The most workers of one question; the service takes no more."""
+
+_TICKET_MARGIN_SECONDS = 0.15
+"""Tickets are taken to expire this much early: a start is recorded, sent and may wait for the
+calls before it to the same worker."""
+
+_RETRY_SECONDS = 0.2
+"""Pause after a question without an answer."""
+
+
+def needs_advice(cell: Cell, step: Step) -> bool:
+    """Whether a step's queue has its placements advised from outside."""
+    terms = cell.queue_of(step.job).advice
+    if terms is None:
+        step.advice = None
+        return False
+    if step.advice is None:
+        step.advice = Advice(terms)
+    return True
+
+
+def ticket_holds(step: Step, worker: Worker, now: float) -> bool:
+    """Whether a start on a worker now would carry a ticket that holds."""
+    return step.advice.valid_ticket(worker.life, now) is not None
+
+
+def want_advice(
+    cell: Cell,
+    step: Step,
+    candidates: list[Worker],
+    wanted: int,
+    claimed: dict[str, Size],
+    now: float,
+) -> None:
+    """Ask about workers, where the answer could lead to a placement now.
+
+    Parameters
+    ----------
+    cell
+        The leader's state.
+    step
+        The step that found no room with the tickets at hand.
+    candidates
+        Workers that may be fit and have no valid ticket.
+    wanted
+        Tasks that are to be placed.
+    claimed
+        Room that steps of a higher rank are waiting to use; what is asked for is added.
+    now
+        The steady clock, in seconds.
+    """
+    advice = step.advice
+    if now < advice.retry_at:
+        return
+    unknown = [worker for worker in candidates if not advice.knows(worker.life)]
+    known = [worker for worker in candidates if advice.knows(worker.life)]
+    roomy = [worker for worker in known if worker.free.holds(step.spec.room)]
+    if unknown:
+        asked = unknown + roomy
+    elif _could_place(step, roomy, wanted, claimed, now):
+        asked = roomy
+    else:
+        return
+    lives = tuple(worker.life for worker in asked[:_MOST_ASKED])
+    advice.asking = True
+    expected_ms = advice.terms.decide_ms + advice.terms.each_ms * len(lives)
+    job, repetition, number = step.key
+    cell.emit(AskAdvice(AdviceWanted(job, repetition, number, lives), expected_ms))
+
+
+def _could_place(
+    step: Step, roomy: list[Worker], wanted: int, claimed: dict[str, Size], now: float
+) -> bool:
+    if not step.spec.gang:
+        return bool(roomy)
+    room = step.spec.room
+    seats = 0
+    for worker in roomy:
+        free = worker.free
+        seats += min(
+            free.cpu // room.cpu if room.cpu else wanted,
+            free.memory // room.memory if room.memory else wanted,
+        )
+    return seats >= wanted
+
+
+def take_advice(cell: Cell, event: AdviceAnswered, now: float) -> None:
+    """Take over the service's answer."""
+    wanted = event.given.wanted
+    step = _find_step(cell, wanted)
+    if step is None or step.advice is None:
+        return
+    advice = step.advice
+    advice.asking = False
+    expires = now + advice.terms.valid_ms / 1000 - _TICKET_MARGIN_SECONDS
+    for life in wanted.workers:
+        ticket = event.given.tickets.get(life)
+        if ticket is None:
+            advice.unfit.add(life)
+            advice.tickets.pop(life, None)
+        else:
+            advice.tickets[life] = (ticket, expires)
+    cell.tell(
+        "advised",
+        wanted.job,
+        step=wanted.step,
+        asked=len(wanted.workers),
+        fit=len(event.given.tickets),
+    )
+    cell.placing_wanted = True
+
+
+def take_advice_failure(cell: Cell, event: AdviceFailed, now: float) -> None:
+    """Ask again a little later."""
+    step = _find_step(cell, event.wanted)
+    if step is None or step.advice is None:
+        return
+    step.advice.asking = False
+    step.advice.retry_at = now + _RETRY_SECONDS
+    cell.tell("advice_failed", event.wanted.job, step=event.wanted.step)
+
+
+def _find_step(cell: Cell, wanted: AdviceWanted) -> Step | None:
+    job = cell.jobs.get(wanted.job)
+    if job is None or wanted.repetition >= len(job.repetitions):
+        return None
+    return job.repetitions[wanted.repetition][wanted.step]
--- /dev/null
+++ b/src/snowdock/jobs/cell.py
@@ -0,0 +1,318 @@
+"""The leader's state: jobs, steps, tasks, workers, and what is not yet on record."""
+
+import dataclasses
+import enum
+from collections.abc import Callable
+
+from .events import Decided, Effect, PublishStatus
+from .model import AdviceTerms, Configuration, JobId, JobStatus, Queue, StepSpec, TaskId
+from .progress import AcceptedJob
+from .workers import Worker
+
+__all__ = [
+    "Advice",
+    "Cell",
+    "CellSettings",
+    "HeldRenewal",
+    "HeldStart",
+    "Job",
+    "Orphan",
+    "Phase",
+    "Policy",
+    "Step",
+    "StepKey",
+    "Stop",
+    "Task",
+]
+
+
+class Phase(enum.Enum):
+    """Where a task stands."""
+
+    WAITING = "waiting"
+    RECORDED = "recorded"
+    """Placed, but the placement is not on record yet, so nothing was ordered."""
+    ORDERED = "ordered"
+    """The start is on its way."""
+    UNSURE = "unsure"
+    """The start was not answered: the run may be there, or come later."""
+    RUNNING = "running"
+    STOPPING = "stopping"
+    DONE = "done"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CellSettings:
+    """Times that the leader goes by, in seconds.
+
+    Attributes
+    ----------
+    lease_s
+        The lease that each renewal asks for.
+    takeover_lapse_s
+        After a takeover: when runs on a worker that was never reached are surely over.
+    gang_wait_s
+        How long a member of a gang waits for the others.
+    early_s
+        How far ahead of its time a repetition may start.
+    stop_s
+        The longest that a worker takes to stop a run.
+    retention_s
+        How long a job stays known after its end.
+    """
+
+    lease_s: float
+    takeover_lapse_s: float
+    gang_wait_s: float
+    early_s: float
+    stop_s: float
+    retention_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Policy:
+    """The decisions that operators program.
+
+    Attributes
+    ----------
+    rank
+        (step, now) -> a number; the highest is placed first.
+    score
+        (step, worker, tasks of the step there) -> a number, the highest wins; None for unfit.
+    backoff_seconds
+        (step, failures) -> seconds until the next try.
+    """
+
+    rank: Callable[["Step", float], float]
+    score: Callable[["Step", Worker, int], float | None]
+    backoff_seconds: Callable[["Step", int], float]
+
+
+StepKey = tuple[JobId, int, int]
+
+
+@dataclasses.dataclass(slots=True)
+class Advice:
+    """What the advice service has told about a step.
+
+    Attributes
+    ----------
+    terms
+        How the service answers.
+    tickets
+        Ticket and the steady time of its expiry, by worker, for those that may run it.
+    unfit
+        Workers that may not.
+    asking
+        Whether a question is on its way.
+    retry_at
+        When to ask again after a failure.
+    """
+
+    terms: AdviceTerms
+    tickets: dict[str, tuple[str, float]] = dataclasses.field(default_factory=dict)
+    unfit: set[str] = dataclasses.field(default_factory=set)
+    asking: bool = False
+    retry_at: float = 0.0
+
+    def knows(self, life: str) -> bool:
+        """Whether the service has told about a worker."""
+        return life in self.tickets or life in self.unfit
+
+    def valid_ticket(self, life: str, now: float) -> str | None:
+        """Give a worker's ticket if it still holds."""
+        found = self.tickets.get(life)
+        return found[0] if found is not None and found[1] > now else None
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Task:
+    """One task and its current run."""
+
+    id: TaskId
+    step: "Step"
+    phase: Phase = Phase.WAITING
+    run: int = 0
+    life: str = ""
+    failures: int = 0
+    checkpoint: str = ""
+    since: float = 0.0
+    percent: float = 0.0
+    avoid: set[str] | None = None
+
+    @property
+    def is_placed(self) -> bool:
+        """Whether a run of it is, or may be, at a worker."""
+        return bool(self.life)
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Step:
+    """One step of one repetition of a job."""
+
+    job: "Job"
+    repetition: int
+    number: int
+    spec: StepSpec
+    tasks: list[Task] = dataclasses.field(default_factory=list)
+    done: int = 0
+    advice: Advice | None = None
+    rank: float = 0.0
+    not_before: float = 0.0
+    failed_run: int = 0
+    ordered_at: float = 0.0
+    shown: dict[str, object] | None = None
+
+    @property
+    def key(self) -> StepKey:
+        """Names the step."""
+        return (self.job.id, self.repetition, self.number)
+
+    @property
+    def is_done(self) -> bool:
+        """Whether all its tasks have ended well."""
+        return self.done == len(self.tasks)
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Job:
+    """A job that is on record.
+
+    Attributes
+    ----------
+    submitted_at
+        When it was taken in, on this node's steady clock.
+    final_at
+        When it ended, on this node's steady clock.
+    """
+
+    id: JobId
+    accepted: AcceptedJob
+    submitted_at: float
+    status: JobStatus = JobStatus.PENDING
+    repetitions: list[list[Step]] = dataclasses.field(default_factory=list)
+    final_at: float = 0.0
+
+    @property
+    def queue(self) -> str:
+        """The name of its queue."""
+        return self.accepted.spec.queue
+
+    def all_tasks(self):
+        """Give all tasks of all repetitions so far."""
+        for steps in self.repetitions:
+            for step in steps:
+                yield from step.tasks
+
+
+@dataclasses.dataclass(slots=True)
+class Stop:
+    """A run that is to end; ``answered_at`` is None until the worker has answered."""
+
+    sent_at: float
+    answered_at: float | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HeldStart:
+    """A start that waits for its placement to be on record."""
+
+    task: Task
+    run: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HeldRenewal:
+    """Ends of a worker that wait to be on record before the worker may forget them."""
+
+    life: str
+    seen_ends: int
+
+
+Held = HeldStart | HeldRenewal | Effect
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Orphan:
+    """A run that an earlier leader placed on a worker that is not known here yet."""
+
+    task: Task
+    run: int
+
+
+class Cell:
+    """All that a leader knows; changed by the reducer only.
+
+    Parameters
+    ----------
+    settings
+        The times it goes by.
+    token
+        This leader's fencing token.
+    policy
+        The decisions that operators program.
+    now
+        The steady clock, in seconds.
+    """
+
+    def __init__(self, settings: CellSettings, token: int, policy: Policy, now: float) -> None:
+        self.settings = settings
+        self.token = token
+        self.policy = policy
+        self.started_at = now
+        self.now = now
+        self.configuration = Configuration(0)
+        self.jobs: dict[JobId, Job] = {}
+        self.final_jobs: dict[JobId, float] = {}
+        self.cancelled_ahead: set[JobId] = set()
+        self.workers: dict[str, Worker] = {}
+        self.ended_lives: set[str] = set()
+        self.orphans: dict[str, list[Orphan]] = {}
+        self.waiting: dict[StepKey, Step] = {}
+        self.scheduled: dict[JobId, Job] = {}
+        self.stops: dict[tuple[str, TaskId, int], Stop] = {}
+        self.dirty: dict[JobId, Job] = {}
+        self.held: list[Held] = []
+        self.batch = 0
+        self.batch_held: list[Held] | None = None
+        self.effects: list[Effect] = []
+        self.placing_wanted = False
+        self.placed_at = 0.0
+        self.ranked_at = 0.0
+
+    def emit(self, effect: Effect) -> None:
+        """Want something done now."""
+        self.effects.append(effect)
+
+    def tell(self, decision: str, subject: str, **fields: object) -> None:
+        """Log a decision."""
+        self.effects.append(Decided(decision, subject, tuple(fields.items())))
+
+    def publish(self, job: Job) -> None:
+        """Show a job's status to callers now."""
+        self.effects.append(PublishStatus(job.id, job.queue, job.status))
+
+    def find_task(self, task: TaskId) -> Task | None:
+        """Give a task, or None where its job or number is unknown."""
+        job = self.jobs.get(task.job)
+        if job is None or task.repetition >= len(job.repetitions):
+            return None
+        steps = job.repetitions[task.repetition]
+        if task.step >= len(steps) or task.index >= len(steps[task.step].tasks):
+            return None
+        return steps[task.step].tasks[task.index]
+
+    def queue_of(self, job: Job) -> Queue:
+        """Give a job's queue; where it was removed, the terms at the time of taking in."""
+        found = self.configuration.queue_named(job.queue)
+        if found is not None:
+            return found
+        accepted = job.accepted
+        return Queue(
+            name=job.queue,
+            host="",
+            path_prefix="",
+            service=accepted.service,
+            priority=accepted.priority,
+            max_attempts=accepted.max_attempts,
+        )
--- /dev/null
+++ b/src/snowdock/jobs/policy.py
@@ -0,0 +1,109 @@
+"""The decisions that policy programs make about jobs."""
+
+from collections.abc import Callable
+
+from ..declarations import Declarations
+from ..declarations import Policy as PolicyChoice
+from ..policies import Alarm, PolicyBook
+from .cell import Cell, Policy, Step
+from .workers import Worker
+
+__all__ = ["make_policy", "objective_seconds"]
+
+_PROGRAM = "deadline_first.star"
+_HIGHEST_PRIORITY = 100
+_PRIORITY_STEP = 10
+"""A queue's priority 0 is shown to programs as 100, 1 as 90 and so on: there the highest
+number goes first."""
+
+_FRACTION_STEPS = 20
+"""Free fractions are rounded to this many steps, so that scores can be remembered."""
+
+
+def make_policy(alarm: Callable[[Alarm], None], cell_of: Callable[[], Cell]) -> Policy:
+    """Make the decisions of a leader from the shipped programs.
+
+    Parameters
+    ----------
+    alarm
+        Told of each failure of a program.
+    cell_of
+        Gives the leader's state, for the terms of queues.
+    """
+    choice = PolicyChoice(_PROGRAM)
+    book = PolicyBook(alarm)
+    book.replace(Declarations(policies={"batch": choice, "gang": choice}))
+
+    def rank(step: Step, now: float) -> float:
+        return book.call(_kind(step), "rank", _describe(cell_of(), step, now))
+
+    def score(step: Step, worker: Worker, there: int) -> float | None:
+        work = _describe(cell_of(), step, step.job.submitted_at)
+        return book.score(_kind(step), work, _show_worker(worker, there))
+
+    def backoff_seconds(step: Step, failures: int) -> float:
+        work = _describe(cell_of(), step, step.job.submitted_at)
+        return book.call(_kind(step), "backoff_seconds", work, failures)
+
+    return Policy(rank, score, backoff_seconds)
+
+
+def _kind(step: Step) -> str:
+    if step.spec.long_running:
+        return "service"
+    return "gang" if step.spec.gang else "batch"
+
+
+def _chain_ms(step: Step) -> float:
+    """Give the estimated longest chain of work from a step on."""
+    specs = step.job.accepted.spec.steps
+    longest = [float(spec.estimate_ms) for spec in specs]
+    for number in reversed(range(len(specs))):
+        for earlier in specs[number].after:
+            longest[earlier] = max(longest[earlier], specs[earlier].estimate_ms + longest[number])
+    return longest[step.number]
+
+
+def objective_seconds(cell: Cell, step: Step) -> float:
+    """Give the time within which a step's job is to be done, as far as estimates tell."""
+    queue = cell.queue_of(step.job)
+    specs = step.job.accepted.spec.steps
+    steps = [Step(step.job, 0, number, spec) for number, spec in enumerate(specs)]
+    chain_ms = max(map(_chain_ms, steps))
+    return (queue.stretch * chain_ms + queue.target_latency_ms) / 1000
+
+
+def _describe(cell: Cell, step: Step, now: float) -> dict[str, object]:
+    spec = step.spec
+    queue = cell.queue_of(step.job)
+    waited = now - step.job.submitted_at
+    objective = max(0.001, objective_seconds(cell, step))
+    return {
+        "kind": _kind(step),
+        "name": f"{queue.name}/{step.number}/{spec.size.cpu}/{spec.size.memory}",
+        "team": "",
+        "tasks": spec.count,
+        "cpu": spec.size.cpu / 1000,
+        "memory_gb": spec.size.memory / 1024,
+        "accelerators": spec.size.accelerators,
+        "run_seconds": spec.estimate_ms / 1000,
+        "priority": _HIGHEST_PRIORITY - _PRIORITY_STEP * queue.priority,
+        "urgent": False,
+        "waited_seconds": waited,
+        "slack_seconds": objective - waited - _chain_ms(step) / 1000,
+        "overdue": waited / objective,
+    }
+
+
+def _show_worker(worker: Worker, there: int) -> dict[str, object]:
+    """Show a worker to a program, coarsely, so that equal ones look equal."""
+    capacity = worker.entry.capacity.cpu or 1
+    fraction = worker.free.cpu / capacity
+    return {
+        "free_fraction": round(fraction * _FRACTION_STEPS) / _FRACTION_STEPS,
+        "failure_streak": worker.failure_streak,
+        "same_vm": there,
+        "same_rack": there,
+        "same_hall": there,
+        "accelerators": worker.entry.capacity.accelerators,
+    }
--- /dev/null
+++ b/src/snowdock/jobs/progress.py
@@ -0,0 +1,115 @@
+"""The durable record of a job's progress, and of its being taken in or cancelled."""
+
+import msgspec
+
+from ..errors import InvalidInput
+from .model import JobId, JobSpec, JobStatus
+
+__all__ = [
+    "CANCEL_PREFIX",
+    "AcceptedJob",
+    "JobProgress",
+    "TaskProgress",
+    "cancel_key",
+    "decode_accepted",
+    "decode_progress",
+    "encode",
+]
+
+CANCEL_PREFIX = "cancel."
+"""Begins the key of a record that cancels a job."""
+
+
+class AcceptedJob(msgspec.Struct, frozen=True, array_like=True):
+    """A job as it was taken in; written once, by the node that took it in.
+
+    Attributes
+    ----------
+    spec
+        What was submitted.
+    accepted_ms
+        The taking node's time of day, in ms since 1970.
+    service, priority, max_attempts
+        The queue's terms at that time, for when the queue itself is gone.
+    """
+
+    spec: JobSpec
+    accepted_ms: int
+    service: str
+    priority: int
+    max_attempts: int
+
+
+class TaskProgress(msgspec.Struct, array_like=True):
+    """Where one task stands.
+
+    Attributes
+    ----------
+    repetition, step, index
+        Which task of the job.
+    run
+        The number of its last start; 0 before the first.
+    life
+        The worker's life on which that run is or may be; empty where there is none.
+    done
+        Whether a run ended well.
+    failures
+        Runs that ended failed.
+    checkpoint
+        Where the next run goes on from; empty for the start.
+    """
+
+    repetition: int
+    step: int
+    index: int
+    run: int = 0
+    life: str = ""
+    done: bool = False
+    failures: int = 0
+    checkpoint: str = ""
+
+
+class JobProgress(msgspec.Struct, array_like=True):
+    """Where a job stands: its status, and each task that was ever started."""
+
+    status: JobStatus
+    tasks: list[TaskProgress]
+
+
+def cancel_key(job: JobId) -> str:
+    """Give the key of the record that cancels a job."""
+    return f"{CANCEL_PREFIX}{job}"
+
+
+def encode(record: AcceptedJob | JobProgress) -> bytes:
+    """Encode a durable record."""
+    return msgspec.msgpack.encode(record)
+
+
+def decode_accepted(data: bytes) -> AcceptedJob:
+    """Decode a job as it was taken in.
+
+    Raises
+    ------
+    InvalidInput
+        If the record does not fit.
+    """
+    return _decode(data, AcceptedJob)
+
+
+def decode_progress(data: bytes) -> JobProgress:
+    """Decode a job's progress.
+
+    Raises
+    ------
+    InvalidInput
+        If the record does not fit.
+    """
+    return _decode(data, JobProgress)
+
+
+def _decode(data: bytes, kind: type):
+    try:
+        return msgspec.msgpack.decode(data, type=kind)
+    except msgspec.MsgspecError as error:
+        raise InvalidInput(f"a durable record does not fit {kind.__name__}: {error}") from error
--- /dev/null
+++ b/src/snowdock/jobs/reducer.py
@@ -0,0 +1,167 @@
+"""One reducer over all events of a leader; what it wants done are effects."""
+
+from .advising import take_advice, take_advice_failure
+from .cell import Cell, Job, Phase
+from .durability import flush, take_persisted
+from .events import (
+    AdviceAnswered,
+    AdviceFailed,
+    ConfigurationChanged,
+    DropJobs,
+    Effect,
+    Event,
+    JobAccepted,
+    JobCancelled,
+    Persisted,
+    RenewAnswered,
+    StartAnswered,
+    StopAnswered,
+    Ticked,
+    WorkerDelisted,
+    WorkerListed,
+)
+from .placing import place_waiting
+from .runs import abort_gang, cancel_job, open_repetition, open_steps
+from .worker_events import (
+    delist_worker,
+    list_worker,
+    take_renewal,
+    take_start_answer,
+    take_stop_answer,
+    watch_workers,
+)
+
+__all__ = ["accept_job", "reduce"]
+
+_GANG_PATIENCE = 0.6
+"""Share of a gang's waiting time after which its run is given up: what is left is for the
+stops to arrive before a member ends by waiting too long."""
+
+
+def reduce(cell: Cell, event: Event, now: float, wall_ms: float) -> list[Effect]:
+    """Take one event over into the state, and give what is to be done.
+
+    Parameters
+    ----------
+    cell
+        The state, changed in place.
+    event
+        What happened.
+    now
+        The steady clock, in seconds.
+    wall_ms
+        The time of day, in ms since 1970.
+    """
+    cell.now = now
+    _apply(cell, event, now, wall_ms)
+    if cell.placing_wanted or isinstance(event, Ticked):
+        place_waiting(cell, now)
+    flush(cell)
+    effects, cell.effects = cell.effects, []
+    return effects
+
+
+def _apply(cell: Cell, event: Event, now: float, wall_ms: float) -> None:
+    match event:
+        case RenewAnswered():
+            take_renewal(cell, event, now)
+        case StartAnswered():
+            take_start_answer(cell, event, now)
+        case Persisted(number):
+            take_persisted(cell, number, now)
+        case AdviceAnswered():
+            take_advice(cell, event, now)
+        case AdviceFailed():
+            take_advice_failure(cell, event, now)
+        case JobAccepted():
+            accept_job(cell, event, now, wall_ms)
+        case JobCancelled(job):
+            _cancel(cell, job, now)
+        case StopAnswered():
+            take_stop_answer(cell, event, now)
+        case WorkerListed(entry):
+            list_worker(cell, entry, now)
+        case WorkerDelisted(life):
+            delist_worker(cell, life, now)
+        case ConfigurationChanged(configuration):
+            if configuration.version > cell.configuration.version:
+                cell.configuration = configuration
+                cell.tell("configuration", str(configuration.version))
+                cell.placing_wanted = True
+        case Ticked():
+            _tick(cell, now, wall_ms)
+
+
+def accept_job(cell: Cell, event: JobAccepted, now: float, wall_ms: float) -> Job:
+    """Take a job over; one that is known already stays as it is."""
+    known = cell.jobs.get(event.job)
+    if known is not None:
+        return known
+    job = Job(event.job, event.accepted, now)
+    cell.jobs[job.id] = job
+    cell.publish(job)
+    cell.tell("job_taken", job.id, queue=job.queue, steps=len(event.accepted.spec.steps))
+    if event.job in cell.cancelled_ahead:
+        cancel_job(cell, job, now)
+    elif event.accepted.spec.repetitions:
+        cell.scheduled[job.id] = job
+        _open_due(cell, job, wall_ms)
+    else:
+        open_steps(cell, open_repetition(job, 0))
+    return job
+
+
+def _open_due(cell: Cell, job: Job, wall_ms: float) -> None:
+    spec = job.accepted.spec
+    while len(job.repetitions) < spec.repetitions:
+        due_ms = spec.first_due_ms + len(job.repetitions) * spec.interval_ms
+        if wall_ms < due_ms:
+            return
+        open_steps(cell, open_repetition(job, len(job.repetitions)))
+    cell.scheduled.pop(job.id, None)
+
+
+def _cancel(cell: Cell, job_id: str, now: float) -> None:
+    job = cell.jobs.get(job_id)
+    if job is None:
+        cell.cancelled_ahead.add(job_id)
+    else:
+        cancel_job(cell, job, now)
+
+
+def _tick(cell: Cell, now: float, wall_ms: float) -> None:
+    watch_workers(cell, now)
+    for job in list(cell.scheduled.values()):
+        _open_due(cell, job, wall_ms)
+    _give_up_late_gangs(cell, now)
+    _forget_old_jobs(cell, now)
+
+
+def _give_up_late_gangs(cell: Cell, now: float) -> None:
+    patience = cell.settings.gang_wait_s * _GANG_PATIENCE
+    late = set()
+    for worker in cell.workers.values():
+        for task_id, run in worker.runs:
+            task = cell.find_task(task_id)
+            if task is None or task.run != run or task.phase is not Phase.ORDERED:
+                continue
+            if task.step.spec.gang and now - task.since > patience:
+                late.add(task.step.key)
+    for job, repetition, number in late:
+        step = cell.jobs[job].repetitions[repetition][number]
+        cell.tell("gang_given_up", job, step=number)
+        abort_gang(cell, step, now)
+
+
+def _forget_old_jobs(cell: Cell, now: float) -> None:
+    old = []
+    for job, final_at in cell.final_jobs.items():
+        if now - final_at < cell.settings.retention_s:
+            break
+        old.append(job)
+    for job in old:
+        del cell.final_jobs[job]
+        cell.jobs.pop(job, None)
+        cell.cancelled_ahead.discard(job)
+    if old:
+        cell.emit(DropJobs(tuple(old)))
--- /dev/null
+++ b/src/snowdock/jobs/runs.py
@@ -0,0 +1,253 @@
+"""How runs end and what follows for their tasks, steps and jobs."""
+
+from .cell import Cell, HeldRenewal, Job, Phase, Step, Stop, Task
+from .durability import mark
+from .events import PublishStatus, SendStop
+from .model import JobStatus, TaskId
+from .orders import EndedRun, EndKind, StopOrder
+from .workers import Worker
+
+__all__ = [
+    "abort_gang",
+    "acknowledge_ends",
+    "cancel_job",
+    "lose_runs",
+    "open_repetition",
+    "open_steps",
+    "stop_run",
+    "take_end",
+    "void_run",
+]
+
+_SHUN_STREAK = 3
+"""Failures in a row after which a worker gets nothing new for a while: a step's own faults
+rarely come three in a row (a few in a hundred runs fail)."""
+
+_SHUN_SECONDS = 2.0
+_LONGEST_SHUN_SECONDS = 8.0
+
+
+def open_repetition(job: Job, repetition: int) -> list[Step]:
+    """Make the steps and tasks of one repetition."""
+    steps = []
+    for number, spec in enumerate(job.accepted.spec.steps):
+        step = Step(job, repetition, number, spec)
+        step.tasks = [
+            Task(TaskId(job.id, repetition, number, index), step) for index in range(spec.count)
+        ]
+        steps.append(step)
+    job.repetitions.append(steps)
+    return steps
+
+
+def open_steps(cell: Cell, steps: list[Step]) -> None:
+    """Queue the steps of a repetition whose earlier steps are done."""
+    for step in steps:
+        if step.is_done or not all(steps[earlier].is_done for earlier in step.spec.after):
+            continue
+        if any(task.phase is Phase.WAITING for task in step.tasks):
+            _queue(cell, step)
+
+
+def _queue(cell: Cell, step: Step) -> None:
+    if step.job.status.is_final:
+        return
+    if step.spec.gang and any(task.is_placed for task in step.tasks):
+        return
+    if step.key not in cell.waiting:
+        cell.waiting[step.key] = step
+        step.rank = cell.policy.rank(step, cell.now)
+    cell.placing_wanted = True
+
+
+# -- ends ----------------------------------------------------------------------------------
+
+
+def take_end(cell: Cell, worker: Worker, end: EndedRun, now: float) -> None:
+    """Take over an end that a worker lists."""
+    worker.release(end.task, end.run)
+    cell.stops.pop((worker.life, end.task, end.run), None)
+    cell.placing_wanted = True
+    _note_health(worker, end, now)
+    task = cell.find_task(end.task)
+    if task is None or task.run != end.run or task.life != worker.life:
+        return
+    task.life = ""
+    job = task.step.job
+    mark(cell, job)
+    if end.checkpoint:
+        task.checkpoint = end.checkpoint
+    cell.tell(
+        "run_ended",
+        job.id,
+        task=task.id,
+        run=end.run,
+        how=end.kind.value,
+        worker=worker.life,
+        number=end.number,
+    )
+    if task.phase is Phase.DONE:
+        return
+    if end.kind is EndKind.DONE and not task.step.spec.long_running:
+        _finish(cell, task, now)
+        return
+    if end.kind is EndKind.FAILED and not task.step.spec.long_running:
+        _note_failure(cell, task, worker.life, now)
+    if not job.status.is_final:
+        _wait_again(cell, task, now)
+
+
+def _note_health(worker: Worker, end: EndedRun, now: float) -> None:
+    if end.kind is EndKind.DONE:
+        worker.failure_streak = 0
+    elif end.kind is EndKind.FAILED:
+        worker.failure_streak += 1
+        extra = worker.failure_streak - _SHUN_STREAK
+        if extra >= 0:
+            shun = min(_SHUN_SECONDS * 2**extra, _LONGEST_SHUN_SECONDS)
+            worker.shunned_until = now + shun
+
+
+def _finish(cell: Cell, task: Task, now: float) -> None:
+    step = task.step
+    # One member's good end is that of its whole gang.
+    finished = step.tasks if step.spec.gang else [task]
+    for each in finished:
+        if each.phase is not Phase.DONE:
+            each.phase = Phase.DONE
+            step.done += 1
+    if not step.is_done or step.job.status.is_final:
+        return
+    cell.waiting.pop(step.key, None)
+    job = step.job
+    steps = job.repetitions[step.repetition]
+    if all(each.is_done for each in steps):
+        _complete_if_whole(cell, job, now)
+    else:
+        open_steps(cell, steps)
+
+
+def _complete_if_whole(cell: Cell, job: Job, now: float) -> None:
+    wanted = max(1, job.accepted.spec.repetitions)
+    if len(job.repetitions) < wanted:
+        return
+    if all(step.is_done for steps in job.repetitions for step in steps):
+        _conclude(cell, job, JobStatus.COMPLETED, now)
+
+
+def _note_failure(cell: Cell, task: Task, life: str, now: float) -> None:
+    """Count a failed run; the job fails where its queue allows no more."""
+    step = task.step
+    if task.avoid is None:
+        task.avoid = set()
+    task.avoid.add(life)
+    if not step.spec.gang:
+        task.failures += 1
+    elif step.failed_run != task.run:
+        # A gang's run fails once, however many of its members do; all carry its count.
+        step.failed_run = task.run
+        for each in step.tasks:
+            each.failures += 1
+    step.not_before = now + cell.policy.backoff_seconds(step, task.failures)
+    attempts = cell.queue_of(step.job).max_attempts
+    if task.failures >= attempts and not step.job.status.is_final:
+        _conclude(cell, step.job, JobStatus.FAILED, now)
+
+
+def _wait_again(cell: Cell, task: Task, now: float) -> None:
+    task.phase = Phase.WAITING
+    task.since = now
+    task.percent = 0.0
+    step = task.step
+    if step.spec.gang:
+        abort_gang(cell, step, now)
+    _queue(cell, step)
+
+
+def abort_gang(cell: Cell, step: Step, now: float) -> None:
+    """Stop all members of a gang's run; it waits again once all of them have ended."""
+    for task in step.tasks:
+        if task.phase in (Phase.ORDERED, Phase.UNSURE, Phase.RUNNING, Phase.RECORDED):
+            stop_run(cell, task, now)
+    _queue(cell, step)
+
+
+def stop_run(cell: Cell, task: Task, now: float) -> None:
+    """Stop a task's current run, or drop it where nothing was ordered yet."""
+    if not task.is_placed:
+        return
+    if task.phase is Phase.RECORDED:
+        _drop_run(cell, task)
+        return
+    task.phase = Phase.STOPPING
+    key = (task.life, task.id, task.run)
+    if key not in cell.stops:
+        cell.stops[key] = Stop(now)
+        cell.emit(SendStop(task.life, StopOrder(task.id, task.run, cell.token)))
+
+
+def _drop_run(cell: Cell, task: Task) -> None:
+    worker = cell.workers.get(task.life)
+    if worker is not None:
+        worker.release(task.id, task.run)
+    cell.stops.pop((task.life, task.id, task.run), None)
+    cell.placing_wanted = True
+    task.life = ""
+    if task.phase is not Phase.DONE:
+        task.phase = Phase.WAITING
+    mark(cell, task.step.job)
+
+
+def void_run(cell: Cell, task: Task, now: float) -> None:
+    """Close a run that never started or is surely over; it counts as no attempt."""
+    _drop_run(cell, task)
+    if task.phase is not Phase.DONE and not task.step.job.status.is_final:
+        _wait_again(cell, task, now)
+
+
+def lose_runs(cell: Cell, worker: Worker, now: float, reason: str) -> None:
+    """All runs on a worker are surely over, and how they ended is not known."""
+    if worker.runs:
+        cell.tell("runs_lost", worker.life, count=len(worker.runs), reason=reason)
+    for task_id, run in list(worker.runs):
+        worker.release(task_id, run)
+        cell.stops.pop((worker.life, task_id, run), None)
+        task = cell.find_task(task_id)
+        if task is not None and task.run == run and task.life == worker.life:
+            void_run(cell, task, now)
+
+
+# -- jobs ----------------------------------------------------------------------------------
+
+
+def cancel_job(cell: Cell, job: Job, now: float) -> None:
+    """Cancel a job that has not ended."""
+    if not job.status.is_final:
+        _conclude(cell, job, JobStatus.CANCELLED, now)
+
+
+def _conclude(cell: Cell, job: Job, status: JobStatus, now: float) -> None:
+    job.status = status
+    job.final_at = now
+    cell.final_jobs[job.id] = now
+    cell.scheduled.pop(job.id, None)
+    for steps in job.repetitions:
+        for step in steps:
+            cell.waiting.pop(step.key, None)
+    for task in job.all_tasks():
+        if task.phase is not Phase.DONE:
+            stop_run(cell, task, now)
+    mark(cell, job)
+    cell.held.append(PublishStatus(job.id, job.queue, status))
+    cell.tell(
+        "job_ended",
+        job.id,
+        status=status.name.lower(),
+        queue=job.queue,
+        seconds=now - job.submitted_at,
+    )
+
+
+def acknowledge_ends(cell: Cell, worker: Worker) -> None:
+    """Let a worker forget the ends taken over from it, once they are on record."""
+    cell.held.append(HeldRenewal(worker.life, worker.known_ends))
--- /dev/null
+++ b/src/snowdock/jobs/takeover.py
@@ -0,0 +1,88 @@
+"""A new leader's state, made from what is on record."""
+
+import dataclasses
+
+from .cell import Cell, Job, Orphan, Phase
+from .events import JobAccepted
+from .model import JobId, JobStatus
+from .progress import AcceptedJob, JobProgress, TaskProgress
+from .reducer import accept_job
+from .runs import cancel_job, open_repetition, open_steps
+
+__all__ = ["RecordedJobs", "restore"]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RecordedJobs:
+    """All that the store keeps of jobs: taken in, cancelled, and how far they are."""
+
+    accepted: dict[JobId, AcceptedJob]
+    cancelled: set[JobId]
+    progress: dict[JobId, JobProgress]
+
+
+def restore(cell: Cell, recorded: RecordedJobs, now: float, wall_ms: float) -> None:
+    """Fill a new leader's state; call before any event.
+
+    Runs that an earlier leader placed count as running until their worker tells otherwise.
+    """
+    cell.now = now
+    for job_id, accepted in recorded.accepted.items():
+        progress = recorded.progress.get(job_id)
+        if progress is None:
+            accept_job(cell, JobAccepted(job_id, accepted), now, wall_ms)
+            if job_id in recorded.cancelled:
+                cancel_job(cell, cell.jobs[job_id], now)
+            continue
+        _restore_job(cell, job_id, accepted, progress, now, wall_ms)
+        if job_id in recorded.cancelled:
+            cancel_job(cell, cell.jobs[job_id], now)
+    cell.cancelled_ahead |= recorded.cancelled - recorded.accepted.keys()
+
+
+def _restore_job(
+    cell: Cell,
+    job_id: JobId,
+    accepted: AcceptedJob,
+    progress: JobProgress,
+    now: float,
+    wall_ms: float,
+) -> None:
+    age_s = max(0.0, (wall_ms - accepted.accepted_ms) / 1000)
+    job = Job(job_id, accepted, now - age_s, progress.status)
+    cell.jobs[job_id] = job
+    if job.status.is_final:
+        job.final_at = now
+        cell.final_jobs[job_id] = now
+    spec = accepted.spec
+    reached = max((record.repetition + 1 for record in progress.tasks), default=0)
+    while len(job.repetitions) < max(reached, 0 if spec.repetitions else 1):
+        open_repetition(job, len(job.repetitions))
+    for record in progress.tasks:
+        _restore_task(cell, job, record)
+    if any(record.run for record in progress.tasks) and job.status is JobStatus.PENDING:
+        job.status = JobStatus.RUNNING
+    cell.publish(job)
+    if job.status.is_final:
+        return
+    if spec.repetitions:
+        cell.scheduled[job_id] = job
+    for steps in job.repetitions:
+        for step in steps:
+            step.done = sum(task.phase is Phase.DONE for task in step.tasks)
+        open_steps(cell, steps)
+
+
+def _restore_task(cell: Cell, job: Job, record: TaskProgress) -> None:
+    task = job.repetitions[record.repetition][record.step].tasks[record.index]
+    task.run = record.run
+    task.failures = record.failures
+    task.checkpoint = record.checkpoint
+    if record.done:
+        task.phase = Phase.DONE
+    if not record.life:
+        return
+    task.life = record.life
+    if not record.done:
+        task.phase = Phase.RUNNING
+    cell.orphans.setdefault(record.life, []).append(Orphan(task, record.run))
--- /dev/null
+++ b/src/snowdock/jobs/workers.py
@@ -0,0 +1,140 @@
+"""What a leader knows of one life of a worker."""
+
+import dataclasses
+
+from ..declarations import ZERO, Size
+from .model import TaskId
+
+__all__ = ["SLOWEST_CLOCK_RATE", "Worker", "WorkerEntry"]
+
+SLOWEST_CLOCK_RATE = 0.975
+"""A worker's steady clock may run 2 % slow; half a percent is left for the node's own."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WorkerEntry:
+    """A worker as it records itself.
+
+    Attributes
+    ----------
+    life
+        Names one life of the worker; a restart gets another one.
+    service, address, hall, rack
+        Its pool, IP number and port, data hall and rack.
+    labels
+        All its labels, the rack's included.
+    capacity
+        All its room.
+    draining
+        Whether it is about to leave and takes nothing new.
+    remaining_ms
+        While it drains: the least time left; None where not told.
+    """
+
+    life: str
+    service: str
+    address: str
+    hall: str
+    rack: str
+    labels: frozenset[str]
+    capacity: Size
+    draining: bool = False
+    remaining_ms: float | None = None
+
+
+@dataclasses.dataclass(slots=True)
+class Worker:
+    """One life of a worker, as the leader sees it.
+
+    Attributes
+    ----------
+    entry
+        What it last recorded of itself.
+    used
+        Room taken by all that runs, may run, or is being stopped there.
+    runs
+        Room by (task, run) of all that is or may be there.
+    listed
+        Whether the store still lists it; ``delisted_at`` tells since when not.
+    settled
+        Whether it has answered a renewal with this leader's token since it was last lost.
+    clock_ms, clock_at
+        Its clock in an answer, and the steady time in seconds when that answer came.
+    lease_until_ms
+        The latest lease end that was ever sent to it, on its clock.
+    seen_ends
+        Ends up to this number are on record.
+    known_ends
+        Ends up to this number have been taken over, but may not be on record yet.
+    renewing
+        Whether a renewal is on its way.
+    next_renew_at
+        When the next renewal is due, in steady seconds.
+    next_wait_ms
+        How long the next renewal may wait at the worker.
+    silent_since
+        When a call first found no answer; None while it answers.
+    failure_streak
+        Runs that failed or were refused there in a row.
+    shunned_until
+        Until when nothing new is placed there, in steady seconds.
+    """
+
+    entry: WorkerEntry
+    first_seen_at: float
+    used: Size = ZERO
+    runs: dict[tuple[TaskId, int], Size] = dataclasses.field(default_factory=dict)
+    listed: bool = True
+    delisted_at: float = 0.0
+    settled: bool = False
+    clock_ms: float = 0.0
+    clock_at: float = 0.0
+    lease_until_ms: float = 0.0
+    seen_ends: int = 0
+    known_ends: int = 0
+    renewing: bool = False
+    next_renew_at: float = 0.0
+    next_wait_ms: int = 0
+    silent_since: float | None = None
+    failure_streak: int = 0
+    shunned_until: float = 0.0
+
+    @property
+    def life(self) -> str:
+        """Names this life of the worker."""
+        return self.entry.life
+
+    @property
+    def free(self) -> Size:
+        """Room that nothing takes."""
+        return self.entry.capacity.minus(self.used)
+
+    def take(self, task: TaskId, run: int, size: Size) -> None:
+        """Count a run's room as taken."""
+        if (task, run) not in self.runs:
+            self.runs[task, run] = size
+            self.used = self.used.plus(size)
+
+    def release(self, task: TaskId, run: int) -> None:
+        """Give a run's room back, if it was taken."""
+        size = self.runs.pop((task, run), None)
+        if size is not None:
+            self.used = self.used.minus(size)
+
+    def note_clock(self, clock_ms: float, now: float) -> None:
+        """Remember the worker's clock from an answer that came now."""
+        if clock_ms > 0 and clock_ms >= self.clock_ms:
+            self.clock_ms = clock_ms
+            self.clock_at = now
+
+    def lease_end(self, now: float, lease_s: float) -> int:
+        """Give the end of a lease from now on, on the worker's clock."""
+        until = self.clock_ms + (now - self.clock_at + lease_s) * 1000
+        return int(until)
+
+    def is_surely_lapsed(self, now: float) -> bool:
+        """Whether every lease ever sent is over, however slow the worker's clock runs."""
+        if not self.clock_ms:
+            return False
+        earliest = self.clock_ms + (now - self.clock_at) * 1000 * SLOWEST_CLOCK_RATE
+        return earliest > self.lease_until_ms
--- a/src/snowdock/node/daemon.py
+++ b/src/snowdock/node/daemon.py
@@ -27,8 +27,8 @@
 from .messages import PeerHeard, PeerIdle, Propose, StateLoaded, Tick, View
 from .metrics import Metrics
 from .parts import Parts
-from .peer_messages import Heartbeat, StateGiven, StateWanted
-from .peers import Peers
+from .peer_messages import NODE_MESSAGES, Heartbeat, StateGiven, StateWanted
+from .peers import PeerOptions, Peers
 from .requests import RequestHandler
 from .router import Router
 from .state_actor import StateActor
@@ -77,7 +77,18 @@
         )
         self._parts.api_address = f"{host}:{self._server.effective_port}"
         self._parts.fail = self._fail
-        self._peers = Peers(self._parts, self._answer_peer, self._heard)
+        self._peers = Peers(
+            PeerOptions(
+                listen=node.peer,
+                beat_seconds=timing.heartbeat_ms / 1000,
+                public_key=settings.security.peer_public_key,
+                secret_key=settings.security.peer_secret_key,
+            ),
+            NODE_MESSAGES,
+            self._answer_peer,
+            self._heard,
+            self._make_beat,
+        )
         self._requests.set_peers(self._peers)
         self._parts.peers_changed = self._set_peers
         parts = self._parts
@@ -116,7 +127,6 @@
 
     def _fail(self) -> None:
         """End at once: nothing is given back, as if the process had been killed."""
-        sys.stderr.flush()
         self._failed = True
         self._stopping.set()
 
@@ -145,6 +155,19 @@
             {name: member.peer_address for name, member in members.items() if name != own}
         )
 
+    def _make_beat(self) -> Heartbeat:
+        parts = self._parts
+        digest_offset, digest = parts.digest
+        return Heartbeat(
+            self._settings.node.name,
+            parts.incarnation,
+            parts.applied_offset,
+            digest_offset,
+            digest,
+            parts.reaches_log,
+            parts.idle_slots,
+        )
+
     def _heard(self, beat: Heartbeat) -> None:
         self._parts.state.tell(
             PeerHeard(
@@ -230,7 +253,7 @@
     if options.check:
         print("the settings are good")
         return
-    start_logging(settings.node.name)
+    log_sink = start_logging(settings.node.name)
     try:
         node = Node(settings)
     except TokensUnreadable as error:
@@ -239,7 +262,7 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, lambda *_: node.stop())
     status = node.run()
-    sys.stderr.flush()
+    log_sink.close()
     # Threads that wait for outside systems may not end by themselves.
     os._exit(status)
 
--- a/src/snowdock/node/logs.py
+++ b/src/snowdock/node/logs.py
@@ -1,15 +1,31 @@
-"""Logs by eliot, written as one line of key=value pairs for each event."""
+"""Logs by eliot, written as one line of key=value pairs for each event.
 
+Lines are written by a thread of their own, and each kind of event has a budget a second: a
+full pipe or a storm of events costs lines, never service.
+"""
+
+import queue
 import sys
+import threading
+import time
 from typing import TextIO
 
 import eliot
 import msgspec
 
-__all__ = ["log_error", "log_event", "start_logging"]
+__all__ = ["LogSink", "format_line", "log_error", "log_event", "start_logging"]
 
 _LEFT_OUT = ("task_uuid", "task_level", "message_type")
 
+_QUEUED_LINES = 5000
+"""Lines that wait for the stream: some seconds of the busiest node, about 1 MB."""
+
+_LINES_A_SECOND = 100
+"""Lines of one kind in a second; a leader places about as many steps at full load."""
+
+_ERROR_LINES_A_SECOND = 200
+_CLOSE_SECONDS = 0.5
+
 
 def _format_value(value: object) -> str:
     if isinstance(value, float):
@@ -33,18 +49,108 @@
     return " ".join(f"{key}={_format_value(value)}" for key, value in pairs.items())
 
 
-def start_logging(node: str, stream: TextIO = sys.stderr) -> None:
+class _Budget:
+    """Lets so many lines of a kind through in each second, and counts the others."""
+
+    def __init__(self) -> None:
+        self._second = 0
+        self._used: dict[str, int] = {}
+        self._left_out: dict[str, int] = {}
+        self._lock = threading.Lock()
+
+    def admit(self, event: str, most: int) -> tuple[bool, dict[str, int]]:
+        """Tell whether a line may be written, and what the last second left out."""
+        second = int(time.monotonic())
+        with self._lock:
+            told: dict[str, int] = {}
+            if second != self._second:
+                self._second = second
+                told, self._left_out = self._left_out, {}
+                self._used.clear()
+            used = self._used.get(event, 0)
+            self._used[event] = used + 1
+            if used >= most:
+                self._left_out[event] = self._left_out.get(event, 0) + 1
+            return used < most, told
+
+
+_budget = _Budget()
+
+
+class LogSink:
+    """Writes lines to a stream on a thread of its own.
+
+    Parameters
+    ----------
+    stream
+        Where lines go; while it takes none, lines wait, and beyond a bound are dropped.
+    """
+
+    def __init__(self, stream: TextIO) -> None:
+        self._stream = stream
+        self._lines: queue.Queue[str | None] = queue.Queue(_QUEUED_LINES)
+        self._dropped = 0
+        self._thread = threading.Thread(target=self._run, name="logs", daemon=True)
+        self._thread.start()
+
+    @property
+    def dropped(self) -> int:
+        """Lines that found the queue full."""
+        return self._dropped
+
+    def write(self, line: str) -> None:
+        """Hand a line over; never waits."""
+        try:
+            self._lines.put_nowait(line)
+        except queue.Full:
+            self._dropped += 1
+
+    def close(self) -> None:
+        """Write what waits, within a bounded time."""
+        try:
+            self._lines.put(None, timeout=_CLOSE_SECONDS)
+        except queue.Full:
+            return
+        self._thread.join(_CLOSE_SECONDS)
+
+    def _run(self) -> None:
+        told = 0
+        while (line := self._lines.get()) is not None:
+            dropped = self._dropped
+            try:
+                if dropped > told:
+                    self._stream.write(f"event=log_lines_dropped count={dropped - told}\n")
+                    told = dropped
+                self._stream.write(line + "\n")
+                if self._lines.empty():
+                    self._stream.flush()
+            except (OSError, ValueError):
+                # Nobody reads any more, and there is nowhere to say so.
+                return
+
+
+def start_logging(node: str, stream: TextIO = sys.stderr) -> LogSink:
     """Send all events to a stream, each with the node's name."""
+    sink = LogSink(stream)
     eliot.add_global_fields(node=node)
-    eliot.add_destinations(lambda message: print(format_line(message), file=stream, flush=True))
+    eliot.add_destinations(lambda message: sink.write(format_line(message)))
+    return sink
+
+
+def _log(event: str, most: int, fields: dict[str, object]) -> None:
+    admitted, left_out = _budget.admit(event, most)
+    if left_out:
+        eliot.log_message(message_type="log_lines_left_out", level="info", counts=left_out)
+    if admitted:
+        eliot.log_message(message_type=event, **fields)
 
 
 def log_event(event: str, **fields: object) -> None:
     """Log an ordinary event."""
-    eliot.log_message(message_type=event, level="info", **fields)
+    _log(event, _LINES_A_SECOND, {"level": "info", **fields})
 
 
 def log_error(event: str, error: object, **fields: object) -> None:
     """Log an event that an operator should look at."""
     problem = f"{type(error).__name__}: {error}" if isinstance(error, Exception) else str(error)
-    eliot.log_message(message_type=event, level="error", problem=problem, **fields)
+    _log(event, _ERROR_LINES_A_SECOND, {"level": "error", "problem": problem, **fields})
--- a/src/snowdock/node/peer_messages.py
+++ b/src/snowdock/node/peer_messages.py
@@ -3,8 +3,10 @@
 import msgspec
 
 from ..errors import InvalidInput
+from .peers import PeerMessages
 
 __all__ = [
+    "NODE_MESSAGES",
     "AnswerGiven",
     "AnswerWanted",
     "CallAnswered",
@@ -137,3 +139,12 @@
         return _decoder.decode(data)
     except msgspec.MsgspecError as error:
         raise InvalidInput(f"not a peer message: {error}") from error
+
+
+NODE_MESSAGES = PeerMessages(
+    encode=encode_peer_message,
+    decode=decode_peer_message,
+    heartbeat=Heartbeat,
+    questions=(StateWanted, CallForwarded, AnswerWanted),
+    answers=(StateGiven, CallAnswered, AnswerGiven),
+)
--- a/src/snowdock/node/peers.py
+++ b/src/snowdock/node/peers.py
@@ -16,29 +16,62 @@
 
 from ..errors import InvalidInput, PlatformError
 from .logs import log_error
-from .parts import Parts
-from .peer_messages import (
-    AnswerGiven,
-    AnswerWanted,
-    CallAnswered,
-    CallForwarded,
-    Heartbeat,
-    PeerMessage,
-    StateGiven,
-    StateWanted,
-    decode_peer_message,
-    encode_peer_message,
-)
-
-__all__ = ["Peers"]
+
+__all__ = ["PeerMessages", "PeerOptions", "Peers"]
 
 _MAX_QUEUED_MESSAGES = 1000
 _MAX_MESSAGE_BYTES = 64 * 1024 * 1024
 _ANSWERERS = 16
-_POLL_MS = 250
+_LONGEST_POLL_SECONDS = 0.25
+
+_LINK_HEARTBEAT_MS = 500
+_LINK_TIMEOUT_MS = 1500
+"""A connection without a sign of life for this long is made anew: a peer without power says
+nothing, and TCP alone would wait for minutes."""
+
+_RECONNECT_MS = 100
+_LONGEST_RECONNECT_MS = 1000
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PeerOptions:
+    """Where a node listens for peers, and what it needs of them.
+
+    Attributes
+    ----------
+    listen
+        IP number and port.
+    beat_seconds
+        Time between heartbeats.
+    public_key, secret_key
+        The cluster's keys in Z85; empty for connections without them.
+    """
 
-Answer = StateGiven | CallAnswered | AnswerGiven
-Question = StateWanted | CallForwarded | AnswerWanted
+    listen: str
+    beat_seconds: float
+    public_key: str = ""
+    secret_key: str = ""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PeerMessages:
+    """The messages that peers exchange.
+
+    Attributes
+    ----------
+    encode, decode
+        The codec; decoding raises `InvalidInput`.
+    heartbeat
+        The type of heartbeats.
+    questions, answers
+        The types of questions and of answers; each has a ``number``.
+    """
+
+    encode: Callable[[object], bytes]
+    decode: Callable[[bytes], object]
+    heartbeat: type
+    questions: tuple[type, ...]
+    answers: tuple[type, ...]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -93,23 +126,31 @@
 
     Parameters
     ----------
-    parts
-        The node.
+    options
+        Where to listen, and how often to send heartbeats.
+    messages
+        What is exchanged.
     answer
         Makes the answer to a question; called on one of a few threads.
     heard
         Called with each heartbeat.
+    make_beat
+        Makes the heartbeat to send.
     """
 
     def __init__(
         self,
-        parts: Parts,
-        answer: Callable[[Question], Answer | None],
-        heard: Callable[[Heartbeat], None],
+        options: PeerOptions,
+        messages: PeerMessages,
+        answer: Callable[[object], object | None],
+        heard: Callable[[object], None],
+        make_beat: Callable[[], object],
     ) -> None:
-        self._parts = parts
+        self._options = options
+        self._messages = messages
         self._answer = answer
         self._heard = heard
+        self._make_beat = make_beat
         self._context = zmq.Context()
         self._outgoing: queue.SimpleQueue[_Outgoing] = queue.SimpleQueue()
         self._wake_lock = threading.Lock()
@@ -119,7 +160,7 @@
         self._wake.connect("inproc://wake")
         self._authenticator = self._start_authenticator()
         self._listener = self._socket(zmq.ROUTER)
-        self._listener.bind(f"tcp://{parts.settings.node.peer}")
+        self._listener.bind(f"tcp://{options.listen}")
         self._dealers: dict[str, zmq.Socket] = {}
         self._addresses: dict[str, str] = {}
         self._numbers = itertools.count(1)
@@ -132,7 +173,7 @@
 
     def _start_authenticator(self) -> ThreadAuthenticator | None:
         """Let only holders of the cluster's keys in, if there are keys."""
-        public = self._parts.settings.security.peer_public_key
+        public = self._options.public_key
         if not public:
             return None
         authenticator = ThreadAuthenticator(self._context)
@@ -142,14 +183,19 @@
 
     def _socket(self, kind: int) -> zmq.Socket:
         socket = self._context.socket(kind)
-        security = self._parts.settings.security
-        if security.peer_public_key:
-            socket.curve_publickey = security.peer_public_key.encode()
-            socket.curve_secretkey = security.peer_secret_key.encode()
+        options = self._options
+        if options.public_key:
+            socket.curve_publickey = options.public_key.encode()
+            socket.curve_secretkey = options.secret_key.encode()
             if kind == zmq.ROUTER:
                 socket.curve_server = True
             else:
-                socket.curve_serverkey = security.peer_public_key.encode()
+                socket.curve_serverkey = options.public_key.encode()
+        socket.heartbeat_ivl = _LINK_HEARTBEAT_MS
+        socket.heartbeat_timeout = _LINK_TIMEOUT_MS
+        socket.connect_timeout = _LINK_TIMEOUT_MS
+        socket.reconnect_ivl = _RECONNECT_MS
+        socket.reconnect_ivl_max = _LONGEST_RECONNECT_MS
         socket.linger = 0
         socket.sndhwm = socket.rcvhwm = _MAX_QUEUED_MESSAGES
         socket.maxmsgsize = _MAX_MESSAGE_BYTES
@@ -172,7 +218,7 @@
         """Name the peers and where they listen."""
         self._hand_over(_Addresses(dict(addresses)))
 
-    def ask(self, node: str, make: Callable[[int], Question], timeout: float) -> Answer:
+    def ask(self, node: str, make: Callable[[int], object], timeout: float) -> object:
         """Send a question to a peer and wait for the answer.
 
         Raises
@@ -184,7 +230,7 @@
         future = pykka.ThreadingFuture()
         with self._questions_lock:
             self._questions[number] = future
-        self._hand_over(_Ask(node, encode_peer_message(make(number))))
+        self._hand_over(_Ask(node, self._messages.encode(make(number))))
         try:
             return future.get(timeout=timeout)
         except pykka.Timeout as error:
@@ -193,7 +239,7 @@
             with self._questions_lock:
                 self._questions.pop(number, None)
 
-    def ask_address(self, address: str, make: Callable[[int], Question], timeout: float) -> Answer:
+    def ask_address(self, address: str, make: Callable[[int], object], timeout: float) -> object:
         """Ask a peer that is known by its address only."""
         self._hand_over(_Connect(address))
         return self.ask(address, make, timeout)
@@ -209,7 +255,7 @@
         poller.register(self._listener, zmq.POLLIN)
         poller.register(self._woken, zmq.POLLIN)
         while not self._stopped.is_set():
-            for socket, _ in poller.poll(_POLL_MS):
+            for socket, _ in poller.poll(self._poll_ms()):
                 try:
                     self._serve(socket)
                 except (InvalidInput, ValueError) as error:
@@ -223,15 +269,19 @@
                     socket.close()
             self._beat()
 
+    def _poll_ms(self) -> int:
+        until_beat = max(0.0, self._next_beat - time.monotonic())
+        return int(min(until_beat, _LONGEST_POLL_SECONDS) * 1000) + 1
+
     def _serve(self, socket: zmq.Socket) -> None:
         if socket is self._woken:
             socket.recv()
             self._send_outgoing()
         elif socket is self._listener:
             sender, data = socket.recv_multipart()
-            self._take(sender, decode_peer_message(data))
+            self._take(sender, self._messages.decode(data))
         else:
-            self._take_answer(decode_peer_message(socket.recv()))
+            self._take_answer(self._messages.decode(socket.recv()))
 
     def _send_outgoing(self) -> None:
         while not self._outgoing.empty():
@@ -269,19 +319,19 @@
         self._dealers[node] = socket
         self._addresses[node] = address
 
-    def _take(self, sender: bytes, message: PeerMessage) -> None:
-        if isinstance(message, Heartbeat):
+    def _take(self, sender: bytes, message: object) -> None:
+        if isinstance(message, self._messages.heartbeat):
             self._heard(message)
-        elif isinstance(message, Question):
+        elif isinstance(message, self._messages.questions):
             self._answerers.submit(self._answer_one, sender, message)
 
-    def _answer_one(self, sender: bytes, question: Question) -> None:
+    def _answer_one(self, sender: bytes, question: object) -> None:
         answer = self._answer(question)
         if answer is not None:
-            self._hand_over(_Reply(sender, encode_peer_message(answer)))
+            self._hand_over(_Reply(sender, self._messages.encode(answer)))
 
-    def _take_answer(self, message: PeerMessage) -> None:
-        if not isinstance(message, Answer):
+    def _take_answer(self, message: object) -> None:
+        if not isinstance(message, self._messages.answers):
             return
         with self._questions_lock:
             future = self._questions.pop(message.number, None)
@@ -292,19 +342,7 @@
         now = time.monotonic()
         if now < self._next_beat:
             return
-        parts = self._parts
-        self._next_beat = now + parts.settings.timing.heartbeat_ms / 1000
-        digest_offset, digest = parts.digest
-        data = encode_peer_message(
-            Heartbeat(
-                parts.settings.node.name,
-                parts.incarnation,
-                parts.applied_offset,
-                digest_offset,
-                digest,
-                parts.reaches_log,
-                parts.idle_slots,
-            )
-        )
+        self._next_beat = now + self._options.beat_seconds
+        data = self._messages.encode(self._make_beat())
         for dealer in self._dealers.values():
             self._try_send(dealer, [data])
--- /dev/null
+++ b/src/snowdock/platform/advice.py
@@ -0,0 +1,47 @@
+"""The external service that tells which workers may run a step."""
+
+import msgspec
+
+from ..errors import PlatformError, StoreRefused
+from ..jobs.orders import AdviceGiven, AdviceWanted
+from .http_pool import HttpPool
+
+__all__ = ["AdviceClient"]
+
+
+class _Answer(msgspec.Struct):
+    # Rows of worker and ticket.
+    good: list[tuple[str, str]] = []
+
+
+class AdviceClient:
+    """Asks the advice service; it handles one call of this node at a time."""
+
+    def __init__(self, address: str) -> None:
+        headers = {"Content-Type": "application/json"}
+        self._http = HttpPool(address, 1, headers) if address else None
+
+    def ask(self, wanted: AdviceWanted, seconds: float) -> AdviceGiven:
+        """Ask which of some workers may run a step.
+
+        Raises
+        ------
+        StoreRefused
+            If the service turned the call away.
+        CallUnanswered, PlatformError
+            If there is no usable answer.
+        """
+        if self._http is None:
+            raise PlatformError("the settings name no advice service")
+        step = f"{wanted.job}.{wanted.repetition}.{wanted.step}"
+        body = msgspec.json.encode({"step": step, "workers": wanted.workers})
+        reply = self._http.call("POST", "/v1/advise", body, seconds)
+        if reply.status in (429, 503):
+            raise StoreRefused(f"the advice service answered {reply.status}")
+        if reply.status != 200:
+            raise PlatformError(f"the advice service answered {reply.status}")
+        try:
+            answer = msgspec.json.decode(reply.data, type=_Answer)
+        except msgspec.MsgspecError as error:
+            raise PlatformError(f"advice does not fit: {error}") from error
+        return AdviceGiven(wanted, dict(answer.good))
--- /dev/null
+++ b/src/snowdock/platform/node_settings.py
@@ -0,0 +1,151 @@
+"""The platform's settings file for one process, decoded into types."""
+
+import os
+import pathlib
+import tomllib
+
+import msgspec
+
+from ..errors import SettingsUnreadable
+
+__all__ = ["SETTINGS_VARIABLE", "NodeEnvironment", "StoreTerms", "read_node_environment"]
+
+SETTINGS_VARIABLE = "SNOWDOCK_CONFIG"
+"""The environment variable that holds the file's path."""
+
+
+class _Listen(msgspec.Struct):
+    front: str = ""
+    ready: str = ""
+
+
+class _Bounds(msgspec.Struct):
+    hold_max_ms: float = 6000
+    stop_timeout_ms: float = 400
+    gang_timeout_ms: float = 3000
+    grace_s: float = 6
+    early_ms: float = 250
+    contact_ms: float = 3000
+    lease_ms: float = 3000
+    status_s: float = 120
+
+
+class _Limits(msgspec.Struct):
+    max_fds: int = 1024
+    memory_mb: int = 256
+
+
+class StoreTerms(msgspec.Struct, frozen=True):
+    """What the platform's store takes.
+
+    Attributes
+    ----------
+    address
+        IP number and port.
+    record_bytes, call_bytes
+        The most bytes of one record and of one append.
+    parts
+        Partitions of each topic.
+    """
+
+    address: str
+    record_bytes: int = 262_144
+    call_bytes: int = 2_097_152
+    parts: int = 1
+
+
+class _File(msgspec.Struct):
+    node: str
+    ip: str
+    zone: str
+    listen: _Listen
+    platform: StoreTerms
+    port_range: tuple[int, int]
+    bounds: _Bounds = msgspec.field(default_factory=_Bounds)
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+    advice: str = ""
+    bootstrap: bool = False
+    heartbeat_ms: float = 1500
+
+
+class NodeEnvironment(msgspec.Struct, frozen=True):
+    """Where and within which bounds a node runs.
+
+    Attributes
+    ----------
+    node, ip, hall
+        Its name, its own IP number and its data hall.
+    front_address, ready_address
+        Where callers, and the balancer's readiness probes, connect.
+    peer_address
+        Where other nodes connect.
+    advice_address
+        The external advice service; empty where there is none.
+    store
+        The platform's store.
+    lease_limit_s
+        The longest lease that a worker grants, in seconds.
+    stop_s
+        The longest that a worker takes to stop a run, in seconds.
+    gang_wait_s
+        How long a member of a gang waits for the others, in seconds.
+    grace_s
+        Time between the request to stop and the kill, in seconds.
+    early_s
+        How far ahead of its time a repetition may start, in seconds.
+    worker_heartbeat_s
+        How often a worker renews its entry in the store, in seconds.
+    max_descriptors
+        Open files and sockets of the process.
+    """
+
+    node: str
+    ip: str
+    hall: str
+    front_address: str
+    ready_address: str
+    peer_address: str
+    advice_address: str
+    store: StoreTerms
+    lease_limit_s: float
+    stop_s: float
+    gang_wait_s: float
+    grace_s: float
+    early_s: float
+    worker_heartbeat_s: float
+    max_descriptors: int
+
+
+def read_node_environment(path: str | None = None) -> NodeEnvironment:
+    """Read the file that the platform names, or the one given.
+
+    Raises
+    ------
+    SettingsUnreadable
+        If the variable is not set, or the file is missing, malformed or incomplete.
+    """
+    path = path or os.environ.get(SETTINGS_VARIABLE, "")
+    if not path:
+        raise SettingsUnreadable(f"{SETTINGS_VARIABLE} is not set")
+    try:
+        raw = tomllib.loads(pathlib.Path(path).read_text(encoding="utf-8"))
+        file = msgspec.convert(raw, _File, strict=False)
+    except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError, msgspec.MsgspecError) as error:
+        raise SettingsUnreadable(f"{path}: {error}") from error
+    return NodeEnvironment(
+        node=file.node,
+        ip=file.ip,
+        hall=file.zone,
+        front_address=file.listen.front,
+        ready_address=file.listen.ready,
+        peer_address=f"{file.ip}:{file.port_range[0]}",
+        advice_address=file.advice,
+        store=file.platform,
+        lease_limit_s=file.bounds.hold_max_ms / 1000,
+        stop_s=file.bounds.stop_timeout_ms / 1000,
+        gang_wait_s=file.bounds.gang_timeout_ms / 1000,
+        grace_s=file.bounds.grace_s,
+        early_s=file.bounds.early_ms / 1000,
+        worker_heartbeat_s=file.heartbeat_ms / 1000,
+        max_descriptors=file.limits.max_fds,
+    )
--- /dev/null
+++ b/src/snowdock/platform/store.py
@@ -0,0 +1,243 @@
+"""The platform's store: a partitioned log with keyed topics."""
+
+import base64
+import dataclasses
+import struct
+from urllib.parse import quote
+
+import msgspec
+
+from ..errors import (
+    AppendConflict,
+    CallUnanswered,
+    LogExpired,
+    PlatformError,
+    ProducerFenced,
+    StoreRefused,
+)
+from .http_pool import HttpPool, HttpReply
+
+__all__ = ["KeyedRecord", "Producer", "StoreClient", "StorePage"]
+
+_LENGTH = struct.Struct(">I")
+_BOUNDS = struct.Struct(">QQ")
+_LONG_POLL_SLACK_SECONDS = 1.0
+"""How much longer than its wait a long poll may take before it counts as unanswered."""
+
+_REFUSALS = (429, 503, 507)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class KeyedRecord:
+    """A record of a keyed topic; ``value`` is None where the key was dropped."""
+
+    key: str
+    value: bytes | None
+    offset: int = -1
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StorePage:
+    """Records read, and the offset from which to read on."""
+
+    records: list[KeyedRecord]
+    next_offset: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Producer:
+    """Who appends: a higher epoch shuts out all lower ones of the same name."""
+
+    name: str
+    epoch: int
+    sequence: int
+
+
+class _Appended(msgspec.Struct):
+    offset: int = -1
+    end: int = -1
+
+
+class _Conflict(msgspec.Struct):
+    reason: str = ""
+    end: int = -1
+    first: int = 0
+
+
+class _Item(msgspec.Struct):
+    key: str
+    offset: int
+    value: str = ""
+
+
+class _Newest(msgspec.Struct):
+    items: list[_Item]
+    has_more: bool
+    end: int
+
+
+def _frame(record: KeyedRecord) -> bytes:
+    key = record.key.encode()
+    body = bytes((len(key),)) + key + (record.value or b"")
+    return _LENGTH.pack(len(body)) + body
+
+
+def _unframe(data: bytes, first_offset: int) -> list[KeyedRecord]:
+    records = []
+    position = 0
+    while position + _LENGTH.size <= len(data):
+        (length,) = _LENGTH.unpack_from(data, position)
+        position += _LENGTH.size
+        body = data[position : position + length]
+        position += length
+        key_end = 1 + body[0]
+        value = body[key_end:]
+        key = body[1:key_end].decode("utf-8", "replace")
+        records.append(KeyedRecord(key, value or None, first_offset + len(records)))
+    return records
+
+
+def _decode(reply: HttpReply, kind: type):
+    try:
+        return msgspec.json.decode(reply.data, type=kind)
+    except msgspec.MsgspecError as error:
+        raise PlatformError(f"the store's answer does not fit: {error}") from error
+
+
+class StoreClient:
+    """Appends to and reads from topics of the store.
+
+    Parameters
+    ----------
+    address
+        IP number and port of the store.
+    connections
+        Calls at the same time that keep their connections.
+    """
+
+    def __init__(self, address: str, connections: int) -> None:
+        self._connections = connections
+        self._http = HttpPool(address, connections)
+
+    def move(self, address: str) -> None:
+        """Call another address from now on."""
+        self._http = HttpPool(address, self._connections)
+
+    def append(
+        self,
+        topic: str,
+        part: int,
+        records: list[KeyedRecord],
+        seconds: float,
+        *,
+        producer: Producer | None = None,
+        expected_end: int | None = None,
+    ) -> int:
+        """Append records, all or none, and give the offset of the first.
+
+        Parameters
+        ----------
+        topic, part
+            The keyed topic and its partition.
+        records
+            What to append; none only sets the producer's epoch.
+        seconds
+            The longest wait.
+        producer
+            Makes a repeated call harmless, and shuts out those with a lower epoch.
+        expected_end
+            Append only if the partition ends here.
+
+        Raises
+        ------
+        StoreRefused
+            If nothing was done.
+        AppendConflict
+            If the partition ends elsewhere, or the sequence number does not follow.
+        ProducerFenced
+            If a higher epoch was seen.
+        CallUnanswered
+            If it may have been done, or may still be.
+        """
+        target = f"/v1/log-append?topic={quote(topic)}&part={part}"
+        if producer is not None:
+            target += (
+                f"&producer={quote(producer.name)}&epoch={producer.epoch}&seq={producer.sequence}"
+            )
+        if expected_end is not None:
+            target += f"&as_of={expected_end}"
+        body = b"".join(map(_frame, records))
+        reply = self._http.call("POST", target, body, seconds)
+        if reply.status == 200:
+            return _decode(reply, _Appended).offset
+        self._raise_for(reply)
+        raise CallUnanswered(f"append answered {reply.status}", False)
+
+    @staticmethod
+    def _raise_for(reply: HttpReply) -> None:
+        if reply.status in _REFUSALS:
+            raise StoreRefused(f"the store answered {reply.status}")
+        if reply.status == 412:
+            raise AppendConflict("the partition ends elsewhere", _decode(reply, _Conflict).end)
+        if reply.status == 409:
+            conflict = _decode(reply, _Conflict)
+            if conflict.reason == "fenced":
+                raise ProducerFenced("a producer with a higher epoch has appended")
+            raise AppendConflict(f"append conflict: {conflict.reason}", conflict.end)
+        if reply.status == 410:
+            raise LogExpired("these records are gone", _decode(reply, _Conflict).first)
+        if 400 <= reply.status < 500:
+            raise PlatformError(f"the store answered {reply.status}: {reply.data[:200]!r}")
+
+    def read(self, topic: str, part: int, offset: int, wait_seconds: float) -> StorePage:
+        """Read records from an offset on, waiting a while for the first.
+
+        Raises
+        ------
+        LogExpired
+            If records from there on are gone; read the newest of each key.
+        StoreRefused, CallUnanswered, PlatformError
+            If there is no usable answer.
+        """
+        wait_ms = round(wait_seconds * 1000)
+        target = f"/v1/log-read?topic={quote(topic)}&part={part}&from={offset}&wait_ms={wait_ms}"
+        seconds = wait_seconds + _LONG_POLL_SLACK_SECONDS
+        reply = self._http.call("GET", target, None, seconds)
+        if reply.status != 200:
+            self._raise_for(reply)
+            raise CallUnanswered(f"read answered {reply.status}", False)
+        end, _first = _BOUNDS.unpack_from(reply.data)
+        records = _unframe(reply.data[_BOUNDS.size :], offset)
+        # A page may stop before the end; where there is nothing, the end is where to go on.
+        next_offset = offset + len(records) if records else max(offset, end)
+        return StorePage(records, next_offset)
+
+    def newest(self, topic: str, part: int, seconds: float) -> StorePage:
+        """Read the newest record of each key, page by page.
+
+        The pages are no snapshot: records appended meanwhile may show or not. ``next_offset``
+        is the end before the first page, so that reading on from it misses nothing.
+
+        Raises
+        ------
+        StoreRefused, CallUnanswered, PlatformError
+            If there is no usable answer.
+        """
+        found: list[KeyedRecord] = []
+        first_end = None
+        after = ""
+        while True:
+            target = f"/v1/log-newest?topic={quote(topic)}&part={part}"
+            if after:
+                target += f"&after={quote(after)}"
+            reply = self._http.call("GET", target, None, seconds)
+            if reply.status != 200:
+                self._raise_for(reply)
+                raise CallUnanswered(f"newest answered {reply.status}", False)
+            page = _decode(reply, _Newest)
+            first_end = page.end if first_end is None else first_end
+            for item in page.items:
+                found.append(KeyedRecord(item.key, base64.b64decode(item.value), item.offset))
+            if not page.has_more or not page.items:
+                return StorePage(found, first_end)
+            after = page.items[-1].key
--- a/src/snowdock/policies.py
+++ b/src/snowdock/policies.py
@@ -41,6 +41,8 @@
     "priority": 50,
     "urgent": False,
     "waited_seconds": 12.0,
+    "slack_seconds": 3.0,
+    "overdue": 0.5,
 }
 _SAMPLE_VM = {
     "free_fraction": 0.5,
--- /dev/null
+++ b/src/snowdock/programs/deadline_first.star
@@ -0,0 +1,23 @@
+# For jobs with an objective: urgent queues first, then what has least time left. What is late
+# already is worth little and goes behind what can still be in time.
+
+def admit(work):
+    return True
+
+def rank(work):
+    base = work["priority"] * 100
+    if work["overdue"] > 3.0:
+        base -= 100000
+    elif work["overdue"] > 1.0 or work["slack_seconds"] < -0.5:
+        base -= 10000
+    return base - min(max(work["slack_seconds"], -60.0), 60.0)
+
+def score(work, vm):
+    # Best fit: large free rooms stay whole for large tasks.
+    return 1.0 - vm["free_fraction"] - vm["failure_streak"] * 0.2
+
+def preempt(work, victim):
+    return ""
+
+def backoff_seconds(work, failures):
+    return min(2.0, 0.05 * (1 << failures))
