Ask for advice in the order of rank, patiently, and from all nodes after a restart

Questions were asked in the order jobs arrived, so a backlog stood before fresh lookups; impatient questions (0.4 s) were repeated while the service still worked on the abandoned ones; and a leader elected after all nodes had restarted had heard its peers before it won, so it never connected to them.

Change: at most two questions a node on their way, highest rank first; long ones on two thirds of the nodes; 2.5 s of patience; a new leader connects to all peers it has heard; a record read at start is not taken for a sign of life.

--- a/src/snowdock/entry/advisers.py
+++ b/src/snowdock/entry/advisers.py
@@ -3,8 +3,8 @@
 The service handles one call of a node at a time, in turn, so one node alone would queue.
 """
 
+import collections
 import concurrent.futures
-import dataclasses
 import threading
 import time
 from collections.abc import Callable
@@ -20,13 +20,23 @@
 
 __all__ = ["Advisers", "LocalAdviser"]
 
-_SLACK_SECONDS = 0.4
-"""How much longer than told an answer may take before another node is asked."""
+_ASKERS = 64
+"""Threads that wait for answers; at most one for each node is busy."""
 
-_MOST_BEHIND_SECONDS = 2.0
-"""A question that would begin later than this is not asked yet."""
+_SLACK_SECONDS = 2.5
+"""How much longer than told an answer may take before it counts as lost. The service goes on
+with a question that nobody waits for any more, and the node's next one queues behind it: an
+impatient caller would lose each answer in turn."""
 
-_ASKERS = 32
+_PEER_SLACK_SECONDS = 0.3
+"""How much longer than the peer itself waits: the way there and back."""
+
+_LONG_SECONDS = 0.05
+"""A question that takes longer is a long one: it could hold up several short ones."""
+
+_LONG_SHARE = 0.67
+"""The most of the nodes that long questions may occupy at a time, so that a short one, for a
+job with a person waiting, always finds a node soon."""
 
 
 class LocalAdviser:
@@ -46,16 +56,8 @@
             return self._client.ask(wanted, seconds)
 
 
-@dataclasses.dataclass(slots=True)
-class _Asker:
-    """A node that can ask, and when it will have answered all it was given."""
-
-    node: str
-    busy_until: float = 0.0
-
-
 class Advisers:
-    """Gives each question to the node that is free first.
+    """Gives each question to a free node; one question a node at a time.
 
     Parameters
     ----------
@@ -88,51 +90,63 @@
         self._live_nodes = live_nodes
         self._post = post
         self._metrics = metrics
-        self._askers: dict[str, _Asker] = {}
+        self._short: collections.deque[AskAdvice] = collections.deque()
+        self._long: collections.deque[AskAdvice] = collections.deque()
+        self._busy: dict[str, AskAdvice] = {}
         self._lock = threading.Lock()
         self._pool = concurrent.futures.ThreadPoolExecutor(_ASKERS, "adviser")
 
     def ask(self, question: AskAdvice) -> None:
         """Have a question asked by some node."""
-        seconds = question.expected_ms / 1000
-        now = time.monotonic()
         with self._lock:
-            asker = self._first_free(now)
-            begins = max(now, asker.busy_until)
-            if begins - now > _MOST_BEHIND_SECONDS:
-                self._post(AdviceFailed(question.wanted))
-                return
-            asker.busy_until = begins + seconds
-        self._pool.submit(self._ask, question, asker, begins - now + seconds + _SLACK_SECONDS)
+            (self._long if _is_long(question) else self._short).append(question)
+        self._dispatch()
 
     def stop(self) -> None:
         """Ask nothing more."""
+        with self._lock:
+            self._short.clear()
+            self._long.clear()
         self._pool.shutdown(wait=False, cancel_futures=True)
 
-    def _first_free(self, now: float) -> _Asker:
+    def _dispatch(self) -> None:
         nodes = [*sorted(self._live_nodes()), self._own_node]
-        askers = [self._askers.setdefault(node, _Asker(node)) for node in nodes]
-        return min(askers, key=lambda asker: max(now, asker.busy_until))
-
-    def _ask(self, question: AskAdvice, asker: _Asker, seconds: float) -> None:
+        with self._lock:
+            idle = [node for node in nodes if node not in self._busy]
+            long_ones = sum(_is_long(question) for question in self._busy.values())
+            most_long = max(1, int(len(nodes) * _LONG_SHARE))
+            while idle and (self._short or (self._long and long_ones < most_long)):
+                if self._short:
+                    question = self._short.popleft()
+                else:
+                    question = self._long.popleft()
+                    long_ones += 1
+                node = idle.pop()
+                self._busy[node] = question
+                self._pool.submit(self._ask, question, node)
+
+    def _ask(self, question: AskAdvice, node: str) -> None:
         wanted = question.wanted
+        seconds = question.expected_ms / 1000 + _SLACK_SECONDS
         began = time.monotonic()
         try:
-            if asker.node == self._own_node:
+            if node == self._own_node:
                 tickets = self._local.ask(wanted, seconds).tickets
             else:
-                tickets = self._ask_peer(asker.node, question, seconds)
+                tickets = self._ask_peer(node, question, seconds)
         except PlatformError as error:
-            log_event("advice_unanswered", job=wanted.job, by=asker.node, reason=str(error))
+            log_event("advice_unanswered", job=wanted.job, by=node, reason=str(error))
             tickets = None
         self._metrics.observe(
             "advice_seconds", "Time until advice was there.", time.monotonic() - began
         )
+        with self._lock:
+            del self._busy[node]
         if tickets is None:
-            asker.busy_until = time.monotonic() + _SLACK_SECONDS
             self._post(AdviceFailed(wanted))
         else:
             self._post(AdviceAnswered(AdviceGiven(wanted, tickets)))
+        self._dispatch()
 
     def _ask_peer(self, node: str, question: AskAdvice, seconds: float) -> dict[str, str] | None:
         wanted = question.wanted
@@ -142,5 +156,9 @@
                 number, wanted.job, wanted.repetition, wanted.step, list(wanted.workers), seconds
             )
 
-        reply = self._peers.ask(node, make, seconds)
+        reply = self._peers.ask(node, make, seconds + _PEER_SLACK_SECONDS)
         return reply.tickets if isinstance(reply, AdviceReply) else None
+
+
+def _is_long(question: AskAdvice) -> bool:
+    return question.expected_ms > _LONG_SECONDS * 1000
--- a/src/snowdock/entry/daemon.py
+++ b/src/snowdock/entry/daemon.py
@@ -218,6 +218,8 @@
     def _run_leadership(self) -> None:
         """Start leading when elected; one leadership at a time."""
         while (epoch := self._leader_jobs.get()) is not None:
+            # Those that took this node for the leader already have been heard before.
+            self._connect_peers()
             while self._configuration is None and self._election.own_epoch == epoch:
                 time.sleep(_STOP_POLL_SECONDS)
             handle = start_leader(
@@ -255,6 +257,7 @@
             make_advisers=lambda post: Advisers(
                 environment.node, self._adviser, self._peers, self._live_peers, post, self._metrics
             ),
+            count_askers=lambda: len(self._live_peers()) + 1,
             configuration=lambda: self._configuration,
             may_order=lambda: self._leads_in(epoch) and not self._election.is_isolated,
             step_down=self._election.abandon,
@@ -284,9 +287,14 @@
             for node, (heard_at, _) in list(self._peer_beats.items()):
                 if now - heard_at > _FORGET_PEER_SECONDS:
                     del self._peer_beats[node]
-            addresses = {node: address for node, (_, address) in self._peer_beats.items()}
         if self._election.own_epoch and (known is None or known[1] != beat.address):
-            self._peers.set_addresses(addresses)
+            self._connect_peers()
+
+    def _connect_peers(self) -> None:
+        """Connect to all peers that were heard of; only a leader asks them anything."""
+        with self._peer_lock:
+            addresses = {node: address for node, (_, address) in self._peer_beats.items()}
+        self._peers.set_addresses(addresses)
 
     def _live_peers(self) -> list[str]:
         now = time.monotonic()
--- a/src/snowdock/entry/election.py
+++ b/src/snowdock/entry/election.py
@@ -263,6 +263,8 @@
         page = self._store.newest(LEADERS_TOPIC, PART, _CALL_SECONDS)
         self._next_offset = page.next_offset
         self._take(page.records)
+        # The record may be old; the leader has to be heard, or seen to renew it.
+        self._beat_at = 0.0
 
     def _watch_store(self) -> bool:
         """Wait for a record of a leader; tell whether there was one."""
--- a/src/snowdock/entry/leader.py
+++ b/src/snowdock/entry/leader.py
@@ -74,6 +74,8 @@
         The times it goes by.
     make_advisers
         Makes what spreads questions to the advice service, given where answers go.
+    count_askers
+        Counts the nodes that can ask the advice service.
     configuration
         Gives the configuration in force.
     may_order
@@ -88,6 +90,7 @@
     epoch: int
     settings: CellSettings
     make_advisers: Callable[[Callable[[Event], None]], Advisers]
+    count_askers: Callable[[], int]
     configuration: Callable[[], Configuration]
     may_order: Callable[[], bool]
     step_down: Callable[[str], None]
@@ -285,7 +288,7 @@
 
     def _tick(self) -> None:
         while not self._stopped.wait(_TICK_SECONDS):
-            self._tell(Ticked())
+            self._tell(Ticked(self._context.count_askers()))
 
     def _take_job(self, record: KeyedRecord) -> None:
         if record.value is None:
--- a/src/snowdock/jobs/advising.py
+++ b/src/snowdock/jobs/advising.py
@@ -15,6 +15,10 @@
 """Tickets are taken to expire this much early: a start is recorded, sent and may wait for the
 calls before it to the same worker."""
 
+_QUESTIONS_A_NODE = 2
+"""Questions on their way for each node that can ask: one that is being answered and one that
+waits. More would be answered in the order asked, whatever became more urgent meanwhile."""
+
 _RETRY_SECONDS = 0.2
 """Pause after a question without an answer."""
 
@@ -61,7 +65,7 @@
         The steady clock, in seconds.
     """
     advice = step.advice
-    if now < advice.retry_at:
+    if now < advice.retry_at or cell.questions >= _QUESTIONS_A_NODE * cell.askers:
         return
     unknown = [worker for worker in candidates if not advice.knows(worker.life)]
     known = [worker for worker in candidates if advice.knows(worker.life)]
@@ -74,6 +78,7 @@
         return
     lives = tuple(worker.life for worker in asked[:_MOST_ASKED])
     advice.asking = True
+    cell.questions += 1
     expected_ms = advice.terms.decide_ms + advice.terms.each_ms * len(lives)
     job, repetition, number = step.key
     cell.emit(AskAdvice(AdviceWanted(job, repetition, number, lives), expected_ms))
@@ -97,6 +102,7 @@
 
 def take_advice(cell: Cell, event: AdviceAnswered, now: float) -> None:
     """Take over the service's answer."""
+    cell.questions -= 1
     wanted = event.given.wanted
     step = _find_step(cell, wanted)
     if step is None or step.advice is None:
@@ -123,6 +129,8 @@
 
 def take_advice_failure(cell: Cell, event: AdviceFailed, now: float) -> None:
     """Ask again a little later."""
+    cell.questions -= 1
+    cell.placing_wanted = True
     step = _find_step(cell, event.wanted)
     if step is None or step.advice is None:
         return
--- a/src/snowdock/jobs/cell.py
+++ b/src/snowdock/jobs/cell.py
@@ -276,6 +276,8 @@
         self.batch = 0
         self.batch_held: list[Held] | None = None
         self.effects: list[Effect] = []
+        self.askers = 1
+        self.questions = 0
         self.placing_wanted = False
         self.placed_at = 0.0
         self.ranked_at = 0.0
--- a/src/snowdock/jobs/events.py
+++ b/src/snowdock/jobs/events.py
@@ -138,7 +138,9 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Ticked:
-    """Time has passed."""
+    """Time has passed; ``askers`` nodes can ask the advice service at the same time."""
+
+    askers: int = 1
 
 
 Event = (
--- a/src/snowdock/jobs/reducer.py
+++ b/src/snowdock/jobs/reducer.py
@@ -88,7 +88,8 @@
                 cell.configuration = configuration
                 cell.tell("configuration", str(configuration.version))
                 cell.placing_wanted = True
-        case Ticked():
+        case Ticked(askers):
+            cell.askers = askers
             _tick(cell, now, wall_ms)
 
 
--- a/src/snowdock/node/peers.py
+++ b/src/snowdock/node/peers.py
@@ -15,7 +15,7 @@
 from zmq.auth.thread import ThreadAuthenticator
 
 from ..errors import InvalidInput, PlatformError
-from .logs import log_error
+from .logs import log_error, log_event
 
 __all__ = ["PeerMessages", "PeerOptions", "Peers"]
 
@@ -294,6 +294,8 @@
                 self._try_send(self._listener, [item.identity, item.data])
             elif item.node in self._dealers:
                 self._try_send(self._dealers[item.node], [item.data])
+            else:
+                log_event("peer_unknown", peer=item.node)
 
     @staticmethod
     def _try_send(socket: zmq.Socket, frames: list[bytes]) -> None:
