Emulate the served systems in virtual time; mend three faults that it found

Cause: (1) A renewal to a worker that did not answer still moved on the lease that it might have granted, so a dead worker's runs were never known to be over: their jobs hung. (2) A repeated stop cleared the time of its first answer, so a run that had never arrived was never found void. (3) A failed end of a run that had been given up was noted at the worker but not counted.

Ruled out: the advice service and the store for (1): the stuck tasks were on workers that had crashed dark.

Change: a silent worker is only looked at; a stop's first answer counts; stale failures count. emulator/: workers with leases, fencing and gangs, the store, advice, and troubles in virtual time around the real reducer; checks of doubling, limits, order, attempts, cancelling.

--- /dev/null
+++ b/src/snowdock/emulator/emulator.py
@@ -0,0 +1,438 @@
+"""Runs the real decisions of one leader after the other against modelled systems."""
+
+import dataclasses
+import random
+from collections.abc import Callable
+
+from ..declarations import Size
+from ..jobs.cell import Cell, CellSettings
+from ..jobs.events import (
+    AdviceAnswered,
+    AskAdvice,
+    CloseWorker,
+    Decided,
+    DropJobs,
+    Event,
+    JobAccepted,
+    JobCancelled,
+    OpenWorker,
+    Persist,
+    Persisted,
+    PublishStatus,
+    RenewAnswered,
+    SendRenew,
+    SendStart,
+    SendStop,
+    StartAnswered,
+    StepDown,
+    StopAnswered,
+    Ticked,
+    WorkerDelisted,
+    WorkerListed,
+)
+from ..jobs.model import JobStatus, TaskId
+from ..jobs.orders import AdviceGiven, Refusal, StartOrder, StopOrder
+from ..jobs.policy import make_policy
+from ..jobs.progress import AcceptedJob, JobProgress, decode_progress
+from ..jobs.reducer import reduce
+from ..jobs.takeover import RecordedJobs, restore
+from ..jobs.workers import WorkerEntry
+from .checks import Checks
+from .timeline import Timeline
+from .worker_model import Gangs, WorkerModel, WorkerTerms
+from .workload import DrawnJob, WorkloadOptions, configuration_for
+
+__all__ = ["Emulator", "EmulatorOptions", "Faults"]
+
+_TICK_SECONDS = 0.1
+_ORDER_TIMEOUT_SECONDS = 1.0
+_RENEW_SLACK_SECONDS = 1.0
+_CAPACITY = Size(16_000, 65_536, 0)
+_TERMS = WorkerTerms()
+
+
+@dataclasses.dataclass(slots=True)
+class Faults:
+    """What goes wrong now; may be changed while the emulator runs.
+
+    Attributes
+    ----------
+    lost_answers
+        Share of calls to workers that are carried out and not answered.
+    late_orders
+        Share of orders that are not answered and carried out seconds later.
+    store_down
+        Whether the store takes nothing.
+    cut
+        Lives of workers that no leader reaches; they run on.
+    """
+
+    lost_answers: float = 0.0
+    late_orders: float = 0.0
+    store_down: bool = False
+    cut: set[str] = dataclasses.field(default_factory=set)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EmulatorOptions:
+    """The emulated cluster: workers, their room, and typical delays in seconds."""
+
+    workload: WorkloadOptions
+    workers: int = 24
+    capacity: Size = _CAPACITY
+    racks: int = 4
+    call_s: float = 0.003
+    store_s: float = 0.009
+    askers: int = 6
+    fit_share: float = 0.5
+    terms: WorkerTerms = _TERMS
+    lease_s: float = 4.5
+
+
+class _Leader:
+    """One leadership: a cell, and the events that are on their way to it."""
+
+    def __init__(self, cell: Cell) -> None:
+        self.cell = cell
+        self.is_alive = True
+
+
+class Emulator:
+    """The emulated cluster.
+
+    Parameters
+    ----------
+    seed
+        Draws delays, faults and advice.
+    options
+        The cluster.
+    jobs
+        What is submitted.
+    """
+
+    def __init__(self, seed: int, options: EmulatorOptions, jobs: list[DrawnJob]) -> None:
+        self.timeline = Timeline()
+        self.checks = Checks()
+        self.faults = Faults()
+        self.statuses: dict[str, JobStatus] = {}
+        self.finished_at: dict[str, float] = {}
+        self.decisions: list[tuple[float, Decided]] = []
+        self.keeps_decisions = False
+        self._random = random.Random(seed)
+        self._options = options
+        self._jobs = {job.job: job for job in jobs}
+        self._gangs = Gangs()
+        self._accepted: dict[str, AcceptedJob] = {}
+        self._cancelled: set[str] = set()
+        self._progress: dict[str, JobProgress] = {}
+        self._epoch = 0
+        self._lives = 0
+        self._fit: dict[tuple[str, int], set[str]] = {}
+        self._rules: dict[tuple[str, int, str], bool] = {}
+        self.workers: dict[str, WorkerModel] = {}
+        for number in range(options.workers):
+            self.add_worker(number)
+        self._leaders: list[_Leader] = []
+        self._handlers: dict[type, Callable] = {
+            Persist: self._persist,
+            SendStart: self._send_start,
+            SendStop: self._send_stop,
+            SendRenew: self._send_renew,
+            AskAdvice: self._ask_advice,
+            PublishStatus: self._publish,
+            StepDown: lambda leader, _: self._retire(leader),
+            Decided: self._note_decision,
+            OpenWorker: _ignore,
+            CloseWorker: _ignore,
+            DropJobs: _ignore,
+        }
+        for job in jobs:
+            self.timeline.after(job.at, lambda job=job: self._submit(job))
+        self.elect()
+
+    # -- what happens from outside ---------------------------------------------------------
+
+    def run_until(self, end: float) -> None:
+        """Let virtual time pass until a moment."""
+        self.timeline.run_until(end)
+
+    def add_worker(self, rack: int) -> str:
+        """Add a worker; give its life."""
+        self._lives += 1
+        life = f"w-{self._lives}"
+        entry = WorkerEntry(
+            life=life,
+            service="pool",
+            address="",
+            hall="",
+            rack=f"r1-{rack % self._options.racks}",
+            labels=frozenset(),
+            capacity=self._options.capacity,
+        )
+        model = WorkerModel(
+            entry,
+            self.timeline,
+            self._options.terms,
+            self._gangs,
+            self.checks,
+            self._work,
+            self._random.choice((1.0, 1.0, 1.3)),
+        )
+        self.workers[life] = model
+        self._tell_all(WorkerListed(entry))
+        return life
+
+    def crash_worker(self, life: str) -> None:
+        """End a worker's life; its entry goes a few seconds later."""
+        self.workers[life].crash()
+        self.timeline.after(4.5, lambda: self._tell_all(WorkerDelisted(life)))
+
+    def drain_worker(self, life: str) -> None:
+        """Have a worker state that it leaves, and leave some seconds later."""
+        model = self.workers[life]
+        model.entry = dataclasses.replace(model.entry, draining=True)
+        self._tell_all(WorkerListed(model.entry))
+        self.timeline.after(6.0, lambda: self.crash_worker(life))
+
+    def cancel(self, job: str) -> None:
+        """Cancel a job."""
+        self._cancelled.add(job)
+        self.checks.cancelled(job, self.timeline.now)
+        self._tell_all(JobCancelled(job))
+
+    def kill_leader(self, pause: float) -> None:
+        """Kill the leader; another one is elected after a pause."""
+        for leader in self._leaders:
+            leader.is_alive = False
+        self.timeline.after(pause, self.elect)
+
+    def depose_leader(self) -> None:
+        """Elect another leader while the old one does not know of it and goes on."""
+        self.elect()
+
+    def elect(self) -> None:
+        """Start a leader from what is on record."""
+        self._epoch += 1
+        now = self.timeline.now
+        options = self._options
+        settings = CellSettings(
+            lease_s=options.lease_s,
+            takeover_lapse_s=options.terms.lease_limit_s + 3.5,
+            gang_wait_s=options.terms.gang_wait_s,
+            early_s=0.25,
+            stop_s=options.terms.stop_s,
+            retention_s=600.0,
+        )
+        holder: list[Cell] = []
+        policy = make_policy(_ignore, lambda: holder[0])
+        cell = Cell(settings, self._epoch, policy, now)
+        holder.append(cell)
+        cell.configuration = configuration_for(options.workload)
+        recorded = RecordedJobs(dict(self._accepted), set(self._cancelled), dict(self._progress))
+        restore(cell, recorded, now, now * 1000)
+        leader = _Leader(cell)
+        self._leaders.append(leader)
+        for model in self.workers.values():
+            if model.is_up:
+                self._post(leader, WorkerListed(model.entry))
+        self._tick(leader)
+
+    # -- the leader ------------------------------------------------------------------------
+
+    def _tell_all(self, event: Event) -> None:
+        for leader in getattr(self, "_leaders", []):
+            self._post(leader, event)
+
+    def _post(self, leader: _Leader, event: Event) -> None:
+        if not leader.is_alive:
+            return
+        now = self.timeline.now
+        for effect in reduce(leader.cell, event, now, now * 1000):
+            self._handlers[type(effect)](leader, effect)
+
+    def _tick(self, leader: _Leader) -> None:
+        if leader.is_alive:
+            self._post(leader, Ticked(self._options.askers))
+            self.timeline.after(_TICK_SECONDS, lambda: self._tick(leader))
+
+    def _retire(self, leader: _Leader) -> None:
+        leader.is_alive = False
+
+    def _submit(self, job: DrawnJob) -> None:
+        if self.faults.store_down:
+            self.timeline.after(0.5, lambda: self._submit(job))
+            return
+        queue = job.mix.queue
+        accepted = AcceptedJob(
+            job.spec,
+            round(self.timeline.now * 1000),
+            queue.service,
+            queue.priority,
+            queue.max_attempts,
+        )
+        self._accepted[job.job] = accepted
+        self.checks.submitted(job.job, job.spec, queue.max_attempts)
+        self.timeline.after(
+            self._delay(self._options.store_s),
+            lambda: self._tell_all(JobAccepted(job.job, accepted)),
+        )
+
+    def _work(self, task: TaskId, run: int) -> tuple[float, bool]:
+        job = self._jobs[task.job]
+        source = random.Random(f"{task.job}/{task.step}/{task.index}/{run}")
+        fails = job.is_hopeless or source.random() < job.mix.failing_share
+        return job.work_s[task.step][task.index], fails
+
+    # -- effects ---------------------------------------------------------------------------
+
+    def _delay(self, mean: float) -> float:
+        return mean * self._random.uniform(0.7, 1.6)
+
+    def _persist(self, leader: _Leader, effect: Persist) -> None:
+        self.timeline.after(self._delay(self._options.store_s), lambda: self._store(leader, effect))
+
+    def _store(self, leader: _Leader, effect: Persist) -> None:
+        if not leader.is_alive:
+            return
+        if self.faults.store_down:
+            self.timeline.after(0.1, lambda: self._store(leader, effect))
+            return
+        if leader.cell.token < self._epoch:
+            self._retire(leader)
+            return
+        for record in effect.records:
+            self._progress[record.job] = decode_progress(record.data)
+        self.timeline.after(
+            self._options.call_s, lambda: self._post(leader, Persisted(effect.number))
+        )
+
+    def _reach(self, life: str) -> WorkerModel | None:
+        model = self.workers[life]
+        return model if model.is_up and life not in self.faults.cut else None
+
+    def _send_start(self, leader: _Leader, effect: SendStart) -> None:
+        order = effect.order
+        self._send_order(
+            leader,
+            effect.life,
+            lambda model: model.start(order, self._step(order)),
+            lambda result: StartAnswered(effect.life, order.task, order.run, result),
+        )
+
+    def _step(self, order: StartOrder):
+        return self._jobs[order.task.job].spec.steps[order.task.step]
+
+    def _send_stop(self, leader: _Leader, effect: SendStop) -> None:
+        order: StopOrder = effect.order
+
+        def answer(result) -> StopAnswered:
+            answered = result != "lost"
+            refusal = result if isinstance(result, Refusal) else None
+            return StopAnswered(effect.life, order.task, order.run, answered, refusal)
+
+        self._send_order(leader, effect.life, lambda m: m.stop(order), answer, "lost")
+
+    def _send_order(
+        self,
+        leader: _Leader,
+        life: str,
+        carry_out: Callable[[WorkerModel], object],
+        answer: Callable[[object], Event],
+        lost: object = None,
+    ) -> None:
+        drawn = self._random.random()
+        if drawn < self.faults.late_orders:
+            self._carry_out_later(life, carry_out, self._random.uniform(2.0, 6.0))
+            self.timeline.after(_ORDER_TIMEOUT_SECONDS, lambda: self._post(leader, answer(lost)))
+            return
+
+        def arrive() -> None:
+            model = self._reach(life)
+            if model is None:
+                self.timeline.after(
+                    _ORDER_TIMEOUT_SECONDS, lambda: self._post(leader, answer(lost))
+                )
+                return
+            result = carry_out(model)
+            if self._random.random() < self.faults.lost_answers:
+                self.timeline.after(
+                    _ORDER_TIMEOUT_SECONDS, lambda: self._post(leader, answer(lost))
+                )
+                return
+            self.timeline.after(
+                self._delay(self._options.call_s / 2),
+                lambda: self._post(leader, answer(result)),
+            )
+
+        self.timeline.after(self._delay(self._options.call_s / 2), arrive)
+
+    def _carry_out_later(
+        self, life: str, carry_out: Callable[[WorkerModel], object], seconds: float
+    ) -> None:
+        def arrive() -> None:
+            model = self._reach(life)
+            if model is not None:
+                carry_out(model)
+
+        self.timeline.after(seconds, arrive)
+
+    def _send_renew(self, leader: _Leader, effect: SendRenew) -> None:
+        order = effect.order
+        finished = False
+
+        def finish(outcome) -> None:
+            nonlocal finished
+            if not finished:
+                finished = True
+                self._post(leader, RenewAnswered(effect.life, order, outcome))
+
+        def give_up() -> None:
+            finish(None)
+
+        self.timeline.after(order.wait_ms / 1000 + _RENEW_SLACK_SECONDS, give_up)
+
+        def answer(outcome) -> None:
+            if effect.life in self.faults.cut:
+                return
+            if self._random.random() >= self.faults.lost_answers:
+                self.timeline.after(self._delay(self._options.call_s / 2), lambda: finish(outcome))
+
+        def arrive() -> None:
+            model = self._reach(effect.life)
+            if model is not None:
+                model.renew(order, answer)
+
+        self.timeline.after(self._delay(self._options.call_s / 2), arrive)
+
+    def _ask_advice(self, leader: _Leader, effect: AskAdvice) -> None:
+        wanted = effect.wanted
+        tickets = {
+            life: f"t-{life}"
+            for life in wanted.workers
+            if self._may_run(wanted.job, wanted.step, life)
+        }
+        self.timeline.after(
+            effect.expected_ms / 1000 + self._delay(self._options.call_s),
+            lambda: self._post(leader, AdviceAnswered(AdviceGiven(wanted, tickets))),
+        )
+
+    def _may_run(self, job: str, step: int, life: str) -> bool:
+        key = (job, step, life)
+        if key not in self._rules:
+            self._rules[key] = self._random.random() < self._options.fit_share
+        return self._rules[key]
+
+    def _publish(self, leader: _Leader, effect: PublishStatus) -> None:
+        now = self.timeline.now
+        self.statuses[effect.job] = effect.status
+        if effect.status.is_final:
+            self.finished_at.setdefault(effect.job, now)
+            self.checks.shown(effect.job, effect.status is JobStatus.COMPLETED, now)
+
+    def _note_decision(self, leader: _Leader, effect: Decided) -> None:
+        if self.keeps_decisions:
+            self.decisions.append((self.timeline.now, effect))
+
+
+def _ignore(*_: object) -> None:
+    """Do nothing, for effects without a counterpart here."""
--- /dev/null
+++ b/src/snowdock/emulator/report.py
@@ -0,0 +1,106 @@
+"""What an emulated day was worth, by queue."""
+
+import dataclasses
+import statistics
+
+from ..jobs.model import JobStatus
+from .emulator import Emulator
+from .workload import DrawnJob
+
+__all__ = ["QueueReport", "Report", "format_report", "make_report"]
+
+_LATE_SHARE = 0.2
+"""What a late job still earns."""
+
+_LATE_FACTOR = 3.0
+"""Up to so many times its objective a job is late; after that it earns nothing."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class QueueReport:
+    """One queue's day; times in seconds from submission to the shown end."""
+
+    queue: str
+    jobs: int
+    in_time: int
+    late: int
+    unfinished: int
+    worth: float
+    median_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Report:
+    """A day: its queues, the share of all worth that was earned, and what did not hold."""
+
+    queues: list[QueueReport]
+    worth: float
+    violations: int
+
+
+def _objective_s(job: DrawnJob) -> float:
+    specs = job.spec.steps
+    longest = [max(seconds) for seconds in job.work_s]
+    for number in range(len(specs)):
+        earlier = [longest[other] for other in specs[number].after]
+        longest[number] += max(earlier, default=0.0)
+    queue = job.mix.queue
+    return (queue.stretch * max(longest) * 1000 + queue.target_latency_ms) / 1000
+
+
+def _earned(emulator: Emulator, job: DrawnJob) -> float:
+    finished = emulator.finished_at.get(job.job)
+    status = emulator.statuses.get(job.job)
+    wanted = JobStatus.FAILED if job.is_hopeless else JobStatus.COMPLETED
+    if finished is None or status is not wanted:
+        return 0.0
+    taken = finished - job.at
+    objective = _objective_s(job)
+    if taken <= objective:
+        return 1.0
+    return _LATE_SHARE if taken <= _LATE_FACTOR * objective else 0.0
+
+
+def make_report(emulator: Emulator, jobs: list[DrawnJob]) -> Report:
+    """Reckon what an emulated day was worth."""
+    queues = []
+    earned_total = owed_total = 0.0
+    for name in sorted({job.mix.queue.name for job in jobs}):
+        of_queue = [job for job in jobs if job.mix.queue.name == name]
+        earned = [_earned(emulator, job) for job in of_queue]
+        times = [
+            emulator.finished_at[job.job] - job.at
+            for job in of_queue
+            if job.job in emulator.finished_at
+        ]
+        queues.append(
+            QueueReport(
+                queue=name,
+                jobs=len(of_queue),
+                in_time=earned.count(1.0),
+                late=earned.count(_LATE_SHARE),
+                unfinished=len(of_queue) - len(times),
+                worth=sum(earned) / len(of_queue),
+                median_s=statistics.median(times) if times else 0.0,
+            )
+        )
+        earned_total += sum(
+            share * job.mix.worth for share, job in zip(earned, of_queue, strict=True)
+        )
+        owed_total += sum(job.mix.worth for job in of_queue)
+    worth = earned_total / owed_total if owed_total else 0.0
+    return Report(queues, worth, len(emulator.checks.violations))
+
+
+def format_report(report: Report) -> str:
+    """Write a report as a table."""
+    lines = [
+        f"{'queue':<16}{'jobs':>6}{'in time':>9}{'late':>6}{'open':>6}{'worth':>8}{'p50 s':>8}"
+    ]
+    for queue in report.queues:
+        lines.append(
+            f"{queue.queue:<16}{queue.jobs:>6}{queue.in_time:>9}{queue.late:>6}"
+            f"{queue.unfinished:>6}{queue.worth:>8.3f}{queue.median_s:>8.2f}"
+        )
+    lines.append(f"worth {report.worth:.3f}; {report.violations} promises broken")
+    return "\n".join(lines)
--- /dev/null
+++ b/src/snowdock/emulator/worker_model.py
@@ -0,0 +1,315 @@
+"""A model of one life of a worker: leases, fencing, gangs, checkpoints, ends."""
+
+import dataclasses
+from collections.abc import Callable
+
+from ..declarations import Size
+from ..jobs.model import StepSpec, TaskId
+from ..jobs.orders import (
+    EndedRun,
+    EndKind,
+    Refusal,
+    RenewOrder,
+    RunningRun,
+    StartOrder,
+    StartResult,
+    StopOrder,
+    WorkerReport,
+)
+from ..jobs.workers import WorkerEntry
+from .checks import Checks
+from .timeline import Timeline
+
+__all__ = ["Gangs", "RunModel", "WorkerModel", "WorkerTerms"]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WorkerTerms:
+    """Times of all workers, in seconds."""
+
+    lease_limit_s: float = 6.0
+    stop_s: float = 0.4
+    gang_wait_s: float = 3.0
+    checkpoint_s: float = 1.0
+    cancel_s: float = 3.0
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class RunModel:
+    """A run at a worker; ``work_s`` is what is left of it at full speed."""
+
+    task: TaskId
+    run: int
+    step: StepSpec
+    work_s: float
+    fails: bool
+    worker: "WorkerModel"
+    arrived_at: float
+    working_since: float | None = None
+    checkpoint: str = ""
+    is_over: bool = False
+
+
+class Gangs:
+    """Brings the members of gang runs together across workers."""
+
+    def __init__(self) -> None:
+        self._present: dict[tuple[str, int, int, int], list[RunModel]] = {}
+
+    @staticmethod
+    def _key(run: RunModel) -> tuple[str, int, int, int]:
+        return (run.task.job, run.task.repetition, run.task.step, run.run)
+
+    def join(self, run: RunModel) -> list[RunModel]:
+        """Add a member; give all members once all are there, and else none."""
+        members = self._present.setdefault(self._key(run), [])
+        members.append(run)
+        return list(members) if len(members) == run.step.count else []
+
+    def leave(self, run: RunModel) -> list[RunModel]:
+        """Take a member out; give the others."""
+        members = self._present.get(self._key(run), [])
+        if run in members:
+            members.remove(run)
+        return list(members)
+
+
+Work = Callable[[TaskId, int], tuple[float, bool]]
+"""(task, run) -> seconds of work, and whether the run fails at its end."""
+
+
+class WorkerModel:
+    """One life of a worker in virtual time.
+
+    Parameters
+    ----------
+    entry
+        As it records itself.
+    timeline
+        The virtual time.
+    terms
+        Times of all workers.
+    gangs
+        Shared by all workers.
+    checks
+        Told of all starts and ends.
+    work
+        How long a run takes, and whether it fails.
+    slowness
+        How many times longer everything takes.
+    """
+
+    def __init__(
+        self,
+        entry: WorkerEntry,
+        timeline: Timeline,
+        terms: WorkerTerms,
+        gangs: Gangs,
+        checks: Checks,
+        work: Work,
+        slowness: float = 1.0,
+    ) -> None:
+        self.entry = entry
+        self.is_up = True
+        self.fails_all = False
+        self.slowness = slowness
+        self._timeline = timeline
+        self._terms = terms
+        self._gangs = gangs
+        self._checks = checks
+        self._work = work
+        self._token = 0
+        self._lease_until = 0.0
+        self._runs: dict[TaskId, RunModel] = {}
+        self._highest: dict[TaskId, int] = {}
+        self._ends: list[EndedRun] = []
+        self._end_number = 0
+        self._ended_at: dict[int, float] = {}
+        self._lapsed_at = -1.0
+        self._waiters: list[Callable[[], None]] = []
+
+    @property
+    def clock_ms(self) -> float:
+        """Its steady clock, never 0."""
+        return self._timeline.now * 1000 + 1_000_000
+
+    @property
+    def used_cpu(self) -> int:
+        """Thousandths of a core that its runs take."""
+        return sum(run.step.room.cpu for run in self._runs.values())
+
+    # -- orders ----------------------------------------------------------------------------
+
+    def start(self, order: StartOrder, step: StepSpec) -> StartResult:
+        """Start a run, as far as the order allows."""
+        if order.token < self._token:
+            return StartResult(Refusal.FENCED, self.clock_ms)
+        self._token = order.token
+        present = self._runs.get(order.task)
+        if present is not None and present.run == order.run:
+            return StartResult(None, self.clock_ms)
+        if order.run <= self._highest.get(order.task, 0) or present is not None:
+            return StartResult(Refusal.SUPERSEDED, self.clock_ms)
+        if order.lease_until_ms <= self.clock_ms:
+            return StartResult(Refusal.LATE, self.clock_ms)
+        self._extend(order.lease_until_ms)
+        seconds, fails = self._work(order.task, order.run)
+        run = RunModel(
+            order.task,
+            order.run,
+            step,
+            seconds * self.slowness,
+            fails or self.fails_all,
+            self,
+            self._timeline.now,
+        )
+        self._runs[order.task] = run
+        self._checks.started(
+            order.task,
+            order.run,
+            self.entry.life,
+            self.entry.capacity,
+            [(each.task, each.step.room) for each in self._runs.values()],
+            self._timeline.now,
+            self._terms.cancel_s,
+        )
+        if step.gang:
+            for member in self._gangs.join(run):
+                member.worker.begin(member)
+            self._timeline.after(self._terms.gang_wait_s, lambda: self._give_up_alone(run))
+        else:
+            self.begin(run)
+        return StartResult(None, self.clock_ms)
+
+    def begin(self, run: RunModel) -> None:
+        """Let a run work."""
+        run.working_since = self._timeline.now
+        seconds = 0.01 if self.fails_all else run.work_s
+        self._timeline.after(seconds, lambda: self._finish(run))
+
+    def stop(self, order: StopOrder) -> Refusal | None:
+        """Stop a run, or refuse it for good."""
+        if order.token < self._token:
+            return Refusal.FENCED
+        self._token = order.token
+        present = self._runs.get(order.task)
+        if present is not None and present.run == order.run:
+            self._timeline.after(
+                self._terms.stop_s / 2, lambda: self._end(present, EndKind.STOPPED)
+            )
+        self._highest[order.task] = max(self._highest.get(order.task, 0), order.run)
+        return None
+
+    def renew(self, order: RenewOrder, answer: Callable[[WorkerReport | Refusal], None]) -> None:
+        """Renew the lease; answer at once, or when a run ends, or after the wait."""
+        if order.token < self._token:
+            answer(Refusal.FENCED)
+            return
+        self._token = order.token
+        self._forget_ends(order.seen_ends)
+        if order.lease_until_ms:
+            self._extend(order.lease_until_ms)
+        answered = False
+
+        def give() -> None:
+            nonlocal answered
+            if answered or not self.is_up:
+                return
+            answered = True
+            answer(self._report())
+
+        if self._ends or not order.wait_ms:
+            give()
+            return
+        self._waiters.append(give)
+        self._timeline.after(order.wait_ms / 1000, give)
+
+    def _forget_ends(self, seen: int) -> None:
+        for end in self._ends:
+            if end.number <= seen:
+                held = self._ended_at[end.number] > self._lapsed_at
+                self._checks.noted(end.task, end.run, end.kind, held, self._timeline.now)
+        self._ends = [end for end in self._ends if end.number > seen]
+
+    def _report(self) -> WorkerReport:
+        running = [
+            RunningRun(run.task, run.run, run.checkpoint, 0.0, 0.0) for run in self._runs.values()
+        ]
+        return WorkerReport(self.clock_ms, running, list(self._ends))
+
+    # -- leases and ends -------------------------------------------------------------------
+
+    def _extend(self, until_ms: float) -> None:
+        most = self.clock_ms + self._terms.lease_limit_s * 1000
+        self._lease_until = max(self._lease_until, min(until_ms, most))
+        self._timeline.after((self._lease_until - self.clock_ms) / 1000 + 0.001, self._check_lease)
+
+    def _check_lease(self) -> None:
+        if self._lease_until < self.clock_ms:
+            self._lapsed_at = self._timeline.now
+            for run in list(self._runs.values()):
+                self._end(run, EndKind.LAPSED)
+
+    def _give_up_alone(self, run: RunModel) -> None:
+        if run.working_since is None:
+            self._end(run, EndKind.ALONE)
+
+    def _finish(self, run: RunModel) -> None:
+        if run.is_over or not self.is_up:
+            return
+        kind = EndKind.FAILED if run.fails else EndKind.DONE
+        members = self._gangs.leave(run) if run.step.gang else []
+        self._end(run, kind)
+        for member in members:
+            if kind is EndKind.DONE:
+                member.worker.finish_member(member)
+            else:
+                member.worker.break_member(member)
+
+    def finish_member(self, run: RunModel) -> None:
+        """End a gang's member well together with the others."""
+        self._gangs.leave(run)
+        self._end(run, EndKind.DONE)
+
+    def break_member(self, run: RunModel) -> None:
+        """End a gang's member because another one ended."""
+        self._gangs.leave(run)
+        self._end(run, EndKind.BROKEN)
+
+    def _end(self, run: RunModel, kind: EndKind) -> None:
+        if run.is_over or not self.is_up:
+            return
+        run.is_over = True
+        del self._runs[run.task]
+        self._highest[run.task] = max(self._highest.get(run.task, 0), run.run)
+        self._end_number += 1
+        self._ended_at[self._end_number] = self._timeline.now
+        self._ends.append(EndedRun(self._end_number, run.task, run.run, kind, run.checkpoint))
+        self._checks.ended(run.task, run.run, self.entry.life, kind, self._timeline.now)
+        if run.step.gang and kind not in (EndKind.DONE, EndKind.BROKEN):
+            for member in self._gangs.leave(run):
+                if member.working_since is not None:
+                    member.worker.break_member(member)
+        waiters, self._waiters = self._waiters, []
+        for give in waiters:
+            give()
+
+    def crash(self) -> None:
+        """Lose everything; this life never comes back."""
+        self.is_up = False
+        for run in self._runs.values():
+            run.is_over = True
+            if run.step.gang:
+                for member in self._gangs.leave(run):
+                    if member.working_since is not None:
+                        member.worker.break_member(member)
+        self._runs.clear()
+        self._checks.vanished(self.entry.life)
+
+    @property
+    def room_used(self) -> Size:
+        """Room that its runs take."""
+        total = Size(0, 0, 0)
+        for run in self._runs.values():
+            total = total.plus(run.step.room)
+        return total
--- a/src/snowdock/entry/probes.py
+++ b/src/snowdock/entry/probes.py
@@ -1,5 +1,6 @@
 """Readiness probes and metrics, on listeners of their own so that callers cannot crowd them out."""
 
+import os
 import threading
 from collections.abc import Callable, Iterable
 
@@ -13,6 +14,9 @@
 METRICS_PORT = 9464
 """Where metrics are served; the deploy file names the same port."""
 
+METRICS_VARIABLE = "SNOWDOCK_METRICS_PORT"
+"""The environment variable that names another port."""
+
 _READY_PATH = "/v1/readiness"
 _METRICS_PATH = "/metrics"
 _THREADS = 2
@@ -35,9 +39,10 @@
         self._is_ready = is_ready
         self._metrics = metrics
         host = ready_address.rpartition(":")[0]
+        port = os.environ.get(METRICS_VARIABLE, METRICS_PORT)
         self._server = waitress.create_server(
             self,
-            listen=f"{ready_address} {host}:{METRICS_PORT}",
+            listen=f"{ready_address} {host}:{port}",
             threads=_THREADS,
             ident=None,
         )
--- a/src/snowdock/jobs/cell.py
+++ b/src/snowdock/jobs/cell.py
@@ -159,7 +159,7 @@
     advice: Advice | None = None
     rank: float = 0.0
     not_before: float = 0.0
-    failed_run: int = 0
+    failed_runs: set[int] = dataclasses.field(default_factory=set)
     ordered_at: float = 0.0
     shown: dict[str, object] | None = None
 
--- a/src/snowdock/jobs/durability.py
+++ b/src/snowdock/jobs/durability.py
@@ -127,9 +127,13 @@
 
 
 def renew(cell: Cell, worker: Worker, now: float, wait_ms: int) -> None:
-    """Renew a worker's lease and look at it."""
+    """Renew a worker's lease and look at it.
+
+    A worker that does not answer is only looked at: a lease that may have been renewed would
+    never be known to be over.
+    """
     until = 0
-    if worker.runs and worker.clock_ms:
+    if worker.runs and worker.clock_ms and worker.silent_since is None:
         until = worker.lease_end(now, cell.settings.lease_s)
         worker.lease_until_ms = max(worker.lease_until_ms, until)
     if worker.known_ends > worker.seen_ends or not worker.settled:
--- a/src/snowdock/jobs/runs.py
+++ b/src/snowdock/jobs/runs.py
@@ -70,7 +70,10 @@
     cell.placing_wanted = True
     _note_health(worker, end, now)
     task = cell.find_task(end.task)
-    if task is None or task.run != end.run or task.life != worker.life:
+    if task is None:
+        return
+    if task.run != end.run or task.life != worker.life:
+        _take_stale_end(cell, task, end, worker.life, now)
         return
     task.life = ""
     job = task.step.job
@@ -92,11 +95,21 @@
         _finish(cell, task, now)
         return
     if end.kind is EndKind.FAILED and not task.step.spec.long_running:
-        _note_failure(cell, task, worker.life, now)
+        _note_failure(cell, task, end.run, worker.life, now)
     if not job.status.is_final:
         _wait_again(cell, task, now)
 
 
+def _take_stale_end(cell: Cell, task: Task, end: EndedRun, life: str, now: float) -> None:
+    """Take over the end of a run that had been given up as lost: a failure still counts."""
+    cell.tell("stale_end", task.id.job, task=task.id, run=end.run, how=end.kind.value, worker=life)
+    if end.kind is not EndKind.FAILED or task.step.spec.long_running:
+        return
+    if task.phase is not Phase.DONE and not task.step.job.status.is_final:
+        mark(cell, task.step.job)
+        _note_failure(cell, task, end.run, life, now)
+
+
 def _note_health(worker: Worker, end: EndedRun, now: float) -> None:
     if end.kind is EndKind.DONE:
         worker.failure_streak = 0
@@ -135,7 +148,7 @@
         _conclude(cell, job, JobStatus.COMPLETED, now)
 
 
-def _note_failure(cell: Cell, task: Task, life: str, now: float) -> None:
+def _note_failure(cell: Cell, task: Task, run: int, life: str, now: float) -> None:
     """Count a failed run; the job fails where its queue allows no more."""
     step = task.step
     if task.avoid is None:
@@ -143,9 +156,9 @@
     task.avoid.add(life)
     if not step.spec.gang:
         task.failures += 1
-    elif step.failed_run != task.run:
+    elif run not in step.failed_runs:
         # A gang's run fails once, however many of its members do; all carry its count.
-        step.failed_run = task.run
+        step.failed_runs.add(run)
         for each in step.tasks:
             each.failures += 1
     step.not_before = now + cell.policy.backoff_seconds(step, task.failures)
--- a/src/snowdock/jobs/worker_events.py
+++ b/src/snowdock/jobs/worker_events.py
@@ -35,6 +35,10 @@
 _STOP_RETRY_SECONDS = 0.5
 """Pause before a stop without an answer is sent again."""
 
+_ANSWERED_STOP_RETRY_SECONDS = 2.0
+"""Pause before a stop that was answered is repeated: its end comes with a report, and one may
+wait for a second."""
+
 _UNWELL_SECONDS = 1.0
 """How long nothing is placed on a worker that turned a start away as unwell."""
 
@@ -288,7 +292,9 @@
     stop = cell.stops.get((event.life, event.task, event.run))
     if stop is None or not event.answered:
         return
-    stop.answered_at = now
+    if stop.answered_at is None:
+        # The first answer counts: a repeated stop may not put off what follows from it.
+        stop.answered_at = now
     if not worker.renewing:
         renew(cell, worker, now, RENEW_WAIT_MS)
 
@@ -338,12 +344,10 @@
     if worker is None:
         del cell.stops[life, task, run]
         return
-    since = stop.sent_at if stop.answered_at is None else stop.answered_at
     patience = _STOP_RETRY_SECONDS
     if stop.answered_at is not None:
-        patience += cell.settings.stop_s
-    if now - since < patience:
+        patience = _ANSWERED_STOP_RETRY_SECONDS + cell.settings.stop_s
+    if now - stop.sent_at < patience:
         return
     stop.sent_at = now
-    stop.answered_at = None
     cell.emit(SendStop(life, StopOrder(task, run, cell.token)))
--- /dev/null
+++ b/tests/standins/platform.py
@@ -0,0 +1,344 @@
+"""Stand-ins for the platform's store, workers and advice service, speaking their protocols.
+
+They run in the test's own process, each on free ports, and each can be told to misbehave.
+"""
+
+import base64
+import json
+import struct
+import threading
+import time
+from collections.abc import Callable
+from urllib.parse import parse_qs
+
+import waitress
+
+from snowdock.declarations import Size
+from snowdock.emulator.checks import Checks
+from snowdock.emulator.timeline import Timeline
+from snowdock.emulator.worker_model import Gangs, WorkerModel, WorkerTerms
+from snowdock.jobs.model import StepSpec
+from snowdock.jobs.orders import Refusal, RenewOrder, StartOrder, StopOrder
+from snowdock.jobs.workers import WorkerEntry
+from snowdock.platform.worker_calls import format_task, parse_task
+
+Reply = tuple[int, bytes]
+
+THREADS = 48
+
+
+class Server:
+    """An HTTP server on a free loopback port."""
+
+    def __init__(self, handle: Callable[[str, str, dict[str, str], bytes, dict], Reply]) -> None:
+        self._handle = handle
+        self._server = waitress.create_server(
+            self._application, host="127.0.0.1", port=0, threads=THREADS, connection_limit=500
+        )
+        self.address = f"127.0.0.1:{self._server.effective_port}"
+        threading.Thread(target=self._server.run, daemon=True).start()
+
+    def _application(self, environ, start_response):
+        query = {k: v[0] for k, v in parse_qs(environ["QUERY_STRING"]).items()}
+        body = environ["wsgi.input"].read()
+        status, answer = self._handle(
+            environ["REQUEST_METHOD"], environ["PATH_INFO"], query, body, environ
+        )
+        start_response(f"{status} x", [("Content-Length", str(len(answer)))])
+        return [answer]
+
+    def close(self) -> None:
+        self._server.close()
+
+
+def as_json(value: object, status: int = 200) -> Reply:
+    return status, json.dumps(value).encode()
+
+
+class Partition:
+    """One partition of a keyed topic."""
+
+    def __init__(self) -> None:
+        self.first = 0
+        self.records: list[tuple[bytes, bytes]] = []
+        self.newest: dict[bytes, tuple[int, bytes]] = {}
+        self.producers: dict[str, tuple[int, int, dict[int, int]]] = {}
+
+    @property
+    def end(self) -> int:
+        return self.first + len(self.records)
+
+
+class StoreStandin:
+    """The store: appends, reads with long poll, newest records, producers, conditions.
+
+    ``refuse``, ``silent`` and ``lose`` are what goes wrong: calls are turned away, hang, or
+    are done and not answered.
+    """
+
+    def __init__(self) -> None:
+        self.refuse = False
+        self.silent = False
+        self.lose = False
+        self.calls: list[str] = []
+        self._parts: dict[tuple[str, int], Partition] = {}
+        self._changed = threading.Condition()
+        self._server = Server(self._answer)
+        self.address = self._server.address
+
+    def close(self) -> None:
+        self._server.close()
+
+    def part(self, topic: str) -> Partition:
+        return self._parts.setdefault((topic, 0), Partition())
+
+    def put(self, topic: str, key: str, value: object) -> None:
+        """Append as the operator or a worker does; no value drops the key."""
+        data = b"" if value is None else json.dumps(value).encode()
+        with self._changed:
+            self._append(self.part(topic), [(key.encode(), data)])
+
+    def forget_history(self, topic: str) -> None:
+        with self._changed:
+            part = self.part(topic)
+            part.first = part.end
+            part.records.clear()
+            self._changed.notify_all()
+
+    def _append(self, part: Partition, records: list[tuple[bytes, bytes]]) -> int:
+        offset = part.end
+        for key, value in records:
+            if value:
+                part.newest[key] = (part.end, value)
+            else:
+                part.newest.pop(key, None)
+            part.records.append((key, value))
+        self._changed.notify_all()
+        return offset
+
+    def _answer(self, method, path, query, body, environ) -> Reply:
+        self.calls.append(path)
+        if self.refuse:
+            return 503, b""
+        if self.silent:
+            time.sleep(3)
+            return 503, b""
+        topic, number = query["topic"], int(query["part"])
+        with self._changed:
+            part = self._parts.setdefault((topic, number), Partition())
+            if path == "/v1/log-append":
+                reply = self._take_append(part, query, body)
+            elif path == "/v1/log-read":
+                return self._read(part, query)
+            else:
+                return self._read_newest(part, query)
+        if self.lose:
+            time.sleep(3)
+        return reply
+
+    def _take_append(self, part: Partition, query, body: bytes) -> Reply:
+        records = []
+        position = 0
+        while position < len(body):
+            (length,) = struct.unpack_from(">I", body, position)
+            data = body[position + 4 : position + 4 + length]
+            position += 4 + length
+            records.append((data[1 : 1 + data[0]], data[1 + data[0] :]))
+        producer = query.get("producer")
+        if producer is not None:
+            refusal = self._check_producer(part, producer, query)
+            if refusal is not None:
+                return refusal
+        if "as_of" in query and int(query["as_of"]) != part.end:
+            return as_json({"end": part.end}, 412)
+        offset = self._append(part, records)
+        if producer is not None and records:
+            epoch, sequence = int(query["epoch"]), int(query["seq"])
+            answers = part.producers[producer][2]
+            answers[sequence] = offset
+            part.producers[producer] = (epoch, sequence, answers)
+        return as_json({"offset": offset, "end": part.end})
+
+    @staticmethod
+    def _check_producer(part: Partition, producer: str, query) -> Reply | None:
+        epoch, sequence = int(query["epoch"]), int(query["seq"])
+        seen_epoch, seen_sequence, answers = part.producers.get(producer, (-1, -1, {}))
+        if epoch < seen_epoch:
+            return as_json({"reason": "fenced"}, 409)
+        if epoch > seen_epoch:
+            part.producers[producer] = (epoch, sequence, {})
+            return None
+        if sequence in answers:
+            return as_json({"offset": answers[sequence], "end": part.end})
+        if sequence != seen_sequence + 1:
+            return as_json({"reason": "seq"}, 409)
+        return None
+
+    def _read(self, part: Partition, query) -> Reply:
+        start = int(query["from"])
+        wait = int(query.get("wait_ms", 0)) / 1000
+        self._changed.wait_for(lambda: part.end > start or start < part.first, timeout=wait)
+        if start < part.first:
+            return as_json({"first": part.first}, 410)
+        answer = struct.pack(">QQ", part.end, part.first)
+        for key, value in part.records[start - part.first :]:
+            data = bytes((len(key),)) + key + value
+            answer += struct.pack(">I", len(data)) + data
+        return 200, answer
+
+    @staticmethod
+    def _read_newest(part: Partition, query) -> Reply:
+        after = query.get("after", "").encode()
+        keys = sorted(key for key in part.newest if key > after)
+        page = keys[:50]
+        items = [
+            {
+                "key": key.decode(),
+                "value": base64.b64encode(part.newest[key][1]).decode(),
+                "offset": part.newest[key][0],
+            }
+            for key in page
+        ]
+        return as_json({"items": items, "has_more": len(keys) > len(page), "end": part.end})
+
+
+class WorkersStandin:
+    """Workers in real time, each on a port of its own, recorded in a store.
+
+    ``work_s`` gives the seconds of work of a run; ``checks`` watches all starts and ends.
+    """
+
+    def __init__(self, store: StoreStandin, count: int, work_s: float = 0.1) -> None:
+        self.checks = Checks()
+        self.work_s = work_s
+        self.mute: set[str] = set()
+        self.steps: dict[str, list[StepSpec]] = {}
+        self.starts: list[tuple[str, int, str]] = []
+        self._timeline = Timeline()
+        self._began = time.monotonic()
+        self._gangs = Gangs()
+        self._lock = threading.Condition()
+        self._store = store
+        self.models: dict[str, WorkerModel] = {}
+        self._servers = []
+        for number in range(count):
+            self.add(f"i-{number}")
+        threading.Thread(target=self._pass_time, daemon=True).start()
+
+    def close(self) -> None:
+        for server in self._servers:
+            server.close()
+
+    def add(self, life: str) -> None:
+        server = Server(lambda *call, life=life: self._answer(life, *call))
+        entry = WorkerEntry(
+            life, "pool", server.address, "hall", "r1-0", frozenset(), Size(4000, 16_000, 0)
+        )
+        self.models[life] = WorkerModel(
+            entry,
+            self._timeline,
+            WorkerTerms(lease_limit_s=6.0),
+            self._gangs,
+            self.checks,
+            lambda task, run: (self.work_s, False),
+        )
+        self._servers.append(server)
+        self.record(life)
+
+    def record(self, life: str, state: str = "ready") -> None:
+        entry = self.models[life].entry
+        capacity = {"cpu": 4000, "mem_mb": 16_000}
+        self._store.put(
+            "keyed.servers",
+            life,
+            {
+                "service": "pool",
+                "address": entry.address,
+                "zone": "hall",
+                "state": state,
+                "capacity": capacity,
+                "labels": ["a", "r1-0"],
+            },
+        )
+
+    def _pass_time(self) -> None:
+        while True:
+            time.sleep(0.005)
+            with self._lock:
+                self._timeline.run_until(time.monotonic() - self._began)
+
+    def _answer(self, life, method, path, query, body, environ) -> Reply:
+        if life in self.mute:
+            time.sleep(3)
+            return 500, b""
+        if environ.get("HTTP_X_EXPECTED_INSTANCE") != life or not self.models[life].is_up:
+            return 421, b""
+        call = json.loads(body)
+        if path == "/v1/hold":
+            return self._renew(self.models[life], call)
+        with self._lock:
+            self._timeline.run_until(time.monotonic() - self._began)
+            return self._order(self.models[life], path, call)
+
+    def _order(self, model: WorkerModel, path: str, call: dict) -> Reply:
+        task = parse_task(call["task"])
+        clock = {"clock_ms": model.clock_ms}
+        if path == "/v1/run-stop":
+            refusal = model.stop(StopOrder(task, call["run"], call["fencing_token"]))
+        else:
+            order = StartOrder(
+                task, call["run"], call["spec"], call["fencing_token"], call["deadline_ms"]
+            )
+            refusal = model.start(order, self.steps[task.job][task.step]).refusal
+            if refusal is None:
+                self.starts.append((format_task(task), call["run"], model.entry.life))
+        if refusal is None:
+            return as_json(clock)
+        reason = {Refusal.FENCED: "fence", Refusal.SUPERSEDED: "old", Refusal.LATE: "late"}
+        return as_json({**clock, "reason": reason[refusal]}, 409)
+
+    def _renew(self, model: WorkerModel, call: dict) -> Reply:
+        given: list = []
+        order = RenewOrder(
+            call["fencing_token"],
+            call["last_seen"],
+            call.get("deadline_ms", 0),
+            call.get("wait_ms", 0),
+            0.0,
+        )
+        with self._lock:
+            self._timeline.run_until(time.monotonic() - self._began)
+            model.renew(order, given.append)
+        end = time.monotonic() + order.wait_ms / 1000 + 1
+        while not given and time.monotonic() < end:
+            time.sleep(0.002)
+        if not given or given[0] is Refusal.FENCED:
+            return as_json({"clock_ms": model.clock_ms, "reason": "fence"}, 409)
+        report = given[0]
+        running = [[format_task(r.task), r.run, r.checkpoint, r.percent, 0] for r in report.running]
+        ended = [
+            [e.number, format_task(e.task), e.run, e.kind.value, e.checkpoint] for e in report.ended
+        ]
+        return as_json({"clock_ms": report.clock_ms, "running": running, "ended": ended})
+
+
+class AdviceStandin:
+    """The advice service: all workers but those in ``unfit`` may run anything."""
+
+    def __init__(self) -> None:
+        self.unfit: set[str] = set()
+        self.silent = False
+        self.asked: list[str] = []
+        self._server = Server(self._answer)
+        self.address = self._server.address
+
+    def close(self) -> None:
+        self._server.close()
+
+    def _answer(self, method, path, query, body, environ) -> Reply:
+        if self.silent:
+            time.sleep(3)
+        call = json.loads(body)
+        self.asked.append(call["step"])
+        good = [[life, f"t-{life}"] for life in call["workers"] if life not in self.unfit]
+        return as_json({"good": good, "valid_ms": 2000})
--- /dev/null
+++ b/tests/test_jobs_chaos.py
@@ -0,0 +1,102 @@
+"""Random troubles against the real decisions, in virtual time: what must hold, holds."""
+
+import random
+import unittest
+
+from snowdock.emulator import Emulator, EmulatorOptions, WorkloadOptions, draw_workload
+from snowdock.emulator.workload import DrawnJob, default_mixes
+
+SECONDS = 20
+SETTLE_SECONDS = 40
+SEEDS = range(12)
+
+CRASH, CUT, HEAL, LOST, LATE, CALM, STORE, KILL, DEPOSE, CANCEL, DRAIN, FAIL = range(12)
+
+
+def trouble(emulator: Emulator, source: random.Random) -> None:
+    """Break or mend one thing."""
+    kind = source.randrange(12)
+    lives = [life for life, model in emulator.workers.items() if model.is_up]
+    life = source.choice(lives)
+    faults = emulator.faults
+    if kind == CRASH:
+        emulator.crash_worker(life)
+        emulator.add_worker(source.randrange(4))
+    elif kind == CUT:
+        faults.cut.add(life)
+    elif kind == HEAL:
+        faults.cut.clear()
+    elif kind == LOST:
+        faults.lost_answers = 0.3
+    elif kind == LATE:
+        faults.late_orders = 0.1
+    elif kind == CALM:
+        calm(emulator)
+    elif kind == STORE:
+        faults.store_down = True
+        emulator.timeline.after(source.uniform(0.5, 5), lambda: bring_store_back(emulator))
+    elif kind == KILL:
+        emulator.kill_leader(source.uniform(0.5, 3))
+    elif kind == DEPOSE:
+        emulator.depose_leader()
+    elif kind == CANCEL and emulator.statuses:
+        emulator.cancel(source.choice(list(emulator.statuses)))
+    elif kind == DRAIN and len(lives) > 15:
+        emulator.drain_worker(life)
+        emulator.add_worker(0)
+    elif kind == FAIL:
+        emulator.workers[life].fails_all = True
+
+
+def bring_store_back(emulator: Emulator) -> None:
+    emulator.faults.store_down = False
+
+
+def calm(emulator: Emulator) -> None:
+    emulator.faults.lost_answers = emulator.faults.late_orders = 0
+    emulator.faults.store_down = False
+
+
+def play(seed: int) -> tuple[Emulator, list[DrawnJob]]:
+    source = random.Random(seed)
+    workload = WorkloadOptions(SECONDS, source.choice([0.3, 0.5]), default_mixes(seed % 2 == 0))
+    jobs = draw_workload(seed, workload)
+    emulator = Emulator(seed, EmulatorOptions(workload), jobs)
+    emulator.checks.is_calm = False
+    at = 0.0
+    while at < SECONDS:
+        at += source.uniform(0.3, 2)
+        emulator.run_until(at)
+        trouble(emulator, source)
+    calm(emulator)
+    emulator.faults.cut.clear()
+    for model in emulator.workers.values():
+        model.fails_all = False
+    emulator.run_until(SECONDS + SETTLE_SECONDS)
+    return emulator, jobs
+
+
+class TestChaos(unittest.TestCase):
+    def test_promises_hold_and_all_jobs_end(self) -> None:
+        """No limit, doubling, order, attempts or cancelling broken, and no job is forgotten."""
+        for seed in SEEDS:
+            with self.subTest(seed=seed):
+                emulator, jobs = play(seed)
+                self.assertEqual(emulator.checks.violations, [])
+                unfinished = [
+                    job.job
+                    for job in jobs
+                    if job.job not in emulator.statuses or not emulator.statuses[job.job].is_final
+                ]
+                self.assertEqual(unfinished, [])
+
+    def test_calm_day_wastes_nothing(self) -> None:
+        """Without troubles no gang waits in vain and all jobs end as they should."""
+        workload = WorkloadOptions(SECONDS, 0.5, default_mixes())
+        jobs = draw_workload(7, workload)
+        emulator = Emulator(7, EmulatorOptions(workload), jobs)
+        emulator.run_until(SECONDS + SETTLE_SECONDS)
+        self.assertEqual(emulator.checks.violations, [])
+        failed = {job for job, status in emulator.statuses.items() if status.name == "FAILED"}
+        hopeless = {job.job for job in jobs if job.is_hopeless}
+        self.assertLessEqual(hopeless, failed)
