--- /dev/null
+++ b/tests/standins/entry_cluster.py
@@ -0,0 +1,217 @@
+"""Real entry daemons, as processes, on the platform's stand-ins."""
+
+import json
+import os
+import pathlib
+import secrets
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+
+import urllib3
+
+from tests.standins.platform import AdviceStandin, StoreStandin, WorkersStandin
+
+SETTINGS = """
+node = "{node}"
+role = "entry"
+ip = "{ip}"
+zone = "hall"
+port_range = [{peer}, {peer}]
+heartbeat_ms = 500
+advice = "{advice}"
+unknown_field = 1
+[listen]
+front = "{ip}:{front}"
+ready = "{ip}:{ready}"
+[platform]
+address = "{store}"
+[limits]
+max_fds = 1500
+[bounds]
+hold_max_ms = 6000
+grace_s = 6
+[cloud_api]
+"""
+
+CONFIGURATION = {
+    "version": 3,
+    "routes": [
+        {
+            "name": "jobs",
+            "host": "jobs.example",
+            "path_prefix": "/jobs/",
+            "service": "pool",
+            "max_attempts": 3,
+            "stretch": 2.0,
+            "target_latency_ms": 500,
+            "timeout_ms": 3000,
+            "kind": "mutating",
+        },
+        {
+            "name": "advised",
+            "host": "jobs.example",
+            "path_prefix": "/jobs/advised/",
+            "service": "pool",
+            "max_attempts": 3,
+            "advice": {"decide_ms": 10.0, "each_ms": 0.1, "valid_ms": 2000},
+        },
+    ],
+    "services": [{"name": "pool", "health_path": "/health", "rejects_overload": False}],
+    "limits": {"max_header_bytes": 16384, "max_body_bytes": 20_000},
+}
+
+
+def free_port(ip: str) -> int:
+    with socket.socket() as found:
+        found.bind((ip, 0))
+        return found.getsockname()[1]
+
+
+def wait_until(condition, seconds: float = 15.0) -> bool:
+    """Wait for a condition; the bound only keeps a broken test from hanging."""
+    end = time.monotonic() + seconds
+    while time.monotonic() < end:
+        if condition():
+            return True
+        time.sleep(0.02)
+    return False
+
+
+class EntryProcess:
+    """One daemon."""
+
+    def __init__(self, cluster: "EntryCluster", number: int) -> None:
+        self.ip = f"127.0.1.{number}"
+        self.node = f"node-{number}"
+        self.front = free_port(self.ip)
+        self.ready = free_port(self.ip)
+        self.peer = free_port(self.ip)
+        self.settings = pathlib.Path(cluster.folder.name, f"{self.node}.toml")
+        self.log = pathlib.Path(cluster.folder.name, f"{self.node}.log")
+        self.cluster = cluster
+        self.write_settings()
+        self.process: subprocess.Popen | None = None
+        self.start()
+
+    def write_settings(self) -> None:
+        cluster = self.cluster
+        text = SETTINGS.format(
+            node=self.node,
+            ip=self.ip,
+            peer=self.peer,
+            front=self.front,
+            ready=self.ready,
+            advice=cluster.advice.address,
+            store=cluster.store.address,
+        )
+        self.settings.write_text(text)
+
+    def start(self) -> None:
+        environment = {
+            **os.environ,
+            "SNOWDOCK_CONFIG": str(self.settings),
+            "SNOWDOCK_METRICS_PORT": "0",
+        }
+        with self.log.open("ab") as log:
+            self.process = subprocess.Popen(
+                [sys.executable, "-m", "snowdock.entry.daemon"],
+                env=environment,
+                stdout=log,
+                stderr=log,
+            )
+
+    def lines(self, event: str) -> list[str]:
+        text = self.log.read_text(errors="replace")
+        return [line for line in text.splitlines() if f"event={event} " in line + " "]
+
+    @property
+    def leads(self) -> bool:
+        return len(self.lines("leading")) > len(self.lines("deposed")) + len(self.lines("draining"))
+
+    def call(self, method: str, path: str, body=None, headers=None):
+        """Make one call; gives status, decoded body and headers, or a status of 0."""
+        sent = body if isinstance(body, bytes) or body is None else json.dumps(body).encode()
+        given = {"Host": "jobs.example", "Content-Type": "application/json", **(headers or {})}
+        pool = urllib3.HTTPConnectionPool(self.ip, self.front, retries=False, timeout=5)
+        try:
+            reply = pool.request(method, path, body=sent, headers=given)
+        except urllib3.exceptions.HTTPError:
+            return 0, None, {}
+        try:
+            return reply.status, json.loads(reply.data or b"null"), reply.headers
+        except ValueError:
+            return reply.status, None, reply.headers
+
+    def probe(self) -> int:
+        pool = urllib3.HTTPConnectionPool(self.ip, self.ready, retries=False, timeout=2)
+        try:
+            return pool.request("GET", "/v1/readiness").status
+        except urllib3.exceptions.HTTPError:
+            return 0
+
+    def signal(self, number: signal.Signals) -> None:
+        self.process.send_signal(number)
+
+    def kill(self) -> None:
+        if self.process.poll() is None:
+            self.process.kill()
+        self.process.wait()
+
+
+class EntryCluster:
+    """Daemons and the stand-ins that they talk to."""
+
+    def __init__(self, nodes: int, workers: int = 3, work_s: float = 0.1) -> None:
+        self.folder = tempfile.TemporaryDirectory()
+        self.store = StoreStandin()
+        self.advice = AdviceStandin()
+        self.workers = WorkersStandin(self.store, workers, work_s)
+        self.store.put("keyed.op", "config", CONFIGURATION)
+        self.nodes = [EntryProcess(self, number + 1) for number in range(nodes)]
+
+    def close(self) -> None:
+        for node in self.nodes:
+            node.kill()
+        self.store.close()
+        self.advice.close()
+        self.workers.close()
+        self.folder.cleanup()
+
+    def wait_ready(self) -> bool:
+        return wait_until(lambda: all(node.probe() == 200 for node in self.nodes)) and wait_until(
+            lambda: self.leader is not None
+        )
+
+    @property
+    def leader(self) -> EntryProcess | None:
+        found = [n for n in self.nodes if n.process.poll() is None and n.leads]
+        return found[-1] if found else None
+
+    def job(self, steps: list[dict], prefix: str = "/jobs/") -> tuple[str, dict]:
+        """Draw a job's path and body, known to the workers' stand-ins and checks."""
+        from snowdock.platform.job_bodies import decode_job
+
+        job = secrets.token_hex(8)
+        body = {"spec": f"payload of {job}", "steps": steps}
+        spec = decode_job("jobs", json.dumps(body).encode())
+        self.workers.steps[job] = list(spec.steps)
+        self.workers.checks.submitted(job, spec, 3)
+        return prefix + job, body
+
+    def state(self, node: EntryProcess, path: str) -> str:
+        status, body, _ = node.call("GET", path)
+        return body["state"] if status == 200 else str(status)
+
+    def wait_state(self, path: str, state: str, seconds: float = 15.0) -> bool:
+        def reached() -> bool:
+            return any(
+                self.state(node, path) == state
+                for node in self.nodes
+                if node.process.poll() is None
+            )
+
+        return wait_until(reached, seconds)
--- a/tests/standins/platform.py
+++ b/tests/standins/platform.py
@@ -5,6 +5,7 @@
 
 import base64
 import json
+import logging
 import struct
 import threading
 import time
@@ -24,6 +25,8 @@
 
 Reply = tuple[int, bytes]
 
+logging.getLogger("waitress").setLevel(logging.CRITICAL)
+
 THREADS = 48
 
 
@@ -48,7 +51,8 @@
         return [answer]
 
     def close(self) -> None:
-        self._server.close()
+        # On the server's own thread; answers that still hang find the server gone.
+        self._server.trigger.pull_trigger(self._server.close)
 
 
 def as_json(value: object, status: int = 200) -> Reply:
--- /dev/null
+++ b/tests/test_entry_node.py
@@ -0,0 +1,277 @@
+"""The whole path: real entry daemons against stand-ins of the platform's services."""
+
+import signal
+import unittest
+
+from tests.standins.entry_cluster import CONFIGURATION, EntryCluster, wait_until
+
+SMALL = {"count": 2, "cpu": 500, "mem_mb": 100, "estimate_ms": 100}
+
+
+class TestOneNode(unittest.TestCase):
+    @classmethod
+    def setUpClass(cls) -> None:
+        cls.cluster = EntryCluster(1)
+        cls.node = cls.cluster.nodes[0]
+        assert cls.cluster.wait_ready()
+
+    @classmethod
+    def tearDownClass(cls) -> None:
+        cls.cluster.close()
+
+    def test_job_runs_to_its_end(self) -> None:
+        """Steps run in order, each task once, and the job is shown as completed."""
+        path, body = self.cluster.job([SMALL, {**SMALL, "after": [0]}])
+        self.assertEqual(self.node.call("POST", path, body)[0], 200)
+        self.assertTrue(self.cluster.wait_state(path, "completed"))
+        job = path.rpartition("/")[2]
+        started = [task for task, _, _ in self.cluster.workers.starts if task.startswith(job)]
+        self.assertEqual(sorted(started), [f"{job}.0.{s}.{i}" for s in (0, 1) for i in (0, 1)])
+        self.assertEqual(self.cluster.workers.checks.violations, [])
+
+    def test_gang_on_an_advised_queue(self) -> None:
+        """A gang starts as a whole, on advised workers only."""
+        self.cluster.advice.unfit = {"i-0"}
+        path, body = self.cluster.job([{**SMALL, "count": 6, "gang": True}], "/jobs/advised/")
+        self.assertEqual(self.node.call("POST", path, body)[0], 200)
+        self.assertTrue(self.cluster.wait_state(path, "completed"))
+        job = path.rpartition("/")[2]
+        lives = {life for task, _, life in self.cluster.workers.starts if task.startswith(job)}
+        self.assertNotIn("i-0", lives)
+        self.assertEqual(self.cluster.workers.checks.violations, [])
+
+    def test_same_job_again_stays_one(self) -> None:
+        """A job handed in twice runs once."""
+        path, body = self.cluster.job([SMALL])
+        for _ in range(2):
+            self.assertEqual(self.node.call("POST", path, body)[0], 200)
+        self.assertTrue(self.cluster.wait_state(path, "completed"))
+        self.assertEqual(self.node.call("POST", path, body)[0], 200)
+        job = path.rpartition("/")[2]
+        starts = [task for task, _, _ in self.cluster.workers.starts if task.startswith(job)]
+        self.assertEqual(len(starts), 2)
+
+    def test_cancelled_job_stops(self) -> None:
+        """A cancelled job is shown so, and its runs are stopped."""
+        self.cluster.workers.work_s = 30.0
+        path, body = self.cluster.job([SMALL])
+        self.node.call("POST", path, body)
+        self.assertTrue(self.cluster.wait_state(path, "running"))
+        self.assertEqual(self.node.call("DELETE", path)[0], 200)
+        self.cluster.workers.work_s = 0.1
+        self.assertTrue(self.cluster.wait_state(path, "cancelled"))
+        models = self.cluster.workers.models.values()
+        self.assertTrue(wait_until(lambda: all(m.used_cpu == 0 for m in models)))
+
+    def test_what_does_not_exist(self) -> None:
+        """Unknown queues, jobs and methods are told apart."""
+        cases = {
+            ("GET", "/nothing/0123456789abcdef"): 404,
+            ("POST", "/nothing/0123456789abcdef"): 404,
+            ("GET", "/jobs/0123456789abcdef"): 410,
+            ("GET", "/jobs/not-an-id"): 404,
+            ("PUT", "/jobs/0123456789abcdef"): 405,
+        }
+        for (method, path), status in cases.items():
+            with self.subTest(method=method, path=path):
+                self.assertTrue(wait_until(lambda c=(method, path): self.node.call(*c)[0] != 503))
+                self.assertEqual(self.node.call(method, path)[0], status)
+        self.assertEqual(self.node.call("GET", "/jobs/", headers={"Host": "other.example"})[0], 404)
+
+    def test_bad_input_is_refused_whole(self) -> None:
+        """Malformed jobs get a typed 400 or 413 and are not known afterwards."""
+        path, _ = self.cluster.job([SMALL])
+        bad = [
+            b"{",
+            b"\xff\xfe",
+            {"spec": 1, "steps": [SMALL]},
+            {"spec": "x", "steps": []},
+            {"spec": "x", "steps": [{**SMALL, "count": 0}]},
+            {"spec": "x", "steps": [{**SMALL, "cpu": -1}]},
+            {"spec": "x", "steps": [{**SMALL, "after": [0]}]},
+            {"spec": "x" * 4001, "steps": [SMALL]},
+        ]
+        for case in bad:
+            with self.subTest(str(case)[:60]):
+                status, answer, _ = self.node.call("POST", path, case)
+                self.assertEqual(status, 400)
+                self.assertEqual(answer["code"], "invalid_input")
+        self.assertEqual(self.node.call("POST", path, b"x" * 30_000)[0], 413)
+        self.assertEqual(self.node.call("GET", path, headers={"X-Long": "y" * 20_000})[0], 431)
+        self.assertEqual(self.cluster.state(self.node, path), "410")
+
+    def test_waiting_jobs_are_counted(self) -> None:
+        """The count of a queue is that of its jobs that found no room."""
+        path, body = self.cluster.job([{**SMALL, "cpu": 5000}])
+        self.node.call("POST", path, body)
+
+        def waiting() -> int:
+            return self.node.call("GET", "/jobs/")[1]["waiting"]
+
+        self.assertTrue(wait_until(lambda: waiting() == 1))
+        self.node.call("DELETE", path)
+        self.assertTrue(wait_until(lambda: waiting() == 0))
+
+    def test_configuration_changes_come_into_force(self) -> None:
+        """A newer version adds a queue; an older one changes nothing; forgotten history too."""
+        route = {**CONFIGURATION["routes"][0], "name": "new", "path_prefix": "/new/"}
+        newer = {**CONFIGURATION, "version": 8, "routes": [*CONFIGURATION["routes"], route]}
+        self.cluster.store.put("keyed.op", "config", newer)
+        self.assertTrue(wait_until(lambda: self.node.call("GET", "/new/")[0] == 200))
+        self.cluster.store.put("keyed.op", "config", CONFIGURATION)
+        self.cluster.store.forget_history("keyed.op")
+        last = {
+            **newer,
+            "version": 9,
+            "routes": [*newer["routes"], {**route, "path_prefix": "/9/"}],
+        }
+        self.cluster.store.put("keyed.op", "config", last)
+        self.assertTrue(wait_until(lambda: self.node.call("GET", "/9/")[0] == 200))
+        self.assertEqual(self.node.call("GET", "/new/")[0], 200)
+
+    def test_settings_are_read_again(self) -> None:
+        """A hang-up signal and a changed file are both followed."""
+        before = len(self.node.lines("settings_reloaded"))
+        self.node.signal(signal.SIGHUP)
+        self.assertTrue(wait_until(lambda: len(self.node.lines("settings_reloaded")) > before))
+        self.node.write_settings()
+        self.assertTrue(wait_until(lambda: len(self.node.lines("settings_reloaded")) > before + 1))
+
+
+class TestStoreTroubles(unittest.TestCase):
+    def setUp(self) -> None:
+        self.cluster = EntryCluster(1)
+        self.node = self.cluster.nodes[0]
+        self.assertTrue(self.cluster.wait_ready())
+
+    def tearDown(self) -> None:
+        self.cluster.close()
+
+    def test_refused_job_has_not_run(self) -> None:
+        """While the store refuses, jobs are refused with a time to come back, and never run."""
+        path, body = self.cluster.job([SMALL])
+        self.cluster.store.refuse = True
+        status, answer, headers = self.node.call("POST", path, body)
+        self.assertEqual((status, answer["code"]), (503, "log_unavailable"))
+        self.assertIn("Retry-After", headers)
+        self.cluster.store.refuse = False
+        self.assertTrue(wait_until(lambda: self.cluster.state(self.node, path) == "410"))
+        self.assertEqual(self.cluster.workers.starts, [])
+
+    def test_unanswered_job_is_no_refusal(self) -> None:
+        """Where an append may have been done, the caller hears 504 and the job may run."""
+        path, body = self.cluster.job([SMALL])
+        self.cluster.store.lose = True
+        status, answer, _ = self.node.call("POST", path, body)
+        self.cluster.store.lose = False
+        self.assertEqual((status, answer["code"]), (504, "verdict_unknown"))
+        self.assertTrue(self.cluster.wait_state(path, "completed"))
+        self.assertEqual(self.cluster.workers.checks.violations, [])
+
+    def test_running_work_outlives_an_outage(self) -> None:
+        """What runs is renewed while the store is away, for longer than a lease."""
+        self.cluster.workers.work_s = 8.0
+        path, body = self.cluster.job([SMALL])
+        self.node.call("POST", path, body)
+        self.assertTrue(wait_until(lambda: len(self.cluster.workers.starts) == 2))
+        self.cluster.store.refuse = True
+        models = self.cluster.workers.models.values()
+        self.assertTrue(wait_until(lambda: all(m.used_cpu == 0 for m in models), 20))
+        self.cluster.store.refuse = False
+        self.assertTrue(self.cluster.wait_state(path, "completed"))
+        self.assertEqual(len(self.cluster.workers.starts), 2)
+
+
+class TestThreeNodes(unittest.TestCase):
+    def setUp(self) -> None:
+        self.cluster = EntryCluster(3)
+        self.assertTrue(self.cluster.wait_ready())
+
+    def tearDown(self) -> None:
+        self.cluster.close()
+
+    def test_one_leader_and_any_node_answers(self) -> None:
+        """Exactly one node is elected, and each node takes jobs in and knows all of them."""
+        self.assertEqual(sum(len(n.lines("claim_won")) for n in self.cluster.nodes), 1)
+        for node in self.cluster.nodes:
+            path, body = self.cluster.job([SMALL])
+            self.assertEqual(node.call("POST", path, body)[0], 200)
+            for other in self.cluster.nodes:
+                self.assertTrue(
+                    wait_until(lambda o=other, p=path: self.cluster.state(o, p) == "completed")
+                )
+
+    def test_killed_leader_is_replaced(self) -> None:
+        """Running work is adopted by the next leader, and nothing runs twice."""
+        self.cluster.workers.work_s = 4.0
+        path, body = self.cluster.job([SMALL])
+        leader = self.cluster.leader
+        self.assertEqual(leader.call("POST", path, body)[0], 200)
+        self.assertTrue(wait_until(lambda: len(self.cluster.workers.starts) == 2))
+        leader.kill()
+        self.assertTrue(self.cluster.wait_state(path, "completed"))
+        self.assertEqual(len(self.cluster.workers.starts), 2)
+        self.assertEqual(self.cluster.workers.checks.violations, [])
+
+    def test_paused_leader_is_shut_out(self) -> None:
+        """A leader that slept through its replacement does no harm and follows again."""
+        path, body = self.cluster.job([SMALL])
+        leader = self.cluster.leader
+        others = [node for node in self.cluster.nodes if node is not leader]
+        leader.signal(signal.SIGSTOP)
+        self.assertTrue(wait_until(lambda: any(node.leads for node in others)))
+        self.assertEqual(others[0].call("POST", path, body)[0], 200)
+        leader.signal(signal.SIGCONT)
+        self.assertTrue(self.cluster.wait_state(path, "completed"))
+        self.assertTrue(wait_until(lambda: leader.lines("deposed")))
+        self.assertTrue(wait_until(lambda: self.cluster.state(leader, path) == "completed"))
+        self.assertEqual(self.cluster.workers.checks.violations, [])
+
+    def test_all_killed_at_once(self) -> None:
+        """After all nodes start again every accepted job is known and goes on."""
+        paths = []
+        for number in range(6):
+            path, body = self.cluster.job([SMALL])
+            self.assertEqual(self.cluster.nodes[number % 3].call("POST", path, body)[0], 200)
+            paths.append(path)
+        for node in self.cluster.nodes:
+            node.kill()
+        for node in self.cluster.nodes:
+            node.start()
+        for path in paths:
+            self.assertTrue(self.cluster.wait_state(path, "completed"))
+        # Advice needs all nodes to be connected to the new leader.
+        path, body = self.cluster.job([SMALL], "/jobs/advised/")
+        self.assertTrue(
+            wait_until(lambda: self.cluster.nodes[0].call("POST", path, body)[0] == 200)
+        )
+        self.assertTrue(self.cluster.wait_state(path, "completed"))
+        for node in self.cluster.nodes:
+            self.assertEqual(node.lines("peer_unknown"), [])
+        self.assertEqual(self.cluster.workers.checks.violations, [])
+
+    def test_planned_stop_cuts_nothing_off(self) -> None:
+        """A stopping leader says that it is not ready, resigns, answers, and ends cleanly."""
+        leader = self.cluster.leader
+        path, body = self.cluster.job([SMALL])
+        leader.signal(signal.SIGTERM)
+        self.assertTrue(wait_until(lambda: leader.probe() == 503))
+        self.assertEqual(leader.call("POST", path, body)[0], 200)
+        self.assertEqual(leader.process.wait(timeout=10), 0)
+        self.assertTrue(self.cluster.wait_state(path, "completed"))
+
+    def test_crashed_worker_is_replaced(self) -> None:
+        """Runs of a worker that died silently start again elsewhere once its leases are over."""
+        self.cluster.workers.work_s = 2.0
+        path, body = self.cluster.job([SMALL])
+        self.cluster.nodes[0].call("POST", path, body)
+        self.assertTrue(wait_until(lambda: len(self.cluster.workers.starts) == 2))
+        life = self.cluster.workers.starts[0][2]
+        self.cluster.workers.mute.add(life)
+        self.cluster.workers.models[life].crash()
+        self.assertTrue(self.cluster.wait_state(path, "completed", 30))
+        self.assertEqual(self.cluster.workers.checks.violations, [])
+
+
+if __name__ == "__main__":
+    unittest.main()
