Count each failed run once; show all jobs before leading; place by learned speed

(3) Orders that a leader may not send were dropped without an answer, so their tasks hung. (4) Calls to workers that found no answer took 1 s (starts) or 2 s (renewals): where orders are applied late, ends were seen 2.4 s late and a gang was lost with one member's start.

Change: progress records name the failed runs in place of a count; what a takeover shows is shown before the leader is known; orders not sent are answered as unreached; starts are sent again to the same worker (the same run to it), calls take 0.4 s, renewals wait 0.5 s. Workers' slowness is learned from progress; fast ones first, runs leave slow ones where that pays.

--- a/src/snowdock/decisions/placements.py
+++ b/src/snowdock/decisions/placements.py
@@ -175,4 +175,6 @@
         "same_rack": crowd.racks.get(worker.rack, 0),
         "same_hall": crowd.halls.get(worker.hall, 0),
         "accelerators": worker.capacity.accelerators,
+        # Declared work does not tell how far it is, so nothing is known of its workers' speed.
+        "slowness": 1.0,
     }
--- a/src/snowdock/emulator/emulator.py
+++ b/src/snowdock/emulator/emulator.py
@@ -45,8 +45,8 @@
 __all__ = ["Emulator", "EmulatorOptions", "Faults"]
 
 _TICK_SECONDS = 0.1
-_ORDER_TIMEOUT_SECONDS = 1.0
-_RENEW_SLACK_SECONDS = 1.0
+_ORDER_TIMEOUT_SECONDS = 0.4
+_RENEW_SLACK_SECONDS = 0.3
 _CAPACITY = Size(16_000, 65_536, 0)
 _TERMS = WorkerTerms()
 
@@ -229,8 +229,9 @@
         holder.append(cell)
         cell.configuration = configuration_for(options.workload)
         recorded = RecordedJobs(dict(self._accepted), set(self._cancelled), dict(self._progress))
-        restore(cell, recorded, now, now * 1000)
         leader = _Leader(cell)
+        for effect in restore(cell, recorded, now, now * 1000):
+            self._handlers[type(effect)](leader, effect)
         self._leaders.append(leader)
         for model in self.workers.values():
             if model.is_up:
--- a/src/snowdock/emulator/worker_model.py
+++ b/src/snowdock/emulator/worker_model.py
@@ -233,10 +233,16 @@
 
     def _report(self) -> WorkerReport:
         running = [
-            RunningRun(run.task, run.run, run.checkpoint, 0.0, 0.0) for run in self._runs.values()
+            RunningRun(run.task, run.run, run.checkpoint, self._percent(run), 0.0)
+            for run in self._runs.values()
         ]
         return WorkerReport(self.clock_ms, running, list(self._ends))
 
+    def _percent(self, run: RunModel) -> float:
+        if run.working_since is None:
+            return 0.0
+        return float(int(min(100, 100 * (self._timeline.now - run.working_since) / run.work_s)))
+
     # -- leases and ends -------------------------------------------------------------------
 
     def _extend(self, until_ms: float) -> None:
--- a/src/snowdock/entry/leader.py
+++ b/src/snowdock/entry/leader.py
@@ -16,6 +16,7 @@
     ConfigurationChanged,
     Decided,
     DropJobs,
+    Effect,
     Event,
     JobAccepted,
     JobCancelled,
@@ -26,12 +27,15 @@
     SendRenew,
     SendStart,
     SendStop,
+    StartAnswered,
     StepDown,
+    StopAnswered,
     Ticked,
     WorkerDelisted,
     WorkerListed,
 )
 from ..jobs.model import Configuration
+from ..jobs.orders import Refusal, StartResult
 from ..jobs.policy import make_policy
 from ..jobs.progress import CANCEL_PREFIX, decode_accepted, decode_progress
 from ..jobs.reducer import reduce
@@ -127,7 +131,7 @@
         policy = make_policy(self._raise_alarm, lambda: self._cell)
         self._cell = Cell(context.settings, context.epoch, policy, now)
         self._cell.configuration = context.configuration()
-        restore(self._cell, recorded, now, _wall_ms())
+        restored = restore(self._cell, recorded, now, _wall_ms())
         self._handlers: dict[type, Callable] = {
             Persist: self._writer.write,
             SendStart: self._send_order,
@@ -141,6 +145,8 @@
             StepDown: lambda effect: self._step_down(effect.reason),
             Decided: _log_decision,
         }
+        # Before anybody asks this node as the leader, it knows all jobs on record.
+        self._carry_out(restored)
 
     def on_start(self) -> None:
         """Start writing."""
@@ -158,7 +164,10 @@
         if self._stepped_down:
             return
         began = time.monotonic()
-        for effect in reduce(self._cell, message, began, _wall_ms()):
+        self._carry_out(reduce(self._cell, message, began, _wall_ms()))
+
+    def _carry_out(self, effects: list[Effect]) -> None:
+        for effect in effects:
             self._handlers[type(effect)](effect)
 
     def on_failure(self, exception_type, exception_value, traceback) -> None:
@@ -188,8 +197,14 @@
 
     def _send_order(self, effect: SendStart | SendStop) -> None:
         link = self._links.get(effect.life)
+        order = effect.order
         if link is not None and self._context.may_order():
-            link.order(effect.order)
+            link.order(order)
+        elif isinstance(effect, SendStart):
+            result = StartResult(Refusal.UNREACHED)
+            self.actor_ref.tell(StartAnswered(effect.life, order.task, order.run, result))
+        else:
+            self.actor_ref.tell(StopAnswered(effect.life, order.task, order.run, False))
 
     def _send_renew(self, effect: SendRenew) -> None:
         link = self._links.get(effect.life)
--- a/src/snowdock/entry/worker_link.py
+++ b/src/snowdock/entry/worker_link.py
@@ -14,11 +14,14 @@
 
 __all__ = ["WorkerLink"]
 
-_ORDER_SECONDS = 1.0
+_ORDER_SECONDS = 0.4
 """How long a start or stop may take: a worker answers in a few ms, and a gang's members wait
 for each other for a few seconds only."""
 
-_RENEW_SLACK_SECONDS = 1.0
+_START_TRIES = 3
+"""A start without an answer is sent again: to the worker it is the same run."""
+
+_RENEW_SLACK_SECONDS = 0.3
 """How much longer than its wait a renewal may take."""
 
 _CONNECTIONS = 2
@@ -73,13 +76,13 @@
 
     def _start(self, order: StartOrder) -> None:
         began = time.monotonic()
-        try:
-            result = self._client.start(order, _ORDER_SECONDS)
-        except CallUnanswered as error:
-            result = StartResult(Refusal.UNREACHED) if error.unsent else None
-        except PlatformError as error:
-            log_event("start_answer_unusable", worker=self._life, reason=str(error))
-            result = None
+        result = None
+        for number in range(_START_TRIES):
+            result = self._try_start(order)
+            if result is not None:
+                result = _certain(result, number)
+                break
+            self._metrics.count("starts_repeated_total", "Starts sent again.")
         self._metrics.observe(
             "start_call_seconds", "Time of a start's call.", time.monotonic() - began
         )
@@ -89,6 +92,15 @@
         self._metrics.count("starts_total", "Starts ordered.", outcome=outcome)
         self._post(StartAnswered(self._life, order.task, order.run, result))
 
+    def _try_start(self, order: StartOrder) -> StartResult | None:
+        try:
+            return self._client.start(order, _ORDER_SECONDS)
+        except CallUnanswered as error:
+            return StartResult(Refusal.UNREACHED) if error.unsent else None
+        except PlatformError as error:
+            log_event("start_answer_unusable", worker=self._life, reason=str(error))
+            return None
+
     def _stop(self, order: StopOrder) -> None:
         refusal, answered = None, False
         try:
@@ -108,3 +120,13 @@
                 log_event("renewal_unanswered", worker=self._life, reason=str(error))
             self._post(RenewAnswered(self._life, order, outcome))
         self._client.close()
+
+
+def _certain(result: StartResult, tries_before: int) -> StartResult | None:
+    """Give an answer that can be relied on, or none.
+
+    An earlier try may have been carried out, so a refusal of a later one tells nothing of the
+    run, but where the worker's life is over or another node leads.
+    """
+    definite = (None, Refusal.OTHER_LIFE, Refusal.FENCED)
+    return result if tries_before == 0 or result.refusal in definite else None
--- a/src/snowdock/jobs/cell.py
+++ b/src/snowdock/jobs/cell.py
@@ -134,12 +134,20 @@
     phase: Phase = Phase.WAITING
     run: int = 0
     life: str = ""
-    failures: int = 0
+    failed_runs: set[int] = dataclasses.field(default_factory=set)
     checkpoint: str = ""
     since: float = 0.0
     percent: float = 0.0
+    seen_percent: float = 0.0
+    seen_at: float = 0.0
+    moves: int = 0
     avoid: set[str] | None = None
 
+    @property
+    def failures(self) -> int:
+        """How many of its runs have failed; of a gang's member, how many of the gang's."""
+        return len(self.failed_runs)
+
     @property
     def is_placed(self) -> bool:
         """Whether a run of it is, or may be, at a worker."""
@@ -159,9 +167,8 @@
     advice: Advice | None = None
     rank: float = 0.0
     not_before: float = 0.0
-    failed_runs: set[int] = dataclasses.field(default_factory=set)
     ordered_at: float = 0.0
-    shown: dict[str, object] | None = None
+    usual_log: float | None = None
 
     @property
     def key(self) -> StepKey:
--- a/src/snowdock/jobs/durability.py
+++ b/src/snowdock/jobs/durability.py
@@ -15,8 +15,9 @@
 _STORE_RENEWAL_SECONDS = 0.5
 """How often a worker is renewed while its ends wait to be on record."""
 
-RENEW_WAIT_MS = 1000
-"""How long a worker may wait for an end before it answers: about a quarter of the lease."""
+RENEW_WAIT_MS = 500
+"""How long a worker may wait for an end before it answers; where the answer is lost, its ends
+are not seen for so long."""
 
 
 def mark(cell: Cell, job: Job) -> None:
@@ -34,7 +35,7 @@
             task.run,
             task.life,
             task.phase is Phase.DONE,
-            task.failures,
+            sorted(task.failed_runs),
             task.checkpoint,
         )
         for task in job.all_tasks()
--- a/src/snowdock/jobs/placing.py
+++ b/src/snowdock/jobs/placing.py
@@ -67,7 +67,7 @@
 
 
 def _is_usable(worker: Worker, now: float) -> bool:
-    if not worker.settled or worker.entry.draining or worker.silent_since is not None:
+    if not worker.settled or worker.entry.draining or worker.is_mute:
         return False
     if worker.shunned_until > now:
         return False
@@ -122,6 +122,7 @@
 ) -> Iterator[_Seats]:
     spec = step.spec
     room = spec.room
+    needs_sound = _is_last_attempt(cell, step)
     for worker in workers:
         if spec.label and spec.label not in worker.entry.labels:
             continue
@@ -130,6 +131,9 @@
             free = free.minus(claimed[worker.life])
         if not free.holds(room):
             continue
+        if worker.failure_streak and (worker.failure_streak > 1 or needs_sound) and worker.runs:
+            # One run at a time is to prove a worker that has been failing.
+            continue
         there = _count_there(step, worker) if spec.most_per_worker else 0
         count = _fitting(free, room)
         if spec.most_per_worker:
@@ -141,6 +145,12 @@
             yield _Seats(worker, count, score)
 
 
+def _is_last_attempt(cell: Cell, step: Step) -> bool:
+    """Whether one more failure would fail the job."""
+    most = cell.queue_of(step.job).max_attempts - 1
+    return any(task.failures >= most for task in step.tasks)
+
+
 def _fitting(free: Size, room: Size) -> int:
     counts = [
         have // need
--- a/src/snowdock/jobs/policy.py
+++ b/src/snowdock/jobs/policy.py
@@ -16,6 +16,9 @@
 """A queue's priority 0 is shown to programs as 100, 1 as 90 and so on: there the highest
 number goes first."""
 
+_SLOWNESS_STEPS = 5
+"""Slowness is rounded to a fifth, for the same reason."""
+
 _FRACTION_STEPS = 20
 """Free fractions are rounded to this many steps, so that scores can be remembered."""
 
@@ -106,4 +109,5 @@
         "same_rack": there,
         "same_hall": there,
         "accelerators": worker.entry.capacity.accelerators,
+        "slowness": round(worker.slowness * _SLOWNESS_STEPS) / _SLOWNESS_STEPS,
     }
--- a/src/snowdock/jobs/progress.py
+++ b/src/snowdock/jobs/progress.py
@@ -53,8 +53,8 @@
         The worker's life on which that run is or may be; empty where there is none.
     done
         Whether a run ended well.
-    failures
-        Runs that ended failed.
+    failed_runs
+        Runs that ended failed; of a gang's member, the gang's.
     checkpoint
         Where the next run goes on from; empty for the start.
     """
@@ -65,7 +65,7 @@
     run: int = 0
     life: str = ""
     done: bool = False
-    failures: int = 0
+    failed_runs: list[int] = []
     checkpoint: str = ""
 
 
--- a/src/snowdock/jobs/runs.py
+++ b/src/snowdock/jobs/runs.py
@@ -19,9 +19,9 @@
     "void_run",
 ]
 
-_SHUN_STREAK = 3
-"""Failures in a row after which a worker gets nothing new for a while: a step's own faults
-rarely come three in a row (a few in a hundred runs fail)."""
+_SHUN_STREAK = 2
+"""Failures in a row after which a worker gets nothing new for a while: a few in a hundred runs
+fail by their own fault, so two in a row happen by chance once in some hundred ends."""
 
 _SHUN_SECONDS = 2.0
 _LONGEST_SHUN_SECONDS = 8.0
@@ -105,6 +105,9 @@
     cell.tell("stale_end", task.id.job, task=task.id, run=end.run, how=end.kind.value, worker=life)
     if end.kind is not EndKind.FAILED or task.step.spec.long_running:
         return
+    if end.run in task.failed_runs:
+        # On record already: the worker had not heard that it may forget it.
+        return
     if task.phase is not Phase.DONE and not task.step.job.status.is_final:
         mark(cell, task.step.job)
         _note_failure(cell, task, end.run, life, now)
@@ -154,13 +157,9 @@
     if task.avoid is None:
         task.avoid = set()
     task.avoid.add(life)
-    if not step.spec.gang:
-        task.failures += 1
-    elif run not in step.failed_runs:
-        # A gang's run fails once, however many of its members do; all carry its count.
-        step.failed_runs.add(run)
-        for each in step.tasks:
-            each.failures += 1
+    # A gang's run fails once, however many of its members do; all carry its count.
+    for each in step.tasks if step.spec.gang else [task]:
+        each.failed_runs.add(run)
     step.not_before = now + cell.policy.backoff_seconds(step, task.failures)
     attempts = cell.queue_of(step.job).max_attempts
     if task.failures >= attempts and not step.job.status.is_final:
@@ -171,6 +170,8 @@
     task.phase = Phase.WAITING
     task.since = now
     task.percent = 0.0
+    task.seen_at = 0.0
+    task.seen_percent = 0.0
     step = task.step
     if step.spec.gang:
         abort_gang(cell, step, now)
--- a/src/snowdock/jobs/takeover.py
+++ b/src/snowdock/jobs/takeover.py
@@ -3,7 +3,7 @@
 import dataclasses
 
 from .cell import Cell, Job, Orphan, Phase
-from .events import JobAccepted
+from .events import Effect, JobAccepted
 from .model import JobId, JobStatus
 from .progress import AcceptedJob, JobProgress, TaskProgress
 from .reducer import accept_job
@@ -21,8 +21,8 @@
     progress: dict[JobId, JobProgress]
 
 
-def restore(cell: Cell, recorded: RecordedJobs, now: float, wall_ms: float) -> None:
-    """Fill a new leader's state; call before any event.
+def restore(cell: Cell, recorded: RecordedJobs, now: float, wall_ms: float) -> list[Effect]:
+    """Fill a new leader's state; call before any event, and carry the effects out first.
 
     Runs that an earlier leader placed count as running until their worker tells otherwise.
     """
@@ -38,6 +38,8 @@
         if job_id in recorded.cancelled:
             cancel_job(cell, cell.jobs[job_id], now)
     cell.cancelled_ahead |= recorded.cancelled - recorded.accepted.keys()
+    effects, cell.effects = cell.effects, []
+    return effects
 
 
 def _restore_job(
@@ -76,7 +78,7 @@
 def _restore_task(cell: Cell, job: Job, record: TaskProgress) -> None:
     task = job.repetitions[record.repetition][record.step].tasks[record.index]
     task.run = record.run
-    task.failures = record.failures
+    task.failed_runs = set(record.failed_runs)
     task.checkpoint = record.checkpoint
     if record.done:
         task.phase = Phase.DONE
--- a/src/snowdock/jobs/worker_events.py
+++ b/src/snowdock/jobs/worker_events.py
@@ -15,6 +15,7 @@
 from .model import TaskId
 from .orders import Refusal, StopOrder, WorkerReport
 from .runs import acknowledge_ends, lose_runs, stop_run, take_end, void_run
+from .speeds import fade_slowness, note_progress, would_gain_elsewhere
 from .workers import Worker, WorkerEntry
 
 __all__ = [
@@ -27,7 +28,7 @@
 ]
 
 _SILENT_RETRY_SECONDS = 0.4
-"""Pause before a worker that gave no answer is called again."""
+"""Pause before a worker that gave no answer again is called; after the first time, none."""
 
 _IDLE_RENEW_SECONDS = 2.0
 """How often an empty worker is looked at; nothing there needs its lease."""
@@ -43,7 +44,7 @@
 """How long nothing is placed on a worker that turned a start away as unwell."""
 
 _DELISTED_CLOSE_SECONDS = 15.0
-"""How long a silent worker that is no longer listed is still called: entries that lapsed with
+"""How long an empty worker that is no longer listed is still called: entries that lapsed with
 the store are back in about two seconds, and a lease is over long before."""
 
 
@@ -111,6 +112,9 @@
         if worker.silent_since is None:
             worker.silent_since = now
             cell.tell("worker_silent", worker.life, runs=len(worker.runs))
+            renew(cell, worker, now, 0)
+            return
+        worker.is_mute = True
         worker.next_renew_at = now + _SILENT_RETRY_SECONDS
 
 
@@ -120,6 +124,7 @@
     if worker.silent_since is not None:
         cell.tell("worker_answers", worker.life, silent_s=now - worker.silent_since)
         worker.silent_since = None
+        worker.is_mute = False
     worker.note_clock(report.clock_ms, now)
     listed: set[tuple[TaskId, int]] = set()
     news = False
@@ -164,6 +169,19 @@
     if task.phase in (Phase.ORDERED, Phase.UNSURE):
         task.phase = Phase.RUNNING
         task.since = now
+    note_progress(worker, task, row, now)
+    if would_gain_elsewhere(cell, worker, task):
+        task.moves += 1
+        cell.tell(
+            "run_moved",
+            task.id.job,
+            task=task.id,
+            run=task.run,
+            worker=worker.life,
+            slowness=worker.slowness,
+            percent=row.percent,
+        )
+        stop_run(cell, task, now)
 
 
 def _stop_stray(cell: Cell, worker: Worker, task: TaskId, run: int, now: float) -> None:
@@ -304,6 +322,7 @@
 
 def watch_workers(cell: Cell, now: float) -> None:
     """Renew what is due, give up what is surely over, and repeat stops."""
+    fade_slowness(cell)
     for worker in list(cell.workers.values()):
         _watch_worker(cell, worker, now)
     for life, orphans in list(cell.orphans.items()):
--- a/src/snowdock/jobs/workers.py
+++ b/src/snowdock/jobs/workers.py
@@ -1,6 +1,7 @@
 """What a leader knows of one life of a worker."""
 
 import dataclasses
+import math
 
 from ..declarations import ZERO, Size
 from .model import TaskId
@@ -74,10 +75,14 @@
         How long the next renewal may wait at the worker.
     silent_since
         When a call first found no answer; None while it answers.
+    is_mute
+        Whether several calls in a row found no answer.
     failure_streak
         Runs that failed or were refused there in a row.
     shunned_until
         Until when nothing new is placed there, in steady seconds.
+    slow_log
+        The logarithm of how many times longer runs take there than usual.
     """
 
     entry: WorkerEntry
@@ -96,14 +101,21 @@
     next_renew_at: float = 0.0
     next_wait_ms: int = 0
     silent_since: float | None = None
+    is_mute: bool = False
     failure_streak: int = 0
     shunned_until: float = 0.0
+    slow_log: float = 0.0
 
     @property
     def life(self) -> str:
         """Names this life of the worker."""
         return self.entry.life
 
+    @property
+    def slowness(self) -> float:
+        """How many times longer runs take here than usual."""
+        return math.exp(self.slow_log)
+
     @property
     def free(self) -> Size:
         """Room that nothing takes."""
--- a/src/snowdock/policies.py
+++ b/src/snowdock/policies.py
@@ -51,6 +51,7 @@
     "same_rack": 1,
     "same_hall": 2,
     "accelerators": 0,
+    "slowness": 1.2,
 }
 _SAMPLES = {
     "admit": ((_SAMPLE_WORK,),),
--- a/src/snowdock/programs/deadline_first.star
+++ b/src/snowdock/programs/deadline_first.star
@@ -13,8 +13,8 @@
     return base - min(max(work["slack_seconds"], -60.0), 60.0)
 
 def score(work, vm):
-    # Best fit: large free rooms stay whole for large tasks.
-    return 1.0 - vm["free_fraction"] - vm["failure_streak"] * 0.2
+    # Fast VMs first, then best fit: large free rooms stay whole for large tasks.
+    return 1.0 - vm["free_fraction"] * 0.5 - vm["slowness"] - vm["failure_streak"] * 0.2
 
 def preempt(work, victim):
     return ""
--- /dev/null
+++ b/tests/test_jobs_reducer.py
@@ -0,0 +1,504 @@
+"""Tests of the leader's reducer: what is ordered when, and what follows from answers."""
+
+import dataclasses
+import unittest
+
+import msgspec
+
+from snowdock.declarations import Size
+from snowdock.jobs.cell import Phase
+from snowdock.jobs.events import (
+    AdviceAnswered,
+    AdviceFailed,
+    AskAdvice,
+    JobAccepted,
+    JobCancelled,
+    Persist,
+    Persisted,
+    PublishStatus,
+    SendRenew,
+    SendStart,
+    SendStop,
+    StartAnswered,
+    StepDown,
+    StopAnswered,
+    WorkerDelisted,
+    WorkerListed,
+)
+from snowdock.jobs.model import AdviceTerms, JobStatus
+from snowdock.jobs.orders import AdviceGiven, EndKind, Refusal, StartResult
+from snowdock.jobs.progress import JobProgress, TaskProgress, decode_progress
+from snowdock.jobs.takeover import RecordedJobs
+from tests.jobs_tools import DONE, FAILED, SMALL, Bench, accepted
+
+
+def of_type(effects, kind):
+    return [effect for effect in effects if isinstance(effect, kind)]
+
+
+class TestDurability(unittest.TestCase):
+    def test_start_waits_for_its_record(self) -> None:
+        """No start is sent before its placement is on record."""
+        bench = Bench()
+        bench.add_worker()
+        bench.holds_store = True
+        bench.submit()
+        (batch,) = of_type(bench.effects, Persist)
+        self.assertEqual(bench.starts(), [])
+        progress = decode_progress(batch.records[0].data)
+        self.assertEqual(progress.tasks[0].life, "w")
+        bench.feed(Persisted(batch.number))
+        self.assertEqual(len(bench.starts()), 1)
+
+    def test_one_batch_at_a_time(self) -> None:
+        """What changes while a batch is on its way goes with the next."""
+        bench = Bench()
+        bench.add_worker()
+        bench.holds_store = True
+        bench.submit()
+        (first,) = of_type(bench.effects, Persist)
+        bench.submit()
+        self.assertEqual(of_type(bench.effects, Persist), [])
+        bench.now += 0.01
+        bench.feed(Persisted(first.number))
+        bench.tick(0.1)
+        self.assertEqual(bench.cell.batch, 2)
+
+    def test_end_is_forgotten_after_its_record(self) -> None:
+        """A worker may forget an end, and callers see it, once it is on record."""
+        bench = Bench()
+        bench.add_worker()
+        job = bench.submit()
+        (start,) = bench.starts()
+        bench.confirm(start)
+        bench.holds_store = True
+        effects = bench.report("w", ended=[(start.order.task, 1, DONE)])
+        self.assertEqual(of_type(effects, PublishStatus), [])
+        self.assertTrue(all(e.order.seen_ends == 0 for e in of_type(effects, SendRenew)))
+        (batch,) = of_type(effects, Persist)
+        effects = bench.feed(Persisted(batch.number))
+        self.assertEqual(
+            [(e.job, e.status) for e in of_type(effects, PublishStatus)],
+            [(job, JobStatus.COMPLETED)],
+        )
+        self.assertEqual(of_type(effects, SendRenew)[-1].order.seen_ends, 1)
+
+
+class TestSilentWorker(unittest.TestCase):
+    def setUp(self) -> None:
+        self.bench = Bench()
+        self.bench.add_worker("w")
+        self.bench.submit()
+        (start,) = self.bench.starts()
+        self.order = start.order
+        self.bench.confirm(start)
+        self.bench.report("w", running=[(self.order.task, 1, 10.0)])
+
+    def miss_for(self, seconds: float) -> list:
+        found = []
+        end = self.bench.now + seconds
+        while self.bench.now < end:
+            if "w" in self.bench.renewals:
+                found += self.bench.miss("w")
+            found += self.bench.tick(0.1)
+        return found
+
+    def test_lease_of_a_silent_worker_is_not_renewed(self) -> None:
+        """Renewals to a worker that does not answer only look, so its leases run out."""
+        found = self.miss_for(3.0)
+        looks = [effect.order.lease_until_ms for effect in of_type(found, SendRenew)]
+        self.assertGreater(len(looks), 3)
+        self.assertEqual(set(looks), {0})
+
+    def test_runs_begin_again_after_the_lease(self) -> None:
+        """Not before its leases are over, at the slowest rate of its clock, then elsewhere."""
+        self.bench.add_worker("v")
+        found = self.miss_for(9.0)
+        again = [effect for effect in of_type(found, SendStart) if effect.life == "v"]
+        self.assertEqual([effect.order.run for effect in again], [2])
+
+    def test_not_before_the_lease(self) -> None:
+        """Within the lease nothing begins again."""
+        self.bench.add_worker("v")
+        found = self.miss_for(3.5)
+        self.assertEqual(of_type(found, SendStart), [])
+
+    def test_other_life_ends_all_at_once(self) -> None:
+        """Where another life answers, the runs of the one meant are over."""
+        self.bench.add_worker("v")
+        event = StartAnswered("w", self.order.task, 1, StartResult(Refusal.OTHER_LIFE))
+        found = self.bench.feed(event) + self.bench.tick(0.2)
+        self.assertEqual([effect.life for effect in of_type(found, SendStart)], ["v"])
+
+
+class TestUnansweredStart(unittest.TestCase):
+    def setUp(self) -> None:
+        self.bench = Bench()
+        self.bench.add_worker("w")
+        self.bench.submit()
+        (self.start,) = self.bench.starts()
+        self.order = self.start.order
+
+    def unanswered(self) -> list:
+        return self.bench.feed(StartAnswered("w", self.order.task, 1, None))
+
+    def test_listed_run_is_adopted(self) -> None:
+        """A run that the worker lists has started."""
+        self.bench.report("w", running=[(self.order.task, 1, 0.0)])
+        self.unanswered()
+        self.bench.report("w", running=[(self.order.task, 1, 5.0)])
+        task = self.bench.cell.find_task(self.order.task)
+        self.assertEqual((task.phase, task.run), (Phase.RUNNING, 1))
+
+    def missing(self) -> list:
+        """Report, after the lost answer, that nothing runs."""
+        self.bench.report("w")
+        self.unanswered()
+        self.bench.now += 0.01
+        self.bench.report("w")
+        return self.bench.report("w")
+
+    def test_missing_run_is_stopped_before_it_begins_again(self) -> None:
+        """A run that is not listed may come later, so the worker must refuse it first."""
+        found = self.missing()
+        self.assertEqual(len(of_type(found, SendStop)), 1)
+        self.assertEqual(of_type(found, SendStart), [])
+        self.bench.feed(StopAnswered("w", self.order.task, 1, True))
+        self.bench.now += 0.01
+        self.bench.seen.clear()
+        for _ in range(5):
+            self.bench.report("w")
+            self.bench.tick(0.3)
+        self.assertEqual([e.order.run for e in of_type(self.bench.seen, SendStart)], [2])
+
+    def test_repeated_stop_keeps_its_first_answer(self) -> None:
+        """Stops that are sent again do not put off what follows from the first answer."""
+        self.missing()
+        self.bench.feed(StopAnswered("w", self.order.task, 1, True))
+        stop = next(iter(self.bench.cell.stops.values()))
+        first = stop.answered_at
+        found = self.bench.tick(4.0)
+        self.assertTrue(of_type(found, SendStop))
+        self.bench.feed(StopAnswered("w", self.order.task, 1, True))
+        self.assertEqual(stop.answered_at, first)
+
+
+class TestFailures(unittest.TestCase):
+    def test_attempts_are_counted_and_end_the_job(self) -> None:
+        """A job has failed with the last attempt that its queue allows, not before."""
+        bench = Bench(attempts=2)
+        bench.add_worker()
+        bench.submit()
+        for run in (1, 2):
+            (start,) = bench.starts()
+            self.assertEqual(start.order.run, run)
+            bench.confirm(start)
+            found = bench.report("w", ended=[(start.order.task, run, FAILED)])
+            bench.effects = found + bench.tick(3.0)
+        statuses = [e.status for e in of_type(bench.effects, PublishStatus)]
+        self.assertEqual(statuses, [JobStatus.FAILED])
+        self.assertEqual(bench.starts(), [])
+
+    def test_failure_of_a_run_given_up_counts(self) -> None:
+        """A run that was taken for lost and had failed uses an attempt up all the same."""
+        bench = Bench(attempts=2)
+        bench.add_worker("w")
+        bench.submit()
+        (start,) = bench.starts()
+        bench.confirm(start)
+        task = bench.cell.find_task(start.order.task)
+        task.run, task.life, task.phase = 2, "elsewhere", Phase.RUNNING
+        bench.report("w", ended=[(start.order.task, 1, FAILED)])
+        self.assertEqual(task.failures, 1)
+
+    def test_gang_fails_once_a_run(self) -> None:
+        """Two failed members of one run are one failure of the gang."""
+        bench = Bench(attempts=2)
+        bench.add_worker()
+        job = bench.submit(gang_of(3))
+        starts = bench.starts()
+        for start in starts:
+            bench.confirm(start)
+        tasks = [start.order.task for start in starts]
+        bench.report(
+            "w",
+            ended=[
+                (tasks[0], 1, FAILED),
+                (tasks[1], 1, FAILED),
+                (tasks[2], 1, EndKind.BROKEN),
+            ],
+        )
+        self.assertEqual(bench.cell.jobs[job].status, JobStatus.RUNNING)
+        self.assertEqual({bench.cell.find_task(task).failures for task in tasks}, {1})
+
+
+def gang_of(count: int):
+    return msgspec.structs.replace(SMALL, count=count, gang=True)
+
+
+class TestGangs(unittest.TestCase):
+    def test_starts_as_a_whole_or_not_at_all(self) -> None:
+        """A gang without room for all its members starts none."""
+        bench = Bench()
+        bench.add_worker("w", cpu=4000)
+        bench.submit(gang_of(5))
+        self.assertEqual(bench.starts(), [])
+        bench.add_worker("v", cpu=1000)
+        found = bench.effects + bench.tick(0.2)
+        self.assertEqual(len(bench.starts(found)), 5)
+        self.assertEqual({start.order.run for start in bench.starts(found)}, {1})
+
+    def test_refused_member_takes_the_others_along(self) -> None:
+        """Where one member cannot start, the others are stopped before they wait in vain."""
+        bench = Bench()
+        bench.add_worker()
+        bench.submit(gang_of(3))
+        first, *others = bench.starts()
+        result = StartResult(Refusal.UNWELL)
+        found = bench.feed(StartAnswered("w", first.order.task, 1, result))
+        stopped = {effect.order.task for effect in of_type(found, SendStop)}
+        self.assertEqual(stopped, {start.order.task for start in others})
+
+
+class TestPlacing(unittest.TestCase):
+    def test_room_is_never_oversold(self) -> None:
+        """What is being stopped still takes room."""
+        bench = Bench()
+        bench.add_worker("w", cpu=1000)
+        job = bench.submit()
+        (start,) = bench.starts()
+        bench.confirm(start)
+        found = bench.feed(JobCancelled(job))
+        self.assertEqual(len(of_type(found, SendStop)), 1)
+        bench.submit()
+        self.assertEqual(bench.starts(bench.effects + bench.tick(0.3)), [])
+        bench.report("w", ended=[(start.order.task, 1, EndKind.STOPPED)])
+        self.assertEqual(len(bench.starts(bench.effects + bench.tick(0.2))), 1)
+
+    def test_steps_follow_their_predecessors(self) -> None:
+        """A later step waits for all tasks of the earlier one."""
+        bench = Bench()
+        bench.add_worker()
+        later = msgspec.structs.replace(SMALL, after=(0,))
+        bench.submit(msgspec.structs.replace(SMALL, count=2), later)
+        first, second = bench.starts()
+        bench.confirm(first)
+        bench.confirm(second)
+        bench.report("w", ended=[(first.order.task, 1, DONE)])
+        self.assertEqual(bench.starts(bench.effects + bench.tick(0.2)), [])
+        found = bench.report("w", ended=[(second.order.task, 1, DONE)])
+        started = bench.starts(found + bench.tick(0.2))
+        self.assertEqual([start.order.task.step for start in started], [1])
+
+    def test_draining_worker_gets_nothing_new(self) -> None:
+        """A worker that is about to leave takes nothing, and what runs there goes on."""
+        bench = Bench()
+        bench.add_worker("w")
+        entry = dataclasses.replace(bench.cell.workers["w"].entry, draining=True)
+        bench.feed(WorkerListed(entry))
+        bench.submit()
+        self.assertEqual(bench.starts(bench.effects + bench.tick(0.5)), [])
+
+    def test_delisted_worker_keeps_its_runs(self) -> None:
+        """A missing entry is no evidence that runs are over."""
+        bench = Bench()
+        bench.add_worker("w")
+        bench.submit()
+        (start,) = bench.starts()
+        bench.confirm(start)
+        bench.feed(WorkerDelisted("w"))
+        bench.report("w", running=[(start.order.task, 1, 10.0)])
+        self.assertIn("w", bench.renewals)
+        self.assertEqual(len(bench.cell.workers["w"].runs), 1)
+
+    def test_failed_run_goes_elsewhere(self) -> None:
+        """The next try of a failed run avoids the worker that it failed on."""
+        bench = Bench()
+        bench.add_worker("w", cpu=8000)
+        bench.submit()
+        (start,) = bench.starts()
+        bench.confirm(start)
+        bench.add_worker("v", cpu=1000)
+        found = bench.report("w", ended=[(start.order.task, 1, FAILED)])
+        again = bench.starts(found + bench.tick(0.3))
+        self.assertEqual([effect.life for effect in again], ["v"])
+
+
+class TestAdvice(unittest.TestCase):
+    def setUp(self) -> None:
+        self.bench = Bench(advice=AdviceTerms(10.0, 1.0, 2000.0))
+        self.bench.add_worker("w")
+        self.bench.add_worker("v")
+
+    def answer(self, asked: AskAdvice, *fit: str) -> list:
+        tickets = {life: f"ticket-{life}" for life in fit}
+        return self.bench.feed(AdviceAnswered(AdviceGiven(asked.wanted, tickets)))
+
+    def test_start_carries_the_ticket(self) -> None:
+        """Only advised workers are used, with the ticket for the worker's life."""
+        self.bench.submit()
+        (asked,) = of_type(self.bench.effects, AskAdvice)
+        self.assertEqual(set(asked.wanted.workers), {"w", "v"})
+        found = self.answer(asked, "v") + self.bench.tick(0.1)
+        (start,) = self.bench.starts(found)
+        self.assertEqual((start.life, start.order.ticket), ("v", "ticket-v"))
+
+    def test_questions_are_few_and_the_highest_rank_goes_first(self) -> None:
+        """No more than two questions a node are on their way, whatever waits."""
+        for _ in range(20):
+            self.bench.submit()
+        self.bench.tick(0.2)
+        self.assertEqual(self.bench.cell.questions, 4)
+
+    def test_unfit_workers_are_not_asked_about_again(self) -> None:
+        """What the service has told stays; only tickets are renewed."""
+        self.bench.submit(msgspec.structs.replace(SMALL, size=Size(4000, 1000)))
+        (asked,) = of_type(self.bench.effects, AskAdvice)
+        self.bench.cell.workers["w"].used = Size(4000, 0)
+        self.answer(asked, "w")
+        self.bench.tick(2.5)
+        self.bench.cell.workers["w"].used = Size(0, 0)
+        (again,) = of_type(self.bench.tick(0.1), AskAdvice)
+        self.assertEqual(again.wanted.workers, ("w",))
+
+    def test_failed_question_is_asked_again(self) -> None:
+        """A question without an answer is repeated a little later."""
+        self.bench.submit()
+        (asked,) = of_type(self.bench.effects, AskAdvice)
+        self.bench.feed(AdviceFailed(asked.wanted))
+        self.assertEqual(len(of_type(self.bench.tick(0.5), AskAdvice)), 1)
+
+
+class TestTakeover(unittest.TestCase):
+    def recorded(self, job: str, life: str, **fields) -> RecordedJobs:
+        task = TaskProgress(0, 0, 0, run=3, life=life, **fields)
+        progress = JobProgress(JobStatus.RUNNING, [task])
+        return RecordedJobs({job: accepted()}, set(), {job: progress})
+
+    def restored(self, life: str = "w") -> tuple[Bench, str]:
+        bench = Bench(token=9)
+        job = "a" * 16
+        bench.restore(self.recorded(job, life))
+        return bench, job
+
+    def test_running_run_is_adopted(self) -> None:
+        """What the worker lists goes on; nothing is started or stopped."""
+        bench, job = self.restored()
+        bench.add_worker("w", settled=False)
+        task = bench.cell.jobs[job].repetitions[0][0].tasks[0]
+        found = bench.report("w", running=[(task.id, 3, 50.0)]) + bench.tick(1.0)
+        self.assertEqual(of_type(found, SendStart) + of_type(found, SendStop), [])
+
+    def test_statuses_are_shown_at_once(self) -> None:
+        """A new leader shows all jobs on record before it takes any event."""
+        bench = Bench(token=9)
+        job = "a" * 16
+        effects = bench.restore(self.recorded(job, "w"))
+        shown = [(e.job, e.status) for e in of_type(effects, PublishStatus)]
+        self.assertEqual(shown, [(job, JobStatus.RUNNING)])
+
+    def test_failure_on_record_is_not_counted_again(self) -> None:
+        """An end that is on record, and that the worker lists again, counts once."""
+        bench = Bench(token=9, attempts=2)
+        job = "a" * 16
+        bench.restore(self.recorded(job, "", failed_runs=[3]))
+        task = bench.cell.jobs[job].repetitions[0][0].tasks[0]
+        bench.add_worker("w", settled=False)
+        bench.report("w", ended=[(task.id, 3, FAILED)])
+        self.assertEqual(bench.cell.jobs[job].status, JobStatus.RUNNING)
+        bench.tick(0.3)
+        self.assertEqual([start.order.run for start in bench.starts(bench.seen)], [4])
+
+    def test_run_that_never_arrived_begins_again(self) -> None:
+        """The first report under the new token settles what runs there."""
+        bench, _ = self.restored()
+        bench.add_worker("w", settled=False)
+        found = bench.report("w") + bench.tick(0.2)
+        self.assertEqual([start.order.run for start in bench.starts(found)], [4])
+
+    def test_worker_never_seen_again(self) -> None:
+        """Its runs are over only after the longest lease and a cut-off leader's silence."""
+        bench, _ = self.restored(life="gone")
+        bench.add_worker("w")
+        self.assertEqual(bench.starts(bench.tick(9.5)), [])
+        self.assertEqual(len(bench.starts(bench.tick(1.0))), 1)
+
+    def test_cancelled_job_is_stopped_by_the_successor(self) -> None:
+        """A run of a job that was cancelled is stopped where it is found."""
+        bench = Bench(token=9)
+        job = "a" * 16
+        recorded = self.recorded(job, "w")
+        bench.restore(RecordedJobs(recorded.accepted, {job}, recorded.progress))
+        task = bench.cell.jobs[job].repetitions[0][0].tasks[0]
+        bench.add_worker("w", settled=False)
+        found = bench.report("w", running=[(task.id, 3, 50.0)]) + bench.tick(0.6)
+        self.assertTrue(of_type(found, SendStop))
+        self.assertEqual(of_type(found, SendStart), [])
+
+    def test_run_that_nothing_accounts_for_is_stopped(self) -> None:
+        """A run under no record takes room until it has ended, and is stopped."""
+        bench, job = self.restored(life="elsewhere")
+        task = bench.cell.jobs[job].repetitions[0][0].tasks[0]
+        bench.add_worker("w", settled=False)
+        found = bench.report("w", running=[(task.id, 2, 50.0)])
+        self.assertEqual([e.order.run for e in of_type(found, SendStop)], [2])
+        self.assertEqual(bench.cell.workers["w"].used.cpu, 1000)
+
+    def test_fenced_leader_steps_down(self) -> None:
+        """A worker that has seen a higher token ends a leadership."""
+        bench = Bench()
+        bench.add_worker()
+        bench.submit()
+        (start,) = bench.starts()
+        result = StartResult(Refusal.FENCED)
+        found = bench.feed(StartAnswered("w", start.order.task, 1, result))
+        self.assertEqual(len(of_type(found, StepDown)), 1)
+
+
+class TestCancelling(unittest.TestCase):
+    def test_cancelling_may_come_first(self) -> None:
+        """A cancelling on record before its job keeps the job from running."""
+        bench = Bench()
+        bench.add_worker()
+        bench.feed(JobCancelled("a" * 16))
+        found = bench.feed(JobAccepted("a" * 16, accepted())) + bench.tick(0.3)
+        self.assertEqual(bench.starts(found), [])
+        statuses = [e.status for e in of_type(found, PublishStatus)]
+        self.assertEqual(statuses[-1], JobStatus.CANCELLED)
+
+
+class TestSlowWorkers(unittest.TestCase):
+    def test_run_moves_away_from_a_slow_worker(self) -> None:
+        """A run that stands still is stopped where another worker has room for it."""
+        bench = Bench()
+        bench.add_worker("w")
+        bench.submit()
+        (start,) = bench.starts()
+        bench.confirm(start)
+        bench.add_worker("v")
+        stops = []
+        for _ in range(40):
+            stops += of_type(bench.report("w", running=[(start.order.task, 1, 1.0)]), SendStop)
+            stops += of_type(bench.tick(0.3), SendStop)
+            if stops:
+                break
+        self.assertEqual([stop.order.task for stop in stops[:1]], [start.order.task])
+        self.assertGreater(bench.cell.workers["w"].slowness, 1.8)
+
+    def test_run_at_the_usual_pace_stays(self) -> None:
+        """Progress as estimated moves nothing."""
+        bench = Bench()
+        bench.add_worker("w")
+        bench.submit()
+        (start,) = bench.starts()
+        bench.confirm(start)
+        bench.add_worker("v")
+        for percent in (5, 35, 65, 95):
+            found = bench.report("w", running=[(start.order.task, 1, percent)])
+            self.assertEqual(of_type(found, SendStop), [])
+            bench.tick(0.3)
+        self.assertLess(bench.cell.workers["w"].slowness, 1.3)
+
+
+if __name__ == "__main__":
+    unittest.main()
