--- a/src/snowdock/cli/application.py
+++ b/src/snowdock/cli/application.py
@@ -6,6 +6,7 @@
 
 from .. import __version__
 from .commands import COMMANDS
+from .job_commands import JOB_COMMANDS
 
 __all__ = ["main", "make_application"]
 
@@ -13,7 +14,7 @@
 def make_application() -> Application:
     """Put the commands together."""
     application = Application("snowdock", __version__)
-    for command in COMMANDS:
+    for command in (*COMMANDS, *JOB_COMMANDS):
         application.add(command())
     return application
 
--- /dev/null
+++ b/src/snowdock/cli/explain.py
@@ -0,0 +1,151 @@
+"""The story of one job or task, told from the nodes' logs."""
+
+import dataclasses
+import itertools
+import re
+from collections.abc import Iterable
+
+import msgspec
+
+__all__ = ["LogLine", "Story", "format_story", "parse_line", "tell_story"]
+
+_PAIR = re.compile(r'(\w+)=("(?:[^"\\]|\\.)*"|\S*)')
+_NEAR_SECONDS = 5.0
+"""How long before a line a lost dependency of its node may explain it."""
+
+_DEPENDENCIES = ("dependency_lost", "renewal_failed", "election_call_failed", "deposed")
+_ABOUT = ("job", "subject", "task", "path")
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LogLine:
+    """One line of a log, by key."""
+
+    time: float
+    event: str
+    node: str
+    fields: dict[str, str]
+
+    def is_about(self, job: str) -> bool:
+        """Whether the line names a job or one of its tasks."""
+        return any(job in self.fields.get(key, "") for key in _ABOUT)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Story:
+    """What the logs tell of a job: its lines in order, those near them, and the cause."""
+
+    job: str
+    lines: list[LogLine]
+    nearby: list[LogLine]
+    cause: str
+
+
+def parse_line(text: str) -> LogLine | None:
+    """Read a line of key=value pairs, with anything before ``time=`` passed over."""
+    start = text.find("time=")
+    if start < 0:
+        return None
+    fields = {key: _unquote(value) for key, value in _PAIR.findall(text[start:])}
+    try:
+        at = float(fields.pop("time"))
+    except ValueError:
+        return None
+    return LogLine(at, fields.pop("event", ""), fields.pop("node", ""), fields)
+
+
+def _unquote(value: str) -> str:
+    if not value.startswith('"'):
+        return value
+    try:
+        return msgspec.json.decode(value, type=str)
+    except msgspec.MsgspecError:
+        return value
+
+
+def tell_story(job: str, texts: Iterable[str]) -> Story:
+    """Put together what the logs of all nodes tell of a job.
+
+    Parameters
+    ----------
+    job
+        Its identifier.
+    texts
+        Lines of all nodes' logs, in any order.
+    """
+    parsed = [line for line in map(parse_line, texts) if line is not None]
+    about = sorted((line for line in parsed if line.is_about(job)), key=lambda line: line.time)
+    troubles = [line for line in parsed if line.event in _DEPENDENCIES]
+    nearby = [line for line in troubles if _explains(line, about)]
+    return Story(job, about, sorted(nearby, key=lambda line: line.time), _find_cause(about, nearby))
+
+
+def _explains(trouble: LogLine, about: list[LogLine]) -> bool:
+    return any(
+        line.node == trouble.node and 0 <= line.time - trouble.time <= _NEAR_SECONDS
+        for line in about
+    )
+
+
+def _find_cause(lines: list[LogLine], nearby: list[LogLine]) -> str:
+    if not lines:
+        return "no log names it: it reached no node, or its lines were left out"
+    taken = any(line.event in ("job_accepted", "job_taken") for line in lines)
+    refused = [line for line in lines if line.event == "request_refused"]
+    ended = [line for line in lines if line.event == "job_ended"]
+    if not taken and refused:
+        return _explain_refusal(refused[-1], nearby)
+    if not ended:
+        return f"it has not ended; the last decision was {lines[-1].event} on {lines[-1].node}"
+    status = ended[-1].fields.get("status", "")
+    if status == "failed":
+        return _explain_failure(lines)
+    if status == "cancelled":
+        return "it was cancelled"
+    return _explain_time(lines, ended[-1])
+
+
+def _explain_refusal(line: LogLine, nearby: list[LogLine]) -> str:
+    cause = f"refused by {line.node}: {line.fields.get('reason', '')}"
+    lost = [trouble for trouble in nearby if trouble.node == line.node]
+    if lost:
+        ago = line.time - lost[-1].time
+        cause += f"; {lost[-1].event} there {ago:.1f} s before: {lost[-1].fields.get('reason', '')}"
+    return cause
+
+
+def _explain_failure(lines: list[LogLine]) -> str:
+    failed = [
+        line for line in lines if line.event == "run_ended" and line.fields.get("how") == "failed"
+    ]
+    where = [line.fields.get("worker", "") for line in failed]
+    once = "one worker" if len(set(where)) == 1 else f"{len(set(where))} workers"
+    return f"{len(failed)} runs failed, on {once} ({', '.join(where)}): its attempts are used up"
+
+
+def _explain_time(lines: list[LogLine], ended: LogLine) -> str:
+    """Name the longest wait between two decisions on the way to the end."""
+    way = [line for line in lines if line.time <= ended.time]
+    steps = itertools.pairwise(way)
+    gaps = [(after.time - before.time, before, after) for before, after in steps]
+    if not gaps:
+        return f"completed in {ended.fields.get('seconds', '?')} s"
+    longest, before, after = max(gaps, key=lambda gap: gap[0])
+    repeats = sum(line.event == "run_ended" and line.fields.get("how") != "done" for line in way)
+    return (
+        f"completed in {ended.fields.get('seconds', '?')} s; the longest wait, {longest:.2f} s,"
+        f" was from {before.event} to {after.event}; {repeats} runs did not end well"
+    )
+
+
+def format_story(story: Story) -> list[str]:
+    """Write a story, a line for each decision."""
+    if not story.lines:
+        return [f"cause: {story.cause}"]
+    began = story.lines[0].time
+    told = []
+    for line in sorted([*story.lines, *story.nearby], key=lambda line: line.time):
+        fields = " ".join(f"{k}={v}" for k, v in line.fields.items() if k != "level")
+        told.append(f"{line.time - began:+9.3f} s  {line.node:<24} {line.event:<20} {fields}")
+    told.append(f"cause: {story.cause}")
+    return told
--- a/src/snowdock/entry/advisers.py
+++ b/src/snowdock/entry/advisers.py
@@ -137,7 +137,7 @@
         except PlatformError as error:
             log_event("advice_unanswered", job=wanted.job, by=node, reason=str(error))
             tickets = None
-        self._metrics.observe(
+        self._metrics.time(
             "advice_seconds", "Time until advice was there.", time.monotonic() - began
         )
         with self._lock:
--- a/src/snowdock/entry/intake.py
+++ b/src/snowdock/entry/intake.py
@@ -25,7 +25,13 @@
 from ..node.in_flight import InFlight
 from ..node.logs import log_error, log_event
 from ..node.metrics import Metrics
-from ..platform.job_bodies import decode_job, encode_status, encode_waiting, is_job_id
+from ..platform.job_bodies import (
+    DEADLINE_HEADER,
+    decode_job,
+    encode_status,
+    encode_waiting,
+    is_job_id,
+)
 from ..platform.store import KeyedRecord, StoreClient
 from .topics import JOBS_TOPIC, PART
 
@@ -125,7 +131,7 @@
             **answer.headers,
         }
         method = environ["REQUEST_METHOD"]
-        self._parts.metrics.observe(
+        self._parts.metrics.time(
             "request_seconds",
             "Time of a caller's request.",
             time.monotonic() - began,
@@ -247,7 +253,7 @@
 def _seconds_left(environ: dict, began: float) -> float:
     """Give how long the caller still waits, with a little left for the way back."""
     try:
-        given = float(environ.get("HTTP_X_DEADLINE_MS", "")) / 1000
+        given = float(environ.get(DEADLINE_HEADER, "")) / 1000
     except ValueError:
         given = _INTAKE_SECONDS
     if not math.isfinite(given):
--- a/src/snowdock/entry/leader.py
+++ b/src/snowdock/entry/leader.py
@@ -143,7 +143,7 @@
             PublishStatus: self._statuses.publish,
             DropJobs: self._drop,
             StepDown: lambda effect: self._step_down(effect.reason),
-            Decided: _log_decision,
+            Decided: self._note_decision,
         }
         # Before anybody asks this node as the leader, it knows all jobs on record.
         self._carry_out(restored)
@@ -180,6 +180,18 @@
             "policy_failed", program=alarm.program, function=alarm.function, problem=alarm.problem
         )
 
+    def _note_decision(self, effect: Decided) -> None:
+        fields = dict(effect.fields)
+        log_event(effect.decision, subject=effect.subject, **fields)
+        metrics = self._context.metrics
+        metrics.count("decisions_total", "Decisions of the leader.", decision=effect.decision)
+        if effect.decision == "placed":
+            metrics.time(
+                "placing_wait_seconds", "From taking in to a placement.", fields["waited_s"]
+            )
+        elif effect.decision == "job_ended":
+            metrics.time("job_seconds", "From taking in to the end.", fields["seconds"])
+
     def _step_down(self, reason: str) -> None:
         if not self._stepped_down:
             self._stepped_down = True
@@ -227,10 +239,6 @@
             log_event("jobs_not_dropped", count=len(effect.jobs), reason=str(error))
 
 
-def _log_decision(effect: Decided) -> None:
-    log_event(effect.decision, subject=effect.subject, **dict(effect.fields))
-
-
 def _wall_ms() -> float:
     return time.time() * 1000
 
--- a/src/snowdock/entry/probes.py
+++ b/src/snowdock/entry/probes.py
@@ -8,6 +8,7 @@
 
 from ..node.http_models import HttpAnswer, json_answer
 from ..node.metrics import Metrics
+from ..platform.job_bodies import READY_PATH
 
 __all__ = ["METRICS_PORT", "Probes"]
 
@@ -17,7 +18,6 @@
 METRICS_VARIABLE = "SNOWDOCK_METRICS_PORT"
 """The environment variable that names another port."""
 
-_READY_PATH = "/v1/readiness"
 _METRICS_PATH = "/metrics"
 _THREADS = 2
 
@@ -63,7 +63,7 @@
         return [answer.body]
 
     def _answer(self, path: str) -> HttpAnswer:
-        if path == _READY_PATH:
+        if path == READY_PATH:
             ready = self._is_ready()
             return json_answer({"ready": ready}, 200 if ready else 503)
         if path == _METRICS_PATH:
--- a/src/snowdock/entry/progress_writer.py
+++ b/src/snowdock/entry/progress_writer.py
@@ -122,7 +122,7 @@
                 seconds = time.monotonic() - failing_since
                 log_event("dependency_regained", dependency="store", seconds=seconds)
             self._metrics.count("store_appends_total", "Appends to the store.", outcome="done")
-            self._metrics.observe(
+            self._metrics.time(
                 "store_append_seconds",
                 "Time of an append that was answered.",
                 time.monotonic() - began,
--- a/src/snowdock/entry/worker_link.py
+++ b/src/snowdock/entry/worker_link.py
@@ -83,7 +83,7 @@
                 result = _certain(result, number)
                 break
             self._metrics.count("starts_repeated_total", "Starts sent again.")
-        self._metrics.observe(
+        self._metrics.time(
             "start_call_seconds", "Time of a start's call.", time.monotonic() - began
         )
         outcome = "unanswered"
--- a/src/snowdock/node/logs.py
+++ b/src/snowdock/node/logs.py
@@ -138,7 +138,9 @@
 
 
 def _log(event: str, most: int, fields: dict[str, object]) -> None:
-    admitted, left_out = _budget.admit(event, most)
+    # Each outcome has a budget of its own: a flood of good ends leaves room for the bad ones.
+    kind = f"{event}/{fields.get('how', fields.get('status', ''))}"
+    admitted, left_out = _budget.admit(kind, most)
     if left_out:
         eliot.log_message(message_type="log_lines_left_out", level="info", counts=left_out)
     if admitted:
--- a/src/snowdock/node/metrics.py
+++ b/src/snowdock/node/metrics.py
@@ -12,6 +12,9 @@
 
 __all__ = ["Metrics"]
 
+_TIME_BUCKETS = [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0]
+"""Seconds: calls take some ms, placements some tens, runs seconds."""
+
 _QUANTILES = ((0.5, 0.02), (0.9, 0.01), (0.99, 0.001))
 
 
@@ -47,6 +50,12 @@
             found = self._find(aioprometheus.Summary, name, doc, invariants=_QUANTILES)
             found.observe(labels, value)
 
+    def time(self, name: str, doc: str, seconds: float, **labels: str) -> None:
+        """Add a time to a histogram."""
+        with self._lock:
+            found = self._find(aioprometheus.Histogram, name, doc, buckets=_TIME_BUCKETS)
+            found.observe(labels, seconds)
+
     def render(self) -> tuple[bytes, str]:
         """Give all metrics in the text format, and its content type."""
         with self._lock:
--- a/src/snowdock/platform/job_bodies.py
+++ b/src/snowdock/platform/job_bodies.py
@@ -10,7 +10,20 @@
 from ..errors import InvalidInput
 from ..jobs.model import JobSpec, JobStatus, StepSpec
 
-__all__ = ["decode_job", "encode_status", "encode_waiting", "is_job_id"]
+__all__ = [
+    "DEADLINE_HEADER",
+    "READY_PATH",
+    "decode_job",
+    "encode_status",
+    "encode_waiting",
+    "is_job_id",
+]
+
+READY_PATH = "/v1/readiness"
+"""Where the balancer asks whether a node wants new connections."""
+
+DEADLINE_HEADER = "HTTP_X_DEADLINE_MS"
+"""The WSGI name of the header that tells how long a caller waits, in ms."""
 
 _JOB_ID = re.compile(r"[0-9a-f]{16}")
 _PAYLOAD_BYTES = 4000
--- /dev/null
+++ b/tests/test_explain.py
@@ -0,0 +1,61 @@
+"""Tests of the stories that are told from logs."""
+
+import unittest
+
+from snowdock.cli.explain import format_story, parse_line, tell_story
+
+JOB = "a" * 16
+TAKEN = f"time=10.000 event=job_taken level=info subject={JOB} queue=q steps=1 node=n1"
+
+
+def ended(status: str, at: float = 12.0) -> str:
+    return f"time={at} event=job_ended subject={JOB} status={status} seconds=2.000 node=n1"
+
+
+def run_ended(how: str, worker: str, at: float) -> str:
+    return f"time={at} event=run_ended subject={JOB} run=1 how={how} worker={worker} node=n1"
+
+
+class TestStories(unittest.TestCase):
+    def test_lines_are_read(self) -> None:
+        """Quoted values are unquoted, and what stands before the time is passed over."""
+        line = parse_line('  3.1 n1 time=2.5 event=x reason="a \\"b\\" c" node=n1')
+        self.assertEqual((line.time, line.event, line.node), (2.5, "x", "n1"))
+        self.assertEqual(line.fields["reason"], 'a "b" c')
+        for text in ("", "no time", "time=x event=y"):
+            self.assertIsNone(parse_line(text))
+
+    def test_refused_job(self) -> None:
+        """A refusal is traced to what the node had lost just before."""
+        story = tell_story(
+            JOB,
+            [
+                "time=8.0 event=dependency_lost dependency=store reason=timeout node=n2",
+                "time=8.5 event=dependency_lost dependency=store reason=other node=n3",
+                f'time=9.0 event=request_refused path=/q/{JOB} reason="log down" node=n2',
+            ],
+        )
+        self.assertIn("refused by n2: log down; dependency_lost there 1.0 s before", story.cause)
+        self.assertEqual([line.node for line in story.nearby], ["n2"])
+
+    def test_failed_job(self) -> None:
+        """A failed job names the workers that its runs failed on."""
+        lines = [TAKEN, run_ended("failed", "w1", 11.0), run_ended("failed", "w2", 11.5)]
+        story = tell_story(JOB, [*lines, ended("failed")])
+        self.assertIn("2 runs failed, on 2 workers (w1, w2)", story.cause)
+
+    def test_late_job(self) -> None:
+        """A late job names its longest wait."""
+        placed = f"time=11.8 event=placed subject={JOB} node=n1"
+        story = tell_story(JOB, [ended("completed"), placed, TAKEN])
+        self.assertIn("1.80 s, was from job_taken to placed", story.cause)
+        self.assertIn("cause:", format_story(story)[-1])
+
+    def test_unknown_and_unfinished(self) -> None:
+        """A job without lines, and one without an end, are told so."""
+        self.assertIn("no log names it", tell_story(JOB, []).cause)
+        self.assertIn("it has not ended", tell_story(JOB, [TAKEN]).cause)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/test_operations_page.py
@@ -0,0 +1,35 @@
+"""The operators' page names the metrics and events that the code has, and no others."""
+
+import pathlib
+import re
+import unittest
+
+ROOT = pathlib.Path(__file__).parent.parent
+PAGE = (ROOT / "docs" / "OPERATIONS.md").read_text()
+SOURCES = "".join(path.read_text() for path in sorted((ROOT / "src/snowdock/entry").glob("*.py")))
+METRIC = re.compile(r"\.(?:count|time|set)\(\s*\"([a-z_]+)\"")
+
+
+class TestOperationsPage(unittest.TestCase):
+    def test_every_metric_is_documented(self) -> None:
+        """Each metric of the entry daemon stands on the page."""
+        names = set(METRIC.findall(SOURCES))
+        self.assertGreater(len(names), 8)
+        table = PAGE.partition("## Figures")[2].partition("## Running")[0]
+        told = set(re.findall(r"`([a-z_]+)(?:\{[a-z,]+\})?`", table))
+        self.assertEqual(names - told, set())
+        self.assertEqual(told - names, {"process_cpu_seconds", "snowdock_"} & told)
+
+    def test_every_event_is_one_that_is_logged(self) -> None:
+        """Each event on the page is logged somewhere."""
+        jobs = "".join(p.read_text() for p in sorted((ROOT / "src/snowdock/jobs").glob("*.py")))
+        node = "".join(p.read_text() for p in sorted((ROOT / "src/snowdock/node").glob("*.py")))
+        table = PAGE.partition("## What the lines say")[2].partition("## Figures")[0]
+        events = {name for row in table.splitlines() for name in re.findall(r"`([a-z_]+)`", row)}
+        self.assertGreater(len(events), 30)
+        missing = {name for name in events if f"{name}" not in SOURCES + jobs + node}
+        self.assertEqual(missing, set())
+
+
+if __name__ == "__main__":
+    unittest.main()
