Let one request at a time try a failing store, and give tries the time appends take

Change: a try takes five times what appends take, 0.4 to 1 s; after two failures in a row one request at a time tries, all others get 503 with Retry-After at once, which is true: nothing of them was sent.

--- a/src/snowdock/entry/intake.py
+++ b/src/snowdock/entry/intake.py
@@ -3,6 +3,7 @@
 import dataclasses
 import http
 import math
+import threading
 import time
 from collections.abc import Callable, Iterable
 
@@ -38,11 +39,22 @@
 __all__ = ["Intake", "IntakeParts", "JobGone"]
 
 _JSON = "application/json"
-_APPEND_SECONDS = 0.8
-"""One try to put a job on record: an append takes some 10 ms, and a slow store some 300."""
+_SHORTEST_TRY_SECONDS = 0.4
+_LONGEST_TRY_SECONDS = 1.0
+"""Bounds of one try to put a job on record: an append takes some 10 ms, a slow store some 300."""
 
-_INTAKE_SECONDS = 2.0
-"""All tries together: callers wait about 3 s, and retries of theirs meet other nodes."""
+_TRY_FACTOR = 5.0
+"""A try may take so many times as long as appends have taken lately."""
+
+_TIME_WEIGHT = 0.2
+"""Weight of the newest append in the usual time."""
+
+_TRIES = 2
+"""Tries for one request: callers wait about 3 s, and their own retries meet other nodes, which
+may reach the store where this one does not."""
+
+_STATUS_SECONDS = 2.0
+"""How long a caller is taken to wait for an answer where it does not tell."""
 
 _RETRY_SECONDS = 0.05
 _DOWN_FAILURES = 2
@@ -85,25 +97,46 @@
 
 
 class _StoreHealth:
-    """Whether appends have been failing lately."""
+    """Whether appends have been failing lately, and how long they take.
+
+    While they fail, one request at a time tries; all others are refused at once.
+    """
 
     def __init__(self) -> None:
+        self._usual_seconds = 0.0
         self._failures = 0
         self._failed_at = 0.0
+        self._is_probed = False
+        self._lock = threading.Lock()
 
     @property
-    def is_down(self) -> bool:
-        """Whether to refuse at once rather than to try."""
-        if self._failures < _DOWN_FAILURES:
-            return False
-        return time.monotonic() - self._failed_at < _DOWN_SECONDS
-
-    def note(self, succeeded: bool) -> None:
-        """Take over how an append went."""
-        if succeeded:
+    def try_seconds(self) -> float:
+        """How long one try may take."""
+        wanted = self._usual_seconds * _TRY_FACTOR
+        return min(_LONGEST_TRY_SECONDS, max(_SHORTEST_TRY_SECONDS, wanted))
+
+    def admit(self) -> bool:
+        """Tell whether a request may try; one that may has to tell how it went."""
+        with self._lock:
+            if self._failures < _DOWN_FAILURES:
+                return True
+            if self._is_probed or time.monotonic() - self._failed_at < _DOWN_SECONDS:
+                return False
+            self._is_probed = True
+            return True
+
+    def note_success(self, seconds: float) -> None:
+        """Take over the time of an append that was answered."""
+        with self._lock:
             self._failures = 0
-        else:
+            self._is_probed = False
+            self._usual_seconds += _TIME_WEIGHT * (seconds - self._usual_seconds)
+
+    def note_failure(self) -> None:
+        """Take over an append without a good answer."""
+        with self._lock:
             self._failures += 1
+            self._is_probed = False
             self._failed_at = time.monotonic()
 
 
@@ -182,7 +215,7 @@
             status = self._parts.find_status(job, _seconds_left(environ, began))
             return HttpAnswer(200, encode_status(status), _JSON)
         if method == "DELETE":
-            self._record(KeyedRecord(cancel_key(job), b"1"), began)
+            self._record(KeyedRecord(cancel_key(job), b"1"))
             log_event("job_cancel_recorded", job=job, queue=queue.name)
             return HttpAnswer(200, b"{}", _JSON)
         raise MethodNotAllowed("GET, POST and DELETE are allowed here")
@@ -206,7 +239,7 @@
         accepted = AcceptedJob(
             spec, round(time.time() * 1000), queue.service, queue.priority, queue.max_attempts
         )
-        self._record(KeyedRecord(job, encode(accepted)), began)
+        self._record(KeyedRecord(job, encode(accepted)))
         log_event(
             "job_accepted",
             job=job,
@@ -216,7 +249,7 @@
         )
         return HttpAnswer(200, b"{}", _JSON)
 
-    def _record(self, record: KeyedRecord, began: float) -> None:
+    def _record(self, record: KeyedRecord) -> None:
         """Put a record on the store; the caller's answer rests on it.
 
         Raises
@@ -226,24 +259,22 @@
         VerdictUnknown
             If it may be, or may still get there.
         """
-        if self._health.is_down:
+        if not self._health.admit():
             raise LogUnavailable("the store is away; nothing was recorded", _RETRY_AFTER_SECONDS)
         maybe_done = False
-        end = began + _INTAKE_SECONDS
-        while True:
+        for _ in range(_TRIES):
+            tried_at = time.monotonic()
             try:
-                self._parts.store.append(JOBS_TOPIC, PART, [record], _APPEND_SECONDS)
+                self._parts.store.append(JOBS_TOPIC, PART, [record], self._health.try_seconds)
             except StoreRefused as error:
                 problem: PlatformError = error
             except CallUnanswered as error:
                 problem = error
                 maybe_done = maybe_done or not error.unsent
             else:
-                self._health.note(True)
+                self._health.note_success(time.monotonic() - tried_at)
                 return
-            self._health.note(False)
-            if self._health.is_down or time.monotonic() + _RETRY_SECONDS > end:
-                break
+            self._health.note_failure()
             time.sleep(_RETRY_SECONDS)
         if maybe_done:
             raise VerdictUnknown(f"it may be on record; send it again: {problem}") from problem
@@ -255,7 +286,7 @@
     try:
         given = float(environ.get(DEADLINE_HEADER, "")) / 1000
     except ValueError:
-        given = _INTAKE_SECONDS
+        given = _STATUS_SECONDS
     if not math.isfinite(given):
-        given = _INTAKE_SECONDS
-    return max(0.1, min(given * 0.8, _INTAKE_SECONDS) - (time.monotonic() - began))
+        given = _STATUS_SECONDS
+    return max(0.1, min(given * 0.8, _STATUS_SECONDS) - (time.monotonic() - began))
