Take jobs in over all partitions; learn how long to wait for the store

A slow store takes the appends of a partition in turn, some 140 ms each, and all jobs went to one partition: none was taken in for 6 s. Numbered and conditional appends whose answers were lost waited 1 to 1.5 s before they were sent again. A thread that an unforeseen error ended was gone for good.

Change: jobs are spread over the topic's partitions by their id, the leader follows all; time limits are five times the usual time and double with each call that found no answer; threads log what they did not foresee and go on, and a leader that cannot start gives its claim back.

--- a/src/snowdock/entry/advisers.py
+++ b/src/snowdock/entry/advisers.py
@@ -12,7 +12,7 @@
 from ..errors import PlatformError
 from ..jobs.events import AdviceAnswered, AdviceFailed, AskAdvice, Event
 from ..jobs.orders import AdviceGiven, AdviceWanted
-from ..node.logs import log_event
+from ..node.logs import log_error, log_event
 from ..node.metrics import Metrics
 from ..node.peers import Peers
 from ..platform.advice import AdviceClient
@@ -137,6 +137,10 @@
         except PlatformError as error:
             log_event("advice_unanswered", job=wanted.job, by=node, reason=str(error))
             tickets = None
+        except Exception as error:
+            # The node stays usable, and the step is asked about again.
+            log_error("adviser_failed", error, job=wanted.job, by=node)
+            tickets = None
         self._metrics.time(
             "advice_seconds", "Time until advice was there.", time.monotonic() - began
         )
--- a/src/snowdock/entry/daemon.py
+++ b/src/snowdock/entry/daemon.py
@@ -69,6 +69,10 @@
 _LIVE_SECONDS = 1.0
 """A peer without a heartbeat for this long is given nothing to do."""
 
+_FRESH_SECONDS = 1.6
+"""Reads of new jobs that are older do not tell that there is no such job: a read waits for a
+second, and jobs may be unknown for three."""
+
 _FORGET_PEER_SECONDS = 10.0
 _CONFIGURATION_WAIT_SECONDS = 1.0
 """How long one read of the configuration waits; a change is to be in force within two seconds
@@ -140,6 +144,7 @@
         self._intake = Intake(
             IntakeParts(
                 self._store,
+                environment.store.parts,
                 lambda: self._configuration,
                 self._find_status,
                 self._count_waiting,
@@ -232,22 +237,28 @@
     def _run_leadership(self) -> None:
         """Start leading when elected; one leadership at a time."""
         while (epoch := self._leader_jobs.get()) is not None:
-            # Those that took this node for the leader already have been heard before.
-            self._connect_peers()
-            while self._configuration is None and self._election.own_epoch == epoch:
-                time.sleep(_STOP_POLL_SECONDS)
-            handle = start_leader(
-                self._leader_context(epoch), lambda wanted=epoch: self._leads_in(wanted)
-            )
-            if handle is None:
-                continue
-            with self._leader_lock:
-                if self._leads_in(epoch):
-                    self._leader = handle
-                    # A change between the leader's start and now would else be missed.
-                    handle.configure(self._configuration)
-                    continue
-            handle.stop()
+            try:
+                self._lead(epoch)
+            except Exception as error:
+                # Else this node would hold the leadership and do nothing with it.
+                log_error("leading_failed", error, epoch=epoch)
+                self._election.abandon(f"the leader could not start: {error}")
+
+    def _lead(self, epoch: int) -> None:
+        # Those that took this node for the leader already have been heard before.
+        self._connect_peers()
+        while self._configuration is None and self._leads_in(epoch):
+            time.sleep(_STOP_POLL_SECONDS)
+        handle = start_leader(self._leader_context(epoch), lambda: self._leads_in(epoch))
+        if handle is None:
+            return
+        with self._leader_lock:
+            if self._leads_in(epoch):
+                self._leader = handle
+                # A change between the leader's start and now would else be missed.
+                handle.configure(self._configuration)
+                return
+        handle.stop()
 
     def _leads_in(self, epoch: int) -> bool:
         return self._election.own_epoch == epoch
@@ -266,6 +277,7 @@
         )
         return LeaderContext(
             store=self._store,
+            parts=environment.store.parts,
             epoch=epoch,
             settings=settings,
             make_advisers=lambda post: Advisers(
@@ -353,7 +365,7 @@
         if status is not None:
             return status, True
         is_fresh = (
-            asked_at - handle.jobs_read_at < _LIVE_SECONDS
+            asked_at - handle.jobs_read_at < _FRESH_SECONDS
             and self._election.renewed_s < _LIVE_SECONDS
         )
         return None, is_fresh
--- a/src/snowdock/entry/election.py
+++ b/src/snowdock/entry/election.py
@@ -20,9 +20,10 @@
     PlatformError,
     StoreRefused,
 )
-from ..node.logs import log_event
+from ..node.logs import log_error, log_event
 from ..platform.store import KeyedRecord, StoreClient
 from .messages import Beat
+from .patience import Patience
 from .topics import LEADER_KEY, LEADERS_TOPIC, PART
 
 __all__ = ["Election", "Identity", "LeaderRecord"]
@@ -40,6 +41,9 @@
 """How long the store is watched for a renewal before a claim: two renewals are due."""
 
 _CALL_SECONDS = 1.0
+_SHORTEST_RENEWAL_SECONDS = 0.3
+"""A renewal takes some 10 ms; it is conditional, so sending it again does no harm."""
+
 _PAUSE_SECONDS = 0.1
 _JITTER_SECONDS = 0.08
 """Spreads claims of nodes that miss the leader at the same time."""
@@ -105,6 +109,7 @@
         self._stopped = threading.Event()
         self._nudged = threading.Event()
         self._may_claim = True
+        self._patience = Patience(_SHORTEST_RENEWAL_SECONDS, _CALL_SECONDS)
         self._leader: LeaderRecord | None = None
         self._next_offset: int | None = None
         self._own_epoch = 0
@@ -195,10 +200,14 @@
             except PlatformError as error:
                 log_event("election_call_failed", reason=str(error), epoch=self._own_epoch)
                 pause = _PAUSE_SECONDS
+            except Exception as error:
+                # Without this thread the node would neither follow nor lead any more.
+                log_error("election_failed", error, epoch=self._own_epoch)
+                pause = _PAUSE_SECONDS
             self._nudged.wait(pause)
             self._nudged.clear()
 
-    def _append(self, epoch: int, resigned: bool) -> None:
+    def _append(self, epoch: int, resigned: bool, seconds: float = _CALL_SECONDS) -> None:
         """Append an own record, on condition that nobody has appended since the last look."""
         identity = self._identity
         record = LeaderRecord(
@@ -208,7 +217,7 @@
             LEADERS_TOPIC,
             PART,
             [KeyedRecord(LEADER_KEY, msgspec.msgpack.encode(record))],
-            _CALL_SECONDS,
+            seconds,
             expected_end=self._next_offset,
         )
         self._next_offset = offset + 1
@@ -218,17 +227,19 @@
         while self._own_epoch == epoch and not self._stopped.is_set():
             began = time.monotonic()
             try:
-                self._append(epoch, False)
+                self._append(epoch, False, self._patience.limit)
             except AppendConflict:
                 if not self._still_leads(epoch):
                     self.abandon("another node has claimed the leadership")
                     return 0.0
                 continue
             except (CallUnanswered, StoreRefused) as error:
+                self._patience.miss()
                 log_event("renewal_failed", epoch=epoch, reason=str(error))
                 self._stopped.wait(_PAUSE_SECONDS)
                 continue
             self._renewed_at = began
+            self._patience.note(time.monotonic() - began)
             return max(0.0, began + _RENEW_SECONDS - time.monotonic())
         return 0.0
 
--- a/src/snowdock/entry/intake.py
+++ b/src/snowdock/entry/intake.py
@@ -34,24 +34,19 @@
     is_job_id,
 )
 from ..platform.store import KeyedRecord, StoreClient
-from .topics import JOBS_TOPIC, PART
+from .patience import Patience
+from .topics import JOBS_TOPIC, job_part
 
 __all__ = ["Intake", "IntakeParts", "JobGone"]
 
 _JSON = "application/json"
 _SHORTEST_TRY_SECONDS = 0.4
-_LONGEST_TRY_SECONDS = 1.0
+_LONGEST_TRY_SECONDS = 1.5
 """Bounds of one try to put a job on record: an append takes some 10 ms, a slow store some 300."""
 
-_TRY_FACTOR = 5.0
-"""A try may take so many times as long as appends have taken lately."""
-
-_TIME_WEIGHT = 0.2
-"""Weight of the newest append in the usual time."""
-
-_TRIES = 2
-"""Tries for one request: callers wait about 3 s, and their own retries meet other nodes, which
-may reach the store where this one does not."""
+_TRYING_SECONDS = 0.5
+"""A request that has been tried for this long is not tried again: callers wait about 3 s, and
+their own retries meet other nodes, which may reach the store where this one does not."""
 
 _STATUS_SECONDS = 2.0
 """How long a caller is taken to wait for an answer where it does not tell."""
@@ -77,8 +72,8 @@
 
     Attributes
     ----------
-    store
-        The store.
+    store, parts
+        The store, and the partitions of its topics.
     configuration
         Gives the configuration in force, or None before the first.
     find_status
@@ -90,6 +85,7 @@
     """
 
     store: StoreClient
+    parts: int
     configuration: Callable[[], Configuration | None]
     find_status: Callable[[JobId, float], JobStatus]
     count_waiting: Callable[[str, float], int]
@@ -103,7 +99,7 @@
     """
 
     def __init__(self) -> None:
-        self._usual_seconds = 0.0
+        self._patience = Patience(_SHORTEST_TRY_SECONDS, _LONGEST_TRY_SECONDS)
         self._failures = 0
         self._failed_at = 0.0
         self._is_probed = False
@@ -112,8 +108,7 @@
     @property
     def try_seconds(self) -> float:
         """How long one try may take."""
-        wanted = self._usual_seconds * _TRY_FACTOR
-        return min(_LONGEST_TRY_SECONDS, max(_SHORTEST_TRY_SECONDS, wanted))
+        return self._patience.limit
 
     def admit(self) -> bool:
         """Tell whether a request may try; one that may has to tell how it went."""
@@ -130,13 +125,14 @@
         with self._lock:
             self._failures = 0
             self._is_probed = False
-            self._usual_seconds += _TIME_WEIGHT * (seconds - self._usual_seconds)
+            self._patience.note(seconds)
 
     def note_failure(self) -> None:
         """Take over an append without a good answer."""
         with self._lock:
             self._failures += 1
             self._is_probed = False
+            self._patience.miss()
             self._failed_at = time.monotonic()
 
 
@@ -215,7 +211,7 @@
             status = self._parts.find_status(job, _seconds_left(environ, began))
             return HttpAnswer(200, encode_status(status), _JSON)
         if method == "DELETE":
-            self._record(KeyedRecord(cancel_key(job), b"1"))
+            self._record(job, KeyedRecord(cancel_key(job), b"1"))
             log_event("job_cancel_recorded", job=job, queue=queue.name)
             return HttpAnswer(200, b"{}", _JSON)
         raise MethodNotAllowed("GET, POST and DELETE are allowed here")
@@ -239,7 +235,7 @@
         accepted = AcceptedJob(
             spec, round(time.time() * 1000), queue.service, queue.priority, queue.max_attempts
         )
-        self._record(KeyedRecord(job, encode(accepted)))
+        self._record(job, KeyedRecord(job, encode(accepted)))
         log_event(
             "job_accepted",
             job=job,
@@ -249,7 +245,7 @@
         )
         return HttpAnswer(200, b"{}", _JSON)
 
-    def _record(self, record: KeyedRecord) -> None:
+    def _record(self, job: JobId, record: KeyedRecord) -> None:
         """Put a record on the store; the caller's answer rests on it.
 
         Raises
@@ -261,11 +257,13 @@
         """
         if not self._health.admit():
             raise LogUnavailable("the store is away; nothing was recorded", _RETRY_AFTER_SECONDS)
+        part = job_part(job, self._parts.parts)
         maybe_done = False
-        for _ in range(_TRIES):
+        began = time.monotonic()
+        while time.monotonic() - began < _TRYING_SECONDS:
             tried_at = time.monotonic()
             try:
-                self._parts.store.append(JOBS_TOPIC, PART, [record], self._health.try_seconds)
+                self._parts.store.append(JOBS_TOPIC, part, [record], self._health.try_seconds)
             except StoreRefused as error:
                 problem: PlatformError = error
             except CallUnanswered as error:
--- a/src/snowdock/entry/leader.py
+++ b/src/snowdock/entry/leader.py
@@ -1,6 +1,6 @@
 """The leader: an actor that feeds events to the reducer and carries its effects out."""
 
-import collections
+import concurrent.futures
 import dataclasses
 import threading
 import time
@@ -56,9 +56,12 @@
 _TICK_SECONDS = 0.1
 _READ_SECONDS = 3.0
 _TAKEOVER_RETRY_SECONDS = 0.1
-_JOBS_WAIT_SECONDS = 0.5
+_JOBS_WAIT_SECONDS = 1.0
 """How long one read of new jobs waits: also how stale "no such job" may be."""
 
+_READERS = 6
+"""Partitions that a takeover reads at the same time."""
+
 _WORKERS_WAIT_SECONDS = 1.0
 _WORKERS_PAUSE_SECONDS = 0.2
 """Entries change often and together; a few tenths later is early enough."""
@@ -70,8 +73,8 @@
 
     Attributes
     ----------
-    store
-        The store.
+    store, parts
+        The store, and the partitions of its topics.
     epoch
         Its epoch, which is also its fencing token at the workers.
     settings
@@ -91,6 +94,7 @@
     """
 
     store: StoreClient
+    parts: int
     epoch: int
     settings: CellSettings
     make_advisers: Callable[[Callable[[Event], None]], Advisers]
@@ -233,7 +237,7 @@
 
     def _drop_records(self, effect: DropJobs) -> None:
         try:
-            drop_jobs(self._context.store, effect.jobs)
+            drop_jobs(self._context.store, self._context.parts, effect.jobs)
         except PlatformError as error:
             # They stay on record, are final, and cost only room.
             log_event("jobs_not_dropped", count=len(effect.jobs), reason=str(error))
@@ -252,15 +256,18 @@
         self._statuses = statuses
         self._listed: set[str] = set()
         self._stopped = threading.Event()
-        self._jobs = Tail(
-            context.store,
-            JOBS_TOPIC,
-            PART,
-            _JOBS_WAIT_SECONDS,
-            0.0,
-            self._take_job,
-            lambda records: collections.deque(map(self._take_job, records), 0),
-        )
+        self._jobs = [
+            Tail(
+                context.store,
+                JOBS_TOPIC,
+                part,
+                _JOBS_WAIT_SECONDS,
+                0.0,
+                self._take_job,
+                self._take_jobs,
+            )
+            for part in range(context.parts)
+        ]
         self._workers = Tail(
             context.store,
             WORKER_TOPIC,
@@ -284,12 +291,13 @@
     @property
     def jobs_read_at(self) -> float:
         """The steady time up to which all jobs taken in are known, in seconds."""
-        return self._jobs.read_at
+        return min(tail.read_at for tail in self._jobs)
 
-    def start(self, jobs_offset: int) -> None:
-        """Start feeding the actor."""
+    def start(self, job_offsets: list[int]) -> None:
+        """Start feeding the actor; jobs of each partition from an offset on."""
         self._workers.start()
-        self._jobs.start(jobs_offset)
+        for tail, offset in zip(self._jobs, job_offsets, strict=True):
+            tail.start(offset)
         threading.Thread(target=self._tick, name="leader-ticks", daemon=True).start()
 
     def configure(self, configuration: Configuration) -> None:
@@ -299,7 +307,8 @@
     def stop(self) -> None:
         """Stop leading."""
         self._stopped.set()
-        self._jobs.stop()
+        for tail in self._jobs:
+            tail.stop()
         self._workers.stop()
         self._actor.stop(block=False)
 
@@ -313,6 +322,10 @@
         while not self._stopped.wait(_TICK_SECONDS):
             self._tell(Ticked(self._context.count_askers()))
 
+    def _take_jobs(self, records: list[KeyedRecord]) -> None:
+        for record in records:
+            self._take_job(record)
+
     def _take_job(self, record: KeyedRecord) -> None:
         if record.value is None:
             return
@@ -345,19 +358,23 @@
             self._take_worker(record)
 
 
-def _read_recorded(store: StoreClient) -> tuple[RecordedJobs, int]:
+def _read_recorded(store: StoreClient, parts: int) -> tuple[RecordedJobs, list[int]]:
+    """Read all that is on record of jobs, and from where to follow each partition."""
     progress = {}
     for record in store.newest(PROGRESS_TOPIC, PART, _READ_SECONDS).records:
         if record.value:
             progress[record.key] = decode_progress(record.value)
-    jobs = store.newest(JOBS_TOPIC, PART, _READ_SECONDS)
+    with concurrent.futures.ThreadPoolExecutor(_READERS) as pool:
+        pages = list(
+            pool.map(lambda part: store.newest(JOBS_TOPIC, part, _READ_SECONDS), range(parts))
+        )
     accepted, cancelled = {}, set()
-    for record in jobs.records:
+    for record in (record for page in pages for record in page.records):
         if record.key.startswith(CANCEL_PREFIX):
             cancelled.add(record.key.removeprefix(CANCEL_PREFIX))
         elif record.value:
             accepted[record.key] = decode_accepted(record.value)
-    return RecordedJobs(accepted, cancelled, progress), jobs.next_offset
+    return RecordedJobs(accepted, cancelled, progress), [page.next_offset for page in pages]
 
 
 def start_leader(context: LeaderContext, is_wanted: Callable[[], bool]) -> LeaderHandle | None:
@@ -379,7 +396,7 @@
     while is_wanted():
         try:
             fence_progress(context.store, context.epoch, _READ_SECONDS)
-            recorded, jobs_offset = _read_recorded(context.store)
+            recorded, job_offsets = _read_recorded(context.store, context.parts)
         except ProducerFenced as error:
             context.step_down(str(error))
             return None
@@ -390,7 +407,7 @@
         statuses = StatusBook()
         actor = Leader.start(context, statuses, recorded)
         handle = LeaderHandle(context, actor, statuses)
-        handle.start(jobs_offset)
+        handle.start(job_offsets)
         log_event(
             "leading",
             epoch=context.epoch,
--- a/src/snowdock/entry/progress_writer.py
+++ b/src/snowdock/entry/progress_writer.py
@@ -13,14 +13,19 @@
     StoreRefused,
 )
 from ..jobs.events import Persist, Persisted
-from ..node.logs import log_event
+from ..jobs.progress import cancel_key
+from ..node.logs import log_error, log_event
 from ..node.metrics import Metrics
 from ..platform.store import KeyedRecord, Producer, StoreClient
-from .topics import JOBS_TOPIC, PART, PROGRESS_TOPIC
+from .patience import Patience
+from .topics import JOBS_TOPIC, PART, PROGRESS_TOPIC, job_part
 
 __all__ = ["ProgressWriter", "drop_jobs", "fence_progress"]
 
 _CALL_SECONDS = 1.5
+_SHORTEST_TRY_SECONDS = 0.25
+"""A batch takes some 10 ms; it is numbered, so sending it again does no harm."""
+
 _RETRY_SECONDS = 0.1
 _PRODUCER = "leader"
 _FENCE_SEQUENCE = 0
@@ -73,6 +78,7 @@
         self._persisted = persisted
         self._fenced = fenced
         self._metrics = metrics
+        self._patience = Patience(_SHORTEST_TRY_SECONDS, _CALL_SECONDS)
         self._batches: queue.SimpleQueue[Persist | None] = queue.SimpleQueue()
         self._stopped = threading.Event()
         self._thread = threading.Thread(target=self._run, name="progress", daemon=True)
@@ -93,21 +99,33 @@
     def _run(self) -> None:
         while not self._stopped.is_set():
             batch = self._batches.get()
-            if batch is None or not self._write(batch):
+            if batch is None:
+                return
+            try:
+                if not self._write(batch):
+                    return
+            except Exception as error:
+                # Nothing may overtake a batch whose fate is unknown.
+                log_error("progress_failed", error, batch=batch.number)
+                self._fenced(f"a batch could not be written: {error}")
                 return
 
     def _write(self, batch: Persist) -> bool:
         records = [KeyedRecord(record.job, record.data) for record in batch.records]
         producer = Producer(_PRODUCER, self._epoch, batch.number)
         failing_since = None
+        tries = 0
         while not self._stopped.is_set():
             began = time.monotonic()
             try:
-                self._store.append(PROGRESS_TOPIC, PART, records, _CALL_SECONDS, producer=producer)
+                limit = self._patience.limit
+                self._store.append(PROGRESS_TOPIC, PART, records, limit, producer=producer)
             except (ProducerFenced, AppendConflict) as error:
                 self._fenced(f"progress append: {error}")
                 return False
             except (CallUnanswered, StoreRefused, PlatformError) as error:
+                tries += 1
+                self._patience.miss()
                 self._metrics.count(
                     "store_appends_total", "Appends to the store.", outcome=error.code
                 )
@@ -116,8 +134,10 @@
                     log_event(
                         "dependency_lost", dependency="store", batch=batch.number, reason=str(error)
                     )
-                self._stopped.wait(_RETRY_SECONDS)
+                if tries > 1:
+                    self._stopped.wait(_RETRY_SECONDS)
                 continue
+            self._patience.note(time.monotonic() - began)
             if failing_since is not None:
                 seconds = time.monotonic() - failing_since
                 log_event("dependency_regained", dependency="store", seconds=seconds)
@@ -132,7 +152,7 @@
         return False
 
 
-def drop_jobs(store: StoreClient, jobs: tuple[str, ...]) -> None:
+def drop_jobs(store: StoreClient, parts: int, jobs: tuple[str, ...]) -> None:
     """Drop the records of jobs that have been final for long.
 
     Raises
@@ -140,6 +160,13 @@
     PlatformError
         If it may not have been done.
     """
-    gone = [KeyedRecord(job, None) for job in jobs]
-    store.append(JOBS_TOPIC, PART, gone, _CALL_SECONDS)
-    store.append(PROGRESS_TOPIC, PART, gone, _CALL_SECONDS)
+    for part in range(parts):
+        gone = [
+            KeyedRecord(key, None)
+            for job in jobs
+            if job_part(job, parts) == part
+            for key in (job, cancel_key(job))
+        ]
+        if gone:
+            store.append(JOBS_TOPIC, part, gone, _CALL_SECONDS)
+    store.append(PROGRESS_TOPIC, PART, [KeyedRecord(job, None) for job in jobs], _CALL_SECONDS)
--- a/src/snowdock/entry/tails.py
+++ b/src/snowdock/entry/tails.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 
 from ..errors import LogExpired, PlatformError
-from ..node.logs import log_event
+from ..node.logs import log_error, log_event
 from ..platform.store import KeyedRecord, StoreClient
 
 __all__ = ["Tail"]
@@ -85,6 +85,10 @@
             except PlatformError as error:
                 self._note_failure(error)
                 self._stopped.wait(_RETRY_SECONDS)
+            except Exception as error:
+                # Whatever one record brings about, those after it are still followed.
+                log_error("tail_failed", error, topic=self._topic)
+                self._stopped.wait(_RETRY_SECONDS)
 
     def _step(self) -> None:
         began = time.monotonic()
--- a/src/snowdock/entry/topics.py
+++ b/src/snowdock/entry/topics.py
@@ -1,6 +1,8 @@
 """The topics of the store that snowdock keeps for itself."""
 
-__all__ = ["JOBS_TOPIC", "LEADERS_TOPIC", "LEADER_KEY", "PART", "PROGRESS_TOPIC"]
+from ..jobs.model import JobId
+
+__all__ = ["JOBS_TOPIC", "LEADERS_TOPIC", "LEADER_KEY", "PART", "PROGRESS_TOPIC", "job_part"]
 
 JOBS_TOPIC = "keyed.jobs"
 """Jobs as they were taken in, and their cancelling; any node appends."""
@@ -14,4 +16,13 @@
 LEADER_KEY = "leader"
 
 PART = 0
-"""One cell of workers lies in one partition of each topic."""
+"""The partition of what one leader writes."""
+
+
+def job_part(job: JobId, parts: int) -> int:
+    """Give the partition that a job is taken in to, of so many.
+
+    A partition takes its appends in turn. Jobs are spread so that a store that has become slow
+    still takes as many as come.
+    """
+    return int(job[:8], 16) % parts
--- a/src/snowdock/entry/worker_link.py
+++ b/src/snowdock/entry/worker_link.py
@@ -8,7 +8,7 @@
 from ..errors import CallUnanswered, PlatformError
 from ..jobs.events import Event, RenewAnswered, StartAnswered, StopAnswered
 from ..jobs.orders import Refusal, RenewOrder, StartOrder, StartResult, StopOrder
-from ..node.logs import log_event
+from ..node.logs import log_error, log_event
 from ..node.metrics import Metrics
 from ..platform.worker_calls import WorkerClient
 
@@ -100,6 +100,9 @@
         except PlatformError as error:
             log_event("start_answer_unusable", worker=self._life, reason=str(error))
             return None
+        except Exception as error:
+            log_error("start_failed", error, worker=self._life)
+            return None
 
     def _stop(self, order: StopOrder) -> None:
         refusal, answered = None, False
@@ -108,6 +111,8 @@
             answered = True
         except PlatformError as error:
             log_event("stop_unanswered", worker=self._life, task=order.task, reason=str(error))
+        except Exception as error:
+            log_error("stop_failed", error, worker=self._life)
         self._post(StopAnswered(self._life, order.task, order.run, answered, refusal))
 
     def _run_renewals(self) -> None:
@@ -118,6 +123,8 @@
             except PlatformError as error:
                 self._metrics.count("renewals_failed_total", "Renewals without an answer.")
                 log_event("renewal_unanswered", worker=self._life, reason=str(error))
+            except Exception as error:
+                log_error("renewal_failed", error, worker=self._life)
             self._post(RenewAnswered(self._life, order, outcome))
         self._client.close()
 
--- a/src/snowdock/node/peers.py
+++ b/src/snowdock/node/peers.py
@@ -258,8 +258,11 @@
             for socket, _ in poller.poll(self._poll_ms()):
                 try:
                     self._serve(socket)
-                except (InvalidInput, ValueError) as error:
+                except (InvalidInput, ValueError, zmq.ZMQError) as error:
                     log_error("peer_message_dropped", error)
+                except Exception as error:
+                    # One message may not end the exchange of all others.
+                    log_error("peer_message_failed", error)
             known = set(self._dealers.values())
             for socket in known - {s for s, _ in poller.sockets}:
                 poller.register(socket, zmq.POLLIN)
--- a/src/snowdock/platform/node_settings.py
+++ b/src/snowdock/platform/node_settings.py
@@ -3,6 +3,7 @@
 import os
 import pathlib
 import tomllib
+from typing import Annotated
 
 import msgspec
 
@@ -54,7 +55,7 @@
     address: str
     record_bytes: int = 262_144
     call_bytes: int = 2_097_152
-    parts: int = 1
+    parts: Annotated[int, msgspec.Meta(ge=1)] = 1
 
 
 class _File(msgspec.Struct):
--- a/tests/standins/entry_cluster.py
+++ b/tests/standins/entry_cluster.py
@@ -29,6 +29,7 @@
 ready = "{ip}:{ready}"
 [platform]
 address = "{store}"
+parts = 3
 [limits]
 max_fds = 1500
 [bounds]
