--- a/src/snowdock/entry/intake.py
+++ b/src/snowdock/entry/intake.py
@@ -41,7 +41,7 @@
 
 _JSON = "application/json"
 _SHORTEST_TRY_SECONDS = 0.4
-_LONGEST_TRY_SECONDS = 1.5
+_LONGEST_TRY_SECONDS = 1.0
 """Bounds of one try to put a job on record: an append takes some 10 ms, a slow store some 300."""
 
 _TRYING_SECONDS = 0.5
--- a/src/snowdock/entry/progress_writer.py
+++ b/src/snowdock/entry/progress_writer.py
@@ -22,7 +22,7 @@
 
 __all__ = ["ProgressWriter", "drop_jobs", "fence_progress"]
 
-_CALL_SECONDS = 1.5
+_CALL_SECONDS = 1.0
 _SHORTEST_TRY_SECONDS = 0.25
 """A batch takes some 10 ms; it is numbered, so sending it again does no harm."""
 
--- a/src/snowdock/entry/tails.py
+++ b/src/snowdock/entry/tails.py
@@ -98,7 +98,9 @@
             self._next_offset = page.next_offset
             self._take_all(page.records)
             return
-        page = self._store.read(self._topic, self._part, self._next_offset, self._wait_seconds)
+        # A read that hangs when the store comes back tells so only when it is given up.
+        wait = self._wait_seconds if self._failing_since is None else 0.0
+        page = self._store.read(self._topic, self._part, self._next_offset, wait)
         self._note_success(began)
         if self._next_offset is None:
             return
--- a/src/snowdock/platform/store.py
+++ b/src/snowdock/platform/store.py
@@ -21,8 +21,9 @@
 
 _LENGTH = struct.Struct(">I")
 _BOUNDS = struct.Struct(">QQ")
-_LONG_POLL_SLACK_SECONDS = 1.0
-"""How much longer than its wait a long poll may take before it counts as unanswered."""
+_LONG_POLL_SLACK_SECONDS = 0.7
+"""How much longer than its wait a long poll may take before it counts as unanswered: a store
+that has become 70 times as slow answers in some 0.3 s."""
 
 _REFUSALS = (429, 503, 507)
 
