Give the times of every leader one home

Cause: the lease, the time after which a leader counts as isolated, the retention and the tick stood in the daemon, the election, the leader and the emulator, some of them as bare figures.

Ruled out: a home under entry/; the emulator rests on jobs/ only.

Change: jobs/times.py holds them, and reckons when all leases of an earlier leader are over. The values are the same; the emulator's 3.5 is the isolation (3.0) and the slack (0.5) that it was made of.

Conclusion: one figure changes in one place, emulated runs included.

--- a/src/snowdock/emulator/emulator.py
+++ b/src/snowdock/emulator/emulator.py
@@ -36,6 +36,12 @@
 from ..jobs.progress import AcceptedJob, JobProgress, decode_progress
 from ..jobs.reducer import reduce
 from ..jobs.takeover import RecordedJobs, restore
+from ..jobs.times import (
+    LEASE_SECONDS,
+    RETENTION_SECONDS,
+    TICK_SECONDS,
+    takeover_lapse_seconds,
+)
 from ..jobs.workers import WorkerEntry
 from .checks import Checks
 from .timeline import Timeline
@@ -44,7 +50,6 @@
 
 __all__ = ["Emulator", "EmulatorOptions", "Faults"]
 
-_TICK_SECONDS = 0.1
 _ORDER_TIMEOUT_SECONDS = 0.4
 _RENEW_SLACK_SECONDS = 0.3
 _CAPACITY = Size(16_000, 65_536, 0)
@@ -86,7 +91,7 @@
     askers: int = 6
     fit_share: float = 0.5
     terms: WorkerTerms = _TERMS
-    lease_s: float = 4.5
+    lease_s: float = LEASE_SECONDS
 
 
 class _Leader:
@@ -217,11 +222,11 @@
         options = self._options
         settings = CellSettings(
             lease_s=options.lease_s,
-            takeover_lapse_s=options.terms.lease_limit_s + 3.5,
+            takeover_lapse_s=takeover_lapse_seconds(options.terms.lease_limit_s),
             gang_wait_s=options.terms.gang_wait_s,
             early_s=0.25,
             stop_s=options.terms.stop_s,
-            retention_s=600.0,
+            retention_s=RETENTION_SECONDS,
         )
         holder: list[Cell] = []
         policy = make_policy(_ignore, lambda: holder[0])
@@ -254,7 +259,7 @@
     def _tick(self, leader: _Leader) -> None:
         if leader.is_alive:
             self._post(leader, Ticked(self._options.askers))
-            self.timeline.after(_TICK_SECONDS, lambda: self._tick(leader))
+            self.timeline.after(TICK_SECONDS, lambda: self._tick(leader))
 
     def _retire(self, leader: _Leader) -> None:
         leader.is_alive = False
--- a/src/snowdock/entry/election.py
+++ b/src/snowdock/entry/election.py
@@ -20,6 +20,7 @@
     PlatformError,
     StoreRefused,
 )
+from ..jobs.times import ISOLATED_SECONDS
 from ..node.logs import log_error, log_event
 from ..platform.store import KeyedRecord, StoreClient
 from .messages import Beat
@@ -48,10 +49,6 @@
 _JITTER_SECONDS = 0.08
 """Spreads claims of nodes that miss the leader at the same time."""
 
-_ISOLATED_SECONDS = 3.0
-"""A leader that reaches neither the store nor any peer for this long may have been replaced
-without learning of it, and gives no more orders."""
-
 
 class LeaderRecord(msgspec.Struct, frozen=True, array_like=True):
     """Who leads: its node, process and peer address, its epoch, and whether it has resigned."""
@@ -138,9 +135,9 @@
     @property
     def is_isolated(self) -> bool:
         """Whether this node reaches neither the store nor a peer, having had peers before."""
-        if not self._peer_heard_at or self.renewed_s < _ISOLATED_SECONDS:
+        if not self._peer_heard_at or self.renewed_s < ISOLATED_SECONDS:
             return False
-        return time.monotonic() - self._peer_heard_at > _ISOLATED_SECONDS
+        return time.monotonic() - self._peer_heard_at > ISOLATED_SECONDS
 
     def make_beat(self) -> Beat:
         """Make the heartbeat to send to peers."""
--- a/src/snowdock/entry/leader.py
+++ b/src/snowdock/entry/leader.py
@@ -40,6 +40,7 @@
 from ..jobs.progress import CANCEL_PREFIX, decode_accepted, decode_progress
 from ..jobs.reducer import reduce
 from ..jobs.takeover import RecordedJobs, restore
+from ..jobs.times import TICK_SECONDS
 from ..node.logs import log_error, log_event
 from ..node.metrics import Metrics
 from ..platform.store import KeyedRecord, StoreClient
@@ -53,7 +54,6 @@
 
 __all__ = ["Leader", "LeaderContext", "LeaderHandle", "start_leader"]
 
-_TICK_SECONDS = 0.1
 _READ_SECONDS = 3.0
 _TAKEOVER_RETRY_SECONDS = 0.1
 _JOBS_WAIT_SECONDS = 1.0
@@ -319,7 +319,7 @@
             self._stopped.set()
 
     def _tick(self) -> None:
-        while not self._stopped.wait(_TICK_SECONDS):
+        while not self._stopped.wait(TICK_SECONDS):
             self._tell(Ticked(self._context.count_askers()))
 
     def _take_jobs(self, records: list[KeyedRecord]) -> None:
