Split the emulator's calls to workers and its options off

It kept decisions behind a switch that nothing turned on, and a set that nothing read; a list was read before it was made.

Ruled out: a channel per worker; delays are drawn in one order for all.

Change: options.py and worker_calls.py are modules of their own; the unused switch, its list and the unused set are gone; what of the emulator and its options is public is documented.

--- a/src/snowdock/emulator/__init__.py
+++ b/src/snowdock/emulator/__init__.py
@@ -5,7 +5,8 @@
 """
 
 from .checks import Violation
-from .emulator import Emulator, EmulatorOptions
+from .emulator import Emulator
+from .options import EmulatorOptions
 from .report import Report, format_report, make_report
 from .workload import WorkloadOptions, draw_workload
 
--- a/src/snowdock/emulator/emulator.py
+++ b/src/snowdock/emulator/emulator.py
@@ -4,7 +4,6 @@
 import random
 from collections.abc import Callable
 
-from ..declarations import Size
 from ..jobs.cell import Cell, CellSettings
 from ..jobs.events import (
     AdviceAnswered,
@@ -19,83 +18,34 @@
     Persist,
     Persisted,
     PublishStatus,
-    RenewAnswered,
     SendRenew,
     SendStart,
     SendStop,
-    StartAnswered,
     StepDown,
-    StopAnswered,
     Ticked,
     WorkerDelisted,
     WorkerListed,
 )
-from ..jobs.model import JobStatus, TaskId
-from ..jobs.orders import AdviceGiven, Refusal, StartOrder, StopOrder
+from ..jobs.model import JobStatus, StepSpec, TaskId
+from ..jobs.orders import AdviceGiven, StartOrder
 from ..jobs.policy import make_policy
 from ..jobs.progress import AcceptedJob, JobProgress, decode_progress
 from ..jobs.reducer import reduce
 from ..jobs.takeover import RecordedJobs, restore
-from ..jobs.times import (
-    LEASE_SECONDS,
-    RETENTION_SECONDS,
-    TICK_SECONDS,
-    takeover_lapse_seconds,
-)
+from ..jobs.times import RETENTION_SECONDS, TICK_SECONDS, takeover_lapse_seconds
 from ..jobs.workers import WorkerEntry
 from .checks import Checks
+from .options import EmulatorOptions, Faults
 from .timeline import Timeline
-from .worker_model import Gangs, WorkerModel, WorkerTerms
-from .workload import DrawnJob, WorkloadOptions, configuration_for
-
-__all__ = ["Emulator", "EmulatorOptions", "Faults"]
-
-_ORDER_TIMEOUT_SECONDS = 0.4
-_RENEW_SLACK_SECONDS = 0.3
-_CAPACITY = Size(16_000, 65_536, 0)
-_TERMS = WorkerTerms()
-
-
-@dataclasses.dataclass(slots=True)
-class Faults:
-    """What goes wrong now; may be changed while the emulator runs.
-
-    Attributes
-    ----------
-    lost_answers
-        Share of calls to workers that are carried out and not answered.
-    late_orders
-        Share of orders that are not answered and carried out seconds later.
-    store_down
-        Whether the store takes nothing.
-    cut
-        Lives of workers that no leader reaches; they run on.
-    """
-
-    lost_answers: float = 0.0
-    late_orders: float = 0.0
-    store_down: bool = False
-    cut: set[str] = dataclasses.field(default_factory=set)
-
+from .worker_calls import Post, WorkerCalls, draw_delay
+from .worker_model import Gangs, WorkerModel
+from .workload import DrawnJob, configuration_for
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class EmulatorOptions:
-    """The emulated cluster: workers, their room, and typical delays in seconds."""
-
-    workload: WorkloadOptions
-    workers: int = 24
-    capacity: Size = _CAPACITY
-    racks: int = 4
-    call_s: float = 0.003
-    store_s: float = 0.009
-    askers: int = 6
-    fit_share: float = 0.5
-    terms: WorkerTerms = _TERMS
-    lease_s: float = LEASE_SECONDS
+__all__ = ["Emulator"]
 
 
 class _Leader:
-    """One leadership: a cell, and the events that are on their way to it."""
+    """One leadership: a cell, and whether it still takes events."""
 
     def __init__(self, cell: Cell) -> None:
         self.cell = cell
@@ -113,6 +63,21 @@
         The cluster.
     jobs
         What is submitted.
+
+    Attributes
+    ----------
+    timeline
+        The virtual time.
+    checks
+        What must hold, and what did not.
+    faults
+        What goes wrong now; may be changed between runs.
+    workers
+        All workers that ever were, by life.
+    statuses
+        What callers were last shown, by job.
+    finished_at
+        When callers were first shown that a job has ended, in virtual seconds.
     """
 
     def __init__(self, seed: int, options: EmulatorOptions, jobs: list[DrawnJob]) -> None:
@@ -121,8 +86,6 @@
         self.faults = Faults()
         self.statuses: dict[str, JobStatus] = {}
         self.finished_at: dict[str, float] = {}
-        self.decisions: list[tuple[float, Decided]] = []
-        self.keeps_decisions = False
         self._random = random.Random(seed)
         self._options = options
         self._jobs = {job.job: job for job in jobs}
@@ -132,21 +95,23 @@
         self._progress: dict[str, JobProgress] = {}
         self._epoch = 0
         self._lives = 0
-        self._fit: dict[tuple[str, int], set[str]] = {}
         self._rules: dict[tuple[str, int, str], bool] = {}
         self.workers: dict[str, WorkerModel] = {}
+        self._leaders: list[_Leader] = []
         for number in range(options.workers):
             self.add_worker(number)
-        self._leaders: list[_Leader] = []
+        calls = WorkerCalls(
+            self.timeline, self._random, self.faults, self.workers, options.call_s, self._step
+        )
         self._handlers: dict[type, Callable] = {
             Persist: self._persist,
-            SendStart: self._send_start,
-            SendStop: self._send_stop,
-            SendRenew: self._send_renew,
+            SendStart: lambda leader, effect: calls.send_start(self._poster(leader), effect),
+            SendStop: lambda leader, effect: calls.send_stop(self._poster(leader), effect),
+            SendRenew: lambda leader, effect: calls.send_renew(self._poster(leader), effect),
             AskAdvice: self._ask_advice,
             PublishStatus: self._publish,
             StepDown: lambda leader, _: self._retire(leader),
-            Decided: self._note_decision,
+            Decided: _ignore,
             OpenWorker: _ignore,
             CloseWorker: _ignore,
             DropJobs: _ignore,
@@ -246,7 +211,7 @@
     # -- the leader ------------------------------------------------------------------------
 
     def _tell_all(self, event: Event) -> None:
-        for leader in getattr(self, "_leaders", []):
+        for leader in self._leaders:
             self._post(leader, event)
 
     def _post(self, leader: _Leader, event: Event) -> None:
@@ -256,6 +221,9 @@
         for effect in reduce(leader.cell, event, now, now * 1000):
             self._handlers[type(effect)](leader, effect)
 
+    def _poster(self, leader: _Leader) -> Post:
+        return lambda event: self._post(leader, event)
+
     def _tick(self, leader: _Leader) -> None:
         if leader.is_alive:
             self._post(leader, Ticked(self._options.askers))
@@ -292,7 +260,7 @@
     # -- effects ---------------------------------------------------------------------------
 
     def _delay(self, mean: float) -> float:
-        return mean * self._random.uniform(0.7, 1.6)
+        return draw_delay(self._random, mean)
 
     def _persist(self, leader: _Leader, effect: Persist) -> None:
         self.timeline.after(self._delay(self._options.store_s), lambda: self._store(leader, effect))
@@ -312,104 +280,9 @@
             self._options.call_s, lambda: self._post(leader, Persisted(effect.number))
         )
 
-    def _reach(self, life: str) -> WorkerModel | None:
-        model = self.workers[life]
-        return model if model.is_up and life not in self.faults.cut else None
-
-    def _send_start(self, leader: _Leader, effect: SendStart) -> None:
-        order = effect.order
-        self._send_order(
-            leader,
-            effect.life,
-            lambda model: model.start(order, self._step(order)),
-            lambda result: StartAnswered(effect.life, order.task, order.run, result),
-        )
-
-    def _step(self, order: StartOrder):
+    def _step(self, order: StartOrder) -> StepSpec:
         return self._jobs[order.task.job].spec.steps[order.task.step]
 
-    def _send_stop(self, leader: _Leader, effect: SendStop) -> None:
-        order: StopOrder = effect.order
-
-        def answer(result) -> StopAnswered:
-            answered = result != "lost"
-            refusal = result if isinstance(result, Refusal) else None
-            return StopAnswered(effect.life, order.task, order.run, answered, refusal)
-
-        self._send_order(leader, effect.life, lambda m: m.stop(order), answer, "lost")
-
-    def _send_order(
-        self,
-        leader: _Leader,
-        life: str,
-        carry_out: Callable[[WorkerModel], object],
-        answer: Callable[[object], Event],
-        lost: object = None,
-    ) -> None:
-        drawn = self._random.random()
-        if drawn < self.faults.late_orders:
-            self._carry_out_later(life, carry_out, self._random.uniform(2.0, 6.0))
-            self.timeline.after(_ORDER_TIMEOUT_SECONDS, lambda: self._post(leader, answer(lost)))
-            return
-
-        def arrive() -> None:
-            model = self._reach(life)
-            if model is None:
-                self.timeline.after(
-                    _ORDER_TIMEOUT_SECONDS, lambda: self._post(leader, answer(lost))
-                )
-                return
-            result = carry_out(model)
-            if self._random.random() < self.faults.lost_answers:
-                self.timeline.after(
-                    _ORDER_TIMEOUT_SECONDS, lambda: self._post(leader, answer(lost))
-                )
-                return
-            self.timeline.after(
-                self._delay(self._options.call_s / 2),
-                lambda: self._post(leader, answer(result)),
-            )
-
-        self.timeline.after(self._delay(self._options.call_s / 2), arrive)
-
-    def _carry_out_later(
-        self, life: str, carry_out: Callable[[WorkerModel], object], seconds: float
-    ) -> None:
-        def arrive() -> None:
-            model = self._reach(life)
-            if model is not None:
-                carry_out(model)
-
-        self.timeline.after(seconds, arrive)
-
-    def _send_renew(self, leader: _Leader, effect: SendRenew) -> None:
-        order = effect.order
-        finished = False
-
-        def finish(outcome) -> None:
-            nonlocal finished
-            if not finished:
-                finished = True
-                self._post(leader, RenewAnswered(effect.life, order, outcome))
-
-        def give_up() -> None:
-            finish(None)
-
-        self.timeline.after(order.wait_ms / 1000 + _RENEW_SLACK_SECONDS, give_up)
-
-        def answer(outcome) -> None:
-            if effect.life in self.faults.cut:
-                return
-            if self._random.random() >= self.faults.lost_answers:
-                self.timeline.after(self._delay(self._options.call_s / 2), lambda: finish(outcome))
-
-        def arrive() -> None:
-            model = self._reach(effect.life)
-            if model is not None:
-                model.renew(order, answer)
-
-        self.timeline.after(self._delay(self._options.call_s / 2), arrive)
-
     def _ask_advice(self, leader: _Leader, effect: AskAdvice) -> None:
         wanted = effect.wanted
         tickets = {
@@ -428,17 +301,13 @@
             self._rules[key] = self._random.random() < self._options.fit_share
         return self._rules[key]
 
-    def _publish(self, leader: _Leader, effect: PublishStatus) -> None:
+    def _publish(self, _: _Leader, effect: PublishStatus) -> None:
         now = self.timeline.now
         self.statuses[effect.job] = effect.status
         if effect.status.is_final:
             self.finished_at.setdefault(effect.job, now)
             self.checks.shown(effect.job, effect.status is JobStatus.COMPLETED, now)
 
-    def _note_decision(self, leader: _Leader, effect: Decided) -> None:
-        if self.keeps_decisions:
-            self.decisions.append((self.timeline.now, effect))
-
 
 def _ignore(*_: object) -> None:
     """Do nothing, for effects without a counterpart here."""
--- /dev/null
+++ b/src/snowdock/emulator/options.py
@@ -0,0 +1,69 @@
+"""What an emulated cluster is like, and what goes wrong in it."""
+
+import dataclasses
+
+from ..declarations import Size
+from ..jobs.times import LEASE_SECONDS
+from .worker_model import WorkerTerms
+from .workload import WorkloadOptions
+
+__all__ = ["EmulatorOptions", "Faults"]
+
+_CAPACITY = Size(16_000, 65_536, 0)
+_TERMS = WorkerTerms()
+
+
+@dataclasses.dataclass(slots=True)
+class Faults:
+    """What goes wrong now; may be changed while the emulator runs.
+
+    Attributes
+    ----------
+    lost_answers
+        Share of calls to workers that are carried out and not answered.
+    late_orders
+        Share of orders that are not answered and carried out seconds later.
+    store_down
+        Whether the store takes nothing.
+    cut
+        Lives of workers that no leader reaches; they run on.
+    """
+
+    lost_answers: float = 0.0
+    late_orders: float = 0.0
+    store_down: bool = False
+    cut: set[str] = dataclasses.field(default_factory=set)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EmulatorOptions:
+    """The emulated cluster.
+
+    Attributes
+    ----------
+    workload
+        What is submitted, and the queues it is submitted to.
+    workers, capacity, racks
+        Workers at the start, the room of each, and the racks they stand in.
+    call_s, store_s
+        What a call to a worker, and an append to the store, usually take, in seconds.
+    askers
+        Nodes that can ask the advice service.
+    fit_share
+        Share of the workers that the advice service lets a step run on.
+    terms
+        Times of all workers.
+    lease_s
+        The lease that renewals ask for, in seconds.
+    """
+
+    workload: WorkloadOptions
+    workers: int = 24
+    capacity: Size = _CAPACITY
+    racks: int = 4
+    call_s: float = 0.003
+    store_s: float = 0.009
+    askers: int = 6
+    fit_share: float = 0.5
+    terms: WorkerTerms = _TERMS
+    lease_s: float = LEASE_SECONDS
--- /dev/null
+++ b/src/snowdock/emulator/worker_calls.py
@@ -0,0 +1,164 @@
+"""Calls of emulated leaders to modelled workers, with their delays and losses."""
+
+import random
+from collections.abc import Callable
+
+from ..jobs.events import (
+    Event,
+    RenewAnswered,
+    SendRenew,
+    SendStart,
+    SendStop,
+    StartAnswered,
+    StopAnswered,
+)
+from ..jobs.model import StepSpec
+from ..jobs.orders import Refusal, StartOrder
+from .options import Faults
+from .timeline import Timeline
+from .worker_model import WorkerModel
+
+__all__ = ["Post", "WorkerCalls", "draw_delay"]
+
+_ORDER_TIMEOUT_SECONDS = 0.4
+"""When an order without an answer counts as unanswered, as at a real leader."""
+
+_RENEW_SLACK_SECONDS = 0.3
+"""How much longer than its wait a renewal may take, as at a real leader."""
+
+Post = Callable[[Event], None]
+"""Tells the leader that made a call of its answer."""
+
+
+def draw_delay(source: random.Random, mean: float) -> float:
+    """Draw a delay around a typical one, in its unit."""
+    return mean * source.uniform(0.7, 1.6)
+
+
+class WorkerCalls:
+    """Carries orders and renewals to workers.
+
+    Parameters
+    ----------
+    timeline
+        The virtual time.
+    source
+        Draws delays and faults.
+    faults
+        What goes wrong now.
+    workers
+        All workers, by life.
+    call_s
+        What a call usually takes, in seconds.
+    spec_of
+        Gives the step that an order starts a task of.
+    """
+
+    def __init__(
+        self,
+        timeline: Timeline,
+        source: random.Random,
+        faults: Faults,
+        workers: dict[str, WorkerModel],
+        call_s: float,
+        spec_of: Callable[[StartOrder], StepSpec],
+    ) -> None:
+        self._timeline = timeline
+        self._random = source
+        self._faults = faults
+        self._workers = workers
+        self._call_s = call_s
+        self._spec_of = spec_of
+
+    def _half_way(self) -> float:
+        return draw_delay(self._random, self._call_s / 2)
+
+    def _reach(self, life: str) -> WorkerModel | None:
+        model = self._workers[life]
+        return model if model.is_up and life not in self._faults.cut else None
+
+    def send_start(self, post: Post, effect: SendStart) -> None:
+        """Send a start; its answer, or the lack of one, is posted."""
+        order = effect.order
+        self._send_order(
+            post,
+            effect.life,
+            lambda model: model.start(order, self._spec_of(order)),
+            lambda result: StartAnswered(effect.life, order.task, order.run, result),
+        )
+
+    def send_stop(self, post: Post, effect: SendStop) -> None:
+        """Send a stop; its answer, or the lack of one, is posted."""
+        order = effect.order
+
+        def answer(result) -> StopAnswered:
+            answered = result != "lost"
+            refusal = result if isinstance(result, Refusal) else None
+            return StopAnswered(effect.life, order.task, order.run, answered, refusal)
+
+        self._send_order(post, effect.life, lambda model: model.stop(order), answer, "lost")
+
+    def _send_order(
+        self,
+        post: Post,
+        life: str,
+        carry_out: Callable[[WorkerModel], object],
+        answer: Callable[[object], Event],
+        lost: object = None,
+    ) -> None:
+        def time_out() -> None:
+            self._timeline.after(_ORDER_TIMEOUT_SECONDS, lambda: post(answer(lost)))
+
+        if self._random.random() < self._faults.late_orders:
+            self._carry_out_later(life, carry_out, self._random.uniform(2.0, 6.0))
+            time_out()
+            return
+
+        def arrive() -> None:
+            model = self._reach(life)
+            if model is None:
+                time_out()
+                return
+            result = carry_out(model)
+            if self._random.random() < self._faults.lost_answers:
+                time_out()
+                return
+            self._timeline.after(self._half_way(), lambda: post(answer(result)))
+
+        self._timeline.after(self._half_way(), arrive)
+
+    def _carry_out_later(
+        self, life: str, carry_out: Callable[[WorkerModel], object], seconds: float
+    ) -> None:
+        def arrive() -> None:
+            model = self._reach(life)
+            if model is not None:
+                carry_out(model)
+
+        self._timeline.after(seconds, arrive)
+
+    def send_renew(self, post: Post, effect: SendRenew) -> None:
+        """Send a renewal; its answer, or the lack of one, is posted."""
+        order = effect.order
+        finished = False
+
+        def finish(outcome) -> None:
+            nonlocal finished
+            if not finished:
+                finished = True
+                post(RenewAnswered(effect.life, order, outcome))
+
+        self._timeline.after(order.wait_ms / 1000 + _RENEW_SLACK_SECONDS, lambda: finish(None))
+
+        def answer(outcome) -> None:
+            if effect.life in self._faults.cut:
+                return
+            if self._random.random() >= self._faults.lost_answers:
+                self._timeline.after(self._half_way(), lambda: finish(outcome))
+
+        def arrive() -> None:
+            model = self._reach(effect.life)
+            if model is not None:
+                model.renew(order, answer)
+
+        self._timeline.after(self._half_way(), arrive)
