Take out what nothing uses

Cause: parameters that were handed on and never read (the claimed room in want_advice, whose documentation promised a use), fields that were set and never read (first_seen_at, next_wait_ms, arrived_at, checkpoint_s) and two properties without a reader.

Ruled out: the decoded settings without a reader (contact_ms, lease_ms, status_s, bootstrap, worker_heartbeat_s): decoding them checks the file.

Change: they are gone; the public attributes of the worker model and its terms are documented.

Conclusion: no decision rested on them.

--- a/src/snowdock/emulator/worker_model.py
+++ b/src/snowdock/emulator/worker_model.py
@@ -3,7 +3,6 @@
 import dataclasses
 from collections.abc import Callable
 
-from ..declarations import Size
 from ..jobs.model import StepSpec, TaskId
 from ..jobs.orders import (
     EndedRun,
@@ -25,12 +24,23 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class WorkerTerms:
-    """Times of all workers, in seconds."""
+    """Times of all workers, in seconds.
+
+    Attributes
+    ----------
+    lease_limit_s
+        The longest lease that a worker grants.
+    stop_s
+        The longest that a worker takes to stop a run.
+    gang_wait_s
+        How long a member of a gang waits for the others.
+    cancel_s
+        How long after a job was cancelled a task of it may still start.
+    """
 
     lease_limit_s: float = 6.0
     stop_s: float = 0.4
     gang_wait_s: float = 3.0
-    checkpoint_s: float = 1.0
     cancel_s: float = 3.0
 
 
@@ -44,7 +54,6 @@
     work_s: float
     fails: bool
     worker: "WorkerModel"
-    arrived_at: float
     working_since: float | None = None
     checkpoint: str = ""
     is_over: bool = False
@@ -97,6 +106,17 @@
         How long a run takes, and whether it fails.
     slowness
         How many times longer everything takes.
+
+    Attributes
+    ----------
+    entry
+        As it last recorded itself.
+    is_up
+        Whether this life goes on.
+    fails_all
+        Whether everything fails soon; may be changed between runs.
+    slowness
+        How many times longer everything takes; holds for later starts.
     """
 
     def __init__(
@@ -161,7 +181,6 @@
             seconds * self.slowness,
             fails or self.fails_all,
             self,
-            self._timeline.now,
         )
         self._runs[order.task] = run
         self._checks.started(
@@ -311,11 +330,3 @@
                         member.worker.break_member(member)
         self._runs.clear()
         self._checks.vanished(self.entry.life)
-
-    @property
-    def room_used(self) -> Size:
-        """Room that its runs take."""
-        total = Size(0, 0, 0)
-        for run in self._runs.values():
-            total = total.plus(run.step.room)
-        return total
--- a/src/snowdock/entry/leader.py
+++ b/src/snowdock/entry/leader.py
@@ -283,11 +283,6 @@
         """What callers are shown."""
         return self._statuses
 
-    @property
-    def epoch(self) -> int:
-        """The epoch in which this node leads."""
-        return self._context.epoch
-
     @property
     def jobs_read_at(self) -> float:
         """The steady time up to which all jobs taken in are known, in seconds."""
--- a/src/snowdock/jobs/advising.py
+++ b/src/snowdock/jobs/advising.py
@@ -1,6 +1,5 @@
 """Advice from outside: which workers may run a step, and when it is worth asking."""
 
-from ..declarations import Size
 from .cell import Advice, Cell, Step
 from .events import AdviceAnswered, AdviceFailed, AskAdvice
 from .orders import AdviceWanted
@@ -44,7 +43,6 @@
     step: Step,
     candidates: list[Worker],
     wanted: int,
-    claimed: dict[str, Size],
     now: float,
 ) -> None:
     """Ask about workers, where the answer could lead to a placement now.
@@ -59,8 +57,6 @@
         Workers that may be fit and have no valid ticket.
     wanted
         Tasks that are to be placed.
-    claimed
-        Room that steps of a higher rank are waiting to use; what is asked for is added.
     now
         The steady clock, in seconds.
     """
@@ -72,7 +68,7 @@
     roomy = [worker for worker in known if worker.free.holds(step.spec.room)]
     if unknown:
         asked = unknown + roomy
-    elif _could_place(step, roomy, wanted, claimed, now):
+    elif _could_place(step, roomy, wanted):
         asked = roomy
     else:
         return
@@ -84,9 +80,7 @@
     cell.emit(AskAdvice(AdviceWanted(job, repetition, number, lives), expected_ms))
 
 
-def _could_place(
-    step: Step, roomy: list[Worker], wanted: int, claimed: dict[str, Size], now: float
-) -> bool:
+def _could_place(step: Step, roomy: list[Worker], wanted: int) -> bool:
     if not step.spec.gang:
         return bool(roomy)
     room = step.spec.room
--- a/src/snowdock/jobs/placing.py
+++ b/src/snowdock/jobs/placing.py
@@ -93,7 +93,7 @@
         seats = list(_find_seats(cell, step, workers, claimed))
         enough = sum(seat.count for seat in seats) >= (len(tasks) if step.spec.gang else 1)
         if not enough:
-            want_advice(cell, step, stale, len(tasks), claimed, now)
+            want_advice(cell, step, stale, len(tasks), now)
             return
     else:
         seats = list(_find_seats(cell, step, workers, claimed))
--- a/src/snowdock/jobs/worker_lives.py
+++ b/src/snowdock/jobs/worker_lives.py
@@ -21,7 +21,7 @@
         worker.entry = entry
         worker.listed = True
         return
-    worker = Worker(entry, now)
+    worker = Worker(entry)
     cell.workers[entry.life] = worker
     cell.tell("worker_listed", entry.life, service=entry.service, address=entry.address)
     for orphan in cell.orphans.pop(entry.life, []):
--- a/src/snowdock/jobs/workers.py
+++ b/src/snowdock/jobs/workers.py
@@ -71,8 +71,6 @@
         Whether a renewal is on its way.
     next_renew_at
         When the next renewal is due, in steady seconds.
-    next_wait_ms
-        How long the next renewal may wait at the worker.
     silent_since
         When a call first found no answer; None while it answers.
     is_mute
@@ -86,7 +84,6 @@
     """
 
     entry: WorkerEntry
-    first_seen_at: float
     used: Size = ZERO
     runs: dict[tuple[TaskId, int], Size] = dataclasses.field(default_factory=dict)
     listed: bool = True
@@ -99,7 +96,6 @@
     known_ends: int = 0
     renewing: bool = False
     next_renew_at: float = 0.0
-    next_wait_ms: int = 0
     silent_since: float | None = None
     is_mute: bool = False
     failure_streak: int = 0
