Document the leader's state; drop two fields that nothing read

Cause: the attributes of Cell, Task and Step are read and written all over jobs/, and said nowhere what they mean, in which unit. The end of a job stood twice, once where nothing read it; so did a step's last order.

Ruled out: private attributes with properties; the reducer's functions are the only users, and state is all that these classes are.

Change: Attributes sections; Job.final_at and Step.ordered_at are gone.

Conclusion: what is public on the state classes is documented.

--- a/src/snowdock/jobs/cell.py
+++ b/src/snowdock/jobs/cell.py
@@ -128,7 +128,29 @@
 
 @dataclasses.dataclass(slots=True, eq=False)
 class Task:
-    """One task and its current run."""
+    """One task and its current run.
+
+    Attributes
+    ----------
+    run
+        The number of its newest run; 0 before the first.
+    life
+        The worker's life where that run is or may be; empty where none is.
+    failed_runs
+        Runs that count as attempts.
+    checkpoint
+        From where the next run goes on; empty for the beginning.
+    since
+        When it came to its phase, in steady seconds.
+    percent
+        How far its run was when last reported.
+    seen_percent, seen_at
+        How far its run was, and when in steady seconds, when its speed was last looked at.
+    moves
+        How often a run of it was taken away from a slow worker.
+    avoid
+        Lives of workers where runs of it have failed; None for none.
+    """
 
     id: TaskId
     step: "Step"
@@ -157,7 +179,21 @@
 
 @dataclasses.dataclass(slots=True, eq=False)
 class Step:
-    """One step of one repetition of a job."""
+    """One step of one repetition of a job.
+
+    Attributes
+    ----------
+    done
+        How many of its tasks have ended well.
+    advice
+        What the advice service has told; None where nobody has to be asked.
+    rank
+        How urgent it is; the highest is placed first.
+    not_before
+        When its next try may be placed, in steady seconds.
+    usual_log
+        The logarithm of the seconds that a run takes on a usual worker; None before any look.
+    """
 
     job: "Job"
     repetition: int
@@ -168,7 +204,6 @@
     advice: Advice | None = None
     rank: float = 0.0
     not_before: float = 0.0
-    ordered_at: float = 0.0
     usual_log: float | None = None
 
     @property
@@ -190,8 +225,6 @@
     ----------
     submitted_at
         When it was taken in, on this node's steady clock.
-    final_at
-        When it ended, on this node's steady clock.
     """
 
     id: JobId
@@ -199,7 +232,6 @@
     submitted_at: float
     status: JobStatus = JobStatus.PENDING
     repetitions: list[list[Step]] = dataclasses.field(default_factory=list)
-    final_at: float = 0.0
 
     @property
     def queue(self) -> str:
@@ -261,6 +293,45 @@
         The decisions that operators program.
     now
         The steady clock, in seconds.
+
+    Attributes
+    ----------
+    started_at, now
+        The steady clock at the start and at the newest event, in seconds.
+    configuration
+        The operators' configuration in force.
+    jobs
+        All jobs that are known, those that ended included until they are forgotten.
+    final_jobs
+        When jobs ended, in steady seconds, in that order.
+    cancelled_ahead
+        Jobs that were cancelled before they were known.
+    workers
+        All workers that are listed or may still run something, by life.
+    ended_lives
+        Lives that are over while the store still lists them.
+    orphans
+        Runs of earlier leaders by the life of a worker that is not known yet.
+    waiting
+        Steps with tasks to place.
+    scheduled
+        Jobs with repetitions still to come.
+    stops
+        Runs that are to end, by worker's life, task and run.
+    dirty
+        Jobs whose progress goes on record with the next batch.
+    held
+        What waits for the next batch, in order.
+    batch, batch_held
+        The number of the newest batch, and what waits for it; None where none is on its way.
+    effects
+        What the event being taken wants done.
+    askers, questions
+        Nodes that can ask the advice service, and questions on their way.
+    placing_wanted
+        Whether something has changed that may let a waiting step find room.
+    placed_at, ranked_at
+        When steps were last placed and last ranked, in steady seconds.
     """
 
     def __init__(self, settings: CellSettings, token: int, policy: Policy, now: float) -> None:
--- a/src/snowdock/jobs/durability.py
+++ b/src/snowdock/jobs/durability.py
@@ -100,7 +100,6 @@
         ticket = step.advice.tickets.get(task.life, ("", 0.0))[0]
     task.phase = Phase.ORDERED
     task.since = now
-    step.ordered_at = now
     order = StartOrder(
         task=task.id,
         run=task.run,
--- a/src/snowdock/jobs/runs.py
+++ b/src/snowdock/jobs/runs.py
@@ -242,7 +242,6 @@
 
 def _conclude(cell: Cell, job: Job, status: JobStatus, now: float) -> None:
     job.status = status
-    job.final_at = now
     cell.final_jobs[job.id] = now
     cell.scheduled.pop(job.id, None)
     for steps in job.repetitions:
--- a/src/snowdock/jobs/takeover.py
+++ b/src/snowdock/jobs/takeover.py
@@ -54,7 +54,6 @@
     job = Job(job_id, accepted, now - age_s, progress.status)
     cell.jobs[job_id] = job
     if job.status.is_final:
-        job.final_at = now
         cell.final_jobs[job_id] = now
     spec = accepted.spec
     reached = max((record.repetition + 1 for record in progress.tasks), default=0)
