Soak real daemons under drawn faults from outside

Cause: the failure tests bring about one fault at a time; the users ask for a randomized soak.

Ruled out: faults inside the daemons: they would test the faults.

Change: tests/soak.py runs three daemons behind loopback proxies that delay, reset, cut one way or silence, with kills, pauses, stops, store outages, crashed workers and changes in series; callers keep connections open; starts, ends and answers are checked from outside.

--- a/src/snowdock/platform/_http.py
+++ b/src/snowdock/platform/_http.py
@@ -2,12 +2,11 @@
 
 import threading
 
-import msgspec
 import urllib3
 
 from ..errors import PlatformError
 
-__all__ = ["ByteCounter", "Client", "decode_json"]
+__all__ = ["ByteCounter", "Client"]
 
 _POOLS = 64
 _CONNECTIONS_PER_POOL = 4
@@ -88,17 +87,3 @@
             raise PlatformError(f"{method} {url}: {error}") from error
         self.bytes.add(len(body or b""), len(response.data))
         return response
-
-
-def decode_json(data: bytes, kind: type):
-    """Decode an outside system's answer into a validated model.
-
-    Raises
-    ------
-    PlatformError
-        If it does not fit the model.
-    """
-    try:
-        return msgspec.json.decode(data, type=kind)
-    except msgspec.MsgspecError as error:
-        raise PlatformError(f"answer does not fit: {error}") from error
--- a/src/snowdock/platform/advice.py
+++ b/src/snowdock/platform/advice.py
@@ -4,6 +4,7 @@
 
 from ..errors import PlatformError, StoreRefused
 from ..jobs.orders import AdviceGiven, AdviceWanted
+from ._json import decode_json
 from .http_pool import HttpPool
 
 __all__ = ["AdviceClient"]
@@ -40,8 +41,5 @@
             raise StoreRefused(f"the advice service answered {reply.status}")
         if reply.status != 200:
             raise PlatformError(f"the advice service answered {reply.status}")
-        try:
-            answer = msgspec.json.decode(reply.data, type=_Answer)
-        except msgspec.MsgspecError as error:
-            raise PlatformError(f"advice does not fit: {error}") from error
+        answer = decode_json(reply.data, _Answer, "advice")
         return AdviceGiven(wanted, dict(answer.good))
--- a/src/snowdock/platform/configuration.py
+++ b/src/snowdock/platform/configuration.py
@@ -2,8 +2,8 @@
 
 import msgspec
 
-from ..errors import PlatformError
 from ..jobs.model import AdviceTerms, Configuration, Limits, Queue, Service
+from ._json import decode_json
 
 __all__ = ["CONFIGURATION_KEY", "OPERATOR_TOPIC", "decode_configuration"]
 
@@ -40,10 +40,7 @@
     PlatformError
         If it does not fit.
     """
-    try:
-        found = msgspec.json.decode(data, type=_Configuration, strict=False)
-    except msgspec.MsgspecError as error:
-        raise PlatformError(f"the configuration does not fit: {error}") from error
+    found = decode_json(data, _Configuration, "the configuration", strict=False)
     queues = tuple(
         Queue(
             name=route.name,
--- a/src/snowdock/platform/logs.py
+++ b/src/snowdock/platform/logs.py
@@ -5,7 +5,8 @@
 import msgspec
 
 from ..errors import LogExpired
-from ._http import Client, decode_json
+from ._http import Client
+from ._json import decode_json
 
 __all__ = ["LogClient", "LogPage", "RawEntry"]
 
--- a/src/snowdock/platform/store.py
+++ b/src/snowdock/platform/store.py
@@ -15,6 +15,7 @@
     ProducerFenced,
     StoreRefused,
 )
+from ._json import decode_json
 from .http_pool import HttpPool, HttpReply
 
 __all__ = ["KeyedRecord", "Producer", "StoreClient", "StorePage"]
@@ -99,10 +100,7 @@
 
 
 def _decode(reply: HttpReply, kind: type):
-    try:
-        return msgspec.json.decode(reply.data, type=kind)
-    except msgspec.MsgspecError as error:
-        raise PlatformError(f"the store's answer does not fit: {error}") from error
+    return decode_json(reply.data, kind, "the store's answer")
 
 
 class StoreClient:
--- a/src/snowdock/platform/worker_calls.py
+++ b/src/snowdock/platform/worker_calls.py
@@ -15,6 +15,7 @@
     StopOrder,
     WorkerReport,
 )
+from ._json import decode_json
 from .http_pool import HttpPool, HttpReply
 
 __all__ = ["WorkerClient", "format_task", "parse_task"]
@@ -139,14 +140,7 @@
             "run": order.run,
             "fencing_token": order.token,
         }
-        reply = self._post("/v1/run-stop", body, seconds)
-        if reply.status == _OTHER_LIFE:
-            return Refusal.OTHER_LIFE
-        if reply.status == 409:
-            return _REFUSALS.get(_decode(reply, _Answer).reason, Refusal.MALFORMED)
-        if reply.status != 200:
-            raise PlatformError(f"run-stop answered {reply.status}")
-        return None
+        return _read_refusal(self._post("/v1/run-stop", body, seconds), "run-stop")
 
     def renew(self, order: RenewOrder, seconds: float) -> WorkerReport | Refusal:
         """Renew the lease of all that runs and tell what runs and what has ended.
@@ -162,12 +156,9 @@
         if order.wait_ms:
             body["wait_ms"] = order.wait_ms
         reply = self._post("/v1/hold", body, seconds)
-        if reply.status == _OTHER_LIFE:
-            return Refusal.OTHER_LIFE
-        if reply.status == 409:
-            return _REFUSALS.get(_decode(reply, _Answer).reason, Refusal.MALFORMED)
-        if reply.status != 200:
-            raise PlatformError(f"hold answered {reply.status}")
+        refusal = _read_refusal(reply, "hold")
+        if refusal is not None:
+            return refusal
         held = _decode(reply, _Held)
         try:
             running = [_read_running(row) for row in held.running]
@@ -184,6 +175,17 @@
         self._http.close()
 
 
+def _read_refusal(reply: HttpReply, call: str) -> Refusal | None:
+    """Give why a worker refused a call; None where it did not."""
+    if reply.status == _OTHER_LIFE:
+        return Refusal.OTHER_LIFE
+    if reply.status == 409:
+        return _REFUSALS.get(_decode(reply, _Answer).reason, Refusal.MALFORMED)
+    if reply.status != 200:
+        raise PlatformError(f"{call} answered {reply.status}")
+    return None
+
+
 def _read_running(row: list) -> RunningRun:
     load = row[4] if len(row) > 4 else 0
     return RunningRun(parse_task(row[0]), int(row[1]), str(row[2] or ""), float(row[3]), load)
@@ -196,7 +198,4 @@
 
 
 def _decode(reply: HttpReply, kind: type):
-    try:
-        return msgspec.json.decode(reply.data, type=kind)
-    except msgspec.MsgspecError as error:
-        raise PlatformError(f"the worker's answer does not fit: {error}") from error
+    return decode_json(reply.data, kind, "the worker's answer")
--- a/src/snowdock/platform/worker_list.py
+++ b/src/snowdock/platform/worker_list.py
@@ -3,8 +3,8 @@
 import msgspec
 
 from ..declarations import Size
-from ..errors import PlatformError
 from ..jobs.workers import WorkerEntry
+from ._json import decode_json
 
 __all__ = ["WORKER_TOPIC", "decode_worker_entry"]
 
@@ -46,10 +46,7 @@
     PlatformError
         If it does not fit.
     """
-    try:
-        entry = msgspec.json.decode(data, type=_Entry, strict=False)
-    except msgspec.MsgspecError as error:
-        raise PlatformError(f"worker entry {key} does not fit: {error}") from error
+    entry = decode_json(data, _Entry, f"worker entry {key}", strict=False)
     capacity = entry.capacity
     return WorkerEntry(
         life=key,
--- a/src/snowdock/platform/workers.py
+++ b/src/snowdock/platform/workers.py
@@ -2,7 +2,8 @@
 
 import msgspec
 
-from ._http import Client, decode_json
+from ._http import Client
+from ._json import decode_json
 
 __all__ = ["AttemptReport", "StartOrder", "StopOrder", "SyncAnswer", "SyncOrder", "WorkerClient"]
 
--- /dev/null
+++ b/tests/soak.py
@@ -0,0 +1,261 @@
+"""A randomized soak: real daemons, faults from outside, promises checked from outside.
+
+    python -m tests.soak --seeds 1-50 [--seconds 15]
+
+Each seed runs three daemons as processes. Their paths to the store and the workers' paths go
+through loopback proxies. Faults come in series and overlap: processes are killed, paused,
+stopped and started; paths are delayed, reset, cut one way or silenced; the store refuses, hangs
+or loses answers; workers crash; configurations and settings change. Callers keep their
+connections open until a process is gone. Only processes that the soak started are ended.
+"""
+
+import argparse
+import dataclasses
+import pathlib
+import random
+import shutil
+import signal
+import sys
+import threading
+import time
+from collections.abc import Callable
+
+import urllib3
+
+from tests.standins.entry_cluster import CONFIGURATION, EntryCluster, EntryProcess, wait_until
+from tests.standins.proxy import Mode, Proxy
+
+STEP = {"count": 2, "cpu": 500, "mem_mb": 100, "estimate_ms": 200}
+CALL_SECONDS = 3.0
+CALLERS = 4
+SUBMIT_SECONDS = 0.3
+SETTLE_SECONDS = 60.0
+"""The longest until all accepted jobs have ended: a takeover waits up to ten seconds for
+workers that it never reached."""
+
+FAILED_SEEDS: tuple[int, ...] = ()
+"""Seeds that ever failed, each with its cause beside it."""
+
+
+@dataclasses.dataclass(slots=True)
+class Submission:
+    """One job, and what its caller heard."""
+
+    path: str
+    body: dict
+    accepted: bool = False
+    maybe: bool = False
+
+
+class Caller(threading.Thread):
+    """Submits jobs over connections that it keeps open, and repeats what had no answer."""
+
+    def __init__(self, soak: "Soak", number: int) -> None:
+        super().__init__(daemon=True)
+        self.submissions: list[Submission] = []
+        self._soak = soak
+        self._source = random.Random(soak.seed * 100 + number)
+        self._pools: dict[str, urllib3.HTTPConnectionPool] = {}
+
+    def run(self) -> None:
+        while not self._soak.finished.wait(SUBMIT_SECONDS * self._source.uniform(0.5, 1.5)):
+            steps = [STEP]
+            if self._source.random() < 0.3:
+                steps = [{**STEP, "gang": True, "count": 3}, {**STEP, "after": [0]}]
+            path, body = self._soak.cluster.job(steps)
+            submission = Submission(path, body)
+            self.submissions.append(submission)
+            for _ in range(3):
+                if not self._submit(submission):
+                    break
+
+    def _submit(self, submission: Submission) -> bool:
+        """Submit once; tell whether to ask again."""
+        node = self._source.choice(self._soak.cluster.nodes)
+        pool = self._pools.setdefault(
+            node.node,
+            urllib3.HTTPConnectionPool(
+                node.ip, node.front, retries=False, timeout=CALL_SECONDS, maxsize=1
+            ),
+        )
+        try:
+            reply = pool.request(
+                "POST", submission.path, json=submission.body, headers={"Host": "jobs.example"}
+            )
+        except urllib3.exceptions.NewConnectionError:
+            return True
+        except urllib3.exceptions.HTTPError:
+            submission.maybe = True
+            return True
+        if reply.status == 200:
+            submission.accepted = True
+            return False
+        submission.maybe = submission.maybe or reply.status not in (429, 503)
+        return True
+
+
+class Soak:
+    """One seed's run."""
+
+    def __init__(self, seed: int, seconds: float) -> None:
+        self.seed = seed
+        self.finished = threading.Event()
+        self._seconds = seconds
+        self._source = random.Random(seed)
+        self.cluster = EntryCluster(3, workers=4, work_s=0.3, proxies=Proxy)
+        # A gang may wait in vain while paths are cut; only calm days forbid it.
+        self.cluster.workers.checks.is_calm = False
+        self._version = CONFIGURATION["version"]
+        self._faults: list[Callable[[], None]] = [
+            self._kill,
+            self._pause,
+            self._stop,
+            self._hang_up,
+            self._configure,
+            self._break_store_path,
+            self._break_worker_path,
+            self._break_store,
+            self._crash_worker,
+            self._heal,
+        ]
+
+    def run(self, kept_logs: pathlib.Path | None = None) -> list[str]:
+        """Play; give what did not hold, and keep the daemons' logs where it did not."""
+        try:
+            broken = self._play()
+            if broken and kept_logs is not None:
+                for node in self.cluster.nodes:
+                    shutil.copy(node.log, kept_logs / f"seed-{self.seed}-{node.node}.log")
+            return broken
+        finally:
+            self.cluster.close()
+
+    def _play(self) -> list[str]:
+        if not self.cluster.wait_ready():
+            return ["the nodes did not become ready"]
+        callers = [Caller(self, number) for number in range(CALLERS)]
+        for caller in callers:
+            caller.start()
+        end = time.monotonic() + self._seconds
+        while time.monotonic() < end:
+            time.sleep(self._source.uniform(0.2, 1.2))
+            self._source.choice(self._faults)()
+        self.finished.set()
+        for caller in callers:
+            caller.join(4 * CALL_SECONDS)
+        self._heal()
+        return self._check([s for caller in callers for s in caller.submissions])
+
+    # -- faults ----------------------------------------------------------------------------
+
+    def _node(self) -> EntryProcess:
+        return self._source.choice(self.cluster.nodes)
+
+    def _revive(self) -> None:
+        for node in self.cluster.nodes:
+            if node.process.poll() is not None:
+                node.start()
+
+    def _kill(self) -> None:
+        count = self._source.choice((1, 1, 2, 3))
+        for node in self._source.sample(self.cluster.nodes, count):
+            node.kill()
+        time.sleep(self._source.uniform(0.0, 1.0))
+        self._revive()
+
+    def _pause(self) -> None:
+        node = self._node()
+        if node.process.poll() is None:
+            node.signal(signal.SIGSTOP)
+            time.sleep(self._source.uniform(0.2, 4.0))
+            node.signal(signal.SIGCONT)
+
+    def _stop(self) -> None:
+        node = self._node()
+        if node.process.poll() is None:
+            node.signal(signal.SIGTERM)
+
+    def _hang_up(self) -> None:
+        node = self._node()
+        if node.process.poll() is None:
+            node.signal(signal.SIGHUP)
+
+    def _configure(self) -> None:
+        self._version += self._source.randrange(1, 4)
+        self.cluster.store.put("keyed.op", "config", {**CONFIGURATION, "version": self._version})
+
+    def _break_path(self, proxies: list[Proxy]) -> None:
+        mode = self._source.choice([mode for mode in Mode if mode is not Mode.PASS])
+        self._source.choice(proxies).set(mode, self._source.uniform(0.05, 0.5))
+
+    def _break_store_path(self) -> None:
+        self._break_path(self.cluster.store_proxies)
+
+    def _break_worker_path(self) -> None:
+        self._break_path(self.cluster.workers.proxies)
+
+    def _break_store(self) -> None:
+        store = self.cluster.store
+        what = self._source.choice(("refuse", "silent", "lose"))
+        setattr(store, what, True)
+        time.sleep(self._source.uniform(0.3, 3.0))
+        setattr(store, what, False)
+
+    def _crash_worker(self) -> None:
+        workers = self.cluster.workers
+        up = [life for life, model in workers.models.items() if model.is_up]
+        if len(up) > 2:
+            workers.crash(self._source.choice(up))
+            workers.add(f"i-{len(workers.models)}")
+
+    def _heal(self) -> None:
+        for proxy in (*self.cluster.store_proxies, *self.cluster.workers.proxies):
+            proxy.set(Mode.PASS)
+        self._revive()
+
+    # -- checks ----------------------------------------------------------------------------
+
+    def _check(self, submissions: list[Submission]) -> list[str]:
+        cluster = self.cluster
+        broken = [str(violation) for violation in cluster.workers.checks.violations]
+        accepted = [s for s in submissions if s.accepted]
+        open_paths = {s.path for s in accepted}
+
+        def all_ended() -> bool:
+            for path in list(open_paths):
+                if any(cluster.state(node, path) == "completed" for node in cluster.nodes):
+                    open_paths.discard(path)
+            return not open_paths
+
+        if not wait_until(all_ended, SETTLE_SECONDS):
+            broken.append(f"accepted and not completed: {sorted(open_paths)[:5]}")
+        started = {task.partition(".")[0] for task, _, _ in cluster.workers.starts}
+        for submission in submissions:
+            job = submission.path.rpartition("/")[2]
+            if not submission.accepted and not submission.maybe and job in started:
+                broken.append(f"{job} ran, though every answer was that it did not")
+        broken += [str(v) for v in cluster.workers.checks.violations if str(v) not in broken]
+        if not accepted:
+            broken.append("no job was accepted")
+        return broken
+
+
+def main() -> None:
+    """Run the seeds one after the other; end with 1 if anything did not hold."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seeds", default="1-5", help="FIRST-LAST")
+    parser.add_argument("--seconds", type=float, default=15.0)
+    parser.add_argument("--logs", type=pathlib.Path, help="keeps the logs of failed seeds")
+    options = parser.parse_args()
+    first, _, last = options.seeds.partition("-")
+    failed = 0
+    for seed in range(int(first), int(last or first) + 1):
+        began = time.monotonic()
+        broken = Soak(seed, options.seconds).run(options.logs)
+        failed += bool(broken)
+        print(f"seed {seed}: {broken or 'held'} ({time.monotonic() - began:.0f} s)", flush=True)
+    sys.exit(1 if failed else 0)
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/standins/entry_cluster.py
+++ b/tests/standins/entry_cluster.py
@@ -10,6 +10,7 @@
 import sys
 import tempfile
 import time
+from collections.abc import Callable
 
 import urllib3
 
@@ -86,6 +87,7 @@
     """One daemon."""
 
     def __init__(self, cluster: "EntryCluster", number: int) -> None:
+        self.number = number
         self.ip = f"127.0.1.{number}"
         self.node = f"node-{number}"
         self.front = free_port(self.ip)
@@ -107,7 +109,7 @@
             front=self.front,
             ready=self.ready,
             advice=cluster.advice.address,
-            store=cluster.store.address,
+            store=cluster.store_address(self.number),
         )
         self.settings.write_text(text)
 
@@ -166,22 +168,35 @@
 class EntryCluster:
     """Daemons and the stand-ins that they talk to."""
 
-    def __init__(self, nodes: int, workers: int = 3, work_s: float = 0.1) -> None:
+    def __init__(
+        self,
+        nodes: int,
+        workers: int = 3,
+        work_s: float = 0.1,
+        proxies: Callable[[str], object] | None = None,
+    ) -> None:
         self.folder = tempfile.TemporaryDirectory()
         self.store = StoreStandin()
         self.advice = AdviceStandin()
-        self.workers = WorkersStandin(self.store, workers, work_s)
+        self.store_proxies = [proxies(self.store.address) for _ in range(nodes if proxies else 0)]
+        self.workers = WorkersStandin(self.store, workers, work_s, proxies)
         self.store.put("keyed.op", "config", CONFIGURATION)
         self.nodes = [EntryProcess(self, number + 1) for number in range(nodes)]
 
     def close(self) -> None:
         for node in self.nodes:
             node.kill()
+        for proxy in self.store_proxies:
+            proxy.close()
         self.store.close()
         self.advice.close()
         self.workers.close()
         self.folder.cleanup()
 
+    def store_address(self, number: int) -> str:
+        """Where a node finds the store: behind its own proxy, if there are proxies."""
+        return self.store_proxies[number - 1].address if self.store_proxies else self.store.address
+
     def wait_ready(self) -> bool:
         return wait_until(lambda: all(node.probe() == 200 for node in self.nodes)) and wait_until(
             lambda: self.leader is not None
--- a/tests/standins/platform.py
+++ b/tests/standins/platform.py
@@ -213,7 +213,13 @@
     ``work_s`` gives the seconds of work of a run; ``checks`` watches all starts and ends.
     """
 
-    def __init__(self, store: StoreStandin, count: int, work_s: float = 0.1) -> None:
+    def __init__(
+        self,
+        store: StoreStandin,
+        count: int,
+        work_s: float = 0.1,
+        proxies: Callable[[str], object] | None = None,
+    ) -> None:
         self.checks = Checks()
         self.work_s = work_s
         self.mute: set[str] = set()
@@ -226,18 +232,26 @@
         self._store = store
         self.models: dict[str, WorkerModel] = {}
         self._servers = []
+        self._make_proxy = proxies
+        self.proxies: list = []
         for number in range(count):
             self.add(f"i-{number}")
         threading.Thread(target=self._pass_time, daemon=True).start()
 
     def close(self) -> None:
+        for proxy in self.proxies:
+            proxy.close()
         for server in self._servers:
             server.close()
 
     def add(self, life: str) -> None:
         server = Server(lambda *call, life=life: self._answer(life, *call))
+        address = server.address
+        if self._make_proxy is not None:
+            self.proxies.append(self._make_proxy(address))
+            address = self.proxies[-1].address
         entry = WorkerEntry(
-            life, "pool", server.address, "hall", "r1-0", frozenset(), Size(4000, 16_000, 0)
+            life, "pool", address, "hall", "r1-0", frozenset(), Size(4000, 16_000, 0)
         )
         self.models[life] = WorkerModel(
             entry,
@@ -250,6 +264,12 @@
         self._servers.append(server)
         self.record(life)
 
+    def crash(self, life: str) -> None:
+        """End a worker's life; its entry goes with it."""
+        with self._lock:
+            self.models[life].crash()
+        self._store.put("keyed.servers", life, None)
+
     def record(self, life: str, state: str = "ready") -> None:
         entry = self.models[life].entry
         capacity = {"cpu": 4000, "mem_mb": 16_000}
