Split the leader's feeding and its takeover from its actor

Ruled out: putting the takeover into leadership.py, which is about when a node leads, not about what is on record.

Change: leader_handle.py and takeover.py; constants go with their users and have their unit and reason.

--- a/src/snowdock/entry/leader.py
+++ b/src/snowdock/entry/leader.py
@@ -1,6 +1,5 @@
 """The leader: an actor that feeds events to the reducer and carries its effects out."""
 
-import concurrent.futures
 import dataclasses
 import threading
 import time
@@ -8,18 +7,15 @@
 
 import pykka
 
-from ..errors import InvalidInput, PlatformError, ProducerFenced
+from ..errors import PlatformError
 from ..jobs.cell import Cell, CellSettings
 from ..jobs.events import (
     AskAdvice,
     CloseWorker,
-    ConfigurationChanged,
     Decided,
     DropJobs,
     Effect,
     Event,
-    JobAccepted,
-    JobCancelled,
     OpenWorker,
     Persist,
     PublishStatus,
@@ -30,41 +26,21 @@
     StartAnswered,
     StepDown,
     StopAnswered,
-    Ticked,
-    WorkerDelisted,
-    WorkerListed,
 )
 from ..jobs.model import Configuration
 from ..jobs.orders import Refusal, StartResult
 from ..jobs.policy import make_policy
-from ..jobs.progress import CANCEL_PREFIX, decode_accepted, decode_progress
 from ..jobs.reducer import reduce
 from ..jobs.takeover import RecordedJobs, restore
-from ..jobs.times import TICK_SECONDS
 from ..node.logs import log_error, log_event
 from ..node.metrics import Metrics
-from ..platform.store import KeyedRecord, StoreClient
-from ..platform.worker_list import WORKER_TOPIC, decode_worker_entry
+from ..platform.store import StoreClient
 from .advisers import Advisers
-from .progress_writer import ProgressWriter, drop_jobs, fence_progress
+from .progress_writer import ProgressWriter, drop_jobs
 from .statuses import StatusBook
-from .tails import Tail
-from .topics import JOBS_TOPIC, PART, PROGRESS_TOPIC
 from .worker_link import WorkerLink
 
-__all__ = ["Leader", "LeaderContext", "LeaderHandle", "start_leader"]
-
-_READ_SECONDS = 3.0
-_TAKEOVER_RETRY_SECONDS = 0.1
-_JOBS_WAIT_SECONDS = 1.0
-"""How long one read of new jobs waits: also how stale "no such job" may be."""
-
-_READERS = 6
-"""Partitions that a takeover reads at the same time."""
-
-_WORKERS_WAIT_SECONDS = 1.0
-_WORKERS_PAUSE_SECONDS = 0.2
-"""Entries change often and together; a few tenths later is early enough."""
+__all__ = ["Leader", "LeaderContext"]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -245,169 +221,3 @@
 
 def _wall_ms() -> float:
     return time.time() * 1000
-
-
-class LeaderHandle:
-    """One leadership of this node: its actor, and the threads that feed it."""
-
-    def __init__(self, context: LeaderContext, actor: pykka.ActorRef, statuses: StatusBook) -> None:
-        self._context = context
-        self._actor = actor
-        self._statuses = statuses
-        self._listed: set[str] = set()
-        self._stopped = threading.Event()
-        self._jobs = [
-            Tail(
-                context.store,
-                JOBS_TOPIC,
-                part,
-                _JOBS_WAIT_SECONDS,
-                0.0,
-                self._take_job,
-                self._take_jobs,
-            )
-            for part in range(context.parts)
-        ]
-        self._workers = Tail(
-            context.store,
-            WORKER_TOPIC,
-            PART,
-            _WORKERS_WAIT_SECONDS,
-            _WORKERS_PAUSE_SECONDS,
-            self._take_worker,
-            self._take_all_workers,
-        )
-
-    @property
-    def statuses(self) -> StatusBook:
-        """What callers are shown."""
-        return self._statuses
-
-    @property
-    def jobs_read_at(self) -> float:
-        """The steady time up to which all jobs taken in are known, in seconds."""
-        return min(tail.read_at for tail in self._jobs)
-
-    def start(self, job_offsets: list[int]) -> None:
-        """Start feeding the actor; jobs of each partition from an offset on."""
-        self._workers.start()
-        for tail, offset in zip(self._jobs, job_offsets, strict=True):
-            tail.start(offset)
-        threading.Thread(target=self._tick, name="leader-ticks", daemon=True).start()
-
-    def configure(self, configuration: Configuration) -> None:
-        """Tell of a newer configuration."""
-        self._tell(ConfigurationChanged(configuration))
-
-    def stop(self) -> None:
-        """Stop leading."""
-        self._stopped.set()
-        for tail in self._jobs:
-            tail.stop()
-        self._workers.stop()
-        self._actor.stop(block=False)
-
-    def _tell(self, event: Event) -> None:
-        try:
-            self._actor.tell(event)
-        except pykka.ActorDeadError:
-            self._stopped.set()
-
-    def _tick(self) -> None:
-        while not self._stopped.wait(TICK_SECONDS):
-            self._tell(Ticked(self._context.count_askers()))
-
-    def _take_jobs(self, records: list[KeyedRecord]) -> None:
-        for record in records:
-            self._take_job(record)
-
-    def _take_job(self, record: KeyedRecord) -> None:
-        if record.value is None:
-            return
-        if record.key.startswith(CANCEL_PREFIX):
-            self._tell(JobCancelled(record.key.removeprefix(CANCEL_PREFIX)))
-            return
-        try:
-            self._tell(JobAccepted(record.key, decode_accepted(record.value)))
-        except InvalidInput as error:
-            log_error("job_record_unusable", error, job=record.key)
-
-    def _take_worker(self, record: KeyedRecord) -> None:
-        if record.value is None:
-            self._listed.discard(record.key)
-            self._tell(WorkerDelisted(record.key))
-            return
-        try:
-            entry = decode_worker_entry(record.key, record.value)
-        except PlatformError as error:
-            log_error("worker_entry_unusable", error, worker=record.key)
-            return
-        self._listed.add(record.key)
-        self._tell(WorkerListed(entry))
-
-    def _take_all_workers(self, records: list[KeyedRecord]) -> None:
-        for life in self._listed - {record.key for record in records}:
-            self._tell(WorkerDelisted(life))
-        self._listed = set()
-        for record in records:
-            self._take_worker(record)
-
-
-def _read_recorded(store: StoreClient, parts: int) -> tuple[RecordedJobs, list[int]]:
-    """Read all that is on record of jobs, and from where to follow each partition."""
-    progress = {}
-    for record in store.newest(PROGRESS_TOPIC, PART, _READ_SECONDS).records:
-        if record.value:
-            progress[record.key] = decode_progress(record.value)
-    with concurrent.futures.ThreadPoolExecutor(_READERS) as pool:
-        pages = list(
-            pool.map(lambda part: store.newest(JOBS_TOPIC, part, _READ_SECONDS), range(parts))
-        )
-    accepted, cancelled = {}, set()
-    for record in (record for page in pages for record in page.records):
-        if record.key.startswith(CANCEL_PREFIX):
-            cancelled.add(record.key.removeprefix(CANCEL_PREFIX))
-        elif record.value:
-            accepted[record.key] = decode_accepted(record.value)
-    return RecordedJobs(accepted, cancelled, progress), [page.next_offset for page in pages]
-
-
-def start_leader(context: LeaderContext, is_wanted: Callable[[], bool]) -> LeaderHandle | None:
-    """Take over from earlier leaders and start leading.
-
-    Parameters
-    ----------
-    context
-        What the leader needs of its node.
-    is_wanted
-        Whether this node still leads in this epoch; asked between tries.
-
-    Returns
-    -------
-    LeaderHandle or None
-        None where another node leads meanwhile.
-    """
-    began = time.monotonic()
-    while is_wanted():
-        try:
-            fence_progress(context.store, context.epoch, _READ_SECONDS)
-            recorded, job_offsets = _read_recorded(context.store, context.parts)
-        except ProducerFenced as error:
-            context.step_down(str(error))
-            return None
-        except PlatformError as error:
-            log_event("takeover_delayed", epoch=context.epoch, reason=str(error))
-            time.sleep(_TAKEOVER_RETRY_SECONDS)
-            continue
-        statuses = StatusBook()
-        actor = Leader.start(context, statuses, recorded)
-        handle = LeaderHandle(context, actor, statuses)
-        handle.start(job_offsets)
-        log_event(
-            "leading",
-            epoch=context.epoch,
-            jobs=len(recorded.accepted),
-            seconds=time.monotonic() - began,
-        )
-        return handle
-    return None
--- /dev/null
+++ b/src/snowdock/entry/leader_handle.py
@@ -0,0 +1,153 @@
+"""One leadership as its node sees it: the leader's actor, and the threads that feed it."""
+
+import threading
+
+import pykka
+
+from ..errors import InvalidInput, PlatformError
+from ..jobs.events import (
+    ConfigurationChanged,
+    Event,
+    JobAccepted,
+    JobCancelled,
+    Ticked,
+    WorkerDelisted,
+    WorkerListed,
+)
+from ..jobs.model import Configuration
+from ..jobs.progress import CANCEL_PREFIX, decode_accepted
+from ..jobs.times import TICK_SECONDS
+from ..node.logs import log_error
+from ..platform.store import KeyedRecord
+from ..platform.worker_list import WORKER_TOPIC, decode_worker_entry
+from .leader import LeaderContext
+from .statuses import StatusBook
+from .tails import Tail
+from .topics import JOBS_TOPIC, PART
+
+__all__ = ["LeaderHandle"]
+
+_JOBS_WAIT_SECONDS = 1.0
+"""How long one read of new jobs waits: also how stale "no such job" may be."""
+
+_WORKERS_WAIT_SECONDS = 1.0
+"""How long one read of the list of workers waits."""
+
+_WORKERS_PAUSE_SECONDS = 0.2
+"""Entries change often and together; a few tenths later is early enough."""
+
+
+class LeaderHandle:
+    """Feeds the actor of one leadership.
+
+    Parameters
+    ----------
+    context
+        What the leader needs of its node.
+    actor
+        The leader.
+    statuses
+        What callers are shown.
+    """
+
+    def __init__(self, context: LeaderContext, actor: pykka.ActorRef, statuses: StatusBook) -> None:
+        self._context = context
+        self._actor = actor
+        self._statuses = statuses
+        self._listed: set[str] = set()
+        self._stopped = threading.Event()
+        self._jobs = [
+            Tail(
+                context.store,
+                JOBS_TOPIC,
+                part,
+                _JOBS_WAIT_SECONDS,
+                0.0,
+                self._take_job,
+                self._take_jobs,
+            )
+            for part in range(context.parts)
+        ]
+        self._workers = Tail(
+            context.store,
+            WORKER_TOPIC,
+            PART,
+            _WORKERS_WAIT_SECONDS,
+            _WORKERS_PAUSE_SECONDS,
+            self._take_worker,
+            self._take_all_workers,
+        )
+
+    @property
+    def statuses(self) -> StatusBook:
+        """What callers are shown."""
+        return self._statuses
+
+    @property
+    def jobs_read_at(self) -> float:
+        """The steady time up to which all jobs taken in are known, in seconds."""
+        return min(tail.read_at for tail in self._jobs)
+
+    def start(self, job_offsets: list[int]) -> None:
+        """Start feeding the actor; jobs of each partition from an offset on."""
+        self._workers.start()
+        for tail, offset in zip(self._jobs, job_offsets, strict=True):
+            tail.start(offset)
+        threading.Thread(target=self._tick, name="leader-ticks", daemon=True).start()
+
+    def configure(self, configuration: Configuration) -> None:
+        """Tell of a newer configuration."""
+        self._tell(ConfigurationChanged(configuration))
+
+    def stop(self) -> None:
+        """Stop leading."""
+        self._stopped.set()
+        for tail in self._jobs:
+            tail.stop()
+        self._workers.stop()
+        self._actor.stop(block=False)
+
+    def _tell(self, event: Event) -> None:
+        try:
+            self._actor.tell(event)
+        except pykka.ActorDeadError:
+            self._stopped.set()
+
+    def _tick(self) -> None:
+        while not self._stopped.wait(TICK_SECONDS):
+            self._tell(Ticked(self._context.count_askers()))
+
+    def _take_jobs(self, records: list[KeyedRecord]) -> None:
+        for record in records:
+            self._take_job(record)
+
+    def _take_job(self, record: KeyedRecord) -> None:
+        if record.value is None:
+            return
+        if record.key.startswith(CANCEL_PREFIX):
+            self._tell(JobCancelled(record.key.removeprefix(CANCEL_PREFIX)))
+            return
+        try:
+            self._tell(JobAccepted(record.key, decode_accepted(record.value)))
+        except InvalidInput as error:
+            log_error("job_record_unusable", error, job=record.key)
+
+    def _take_worker(self, record: KeyedRecord) -> None:
+        if record.value is None:
+            self._listed.discard(record.key)
+            self._tell(WorkerDelisted(record.key))
+            return
+        try:
+            entry = decode_worker_entry(record.key, record.value)
+        except PlatformError as error:
+            log_error("worker_entry_unusable", error, worker=record.key)
+            return
+        self._listed.add(record.key)
+        self._tell(WorkerListed(entry))
+
+    def _take_all_workers(self, records: list[KeyedRecord]) -> None:
+        for life in self._listed - {record.key for record in records}:
+            self._tell(WorkerDelisted(life))
+        self._listed = set()
+        for record in records:
+            self._take_worker(record)
--- a/src/snowdock/entry/leadership.py
+++ b/src/snowdock/entry/leadership.py
@@ -9,7 +9,9 @@
 from ..node.logs import log_error, log_event
 from ..node.metrics import Metrics
 from .election import Election
-from .leader import LeaderContext, LeaderHandle, start_leader
+from .leader import LeaderContext
+from .leader_handle import LeaderHandle
+from .takeover import start_leader
 
 __all__ = ["Leadership"]
 
--- /dev/null
+++ b/src/snowdock/entry/takeover.py
@@ -0,0 +1,87 @@
+"""How a node takes the lead over: it shuts out earlier leaders, and reads what is on record."""
+
+import concurrent.futures
+import time
+from collections.abc import Callable
+
+from ..errors import PlatformError, ProducerFenced
+from ..jobs.progress import CANCEL_PREFIX, decode_accepted, decode_progress
+from ..jobs.takeover import RecordedJobs
+from ..node.logs import log_event
+from ..platform.store import StoreClient
+from .leader import Leader, LeaderContext
+from .leader_handle import LeaderHandle
+from .progress_writer import fence_progress
+from .statuses import StatusBook
+from .topics import JOBS_TOPIC, PART, PROGRESS_TOPIC
+
+__all__ = ["start_leader"]
+
+_READ_SECONDS = 3.0
+"""How long one call to the store may take: a page of many jobs takes longer than an append."""
+
+_TAKEOVER_RETRY_SECONDS = 0.1
+"""Pause before a takeover that the store did not answer is tried again."""
+
+_READERS = 6
+"""Partitions that a takeover reads at the same time."""
+
+
+def _read_recorded(store: StoreClient, parts: int) -> tuple[RecordedJobs, list[int]]:
+    """Read all that is on record of jobs, and from where to follow each partition."""
+    progress = {}
+    for record in store.newest(PROGRESS_TOPIC, PART, _READ_SECONDS).records:
+        if record.value:
+            progress[record.key] = decode_progress(record.value)
+    with concurrent.futures.ThreadPoolExecutor(_READERS) as pool:
+        pages = list(
+            pool.map(lambda part: store.newest(JOBS_TOPIC, part, _READ_SECONDS), range(parts))
+        )
+    accepted, cancelled = {}, set()
+    for record in (record for page in pages for record in page.records):
+        if record.key.startswith(CANCEL_PREFIX):
+            cancelled.add(record.key.removeprefix(CANCEL_PREFIX))
+        elif record.value:
+            accepted[record.key] = decode_accepted(record.value)
+    return RecordedJobs(accepted, cancelled, progress), [page.next_offset for page in pages]
+
+
+def start_leader(context: LeaderContext, is_wanted: Callable[[], bool]) -> LeaderHandle | None:
+    """Take over from earlier leaders and start leading.
+
+    Parameters
+    ----------
+    context
+        What the leader needs of its node.
+    is_wanted
+        Whether this node still leads in this epoch; asked between tries.
+
+    Returns
+    -------
+    LeaderHandle or None
+        None where another node leads meanwhile.
+    """
+    began = time.monotonic()
+    while is_wanted():
+        try:
+            fence_progress(context.store, context.epoch, _READ_SECONDS)
+            recorded, job_offsets = _read_recorded(context.store, context.parts)
+        except ProducerFenced as error:
+            context.step_down(str(error))
+            return None
+        except PlatformError as error:
+            log_event("takeover_delayed", epoch=context.epoch, reason=str(error))
+            time.sleep(_TAKEOVER_RETRY_SECONDS)
+            continue
+        statuses = StatusBook()
+        actor = Leader.start(context, statuses, recorded)
+        handle = LeaderHandle(context, actor, statuses)
+        handle.start(job_offsets)
+        log_event(
+            "leading",
+            epoch=context.epoch,
+            jobs=len(recorded.accepted),
+            seconds=time.monotonic() - began,
+        )
+        return handle
+    return None
