Close the stand-ins' servers without a race

Cause: tests.test_worker_link failed once in its tear-down, with a bad descriptor (two of some fifteen runs of the set of 92 had one error; the first one's text was not kept). Server.close handed the closing to the server's thread and then wrote to its trigger; where an answer's own byte woke that thread in between, it had closed the trigger before the write.

Change: hand-over and write are one step under the trigger's lock.

Figures: the order forced by hand: before, the bad descriptor each time; after, the server closes. 92 tests and the 19 of the whole path pass, test_worker_link also 4 times at once.

Conclusion: no test or check is changed.

--- a/tests/standins/platform.py
+++ b/tests/standins/platform.py
@@ -51,8 +51,12 @@
         return [answer]
 
     def close(self) -> None:
-        # On the server's own thread; answers that still hang find the server gone.
-        self._server.trigger.pull_trigger(self._server.close)
+        # On the server's own thread; answers that still hang find the server gone. Under the
+        # lock: woken by an answer meanwhile, it would close what is still to be written to.
+        trigger = self._server.trigger
+        with trigger.lock:
+            trigger.thunks.append(self._server.close)
+            trigger.pull_trigger()
 
 
 def as_json(value: object, status: int = 200) -> Reply:
