Say what the remaining constants mean

Cause: two dozen times and bounds had no line that tells what they are for, some shared one with a neighbour, and two stood as bare figures in the reckoning of a caller's wait.

Ruled out: new values; where nothing was measured, none is claimed.

Change: a line for each, names for the two bare figures.

Conclusion: no value is changed.

--- a/src/snowdock/entry/election.py
+++ b/src/snowdock/entry/election.py
@@ -41,11 +41,14 @@
 _PROBE_SECONDS = 0.7
 """How long the store is watched for a renewal before a claim: two renewals are due."""
 
-_CALL_SECONDS = 1.0
 _SHORTEST_RENEWAL_SECONDS = 0.3
-"""A renewal takes some 10 ms; it is conditional, so sending it again does no harm."""
+_CALL_SECONDS = 1.0
+"""Bounds of one call: a renewal takes some 10 ms; it is conditional, so sending it again does
+no harm."""
 
 _PAUSE_SECONDS = 0.1
+"""Pause after a failed call, and between looks whether the leader is heard."""
+
 _JITTER_SECONDS = 0.08
 """Spreads claims of nodes that miss the leader at the same time."""
 
--- a/src/snowdock/entry/intake.py
+++ b/src/snowdock/entry/intake.py
@@ -40,6 +40,7 @@
 __all__ = ["Intake", "IntakeParts", "JobGone"]
 
 _JSON = "application/json"
+
 _SHORTEST_TRY_SECONDS = 0.4
 _LONGEST_TRY_SECONDS = 1.0
 """Bounds of one try to put a job on record: an append takes some 10 ms, a slow store some 300."""
@@ -51,12 +52,23 @@
 _STATUS_SECONDS = 2.0
 """How long a caller is taken to wait for an answer where it does not tell."""
 
+_USABLE_SHARE = 0.8
+"""Share of a caller's wait that is used; the rest is for the way back."""
+
+_LEAST_SECONDS = 0.1
+"""An answer is waited for so long at least, however little of the caller's wait is left."""
+
 _RETRY_SECONDS = 0.05
+"""Pause between two tries of a request."""
+
 _DOWN_FAILURES = 2
+"""Failures in a row after which the store counts as down; one alone may be chance."""
+
 _DOWN_SECONDS = 0.4
-"""After some failures in a row the store counts as down for this long; then one request tries."""
+"""How long the store counts as down before one request tries again."""
 
 _RETRY_AFTER_SECONDS = 1.0
+"""When a caller that was turned away is told to come back."""
 
 
 class JobGone(SnowdockError):
@@ -303,4 +315,5 @@
         given = _STATUS_SECONDS
     if not math.isfinite(given):
         given = _STATUS_SECONDS
-    return max(0.1, min(given * 0.8, _STATUS_SECONDS) - (time.monotonic() - began))
+    usable = min(given * _USABLE_SHARE, _STATUS_SECONDS)
+    return max(_LEAST_SECONDS, usable - (time.monotonic() - began))
--- a/src/snowdock/entry/probes.py
+++ b/src/snowdock/entry/probes.py
@@ -20,6 +20,7 @@
 
 _METRICS_PATH = "/metrics"
 _THREADS = 2
+"""Requests handled at once: one probe, one reading of the metrics."""
 
 
 class Probes:
--- a/src/snowdock/entry/progress_writer.py
+++ b/src/snowdock/entry/progress_writer.py
@@ -22,13 +22,19 @@
 
 __all__ = ["ProgressWriter", "drop_jobs", "fence_progress"]
 
-_CALL_SECONDS = 1.0
 _SHORTEST_TRY_SECONDS = 0.25
-"""A batch takes some 10 ms; it is numbered, so sending it again does no harm."""
+_CALL_SECONDS = 1.0
+"""Bounds of one try: a batch takes some 10 ms; it is numbered, so sending it again does no
+harm."""
 
 _RETRY_SECONDS = 0.1
+"""Pause between tries of a batch, from the second failure on."""
+
 _PRODUCER = "leader"
+"""The name under which each leader appends, so that a later epoch shuts out the earlier ones."""
+
 _FENCE_SEQUENCE = 0
+"""The sequence number of the fencing; batches count from 1."""
 
 
 def fence_progress(store: StoreClient, epoch: int, seconds: float) -> None:
--- a/src/snowdock/entry/tails.py
+++ b/src/snowdock/entry/tails.py
@@ -11,7 +11,10 @@
 __all__ = ["Tail"]
 
 _CALL_SECONDS = 1.5
+"""How long one page of the newest records may take."""
+
 _RETRY_SECONDS = 0.15
+"""Pause after a read that failed."""
 
 _SNAPSHOT_AFTER_SECONDS = 1.0
 """After the store was away for this long, all newest records are read: entries that lapsed
--- a/src/snowdock/entry/worker_link.py
+++ b/src/snowdock/entry/worker_link.py
@@ -25,6 +25,7 @@
 """How much longer than its wait a renewal may take."""
 
 _CONNECTIONS = 2
+"""One for orders, one for renewals."""
 
 
 class WorkerLink:
--- a/src/snowdock/jobs/runs.py
+++ b/src/snowdock/jobs/runs.py
@@ -25,6 +25,7 @@
 
 _SHUN_SECONDS = 2.0
 _LONGEST_SHUN_SECONDS = 8.0
+"""Bounds of that while; it doubles with each further failure."""
 
 
 def open_repetition(job: Job, repetition: int) -> list[Step]:
--- a/src/snowdock/jobs/speeds.py
+++ b/src/snowdock/jobs/speeds.py
@@ -31,16 +31,20 @@
 about two seconds, so that it is tried again."""
 
 _LEAST_SECONDS = 0.05
+"""No run is taken to be shorter: an estimate of 0 has no logarithm."""
 
 _SLOW = 1.8
 """Runs are taken away from workers at least so much slower than usual; differences of up to
 half are usual among sound ones."""
 
 _GAIN_FACTOR = 1.6
+"""What is left of a run must take at least so many times as long here as elsewhere."""
+
 _MOVE_SECONDS = 0.5
 """What a move costs: the stop, new advice, a new start."""
 
 _MOST_MOVES = 2
+"""A task is taken away so many times at most, or it might never end."""
 
 
 def usual_seconds(step: Step) -> float:
--- a/src/snowdock/node/logs.py
+++ b/src/snowdock/node/logs.py
@@ -24,7 +24,10 @@
 """Lines of one kind in a second; a leader places about as many steps at full load."""
 
 _ERROR_LINES_A_SECOND = 200
+"""Lines of one kind of error in a second: twice as many, as an operator looks for these."""
+
 _CLOSE_SECONDS = 0.5
+"""How long the last lines may take at the end, at each of two waits."""
 
 
 def _format_value(value: object) -> str:
--- a/src/snowdock/node/peers.py
+++ b/src/snowdock/node/peers.py
@@ -23,14 +23,18 @@
 _MAX_MESSAGE_BYTES = 64 * 1024 * 1024
 _ANSWERERS = 16
 _LONGEST_POLL_SECONDS = 0.25
+"""The longest wait for messages: also how late a stop may be noticed."""
 
 _LINK_HEARTBEAT_MS = 500
+"""Time between signs of life on a connection; three are due before it is made anew."""
+
 _LINK_TIMEOUT_MS = 1500
 """A connection without a sign of life for this long is made anew: a peer without power says
 nothing, and TCP alone would wait for minutes."""
 
 _RECONNECT_MS = 100
 _LONGEST_RECONNECT_MS = 1000
+"""Bounds of the pause before a connection is tried again; it doubles with each try."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
