Take the claimed room out of placing, where nothing was ever claimed

Cause: place_waiting handed a map of claimed room down to the seats, and nothing wrote to it, so its branch was dead. A bare string stood for a lost answer in the emulator; two names were one letter long.

Ruled out: claiming room for steps of a higher rank now; that would be a new decision.

Change: the map and its branch are gone; a named sentinel; full names.

Conclusion: no placement changes.

--- a/deploy/play_days.py
+++ b/deploy/play_days.py
@@ -67,7 +67,7 @@
     options = parser.parse_args()
     days = [day for day in sorted(_DAYS.glob("*.toml")) if options.only in day.stem]
     with concurrent.futures.ThreadPoolExecutor(options.jobs) as pool:
-        futures = [pool.submit(play, options.bench, options.site, d, options.why) for d in days]
+        futures = [pool.submit(play, options.bench, options.site, day, options.why) for day in days]
         for future in futures:
             played = future.result()
             worth = "-" if played.worth is None else f"{played.worth:.3f}"
--- a/src/snowdock/emulator/worker_calls.py
+++ b/src/snowdock/emulator/worker_calls.py
@@ -26,6 +26,9 @@
 _RENEW_SLACK_SECONDS = 0.3
 """How much longer than its wait a renewal may take, as at a real leader."""
 
+_LOST = object()
+"""Stands for a stop's answer that never came; a worker's own answer may be None."""
+
 Post = Callable[[Event], None]
 """Tells the leader that made a call of its answer."""
 
@@ -92,11 +95,11 @@
         order = effect.order
 
         def answer(result) -> StopAnswered:
-            answered = result != "lost"
+            answered = result is not _LOST
             refusal = result if isinstance(result, Refusal) else None
             return StopAnswered(effect.life, order.task, order.run, answered, refusal)
 
-        self._send_order(post, effect.life, lambda model: model.stop(order), answer, "lost")
+        self._send_order(post, effect.life, lambda model: model.stop(order), answer, _LOST)
 
     def _send_order(
         self,
--- a/src/snowdock/jobs/placing.py
+++ b/src/snowdock/jobs/placing.py
@@ -43,10 +43,9 @@
     _rank(cell, now)
     steps = sorted(cell.waiting.values(), key=lambda step: -step.rank)
     usable = _usable_workers(cell, now)
-    claimed: dict[str, Size] = {}
     for step in steps[:_STEPS_LOOKED_AT]:
         if step.not_before <= now:
-            _place_step(cell, step, usable, claimed, now)
+            _place_step(cell, step, usable, now)
 
 
 def _rank(cell: Cell, now: float) -> None:
@@ -78,7 +77,6 @@
     cell: Cell,
     step: Step,
     usable: dict[str, list[Worker]],
-    claimed: dict[str, Size],
     now: float,
 ) -> None:
     tasks = [task for task in step.tasks if task.phase is Phase.WAITING]
@@ -90,13 +88,13 @@
         if step.advice.asking:
             return
         workers, stale = _split_by_ticket(step, workers, now)
-        seats = list(_find_seats(cell, step, workers, claimed))
+        seats = list(_find_seats(cell, step, workers))
         enough = sum(seat.count for seat in seats) >= (len(tasks) if step.spec.gang else 1)
         if not enough:
             want_advice(cell, step, stale, len(tasks), now)
             return
     else:
-        seats = list(_find_seats(cell, step, workers, claimed))
+        seats = list(_find_seats(cell, step, workers))
     chosen = _choose(step, tasks, seats)
     if step.spec.gang and len(chosen) < len(tasks):
         return
@@ -117,9 +115,7 @@
     return ready, stale
 
 
-def _find_seats(
-    cell: Cell, step: Step, workers: list[Worker], claimed: dict[str, Size]
-) -> Iterator[_Seats]:
+def _find_seats(cell: Cell, step: Step, workers: list[Worker]) -> Iterator[_Seats]:
     spec = step.spec
     room = spec.room
     needs_sound = _is_last_attempt(cell, step)
@@ -127,8 +123,6 @@
         if spec.label and spec.label not in worker.entry.labels:
             continue
         free = worker.free
-        if worker.life in claimed:
-            free = free.minus(claimed[worker.life])
         if not free.holds(room):
             continue
         if worker.failure_streak and (worker.failure_streak > 1 or needs_sound) and worker.runs:
--- a/src/snowdock/node/peers.py
+++ b/src/snowdock/node/peers.py
@@ -268,9 +268,10 @@
                     # One message may not end the exchange of all others.
                     log_error("peer_message_failed", error)
             known = set(self._dealers.values())
-            for socket in known - {s for s, _ in poller.sockets}:
+            polled = {socket for socket, _ in poller.sockets}
+            for socket in known - polled:
                 poller.register(socket, zmq.POLLIN)
-            for socket in {s for s, _ in poller.sockets} - known:
+            for socket in polled - known:
                 if socket not in (self._listener, self._woken):
                     poller.unregister(socket)
                     socket.close()
