Revert "Leave a little of each worker free for urgent queues"

Its exemption for older jobs never came into force, since scores are remembered for equal inputs without the job's age.

Change: the commit is taken back whole.

Conclusion: a failed try.

--- a/src/snowdock/decisions/placements.py
+++ b/src/snowdock/decisions/placements.py
@@ -169,7 +169,6 @@
     worker = index.workers[name]
     fraction = index.free(name).cpu / worker.capacity.cpu
     return {
-        "cpu": worker.capacity.cpu / 1000,
         "free_fraction": round(fraction * _FRACTION_STEPS) / _FRACTION_STEPS,
         "failure_streak": worker.streak,
         "same_vm": crowd.vms.get(name, 0),
--- a/src/snowdock/jobs/cell.py
+++ b/src/snowdock/jobs/cell.py
@@ -78,14 +78,13 @@
     rank
         (step, now) -> a number; the highest is placed first.
     score
-        (step, worker, tasks of the step there, tasks about to be placed there) -> a number,
-        the highest wins; None for unfit.
+        (step, worker, tasks of the step there) -> a number, the highest wins; None for unfit.
     backoff_seconds
         (step, failures) -> seconds until the next try.
     """
 
     rank: Callable[["Step", float], float]
-    score: Callable[["Step", Worker, int, int], float | None]
+    score: Callable[["Step", Worker, int], float | None]
     backoff_seconds: Callable[["Step", int], float]
 
 
--- a/src/snowdock/jobs/placing.py
+++ b/src/snowdock/jobs/placing.py
@@ -134,18 +134,9 @@
             count = min(count, spec.most_per_worker - there)
         if count <= 0:
             continue
-        yield from _score_seats(cell, step, worker, there, min(count, len(step.tasks)))
-
-
-def _score_seats(cell: Cell, step: Step, worker: Worker, there: int, most: int) -> Iterator[_Seats]:
-    """Ask the policy how many more tasks a worker is fit for, and how good it is."""
-    best = cell.policy.score(step, worker, there, 0)
-    if best is None:
-        return
-    count = 1
-    while count < most and cell.policy.score(step, worker, there + count, count) is not None:
-        count += 1
-    yield _Seats(worker, count, best)
+        score = cell.policy.score(step, worker, there)
+        if score is not None:
+            yield _Seats(worker, count, score)
 
 
 def _is_last_attempt(cell: Cell, step: Step) -> bool:
--- a/src/snowdock/jobs/policy.py
+++ b/src/snowdock/jobs/policy.py
@@ -40,10 +40,9 @@
     def rank(step: Step, now: float) -> float:
         return book.call(_kind(step), "rank", _describe(cell_of(), step, now))
 
-    def score(step: Step, worker: Worker, there: int, placed: int) -> float | None:
+    def score(step: Step, worker: Worker, there: int) -> float | None:
         work = _describe(cell_of(), step, step.job.submitted_at)
-        taken = placed * step.spec.room.cpu
-        return book.score(_kind(step), work, _show_worker(worker, there, taken))
+        return book.score(_kind(step), work, _show_worker(worker, there))
 
     def backoff_seconds(step: Step, failures: int) -> float:
         work = _describe(cell_of(), step, step.job.submitted_at)
@@ -99,12 +98,11 @@
     }
 
 
-def _show_worker(worker: Worker, there: int, taken_cpu: int) -> dict[str, object]:
+def _show_worker(worker: Worker, there: int) -> dict[str, object]:
     """Show a worker to a program, coarsely, so that equal ones look equal."""
     capacity = worker.entry.capacity.cpu or 1
-    fraction = (worker.free.cpu - taken_cpu) / capacity
+    fraction = worker.free.cpu / capacity
     return {
-        "cpu": capacity / 1000,
         "free_fraction": round(fraction * _FRACTION_STEPS) / _FRACTION_STEPS,
         "failure_streak": worker.failure_streak,
         "same_vm": there,
--- a/src/snowdock/policies.py
+++ b/src/snowdock/policies.py
@@ -45,7 +45,6 @@
     "overdue": 0.5,
 }
 _SAMPLE_VM = {
-    "cpu": 16.0,
     "free_fraction": 0.5,
     "failure_streak": 0,
     "same_vm": 1,
--- a/src/snowdock/programs/deadline_first.star
+++ b/src/snowdock/programs/deadline_first.star
@@ -1,9 +1,6 @@
 # For jobs with an objective: urgent queues first, then what has least time left. What is late
 # already is worth little and goes behind what can still be in time.
 
-# Share of a VM's cores that is kept free for each step of urgency below the highest.
-KEEP = 0.05
-
 def admit(work):
     return True
 
@@ -16,10 +13,6 @@
     return base - min(max(work["slack_seconds"], -60.0), 60.0)
 
 def score(work, vm):
-    # Less urgent queues leave some of each VM free, so that urgent tasks need not wait for an end.
-    keep = (100 - work["priority"]) / 10.0 * KEEP * vm["cpu"]
-    if vm["free_fraction"] * vm["cpu"] - work["cpu"] < keep and work["overdue"] < 0.5:
-        return None
     # Fast VMs first, then best fit: large free rooms stay whole for large tasks.
     return 1.0 - vm["free_fraction"] * 0.5 - vm["slowness"] - vm["failure_streak"] * 0.2
 
--- a/tests/jobs_tools.py
+++ b/tests/jobs_tools.py
@@ -42,7 +42,7 @@
 
 POLICY = Policy(
     rank=lambda step, now: -step.job.submitted_at,
-    score=lambda step, worker, there, placed: float(worker.free.cpu),
+    score=lambda step, worker, there: float(worker.free.cpu),
     backoff_seconds=lambda step, failures: 0.0,
 )
 
