Ask for advice about as many workers as a step needs

Ruled out: longer margins: validity is the service's.

Change: the roomiest workers are asked about, five seats for each one wanted while fitness is not known, two once it is, at least as many as add half to the question's time; seats that have a valid ticket already count.

--- a/src/snowdock/jobs/advising.py
+++ b/src/snowdock/jobs/advising.py
@@ -10,6 +10,16 @@
 _MOST_ASKED = 100
 """The most workers of one question; the service takes no more."""
 
+_SEATS_FOR_ONE_FIT = 5
+"""Seats that are asked about for each one wanted, of workers not known yet: as few as three in
+ten are fit, and some rooms are taken meanwhile."""
+
+_SPARE_SEATS = 2
+"""Seats that are asked about for each one wanted, of workers known to be fit."""
+
+_CHEAP_SHARE = 0.5
+"""As many workers are asked about at least as add so much to the time of a question."""
+
 _TICKET_MARGIN_SECONDS = 0.15
 """Tickets are taken to expire this much early: a start is recorded, sent and may wait for the
 calls before it to the same worker."""
@@ -63,15 +73,14 @@
     advice = step.advice
     if now < advice.retry_at or cell.questions >= _QUESTIONS_A_NODE * cell.askers:
         return
-    unknown = [worker for worker in candidates if not advice.knows(worker.life)]
-    known = [worker for worker in candidates if advice.knows(worker.life)]
-    roomy = [worker for worker in known if worker.free.holds(step.spec.room)]
-    if unknown:
-        asked = unknown + roomy
-    elif _could_place(step, roomy, wanted):
-        asked = roomy
-    else:
+    roomy = [worker for worker in candidates if worker.free.holds(step.spec.room)]
+    unknown = [worker for worker in roomy if not advice.knows(worker.life)]
+    known = [worker for worker in roomy if advice.knows(worker.life)]
+    if not unknown and not _could_place(step, known, wanted):
         return
+    asked = _roomiest(step, known, wanted * _SPARE_SEATS) if known else []
+    if not _could_place(step, asked, wanted):
+        asked += _roomiest(step, unknown, wanted * _SEATS_FOR_ONE_FIT)
     lives = tuple(worker.life for worker in asked[:_MOST_ASKED])
     advice.asking = True
     cell.questions += 1
@@ -80,18 +89,36 @@
     cell.emit(AskAdvice(AdviceWanted(job, repetition, number, lives), expected_ms))
 
 
-def _could_place(step: Step, roomy: list[Worker], wanted: int) -> bool:
-    if not step.spec.gang:
-        return bool(roomy)
+def _seats(step: Step, worker: Worker, wanted: int) -> int:
+    """Count the tasks of a step that a worker's free room holds, up to so many."""
     room = step.spec.room
-    seats = 0
-    for worker in roomy:
-        free = worker.free
-        seats += min(
-            free.cpu // room.cpu if room.cpu else wanted,
-            free.memory // room.memory if room.memory else wanted,
-        )
-    return seats >= wanted
+    free = worker.free
+    return min(
+        wanted,
+        free.cpu // room.cpu if room.cpu else wanted,
+        free.memory // room.memory if room.memory else wanted,
+    )
+
+
+def _could_place(step: Step, workers: list[Worker], wanted: int) -> bool:
+    needed = wanted if step.spec.gang else 1
+    return sum(_seats(step, worker, wanted) for worker in workers) >= needed
+
+
+def _roomiest(step: Step, workers: list[Worker], seats: int) -> list[Worker]:
+    """Give the workers with most room, as many as have so many seats, or as are cheap to ask.
+
+    Each one asked about takes the service time, and its tickets hold for a short time only.
+    """
+    terms = step.advice.terms
+    cheap = int(_CHEAP_SHARE * terms.decide_ms / terms.each_ms) if terms.each_ms else _MOST_ASKED
+    chosen: list[Worker] = []
+    for worker in sorted(workers, key=lambda each: -_seats(step, each, seats)):
+        if seats <= 0 and len(chosen) >= cheap:
+            break
+        chosen.append(worker)
+        seats -= _seats(step, worker, seats)
+    return chosen
 
 
 def take_advice(cell: Cell, event: AdviceAnswered, now: float) -> None:
--- a/src/snowdock/jobs/placing.py
+++ b/src/snowdock/jobs/placing.py
@@ -89,9 +89,9 @@
             return
         workers, stale = _split_by_ticket(step, workers, now)
         seats = list(_find_seats(cell, step, workers))
-        enough = sum(seat.count for seat in seats) >= (len(tasks) if step.spec.gang else 1)
-        if not enough:
-            want_advice(cell, step, stale, len(tasks), now)
+        found = sum(seat.count for seat in seats)
+        if found < (len(tasks) if step.spec.gang else 1):
+            want_advice(cell, step, stale, len(tasks) - found, now)
             return
     else:
         seats = list(_find_seats(cell, step, workers))
