--- a/src/snowdock/entry/leader.py
+++ b/src/snowdock/entry/leader.py
@@ -1,5 +1,6 @@
 """The leader: an actor that feeds events to the reducer and carries its effects out."""
 
+import contextlib
 import dataclasses
 import threading
 import time
@@ -102,7 +103,7 @@
         self._statuses = statuses
         self._links: dict[str, WorkerLink] = {}
         self._stepped_down = False
-        post = self.actor_ref.tell
+        post = self._post
         self._writer = ProgressWriter(
             context.store, context.epoch, post, self._step_down, context.metrics
         )
@@ -155,6 +156,11 @@
         log_error("leader_failed", exception_value)
         self._step_down(f"the leader failed: {exception_value}")
 
+    def _post(self, event: Event) -> None:
+        """Hand an event to this actor; answers that come after its end concern nobody."""
+        with contextlib.suppress(pykka.ActorDeadError):
+            self.actor_ref.tell(event)
+
     def _raise_alarm(self, alarm) -> None:
         log_event(
             "policy_failed", program=alarm.program, function=alarm.function, problem=alarm.problem
@@ -179,7 +185,7 @@
 
     def _open(self, effect: OpenWorker) -> None:
         self._links[effect.life] = WorkerLink(
-            effect.life, effect.address, self.actor_ref.tell, self._context.metrics
+            effect.life, effect.address, self._post, self._context.metrics
         )
 
     def _close(self, effect: CloseWorker) -> None:
@@ -194,9 +200,9 @@
             link.order(order)
         elif isinstance(effect, SendStart):
             result = StartResult(Refusal.UNREACHED)
-            self.actor_ref.tell(StartAnswered(effect.life, order.task, order.run, result))
+            self._post(StartAnswered(effect.life, order.task, order.run, result))
         else:
-            self.actor_ref.tell(StopAnswered(effect.life, order.task, order.run, False))
+            self._post(StopAnswered(effect.life, order.task, order.run, False))
 
     def _send_renew(self, effect: SendRenew) -> None:
         link = self._links.get(effect.life)
@@ -205,7 +211,7 @@
         if self._context.may_order():
             link.renew(effect.order)
         else:
-            self.actor_ref.tell(RenewAnswered(effect.life, effect.order, None))
+            self._post(RenewAnswered(effect.life, effect.order, None))
 
     def _drop(self, effect: DropJobs) -> None:
         self._statuses.forget(effect.jobs)
--- a/src/snowdock/platform/store.py
+++ b/src/snowdock/platform/store.py
@@ -208,6 +208,8 @@
         if reply.status != 200:
             self._raise_for(reply)
             raise CallUnanswered(f"read answered {reply.status}", False)
+        if len(reply.data) < _BOUNDS.size:
+            raise PlatformError(f"the store's page has {len(reply.data)} bytes")
         end, _first = _BOUNDS.unpack_from(reply.data)
         records = _unframe(reply.data[_BOUNDS.size :], offset)
         # A page may stop before the end; where there is nothing, the end is where to go on.
