--- a/tests/test_jobs_reducer.py
+++ b/tests/test_jobs_reducer.py
@@ -361,6 +361,32 @@
         (again,) = of_type(self.bench.tick(0.1), AskAdvice)
         self.assertEqual(again.wanted.workers, ("w",))
 
+    def test_gang_asks_about_as_many_workers_as_it_needs(self) -> None:
+        """A question about all of many workers would outlast its tickets."""
+        bench = Bench(advice=AdviceTerms(440.0, 6.0, 1500.0))
+        for number in range(90):
+            bench.add_worker(f"x{number}")
+        bench.submit(gang_of(8))
+        (asked,) = of_type(bench.effects, AskAdvice)
+        self.assertLess(len(asked.wanted.workers), 45)
+        self.assertGreaterEqual(len(asked.wanted.workers), 10)
+
+    def test_gang_counts_the_tickets_that_hold(self) -> None:
+        """Only what is missing beside valid tickets is asked for, among those known to be fit."""
+        bench = Bench(advice=AdviceTerms(440.0, 6.0, 1500.0))
+        for number in range(4):
+            bench.add_worker(f"x{number}", cpu=1000)
+        bench.submit(gang_of(4))
+        (asked,) = of_type(bench.effects, AskAdvice)
+        self.assertEqual(len(asked.wanted.workers), 4)
+        bench.cell.workers["x3"].used = Size(1000, 0)
+        bench.feed(AdviceAnswered(AdviceGiven(asked.wanted, {f"x{n}": "t" for n in range(4)})))
+        step = bench.cell.jobs[asked.wanted.job].repetitions[0][0]
+        step.advice.tickets["x0"] = ("t", 0.0)
+        bench.cell.workers["x3"].used = Size(0, 0)
+        (again,) = of_type(bench.tick(0.1), AskAdvice)
+        self.assertEqual(again.wanted.workers, ("x0",))
+
     def test_failed_question_is_asked_again(self) -> None:
         """A question without an answer is repeated a little later."""
         self.bench.submit()
