Tell where jobs lost their time: snowdock losses; learn of all workers where that is cheap

Their gangs were asked about one worker at a time, each for 0.5 s or more: only workers with room at that moment were named, and what was learned of the others would have held for good.

Change: a question also names workers without room, as far as they add no more than half to its fixed part. `snowdock losses` sums up from the nodes' logs which jobs were late and what they waited for; job_taken tells the objective for it.

Ruled out: the nodes that ask as the bound (104 s of questions on nine nodes in 60 s).

--- a/src/snowdock/cli/job_commands.py
+++ b/src/snowdock/cli/job_commands.py
@@ -15,6 +15,7 @@
 )
 from ..emulator.workload import default_mixes
 from .explain import format_story, tell_story
+from .losses import format_losses, sum_losses, trace_jobs
 
 __all__ = ["JOB_COMMANDS"]
 
@@ -41,6 +42,24 @@
         return 0 if story.lines else 1
 
 
+class LossesCommand(Command):
+    """Tells which jobs did not end well in time, and what they waited for."""
+
+    name = "losses"
+    description = "Sums up from the nodes' logs where jobs lost their time."
+    arguments = [  # noqa: RUF012
+        argument("logs", "Log files of all nodes; standard input if none.", True, True),
+    ]
+
+    def handle(self) -> int:
+        """Read the logs and print a table."""
+        with fileinput.input(self.argument("logs"), encoding="utf-8", errors="replace") as lines:
+            ways = trace_jobs(lines)
+        for line in format_losses(sum_losses(ways)):
+            self.line(line)
+        return 0
+
+
 class SimulateCommand(Command):
     """Plays drawn days against the real decisions in virtual time."""
 
@@ -72,4 +91,4 @@
         return int(self.option("days"))
 
 
-JOB_COMMANDS = (ExplainCommand, SimulateCommand)
+JOB_COMMANDS = (ExplainCommand, LossesCommand, SimulateCommand)
--- /dev/null
+++ b/src/snowdock/cli/losses.py
@@ -0,0 +1,205 @@
+"""Where jobs lost their time: a table for each queue, told from the nodes' logs.
+
+The lines about a job part the time from its being taken in to its end. Each part counts for the
+reason that the line at its end names, so the parts of a job add up to all of its time.
+"""
+
+import collections
+import dataclasses
+from collections.abc import Iterable
+
+from .explain import LogLine, parse_line
+
+__all__ = ["JobWay", "QueueLosses", "format_losses", "sum_losses", "trace_jobs"]
+
+_REASONS = {
+    "job_accepted": "put on record",
+    "job_taken": "no leader knows it",
+    "advised": "advice",
+    "advice_failed": "advice",
+    "placed": "room",
+    "room_claimed": "room",
+    "run_moved": "moved or yielded",
+    "start_refused": "start failed",
+    "start_unanswered": "start failed",
+    "ticket_expired": "start failed",
+    "run_void": "start failed",
+    "gang_given_up": "start failed",
+    "run_vanished": "run lost",
+    "orphan_lost": "run lost",
+    "job_ended": "end put on record",
+}
+"""What a job waited for until a line of an event."""
+
+_RUN_REASONS = {"done": "work", "failed": "failed run", "stopped": "moved or yielded"}
+"""What the time until a run's end went to, by how it ended."""
+
+_LOST_RUN = "run lost"
+_UNEXPLAINED = "not explained"
+
+
+@dataclasses.dataclass(slots=True)
+class JobWay:
+    """One job's way from its being taken in to its end.
+
+    Attributes
+    ----------
+    job, queue
+        Which job, of which queue.
+    began, ended
+        When it was first heard of and when it ended, in seconds; no end where there was none.
+    status
+        How it ended; empty where it has not.
+    objective_s
+        Within how many seconds it was to be done; 0 where no line tells.
+    spent
+        Seconds by reason.
+    """
+
+    job: str
+    queue: str = ""
+    began: float = 0.0
+    ended: float | None = None
+    status: str = ""
+    objective_s: float = 0.0
+    spent: dict[str, float] = dataclasses.field(default_factory=dict)
+
+    @property
+    def is_lost(self) -> bool:
+        """Whether it did not end well in time; a cancelled job is not lost."""
+        if self.status == "cancelled":
+            return False
+        if self.ended is None or self.status != "completed":
+            return True
+        return 0 < self.objective_s < self.ended - self.began
+
+    @property
+    def main_reason(self) -> str:
+        """What it spent most time on besides its work."""
+        waits = {reason: spent for reason, spent in self.spent.items() if reason != "work"}
+        if self.status == "failed":
+            return "attempts used up"
+        if not waits:
+            return "work" if self.spent else _UNEXPLAINED
+        reason = max(waits, key=waits.get)
+        # Where its work alone took longer than it may take, no wait explains it.
+        work = self.spent.get("work", 0.0)
+        return "work" if 0 < self.objective_s < work else reason
+
+
+@dataclasses.dataclass(slots=True)
+class QueueLosses:
+    """What became of a queue's jobs, and what those that were lost waited for."""
+
+    queue: str
+    jobs: int = 0
+    in_time: int = 0
+    late: int = 0
+    failed: int = 0
+    unended: int = 0
+    reasons: collections.Counter = dataclasses.field(default_factory=collections.Counter)
+    spent: collections.Counter = dataclasses.field(default_factory=collections.Counter)
+
+    def add(self, way: JobWay) -> None:
+        """Count one job in."""
+        self.jobs += 1
+        if not way.is_lost:
+            self.in_time += 1
+            return
+        if way.ended is None:
+            self.unended += 1
+        elif way.status == "failed":
+            self.failed += 1
+        else:
+            self.late += 1
+        self.reasons[way.main_reason] += 1
+        self.spent.update(way.spent)
+
+
+def trace_jobs(texts: Iterable[str]) -> list[JobWay]:
+    """Put together the ways of all jobs that were taken in.
+
+    Parameters
+    ----------
+    texts
+        Lines of all nodes' logs, in any order.
+    """
+    by_job: dict[str, list[LogLine]] = collections.defaultdict(list)
+    last = 0.0
+    for line in map(parse_line, texts):
+        if line is None:
+            continue
+        last = max(last, line.time)
+        job = _job_of(line)
+        if job:
+            by_job[job].append(line)
+    ways = [_trace(job, lines, last) for job, lines in by_job.items()]
+    return [way for way in ways if way.queue]
+
+
+def _job_of(line: LogLine) -> str:
+    if line.event not in _REASONS and line.event != "run_ended":
+        return ""
+    return line.fields.get("job") or line.fields.get("subject", "")
+
+
+def _trace(job: str, lines: list[LogLine], last: float) -> JobWay:
+    lines.sort(key=lambda line: line.time)
+    way = JobWay(job, began=lines[0].time - _seconds(lines[0], "ms") / 1000)
+    before = way.began
+    for line in lines:
+        way.queue = line.fields.get("queue", way.queue)
+        way.objective_s = _seconds(line, "objective_s") or way.objective_s
+        if way.ended is not None:
+            break
+        _spend(way, _reason(line), line.time - before)
+        before = line.time
+        if line.event == "job_ended":
+            way.ended = line.time
+            way.status = line.fields.get("status", "")
+    if way.ended is None:
+        _spend(way, _UNEXPLAINED, last - before)
+    return way
+
+
+def _reason(line: LogLine) -> str:
+    if line.event == "run_ended":
+        return _RUN_REASONS.get(line.fields.get("how", ""), _LOST_RUN)
+    return _REASONS[line.event]
+
+
+def _spend(way: JobWay, reason: str, seconds: float) -> None:
+    way.spent[reason] = way.spent.get(reason, 0.0) + seconds
+
+
+def _seconds(line: LogLine, field: str) -> float:
+    try:
+        return float(line.fields.get(field, ""))
+    except ValueError:
+        return 0.0
+
+
+def sum_losses(ways: Iterable[JobWay]) -> list[QueueLosses]:
+    """Sum jobs up by queue, the queue with most jobs first."""
+    queues: dict[str, QueueLosses] = {}
+    for way in ways:
+        queues.setdefault(way.queue, QueueLosses(way.queue)).add(way)
+    return sorted(queues.values(), key=lambda losses: -losses.jobs)
+
+
+def format_losses(losses: list[QueueLosses]) -> list[str]:
+    """Write a table: a line for each queue, and below it one for each reason."""
+    told = [f"{'queue':<24} {'jobs':>6} {'in time':>8} {'late':>6} {'failed':>7} {'unended':>8}"]
+    for queue in losses:
+        told.append(
+            f"{queue.queue:<24} {queue.jobs:>6} {queue.in_time:>8} {queue.late:>6}"
+            f" {queue.failed:>7} {queue.unended:>8}"
+        )
+        for reason in sorted(queue.spent, key=lambda reason: -queue.spent[reason]):
+            told.append(
+                f"    {reason:<20} {queue.reasons[reason]:>6} jobs mainly,"
+                f" {queue.spent[reason]:8.1f} s of all lost jobs"
+            )
+        if queue.failed:
+            told.append(f"    {'attempts used up':<20} {queue.reasons['attempts used up']:>6} jobs")
+    return told
--- a/src/snowdock/jobs/advising.py
+++ b/src/snowdock/jobs/advising.py
@@ -90,23 +90,11 @@
         The steady clock, in seconds.
     """
     advice = step.advice
-    room = step.spec.room
-    unknown, known = [], []
-    for worker in workers:
-        life = worker.life
-        if life in advice.unfit or not _reachable(step, worker).holds(room):
-            continue
-        if life not in advice.tickets:
-            unknown.append(worker)
-        elif advice.valid_ticket(life, now) is None:
-            known.append(worker)
-    if not unknown and not _could_place(step, known, wanted):
+    chosen = _choose_asked(step, list(workers), wanted, now)
+    if not chosen:
         advice.retry_at = now + _NO_ROOM_SECONDS
         return
-    asked = _roomiest(step, known, wanted * _SPARE_SEATS) if known else []
-    if not _could_place(step, asked, wanted):
-        asked += _roomiest(step, unknown, wanted * _SEATS_FOR_ONE_FIT)
-    lives = tuple(worker.life for worker in asked[:_MOST_ASKED])
+    lives = tuple(worker.life for worker in chosen[:_MOST_ASKED])
     advice.asking = True
     expected_ms = advice.terms.decide_ms + advice.terms.each_ms * len(lives)
     wanted_advice = AdviceWanted(*step.key, lives)
@@ -114,6 +102,29 @@
     cell.emit(AskAdvice(wanted_advice, expected_ms))
 
 
+def _choose_asked(step: Step, workers: list[Worker], wanted: int, now: float) -> list[Worker]:
+    """Choose the workers to ask about; none where no answer could help yet."""
+    advice = step.advice
+    room = step.spec.room
+    strange = [worker for worker in workers if not advice.knows(worker.life)]
+    unknown = [worker for worker in strange if _reachable(step, worker).holds(room)]
+    known = [
+        worker
+        for worker in workers
+        if worker.life in advice.tickets
+        and advice.valid_ticket(worker.life, now) is None
+        and _reachable(step, worker).holds(room)
+    ]
+    chosen: list[Worker] = []
+    if unknown or _could_place(step, known, wanted):
+        chosen = _roomiest(step, known, wanted * _SPARE_SEATS) if known else []
+        if not _could_place(step, chosen, wanted):
+            chosen += _roomiest(step, unknown, wanted * _SEATS_FOR_ONE_FIT)
+    # Which workers are fit never changes: those without room now are cheap to learn of as well.
+    further = [worker for worker in strange if worker not in chosen]
+    return chosen + further[: max(0, _cheap_count(step) - len(chosen))]
+
+
 def _may_be_long(advice: Advice) -> bool:
     """Whether a question about as many workers as one may name would be a long one."""
     return advice.terms.decide_ms + advice.terms.each_ms * _MOST_ASKED > LONG_QUESTION_MS
@@ -140,8 +151,7 @@
 
     Each one asked about takes the service time, and its tickets hold for a short time only.
     """
-    terms = step.advice.terms
-    cheap = int(_CHEAP_SHARE * terms.decide_ms / terms.each_ms) if terms.each_ms else _MOST_ASKED
+    cheap = _cheap_count(step)
     chosen: list[Worker] = []
     for worker in sorted(workers, key=lambda each: -_seats(step, each, seats)):
         if seats <= 0 and len(chosen) >= cheap:
@@ -151,6 +161,14 @@
     return chosen
 
 
+def _cheap_count(step: Step) -> int:
+    """Give how many workers add little to the time of a question that is asked anyway."""
+    terms = step.advice.terms
+    if not terms.each_ms:
+        return _MOST_ASKED
+    return min(_MOST_ASKED, int(_CHEAP_SHARE * terms.decide_ms / terms.each_ms))
+
+
 def take_advice(cell: Cell, event: AdviceAnswered, now: float) -> None:
     """Take over the service's answer."""
     wanted = event.given.wanted
--- a/src/snowdock/jobs/cell.py
+++ b/src/snowdock/jobs/cell.py
@@ -252,3 +252,8 @@
             priority=accepted.priority,
             max_attempts=accepted.max_attempts,
         )
+
+    def objective_seconds(self, job: Job) -> float:
+        """Give the time within which a job is to be done, as far as its estimates tell."""
+        queue = self.queue_of(job)
+        return (queue.stretch * max(job.chains_ms) + queue.target_latency_ms) / 1000
--- a/src/snowdock/jobs/parts.py
+++ b/src/snowdock/jobs/parts.py
@@ -49,6 +49,10 @@
     asking: bool = False
     retry_at: float = 0.0
 
+    def knows(self, life: str) -> bool:
+        """Whether it is known if a worker may run the step."""
+        return life in self.tickets or life in self.unfit
+
     def valid_ticket(self, life: str, now: float) -> str | None:
         """Give a worker's ticket if it still holds."""
         found = self.tickets.get(life)
--- a/src/snowdock/jobs/policy.py
+++ b/src/snowdock/jobs/policy.py
@@ -10,7 +10,7 @@
 from .parts import Step
 from .workers import Worker
 
-__all__ = ["make_policy", "objective_seconds"]
+__all__ = ["make_policy"]
 
 _PROGRAM = "deadline_first.star"
 _HIGHEST_PRIORITY = 100
@@ -65,18 +65,11 @@
     return "gang" if step.spec.gang else "batch"
 
 
-def objective_seconds(cell: Cell, step: Step) -> float:
-    """Give the time within which a step's job is to be done, as far as estimates tell."""
-    queue = cell.queue_of(step.job)
-    chain_ms = max(step.job.chains_ms)
-    return (queue.stretch * chain_ms + queue.target_latency_ms) / 1000
-
-
 def _describe(cell: Cell, step: Step, now: float) -> dict[str, object]:
     spec = step.spec
     queue = cell.queue_of(step.job)
     waited = now - step.job.submitted_at
-    objective = max(0.001, objective_seconds(cell, step))
+    objective = max(0.001, cell.objective_seconds(step.job))
     return {
         "kind": _kind(step),
         "name": f"{queue.name}/{step.number}",
--- a/src/snowdock/jobs/reducer.py
+++ b/src/snowdock/jobs/reducer.py
@@ -108,7 +108,13 @@
     job = Job(event.job, event.accepted, now)
     cell.jobs[job.id] = job
     cell.publish(job)
-    cell.tell("job_taken", job.id, queue=job.queue, steps=len(event.accepted.spec.steps))
+    cell.tell(
+        "job_taken",
+        job.id,
+        queue=job.queue,
+        steps=len(event.accepted.spec.steps),
+        objective_s=cell.objective_seconds(job),
+    )
     if event.job in cell.cancelled_ahead:
         cancel_job(cell, job, now)
     elif event.accepted.spec.repetitions:
