Reserve room to come for bulky steps, have it made for them, and renew their tickets in time

Cause: retrainings (a whole worker of eight accelerators each) waited 4 to 20 s beside checks of one accelerator. No step of theirs is a gang, so nothing made room for them; each piece that came free went to smaller work; and a ticket was asked for, 0.5 to 0.9 s, only after room was seen, which others then took.

Change: a step that is a gang, or whose task takes more than a third of a large worker, is bulky. It may have runs stopped that yield, it reserves the workers where room will come first, by the progress of what runs there, and asks for tickets so that they are there when the room is. What ends before, or ranks higher, may use reserved room. A run that is overdue is expected to take as long again. Pools with no free accelerator are not looked at in vain.

--- a/src/snowdock/declarations.py
+++ b/src/snowdock/declarations.py
@@ -68,6 +68,14 @@
             self.accelerators - other.accelerators,
         )
 
+    def at_least(self, other: "Size") -> "Size":
+        """Give the larger of both, of each kind of room."""
+        return Size(
+            max(self.cpu, other.cpu),
+            max(self.memory, other.memory),
+            max(self.accelerators, other.accelerators),
+        )
+
     def times(self, count: int) -> "Size":
         """Give so many times this amount."""
         return Size(self.cpu * count, self.memory * count, self.accelerators * count)
--- a/src/snowdock/jobs/advising.py
+++ b/src/snowdock/jobs/advising.py
@@ -7,6 +7,7 @@
 from .events import AdviceAnswered, AdviceFailed, AskAdvice
 from .orders import AdviceWanted
 from .parts import Advice, Step
+from .reserving import find_reservation
 from .seats import fitting
 from .times import LONG_QUESTION_MS
 from .workers import Worker
@@ -26,6 +27,9 @@
 _CHEAP_SHARE = 0.5
 """As many workers are asked about at least as add so much to the time of a question."""
 
+_LATE_FACTOR = 1.5
+"""An answer may take so many times as long as told: some wait for one before them."""
+
 _TICKET_MARGIN_SECONDS = 0.15
 """Tickets are taken to expire this much early: a start is recorded, sent and may wait for the
 calls before it to the same worker."""
@@ -90,19 +94,21 @@
         The steady clock, in seconds.
     """
     advice = step.advice
-    chosen = _choose_asked(step, list(workers), wanted, now)
+    chosen = _choose_asked(cell, step, list(workers), wanted, now)
     if not chosen:
         advice.retry_at = now + _NO_ROOM_SECONDS
         return
     lives = tuple(worker.life for worker in chosen[:_MOST_ASKED])
     advice.asking = True
-    expected_ms = advice.terms.decide_ms + advice.terms.each_ms * len(lives)
+    expected_ms = _question_seconds(advice, len(lives)) * 1000
     wanted_advice = AdviceWanted(*step.key, lives)
     cell.questions[wanted_advice] = _may_be_long(advice)
     cell.emit(AskAdvice(wanted_advice, expected_ms))
 
 
-def _choose_asked(step: Step, workers: list[Worker], wanted: int, now: float) -> list[Worker]:
+def _choose_asked(
+    cell: Cell, step: Step, workers: list[Worker], wanted: int, now: float
+) -> list[Worker]:
     """Choose the workers to ask about; none where no answer could help yet."""
     advice = step.advice
     room = step.spec.room
@@ -120,11 +126,32 @@
         chosen = _roomiest(step, known, wanted * _SPARE_SEATS) if known else []
         if not _could_place(step, chosen, wanted):
             chosen += _roomiest(step, unknown, wanted * _SEATS_FOR_ONE_FIT)
+    if not chosen:
+        chosen = _reserved_soon(cell, step, workers, now)
     # Which workers are fit never changes: those without room now are cheap to learn of as well.
     further = [worker for worker in strange if worker not in chosen]
     return chosen + further[: max(0, _cheap_count(step) - len(chosen))]
 
 
+def _reserved_soon(cell: Cell, step: Step, workers: list[Worker], now: float) -> list[Worker]:
+    """Give the workers reserved for a step whose tickets are to be renewed in time for it."""
+    if find_reservation(cell, step, now) is None:
+        return []
+    advice = step.advice
+    held = [worker for worker in workers if step.key in worker.claims]
+    answer_at = now + _LATE_FACTOR * _question_seconds(advice, len(held))
+    return [
+        worker
+        for worker in held
+        if worker.claims[step.key].due <= answer_at
+        and advice.valid_ticket(worker.life, answer_at) is None
+    ]
+
+
+def _question_seconds(advice: Advice, workers: int) -> float:
+    return (advice.terms.decide_ms + advice.terms.each_ms * workers) / 1000
+
+
 def _may_be_long(advice: Advice) -> bool:
     """Whether a question about as many workers as one may name would be a long one."""
     return advice.terms.decide_ms + advice.terms.each_ms * _MOST_ASKED > LONG_QUESTION_MS
@@ -136,9 +163,9 @@
 
 
 def _reachable(step: Step, worker: Worker) -> Size:
-    """Give the room that a step may find there: a gang may have runs stopped that yield."""
-    free = worker.free_for(step.key)
-    return free.plus(worker.yieldable) if step.spec.gang else free
+    """Give the room that a step may find there: for a bulky one, runs that yield are stopped."""
+    free = worker.free_for(step.key, step.rank)
+    return free.plus(worker.yieldable) if step.is_bulky else free
 
 
 def _could_place(step: Step, workers: list[Worker], wanted: int) -> bool:
--- a/src/snowdock/jobs/cell.py
+++ b/src/snowdock/jobs/cell.py
@@ -74,10 +74,21 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Claim:
-    """Room that is kept for a step at some workers until a moment, in steady seconds."""
+    """Room that is kept for a step at some workers.
+
+    Attributes
+    ----------
+    until
+        How long it is kept, in steady seconds.
+    lives
+        The workers.
+    is_forced
+        Whether runs are stopped to make it; else it comes free by itself.
+    """
 
     until: float
     lives: frozenset[str]
+    is_forced: bool
 
 
 @dataclasses.dataclass(slots=True)
@@ -151,7 +162,7 @@
     scheduled
         Jobs with repetitions still to come.
     claims
-        Room that is kept for steps while runs are stopped to make it.
+        Room that is kept for steps: runs are stopped to make it, or it will come free.
     starting_gangs
         Gangs some of whose members' starts are on their way.
     stops
--- a/src/snowdock/jobs/parts.py
+++ b/src/snowdock/jobs/parts.py
@@ -136,6 +136,8 @@
         When other runs may be stopped again to make room for it, in steady seconds.
     usual_log
         The logarithm of the seconds that a run takes on a usual worker; None before any look.
+    is_bulky
+        Whether the pieces of room between other work hardly ever hold its tasks.
     shown
         How policy programs see it when they score workers; None before the first score.
     """
@@ -154,6 +156,7 @@
     claim_again_at: float = 0.0
     looked_at: float = 0.0
     usual_log: float | None = None
+    is_bulky: bool = False
     shown: Mapping[str, object] | None = None
 
     @property
--- a/src/snowdock/jobs/placing.py
+++ b/src/snowdock/jobs/placing.py
@@ -1,15 +1,16 @@
 """Placement of waiting steps on workers: the most urgent first, within a bounded effort."""
 
 import dataclasses
-from collections.abc import Iterable
 
+from ..declarations import ZERO, Size
 from .advising import may_ask, needs_advice, want_advice
 from .cell import Cell, HeldStart
 from .durability import mark
 from .parts import Phase, Step, Task
 from .preempting import drop_claims, has_claim, make_room
 from .ranking import rank_again
-from .seats import Seats, choose_workers, find_seats
+from .reserving import reserve
+from .seats import Seats, choose_workers, find_seats, is_bulky
 from .workers import Worker
 
 __all__ = ["place_waiting"]
@@ -41,12 +42,15 @@
 class _Pool:
     """The workers of one service that may take something, and the largest room among them.
 
-    Gangs are looked for room where no worker has any: they may have runs stopped that yield.
+    Bulky steps are looked for room where no worker has any: they may have runs stopped that
+    yield, or room reserved.
     """
 
     workers: dict[str, Worker] = dataclasses.field(default_factory=dict)
     most_cpu: int = 0
     most_memory: int = 0
+    most_accelerators: int = 0
+    capacity: Size = ZERO
 
     def add(self, worker: Worker) -> None:
         """Count a worker in."""
@@ -54,11 +58,13 @@
         self.workers[worker.life] = worker
         self.most_cpu = max(self.most_cpu, free.cpu)
         self.most_memory = max(self.most_memory, free.memory)
+        self.most_accelerators = max(self.most_accelerators, free.accelerators)
+        self.capacity = self.capacity.at_least(worker.entry.capacity)
 
     def may_hold(self, step: Step) -> bool:
         """Whether some worker might hold a task of a step."""
-        room = step.spec.room
-        return step.spec.gang or (room.cpu <= self.most_cpu and room.memory <= self.most_memory)
+        most = Size(self.most_cpu, self.most_memory, self.most_accelerators)
+        return step.is_bulky or most.holds(step.spec.room)
 
 
 _NO_POOL = _Pool()
@@ -121,54 +127,68 @@
         del cell.waiting[step.key]
         return 1
     pool = pools.get(cell.queue_of(step.job).service, _NO_POOL)
+    step.is_bulky = is_bulky(step, pool.capacity)
     if not pool.may_hold(step):
         return 1
     if needs_advice(cell, step):
         return 1 + _place_advised(cell, step, tasks, pool, now)
-    seats = list(find_seats(cell, step, pool.workers.values()))
-    _place_tasks(cell, step, tasks, seats, pool, now)
-    return 1 + len(pool.workers)
+    workers = list(pool.workers.values())
+    seats = list(find_seats(cell, step, workers))
+    left = _place_tasks(cell, step, tasks, seats, now)
+    if left:
+        if step.is_bulky:
+            _seek_room(cell, step, workers, workers, len(left), now)
+        _put_off(cell, step, now)
+    return 1 + len(workers)
 
 
 def _place_advised(cell: Cell, step: Step, tasks: list[Task], pool: _Pool, now: float) -> int:
     """Place on workers with tickets, or ask for more; give how many workers were looked at."""
-    if step.advice.asking:
-        return 0
     workers = _with_ticket(step, pool, now)
     seats = list(find_seats(cell, step, workers))
-    found = sum(seat.count for seat in seats)
+    left = _place_tasks(cell, step, tasks, seats, now)
     looks = len(workers)
-    if found >= (len(tasks) if step.spec.gang else 1):
-        _place_tasks(cell, step, tasks, seats, pool, now)
+    if not left or (len(left) < len(tasks) and not step.is_bulky):
         return looks
-    if step.spec.gang and _have_room_made(cell, step, workers, len(tasks), now):
-        return looks + len(workers)
-    if may_ask(cell, step, now):
+    if step.is_bulky:
+        fit = _known_fit(step, pool)
+        looks += len(fit)
+        if _seek_room(cell, step, workers, fit, len(left), now):
+            return looks
+    if not step.advice.asking and may_ask(cell, step, now):
         looks += len(pool.workers)
-        want_advice(cell, step, pool.workers.values(), len(tasks) - found, now)
+        want_advice(cell, step, pool.workers.values(), len(left), now)
     _put_off(cell, step, now)
     return looks
 
 
 def _place_tasks(
-    cell: Cell, step: Step, tasks: list[Task], seats: list[Seats], pool: _Pool, now: float
-) -> None:
-    """Place tasks as far as the seats go; a gang whole, or else room is made for it."""
+    cell: Cell, step: Step, tasks: list[Task], seats: list[Seats], now: float
+) -> list[Task]:
+    """Place tasks as far as the seats go, a gang whole or not at all; give those left over."""
     chosen = choose_workers(step, tasks, seats)
-    if step.spec.gang and len(chosen) < len(tasks):
-        _have_room_made(cell, step, pool.workers.values(), len(tasks), now)
-        chosen = []
-    if chosen:
-        _record(cell, step, tasks, chosen, now)
-    else:
-        _put_off(cell, step, now)
-
-
-def _have_room_made(
-    cell: Cell, step: Step, workers: Iterable[Worker], wanted: int, now: float
+    if not chosen or (step.spec.gang and len(chosen) < len(tasks)):
+        return tasks
+    _record(cell, step, tasks, chosen, now)
+    return tasks[len(chosen) :]
+
+
+def _seek_room(
+    cell: Cell,
+    step: Step,
+    ready: list[Worker],
+    fit: list[Worker],
+    wanted: int,
+    now: float,
 ) -> bool:
-    """Make room for a gang unless that is under way; tell whether it is now."""
-    return has_claim(cell, step, now) or make_room(cell, step, workers, wanted, now)
+    """Have room made for a bulky step, or reserve what will come free; tell whether it is made.
+
+    ``ready`` are the workers where it could start now, ``fit`` those where it may ever run.
+    """
+    if has_claim(cell, step, now) or make_room(cell, step, ready, wanted, now):
+        return True
+    reserve(cell, step, fit, wanted, now)
+    return False
 
 
 def _put_off(cell: Cell, step: Step, now: float) -> None:
@@ -186,6 +206,11 @@
     return found
 
 
+def _known_fit(step: Step, pool: _Pool) -> list[Worker]:
+    """Give the workers that may run the step as far as is known, whether or not with a ticket."""
+    return [pool.workers[life] for life in step.advice.tickets if life in pool.workers]
+
+
 def _record(cell: Cell, step: Step, tasks: list[Task], chosen: list[Worker], now: float) -> None:
     """Place tasks; their starts go out once the placement is on record."""
     gang_run = max(task.run for task in step.tasks) + 1
--- a/src/snowdock/jobs/preempting.py
+++ b/src/snowdock/jobs/preempting.py
@@ -1,6 +1,7 @@
-"""Making room for a gang: runs that save their progress yield, and their room is kept for it.
+"""Making room for bulky steps: runs that save their progress yield, and their room is kept for it.
 
-The pieces of room that are left between other work never hold a large gang all at once. A run
+The pieces of room that are left between other work never hold a large gang all at once, and
+seldom a task that takes much of a worker. A run
 that saves its progress loses little by going on elsewhere a moment later.
 """
 
@@ -12,14 +13,15 @@
 
 from .cell import Cell, Claim
 from .parts import Phase, Step, Task
+from .reserving import release_claim
 from .runs import stop_run
 from .seats import fitting, is_last_attempt, is_on_trial, most_seats
-from .workers import Worker
+from .workers import Hold, Worker
 
 __all__ = ["drop_claims", "has_claim", "make_room"]
 
 _CLAIM_SECONDS = 1.0
-"""How long room is kept for a gang: a stop takes up to 0.4 s, its report and the record of the
+"""How long room is kept: a stop takes up to 0.4 s, its report and the record of the
 placement some 0.1 s, and tickets hold for 1.5 s or more."""
 
 _LEAST_VALID_SECONDS = 0.7
@@ -47,18 +49,20 @@
 def has_claim(cell: Cell, step: Step, now: float) -> bool:
     """Whether room is being made for a step."""
     claim = cell.claims.get(step.key)
-    return claim is not None and claim.until > now
+    return claim is not None and claim.is_forced and claim.until > now
 
 
 def make_room(cell: Cell, step: Step, workers: Iterable[Worker], wanted: int, now: float) -> bool:
-    """Stop runs that yield to a gang, if that makes room for all of it; tell whether it did.
+    """Stop runs that yield to a bulky step, if that makes room; tell whether it did.
+
+    For a gang, room is made for all of it or not at all.
 
     Parameters
     ----------
     cell
         The leader's state.
     step
-        A gang that found no room.
+        A bulky step that found no room.
     workers
         Workers that may run it.
     wanted
@@ -72,7 +76,8 @@
     offers = _make_offers(cell, step, workers, now)
     lacking = wanted - sum(offer.free for offer in offers)
     further = _further_seats(offers, lacking)
-    if lacking <= 0 or len(further) < lacking:
+    enough = lacking if step.spec.gang else 1
+    if lacking <= 0 or len(further) < enough:
         return False
     _claim(cell, step, offers, further, now)
     return True
@@ -102,7 +107,7 @@
     """Count a worker's free seats for a step, and those that stopping runs there would add."""
     room = step.spec.room
     most = most_seats(step, worker)
-    free = worker.free_for(step.key)
+    free = worker.free_for(step.key, step.rank)
     seats = min(fitting(free, room), most)
     victims: list[list[Task]] = []
     stopped: list[Task] = []
@@ -156,6 +161,7 @@
 
     ``further`` holds an offer once for each of its seats that is not free yet.
     """
+    release_claim(cell, step.key)
     stopped = 0
     lives = set()
     for offer in offers:
@@ -166,9 +172,9 @@
             stop_run(cell, task, now)
         seats = offer.free + count
         if seats:
-            offer.worker.claims[step.key] = step.spec.room.times(seats)
+            offer.worker.claims[step.key] = Hold(step.spec.room.times(seats))
             lives.add(offer.worker.life)
-    cell.claims[step.key] = Claim(now + _CLAIM_SECONDS, frozenset(lives))
+    cell.claims[step.key] = Claim(now + _CLAIM_SECONDS, frozenset(lives), is_forced=True)
     cell.tell(
         "room_claimed",
         step.job.id,
@@ -185,9 +191,5 @@
     for key, claim in list(cell.claims.items()):
         if claim.until > now and key in cell.waiting:
             continue
-        del cell.claims[key]
-        for life in claim.lives:
-            worker = cell.workers.get(life)
-            if worker is not None:
-                worker.claims.pop(key, None)
+        release_claim(cell, key)
         cell.placing_wanted = True
--- /dev/null
+++ b/src/snowdock/jobs/reserving.py
@@ -0,0 +1,118 @@
+"""Room to come that is kept for bulky steps: what would end later goes elsewhere.
+
+A bulky task needs much of a worker at the same time, a gang room at several workers. Where smaller
+work takes each piece as it comes free, that moment never comes. So the workers where it comes
+first are reserved; what ends before then may still use them.
+"""
+
+import math
+from collections.abc import Iterable
+
+from .cell import Cell, Claim
+from .forecast import room_to_come
+from .model import StepKey
+from .parts import Step
+from .seats import fitting, is_last_attempt, is_on_trial, most_seats
+from .workers import Hold, Worker
+
+__all__ = ["find_reservation", "release_claim", "reserve"]
+
+_KEPT_SECONDS = 0.6
+"""How long a reservation holds: it is made anew as long as its step waits."""
+
+_RENEW_SECONDS = 0.3
+"""A reservation is made anew when this much or less is left: runs end earlier or later than was
+expected, and other workers may have become the first."""
+
+
+def find_reservation(cell: Cell, step: Step, now: float) -> Claim | None:
+    """Give the room to come that is reserved for a step; None where there is none."""
+    claim = cell.claims.get(step.key)
+    if claim is None or claim.is_forced or claim.until <= now:
+        return None
+    return claim
+
+
+def reserve(cell: Cell, step: Step, workers: Iterable[Worker], wanted: int, now: float) -> None:
+    """Reserve the workers where a bulky step will find room first.
+
+    Parameters
+    ----------
+    cell
+        The leader's state.
+    step
+        A bulky step that finds no room now.
+    workers
+        Workers that may run it.
+    wanted
+        Tasks that wait for room.
+    now
+        The steady clock, in seconds.
+    """
+    claim = cell.claims.get(step.key)
+    if claim is not None and claim.until > now + (0.0 if claim.is_forced else _RENEW_SECONDS):
+        return
+    release_claim(cell, step.key)
+    seats = _first_seats(cell, step, workers, wanted, now)
+    if not seats:
+        return
+    lives = frozenset(worker.life for _, worker in seats)
+    for life in lives:
+        times = [at for at, worker in seats if worker.life == life]
+        # A gang begins once all of it has room, other tasks as soon as each has.
+        due = seats[-1][0] if step.spec.gang else times[0]
+        room = step.spec.room.times(len(times))
+        cell.workers[life].claims[step.key] = Hold(room, due, step.rank)
+    cell.claims[step.key] = Claim(now + _KEPT_SECONDS, lives, is_forced=False)
+    if claim is None:
+        cell.tell(
+            "room_reserved",
+            step.job.id,
+            step=step.number,
+            tasks=wanted,
+            workers=len(lives),
+            due_s=seats[0][0] - now,
+            rank=step.rank,
+        )
+
+
+def _first_seats(
+    cell: Cell, step: Step, workers: Iterable[Worker], wanted: int, now: float
+) -> list[tuple[float, Worker]]:
+    """Give when and where tasks will find room first, the earliest first.
+
+    A gang that will not find room for all of its tasks is given none.
+    """
+    needs_sound = is_last_attempt(cell, step)
+    seats: list[tuple[float, Worker]] = []
+    for worker in workers:
+        if not is_on_trial(worker, needs_sound):
+            seats += [(at, worker) for at in _seat_times(cell, step, worker, wanted, now)]
+    if step.spec.gang and len(seats) < wanted:
+        return []
+    seats.sort(key=lambda seat: seat[0])
+    return seats[:wanted]
+
+
+def _seat_times(cell: Cell, step: Step, worker: Worker, wanted: int, now: float) -> list[float]:
+    """Give when each further task of a step is expected to find room at a worker."""
+    most = min(wanted, most_seats(step, worker))
+    free = worker.free_for(step.key, step.rank)
+    times = [now] * min(most, fitting(free, step.spec.room))
+    for at, room in room_to_come(cell, worker, now):
+        if len(times) >= most or math.isinf(at):
+            break
+        free = free.plus(room)
+        times += [at] * (min(most, fitting(free, step.spec.room)) - len(times))
+    return times
+
+
+def release_claim(cell: Cell, key: StepKey) -> None:
+    """Give back what is kept for a step."""
+    claim = cell.claims.pop(key, None)
+    if claim is None:
+        return
+    for life in claim.lives:
+        worker = cell.workers.get(life)
+        if worker is not None:
+            worker.claims.pop(key, None)
--- a/src/snowdock/jobs/runs.py
+++ b/src/snowdock/jobs/runs.py
@@ -211,6 +211,7 @@
         _drop_run(cell, task)
         return
     task.phase = Phase.STOPPING
+    task.since = now
     if (task.life, task.id, task.run) not in cell.stops:
         send_stop(cell, task.life, task.id, task.run, now)
 
--- a/src/snowdock/jobs/seats.py
+++ b/src/snowdock/jobs/seats.py
@@ -5,6 +5,7 @@
 
 from ..declarations import Size
 from .cell import Cell
+from .forecast import expected_end
 from .parts import Step, Task
 from .workers import Worker
 
@@ -13,6 +14,7 @@
     "choose_workers",
     "find_seats",
     "fitting",
+    "is_bulky",
     "is_last_attempt",
     "is_on_trial",
     "most_seats",
@@ -22,6 +24,11 @@
 """How many tasks fit that take no room at all."""
 
 
+_BULKY_PARTS = 3
+"""A task that takes more than a third of a worker is bulky: where a worker's room is shared by
+more than two, a piece as large seldom comes free by chance."""
+
+
 @dataclasses.dataclass(slots=True)
 class Seats:
     """How many tasks of a step a worker can take now, and how good it is for them."""
@@ -47,7 +54,7 @@
     room = spec.room
     needs_sound = is_last_attempt(cell, step)
     for worker in workers:
-        free = worker.free_for(step.key)
+        free = worker.free_for(step.key, step.rank, expected_end(step, worker, cell.now))
         if not free.holds(room):
             continue
         if is_on_trial(worker, needs_sound):
@@ -61,6 +68,19 @@
             yield Seats(worker, count, score)
 
 
+def is_bulky(step: Step, capacity: Size) -> bool:
+    """Whether pieces of room between other work hardly ever hold a step's tasks.
+
+    Parameters
+    ----------
+    step
+        The step.
+    capacity
+        The room of a large worker of its service.
+    """
+    return step.spec.gang or not capacity.holds(step.spec.room.times(_BULKY_PARTS))
+
+
 def is_on_trial(worker: Worker, needs_sound: bool) -> bool:
     """Whether a worker that has been failing is being proved by the one run that it has.
 
--- a/src/snowdock/jobs/workers.py
+++ b/src/snowdock/jobs/workers.py
@@ -6,7 +6,7 @@
 from ..declarations import ZERO, Size
 from .model import StepKey, TaskId
 
-__all__ = ["SLOWEST_CLOCK_RATE", "Worker", "WorkerEntry"]
+__all__ = ["SLOWEST_CLOCK_RATE", "Hold", "Worker", "WorkerEntry"]
 
 SLOWEST_CLOCK_RATE = 0.975
 """A worker's steady clock may run 2 % slow; half a percent is left for the node's own."""
@@ -43,6 +43,26 @@
     remaining_ms: float | None = None
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Hold:
+    """Room at one worker that is kept for a step.
+
+    Attributes
+    ----------
+    room
+        How much.
+    due
+        When the step is expected to take it, in steady seconds: a run that ends before may use
+        it.
+    rank
+        What ranks higher than this may use it too.
+    """
+
+    room: Size
+    due: float = -math.inf
+    rank: float = math.inf
+
+
 @dataclasses.dataclass(slots=True)
 class Worker:
     """One life of a worker, as the leader sees it.
@@ -94,7 +114,7 @@
     runs: dict[tuple[TaskId, int], Size] = dataclasses.field(default_factory=dict)
     yielding: dict[tuple[TaskId, int], Size] = dataclasses.field(default_factory=dict)
     yieldable: Size = ZERO
-    claims: dict[StepKey, Size] = dataclasses.field(default_factory=dict)
+    claims: dict[StepKey, Hold] = dataclasses.field(default_factory=dict)
     listed: bool = True
     delisted_at: float = 0.0
     may_return: bool = False
@@ -127,12 +147,20 @@
         """Room that nothing takes."""
         return self.entry.capacity.minus(self.used)
 
-    def free_for(self, step: StepKey) -> Size:
-        """Room that nothing takes and that is kept for no other step."""
+    def free_for(self, step: StepKey, rank: float = -math.inf, ends_at: float = math.inf) -> Size:
+        """Room that nothing takes and that is kept for no other step.
+
+        Parameters
+        ----------
+        step, rank
+            The step that asks, and its rank.
+        ends_at
+            When a run of it would end there, in steady seconds.
+        """
         free = self.free
-        for key, size in self.claims.items():
-            if key != step:
-                free = free.minus(size)
+        for key, hold in self.claims.items():
+            if key != step and rank <= hold.rank and hold.due < ends_at:
+                free = free.minus(hold.room)
         return free
 
     def take(self, task: TaskId, run: int, size: Size, may_yield: bool = False) -> None:
--- /dev/null
+++ b/tests/test_jobs_reserving.py
@@ -0,0 +1,143 @@
+"""Tests of reserving room to come for bulky steps, and of asking for advice in time for it."""
+
+import dataclasses
+import unittest
+
+import msgspec
+
+from snowdock.declarations import Size
+from snowdock.jobs.events import AdviceAnswered, AskAdvice, SendStart, SendStop
+from snowdock.jobs.model import AdviceTerms
+from snowdock.jobs.orders import AdviceGiven
+from tests.jobs_tools import DONE, SMALL, Bench, of_type
+
+BULKY = msgspec.structs.replace(SMALL, size=Size(4000, 100), estimate_ms=2000)
+QUICK = msgspec.structs.replace(SMALL, estimate_ms=100)
+
+
+class TestReserving(unittest.TestCase):
+    """One worker of four cores, where two runs of a second each take one."""
+
+    def setUp(self) -> None:
+        self.bench = Bench()
+        self.bench.cell.policy = dataclasses.replace(
+            self.bench.cell.policy,
+            rank=lambda step, now: float(step.spec.size.cpu),
+        )
+        self.bench.add_worker("w", cpu=4000)
+        self.bench.submit(msgspec.structs.replace(SMALL, count=2))
+        self.running = self.bench.starts()
+        for start in self.running:
+            self.bench.confirm(start)
+        self.bench.now += 0.1
+
+    def submit(self, spec) -> list[SendStart]:
+        """Submit a job of one step; give its starts."""
+        self.bench.now += 0.01
+        job = self.bench.submit(spec)
+        return [start for start in self.bench.starts() if start.order.task.job == job]
+
+    def end_running(self) -> None:
+        self.bench.now += 0.01
+        ends = [(start.order.task, start.order.run, DONE) for start in self.running]
+        self.bench.report("w", ended=ends)
+
+    def test_smaller_work_does_not_take_the_pieces(self) -> None:
+        """What would end after a bulky task can begin waits for it, and it begins first."""
+        self.assertEqual(self.submit(BULKY), [])
+        self.assertEqual(self.submit(SMALL), [])
+        self.end_running()
+        (start,) = self.bench.starts()
+        self.assertEqual(start.order.task.job, f"{2:016x}")
+
+    def test_what_ends_before_may_use_it(self) -> None:
+        """Room that is reserved is used meanwhile by what ends in time."""
+        self.assertEqual(self.submit(BULKY), [])
+        self.assertEqual(len(self.submit(QUICK)), 1)
+
+    def test_what_ranks_higher_may_use_it(self) -> None:
+        """A reservation holds nothing back that is more urgent."""
+        self.assertEqual(self.submit(BULKY), [])
+        self.bench.cell.policy = dataclasses.replace(
+            self.bench.cell.policy, rank=lambda step, now: 1e6
+        )
+        self.assertEqual(len(self.submit(SMALL)), 1)
+
+    def test_reservation_ends_with_its_job(self) -> None:
+        """Room that nobody waits for any more is given back."""
+        self.submit(BULKY)
+        self.assertTrue(self.bench.cell.workers["w"].claims)
+        self.end_running()
+        self.assertEqual(self.bench.cell.claims, {})
+        self.assertEqual(self.bench.cell.workers["w"].claims, {})
+
+    def test_overdue_run_keeps_nobody_waiting_for_long(self) -> None:
+        """Where a run does not end as expected, small work is let in after as long again."""
+        self.submit(BULKY)
+        self.submit(SMALL)
+        job = f"{3:016x}"
+        self.bench.tick(0.5)
+        self.assertNotIn(job, [each.order.task.job for each in self.bench.starts(self.bench.seen)])
+        self.bench.tick(3.0)
+        self.assertIn(job, [each.order.task.job for each in self.bench.starts(self.bench.seen)])
+
+    def test_bulky_task_has_room_made(self) -> None:
+        """Runs that save their progress yield to a single bulky task, too."""
+        self.bench.cell.policy = dataclasses.replace(
+            self.bench.cell.policy, yields=lambda step, other, now: True
+        )
+        self.end_running()
+        yielding = msgspec.structs.replace(SMALL, count=4, checkpointing=True)
+        for start in self.submit(yielding):
+            self.bench.confirm(start)
+        self.submit(BULKY)
+        self.assertEqual(len(of_type(self.bench.effects, SendStop)), 4)
+
+
+class TestAdviceInTime(unittest.TestCase):
+    TERMS = AdviceTerms(decide_ms=500, each_ms=5, valid_ms=2000)
+
+    def setUp(self) -> None:
+        self.bench = Bench(advice=self.TERMS)
+        self.bench.add_worker("w1", cpu=4000)
+        self.bench.add_worker("w2", cpu=4000)
+
+    def answer(self, asked: AskAdvice, *fit: str) -> None:
+        self.bench.now += 0.01
+        tickets = {life: "t" for life in fit}
+        self.bench.feed(AdviceAnswered(AdviceGiven(asked.wanted, tickets)))
+
+    def asked(self) -> list[AskAdvice]:
+        return of_type(self.bench.effects, AskAdvice)
+
+    def fill(self, life: str) -> SendStart:
+        """Have a bulky run take all of a worker."""
+        self.bench.now += 0.01
+        self.bench.submit(BULKY)
+        (asked,) = self.asked()
+        self.answer(asked, life)
+        (start,) = self.bench.starts()
+        self.bench.confirm(start)
+        return start
+
+    def test_workers_without_room_are_learned_of(self) -> None:
+        """A question whose fixed part costs most names all workers, room or not."""
+        self.fill("w1")
+        self.bench.now += 0.01
+        self.bench.submit(BULKY)
+        (asked,) = self.asked()
+        self.assertEqual(set(asked.wanted.workers), {"w1", "w2"})
+
+    def test_ticket_is_there_when_room_is(self) -> None:
+        """The ticket for a worker whose room comes free is renewed before that."""
+        running = self.fill("w1")
+        self.bench.now += 0.01
+        self.bench.submit(BULKY)
+        self.answer(self.asked()[0], "w1")
+        # The first ticket expires after 1.85 s, the run takes 2 s.
+        renewed = of_type(self.bench.tick(1.9), AskAdvice)
+        self.assertEqual([each.wanted.workers for each in renewed], [("w1",)])
+        self.answer(renewed[0], "w1")
+        self.bench.now += 0.01
+        self.bench.report("w1", ended=[(running.order.task, running.order.run, DONE)])
+        self.assertEqual(len(self.bench.starts()), 1)
