Claim the leadership on evidence; read side by side at a takeover

Most of it was watching the store for renewals of a leader that evidently led no more. On a slow store the takeover itself took 1.9 s: its reads went one after the other.

Ruled out: shorter leases or heartbeats (the wait was the watch, not the silence).

Change: a follower claims at once where the leader on record was an earlier process of its own node, where no process listens at the leader's address once a heartbeat is missing, or where the leader itself tells that the store turns it away and the follower reaches it. The claim's condition decides as before, and fencing holds. The silence before a look at the store is 0.5 s (two heartbeats), the watch 0.6 s; a leader that is heard again after the watch keeps its place. Jobs are read while earlier leaders are shut out.

A leader that the store answers with silence is still replaced after 1.7 s only.

The tests of the election get a real listener for each node's address: a node without one now counts as gone, which is what the new tests check. Without the evidence three of them fail.

--- a/src/snowdock/entry/election.py
+++ b/src/snowdock/entry/election.py
@@ -24,6 +24,7 @@
 from ..node.logs import log_error, log_event
 from ..platform.store import KeyedRecord, StoreClient
 from .leader_record import LeaderRecord, decode_leader, encode_leader
+from .leader_signs import LeaderSigns, refuses_connections
 from .messages import Beat
 from .patience import Patience
 from .succession import Succession
@@ -34,14 +35,15 @@
 _RENEW_SECONDS = 0.3
 """Time between a leader's renewals; each is one write to the store."""
 
-_BEAT_SILENCE_SECONDS = 0.7
-"""Without a heartbeat of the leader for this long (three are due), the store is asked."""
+_PROBE_SECONDS = 0.6
+"""How long the store is watched for a renewal before a claim: two renewals are due."""
 
-_STALE_RENEWAL_SECONDS = 1.2
-"""A leader whose own renewal is this old may have lost the store; the store is asked."""
+_TURNED_AWAY_TRIES = 2
+"""Renewals that failed at once, one after the other, after which a leader tells that the store
+turns it away; a single one may be chance."""
 
-_PROBE_SECONDS = 0.7
-"""How long the store is watched for a renewal before a claim: two renewals are due."""
+_AT_ONCE_SECONDS = 0.1
+"""A renewal that fails sooner was turned away; one that fails later may be on its way."""
 
 _SHORTEST_RENEWAL_SECONDS = 0.3
 _CALL_SECONDS = 1.0
@@ -120,8 +122,9 @@
         self._elected_at = 0.0
         self._renewed_at = 0.0
         self._resigned = False
-        self._beat_at = 0.0
-        self._beat_renewed_s = 0.0
+        self._signs = LeaderSigns()
+        self._told_gone = 0
+        self._turned_away = 0
         self._peer_heard_at = 0.0
         self._thread = threading.Thread(target=self._run, name="election", daemon=True)
 
@@ -150,11 +153,7 @@
     @property
     def hears_leader(self) -> bool:
         """Whether another node that leads has been heard of lately, and reaches the store."""
-        now = time.monotonic()
-        return (
-            now - self._beat_at < _BEAT_SILENCE_SECONDS
-            and self._beat_renewed_s < _STALE_RENEWAL_SECONDS
-        )
+        return self._signs.is_heard
 
     def make_beat(self) -> Beat:
         """Make the heartbeat to send to peers."""
@@ -167,6 +166,7 @@
             self._resigned,
             self._claim_delay_s,
             self._reaches_store(),
+            self._turned_away >= _TURNED_AWAY_TRIES,
         )
 
     def hear(self, beat: Beat) -> None:
@@ -178,10 +178,9 @@
         if leader is None or beat.node != leader.node:
             return
         if beat.epoch >= leader.epoch:
-            self._beat_at = now
-            self._beat_renewed_s = beat.renewed_s
+            self._signs.hear(beat)
         elif beat.resigned:
-            self._beat_at = 0.0
+            self._signs.forget()
             self._nudged.set()
 
     def start(self) -> None:
@@ -265,10 +264,13 @@
                 continue
             except (CallUnanswered, StoreRefused) as error:
                 self._patience.miss()
+                if time.monotonic() - began < _AT_ONCE_SECONDS:
+                    self._turned_away += 1
                 log_event("renewal_failed", epoch=epoch, reason=str(error))
                 self._stopped.wait(_PAUSE_SECONDS)
                 continue
             self._renewed_at = began
+            self._turned_away = 0
             self._patience.note(time.monotonic() - began)
             if self._hand_over():
                 return 0.0
@@ -290,7 +292,7 @@
     def _take_own_resignation(self, successor: str) -> None:
         """Follow on from the own resignation as any other node does."""
         self._leader = msgspec.structs.replace(self._leader, resigned=True, successor=successor)
-        self._beat_at = 0.0
+        self._signs.forget()
 
     def _still_leads(self, epoch: int) -> bool:
         """Read on after a conflict; only an own renewal whose answer was lost explains it."""
@@ -305,12 +307,15 @@
     def _follow(self) -> float:
         if self._next_offset is None:
             self._read_newest()
-        if self.hears_leader:
+        if self._leader_is_gone():
+            if self._has_another_leader():
+                return 0.0
+        elif self.hears_leader:
             return _PAUSE_SECONDS
-        if self._leader is not None and not self._leader.resigned and self._watch_store():
+        elif self._shows_up():
             return 0.0
         if not self._may_claim:
-            self._watch_store()
+            self._watch_store(_PROBE_SECONDS)
             return _PAUSE_SECONDS
         if self._is_for_another() and self._watch_store(_SUCCESSOR_SECONDS):
             return 0.0
@@ -318,6 +323,44 @@
         self._claim()
         return 0.0
 
+    def _leader_is_gone(self) -> bool:
+        """Whether it is evident that the leader leads no more, without watching for renewals.
+
+        That spares the wait only; the claim's condition decides whether it is granted.
+        """
+        leader = self._leader
+        identity = self._identity
+        if leader is None or leader.resigned or leader.incarnation == identity.incarnation:
+            return False
+        if leader.node == identity.node:
+            evidence = "its process on this node has been replaced"
+        elif self._signs.is_turned_away and self._reaches_store():
+            evidence = "the store turns it away"
+        elif self._signs.has_missed_a_beat and refuses_connections(leader):
+            evidence = "no process listens at its address"
+        else:
+            return False
+        if self._told_gone != leader.epoch:
+            self._told_gone = leader.epoch
+            log_event("leader_gone", leader=leader.node, epoch=leader.epoch, reason=evidence)
+        return True
+
+    def _shows_up(self) -> bool:
+        """Watch for a renewal of a leader that has not resigned; tell whether it leads on."""
+        if self._leader is None or self._leader.resigned:
+            return False
+        return self._watch_store(_PROBE_SECONDS) or self.hears_leader
+
+    def _has_another_leader(self) -> bool:
+        """Read what the store holds by now; tell whether it names another leader."""
+        before = self._leader.incarnation
+        while self._read_on(0.0):
+            if self._next_offset is None:
+                return True
+            if self._leader.incarnation != before:
+                return not self._leader.resigned
+        return False
+
     def _is_for_another(self) -> bool:
         """Whether the leader that has resigned named another node to claim next."""
         leader = self._leader
@@ -330,10 +373,14 @@
         self._next_offset = page.next_offset
         self._take(page.records)
         # The record may be old; the leader has to be heard, or seen to renew it.
-        self._beat_at = 0.0
+        self._signs.forget()
 
-    def _watch_store(self, seconds: float = _PROBE_SECONDS) -> bool:
+    def _watch_store(self, seconds: float) -> bool:
         """Wait for a record of a leader; tell whether there was one."""
+        return self._read_on(seconds) and not (self._leader and self._leader.resigned)
+
+    def _read_on(self, seconds: float) -> bool:
+        """Read the records since the last look; tell whether there were any, or may have been."""
         try:
             page = self._store.read(LEADERS_TOPIC, PART, self._next_offset, seconds)
         except LogExpired:
@@ -341,7 +388,7 @@
             return True
         self._next_offset = page.next_offset
         self._take(page.records)
-        return bool(page.records) and not self._leader.resigned
+        return bool(page.records)
 
     def _take(self, records: list[KeyedRecord]) -> None:
         before = self._leader
@@ -357,8 +404,10 @@
             self._win(leader)
         elif leader.incarnation != self._identity.incarnation:
             self._resigned = self._resigned and not self._may_claim
-            self._beat_at = 0.0 if leader.resigned else time.monotonic()
-            self._beat_renewed_s = 0.0
+            if leader.resigned:
+                self._signs.forget()
+            else:
+                self._signs.expect()
             self._leader_changed(leader)
 
     def _claim(self) -> None:
@@ -367,7 +416,7 @@
             self._append(epoch, False)
         except AppendConflict:
             log_event("claim_lost", epoch=epoch)
-            self._watch_store()
+            self._watch_store(_PROBE_SECONDS)
             return
         identity = self._identity
         log_event("claim_won", epoch=epoch)
@@ -376,6 +425,7 @@
     def _win(self, record: LeaderRecord) -> None:
         self._leader = record
         self._resigned = False
+        self._turned_away = 0
         self._elected_at = self._renewed_at = time.monotonic()
         self._own_epoch = record.epoch
         self._elected(record.epoch)
--- a/src/snowdock/entry/leader_queries.py
+++ b/src/snowdock/entry/leader_queries.py
@@ -146,7 +146,8 @@
             self.take_note(record)
             return
         other = self._other_leader()
-        if other is not None and self._election.hears_leader:
+        if other is not None:
+            # Told also while it is not heard: it may lead on, and else this tells nobody anything.
             self._peers.tell(other, RecordNoted(record.key, record.value))
 
     def take_note(self, record: KeyedRecord) -> None:
--- /dev/null
+++ b/src/snowdock/entry/leader_signs.py
@@ -0,0 +1,83 @@
+"""What tells a follower whether the leader still leads: its heartbeats, and its address."""
+
+import socket
+import time
+
+from .leader_record import LeaderRecord
+from .messages import Beat
+
+__all__ = ["LeaderSigns", "refuses_connections"]
+
+_SILENCE_SECONDS = 0.5
+"""Without a heartbeat of the leader for this long (two are due), it may be gone."""
+
+_MISSED_SECONDS = 0.3
+"""After this long, one heartbeat is missing: it is worth a look whether the leader's process is
+there at all, which takes a millisecond."""
+
+_STALE_RENEWAL_SECONDS = 0.9
+"""A leader whose own renewal is this old may have lost the store: three are due meanwhile, and a
+store that has become 90 times as slow answers in some 0.4 s."""
+
+_CONNECT_SECONDS = 0.2
+"""How long the look for the leader's process may take."""
+
+
+class LeaderSigns:
+    """The newest signs of a leader; written by the thread that hears, read by the election's."""
+
+    def __init__(self) -> None:
+        self._heard_at = 0.0
+        self._renewed_s = 0.0
+        self._is_turned_away = False
+
+    @property
+    def is_heard(self) -> bool:
+        """Whether the leader has been heard of lately, and reaches the store."""
+        return (
+            time.monotonic() - self._heard_at < _SILENCE_SECONDS
+            and self._renewed_s < _STALE_RENEWAL_SECONDS
+            and not self._is_turned_away
+        )
+
+    @property
+    def is_turned_away(self) -> bool:
+        """Whether the leader has told lately that the store turns it away."""
+        recently = time.monotonic() - self._heard_at < _SILENCE_SECONDS
+        return recently and self._is_turned_away
+
+    @property
+    def has_missed_a_beat(self) -> bool:
+        """Whether a heartbeat is missing."""
+        return time.monotonic() - self._heard_at > _MISSED_SECONDS
+
+    def hear(self, beat: Beat) -> None:
+        """Take a heartbeat of the leader over."""
+        self._heard_at = time.monotonic()
+        self._renewed_s = beat.renewed_s
+        self._is_turned_away = beat.turned_away
+
+    def expect(self) -> None:
+        """Give a leader that was just elected the time for its first heartbeat."""
+        self._heard_at = time.monotonic()
+        self._renewed_s = 0.0
+        self._is_turned_away = False
+
+    def forget(self) -> None:
+        """Take the leader as not heard: it has resigned, or what is known of it may be old."""
+        self._heard_at = 0.0
+        self._renewed_s = 0.0
+        self._is_turned_away = False
+
+
+def refuses_connections(leader: LeaderRecord) -> bool:
+    """Tell whether no process listens at a leader's address, though its machine is reached."""
+    host, _, port = leader.address.rpartition(":")
+    try:
+        with socket.create_connection((host, int(port)), _CONNECT_SECONDS):
+            return False
+    except ConnectionRefusedError:
+        return True
+    except OSError:
+        # No answer tells nothing: the machine may be cut off, and its process run on.
+        return False
--- a/src/snowdock/entry/messages.py
+++ b/src/snowdock/entry/messages.py
@@ -46,6 +46,8 @@
         How long it leaves it to stronger nodes to claim the leadership, in seconds.
     reaches_store
         Whether the store has answered it lately.
+    turned_away
+        For a leader: whether the store has turned its last renewals away.
     """
 
     node: str
@@ -55,6 +57,7 @@
     resigned: bool = False
     claim_delay_s: float = 0.0
     reaches_store: bool = True
+    turned_away: bool = False
 
 
 class StatusAsked(_EntryMessage, tag="s"):
--- a/src/snowdock/entry/takeover.py
+++ b/src/snowdock/entry/takeover.py
@@ -23,20 +23,24 @@
 _TAKEOVER_RETRY_SECONDS = 0.1
 """Pause before a takeover that the store did not answer is tried again."""
 
-_READERS = 6
-"""Partitions that a takeover reads at the same time."""
+_READERS = 12
+"""Partitions that a takeover reads at the same time: on a slow store each call takes some 0.4 s."""
 
 
-def _read_recorded(store: StoreClient, parts: int) -> tuple[RecordedJobs, list[int]]:
-    """Read all that is on record of jobs, and from where to follow each partition."""
-    progress = {}
-    for record in store.newest(PROGRESS_TOPIC, PART, _READ_SECONDS).records:
-        if record.value:
-            progress[record.key] = decode_progress(record.value)
+def _read_recorded(store: StoreClient, parts: int, epoch: int) -> tuple[RecordedJobs, list[int]]:
+    """Shut earlier leaders out, and read all that is on record of jobs.
+
+    Jobs are read meanwhile, since no leader writes them; gives also from where to follow each
+    of their partitions.
+    """
     with concurrent.futures.ThreadPoolExecutor(_READERS) as pool:
-        pages = list(
-            pool.map(lambda part: store.newest(JOBS_TOPIC, part, _READ_SECONDS), range(parts))
-        )
+        reads = pool.map(lambda part: store.newest(JOBS_TOPIC, part, _READ_SECONDS), range(parts))
+        fence_progress(store, epoch, _READ_SECONDS)
+        newest = store.newest(PROGRESS_TOPIC, PART, _READ_SECONDS)
+        pages = list(reads)
+    progress = {
+        record.key: decode_progress(record.value) for record in newest.records if record.value
+    }
     accepted, cancelled = {}, set()
     for record in (record for page in pages for record in page.records):
         if record.key.startswith(CANCEL_PREFIX):
@@ -64,8 +68,7 @@
     began = time.monotonic()
     while is_wanted():
         try:
-            fence_progress(context.store, context.epoch, _READ_SECONDS)
-            recorded, job_offsets = _read_recorded(context.store, context.parts)
+            recorded, job_offsets = _read_recorded(context.store, context.parts, context.epoch)
         except ProducerFenced as error:
             context.step_down(str(error))
             return None
--- a/tests/test_election.py
+++ b/tests/test_election.py
@@ -1,8 +1,11 @@
 """Tests of the election, against a stand-in of the store."""
 
+import socket
 import threading
 import unittest
+from unittest import mock
 
+from snowdock.entry import election as election_module
 from snowdock.entry.election import Election, Identity
 from snowdock.entry.messages import Beat
 from snowdock.platform.store import StoreClient
@@ -13,14 +16,20 @@
 class Candidate:
     """One node's election, and what it was told."""
 
-    def __init__(self, store: StoreStandin, name: str, delay_s: float = 0.0) -> None:
+    def __init__(
+        self, store: StoreStandin, name: str, delay_s: float = 0.0, incarnation: str = ""
+    ) -> None:
         self.epochs: list[int] = []
         self.deposed = threading.Event()
+        self.reaches_store = True
+        # Stands for the port where a node's process listens for its peers.
+        self.port = socket.create_server(("127.0.0.1", 0))
+        address = f"127.0.0.1:{self.port.getsockname()[1]}"
         self.election = Election(
             StoreClient(store.address, 4),
-            Identity(name, f"{name}-1", "127.0.0.1:1"),
+            Identity(name, incarnation or f"{name}-1", address),
             delay_s,
-            lambda: True,
+            lambda: self.reaches_store,
             self.epochs.append,
             lambda reason: self.deposed.set(),
             lambda leader: None,
@@ -44,6 +53,7 @@
         self.stopped.set()
         for candidate in self.candidates:
             candidate.election.stop()
+            candidate.port.close()
         self.store.close()
 
     def carry_beats(self) -> None:
@@ -58,8 +68,8 @@
                     if other is not sender:
                         other.election.hear(beat)
 
-    def add(self, name: str, delay_s: float = 0.0) -> Candidate:
-        candidate = Candidate(self.store, name, delay_s)
+    def add(self, name: str, delay_s: float = 0.0, incarnation: str = "") -> Candidate:
+        candidate = Candidate(self.store, name, delay_s, incarnation)
         self.candidates.append(candidate)
         return candidate
 
@@ -108,6 +118,62 @@
         self.assertTrue(wait_until(lambda: second.leads))
         self.assertGreater(second.epochs[0], first.epochs[0])
 
+    def wait_followed(self, follower: Candidate) -> None:
+        """Wait until a follower hears the leader, and watches the store no more."""
+        self.assertTrue(wait_until(lambda: follower.election.hears_leader))
+        end = self.store.part("keyed.leaders").end
+        self.assertTrue(wait_until(lambda: self.store.part("keyed.leaders").end > end + 3))
+
+    def end(self, candidate: Candidate) -> None:
+        """End a node's process: it says nothing more, and its port is closed."""
+        self.candidates.remove(candidate)
+        candidate.election.stop()
+        candidate.port.close()
+
+    def test_ended_process_needs_no_watch_over_the_store(self) -> None:
+        """Where nobody listens at the leader's address any more, a follower claims at once."""
+        first = self.add("first")
+        self.wait_leader()
+        second = self.add("second")
+        self.wait_followed(second)
+        with mock.patch.object(election_module, "_PROBE_SECONDS", 60.0):
+            self.end(first)
+            self.assertTrue(wait_until(lambda: second.leads))
+
+    def test_restarted_leader_needs_no_watch_over_the_store(self) -> None:
+        """A node that finds an earlier process of its own on record claims at once."""
+        first = self.add("first")
+        self.wait_leader()
+        first.election.stop()
+        self.candidates.remove(first)
+        self.addCleanup(first.port.close)
+        with mock.patch.object(election_module, "_PROBE_SECONDS", 60.0):
+            again = self.add("first", incarnation="first-2")
+            self.assertTrue(wait_until(lambda: again.leads))
+        self.assertGreater(again.epochs[0], first.epochs[0])
+
+    def test_leader_that_the_store_turns_away_is_relieved(self) -> None:
+        """It tells so itself, and a follower that reaches the store claims at once."""
+        first = self.add("first")
+        self.wait_leader()
+        second = self.add("second")
+        self.wait_followed(second)
+        with mock.patch.object(election_module, "_PROBE_SECONDS", 60.0):
+            first.election._store.move("127.0.0.1:1")
+            self.assertTrue(wait_until(lambda: second.leads))
+
+    def test_leader_is_not_relieved_by_who_does_not_reach_the_store(self) -> None:
+        """While no follower reaches the store either, nobody claims."""
+        first = self.add("first")
+        self.wait_leader()
+        second = self.add("second")
+        second.reaches_store = False
+        self.wait_followed(second)
+        with mock.patch.object(election_module, "_PROBE_SECONDS", 60.0):
+            first.election._store.move("127.0.0.1:1")
+            self.assertTrue(wait_until(lambda: first.election.renewed_s > 1.5))
+            self.assertEqual(second.epochs, [])
+
     def test_resigned_leader_is_replaced_and_claims_no_more(self) -> None:
         """A planned stop hands the leadership over."""
         first = self.add("first")
