Repeat batches without waiting for a hanging try; notice the store's return; drop silent pools

Cause: after the store came back from a silent outage nothing was started for another 1.1 s: the leader's try to put its batch on record had begun just before, hung on a lost opening packet, and was waited for. Other nodes refused jobs for up to 0.4 s more, while their own reads were answered already. A pool of kept connections that had gone silent cost a time-out for each of them.

Ruled out: shorter time-outs for each try (a slow store would be given up before it answers).

Change: after a first failure a batch is tried every quarter of a second beside the tries that still run, at most four, all under its number; the first answer counts. Any well answered call of a node tells its recorder that the store is back. After one time-out no connection is used again that was idle then.

--- a/src/snowdock/entry/progress_writer.py
+++ b/src/snowdock/entry/progress_writer.py
@@ -1,5 +1,8 @@
 """Appends the leader's batches to the store, one at a time, each until it is on record."""
 
+import concurrent.futures
+import contextlib
+import dataclasses
 import queue
 import threading
 import time
@@ -7,10 +10,8 @@
 
 from ..errors import (
     AppendConflict,
-    CallUnanswered,
     PlatformError,
     ProducerFenced,
-    StoreRefused,
 )
 from ..jobs.events import Persist, Persisted
 from ..jobs.progress import cancel_key
@@ -28,7 +29,12 @@
 harm."""
 
 _RETRY_SECONDS = 0.1
-"""Pause between tries of a batch, from the second failure on."""
+"""Pause after a try that failed, from the second one on."""
+
+_NEXT_TRY_SECONDS = 0.25
+_MOST_TRIES = 4
+"""After so long without an answer the next try begins beside the last; so many run at most, which
+is one a quarter of a second for as long as one may take."""
 
 _PRODUCER = "leader"
 """The name under which each leader appends, so that a later epoch shuts out the earlier ones."""
@@ -117,46 +123,104 @@
                 return
 
     def _write(self, batch: Persist) -> bool:
+        """Put a batch on record; tell whether to go on."""
         records = [KeyedRecord(record.job, record.data) for record in batch.records]
-        producer = Producer(_PRODUCER, self._epoch, batch.number)
-        failing_since = None
-        tries = 0
-        while not self._stopped.is_set():
-            began = time.monotonic()
-            try:
-                limit = self._patience.limit
-                self._store.append(PROGRESS_TOPIC, PART, records, limit, producer=producer)
-            except (ProducerFenced, AppendConflict) as error:
-                self._fenced(f"progress append: {error}")
-                return False
-            except (CallUnanswered, StoreRefused, PlatformError) as error:
-                tries += 1
-                self._patience.miss()
-                self._metrics.count(
-                    "store_appends_total", "Appends to the store.", outcome=error.code
-                )
-                if failing_since is None:
-                    failing_since = began
-                    log_event(
-                        "dependency_lost", dependency="store", batch=batch.number, reason=str(error)
-                    )
-                if tries > 1:
-                    self._stopped.wait(_RETRY_SECONDS)
-                continue
-            self._patience.note(time.monotonic() - began)
-            if failing_since is not None:
-                seconds = time.monotonic() - failing_since
-                log_event("dependency_regained", dependency="store", seconds=seconds)
+        began = time.monotonic()
+        outcome = self._try(records, batch.number, self._patience.limit)
+        if isinstance(outcome, _Failed):
+            self._patience.miss()
+            log_event(
+                "dependency_lost", dependency="store", batch=batch.number, reason=outcome.reason
+            )
+            outcome = self._try_until_answered(records, batch.number)
+            log_event("dependency_regained", dependency="store", seconds=time.monotonic() - began)
+        if isinstance(outcome, _Done):
+            self._patience.note(outcome.seconds)
             self._metrics.count("store_appends_total", "Appends to the store.", outcome="done")
             self._metrics.time(
-                "store_append_seconds",
-                "Time of an append that was answered.",
-                time.monotonic() - began,
+                "store_append_seconds", "Time of an append that was answered.", outcome.seconds
             )
             self._persisted(Persisted(batch.number))
             return True
+        if isinstance(outcome, _ShutOut):
+            self._fenced(outcome.reason)
         return False
 
+    def _try_until_answered(
+        self, records: list[KeyedRecord], number: int
+    ) -> "_Done | _ShutOut | None":
+        """Try a batch again and again, without waiting for each try; none where told to stop.
+
+        A try begun just before the store's return may hang until its end. The next one, on
+        another connection, is answered at once.
+        """
+        running: set[concurrent.futures.Future[_Outcome]] = set()
+        with contextlib.closing(_Tries()) as tries:
+            while not self._stopped.is_set():
+                if len(running) < _MOST_TRIES:
+                    running.add(tries.begin(lambda: self._try(records, number, _CALL_SECONDS)))
+                ended, running = concurrent.futures.wait(
+                    running, _NEXT_TRY_SECONDS, concurrent.futures.FIRST_COMPLETED
+                )
+                answers = [each.result() for each in ended]
+                for answer in answers:
+                    if not isinstance(answer, _Failed):
+                        return answer
+                if answers:
+                    self._stopped.wait(_RETRY_SECONDS)
+        return None
+
+    def _try(self, records: list[KeyedRecord], number: int, seconds: float) -> "_Outcome":
+        producer = Producer(_PRODUCER, self._epoch, number)
+        began = time.monotonic()
+        try:
+            self._store.append(PROGRESS_TOPIC, PART, records, seconds, producer=producer)
+        except (ProducerFenced, AppendConflict) as error:
+            return _ShutOut(f"progress append: {error}")
+        except PlatformError as error:
+            self._metrics.count("store_appends_total", "Appends to the store.", outcome=error.code)
+            return _Failed(str(error))
+        return _Done(time.monotonic() - began)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Done:
+    """A batch is on record; the try took so many seconds."""
+
+    seconds: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Failed:
+    """A try had no good answer; the batch may be on record all the same."""
+
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _ShutOut:
+    """Another leader writes."""
+
+    reason: str
+
+
+_Outcome = _Done | _Failed | _ShutOut
+
+
+class _Tries:
+    """Tries of one batch on threads of their own; those that still run are left to themselves."""
+
+    def __init__(self) -> None:
+        self._pool = concurrent.futures.ThreadPoolExecutor(_MOST_TRIES, "progress-try")
+
+    def begin(self, attempt: Callable[[], _Outcome]) -> "concurrent.futures.Future[_Outcome]":
+        """Begin a try."""
+        return self._pool.submit(attempt)
+
+    def close(self) -> None:
+        """Begin no more tries."""
+        self._pool.shutdown(wait=False)
+
 
 def drop_jobs(store: StoreClient, parts: int, jobs: tuple[str, ...]) -> None:
     """Drop the records of jobs that have been final for long.
--- a/src/snowdock/entry/recorder.py
+++ b/src/snowdock/entry/recorder.py
@@ -77,9 +77,15 @@
             return False
         return self._patience.usual > _SLOW_SECONDS
 
-    def admit(self) -> bool:
-        """Tell whether a record may be tried; one that may has to tell how it went."""
+    def admit(self, answered_at: float) -> bool:
+        """Tell whether a record may be tried; one that may has to tell how it went.
+
+        ``answered_at`` tells when the store last answered any call, in steady seconds: where
+        that is after the last failure, the next failure alone decides.
+        """
         with self._lock:
+            if answered_at > self._failed_at:
+                self._failures = min(self._failures, _DOWN_FAILURES - 1)
             if self._failures < _DOWN_FAILURES:
                 return True
             if self._is_probed or time.monotonic() - self._failed_at < _DOWN_SECONDS:
@@ -166,7 +172,7 @@
         outcome = Recording.NOT_DONE
         began = time.monotonic()
         while time.monotonic() - began < min(_TRYING_SECONDS, seconds):
-            if not self._health.admit():
+            if not self._health.admit(self._store.answered_at):
                 return outcome
             left = seconds - (time.monotonic() - began)
             tried = self._try(part, record, max(_LEAST_SECONDS, left))
--- a/src/snowdock/platform/http_pool.py
+++ b/src/snowdock/platform/http_pool.py
@@ -13,7 +13,11 @@
 """Longest wait for a connection: a path within a region answers in a few ms, a lost opening
 packet is repeated after about a second."""
 
-_UNSENT = urllib3.exceptions.NewConnectionError | urllib3.exceptions.ConnectTimeoutError
+_UNSENT = (
+    urllib3.exceptions.NewConnectionError
+    | urllib3.exceptions.ConnectTimeoutError
+    | urllib3.exceptions.ClosedPoolError
+)
 """Failures before there was a connection: nothing can have been done."""
 
 HttpReply = urllib3.BaseHTTPResponse
@@ -35,10 +39,20 @@
     def __init__(
         self, address: str, connections: int, headers: Mapping[str, str] | None = None
     ) -> None:
-        host, _, port = address.rpartition(":")
         self._address = address
-        self._pool = urllib3.HTTPConnectionPool(
-            host, int(port), maxsize=connections, block=False, retries=False, headers=headers
+        self._connections = connections
+        self._headers = headers
+        self._pool = self._make_pool()
+
+    def _make_pool(self) -> urllib3.HTTPConnectionPool:
+        host, _, port = self._address.rpartition(":")
+        return urllib3.HTTPConnectionPool(
+            host,
+            int(port),
+            maxsize=self._connections,
+            block=False,
+            retries=False,
+            headers=self._headers,
         )
 
     @property
@@ -71,8 +85,9 @@
             If there is no whole answer; the call may have been carried out.
         """
         timeout = urllib3.Timeout(connect=min(seconds, _CONNECT_SECONDS), read=seconds)
+        pool = self._pool
         try:
-            return self._pool.urlopen(
+            return pool.urlopen(
                 method,
                 target,
                 body=body,
@@ -82,9 +97,21 @@
                 redirect=False,
             )
         except (urllib3.exceptions.HTTPError, OSError) as error:
+            if isinstance(error, urllib3.exceptions.ReadTimeoutError):
+                self._drop_idle(pool)
             call = f"{method} {self._address}{target[:80]}"
             raise CallUnanswered(f"{call}: {error}", isinstance(error, _UNSENT)) from error
 
+    def _drop_idle(self, pool: urllib3.HTTPConnectionPool) -> None:
+        """Use no connection again that was idle when one has gone silent.
+
+        All of them may have, without a reset; each would cost a time-out of its own.
+        """
+        if self._pool is pool:
+            self._pool = self._make_pool()
+        with contextlib.suppress(OSError):
+            pool.close()
+
     def close(self) -> None:
         """Close idle connections."""
         with contextlib.suppress(OSError):
--- a/src/snowdock/platform/store.py
+++ b/src/snowdock/platform/store.py
@@ -3,6 +3,7 @@
 import base64
 import dataclasses
 import struct
+import time
 from urllib.parse import quote
 
 import msgspec
@@ -120,6 +121,12 @@
         self._connections = connections
         self._headers = {"User-Agent": f"snowdock/{node}"}
         self._http = HttpPool(address, connections, self._headers)
+        self._answered_at = 0.0
+
+    @property
+    def answered_at(self) -> float:
+        """When a call was last answered well, in steady seconds."""
+        return self._answered_at
 
     def move(self, address: str) -> None:
         """Call another address from now on."""
@@ -169,12 +176,18 @@
         if expected_end is not None:
             target += f"&as_of={expected_end}"
         body = b"".join(map(_frame, records))
-        reply = self._http.call("POST", target, body, seconds)
+        reply = self._call("POST", target, body, seconds)
         if reply.status == 200:
             return _decode(reply, _Appended).offset
         self._raise_for(reply)
         raise CallUnanswered(f"append answered {reply.status}", False)
 
+    def _call(self, method: str, target: str, body: bytes | None, seconds: float) -> HttpReply:
+        reply = self._http.call(method, target, body, seconds)
+        if reply.status == 200:
+            self._answered_at = time.monotonic()
+        return reply
+
     @staticmethod
     def _raise_for(reply: HttpReply) -> None:
         if reply.status in _REFUSALS:
@@ -204,7 +217,7 @@
         wait_ms = round(wait_seconds * 1000)
         target = f"/v1/log-read?topic={quote(topic)}&part={part}&from={offset}&wait_ms={wait_ms}"
         seconds = wait_seconds + _LONG_POLL_SLACK_SECONDS
-        reply = self._http.call("GET", target, None, seconds)
+        reply = self._call("GET", target, None, seconds)
         if reply.status != 200:
             self._raise_for(reply)
             raise CallUnanswered(f"read answered {reply.status}", False)
@@ -234,7 +247,7 @@
             target = f"/v1/log-newest?topic={quote(topic)}&part={part}"
             if after:
                 target += f"&after={quote(after)}"
-            reply = self._http.call("GET", target, None, seconds)
+            reply = self._call("GET", target, None, seconds)
             if reply.status != 200:
                 self._raise_for(reply)
                 raise CallUnanswered(f"newest answered {reply.status}", False)
--- /dev/null
+++ b/tests/standins/swallower.py
@@ -0,0 +1,55 @@
+"""A server whose open connections can go silent for good, without a reset, while new ones work."""
+
+import contextlib
+import socket
+import threading
+
+ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"
+
+
+class Swallower:
+    """Answers each request; ``swallow`` silences all connections that are open by then.
+
+    ``held`` keeps answers back while it is cleared, so that calls at the same time need a
+    connection each.
+    """
+
+    def __init__(self) -> None:
+        self.held = threading.Event()
+        self.held.set()
+        self.accepted = 0
+        self.received = 0
+        self._silent: set[socket.socket] = set()
+        self._open: set[socket.socket] = set()
+        self._listener = socket.create_server(("127.0.0.1", 0))
+        self.address = f"127.0.0.1:{self._listener.getsockname()[1]}"
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def swallow(self) -> None:
+        """Silence all connections that are open."""
+        self._silent |= self._open
+
+    def close(self) -> None:
+        """Close the listener and all connections."""
+        with contextlib.suppress(OSError):
+            self._listener.shutdown(socket.SHUT_RDWR)
+        self._listener.close()
+        for each in list(self._open):
+            each.close()
+
+    def _accept(self) -> None:
+        with contextlib.suppress(OSError):
+            while True:
+                connection, _ = self._listener.accept()
+                self.accepted += 1
+                self._open.add(connection)
+                threading.Thread(target=self._serve, args=(connection,), daemon=True).start()
+
+    def _serve(self, connection: socket.socket) -> None:
+        with contextlib.suppress(OSError):
+            while connection.recv(65_536):
+                self.received += 1
+                self.held.wait(10.0)
+                if connection not in self._silent:
+                    connection.sendall(ANSWER)
+        self._open.discard(connection)
--- /dev/null
+++ b/tests/test_progress_writer.py
@@ -0,0 +1,74 @@
+"""Tests of putting the leader's batches on record."""
+
+import queue
+import threading
+import unittest
+
+from snowdock.entry.progress_writer import ProgressWriter
+from snowdock.errors import AppendConflict, CallUnanswered, ProducerFenced
+from snowdock.jobs.events import Persist, Persisted, ProgressRecord
+from snowdock.node.metrics import Metrics
+
+BATCH = Persist(1, (ProgressRecord("0123456789abcdef", b"x"),))
+TIMED_OUT = CallUnanswered("no answer", False)
+
+
+class ScriptedStore:
+    """Each append takes the next step: an error to raise, None to succeed, or an event to await."""
+
+    def __init__(self, *steps) -> None:
+        self.steps = list(steps)
+        self.sequences: list[int] = []
+        self._lock = threading.Lock()
+
+    def append(self, topic, part, records, seconds, *, producer) -> int:
+        with self._lock:
+            self.sequences.append(producer.sequence)
+            step = self.steps.pop(0) if self.steps else None
+        if isinstance(step, threading.Event):
+            step.wait(20.0)
+            raise AppendConflict("too late", 9)
+        if step is not None:
+            raise step
+        return 0
+
+
+class TestProgressWriter(unittest.TestCase):
+    def start(self, store: ScriptedStore) -> queue.SimpleQueue:
+        """Start a writer; give what it tells of."""
+        told: queue.SimpleQueue = queue.SimpleQueue()
+        writer = ProgressWriter(store, 5, told.put, told.put, Metrics())
+        writer.start()
+        self.addCleanup(writer.stop)
+        writer.write(BATCH)
+        return told
+
+    def test_batch_is_repeated_until_it_is_on_record(self) -> None:
+        """Each try carries the same number."""
+        store = ScriptedStore(TIMED_OUT, TIMED_OUT, TIMED_OUT)
+        told = self.start(store)
+        self.assertEqual(told.get(timeout=15), Persisted(1))
+        self.assertEqual(store.sequences, [1, 1, 1, 1])
+
+    def test_hanging_try_keeps_nothing_waiting(self) -> None:
+        """While one try hangs, the next is made; how the first ends changes nothing."""
+        hanging = threading.Event()
+        store = ScriptedStore(TIMED_OUT, hanging)
+        told = self.start(store)
+        self.assertEqual(told.get(timeout=15), Persisted(1))
+        hanging.set()
+        with self.assertRaises(queue.Empty):
+            told.get(timeout=0.3)
+
+    def test_shut_out_writer_tells_so_and_writes_no_more(self) -> None:
+        """A later leader has fenced it, at the first try or a later one."""
+        for steps in ((ProducerFenced("later"),), (TIMED_OUT, ProducerFenced("later"))):
+            store = ScriptedStore(*steps)
+            told = self.start(store)
+            self.assertIn("later", told.get(timeout=15))
+            with self.assertRaises(queue.Empty):
+                told.get(timeout=0.3)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_recorder.py
+++ b/tests/test_recorder.py
@@ -1,6 +1,7 @@
 """Tests of putting records of jobs on the store: together, once, and truly told."""
 
 import threading
+import time
 import unittest
 from unittest import mock
 
@@ -24,6 +25,7 @@
         self.gate = threading.Event()
         self.gate.set()
         self.appends: list[list[str]] = []
+        self.answered_at = 0.0
 
     def append(self, topic: str, part: int, records: list[KeyedRecord], seconds: float) -> int:
         self.appends.append([record.key for record in records])
@@ -42,6 +44,19 @@
             patched.start()
             self.addCleanup(patched.stop)
 
+    def test_answered_call_tells_that_the_store_is_back(self) -> None:
+        """A store that counts as down is tried at once when it has answered any other call."""
+        self.store.error = StoreRefused("down")
+        with mock.patch.object(recorder, "_DOWN_SECONDS", 60.0):
+            for _ in range(3):
+                self.recorder.record(JOB, RECORD, 1.0)
+            tried = len(self.store.appends)
+            self.store.error = None
+            self.assertIs(self.recorder.record(JOB, RECORD, 1.0), Recording.NOT_DONE)
+            self.assertEqual(len(self.store.appends), tried)
+            self.store.answered_at = time.monotonic()
+            self.assertIs(self.recorder.record(JOB, RECORD, 1.0), Recording.DONE)
+
     def record_many(self, count: int) -> list[Recording]:
         """Record on many threads while the first append is held; give all outcomes."""
         outcomes: list[Recording] = []
