Miss a silent leader sooner, and watch the store longer only where its calls are slow

Cause: a leader that lost power, or whom the store answers with silence, was replaced after 1.45 to 1.7 s.

Change: two missed heartbeats (0.4 s) or a renewal 0.7 s old begin the watch; it first reads up to the present, and then waits for one renewal (0.45 s) plus three times what those calls took.

Ruled out: a shorter watch on a slow store, where renewals themselves take that long.

--- a/src/snowdock/entry/election.py
+++ b/src/snowdock/entry/election.py
@@ -35,8 +35,10 @@
 _RENEW_SECONDS = 0.3
 """Time between a leader's renewals; each is one write to the store."""
 
-_PROBE_SECONDS = 0.6
-"""How long the store is watched for a renewal before a claim: two renewals are due."""
+_PROBE_SECONDS = 0.45
+_PROBE_CALLS = 3
+"""How long the store is watched for a renewal before a claim: one is due each 0.3 s, and comes as
+many times later as calls take; here a call takes what the look just before has taken."""
 
 _TURNED_AWAY_TRIES = 2
 """Renewals that failed at once, one after the other, after which a leader tells that the store
@@ -349,7 +351,14 @@
         """Watch for a renewal of a leader that has not resigned; tell whether it leads on."""
         if self._leader is None or self._leader.resigned:
             return False
-        return self._watch_store(_PROBE_SECONDS) or self.hears_leader
+        began = time.monotonic()
+        # What was appended before tells nothing; only news from now on does.
+        if self._has_another_leader():
+            return True
+        if self._leader.resigned:
+            return False
+        call_s = time.monotonic() - began
+        return self._watch_store(_PROBE_SECONDS + _PROBE_CALLS * call_s) or self.hears_leader
 
     def _has_another_leader(self) -> bool:
         """Read what the store holds by now; tell whether it names another leader."""
--- a/src/snowdock/entry/leader_signs.py
+++ b/src/snowdock/entry/leader_signs.py
@@ -8,16 +8,15 @@
 
 __all__ = ["LeaderSigns", "refuses_connections"]
 
-_SILENCE_SECONDS = 0.5
+_SILENCE_SECONDS = 0.4
 """Without a heartbeat of the leader for this long (two are due), it may be gone."""
 
 _MISSED_SECONDS = 0.3
 """After this long, one heartbeat is missing: it is worth a look whether the leader's process is
 there at all, which takes a millisecond."""
 
-_STALE_RENEWAL_SECONDS = 0.9
-"""A leader whose own renewal is this old may have lost the store: three are due meanwhile, and a
-store that has become 90 times as slow answers in some 0.4 s."""
+_STALE_RENEWAL_SECONDS = 0.7
+"""A leader whose own renewal is this old may have lost the store: two are due meanwhile."""
 
 _CONNECT_SECONDS = 0.2
 """How long the look for the leader's process may take."""
