Have a late question to the advice service asked by another node as well

Cause: nodes that were killed, or stopped in a rolling restart, kept the questions they were asking: the leader waited for each answer up to 2.5 s longer than it takes.

Ruled out: a shorter wait for the answer (the service goes on with a question that nobody waits for, and the node's next one queues behind it).

Change: a question that has taken twice its time and 0.15 s is also given to another idle node; the first answer counts, and it has failed once all that asked it have had no answer.

--- a/src/snowdock/entry/advisers.py
+++ b/src/snowdock/entry/advisers.py
@@ -5,6 +5,8 @@
 
 import collections
 import concurrent.futures
+import contextlib
+import dataclasses
 import threading
 import time
 from collections.abc import Callable
@@ -32,6 +34,14 @@
 _PEER_SLACK_SECONDS = 0.3
 """How much longer than the peer itself waits: the way there and back."""
 
+_LATE_FACTOR = 2.0
+_LATE_SECONDS = 0.15
+"""A question without an answer after so many times what it takes, and so much more, is asked by
+another node as well: the node that asks may be gone, and what it says would come seconds later."""
+
+_WATCH_SECONDS = 0.05
+"""Time between looks for such questions."""
+
 _LONG_SHARE = 0.67
 """The most of the nodes that long questions may occupy at a time, so that a short one, for a
 job with a person waiting, always finds a node soon."""
@@ -54,6 +64,23 @@
             return self._client.ask(wanted, seconds)
 
 
+@dataclasses.dataclass(slots=True, eq=False)
+class _Open:
+    """A question that is not answered yet.
+
+    ``late_at`` is when another node is to ask it too, in steady seconds; None while it waits for
+    a node, and once that has been done.
+    """
+
+    question: AskAdvice
+    late_at: float | None = None
+    tries: int = 0
+
+    @property
+    def is_long(self) -> bool:
+        return self.question.expected_ms > LONG_QUESTION_MS
+
+
 class Advisers:
     """Gives each question to a free node; one question a node at a time.
 
@@ -88,21 +115,28 @@
         self._live_nodes = live_nodes
         self._post = post
         self._metrics = metrics
-        self._short: collections.deque[AskAdvice] = collections.deque()
-        self._long: collections.deque[AskAdvice] = collections.deque()
-        self._busy: dict[str, AskAdvice] = {}
+        self._short: collections.deque[_Open] = collections.deque()
+        self._long: collections.deque[_Open] = collections.deque()
+        self._open: dict[AdviceWanted, _Open] = {}
+        self._busy: dict[str, _Open] = {}
+        self._stopped = threading.Event()
         self._lock = threading.Lock()
         self._pool = concurrent.futures.ThreadPoolExecutor(_ASKERS, "adviser")
+        threading.Thread(target=self._watch, name="advisers", daemon=True).start()
 
     def ask(self, question: AskAdvice) -> None:
         """Have a question asked by some node."""
+        opened = _Open(question)
         with self._lock:
-            (self._long if _is_long(question) else self._short).append(question)
+            self._open[question.wanted] = opened
+            (self._long if opened.is_long else self._short).append(opened)
         self._dispatch()
 
     def stop(self) -> None:
         """Ask nothing more."""
+        self._stopped.set()
         with self._lock:
+            self._open.clear()
             self._short.clear()
             self._long.clear()
         self._pool.shutdown(wait=False, cancel_futures=True)
@@ -111,19 +145,39 @@
         nodes = [*sorted(self._live_nodes()), self._own_node]
         with self._lock:
             idle = [node for node in nodes if node not in self._busy]
-            long_ones = sum(_is_long(question) for question in self._busy.values())
+            long_ones = sum(each.is_long for each in self._busy.values())
             most_long = max(1, int(len(nodes) * _LONG_SHARE))
             while idle and (self._short or (self._long and long_ones < most_long)):
-                if self._short:
-                    question = self._short.popleft()
-                else:
-                    question = self._long.popleft()
-                    long_ones += 1
+                opened = (self._short or self._long).popleft()
+                long_ones += opened.is_long
                 node = idle.pop()
-                self._busy[node] = question
-                self._pool.submit(self._ask, question, node)
-
-    def _ask(self, question: AskAdvice, node: str) -> None:
+                self._busy[node] = opened
+                self._note_asked(opened)
+                self._pool.submit(self._ask, opened, node)
+
+    @staticmethod
+    def _note_asked(opened: _Open) -> None:
+        opened.tries += 1
+        if opened.tries == 1:
+            patience = opened.question.expected_ms / 1000 * _LATE_FACTOR + _LATE_SECONDS
+            opened.late_at = time.monotonic() + patience
+
+    def _watch(self) -> None:
+        """Have questions that are late asked by another node, too."""
+        while not self._stopped.wait(_WATCH_SECONDS):
+            now = time.monotonic()
+            with self._lock:
+                late = [each for each in self._open.values() if each.late_at and each.late_at < now]
+                for each in late:
+                    each.late_at = None
+                    (self._long if each.is_long else self._short).appendleft(each)
+            for each in late:
+                log_event("advice_late", job=each.question.wanted.job, tries=each.tries)
+            if late:
+                self._dispatch()
+
+    def _ask(self, opened: _Open, node: str) -> None:
+        question = opened.question
         wanted = question.wanted
         seconds = question.expected_ms / 1000 + _SLACK_SECONDS
         began = time.monotonic()
@@ -142,13 +196,29 @@
         self._metrics.time(
             "advice_seconds", "Time until advice was there.", time.monotonic() - began
         )
+        self._take(opened, node, tickets)
+        self._dispatch()
+
+    def _take(self, opened: _Open, node: str, tickets: dict[str, str] | None) -> None:
+        """Tell of a question's first answer, or that all who asked it had none."""
+        wanted = opened.question.wanted
         with self._lock:
             del self._busy[node]
-        if tickets is None:
-            self._post(AdviceFailed(wanted))
-        else:
+            is_first = self._open.get(wanted) is opened
+            opened.tries -= 1
+            is_last = not opened.tries and opened not in self._short and opened not in self._long
+            if is_first and (tickets is not None or is_last):
+                del self._open[wanted]
+                self._drop_waiting(opened)
+        if is_first and tickets is not None:
             self._post(AdviceAnswered(AdviceGiven(wanted, tickets)))
-        self._dispatch()
+        elif is_first and is_last:
+            self._post(AdviceFailed(wanted))
+
+    def _drop_waiting(self, opened: _Open) -> None:
+        for waiting in (self._short, self._long):
+            with contextlib.suppress(ValueError):
+                waiting.remove(opened)
 
     def _ask_peer(self, node: str, question: AskAdvice, seconds: float) -> dict[str, str] | None:
         wanted = question.wanted
@@ -160,7 +230,3 @@
 
         reply = self._peers.ask(node, make, seconds + _PEER_SLACK_SECONDS)
         return reply.tickets if isinstance(reply, AdviceReply) else None
-
-
-def _is_long(question: AskAdvice) -> bool:
-    return question.expected_ms > LONG_QUESTION_MS
