--- a/src/snowdock/cli/losses.py
+++ b/src/snowdock/cli/losses.py
@@ -1,7 +1,11 @@
 """Where jobs lost their time: a table for each queue, told from the nodes' logs.
 
 The lines about a job part the time from its being taken in to its end. Each part counts for the
-reason that the line at its end names, so the parts of a job add up to all of its time.
+reason that the line at its end names, so the parts of a job add up to all of its time. Where a
+node has left lines out, the part before its next line is not explained.
+
+A job is in time if it took no longer than its queue allows for the work that was seen, its failed
+runs included. So a run on a slow worker passes for work; `run_moved` tells of those.
 """
 
 import collections
@@ -31,11 +35,12 @@
 }
 """What a job waited for until a line of an event."""
 
-_RUN_REASONS = {"done": "work", "failed": "failed run", "stopped": "moved or yielded"}
-"""What the time until a run's end went to, by how it ended."""
-
 _LOST_RUN = "run lost"
+_WORK = "work"
+_FAILED_RUN = "failed run"
 _UNEXPLAINED = "not explained"
+_AFTER_A_RUN = ("run_ended", "job_ended")
+"""What a job's end follows, unless lines were left out."""
 
 
 @dataclasses.dataclass(slots=True)
@@ -50,8 +55,10 @@
         When it was first heard of and when it ended, in seconds; no end where there was none.
     status
         How it ended; empty where it has not.
-    objective_s
-        Within how many seconds it was to be done; 0 where no line tells.
+    stretch, target_s
+        It is to be done within so many times its work, and so many seconds more.
+    lasts
+        Whether its tasks run until it is cancelled; it is in time once it has run.
     spent
         Seconds by reason.
     """
@@ -61,30 +68,35 @@
     began: float = 0.0
     ended: float | None = None
     status: str = ""
-    objective_s: float = 0.0
+    stretch: float = 0.0
+    target_s: float = 0.0
+    lasts: bool = False
     spent: dict[str, float] = dataclasses.field(default_factory=dict)
 
+    @property
+    def allowed_s(self) -> float:
+        """Within how many seconds it was to be done, by the work that was seen."""
+        work = self.spent.get(_WORK, 0.0) + self.spent.get(_FAILED_RUN, 0.0)
+        return self.stretch * work + self.target_s
+
     @property
     def is_lost(self) -> bool:
         """Whether it did not end well in time; a cancelled job is not lost."""
         if self.status == "cancelled":
             return False
+        if self.lasts:
+            return "room" not in self.spent
         if self.ended is None or self.status != "completed":
             return True
-        return 0 < self.objective_s < self.ended - self.began
+        return self.ended - self.began > self.allowed_s
 
     @property
     def main_reason(self) -> str:
         """What it spent most time on besides its work."""
-        waits = {reason: spent for reason, spent in self.spent.items() if reason != "work"}
         if self.status == "failed":
             return "attempts used up"
-        if not waits:
-            return "work" if self.spent else _UNEXPLAINED
-        reason = max(waits, key=waits.get)
-        # Where its work alone took longer than it may take, no wait explains it.
-        work = self.spent.get("work", 0.0)
-        return "work" if 0 < self.objective_s < work else reason
+        waits = {reason: spent for reason, spent in self.spent.items() if reason != _WORK}
+        return max(waits, key=waits.get) if waits else _UNEXPLAINED
 
 
 @dataclasses.dataclass(slots=True)
@@ -145,15 +157,19 @@
 
 def _trace(job: str, lines: list[LogLine], last: float) -> JobWay:
     lines.sort(key=lambda line: line.time)
-    way = JobWay(job, began=lines[0].time - _seconds(lines[0], "ms") / 1000)
+    way = JobWay(job, began=lines[0].time - _number(lines[0], "ms") / 1000)
     before = way.began
+    event_before = ""
     for line in lines:
         way.queue = line.fields.get("queue", way.queue)
-        way.objective_s = _seconds(line, "objective_s") or way.objective_s
+        way.stretch = _number(line, "stretch") or way.stretch
+        way.target_s = _number(line, "target_s") or way.target_s
+        way.lasts = way.lasts or line.fields.get("lasts") == "True"
         if way.ended is not None:
             break
-        _spend(way, _reason(line), line.time - before)
+        _spend(way, _reason(line, event_before), line.time - before)
         before = line.time
+        event_before = line.event
         if line.event == "job_ended":
             way.ended = line.time
             way.status = line.fields.get("status", "")
@@ -162,9 +178,12 @@
     return way
 
 
-def _reason(line: LogLine) -> str:
+def _reason(line: LogLine, event_before: str) -> str:
     if line.event == "run_ended":
-        return _RUN_REASONS.get(line.fields.get("how", ""), _LOST_RUN)
+        reasons = {"done": _WORK, "failed": _FAILED_RUN, "stopped": "moved or yielded"}
+        return reasons.get(line.fields.get("how", ""), _LOST_RUN)
+    if line.event == "job_ended" and event_before not in _AFTER_A_RUN:
+        return _UNEXPLAINED
     return _REASONS[line.event]
 
 
@@ -172,7 +191,7 @@
     way.spent[reason] = way.spent.get(reason, 0.0) + seconds
 
 
-def _seconds(line: LogLine, field: str) -> float:
+def _number(line: LogLine, field: str) -> float:
     try:
         return float(line.fields.get(field, ""))
     except ValueError:
--- a/src/snowdock/jobs/reducer.py
+++ b/src/snowdock/jobs/reducer.py
@@ -113,7 +113,9 @@
         job.id,
         queue=job.queue,
         steps=len(event.accepted.spec.steps),
-        objective_s=cell.objective_seconds(job),
+        stretch=cell.queue_of(job).stretch,
+        target_s=cell.queue_of(job).target_latency_ms / 1000,
+        lasts=any(step.long_running for step in event.accepted.spec.steps),
     )
     if event.job in cell.cancelled_ahead:
         cancel_job(cell, job, now)
