Split a node's place in the leaders' partition, and the evidence against a leader, off the election

Change: leader_log.py holds the place and the condition, leader_signs.py the evidence. An append without a known end is refused now: it would have had no condition. A leader that meets a conflict after its history was dropped reads the newest record, where it kept failing before.

Ruled out: keeping the old failure (it lasted until another node claimed).

--- a/src/snowdock/entry/daemon.py
+++ b/src/snowdock/entry/daemon.py
@@ -17,12 +17,12 @@
 from ..platform.node_settings import NodeEnvironment, read_node_environment
 from ..platform.store import KeyedRecord, StoreClient
 from .advisers import Advisers, LocalAdviser
-from .election import Election, Identity
+from .election import Election
 from .front import bound_front, make_front
 from .intake import Intake, IntakeParts
 from .leader import LeaderContext
 from .leader_queries import LeaderQueries
-from .leader_record import LeaderRecord
+from .leader_record import Identity, LeaderRecord
 from .leader_terms import cell_settings, claim_delay
 from .leadership import Leadership
 from .messages import ENTRY_MESSAGES, Beat
--- a/src/snowdock/entry/election.py
+++ b/src/snowdock/entry/election.py
@@ -5,7 +5,6 @@
 and the claim's offset gives an epoch that rises with each leader.
 """
 
-import dataclasses
 import random
 import threading
 import time
@@ -16,21 +15,20 @@
 from ..errors import (
     AppendConflict,
     CallUnanswered,
-    LogExpired,
     PlatformError,
     StoreRefused,
 )
 from ..jobs.times import ISOLATED_SECONDS
 from ..node.logs import log_error, log_event
-from ..platform.store import KeyedRecord, StoreClient
-from .leader_record import LeaderRecord, decode_leader, encode_leader
-from .leader_signs import LeaderSigns, refuses_connections
+from ..platform.store import StoreClient
+from .leader_log import LeaderLog
+from .leader_record import Identity, LeaderRecord
+from .leader_signs import LeaderSigns, find_evidence
 from .messages import Beat
 from .patience import Patience
 from .succession import Succession
-from .topics import LEADER_KEY, LEADERS_TOPIC, PART
 
-__all__ = ["Election", "Identity"]
+__all__ = ["Election"]
 
 _RENEW_SECONDS = 0.3
 """Time between a leader's renewals; each is one write to the store."""
@@ -66,15 +64,6 @@
 """How long all others leave it to the successor that a resigning leader names to claim."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Identity:
-    """A node, one start of its process, and where its peers connect."""
-
-    node: str
-    incarnation: str
-    address: str
-
-
 class Election:
     """Follows who leads, and claims or renews the leadership of this node.
 
@@ -106,7 +95,7 @@
         deposed: Callable[[str], None],
         leader_changed: Callable[[LeaderRecord], None],
     ) -> None:
-        self._store = store
+        self._log = LeaderLog(store)
         self._identity = identity
         self._claim_delay_s = claim_delay_s
         self._reaches_store = reaches_store
@@ -119,7 +108,6 @@
         self._may_claim = True
         self._patience = Patience(_SHORTEST_RENEWAL_SECONDS, _CALL_SECONDS)
         self._leader: LeaderRecord | None = None
-        self._next_offset: int | None = None
         self._own_epoch = 0
         self._elected_at = 0.0
         self._renewed_at = 0.0
@@ -208,7 +196,7 @@
         """Lead no more: another node has been seen to lead."""
         if self._own_epoch:
             self._own_epoch = 0
-            self._next_offset = None
+            self._log.forget_place()
             self._deposed(reason)
 
     def stop(self) -> None:
@@ -240,18 +228,8 @@
         successor: str = "",
     ) -> None:
         """Append an own record, on condition that nobody has appended since the last look."""
-        identity = self._identity
-        record = LeaderRecord(
-            identity.node, identity.incarnation, identity.address, epoch, resigned, successor
-        )
-        offset = self._store.append(
-            LEADERS_TOPIC,
-            PART,
-            [KeyedRecord(LEADER_KEY, encode_leader(record))],
-            seconds,
-            expected_end=self._next_offset,
-        )
-        self._next_offset = offset + 1
+        record = self._identity.lead(epoch, resigned, successor)
+        self._log.append(record, seconds)
 
     def _renew(self) -> float:
         epoch = self._own_epoch
@@ -298,16 +276,16 @@
 
     def _still_leads(self, epoch: int) -> bool:
         """Read on after a conflict; only an own renewal whose answer was lost explains it."""
-        page = self._store.read(LEADERS_TOPIC, PART, self._next_offset, 0.0)
-        self._next_offset = page.next_offset
-        found = [decode_leader(record) for record in page.records if record.value]
+        found = self._log.read_on(0.0)
+        if found is None:
+            found = self._log.read_newest(_CALL_SECONDS)
         return all(
             record.epoch == epoch and record.incarnation == self._identity.incarnation
             for record in found
         )
 
     def _follow(self) -> float:
-        if self._next_offset is None:
+        if not self._log.has_place:
             self._read_newest()
         if self._leader_is_gone():
             if self._has_another_leader():
@@ -331,21 +309,13 @@
         That spares the wait only; the claim's condition decides whether it is granted.
         """
         leader = self._leader
-        identity = self._identity
-        if leader is None or leader.resigned or leader.incarnation == identity.incarnation:
-            return False
-        if leader.node == identity.node:
-            evidence = "its process on this node has been replaced"
-        elif self._signs.is_turned_away and self._reaches_store():
-            evidence = "the store turns it away"
-        elif self._signs.has_missed_a_beat and refuses_connections(leader):
-            evidence = "no process listens at its address"
-        else:
+        if leader is None or leader.resigned:
             return False
-        if self._told_gone != leader.epoch:
+        evidence = find_evidence(leader, self._identity, self._signs, self._reaches_store)
+        if evidence is not None and self._told_gone != leader.epoch:
             self._told_gone = leader.epoch
             log_event("leader_gone", leader=leader.node, epoch=leader.epoch, reason=evidence)
-        return True
+        return evidence is not None
 
     def _shows_up(self) -> bool:
         """Watch for a renewal of a leader that has not resigned; tell whether it leads on."""
@@ -364,7 +334,7 @@
         """Read what the store holds by now; tell whether it names another leader."""
         before = self._leader.incarnation
         while self._read_on(0.0):
-            if self._next_offset is None:
+            if not self._log.has_place:
                 return True
             if self._leader.incarnation != before:
                 return not self._leader.resigned
@@ -378,9 +348,7 @@
         return leader.successor not in ("", self._identity.node)
 
     def _read_newest(self) -> None:
-        page = self._store.newest(LEADERS_TOPIC, PART, _CALL_SECONDS)
-        self._next_offset = page.next_offset
-        self._take(page.records)
+        self._take(self._log.read_newest(_CALL_SECONDS))
         # The record may be old; the leader has to be heard, or seen to renew it.
         self._signs.forget()
 
@@ -390,21 +358,15 @@
 
     def _read_on(self, seconds: float) -> bool:
         """Read the records since the last look; tell whether there were any, or may have been."""
-        try:
-            page = self._store.read(LEADERS_TOPIC, PART, self._next_offset, seconds)
-        except LogExpired:
-            self._next_offset = None
+        found = self._log.read_on(seconds)
+        if found is None:
             return True
-        self._next_offset = page.next_offset
-        self._take(page.records)
-        return bool(page.records)
+        self._take(found)
+        return bool(found)
 
-    def _take(self, records: list[KeyedRecord]) -> None:
+    def _take(self, records: list[LeaderRecord]) -> None:
         before = self._leader
-        for record in records:
-            if record.key == LEADER_KEY and record.value:
-                self._leader = decode_leader(record)
-        leader = self._leader
+        leader = self._leader = records[-1] if records else before
         if leader is None or leader == before:
             return
         log_event("leader_seen", leader=leader.node, epoch=leader.epoch, resigned=leader.resigned)
@@ -420,16 +382,15 @@
             self._leader_changed(leader)
 
     def _claim(self) -> None:
-        epoch = self._next_offset + 1
+        epoch = self._log.next_epoch
         try:
             self._append(epoch, False)
         except AppendConflict:
             log_event("claim_lost", epoch=epoch)
             self._watch_store(_PROBE_SECONDS)
             return
-        identity = self._identity
         log_event("claim_won", epoch=epoch)
-        self._win(LeaderRecord(identity.node, identity.incarnation, identity.address, epoch))
+        self._win(self._identity.lead(epoch))
 
     def _win(self, record: LeaderRecord) -> None:
         self._leader = record
--- /dev/null
+++ b/src/snowdock/entry/leader_log.py
@@ -0,0 +1,84 @@
+"""The partition of the store that tells who leads: read on, and appended to on condition."""
+
+from ..errors import LogExpired, PlatformError
+from ..platform.store import KeyedRecord, StoreClient
+from .leader_record import LeaderRecord, decode_leader, encode_leader
+from .topics import LEADER_KEY, LEADERS_TOPIC, PART
+
+__all__ = ["LeaderLog"]
+
+
+class LeaderLog:
+    """One node's place in the leaders' partition.
+
+    Parameters
+    ----------
+    store
+        The store.
+    """
+
+    def __init__(self, store: StoreClient) -> None:
+        self._store = store
+        self._next_offset: int | None = None
+
+    @property
+    def has_place(self) -> bool:
+        """Whether it is known from where to read on."""
+        return self._next_offset is not None
+
+    @property
+    def next_epoch(self) -> int:
+        """The epoch of a leader whose claim is appended next."""
+        return self._next_offset + 1
+
+    def forget_place(self) -> None:
+        """Begin again from the newest record."""
+        self._next_offset = None
+
+    def read_newest(self, seconds: float) -> list[LeaderRecord]:
+        """Give the newest record, if there is one, and read on from there."""
+        page = self._store.newest(LEADERS_TOPIC, PART, seconds)
+        self._next_offset = page.next_offset
+        return _decode_all(page.records)
+
+    def read_on(self, seconds: float) -> list[LeaderRecord] | None:
+        """Give the records since the last look, waiting a while for the first.
+
+        None where the store keeps them no more; the place is then forgotten.
+        """
+        try:
+            page = self._store.read(LEADERS_TOPIC, PART, self._next_offset, seconds)
+        except LogExpired:
+            self.forget_place()
+            return None
+        self._next_offset = page.next_offset
+        return _decode_all(page.records)
+
+    def append(self, record: LeaderRecord, seconds: float) -> None:
+        """Append a record, on condition that nobody has appended since the last look.
+
+        Raises
+        ------
+        AppendConflict
+            If somebody has.
+        StoreRefused, CallUnanswered
+            If it was not done, or may not have been.
+        PlatformError
+            If it is not known where the partition ends, so that there is no condition.
+        """
+        if self._next_offset is None:
+            raise PlatformError("it is not known where the leaders' partition ends")
+        offset = self._store.append(
+            LEADERS_TOPIC,
+            PART,
+            [KeyedRecord(LEADER_KEY, encode_leader(record))],
+            seconds,
+            expected_end=self._next_offset,
+        )
+        self._next_offset = offset + 1
+
+
+def _decode_all(records: list[KeyedRecord]) -> list[LeaderRecord]:
+    return [
+        decode_leader(record) for record in records if record.key == LEADER_KEY and record.value
+    ]
--- a/src/snowdock/entry/leader_record.py
+++ b/src/snowdock/entry/leader_record.py
@@ -1,11 +1,13 @@
 """The record that tells who leads, as it is kept in the store."""
 
+import dataclasses
+
 import msgspec
 
 from ..errors import PlatformError
 from ..platform.store import KeyedRecord
 
-__all__ = ["LeaderRecord", "decode_leader", "encode_leader"]
+__all__ = ["Identity", "LeaderRecord", "decode_leader", "encode_leader"]
 
 
 class LeaderRecord(msgspec.Struct, frozen=True, array_like=True):
@@ -22,6 +24,19 @@
     successor: str = ""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Identity:
+    """A node, one start of its process, and where its peers connect."""
+
+    node: str
+    incarnation: str
+    address: str
+
+    def lead(self, epoch: int, resigned: bool = False, successor: str = "") -> LeaderRecord:
+        """Make the record that this node leads, or has resigned."""
+        return LeaderRecord(self.node, self.incarnation, self.address, epoch, resigned, successor)
+
+
 def encode_leader(record: LeaderRecord) -> bytes:
     """Encode a leader's record."""
     return msgspec.msgpack.encode(record)
--- a/src/snowdock/entry/leader_signs.py
+++ b/src/snowdock/entry/leader_signs.py
@@ -2,11 +2,12 @@
 
 import socket
 import time
+from collections.abc import Callable
 
-from .leader_record import LeaderRecord
+from .leader_record import Identity, LeaderRecord
 from .messages import Beat
 
-__all__ = ["LeaderSigns", "refuses_connections"]
+__all__ = ["LeaderSigns", "find_evidence"]
 
 _SILENCE_SECONDS = 0.4
 """Without a heartbeat of the leader for this long (two are due), it may be gone."""
@@ -69,7 +70,37 @@
         self._is_turned_away = False
 
 
-def refuses_connections(leader: LeaderRecord) -> bool:
+def find_evidence(
+    leader: LeaderRecord,
+    identity: Identity,
+    signs: LeaderSigns,
+    reaches_store: Callable[[], bool],
+) -> str | None:
+    """Tell by what it is evident that a leader leads no more; None where by nothing.
+
+    Parameters
+    ----------
+    leader
+        The leader on record, which has not resigned.
+    identity
+        This node.
+    signs
+        What was heard of the leader.
+    reaches_store
+        Whether the store has answered this node lately.
+    """
+    if leader.incarnation == identity.incarnation:
+        return None
+    if leader.node == identity.node:
+        return "its process on this node has been replaced"
+    if signs.is_turned_away and reaches_store():
+        return "the store turns it away"
+    if signs.has_missed_a_beat and _refuses_connections(leader):
+        return "no process listens at its address"
+    return None
+
+
+def _refuses_connections(leader: LeaderRecord) -> bool:
     """Tell whether no process listens at a leader's address, though its machine is reached."""
     host, _, port = leader.address.rpartition(":")
     try:
--- a/tests/test_election.py
+++ b/tests/test_election.py
@@ -6,7 +6,8 @@
 from unittest import mock
 
 from snowdock.entry import election as election_module
-from snowdock.entry.election import Election, Identity
+from snowdock.entry.election import Election
+from snowdock.entry.leader_record import Identity
 from snowdock.entry.messages import Beat
 from snowdock.platform.store import StoreClient
 from tests.standins.entry_cluster import wait_until
@@ -159,7 +160,7 @@
         second = self.add("second")
         self.wait_followed(second)
         with mock.patch.object(election_module, "_PROBE_SECONDS", 60.0):
-            first.election._store.move("127.0.0.1:1")
+            first.election._log._store.move("127.0.0.1:1")
             self.assertTrue(wait_until(lambda: second.leads))
 
     def test_leader_is_not_relieved_by_who_does_not_reach_the_store(self) -> None:
@@ -170,7 +171,7 @@
         second.reaches_store = False
         self.wait_followed(second)
         with mock.patch.object(election_module, "_PROBE_SECONDS", 60.0):
-            first.election._store.move("127.0.0.1:1")
+            first.election._log._store.move("127.0.0.1:1")
             self.assertTrue(wait_until(lambda: first.election.renewed_s > 1.5))
             self.assertEqual(second.epochs, [])
 
