Test each kind of kept connection against one that goes silent; tell what notices

Cause: connections may go silent for good, without a reset, while new ones work. Callers' own connections are not tested. Ruled out: nothing. Conclusion: each link is usable again after one time-out.

--- a/tests/standins/proxy.py
+++ b/tests/standins/proxy.py
@@ -36,6 +36,7 @@
         self._listener.settimeout(ACCEPT_SECONDS)
         self.address = f"127.0.0.1:{self._listener.getsockname()[1]}"
         self._sockets: set[socket.socket] = set()
+        self._swallowed: set[socket.socket] = set()
         self._lock = threading.Lock()
         self._closed = False
         threading.Thread(target=self._accept, daemon=True).start()
@@ -49,6 +50,11 @@
             for each in sockets:
                 self._reset(each)
 
+    def swallow_open(self) -> None:
+        """Silence the connections that are open for good; those to come work."""
+        with self._lock:
+            self._swallowed |= self._sockets
+
     def close(self) -> None:
         self._closed = True
         self.set(Mode.RESET)
@@ -91,7 +97,7 @@
             while data := source.recv(CHUNK):
                 if self.mode is Mode.DELAY:
                     time.sleep(self.delay_s)
-                if self.mode not in (Mode.SILENT, cut):
+                if self.mode not in (Mode.SILENT, cut) and source not in self._swallowed:
                     sink.sendall(data)
         with contextlib.suppress(OSError):
             sink.shutdown(socket.SHUT_RDWR)
--- a/tests/standins/swallower.py
+++ b/tests/standins/swallower.py
@@ -4,7 +4,8 @@
 import socket
 import threading
 
-ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"
+BODY = b'{"clock_ms":1,"running":[],"ended":[],"good":[]}'
+ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(BODY), BODY)
 
 
 class Swallower:
--- /dev/null
+++ b/tests/test_silent_links.py
@@ -0,0 +1,111 @@
+"""Tests of kept connections that go silent for good, without a reset, while new ones work."""
+
+import unittest
+
+from snowdock.entry.messages import ENTRY_MESSAGES, Beat, StatusAsked, StatusReply
+from snowdock.errors import PlatformError
+from snowdock.jobs.model import JobStatus, TaskId
+from snowdock.jobs.orders import AdviceWanted, RenewOrder, StartOrder
+from snowdock.node.peers import PeerOptions, Peers
+from snowdock.platform.advice import AdviceClient
+from snowdock.platform.store import KeyedRecord, StoreClient
+from snowdock.platform.worker_calls import WorkerClient
+from tests.standins.entry_cluster import free_port, wait_until
+from tests.standins.platform import StoreStandin
+from tests.standins.proxy import Proxy
+from tests.standins.swallower import Swallower
+
+BEAT = Beat("n", "127.0.0.1:1", 0, 0.0)
+JOB = "0123456789abcdef"
+
+
+class TestPeerLinks(unittest.TestCase):
+    def start(self, answer=lambda question: None) -> tuple[Peers, str]:
+        address = f"127.0.0.1:{free_port('127.0.0.1')}"
+        peers = Peers(
+            PeerOptions(address, 0.1), ENTRY_MESSAGES, answer, lambda beat: None, lambda: BEAT
+        )
+        peers.start()
+        self.addCleanup(peers.stop)
+        return peers, address
+
+    def test_link_is_made_anew(self) -> None:
+        """A peer behind a link that has gone silent answers again, over a new connection."""
+        _, address = self.start(lambda asked: StatusReply(asked.number, JobStatus.RUNNING, True))
+        proxy = Proxy(address)
+        self.addCleanup(proxy.close)
+        asking, _ = self.start()
+        asking.set_addresses({"other": proxy.address})
+
+        def is_answered() -> bool:
+            try:
+                reply = asking.ask("other", lambda number: StatusAsked(number, JOB), 0.3)
+            except PlatformError:
+                return False
+            return reply.status is JobStatus.RUNNING
+
+        self.assertTrue(wait_until(is_answered))
+        proxy.swallow_open()
+        self.assertFalse(is_answered())
+        self.assertTrue(wait_until(is_answered))
+
+
+class TestStoreLinks(unittest.TestCase):
+    def test_append_goes_through_at_the_second_try(self) -> None:
+        """One time-out, and what was sent on the silent connection is not on record twice."""
+        store = StoreStandin()
+        self.addCleanup(store.close)
+        proxy = Proxy(store.address)
+        self.addCleanup(proxy.close)
+        client = StoreClient(proxy.address, 4)
+        record = KeyedRecord(JOB, b"x")
+        client.append("keyed.jobs", 0, [record], 5.0)
+        proxy.swallow_open()
+        with self.assertRaises(PlatformError):
+            client.append("keyed.jobs", 0, [record], 0.2, expected_end=1)
+        client.append("keyed.jobs", 0, [record], 5.0, expected_end=1)
+        self.assertEqual(store.part("keyed.jobs").end, 2)
+
+
+class TestOtherLinks(unittest.TestCase):
+    """Workers and the advice service: the second call is made over a new connection."""
+
+    def setUp(self) -> None:
+        self.server = Swallower()
+        self.addCleanup(self.server.close)
+
+    def check(self, call) -> None:
+        """Make a call that is answered, one on a silent connection, and one more."""
+        self.assertTrue(self.is_answered(call, 5.0))
+        self.server.swallow()
+        self.assertFalse(self.is_answered(call, 0.2))
+        self.assertTrue(self.is_answered(call, 5.0))
+        self.assertEqual(self.server.accepted, 2)
+
+    @staticmethod
+    def is_answered(call, seconds: float) -> bool:
+        try:
+            call(seconds)
+        except PlatformError:
+            return False
+        return True
+
+    def test_orders(self) -> None:
+        """A start is repeated under its run, which to the worker is the same."""
+        client = WorkerClient("w-1", self.server.address, 2)
+        order = StartOrder(TaskId(JOB, 0, 0, 0), 1, "payload", 3, 1000)
+        self.check(lambda seconds: client.start(order, seconds))
+
+    def test_renewals(self) -> None:
+        """A renewal is repeated."""
+        client = WorkerClient("w-1", self.server.address, 2)
+        self.check(lambda seconds: client.renew(RenewOrder(3, 0, 1000, 0, 0.0), seconds))
+
+    def test_advice(self) -> None:
+        """A question is asked again."""
+        client = AdviceClient(self.server.address)
+        self.check(lambda seconds: client.ask(AdviceWanted(JOB, 0, 0, ("w-1",)), seconds))
+
+
+if __name__ == "__main__":
+    unittest.main()
