Compare workers by their life, and look at reservations only where there are some

Cause: reading the change once more: the workers that a question leaves out were found by comparing whole records, some ten thousand of them at 270 workers, and each look at a worker worked out when a run would end there, whether or not anything was reserved. Ruled out: nothing.

--- a/src/snowdock/jobs/advising.py
+++ b/src/snowdock/jobs/advising.py
@@ -129,7 +129,8 @@
     if not chosen:
         chosen = _reserved_soon(cell, step, workers, now)
     # Which workers are fit never changes: those without room now are cheap to learn of as well.
-    further = [worker for worker in strange if worker not in chosen]
+    asked = {worker.life for worker in chosen}
+    further = [worker for worker in strange if worker.life not in asked]
     return chosen + further[: max(0, _cheap_count(step) - len(chosen))]
 
 
--- a/src/snowdock/jobs/seats.py
+++ b/src/snowdock/jobs/seats.py
@@ -54,7 +54,7 @@
     room = spec.room
     needs_sound = is_last_attempt(cell, step)
     for worker in workers:
-        free = worker.free_for(step.key, step.rank, expected_end(step, worker, cell.now))
+        free = _free_now(cell, step, worker)
         if not free.holds(room):
             continue
         if is_on_trial(worker, needs_sound):
@@ -68,6 +68,13 @@
             yield Seats(worker, count, score)
 
 
+def _free_now(cell: Cell, step: Step, worker: Worker) -> Size:
+    """Give the room that a run of a step may take at a worker if it began now."""
+    if not worker.claims:
+        return worker.free
+    return worker.free_for(step.key, step.rank, expected_end(step, worker, cell.now))
+
+
 def is_bulky(step: Step, capacity: Size) -> bool:
     """Whether pieces of room between other work hardly ever hold a step's tasks.
 
