Let one task in where reservations alone keep a step from running anything

Change: a step that runs nothing, and that only reservations have kept out for 1.5 s, gets one seat in reserved room. Tickets for such workers are asked for as if nothing were reserved.

--- a/src/snowdock/jobs/advising.py
+++ b/src/snowdock/jobs/advising.py
@@ -164,9 +164,14 @@
 
 
 def _reachable(step: Step, worker: Worker) -> Size:
-    """Give the room that a step may find there: for a bulky one, runs that yield are stopped."""
-    free = worker.free_for(step.key, step.rank)
-    return free.plus(worker.yieldable) if step.is_bulky else free
+    """Give the room that a step may find there.
+
+    For a bulky one, runs that yield are stopped. Others may be let in to reserved room, and need
+    tickets then.
+    """
+    if not step.is_bulky:
+        return worker.unclaimed(step.key)
+    return worker.free_for(step.key, step.rank).plus(worker.yieldable)
 
 
 def _could_place(step: Step, workers: list[Worker], wanted: int) -> bool:
--- a/src/snowdock/jobs/parts.py
+++ b/src/snowdock/jobs/parts.py
@@ -136,6 +136,9 @@
         When other runs may be stopped again to make room for it, in steady seconds.
     usual_log
         The logarithm of the seconds that a run takes on a usual worker; None before any look.
+    kept_since
+        Since when nothing but reservations of others keeps it from running anything, in steady
+        seconds; None where that is not so.
     is_bulky
         Whether the pieces of room between other work hardly ever hold its tasks.
     shown
@@ -156,6 +159,7 @@
     claim_again_at: float = 0.0
     looked_at: float = 0.0
     usual_log: float | None = None
+    kept_since: float | None = None
     is_bulky: bool = False
     shown: Mapping[str, object] | None = None
 
--- a/src/snowdock/jobs/placing.py
+++ b/src/snowdock/jobs/placing.py
@@ -29,6 +29,11 @@
 """The most of the time that passes may take: a leader whose passes took all of it answered to
 nothing else, its tickets expired on their way, and each refused start wanted another pass."""
 
+_LONGEST_KEPT_SECONDS = 1.5
+"""A step that runs nothing, and that only reservations keep out for so long, has one task let in:
+callers of small work may wait for room, but not for seconds beside room that is free. Tickets take
+up to half a second more, and three seconds are the most that the users allow."""
+
 _CROWD = 50
 _LOOK_AGAIN_SECONDS = 0.05
 """While more steps than this wait, one that found no room leaves others their turn so long."""
@@ -133,7 +138,7 @@
     if needs_advice(cell, step):
         return 1 + _place_advised(cell, step, tasks, pool, now)
     workers = list(pool.workers.values())
-    seats = list(find_seats(cell, step, workers))
+    seats = _find_seats(cell, step, workers, now)
     left = _place_tasks(cell, step, tasks, seats, now)
     if left:
         if step.is_bulky:
@@ -145,7 +150,7 @@
 def _place_advised(cell: Cell, step: Step, tasks: list[Task], pool: _Pool, now: float) -> int:
     """Place on workers with tickets, or ask for more; give how many workers were looked at."""
     workers = _with_ticket(step, pool, now)
-    seats = list(find_seats(cell, step, workers))
+    seats = _find_seats(cell, step, workers, now)
     left = _place_tasks(cell, step, tasks, seats, now)
     looks = len(workers)
     if not left or (len(left) < len(tasks) and not step.is_bulky):
@@ -162,6 +167,23 @@
     return looks
 
 
+def _find_seats(cell: Cell, step: Step, workers: list[Worker], now: float) -> list[Seats]:
+    """Give the seats of a step, one of them in reserved room where it has been kept for long."""
+    seats = list(find_seats(cell, step, workers))
+    if seats or step.spec.gang or not workers:
+        return seats
+    kept = list(find_seats(cell, step, workers, over_reservations=True))
+    if not kept or any(task.is_placed for task in step.tasks):
+        step.kept_since = None
+        return []
+    if step.kept_since is None:
+        step.kept_since = now
+    if now - step.kept_since < _LONGEST_KEPT_SECONDS:
+        return []
+    best = max(kept, key=lambda seat: seat.score)
+    return [dataclasses.replace(best, count=1)]
+
+
 def _place_tasks(
     cell: Cell, step: Step, tasks: list[Task], seats: list[Seats], now: float
 ) -> list[Task]:
@@ -224,6 +246,7 @@
             task.checkpoint = checkpoint
         worker.take(task.id, task.run, step.spec.room, step.spec.may_yield)
         cell.held.append(HeldStart(task, task.run))
+    step.kept_since = None
     mark(cell, step.job)
     cell.tell(
         "placed",
--- a/src/snowdock/jobs/seats.py
+++ b/src/snowdock/jobs/seats.py
@@ -38,7 +38,9 @@
     score: float
 
 
-def find_seats(cell: Cell, step: Step, workers: Iterable[Worker]) -> Iterator[Seats]:
+def find_seats(
+    cell: Cell, step: Step, workers: Iterable[Worker], over_reservations: bool = False
+) -> Iterator[Seats]:
     """Give the seats for a step's tasks on some workers.
 
     Parameters
@@ -49,12 +51,14 @@
         The step.
     workers
         Workers of the step's service that may take something now.
+    over_reservations
+        Whether room counts that others have only reserved.
     """
     spec = step.spec
     room = spec.room
     needs_sound = is_last_attempt(cell, step)
     for worker in workers:
-        free = _free_now(cell, step, worker)
+        free = _free_now(cell, step, worker, over_reservations)
         if not free.holds(room):
             continue
         if is_on_trial(worker, needs_sound):
@@ -68,10 +72,12 @@
             yield Seats(worker, count, score)
 
 
-def _free_now(cell: Cell, step: Step, worker: Worker) -> Size:
+def _free_now(cell: Cell, step: Step, worker: Worker, over_reservations: bool) -> Size:
     """Give the room that a run of a step may take at a worker if it began now."""
     if not worker.claims:
         return worker.free
+    if over_reservations:
+        return worker.unclaimed(step.key)
     return worker.free_for(step.key, step.rank, expected_end(step, worker, cell.now))
 
 
--- a/src/snowdock/jobs/workers.py
+++ b/src/snowdock/jobs/workers.py
@@ -163,6 +163,10 @@
                 free = free.minus(hold.room)
         return free
 
+    def unclaimed(self, step: StepKey) -> Size:
+        """Room that nothing takes and for which no runs are being stopped; it may be reserved."""
+        return self.free_for(step, rank=math.inf)
+
     def take(self, task: TaskId, run: int, size: Size, may_yield: bool = False) -> None:
         """Count a run's room as taken."""
         if (task, run) in self.runs:
--- a/tests/test_jobs_reserving.py
+++ b/tests/test_jobs_reserving.py
@@ -81,6 +81,21 @@
         self.bench.tick(3.0)
         self.assertIn(job, [each.order.task.job for each in self.bench.starts(self.bench.seen)])
 
+    def test_reservation_keeps_nobody_from_running_anything_for_long(self) -> None:
+        """Beside free room that is only reserved, a job of small tasks has one let in soon."""
+        long = msgspec.structs.replace(SMALL, size=Size(1000, 100), estimate_ms=60_000)
+        self.end_running()
+        (running,) = self.submit(long)
+        self.bench.confirm(running)
+        self.submit(BULKY)
+        self.submit(msgspec.structs.replace(long, count=3, estimate_ms=100_000))
+        job = f"{4:016x}"
+        self.bench.tick(0.5)
+        self.assertNotIn(job, [each.order.task.job for each in self.bench.starts(self.bench.seen)])
+        self.bench.tick(2.0)
+        started = [each.order.task.job for each in self.bench.starts(self.bench.seen)]
+        self.assertEqual(started.count(job), 1)
+
     def test_bulky_task_has_room_made(self) -> None:
         """Runs that save their progress yield to a single bulky task, too."""
         self.bench.cell.policy = dataclasses.replace(
