Call workers from one thread, let no thread end unseen, and take thousands of descriptors

Cause: with 270 workers the leader held 795 descriptors and more; waitress polls by select, which takes none above 1,023, so its threads 'front' and 'probes' ended and nobody noticed: callers and probes of that node were answered no more. A worker took two threads of its leader, 540 in all, and each answer cost a switch of threads. Ruled out: a smaller time-out or fewer connections per worker; the answers were parsed quickly, it is the switching that costs. Change: both listeners poll without that bound; callers beyond half of the descriptors get a clear 503; long-lived threads are ServiceThreads, whose unasked end is logged, makes the node not ready, gives the lead back and ends the process; one thread with a selector calls all workers, answers parsed by httptools.

--- a/src/snowdock/entry/advisers.py
+++ b/src/snowdock/entry/advisers.py
@@ -18,6 +18,7 @@
 from ..node.logs import log_error, log_event
 from ..node.metrics import Metrics
 from ..node.peers import Peers
+from ..node.threads import ServiceThread
 from ..platform.advice import AdviceClient
 from .messages import AdviceAsked, AdviceReply
 
@@ -122,7 +123,7 @@
         self._stopped = threading.Event()
         self._lock = threading.Lock()
         self._pool = concurrent.futures.ThreadPoolExecutor(_ASKERS, "adviser")
-        threading.Thread(target=self._watch, name="advisers", daemon=True).start()
+        ServiceThread(self._watch, "advisers", self._stopped.is_set).start()
 
     def ask(self, question: AskAdvice) -> None:
         """Have a question asked by some node."""
--- a/src/snowdock/entry/daemon.py
+++ b/src/snowdock/entry/daemon.py
@@ -13,6 +13,7 @@
 from ..node.logs import log_error, log_event, start_logging
 from ..node.metrics import Metrics
 from ..node.peers import PeerOptions, Peers
+from ..node.threads import ServiceThread, on_lost_thread
 from ..platform.configuration import CONFIGURATION_KEY, OPERATOR_TOPIC, decode_configuration
 from ..platform.node_settings import NodeEnvironment, read_node_environment
 from ..platform.store import KeyedRecord, StoreClient
@@ -59,6 +60,9 @@
 _STOP_LEAST_SECONDS = 1.0
 """Requests are waited for so long at least, however short the time to stop."""
 
+_LOST_THREAD_STATUS = 70
+"""The exit status of a daemon that has lost a thread: an internal error, as `sysexits.h` has it."""
+
 _STOP_POLL_SECONDS = 0.02
 """Time between looks whether the last request is answered."""
 
@@ -70,6 +74,7 @@
         self._environment = environment
         self._metrics = Metrics()
         self._stopping = threading.Event()
+        self._lost_thread = ""
         self._configuration: Configuration | None = None
         self._peer_book = PeerBook()
         self._store = StoreClient(environment.store.address, _STORE_CONNECTIONS, environment.node)
@@ -124,16 +129,17 @@
         )
         self._answer_peer = make_peer_answers(queries, self._adviser, recorder.record)
         self._probes = Probes(environment.ready_address, self._is_ready, self._metrics)
-        self._front = make_front(self._intake, environment)
+        self._front = make_front(self._intake, environment, self._metrics)
         self._settings = SettingsWatch(self._take_environment)
 
     def run(self) -> int:
-        """Serve until told to stop; give the exit status."""
+        """Serve until told to stop, or until a thread is lost; give the exit status."""
+        on_lost_thread(self._take_lost_thread)
         self._peers.start()
         self._configurations.start()
         self._election.start()
         self._probes.start()
-        threading.Thread(target=self._front.run, name="front", daemon=True).start()
+        ServiceThread(self._front.run, "front").start()
         self._leadership.start()
         self._settings.start()
         environment = self._environment
@@ -151,6 +157,12 @@
         """Ask for a planned stop."""
         self._stopping.set()
 
+    def _take_lost_thread(self, name: str) -> None:
+        """Stop: what the thread did is done by nobody here any more."""
+        self._lost_thread = self._lost_thread or name
+        self._metrics.count("threads_lost_total", "Threads that ended unasked.", thread=name)
+        self._stopping.set()
+
     def reload(self) -> None:
         """Read the settings file again."""
         self._settings.read_again()
@@ -236,19 +248,25 @@
     def _stop(self) -> int:
         began = time.monotonic()
         wait_s = max(_STOP_LEAST_SECONDS, self._environment.grace_s - _STOP_LEFT_SECONDS)
+        if self._lost_thread:
+            # Nobody may be there to finish what is in flight.
+            wait_s = _STOP_LEAST_SECONDS
         end = began + wait_s
         log_event("draining", leads=bool(self._election.own_epoch))
         self._settings.stop()
         self._leadership.stop()
         self._election.resign()
         while time.monotonic() < end:
-            quiet = time.monotonic() - began > _STOP_SERVING_SECONDS and not self._intake.in_flight
+            quiet = (
+                time.monotonic() - began > min(_STOP_SERVING_SECONDS, wait_s)
+                and not self._intake.in_flight
+            )
             if quiet:
                 break
             time.sleep(_STOP_POLL_SECONDS)
         self._election.stop()
-        log_event("stopped", seconds=time.monotonic() - began)
-        return 0
+        log_event("stopped", seconds=time.monotonic() - began, lost_thread=self._lost_thread)
+        return _LOST_THREAD_STATUS if self._lost_thread else 0
 
 
 def main() -> None:
--- a/src/snowdock/entry/election.py
+++ b/src/snowdock/entry/election.py
@@ -20,6 +20,7 @@
 )
 from ..jobs.times import ISOLATED_SECONDS
 from ..node.logs import log_error, log_event
+from ..node.threads import ServiceThread
 from ..platform.store import StoreClient
 from .leader_log import LeaderLog
 from .leader_record import Identity, LeaderRecord
@@ -116,7 +117,7 @@
         self._told_gone = 0
         self._turned_away = 0
         self._peer_heard_at = 0.0
-        self._thread = threading.Thread(target=self._run, name="election", daemon=True)
+        self._thread = ServiceThread(self._run, "election", self._stopped.is_set)
 
     @property
     def leader(self) -> LeaderRecord | None:
--- a/src/snowdock/entry/front.py
+++ b/src/snowdock/entry/front.py
@@ -1,14 +1,18 @@
 """The listener for callers' requests, and the bounds on what it reads."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import waitress
 from waitress.server import BaseWSGIServer
 
+from ..errors import Overloaded
 from ..jobs.model import Limits
+from ..node.http_models import problem_answer
+from ..node.logs import log_event
+from ..node.metrics import Metrics
 from ..platform.node_settings import NodeEnvironment
 
-__all__ = ["bound_front", "make_front"]
+__all__ = ["bound_front", "make_front", "most_callers"]
 
 _THREADS = 20
 """Requests handled at once; each holds its thread for one append, some 10 ms."""
@@ -16,8 +20,13 @@
 _BACKLOG = 1024
 """Connections that wait to be accepted: callers of a whole cluster may come back at once."""
 
-_RESERVED_DESCRIPTORS = 600
-"""Descriptors for files, workers, peers and the store; the rest may be callers' connections."""
+_CALLERS_SHARE = 0.5
+"""Share of a node's descriptors that callers' connections may take. The other half is for files,
+workers and peers (two each) and the store: of 4,100, enough for 700 workers and 97 nodes."""
+
+_REFUSING_CONNECTIONS = 100
+"""Connections beyond that share which are still accepted, to be refused in words; more than those
+wait in the backlog."""
 
 _LEAST_CONNECTIONS = 100
 """Callers' connections at once, however few descriptors the node has."""
@@ -35,16 +44,28 @@
 """The longest header where the configuration tells none."""
 
 
-def make_front(application: Callable, environment: NodeEnvironment) -> BaseWSGIServer:
-    """Open the listener; it serves once its ``run`` is called."""
-    return waitress.create_server(
-        application,
+def make_front(
+    application: Callable, environment: NodeEnvironment, metrics: Metrics
+) -> BaseWSGIServer:
+    """Open the listener; it serves once its ``run`` is called.
+
+    Callers beyond the node's share of descriptors are refused, and told to come back.
+    """
+    most = most_callers(environment.max_descriptors)
+    metrics.set("descriptors_limit", "Descriptors this node may open.", environment.max_descriptors)
+    metrics.set("callers_limit", "Callers' connections that are served at once.", most)
+
+    def count_open() -> int:
+        return len(front.active_channels)
+
+    front = waitress.create_server(
+        _refuse_beyond(most, count_open, application, metrics),
         listen=environment.front_address,
         threads=_THREADS,
         backlog=_BACKLOG,
-        connection_limit=max(
-            _LEAST_CONNECTIONS, environment.max_descriptors - _RESERVED_DESCRIPTORS
-        ),
+        connection_limit=most + _REFUSING_CONNECTIONS,
+        # `select` takes no descriptor above 1,023, and a leader of 270 workers has more.
+        asyncore_use_poll=True,
         cleanup_interval=_CLEANUP_SECONDS,
         channel_timeout=_IDLE_SECONDS,
         max_request_body_size=_MAX_BODY_BYTES,
@@ -52,6 +73,33 @@
         clear_untrusted_proxy_headers=True,
         ident=None,
     )
+    return front
+
+
+def most_callers(max_descriptors: int) -> int:
+    """Give how many callers' connections a node serves at once."""
+    return max(_LEAST_CONNECTIONS, int(max_descriptors * _CALLERS_SHARE))
+
+
+def _refuse_beyond(
+    most: int, count_open: Callable[[], int], application: Callable, metrics: Metrics
+) -> Callable:
+    """Wrap an application so that requests on connections beyond a number are refused."""
+
+    def answer(environ: dict, start_response: Callable) -> Iterable[bytes]:
+        connections = count_open()
+        metrics.set("callers_connected", "Callers' connections that are open.", connections)
+        if connections <= most:
+            return application(environ, start_response)
+        error = Overloaded(f"{connections} connections are open, {most} are served")
+        log_event("connection_refused", connections=connections, most=most)
+        refusal = problem_answer(error)
+        headers = {"Content-Type": refusal.content_type, **refusal.headers}
+        start_response(f"{refusal.status} Service Unavailable", list(headers.items()))
+        # Without a length, waitress closes the connection behind the answer.
+        return iter([refusal.body])
+
+    return answer
 
 
 def bound_front(front: BaseWSGIServer, limits: Limits) -> None:
--- a/src/snowdock/entry/leader.py
+++ b/src/snowdock/entry/leader.py
@@ -37,6 +37,7 @@
 from ..jobs.times import TICK_SECONDS
 from ..node.logs import log_error, log_event
 from ..node.metrics import Metrics
+from ..platform.call_loop import CallLoop
 from ..platform.store import StoreClient
 from .advisers import Advisers
 from .progress_writer import ProgressWriter, drop_jobs
@@ -104,6 +105,7 @@
         self._context = context
         self._statuses = statuses
         self._links: dict[str, WorkerLink] = {}
+        self._calls = CallLoop("worker-calls")
         self._stepped_down = False
         self._ticked_at = 0.0
         post = self._post
@@ -133,8 +135,9 @@
         self._carry_out(restored)
 
     def on_start(self) -> None:
-        """Start writing."""
+        """Start writing and calling."""
         self._writer.start()
+        self._calls.start()
 
     def on_stop(self) -> None:
         """Order nothing more."""
@@ -142,6 +145,7 @@
         self._advisers.stop()
         for link in self._links.values():
             link.close()
+        self._calls.stop()
 
     def on_receive(self, message: Event) -> None:
         """Take one event."""
@@ -159,6 +163,9 @@
     def _carry_out(self, effects: list[Effect]) -> None:
         for effect in effects:
             self._handlers[type(effect)](effect)
+        if effects:
+            # One wake-up for all calls that an event brings about.
+            self._calls.flush()
 
     def on_failure(self, exception_type, exception_value, traceback) -> None:
         """Give the leadership up: another node goes on from what is on record."""
@@ -194,7 +201,7 @@
 
     def _open(self, effect: OpenWorker) -> None:
         self._links[effect.life] = WorkerLink(
-            effect.life, effect.address, self._post, self._context.metrics
+            self._calls, effect.life, effect.address, self._post, self._context.metrics
         )
 
     def _close(self, effect: CloseWorker) -> None:
--- a/src/snowdock/entry/leader_handle.py
+++ b/src/snowdock/entry/leader_handle.py
@@ -18,6 +18,7 @@
 from ..jobs.progress import CANCEL_PREFIX, decode_accepted
 from ..jobs.times import TICK_SECONDS
 from ..node.logs import log_error
+from ..node.threads import ServiceThread
 from ..platform.store import KeyedRecord
 from ..platform.worker_list import WORKER_TOPIC, decode_worker_entry
 from .leader import LeaderContext
@@ -97,7 +98,7 @@
         self._workers.start()
         for tail, offset in zip(self._jobs, job_offsets, strict=True):
             tail.start(offset)
-        threading.Thread(target=self._tick, name="leader-ticks", daemon=True).start()
+        ServiceThread(self._tick, "leader-ticks", self._stopped.is_set).start()
 
     def configure(self, configuration: Configuration) -> None:
         """Tell of a newer configuration."""
--- a/src/snowdock/entry/leadership.py
+++ b/src/snowdock/entry/leadership.py
@@ -8,6 +8,7 @@
 from ..jobs.model import Configuration
 from ..node.logs import log_error, log_event
 from ..node.metrics import Metrics
+from ..node.threads import ServiceThread
 from .election import Election
 from .leader import LeaderContext
 from .leader_handle import LeaderHandle
@@ -52,7 +53,7 @@
         self._handle: LeaderHandle | None = None
         self._lock = threading.Lock()
         self._epochs: queue.SimpleQueue[int] = queue.SimpleQueue()
-        self._thread = threading.Thread(target=self._run, name="leadership", daemon=True)
+        self._thread = ServiceThread(self._run, "leadership")
 
     @property
     def handle(self) -> LeaderHandle | None:
--- a/src/snowdock/entry/probes.py
+++ b/src/snowdock/entry/probes.py
@@ -1,13 +1,13 @@
 """Readiness probes and metrics, on listeners of their own so that callers cannot crowd them out."""
 
 import os
-import threading
 from collections.abc import Callable, Iterable
 
 import waitress
 
 from ..node.http_models import HttpAnswer, json_answer
 from ..node.metrics import Metrics
+from ..node.threads import ServiceThread
 from ..platform.job_bodies import READY_PATH
 
 __all__ = ["METRICS_PORT", "Probes"]
@@ -45,12 +45,14 @@
             self,
             listen=f"{ready_address} {host}:{port}",
             threads=_THREADS,
+            # `select` takes no descriptor above 1,023, and a leader of 270 workers has more.
+            asyncore_use_poll=True,
             ident=None,
         )
 
     def start(self) -> None:
         """Serve on a thread."""
-        threading.Thread(target=self._server.run, name="probes", daemon=True).start()
+        ServiceThread(self._server.run, "probes").start()
 
     def __call__(self, environ: dict, start_response: Callable) -> Iterable[bytes]:
         """Answer one request."""
--- a/src/snowdock/entry/progress_writer.py
+++ b/src/snowdock/entry/progress_writer.py
@@ -17,6 +17,7 @@
 from ..jobs.progress import cancel_key
 from ..node.logs import log_error, log_event
 from ..node.metrics import Metrics
+from ..node.threads import ServiceThread
 from ..platform.store import KeyedRecord, Producer, StoreClient
 from .patience import Patience
 from .topics import JOBS_TOPIC, PART, PROGRESS_TOPIC, job_part
@@ -93,7 +94,7 @@
         self._patience = Patience(_SHORTEST_TRY_SECONDS, _CALL_SECONDS)
         self._batches: queue.SimpleQueue[Persist | None] = queue.SimpleQueue()
         self._stopped = threading.Event()
-        self._thread = threading.Thread(target=self._run, name="progress", daemon=True)
+        self._thread = ServiceThread(self._run, "progress", self._stopped.is_set)
 
     def start(self) -> None:
         """Start the thread."""
@@ -115,11 +116,13 @@
                 return
             try:
                 if not self._write(batch):
+                    self._stopped.set()
                     return
             except Exception as error:
                 # Nothing may overtake a batch whose fate is unknown.
                 log_error("progress_failed", error, batch=batch.number)
                 self._fenced(f"a batch could not be written: {error}")
+                self._stopped.set()
                 return
 
     def _write(self, batch: Persist) -> bool:
--- a/src/snowdock/entry/settings_watch.py
+++ b/src/snowdock/entry/settings_watch.py
@@ -7,6 +7,7 @@
 
 from ..errors import SettingsUnreadable
 from ..node.logs import log_error
+from ..node.threads import ServiceThread
 from ..platform.node_settings import SETTINGS_VARIABLE, NodeEnvironment, read_node_environment
 
 __all__ = ["SettingsWatch"]
@@ -28,7 +29,7 @@
         self._changed = changed
         self._stopped = threading.Event()
         self._asked = threading.Event()
-        self._thread = threading.Thread(target=self._run, name="settings", daemon=True)
+        self._thread = ServiceThread(self._run, "settings", self._stopped.is_set)
 
     def start(self) -> None:
         """Start watching."""
--- a/src/snowdock/entry/tails.py
+++ b/src/snowdock/entry/tails.py
@@ -7,6 +7,7 @@
 
 from ..errors import LogExpired, PlatformError
 from ..node.logs import log_error, log_event
+from ..node.threads import ServiceThread
 from ..platform.store import KeyedRecord, StoreClient
 
 __all__ = ["Tail"]
@@ -63,7 +64,7 @@
         self._failing_since: float | None = None
         self._failed_at = -math.inf
         self._stopped = threading.Event()
-        self._thread = threading.Thread(target=self._run, name=f"tail-{topic}", daemon=True)
+        self._thread = ServiceThread(self._run, f"tail-{topic}", self._stopped.is_set)
 
     @property
     def read_at(self) -> float:
--- a/src/snowdock/entry/worker_link.py
+++ b/src/snowdock/entry/worker_link.py
@@ -1,16 +1,28 @@
-"""Calls to one worker: a thread for its orders and one for its renewals."""
+"""Calls to one worker: orders one after the other, and renewals beside them."""
 
-import queue
-import threading
+import collections
+import functools
 import time
 from collections.abc import Callable
 
 from ..errors import CallUnanswered, PlatformError
 from ..jobs.events import Event, RenewAnswered, StartAnswered, StopAnswered
-from ..jobs.orders import Refusal, RenewOrder, StartOrder, StartResult, StopOrder
+from ..jobs.orders import Refusal, RenewOrder, StartOrder, StartResult, StopOrder, WorkerReport
 from ..node.logs import log_error, log_event
 from ..node.metrics import Metrics
-from ..platform.worker_calls import WorkerClient
+from ..platform.call_loop import CallLoop, Channel, Reply
+from ..platform.worker_calls import (
+    RENEWAL_PATH,
+    START_PATH,
+    STOP_PATH,
+    decode_renewal,
+    decode_start,
+    decode_stop,
+    encode_renewal,
+    encode_start,
+    encode_stop,
+    worker_headers,
+)
 
 __all__ = ["WorkerLink"]
 
@@ -24,110 +36,175 @@
 _RENEW_SLACK_SECONDS = 0.3
 """How much longer than its wait a renewal may take."""
 
-_CONNECTIONS = 2
-"""One for orders, one for renewals."""
+_Order = StartOrder | StopOrder
 
 
 class WorkerLink:
     """Carries orders and renewals to one life of a worker, each kind in order.
 
+    A renewal may wait for an end at the worker, so orders have a connection of their own.
+
     Parameters
     ----------
+    loop
+        Makes the calls.
     life, address
         The worker.
     post
-        Called with each answer.
+        Called with each answer, on the loop's thread.
     metrics
         Counts and times calls.
     """
 
     def __init__(
-        self, life: str, address: str, post: Callable[[Event], None], metrics: Metrics
+        self,
+        loop: CallLoop,
+        life: str,
+        address: str,
+        post: Callable[[Event], None],
+        metrics: Metrics,
     ) -> None:
+        self._loop = loop
         self._life = life
-        self._client = WorkerClient(life, address, _CONNECTIONS)
         self._post = post
         self._metrics = metrics
-        self._orders: queue.SimpleQueue[StartOrder | StopOrder | None] = queue.SimpleQueue()
-        self._renewals: queue.SimpleQueue[RenewOrder | None] = queue.SimpleQueue()
-        self._closed = False
-        for name, target in (("orders", self._run_orders), ("renewals", self._run_renewals)):
-            threading.Thread(target=target, name=f"{name}-{life}", daemon=True).start()
+        headers = worker_headers(life)
+        self._order_channel = Channel(loop, address, headers)
+        self._renewal_channel = Channel(loop, address, headers)
+        self._orders: collections.deque[_Order] = collections.deque()
+        self._renewals: collections.deque[RenewOrder] = collections.deque()
 
-    def order(self, order: StartOrder | StopOrder) -> None:
-        """Send a start or stop after those before it."""
-        self._orders.put(order)
+    def order(self, order: _Order) -> None:
+        """Send a start or stop after those before it, once the loop is flushed."""
+        self._loop.submit(functools.partial(self._take_order, order))
 
     def renew(self, order: RenewOrder) -> None:
-        """Send a renewal."""
-        self._renewals.put(order)
+        """Send a renewal after those before it, once the loop is flushed."""
+        self._loop.submit(functools.partial(self._take_renewal, order))
 
     def close(self) -> None:
-        """Send nothing more."""
-        self._closed = True
-        self._orders.put(None)
-        self._renewals.put(None)
-
-    def _run_orders(self) -> None:
-        while (order := self._orders.get()) is not None and not self._closed:
-            if isinstance(order, StartOrder):
-                self._start(order)
-            else:
-                self._stop(order)
-
-    def _start(self, order: StartOrder) -> None:
-        began = time.monotonic()
-        result = None
-        for number in range(_START_TRIES):
-            result = self._try_start(order)
-            if result is not None:
-                result = _certain(result, number)
-                break
+        """Send nothing more, once the loop is flushed."""
+        self._loop.submit(self._close)
+
+    # -- on the loop's thread --------------------------------------------------------------
+
+    def _close(self) -> None:
+        self._orders.clear()
+        self._renewals.clear()
+        self._order_channel.close()
+        self._renewal_channel.close()
+
+    def _take_order(self, order: _Order) -> None:
+        self._orders.append(order)
+        if len(self._orders) == 1:
+            self._send_order()
+
+    def _send_order(self) -> None:
+        """Send the first of the orders that wait; it stays there until it is answered."""
+        if not self._orders:
+            return
+        order = self._orders[0]
+        if isinstance(order, StartOrder):
+            self._send_start(order, time.monotonic(), 0)
+        else:
+            answered = functools.partial(self._take_stop_answer, order)
+            self._order_channel.call(STOP_PATH, encode_stop(order), _ORDER_SECONDS, answered)
+
+    def _send_start(self, order: StartOrder, began: float, tries: int) -> None:
+        answered = functools.partial(self._take_start_answer, order, began, tries)
+        self._order_channel.call(START_PATH, encode_start(order), _ORDER_SECONDS, answered)
+
+    def _take_start_answer(
+        self, order: StartOrder, began: float, tries: int, outcome: Reply | CallUnanswered
+    ) -> None:
+        result = self._read_start(outcome)
+        if result is None:
+            self._note_unanswered(outcome, self._renewal_channel)
             self._metrics.count("starts_repeated_total", "Starts sent again.")
+            if tries + 1 < _START_TRIES:
+                self._send_start(order, began, tries + 1)
+                return
+        else:
+            result = _certain(result, tries)
         self._metrics.time(
             "start_call_seconds", "Time of a start's call.", time.monotonic() - began
         )
-        outcome = "unanswered"
+        told = "unanswered"
         if result is not None:
-            outcome = result.refusal.value if result.refusal else "started"
-        self._metrics.count("starts_total", "Starts ordered.", outcome=outcome)
+            told = result.refusal.value if result.refusal else "started"
+        self._metrics.count("starts_total", "Starts ordered.", outcome=told)
         self._post(StartAnswered(self._life, order.task, order.run, result))
+        self._go_on()
 
-    def _try_start(self, order: StartOrder) -> StartResult | None:
+    def _read_start(self, outcome: Reply | CallUnanswered) -> StartResult | None:
+        if isinstance(outcome, CallUnanswered):
+            return StartResult(Refusal.UNREACHED) if outcome.unsent else None
         try:
-            return self._client.start(order, _ORDER_SECONDS)
-        except CallUnanswered as error:
-            return StartResult(Refusal.UNREACHED) if error.unsent else None
+            return decode_start(outcome)
         except PlatformError as error:
             log_event("start_answer_unusable", worker=self._life, reason=str(error))
-            return None
         except Exception as error:
             log_error("start_failed", error, worker=self._life)
-            return None
+        return None
 
-    def _stop(self, order: StopOrder) -> None:
+    def _take_stop_answer(self, order: StopOrder, outcome: Reply | CallUnanswered) -> None:
         refusal, answered = None, False
         try:
-            refusal = self._client.stop(order, _ORDER_SECONDS)
+            refusal = decode_stop(_answer_of(outcome))
             answered = True
         except PlatformError as error:
+            self._note_unanswered(outcome, self._renewal_channel)
             log_event("stop_unanswered", worker=self._life, task=order.task, reason=str(error))
         except Exception as error:
             log_error("stop_failed", error, worker=self._life)
         self._post(StopAnswered(self._life, order.task, order.run, answered, refusal))
-
-    def _run_renewals(self) -> None:
-        while (order := self._renewals.get()) is not None and not self._closed:
-            outcome = None
-            try:
-                outcome = self._client.renew(order, order.wait_ms / 1000 + _RENEW_SLACK_SECONDS)
-            except PlatformError as error:
-                self._metrics.count("renewals_failed_total", "Renewals without an answer.")
-                log_event("renewal_unanswered", worker=self._life, reason=str(error))
-            except Exception as error:
-                log_error("renewal_failed", error, worker=self._life)
-            self._post(RenewAnswered(self._life, order, outcome))
-        self._client.close()
+        self._go_on()
+
+    def _go_on(self) -> None:
+        """Send the next order; none are left where the link was closed meanwhile."""
+        if self._orders:
+            self._orders.popleft()
+            self._send_order()
+
+    def _take_renewal(self, order: RenewOrder) -> None:
+        self._renewals.append(order)
+        if len(self._renewals) == 1:
+            self._send_renewal()
+
+    def _send_renewal(self) -> None:
+        if not self._renewals:
+            return
+        order = self._renewals[0]
+        seconds = order.wait_ms / 1000 + _RENEW_SLACK_SECONDS
+        answered = functools.partial(self._take_renewal_answer, order)
+        self._renewal_channel.call(RENEWAL_PATH, encode_renewal(order), seconds, answered)
+
+    def _take_renewal_answer(self, order: RenewOrder, outcome: Reply | CallUnanswered) -> None:
+        report: WorkerReport | Refusal | None = None
+        try:
+            report = decode_renewal(_answer_of(outcome))
+        except PlatformError as error:
+            self._note_unanswered(outcome, self._order_channel)
+            self._metrics.count("renewals_failed_total", "Renewals without an answer.")
+            log_event("renewal_unanswered", worker=self._life, reason=str(error))
+        except Exception as error:
+            log_error("renewal_failed", error, worker=self._life)
+        self._post(RenewAnswered(self._life, order, report))
+        if self._renewals:
+            self._renewals.popleft()
+            self._send_renewal()
+
+    @staticmethod
+    def _note_unanswered(outcome: Reply | CallUnanswered, other: Channel) -> None:
+        """Use the worker's other connection no more if it may have gone silent as well."""
+        if isinstance(outcome, CallUnanswered) and not outcome.unsent:
+            other.drop_idle()
+
+
+def _answer_of(outcome: Reply | CallUnanswered) -> Reply:
+    if isinstance(outcome, CallUnanswered):
+        raise outcome
+    return outcome
 
 
 def _certain(result: StartResult, tries_before: int) -> StartResult | None:
--- a/src/snowdock/node/peers.py
+++ b/src/snowdock/node/peers.py
@@ -16,6 +16,7 @@
 
 from ..errors import InvalidInput, PlatformError
 from .logs import log_error, log_event
+from .threads import ServiceThread
 
 __all__ = ["PeerMessages", "PeerOptions", "Peers"]
 
@@ -177,7 +178,7 @@
         self._answerers = concurrent.futures.ThreadPoolExecutor(_ANSWERERS, "peer-answer")
         self._stopped = threading.Event()
         self._next_beat = 0.0
-        self._thread = threading.Thread(target=self._run, name="peers", daemon=True)
+        self._thread = ServiceThread(self._run, "peers", self._stopped.is_set)
 
     def _start_authenticator(self) -> ThreadAuthenticator | None:
         """Let only holders of the cluster's keys in, if there are keys."""
--- a/src/snowdock/platform/worker_calls.py
+++ b/src/snowdock/platform/worker_calls.py
@@ -1,4 +1,4 @@
-"""Calls to a worker: start a run, stop it, renew the lease and look."""
+"""What is said to a worker and what it answers: start a run, stop it, renew the lease and look."""
 
 import msgspec
 
@@ -16,9 +16,26 @@
     WorkerReport,
 )
 from ._json import decode_json
-from .http_pool import HttpPool, HttpReply
-
-__all__ = ["WorkerClient", "format_task", "parse_task"]
+from .call_loop import Reply
+
+__all__ = [
+    "RENEWAL_PATH",
+    "START_PATH",
+    "STOP_PATH",
+    "decode_renewal",
+    "decode_start",
+    "decode_stop",
+    "encode_renewal",
+    "encode_start",
+    "encode_stop",
+    "format_task",
+    "parse_task",
+    "worker_headers",
+]
+
+START_PATH = "/v1/run-start"
+STOP_PATH = "/v1/run-stop"
+RENEWAL_PATH = "/v1/hold"
 
 _JSON = "application/json"
 _OTHER_LIFE = 421
@@ -75,107 +92,102 @@
         raise PlatformError(f"malformed task name {name[:60]!r}") from error
 
 
-class WorkerClient:
-    """Calls one life of a worker; any other life at its address refuses.
+def worker_headers(life: str) -> dict[str, str]:
+    """Give the headers of calls to one life of a worker; any other life refuses them."""
+    return {"X-Expected-Instance": life, "Content-Type": _JSON}
+
+
+def encode_start(order: StartOrder) -> bytes:
+    """Write the body of a start."""
+    body = {
+        "task": format_task(order.task),
+        "run": order.run,
+        "spec": order.payload,
+        "deadline_ms": order.lease_until_ms,
+        "fencing_token": order.token,
+    }
+    if order.checkpoint:
+        body["checkpoint"] = order.checkpoint
+    if order.ticket:
+        body["ticket"] = order.ticket
+    return _encode(body)
+
+
+def decode_start(reply: Reply) -> StartResult:
+    """Read the answer to a start.
+
+    Raises
+    ------
+    PlatformError
+        If the answer does not fit.
+    """
+    if reply.status == 200:
+        return StartResult(None, _decode(reply, _Answer).clock_ms)
+    if reply.status == 409:
+        answer = _decode(reply, _Answer)
+        return StartResult(_REFUSALS.get(answer.reason, Refusal.MALFORMED), answer.clock_ms)
+    if reply.status == _OTHER_LIFE:
+        return StartResult(Refusal.OTHER_LIFE)
+    if reply.status in (429, 503):
+        return StartResult(Refusal.UNWELL)
+    if 400 <= reply.status < 500:
+        return StartResult(Refusal.MALFORMED)
+    raise PlatformError(f"run-start answered {reply.status}")
+
+
+def encode_stop(order: StopOrder) -> bytes:
+    """Write the body of a stop; a run that is not there yet will then never start."""
+    return _encode(
+        {"task": format_task(order.task), "run": order.run, "fencing_token": order.token}
+    )
+
+
+def decode_stop(reply: Reply) -> Refusal | None:
+    """Read the answer to a stop.
 
-    Parameters
-    ----------
-    life
-        The life that is meant.
-    address
-        IP number and port.
-    connections
-        Calls at the same time.
+    Raises
+    ------
+    PlatformError
+        If the answer does not fit.
+    """
+    return _read_refusal(reply, "run-stop")
+
+
+def encode_renewal(order: RenewOrder) -> bytes:
+    """Write the body of a renewal of all that runs, which also asks what runs and has ended."""
+    body: dict[str, int] = {"fencing_token": order.token, "last_seen": order.seen_ends}
+    if order.lease_until_ms:
+        body["deadline_ms"] = order.lease_until_ms
+    if order.wait_ms:
+        body["wait_ms"] = order.wait_ms
+    return _encode(body)
+
+
+def decode_renewal(reply: Reply) -> WorkerReport | Refusal:
+    """Read the answer to a renewal.
+
+    Raises
+    ------
+    PlatformError
+        If the answer does not fit.
     """
+    refusal = _read_refusal(reply, "hold")
+    if refusal is not None:
+        return refusal
+    held = _decode(reply, _Held)
+    try:
+        running = [_read_running(row) for row in held.running]
+        ended = [_read_ended(row) for row in held.ended]
+    except (IndexError, TypeError, ValueError) as error:
+        raise PlatformError(f"hold's answer does not fit: {error}") from error
+    return WorkerReport(held.clock_ms, running, ended)
+
+
+def _encode(body: dict) -> bytes:
+    return msgspec.json.encode(body)
+
 
-    def __init__(self, life: str, address: str, connections: int) -> None:
-        headers = {"X-Expected-Instance": life, "Content-Type": _JSON}
-        self._http = HttpPool(address, connections, headers)
-
-    def start(self, order: StartOrder, seconds: float) -> StartResult:
-        """Start a run.
-
-        Raises
-        ------
-        CallUnanswered
-            If there is no answer: the run may be there, or come seconds later.
-        PlatformError
-            If the answer does not fit.
-        """
-        body = {
-            "task": format_task(order.task),
-            "run": order.run,
-            "spec": order.payload,
-            "deadline_ms": order.lease_until_ms,
-            "fencing_token": order.token,
-        }
-        if order.checkpoint:
-            body["checkpoint"] = order.checkpoint
-        if order.ticket:
-            body["ticket"] = order.ticket
-        reply = self._post("/v1/run-start", body, seconds)
-        if reply.status == 200:
-            return StartResult(None, _decode(reply, _Answer).clock_ms)
-        if reply.status == 409:
-            answer = _decode(reply, _Answer)
-            return StartResult(_REFUSALS.get(answer.reason, Refusal.MALFORMED), answer.clock_ms)
-        if reply.status == _OTHER_LIFE:
-            return StartResult(Refusal.OTHER_LIFE)
-        if reply.status in (429, 503):
-            return StartResult(Refusal.UNWELL)
-        if 400 <= reply.status < 500:
-            return StartResult(Refusal.MALFORMED)
-        raise PlatformError(f"run-start answered {reply.status}")
-
-    def stop(self, order: StopOrder, seconds: float) -> Refusal | None:
-        """Stop a run; one that is not there yet will then never start.
-
-        Raises
-        ------
-        CallUnanswered, PlatformError
-            If there is no usable answer.
-        """
-        body = {
-            "task": format_task(order.task),
-            "run": order.run,
-            "fencing_token": order.token,
-        }
-        return _read_refusal(self._post("/v1/run-stop", body, seconds), "run-stop")
-
-    def renew(self, order: RenewOrder, seconds: float) -> WorkerReport | Refusal:
-        """Renew the lease of all that runs and tell what runs and what has ended.
-
-        Raises
-        ------
-        CallUnanswered, PlatformError
-            If there is no usable answer.
-        """
-        body: dict[str, int] = {"fencing_token": order.token, "last_seen": order.seen_ends}
-        if order.lease_until_ms:
-            body["deadline_ms"] = order.lease_until_ms
-        if order.wait_ms:
-            body["wait_ms"] = order.wait_ms
-        reply = self._post("/v1/hold", body, seconds)
-        refusal = _read_refusal(reply, "hold")
-        if refusal is not None:
-            return refusal
-        held = _decode(reply, _Held)
-        try:
-            running = [_read_running(row) for row in held.running]
-            ended = [_read_ended(row) for row in held.ended]
-        except (IndexError, TypeError, ValueError) as error:
-            raise PlatformError(f"hold's answer does not fit: {error}") from error
-        return WorkerReport(held.clock_ms, running, ended)
-
-    def _post(self, path: str, body: dict, seconds: float) -> HttpReply:
-        return self._http.call("POST", path, msgspec.json.encode(body), seconds)
-
-    def close(self) -> None:
-        """Close idle connections."""
-        self._http.close()
-
-
-def _read_refusal(reply: HttpReply, call: str) -> Refusal | None:
+def _read_refusal(reply: Reply, call: str) -> Refusal | None:
     """Give why a worker refused a call; None where it did not."""
     if reply.status == _OTHER_LIFE:
         return Refusal.OTHER_LIFE
@@ -197,5 +209,5 @@
     return EndedRun(int(row[0]), parse_task(row[1]), int(row[2]), kind, str(row[4] or ""))
 
 
-def _decode(reply: HttpReply, kind: type):
+def _decode(reply: Reply, kind: type):
     return decode_json(reply.data, kind, "the worker's answer")
--- a/tests/standins/entry_cluster.py
+++ b/tests/standins/entry_cluster.py
@@ -113,16 +113,18 @@
         )
         self.settings.write_text(text)
 
-    def start(self) -> None:
-        environment = {
+    def environment(self) -> dict[str, str]:
+        return {
             **os.environ,
             "SNOWDOCK_CONFIG": str(self.settings),
             "SNOWDOCK_METRICS_PORT": "0",
         }
+
+    def start(self) -> None:
         with self.log.open("ab") as log:
             self.process = subprocess.Popen(
                 [sys.executable, "-m", "snowdock.entry.daemon"],
-                env=environment,
+                env=self.environment(),
                 stdout=log,
                 stderr=log,
             )
@@ -174,6 +176,7 @@
         workers: int = 3,
         work_s: float = 0.1,
         proxies: Callable[[str], object] | None = None,
+        make_process: Callable[["EntryCluster", int], EntryProcess] = EntryProcess,
     ) -> None:
         self.folder = tempfile.TemporaryDirectory()
         self.store = StoreStandin()
@@ -181,7 +184,7 @@
         self.store_proxies = [proxies(self.store.address) for _ in range(nodes if proxies else 0)]
         self.workers = WorkersStandin(self.store, workers, work_s, proxies)
         self.store.put("keyed.op", "config", CONFIGURATION)
-        self.nodes = [EntryProcess(self, number + 1) for number in range(nodes)]
+        self.nodes = [make_process(self, number + 1) for number in range(nodes)]
 
     def close(self) -> None:
         for node in self.nodes:
--- a/tests/test_silent_links.py
+++ b/tests/test_silent_links.py
@@ -1,5 +1,6 @@
 """Tests of kept connections that go silent for good, without a reset, while new ones work."""
 
+import queue
 import unittest
 
 from snowdock.entry.messages import ENTRY_MESSAGES, Beat, StatusAsked, StatusReply
@@ -8,8 +9,15 @@
 from snowdock.jobs.orders import AdviceWanted, RenewOrder, StartOrder
 from snowdock.node.peers import PeerOptions, Peers
 from snowdock.platform.advice import AdviceClient
+from snowdock.platform.call_loop import CallLoop, Channel
 from snowdock.platform.store import KeyedRecord, StoreClient
-from snowdock.platform.worker_calls import WorkerClient
+from snowdock.platform.worker_calls import (
+    RENEWAL_PATH,
+    START_PATH,
+    encode_renewal,
+    encode_start,
+    worker_headers,
+)
 from tests.standins.entry_cluster import free_port, wait_until
 from tests.standins.platform import StoreStandin
 from tests.standins.proxy import Proxy
@@ -92,14 +100,29 @@
 
     def test_orders(self) -> None:
         """A start is repeated under its run, which to the worker is the same."""
-        client = WorkerClient("w-1", self.server.address, 2)
         order = StartOrder(TaskId(JOB, 0, 0, 0), 1, "payload", 3, 1000)
-        self.check(lambda seconds: client.start(order, seconds))
+        self.check(self.make_call(START_PATH, encode_start(order)))
 
     def test_renewals(self) -> None:
         """A renewal is repeated."""
-        client = WorkerClient("w-1", self.server.address, 2)
-        self.check(lambda seconds: client.renew(RenewOrder(3, 0, 1000, 0, 0.0), seconds))
+        self.check(self.make_call(RENEWAL_PATH, encode_renewal(RenewOrder(3, 0, 1000, 0, 0.0))))
+
+    def make_call(self, path: str, body: bytes):
+        """Make the function that makes a call to a worker and waits for its outcome."""
+        loop = CallLoop("worker-calls")
+        loop.start()
+        self.addCleanup(loop.stop)
+        channel = Channel(loop, self.server.address, worker_headers("w-1"))
+
+        def call(seconds: float) -> None:
+            outcomes: queue.SimpleQueue = queue.SimpleQueue()
+            loop.submit(lambda: channel.call(path, body, seconds, outcomes.put))
+            loop.flush()
+            outcome = outcomes.get(timeout=10)
+            if isinstance(outcome, PlatformError):
+                raise outcome
+
+        return call
 
     def test_advice(self) -> None:
         """A question is asked again."""
--- a/tests/test_worker_link.py
+++ b/tests/test_worker_link.py
@@ -9,6 +9,7 @@
 from snowdock.jobs.model import TaskId
 from snowdock.jobs.orders import Refusal, RenewOrder, StartOrder, StopOrder, WorkerReport
 from snowdock.node.metrics import Metrics
+from snowdock.platform.call_loop import CallLoop
 from tests.standins.platform import Server, as_json
 
 TASK = TaskId("a" * 16, 0, 0, 0)
@@ -23,12 +24,25 @@
         self.calls: list[dict] = []
         self.server = Server(self.answer)
         self.posted: queue.Queue = queue.Queue()
-        self.link = WorkerLink("i-1", self.server.address, self.posted.put, Metrics())
+        self.loop = CallLoop("worker-calls")
+        self.loop.start()
+        self.link = self.make_link("i-1", self.server.address)
 
     def tearDown(self) -> None:
-        self.link.close()
+        self.loop.stop()
         self.server.close()
 
+    def make_link(self, life: str, address: str) -> WorkerLink:
+        return WorkerLink(self.loop, life, address, self.posted.put, Metrics())
+
+    def order(self, order) -> None:
+        self.link.order(order)
+        self.loop.flush()
+
+    def renew(self, order) -> None:
+        self.link.renew(order)
+        self.loop.flush()
+
     def answer(self, method, path, query, body, environ):
         call = json.loads(body) | {"life": environ["HTTP_X_EXPECTED_INSTANCE"], "path": path}
         self.calls.append(call)
@@ -40,7 +54,7 @@
     def test_start_carries_everything(self) -> None:
         """Token, lease, checkpoint, ticket and the life that is meant are sent."""
         self.answers = [as_json({"clock_ms": 12})]
-        self.link.order(START)
+        self.order(START)
         event = self.next()
         self.assertIsInstance(event, StartAnswered)
         self.assertEqual((event.result.refusal, event.result.clock_ms), (None, 12))
@@ -67,41 +81,70 @@
         ]
         for answer, refusal in cases:
             self.answers = [answer]
-            self.link.order(START)
+            self.order(START)
             self.assertEqual(self.next().result.refusal, refusal)
 
     def test_unanswered_start_is_sent_again(self) -> None:
         """A start without a usable answer is repeated as it was, and then counts as started."""
         self.answers = [(500, b""), as_json({"clock_ms": 1})]
-        self.link.order(START)
+        self.order(START)
         self.assertIsNone(self.next().result.refusal)
         self.assertEqual(self.calls[0], self.calls[1])
 
     def test_refusal_of_a_repeated_start_is_no_evidence(self) -> None:
         """The first try may have been carried out, so the run's fate stays open."""
         self.answers = [(500, b""), as_json({"reason": "old"}, 409)]
-        self.link.order(START)
+        self.order(START)
         self.assertIsNone(self.next().result)
 
     def test_start_that_never_gets_an_answer(self) -> None:
         """After some tries the start is told as unanswered."""
         self.answers = [(500, b"")] * 3
-        self.link.order(START)
+        self.order(START)
         self.assertIsNone(self.next().result)
         self.assertEqual(len(self.calls), 3)
 
     def test_unreached_worker(self) -> None:
         """Without a connection nothing was sent."""
-        link = WorkerLink("i-2", "127.0.0.1:1", self.posted.put, Metrics())
-        link.order(START)
+        self.link = self.make_link("i-2", "127.0.0.1:1")
+        self.order(START)
         self.assertEqual(self.next().result.refusal, Refusal.UNREACHED)
-        link.close()
+
+    def test_unreached_worker_with_many_orders(self) -> None:
+        """Each of them is told, however many wait."""
+        self.link = self.make_link("i-2", "127.0.0.1:1")
+        for _ in range(1000):
+            self.link.order(START)
+        self.loop.flush()
+        results = [self.next().result.refusal for _ in range(1000)]
+        self.assertEqual(set(results), {Refusal.UNREACHED})
+
+    def test_orders_keep_their_order(self) -> None:
+        """A stop goes out after the start before it was answered, and renewals beside both."""
+        self.answers = [as_json({"clock_ms": 1})] * 6
+        for _ in range(3):
+            self.link.order(START)
+            self.link.order(STOP)
+        self.loop.flush()
+        kinds = [type(self.next()) for _ in range(6)]
+        self.assertEqual(kinds, [StartAnswered, StopAnswered] * 3)
+        self.assertEqual([call["path"][-5:] for call in self.calls], ["start", "-stop"] * 3)
+
+    def test_closed_link(self) -> None:
+        """What waits is not sent any more, and its answers concern nobody."""
+        self.answers = [as_json({"clock_ms": 1})] * 2
+        self.link.order(START)
+        self.link.close()
+        self.link.order(START)
+        self.loop.flush()
+        self.assertIsInstance(self.next(), StartAnswered)
+        self.assertTrue(self.posted.empty())
 
     def test_stop(self) -> None:
         """A stop tells whether it was answered."""
         self.answers = [as_json({"clock_ms": 1}), (500, b"")]
         for answered in (True, False):
-            self.link.order(STOP)
+            self.order(STOP)
             event = self.next()
             self.assertIsInstance(event, StopAnswered)
             self.assertEqual(event.answered, answered)
@@ -112,14 +155,14 @@
         good = {"clock_ms": 9, "running": [[name, 1, "", 40, 3]], "ended": []}
         good["ended"] = [[4, name, 1, "done", ""], [5, name, 2, "something new", "s"]]
         self.answers = [as_json(good), as_json({"clock_ms": 9, "running": [["x"]]})]
-        self.link.renew(RENEW)
+        self.renew(RENEW)
         event = self.next()
         self.assertIsInstance(event, RenewAnswered)
         self.assertIsInstance(event.outcome, WorkerReport)
         self.assertEqual(event.outcome.running[0].percent, 40)
         self.assertEqual([end.number for end in event.outcome.ended], [4, 5])
         self.assertEqual(self.calls[0]["last_seen"], 3)
-        self.link.renew(RENEW)
+        self.renew(RENEW)
         self.assertIsNone(self.next().outcome)
 
 
