Keep the room that a step sees while its tickets are asked for

A large step kept out by a reservation alone never had its tickets renewed, so a short-lived ticket kept it out for good. Ruled out: reservations of others (the check had none against it). Change: room at workers known to be fit is kept for a step of small tasks while its question is on its way (1.5 times what an answer takes, and 0.1 s); the pause does not hold back a question where such room is seen; a large step's wait beside reserved room counts over all fit workers, and its tickets are asked for meanwhile.

--- a/src/snowdock/jobs/advising.py
+++ b/src/snowdock/jobs/advising.py
@@ -7,7 +7,7 @@
 from .events import AdviceAnswered, AdviceFailed, AskAdvice
 from .orders import AdviceWanted
 from .parts import Advice, Step
-from .reserving import find_reservation
+from .reserving import find_reservation, keep_room
 from .seats import fitting
 from .times import LONG_QUESTION_MS
 from .workers import Worker
@@ -34,6 +34,9 @@
 """Tickets are taken to expire this much early: a start is recorded, sent and may wait for the
 calls before it to the same worker."""
 
+_ANSWER_SLACK_SECONDS = 0.1
+"""How much longer than an answer takes room is kept for it: the way there and back, and a pass."""
+
 _QUESTIONS_A_NODE = 2
 """Short questions on their way for each node that can ask: one that is being answered and one
 that waits. More would be answered in the order asked, whatever became more urgent meanwhile."""
@@ -60,11 +63,25 @@
     return True
 
 
-def may_ask(cell: Cell, step: Step, now: float) -> bool:
-    """Whether a question about a step could go out now."""
+def may_ask(cell: Cell, step: Step, fit: Iterable[Worker], now: float) -> bool:
+    """Whether a question about a step could go out now.
+
+    Parameters
+    ----------
+    cell
+        The leader's state.
+    step
+        The step.
+    fit
+        Workers that may run it, as far as is known.
+    now
+        The steady clock, in seconds.
+    """
     advice = step.advice
     if now < advice.retry_at:
         return False
+    if now < advice.no_room_until and not _sees_room(step, fit):
+        return False
     is_long = _may_be_long(advice)
     most = _LONG_QUESTIONS_A_NODE if is_long else _QUESTIONS_A_NODE
     asked = sum(each is is_long for each in cell.questions.values())
@@ -96,14 +113,20 @@
     advice = step.advice
     chosen = _choose_asked(cell, step, list(workers), wanted, now)
     if not chosen:
-        advice.retry_at = now + _NO_ROOM_SECONDS
+        advice.no_room_until = now + _NO_ROOM_SECONDS
         return
     lives = tuple(worker.life for worker in chosen[:_MOST_ASKED])
     advice.asking = True
-    expected_ms = _question_seconds(advice, len(lives)) * 1000
+    expected_s = _question_seconds(advice, len(lives))
+    if not step.is_bulky:
+        # Else whoever has a ticket goes first, not who ranks first: large steps have theirs renewed
+        # in time, and a small one that ranked higher was passed by four of them in 20 s.
+        fit = [worker for worker in chosen if worker.life in advice.tickets]
+        kept_s = _LATE_FACTOR * expected_s + _ANSWER_SLACK_SECONDS
+        keep_room(cell, step, fit, wanted, now, kept_s)
     wanted_advice = AdviceWanted(*step.key, lives)
     cell.questions[wanted_advice] = _may_be_long(advice)
-    cell.emit(AskAdvice(wanted_advice, expected_ms))
+    cell.emit(AskAdvice(wanted_advice, expected_s * 1000))
 
 
 def _choose_asked(
@@ -166,14 +189,20 @@
 def _reachable(step: Step, worker: Worker) -> Size:
     """Give the room that a step may find there.
 
-    For a bulky one, runs that yield are stopped. Others may be let in to reserved room, and need
-    tickets then.
+    What only reservations keep out may be let in to reserved room, and needs tickets then. For a
+    bulky one, runs that yield are stopped, too.
     """
     if not step.is_bulky:
         return worker.unclaimed(step.key)
+    if step.kept_since is not None:
+        return worker.unclaimed(step.key).plus(worker.yieldable)
     return worker.free_for(step.key, step.rank).plus(worker.yieldable)
 
 
+def _sees_room(step: Step, fit: Iterable[Worker]) -> bool:
+    return any(_reachable(step, worker).holds(step.spec.room) for worker in fit)
+
+
 def _could_place(step: Step, workers: list[Worker], wanted: int) -> bool:
     needed = wanted if step.spec.gang else 1
     return sum(_seats(step, worker, wanted) for worker in workers) >= needed
--- a/src/snowdock/jobs/parts.py
+++ b/src/snowdock/jobs/parts.py
@@ -41,6 +41,8 @@
         Whether a question is on its way.
     retry_at
         When to ask again after a failure.
+    no_room_until
+        When to look again for workers worth a question, unless room is seen at one that is fit.
     """
 
     terms: AdviceTerms
@@ -48,6 +50,7 @@
     unfit: set[str] = dataclasses.field(default_factory=set)
     asking: bool = False
     retry_at: float = 0.0
+    no_room_until: float = 0.0
 
     def knows(self, life: str) -> bool:
         """Whether it is known if a worker may run the step."""
--- a/src/snowdock/jobs/placing.py
+++ b/src/snowdock/jobs/placing.py
@@ -138,7 +138,7 @@
     if needs_advice(cell, step):
         return 1 + _place_advised(cell, step, tasks, pool, now)
     workers = list(pool.workers.values())
-    seats = _find_seats(cell, step, workers, now)
+    seats = _find_seats(cell, step, workers, workers, now)
     left = _place_tasks(cell, step, tasks, seats, now)
     if left:
         if step.is_bulky:
@@ -150,40 +150,53 @@
 def _place_advised(cell: Cell, step: Step, tasks: list[Task], pool: _Pool, now: float) -> int:
     """Place on workers with tickets, or ask for more; give how many workers were looked at."""
     workers = _with_ticket(step, pool, now)
-    seats = _find_seats(cell, step, workers, now)
+    fit = _known_fit(step, pool)
+    seats = _find_seats(cell, step, workers, fit, now)
     left = _place_tasks(cell, step, tasks, seats, now)
     looks = len(workers)
     if not left or (len(left) < len(tasks) and not step.is_bulky):
         return looks
     if step.is_bulky:
-        fit = _known_fit(step, pool)
         looks += len(fit)
         if _seek_room(cell, step, workers, fit, len(left), now):
             return looks
-    if not step.advice.asking and may_ask(cell, step, now):
+    if not step.advice.asking and may_ask(cell, step, fit, now):
         looks += len(pool.workers)
         want_advice(cell, step, pool.workers.values(), len(left), now)
     _put_off(cell, step, now)
     return looks
 
 
-def _find_seats(cell: Cell, step: Step, workers: list[Worker], now: float) -> list[Seats]:
-    """Give the seats of a step, one of them in reserved room where it has been kept for long."""
+def _find_seats(
+    cell: Cell, step: Step, workers: list[Worker], fit: list[Worker], now: float
+) -> list[Seats]:
+    """Give the seats of a step, one of them in reserved room where it has been kept for long.
+
+    ``workers`` are those where it could start now, ``fit`` those where it may ever run.
+    """
     seats = list(find_seats(cell, step, workers))
-    if seats or step.spec.gang or not workers:
+    if seats or step.spec.gang or not fit:
         return seats
-    kept = list(find_seats(cell, step, workers, over_reservations=True))
-    if not kept or any(task.is_placed for task in step.tasks):
+    if any(task.is_placed for task in step.tasks) or not _is_kept_out(cell, step, fit):
         step.kept_since = None
         return []
     if step.kept_since is None:
         step.kept_since = now
     if now - step.kept_since < _LONGEST_KEPT_SECONDS:
         return []
+    kept = list(find_seats(cell, step, workers, over_reservations=True))
+    if not kept:
+        # Its tickets are being renewed for this.
+        return []
     best = max(kept, key=lambda seat: seat.score)
     return [dataclasses.replace(best, count=1)]
 
 
+def _is_kept_out(cell: Cell, step: Step, fit: list[Worker]) -> bool:
+    """Whether there is room for a step that others have only reserved."""
+    return any(True for _ in find_seats(cell, step, fit, over_reservations=True))
+
+
 def _place_tasks(
     cell: Cell, step: Step, tasks: list[Task], seats: list[Seats], now: float
 ) -> list[Task]:
--- a/src/snowdock/jobs/reserving.py
+++ b/src/snowdock/jobs/reserving.py
@@ -15,7 +15,7 @@
 from .seats import fitting, is_last_attempt, is_on_trial, most_seats
 from .workers import Hold, Worker
 
-__all__ = ["find_reservation", "release_claim", "reserve"]
+__all__ = ["find_reservation", "keep_room", "release_claim", "reserve"]
 
 _KEPT_SECONDS = 0.6
 """How long a reservation holds: it is made anew as long as its step waits."""
@@ -107,6 +107,39 @@
     return times
 
 
+def keep_room(
+    cell: Cell, step: Step, workers: Iterable[Worker], wanted: int, now: float, seconds: float
+) -> None:
+    """Keep the room that a step sees, but may not take yet, from steps that rank lower.
+
+    Parameters
+    ----------
+    cell
+        The leader's state.
+    step
+        A step that asks for tickets.
+    workers
+        Workers that may run it.
+    wanted
+        Tasks that wait for room.
+    now
+        The steady clock, in seconds.
+    seconds
+        How long the room is kept.
+    """
+    release_claim(cell, step.key)
+    lives = set()
+    for worker in workers:
+        free = worker.free_for(step.key, step.rank)
+        seats = min(wanted, most_seats(step, worker), fitting(free, step.spec.room))
+        if seats:
+            worker.claims[step.key] = Hold(step.spec.room.times(seats), now, step.rank)
+            lives.add(worker.life)
+            wanted -= seats
+    if lives:
+        cell.claims[step.key] = Claim(now + seconds, frozenset(lives), is_forced=False)
+
+
 def release_claim(cell: Cell, key: StepKey) -> None:
     """Give back what is kept for a step."""
     claim = cell.claims.pop(key, None)
--- a/tests/test_jobs_reserving.py
+++ b/tests/test_jobs_reserving.py
@@ -156,3 +156,97 @@
         self.bench.now += 0.01
         self.bench.report("w1", ended=[(running.order.task, running.order.run, DONE)])
         self.assertEqual(len(self.bench.starts()), 1)
+
+
+class TestRankBesideTickets(unittest.TestCase):
+    """Who ranks higher goes first, also where another one's ticket is there sooner."""
+
+    CHECK = msgspec.structs.replace(SMALL, size=Size(1000, 100), estimate_ms=1000)
+    LONG = msgspec.structs.replace(BULKY, estimate_ms=60_000)
+
+    def setUp(self) -> None:
+        self.bench = Bench(advice=TestAdviceInTime.TERMS)
+        self.fit: dict[str, tuple[str, ...]] = {}
+        self.started: list[str] = []
+        self.asked: list[tuple[float, AskAdvice]] = []
+
+    def rank_by(self, rank) -> None:
+        self.bench.cell.policy = dataclasses.replace(
+            self.bench.cell.policy, rank=lambda step, now: float(rank(step))
+        )
+
+    def take(self, effects) -> None:
+        """Confirm starts, and answer questions half a second after they were asked."""
+        self.asked += [(self.bench.now + 0.5, each) for each in of_type(effects, AskAdvice)]
+        for start in self.bench.starts(effects):
+            self.started.append(start.order.task.job)
+            self.take(self.bench.confirm(start))
+
+    def pass_time(self, seconds: float) -> None:
+        for _ in range(round(seconds * 10)):
+            self.take(self.bench.tick(0.1))
+            due = [each for at, each in self.asked if at <= self.bench.now]
+            self.asked = [(at, each) for at, each in self.asked if at > self.bench.now]
+            for asked in due:
+                tickets = {life: "t" for life in self.fit[asked.wanted.job]}
+                given = AdviceGiven(asked.wanted, tickets)
+                self.take(self.bench.feed(AdviceAnswered(given)))
+
+    def submit(self, spec, *fit: str) -> str:
+        self.bench.now += 0.01
+        job = self.bench.submit(spec)
+        self.fit[job] = fit
+        self.take(self.bench.effects)
+        return job
+
+    def end(self, life: str, job: str) -> None:
+        task = self.bench.cell.jobs[job].repetitions[0][0].tasks[0]
+        self.bench.now += 0.01
+        self.take(self.bench.report(life, ended=[(task.id, task.run, DONE)]))
+
+    def test_small_step_beside_large_ones_with_tickets(self) -> None:
+        """A step of small tasks is not passed by a late large one whose ticket is renewed."""
+        self.rank_by(lambda step: -step.spec.size.cpu)
+        self.bench.add_worker("w1", cpu=4000)
+        self.bench.add_worker("w2", cpu=4000)
+        first = self.submit(BULKY, "w1")
+        self.pass_time(0.8)
+        self.assertEqual(self.started, [first])
+        check = self.submit(self.CHECK, "w1")
+        late = self.submit(BULKY, "w1")
+        # The check's ticket lapses meanwhile; the large step's is renewed for when room comes.
+        self.pass_time(2.6)
+        self.end("w1", first)
+        self.pass_time(1.2)
+        self.assertEqual(self.started[1], check)
+        self.assertNotIn(late, self.started)
+
+    def test_room_that_is_asked_about_is_kept_only_so_long(self) -> None:
+        """Where the service does not answer, a lower step is let in soon."""
+        self.rank_by(lambda step: -step.spec.size.cpu)
+        self.bench.add_worker("w1", cpu=4000)
+        first = self.submit(BULKY, "w1")
+        self.pass_time(0.8)
+        self.submit(self.CHECK, "w1")
+        late = self.submit(BULKY, "w1")
+        self.pass_time(2.6)
+        self.end("w1", first)
+        self.asked.clear()
+        self.take(self.bench.tick(1.5))
+        self.assertIn(late, self.started)
+
+    def test_large_step_beside_reserved_room(self) -> None:
+        """Room that another one has only reserved keeps it out briefly, with short tickets too."""
+        self.bench = Bench(advice=AdviceTerms(decide_ms=500, each_ms=5, valid_ms=1000))
+        self.rank_by(lambda step: step.spec.count)
+        for life in ("w1", "w2", "w3"):
+            self.bench.add_worker(life, cpu=4000)
+        running = self.submit(self.LONG, "w2")
+        self.pass_time(0.8)
+        self.assertEqual(self.started, [running])
+        gang = msgspec.structs.replace(self.LONG, count=2, gang=True)
+        self.submit(gang, "w1", "w2")
+        self.pass_time(1.5)
+        lower = self.submit(msgspec.structs.replace(self.LONG, estimate_ms=100_000), "w1")
+        self.pass_time(4.0)
+        self.assertIn(lower, self.started)
