Model claims, fencing and the wait for a silent leader

Change: specs/election_model.py, two nodes, a claimant silent for five times the usual wait; it uses the code's own waits. Conclusion: kept; a small bound runs with the tests.

--- a/specs/check.py
+++ b/specs/check.py
@@ -12,7 +12,13 @@
 
 from minicheck import check_liveness, check_safety
 
-from . import configuration_model, placement_model, request_model, slot_model
+from . import (
+    configuration_model,
+    election_model,
+    placement_model,
+    request_model,
+    slot_model,
+)
 
 __all__ = ["SMALL", "Result", "check", "main"]
 
@@ -46,6 +52,7 @@
     request_model: request_model.Bounds(),
     slot_model: slot_model.Bounds(),
     configuration_model: configuration_model.Bounds(),
+    election_model: election_model.Bounds(),
 }
 
 SMALL = {
@@ -53,6 +60,7 @@
     request_model: request_model.Bounds(restarts=1),
     slot_model: slot_model.Bounds(ticks=2),
     configuration_model: configuration_model.Bounds(records=2),
+    election_model: election_model.Bounds(orders=1),
 }
 """Bounds for every run of the tests."""
 
--- /dev/null
+++ b/specs/election_model.py
@@ -0,0 +1,154 @@
+"""Who leads: claims on condition, fencing at workers, and how long a silent leader is waited for.
+
+Each claimant gives no sign for a while after its claim: it reads and restores. The waits are those
+of the code (`snowdock.entry.turnover`).
+"""
+
+import dataclasses
+from typing import NamedTuple
+
+from minicheck import Protocol
+
+from snowdock.entry.turnover import next_turnover, patience_factor
+
+from .tools import Rules, make_protocol, replaced
+
+__all__ = ["MOST_CLAIMS", "RULES", "Bounds", "State", "make_model"]
+
+NODES = 2
+USUAL_WAIT = 1
+"""Ticks for which a settled leader that is silent is waited for."""
+
+SILENCE = 5
+"""Ticks for which a claimant gives no sign."""
+
+MOST_CLAIMS = 4
+"""Waits of 1, 2 and 4 ticks are too short, one of 8 is not."""
+
+RULES = ("claim_on_condition", "growing_patience", "fenced_orders")
+"""Rules that may be left out."""
+
+
+@dataclasses.dataclass(frozen=True)
+class Bounds:
+    """How far the search goes."""
+
+    ticks: int = 14
+    orders: int = 2
+
+
+class Node(NamedTuple):
+    """What a node has read of the leaders' partition, and the epoch in which it thinks it leads."""
+
+    seen_end: int = 0
+    own_epoch: int = 0
+
+
+class State(NamedTuple):
+    """The partition's end, its last claim, the nodes, and the epochs a worker took orders from."""
+
+    now: int = 0
+    end: int = 0
+    leader: int = -1
+    claimed_at: int = 0
+    turnover: int = 0
+    claims: int = 0
+    is_settled: bool = False
+    nodes: tuple = (Node(),) * NODES
+    orders: tuple = ()
+
+
+class Model:
+    """Makes the transitions."""
+
+    def __init__(self, bounds: Bounds, rules: Rules) -> None:
+        self._bounds = bounds
+        self._holds = rules.holds
+
+    def transitions(self, values: tuple) -> list:
+        """List what can happen next."""
+        state = State(*values)
+        steps = self._tick(state)
+        for number, node in enumerate(state.nodes):
+            steps += self._read(state, number, node)
+            steps += self._claim(state, number, node)
+            steps += self._order(state, number, node)
+        return [(label, tuple(after)) for label, after in steps]
+
+    def _tick(self, state: State) -> list:
+        if state.now >= self._bounds.ticks:
+            return []
+        now = state.now + 1
+        has_shown = state.claims > 0 and now >= state.claimed_at + SILENCE
+        return [("tick", state._replace(now=now, is_settled=state.is_settled or has_shown))]
+
+    def _read(self, state: State, number: int, node: Node) -> list:
+        if node.seen_end == state.end:
+            return []
+        # Whoever reads of another leader leads no more.
+        own_epoch = node.own_epoch if state.leader == number else 0
+        nodes = replaced(state.nodes, number, Node(state.end, own_epoch))
+        return [(f"node {number} reads", state._replace(nodes=nodes))]
+
+    def _claim(self, state: State, number: int, node: Node) -> list:
+        if node.own_epoch or state.is_settled or state.claims > MOST_CLAIMS:
+            return []
+        if node.seen_end != state.end and self._holds("claim_on_condition"):
+            return []
+        led = state.now - state.claimed_at
+        if state.claims and led < self._wait(state):
+            return []
+        turnover = 0
+        if state.claims:
+            # Ticks stand for seconds here.
+            turnover = next_turnover(state.turnover, float(led), is_evident=False)
+        nodes = replaced(state.nodes, number, Node(node.seen_end + 1, node.seen_end + 1))
+        after = state._replace(
+            end=state.end + 1,
+            leader=number,
+            claimed_at=state.now,
+            turnover=turnover,
+            claims=state.claims + 1,
+            nodes=nodes,
+        )
+        return [(f"node {number} claims", after)]
+
+    def _wait(self, state: State) -> float:
+        if not self._holds("growing_patience"):
+            return USUAL_WAIT
+        return USUAL_WAIT * patience_factor(state.turnover, 0.0)
+
+    def _order(self, state: State, number: int, node: Node) -> list:
+        if not node.own_epoch or len(state.orders) >= self._bounds.orders:
+            return []
+        newest = max(state.orders, default=0)
+        if node.own_epoch < newest and self._holds("fenced_orders"):
+            return []
+        orders = (*state.orders, node.own_epoch)
+        return [(f"node {number} orders", state._replace(orders=orders))]
+
+
+def make_model(bounds: Bounds, left_out: str = "") -> Protocol:
+    """Make the model for the checker; ``left_out`` is one of `RULES`, or nothing."""
+    model = Model(bounds, Rules(left_out))
+    return make_protocol(
+        "election",
+        left_out,
+        State(),
+        model.transitions,
+        {
+            "one_leader_an_epoch": _one_leader_an_epoch,
+            "takeovers_end": lambda state: state["claims"] <= MOST_CLAIMS,
+            "no_order_of_an_older_leader": _no_order_of_an_older_leader,
+        },
+        lambda state: state["is_settled"] or state["now"] >= bounds.ticks,
+    )
+
+
+def _one_leader_an_epoch(state: dict) -> bool:
+    epochs = [node.own_epoch for node in state["nodes"] if node.own_epoch]
+    return len(epochs) == len(set(epochs))
+
+
+def _no_order_of_an_older_leader(state: dict) -> bool:
+    return list(state["orders"]) == sorted(state["orders"])
