Tell a job as unknown only once the leader has taken over what was read

Cause: 'no such job' rested on how lately the jobs' partitions were read. What was read waits in the leader's inbox; a leader that is some seconds behind told callers of jobs it had accepted that there were none. Ruled out: refusing new jobs by the leader's lag at the door: a job that is handed in twice may have been taken in by then, and 'not run' would not be true. Change: each tick tells when it was sent; what was sent before has been taken over, and only up to there jobs count as known. The lag is a metric (leader_lag_seconds). Figures: the new test told 'surely unknown' before, for a leader two seconds behind.

--- a/src/snowdock/entry/leader.py
+++ b/src/snowdock/entry/leader.py
@@ -157,6 +157,12 @@
             return
         began = time.monotonic()
         if isinstance(message, Ticked):
+            self._statuses.take_until(message.sent_at)
+            self._context.metrics.time(
+                "leader_lag_seconds",
+                "Time that an event waited for a leader that was behind.",
+                began - message.sent_at,
+            )
             if began - self._ticked_at < TICK_SECONDS / 2:
                 # They have come together, since the leader is behind: one tells as much.
                 return
--- a/src/snowdock/entry/leader_handle.py
+++ b/src/snowdock/entry/leader_handle.py
@@ -1,6 +1,7 @@
 """One leadership as its node sees it: the leader's actor, and the threads that feed it."""
 
 import threading
+import time
 
 import pykka
 
@@ -90,8 +91,12 @@
 
     @property
     def jobs_read_at(self) -> float:
-        """The steady time up to which all jobs taken in are known, in seconds."""
-        return min(tail.read_at for tail in self._jobs)
+        """The steady time up to which all jobs taken in are known, in seconds.
+
+        What was read but waits to be taken over by a leader that is behind is not known.
+        """
+        read_at = min(tail.read_at for tail in self._jobs)
+        return min(read_at, self._statuses.taken_until)
 
     def start(self, job_offsets: list[int]) -> None:
         """Start feeding the actor; jobs of each partition from an offset on."""
@@ -132,7 +137,7 @@
 
     def _tick(self) -> None:
         while not self._stopped.wait(TICK_SECONDS):
-            self._tell(Ticked(self._context.count_askers()))
+            self._tell(Ticked(self._context.count_askers(), time.monotonic()))
 
     def _take_jobs(self, records: list[KeyedRecord]) -> None:
         for record in records:
--- a/src/snowdock/entry/statuses.py
+++ b/src/snowdock/entry/statuses.py
@@ -1,6 +1,7 @@
 """The statuses of jobs as the leader shows them, read by many threads."""
 
 import threading
+import time
 
 from ..jobs.events import PublishStatus
 from ..jobs.model import JobId, JobStatus
@@ -12,10 +13,20 @@
     """Statuses by job and counts of waiting jobs by queue."""
 
     def __init__(self) -> None:
+        self._taken_until = time.monotonic()
         self._jobs: dict[JobId, PublishStatus] = {}
         self._waiting: dict[str, int] = {}
         self._lock = threading.Lock()
 
+    @property
+    def taken_until(self) -> float:
+        """The steady time up to which the leader has taken all events over, in seconds."""
+        return self._taken_until
+
+    def take_until(self, sent_at: float) -> None:
+        """Take note that all events sent before a steady time have been taken over."""
+        self._taken_until = sent_at
+
     def publish(self, status: PublishStatus) -> None:
         """Show a job's status from now on."""
         with self._lock:
--- a/src/snowdock/jobs/events.py
+++ b/src/snowdock/jobs/events.py
@@ -143,9 +143,18 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Ticked:
-    """Time has passed; ``askers`` nodes can ask the advice service at the same time."""
+    """Time has passed.
+
+    Attributes
+    ----------
+    askers
+        Nodes that can ask the advice service at the same time.
+    sent_at
+        When this was sent, in steady seconds: all events sent before have been taken before it.
+    """
 
     askers: int = 1
+    sent_at: float = 0.0
 
 
 Event = (
--- /dev/null
+++ b/tests/test_leader_queries.py
@@ -0,0 +1,54 @@
+"""Tests of what a node tells of jobs that it does not know as the leader."""
+
+import time
+import types
+import unittest
+
+from snowdock.entry.leader_handle import LeaderHandle
+from snowdock.entry.leader_queries import LeaderQueries
+from snowdock.entry.statuses import StatusBook
+from snowdock.jobs.events import PublishStatus
+from snowdock.jobs.model import JobStatus
+
+JOB = "0123456789abcdef"
+
+
+class TestUnknownJobs(unittest.TestCase):
+    def setUp(self) -> None:
+        self.statuses = StatusBook()
+        store = types.SimpleNamespace()
+        context = types.SimpleNamespace(store=store, parts=3)
+        self.handle = LeaderHandle(context, None, self.statuses)
+        self.read_at(time.monotonic())
+        election = types.SimpleNamespace(renewed_s=0.1)
+        leadership = types.SimpleNamespace(handle=self.handle)
+        self.queries = LeaderQueries("node", election, leadership, None)
+
+    def read_at(self, at: float) -> None:
+        for tail in self.handle._jobs:
+            tail._read_at = at
+
+    def test_leader_that_keeps_up(self) -> None:
+        """There surely is no such job."""
+        self.assertEqual(self.queries.own_status(JOB), (None, True))
+
+    def test_leader_that_is_behind(self) -> None:
+        """A job that was read may still wait to be taken over, and is not told as unknown."""
+        self.statuses.take_until(time.monotonic() - 2.0)
+        self.assertEqual(self.queries.own_status(JOB), (None, False))
+
+    def test_reads_that_are_old(self) -> None:
+        """Nor is one that may not have been read yet."""
+        self.statuses.take_until(time.monotonic())
+        self.read_at(time.monotonic() - 2.0)
+        self.assertEqual(self.queries.own_status(JOB), (None, False))
+
+    def test_job_that_is_known(self) -> None:
+        """Its status is told, however far the leader is behind."""
+        self.statuses.publish(PublishStatus(JOB, "q", JobStatus.RUNNING))
+        self.statuses.take_until(time.monotonic() - 60.0)
+        self.assertEqual(self.queries.own_status(JOB), (JobStatus.RUNNING, True))
+
+
+if __name__ == "__main__":
+    unittest.main()
