--- a/src/snowdock/entry/leader.py
+++ b/src/snowdock/entry/leader.py
@@ -148,8 +148,8 @@
         self._advisers.stop()
         for link in self._links.values():
             link.close()
-        self._calls.stop()
         self._cleaner.stop()
+        self._calls.stop()
 
     def on_receive(self, message: Event) -> None:
         """Take one event."""
--- a/src/snowdock/platform/call_loop.py
+++ b/src/snowdock/platform/call_loop.py
@@ -5,6 +5,7 @@
 """
 
 import collections
+import contextlib
 import heapq
 import itertools
 import selectors
@@ -62,11 +63,9 @@
 
     def flush(self) -> None:
         """Wake the loop's thread for what was submitted: once for many calls."""
-        try:
+        # A full pipe means that it has been woken often enough, a closed one that it has ended.
+        with contextlib.suppress(OSError):
             self._waking.send(b"w")
-        except BlockingIOError:
-            # It has been woken often enough.
-            return
 
     def watch(self, sock: socket.socket, events: int, ready: Callable[[int], None]) -> None:
         """Call a function whenever a socket is ready; on the loop's thread."""
@@ -85,10 +84,8 @@
         heapq.heappush(self._due, (at, next(self._numbers), due))
 
     def _take_wake(self, _events: int) -> None:
-        try:
+        with contextlib.suppress(BlockingIOError):
             self._woken.recv(_WAKE_BYTES)
-        except BlockingIOError:
-            return
 
     def _run(self) -> None:
         while not self._stopped.is_set():
--- a/tests/test_worker_link.py
+++ b/tests/test_worker_link.py
@@ -130,6 +130,16 @@
         self.assertEqual(kinds, [StartAnswered, StopAnswered] * 3)
         self.assertEqual([call["path"][-5:] for call in self.calls], ["start", "-stop"] * 3)
 
+    def test_stopped_loop(self) -> None:
+        """What is asked of it after its end harms nobody."""
+        self.loop.stop()
+        self.loop._thread.join(10)
+        self.assertFalse(self.loop._thread.is_alive())
+        self.order(START)
+        self.link.close()
+        self.loop.stop()
+        self.assertTrue(self.posted.empty())
+
     def test_closed_link(self) -> None:
         """What waits is not sent any more, and its answers concern nobody."""
         self.answers = [as_json({"clock_ms": 1})] * 2
