Write the queue of calls over one channel once

Cause: orders and renewals each had the same queue beside their channel. Change: _CallQueue holds both; nothing else changes.

--- a/src/snowdock/entry/worker_link.py
+++ b/src/snowdock/entry/worker_link.py
@@ -4,6 +4,7 @@
 import functools
 import time
 from collections.abc import Callable
+from typing import Generic, TypeVar
 
 from ..errors import CallUnanswered, PlatformError
 from ..jobs.events import Event, RenewAnswered, StartAnswered, StopAnswered
@@ -38,6 +39,44 @@
 """How much longer than its wait a renewal may take."""
 
 _Order = StartOrder | StopOrder
+_Kind = TypeVar("_Kind")
+
+
+class _CallQueue(Generic[_Kind]):
+    """What is to be sent over one channel, one after the other.
+
+    The first of those that wait stays there until it is answered.
+
+    Parameters
+    ----------
+    channel
+        Carries the calls.
+    send
+        Begins the call for one of them; `go_on` is to be called once it is over.
+    """
+
+    def __init__(self, channel: Channel, send: Callable[[_Kind], None]) -> None:
+        self.channel = channel
+        self._send = send
+        self._waiting: collections.deque[_Kind] = collections.deque()
+
+    def put(self, item: _Kind) -> None:
+        """Send something after those before it."""
+        self._waiting.append(item)
+        if len(self._waiting) == 1:
+            self._send(item)
+
+    def go_on(self) -> None:
+        """Send the next one; none is left where it was closed meanwhile."""
+        if self._waiting:
+            self._waiting.popleft()
+        if self._waiting:
+            self._send(self._waiting[0])
+
+    def close(self) -> None:
+        """Send nothing more."""
+        self._waiting.clear()
+        self.channel.close()
 
 
 class WorkerLink:
@@ -70,18 +109,16 @@
         self._post = post
         self._metrics = metrics
         headers = worker_headers(life)
-        self._order_channel = Channel(loop, address, headers)
-        self._renewal_channel = Channel(loop, address, headers)
-        self._orders: collections.deque[_Order] = collections.deque()
-        self._renewals: collections.deque[RenewOrder] = collections.deque()
+        self._orders = _CallQueue(Channel(loop, address, headers), self._send_order)
+        self._renewals = _CallQueue(Channel(loop, address, headers), self._send_renewal)
 
     def order(self, order: _Order) -> None:
         """Send a start or stop after those before it, once the loop is flushed."""
-        self._loop.submit(functools.partial(self._take_order, order))
+        self._loop.submit(functools.partial(self._orders.put, order))
 
     def renew(self, order: RenewOrder) -> None:
         """Send a renewal after those before it, once the loop is flushed."""
-        self._loop.submit(functools.partial(self._take_renewal, order))
+        self._loop.submit(functools.partial(self._renewals.put, order))
 
     def close(self) -> None:
         """Send nothing more, once the loop is flushed."""
@@ -90,37 +127,26 @@
     # -- on the loop's thread --------------------------------------------------------------
 
     def _close(self) -> None:
-        self._orders.clear()
-        self._renewals.clear()
-        self._order_channel.close()
-        self._renewal_channel.close()
-
-    def _take_order(self, order: _Order) -> None:
-        self._orders.append(order)
-        if len(self._orders) == 1:
-            self._send_order()
-
-    def _send_order(self) -> None:
-        """Send the first of the orders that wait; it stays there until it is answered."""
-        if not self._orders:
-            return
-        order = self._orders[0]
+        self._orders.close()
+        self._renewals.close()
+
+    def _send_order(self, order: _Order) -> None:
         if isinstance(order, StartOrder):
             self._send_start(order, time.monotonic(), 0)
         else:
             answered = functools.partial(self._take_stop_answer, order)
-            self._order_channel.call(STOP_PATH, encode_stop(order), _ORDER_SECONDS, answered)
+            self._orders.channel.call(STOP_PATH, encode_stop(order), _ORDER_SECONDS, answered)
 
     def _send_start(self, order: StartOrder, began: float, tries: int) -> None:
         answered = functools.partial(self._take_start_answer, order, began, tries)
-        self._order_channel.call(START_PATH, encode_start(order), _ORDER_SECONDS, answered)
+        self._orders.channel.call(START_PATH, encode_start(order), _ORDER_SECONDS, answered)
 
     def _take_start_answer(
         self, order: StartOrder, began: float, tries: int, outcome: Outcome
     ) -> None:
         result = self._read_start(outcome)
         if result is None:
-            self._note_unanswered(outcome, self._renewal_channel)
+            self._note_unanswered(outcome, self._renewals.channel)
             self._metrics.count("starts_repeated_total", "Starts sent again.")
             if tries + 1 < _START_TRIES:
                 self._send_start(order, began, tries + 1)
@@ -135,7 +161,7 @@
             told = result.refusal.value if result.refusal else "started"
         self._metrics.count("starts_total", "Starts ordered.", outcome=told)
         self._post(StartAnswered(self._life, order.task, order.run, result))
-        self._go_on()
+        self._orders.go_on()
 
     def _read_start(self, outcome: Outcome) -> StartResult | None:
         if isinstance(outcome, CallUnanswered):
@@ -154,46 +180,30 @@
             refusal = decode_stop(_answer_of(outcome))
             answered = True
         except PlatformError as error:
-            self._note_unanswered(outcome, self._renewal_channel)
+            self._note_unanswered(outcome, self._renewals.channel)
             log_event("stop_unanswered", worker=self._life, task=order.task, reason=str(error))
         except Exception as error:
             log_error("stop_failed", error, worker=self._life)
         self._post(StopAnswered(self._life, order.task, order.run, answered, refusal))
-        self._go_on()
-
-    def _go_on(self) -> None:
-        """Send the next order; none are left where the link was closed meanwhile."""
-        if self._orders:
-            self._orders.popleft()
-            self._send_order()
-
-    def _take_renewal(self, order: RenewOrder) -> None:
-        self._renewals.append(order)
-        if len(self._renewals) == 1:
-            self._send_renewal()
-
-    def _send_renewal(self) -> None:
-        if not self._renewals:
-            return
-        order = self._renewals[0]
+        self._orders.go_on()
+
+    def _send_renewal(self, order: RenewOrder) -> None:
         seconds = order.wait_ms / 1000 + _RENEW_SLACK_SECONDS
         answered = functools.partial(self._take_renewal_answer, order)
-        self._renewal_channel.call(RENEWAL_PATH, encode_renewal(order), seconds, answered)
+        self._renewals.channel.call(RENEWAL_PATH, encode_renewal(order), seconds, answered)
 
     def _take_renewal_answer(self, order: RenewOrder, outcome: Outcome) -> None:
         report: WorkerReport | Refusal | None = None
         try:
             report = decode_renewal(_answer_of(outcome))
         except PlatformError as error:
-            self._note_unanswered(outcome, self._order_channel)
+            self._note_unanswered(outcome, self._orders.channel)
             self._metrics.count("renewals_failed_total", "Renewals without an answer.")
             log_event("renewal_unanswered", worker=self._life, reason=str(error))
         except Exception as error:
             log_error("renewal_failed", error, worker=self._life)
         self._post(RenewAnswered(self._life, order, report))
-        if self._renewals:
-            self._renewals.popleft()
-            self._send_renewal()
+        self._renewals.go_on()
 
     @staticmethod
     def _note_unanswered(outcome: Outcome, other: Channel) -> None:
