Tell each second how full the workers are and what waiting steps lack

Change: a line a second and service (room_use): shares of processors, memory and accelerators in use, and steps that lack room, a ticket, both, or only their turn; 'snowdock losses' writes them as a table below that of the losses.

--- a/src/snowdock/cli/job_commands.py
+++ b/src/snowdock/cli/job_commands.py
@@ -16,6 +16,7 @@
 from ..emulator.workload import default_mixes
 from .explain import format_story, tell_story
 from .losses import format_losses, sum_losses, trace_jobs
+from .room_table import format_room, read_room
 
 __all__ = ["JOB_COMMANDS"]
 
@@ -52,10 +53,12 @@
     ]
 
     def handle(self) -> int:
-        """Read the logs and print a table."""
+        """Read the logs and print a table of losses, and one of the room in use over time."""
         with fileinput.input(self.argument("logs"), encoding="utf-8", errors="replace") as lines:
-            ways = trace_jobs(lines)
-        for line in format_losses(sum_losses(ways)):
+            texts = list(lines)
+        for line in format_losses(sum_losses(trace_jobs(texts))):
+            self.line(line)
+        for line in format_room(read_room(texts)):
             self.line(line)
         return 0
 
--- a/src/snowdock/jobs/cell.py
+++ b/src/snowdock/jobs/cell.py
@@ -181,9 +181,9 @@
         Questions to it that are on their way, and whether each may be a long one.
     placing_wanted
         Whether something has changed that may let a waiting step find room.
-    placed_at, place_again_at, ranked_at
-        When steps were last placed, when they may be placed again, and when some were last
-        ranked, in steady seconds.
+    placed_at, place_again_at, ranked_at, room_told_at
+        When steps were last placed, when they may be placed again, when some were last ranked,
+        and when the use of room was last told, in steady seconds.
     """
 
     def __init__(self, settings: CellSettings, token: int, policy: Policy, now: float) -> None:
@@ -216,6 +216,7 @@
         self.placed_at = 0.0
         self.place_again_at = 0.0
         self.ranked_at = 0.0
+        self.room_told_at = now
 
     @property
     def configuration(self) -> Configuration:
--- a/src/snowdock/jobs/reducer.py
+++ b/src/snowdock/jobs/reducer.py
@@ -24,6 +24,7 @@
 from .order_answers import take_start_answer, take_stop_answer
 from .parts import Job, Phase
 from .placing import place_waiting
+from .room_use import tell_room_use
 from .runs import abort_gang, cancel_job, open_repetition, open_steps
 from .worker_lives import delist_worker, list_worker
 from .worker_reports import take_renewal
@@ -154,6 +155,7 @@
         _open_due(cell, job, wall_ms)
     _give_up_late_gangs(cell, now)
     _forget_old_jobs(cell, now)
+    tell_room_use(cell, now)
 
 
 def _give_up_late_gangs(cell: Cell, now: float) -> None:
--- /dev/null
+++ b/tests/test_room_use.py
@@ -0,0 +1,111 @@
+"""Tests of telling how full the workers are, and what waiting steps lack."""
+
+import dataclasses
+import unittest
+
+import msgspec
+
+from snowdock.cli.room_table import format_room, read_room
+from snowdock.declarations import Size
+from snowdock.jobs.events import AdviceAnswered, AskAdvice, Decided
+from snowdock.jobs.model import AdviceTerms
+from snowdock.jobs.orders import AdviceGiven
+from snowdock.node.logs import format_line
+from tests.jobs_tools import FAILED, SMALL, Bench, of_type
+
+HALF = msgspec.structs.replace(SMALL, size=Size(2000, 3000), estimate_ms=60_000)
+WHOLE = msgspec.structs.replace(SMALL, size=Size(4000, 3000), estimate_ms=60_000)
+
+
+def told(effects) -> list[dict]:
+    """Give the fields of the lines about room among some effects."""
+    lines = [each for each in of_type(effects, Decided) if each.decision == "room_use"]
+    return [dict(each.fields) for each in lines]
+
+
+class TestRoomUse(unittest.TestCase):
+    def test_shares_and_lack_of_room(self) -> None:
+        """Half of the processors are in use, and a step that needs all of a worker lacks room."""
+        bench = Bench()
+        bench.add_worker("w", cpu=4000)
+        bench.submit(HALF)
+        bench.confirm(bench.starts()[0])
+        bench.submit(WHOLE)
+        (fields,) = told(bench.tick(1.1))
+        self.assertEqual((fields["cpu"], round(fields["memory"], 2)), (0.5, 0.33))
+        self.assertEqual((fields["waiting"], fields["room"]), (1, 1))
+        self.assertEqual(fields["ticket"] + fields["both"] + fields["turn"], 0)
+
+    def test_once_a_second(self) -> None:
+        """However often time is told."""
+        bench = Bench()
+        bench.add_worker()
+        # Ticks come each 0.1 s, and rounding may put a line off to the next one.
+        self.assertIn(len(told(bench.tick(6.0))), (5, 6))
+
+    def test_lack_of_tickets(self) -> None:
+        """With room and no ticket, with neither, and with a ticket and no room."""
+        bench = Bench(advice=AdviceTerms(10.0, 0.1, 60_000))
+        bench.add_worker("w", cpu=4000)
+        bench.submit(WHOLE)
+        (fields,) = told(bench.tick(1.1))
+        self.assertEqual((fields["ticket"], fields["both"]), (1, 0))
+        (asked,) = of_type(bench.seen, AskAdvice)
+        bench.feed(AdviceAnswered(AdviceGiven(asked.wanted, {"w": "t"})))
+        bench.tick(0.1)
+        bench.confirm(bench.starts(bench.seen)[0])
+        bench.submit(WHOLE)
+        (fields,) = told(bench.tick(1.0))
+        self.assertEqual((fields["ticket"], fields["both"]), (0, 1))
+        question = next(iter(bench.cell.questions), None)
+        if question is not None:
+            bench.feed(AdviceAnswered(AdviceGiven(question, {"w": "t"})))
+        (fields,) = told(bench.tick(1.0))
+        self.assertEqual((fields["room"], fields["both"]), (1, 0))
+
+    def test_pause_after_a_failure(self) -> None:
+        """A step that is put off lacks nothing else."""
+        bench = Bench()
+        bench.add_worker("w")
+        bench.cell.policy = with_pause(bench)
+        bench.submit()
+        (start,) = bench.starts()
+        bench.confirm(start)
+        bench.report("w", ended=[(start.order.task, 1, FAILED)])
+        (fields,) = told(bench.tick(1.1))
+        self.assertEqual((fields["waiting"], fields["pause"]), (1, 1))
+
+
+def with_pause(bench: Bench):
+    """Give the bench's policy with a long pause after each failure."""
+    return dataclasses.replace(bench.cell.policy, backoff_seconds=lambda step, failures: 30.0)
+
+
+class TestRoomTable(unittest.TestCase):
+    def line(self, at: float, cpu: float, waiting: int, ticket: int) -> str:
+        message = {
+            "timestamp": at,
+            "message_type": "room_use",
+            "subject": "pool",
+            "cpu": cpu,
+            "waiting": waiting,
+            "ticket": ticket,
+        }
+        return format_line(message)
+
+    def test_means_of_two_seconds(self) -> None:
+        """Lines of the same window count for one row."""
+        lines = [self.line(10.0, 0.4, 4, 1), self.line(11.0, 0.6, 6, 3), self.line(12.5, 0.9, 0, 0)]
+        title, first, second = format_room(read_room([*lines, "time=1 event=other node=n"]))
+        self.assertIn("ticket", title)
+        self.assertEqual(first.split()[:3], ["pool", "0", "0.50"])
+        self.assertEqual(first.split()[5:8], ["5.00", "0.00", "2.00"])
+        self.assertEqual(second.split()[:3], ["pool", "2", "0.90"])
+
+    def test_logs_without_such_lines(self) -> None:
+        """Nothing is told."""
+        self.assertEqual(format_room(read_room(["time=1 event=other node=n"])), [])
+
+
+if __name__ == "__main__":
+    unittest.main()
