Have a deposed leader drop its links until it knows whom to follow

Ruled out: silent connections; the peers had turned to the new leader. Change: its links go when it is deposed; following the next leader makes one.

--- a/src/snowdock/entry/daemon.py
+++ b/src/snowdock/entry/daemon.py
@@ -96,7 +96,7 @@
             claim_delay(environment),
             lambda: self._configurations.is_steady,
             lambda epoch: self._leadership.begin(epoch),
-            lambda reason: self._leadership.depose(reason),
+            lambda reason: self._take_deposed(reason),
             self._follow,
         )
         self._peers = Peers(
@@ -242,6 +242,11 @@
             metrics=self._metrics,
         )
 
+    def _take_deposed(self, reason: str) -> None:
+        self._leadership.depose(reason)
+        # Whom it followed follows another; its links to all would be made anew again and again.
+        self._peers.set_addresses({})
+
     def _follow(self, leader: LeaderRecord) -> None:
         if leader.node != self._identity.node:
             self._peers.set_addresses({leader.node: leader.address})
--- a/tests/test_entry_node.py
+++ b/tests/test_entry_node.py
@@ -2,6 +2,7 @@
 
 import functools
 import signal
+import time
 import unittest
 
 from tests.standins.entry_cluster import CONFIGURATION, EntryCluster, wait_until
@@ -262,6 +263,17 @@
         self.cluster.store.turned_away.clear()
         self.assertTrue(wait_until(lambda: node.probe() == 200))
 
+    def test_deposed_leader_drops_its_links(self) -> None:
+        """One that the store turns away is heard by nobody as a leader, and calls nobody anew."""
+        old = self.cluster.leader
+        self.cluster.store.turned_away.add(f"snowdock/{old.node}")
+        # The new leader's claim is not read there; workers' refusals tell of it.
+        self.assertTrue(wait_until(lambda: old.lines("deposed")))
+        time.sleep(5.0)
+        renewed = old.lines("peer_link_renewed")
+        self.cluster.store.turned_away.clear()
+        self.assertEqual(renewed, [])
+
     def test_killed_leader_is_replaced(self) -> None:
         """Running work is adopted by the next leader, and nothing runs twice."""
         self.cluster.workers.work_s = 4.0
