Let no bad address end the exchange with peers; split a leader's renewals off the election

Cause: reading the change: since the poller is told of sockets only when they come and go, what other threads hand over was sent outside of the guard that kept one bad item from ending the thread, and a thread that ends now ends the process. Change: each item is sent under its own guard, and a socket whose address does not fit is closed; Renewals holds how a leader's renewals go. Figures: the new test (a peer with an address that does not fit, then a good one) failed before, the peer was never asked.

--- a/src/snowdock/entry/election.py
+++ b/src/snowdock/entry/election.py
@@ -27,7 +27,7 @@
 from .leader_record import Identity, LeaderRecord
 from .leader_signs import find_evidence
 from .messages import Beat
-from .patience import Patience
+from .renewals import CALL_SECONDS, Renewals
 from .succession import Succession
 
 __all__ = ["Election"]
@@ -40,18 +40,6 @@
 """How long the store is watched for a renewal before a claim: one is due each 0.3 s, and comes as
 many times later as calls take; here a call takes what the look just before has taken."""
 
-_TURNED_AWAY_TRIES = 2
-"""Renewals that failed at once, one after the other, after which a leader tells that the store
-turns it away; a single one may be chance."""
-
-_AT_ONCE_SECONDS = 0.1
-"""A renewal that fails sooner was turned away; one that fails later may be on its way."""
-
-_SHORTEST_RENEWAL_SECONDS = 0.3
-_CALL_SECONDS = 1.0
-"""Bounds of one call: a renewal takes some 10 ms; it is conditional, so sending it again does
-no harm."""
-
 _PAUSE_SECONDS = 0.1
 """Pause after a failed call, and between looks whether the leader is heard."""
 
@@ -108,15 +96,13 @@
         self._stopped = threading.Event()
         self._nudged = threading.Event()
         self._may_claim = True
-        self._patience = Patience(_SHORTEST_RENEWAL_SECONDS, _CALL_SECONDS)
+        self._renewals = Renewals()
         self._known = KnownLeader()
         self._own_epoch = 0
         self._elected_at = 0.0
         self._turnover = 0
-        self._renewed_at = 0.0
         self._resigned = False
         self._told_gone = 0
-        self._turned_away = 0
         self._peer_heard_at = 0.0
         self._thread = ServiceThread(self._run, "election", self._stopped.is_set)
 
@@ -138,7 +124,7 @@
     @property
     def renewed_s(self) -> float:
         """Seconds since this node's leadership was last on record."""
-        return time.monotonic() - self._renewed_at
+        return self._renewals.age_s
 
     @property
     def is_isolated(self) -> bool:
@@ -171,7 +157,7 @@
             self._resigned,
             self._claim_delay_s,
             self._reaches_store(),
-            self._turned_away >= _TURNED_AWAY_TRIES,
+            self._renewals.are_turned_away,
             due_s,
             heard_s,
         )
@@ -241,7 +227,7 @@
         self,
         epoch: int,
         resigned: bool,
-        seconds: float = _CALL_SECONDS,
+        seconds: float = CALL_SECONDS,
         successor: str = "",
     ) -> None:
         """Append an own record, on condition that nobody has appended since the last look."""
@@ -253,22 +239,18 @@
         while self._own_epoch == epoch and not self._stopped.is_set():
             began = time.monotonic()
             try:
-                self._append(epoch, False, self._patience.limit)
+                self._append(epoch, False, self._renewals.limit)
             except AppendConflict:
                 if not self._still_leads(epoch):
                     self.abandon("another node has claimed the leadership")
                     return 0.0
                 continue
             except (CallUnanswered, StoreRefused) as error:
-                self._patience.miss()
-                if time.monotonic() - began < _AT_ONCE_SECONDS:
-                    self._turned_away += 1
+                self._renewals.fail(began)
                 log_event("renewal_failed", epoch=epoch, reason=str(error))
                 self._stopped.wait(_PAUSE_SECONDS)
                 continue
-            self._renewed_at = began
-            self._turned_away = 0
-            self._patience.note(time.monotonic() - began)
+            self._renewals.succeed(began)
             if self._hand_over():
                 return 0.0
             return max(0.0, began + _RENEW_SECONDS - time.monotonic())
@@ -296,7 +278,7 @@
         """Read on after a conflict; only an own renewal whose answer was lost explains it."""
         found = self._log.read_on(0.0)
         if found is None:
-            found = self._log.read_newest(_CALL_SECONDS)
+            found = self._log.read_newest(CALL_SECONDS)
         return all(
             record.epoch == epoch and record.incarnation == self._identity.incarnation
             for record in found
@@ -369,7 +351,7 @@
         return leader.successor not in ("", self._identity.node)
 
     def _read_newest(self) -> None:
-        self._take(self._log.read_newest(_CALL_SECONDS))
+        self._take(self._log.read_newest(CALL_SECONDS))
         self._known.doubt()
 
     def _watch_store(self, seconds: float) -> bool:
@@ -424,8 +406,8 @@
     def _win(self, record: LeaderRecord) -> None:
         self._known.take(record)
         self._resigned = False
-        self._turned_away = 0
         self._turnover = record.turnover
-        self._elected_at = self._renewed_at = time.monotonic()
+        self._elected_at = time.monotonic()
+        self._renewals.begin()
         self._own_epoch = record.epoch
         self._elected(record.epoch)
--- a/src/snowdock/node/peer_links.py
+++ b/src/snowdock/node/peer_links.py
@@ -132,7 +132,11 @@
 
     def _open(self, address: str) -> zmq.Socket:
         socket = self._make_socket()
-        socket.connect(f"tcp://{address}")
+        try:
+            socket.connect(f"tcp://{address}")
+        except zmq.ZMQError:
+            socket.close()
+            raise
         self._poller.register(socket, zmq.POLLIN)
         return socket
 
--- a/src/snowdock/node/peers.py
+++ b/src/snowdock/node/peers.py
@@ -333,16 +333,23 @@
     def _send_outgoing(self) -> None:
         while not self._outgoing.empty():
             item = self._outgoing.get()
-            if isinstance(item, _Addresses):
-                self._links.keep_only(item.addresses, time.monotonic())
-            elif isinstance(item, _Connect):
-                self._links.connect(item.address, item.address, time.monotonic())
-            elif isinstance(item, _Reply):
-                self._try_send(self._listener, [item.identity, item.data])
-            elif item.node in self._links:
-                self._try_send(self._links.socket(item.node), [item.data])
-            else:
-                log_event("peer_unknown", peer=item.node)
+            try:
+                self._send(item)
+            except (ValueError, zmq.ZMQError) as error:
+                # An address or message that does not fit may not end the exchange of all others.
+                log_error("peer_send_failed", error)
+
+    def _send(self, item: _Outgoing) -> None:
+        if isinstance(item, _Addresses):
+            self._links.keep_only(item.addresses, time.monotonic())
+        elif isinstance(item, _Connect):
+            self._links.connect(item.address, item.address, time.monotonic())
+        elif isinstance(item, _Reply):
+            self._try_send(self._listener, [item.identity, item.data])
+        elif item.node in self._links:
+            self._try_send(self._links.socket(item.node), [item.data])
+        else:
+            log_event("peer_unknown", peer=item.node)
 
     @staticmethod
     def _try_send(socket: zmq.Socket, frames: list[bytes]) -> None:
--- a/tests/test_silent_links.py
+++ b/tests/test_silent_links.py
@@ -66,6 +66,22 @@
         self.assertFalse(is_answered())
         self.assertTrue(wait_until(is_answered))
 
+    def test_address_that_does_not_fit(self) -> None:
+        """It costs nothing but itself: other peers are asked as before."""
+        _, address = self.start(lambda asked: StatusReply(asked.number, JobStatus.RUNNING, True))
+        asking, _ = self.start()
+        asking.set_addresses({"broken": "no address", "other": address})
+        asking.set_addresses({"other": address})
+
+        def is_answered() -> bool:
+            try:
+                asking.ask("other", lambda number: StatusAsked(number, JOB), 0.3)
+            except PlatformError:
+                return False
+            return True
+
+        self.assertTrue(wait_until(is_answered))
+
     def test_link_that_heartbeats_confirm(self) -> None:
         """Without signs of life of its own, a silent link is found by what the peer has heard."""
         answering, address = self.start(
