--- a/src/snowdock/entry/leader.py
+++ b/src/snowdock/entry/leader.py
@@ -169,6 +169,12 @@
             self._ticked_at = began
         is_last = self.actor_inbox.empty()
         self._carry_out(reduce(self._cell, message, began, _wall_ms(), is_last))
+        self._context.metrics.count(
+            "leader_seconds_total",
+            "Seconds that the leader's thread spent on events, placing included.",
+            time.monotonic() - began,
+            event=type(message).__name__,
+        )
 
     def _carry_out(self, effects: list[Effect]) -> None:
         for effect in effects:
--- a/src/snowdock/node/metrics.py
+++ b/src/snowdock/node/metrics.py
@@ -34,7 +34,7 @@
             self._metrics[name] = kind(f"snowdock_{name}", doc, registry=self._registry, **options)
         return self._metrics[name]
 
-    def count(self, name: str, doc: str, amount: int = 1, **labels: str) -> None:
+    def count(self, name: str, doc: str, amount: float = 1, **labels: str) -> None:
         """Add to a counter."""
         with self._lock:
             self._find(aioprometheus.Counter, name, doc).add(labels, amount)
