Go on where the fence of earlier leaders was carried out and its answer lost

Change: a conflict while fencing means that the own epoch is in force, since a higher one would have been told as such.

--- a/src/snowdock/entry/progress_writer.py
+++ b/src/snowdock/entry/progress_writer.py
@@ -46,6 +46,10 @@
 def fence_progress(store: StoreClient, epoch: int, seconds: float) -> None:
     """Shut out all earlier leaders from the progress records.
 
+    It may be repeated: where the answer of an earlier try was lost, the store holds the epoch
+    already and takes the number as used. Taken for a failure, that kept a new leader from ever
+    beginning.
+
     Raises
     ------
     ProducerFenced
@@ -54,7 +58,10 @@
         If it may not have been done.
     """
     producer = Producer(_PRODUCER, epoch, _FENCE_SEQUENCE)
-    store.append(PROGRESS_TOPIC, PART, [], seconds, producer=producer)
+    try:
+        store.append(PROGRESS_TOPIC, PART, [], seconds, producer=producer)
+    except AppendConflict:
+        log_event("fence_repeated", epoch=epoch)
 
 
 class ProgressWriter:
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -33,8 +33,11 @@
 """The longest until all accepted jobs have ended: a takeover waits up to ten seconds for
 workers that it never reached."""
 
-FAILED_SEEDS: tuple[int, ...] = ()
-"""Seeds that ever failed, each with its cause beside it."""
+FAILED_SEEDS: dict[int, float] = {
+    # A new leader repeated the fence whose answer was lost, and took the conflict for a failure.
+    306: 15.0,
+}
+"""Seeds that ever failed, with the seconds that they ran, each with its cause beside it."""
 
 
 @dataclasses.dataclass(slots=True)
--- a/tests/test_progress_writer.py
+++ b/tests/test_progress_writer.py
@@ -4,10 +4,12 @@
 import threading
 import unittest
 
-from snowdock.entry.progress_writer import ProgressWriter
+from snowdock.entry.progress_writer import ProgressWriter, fence_progress
 from snowdock.errors import AppendConflict, CallUnanswered, ProducerFenced
 from snowdock.jobs.events import Persist, Persisted, ProgressRecord
 from snowdock.node.metrics import Metrics
+from snowdock.platform.store import KeyedRecord, Producer, StoreClient
+from tests.standins.platform import StoreStandin
 
 BATCH = Persist(1, (ProgressRecord("0123456789abcdef", b"x"),))
 TIMED_OUT = CallUnanswered("no answer", False)
@@ -70,5 +72,29 @@
                 told.get(timeout=0.3)
 
 
+class TestFence(unittest.TestCase):
+    """Earlier leaders are shut out before the records are read."""
+
+    def setUp(self) -> None:
+        self.standin = StoreStandin()
+        self.addCleanup(self.standin.close)
+        self.store = StoreClient(self.standin.address, 2)
+
+    def test_repeated_fence(self) -> None:
+        """One whose answer was lost, or that was followed by a failed read, may be repeated."""
+        for _ in range(3):
+            fence_progress(self.store, 29, 5.0)
+        first = Producer("leader", 29, 1)
+        self.store.append("keyed.progress", 0, [KeyedRecord("k", b"x")], 5.0, producer=first)
+        with self.assertRaises(ProducerFenced):
+            fence_progress(self.store, 28, 5.0)
+
+    def test_later_leader(self) -> None:
+        """Who was shut out by a later one is told so."""
+        fence_progress(self.store, 30, 5.0)
+        with self.assertRaises(ProducerFenced):
+            fence_progress(self.store, 29, 5.0)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -11,9 +11,9 @@
 class TestSoak(unittest.TestCase):
     def test_promises_hold(self) -> None:
         """Under drawn faults nothing runs twice, accepted jobs end, and refused ones never ran."""
-        for seed in (*SEEDS, *FAILED_SEEDS):
+        for seed, seconds in {**dict.fromkeys(SEEDS, SECONDS), **FAILED_SEEDS}.items():
             with self.subTest(seed=seed):
-                self.assertEqual(Soak(seed, SECONDS).run(), [])
+                self.assertEqual(Soak(seed, seconds).run(), [])
 
 
 if __name__ == "__main__":
