Follow by hearsay a leader that cannot be read of on record

Cause: a node that the store turns away reads nothing of who leads. A leader that was relieved for that reason dropped its links and told its callers that nobody leads until the store was back. Change: while reads of the store fail, a heartbeat of a later epoch names the leader.

--- a/src/snowdock/entry/election.py
+++ b/src/snowdock/entry/election.py
@@ -50,6 +50,9 @@
 """A leader that has begun later than this hands over to nobody: each takeover costs some tenths
 of a second in which nothing is placed."""
 
+_UNKNOWN_INCARNATION = ""
+"""Stands for the process of a leader that was heard of, and not read of on record."""
+
 _SUCCESSOR_SECONDS = 0.4
 """How long all others leave it to the successor that a resigning leader names to claim."""
 
@@ -138,7 +141,7 @@
         """Whether another node that leads has been heard of lately, and reaches the store."""
         return self._known.is_heard
 
-    def make_beat(self, due_s: float, heard_s: float | None) -> Beat:
+    def make_beat(self, due_s: float, heard_s: float | None, configuration: int = 0) -> Beat:
         """Make the heartbeat to send to a peer.
 
         Parameters
@@ -147,6 +150,8 @@
             In how many seconds that peer gets the next one.
         heard_s
             How many seconds ago that peer was heard; None for never.
+        configuration
+            The version that is in force here.
         """
         identity = self._identity
         return Beat(
@@ -160,6 +165,7 @@
             self._renewals.are_turned_away,
             due_s,
             heard_s,
+            configuration,
         )
 
     def hear(self, beat: Beat) -> None:
@@ -167,6 +173,8 @@
         now = time.monotonic()
         self._peer_heard_at = now
         self._succession.hear(beat, now)
+        if self._is_newer_leader(beat):
+            self._follow_by_hearsay(beat)
         leader = self._known.record
         if leader is None or beat.node != leader.node:
             return
@@ -176,6 +184,27 @@
             self._known.signs.forget()
             self._nudged.set()
 
+    def _is_newer_leader(self, beat: Beat) -> bool:
+        """Whether a heartbeat is of a leader of whom this node cannot read on record.
+
+        Where it can, the record tells more: how often leaders have changed just before.
+        """
+        known = self._known.record.epoch if self._known.record is not None else 0
+        is_newer = beat.epoch > max(known, self._own_epoch) and not beat.resigned
+        return is_newer and not self._reaches_store()
+
+    def _follow_by_hearsay(self, beat: Beat) -> None:
+        """Follow a leader that was granted the lead while this node did not reach the store.
+
+        Else its callers would be told that nobody leads for as long as that lasts.
+        """
+        log_event("leader_heard", leader=beat.node, epoch=beat.epoch)
+        self.abandon(f"{beat.node} leads in a later epoch")
+        record = LeaderRecord(beat.node, _UNKNOWN_INCARNATION, beat.address, beat.epoch)
+        self._known.take(record)
+        self._known.signs.expect()
+        self._leader_changed(record)
+
     def start(self) -> None:
         """Start following and, where nobody leads, claiming."""
         self._thread.start()
--- a/tests/test_election.py
+++ b/tests/test_election.py
@@ -164,6 +164,19 @@
             first.election._log._store.move("127.0.0.1:1")
             self.assertTrue(wait_until(lambda: second.leads))
 
+    def test_leader_that_was_relieved_follows_by_hearsay(self) -> None:
+        """It cannot read who leads now; heartbeats tell, and it leads no more."""
+        first = self.add("first")
+        self.wait_leader()
+        second = self.add("second")
+        self.wait_followed(second)
+        first.reaches_store = False
+        first.election._log._store.move("127.0.0.1:1")
+        self.assertTrue(wait_until(lambda: second.leads))
+        self.assertTrue(wait_until(lambda: first.election.leader.node == "second"))
+        self.assertFalse(first.leads)
+        self.assertTrue(first.election.hears_leader)
+
     def test_leader_is_not_relieved_by_who_does_not_reach_the_store(self) -> None:
         """While no follower reaches the store either, nobody claims."""
         first = self.add("first")
