--- a/src/snowdock/decisions/placements.py
+++ b/src/snowdock/decisions/placements.py
@@ -57,9 +57,10 @@
         "priority": spec.priority,
         "urgent": spec.urgent,
         "waited_seconds": waited_ms / 1000,
-        # Declared work has no objective of its own.
+        # Declared work has no objective of its own, and teams no weights yet.
         "slack_seconds": 0.0,
         "overdue": 0.0,
+        "share_used": 0.0,
     }
 
 
--- a/src/snowdock/declarations.py
+++ b/src/snowdock/declarations.py
@@ -80,6 +80,12 @@
         """Give so many times this amount."""
         return Size(self.cpu * count, self.memory * count, self.accelerators * count)
 
+    def scaled(self, factor: float) -> "Size":
+        """Give a multiple of this amount, rounded down."""
+        return Size(
+            int(self.cpu * factor), int(self.memory * factor), int(self.accelerators * factor)
+        )
+
     def holds(self, other: "Size") -> bool:
         """Tell whether the other amount fits into this one."""
         return (
--- a/src/snowdock/emulator/checks.py
+++ b/src/snowdock/emulator/checks.py
@@ -6,6 +6,7 @@
 from ..declarations import ZERO, Size
 from ..jobs.model import JobSpec, StepSpec, TaskId
 from ..jobs.orders import EndKind
+from .quota_checks import QuotaChecks
 
 __all__ = ["Checks", "Violation"]
 
@@ -38,15 +39,18 @@
     ----------
     is_calm
         Whether nothing is disturbed; only then no member of a gang may wait in vain.
+    quotas
+        What teams have running.
     violations
         What did not hold so far.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, quota_overage: float = 0.0) -> None:
         self._tasks: dict[TaskId, _History] = {}
         self._jobs: dict[str, tuple[JobSpec, int]] = {}
         self._cancelled: dict[str, float] = {}
         self.is_calm = True
+        self.quotas = QuotaChecks(quota_overage)
         self.violations: list[Violation] = []
 
     def submitted(self, job: str, spec: JobSpec, max_attempts: int) -> None:
@@ -100,6 +104,9 @@
         if cancelled_at is not None and at > cancelled_at + cancel_s:
             self._broken("cancelled", at, task, f"cancelled at {cancelled_at:.3f}")
         history.running[life] = run
+        over = self.quotas.started(task, life, step.size, at)
+        if over:
+            self._broken("quota", at, task, over)
 
     def _is_done(self, task: TaskId, spec: JobSpec) -> bool:
         if self._history(task).done_runs:
@@ -135,6 +142,7 @@
         """Note an end."""
         history = self._history(task)
         history.running.pop(life, None)
+        self.quotas.ended(task, life)
         if kind is EndKind.DONE:
             history.done_runs.add(run)
         elif kind is EndKind.ALONE and task.job not in self._cancelled and self.is_calm:
@@ -155,6 +163,7 @@
         """Note that a worker's life is over with all that ran there."""
         for history in self._tasks.values():
             history.running.pop(life, None)
+        self.quotas.vanished(life)
 
     def shown(self, job: str, is_completed: bool, at: float) -> None:
         """Check a status that callers are shown."""
--- a/src/snowdock/emulator/emulator.py
+++ b/src/snowdock/emulator/emulator.py
@@ -4,11 +4,14 @@
 import random
 from collections.abc import Callable
 
+import msgspec
+
 from ..jobs.cell import Cell, CellSettings
 from ..jobs.events import (
     AdviceAnswered,
     AskAdvice,
     CloseWorker,
+    ConfigurationChanged,
     Decided,
     DropJobs,
     Event,
@@ -30,11 +33,12 @@
 from ..jobs.model import JobStatus, StepSpec, TaskId
 from ..jobs.orders import AdviceGiven, StartOrder
 from ..jobs.policy import make_policy
-from ..jobs.progress import AcceptedJob, JobProgress, decode_progress
+from ..jobs.progress import AcceptedJob, JobProgress, decode_progress, job_of_record, record_name
 from ..jobs.reducer import reduce
 from ..jobs.takeover import RecordedJobs, restore
 from ..jobs.times import RETENTION_FACTOR, TICK_SECONDS, takeover_lapse_seconds
 from ..jobs.workers import WorkerEntry
+from ..teams import Team, TeamBook
 from .checks import Checks
 from .options import EmulatorOptions, Faults
 from .timeline import Timeline
@@ -47,6 +51,9 @@
 _STATUS_SECONDS = 120.0
 """For how long after its end callers may ask for a job."""
 
+_QUOTA_OVERAGE = 0.1
+"""By what part of its quota a team may be over it in passing."""
+
 
 class _Leader:
     """One leadership: a cell, and whether it still takes events."""
@@ -86,12 +93,14 @@
 
     def __init__(self, seed: int, options: EmulatorOptions, jobs: list[DrawnJob]) -> None:
         self.timeline = Timeline()
-        self.checks = Checks()
+        self.checks = Checks(_QUOTA_OVERAGE)
         self.faults = Faults()
         self.statuses: dict[str, JobStatus] = {}
         self.finished_at: dict[str, float] = {}
         self._random = random.Random(seed)
         self._options = options
+        self._configuration = configuration_for(options.workload)
+        self.checks.quotas.configure(options.workload.teams, 0.0)
         self._jobs = {job.job: job for job in jobs}
         self._gangs = Gangs()
         self._accepted: dict[str, AcceptedJob] = {}
@@ -171,9 +180,19 @@
 
     def cancel(self, job: str) -> None:
         """Cancel a job."""
-        self._cancelled.add(job)
+        name = record_name(job, self._jobs[job].team)
+        self._cancelled.add(name)
         self.checks.cancelled(job, self.timeline.now)
-        self._tell_all(JobCancelled(job))
+        self._tell_all(JobCancelled(name))
+
+    def change_teams(self, teams: tuple[Team, ...]) -> None:
+        """Put a configuration with other teams, or other quotas, in force."""
+        version = self._configuration.version + 1
+        self._configuration = msgspec.structs.replace(
+            self._configuration, version=version, teams=TeamBook(teams)
+        )
+        self.checks.quotas.configure(teams, self.timeline.now)
+        self._tell_all(ConfigurationChanged(self._configuration))
 
     def kill_leader(self, pause: float) -> None:
         """Kill the leader; another one is elected after a pause."""
@@ -197,12 +216,13 @@
             early_s=0.25,
             stop_s=options.terms.stop_s,
             retention_s=RETENTION_FACTOR * _STATUS_SECONDS,
+            quota_overage=_QUOTA_OVERAGE,
         )
         holder: list[Cell] = []
         policy = make_policy(_ignore, lambda: holder[0])
         cell = Cell(settings, self._epoch, policy, now)
         holder.append(cell)
-        cell.configuration = configuration_for(options.workload)
+        cell.configuration = self._configuration
         recorded = RecordedJobs(dict(self._accepted), set(self._cancelled), dict(self._progress))
         leader = _Leader(cell)
         for effect in restore(cell, recorded, now, now * 1000):
@@ -248,8 +268,10 @@
             queue.service,
             queue.priority,
             queue.max_attempts,
+            job.team,
         )
         self._accepted[job.job] = accepted
+        self.checks.quotas.submitted(job.job, job.team)
         self.checks.submitted(job.job, job.spec, queue.max_attempts)
         self.timeline.after(
             self._delay(self._options.store_s),
@@ -308,9 +330,9 @@
         return self._rules[key]
 
     def _forget_accepted(self, _: _Leader, effect: ForgetAccepted) -> None:
-        for job in effect.jobs:
-            self._accepted.pop(job, None)
-            self._cancelled.discard(job)
+        for name in effect.names:
+            self._accepted.pop(job_of_record(name), None)
+            self._cancelled.discard(name)
 
     def _publish(self, _: _Leader, effect: PublishStatus) -> None:
         now = self.timeline.now
--- a/src/snowdock/emulator/workload.py
+++ b/src/snowdock/emulator/workload.py
@@ -7,6 +7,7 @@
 
 from ..declarations import Size
 from ..jobs.model import AdviceTerms, Configuration, JobSpec, Queue, Service, StepSpec
+from ..teams import Team, TeamBook
 
 __all__ = [
     "Burst",
@@ -16,6 +17,7 @@
     "crowded_mixes",
     "default_mixes",
     "draw_workload",
+    "uneven_teams",
 ]
 
 
@@ -82,12 +84,18 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class WorkloadOptions:
-    """What is drawn: for how many seconds, how much more than usual, and when even more."""
+    """What is drawn: for how many seconds, how much more than usual, when even more, by whom.
+
+    Without teams, jobs belong to none. Else each is one team's, drawn by the teams' weights, and
+    ``hot_team`` sends so many times as much as its weight tells.
+    """
 
     seconds: float = 30.0
     load: float = 1.0
     mixes: tuple[QueueMix, ...] = ()
     bursts: tuple[Burst, ...] = ()
+    teams: tuple[Team, ...] = ()
+    hot_team: tuple[str, float] = ("", 1.0)
 
     def factor(self, queue: str, at: float) -> float:
         """Give how many times as many jobs as usual come to a queue at a time."""
@@ -108,6 +116,7 @@
     spec: JobSpec
     work_s: tuple[tuple[float, ...], ...]
     is_hopeless: bool
+    team: str = ""
 
 
 _SERVICE = "pool"
@@ -189,7 +198,28 @@
 def configuration_for(options: WorkloadOptions) -> Configuration:
     """Give the configuration that a workload's queues make."""
     queues = tuple(mix.queue for mix in options.mixes)
-    return Configuration(1, queues, (Service(_SERVICE),))
+    teams = TeamBook(options.teams)
+    return Configuration(1, queues, (Service(_SERVICE),), teams=teams)
+
+
+def uneven_teams(count: int, quota: Size) -> tuple[Team, ...]:
+    """Give teams of uneven size that have quotas by their weights.
+
+    Parameters
+    ----------
+    count
+        How many; each next one weighs four fifths of the one before.
+    quota
+        What all of them together may have running.
+    """
+    weights = [0.8**number for number in range(count)]
+    total = sum(weights)
+    teams = []
+    for number, weight in enumerate(weights):
+        part = weight / total
+        most = Size(int(quota.cpu * part), int(quota.memory * part), quota.accelerators)
+        teams.append(Team(f"team-{number}", weight, most))
+    return tuple(teams)
 
 
 def _spread(source: random.Random, mean: float, spread: float, most: float) -> float:
@@ -242,4 +272,11 @@
                 break
             jobs.append((at, mix))
     jobs.sort(key=lambda entry: entry[0])
-    return [_draw_job(source, mix, at, number) for number, (at, mix) in enumerate(jobs, 1)]
+    drawn = [_draw_job(source, mix, at, number) for number, (at, mix) in enumerate(jobs, 1)]
+    if not options.teams:
+        return drawn
+    names = [team.name for team in options.teams]
+    hot, factor = options.hot_team
+    weights = [team.weight * (factor if team.name == hot else 1.0) for team in options.teams]
+    owners = random.Random(f"teams of {seed}").choices(names, weights, k=len(drawn))
+    return [dataclasses.replace(job, team=owner) for job, owner in zip(drawn, owners, strict=True)]
--- a/src/snowdock/entry/daemon.py
+++ b/src/snowdock/entry/daemon.py
@@ -8,17 +8,17 @@
 import threading
 import time
 
-from ..errors import PlatformError, SettingsUnreadable
+from ..errors import SettingsUnreadable
 from ..jobs.model import Configuration
-from ..node.logs import log_error, log_event, start_logging
+from ..node.logs import log_event, start_logging
 from ..node.metrics import Metrics
 from ..node.peer_links import BeatPlan
 from ..node.peers import PeerOptions, Peers
 from ..node.threads import ServiceThread, on_lost_thread
-from ..platform.configuration import CONFIGURATION_KEY, OPERATOR_TOPIC, decode_configuration
 from ..platform.node_settings import NodeEnvironment, read_node_environment
-from ..platform.store import KeyedRecord, StoreClient
+from ..platform.store import StoreClient
 from .advisers import Advisers, LocalAdviser
+from .configurations import Configurations
 from .election import Election
 from .front import bound_front, make_front
 from .intake import Intake, IntakeParts
@@ -33,8 +33,6 @@
 from .probes import Probes
 from .recorder import Recorder
 from .settings_watch import SettingsWatch
-from .tails import Tail
-from .topics import PART
 
 __all__ = ["EntryNode", "main"]
 
@@ -51,10 +49,6 @@
 _NOT_READY_SECONDS = 0.5
 """A node whose reads of the store have failed for this long sends callers elsewhere."""
 
-_CONFIGURATION_WAIT_SECONDS = 1.0
-"""How long one read of the configuration waits; a change is to be in force within two seconds
-even where the store's answer to a read is lost."""
-
 _STORE_CONNECTIONS = 24
 """Connections to the store that are kept: one for each of the front's 20 threads, and a few."""
 
@@ -83,7 +77,6 @@
         self._metrics = Metrics()
         self._stopping = threading.Event()
         self._lost_thread = ""
-        self._configuration: Configuration | None = None
         self._peer_book = PeerBook()
         self._store = StoreClient(environment.store.address, _STORE_CONNECTIONS, environment.node)
         self._adviser = LocalAdviser(environment.advice_address)
@@ -109,30 +102,26 @@
             ENTRY_MESSAGES,
             lambda question: self._answer_peer(question),
             self._hear,
-            self._election.make_beat,
+            self._make_beat,
         )
         self._leadership = Leadership(
             self._election,
-            lambda: self._configuration,
+            lambda: self._configurations.current,
             self._leader_context,
             self._connect_peers,
             self._metrics,
         )
         queries = LeaderQueries(environment.node, self._election, self._leadership, self._peers)
-        self._configurations = Tail(
-            self._store,
-            OPERATOR_TOPIC,
-            PART,
-            _CONFIGURATION_WAIT_SECONDS,
-            0.0,
-            self._take_operator_record,
-            self._take_operator_records,
+        self._configurations = Configurations(
+            self._store, self._peers.tell, self._take_configuration
         )
         recorder = Recorder(self._store, environment.store.parts, self._metrics)
         self._intake = Intake(
             IntakeParts(
                 recorder,
-                lambda: self._configuration,
+                lambda: self._configurations.current,
+                lambda: self._configurations.age_s,
+                environment.key_trust_s,
                 queries.find_status,
                 queries.count_waiting,
                 queries.relay_record,
@@ -140,7 +129,9 @@
                 self._metrics,
             )
         )
-        self._answer_peer = make_peer_answers(queries, self._adviser, recorder.record)
+        self._answer_peer = make_peer_answers(
+            queries, self._adviser, recorder.record, self._configurations.take_told
+        )
         self._probes = Probes(environment.ready_address, self._is_ready, self._metrics)
         self._front = make_front(self._intake, environment, self._metrics)
         self._settings = SettingsWatch(self._take_environment)
@@ -181,35 +172,14 @@
         self._settings.read_again()
 
     def _is_ready(self) -> bool:
-        if self._configuration is None or self._stopping.is_set():
+        if self._configurations.current is None or self._stopping.is_set():
             return False
         return self._configurations.failing_seconds < _NOT_READY_SECONDS
 
     # -- configuration ---------------------------------------------------------------------
 
-    def _take_operator_records(self, records: list[KeyedRecord]) -> None:
-        for record in records:
-            self._take_operator_record(record)
-
-    def _take_operator_record(self, record: KeyedRecord) -> None:
-        if record.key != CONFIGURATION_KEY or record.value is None:
-            return
-        try:
-            found = decode_configuration(record.value)
-        except PlatformError as error:
-            log_error("configuration_unusable", error)
-            return
-        before = self._configuration
-        if before is not None and found.version <= before.version:
-            return
-        self._configuration = found
+    def _take_configuration(self, found: Configuration) -> None:
         bound_front(self._front, found.limits)
-        log_event(
-            "configuration_in_force",
-            version=found.version,
-            before=before.version if before else 0,
-            queues=len(found.queues),
-        )
         leader = self._leadership.handle
         if leader is not None:
             leader.configure(found)
@@ -236,7 +206,7 @@
                 environment.node, self._adviser, self._peers, live, post, self._metrics
             ),
             count_askers=lambda: len(live()) + 1,
-            configuration=lambda: self._configuration,
+            configuration=lambda: self._configurations.current,
             may_order=lambda: self._leadership.leads_in(epoch) and not self._election.is_isolated,
             step_down=self._election.abandon,
             metrics=self._metrics,
@@ -251,8 +221,12 @@
         if leader.node != self._identity.node:
             self._peers.set_addresses({leader.node: leader.address})
 
+    def _make_beat(self, due_s: float, heard_s: float | None) -> Beat:
+        return self._election.make_beat(due_s, heard_s, self._configurations.version)
+
     def _hear(self, beat: Beat) -> None:
         self._election.hear(beat)
+        self._configurations.hear(beat)
         is_new = self._peer_book.note(beat)
         if self._election.own_epoch and is_new:
             self._connect_peers()
--- a/src/snowdock/entry/intake.py
+++ b/src/snowdock/entry/intake.py
@@ -13,17 +13,19 @@
     NotFound,
     SnowdockError,
     Starting,
+    Unauthorized,
     UnsupportedMedia,
     VerdictUnknown,
 )
 from ..jobs.model import Configuration, JobId, JobStatus, Queue
-from ..jobs.progress import AcceptedJob, cancel_key, encode
+from ..jobs.progress import AcceptedJob, cancel_key, encode, record_name
 from ..node.http_models import HttpAnswer, problem_answer
 from ..node.in_flight import InFlight
 from ..node.logs import log_error, log_event
 from ..node.metrics import Metrics
 from ..platform.job_bodies import (
     DEADLINE_HEADER,
+    KEY_HEADER,
     decode_job,
     encode_status,
     encode_waiting,
@@ -55,6 +57,11 @@
 """When a caller that was turned away is told to come back."""
 
 
+_CERTAIN_SECONDS = 1.7
+"""A key that is not known is refused for good only where the configuration was surely the newest
+so lately: a read of it waits for a second, and a new key is to be good within two or three."""
+
+
 class JobGone(SnowdockError):
     """There is no such job."""
 
@@ -72,8 +79,12 @@
         Puts jobs on record from this node.
     configuration
         Gives the configuration in force, or None before the first.
+    configuration_age
+        Gives for how many seconds it is not known whether there is a newer one.
+    key_trust_s
+        For how many seconds keys are good while it is not known whether they were taken away.
     find_status
-        Gives a job's status within some seconds; raises `JobGone` or `Starting`.
+        Gives the status of a team's job within some seconds; raises `JobGone` or `Starting`.
     count_waiting
         Gives a queue's waiting jobs within some seconds; raises `Starting`.
     relay
@@ -86,7 +97,9 @@
 
     recorder: Recorder
     configuration: Callable[[], Configuration | None]
-    find_status: Callable[[JobId, float], JobStatus]
+    configuration_age: Callable[[], float]
+    key_trust_s: float
+    find_status: Callable[[JobId, str, float], JobStatus]
     count_waiting: Callable[[str, float], int]
     relay: Callable[[JobId, KeyedRecord, float], Recording]
     note: Callable[[KeyedRecord], None]
@@ -154,6 +167,7 @@
         queue = configuration.find_queue(name.lower(), path)
         if queue is None:
             raise NotFound("no queue at this host and path")
+        team = self._find_team(environ, configuration, queue)
         method = environ["REQUEST_METHOD"]
         job = path[len(queue.path_prefix) :]
         if not job and method == "GET":
@@ -162,22 +176,46 @@
         if not is_job_id(job):
             raise NotFound("no such job")
         if method == "POST":
-            return self._submit(environ, configuration, queue, job, began)
+            return self._submit(environ, configuration, queue, team, job, began)
         if method == "GET":
-            status = self._parts.find_status(job, _seconds_left(environ, began))
+            status = self._parts.find_status(job, team, _seconds_left(environ, began))
             return HttpAnswer(200, encode_status(status), _JSON)
         if method == "DELETE":
-            record = KeyedRecord(cancel_key(job), b"1")
+            record = KeyedRecord(cancel_key(record_name(job, team)), b"1")
             self._record(job, record, _recording_seconds(environ, began))
-            log_event("job_cancel_recorded", job=job, queue=queue.name)
+            log_event("job_cancel_recorded", job=job, queue=queue.name, team=team)
             return HttpAnswer(200, b"{}", _JSON)
         raise MethodNotAllowed("GET, POST and DELETE are allowed here")
 
+    def _find_team(self, environ: dict, configuration: Configuration, queue: Queue) -> str:
+        """Give the team whose key a request carries; none where its queue needs no key.
+
+        Raises
+        ------
+        Unauthorized
+            If it carries no key, or one that is surely none.
+        Starting
+            If that cannot be told now.
+        """
+        if queue.is_public:
+            return ""
+        key = environ.get(KEY_HEADER, "")
+        if not key:
+            raise Unauthorized(f"a key is needed (configuration {configuration.version})")
+        age_s = self._parts.configuration_age()
+        team = configuration.teams.of_key(key.encode("latin-1", "replace"))
+        if team is None and age_s <= _CERTAIN_SECONDS:
+            raise Unauthorized(f"no such key (configuration {configuration.version})")
+        if team is None or age_s > self._parts.key_trust_s:
+            raise Starting("whether this key is good cannot be told now; nothing was taken")
+        return team.name
+
     def _submit(
         self,
         environ: dict,
         configuration: Configuration,
         queue: Queue,
+        team: str,
         job: JobId,
         began: float,
     ) -> HttpAnswer:
@@ -190,14 +228,20 @@
             raise BodyTooLarge(f"the body is larger than {limit} bytes")
         spec = decode_job(queue.name, body)
         accepted = AcceptedJob(
-            spec, round(time.time() * 1000), queue.service, queue.priority, queue.max_attempts
+            spec,
+            round(time.time() * 1000),
+            queue.service,
+            queue.priority,
+            queue.max_attempts,
+            team,
         )
-        record = KeyedRecord(job, encode(accepted))
+        record = KeyedRecord(record_name(job, team), encode(accepted))
         self._record(job, record, _recording_seconds(environ, began))
         log_event(
             "job_accepted",
             job=job,
             queue=queue.name,
+            team=team,
             configuration=configuration.version,
             ms=(time.monotonic() - began) * 1000,
         )
--- a/src/snowdock/entry/leader.py
+++ b/src/snowdock/entry/leader.py
@@ -207,9 +207,24 @@
             metrics.time(
                 "placing_wait_seconds", "From taking in to a placement.", fields["waited_s"]
             )
+        elif effect.decision == "team_use":
+            self._note_team(effect.subject, fields)
         elif effect.decision == "job_ended":
             metrics.time("job_seconds", "From taking in to the end.", fields["seconds"])
 
+    def _note_team(self, team: str, fields: dict[str, object]) -> None:
+        metrics = self._context.metrics
+        metrics.set(
+            "team_quota_used", "Part of a team's quota in use.", fields["of_quota"], team=team
+        )
+        metrics.set(
+            "team_share_used", "How many fair shares a team uses.", fields["of_share"], team=team
+        )
+        metrics.set("team_waiting", "Steps of a team that wait.", fields["waiting"], team=team)
+        metrics.set(
+            "team_held", "Steps of a team that its quota holds back.", fields["at_quota"], team=team
+        )
+
     def _step_down(self, reason: str) -> None:
         if not self._stepped_down:
             self._stepped_down = True
--- a/src/snowdock/entry/leader_handle.py
+++ b/src/snowdock/entry/leader_handle.py
@@ -16,7 +16,7 @@
     WorkerListed,
 )
 from ..jobs.model import Configuration
-from ..jobs.progress import CANCEL_PREFIX, decode_accepted
+from ..jobs.progress import CANCEL_PREFIX, decode_accepted, job_of_record
 from ..jobs.times import TICK_SECONDS
 from ..node.logs import log_error
 from ..node.threads import ServiceThread
@@ -117,7 +117,8 @@
             self._tell(JobCancelled(record.key.removeprefix(CANCEL_PREFIX)))
             return
         try:
-            self._tell(JobAccepted(record.key, decode_accepted(record.value)))
+            accepted = decode_accepted(record.value)
+            self._tell(JobAccepted(job_of_record(record.key), accepted))
         except InvalidInput as error:
             log_error("job_record_unusable", error, job=record.key)
 
--- a/src/snowdock/entry/leader_queries.py
+++ b/src/snowdock/entry/leader_queries.py
@@ -49,13 +49,16 @@
         self._leadership = leadership
         self._peers = peers
 
-    def own_status(self, job: JobId) -> tuple[JobStatus | None, bool]:
-        """Give a job's status as this node leads, and whether "unknown" can be relied on."""
+    def own_status(self, job: JobId, team: str = "") -> tuple[JobStatus | None, bool]:
+        """Give a job's status as this node leads, and whether "unknown" can be relied on.
+
+        A job of another team is unknown.
+        """
         handle = self._leadership.handle
         if handle is None:
             return None, False
         asked_at = time.monotonic()
-        status = handle.statuses.status(job)
+        status = handle.statuses.status(job, team)
         if status is not None:
             return status, True
         is_fresh = (
@@ -69,8 +72,8 @@
         handle = self._leadership.handle
         return None if handle is None else handle.statuses.waiting(queue)
 
-    def find_status(self, job: JobId, seconds: float) -> JobStatus:
-        """Give a job's status.
+    def find_status(self, job: JobId, team: str, seconds: float) -> JobStatus:
+        """Give the status of a team's job, or of one that belongs to no team.
 
         Raises
         ------
@@ -79,11 +82,13 @@
         Starting
             If that cannot be told now, or no leader answers in time.
         """
-        status, is_sure = self.own_status(job)
+        status, is_sure = self.own_status(job, team)
         other = self._other_leader()
         if self._leadership.handle is None and other is not None:
             try:
-                reply = self._peers.ask(other, lambda number: StatusAsked(number, job), seconds)
+                reply = self._peers.ask(
+                    other, lambda number: StatusAsked(number, job, team), seconds
+                )
             except PlatformError as error:
                 raise Starting(f"the leader does not answer: {error}") from error
             status, is_sure = reply.status, reply.is_sure
--- a/src/snowdock/entry/leader_terms.py
+++ b/src/snowdock/entry/leader_terms.py
@@ -27,6 +27,7 @@
         early_s=environment.early_s,
         stop_s=environment.stop_s,
         retention_s=RETENTION_FACTOR * environment.status_s,
+        quota_overage=environment.quota_overage,
     )
 
 
--- a/src/snowdock/entry/messages.py
+++ b/src/snowdock/entry/messages.py
@@ -13,6 +13,7 @@
     "AdviceAsked",
     "AdviceReply",
     "Beat",
+    "ConfigurationTold",
     "CountAsked",
     "CountReply",
     "EntryMessage",
@@ -52,6 +53,8 @@
         In how many seconds the receiver gets the next one.
     heard_s
         How many seconds ago the sender heard of the receiver; None for never.
+    configuration
+        The version that is in force at the sender; 0 for none.
     """
 
     node: str
@@ -64,13 +67,15 @@
     turned_away: bool = False
     due_s: float = 0.2
     heard_s: float | None = None
+    configuration: int = 0
 
 
 class StatusAsked(_EntryMessage, tag="s"):
-    """Where does a job stand."""
+    """Where does a team's job stand; no team where no key was needed."""
 
     number: int
     job: JobId
+    team: str = ""
 
 
 class StatusReply(_EntryMessage, tag="S"):
@@ -121,6 +126,12 @@
     value: bytes
 
 
+class ConfigurationTold(_EntryMessage, tag="v"):
+    """A configuration as the store holds it, for a node that has only an older one."""
+
+    data: bytes
+
+
 class Recording(enum.IntEnum):
     """How putting a record on the store went."""
 
@@ -162,6 +173,7 @@
     | RecordAsked
     | RecordNoted
     | RecordReply
+    | ConfigurationTold
 )
 
 _encoder = msgspec.msgpack.Encoder()
@@ -179,6 +191,13 @@
     encode=_encoder.encode,
     decode=_decode,
     heartbeat=Beat,
-    questions=(StatusAsked, CountAsked, AdviceAsked, RecordAsked, RecordNoted),
+    questions=(
+        StatusAsked,
+        CountAsked,
+        AdviceAsked,
+        RecordAsked,
+        RecordNoted,
+        ConfigurationTold,
+    ),
     answers=(StatusReply, CountReply, AdviceReply, RecordReply),
 )
--- a/src/snowdock/entry/peer_answers.py
+++ b/src/snowdock/entry/peer_answers.py
@@ -12,6 +12,7 @@
 from .messages import (
     AdviceAsked,
     AdviceReply,
+    ConfigurationTold,
     CountAsked,
     CountReply,
     EntryMessage,
@@ -30,6 +31,7 @@
     queries: LeaderQueries,
     adviser: LocalAdviser,
     record_here: Callable[[JobId, KeyedRecord, float], Recording],
+    take_configuration: Callable[[bytes], None],
 ) -> Callable[[EntryMessage], EntryMessage | None]:
     """Make the function that answers questions of peers.
 
@@ -41,6 +43,8 @@
         Asks the advice service from this node.
     record_here
         Puts a job's record on the store from this node.
+    take_configuration
+        Takes a configuration over that a peer has told of.
 
     Returns
     -------
@@ -50,8 +54,8 @@
 
     def answer(question: EntryMessage) -> EntryMessage | None:
         match question:
-            case StatusAsked(number, job):
-                return StatusReply(number, *queries.own_status(job))
+            case StatusAsked(number, job, team):
+                return StatusReply(number, *queries.own_status(job, team))
             case CountAsked(number, queue):
                 waiting = queries.own_count(queue)
                 return CountReply(number, waiting or 0, waiting is not None)
@@ -61,6 +65,8 @@
                 return RecordReply(number, record_here(job, KeyedRecord(key, value), seconds))
             case RecordNoted(key, value):
                 queries.take_note(KeyedRecord(key, value))
+            case ConfigurationTold(data):
+                take_configuration(data)
         return None
 
     return answer
--- a/src/snowdock/entry/record_cleaner.py
+++ b/src/snowdock/entry/record_cleaner.py
@@ -56,15 +56,17 @@
 
     def _run(self) -> None:
         while not self._stopped.wait(_GATHER_SECONDS):
-            ended: set[JobId] = set()
+            ended: set[str] = set()
             old: list[JobId] = []
             while not self._wanted.empty():
                 effect = self._wanted.get()
-                ended.update(effect.jobs)
                 if isinstance(effect, DropJobs):
                     old += effect.jobs
+                    ended.update(effect.jobs)
+                else:
+                    ended.update(effect.names)
             for part in range(self._parts):
-                here = [job for job in ended if job_part(job, self._parts) == part]
+                here = [name for name in ended if job_part(name, self._parts) == part]
                 self._drop(JOBS_TOPIC, part, [*here, *map(cancel_key, here)])
             self._drop(PROGRESS_TOPIC, PART, old)
 
--- a/src/snowdock/entry/statuses.py
+++ b/src/snowdock/entry/statuses.py
@@ -44,10 +44,12 @@
             for job in jobs:
                 self._jobs.pop(job, None)
 
-    def status(self, job: JobId) -> JobStatus | None:
-        """Give a job's status, or None where it is unknown."""
+    def status(self, job: JobId, team: str = "") -> JobStatus | None:
+        """Give a job's status, or None where it is unknown, or belongs to another team."""
         found = self._jobs.get(job)
-        return None if found is None else found.status
+        if found is None or found.team not in ("", team):
+            return None
+        return found.status
 
     def waiting(self, queue: str) -> int:
         """Count a queue's jobs none of whose tasks has begun."""
--- a/src/snowdock/entry/takeover.py
+++ b/src/snowdock/entry/takeover.py
@@ -2,20 +2,28 @@
 
 import concurrent.futures
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from ..errors import PlatformError, ProducerFenced
-from ..jobs.progress import CANCEL_PREFIX, decode_accepted, decode_progress
+from ..jobs.model import JobId
+from ..jobs.progress import (
+    CANCEL_PREFIX,
+    AcceptedJob,
+    JobProgress,
+    decode_accepted,
+    decode_progress,
+    job_of_record,
+)
 from ..jobs.takeover import RecordedJobs
 from ..node.logs import log_event
-from ..platform.store import StoreClient
+from ..platform.store import KeyedRecord, StoreClient
 from .leader import Leader, LeaderContext
 from .leader_handle import LeaderHandle
 from .progress_writer import fence_progress
 from .statuses import StatusBook
 from .topics import JOBS_TOPIC, PART, PROGRESS_TOPIC
 
-__all__ = ["start_leader"]
+__all__ = ["sort_records", "start_leader"]
 
 _READ_SECONDS = 3.0
 """How long one call to the store may take: a page of many jobs takes longer than an append."""
@@ -41,13 +49,35 @@
     progress = {
         record.key: decode_progress(record.value) for record in newest.records if record.value
     }
-    accepted, cancelled = {}, set()
-    for record in (record for page in pages for record in page.records):
+    records = [record for page in pages for record in page.records]
+    recorded = sort_records(records, progress)
+    return recorded, [page.next_offset for page in pages]
+
+
+def sort_records(
+    records: Iterable[KeyedRecord], progress: dict[JobId, JobProgress]
+) -> RecordedJobs:
+    """Tell jobs from cancels, and of jobs that share an identifier the one that counts.
+
+    That is the one whose team its progress names, else the one that was taken in first: teams
+    choose identifiers themselves, and may choose that of another's job.
+    """
+    accepted: dict[JobId, AcceptedJob] = {}
+    cancelled = set()
+    for record in records:
         if record.key.startswith(CANCEL_PREFIX):
             cancelled.add(record.key.removeprefix(CANCEL_PREFIX))
         elif record.value:
-            accepted[record.key] = decode_accepted(record.value)
-    return RecordedJobs(accepted, cancelled, progress), [page.next_offset for page in pages]
+            job = job_of_record(record.key)
+            known = progress.get(job)
+            found = decode_accepted(record.value)
+            if known is not None and known.team != found.team:
+                log_event("job_of_another_team", job=job, team=known.team, by=found.team)
+                continue
+            other = accepted.get(job)
+            if other is None or found.accepted_ms < other.accepted_ms:
+                accepted[job] = found
+    return RecordedJobs(accepted, cancelled, progress)
 
 
 def start_leader(context: LeaderContext, is_wanted: Callable[[], bool]) -> LeaderHandle | None:
--- a/src/snowdock/entry/topics.py
+++ b/src/snowdock/entry/topics.py
@@ -20,7 +20,7 @@
 
 
 def job_part(job: JobId, parts: int) -> int:
-    """Give the partition that a job is taken in to, of so many.
+    """Give the partition that a job is taken in to, of so many; its `record_name` serves as well.
 
     A partition takes its appends in turn. Jobs are spread so that a store that has become slow
     still takes as many as come.
--- a/src/snowdock/jobs/batches.py
+++ b/src/snowdock/jobs/batches.py
@@ -6,6 +6,7 @@
 from .orders import StartOrder
 from .parts import Job, Phase, Task
 from .progress import JobProgress, TaskProgress, encode
+from .quotas import may_start
 from .runs import void_run
 
 __all__ = ["flush", "take_persisted"]
@@ -22,10 +23,11 @@
     size = 0
     while cell.dirty and size < _BATCH_BYTES:
         job_id = next(iter(cell.dirty))
-        progress = _progress(cell.dirty.pop(job_id))
+        job = cell.dirty.pop(job_id)
+        progress = _progress(job)
         if progress.status.is_final and not progress.tasks:
             # A takeover reads what is open: its time grows with that, not with a day's jobs.
-            cell.held.append(ForgetAccepted((job_id,)))
+            cell.held.append(ForgetAccepted((job.record_name,)))
         data = encode(progress)
         size += len(data)
         records.append(ProgressRecord(job_id, data))
@@ -72,6 +74,10 @@
         cell.tell("ticket_expired", job.id, task=task.id, run=task.run, worker=task.life)
         void_run(cell, task, now)
         return
+    if not may_start(cell, task):
+        cell.tell("start_over_quota", job.id, task=task.id, run=task.run, team=job.team)
+        void_run(cell, task, now)
+        return
     if step.spec.gang:
         cell.starting_gangs[step.key] = step
     until = worker.extend_lease(now, cell.settings.lease_s)
@@ -127,4 +133,4 @@
         for task in job.all_tasks()
         if task.life or (keeps_all and (task.run or task.phase is Phase.DONE))
     ]
-    return JobProgress(job.status, tasks)
+    return JobProgress(job.status, tasks, job.team)
--- a/src/snowdock/jobs/cell.py
+++ b/src/snowdock/jobs/cell.py
@@ -3,10 +3,12 @@
 import dataclasses
 from collections.abc import Callable
 
+from ..declarations import ZERO
 from .events import Decided, Effect, PublishStatus
 from .model import Configuration, JobId, Queue, StepKey, TaskId
 from .orders import AdviceWanted
 from .parts import Job, Step, Task
+from .team_use import TeamUse
 from .workers import Worker
 
 __all__ = [
@@ -40,6 +42,8 @@
         The longest that a worker takes to stop a run.
     retention_s
         How long a job stays known after its end.
+    quota_overage
+        By what part of its quota a team may be over it in passing; what has to start whole uses it.
     """
 
     lease_s: float
@@ -48,6 +52,7 @@
     early_s: float
     stop_s: float
     retention_s: float
+    quota_overage: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -150,13 +155,15 @@
     final_jobs
         When jobs ended, in steady seconds, in that order.
     cancelled_ahead
-        Jobs that were cancelled before they were known.
+        Jobs that were cancelled before they were known, by their `record_name`.
     workers
         All workers that are listed or may still run something, by life.
     ended_lives
         Lives that are over while the store still lists them.
     orphans
         Runs of earlier leaders by the life of a worker that is not known yet.
+    team_use
+        What each team has running.
     waiting
         Steps with tasks to place, in the order in which they were ranked.
     scheduled
@@ -181,9 +188,11 @@
         Questions to it that are on their way, and whether each may be a long one.
     placing_wanted
         Whether something has changed that may let a waiting step find room.
-    placed_at, place_again_at, ranked_at, room_told_at
+    placed_at, place_again_at, ranked_at, room_told_at, teams_told_at
         When steps were last placed, when they may be placed again, when some were last ranked,
-        and when the use of room was last told, in steady seconds.
+        and when the use of room, and that by teams, was last told, in steady seconds.
+    capacity
+        All room of the workers, as of the last tick.
     """
 
     def __init__(self, settings: CellSettings, token: int, policy: Policy, now: float) -> None:
@@ -196,10 +205,11 @@
         self._queues: dict[str, Queue] = {}
         self.jobs: dict[JobId, Job] = {}
         self.final_jobs: dict[JobId, float] = {}
-        self.cancelled_ahead: set[JobId] = set()
+        self.cancelled_ahead: set[str] = set()
         self.workers: dict[str, Worker] = {}
         self.ended_lives: set[str] = set()
         self.orphans: dict[str, list[Orphan]] = {}
+        self.team_use = TeamUse()
         self.waiting: dict[StepKey, Step] = {}
         self.scheduled: dict[JobId, Job] = {}
         self.claims: dict[StepKey, Claim] = {}
@@ -217,6 +227,8 @@
         self.place_again_at = 0.0
         self.ranked_at = 0.0
         self.room_told_at = now
+        self.teams_told_at = now
+        self.capacity = ZERO
 
     @property
     def configuration(self) -> Configuration:
@@ -238,7 +250,7 @@
 
     def publish(self, job: Job) -> None:
         """Show a job's status to callers now."""
-        self.effects.append(PublishStatus(job.id, job.queue, job.status))
+        self.effects.append(PublishStatus(job.id, job.queue, job.status, job.team))
 
     def find_task(self, task: TaskId) -> Task | None:
         """Give a task, or None where its job or number is unknown."""
--- a/src/snowdock/jobs/events.py
+++ b/src/snowdock/jobs/events.py
@@ -60,9 +60,9 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class JobCancelled:
-    """A job's cancelling is on record."""
+    """A job's cancelling is on record; ``name`` is the `record_name` of what is cancelled."""
 
-    job: JobId
+    name: str
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -246,6 +246,7 @@
     job: JobId
     queue: str
     status: JobStatus
+    team: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -257,9 +258,12 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ForgetAccepted:
-    """Forget how jobs were taken in whose end is on record, and of which nothing runs."""
+    """Forget how jobs were taken in whose end is on record, and of which nothing runs.
 
-    jobs: tuple[JobId, ...]
+    ``names`` are their `record_name`.
+    """
+
+    names: tuple[str, ...]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/snowdock/jobs/model.py
+++ b/src/snowdock/jobs/model.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from ..declarations import Size
+from ..teams import TeamBook
 
 __all__ = [
     "AdviceTerms",
@@ -181,6 +182,8 @@
         The longest that a caller waits for an answer.
     advice
         The terms of the external advice that its placements need, if any.
+    is_public
+        Whether its callers need no key; their jobs belong to no team.
     """
 
     name: str
@@ -193,6 +196,7 @@
     target_latency_ms: float = 0.0
     timeout_ms: float = 0.0
     advice: AdviceTerms | None = None
+    is_public: bool = False
 
 
 class Service(msgspec.Struct, frozen=True):
@@ -232,6 +236,7 @@
     queues: tuple[Queue, ...] = ()
     services: tuple[Service, ...] = ()
     limits: Limits = Limits()
+    teams: TeamBook = msgspec.field(default_factory=TeamBook)
 
     def find_queue(self, host: str, path: str) -> Queue | None:
         """Give the queue of a request: the longest prefix among those of its host."""
--- a/src/snowdock/jobs/parts.py
+++ b/src/snowdock/jobs/parts.py
@@ -5,7 +5,7 @@
 from collections.abc import Mapping
 
 from .model import AdviceTerms, JobId, JobStatus, StepKey, StepSpec, TaskId
-from .progress import AcceptedJob
+from .progress import AcceptedJob, record_name
 
 __all__ = ["Advice", "Job", "Phase", "Step", "Task"]
 
@@ -144,6 +144,8 @@
         seconds; None where that is not so.
     is_bulky
         Whether the pieces of room between other work hardly ever hold its tasks.
+    is_at_quota
+        Whether its team's quota lets none of its waiting tasks begin.
     has_news
         Whether advice has come that has not been looked at yet.
     shown
@@ -166,6 +168,7 @@
     usual_log: float | None = None
     kept_since: float | None = None
     is_bulky: bool = False
+    is_at_quota: bool = False
     has_news: bool = False
     shown: Mapping[str, object] | None = None
 
@@ -215,6 +218,16 @@
         """The name of its queue."""
         return self.accepted.spec.queue
 
+    @property
+    def team(self) -> str:
+        """The team that it belongs to; empty for none."""
+        return self.accepted.team
+
+    @property
+    def record_name(self) -> str:
+        """Where it was taken in."""
+        return record_name(self.id, self.team)
+
     def all_tasks(self):
         """Give all tasks of all repetitions so far."""
         for steps in self.repetitions:
--- a/src/snowdock/jobs/placing.py
+++ b/src/snowdock/jobs/placing.py
@@ -6,8 +6,10 @@
 from .advising import may_ask, needs_advice, want_advice
 from .cell import Cell, HeldStart
 from .durability import mark
+from .occupancy import occupy
 from .parts import Phase, Step, Task
 from .preempting import drop_claims, has_claim, make_room
+from .quotas import tasks_within_quota
 from .ranking import rank_again
 from .reserving import reserve
 from .seats import Seats, choose_workers, find_seats, is_bulky
@@ -147,6 +149,9 @@
     if not tasks:
         del cell.waiting[step.key]
         return 1
+    tasks = tasks[: _within_quota(cell, step, len(tasks))]
+    if not tasks:
+        return 1
     pool = pools.get(cell.queue_of(step.job).service, _NO_POOL)
     step.is_bulky = is_bulky(step, pool.capacity)
     if not pool.may_hold(step):
@@ -163,6 +168,18 @@
     return 1 + len(workers)
 
 
+def _within_quota(cell: Cell, step: Step, wanted: int) -> int:
+    """Tell how many tasks of a step its team's quota lets begin, and note where it is none."""
+    count = tasks_within_quota(cell, step, wanted)
+    if step.is_at_quota is not (count == 0):
+        step.is_at_quota = count == 0
+        decision = "team_at_quota" if step.is_at_quota else "team_below_quota"
+        team = step.job.team
+        used = cell.team_use.used(team)
+        cell.tell(decision, step.job.id, step=step.number, team=team, wanted=wanted, used=used)
+    return count
+
+
 def _place_advised(cell: Cell, step: Step, tasks: list[Task], pool: _Pool, now: float) -> int:
     """Place on workers with tickets, or ask for more; give how many workers were looked at."""
     workers = _with_ticket(step, pool, now)
@@ -272,7 +289,7 @@
         task.since = now
         if step.spec.gang:
             task.checkpoint = checkpoint
-        worker.take(task.id, task.run, step.spec.room, step.spec.may_yield)
+        occupy(cell, worker, task.id, task.run, step)
         cell.held.append(HeldStart(task, task.run))
     step.kept_since = None
     mark(cell, step.job)
@@ -286,7 +303,7 @@
         rank=step.rank,
         waited_s=now - step.job.submitted_at,
     )
-    if len(chosen) == len(tasks):
+    if not any(task.phase is Phase.WAITING for task in step.tasks):
         del cell.waiting[step.key]
         drop_claims(cell, now)
 
--- a/src/snowdock/jobs/policy.py
+++ b/src/snowdock/jobs/policy.py
@@ -8,6 +8,7 @@
 from ..policies import Alarm, PolicyBook
 from .cell import Cell, Policy
 from .parts import Step
+from .shares import share_used
 from .workers import Worker
 
 __all__ = ["make_policy"]
@@ -73,7 +74,8 @@
     return {
         "kind": _kind(step),
         "name": f"{queue.name}/{step.number}",
-        "team": "",
+        "team": step.job.team,
+        "share_used": round(share_used(cell, step.job.team), 2),
         "tasks": spec.count,
         "cpu": spec.size.cpu / 1000,
         "memory_gb": spec.size.memory / 1024,
@@ -95,7 +97,8 @@
     work = _describe(cell, step, step.job.submitted_at)
     for field in ("tasks", "cpu", "memory_gb", "run_seconds"):
         work[field] = _next_power_of_two(work[field])
-    work["slack_seconds"] = work["overdue"] = 0.0
+    work["slack_seconds"] = work["overdue"] = work["share_used"] = 0.0
+    work["team"] = ""
     sizes = "/".join(str(work[field]) for field in ("tasks", "cpu", "memory_gb", "run_seconds"))
     work["name"] = f"{cell.queue_of(step.job).name}/{sizes}"
     return work
--- a/src/snowdock/jobs/progress.py
+++ b/src/snowdock/jobs/progress.py
@@ -1,5 +1,7 @@
 """The durable record of a job's progress, and of its being taken in or cancelled."""
 
+import hashlib
+
 import msgspec
 
 from ..errors import InvalidInput
@@ -14,11 +16,16 @@
     "decode_accepted",
     "decode_progress",
     "encode",
+    "job_of_record",
+    "record_name",
 ]
 
 CANCEL_PREFIX = "cancel."
 """Begins the key of a record that cancels a job."""
 
+_TEAM_MARK = "@"
+_TEAM_DIGEST_BYTES = 6
+
 
 class AcceptedJob(msgspec.Struct, frozen=True, array_like=True):
     """A job as it was taken in; written once, by the node that took it in.
@@ -31,6 +38,8 @@
         The taking node's time of day, in ms since 1970.
     service, priority, max_attempts
         The queue's terms at that time, for when the queue itself is gone.
+    team
+        The team whose key handed it in; empty where no key was needed.
     """
 
     spec: JobSpec
@@ -38,6 +47,7 @@
     service: str
     priority: int
     max_attempts: int
+    team: str = ""
 
 
 class TaskProgress(msgspec.Struct, array_like=True):
@@ -70,15 +80,33 @@
 
 
 class JobProgress(msgspec.Struct, array_like=True):
-    """Where a job stands: its status, and each task that was ever started."""
+    """Where a job stands: its status, each task that was ever started, and whose it is."""
 
     status: JobStatus
     tasks: list[TaskProgress]
+    team: str = ""
+
+
+def record_name(job: JobId, team: str) -> str:
+    """Give the key under which a team's job is taken in.
+
+    It differs by team: who hands in a job under an identifier of another team's job neither
+    replaces that job's record nor cancels it.
+    """
+    if not team:
+        return job
+    digest = hashlib.blake2b(team.encode(), digest_size=_TEAM_DIGEST_BYTES).hexdigest()
+    return f"{job}{_TEAM_MARK}{digest}"
+
+
+def job_of_record(name: str) -> JobId:
+    """Give the job that a name made by `record_name` is of."""
+    return name.partition(_TEAM_MARK)[0]
 
 
-def cancel_key(job: JobId) -> str:
-    """Give the key of the record that cancels a job."""
-    return f"{CANCEL_PREFIX}{job}"
+def cancel_key(name: str) -> str:
+    """Give the key of the record that cancels the job of a `record_name`."""
+    return f"{CANCEL_PREFIX}{name}"
 
 
 def encode(record: AcceptedJob | JobProgress) -> bytes:
--- a/src/snowdock/jobs/reducer.py
+++ b/src/snowdock/jobs/reducer.py
@@ -24,8 +24,10 @@
 from .order_answers import take_start_answer, take_stop_answer
 from .parts import Job, Phase
 from .placing import place_waiting
+from .progress import AcceptedJob, job_of_record, record_name
 from .room_use import tell_room_use
 from .runs import abort_gang, cancel_job, open_repetition, open_steps
+from .shares import count_capacity, tell_team_use
 from .worker_lives import delist_worker, list_worker
 from .worker_reports import take_renewal
 from .worker_watch import watch_workers
@@ -84,8 +86,8 @@
             take_advice_failure(cell, event, now)
         case JobAccepted():
             accept_job(cell, event, now, wall_ms)
-        case JobCancelled(job):
-            _cancel(cell, job, now)
+        case JobCancelled(name):
+            _cancel(cell, name, now)
         case StopAnswered():
             take_stop_answer(cell, event, now)
         case WorkerListed(entry):
@@ -106,9 +108,11 @@
     """Take a job over; one that is known already stays as it is."""
     if event.job in cell.final_jobs:
         # Handed in again; its end stays on record.
-        cell.emit(ForgetAccepted((event.job,)))
+        cell.emit(ForgetAccepted((record_name(event.job, event.accepted.team),)))
         return
-    if event.job in cell.jobs:
+    known = cell.jobs.get(event.job)
+    if known is not None:
+        _take_again(cell, known, event.accepted)
         return
     job = Job(event.job, event.accepted, now)
     cell.jobs[job.id] = job
@@ -122,7 +126,7 @@
         target_s=cell.queue_of(job).target_latency_ms / 1000,
         lasts=any(step.long_running for step in event.accepted.spec.steps),
     )
-    if event.job in cell.cancelled_ahead:
+    if job.record_name in cell.cancelled_ahead:
         cancel_job(cell, job, now)
     elif event.accepted.spec.repetitions:
         cell.scheduled[job.id] = job
@@ -131,6 +135,13 @@
         open_steps(cell, open_repetition(job, 0))
 
 
+def _take_again(cell: Cell, job: Job, again: AcceptedJob) -> None:
+    """Keep a job as it is that was handed in again; what another team hands in is dropped."""
+    if again.team != job.team:
+        cell.tell("job_of_another_team", job.id, team=job.team, by=again.team)
+        cell.emit(ForgetAccepted((record_name(job.id, again.team),)))
+
+
 def _open_due(cell: Cell, job: Job, wall_ms: float) -> None:
     spec = job.accepted.spec
     while len(job.repetitions) < spec.repetitions:
@@ -141,21 +152,25 @@
     cell.scheduled.pop(job.id, None)
 
 
-def _cancel(cell: Cell, job_id: str, now: float) -> None:
-    job = cell.jobs.get(job_id)
+def _cancel(cell: Cell, name: str, now: float) -> None:
+    job = cell.jobs.get(job_of_record(name))
     if job is None:
-        cell.cancelled_ahead.add(job_id)
-    else:
+        cell.cancelled_ahead.add(name)
+    elif job.record_name == name:
         cancel_job(cell, job, now)
+    else:
+        cell.tell("cancel_by_another_team", job.id, team=job.team)
 
 
 def _tick(cell: Cell, now: float, wall_ms: float) -> None:
     watch_workers(cell, now)
+    cell.capacity = count_capacity(cell)
     for job in list(cell.scheduled.values()):
         _open_due(cell, job, wall_ms)
     _give_up_late_gangs(cell, now)
     _forget_old_jobs(cell, now)
     tell_room_use(cell, now)
+    tell_team_use(cell, now)
 
 
 def _give_up_late_gangs(cell: Cell, now: float) -> None:
@@ -175,9 +190,13 @@
         if now - final_at < cell.settings.retention_s:
             break
         old.append(job)
-    for job in old:
-        del cell.final_jobs[job]
-        cell.jobs.pop(job, None)
-        cell.cancelled_ahead.discard(job)
+    names = []
+    for job_id in old:
+        del cell.final_jobs[job_id]
+        job = cell.jobs.pop(job_id, None)
+        name = job_id if job is None else job.record_name
+        names.append(name)
+        cell.cancelled_ahead.discard(name)
     if old:
         cell.emit(DropJobs(tuple(old)))
+        cell.emit(ForgetAccepted(tuple(names)))
--- a/src/snowdock/jobs/room_use.py
+++ b/src/snowdock/jobs/room_use.py
@@ -26,6 +26,8 @@
     BOTH = "room and ticket"
     TURN = "turn"
     """It has what it takes for a task; a gang may need more, and others may rank higher."""
+    QUOTA = "quota"
+    """Its team's quota lets none of its tasks begin."""
     PAUSE = "pause"
     """It is put off after a failure."""
 
@@ -72,6 +74,8 @@
     """
     if step.not_before > now:
         return Lack.PAUSE
+    if step.is_at_quota:
+        return Lack.QUOTA
     room = step.spec.room
     if step.advice is None:
         has_room = any(worker.free.holds(room) for worker in workers)
--- a/src/snowdock/jobs/runs.py
+++ b/src/snowdock/jobs/runs.py
@@ -4,6 +4,7 @@
 from .durability import mark
 from .events import PublishStatus, SendStop
 from .model import JobStatus, TaskId
+from .occupancy import vacate
 from .orders import EndedRun, EndKind, StopOrder
 from .parts import Job, Phase, Step, Task
 from .workers import Worker
@@ -81,7 +82,7 @@
 
 def take_end(cell: Cell, worker: Worker, end: EndedRun, now: float) -> None:
     """Take over an end that a worker lists."""
-    worker.release(end.task, end.run)
+    vacate(cell, worker.life, end.task, end.run)
     cell.stops.pop((worker.life, end.task, end.run), None)
     cell.placing_wanted = True
     _note_health(worker, end, now)
@@ -223,9 +224,7 @@
 
 
 def _drop_run(cell: Cell, task: Task) -> None:
-    worker = cell.workers.get(task.life)
-    if worker is not None:
-        worker.release(task.id, task.run)
+    vacate(cell, task.life, task.id, task.run)
     cell.stops.pop((task.life, task.id, task.run), None)
     cell.placing_wanted = True
     task.life = ""
@@ -246,7 +245,7 @@
     if worker.runs:
         cell.tell("runs_lost", worker.life, count=len(worker.runs), reason=reason)
     for task_id, run in list(worker.runs):
-        worker.release(task_id, run)
+        vacate(cell, worker.life, task_id, run)
         cell.stops.pop((worker.life, task_id, run), None)
         task = cell.find_task(task_id)
         if task is not None and task.is_current_run(run, worker.life):
@@ -273,7 +272,7 @@
         if task.phase is not Phase.DONE:
             stop_run(cell, task, now)
     mark(cell, job)
-    cell.held.append(PublishStatus(job.id, job.queue, status))
+    cell.held.append(PublishStatus(job.id, job.queue, status, job.team))
     cell.tell(
         "job_ended",
         job.id,
--- a/src/snowdock/jobs/takeover.py
+++ b/src/snowdock/jobs/takeover.py
@@ -6,7 +6,7 @@
 from .events import Effect, ForgetAccepted, JobAccepted, PublishStatus
 from .model import JobId
 from .parts import Job, Phase
-from .progress import AcceptedJob, JobProgress, TaskProgress
+from .progress import AcceptedJob, JobProgress, TaskProgress, job_of_record
 from .reducer import accept_job
 from .runs import cancel_job, open_repetition, open_steps
 
@@ -15,10 +15,13 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RecordedJobs:
-    """All that the store keeps of jobs: taken in, cancelled, and how far they are."""
+    """All that the store keeps of jobs: taken in, cancelled, and how far they are.
+
+    What was cancelled is told by its `record_name`.
+    """
 
     accepted: dict[JobId, AcceptedJob]
-    cancelled: set[JobId]
+    cancelled: set[str]
     progress: dict[JobId, JobProgress]
 
 
@@ -34,19 +37,25 @@
         progress = recorded.progress.get(job_id)
         if progress is None:
             accept_job(cell, JobAccepted(job_id, accepted), now, wall_ms)
-            if job_id in recorded.cancelled:
-                cancel_job(cell, cell.jobs[job_id], now)
+            _cancel_if_recorded(cell, job_id, recorded, now)
             continue
         _restore_job(cell, job_id, accepted, progress, now, wall_ms)
-        if job_id in recorded.cancelled:
-            cancel_job(cell, cell.jobs[job_id], now)
+        _cancel_if_recorded(cell, job_id, recorded, now)
     for job_id in recorded.progress.keys() - recorded.accepted.keys():
         _restore_ended(cell, job_id, recorded.progress[job_id], now)
-    cell.cancelled_ahead |= recorded.cancelled - recorded.accepted.keys() - cell.final_jobs.keys()
+    for name in recorded.cancelled:
+        if job_of_record(name) not in cell.jobs.keys() | cell.final_jobs.keys():
+            cell.cancelled_ahead.add(name)
     effects, cell.effects = cell.effects, []
     return effects
 
 
+def _cancel_if_recorded(cell: Cell, job_id: JobId, recorded: RecordedJobs, now: float) -> None:
+    job = cell.jobs[job_id]
+    if job.record_name in recorded.cancelled:
+        cancel_job(cell, job, now)
+
+
 def _restore_ended(cell: Cell, job_id: JobId, progress: JobProgress, now: float) -> None:
     """Show how a job has ended of which nothing else is on record."""
     if not progress.status.is_final:
@@ -54,7 +63,7 @@
         return
     cell.final_jobs[job_id] = now
     # Its queue is known no more; it counts for none, having ended.
-    cell.emit(PublishStatus(job_id, "", progress.status))
+    cell.emit(PublishStatus(job_id, "", progress.status, progress.team))
 
 
 def _restore_job(
@@ -79,7 +88,7 @@
     cell.publish(job)
     if job.status.is_final:
         if not progress.tasks:
-            cell.emit(ForgetAccepted((job_id,)))
+            cell.emit(ForgetAccepted((job.record_name,)))
         return
     if spec.repetitions:
         cell.scheduled[job_id] = job
@@ -99,6 +108,7 @@
     if not record.life:
         return
     task.life = record.life
+    cell.team_use.hold(record.life, task.id, record.run, job.team, task.step.spec.size)
     if not record.done:
         task.phase = Phase.RUNNING
     cell.orphans.setdefault(record.life, []).append(Orphan(task, record.run))
--- a/src/snowdock/jobs/worker_lives.py
+++ b/src/snowdock/jobs/worker_lives.py
@@ -3,6 +3,7 @@
 from .cell import Cell
 from .durability import renew
 from .events import CloseWorker, OpenWorker, StepDown
+from .occupancy import occupy, vacate
 from .orders import Refusal
 from .runs import lose_runs
 from .workers import Worker, WorkerEntry
@@ -26,8 +27,9 @@
     cell.tell("worker_listed", entry.life, service=entry.service, address=entry.address)
     for orphan in cell.orphans.pop(entry.life, []):
         if orphan.task.is_current_run(orphan.run, entry.life):
-            spec = orphan.task.step.spec
-            worker.take(orphan.task.id, orphan.run, spec.room, spec.may_yield)
+            occupy(cell, worker, orphan.task.id, orphan.run, orphan.task.step)
+        else:
+            vacate(cell, entry.life, orphan.task.id, orphan.run)
     cell.emit(OpenWorker(entry.life, entry.address))
     renew(cell, worker, now, 0)
 
--- a/src/snowdock/jobs/worker_reports.py
+++ b/src/snowdock/jobs/worker_reports.py
@@ -5,6 +5,7 @@
 from .durability import RENEW_WAIT_MS, renew
 from .events import RenewAnswered
 from .model import TaskId
+from .occupancy import occupy, vacate
 from .orders import RunningRun, WorkerReport
 from .parts import Phase, Task
 from .runs import acknowledge_ends, note_begun, send_stop, stop_run, take_end, void_run
@@ -116,9 +117,11 @@
     if (worker.life, task, run) in cell.stops:
         return
     known = cell.find_task(task)
-    # How much room it takes may be on record no more; it may be all that is free.
-    room = known.step.spec.room if known is not None else worker.free.at_least(ZERO)
-    worker.take(task, run, room)
+    if known is not None:
+        occupy(cell, worker, task, run, known.step)
+    else:
+        # How much room it takes is on record no more; it may be all that is free.
+        worker.take(task, run, worker.free.at_least(ZERO))
     send_stop(cell, worker.life, task, run, now)
     cell.tell("stray_stopped", task.job, task=task, run=run, worker=worker.life)
 
@@ -138,7 +141,7 @@
                 # The worker has refused it for good, or its end was forgotten.
                 _void(cell, worker, task if current else None, task_id, run, now)
         elif not current:
-            worker.release(task_id, run)
+            vacate(cell, worker.life, task_id, run)
         elif not worker.settled or task.phase is Phase.DONE:
             _void(cell, worker, task, task_id, run, now)
         elif task.phase is Phase.UNSURE and task.since < sent_at:
@@ -154,7 +157,7 @@
     cell.stops.pop((worker.life, task_id, run), None)
     cell.tell("run_void", task_id.job, task=task_id, run=run, worker=worker.life)
     if task is None:
-        worker.release(task_id, run)
+        vacate(cell, worker.life, task_id, run)
         cell.placing_wanted = True
     else:
         void_run(cell, task, now)
--- a/src/snowdock/jobs/worker_watch.py
+++ b/src/snowdock/jobs/worker_watch.py
@@ -4,6 +4,7 @@
 from .durability import RENEW_WAIT_MS, renew
 from .events import SendStop
 from .model import TaskId
+from .occupancy import vacate
 from .orders import StopOrder
 from .runs import lose_runs, void_run
 from .speeds import fade_slowness
@@ -42,6 +43,8 @@
             if orphan.task.is_current_run(orphan.run, life):
                 cell.tell("orphan_lost", orphan.task.id.job, task=orphan.task.id, worker=life)
                 void_run(cell, orphan.task, now)
+            else:
+                vacate(cell, life, orphan.task.id, orphan.run)
 
 
 def _watch_worker(cell: Cell, worker: Worker, now: float) -> None:
--- a/src/snowdock/platform/configuration.py
+++ b/src/snowdock/platform/configuration.py
@@ -2,7 +2,9 @@
 
 import msgspec
 
+from ..declarations import Size
 from ..jobs.model import AdviceTerms, Configuration, Limits, Queue, Service
+from ..teams import UNBOUNDED, Team, TeamBook, digest_key
 from ._json import decode_json
 
 __all__ = ["CONFIGURATION_KEY", "OPERATOR_TOPIC", "decode_configuration"]
@@ -22,6 +24,21 @@
     max_attempts: int = 1
     stretch: float = 1.0
     advice: AdviceTerms | None = None
+    public: bool = False
+
+
+class _Amounts(msgspec.Struct):
+    cpu: int = 0
+    mem_mb: int = 0
+    gpu: int = 0
+
+
+class _Tenant(msgspec.Struct):
+    # It also has a priority that no page explains; it decides nothing here.
+    name: str
+    api_keys: list[str] = []
+    weight: float = 1.0
+    max_count: _Amounts = msgspec.field(default_factory=_Amounts)
 
 
 class _Configuration(msgspec.Struct):
@@ -29,6 +46,9 @@
     # What the platform calls routes are queues here.
     routes: list[_Route] = []
     services: list[Service] = []
+    # What the platform calls tenants are teams here.
+    # Without any such list, there are no keys.
+    tenants: list[_Tenant] | None = None
     limits: Limits = msgspec.field(default_factory=Limits)
 
 
@@ -53,7 +73,20 @@
             target_latency_ms=route.target_latency_ms,
             timeout_ms=route.timeout_ms,
             advice=route.advice,
+            is_public=route.public or found.tenants is None,
         )
         for route in found.routes
     )
-    return Configuration(found.version, queues, tuple(found.services), found.limits)
+    teams = TeamBook(_decode_team(tenant) for tenant in found.tenants or ())
+    return Configuration(found.version, queues, tuple(found.services), found.limits, teams)
+
+
+def _decode_team(tenant: _Tenant) -> Team:
+    most = tenant.max_count
+    return Team(
+        name=tenant.name,
+        weight=max(0.0, tenant.weight),
+        # A 0 stands for no bound.
+        quota=Size(*(amount or UNBOUNDED for amount in (most.cpu, most.mem_mb, most.gpu))),
+        key_digests=frozenset(digest_key(key.encode()) for key in tenant.api_keys),
+    )
--- a/src/snowdock/platform/job_bodies.py
+++ b/src/snowdock/platform/job_bodies.py
@@ -12,6 +12,7 @@
 
 __all__ = [
     "DEADLINE_HEADER",
+    "KEY_HEADER",
     "READY_PATH",
     "decode_job",
     "encode_status",
@@ -25,6 +26,9 @@
 DEADLINE_HEADER = "HTTP_X_DEADLINE_MS"
 """The WSGI name of the header that tells how long a caller waits, in ms."""
 
+KEY_HEADER = "HTTP_X_API_KEY"
+"""The WSGI name of the header that holds the caller's key."""
+
 _JOB_ID = re.compile(r"[0-9a-f]{16}")
 _PAYLOAD_BYTES = 4000
 _MAX_STEPS = 100
--- a/src/snowdock/platform/node_settings.py
+++ b/src/snowdock/platform/node_settings.py
@@ -1,5 +1,6 @@
 """The platform's settings file for one process, decoded into types."""
 
+import math
 import os
 import pathlib
 import tomllib
@@ -29,6 +30,10 @@
     contact_ms: float = 3000
     lease_ms: float = 3000
     status_s: float = 120
+    quota_overage: float = 0.0
+    # Whether a key that may have been taken away is to be refused.
+    strict_revoke: bool = False
+    revoke_ms: float = 5000
 
 
 class _Limits(msgspec.Struct):
@@ -95,6 +100,10 @@
         How long a member of a gang waits for the others, in seconds.
     grace_s
         Time between the request to stop and the kill, in seconds.
+    quota_overage
+        By what part of its quota a team may be over it in passing.
+    key_trust_s
+        For how many seconds keys are good while it is not known whether they were taken away.
     early_s
         How far ahead of its time a repetition may start, in seconds.
     worker_heartbeat_s
@@ -121,6 +130,8 @@
     gang_wait_s: float
     grace_s: float
     early_s: float
+    quota_overage: float
+    key_trust_s: float
     worker_heartbeat_s: float
     max_descriptors: int
     cpu_cores: float
@@ -158,6 +169,8 @@
         gang_wait_s=file.bounds.gang_timeout_ms / 1000,
         grace_s=file.bounds.grace_s,
         early_s=file.bounds.early_ms / 1000,
+        quota_overage=file.bounds.quota_overage,
+        key_trust_s=file.bounds.revoke_ms / 1000 if file.bounds.strict_revoke else math.inf,
         worker_heartbeat_s=file.heartbeat_ms / 1000,
         max_descriptors=file.limits.max_fds,
         cpu_cores=file.limits.cpu_share * file.limits.cores,
--- a/src/snowdock/policies.py
+++ b/src/snowdock/policies.py
@@ -43,6 +43,7 @@
     "waited_seconds": 12.0,
     "slack_seconds": 3.0,
     "overdue": 0.5,
+    "share_used": 1.5,
 }
 _SAMPLE_VM = {
     "free_fraction": 0.5,
--- a/tests/test_jobs_reducer.py
+++ b/tests/test_jobs_reducer.py
@@ -528,7 +528,7 @@
         self.assertEqual(shown, [(job, JobStatus.COMPLETED)])
         found = bench.feed(JobAccepted(job, accepted())) + bench.tick(1.0)
         self.assertEqual(of_type(found, SendStart) + of_type(found, PublishStatus), [])
-        self.assertEqual([e.jobs for e in of_type(found, ForgetAccepted)], [(job,)])
+        self.assertEqual([e.names for e in of_type(found, ForgetAccepted)], [(job,)])
 
     def test_run_of_a_job_that_ended_takes_all_that_is_free(self) -> None:
         """How much it takes is known no more; nothing is placed beside it until it has ended."""
@@ -566,7 +566,7 @@
         self.bench.confirm(self.start)
 
     def forgotten(self, effects) -> list[tuple[str, ...]]:
-        return [effect.jobs for effect in of_type(effects, ForgetAccepted)]
+        return [effect.names for effect in of_type(effects, ForgetAccepted)]
 
     def end(self, kind: EndKind) -> list:
         return self.bench.report("w", ended=[(self.start.order.task, 1, kind)])
--- /dev/null
+++ b/tests/test_quotas.py
@@ -0,0 +1,308 @@
+"""Tests of quotas: what a team has running stays within them, whatever happens to its runs."""
+
+import random
+import unittest
+
+import msgspec
+
+from snowdock.declarations import Size
+from snowdock.emulator import Emulator, EmulatorOptions, WorkloadOptions, draw_workload
+from snowdock.emulator.workload import default_mixes, uneven_teams
+from snowdock.jobs.events import (
+    ConfigurationChanged,
+    JobAccepted,
+    Persist,
+    Persisted,
+    SendStop,
+    StartAnswered,
+    StopAnswered,
+    WorkerDelisted,
+)
+from snowdock.jobs.model import JobStatus, StepSpec
+from snowdock.jobs.progress import JobProgress, TaskProgress
+from snowdock.jobs.takeover import RecordedJobs
+from snowdock.teams import UNBOUNDED, Team, TeamBook
+from tests.jobs_tools import DONE, Bench, accepted, of_type
+
+ONE = Size(1000, 100)
+WIDE = StepSpec(count=10, size=ONE, estimate_ms=1000)
+GANG = StepSpec(count=4, size=ONE, estimate_ms=1000, gang=True)
+
+
+def team(cpu: int, memory: int = UNBOUNDED, name: str = "a") -> Team:
+    return Team(name, 1.0, Size(cpu, memory, UNBOUNDED))
+
+
+def of_team(*steps: StepSpec, name: str = "a"):
+    return msgspec.structs.replace(accepted(*steps), team=name)
+
+
+class QuotaBench(Bench):
+    """A cell with teams."""
+
+    def __init__(self, *teams: Team, **more) -> None:
+        super().__init__(**more)
+        self.set_teams(*teams)
+        self.orders = []
+
+    def set_teams(self, *teams: Team) -> None:
+        before = self.cell.configuration
+        after = msgspec.structs.replace(before, version=before.version + 1, teams=TeamBook(teams))
+        self.feed(ConfigurationChanged(after))
+
+    def submit_as(self, name: str, *steps: StepSpec) -> str:
+        job = f"{next(self._jobs):016x}"
+        self.feed(JobAccepted(job, of_team(*steps, name=name)))
+        return job
+
+    @property
+    def started(self) -> list:
+        return self.starts(self.seen)
+
+    @property
+    def used(self) -> int:
+        return self.cell.team_use.used("a").cpu
+
+
+class TestWaves(unittest.TestCase):
+    def test_wide_step_goes_in_waves(self) -> None:
+        """No more tasks run than the quota holds; each end lets the next begin."""
+        bench = QuotaBench(team(3000))
+        bench.add_worker(cpu=20_000)
+        bench.submit_as("a", WIDE)
+        self.assertEqual(len(bench.started), 3)
+        for start in bench.started[:]:
+            bench.confirm(start)
+        first = bench.started[0].order
+        bench.report("w", running=[], ended=[(first.task, 1, DONE)])
+        bench.tick(0.2)
+        self.assertEqual(len(bench.started), 4)
+        self.assertEqual(bench.used, 3000)
+
+    def test_every_kind_of_room_counts(self) -> None:
+        """A quota of memory binds as well as one of processors."""
+        bench = QuotaBench(team(UNBOUNDED, memory=250))
+        bench.add_worker(cpu=20_000)
+        bench.submit_as("a", WIDE)
+        self.assertEqual(len(bench.started), 2)
+
+    def test_other_teams_are_not_held_up(self) -> None:
+        """A team at its quota keeps nobody else waiting."""
+        bench = QuotaBench(team(1000), team(5000, name="b"))
+        bench.add_worker(cpu=20_000)
+        bench.submit_as("a", WIDE)
+        bench.submit_as("b", WIDE)
+        bench.tick(0.1)
+        owners = [start.order.task.job[-1] for start in bench.started]
+        self.assertEqual(sorted(owners), ["1", "2", "2", "2", "2", "2"])
+
+    def test_jobs_of_no_team_are_not_bound(self) -> None:
+        """What needed no key has no quota."""
+        bench = QuotaBench(team(1000))
+        bench.add_worker(cpu=20_000)
+        bench.submit(WIDE)
+        self.assertEqual(len(bench.started), 10)
+
+    def test_task_larger_than_the_quota_runs_alone(self) -> None:
+        """It may pass the quota by itself, but by no second one."""
+        bench = QuotaBench(team(500))
+        bench.add_worker(cpu=20_000)
+        bench.submit_as("a", WIDE)
+        self.assertEqual(len(bench.started), 1)
+
+
+class TestGangs(unittest.TestCase):
+    def test_gang_starts_whole_or_not_at_all(self) -> None:
+        """Beside other work of its team a gang waits until all of it is within the quota."""
+        bench = QuotaBench(team(4500))
+        bench.add_worker(cpu=20_000)
+        bench.submit_as("a", StepSpec(count=1, size=ONE))
+        (small,) = bench.started
+        bench.confirm(small)
+        bench.submit_as("a", GANG)
+        self.assertEqual(len(bench.started), 1)
+        bench.report("w", ended=[(small.order.task, 1, DONE)])
+        bench.tick(0.2)
+        self.assertEqual(len(bench.started), 5)
+
+    def test_gang_that_can_never_run_waits_and_is_not_failed(self) -> None:
+        """A quota may rise again: then it runs; until then it is shown as waiting."""
+        bench = QuotaBench(team(2000))
+        bench.add_worker(cpu=20_000)
+        job = bench.submit_as("a", GANG)
+        bench.tick(30.0)
+        self.assertEqual(bench.started, [])
+        self.assertIs(bench.cell.jobs[job].status, JobStatus.PENDING)
+        bench.set_teams(team(4000))
+        bench.tick(0.2)
+        self.assertEqual(len(bench.started), 4)
+
+
+class TestCounted(unittest.TestCase):
+    """Each kind of run that is or may be at a worker is counted until it surely is not."""
+
+    def setUp(self) -> None:
+        self.bench = QuotaBench(team(1000))
+        self.bench.add_worker("w")
+        self.bench.add_worker("v")
+
+    def start_one(self):
+        self.bench.submit_as("a", StepSpec(count=2, size=ONE, estimate_ms=1000))
+        (start,) = self.bench.started
+        return start
+
+    def test_held_start(self) -> None:
+        """A placement that is not on record yet."""
+        self.bench.holds_store = True
+        self.bench.submit_as("a", WIDE)
+        self.bench.tick(1.0)
+        self.assertEqual(self.bench.used, 1000)
+        self.assertEqual(self.bench.started, [])
+
+    def test_unanswered_start(self) -> None:
+        """It may be carried out seconds later."""
+        start = self.start_one()
+        self.bench.feed(StartAnswered(start.life, start.order.task, 1, None))
+        self.bench.tick(1.0)
+        self.assertEqual(len(self.bench.started), 1)
+
+    def test_run_being_stopped(self) -> None:
+        """Until its end is listed, or its worker has refused it for good."""
+        start = self.start_one()
+        self.bench.feed(StartAnswered(start.life, start.order.task, 1, None))
+        while not of_type(self.bench.seen, SendStop):
+            self.bench.tick(0.1)
+            self.bench.report(start.life)
+        self.bench.tick(0.2)
+        self.assertEqual((self.bench.used, len(self.bench.started)), (1000, 1))
+        self.bench.feed(StopAnswered(start.life, start.order.task, 1, True))
+        self.bench.tick(0.2)
+        self.assertEqual((self.bench.used, len(self.bench.started)), (1000, 1))
+        for _ in range(3):
+            self.bench.tick(0.6)
+            self.bench.report(start.life)
+        self.bench.tick(0.2)
+        self.assertEqual(len(self.bench.started), 2)
+        self.assertEqual(self.bench.used, 1000)
+
+    def test_worker_that_is_cut_off(self) -> None:
+        """What runs there runs on until its lease is over."""
+        start = self.start_one()
+        self.bench.confirm(start)
+        self.bench.report(start.life, running=[(start.order.task, 1, 10.0)])
+        self.bench.feed(WorkerDelisted(start.life))
+        for _ in range(20):
+            if start.life in self.bench.renewals:
+                self.bench.miss(start.life)
+            self.bench.tick(0.1)
+        self.assertEqual(len(self.bench.started), 1)
+
+    def test_runs_of_an_earlier_leader(self) -> None:
+        """They count before their worker is known, and after."""
+        job = "a" * 16
+        progress = JobProgress(JobStatus.RUNNING, [TaskProgress(0, 0, 0, 1, "u")], "a")
+        bench = QuotaBench(team(1000))
+        bench.restore(RecordedJobs({job: of_team(WIDE)}, set(), {job: progress}))
+        self.assertEqual(bench.used, 1000)
+        bench.add_worker("w", cpu=20_000)
+        bench.tick(0.5)
+        self.assertEqual(bench.started, [])
+        bench.add_worker("u", settled=False)
+        self.assertEqual(bench.used, 1000)
+        bench.report("u")
+        bench.tick(0.2)
+        self.assertEqual(len(bench.started), 1)
+
+    def test_nothing_is_left_counted(self) -> None:
+        """Once all have ended, nothing is."""
+        start = self.start_one()
+        self.bench.confirm(start)
+        self.bench.report(start.life, ended=[(start.order.task, 1, DONE)])
+        self.bench.tick(0.2)
+        second = self.bench.started[-1]
+        self.bench.confirm(second)
+        self.bench.report(second.life, ended=[(second.order.task, 1, DONE)])
+        self.assertEqual(self.bench.cell.team_use.teams(), {})
+
+
+class TestChangedQuotas(unittest.TestCase):
+    def test_lowered_quota_holds_starts_back(self) -> None:
+        """A start that waits for its record does not go out over the quota of then."""
+        bench = QuotaBench(team(4000))
+        bench.add_worker(cpu=20_000)
+        bench.holds_store = True
+        bench.submit_as("a", WIDE)
+        (batch,) = [effect for effect in bench.seen if isinstance(effect, Persist)]
+        bench.set_teams(team(1000))
+        bench.holds_store = False
+        bench.feed(Persisted(batch.number))
+        bench.tick(0.5)
+        self.assertLessEqual(len(bench.started), 2)
+
+    def test_raised_quota_is_used_at_once(self) -> None:
+        """What waited for it begins with the next look for room."""
+        bench = QuotaBench(team(1000))
+        bench.add_worker(cpu=20_000)
+        bench.submit_as("a", WIDE)
+        bench.set_teams(team(6000))
+        bench.tick(0.1)
+        self.assertEqual(len(bench.started), 6)
+
+
+class TestTroubles(unittest.TestCase):
+    SECONDS = 15
+
+    def test_quotas_hold_in_all_troubles(self) -> None:
+        """Late orders, lost answers, takeovers and changed quotas: checked at the workers."""
+        for seed in range(6):
+            with self.subTest(seed=seed):
+                emulator, jobs = self.play(seed)
+                self.assertEqual(emulator.checks.violations, [])
+                open_jobs = [
+                    job.job
+                    for job in jobs
+                    if job.job not in emulator.statuses or not emulator.statuses[job.job].is_final
+                ]
+                self.assertEqual(open_jobs, [])
+
+    def play(self, seed: int):
+        source = random.Random(seed)
+        total = Size(24 * 16_000, 24 * 65_536, UNBOUNDED)
+        teams = uneven_teams(5, total)
+        workload = WorkloadOptions(
+            self.SECONDS, 0.4, default_mixes(seed % 2 == 0), (), teams, ("team-3", 8.0)
+        )
+        jobs = draw_workload(seed, workload)
+        emulator = Emulator(seed, EmulatorOptions(workload), jobs)
+        emulator.checks.is_calm = False
+        at = 0.0
+        while at < self.SECONDS:
+            at += source.uniform(0.5, 2)
+            emulator.run_until(at)
+            self.trouble(emulator, source, total)
+        emulator.faults.lost_answers = emulator.faults.late_orders = 0
+        emulator.faults.cut.clear()
+        emulator.change_teams(uneven_teams(5, total.times(4)))
+        emulator.run_until(self.SECONDS + 45)
+        return emulator, jobs
+
+    @staticmethod
+    def trouble(emulator: Emulator, source: random.Random, total: Size) -> None:
+        match source.randrange(8):
+            case 0:
+                emulator.faults.late_orders = 0.1
+            case 1:
+                emulator.faults.lost_answers = 0.3
+            case 2:
+                emulator.kill_leader(source.uniform(0.5, 2))
+            case 3:
+                emulator.depose_leader()
+            case 4:
+                emulator.change_teams(uneven_teams(5, Size(total.cpu // 2, total.memory // 2)))
+            case 5:
+                emulator.change_teams(uneven_teams(5, total))
+            case 6:
+                emulator.faults.cut.add(source.choice(list(emulator.workers)))
+            case 7:
+                for job in source.sample(sorted(emulator.statuses), len(emulator.statuses) // 3):
+                    emulator.cancel(job)
