Wait for a slow store's appends, and leave them to the leader

Cause: on a store 79 times as slow an append takes 0.5 s and more; a try was given up after 0.4 s, is carried out all the same, and its repeats (both ways, and callers' own) take turns of the partition that others wait for. Two such failures counted as a store that is down. Of 555 calls in the slow seconds 12 were in time, 47 late, 185 refused, 309 failed. Ruled out: more tries at once (they are what fills the partitions). Change: a try lasts 0.8 to 2 s, and recording up to 0.7 of a caller's wait; what is on its way by the leader is not appended a second time; a node leaves a slow store to the leader once an append hangs for 0.2 s or the leader's heartbeats tell so, and tries it again with one record.

--- a/src/snowdock/entry/daemon.py
+++ b/src/snowdock/entry/daemon.py
@@ -8,6 +8,8 @@
 import threading
 import time
 
+import msgspec
+
 from ..errors import SettingsUnreadable
 from ..jobs.model import Configuration
 from ..node.logs import log_event, start_logging
@@ -115,7 +117,7 @@
         self._configurations = Configurations(
             self._store, self._peers.tell, self._take_configuration
         )
-        recorder = Recorder(self._store, environment.store.parts, self._metrics)
+        self._recorder = recorder = Recorder(self._store, environment.store.parts, self._metrics)
         self._intake = Intake(
             IntakeParts(
                 recorder,
@@ -124,6 +126,7 @@
                 environment.key_trust_s,
                 queries.find_status,
                 queries.count_waiting,
+                queries.finds_store_slow,
                 queries.relay_record,
                 queries.note_record,
                 self._metrics,
@@ -222,7 +225,12 @@
             self._peers.set_addresses({leader.node: leader.address})
 
     def _make_beat(self, due_s: float, heard_s: float | None) -> Beat:
-        return self._election.make_beat(due_s, heard_s, self._configurations.version)
+        beat = self._election.make_beat(due_s, heard_s)
+        return msgspec.structs.replace(
+            beat,
+            configuration=self._configurations.version,
+            store_is_slow=self._recorder.is_slow,
+        )
 
     def _hear(self, beat: Beat) -> None:
         self._election.hear(beat)
--- a/src/snowdock/entry/election.py
+++ b/src/snowdock/entry/election.py
@@ -136,12 +136,17 @@
             return False
         return time.monotonic() - self._peer_heard_at > ISOLATED_SECONDS
 
+    @property
+    def leader_finds_store_slow(self) -> bool:
+        """Whether another node that leads has told lately that its appends take long."""
+        return self._known.is_heard and self._known.signs.finds_store_slow
+
     @property
     def hears_leader(self) -> bool:
         """Whether another node that leads has been heard of lately, and reaches the store."""
         return self._known.is_heard
 
-    def make_beat(self, due_s: float, heard_s: float | None, configuration: int = 0) -> Beat:
+    def make_beat(self, due_s: float, heard_s: float | None) -> Beat:
         """Make the heartbeat to send to a peer.
 
         Parameters
@@ -150,8 +155,6 @@
             In how many seconds that peer gets the next one.
         heard_s
             How many seconds ago that peer was heard; None for never.
-        configuration
-            The version that is in force here.
         """
         identity = self._identity
         return Beat(
@@ -165,7 +168,6 @@
             self._renewals.are_turned_away,
             due_s,
             heard_s,
-            configuration,
         )
 
     def hear(self, beat: Beat) -> None:
--- a/src/snowdock/entry/intake.py
+++ b/src/snowdock/entry/intake.py
@@ -45,10 +45,10 @@
 _USABLE_SHARE = 0.8
 """Share of a caller's wait that is used; the rest is for the way back."""
 
-_RECORDING_SHARE = 0.4
-_RECORDING_SECONDS = 1.2
-"""Share of a caller's wait, and the most, that is spent on putting its job on record: the answer
-comes while there is time to try another node."""
+_RECORDING_SHARE = 0.7
+_RECORDING_SECONDS = 2.1
+"""Share of a caller's wait, and the most, that is spent on putting its job on record. On a store
+that is slow, waiting for an append serves more callers than having them try another node."""
 
 _LEAST_SECONDS = 0.1
 """An answer is waited for so long at least, however little of the caller's wait is left."""
@@ -87,6 +87,8 @@
         Gives the status of a team's job within some seconds; raises `JobGone` or `Starting`.
     count_waiting
         Gives a queue's waiting jobs within some seconds; raises `Starting`.
+    leader_finds_store_slow
+        Tells whether the leader has told lately that the store is slow.
     relay
         Has another node put a job's record on the store within some seconds.
     note
@@ -101,6 +103,7 @@
     key_trust_s: float
     find_status: Callable[[JobId, str, float], JobStatus]
     count_waiting: Callable[[str, float], int]
+    leader_finds_store_slow: Callable[[], bool]
     relay: Callable[[JobId, KeyedRecord, float], Recording]
     note: Callable[[KeyedRecord], None]
     metrics: Metrics
@@ -258,7 +261,8 @@
             If it may be, or may still get there.
         """
         recorder = self._parts.recorder
-        if recorder.is_slow:
+        by_leader = recorder.avoids_appends() or self._parts.leader_finds_store_slow()
+        if by_leader:
             # The leader puts the records of all nodes on a slow store in few appends.
             ways = (self._parts.relay, recorder.record)
         else:
@@ -274,10 +278,13 @@
             if outcomes[-1] is Recording.DONE:
                 self._parts.note(record)
                 return
+            if outcomes[-1] is Recording.UNKNOWN and (by_leader or recorder.is_slow):
+                # It is on its way; a second append would only take another turn of its partition.
+                break
         log_event(
             "record_given_up",
             job=job,
-            leader_first=recorder.is_slow,
+            leader_first=by_leader,
             outcomes=[outcome.name.lower() for outcome in outcomes],
         )
         if max(outcomes) is Recording.NOT_DONE:
--- a/src/snowdock/entry/leader_queries.py
+++ b/src/snowdock/entry/leader_queries.py
@@ -120,6 +120,10 @@
             raise Starting(_NO_LEADER)
         return reply.waiting
 
+    def finds_store_slow(self) -> bool:
+        """Tell whether the leader, on another node, finds the store slow."""
+        return self._other_leader() is not None and self._election.leader_finds_store_slow
+
     def relay_record(self, job: JobId, record: KeyedRecord, seconds: float) -> Recording:
         """Have the leader, which reaches the store, put a record there within some seconds.
 
--- a/src/snowdock/entry/leader_signs.py
+++ b/src/snowdock/entry/leader_signs.py
@@ -62,6 +62,7 @@
         self._renewed_s = 0.0
         self._due_s = _DUE_SECONDS
         self._is_turned_away = False
+        self._finds_store_slow = False
         self._silence = _WorstGap()
         self._staleness = _WorstGap()
 
@@ -98,6 +99,11 @@
         learned = _GAP_FACTOR * self._staleness.at(now) / _STALE_RENEWAL_SECONDS
         return _STALE_RENEWAL_SECONDS * max(factor, min(learned, MOST_PATIENCE))
 
+    @property
+    def finds_store_slow(self) -> bool:
+        """Whether the leader has told with its last heartbeat that its appends take long."""
+        return self._finds_store_slow
+
     @property
     def is_turned_away(self) -> bool:
         """Whether the leader has told lately that the store turns it away."""
@@ -121,6 +127,7 @@
         self._due_s = beat.due_s
         self._renewed_s = beat.renewed_s
         self._is_turned_away = beat.turned_away
+        self._finds_store_slow = beat.store_is_slow
 
     def expect(self) -> None:
         """Give a leader that was just elected the time for its first heartbeat."""
@@ -129,6 +136,7 @@
         self._heard_at = time.monotonic()
         self._renewed_s = 0.0
         self._is_turned_away = False
+        self._finds_store_slow = False
 
     def forget(self) -> None:
         """Take the leader as not heard: it has resigned, or what is known of it may be old."""
--- a/src/snowdock/entry/messages.py
+++ b/src/snowdock/entry/messages.py
@@ -53,6 +53,8 @@
         In how many seconds the receiver gets the next one.
     heard_s
         How many seconds ago the sender heard of the receiver; None for never.
+    store_is_slow
+        Whether the sender's appends have taken long lately.
     configuration
         The version that is in force at the sender; 0 for none.
     """
@@ -68,6 +70,7 @@
     due_s: float = 0.2
     heard_s: float | None = None
     configuration: int = 0
+    store_is_slow: bool = False
 
 
 class StatusAsked(_EntryMessage, tag="s"):
--- a/src/snowdock/entry/recorder.py
+++ b/src/snowdock/entry/recorder.py
@@ -6,6 +6,8 @@
 """
 
 import dataclasses
+import itertools
+import math
 import threading
 import time
 
@@ -20,10 +22,11 @@
 
 __all__ = ["Recorder"]
 
-_SHORTEST_TRY_SECONDS = 0.4
-_LONGEST_TRY_SECONDS = 1.0
-"""Bounds of one try to put records on the store: an append takes some 10 ms, a slow store some
-300."""
+_SHORTEST_TRY_SECONDS = 0.8
+_LONGEST_TRY_SECONDS = 2.0
+"""Bounds of one try to put records on the store. An append takes some 10 ms, that of a store 80
+times as slow some 500: one that is given up before is carried out all the same, and its repeat
+takes a turn of the partition that others wait for."""
 
 _TRYING_SECONDS = 0.5
 """A record that has been tried for this long is not tried again: callers wait about 3 s, and
@@ -45,7 +48,11 @@
 """An append that usually takes so long, ten times the usual, is that of a slow store."""
 
 _SLOW_MEMORY_SECONDS = 2.0
-"""How long that is remembered: after it some records are tried from here again."""
+"""How long that is remembered: after it one record is tried from here again."""
+
+_HANGING_SECONDS = 0.2
+"""An append that has no answer after so long is that of a slow store, whatever was usual: what
+comes meanwhile would else add to what the store has to do in turn."""
 
 _MOST_RECORDS = 64
 """The most records of one append: with the longest bodies, a quarter of what a call may hold."""
@@ -63,8 +70,23 @@
         self._failed_at = 0.0
         self._noted_at = 0.0
         self._is_probed = False
+        self._slow_probe_at = -math.inf
+        self._began: dict[int, float] = {}
+        self._numbers = itertools.count()
         self._lock = threading.Lock()
 
+    def begin(self) -> int:
+        """Take note of an append that begins; give the number by which it ends."""
+        with self._lock:
+            number = next(self._numbers)
+            self._began[number] = time.monotonic()
+            return number
+
+    def end(self, number: int) -> None:
+        """Take note that an append is over."""
+        with self._lock:
+            del self._began[number]
+
     @property
     def try_seconds(self) -> float:
         """How long one try may take."""
@@ -72,11 +94,33 @@
 
     @property
     def is_slow(self) -> bool:
-        """Whether appends have usually taken long, as far as that was seen lately."""
-        if time.monotonic() - self._noted_at > _SLOW_MEMORY_SECONDS:
+        """Whether appends take long, or have usually taken long as far as that was seen lately."""
+        now = time.monotonic()
+        with self._lock:
+            oldest = min(self._began.values(), default=now)
+        if now - oldest > _HANGING_SECONDS:
+            return True
+        if now - self._noted_at > _SLOW_MEMORY_SECONDS:
             return False
         return self._patience.usual > _SLOW_SECONDS
 
+    def avoids_appends(self) -> bool:
+        """Tell whether a record should better go another way than by an append from here.
+
+        A store that was slow some time ago is tried with one record, not with all that come until
+        its answer is there.
+        """
+        if self.is_slow:
+            return True
+        now = time.monotonic()
+        with self._lock:
+            if self._patience.usual <= _SLOW_SECONDS:
+                return False
+            if now - self._slow_probe_at < _SLOW_MEMORY_SECONDS:
+                return True
+            self._slow_probe_at = now
+            return False
+
     def admit(self, answered_at: float) -> bool:
         """Tell whether a record may be tried; one that may has to tell how it went.
 
@@ -158,6 +202,10 @@
         """Whether appends of this node have been slow lately, or have failed."""
         return self._health.is_slow
 
+    def avoids_appends(self) -> bool:
+        """Tell whether a record should better go by way of the leader."""
+        return self._health.avoids_appends()
+
     def record(self, job: JobId, record: KeyedRecord, seconds: float) -> Recording:
         """Put a record on the store from this node, waiting for its append.
 
@@ -227,6 +275,7 @@
         began = time.monotonic()
         # Others wait for it too: whoever has little time left may not spoil it for them.
         limit = max(_SHORTEST_TRY_SECONDS, min(seconds, self._health.try_seconds))
+        number = self._health.begin()
         try:
             self._store.append(JOBS_TOPIC, part, records, limit)
         except PlatformError as error:
@@ -240,6 +289,8 @@
             self._health.note_failure()
             log_error("append_failed", error, part=part, records=len(records))
             return Recording.UNKNOWN
+        finally:
+            self._health.end(number)
         taken = time.monotonic() - began
         self._health.note_success(taken)
         self._metrics.count("store_appends_total", "Appends to the store.", outcome="done")
--- a/src/snowdock/node/peers.py
+++ b/src/snowdock/node/peers.py
@@ -23,9 +23,9 @@
 
 _MAX_QUEUED_MESSAGES = 1000
 _MAX_MESSAGE_BYTES = 64 * 1024 * 1024
-_ANSWERERS = 64
-"""Threads that answer questions: with a slow store each of a leader's may wait for a second, and
-100 jobs a second may come. They are started as they are needed."""
+_ANSWERERS = 160
+"""Threads that answer questions: with a slow store each of a leader's may wait for a second or two,
+and 100 jobs a second may come. They are started as they are needed."""
 
 _LONGEST_POLL_SECONDS = 0.25
 """The longest wait for messages: also how late a stop may be noticed."""
--- a/tests/test_keys.py
+++ b/tests/test_keys.py
@@ -61,6 +61,7 @@
                 trust_s,
                 self.find_status,
                 lambda queue, seconds: 7,
+                lambda: False,
                 lambda job, record, seconds: Recording.NOT_DONE,
                 lambda record: None,
                 Metrics(),
@@ -69,6 +70,9 @@
 
     is_slow = False
 
+    def avoids_appends(self) -> bool:
+        return False
+
     def record(self, job: str, record: KeyedRecord, seconds: float) -> Recording:
         self.recorded.append(record)
         return Recording.DONE
--- a/tests/test_recorder.py
+++ b/tests/test_recorder.py
@@ -148,3 +148,24 @@
         for _ in range(20):
             health.note_success(0.01)
         self.assertFalse(self.recorder.is_slow)
+
+    def test_store_that_was_slow_is_tried_with_one_record(self) -> None:
+        """All others that come until its answer is there go another way."""
+        health = self.recorder._health
+        for _ in range(20):
+            health.note_success(0.3)
+        self.assertTrue(self.recorder.avoids_appends())
+        with mock.patch.object(recorder, "_SLOW_MEMORY_SECONDS", 60.0):
+            health._noted_at -= 100.0
+            told = [self.recorder.avoids_appends() for _ in range(5)]
+        self.assertEqual(told, [False, True, True, True, True])
+
+    def test_append_that_hangs_tells_of_a_slow_store(self) -> None:
+        """Before its answer is there, and whatever was usual."""
+        self.store.gate.clear()
+        thread = threading.Thread(target=self.recorder.record, args=(JOB, RECORD, 5.0))
+        thread.start()
+        self.assertTrue(wait_until(self.recorder.avoids_appends))
+        self.store.gate.set()
+        thread.join(10.0)
+        self.assertFalse(self.recorder.is_slow)
