Ask about a gang's workers at the same time

Cause: a gang that few workers may run was asked about one part of the workers after the other, a second each; the first tickets had expired before the last workers were known. Change: up to four questions about a bulky step go out together, to as many nodes.

--- a/src/snowdock/jobs/advising.py
+++ b/src/snowdock/jobs/advising.py
@@ -1,5 +1,6 @@
 """Advice from outside: which workers may run a step, and when it is worth asking."""
 
+import math
 from collections.abc import Iterable
 
 from ..declarations import Size
@@ -45,6 +46,11 @@
 """Long questions on their way for each node that can ask: a few more than may be answered at the
 same time, counted apart so that they never keep short ones from being asked."""
 
+_QUESTIONS_AT_ONCE = 4
+"""Questions about a bulky step that go out together, to as many nodes: asked one after the other,
+the first tickets had expired before the last workers were known. Of four emulated days 0.869 of the
+payouts' worth, 0.831 with one question, 0.846 with two and 0.864 with six."""
+
 _RETRY_SECONDS = 0.2
 """Pause after a question without an answer."""
 
@@ -123,21 +129,34 @@
     if not chosen:
         advice.no_room_until = now + _NO_ROOM_SECONDS
         return looks
-    lives = tuple(worker.life for worker in chosen[:_MOST_ASKED])
-    advice.asking = True
-    expected_s = _question_seconds(advice, len(lives))
+    parts = _divide(step, chosen)
+    advice.asking += len(parts)
+    expected_s = _question_seconds(advice, len(parts[0]))
     if not step.is_bulky:
         # Else whoever has a ticket goes first, not who ranks first: large steps have theirs renewed
         # in time, and a small one that ranked higher was passed by four of them in 20 s.
         known = [worker for worker in chosen if worker.life in advice.tickets]
         kept_s = _LATE_FACTOR * expected_s + _ANSWER_SLACK_SECONDS
         keep_room(cell, step, known, wanted, now, kept_s)
-    wanted_advice = AdviceWanted(*step.key, lives)
-    cell.questions[wanted_advice] = _may_be_long(advice)
-    cell.emit(AskAdvice(wanted_advice, expected_s * 1000))
+    for part in parts:
+        wanted_advice = AdviceWanted(*step.key, tuple(worker.life for worker in part))
+        cell.questions[wanted_advice] = _may_be_long(advice)
+        cell.emit(AskAdvice(wanted_advice, expected_s * 1000))
     return looks
 
 
+def _divide(step: Step, chosen: list[Worker]) -> list[list[Worker]]:
+    """Give the workers of each of the questions that go out at the same time."""
+    most = min(_MOST_ASKED, max(1, _cheap_count(step)))
+    count = min(_questions_at_once(step), math.ceil(len(chosen) / most))
+    size = min(_MOST_ASKED, math.ceil(len(chosen) / count))
+    return [chosen[at : at + size] for at in range(0, min(len(chosen), count * size), size)]
+
+
+def _questions_at_once(step: Step) -> int:
+    return _QUESTIONS_AT_ONCE if step.is_bulky else 1
+
+
 def _choose_asked(
     cell: Cell,
     step: Step,
@@ -171,7 +190,7 @@
         looks += len(chosen)
     # Which workers are fit never changes: those without room now are cheap to learn of as well.
     asked = {worker.life for worker in chosen}
-    most = _cheap_count(step) - len(chosen)
+    most = _cheap_count(step) * _questions_at_once(step) - len(chosen)
     for worker in roomiest:
         if most <= 0:
             break
@@ -289,7 +308,7 @@
     if step is None or step.advice is None:
         return
     advice = step.advice
-    advice.asking = False
+    advice.asking -= 1
     step.look_again_at = 0.0
     step.has_news = True
     expires = now + advice.terms.valid_ms / 1000 - _TICKET_MARGIN_SECONDS
@@ -317,7 +336,7 @@
     step = _find_step(cell, event.wanted)
     if step is None or step.advice is None:
         return
-    step.advice.asking = False
+    step.advice.asking -= 1
     step.advice.retry_at = now + _RETRY_SECONDS
     cell.tell("advice_failed", event.wanted.job, step=event.wanted.step)
 
--- a/src/snowdock/jobs/parts.py
+++ b/src/snowdock/jobs/parts.py
@@ -38,7 +38,7 @@
     unfit
         Workers that may not.
     asking
-        Whether a question is on its way.
+        How many questions are on their way.
     retry_at
         When to ask again after a failure.
     no_room_until
@@ -48,7 +48,7 @@
     terms: AdviceTerms
     tickets: dict[str, tuple[str, float]] = dataclasses.field(default_factory=dict)
     unfit: set[str] = dataclasses.field(default_factory=set)
-    asking: bool = False
+    asking: int = 0
     retry_at: float = 0.0
     no_room_until: float = 0.0
 
--- a/tests/test_jobs_waiting.py
+++ b/tests/test_jobs_waiting.py
@@ -2,9 +2,10 @@
 
 import unittest
 
+from snowdock.declarations import Size
 from snowdock.emulator import Emulator, EmulatorOptions, WorkloadOptions, draw_workload
 from snowdock.emulator.report import QueueReport, make_report
-from snowdock.emulator.workload import Burst, crowded_mixes
+from snowdock.emulator.workload import Burst, crowded_mixes, uneven_teams, wide_mixes
 
 SECONDS = 22.0
 DRAIN_SECONDS = 12.0
@@ -41,5 +42,24 @@
         self.assertGreater(self.reports["lookups"].worth, 0.85)
 
 
+class TestTeams(unittest.TestCase):
+    """20 teams with quotas on 176 workers, whose gangs few workers may run, and a burst of them."""
+
+    def test_gangs_find_their_workers_in_time(self) -> None:
+        """Asked about one part of the workers after the other, they had 0.754 of their worth."""
+        capacity = Size(32_000, 131_072, 0)
+        teams = uneven_teams(20, capacity.times(176).scaled(1.6))
+        bursts = (Burst("payouts", 6.0, 4.0, 1.7),)
+        workload = WorkloadOptions(16.0, 1.1, wide_mixes(), bursts, teams)
+        options = EmulatorOptions(workload, 176, capacity, racks=15, askers=45)
+        jobs = draw_workload(1, workload)
+        emulator = Emulator(1, options, jobs)
+        emulator.run_until(16.0 + 14.0)
+        report = make_report(emulator, jobs)
+        self.assertEqual(report.violations, 0)
+        (payouts,) = [each for each in report.queues if each.queue == "payouts"]
+        self.assertGreater(payouts.worth, 0.78)
+
+
 if __name__ == "__main__":
     unittest.main()
