Model what a team has running

Cause: the bound rests on counting each kind of run that is or may be at a worker; no proof said so. Change: specs/quota_model.py: late starts, lost answers, stops, workers that are cut off, a takeover, a lowered quota. Ruled out: what is held until it is on record as a rule of its own: the look where a start goes out catches it. Conclusion: kept; the tests check small bounds and each rule.

--- a/specs/check.py
+++ b/specs/check.py
@@ -16,6 +16,7 @@
     configuration_model,
     election_model,
     placement_model,
+    quota_model,
     request_model,
     slot_model,
 )
@@ -53,6 +54,7 @@
     slot_model: slot_model.Bounds(),
     configuration_model: configuration_model.Bounds(),
     election_model: election_model.Bounds(),
+    quota_model: quota_model.Bounds(),
 }
 
 SMALL = {
@@ -61,6 +63,7 @@
     slot_model: slot_model.Bounds(ticks=2),
     configuration_model: configuration_model.Bounds(records=2),
     election_model: election_model.Bounds(orders=1),
+    quota_model: quota_model.Bounds(takeovers=0),
 }
 """Bounds for every run of the tests."""
 
--- /dev/null
+++ b/specs/quota_model.py
@@ -0,0 +1,189 @@
+"""What a team has running, as its leader counts it and as it is: no start passes the quota.
+
+Tasks of one size. The leader counts what is or may be at a worker; an order may be carried out long
+after it was sent, its answer may be lost, a worker may be cut off and run on, another leader may
+take over, and the quota may be lowered between a placement and its start.
+
+What is held until it is on record is counted as well, and is no rule here: the look where a start
+goes out would catch it.
+"""
+
+import dataclasses
+import enum
+from typing import NamedTuple
+
+from minicheck import Protocol
+
+from .tools import Rules, make_protocol, replaced
+
+__all__ = ["RULES", "Bounds", "Phase", "State", "make_model"]
+
+QUOTA = 2
+LOWERED_QUOTA = 1
+
+RULES = ("unanswered", "stopping", "cut_off", "adopted", "looked_at_where_sent")
+"""Rules that may be left out: what is counted, and the second look."""
+
+
+class Phase(enum.IntEnum):
+    """What the leader believes of a task."""
+
+    WAITING = 0
+    HELD = 1
+    ORDERED = 2
+    UNANSWERED = 3
+    RUNNING = 4
+    STOPPING = 5
+    CUT_OFF = 6
+    ADOPTED = 7
+    """An earlier leader placed it; its worker has not told yet."""
+    DONE = 8
+
+
+class There(enum.IntEnum):
+    """What is at the worker."""
+
+    NOTHING = 0
+    ON_ITS_WAY = 1
+    RUNNING = 2
+    ENDED = 3
+
+
+_RULE_OF_PHASE = {
+    Phase.UNANSWERED: "unanswered",
+    Phase.STOPPING: "stopping",
+    Phase.CUT_OFF: "cut_off",
+    Phase.ADOPTED: "adopted",
+}
+
+
+@dataclasses.dataclass(frozen=True)
+class Bounds:
+    """How far the search goes."""
+
+    tasks: int = 3
+    takeovers: int = 1
+
+
+class State(NamedTuple):
+    """The leader's belief and the truth of each task; whether a start passed the quota of then."""
+
+    phases: tuple = ()
+    there: tuple = ()
+    quota: int = QUOTA
+    takeovers: int = 0
+    passed: bool = False
+
+
+class Model:
+    """Makes the transitions."""
+
+    def __init__(self, bounds: Bounds, rules: Rules) -> None:
+        self._bounds = bounds
+        self._holds = rules.holds
+
+    def transitions(self, values: tuple) -> list:
+        """List what can happen next."""
+        state = State(*values)
+        steps = []
+        if state.quota == QUOTA:
+            steps.append(("the quota is lowered", state._replace(quota=LOWERED_QUOTA)))
+        if state.takeovers < self._bounds.takeovers:
+            steps.append(("another leader takes over", self._take_over(state)))
+        for task in range(self._bounds.tasks):
+            steps += self._of_leader(state, task)
+            steps += self._of_worker(state, task)
+        return [(label, tuple(after)) for label, after in steps]
+
+    def _counted(self, state: State) -> int:
+        return sum(self._counts(phase) for phase in state.phases)
+
+    def _counts(self, phase: Phase) -> bool:
+        if phase in (Phase.WAITING, Phase.DONE):
+            return False
+        rule = _RULE_OF_PHASE.get(phase)
+        return rule is None or self._holds(rule)
+
+    def _take_over(self, state: State) -> State:
+        """Take everything on record as possibly at its worker."""
+        gone = (Phase.WAITING, Phase.DONE)
+        phases = tuple(phase if phase in gone else Phase.ADOPTED for phase in state.phases)
+        return state._replace(phases=phases, takeovers=state.takeovers + 1)
+
+    def _of_leader(self, state: State, task: int) -> list:
+        phase, there = state.phases[task], state.there[task]
+        if phase is Phase.WAITING and self._counted(state) < state.quota:
+            return [(f"{task} is placed", _believe(state, task, Phase.HELD))]
+        if phase is Phase.HELD:
+            return [self._send(state, task)]
+        steps = []
+        if phase is Phase.ORDERED and there is There.RUNNING:
+            steps.append((f"{task} is answered", _believe(state, task, Phase.RUNNING)))
+        if phase is Phase.ORDERED:
+            steps.append((f"no answer of {task}", _believe(state, task, Phase.UNANSWERED)))
+        if phase in (Phase.RUNNING, Phase.UNANSWERED):
+            steps.append((f"{task} is to stop", _believe(state, task, Phase.STOPPING)))
+        if phase is Phase.RUNNING:
+            steps.append((f"{task} is cut off", _believe(state, task, Phase.CUT_OFF)))
+        if there is There.ENDED and phase in (Phase.RUNNING, Phase.UNANSWERED):
+            steps.append((f"end of {task} is listed", _believe(state, task, Phase.DONE)))
+        steps += self._settle(state, task)
+        return steps
+
+    def _send(self, state: State, task: int) -> tuple:
+        others = self._counted(state) - 1
+        if others >= state.quota and self._holds("looked_at_where_sent"):
+            return (f"{task} is not sent", _believe(state, task, Phase.WAITING))
+        real = sum(there in (There.ON_ITS_WAY, There.RUNNING) for there in state.there)
+        after = _believe(state, task, Phase.ORDERED)
+        after = _be(after, task, There.ON_ITS_WAY)
+        return (f"{task} is sent", after._replace(passed=state.passed or real >= state.quota))
+
+    def _settle(self, state: State, task: int) -> list:
+        """List how it becomes sure that a run is over, or what it is."""
+        phase, there = state.phases[task], state.there[task]
+        if phase is Phase.STOPPING:
+            # The worker refuses what is not there yet for good, and lists what ended.
+            return [(f"{task} has stopped", _again(state, task))]
+        if phase is Phase.CUT_OFF and there is There.ENDED:
+            return [(f"lease of {task} is over", _again(state, task))]
+        if phase is not Phase.ADOPTED:
+            return []
+        if there is There.RUNNING:
+            return [(f"{task} goes on", _believe(state, task, Phase.RUNNING))]
+        # The new leader's token shuts out what is on its way.
+        return [(f"{task} was not there", _again(state, task))]
+
+    def _of_worker(self, state: State, task: int) -> list:
+        there = state.there[task]
+        if there is There.ON_ITS_WAY:
+            return [(f"{task} begins", _be(state, task, There.RUNNING))]
+        if there is There.RUNNING:
+            return [(f"{task} ends", _be(state, task, There.ENDED))]
+        return []
+
+
+def _believe(state: State, task: int, phase: Phase) -> State:
+    return state._replace(phases=replaced(state.phases, task, phase))
+
+
+def _be(state: State, task: int, there: There) -> State:
+    return state._replace(there=replaced(state.there, task, there))
+
+
+def _again(state: State, task: int) -> State:
+    return _be(_believe(state, task, Phase.WAITING), task, There.NOTHING)
+
+
+def make_model(bounds: Bounds, left_out: str = "") -> Protocol:
+    """Make the model for the checker; ``left_out`` is one of `RULES`, or nothing."""
+    model = Model(bounds, Rules(left_out))
+    initial = State((Phase.WAITING,) * bounds.tasks, (There.NOTHING,) * bounds.tasks)
+    return make_protocol(
+        "quota",
+        left_out,
+        initial,
+        model.transitions,
+        {"no_start_passes_the_quota": lambda state: not state["passed"]},
+        lambda state: all(phase is Phase.DONE for phase in state["phases"]),
+    )
--- a/tests/test_specs.py
+++ b/tests/test_specs.py
@@ -30,7 +30,13 @@
 from snowdock.reducer import Entry, reduce
 from snowdock.request_ids import new_request_id
 from snowdock.state import State, TaskState, VmState
-from specs import configuration_model, placement_model, request_model, slot_model
+from specs import (
+    configuration_model,
+    placement_model,
+    quota_model,
+    request_model,
+    slot_model,
+)
 from specs.check import SMALL, check
 
 START_MS = 1_000_000
@@ -54,6 +60,7 @@
             (request_model, "one_intent"),
             (slot_model, "cooling"),
             (configuration_model, "base_is_current"),
+            *((quota_model, rule) for rule in quota_model.RULES),
         ):
             with self.subTest(rule):
                 bounds = module.Bounds()
