Count answers to questions from before a queue's terms changed no more

Cause, by reading: a step whose advice was made anew while a question was out would count below nothing and never be asked about again.

--- a/src/snowdock/jobs/advising.py
+++ b/src/snowdock/jobs/advising.py
@@ -308,7 +308,7 @@
     if step is None or step.advice is None:
         return
     advice = step.advice
-    advice.asking -= 1
+    _note_answered(advice)
     step.look_again_at = 0.0
     step.has_news = True
     expires = now + advice.terms.valid_ms / 1000 - _TICKET_MARGIN_SECONDS
@@ -336,11 +336,16 @@
     step = _find_step(cell, event.wanted)
     if step is None or step.advice is None:
         return
-    step.advice.asking -= 1
+    _note_answered(step.advice)
     step.advice.retry_at = now + _RETRY_SECONDS
     cell.tell("advice_failed", event.wanted.job, step=event.wanted.step)
 
 
+def _note_answered(advice: Advice) -> None:
+    """Count a question as answered; one asked before the queue's terms changed counts no more."""
+    advice.asking = max(0, advice.asking - 1)
+
+
 def _find_step(cell: Cell, wanted: AdviceWanted) -> Step | None:
     job = cell.jobs.get(wanted.job)
     if job is None or wanted.repetition >= len(job.repetitions):
--- a/tests/test_jobs_reducer.py
+++ b/tests/test_jobs_reducer.py
@@ -27,7 +27,7 @@
 )
 from snowdock.jobs.model import AdviceTerms, JobStatus, TaskId
 from snowdock.jobs.orders import AdviceGiven, EndKind, Refusal, StartResult
-from snowdock.jobs.parts import Phase
+from snowdock.jobs.parts import Advice, Phase
 from snowdock.jobs.progress import JobProgress, TaskProgress, decode_progress
 from snowdock.jobs.takeover import RecordedJobs
 from tests.jobs_tools import DONE, FAILED, SMALL, Bench, accepted, of_type
@@ -433,6 +433,17 @@
         (again,) = of_type(bench.tick(0.1), AskAdvice)
         self.assertEqual(again.wanted.workers, ("x0",))
 
+    def test_answer_from_before_the_terms_changed(self) -> None:
+        """A queue whose advice was taken away and given back is asked about as before."""
+        cell = self.bench.cell
+        self.bench.submit(msgspec.structs.replace(SMALL, size=Size(4000, 1000)))
+        (asked,) = of_type(self.bench.effects, AskAdvice)
+        cell.workers["w"].used = Size(4000, 0)
+        (step,) = cell.waiting.values()
+        step.advice = Advice(step.advice.terms)
+        self.answer(asked)
+        self.assertEqual(step.advice.asking, 0)
+
     def test_failed_question_is_asked_again(self) -> None:
         """A question without an answer is repeated a little later."""
         self.bench.submit()
