Put only work of teams beyond twice their share behind others

Change: beyond two shares, which quotas of 1.6 shares never let a team reach. Conclusion: kept, for deployments whose quotas are wide or none.

--- a/src/snowdock/programs/deadline_first.star
+++ b/src/snowdock/programs/deadline_first.star
@@ -1,6 +1,6 @@
 # For jobs with an objective: urgent queues first, then what has least time left. What is late
 # already is worth little and goes behind what can still be in time. Of one queue, work of a team
-# that has more than its share of the room goes behind that of others.
+# that has more than twice its share of the room goes behind that of others.
 
 def admit(work):
     return True
@@ -11,7 +11,7 @@
         base -= 100000
     elif work["overdue"] > 1.0 or work["slack_seconds"] < -0.5:
         base -= 10000
-    elif work["share_used"] > 1.2:
+    elif work["share_used"] > 2.0:
         base -= 300
     return base - min(max(work["slack_seconds"], -60.0), 60.0)
 
