--- a/tests/test_keys.py
+++ b/tests/test_keys.py
@@ -4,6 +4,7 @@
 import math
 import unittest
 
+import msgspec
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -240,8 +241,6 @@
 
     @staticmethod
     def encoded(number: int, *keys: str) -> bytes:
-        import msgspec
-
         return msgspec.json.encode(version(number, *keys))
 
     def test_older_peer_is_told(self) -> None:
@@ -289,8 +288,6 @@
         self.assertNotIn("very-secret-key", repr(found) + repr(vars(found.teams)))
 
     def test_without_tenants_no_key_is_needed(self) -> None:
-        import msgspec
-
         found = decode_configuration(msgspec.json.encode(CONFIGURATION))
         self.assertTrue(all(queue.is_public for queue in found.queues))
         none_left = decode_configuration(msgspec.json.encode({**CONFIGURATION, "tenants": []}))
