Tell which runs are lost with a worker

Cause: `runs_lost` gives how many runs went with a worker, not which, so the logs of an incident could not lead from a job to the crashes under it. Ruled out: nothing yet; this is the sight for it, no decision changes. Change: `run_lost` for each run, with the time from its start to the worker's silence. Conclusion: `snowdock explain ID` shows each such loss, and the same small time on several workers points at the task.

--- a/src/snowdock/jobs/runs.py
+++ b/src/snowdock/jobs/runs.py
@@ -249,9 +249,25 @@
         cell.stops.pop((worker.life, task_id, run), None)
         task = cell.find_task(task_id)
         if task is not None and task.is_current_run(run, worker.life):
+            _tell_lost_run(cell, worker, task, reason)
             void_run(cell, task, now)
 
 
+def _tell_lost_run(cell: Cell, worker: Worker, task: Task, reason: str) -> None:
+    """Log a run that is lost with its worker, and how soon after its start that fell silent."""
+    silent_after_s = None if worker.silent_since is None else worker.silent_since - task.since
+    cell.tell(
+        "run_lost",
+        task.id.job,
+        task=task.id,
+        run=task.run,
+        worker=worker.life,
+        phase=task.phase.value,
+        silent_after_s=silent_after_s,
+        reason=reason,
+    )
+
+
 # -- jobs ----------------------------------------------------------------------------------
 
 
