--- a/tests/jobs_tools.py
+++ b/tests/jobs_tools.py
@@ -63,6 +63,7 @@
         self.effects: list[Effect] = []
         self.seen: list[Effect] = []
         self.renewals: dict[str, RenewOrder] = {}
+        self.recorded: dict[str, bytes] = {}
         self.holds_store = False
         self._jobs = itertools.count(1)
         self._ends = itertools.count(1)
@@ -74,6 +75,7 @@
             if isinstance(effect, SendRenew):
                 self.renewals[effect.life] = effect.order
             if isinstance(effect, Persist) and not self.holds_store:
+                self.recorded |= {record.job: record.data for record in effect.records}
                 effects += self.feed(Persisted(effect.number))
         self.effects = effects
         self.seen += [effect for effect in effects if effect not in self.seen[-50:]]
