Give a task up that crashes the workers that run it

Cause: a run lost with its worker counted as no attempt (`lose_runs`, `void_run`), so a task that ends each worker that starts it was started for ever. The class: a retry that is not charged to what brought the failure about, so no bound holds it. Change: `jobs/lost_runs.py` charges each run that goes with its worker to its task, on record with the job's progress: a crash where another life answers at a worker that had not said it would leave, else a loss. Three crashes, or five losses of any kind, and the job is shown as failed. A task that lasts is charged no more after 30 s of work. `explain` names the workers that went. Conclusion: the bound holds whatever a leader sees of a crash, since every start ends as a told end, a refusal, or a charge.

--- a/src/snowdock/cli/explain.py
+++ b/src/snowdock/cli/explain.py
@@ -121,6 +121,9 @@
 
 
 def _explain_failure(lines: list[LogLine]) -> str:
+    given_up = [line for line in lines if line.event == "task_given_up"]
+    if given_up:
+        return _explain_giving_up(given_up[-1], lines)
     failed = [
         line for line in lines if line.event == "run_ended" and line.fields.get("how") == "failed"
     ]
@@ -129,6 +132,21 @@
     return f"{len(failed)} runs failed, on {once} ({', '.join(where)}): its attempts are used up"
 
 
+def _explain_giving_up(decision: LogLine, lines: list[LogLine]) -> str:
+    task = decision.fields.get("task", "")
+    charged = [
+        line.fields.get("worker", "")
+        for line in lines
+        if line.event == "task_charged" and line.fields.get("task", "") == task
+    ]
+    workers = ", ".join(dict.fromkeys(charged))
+    crashes, losses = decision.fields.get("crashes", "?"), decision.fields.get("losses", "?")
+    return (
+        f"task {task} was given up after {losses} workers went under it, {crashes} of them surely"
+        f" crashed ({workers}): see silent_after_s of its run_lost lines"
+    )
+
+
 def _explain_time(lines: list[LogLine], ended: LogLine) -> str:
     """Name the longest wait between two decisions on the way to the end."""
     way = [line for line in lines if line.time <= ended.time]
--- a/src/snowdock/jobs/batches.py
+++ b/src/snowdock/jobs/batches.py
@@ -129,6 +129,8 @@
             task.phase is Phase.DONE,
             sorted(task.failed_runs),
             task.checkpoint,
+            sorted(task.lost_runs),
+            sorted(task.crashed_runs),
         )
         for task in job.all_tasks()
         if task.life or (keeps_all and (task.run or task.phase is Phase.DONE))
--- /dev/null
+++ b/src/snowdock/jobs/lost_runs.py
@@ -0,0 +1,114 @@
+"""Runs that are lost with their worker: to which tasks that is charged, and when one is given up.
+
+The load this answers: a task that ends each worker that starts it. A worker runs many tasks when it
+goes, and mostly no end of any of them is ever told, so each such loss is charged to all tasks that
+were, or may have been, running there. It is charged as a *crash* where another life of the worker
+has answered, and the worker had not said that it would leave; else it stays a *loss*: the worker
+may have been cut off, and run on. A start always ends as one of the two, a told end, or a refusal,
+so a task that crashes every worker is started `MOST_LOSSES` times at most, whatever is seen of it.
+"""
+
+from .cell import Cell
+from .durability import mark
+from .occupancy import vacate
+from .parts import Phase, Task
+from .runs import fail_job, void_run
+from .workers import Worker
+
+__all__ = ["MOST_CRASHES", "MOST_LOSSES", "absolve", "charge_late", "lose_orphan", "lose_runs"]
+
+MOST_CRASHES = 3
+"""Crashes after which a task is given up. Without a bound one task took a worker each 3.5 s, and
+four to fifteen runs of others with it. Two are soon met by chance, beside another task's fault."""
+
+MOST_LOSSES = 5
+"""Losses of any kind after which a task is given up: users allow three starts after three crashes
+no more, however many of these were seen as such."""
+
+_PROVEN_SECONDS = 30.0
+"""A task that lasts is charged with nothing any more once a run of it has worked for so long: over
+hours it outlives many workers that go for reasons of their own."""
+
+
+def lose_runs(
+    cell: Cell, worker: Worker, now: float, reason: str, has_crashed: bool = False
+) -> None:
+    """Take all runs on a worker as over, though how they ended is not known."""
+    if worker.runs:
+        cell.tell("runs_lost", worker.life, count=len(worker.runs), reason=reason)
+    for task_id, run in list(worker.runs):
+        vacate(cell, worker.life, task_id, run)
+        cell.stops.pop((worker.life, task_id, run), None)
+        task = cell.find_task(task_id)
+        if task is not None and task.is_current_run(run, worker.life):
+            _lose_run(cell, worker, task, now, reason, has_crashed)
+
+
+def charge_late(cell: Cell, worker: Worker, now: float) -> None:
+    """Take losses on a worker as crashes: its leases were over before another life answered."""
+    for task_id, run in worker.lost:
+        task = cell.find_task(task_id)
+        if task is not None and run in task.lost_runs:
+            _charge(cell, task, run, worker.life, now, is_crash=True)
+    worker.lost.clear()
+
+
+def lose_orphan(cell: Cell, task: Task, life: str, now: float) -> None:
+    """Take a run of an earlier leader as over, whose worker never became known here."""
+    cell.tell("orphan_lost", task.id.job, task=task.id, worker=life)
+    run = task.run
+    void_run(cell, task, now)
+    _charge(cell, task, run, life, now, is_crash=False)
+
+
+def absolve(cell: Cell, task: Task, now: float) -> None:
+    """Charge a task that lasts with nothing any more, once a run of it has worked for long."""
+    if not task.lost_runs or not task.step.spec.long_running:
+        return
+    if task.phase is Phase.RUNNING and now - task.since >= _PROVEN_SECONDS:
+        task.lost_runs = task.crashed_runs = frozenset()
+        mark(cell, task.step.job)
+        cell.tell("task_absolved", task.id.job, task=task.id, run=task.run)
+
+
+def _lose_run(
+    cell: Cell, worker: Worker, task: Task, now: float, reason: str, has_crashed: bool
+) -> None:
+    run = task.run
+    # A start that was never sent can have done nothing, a task that is done needs no more runs.
+    is_charged = task.phase not in (Phase.RECORDED, Phase.DONE)
+    _tell(cell, worker, task, reason)
+    void_run(cell, task, now)
+    if is_charged:
+        worker.lost.append((task.id, run))
+        _charge(cell, task, run, worker.life, now, has_crashed)
+
+
+def _tell(cell: Cell, worker: Worker, task: Task, reason: str) -> None:
+    """Log a run that is lost with its worker, and how soon after its start that fell silent."""
+    silent_after_s = None if worker.silent_since is None else worker.silent_since - task.since
+    cell.tell(
+        "run_lost",
+        task.id.job,
+        task=task.id,
+        run=task.run,
+        worker=worker.life,
+        phase=task.phase.value,
+        silent_after_s=silent_after_s,
+        reason=reason,
+    )
+
+
+def _charge(cell: Cell, task: Task, run: int, life: str, now: float, is_crash: bool) -> None:
+    """Count a run that went with its worker, and give its task up where that is too often."""
+    task.lost_runs |= {run}
+    if is_crash:
+        task.crashed_runs |= {run}
+    job = task.step.job
+    mark(cell, job)
+    crashes, losses = len(task.crashed_runs), len(task.lost_runs)
+    cell.tell("task_charged", job.id, task=task.id, worker=life, crashes=crashes, losses=losses)
+    if job.status.is_final or (crashes < MOST_CRASHES and losses < MOST_LOSSES):
+        return
+    cell.tell("task_given_up", job.id, task=task.id, crashes=crashes, losses=losses)
+    fail_job(cell, job, now)
--- a/src/snowdock/jobs/parts.py
+++ b/src/snowdock/jobs/parts.py
@@ -74,6 +74,8 @@
         The worker's life where that run is or may be; empty where none is.
     failed_runs
         Runs that count as attempts.
+    lost_runs, crashed_runs
+        Runs that were lost with their worker, and those of them whose worker surely crashed.
     checkpoint
         From where the next run goes on; empty for the beginning.
     since
@@ -94,6 +96,8 @@
     run: int = 0
     life: str = ""
     failed_runs: set[int] = dataclasses.field(default_factory=set)
+    lost_runs: frozenset[int] = frozenset()
+    crashed_runs: frozenset[int] = frozenset()
     checkpoint: str = ""
     since: float = 0.0
     percent: float = 0.0
--- a/src/snowdock/jobs/progress.py
+++ b/src/snowdock/jobs/progress.py
@@ -67,6 +67,8 @@
         Runs that ended failed; of a gang's member, the gang's.
     checkpoint
         Where the next run goes on from; empty for the start.
+    lost_runs, crashed_runs
+        Runs that were lost with their worker, and those of them whose worker surely crashed.
     """
 
     repetition: int
@@ -77,6 +79,8 @@
     done: bool = False
     failed_runs: list[int] = []
     checkpoint: str = ""
+    lost_runs: list[int] = []
+    crashed_runs: list[int] = []
 
 
 class JobProgress(msgspec.Struct, array_like=True):
--- a/src/snowdock/jobs/runs.py
+++ b/src/snowdock/jobs/runs.py
@@ -13,7 +13,7 @@
     "abort_gang",
     "acknowledge_ends",
     "cancel_job",
-    "lose_runs",
+    "fail_job",
     "note_begun",
     "open_repetition",
     "open_steps",
@@ -180,8 +180,8 @@
         each.failed_runs.add(run)
     step.not_before = now + cell.policy.backoff_seconds(step, task.failures)
     attempts = cell.queue_of(step.job).max_attempts
-    if task.failures >= attempts and not step.job.status.is_final:
-        _conclude(cell, step.job, JobStatus.FAILED, now)
+    if task.failures >= attempts:
+        fail_job(cell, step.job, now)
 
 
 def _wait_again(cell: Cell, task: Task, now: float) -> None:
@@ -240,34 +240,6 @@
         _wait_again(cell, task, now)
 
 
-def lose_runs(cell: Cell, worker: Worker, now: float, reason: str) -> None:
-    """All runs on a worker are surely over, and how they ended is not known."""
-    if worker.runs:
-        cell.tell("runs_lost", worker.life, count=len(worker.runs), reason=reason)
-    for task_id, run in list(worker.runs):
-        vacate(cell, worker.life, task_id, run)
-        cell.stops.pop((worker.life, task_id, run), None)
-        task = cell.find_task(task_id)
-        if task is not None and task.is_current_run(run, worker.life):
-            _tell_lost_run(cell, worker, task, reason)
-            void_run(cell, task, now)
-
-
-def _tell_lost_run(cell: Cell, worker: Worker, task: Task, reason: str) -> None:
-    """Log a run that is lost with its worker, and how soon after its start that fell silent."""
-    silent_after_s = None if worker.silent_since is None else worker.silent_since - task.since
-    cell.tell(
-        "run_lost",
-        task.id.job,
-        task=task.id,
-        run=task.run,
-        worker=worker.life,
-        phase=task.phase.value,
-        silent_after_s=silent_after_s,
-        reason=reason,
-    )
-
-
 # -- jobs ----------------------------------------------------------------------------------
 
 
@@ -277,6 +249,12 @@
         _conclude(cell, job, JobStatus.CANCELLED, now)
 
 
+def fail_job(cell: Cell, job: Job, now: float) -> None:
+    """Give a job up that has not ended; callers are told as soon as that is on record."""
+    if not job.status.is_final:
+        _conclude(cell, job, JobStatus.FAILED, now)
+
+
 def _conclude(cell: Cell, job: Job, status: JobStatus, now: float) -> None:
     job.status = status
     cell.final_jobs[job.id] = now
--- a/src/snowdock/jobs/takeover.py
+++ b/src/snowdock/jobs/takeover.py
@@ -102,6 +102,8 @@
     task = job.repetitions[record.repetition][record.step].tasks[record.index]
     task.run = record.run
     task.failed_runs = set(record.failed_runs)
+    task.lost_runs = frozenset(record.lost_runs)
+    task.crashed_runs = frozenset(record.crashed_runs)
     task.checkpoint = record.checkpoint
     if record.done:
         task.phase = Phase.DONE
--- a/src/snowdock/jobs/worker_lives.py
+++ b/src/snowdock/jobs/worker_lives.py
@@ -3,9 +3,9 @@
 from .cell import Cell
 from .durability import renew
 from .events import CloseWorker, OpenWorker, StepDown
+from .lost_runs import charge_late, lose_runs
 from .occupancy import occupy, vacate
 from .orders import Refusal
-from .runs import lose_runs
 from .workers import Worker, WorkerEntry
 
 __all__ = ["delist_worker", "end_life", "list_worker", "take_life_refusal"]
@@ -50,9 +50,13 @@
     cell.tell("worker_delisted", life, runs=len(worker.runs), may_return=may_return)
 
 
-def end_life(cell: Cell, worker: Worker, now: float, reason: str) -> None:
+def end_life(
+    cell: Cell, worker: Worker, now: float, reason: str, has_crashed: bool = False
+) -> None:
     """Take a worker's life as over, and with it all that ran there."""
-    lose_runs(cell, worker, now, reason)
+    if has_crashed:
+        charge_late(cell, worker, now)
+    lose_runs(cell, worker, now, reason, has_crashed)
     del cell.workers[worker.life]
     if worker.listed:
         cell.ended_lives.add(worker.life)
@@ -63,7 +67,8 @@
 def take_life_refusal(cell: Cell, worker: Worker, refusal: Refusal | None, now: float) -> bool:
     """Take over a refusal that tells of the worker as a whole; tell whether this one did."""
     if refusal is Refusal.OTHER_LIFE:
-        end_life(cell, worker, now, "another life answered at its address")
+        has_crashed = not worker.entry.draining
+        end_life(cell, worker, now, "another life answered at its address", has_crashed)
         return True
     if refusal is Refusal.FENCED:
         cell.emit(StepDown(f"worker {worker.life} has seen a higher token"))
--- a/src/snowdock/jobs/worker_reports.py
+++ b/src/snowdock/jobs/worker_reports.py
@@ -4,6 +4,7 @@
 from .cell import Cell
 from .durability import RENEW_WAIT_MS, renew
 from .events import RenewAnswered
+from .lost_runs import absolve
 from .model import TaskId
 from .occupancy import occupy, vacate
 from .orders import RunningRun, WorkerReport
@@ -52,6 +53,7 @@
         cell.tell("worker_answers", worker.life, silent_s=now - worker.silent_since)
         worker.silent_since = None
         worker.is_mute = False
+    worker.lost.clear()
     worker.note_clock(report.clock_ms, now)
     listed: set[tuple[TaskId, int]] = set()
     news = False
@@ -97,6 +99,7 @@
     if task.phase in (Phase.ORDERED, Phase.UNSURE):
         task.phase = Phase.RUNNING
         task.since = now
+    absolve(cell, task, now)
     note_progress(worker, task, row, now)
     if would_gain_elsewhere(cell, worker, task):
         task.moves += 1
--- a/src/snowdock/jobs/worker_watch.py
+++ b/src/snowdock/jobs/worker_watch.py
@@ -3,10 +3,10 @@
 from .cell import Cell, Stop
 from .durability import RENEW_WAIT_MS, renew
 from .events import SendStop
+from .lost_runs import lose_orphan, lose_runs
 from .model import TaskId
 from .occupancy import vacate
 from .orders import StopOrder
-from .runs import lose_runs, void_run
 from .speeds import fade_slowness
 from .worker_lives import end_life
 from .workers import Worker
@@ -41,8 +41,7 @@
         del cell.orphans[life]
         for orphan in orphans:
             if orphan.task.is_current_run(orphan.run, life):
-                cell.tell("orphan_lost", orphan.task.id.job, task=orphan.task.id, worker=life)
-                void_run(cell, orphan.task, now)
+                lose_orphan(cell, orphan.task, life, now)
             else:
                 vacate(cell, life, orphan.task.id, orphan.run)
 
--- a/src/snowdock/jobs/workers.py
+++ b/src/snowdock/jobs/workers.py
@@ -107,6 +107,8 @@
         Until when nothing new is placed there, in steady seconds.
     slow_log
         The logarithm of how many times longer runs take there than usual.
+    lost
+        Runs lost there since it last answered: how it went is not known yet.
     """
 
     entry: WorkerEntry
@@ -131,6 +133,7 @@
     failure_streak: int = 0
     shunned_until: float = 0.0
     slow_log: float = 0.0
+    lost: list[tuple[TaskId, int]] = dataclasses.field(default_factory=list)
     _free: Size = ZERO
     _free_of: tuple[Size, Size] | None = None
 
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -71,6 +71,18 @@
         story = tell_story(JOB, [*lines, ended("failed")])
         self.assertIn("2 runs failed, on 2 workers (w1, w2)", story.cause)
 
+    def test_given_up_job(self) -> None:
+        """A job given up by crashes names the workers that went under its task."""
+        task = f'task="[\\"{JOB}\\",0,0,0]"'
+        charged = [
+            f"time={11 + n} event=task_charged subject={JOB} {task} worker=w{n} node=n1"
+            for n in (1, 2, 3)
+        ]
+        given_up = f"time=14.1 event=task_given_up subject={JOB} {task} crashes=3 losses=3 node=n1"
+        story = tell_story(JOB, [TAKEN, *charged, given_up, ended("failed", 14.2)])
+        self.assertIn("given up after 3 workers went under it", story.cause)
+        self.assertIn("(w1, w2, w3)", story.cause)
+
     def test_late_job(self) -> None:
         """A late job names its longest wait."""
         placed = f"time=11.8 event=placed subject={JOB} node=n1"
--- a/tests/test_jobs_crashes.py
+++ b/tests/test_jobs_crashes.py
@@ -13,9 +13,12 @@
 3.5 s apart, over and over.
 """
 
+import dataclasses
 import unittest
 
-from snowdock.jobs.events import RenewAnswered, SendStart
+import msgspec
+
+from snowdock.jobs.events import Persist, RenewAnswered, SendStart, WorkerListed
 from snowdock.jobs.model import JobStatus
 from snowdock.jobs.orders import Refusal
 from snowdock.jobs.progress import decode_progress
@@ -115,6 +118,110 @@
         self.assertEqual(self.status(crashes.bench, job), JobStatus.FAILED)
 
 
+class TestCharges(unittest.TestCase):
+    """What counts as a crash, and what only as a loss."""
+
+    def setUp(self) -> None:
+        self.bench = Bench()
+        self.bench.add_worker("w")
+        self.job = self.bench.submit(SMALL)
+        (self.start,) = self.bench.starts()
+
+    @property
+    def task(self):
+        return self.bench.cell.find_task(self.start.order.task)
+
+    def counts(self) -> tuple[int, int]:
+        return len(self.task.crashed_runs), len(self.task.lost_runs)
+
+    def answer_as_another_life(self) -> None:
+        renewal = self.bench.renewal("w")
+        self.bench.feed(RenewAnswered("w", renewal, Refusal.OTHER_LIFE))
+
+    def fall_silent(self, seconds: float) -> None:
+        end = self.bench.now + seconds
+        while self.bench.now < end:
+            if "w" in self.bench.renewals:
+                self.bench.miss("w")
+            self.bench.tick(0.1)
+
+    def test_another_life_is_a_crash(self) -> None:
+        """A worker whose next life answers has crashed."""
+        self.bench.confirm(self.start)
+        self.answer_as_another_life()
+        self.assertEqual(self.counts(), (1, 1))
+
+    def test_worker_that_had_said_it_leaves(self) -> None:
+        """Where the worker was draining, the end of its life is no crash."""
+        self.bench.confirm(self.start)
+        entry = self.bench.cell.workers["w"].entry
+        self.bench.feed(WorkerListed(dataclasses.replace(entry, draining=True)))
+        self.answer_as_another_life()
+        self.assertEqual(self.counts(), (0, 1))
+
+    def test_silence_is_a_loss_until_another_life_answers(self) -> None:
+        """Leases that are over tell of no crash; another life's answer after them does."""
+        self.bench.confirm(self.start)
+        self.fall_silent(9.0)
+        self.assertEqual(self.counts(), (0, 1))
+        self.answer_as_another_life()
+        self.assertEqual(self.counts(), (1, 1))
+
+    def test_worker_that_was_cut_off_has_not_crashed(self) -> None:
+        """A worker that answers again after its leases takes nothing as a crash later."""
+        self.bench.confirm(self.start)
+        self.fall_silent(9.0)
+        self.bench.report("w")
+        self.bench.report("w")
+        self.answer_as_another_life()
+        self.assertEqual(self.task.crashed_runs & {1}, set())
+
+    def test_placement_that_was_never_sent_is_not_charged(self) -> None:
+        """A start that waits for its record has done nothing to the worker."""
+        bench = self.bench = Bench()
+        bench.add_worker("w")
+        bench.holds_store = True
+        bench.submit(SMALL)
+        (batch,) = of_type(bench.effects, Persist)
+        self.assertEqual(decode_progress(batch.records[0].data).tasks[0].life, "w")
+        self.answer_as_another_life()
+        (task,) = next(iter(bench.cell.jobs.values())).all_tasks()
+        self.assertEqual(task.lost_runs, frozenset())
+
+    def test_orphan_is_a_loss(self) -> None:
+        """A run whose worker a new leader never gets to know is charged as a loss."""
+        progress = decode_progress(self.bench.recorded[self.job])
+        self.bench = Bench(2)
+        self.bench.restore(RecordedJobs({self.job: accepted(SMALL)}, set(), {self.job: progress}))
+        self.bench.tick(12.0)
+        self.assertEqual(self.counts(), (0, 1))
+
+    def test_task_that_lasts_is_absolved(self) -> None:
+        """Once it has worked for long, earlier losses of a task that lasts count no more."""
+        bench = self.bench = Bench()
+        bench.add_worker("w")
+        bench.submit(msgspec.structs.replace(SMALL, long_running=True))
+        (self.start,) = bench.starts()
+        bench.confirm(self.start)
+        self.answer_as_another_life()
+        self.assertEqual(self.counts(), (1, 1))
+        bench.add_worker("v")
+        bench.tick(0.2)
+        (again,) = [e for e in bench.starts(bench.seen) if e.life == "v"]
+        bench.confirm(again)
+        for _ in range(62):
+            bench.report("v", running=[(again.order.task, 2, 100.0)])
+            bench.tick(0.5)
+        self.assertEqual(self.counts(), (0, 0))
+        self.assertEqual(bench.cell.jobs[self.task.id.job].status, JobStatus.RUNNING)
+
+    def test_records_without_charges_are_read(self) -> None:
+        """Progress that was put on record before charges were kept has none."""
+        old = msgspec.msgpack.encode([1, [[0, 0, 0, 3, "w", False, [2], ""]], ""])
+        (task,) = decode_progress(old).tasks
+        self.assertEqual((task.lost_runs, task.crashed_runs), ([], []))
+
+
 def _recorded(bench: Bench, job: str):
     """Give a job's progress as the last batch has put it on record."""
     return decode_progress(bench.recorded[job])
