Test that a task whose workers reboot under it is given up; it fails

Cause: the same as on the platform: in the shared log's reducer an attempt that ends `absent` or `lost` queues its task again, and nothing counts it. Ruled out: requests that callers wait for (their retries end with the deadline and a budget, and a request that is not repeatable runs once). Conclusion: the same bound belongs there.

--- a/tests/test_reducer.py
+++ b/tests/test_reducer.py
@@ -276,6 +276,33 @@
         self.assertEqual(task.state, TaskState.QUEUED)
 
 
+class TestRepeatedLoss(unittest.TestCase):
+    """A task that runs, and that its worker's next boot knows nothing of, may be what ended it."""
+
+    def outcomes(self, kind: str, started: bool) -> list[TaskState]:
+        """Give the task's state after each of six attempts that ended absent."""
+        journal = Journal()
+        work = journal.submit(WorkSpec(kind, "x", "t", 1, Size(1000, 1024)))
+        states = []
+        for attempt in range(1, 7):
+            if journal.add(TasksPlaced(work, [Placement(0, "w0")])) != [True]:
+                break
+            if started:
+                journal.add(AttemptStarted(work, 0, attempt))
+            journal.add(AttemptEnded(work, 0, attempt, "absent"))
+            states.append(journal.state.works[work].tasks[0].state)
+        return states
+
+    def test_it_is_given_up(self) -> None:
+        """After five running attempts that were lost the task has failed."""
+        expected = [TaskState.QUEUED] * 4 + [TaskState.FAILED]
+        self.assertEqual(self.outcomes("batch", started=True), expected)
+
+    def test_attempts_that_never_ran_do_not_count(self) -> None:
+        """An order that its worker never got tells nothing of the task."""
+        self.assertEqual(self.outcomes("batch", started=False), [TaskState.QUEUED] * 6)
+
+
 class TestStops(unittest.TestCase):
     def test_what_may_not_be_dropped_is_not_stopped(self) -> None:
         """A session that may not be dropped is never asked to make room."""
