--- a/src/snowdock/reducer/_works.py
+++ b/src/snowdock/reducer/_works.py
@@ -26,6 +26,13 @@
 __all__ = ["HANDLERS", "cancel", "create", "service_number"]
 
 
+_MOST_LOSSES = 5
+"""Running attempts that may be lost with their worker before their task is given up: a task may be
+what ends each worker that starts it, and would take one after the other for ever."""
+
+_LOSSES = frozenset((Outcome.ABSENT, Outcome.LOST))
+
+
 def service_number(context: Context, index: int) -> int:
     """Give a declared service a work number: counted down from the entry's last one."""
     return (context.offset + 1) * RECORDS_PER_ENTRY - 1 - index
@@ -133,6 +140,7 @@
     state = context.state
     task = work.tasks[number]
     worker = state.workers[task.worker]
+    task.losses += task.state == TaskState.RUNNING and outcome in _LOSSES
     close_attempt(context, work, number, outcome)
     if outcome == Outcome.FAILED:
         worker.streak += 1
@@ -153,7 +161,8 @@
         return TaskState.SUCCEEDED
     if work.cancelled:
         return TaskState.CANCELLED
-    if outcome == Outcome.FAILED and not is_service and task.failures > work.spec.retries:
+    is_used_up = outcome == Outcome.FAILED and task.failures > work.spec.retries
+    if not is_service and (is_used_up or task.losses >= _MOST_LOSSES):
         return TaskState.FAILED
     return TaskState.QUEUED
 
--- a/src/snowdock/state.py
+++ b/src/snowdock/state.py
@@ -78,13 +78,18 @@
 
 
 class Task(msgspec.Struct, array_like=True):
-    """One task of a work; ``attempt`` counts its starts."""
+    """One task of a work.
+
+    ``attempt`` counts its starts, ``failures`` the attempts that failed, and ``losses`` those that
+    ran and whose worker then knew nothing of them, or was gone.
+    """
 
     state: TaskState = TaskState.QUEUED
     attempt: int = 0
     worker: str = ""
     failures: int = 0
     stopping: bool = False
+    losses: int = 0
 
     @property
     def holds_room(self) -> bool:
--- a/tests/naive.py
+++ b/tests/naive.py
@@ -91,7 +91,13 @@
     if isinstance(record, WorkSubmitted):
         world["specs"][number] = record.spec
         for n in range(record.spec.tasks):
-            tasks[number, n] = {"state": "queued", "attempt": 0, "failures": 0, "worker": ""}
+            tasks[number, n] = {
+                "state": "queued",
+                "attempt": 0,
+                "failures": 0,
+                "losses": 0,
+                "worker": "",
+            }
     elif isinstance(record, WorkCancelled):
         _cancel(world, record.work)
     elif isinstance(record, TasksPlaced):
@@ -122,11 +128,12 @@
     task = world["tasks"][record.work, record.task]
     spec = world["specs"][record.work]
     task["failures"] += record.outcome == "failed"
+    task["losses"] += record.outcome == "absent" and task["state"] == "running"
     if record.outcome == "succeeded":
         task["state"] = "succeeded"
     elif record.work in world["cancelled"]:
         task["state"] = "cancelled"
-    elif record.outcome == "failed" and task["failures"] > spec.retries:
+    elif (record.outcome == "failed" and task["failures"] > spec.retries) or task["losses"] >= 5:
         task["state"] = "failed"
         if spec.kind == "gang":
             _cancel(world, record.work)
--- a/tests/test_reducer.py
+++ b/tests/test_reducer.py
@@ -200,12 +200,12 @@
 
     def _compare(self, state: State, world: dict) -> None:
         tasks = {
-            (work.number, n): (task.state.value, task.attempt, task.failures)
+            (work.number, n): (task.state.value, task.attempt, task.failures, task.losses)
             for work in state.works.values()
             for n, task in enumerate(work.tasks)
         }
         expected = {
-            key: (task["state"], task["attempt"], task["failures"])
+            key: (task["state"], task["attempt"], task["failures"], task["losses"])
             for key, task in world["tasks"].items()
         }
         self.assertEqual(tasks, expected)
