Take no worker, leader or job from records that do not fit

Cause: entries of workers were decoded leniently (texts as numbers, no state as ready), an entry that came to be unusable left its worker in use, and some records reached code that did not expect them: nesting without end (RecursionError), an address that is none (ValueError in the leader, which stepped down, as did every successor), empty frames (IndexError, which lost the rest of the page), a job's or leader's record that cannot be read (no takeover ever ended). Ruled out: peers' messages and callers' bodies, which ended no thread; they now bring the typed error for nesting, too. Change: strict decoding with bounds, addresses checked at the border; the worker of an unusable entry is let go as if delisted; workers of a service that nothing names are not called; unreadable records of jobs are set aside, answered 503, and not run again.

--- a/src/snowdock/entry/leader.py
+++ b/src/snowdock/entry/leader.py
@@ -118,6 +118,7 @@
         policy = make_policy(self._raise_alarm, lambda: self._cell)
         self._cell = Cell(context.settings, context.epoch, policy, now)
         self._cell.configuration = context.configuration()
+        statuses.note_unreadable(recorded.unreadable | recorded.unstartable)
         restored = restore(self._cell, recorded, now, _wall_ms())
         self._handlers: dict[type, Callable] = {
             Persist: self._writer.write,
--- a/src/snowdock/entry/leader_handle.py
+++ b/src/snowdock/entry/leader_handle.py
@@ -29,6 +29,9 @@
 
 __all__ = ["LeaderHandle"]
 
+_KEY_TOLD = 60
+"""How much of an unusable entry's key is logged."""
+
 _JOBS_WAIT_SECONDS = 1.0
 """How long one read of new jobs waits: also how stale "no such job" may be."""
 
@@ -121,6 +124,7 @@
             self._tell(JobAccepted(job_of_record(record.key), accepted))
         except InvalidInput as error:
             log_error("job_record_unusable", error, job=record.key)
+            self._statuses.note_unreadable([job_of_record(record.key)])
 
     def stop(self) -> None:
         """Stop leading."""
@@ -152,17 +156,26 @@
         try:
             entry = decode_worker_entry(record.key, record.value)
         except PlatformError as error:
-            log_error("worker_entry_unusable", error, worker=record.key)
+            self._let_go(record, error)
             return
         self._listed.add(record.key)
         self._tell(WorkerListed(entry))
 
+    def _let_go(self, record: KeyedRecord, error: PlatformError) -> None:
+        """Use a worker no more whose entry cannot be used; what runs there is watched."""
+        log_error("worker_entry_unusable", error, worker=record.key[:_KEY_TOLD])
+        self._context.metrics.count(
+            "entries_unusable_total", "Entries of others that cannot be used.", table="workers"
+        )
+        self._listed.discard(record.key)
+        self._tell(WorkerDelisted(record.key, may_return=False))
+
     def _may_return(self) -> bool:
         return self._workers.seconds_since_failure < _LAPSE_SECONDS
 
     def _take_all_workers(self, records: list[KeyedRecord]) -> None:
         for life in self._listed - {record.key for record in records}:
+            self._listed.discard(life)
             self._tell(WorkerDelisted(life, self._may_return()))
-        self._listed = set()
         for record in records:
             self._take_worker(record)
--- a/src/snowdock/entry/leader_log.py
+++ b/src/snowdock/entry/leader_log.py
@@ -1,6 +1,7 @@
 """The partition of the store that tells who leads: read on, and appended to on condition."""
 
 from ..errors import LogExpired, PlatformError
+from ..node.logs import log_error
 from ..platform.store import KeyedRecord, StoreClient
 from .leader_record import LeaderRecord, decode_leader, encode_leader
 from .topics import LEADER_KEY, LEADERS_TOPIC, PART
@@ -82,6 +83,13 @@
 
 
 def _decode_all(records: list[KeyedRecord]) -> list[LeaderRecord]:
-    return [
-        decode_leader(record) for record in records if record.key == LEADER_KEY and record.value
-    ]
+    found = []
+    for record in records:
+        if record.key != LEADER_KEY or not record.value:
+            continue
+        try:
+            found.append(decode_leader(record))
+        except PlatformError as error:
+            # It names nobody; whoever leads finds that its condition holds no more, and one claims.
+            log_error("leader_record_unusable", error, offset=record.offset)
+    return found
--- a/src/snowdock/entry/leader_queries.py
+++ b/src/snowdock/entry/leader_queries.py
@@ -61,6 +61,8 @@
         status = handle.statuses.status(job, team)
         if status is not None:
             return status, True
+        if handle.statuses.is_unreadable(job):
+            return None, False
         is_fresh = (
             asked_at - handle.jobs_read_at < _FRESH_SECONDS
             and self._election.renewed_s < _RENEWED_SECONDS
--- a/src/snowdock/entry/leader_record.py
+++ b/src/snowdock/entry/leader_record.py
@@ -58,5 +58,5 @@
     """
     try:
         return msgspec.msgpack.decode(record.value, type=LeaderRecord)
-    except msgspec.MsgspecError as error:
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
         raise PlatformError(f"a leader's record does not fit: {error}") from error
--- a/src/snowdock/entry/messages.py
+++ b/src/snowdock/entry/messages.py
@@ -186,7 +186,7 @@
 def _decode(data: bytes) -> EntryMessage:
     try:
         return _decoder.decode(data)
-    except msgspec.MsgspecError as error:
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
         raise InvalidInput(f"not an entry message: {error}") from error
 
 
--- a/src/snowdock/entry/statuses.py
+++ b/src/snowdock/entry/statuses.py
@@ -2,6 +2,7 @@
 
 import threading
 import time
+from collections.abc import Iterable
 
 from ..jobs.events import PublishStatus
 from ..jobs.model import JobId, JobStatus
@@ -15,6 +16,7 @@
     def __init__(self) -> None:
         self._taken_until = time.monotonic()
         self._jobs: dict[JobId, PublishStatus] = {}
+        self._unreadable: set[JobId] = set()
         self._waiting: dict[str, int] = {}
         self._lock = threading.Lock()
 
@@ -27,11 +29,21 @@
         """Take note that all events sent before a steady time have been taken over."""
         self._taken_until = sent_at
 
+    def note_unreadable(self, jobs: Iterable[JobId]) -> None:
+        """Take note of jobs that are on record, and whose record cannot be read."""
+        with self._lock:
+            self._unreadable.update(jobs)
+
+    def is_unreadable(self, job: JobId) -> bool:
+        """Whether a job is on record that cannot be read."""
+        return job in self._unreadable
+
     def publish(self, status: PublishStatus) -> None:
         """Show a job's status from now on."""
         with self._lock:
             before = self._jobs.get(status.job)
             self._jobs[status.job] = status
+            self._unreadable.discard(status.job)
             change = (status.status is JobStatus.PENDING) - (
                 before is not None and before.status is JobStatus.PENDING
             )
--- a/src/snowdock/entry/takeover.py
+++ b/src/snowdock/entry/takeover.py
@@ -4,7 +4,7 @@
 import time
 from collections.abc import Callable, Iterable
 
-from ..errors import PlatformError, ProducerFenced
+from ..errors import InvalidInput, PlatformError, ProducerFenced
 from ..jobs.model import JobId
 from ..jobs.progress import (
     CANCEL_PREFIX,
@@ -15,7 +15,7 @@
     job_of_record,
 )
 from ..jobs.takeover import RecordedJobs
-from ..node.logs import log_event
+from ..node.logs import log_error, log_event
 from ..platform.store import KeyedRecord, StoreClient
 from .leader import Leader, LeaderContext
 from .leader_handle import LeaderHandle
@@ -46,16 +46,36 @@
         fence_progress(store, epoch, _READ_SECONDS)
         newest = store.newest(PROGRESS_TOPIC, PART, _READ_SECONDS)
         pages = list(reads)
-    progress = {
-        record.key: decode_progress(record.value) for record in newest.records if record.value
-    }
+    progress, unreadable = _read_progress(newest.records)
     records = [record for page in pages for record in page.records]
-    recorded = sort_records(records, progress)
+    recorded = sort_records(records, progress, unreadable)
     return recorded, [page.next_offset for page in pages]
 
 
+def _read_progress(
+    records: Iterable[KeyedRecord],
+) -> tuple[dict[JobId, JobProgress], frozenset[JobId]]:
+    """Give the progress of jobs, and those whose record cannot be read.
+
+    One record that cannot be read may not keep every node from leading.
+    """
+    progress = {}
+    unreadable = set()
+    for record in records:
+        if not record.value:
+            continue
+        try:
+            progress[record.key] = decode_progress(record.value)
+        except InvalidInput as error:
+            log_error("progress_record_unusable", error, job=record.key)
+            unreadable.add(record.key)
+    return progress, frozenset(unreadable)
+
+
 def sort_records(
-    records: Iterable[KeyedRecord], progress: dict[JobId, JobProgress]
+    records: Iterable[KeyedRecord],
+    progress: dict[JobId, JobProgress],
+    unreadable: frozenset[JobId] = frozenset(),
 ) -> RecordedJobs:
     """Tell jobs from cancels, and of jobs that share an identifier the one that counts.
 
@@ -64,20 +84,29 @@
     """
     accepted: dict[JobId, AcceptedJob] = {}
     cancelled = set()
+    unstartable = set()
     for record in records:
         if record.key.startswith(CANCEL_PREFIX):
             cancelled.add(record.key.removeprefix(CANCEL_PREFIX))
         elif record.value:
             job = job_of_record(record.key)
+            if job in unreadable:
+                continue
             known = progress.get(job)
-            found = decode_accepted(record.value)
+            try:
+                found = decode_accepted(record.value)
+            except InvalidInput as error:
+                log_error("job_record_unusable", error, job=record.key)
+                unstartable.add(job)
+                continue
             if known is not None and known.team != found.team:
                 log_event("job_of_another_team", job=job, team=known.team, by=found.team)
                 continue
             other = accepted.get(job)
             if other is None or found.accepted_ms < other.accepted_ms:
                 accepted[job] = found
-    return RecordedJobs(accepted, cancelled, progress)
+    unstartable -= accepted.keys()
+    return RecordedJobs(accepted, cancelled, progress, unreadable, frozenset(unstartable))
 
 
 def start_leader(context: LeaderContext, is_wanted: Callable[[], bool]) -> LeaderHandle | None:
--- a/src/snowdock/jobs/cell.py
+++ b/src/snowdock/jobs/cell.py
@@ -10,7 +10,7 @@
 from .orders import AdviceWanted
 from .parts import Job, Step, Task
 from .team_use import TeamUse
-from .workers import Worker
+from .workers import Worker, WorkerEntry
 
 __all__ = [
     "Cell",
@@ -171,8 +171,12 @@
         When jobs ended, in steady seconds, in that order.
     cancelled_ahead
         Jobs that were cancelled before they were known, by their `record_name`.
+    unreadable
+        Jobs whose progress on record cannot be read: it is not known what of them has run.
     workers
         All workers that are listed or may still run something, by life.
+    unnamed
+        Entries of workers whose service nothing names, by life: they are not called.
     ended_lives
         Lives that are over while the store still lists them.
     orphans
@@ -227,7 +231,9 @@
         self.jobs: dict[JobId, Job] = {}
         self.final_jobs: dict[JobId, float] = {}
         self.cancelled_ahead: set[str] = set()
+        self.unreadable: set[JobId] = set()
         self.workers: dict[str, Worker] = {}
+        self.unnamed: dict[str, WorkerEntry] = {}
         self.ended_lives: set[str] = set()
         self.orphans: dict[str, list[Orphan]] = {}
         self.team_use = TeamUse()
@@ -301,6 +307,15 @@
             max_attempts=accepted.max_attempts,
         )
 
+    def names_service(self, service: str) -> bool:
+        """Whether the configuration, or a job that is known, names a service."""
+        found = self._configuration
+        return (
+            any(each.name == service for each in found.services)
+            or any(queue.service == service for queue in found.queues)
+            or any(job.accepted.service == service for job in self.jobs.values())
+        )
+
     def objective_seconds(self, job: Job) -> float:
         """Give the time within which a job is to be done, as far as its estimates tell."""
         queue = self.queue_of(job)
--- a/src/snowdock/jobs/progress.py
+++ b/src/snowdock/jobs/progress.py
@@ -143,5 +143,5 @@
 def _decode(data: bytes, kind: type):
     try:
         return msgspec.msgpack.decode(data, type=kind)
-    except msgspec.MsgspecError as error:
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
         raise InvalidInput(f"a durable record does not fit {kind.__name__}: {error}") from error
--- a/src/snowdock/jobs/reducer.py
+++ b/src/snowdock/jobs/reducer.py
@@ -28,7 +28,7 @@
 from .room_use import tell_room_use
 from .runs import abort_gang, cancel_job, open_repetition, open_steps
 from .shares import count_capacity, tell_team_use
-from .worker_lives import delist_worker, list_worker
+from .worker_lives import delist_worker, list_named_workers, list_worker
 from .worker_reports import take_renewal
 from .worker_watch import watch_workers
 
@@ -98,6 +98,7 @@
             if configuration.version > cell.configuration.version:
                 cell.configuration = configuration
                 cell.tell("configuration", str(configuration.version))
+                list_named_workers(cell, now)
                 cell.placing_wanted = True
         case Ticked(askers):
             cell.askers = askers
@@ -106,6 +107,10 @@
 
 def accept_job(cell: Cell, event: JobAccepted, now: float, wall_ms: float) -> None:
     """Take a job over; one that is known already stays as it is."""
+    if event.job in cell.unreadable:
+        # Handed in again: it may have run already.
+        cell.tell("job_record_unreadable", event.job)
+        return
     if event.job in cell.final_jobs:
         # Handed in again. Its end may wait for its record: until then, only how it was taken in
         # tells a successor of it.
--- a/src/snowdock/jobs/takeover.py
+++ b/src/snowdock/jobs/takeover.py
@@ -17,12 +17,16 @@
 class RecordedJobs:
     """All that the store keeps of jobs: taken in, cancelled, and how far they are.
 
-    What was cancelled is told by its `record_name`.
+    What was cancelled is told by its `record_name`. Of ``unreadable`` jobs the progress is there
+    and cannot be read, of ``unstartable`` ones how they were taken in: nothing is told of either,
+    least of all that there is no such job.
     """
 
     accepted: dict[JobId, AcceptedJob]
     cancelled: set[str]
     progress: dict[JobId, JobProgress]
+    unreadable: frozenset[JobId] = frozenset()
+    unstartable: frozenset[JobId] = frozenset()
 
 
 def restore(cell: Cell, recorded: RecordedJobs, now: float, wall_ms: float) -> list[Effect]:
@@ -33,6 +37,7 @@
     Runs that an earlier leader placed count as running until their worker tells otherwise.
     """
     cell.now = now
+    cell.unreadable = set(recorded.unreadable)
     for job_id, accepted in recorded.accepted.items():
         progress = recorded.progress.get(job_id)
         if progress is None:
--- a/src/snowdock/jobs/worker_lives.py
+++ b/src/snowdock/jobs/worker_lives.py
@@ -9,7 +9,7 @@
 from .suspects import Company, note_crash, note_suspect
 from .workers import Worker, WorkerEntry
 
-__all__ = ["delist_worker", "end_life", "list_worker", "take_life_refusal"]
+__all__ = ["delist_worker", "end_life", "list_named_workers", "list_worker", "take_life_refusal"]
 
 
 def list_worker(cell: Cell, entry: WorkerEntry, now: float) -> None:
@@ -23,6 +23,11 @@
         worker.entry = entry
         worker.listed = True
         return
+    if not cell.names_service(entry.service):
+        if entry.life not in cell.unnamed:
+            cell.tell("worker_unnamed", entry.life, service=entry.service, address=entry.address)
+        cell.unnamed[entry.life] = entry
+        return
     worker = Worker(entry)
     cell.workers[entry.life] = worker
     cell.tell("worker_listed", entry.life, service=entry.service, address=entry.address)
@@ -36,6 +41,13 @@
     renew(cell, worker, now, 0)
 
 
+def list_named_workers(cell: Cell, now: float) -> None:
+    """Take over the entries of workers whose service has come to be named."""
+    waiting, cell.unnamed = cell.unnamed, {}
+    for entry in waiting.values():
+        list_worker(cell, entry, now)
+
+
 def delist_worker(cell: Cell, life: str, may_return: bool, now: float) -> None:
     """Note that an entry is gone; what runs there runs on until its lease is over.
 
@@ -43,6 +55,7 @@
     said so, is cut off, or is gone.
     """
     cell.ended_lives.discard(life)
+    cell.unnamed.pop(life, None)
     worker = cell.workers.get(life)
     if worker is None or not worker.listed:
         return
--- a/src/snowdock/platform/_json.py
+++ b/src/snowdock/platform/_json.py
@@ -7,7 +7,11 @@
 __all__ = ["decode_json"]
 
 
-def decode_json(data: bytes, kind: type, subject: str = "answer", strict: bool = True):
+_UNREADABLE = (msgspec.MsgspecError, UnicodeDecodeError, RecursionError)
+"""What bytes that are no JSON, not UTF-8, or nested without end bring about."""
+
+
+def decode_json(data: bytes, kind: type, subject: str = "answer"):
     """Decode an outside system's JSON into a validated model.
 
     Parameters
@@ -18,8 +22,6 @@
         The model.
     subject
         What it is, for the failure's text.
-    strict
-        Whether numbers must be written as numbers.
 
     Raises
     ------
@@ -27,6 +29,7 @@
         If it does not fit the model.
     """
     try:
-        return msgspec.json.decode(data, type=kind, strict=strict)
-    except msgspec.MsgspecError as error:
+        # Bytes in fields that nobody reads are to be text, too.
+        return msgspec.json.decode(data.decode(), type=kind)
+    except _UNREADABLE as error:
         raise PlatformError(f"{subject} does not fit: {error}") from error
--- a/src/snowdock/platform/configuration.py
+++ b/src/snowdock/platform/configuration.py
@@ -60,7 +60,7 @@
     PlatformError
         If it does not fit.
     """
-    found = decode_json(data, _Configuration, "the configuration", strict=False)
+    found = decode_json(data, _Configuration, "the configuration")
     queues = tuple(
         Queue(
             name=route.name,
--- a/src/snowdock/platform/store.py
+++ b/src/snowdock/platform/store.py
@@ -93,13 +93,22 @@
         position += _LENGTH.size
         body = data[position : position + length]
         position += length
-        key_end = 1 + body[0]
+        # A record of another writer may be empty, or shorter than its key is said to be.
+        key_end = 1 + (body[0] if body else 0)
         value = body[key_end:]
         key = body[1:key_end].decode("utf-8", "replace")
         records.append(KeyedRecord(key, value or None, first_offset + len(records)))
     return records
 
 
+def _read_value(item: _Item) -> bytes:
+    """Give a record's bytes; what cannot be read is nothing that its reader can use."""
+    try:
+        return base64.b64decode(item.value, validate=True)
+    except ValueError:
+        return item.value.encode("utf-8", "replace")
+
+
 def _decode(reply: HttpReply, kind: type):
     return decode_json(reply.data, kind, "the store's answer")
 
@@ -254,7 +263,7 @@
             page = _decode(reply, _Newest)
             first_end = page.end if first_end is None else first_end
             for item in page.items:
-                found.append(KeyedRecord(item.key, base64.b64decode(item.value), item.offset))
+                found.append(KeyedRecord(item.key, _read_value(item), item.offset))
             if not page.has_more or not page.items:
                 return StorePage(found, first_end)
             after = page.items[-1].key
--- a/src/snowdock/platform/worker_list.py
+++ b/src/snowdock/platform/worker_list.py
@@ -1,8 +1,17 @@
-"""The entries that workers keep in the platform's store, decoded into types."""
+"""The entries that workers keep in the platform's store, decoded into types.
+
+An entry may come from another writer. One that lacks a field, or holds one of another type, out of
+its range, or with a word that is not known here, names no worker: nothing in it is guessed.
+"""
+
+import ipaddress
+from typing import Annotated, Literal
 
 import msgspec
+from msgspec import Meta
 
 from ..declarations import Size
+from ..errors import PlatformError
 from ..jobs.workers import WorkerEntry
 from ._json import decode_json
 
@@ -10,25 +19,43 @@
 
 WORKER_TOPIC = "keyed.servers"
 
+_Amount = Annotated[int, Meta(ge=0, le=1_000_000_000)]
+_Name = Annotated[str, Meta(min_length=1, max_length=255)]
+_LARGEST_PORT = 65_535
+
 
 class _Capacity(msgspec.Struct):
-    cpu: int = 0
-    mem_mb: int = 0
-    gpu: int = 0
+    cpu: _Amount
+    mem_mb: _Amount
+    gpu: _Amount
 
 
 class _Entry(msgspec.Struct):
-    service: str
+    service: _Name
     address: str
-    zone: str = ""
-    # "ready" or "draining"; a draining worker takes nothing new.
-    state: str = "ready"
-    capacity: _Capacity = msgspec.field(default_factory=_Capacity)
+    zone: str
+    version: str
+    slots: _Amount
+    # A draining worker takes nothing new.
+    state: Literal["ready", "draining"]
+    cold_left_ms: Annotated[float, Meta(ge=0)]
+    capacity: _Capacity
     # The worker's kind and its rack, in this order of usefulness but not of position: the
     # rack is the label that names a rack, e.g. "r1-3".
-    labels: list[str] = []
+    labels: list[str]
+    seq: Annotated[int, Meta(ge=0)]
     remaining_ms: float | None = None
-    machine: str = ""
+
+
+def _check_address(address: str) -> None:
+    """Tell an IP number and port from anything else; a call to anything else could not be made."""
+    host, _, port = address.rpartition(":")
+    try:
+        ipaddress.IPv4Address(host)
+    except ValueError as error:
+        raise PlatformError(f"not an address: {address[:60]!r}") from error
+    if not (port.isascii() and port.isdigit() and 0 < int(port) <= _LARGEST_PORT):
+        raise PlatformError(f"not a port: {address[:60]!r}")
 
 
 def _find_rack(labels: list[str]) -> str:
@@ -46,7 +73,8 @@
     PlatformError
         If it does not fit.
     """
-    entry = decode_json(data, _Entry, f"worker entry {key}", strict=False)
+    entry = decode_json(data, _Entry, f"worker entry {key[:60]!r}")
+    _check_address(entry.address)
     capacity = entry.capacity
     return WorkerEntry(
         life=key,
--- a/tests/standins/platform.py
+++ b/tests/standins/platform.py
@@ -17,7 +17,7 @@
 from snowdock.declarations import Size
 from snowdock.emulator.checks import Checks
 from snowdock.emulator.timeline import Timeline
-from snowdock.emulator.worker_model import Gangs, WorkerModel, WorkerTerms
+from snowdock.emulator.worker_model import Gangs, RunPlan, WorkerModel, WorkerTerms
 from snowdock.jobs.model import StepSpec
 from snowdock.jobs.orders import Refusal, RenewOrder, StartOrder, StopOrder
 from snowdock.jobs.workers import WorkerEntry
@@ -104,7 +104,10 @@
 
     def put(self, topic: str, key: str, value: object) -> None:
         """Append as the operator or a worker does; no value drops the key."""
-        data = b"" if value is None else json.dumps(value).encode()
+        self.put_raw(topic, key, b"" if value is None else json.dumps(value).encode())
+
+    def put_raw(self, topic: str, key: str, data: bytes) -> None:
+        """Append bytes as anybody might."""
         with self._changed:
             self._append(self.part(topic), [(key.encode(), data)])
 
@@ -274,7 +277,7 @@
             WorkerTerms(lease_limit_s=6.0),
             self._gangs,
             self.checks,
-            lambda task, run: (self.work_s, False),
+            lambda task, run: RunPlan(self.work_s),
         )
         self._servers.append(server)
         self.record(life)
@@ -287,7 +290,7 @@
 
     def record(self, life: str, state: str = "ready") -> None:
         entry = self.models[life].entry
-        capacity = {"cpu": 4000, "mem_mb": 16_000}
+        capacity = {"cpu": 4000, "mem_mb": 16_000, "gpu": 0}
         self._store.put(
             "keyed.servers",
             life,
@@ -295,6 +298,10 @@
                 "service": "pool",
                 "address": entry.address,
                 "zone": "hall",
+                "version": "v1",
+                "slots": 8,
+                "cold_left_ms": 0,
+                "seq": 1,
                 "state": state,
                 "capacity": capacity,
                 "labels": ["a", "r1-0"],
--- /dev/null
+++ b/tests/test_foreign_entries.py
@@ -0,0 +1,290 @@
+"""Tests of records that another writer has put on the store: they name nothing, the others hold."""
+
+import json
+import random
+import types
+import unittest
+
+import msgspec
+
+from snowdock.declarations import Size
+from snowdock.entry.leader_handle import LeaderHandle
+from snowdock.entry.leader_log import LeaderLog
+from snowdock.entry.leader_queries import LeaderQueries
+from snowdock.entry.leader_record import Identity, decode_leader
+from snowdock.entry.messages import ENTRY_MESSAGES
+from snowdock.entry.statuses import StatusBook
+from snowdock.entry.takeover import sort_records
+from snowdock.errors import PlatformError, SnowdockError
+from snowdock.jobs.events import ConfigurationChanged, OpenWorker, WorkerDelisted, WorkerListed
+from snowdock.jobs.model import Service
+from snowdock.jobs.progress import decode_accepted, decode_progress, encode
+from snowdock.jobs.workers import WorkerEntry
+from snowdock.platform.configuration import decode_configuration
+from snowdock.platform.job_bodies import decode_job
+from snowdock.platform.store import KeyedRecord, StoreClient, _unframe
+from snowdock.platform.worker_list import decode_worker_entry
+from tests.jobs_tools import Bench, accepted, of_type
+from tests.standins.entry_cluster import CONFIGURATION, EntryCluster, wait_until
+from tests.standins.platform import StoreStandin
+
+SEED = 20_261
+FUZZED = 4_000
+BESIDE_GOOD = 2_000
+
+GOOD = {
+    "service": "pool",
+    "address": "10.1.2.3:8709",
+    "zone": "hall",
+    "version": "v1",
+    "slots": 8,
+    "state": "ready",
+    "cold_left_ms": 0,
+    "capacity": {"cpu": 16_000, "mem_mb": 65_536, "gpu": 0},
+    "labels": ["a", "r1-3"],
+    "seq": 4,
+}
+
+DEEP = b"[" * 100_000
+WRONG = (None, True, -1, 1.5, "", "x", "\x00\r\n", [], [1], {}, {"a": 1}, 10**30, "9" * 400, 1e300)
+"""Values of other types, out of range, and texts that are none."""
+
+ADDRESSES = (
+    "", ":", "10.1.2.3", "10.1.2.3:", "10.1.2.3:0", "10.1.2.3:65536", "10.1.2.3:-1", "10.1.2:80",
+    "host:80", "10.1.2.3:8\r\nX-A: b", "10.1.2.3 :80", "10.1.2.3:٣", "[::1]:80", "10.1.2.3:80:80",
+)  # fmt: skip
+
+
+def entry(**fields: object) -> bytes:
+    return json.dumps({**GOOD, **fields}).encode()
+
+
+def bad_entries(source: random.Random, count: int) -> list[bytes]:
+    """Draw entries each of which is wrong in one place at least."""
+    return [_bad_entry(source) for _ in range(count)]
+
+
+def _bad_entry(source: random.Random) -> bytes:
+    kind = source.randrange(6)
+    if kind == 0:
+        fields = dict(GOOD)
+        del fields[source.choice(list(fields))]
+        return json.dumps(fields).encode()
+    if kind == 1:
+        return entry(address=source.choice(ADDRESSES))
+    if kind == 2:
+        return entry(state=source.choice(["", "gone", "READY", "upkeep", 1]))
+    if kind == 3:
+        capacity = dict(GOOD["capacity"])
+        capacity[source.choice(list(capacity))] = source.choice((None, -1, "16000", 1.5, 10**30))
+        return entry(capacity=capacity)
+    if kind == 4:
+        return entry(
+            **{source.choice(("service", "zone", "version")): source.choice((None, 1, []))}
+        )
+    return source.choice(
+        (
+            b"",
+            source.randbytes(40),
+            entry()[: source.randrange(len(entry()))],
+            b'{"x":' + DEEP,
+            entry()[:-1] + b',"y":"\xff\xfe"}',
+        )
+    )
+
+
+class TestDecoders(unittest.TestCase):
+    """Only the typed failure ever comes out."""
+
+    def test_worker_entries(self) -> None:
+        """Every entry that is wrong in one place is refused, and the good one is not."""
+        self.assertEqual(decode_worker_entry("i-1", entry()).address, GOOD["address"])
+        for data in bad_entries(random.Random(SEED), FUZZED):
+            with self.assertRaises(PlatformError, msg=data[:200]):
+                decode_worker_entry("i-1", data)
+
+    def test_any_value_in_any_field(self) -> None:
+        """Whatever stands in a field, it is taken as it is or refused, never guessed."""
+        for name in GOOD:
+            for value in WRONG:
+                data = entry(**{name: value})
+                try:
+                    found = decode_worker_entry("i-1", data)
+                except PlatformError:
+                    continue
+                self.assertNotIn(name, ("address", "state", "capacity", "slots"), data)
+                self.assertEqual((found.service, found.hall), (found.service + "", found.hall + ""))
+
+    def test_all_other_decoders(self) -> None:
+        """Cut, changed and nested records of every table bring the typed failure or are taken."""
+        source = random.Random(SEED)
+        leader = msgspec.msgpack.encode(Identity("n", "i", "1.2.3.4:5").lead(3))
+        job = encode(accepted())
+        body = json.dumps({"spec": "x", "steps": [{"count": 1}]}).encode()
+        decoders = (
+            (decode_configuration, json.dumps(CONFIGURATION).encode()),
+            (lambda data: decode_leader(KeyedRecord("leader", data)), leader),
+            (decode_accepted, job),
+            (decode_progress, msgspec.msgpack.encode([1, [[0, 0, 0, 1, "w"]], ""])),
+            (ENTRY_MESSAGES.decode, msgspec.msgpack.encode(["x", 1])),
+            (lambda data: decode_job("q", data), body),
+        )
+        for decode, good in decoders:
+            spoilt = [DEEP, b"\x91" * 100_000, b"\xc1", b""]
+            spoilt += [_spoil(source, good) for _ in range(FUZZED // 10)]
+            for data in spoilt:
+                try:
+                    decode(data)
+                except SnowdockError:
+                    continue
+
+    def test_frames(self) -> None:
+        """Empty records, and such as are shorter than their key, are read as records."""
+        frames = b"\x00\x00\x00\x00" + b"\x00\x00\x00\x02\x09a" + b"\x00\x00\x00\x03\x01kv"
+        keys = [record.key for record in _unframe(frames, 7)]
+        self.assertEqual(keys, ["", "a", "k"])
+
+
+def _spoil(source: random.Random, good: bytes) -> bytes:
+    data = bytearray(good)
+    for _ in range(source.randint(1, 4)):
+        place = source.randrange(len(data))
+        data[place] = source.randrange(256)
+    return bytes(data[: source.randint(1, len(data))])
+
+
+class TestWorkersInUse(unittest.TestCase):
+    def setUp(self) -> None:
+        self.told = []
+        actor = types.SimpleNamespace(tell=self.told.append)
+        metrics = types.SimpleNamespace(count=lambda *_, **__: None)
+        context = types.SimpleNamespace(store=types.SimpleNamespace(), parts=1, metrics=metrics)
+        self.handle = LeaderHandle(context, actor, StatusBook())
+
+    def test_worker_is_let_go(self) -> None:
+        """A worker whose entry is written over by one that names none is used no more."""
+        self.handle._take_worker(KeyedRecord("i-1", entry()))
+        self.handle._take_worker(KeyedRecord("i-1", entry(state="gone")))
+        self.assertIsInstance(self.told[0], WorkerListed)
+        self.assertEqual(self.told[1:], [WorkerDelisted("i-1", False)])
+
+    def test_others_hold(self) -> None:
+        """In a whole list, entries beside bad ones are taken, and those gone are told as gone."""
+        good = [KeyedRecord(f"i-{number}", entry()) for number in range(3)]
+        self.handle._take_all_workers(good)
+        self.told.clear()
+        bad = [
+            KeyedRecord(f"x-{number}", data)
+            for number, data in enumerate(bad_entries(random.Random(SEED), 50))
+        ]
+        self.handle._take_all_workers([*bad, good[0], KeyedRecord("i-1", b"\xff"), *bad])
+        listed = [event.entry.life for event in self.told if isinstance(event, WorkerListed)]
+        gone = {event.life for event in self.told if isinstance(event, WorkerDelisted)}
+        self.assertEqual(listed, ["i-0"])
+        self.assertLessEqual({"i-1", "i-2"}, gone)
+
+
+class TestUnnamedService(unittest.TestCase):
+    def setUp(self) -> None:
+        self.bench = Bench()
+        size = Size(4000, 9000)
+        self.entry = WorkerEntry("w", "other", "1.2.3.4:5", "hall", "r1", frozenset(), size)
+
+    def name_it(self) -> None:
+        before = self.bench.cell.configuration
+        services = (*before.services, Service("other"))
+        after = msgspec.structs.replace(before, version=before.version + 1, services=services)
+        self.bench.feed(ConfigurationChanged(after))
+
+    def test_it_is_not_called(self) -> None:
+        """A worker of a service that nothing names is not called, until one names it."""
+        self.bench.feed(WorkerListed(self.entry))
+        self.bench.tick(3.0)
+        self.assertEqual(of_type(self.bench.seen, OpenWorker), [])
+        self.name_it()
+        self.assertEqual([each.life for each in of_type(self.bench.seen, OpenWorker)], ["w"])
+
+    def test_it_may_go_before(self) -> None:
+        """One that is gone before its service is named is never called."""
+        self.bench.feed(WorkerListed(self.entry))
+        self.bench.feed(WorkerDelisted("w", False))
+        self.name_it()
+        self.assertEqual(of_type(self.bench.seen, OpenWorker), [])
+
+
+class TestLeadersRecord(unittest.TestCase):
+    def test_record_that_names_nobody(self) -> None:
+        """A leader's record that cannot be read names nobody; one may claim after it."""
+        store = StoreStandin()
+        self.addCleanup(store.close)
+        log = LeaderLog(StoreClient(store.address, 2))
+        log.read_newest(2.0)
+        log.append(Identity("n1", "i1", "127.0.0.1:1").lead(1), 2.0)
+        store.put_raw("keyed.leaders", "leader", DEEP[:1000])
+        self.assertEqual(log.read_on(0.0), [])
+        claim = Identity("n2", "i2", "127.0.0.1:2").lead(log.next_epoch)
+        log.append(claim, 2.0)
+        self.assertEqual(LeaderLog(StoreClient(store.address, 2)).read_newest(2.0), [claim])
+
+
+class TestUnreadableJobs(unittest.TestCase):
+    JOB = "0123456789abcdef"
+
+    def test_taken_in_by_an_unreadable_record(self) -> None:
+        """The others are taken over, and this one is told apart from no job at all."""
+        other = "f" * 16
+        records = [KeyedRecord(self.JOB, b"\xc1"), KeyedRecord(other, encode(accepted()))]
+        recorded = sort_records(records, {})
+        self.assertEqual((set(recorded.accepted), recorded.unstartable), ({other}, {self.JOB}))
+
+    def test_with_unreadable_progress(self) -> None:
+        """It is not run again, also when it is handed in again: it may have run already."""
+        records = [KeyedRecord(self.JOB, encode(accepted()))]
+        recorded = sort_records(records, {}, frozenset({self.JOB}))
+        bench = Bench()
+        bench.restore(recorded)
+        bench.add_worker()
+        bench.tick(1.0)
+        self.assertEqual(bench.starts(bench.seen), [])
+
+    def test_is_never_told_as_gone(self) -> None:
+        """Callers of it hear that it cannot be told now, not that there is no such job."""
+        statuses = StatusBook()
+        statuses.note_unreadable([self.JOB])
+        handle = types.SimpleNamespace(statuses=statuses, jobs_read_at=float("inf"))
+        election = types.SimpleNamespace(renewed_s=0.0)
+        queries = LeaderQueries("n", election, types.SimpleNamespace(handle=handle), None)
+        self.assertEqual(queries.own_status(self.JOB), (None, False))
+        self.assertEqual(queries.own_status("f" * 16), (None, True))
+
+
+class TestWholePath(unittest.TestCase):
+    def test_good_workers_serve_beside_bad_entries(self) -> None:
+        """Beside thousands of bad entries, and through a change of leader, jobs are served."""
+        cluster = EntryCluster(2)
+        self.addCleanup(cluster.close)
+        source = random.Random(SEED)
+        for number, data in enumerate(bad_entries(source, BESIDE_GOOD)):
+            cluster.store.put_raw("keyed.servers", f"x-{number}", data)
+        self.assertTrue(cluster.wait_ready())
+        self._serve(cluster)
+        cluster.store.put_raw("keyed.progress", "0" * 16, b"\xc1")
+        cluster.store.put_raw("keyed.jobs", "1" * 16, b"\x91" * 500)
+        cluster.leader.kill()
+        self.assertTrue(wait_until(lambda: cluster.leader is not None))
+        self._serve(cluster)
+        node = cluster.leader
+        for unreadable in ("0" * 16, "1" * 16):
+            self.assertNotEqual(node.call("GET", f"/jobs/{unreadable}")[0], 410)
+        self.assertEqual(node.lines("leader_failed"), [])
+        self.assertTrue(node.lines("worker_entry_unusable"))
+
+    def _serve(self, cluster: EntryCluster) -> None:
+        path, body = cluster.job([{"count": 2, "cpu": 500, "mem_mb": 100, "estimate_ms": 100}])
+        node = cluster.leader
+        self.assertTrue(wait_until(lambda: node.call("POST", path, body)[0] == 200))
+        self.assertTrue(cluster.wait_state(path, "completed"))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_platform_codecs.py
+++ b/tests/test_platform_codecs.py
@@ -117,6 +117,7 @@
         entry = decode_worker_entry(
             "i-1",
             b'{"service":"s","address":"1.2.3.4:5","zone":"z","state":"draining","seq":4,'
+            b'"version":"v1","slots":8,"cold_left_ms":0,"later":[1],'
             b'"capacity":{"cpu":16000,"mem_mb":9,"gpu":0},"labels":["a","r1-3"],'
             b'"remaining_ms":700}',
         )
