Send no start to a worker whose room has shrunk below what it has placed

Cause: room was checked where a task is placed, and its start goes out once that is on record: seconds later where the store is away. A worker whose room shrinks meanwhile was taken over it. Ruled out: what runs already (left to end: nothing new joins it, since free room counts from the newest entry), room that grows (used at the next pass), rooms of zero. Change: `Worker.still_holds` is asked where the start goes out; such a start is taken back and its task waits again. The emulator's workers change their room while they run, and starts count against a shrunk room three seconds and a heartbeat later. Moving runs aside from a shrunk room was not tried: no model here says what they lose there.

--- a/src/snowdock/emulator/emulator.py
+++ b/src/snowdock/emulator/emulator.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from ..declarations import Size
 from ..jobs.cell import Cell, CellSettings
 from ..jobs.events import (
     AdviceAnswered,
@@ -54,6 +55,11 @@
 _RETURN_SECONDS = 3.5
 """After how long another life stands where a task has ended a worker."""
 
+_HEARTBEAT_SECONDS = 1.5
+_SHRUNK_COUNTS_SECONDS = 4.5
+"""How often workers' entries are written, and how much later than a change of room starts beyond
+it count: three seconds and one heartbeat."""
+
 _QUOTA_OVERAGE = 0.1
 """By what part of its quota a team may be over it in passing."""
 
@@ -193,6 +199,24 @@
         rack = int(model.entry.rack.rpartition("-")[2])
         model.successor = self.add_worker(rack, model.entry.address)
 
+    def resize_worker(self, life: str, capacity: Size) -> None:
+        """Have a worker's room shrink or grow; its entry tells so within a heartbeat."""
+        model = self.workers[life]
+        model.entry = dataclasses.replace(model.entry, capacity=capacity)
+        model.counted_capacity = model.counted_capacity.at_least(capacity)
+        told_after = self._random.uniform(0.0, _HEARTBEAT_SECONDS)
+        self.timeline.after(told_after, lambda: self._tell_entry(model))
+        self.timeline.after(_SHRUNK_COUNTS_SECONDS, lambda: self._count_capacity(model, capacity))
+
+    def _tell_entry(self, model: WorkerModel) -> None:
+        if model.is_up:
+            self._tell_all(WorkerListed(model.entry))
+
+    @staticmethod
+    def _count_capacity(model: WorkerModel, capacity: Size) -> None:
+        if model.entry.capacity == capacity:
+            model.counted_capacity = capacity
+
     def drain_worker(self, life: str) -> None:
         """Have a worker state that it leaves, and leave some seconds later."""
         model = self.workers[life]
--- a/src/snowdock/emulator/worker_model.py
+++ b/src/snowdock/emulator/worker_model.py
@@ -142,6 +142,8 @@
         Whether everything fails soon; may be changed between runs.
     slowness
         How many times longer everything takes; holds for later starts.
+    counted_capacity
+        The room that starts are checked against: one that has shrunk counts a while later.
     successor
         The life that stands at its address after it; empty for none.
     """
@@ -161,6 +163,7 @@
         self.is_up = True
         self.fails_all = False
         self.slowness = slowness
+        self.counted_capacity = entry.capacity
         self.successor = ""
         self._crash = crash
         self._timeline = timeline
@@ -221,7 +224,7 @@
             order.task,
             order.run,
             self.entry.life,
-            self.entry.capacity,
+            self.counted_capacity,
             [(each.task, each.step.room) for each in self._runs.values()],
             self._timeline.now,
             self._terms.cancel_s,
--- a/src/snowdock/jobs/batches.py
+++ b/src/snowdock/jobs/batches.py
@@ -74,6 +74,10 @@
         cell.tell("ticket_expired", job.id, task=task.id, run=task.run, worker=task.life)
         void_run(cell, task, now)
         return
+    if not worker.still_holds(step.spec.room):
+        cell.tell("start_over_room", job.id, task=task.id, run=task.run, worker=task.life)
+        void_run(cell, task, now)
+        return
     if not may_start(cell, task):
         cell.tell("start_over_quota", job.id, task=task.id, run=task.run, team=job.team)
         void_run(cell, task, now)
--- a/src/snowdock/jobs/workers.py
+++ b/src/snowdock/jobs/workers.py
@@ -165,6 +165,18 @@
             self._free = self.entry.capacity.minus(self.used)
         return self._free
 
+    def still_holds(self, room: Size) -> bool:
+        """Whether a run of that room, which is counted here, is within what there is now.
+
+        The room of a worker may have shrunk since the run was placed.
+        """
+        free = self.free
+        return (
+            (free.cpu >= 0 or not room.cpu)
+            and (free.memory >= 0 or not room.memory)
+            and (free.accelerators >= 0 or not room.accelerators)
+        )
+
     def free_for(self, step: StepKey, rank: float = -math.inf, ends_at: float = math.inf) -> Size:
         """Room that nothing takes and that is kept for no other step.
 
--- /dev/null
+++ b/tests/test_jobs_capacity.py
@@ -0,0 +1,134 @@
+"""Tests of workers whose room shrinks and grows while they run."""
+
+import dataclasses
+import random
+import unittest
+
+import msgspec
+
+from snowdock.declarations import ZERO, Size
+from snowdock.emulator import Emulator, EmulatorOptions, WorkloadOptions, draw_workload
+from snowdock.emulator.workload import default_mixes
+from snowdock.jobs.events import Persist, Persisted, WorkerListed
+from snowdock.jobs.model import JobStatus
+from tests.jobs_tools import DONE, SMALL, Bench, of_type
+
+SECONDS = 20
+SETTLE_SECONDS = 30
+SEEDS = range(6)
+
+PAIR = msgspec.structs.replace(SMALL, count=2)
+
+
+class TestStarts(unittest.TestCase):
+    def setUp(self) -> None:
+        self.bench = Bench()
+        self.bench.add_worker("w", cpu=2000)
+
+    def resize(self, capacity: Size) -> list:
+        entry = self.bench.cell.workers["w"].entry
+        return self.bench.feed(WorkerListed(dataclasses.replace(entry, capacity=capacity)))
+
+    def place_without_record(self) -> Persist:
+        """Place two tasks whose placement is on its way to the record."""
+        self.bench.holds_store = True
+        self.bench.submit(PAIR)
+        (batch,) = of_type(self.bench.effects, Persist)
+        return batch
+
+    def test_room_that_shrinks_before_a_start_goes_out(self) -> None:
+        """Of two tasks that were placed, only one starts where room for one is left."""
+        batch = self.place_without_record()
+        self.resize(Size(1000, 9000))
+        found = self.bench.feed(Persisted(batch.number))
+        self.assertEqual(len(self.bench.starts(found)), 1)
+
+    def test_worker_that_has_nothing_left(self) -> None:
+        """Neither starts where the worker has no room at all, and both wait again."""
+        batch = self.place_without_record()
+        self.resize(ZERO)
+        found = self.bench.feed(Persisted(batch.number))
+        self.assertEqual(self.bench.starts(found), [])
+        self.bench.holds_store = False
+        self.bench.feed(Persisted(self.bench.cell.batch))
+        self.resize(Size(2000, 9000))
+        self.bench.tick(0.3)
+        self.assertEqual(len(self.bench.starts(self.bench.seen)), 2)
+
+    def test_what_runs_is_left_to_end(self) -> None:
+        """Runs beyond a room that has shrunk go on; nothing starts beside them before they end."""
+        job = self.bench.submit(PAIR)
+        starts = self.bench.starts()
+        for start in starts:
+            self.bench.confirm(start)
+        self.resize(Size(1000, 9000))
+        self.bench.submit(SMALL)
+        self.assertEqual(self.bench.starts(), [])
+        self.bench.report("w", ended=[(starts[0].order.task, 1, DONE)])
+        self.bench.tick(0.2)
+        self.bench.seen.clear()
+        self.bench.report("w", ended=[(starts[1].order.task, 1, DONE)])
+        self.bench.tick(0.2)
+        self.assertEqual(self.bench.cell.jobs[job].status, JobStatus.COMPLETED)
+        self.assertEqual(len(self.bench.starts(self.bench.seen)), 1)
+
+    def test_room_that_grows_is_used_at_once(self) -> None:
+        """A task that waits for room starts as soon as the entry tells of it."""
+        self.bench.submit(msgspec.structs.replace(SMALL, count=4))
+        self.assertEqual(len(self.bench.starts(self.bench.seen)), 2)
+        self.bench.now += 0.1
+        self.resize(Size(4000, 9000))
+        self.bench.tick(0.1)
+        self.assertEqual(len(self.bench.starts(self.bench.seen)), 4)
+
+
+class TestTroubles(unittest.TestCase):
+    def test_no_start_beyond_what_a_worker_says(self) -> None:
+        """Rooms that shrink, to nothing too, and grow again beside lost answers and new leaders."""
+        for seed in SEEDS:
+            with self.subTest(seed=seed):
+                emulator, jobs = self.play(seed)
+                self.assertEqual(emulator.checks.violations, [])
+                open_jobs = [
+                    job.job
+                    for job in jobs
+                    if job.job not in emulator.statuses or not emulator.statuses[job.job].is_final
+                ]
+                self.assertEqual(open_jobs, [])
+
+    @staticmethod
+    def play(seed: int):
+        source = random.Random(seed)
+        workload = WorkloadOptions(SECONDS, 0.4, default_mixes(seed % 2 == 0))
+        jobs = draw_workload(seed, workload)
+        options = EmulatorOptions(workload)
+        emulator = Emulator(seed, options, jobs)
+        emulator.checks.is_calm = False
+        at = 0.0
+        while at < SECONDS:
+            at += source.uniform(0.1, 0.6)
+            emulator.run_until(at)
+            life = source.choice(list(emulator.workers))
+            share = source.choice((0.0, 0.1, 0.3, 0.6, 1.0))
+            emulator.resize_worker(life, options.capacity.scaled(share))
+            emulator.faults.lost_answers = source.choice((0.0, 0.0, 0.2))
+            if source.random() < 0.05:
+                emulator.kill_leader(0.5)
+            if source.random() < 0.05:
+                # What was placed before is put on record long after its worker told of less room.
+                emulator.faults.store_down = True
+                emulator.timeline.after(6.0, lambda: _bring_back(emulator))
+        emulator.faults.store_down = False
+        emulator.faults.lost_answers = 0.0
+        for life in list(emulator.workers):
+            emulator.resize_worker(life, options.capacity)
+        emulator.run_until(SECONDS + SETTLE_SECONDS)
+        return emulator, jobs
+
+
+def _bring_back(emulator: Emulator) -> None:
+    emulator.faults.store_down = False
+
+
+if __name__ == "__main__":
+    unittest.main()
