Judge age by a clock that counts the time a VM is suspended

Cause: every age was read from `time.monotonic`, which stands still while a VM is suspended. A node that woke took its renewal, its configuration's keys and its reads of jobs for as fresh as before: it could refuse new keys, take withdrawn ones, and tell a job that others had taken in as gone. Ruled out: orders (workers and records refuse a lower token whatever a node believes), time of day. Conclusion: a suspension is to a node what a freeze is.

--- a/src/snowdock/entry/advisers.py
+++ b/src/snowdock/entry/advisers.py
@@ -8,9 +8,9 @@
 import contextlib
 import dataclasses
 import threading
-import time
 from collections.abc import Callable
 
+from ..clocks import steady_seconds
 from ..errors import PlatformError
 from ..jobs.events import AdviceAnswered, AdviceFailed, AskAdvice, Event
 from ..jobs.orders import AdviceGiven, AdviceWanted
@@ -161,12 +161,12 @@
         opened.tries += 1
         if opened.tries == 1:
             patience = opened.question.expected_ms / 1000 * _LATE_FACTOR + _LATE_SECONDS
-            opened.late_at = time.monotonic() + patience
+            opened.late_at = steady_seconds() + patience
 
     def _watch(self) -> None:
         """Have questions that are late asked by another node, too."""
         while not self._stopped.wait(_WATCH_SECONDS):
-            now = time.monotonic()
+            now = steady_seconds()
             with self._lock:
                 late = [each for each in self._open.values() if each.late_at and each.late_at < now]
                 for each in late:
@@ -181,7 +181,7 @@
         question = opened.question
         wanted = question.wanted
         seconds = question.expected_ms / 1000 + _SLACK_SECONDS
-        began = time.monotonic()
+        began = steady_seconds()
         try:
             if node == self._own_node:
                 tickets = self._local.ask(wanted, seconds).tickets
@@ -195,7 +195,7 @@
             log_error("adviser_failed", error, job=wanted.job, by=node)
             tickets = None
         self._metrics.time(
-            "advice_seconds", "Time until advice was there.", time.monotonic() - began
+            "advice_seconds", "Time until advice was there.", steady_seconds() - began
         )
         self._take(opened, node, tickets)
         self._dispatch()
--- a/src/snowdock/entry/configurations.py
+++ b/src/snowdock/entry/configurations.py
@@ -6,9 +6,9 @@
 at such a node for as long as that lasts, and new ones would be refused there.
 """
 
-import time
 from collections.abc import Callable
 
+from ..clocks import steady_seconds
 from ..errors import PlatformError
 from ..jobs.model import Configuration
 from ..node.logs import log_error, log_event
@@ -75,7 +75,7 @@
     @property
     def age_s(self) -> float:
         """For how many seconds it is not known whether there is a newer one."""
-        return time.monotonic() - max(self._tail.read_at, self._confirmed_at)
+        return steady_seconds() - max(self._tail.read_at, self._confirmed_at)
 
     @property
     def failing_seconds(self) -> float:
@@ -93,7 +93,7 @@
 
     def hear(self, beat: Beat) -> None:
         """Take over which version a peer has, and pass the own one on where that is older."""
-        now = time.monotonic()
+        now = steady_seconds()
         if beat.configuration == self.version and beat.reaches_store:
             self._confirmed_at = now
         if beat.configuration >= self.version or now - self._took_at < _PASS_ON_AFTER_SECONDS:
@@ -126,7 +126,7 @@
         if found.version <= before:
             return
         self._data = data
-        self._took_at = time.monotonic()
+        self._took_at = steady_seconds()
         self._passed_on = {}
         self._current = found
         log_event(
--- a/src/snowdock/entry/daemon.py
+++ b/src/snowdock/entry/daemon.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from ..clocks import steady_seconds
 from ..errors import SettingsUnreadable
 from ..jobs.model import Configuration
 from ..node.logs import log_event, start_logging
@@ -250,7 +251,7 @@
     # -- the end ---------------------------------------------------------------------------
 
     def _stop(self) -> int:
-        began = time.monotonic()
+        began = steady_seconds()
         wait_s = max(_STOP_LEAST_SECONDS, self._environment.grace_s - _STOP_LEFT_SECONDS)
         if self._lost_thread:
             # Nobody may be there to finish what is in flight.
@@ -260,16 +261,16 @@
         self._settings.stop()
         self._leadership.stop()
         self._election.resign()
-        while time.monotonic() < end:
+        while steady_seconds() < end:
             quiet = (
-                time.monotonic() - began > min(_STOP_SERVING_SECONDS, wait_s)
+                steady_seconds() - began > min(_STOP_SERVING_SECONDS, wait_s)
                 and not self._intake.in_flight
             )
             if quiet:
                 break
             time.sleep(_STOP_POLL_SECONDS)
         self._election.stop()
-        log_event("stopped", seconds=time.monotonic() - began, lost_thread=self._lost_thread)
+        log_event("stopped", seconds=steady_seconds() - began, lost_thread=self._lost_thread)
         return _LOST_THREAD_STATUS if self._lost_thread else 0
 
 
--- a/src/snowdock/entry/election.py
+++ b/src/snowdock/entry/election.py
@@ -7,11 +7,11 @@
 
 import random
 import threading
-import time
 from collections.abc import Callable
 
 import msgspec
 
+from ..clocks import steady_seconds
 from ..errors import (
     AppendConflict,
     CallUnanswered,
@@ -134,7 +134,7 @@
         """Whether this node reaches neither the store nor a peer, having had peers before."""
         if not self._peer_heard_at or self.renewed_s < ISOLATED_SECONDS:
             return False
-        return time.monotonic() - self._peer_heard_at > ISOLATED_SECONDS
+        return steady_seconds() - self._peer_heard_at > ISOLATED_SECONDS
 
     @property
     def leader_finds_store_slow(self) -> bool:
@@ -172,7 +172,7 @@
 
     def hear(self, beat: Beat) -> None:
         """Take over a peer's heartbeat."""
-        now = time.monotonic()
+        now = steady_seconds()
         self._peer_heard_at = now
         self._succession.hear(beat, now)
         if self._is_newer_leader(beat):
@@ -268,7 +268,7 @@
     def _renew(self) -> float:
         epoch = self._own_epoch
         while self._own_epoch == epoch and not self._stopped.is_set():
-            began = time.monotonic()
+            began = steady_seconds()
             try:
                 self._append(epoch, False, self._renewals.limit)
             except AppendConflict:
@@ -284,12 +284,12 @@
             self._renewals.succeed(began)
             if self._hand_over():
                 return 0.0
-            return max(0.0, began + _RENEW_SECONDS - time.monotonic())
+            return max(0.0, began + _RENEW_SECONDS - steady_seconds())
         return 0.0
 
     def _hand_over(self) -> bool:
         """Give the leadership to a stronger node, where there is one; tell whether it was."""
-        now = time.monotonic()
+        now = steady_seconds()
         successor = self._succession.successor(now)
         if successor is None or now - self._elected_at < _LEAST_TERM_SECONDS:
             return False
@@ -354,13 +354,13 @@
         leader = self._known.record
         if leader is None or leader.resigned:
             return False
-        began = time.monotonic()
+        began = steady_seconds()
         # What was appended before tells nothing; only news from now on does.
         if self._has_another_leader():
             return True
         if self._known.record.resigned:
             return False
-        call_s = time.monotonic() - began
+        call_s = steady_seconds() - began
         watch_s = _PROBE_SECONDS * self._known.watch_factor + _PROBE_CALLS * call_s
         return self._watch_store(watch_s) or self.hears_leader
 
@@ -438,7 +438,7 @@
         self._known.take(record)
         self._resigned = False
         self._turnover = record.turnover
-        self._elected_at = time.monotonic()
+        self._elected_at = steady_seconds()
         self._renewals.begin()
         self._own_epoch = record.epoch
         self._elected(record.epoch)
--- a/src/snowdock/entry/intake.py
+++ b/src/snowdock/entry/intake.py
@@ -6,6 +6,7 @@
 import time
 from collections.abc import Callable, Iterable
 
+from ..clocks import steady_seconds
 from ..errors import (
     BodyTooLarge,
     LogUnavailable,
@@ -123,7 +124,7 @@
 
     def __call__(self, environ: dict, start_response: Callable) -> Iterable[bytes]:
         """Answer one request."""
-        began = time.monotonic()
+        began = steady_seconds()
         with self._in_flight.one_more():
             answer = self._answer(environ)
         headers = {
@@ -135,7 +136,7 @@
         self._parts.metrics.time(
             "request_seconds",
             "Time of a caller's request.",
-            time.monotonic() - began,
+            steady_seconds() - began,
             method=method if method in ("GET", "POST", "DELETE") else "other",
             status=str(answer.status),
         )
@@ -161,7 +162,7 @@
             return problem_answer(SnowdockError("an unexpected failure; see the node's log"))
 
     def _dispatch(self, environ: dict, path: str) -> HttpAnswer:
-        began = time.monotonic()
+        began = steady_seconds()
         configuration = self._parts.configuration()
         if configuration is None:
             raise Starting("this node has no configuration yet; nothing was taken")
@@ -246,7 +247,7 @@
             queue=queue.name,
             team=team,
             configuration=configuration.version,
-            ms=(time.monotonic() - began) * 1000,
+            ms=(steady_seconds() - began) * 1000,
         )
         return HttpAnswer(200, b"{}", _JSON)
 
@@ -268,9 +269,9 @@
         else:
             ways = (recorder.record, self._parts.relay)
         outcomes = []
-        end = time.monotonic() + seconds
+        end = steady_seconds() + seconds
         for way in ways:
-            left = end - time.monotonic()
+            left = end - steady_seconds()
             if outcomes and left < _LEAST_SECONDS:
                 # One way is gone at least, however little time the caller leaves.
                 break
@@ -295,13 +296,13 @@
 def _seconds_left(environ: dict, began: float) -> float:
     """Give how long the caller still waits, with a little left for the way back."""
     usable = min(_given_seconds(environ) * _USABLE_SHARE, _STATUS_SECONDS)
-    return max(_LEAST_SECONDS, usable - (time.monotonic() - began))
+    return max(_LEAST_SECONDS, usable - (steady_seconds() - began))
 
 
 def _recording_seconds(environ: dict, began: float) -> float:
     """Give how long putting a caller's job on record may take."""
     usable = min(_given_seconds(environ) * _RECORDING_SHARE, _RECORDING_SECONDS)
-    return max(_LEAST_SECONDS, usable - (time.monotonic() - began))
+    return max(_LEAST_SECONDS, usable - (steady_seconds() - began))
 
 
 def _given_seconds(environ: dict) -> float:
--- a/src/snowdock/entry/known_leader.py
+++ b/src/snowdock/entry/known_leader.py
@@ -1,7 +1,6 @@
 """What a node knows of the leader on record, and how long it waits for one that is silent."""
 
-import time
-
+from ..clocks import steady_seconds
 from .leader_record import LeaderRecord
 from .leader_signs import LeaderSigns
 from .turnover import next_turnover, patience_factor
@@ -34,7 +33,7 @@
         """How many times longer than usual it is waited for."""
         if self.record is None:
             return 1.0
-        return patience_factor(self.record.turnover, time.monotonic() - self._seen_at)
+        return patience_factor(self.record.turnover, steady_seconds() - self._seen_at)
 
     @property
     def is_heard(self) -> bool:
@@ -50,7 +49,7 @@
         """Take over a newer record, as it came from the store."""
         before, self.record = self.record, record
         if before is None or record.incarnation != before.incarnation:
-            self._seen_at = time.monotonic()
+            self._seen_at = steady_seconds()
             self._was_seen_to_begin = True
 
     def doubt(self) -> None:
@@ -62,6 +61,6 @@
         """Give the turnover of who takes its place."""
         if self.record is None:
             return 0
-        led_s = time.monotonic() - self._seen_at if self._was_seen_to_begin else None
+        led_s = steady_seconds() - self._seen_at if self._was_seen_to_begin else None
         is_evident = self.record.resigned or self.is_evidently_gone
         return next_turnover(self.record.turnover, led_s, is_evident)
--- a/src/snowdock/entry/leader.py
+++ b/src/snowdock/entry/leader.py
@@ -7,6 +7,7 @@
 
 import pykka
 
+from ..clocks import steady_seconds
 from ..jobs.cell import Cell, CellSettings
 from ..jobs.events import (
     AskAdvice,
@@ -114,7 +115,7 @@
         )
         self._cleaner = RecordCleaner(context.store, context.parts)
         self._advisers = context.make_advisers(post)
-        now = time.monotonic()
+        now = steady_seconds()
         policy = make_policy(self._raise_alarm, lambda: self._cell)
         self._cell = Cell(context.settings, context.epoch, policy, now)
         self._cell.configuration = context.configuration()
@@ -156,7 +157,7 @@
         """Take one event."""
         if self._stepped_down:
             return
-        began = time.monotonic()
+        began = steady_seconds()
         if isinstance(message, Ticked):
             self._statuses.take_until(message.sent_at)
             self._context.metrics.time(
@@ -173,7 +174,7 @@
         self._context.metrics.count(
             "leader_seconds_total",
             "Seconds that the leader's thread spent on events, placing included.",
-            time.monotonic() - began,
+            steady_seconds() - began,
             event=type(message).__name__,
         )
 
--- a/src/snowdock/entry/leader_handle.py
+++ b/src/snowdock/entry/leader_handle.py
@@ -1,10 +1,10 @@
 """One leadership as its node sees it: the leader's actor, and the threads that feed it."""
 
 import threading
-import time
 
 import pykka
 
+from ..clocks import steady_seconds
 from ..errors import InvalidInput, PlatformError
 from ..jobs.events import (
     ConfigurationChanged,
@@ -142,7 +142,7 @@
 
     def _tick(self) -> None:
         while not self._stopped.wait(TICK_SECONDS):
-            self._tell(Ticked(self._context.count_askers(), time.monotonic()))
+            self._tell(Ticked(self._context.count_askers(), steady_seconds()))
 
     def _take_jobs(self, records: list[KeyedRecord]) -> None:
         for record in records:
--- a/src/snowdock/entry/leader_queries.py
+++ b/src/snowdock/entry/leader_queries.py
@@ -1,7 +1,6 @@
 """What only the leader knows or reaches, asked of it wherever it runs."""
 
-import time
-
+from ..clocks import steady_seconds
 from ..errors import PlatformError, Starting
 from ..jobs.model import JobId, JobStatus
 from ..node.logs import log_event
@@ -57,7 +56,7 @@
         handle = self._leadership.handle
         if handle is None:
             return None, False
-        asked_at = time.monotonic()
+        asked_at = steady_seconds()
         status = handle.statuses.status(job, team)
         if status is not None:
             return status, True
--- a/src/snowdock/entry/leader_signs.py
+++ b/src/snowdock/entry/leader_signs.py
@@ -1,9 +1,9 @@
 """What tells a follower whether the leader still leads: its heartbeats, and its address."""
 
 import socket
-import time
 from collections.abc import Callable
 
+from ..clocks import steady_seconds
 from .leader_record import Identity, LeaderRecord
 from .messages import Beat
 from .turnover import MOST_PATIENCE
@@ -71,7 +71,7 @@
 
         ``factor`` is how many times longer than usual it is waited for.
         """
-        now = time.monotonic()
+        now = steady_seconds()
         return (
             now - self._heard_at < self._longest_silence(now, factor)
             and self._renewed_s < self._oldest_renewal(now, factor)
@@ -80,7 +80,7 @@
 
     def lateness(self) -> float:
         """Give how many times longer than usual the leader's signs have taken lately."""
-        now = time.monotonic()
+        now = steady_seconds()
         return max(
             self._longest_silence(now, 1.0) / self._usual_silence,
             self._oldest_renewal(now, 1.0) / _STALE_RENEWAL_SECONDS,
@@ -107,17 +107,17 @@
     @property
     def is_turned_away(self) -> bool:
         """Whether the leader has told lately that the store turns it away."""
-        recently = time.monotonic() - self._heard_at < self._usual_silence
+        recently = steady_seconds() - self._heard_at < self._usual_silence
         return recently and self._is_turned_away
 
     @property
     def has_missed_a_beat(self) -> bool:
         """Whether a heartbeat is missing."""
-        return time.monotonic() - self._heard_at > _MISSED_BEATS * self._due_s
+        return steady_seconds() - self._heard_at > _MISSED_BEATS * self._due_s
 
     def hear(self, beat: Beat) -> None:
         """Take a heartbeat of the leader over."""
-        now = time.monotonic()
+        now = steady_seconds()
         if self._heard_at:
             self._silence.note(now - self._heard_at, now)
         if beat.renewed_s < self._renewed_s and not self._is_turned_away:
@@ -133,7 +133,7 @@
         """Give a leader that was just elected the time for its first heartbeat."""
         self._silence = _WorstGap()
         self._staleness = _WorstGap()
-        self._heard_at = time.monotonic()
+        self._heard_at = steady_seconds()
         self._renewed_s = 0.0
         self._is_turned_away = False
         self._finds_store_slow = False
--- a/src/snowdock/entry/peer_book.py
+++ b/src/snowdock/entry/peer_book.py
@@ -3,8 +3,8 @@
 import dataclasses
 import heapq
 import threading
-import time
 
+from ..clocks import steady_seconds
 from .messages import Beat
 
 __all__ = ["PeerBook"]
@@ -36,12 +36,12 @@
         """Take a heartbeat over; tell whether the peer or its address is new."""
         with self._lock:
             known = self._peers.get(beat.node)
-            self._peers[beat.node] = _Peer(time.monotonic(), beat.address, beat.claim_delay_s)
+            self._peers[beat.node] = _Peer(steady_seconds(), beat.address, beat.claim_delay_s)
         return known is None or known.address != beat.address
 
     def addresses(self) -> dict[str, str]:
         """Give the addresses of all peers, by name."""
-        oldest = time.monotonic() - _FORGET_SECONDS
+        oldest = steady_seconds() - _FORGET_SECONDS
         with self._lock:
             for node, peer in list(self._peers.items()):
                 if peer.heard_at < oldest:
@@ -58,7 +58,7 @@
         return {node for node, _ in found}
 
     def _live(self) -> list[tuple[str, float]]:
-        oldest = time.monotonic() - _LIVE_SECONDS
+        oldest = steady_seconds() - _LIVE_SECONDS
         with self._lock:
             return [
                 (node, peer.claim_delay_s)
--- a/src/snowdock/entry/progress_writer.py
+++ b/src/snowdock/entry/progress_writer.py
@@ -5,9 +5,9 @@
 import dataclasses
 import queue
 import threading
-import time
 from collections.abc import Callable
 
+from ..clocks import steady_seconds
 from ..errors import (
     AppendConflict,
     PlatformError,
@@ -134,7 +134,7 @@
     def _write(self, batch: Persist) -> bool:
         """Put a batch on record; tell whether to go on."""
         records = [KeyedRecord(record.job, record.data) for record in batch.records]
-        began = time.monotonic()
+        began = steady_seconds()
         outcome = self._try(records, batch.number, self._patience.limit)
         if isinstance(outcome, _Failed):
             self._patience.miss()
@@ -142,7 +142,7 @@
                 "dependency_lost", dependency="store", batch=batch.number, reason=outcome.reason
             )
             outcome = self._try_until_answered(records, batch.number)
-            log_event("dependency_regained", dependency="store", seconds=time.monotonic() - began)
+            log_event("dependency_regained", dependency="store", seconds=steady_seconds() - began)
         if isinstance(outcome, _Done):
             self._patience.note(outcome.seconds)
             self._metrics.count("store_appends_total", "Appends to the store.", outcome="done")
@@ -181,7 +181,7 @@
 
     def _try(self, records: list[KeyedRecord], number: int, seconds: float) -> "_Outcome":
         producer = Producer(_PRODUCER, self._epoch, number)
-        began = time.monotonic()
+        began = steady_seconds()
         try:
             self._store.append(PROGRESS_TOPIC, PART, records, seconds, producer=producer)
         except (ProducerFenced, AppendConflict) as error:
@@ -189,7 +189,7 @@
         except PlatformError as error:
             self._metrics.count("store_appends_total", "Appends to the store.", outcome=error.code)
             return _Failed(str(error))
-        return _Done(time.monotonic() - began)
+        return _Done(steady_seconds() - began)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/snowdock/entry/recorder.py
+++ b/src/snowdock/entry/recorder.py
@@ -11,6 +11,7 @@
 import threading
 import time
 
+from ..clocks import steady_seconds
 from ..errors import CallUnanswered, PlatformError
 from ..jobs.model import JobId
 from ..node.logs import log_error, log_event
@@ -79,7 +80,7 @@
         """Take note of an append that begins; give the number by which it ends."""
         with self._lock:
             number = next(self._numbers)
-            self._began[number] = time.monotonic()
+            self._began[number] = steady_seconds()
             return number
 
     def end(self, number: int) -> None:
@@ -95,7 +96,7 @@
     @property
     def is_slow(self) -> bool:
         """Whether appends take long, or have usually taken long as far as that was seen lately."""
-        now = time.monotonic()
+        now = steady_seconds()
         with self._lock:
             oldest = min(self._began.values(), default=now)
         if now - oldest > _HANGING_SECONDS:
@@ -112,7 +113,7 @@
         """
         if self.is_slow:
             return True
-        now = time.monotonic()
+        now = steady_seconds()
         with self._lock:
             if self._patience.usual <= _SLOW_SECONDS:
                 return False
@@ -132,7 +133,7 @@
                 self._failures = min(self._failures, _DOWN_FAILURES - 1)
             if self._failures < _DOWN_FAILURES:
                 return True
-            if self._is_probed or time.monotonic() - self._failed_at < _DOWN_SECONDS:
+            if self._is_probed or steady_seconds() - self._failed_at < _DOWN_SECONDS:
                 return False
             self._is_probed = True
             return True
@@ -142,7 +143,7 @@
         with self._lock:
             self._failures = 0
             self._is_probed = False
-            self._noted_at = time.monotonic()
+            self._noted_at = steady_seconds()
             self._patience.note(seconds)
 
     def note_untried(self) -> None:
@@ -156,7 +157,7 @@
             self._failures += 1
             self._is_probed = False
             self._patience.miss()
-            self._noted_at = self._failed_at = time.monotonic()
+            self._noted_at = self._failed_at = steady_seconds()
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -218,11 +219,11 @@
         """
         part = job_part(job, len(self._partitions))
         outcome = Recording.NOT_DONE
-        began = time.monotonic()
-        while time.monotonic() - began < min(_TRYING_SECONDS, seconds):
+        began = steady_seconds()
+        while steady_seconds() - began < min(_TRYING_SECONDS, seconds):
             if not self._health.admit(self._store.answered_at):
                 return outcome
-            left = seconds - (time.monotonic() - began)
+            left = seconds - (steady_seconds() - began)
             tried = self._try(part, record, max(_LEAST_SECONDS, left))
             if tried is Recording.DONE:
                 return tried
@@ -239,13 +240,13 @@
             partition.waiting.append(own)
             is_turn = not partition.is_busy
             partition.is_busy = True
-        end = time.monotonic() + seconds
+        end = steady_seconds() + seconds
         if not is_turn and not own.woken.wait(seconds):
             with partition.lock:
                 if own.outcome is None and not own.woken.is_set():
                     return self._give_up(partition, own)
         if own.outcome is None:
-            self._append_waiting(part, partition, end - time.monotonic())
+            self._append_waiting(part, partition, end - steady_seconds())
         return own.outcome
 
     def _give_up(self, partition: _Partition, own: _Waiting) -> Recording:
@@ -272,7 +273,7 @@
                 partition.waiting[0].woken.set()
 
     def _append(self, part: int, records: list[KeyedRecord], seconds: float) -> Recording:
-        began = time.monotonic()
+        began = steady_seconds()
         # Others wait for it too: whoever has little time left may not spoil it for them.
         limit = max(_SHORTEST_TRY_SECONDS, min(seconds, self._health.try_seconds))
         number = self._health.begin()
@@ -291,7 +292,7 @@
             return Recording.UNKNOWN
         finally:
             self._health.end(number)
-        taken = time.monotonic() - began
+        taken = steady_seconds() - began
         self._health.note_success(taken)
         self._metrics.count("store_appends_total", "Appends to the store.", outcome="done")
         self._metrics.time("store_append_seconds", "Time of an append that was answered.", taken)
--- a/src/snowdock/entry/renewals.py
+++ b/src/snowdock/entry/renewals.py
@@ -1,7 +1,6 @@
 """How a leader's renewals of its record go."""
 
-import time
-
+from ..clocks import steady_seconds
 from .patience import Patience
 
 __all__ = ["CALL_SECONDS", "Renewals"]
@@ -35,7 +34,7 @@
     @property
     def age_s(self) -> float:
         """Seconds since the leadership was last on record."""
-        return time.monotonic() - self._renewed_at
+        return steady_seconds() - self._renewed_at
 
     @property
     def are_turned_away(self) -> bool:
@@ -44,17 +43,17 @@
 
     def begin(self) -> None:
         """Begin a leadership whose claim is on record now."""
-        self._renewed_at = time.monotonic()
+        self._renewed_at = steady_seconds()
         self._turned_away = 0
 
     def succeed(self, began: float) -> None:
         """Take over that one that began at a steady time is on record."""
         self._renewed_at = began
         self._turned_away = 0
-        self._patience.note(time.monotonic() - began)
+        self._patience.note(steady_seconds() - began)
 
     def fail(self, began: float) -> None:
         """Take over that one that began at a steady time had no good answer."""
         self._patience.miss()
-        if time.monotonic() - began < _AT_ONCE_SECONDS:
+        if steady_seconds() - began < _AT_ONCE_SECONDS:
             self._turned_away += 1
--- a/src/snowdock/entry/statuses.py
+++ b/src/snowdock/entry/statuses.py
@@ -1,9 +1,9 @@
 """The statuses of jobs as the leader shows them, read by many threads."""
 
 import threading
-import time
 from collections.abc import Iterable
 
+from ..clocks import steady_seconds
 from ..jobs.events import PublishStatus
 from ..jobs.model import JobId, JobStatus
 
@@ -14,7 +14,7 @@
     """Statuses by job and counts of waiting jobs by queue."""
 
     def __init__(self) -> None:
-        self._taken_until = time.monotonic()
+        self._taken_until = steady_seconds()
         self._jobs: dict[JobId, PublishStatus] = {}
         self._unreadable: set[JobId] = set()
         self._waiting: dict[str, int] = {}
--- a/src/snowdock/entry/tails.py
+++ b/src/snowdock/entry/tails.py
@@ -2,9 +2,9 @@
 
 import math
 import threading
-import time
 from collections.abc import Callable
 
+from ..clocks import steady_seconds
 from ..errors import LogExpired, PlatformError
 from ..node.logs import log_error, log_event
 from ..node.threads import ServiceThread
@@ -79,12 +79,12 @@
     def failing_seconds(self) -> float:
         """For how long reads have failed; 0 while they are answered."""
         since = self._failing_since
-        return 0.0 if since is None else time.monotonic() - since
+        return 0.0 if since is None else steady_seconds() - since
 
     @property
     def seconds_since_failure(self) -> float:
         """For how long no read has failed; infinite where none ever has."""
-        return time.monotonic() - self._failed_at
+        return steady_seconds() - self._failed_at
 
     @property
     def is_steady(self) -> bool:
@@ -94,7 +94,7 @@
     def start(self, next_offset: int | None = None) -> None:
         """Start following from an offset, or from the newest records."""
         self._next_offset = next_offset
-        self._read_at = time.monotonic()
+        self._read_at = steady_seconds()
         self._thread.start()
 
     def stop(self) -> None:
@@ -117,7 +117,7 @@
                 self._stopped.wait(_RETRY_SECONDS)
 
     def _step(self) -> None:
-        began = time.monotonic()
+        began = steady_seconds()
         if self._next_offset is None:
             page = self._store.newest(self._topic, self._part, _CALL_SECONDS)
             self._note_success(began)
@@ -137,16 +137,16 @@
             self._stopped.wait(self._pause_seconds)
 
     def _note_failure(self, error: PlatformError) -> None:
-        self._failed_at = time.monotonic()
+        self._failed_at = steady_seconds()
         if self._failing_since is None:
-            self._failing_since = time.monotonic()
+            self._failing_since = steady_seconds()
             log_event("dependency_lost", dependency="store", topic=self._topic, reason=str(error))
 
     def _note_success(self, began: float) -> None:
         self._read_at = began
         if self._failing_since is None:
             return
-        seconds = time.monotonic() - self._failing_since
+        seconds = steady_seconds() - self._failing_since
         self._failing_since = None
         log_event("dependency_regained", dependency="store", topic=self._topic, seconds=seconds)
         if seconds > _SNAPSHOT_AFTER_SECONDS:
--- a/src/snowdock/entry/takeover.py
+++ b/src/snowdock/entry/takeover.py
@@ -4,6 +4,7 @@
 import time
 from collections.abc import Callable, Iterable
 
+from ..clocks import steady_seconds
 from ..errors import InvalidInput, PlatformError, ProducerFenced
 from ..jobs.model import JobId
 from ..jobs.progress import (
@@ -124,7 +125,7 @@
     LeaderHandle or None
         None where another node leads meanwhile.
     """
-    began = time.monotonic()
+    began = steady_seconds()
     while is_wanted():
         try:
             recorded, job_offsets = _read_recorded(context.store, context.parts, context.epoch)
@@ -143,7 +144,7 @@
             "leading",
             epoch=context.epoch,
             jobs=len(recorded.accepted),
-            seconds=time.monotonic() - began,
+            seconds=steady_seconds() - began,
         )
         return handle
     return None
--- a/src/snowdock/entry/worker_link.py
+++ b/src/snowdock/entry/worker_link.py
@@ -2,10 +2,10 @@
 
 import collections
 import functools
-import time
 from collections.abc import Callable
 from typing import Generic, TypeVar
 
+from ..clocks import steady_seconds
 from ..errors import CallUnanswered, PlatformError
 from ..jobs.events import Event, RenewAnswered, StartAnswered, StopAnswered
 from ..jobs.orders import Refusal, RenewOrder, StartOrder, StartResult, StopOrder, WorkerReport
@@ -132,7 +132,7 @@
 
     def _send_order(self, order: _Order) -> None:
         if isinstance(order, StartOrder):
-            self._send_start(order, time.monotonic(), 0)
+            self._send_start(order, steady_seconds(), 0)
         else:
             answered = functools.partial(self._take_stop_answer, order)
             self._orders.channel.call(STOP_PATH, encode_stop(order), _ORDER_SECONDS, answered)
@@ -154,7 +154,7 @@
         else:
             result = _certain(result, tries)
         self._metrics.time(
-            "start_call_seconds", "Time of a start's call.", time.monotonic() - began
+            "start_call_seconds", "Time of a start's call.", steady_seconds() - began
         )
         told = "unanswered"
         if result is not None:
--- a/src/snowdock/node/api.py
+++ b/src/snowdock/node/api.py
@@ -8,6 +8,7 @@
 import msgspec
 import pykka
 
+from ..clocks import steady_seconds
 from ..decisions.placements import describe, fits_nowhere
 from ..declarations import WorkSpec, parse_declarations, parse_work
 from ..effects import Accepted, Verdict
@@ -246,9 +247,9 @@
 
         Work accepted through one node would else be unknown at the next for a moment.
         """
-        end = time.monotonic() + _CATCH_UP_SECONDS
+        end = steady_seconds() + _CATCH_UP_SECONDS
         while self._parts.applied_offset < offset <= self._parts.applied_offset + _CATCH_UP_ENTRIES:
-            if time.monotonic() > end:
+            if steady_seconds() > end:
                 raise Starting("this node has not read that far yet")
             time.sleep(_CATCH_UP_POLL_SECONDS)
 
--- a/src/snowdock/node/daemon.py
+++ b/src/snowdock/node/daemon.py
@@ -12,6 +12,7 @@
 import pykka
 import waitress
 
+from ..clocks import steady_seconds
 from ..errors import InvalidInput, PlatformError, SettingsErrors, TokensUnreadable
 from ..platform._http import Client
 from ..platform.logs import LogClient
@@ -226,9 +227,9 @@
         return 0
 
     def _wait_for_requests(self) -> None:
-        end = time.monotonic() + self._settings.timing.drain_ms / 1000
+        end = steady_seconds() + self._settings.timing.drain_ms / 1000
         # Requests that run here for a peer came in over its sockets, not over the API.
-        while (self._api.in_flight or self._requests.in_flight) and time.monotonic() < end:
+        while (self._api.in_flight or self._requests.in_flight) and steady_seconds() < end:
             time.sleep(_STOP_POLL_SECONDS)
 
     def _leave(self, name: str) -> None:
--- a/src/snowdock/node/hints.py
+++ b/src/snowdock/node/hints.py
@@ -1,8 +1,8 @@
 """Which nodes seem able to act, as heard from their heartbeats."""
 
-import time
 from collections.abc import Callable, Mapping
 
+from ..clocks import steady_seconds
 from ..decisions import ownership
 from ..state import Member, MemberState
 
@@ -40,7 +40,7 @@
 
     def hear(self, node: str, reaches_log: bool) -> None:
         """Note a peer's heartbeat."""
-        self._heard[node] = (time.monotonic(), reaches_log)
+        self._heard[node] = (steady_seconds(), reaches_log)
 
     def refresh(self, members: Mapping[str, Member]) -> bool:
         """Work out anew which members seem able to act; tell whether that changed.
@@ -48,7 +48,7 @@
         They are alive, not on their way out, and reach the log. Where none reaches the log,
         all that are alive count: running work still has to be looked after.
         """
-        horizon = time.monotonic() - self._silence
+        horizon = steady_seconds() - self._silence
         alive, able = [], []
         for member in members.values():
             heard, reaches_log = self._heard.get(member.name, (0.0, False))
--- a/src/snowdock/node/log_actors.py
+++ b/src/snowdock/node/log_actors.py
@@ -6,6 +6,7 @@
 
 import pykka
 
+from ..clocks import steady_seconds
 from ..errors import (
     InvalidInput,
     LogExpired,
@@ -117,7 +118,7 @@
         if self._timer_set or not (self._queue or self._in_flight):
             return
         self._timer_set = True
-        delay = self._next_append - time.monotonic()
+        delay = self._next_append - steady_seconds()
         if delay <= 0:
             self.actor_ref.tell(Tick())
         else:
@@ -169,10 +170,10 @@
             log_event("log_append_recovered")
         self._failing = False
         self._in_flight = None
-        self._next_append = time.monotonic() + self._interval
+        self._next_append = steady_seconds() + self._interval
 
     def _note_failure(self, error: PlatformError) -> None:
-        self._next_append = time.monotonic() + _RETRY_SECONDS
+        self._next_append = steady_seconds() + _RETRY_SECONDS
         if self._failing:
             return
         self._failing = True
@@ -257,7 +258,7 @@
         time.sleep(_RETRY_SECONDS)
 
     def _read(self) -> None:
-        asked_at = time.monotonic()
+        asked_at = steady_seconds()
         page = self._log.read(self._next, self._wait)
         if page.entries:
             self._next = page.entries[-1].offset + 1
--- a/src/snowdock/node/logs.py
+++ b/src/snowdock/node/logs.py
@@ -7,12 +7,13 @@
 import queue
 import sys
 import threading
-import time
 from typing import TextIO
 
 import eliot
 import msgspec
 
+from ..clocks import steady_seconds
+
 __all__ = ["LogSink", "format_line", "log_error", "log_event", "start_logging"]
 
 _LEFT_OUT = ("task_uuid", "task_level", "message_type")
@@ -64,7 +65,7 @@
 
     def admit(self, event: str, most: int) -> tuple[bool, dict[str, int]]:
         """Tell whether a line may be written, and what the last second left out."""
-        second = int(time.monotonic())
+        second = int(steady_seconds())
         with self._lock:
             told: dict[str, int] = {}
             if second != self._second:
--- a/src/snowdock/node/peers.py
+++ b/src/snowdock/node/peers.py
@@ -7,13 +7,13 @@
 import itertools
 import queue
 import threading
-import time
 from collections.abc import Callable
 
 import pykka
 import zmq
 from zmq.auth.thread import ThreadAuthenticator
 
+from ..clocks import steady_seconds
 from ..errors import InvalidInput, PlatformError
 from .logs import log_error, log_event
 from .peer_links import BeatPlan, PeerLinks
@@ -318,7 +318,7 @@
                 log_error("peer_message_failed", error)
 
     def _poll_ms(self) -> int:
-        until_beat = max(0.0, self._next_beat - time.monotonic())
+        until_beat = max(0.0, self._next_beat - steady_seconds())
         return int(min(until_beat, _LONGEST_POLL_SECONDS) * 1000) + 1
 
     def _serve(self, socket: zmq.Socket, frames: list[bytes]) -> None:
@@ -341,9 +341,9 @@
 
     def _send(self, item: _Outgoing) -> None:
         if isinstance(item, _Addresses):
-            self._links.keep_only(item.addresses, time.monotonic())
+            self._links.keep_only(item.addresses, steady_seconds())
         elif isinstance(item, _Connect):
-            self._links.connect(item.address, item.address, time.monotonic())
+            self._links.connect(item.address, item.address, steady_seconds())
         elif isinstance(item, _Reply):
             self._try_send(self._listener, [item.identity, item.data])
         elif item.node in self._links:
@@ -362,7 +362,7 @@
     def _take(self, sender: bytes, message: object) -> None:
         if isinstance(message, self._messages.heartbeat):
             if self._options.confirms_links:
-                self._links.hear(message.node, message.heard_s, time.monotonic())
+                self._links.hear(message.node, message.heard_s, steady_seconds())
             self._heard(message)
         elif isinstance(message, self._messages.questions):
             self._answerers.submit(self._answer_one, sender, message)
@@ -381,7 +381,7 @@
             future.set(message)
 
     def _beat(self) -> None:
-        now = time.monotonic()
+        now = steady_seconds()
         if now < self._next_beat:
             return
         options = self._options
--- a/src/snowdock/node/repeats.py
+++ b/src/snowdock/node/repeats.py
@@ -1,8 +1,9 @@
 """Keeps a node from proposing the same thing again and again while it waits to take effect."""
 
-import time
 from collections.abc import Hashable
 
+from ..clocks import steady_seconds
+
 __all__ = ["RepeatGuard"]
 
 _PRUNE_AT = 10_000
@@ -26,7 +27,7 @@
 
     def may_pass(self, thing: Hashable) -> bool:
         """Tell whether a thing may pass now, and note that it did."""
-        now = time.monotonic()
+        now = steady_seconds()
         if now - self._passed_at.get(thing, -self._seconds) < self._seconds:
             return False
         if len(self._passed_at) >= _PRUNE_AT:
--- a/src/snowdock/node/requests.py
+++ b/src/snowdock/node/requests.py
@@ -11,6 +11,7 @@
 import msgspec
 import pykka
 
+from ..clocks import steady_seconds
 from ..decisions.retries import RetryBudget, backoff_seconds
 from ..declarations import Endpoint
 from ..effects import Accepted
@@ -82,7 +83,7 @@
     @property
     def seconds_left(self) -> float:
         """Time until the deadline."""
-        return self.deadline - time.monotonic()
+        return self.deadline - steady_seconds()
 
 
 class RequestHandler:
@@ -158,7 +159,7 @@
             known = self._known(request)
             if known is not None:
                 return known
-            deadline = time.monotonic() + request.deadline_ms / 1000
+            deadline = steady_seconds() + request.deadline_ms / 1000
             return self._run(_Try(request, endpoint, deadline, may_lend))
         except SnowdockError as error:
             return outcome_of(error)
@@ -307,7 +308,7 @@
 
     def _try_minion(self, work: _Try, slot: Granted) -> CallOutcome | None:
         request = work.request
-        started = time.monotonic()
+        started = steady_seconds()
         exchange = Exchange(ExchangeResult.NOT_RUN, reason="not sent")
         try:
             if not request.repeatable and not work.intended:
@@ -318,7 +319,7 @@
         finally:
             # Where the request may still run at the minion, its slot is held back for as long
             # as any request may take: closing the connection does not end it there.
-            seconds = time.monotonic() - started
+            seconds = steady_seconds() - started
             failed = work.tries > 0 and exchange.result != ExchangeResult.RAN
             is_unknown = exchange.result == ExchangeResult.UNKNOWN
             hold = work.endpoint.deadline_ms / 1000 if is_unknown else 0.0
--- a/src/snowdock/node/router.py
+++ b/src/snowdock/node/router.py
@@ -3,10 +3,10 @@
 import dataclasses
 import heapq
 import itertools
-import time
 
 import pykka
 
+from ..clocks import steady_seconds
 from ..decisions.minion_choice import Health, choose, note_result
 from ..decisions.shares import MinionView
 from ..records import SlotsReturned, SlotsTaken
@@ -90,7 +90,7 @@
         if isinstance(message, MinionsChanged):
             return self._change(message)
         if isinstance(message, PeerIdle):
-            self._peers[message.node] = (time.monotonic(), dict(message.idle_slots))
+            self._peers[message.node] = (steady_seconds(), dict(message.idle_slots))
             return self._lend_waiting(message.idle_slots)
         if isinstance(message, Tick):
             return self._tick()
@@ -116,7 +116,7 @@
         if not message.may_wait or len(queue) >= message.queue_limit:
             message.slot.set(Refused("no slot is free", self._retry_after(group)))
             return
-        if time.monotonic() + self._wait_for(message) > message.deadline:
+        if steady_seconds() + self._wait_for(message) > message.deadline:
             # Waiting would end in a refusal all the same; now the caller can turn elsewhere.
             message.slot.set(Refused("the queue is too long", self._retry_after(group)))
             return
@@ -134,7 +134,7 @@
         return ""
 
     def _grant(self, message: Acquire) -> bool:
-        now = time.monotonic()
+        now = steady_seconds()
         candidates = (
             (slots.view, slots.idle, slots.health)
             for slots in self._by_group.get(message.group, ())
@@ -165,7 +165,7 @@
             heapq.heapify(queue)
 
     def _idle_peer(self, group: str) -> str | None:
-        horizon = time.monotonic() - _PEER_IDLE_SECONDS
+        horizon = steady_seconds() - _PEER_IDLE_SECONDS
         idle = {
             node: slots.get(group, 0)
             for node, (heard, slots) in self._peers.items()
@@ -199,7 +199,7 @@
         slots = self._slots.get(message.minion)
         if slots is None:
             return
-        now = time.monotonic()
+        now = steady_seconds()
         note_result(slots.health, message.failed, now)
         if message.hold_seconds:
             heapq.heappush(self._held, (now + message.hold_seconds, message.minion))
@@ -213,7 +213,7 @@
 
     def _serve(self, group: str) -> None:
         queue = self._waiting.get(group, [])
-        now = time.monotonic()
+        now = steady_seconds()
         while queue:
             message = queue[0][2]
             if message.deadline <= now + self._seconds * _WORTH_SENDING:
@@ -260,7 +260,7 @@
             # A node on its way out needs its slots for what it still has in flight; they
             # are all given back when it leaves.
             return
-        now = time.monotonic()
+        now = steady_seconds()
         records = []
         for slots in self._slots.values():
             view = slots.view
@@ -278,7 +278,7 @@
             self._parts.writer.tell(Propose(tuple(records)))
 
     def _release_held(self) -> None:
-        now = time.monotonic()
+        now = steady_seconds()
         while self._held and self._held[0][0] <= now:
             slots = self._slots.get(heapq.heappop(self._held)[1])
             if slots is not None:
--- a/src/snowdock/node/scheduler.py
+++ b/src/snowdock/node/scheduler.py
@@ -2,8 +2,8 @@
 
 import dataclasses
 import random
-import time
 
+from ..clocks import steady_seconds
 from ..decisions.placements import Waiting, describe, place
 from ..decisions.preemption import make_room
 from ..decisions.room import RoomIndex
@@ -98,7 +98,7 @@
         seconds = self._policies.call(work.spec.kind, "backoff_seconds", described, failures)
         entry = self._queue.get(work.number)
         if entry is not None:
-            entry.not_before = time.monotonic() + float(seconds)
+            entry.not_before = steady_seconds() + float(seconds)
 
     def note_room(self) -> None:
         """Try again at the next pass: room or quota may have become free."""
@@ -128,7 +128,7 @@
         if not self._dirty:
             return Pass()
         self._dirty = False
-        now = time.monotonic()
+        now = steady_seconds()
         result = Pass()
         records = result.placements
         hopeless: dict[tuple, Waiting] = {}
--- a/src/snowdock/node/state_actor.py
+++ b/src/snowdock/node/state_actor.py
@@ -7,6 +7,7 @@
 
 import pykka
 
+from ..clocks import steady_seconds
 from ..decisions import ownership
 from ..decisions.shares import view_minions
 from ..decisions.worker_reports import judge_answer
@@ -330,7 +331,7 @@
     # -- time ------------------------------------------------------------------------------
 
     def _tick(self, message: Tick) -> None:
-        now = time.monotonic()
+        now = steady_seconds()
         if self._hints.refresh(self._state.members):
             log_event("active_nodes", nodes=",".join(self._hints.active))
             self._on_members(MembersChanged())
@@ -356,7 +357,7 @@
     def _schedule(self) -> None:
         if not self._is_member or self._diverged:
             return
-        now = time.monotonic()
+        now = steady_seconds()
         if now >= self._next_rerank:
             self._scheduler.rerank(self._state)
             self._next_rerank = now + _RERANK_SECONDS
--- a/src/snowdock/node/tokens.py
+++ b/src/snowdock/node/tokens.py
@@ -6,8 +6,8 @@
 import os
 import pathlib
 import threading
-import time
 
+from ..clocks import steady_seconds
 from ..errors import Forbidden, TokensUnreadable, Unauthorized
 from .logs import log_error, log_event
 
@@ -102,9 +102,9 @@
 
     def _look(self) -> None:
         with self._lock:
-            if time.monotonic() < self._next_look:
+            if steady_seconds() < self._next_look:
                 return
-            self._next_look = time.monotonic() + _LOOK_SECONDS
+            self._next_look = steady_seconds() + _LOOK_SECONDS
             try:
                 changed_at = os.stat(self._path).st_mtime
                 if changed_at == self._changed_at:
--- a/src/snowdock/node/worker_driver.py
+++ b/src/snowdock/node/worker_driver.py
@@ -6,6 +6,7 @@
 
 import pykka
 
+from ..clocks import steady_seconds
 from ..decisions.orders import WorkerOrder, build_order
 from ..errors import PlatformError
 from ..platform.workers import AttemptReport, WorkerClient
@@ -59,7 +60,7 @@
         self._client = client
         self._interval = parts.settings.timing.sync_interval_ms / 1000
         self._driven: dict[str, _Driven] = {}
-        self._last_seen = time.monotonic()
+        self._last_seen = steady_seconds()
         self._distrusted_since: float | None = None
         self._callers = concurrent.futures.ThreadPoolExecutor(_CALLERS, "worker-call")
 
@@ -82,7 +83,7 @@
             self._call_due()
 
     def _notice_pause(self) -> None:
-        now = time.monotonic()
+        now = steady_seconds()
         if now - self._last_seen > _PAUSE_SECONDS:
             self._distrusted_since = now
             log_event("pause_noticed", seconds=now - self._last_seen)
@@ -93,7 +94,7 @@
             self._distrusted_since = None
 
     def _assign(self, message: AssignmentChanged) -> None:
-        now = time.monotonic()
+        now = steady_seconds()
         for name in self._driven.keys() - message.workers:
             if not self._driven[name].busy:
                 del self._driven[name]
@@ -108,7 +109,7 @@
         driven.poked = driven.busy
 
     def _call_due(self) -> None:
-        now = time.monotonic()
+        now = steady_seconds()
         due = [name for name, d in self._driven.items() if d.due <= now and not d.busy]
         if not due:
             return
@@ -148,7 +149,7 @@
         if driven is None:
             return
         driven.busy = False
-        now = time.monotonic()
+        now = steady_seconds()
         if message.reports is None:
             driven.due = now + _RETRY_SECONDS
         else:
--- a/src/snowdock/platform/call_loop.py
+++ b/src/snowdock/platform/call_loop.py
@@ -11,9 +11,9 @@
 import selectors
 import socket
 import threading
-import time
 from collections.abc import Callable
 
+from ..clocks import steady_seconds
 from ..node.threads import ServiceThread
 
 __all__ = ["CallLoop"]
@@ -93,7 +93,7 @@
                 key.data(events)
             while self._submitted:
                 self._submitted.popleft()()
-            now = time.monotonic()
+            now = steady_seconds()
             while self._due and self._due[0][0] <= now:
                 heapq.heappop(self._due)[2](now)
         self._close_all()
@@ -109,4 +109,4 @@
             return 0.0
         if not self._due:
             return _IDLE_SECONDS
-        return min(_IDLE_SECONDS, max(0.0, self._due[0][0] - time.monotonic()))
+        return min(_IDLE_SECONDS, max(0.0, self._due[0][0] - steady_seconds()))
--- a/src/snowdock/platform/http_channel.py
+++ b/src/snowdock/platform/http_channel.py
@@ -8,11 +8,11 @@
 import functools
 import selectors
 import socket
-import time
 from collections.abc import Callable
 
 import httptools
 
+from ..clocks import steady_seconds
 from ..errors import CallUnanswered
 from .call_loop import CallLoop
 
@@ -210,7 +210,7 @@
             # Nothing was asked; what this answers is unknown.
             self._disconnect()
             return
-        self._limit_at = time.monotonic() + self._seconds
+        self._limit_at = steady_seconds() + self._seconds
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError as error:
@@ -241,9 +241,9 @@
             answered(outcome)
 
     def _limit(self, seconds: float) -> None:
-        self._limit_at = time.monotonic() + seconds
+        self._limit_at = steady_seconds() + seconds
         # An earlier reminder that is still to come looks at the limit anew.
-        if self._reminded_at > self._limit_at or self._reminded_at <= time.monotonic():
+        if self._reminded_at > self._limit_at or self._reminded_at <= steady_seconds():
             self._set_reminder(self._limit_at)
 
     def _set_reminder(self, at: float) -> None:
--- a/src/snowdock/platform/store.py
+++ b/src/snowdock/platform/store.py
@@ -3,11 +3,11 @@
 import base64
 import dataclasses
 import struct
-import time
 from urllib.parse import quote
 
 import msgspec
 
+from ..clocks import steady_seconds
 from ..errors import (
     AppendConflict,
     CallUnanswered,
@@ -194,7 +194,7 @@
     def _call(self, method: str, target: str, body: bytes | None, seconds: float) -> HttpReply:
         reply = self._http.call(method, target, body, seconds)
         if reply.status == 200:
-            self._answered_at = time.monotonic()
+            self._answered_at = steady_seconds()
         return reply
 
     @staticmethod
--- a/tests/test_leader_queries.py
+++ b/tests/test_leader_queries.py
@@ -1,9 +1,9 @@
 """Tests of what a node tells of jobs that it does not know as the leader."""
 
-import time
 import types
 import unittest
 
+from snowdock.clocks import steady_seconds
 from snowdock.entry.leader_handle import LeaderHandle
 from snowdock.entry.leader_queries import LeaderQueries
 from snowdock.entry.statuses import StatusBook
@@ -19,7 +19,7 @@
         store = types.SimpleNamespace()
         context = types.SimpleNamespace(store=store, parts=3)
         self.handle = LeaderHandle(context, None, self.statuses)
-        self.read_at(time.monotonic())
+        self.read_at(steady_seconds())
         election = types.SimpleNamespace(renewed_s=0.1)
         leadership = types.SimpleNamespace(handle=self.handle)
         self.queries = LeaderQueries("node", election, leadership, None)
@@ -34,19 +34,19 @@
 
     def test_leader_that_is_behind(self) -> None:
         """A job that was read may still wait to be taken over, and is not told as unknown."""
-        self.statuses.take_until(time.monotonic() - 2.0)
+        self.statuses.take_until(steady_seconds() - 2.0)
         self.assertEqual(self.queries.own_status(JOB), (None, False))
 
     def test_reads_that_are_old(self) -> None:
         """Nor is one that may not have been read yet."""
-        self.statuses.take_until(time.monotonic())
-        self.read_at(time.monotonic() - 2.0)
+        self.statuses.take_until(steady_seconds())
+        self.read_at(steady_seconds() - 2.0)
         self.assertEqual(self.queries.own_status(JOB), (None, False))
 
     def test_job_that_is_known(self) -> None:
         """Its status is told, however far the leader is behind."""
         self.statuses.publish(PublishStatus(JOB, "q", JobStatus.RUNNING))
-        self.statuses.take_until(time.monotonic() - 60.0)
+        self.statuses.take_until(steady_seconds() - 60.0)
         self.assertEqual(self.queries.own_status(JOB), (JobStatus.RUNNING, True))
 
 
--- a/tests/test_recorder.py
+++ b/tests/test_recorder.py
@@ -1,10 +1,10 @@
 """Tests of putting records of jobs on the store: together, once, and truly told."""
 
 import threading
-import time
 import unittest
 from unittest import mock
 
+from snowdock.clocks import steady_seconds
 from snowdock.entry import recorder
 from snowdock.entry.messages import Recording
 from snowdock.entry.recorder import Recorder
@@ -54,7 +54,7 @@
             self.store.error = None
             self.assertIs(self.recorder.record(JOB, RECORD, 1.0), Recording.NOT_DONE)
             self.assertEqual(len(self.store.appends), tried)
-            self.store.answered_at = time.monotonic()
+            self.store.answered_at = steady_seconds()
             self.assertIs(self.recorder.record(JOB, RECORD, 1.0), Recording.DONE)
 
     def record_many(self, count: int) -> list[Recording]:
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -1,10 +1,10 @@
 """Tests of how slots are handed out to waiting requests."""
 
-import time
 import unittest
 
 import pykka
 
+from snowdock.clocks import steady_seconds
 from snowdock.decisions.shares import MinionView
 from snowdock.node.messages import Acquire, Granted, MinionsChanged, Refused, Released
 from snowdock.node.parts import Parts
@@ -34,7 +34,7 @@
             group="g",
             queue_limit=fields.get("queue_limit", 10),
             priority=priority,
-            deadline=time.monotonic() + seconds,
+            deadline=steady_seconds() + seconds,
             excluded=fields.get("excluded", frozenset()),
             may_lend=False,
             may_wait=True,
--- a/tests/test_slow_store.py
+++ b/tests/test_slow_store.py
@@ -6,6 +6,7 @@
 import time
 import unittest
 
+from snowdock.clocks import steady_seconds
 from snowdock.entry.intake import Intake, IntakeParts
 from snowdock.entry.messages import Recording
 from snowdock.entry.recorder import Recorder
@@ -35,7 +36,7 @@
         self._lock = threading.Lock()
 
     def append(self, topic: str, part: int, records: list[KeyedRecord], seconds: float) -> int:
-        now = time.monotonic()
+        now = steady_seconds()
         with self._lock:
             self.appends += 1
             begins = max(now, self._free_at[part])
@@ -47,7 +48,7 @@
         time.sleep(min(answer_s, seconds))
         if answer_s > seconds:
             raise CallUnanswered("no answer in time", False)
-        self.answered_at = time.monotonic()
+        self.answered_at = steady_seconds()
         return 0
 
 
--- a/tests/test_turnover.py
+++ b/tests/test_turnover.py
@@ -89,7 +89,7 @@
 
     def setUp(self) -> None:
         self.now = 1000.0
-        clock = unittest.mock.patch("snowdock.entry.leader_signs.time.monotonic", lambda: self.now)
+        clock = unittest.mock.patch("snowdock.entry.leader_signs.steady_seconds", lambda: self.now)
         self.enterContext(clock)
         self.signs = LeaderSigns()
         self.signs.expect()
