Model how often a task that ends its workers is started

Cause: the bound of five starts was argued, and tested by examples only. Ruled out: two counterexamples of the first version of the model were the model's own: a new placement took the former run's fate away before it was on record, and equal records were taken for the same one. Change: `specs/crash_model.py`; the tests check it and that each of its six rules is refuted when left out. Conclusion: the bound holds within the model.

--- a/specs/check.py
+++ b/specs/check.py
@@ -14,6 +14,7 @@
 
 from . import (
     configuration_model,
+    crash_model,
     election_model,
     placement_model,
     quota_model,
@@ -55,6 +56,7 @@
     configuration_model: configuration_model.Bounds(),
     election_model: election_model.Bounds(),
     quota_model: quota_model.Bounds(),
+    crash_model: crash_model.Bounds(),
 }
 
 SMALL = {
@@ -64,6 +66,7 @@
     configuration_model: configuration_model.Bounds(records=2),
     election_model: election_model.Bounds(orders=1),
     quota_model: quota_model.Bounds(takeovers=0),
+    crash_model: crash_model.Bounds(takeovers=1),
 }
 """Bounds for every run of the tests."""
 
--- /dev/null
+++ b/specs/crash_model.py
@@ -0,0 +1,188 @@
+"""A task that ends each worker that starts it: how often it is started before it is given up.
+
+Each start that arrives ends its worker. The leader sees one of several things of that, or takes
+over from an earlier leader; whatever it sees is charged, on record, and the sum bounds the starts.
+"""
+
+import dataclasses
+import enum
+from typing import NamedTuple
+
+from minicheck import Protocol
+
+from .tools import Rules, make_protocol
+
+__all__ = ["RULES", "Bounds", "Phase", "State", "make_model"]
+
+MOST_CRASHES = 3
+MOST_LOSSES = 5
+
+RULES = ("answered", "unanswered", "lapsed", "adopted", "orphans", "on_record")
+"""Rules that may be left out: what is charged, and that charges are on record before a start."""
+
+
+class Phase(enum.IntEnum):
+    """What the leader believes of the task."""
+
+    WAITING = 0
+    PLACED = 1
+    ORDERED = 2
+    UNANSWERED = 3
+    RUNNING = 4
+    ADOPTED = 5
+    """An earlier leader placed it; its worker has not told yet."""
+    GIVEN_UP = 6
+
+
+class There(enum.IntEnum):
+    """What is at the worker of the newest run."""
+
+    NOTHING = 0
+    ON_ITS_WAY = 1
+    CRASHED = 2
+
+
+_PLACED = (Phase.PLACED, Phase.ORDERED, Phase.UNANSWERED, Phase.RUNNING, Phase.ADOPTED)
+
+_RULE_OF_PHASE = {
+    Phase.RUNNING: "answered",
+    Phase.UNANSWERED: "unanswered",
+    Phase.ADOPTED: "adopted",
+}
+"""The rule by which another life's answer is charged."""
+
+
+@dataclasses.dataclass(frozen=True)
+class Bounds:
+    """How far the search goes."""
+
+    takeovers: int = 2
+
+
+class Record(NamedTuple):
+    """What the store keeps of the task; of its newest run's number, whether it is odd."""
+
+    run: int = 0
+    is_placed: bool = False
+    crashes: int = 0
+    losses: int = 0
+
+
+class State(NamedTuple):
+    """The leader's belief, what is on record, the truth, and how often a start has arrived."""
+
+    phase: Phase = Phase.WAITING
+    run: int = 0
+    crashes: int = 0
+    losses: int = 0
+    record: Record = Record()
+    there: There = There.NOTHING
+    starts: int = 0
+    takeovers: int = 0
+
+
+class Model:
+    """Makes the transitions."""
+
+    def __init__(self, bounds: Bounds, rules: Rules) -> None:
+        self._bounds = bounds
+        self._holds = rules.holds
+
+    def transitions(self, values: tuple) -> list:
+        """List what can happen next."""
+        state = State(*values)
+        state = state._replace(record=Record(*state.record))
+        if state.starts > MOST_LOSSES:
+            return []
+        steps = [*self._of_leader(state), *self._of_worker(state)]
+        if state.record != _to_record(state):
+            steps.append(("is on record", self._put_on_record(state)))
+        if state.takeovers < self._bounds.takeovers:
+            steps.append(("another leader takes over", self._take_over(state)))
+        return [(label, tuple(after)) for label, after in steps]
+
+    @staticmethod
+    def _put_on_record(state: State) -> State:
+        # Until then, a successor looks for the run before.
+        is_new = state.record.run != state.run
+        there = There.NOTHING if is_new else state.there
+        return state._replace(record=_to_record(state), there=there)
+
+    def _take_over(self, state: State) -> State:
+        record = state.record
+        crashes, losses = (record.crashes, record.losses) if self._holds("on_record") else (0, 0)
+        after = state._replace(
+            phase=Phase.ADOPTED if record.is_placed else Phase.WAITING,
+            run=record.run,
+            crashes=crashes,
+            losses=losses,
+            takeovers=state.takeovers + 1,
+        )
+        return _give_up_if_due(after)
+
+    def _of_leader(self, state: State) -> list:
+        phase, there = state.phase, state.there
+        if phase is Phase.WAITING:
+            return [("is placed", state._replace(phase=Phase.PLACED, run=1 - state.run))]
+        if phase is Phase.PLACED and state.record == _to_record(state):
+            sent = state._replace(phase=Phase.ORDERED, there=There.ON_ITS_WAY)
+            return [("is sent", sent)]
+        if phase is Phase.ORDERED:
+            steps = [("is not answered", state._replace(phase=Phase.UNANSWERED))]
+            if there is There.CRASHED:
+                steps.append(("is answered", state._replace(phase=Phase.RUNNING)))
+            return steps
+        return self._settle(state)
+
+    def _settle(self, state: State) -> list:
+        """List how it becomes sure that a run is over."""
+        phase, there = state.phase, state.there
+        if phase not in _RULE_OF_PHASE:
+            return []
+        if there is not There.CRASHED:
+            # The worker refuses for good what is not there yet, or the new leader's token does.
+            gone = state._replace(phase=Phase.WAITING, there=There.NOTHING)
+            return [("was not there", gone)] if phase is not Phase.RUNNING else []
+        steps = [("another life answers", self._charge(state, _RULE_OF_PHASE[phase], 1))]
+        if phase is Phase.ADOPTED:
+            steps.append(("its worker is not known", self._charge(state, "orphans", 0)))
+        else:
+            steps.append(("leases are over", self._charge(state, "lapsed", 0)))
+        return steps
+
+    def _charge(self, state: State, rule: str, crashes: int) -> State:
+        after = state._replace(phase=Phase.WAITING)
+        if not self._holds(rule):
+            return after
+        after = after._replace(crashes=state.crashes + crashes, losses=state.losses + 1)
+        return _give_up_if_due(after)
+
+    def _of_worker(self, state: State) -> list:
+        if state.there is not There.ON_ITS_WAY:
+            return []
+        arrived = state._replace(there=There.CRASHED, starts=state.starts + 1)
+        lost = state._replace(there=There.NOTHING)
+        return [("arrives", arrived), ("is lost on its way", lost)]
+
+
+def _to_record(state: State) -> Record:
+    return Record(state.run, state.phase in _PLACED, state.crashes, state.losses)
+
+
+def _give_up_if_due(state: State) -> State:
+    if state.crashes >= MOST_CRASHES or state.losses >= MOST_LOSSES:
+        return state._replace(phase=Phase.GIVEN_UP)
+    return state
+
+
+def make_model(bounds: Bounds, left_out: str = "") -> Protocol:
+    """Make the model for the checker; ``left_out`` is one of `RULES`, or nothing."""
+    model = Model(bounds, Rules(left_out))
+    return make_protocol(
+        "crash",
+        left_out,
+        State(),
+        model.transitions,
+        {"starts_are_bounded": lambda state: state["starts"] <= MOST_LOSSES},
+        lambda state: state["phase"] is Phase.GIVEN_UP,
+    )
--- a/tests/test_specs.py
+++ b/tests/test_specs.py
@@ -32,6 +32,7 @@
 from snowdock.state import State, TaskState, VmState
 from specs import (
     configuration_model,
+    crash_model,
     placement_model,
     quota_model,
     request_model,
@@ -60,6 +61,7 @@
             (request_model, "one_intent"),
             (slot_model, "cooling"),
             (configuration_model, "base_is_current"),
+            *((crash_model, rule) for rule in crash_model.RULES),
             *((quota_model, rule) for rule in quota_model.RULES),
         ):
             with self.subTest(rule):
