Part reading who leads from the election

Cause: `entry/election.py` had 450 lines: following, claiming, leading, and reading on record. Ruled out: parting the leader's side as well; its state is the claimant's. Change: `entry/leader_watch.py` reads the leaders' partition and watches it for a renewal. Behaviour is as it was. Tests that lengthen the watch do so in the new module, which all waits read. Conclusion: a newcomer finds one job a module there.

--- a/src/snowdock/entry/election.py
+++ b/src/snowdock/entry/election.py
@@ -26,6 +26,7 @@
 from .leader_log import LeaderLog
 from .leader_record import Identity, LeaderRecord
 from .leader_signs import find_evidence
+from .leader_watch import LeaderWatch
 from .messages import Beat
 from .renewals import CALL_SECONDS, Renewals
 from .succession import Succession
@@ -35,11 +36,6 @@
 _RENEW_SECONDS = 0.3
 """Time between a leader's renewals; each is one write to the store."""
 
-_PROBE_SECONDS = 0.45
-_PROBE_CALLS = 3
-"""How long the store is watched for a renewal before a claim: one is due each 0.3 s, and comes as
-many times later as calls take; here a call takes what the look just before has taken."""
-
 _PAUSE_SECONDS = 0.1
 """Pause after a failed call, and between looks whether the leader is heard."""
 
@@ -101,6 +97,7 @@
         self._may_claim = True
         self._renewals = Renewals()
         self._known = KnownLeader()
+        self._watch = LeaderWatch(self._log, self._known, self._take)
         self._own_epoch = 0
         self._elected_at = 0.0
         self._turnover = 0
@@ -317,18 +314,18 @@
 
     def _follow(self) -> float:
         if not self._log.has_place:
-            self._read_newest()
+            self._watch.read_newest()
         if self._leader_is_gone():
-            if self._has_another_leader():
+            if self._watch.finds_another():
                 return 0.0
         elif self.hears_leader:
             return _PAUSE_SECONDS
-        elif self._shows_up():
+        elif self._watch.sees_renewal():
             return 0.0
         if not self._may_claim:
-            self._watch_store(_PROBE_SECONDS)
+            self._watch.wait_for_leader()
             return _PAUSE_SECONDS
-        if self._is_for_another() and self._watch_store(_SUCCESSOR_SECONDS):
+        if self._is_for_another() and self._watch.wait_for_leader(_SUCCESSOR_SECONDS):
             return 0.0
         self._stopped.wait(self._claim_delay_s + random.uniform(0, _JITTER_SECONDS))
         self._claim()
@@ -349,31 +346,6 @@
             log_event("leader_gone", leader=leader.node, epoch=leader.epoch, reason=evidence)
         return evidence is not None
 
-    def _shows_up(self) -> bool:
-        """Watch for a renewal of a leader that has not resigned; tell whether it leads on."""
-        leader = self._known.record
-        if leader is None or leader.resigned:
-            return False
-        began = steady_seconds()
-        # What was appended before tells nothing; only news from now on does.
-        if self._has_another_leader():
-            return True
-        if self._known.record.resigned:
-            return False
-        call_s = steady_seconds() - began
-        watch_s = _PROBE_SECONDS * self._known.watch_factor + _PROBE_CALLS * call_s
-        return self._watch_store(watch_s) or self.hears_leader
-
-    def _has_another_leader(self) -> bool:
-        """Read what the store holds by now; tell whether it names another leader."""
-        before = self._known.record.incarnation
-        while self._read_on(0.0):
-            if not self._log.has_place:
-                return True
-            if self._known.record.incarnation != before:
-                return not self._known.record.resigned
-        return False
-
     def _is_for_another(self) -> bool:
         """Whether the leader that has resigned named another node to claim next."""
         leader = self._known.record
@@ -381,24 +353,6 @@
             return False
         return leader.successor not in ("", self._identity.node)
 
-    def _read_newest(self) -> None:
-        self._take(self._log.read_newest(CALL_SECONDS))
-        self._known.doubt()
-
-    def _watch_store(self, seconds: float) -> bool:
-        """Wait for a record of a leader; tell whether there was one."""
-        was_read = self._read_on(seconds)
-        leader = self._known.record
-        return was_read and not (leader and leader.resigned)
-
-    def _read_on(self, seconds: float) -> bool:
-        """Read the records since the last look; tell whether there were any, or may have been."""
-        found = self._log.read_on(seconds)
-        if found is None:
-            return True
-        self._take(found)
-        return bool(found)
-
     def _take(self, records: list[LeaderRecord]) -> None:
         leader = records[-1] if records else None
         if leader is None or leader == self._known.record:
@@ -429,7 +383,7 @@
             self._append(epoch, False)
         except AppendConflict:
             log_event("claim_lost", epoch=epoch)
-            self._watch_store(_PROBE_SECONDS)
+            self._watch.wait_for_leader()
             return
         log_event("claim_won", epoch=epoch, turnover=self._turnover)
         self._win(self._identity.lead(epoch, turnover=self._turnover))
--- a/tests/test_election.py
+++ b/tests/test_election.py
@@ -6,7 +6,7 @@
 import unittest
 from unittest import mock
 
-from snowdock.entry import election as election_module
+from snowdock.entry import leader_watch as leader_watch_module
 from snowdock.entry.election import Election
 from snowdock.entry.leader_record import Identity
 from snowdock.entry.messages import Beat
@@ -138,7 +138,7 @@
         self.wait_leader()
         second = self.add("second")
         self.wait_followed(second)
-        with mock.patch.object(election_module, "_PROBE_SECONDS", 60.0):
+        with mock.patch.object(leader_watch_module, "_PROBE_SECONDS", 60.0):
             self.end(first)
             self.assertTrue(wait_until(lambda: second.leads))
 
@@ -149,7 +149,7 @@
         first.election.stop()
         self.candidates.remove(first)
         self.addCleanup(first.port.close)
-        with mock.patch.object(election_module, "_PROBE_SECONDS", 60.0):
+        with mock.patch.object(leader_watch_module, "_PROBE_SECONDS", 60.0):
             again = self.add("first", incarnation="first-2")
             self.assertTrue(wait_until(lambda: again.leads))
         self.assertGreater(again.epochs[0], first.epochs[0])
@@ -160,7 +160,7 @@
         self.wait_leader()
         second = self.add("second")
         self.wait_followed(second)
-        with mock.patch.object(election_module, "_PROBE_SECONDS", 60.0):
+        with mock.patch.object(leader_watch_module, "_PROBE_SECONDS", 60.0):
             first.election._log._store.move("127.0.0.1:1")
             self.assertTrue(wait_until(lambda: second.leads))
 
@@ -184,7 +184,7 @@
         second = self.add("second")
         second.reaches_store = False
         self.wait_followed(second)
-        with mock.patch.object(election_module, "_PROBE_SECONDS", 60.0):
+        with mock.patch.object(leader_watch_module, "_PROBE_SECONDS", 60.0):
             first.election._log._store.move("127.0.0.1:1")
             self.assertTrue(wait_until(lambda: first.election.renewed_s > 1.5))
             self.assertEqual(second.epochs, [])
