--- a/src/snowdock/jobs/lost_runs.py
+++ b/src/snowdock/jobs/lost_runs.py
@@ -3,9 +3,10 @@
 The load this answers: a task that ends each worker that starts it. A worker runs many tasks when it
 goes, and mostly no end of any of them is ever told, so each such loss is charged to all tasks that
 were, or may have been, running there. It is charged as a *crash* where another life of the worker
-has answered, and the worker had not said that it would leave; else it stays a *loss*: the worker
-may have been cut off, and run on. A start always ends as one of the two, a told end, or a refusal,
-so a task that crashes every worker is started `MOST_LOSSES` times at most, whatever is seen of it.
+has answered, the worker had not said that it would leave, and it had told that the run was there.
+Else it stays a *loss*: the worker may have been cut off, and run on, or gone before the start
+arrived. A start always ends as one of the two, a told end, or a refusal, so a task that crashes
+every worker is started `MOST_LOSSES` times at most, whatever is seen of it.
 """
 
 from .cell import Cell
@@ -96,11 +97,13 @@
     run = task.run
     # A start that was never sent can have done nothing, a task that is done needs no more runs.
     is_charged = task.phase not in (Phase.RECORDED, Phase.DONE)
+    was_there = task.phase in (Phase.RUNNING, Phase.STOPPING)
     _tell(cell, worker, task, reason)
     void_run(cell, task, now)
-    if is_charged:
+    if was_there:
         worker.lost.append((task.id, run))
-        _charge(cell, task, run, worker.life, now, is_crash)
+    if is_charged:
+        _charge(cell, task, run, worker.life, now, is_crash and was_there)
 
 
 def _tell(cell: Cell, worker: Worker, task: Task, reason: str) -> None:
--- a/tests/test_jobs_crashes.py
+++ b/tests/test_jobs_crashes.py
@@ -24,6 +24,7 @@
 from snowdock.jobs.progress import decode_progress
 from snowdock.jobs.takeover import RecordedJobs
 from tests.jobs_tools import DONE, SMALL, Bench, accepted, of_type
+from tests.standins.entry_cluster import EntryCluster
 
 MOST_STARTS = 5
 """After three crashes under a task, fewer than three more starts."""
@@ -151,6 +152,11 @@
         self.answer_as_another_life()
         self.assertEqual(self.counts(), (1, 1))
 
+    def test_start_without_an_answer(self) -> None:
+        """Where the start was not answered, the worker may have gone before it arrived: a loss."""
+        self.answer_as_another_life()
+        self.assertEqual(self.counts(), (0, 1))
+
     def test_worker_that_had_said_it_leaves(self) -> None:
         """Where the worker was draining, the end of its life is no crash."""
         self.bench.confirm(self.start)
@@ -222,6 +228,27 @@
         self.assertEqual((task.lost_runs, task.crashed_runs), ([], []))
 
 
+class TestWholePath(unittest.TestCase):
+    def test_callers_hear_of_it(self) -> None:
+        """With real daemons, such a job is shown as failed, and its neighbours as completed."""
+        cluster = EntryCluster(2, workers=4)
+        self.addCleanup(cluster.close)
+        self.assertTrue(cluster.wait_ready())
+        step = {"count": 2, "cpu": 500, "mem_mb": 100, "estimate_ms": 100}
+        bad, bad_body = cluster.job([step])
+        cluster.workers.mark_crashing(bad.rpartition("/")[2])
+        good = [cluster.job([step]) for _ in range(4)]
+        node = cluster.leader
+        for path, body in [(bad, bad_body), *good]:
+            self.assertEqual(node.call("POST", path, body)[0], 200)
+        self.assertTrue(cluster.wait_state(bad, "failed", 40.0))
+        for path, _ in good:
+            self.assertTrue(cluster.wait_state(path, "completed", 40.0))
+        self.assertEqual(cluster.workers.checks.violations, [])
+        (line,) = node.lines("task_given_up")
+        self.assertIn("crashes=3", line)
+
+
 def _recorded(bench: Bench, job: str):
     """Give a job's progress as the last batch has put it on record."""
     return decode_progress(bench.recorded[job])
