Tell in the table of losses which jobs were given up by crashes

Cause: time until a worker was known to be gone, and the end of a job that crashes gave up, counted as not explained, and the job as one whose attempts were used up. Ruled out: nothing. Change: `run_lost` and `task_given_up` are read; such jobs are counted as "workers crashed".

--- a/src/snowdock/cli/losses.py
+++ b/src/snowdock/cli/losses.py
@@ -29,6 +29,8 @@
     "ticket_expired": "start failed",
     "run_void": "start failed",
     "gang_given_up": "start failed",
+    "run_lost": "run lost",
+    "task_given_up": "run lost",
     "run_vanished": "run lost",
     "orphan_lost": "run lost",
     "job_ended": "end put on record",
@@ -39,7 +41,9 @@
 _WORK = "work"
 _FAILED_RUN = "failed run"
 _UNEXPLAINED = "not explained"
-_AFTER_A_RUN = ("run_ended", "job_ended")
+_USED_UP = "attempts used up"
+_GIVEN_UP = "workers crashed"
+_AFTER_A_RUN = ("run_ended", "run_lost", "task_given_up", "job_ended")
 """What a job's end follows, unless lines were left out."""
 
 
@@ -59,6 +63,8 @@
         It is to be done within so many times its work, and so many seconds more.
     lasts
         Whether its tasks run until it is cancelled; it is in time once it has run.
+    is_given_up
+        Whether that was because workers crashed under a task of it.
     spent
         Seconds by reason.
     """
@@ -71,6 +77,7 @@
     stretch: float = 0.0
     target_s: float = 0.0
     lasts: bool = False
+    is_given_up: bool = False
     spent: dict[str, float] = dataclasses.field(default_factory=dict)
 
     @property
@@ -94,7 +101,7 @@
     def main_reason(self) -> str:
         """What it spent most time on besides its work."""
         if self.status == "failed":
-            return "attempts used up"
+            return _GIVEN_UP if self.is_given_up else _USED_UP
         waits = {reason: spent for reason, spent in self.spent.items() if reason != _WORK}
         return max(waits, key=waits.get) if waits else _UNEXPLAINED
 
@@ -170,6 +177,7 @@
         _spend(way, _reason(line, event_before), line.time - before)
         before = line.time
         event_before = line.event
+        way.is_given_up = way.is_given_up or line.event == "task_given_up"
         if line.event == "job_ended":
             way.ended = line.time
             way.status = line.fields.get("status", "")
@@ -219,6 +227,7 @@
                 f"    {reason:<20} {queue.reasons[reason]:>6} jobs mainly,"
                 f" {queue.spent[reason]:8.1f} s of all lost jobs"
             )
-        if queue.failed:
-            told.append(f"    {'attempts used up':<20} {queue.reasons['attempts used up']:>6} jobs")
+        for reason in (_USED_UP, _GIVEN_UP):
+            if queue.reasons[reason]:
+                told.append(f"    {reason:<20} {queue.reasons[reason]:>6} jobs")
     return told
--- a/tests/test_losses.py
+++ b/tests/test_losses.py
@@ -65,6 +65,19 @@
         self.assertEqual(failed.main_reason, "attempts used up")
         self.assertFalse(self.trace(line(11.0, "job_ended", status="cancelled")).is_lost)
 
+    def test_job_whose_workers_crashed(self) -> None:
+        """Time until a worker is known to be gone is that of a lost run, and so is its end."""
+        way = self.trace(
+            line(11.0, "placed"),
+            line(14.5, "run_lost"),
+            line(14.5, "task_given_up"),
+            line(14.51, "job_ended", status="failed"),
+        )
+        self.assertAlmostEqual(way.spent["run lost"], 3.5)
+        self.assertEqual(way.main_reason, "workers crashed")
+        (queue,) = sum_losses([way])
+        self.assertIn("workers crashed           1 jobs", "\n".join(format_losses([queue])))
+
     def test_job_that_lasts_is_in_time_once_placed(self) -> None:
         """Its tasks run until it is cancelled."""
         lasts = TAKEN.replace("lasts=False", "lasts=True")
