Move logs and service threads out of the node's folder

Cause: `platform/` took its thread class from `node/`, the folder of the daemon that is to go; `entry/` took its logs from there. Ruled out: leaving a second class in `platform/`. Change: `snowdock/logs.py` and `snowdock/threads.py`; imports follow. The test of the operators' page looks for events there, too.

--- a/src/snowdock/entry/advisers.py
+++ b/src/snowdock/entry/advisers.py
@@ -15,11 +15,11 @@
 from ..jobs.events import AdviceAnswered, AdviceFailed, AskAdvice, Event
 from ..jobs.orders import AdviceGiven, AdviceWanted
 from ..jobs.times import LONG_QUESTION_MS
-from ..node.logs import log_error, log_event
+from ..logs import log_error, log_event
 from ..node.metrics import Metrics
 from ..node.peers import Peers
-from ..node.threads import ServiceThread
 from ..platform.advice import AdviceClient
+from ..threads import ServiceThread
 from .messages import AdviceAsked, AdviceReply
 
 __all__ = ["Advisers", "LocalAdviser"]
--- a/src/snowdock/entry/configurations.py
+++ b/src/snowdock/entry/configurations.py
@@ -11,7 +11,7 @@
 from ..clocks import steady_seconds
 from ..errors import PlatformError
 from ..jobs.model import Configuration
-from ..node.logs import log_error, log_event
+from ..logs import log_error, log_event
 from ..platform.configuration import CONFIGURATION_KEY, OPERATOR_TOPIC, decode_configuration
 from ..platform.store import KeyedRecord, StoreClient
 from .messages import Beat, ConfigurationTold
--- a/src/snowdock/entry/daemon.py
+++ b/src/snowdock/entry/daemon.py
@@ -13,13 +13,13 @@
 from ..clocks import steady_seconds
 from ..errors import SettingsUnreadable
 from ..jobs.model import Configuration
-from ..node.logs import log_event, start_logging
+from ..logs import log_event, start_logging
 from ..node.metrics import Metrics
 from ..node.peer_links import BeatPlan
 from ..node.peers import PeerOptions, Peers
-from ..node.threads import ServiceThread, on_lost_thread
 from ..platform.node_settings import NodeEnvironment, read_node_environment
 from ..platform.store import StoreClient
+from ..threads import ServiceThread, on_lost_thread
 from .advisers import Advisers, LocalAdviser
 from .configurations import Configurations
 from .election import Election
--- a/src/snowdock/entry/election.py
+++ b/src/snowdock/entry/election.py
@@ -19,9 +19,9 @@
     StoreRefused,
 )
 from ..jobs.times import ISOLATED_SECONDS
-from ..node.logs import log_error, log_event
-from ..node.threads import ServiceThread
+from ..logs import log_error, log_event
 from ..platform.store import StoreClient
+from ..threads import ServiceThread
 from .known_leader import KnownLeader
 from .leader_log import LeaderLog
 from .leader_record import Identity, LeaderRecord
--- a/src/snowdock/entry/front.py
+++ b/src/snowdock/entry/front.py
@@ -7,8 +7,8 @@
 
 from ..errors import Overloaded
 from ..jobs.model import Limits
+from ..logs import log_event
 from ..node.http_models import problem_answer
-from ..node.logs import log_event
 from ..node.metrics import Metrics
 from ..platform.node_settings import NodeEnvironment
 
--- a/src/snowdock/entry/intake.py
+++ b/src/snowdock/entry/intake.py
@@ -20,9 +20,9 @@
 )
 from ..jobs.model import Configuration, JobId, JobStatus, Queue
 from ..jobs.progress import AcceptedJob, cancel_key, encode, record_name
+from ..logs import log_error, log_event
 from ..node.http_models import HttpAnswer, problem_answer
 from ..node.in_flight import InFlight
-from ..node.logs import log_error, log_event
 from ..node.metrics import Metrics
 from ..platform.job_bodies import (
     DEADLINE_HEADER,
--- a/src/snowdock/entry/leader.py
+++ b/src/snowdock/entry/leader.py
@@ -35,7 +35,7 @@
 from ..jobs.reducer import reduce
 from ..jobs.takeover import RecordedJobs, restore
 from ..jobs.times import TICK_SECONDS
-from ..node.logs import log_error, log_event
+from ..logs import log_error, log_event
 from ..node.metrics import Metrics
 from ..platform.call_loop import CallLoop
 from ..platform.store import StoreClient
--- a/src/snowdock/entry/leader_handle.py
+++ b/src/snowdock/entry/leader_handle.py
@@ -18,10 +18,10 @@
 from ..jobs.model import Configuration
 from ..jobs.progress import CANCEL_PREFIX, decode_accepted, job_of_record
 from ..jobs.times import TICK_SECONDS
-from ..node.logs import log_error
-from ..node.threads import ServiceThread
+from ..logs import log_error
 from ..platform.store import KeyedRecord
 from ..platform.worker_list import WORKER_TOPIC, decode_worker_entry
+from ..threads import ServiceThread
 from .leader import LeaderContext
 from .statuses import StatusBook
 from .tails import Tail
--- a/src/snowdock/entry/leader_log.py
+++ b/src/snowdock/entry/leader_log.py
@@ -1,7 +1,7 @@
 """The partition of the store that tells who leads: read on, and appended to on condition."""
 
 from ..errors import LogExpired, PlatformError
-from ..node.logs import log_error
+from ..logs import log_error
 from ..platform.store import KeyedRecord, StoreClient
 from .leader_record import LeaderRecord, decode_leader, encode_leader
 from .topics import LEADER_KEY, LEADERS_TOPIC, PART
--- a/src/snowdock/entry/leader_queries.py
+++ b/src/snowdock/entry/leader_queries.py
@@ -3,7 +3,7 @@
 from ..clocks import steady_seconds
 from ..errors import PlatformError, Starting
 from ..jobs.model import JobId, JobStatus
-from ..node.logs import log_event
+from ..logs import log_event
 from ..node.peers import Peers
 from ..platform.store import KeyedRecord
 from .election import Election
--- a/src/snowdock/entry/leadership.py
+++ b/src/snowdock/entry/leadership.py
@@ -6,9 +6,9 @@
 from collections.abc import Callable
 
 from ..jobs.model import Configuration
-from ..node.logs import log_error, log_event
+from ..logs import log_error, log_event
 from ..node.metrics import Metrics
-from ..node.threads import ServiceThread
+from ..threads import ServiceThread
 from .election import Election
 from .leader import LeaderContext
 from .leader_handle import LeaderHandle
--- a/src/snowdock/entry/peer_answers.py
+++ b/src/snowdock/entry/peer_answers.py
@@ -5,7 +5,7 @@
 from ..errors import PlatformError
 from ..jobs.model import JobId
 from ..jobs.orders import AdviceWanted
-from ..node.logs import log_event
+from ..logs import log_event
 from ..platform.store import KeyedRecord
 from .advisers import LocalAdviser
 from .leader_queries import LeaderQueries
--- a/src/snowdock/entry/probes.py
+++ b/src/snowdock/entry/probes.py
@@ -7,8 +7,8 @@
 
 from ..node.http_models import HttpAnswer, json_answer
 from ..node.metrics import Metrics
-from ..node.threads import ServiceThread
 from ..platform.job_bodies import READY_PATH
+from ..threads import ServiceThread
 
 __all__ = ["METRICS_PORT", "Probes"]
 
--- a/src/snowdock/entry/progress_writer.py
+++ b/src/snowdock/entry/progress_writer.py
@@ -14,10 +14,10 @@
     ProducerFenced,
 )
 from ..jobs.events import Persist, Persisted
-from ..node.logs import log_error, log_event
+from ..logs import log_error, log_event
 from ..node.metrics import Metrics
-from ..node.threads import ServiceThread
 from ..platform.store import KeyedRecord, Producer, StoreClient
+from ..threads import ServiceThread
 from .patience import Patience
 from .topics import PART, PROGRESS_TOPIC
 
--- a/src/snowdock/entry/record_cleaner.py
+++ b/src/snowdock/entry/record_cleaner.py
@@ -12,9 +12,9 @@
 from ..jobs.events import DropJobs, ForgetAccepted
 from ..jobs.model import JobId
 from ..jobs.progress import cancel_key
-from ..node.logs import log_event
-from ..node.threads import ServiceThread
+from ..logs import log_event
 from ..platform.store import KeyedRecord, StoreClient
+from ..threads import ServiceThread
 from .topics import JOBS_TOPIC, PART, PROGRESS_TOPIC, job_part
 
 __all__ = ["RecordCleaner"]
--- a/src/snowdock/entry/recorder.py
+++ b/src/snowdock/entry/recorder.py
@@ -14,7 +14,7 @@
 from ..clocks import steady_seconds
 from ..errors import CallUnanswered, PlatformError
 from ..jobs.model import JobId
-from ..node.logs import log_error, log_event
+from ..logs import log_error, log_event
 from ..node.metrics import Metrics
 from ..platform.store import KeyedRecord, StoreClient
 from .messages import Recording
--- a/src/snowdock/entry/settings_watch.py
+++ b/src/snowdock/entry/settings_watch.py
@@ -6,9 +6,9 @@
 from collections.abc import Callable
 
 from ..errors import SettingsUnreadable
-from ..node.logs import log_error
-from ..node.threads import ServiceThread
+from ..logs import log_error
 from ..platform.node_settings import SETTINGS_VARIABLE, NodeEnvironment, read_node_environment
+from ..threads import ServiceThread
 
 __all__ = ["SettingsWatch"]
 
--- a/src/snowdock/entry/tails.py
+++ b/src/snowdock/entry/tails.py
@@ -6,9 +6,9 @@
 
 from ..clocks import steady_seconds
 from ..errors import LogExpired, PlatformError
-from ..node.logs import log_error, log_event
-from ..node.threads import ServiceThread
+from ..logs import log_error, log_event
 from ..platform.store import KeyedRecord, StoreClient
+from ..threads import ServiceThread
 
 __all__ = ["Tail"]
 
--- a/src/snowdock/entry/takeover.py
+++ b/src/snowdock/entry/takeover.py
@@ -16,7 +16,7 @@
     job_of_record,
 )
 from ..jobs.takeover import RecordedJobs
-from ..node.logs import log_error, log_event
+from ..logs import log_error, log_event
 from ..platform.store import KeyedRecord, StoreClient
 from .leader import Leader, LeaderContext
 from .leader_handle import LeaderHandle
--- a/src/snowdock/entry/worker_link.py
+++ b/src/snowdock/entry/worker_link.py
@@ -9,7 +9,7 @@
 from ..errors import CallUnanswered, PlatformError
 from ..jobs.events import Event, RenewAnswered, StartAnswered, StopAnswered
 from ..jobs.orders import Refusal, RenewOrder, StartOrder, StartResult, StopOrder, WorkerReport
-from ..node.logs import log_error, log_event
+from ..logs import log_error, log_event
 from ..node.metrics import Metrics
 from ..platform.call_loop import CallLoop
 from ..platform.http_channel import Channel, Outcome, Reply
--- a/src/snowdock/node/logs.py
+++ b/src/snowdock/logs.py
@@ -12,7 +12,7 @@
 import eliot
 import msgspec
 
-from ..clocks import steady_seconds
+from .clocks import steady_seconds
 
 __all__ = ["LogSink", "format_line", "log_error", "log_event", "start_logging"]
 
--- a/src/snowdock/node/api.py
+++ b/src/snowdock/node/api.py
@@ -28,6 +28,7 @@
     Voided,
     WorkImpossible,
 )
+from ..logs import log_error, log_event
 from ..policies import PolicyBook
 from ..records import ConfigurationProposed, Record, WorkCancelled, WorkSubmitted
 from ..reducer import offset_of
@@ -35,7 +36,6 @@
 from .calls import read_call, show_outcome
 from .http_models import HttpAnswer, HttpRequest, json_answer, problem_answer
 from .in_flight import InFlight
-from .logs import log_error, log_event
 from .messages import Propose, View
 from .metrics import Metrics
 from .parts import Parts
--- a/src/snowdock/node/daemon.py
+++ b/src/snowdock/node/daemon.py
@@ -14,6 +14,7 @@
 
 from ..clocks import steady_seconds
 from ..errors import InvalidInput, PlatformError, SettingsErrors, TokensUnreadable
+from ..logs import log_error, log_event, start_logging
 from ..platform._http import Client
 from ..platform.logs import LogClient
 from ..platform.minions import MinionClient
@@ -24,7 +25,6 @@
 from ..state import Member, decode_state, encode_state
 from .api import Api
 from .log_actors import LogReader, LogWriter
-from .logs import log_error, log_event, start_logging
 from .messages import PeerHeard, PeerIdle, Propose, StateLoaded, Tick, View
 from .metrics import Metrics
 from .parts import Parts
--- a/src/snowdock/node/log_actors.py
+++ b/src/snowdock/node/log_actors.py
@@ -15,6 +15,7 @@
     SnowdockError,
     VerdictUnknown,
 )
+from ..logs import log_error, log_event
 from ..platform.logs import LogClient, RawEntry
 from ..records import (
     AttemptEnded,
@@ -27,7 +28,6 @@
     encode_batch,
 )
 from ..state import State, decode_state
-from .logs import log_error, log_event
 from .messages import BatchSeen, EntriesRead, LogFailed, Propose, StateLoaded, Tick
 
 __all__ = ["LogReader", "LogWriter", "newest_snapshot"]
--- a/src/snowdock/node/peers.py
+++ b/src/snowdock/node/peers.py
@@ -15,9 +15,9 @@
 
 from ..clocks import steady_seconds
 from ..errors import InvalidInput, PlatformError
-from .logs import log_error, log_event
+from ..logs import log_error, log_event
+from ..threads import ServiceThread
 from .peer_links import BeatPlan, PeerLinks
-from .threads import ServiceThread
 
 __all__ = ["PeerMessages", "PeerOptions", "Peers"]
 
--- a/src/snowdock/node/requests.py
+++ b/src/snowdock/node/requests.py
@@ -24,12 +24,12 @@
     SnowdockError,
     VerdictUnknown,
 )
+from ..logs import log_event
 from ..platform.minions import Exchange, ExchangeResult, MinionClient
 from ..records import RequestEnded, RequestIntended
 from ..request_ids import request_time_ms
 from .answers import AnswerBook
 from .in_flight import InFlight
-from .logs import log_event
 from .messages import Acquire, Granted, LentByPeer, Propose, Refused, Released, View
 from .metrics import Metrics
 from .parts import Parts
--- a/src/snowdock/node/state_actor.py
+++ b/src/snowdock/node/state_actor.py
@@ -27,6 +27,7 @@
 )
 from ..errors import InvalidInput
 from ..leases import earliest_loss_ms
+from ..logs import log_error, log_event
 from ..policies import Alarm, PolicyBook
 from ..records import (
     AttemptLost,
@@ -48,7 +49,6 @@
     parse_attempt_id,
 )
 from .hints import Hints
-from .logs import log_error, log_event
 from .messages import (
     AssignmentChanged,
     BatchSeen,
--- a/src/snowdock/node/tokens.py
+++ b/src/snowdock/node/tokens.py
@@ -9,7 +9,7 @@
 
 from ..clocks import steady_seconds
 from ..errors import Forbidden, TokensUnreadable, Unauthorized
-from .logs import log_error, log_event
+from ..logs import log_error, log_event
 
 __all__ = ["Role", "TokenBook", "read_tokens"]
 
--- a/src/snowdock/node/traces.py
+++ b/src/snowdock/node/traces.py
@@ -7,7 +7,7 @@
 import time
 from collections.abc import Iterator
 
-from .logs import log_event
+from ..logs import log_event
 
 __all__ = ["Span", "parse_traceparent", "span"]
 
--- a/src/snowdock/node/vm_watcher.py
+++ b/src/snowdock/node/vm_watcher.py
@@ -8,6 +8,7 @@
 from ..declarations import Size
 from ..errors import PlatformError
 from ..leases import earliest_loss_ms
+from ..logs import log_error
 from ..platform.vms import Vm, VmListClient
 from ..platform.workers import WorkerClient
 from ..records import (
@@ -21,7 +22,6 @@
     WorkerSeen,
 )
 from ..state import State, VmState
-from .logs import log_error
 from .messages import Propose, Tick, View
 from .parts import Parts
 from .repeats import RepeatGuard
--- a/src/snowdock/node/worker_driver.py
+++ b/src/snowdock/node/worker_driver.py
@@ -9,8 +9,8 @@
 from ..clocks import steady_seconds
 from ..decisions.orders import WorkerOrder, build_order
 from ..errors import PlatformError
+from ..logs import log_event
 from ..platform.workers import AttemptReport, WorkerClient
-from .logs import log_event
 from .messages import (
     AssignmentChanged,
     LogConfirmed,
--- a/src/snowdock/platform/call_loop.py
+++ b/src/snowdock/platform/call_loop.py
@@ -14,7 +14,7 @@
 from collections.abc import Callable
 
 from ..clocks import steady_seconds
-from ..node.threads import ServiceThread
+from ..threads import ServiceThread
 
 __all__ = ["CallLoop"]
 
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -13,7 +13,7 @@
 from snowdock.entry.front import make_front, most_callers
 from snowdock.entry.probes import Probes
 from snowdock.node.metrics import Metrics
-from snowdock.node.threads import ServiceThread
+from snowdock.threads import ServiceThread
 from tests.standins.entry_cluster import free_port
 
 DESCRIPTORS = 1500
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -4,8 +4,8 @@
 import threading
 import unittest
 
-from snowdock.node import logs
-from snowdock.node.logs import LogSink, format_line
+from snowdock import logs
+from snowdock.logs import LogSink, format_line
 from tests.standins.entry_cluster import wait_until
 
 
--- a/tests/test_operations_page.py
+++ b/tests/test_operations_page.py
@@ -23,7 +23,8 @@
     def test_every_event_is_one_that_is_logged(self) -> None:
         """Each event on the page is logged somewhere."""
         jobs = "".join(p.read_text() for p in sorted((ROOT / "src/snowdock/jobs").glob("*.py")))
-        node = "".join(p.read_text() for p in sorted((ROOT / "src/snowdock/node").glob("*.py")))
+        folders = ("src/snowdock/node", "src/snowdock")
+        node = "".join(p.read_text() for f in folders for p in sorted((ROOT / f).glob("*.py")))
         table = PAGE.partition("## What the lines say")[2].partition("## Figures")[0]
         events = {name for row in table.splitlines() for name in re.findall(r"`([a-z_]+)`", row)}
         self.assertGreater(len(events), 30)
--- a/tests/test_room_use.py
+++ b/tests/test_room_use.py
@@ -10,7 +10,7 @@
 from snowdock.jobs.events import AdviceAnswered, AskAdvice, Decided
 from snowdock.jobs.model import AdviceTerms
 from snowdock.jobs.orders import AdviceGiven
-from snowdock.node.logs import format_line
+from snowdock.logs import format_line
 from tests.jobs_tools import FAILED, SMALL, Bench, of_type
 
 HALF = msgspec.structs.replace(SMALL, size=Size(2000, 3000), estimate_ms=60_000)
--- a/tests/test_threads.py
+++ b/tests/test_threads.py
@@ -5,8 +5,8 @@
 import threading
 import unittest
 
-from snowdock.node import threads
-from snowdock.node.threads import ServiceThread, on_lost_thread
+from snowdock import threads
+from snowdock.threads import ServiceThread, on_lost_thread
 from tests.standins.entry_cluster import EntryCluster, EntryProcess, wait_until
 
 KINDS = (
