--- /dev/null
+++ b/tests/test_known_red.py
@@ -0,0 +1,52 @@
+"""Tests of the list of known faults: it takes just the listed tests out of the verdict."""
+
+import io
+import pathlib
+import tempfile
+import types
+import unittest
+import unittest.mock
+
+from tests import known_red
+
+LINE = "tests.test_x.TestX.test_y: cause; command; seen; issue 1"
+
+
+class TestKnownRed(unittest.TestCase):
+    def write(self, *lines: str) -> pathlib.Path:
+        folder = self.enterContext(tempfile.TemporaryDirectory())
+        path = pathlib.Path(folder, "KNOWN-RED.txt")
+        path.write_text("\n".join(lines))
+        return path
+
+    def test_list(self) -> None:
+        """Lines are read by test; without a file there are none, more than three are refused."""
+        self.assertEqual(known_red.read_known_red(self.write(LINE)), {LINE.split(":")[0]: LINE})
+        self.assertEqual(known_red.read_known_red(pathlib.Path("/no/such/file")), {})
+        with self.assertRaises(ValueError):
+            known_red.read_known_red(self.write(*(f"t{n}: x" for n in range(4))))
+
+    def outcome(self, test: str) -> str:
+        """Give what a failure of a test counts as."""
+        listed = known_red.read_known_red(self.write(LINE))
+        with unittest.mock.patch.object(known_red, "read_known_red", lambda: listed):
+            plugin = known_red.KnownRed()
+        event = types.SimpleNamespace(
+            test=types.SimpleNamespace(id=lambda: test), outcome="failed", metadata={}, reason=None
+        )
+        plugin.setTestOutcome(event)
+        stream = io.StringIO()
+        stream.writeln = lambda text: stream.write(text)
+        plugin.afterSummaryReport(types.SimpleNamespace(stream=stream))
+        self.assertIn(LINE, stream.getvalue())
+        return event.outcome
+
+    def test_only_listed_tests_are_passed_over(self) -> None:
+        """A listed test's failure is passed over and printed, any other's counts."""
+        self.assertEqual(self.outcome("tests.test_x.TestX.test_y"), "skipped")
+        self.assertEqual(self.outcome("tests.test_x.TestX.test_y (seed=1)"), "skipped")
+        self.assertEqual(self.outcome("tests.test_x.TestX.test_z"), "failed")
+
+
+if __name__ == "__main__":
+    unittest.main()
