--- a/src/snowdock/jobs/lost_runs.py
+++ b/src/snowdock/jobs/lost_runs.py
@@ -21,7 +21,7 @@
 MOST_CRASHES = 3
 """Crashes after which a task is given up. Without a bound one task took a worker each 3.5 s, and
 four to fifteen runs of others with it. Two are soon met by chance: on 24
-emulated days with 117 such tasks, 21 other jobs were given up by two crashes, one by three."""
+emulated days with 117 such tasks, 22 other jobs were given up by two crashes, one by three."""
 
 MOST_LOSSES = 5
 """Losses of any kind after which a task is given up: users allow three starts after three crashes
@@ -29,8 +29,8 @@
 
 MOST_AT_ONCE = 2
 """Where more workers fell silent at the same moment, what ran there is charged with losses only:
-on 24 emulated days on which a sixth of the workers went every 6 s, 20 jobs that could be done were
-shown as failed, 33 without this."""
+on 24 emulated days on which a sixth of the workers went every 6 s, 15 jobs that could be done were
+shown as failed, 25 without this."""
 
 _SAME_MOMENT_SECONDS = 0.1
 """What counts as the same moment: a worker that ends closes its connections, which is seen within
