Charge nothing where a worker had said that it would leave

Cause: found by reading the change: a run lost with a worker that drained and left was charged as a loss. A task that lasts meets one after the other while all workers are replaced in turn, and was given up at the fifth. Ruled out: stopping such tasks before their worker leaves (it takes nothing new, and they run as long as they can). Change: such runs are charged with nothing; addresses of crashes long ago are forgotten. Conclusion: the bound of five starts holds for starts on workers that stay, which is where a leader starts anything.

--- a/src/snowdock/jobs/lost_runs.py
+++ b/src/snowdock/jobs/lost_runs.py
@@ -3,9 +3,10 @@
 The load this answers: a task that ends each worker that starts it. A worker runs many tasks when it
 goes, and mostly no end of any of them is ever told, so each such loss is charged to all tasks that
 were, or may have been, running there. It is charged as a *crash* where another life of the worker
-has answered, the worker had not said that it would leave, and it had told that the run was there.
-Else it stays a *loss*: the worker may have been cut off, and run on, or gone before the start
-arrived. A start always ends as one of the two, a told end, or a refusal, so a task that crashes
+has answered, and the worker had told that the run was there. Else it stays a *loss*: the worker may
+have been cut off, and run on, or gone before the start arrived. Nothing is charged where the worker
+had said that it would leave: a task that lasts meets many of these while workers are replaced in
+turn. A start elsewhere ends as one of the two, a told end, or a refusal, so a task that crashes
 every worker is started `MOST_LOSSES` times at most, whatever is seen of it.
 """
 
@@ -20,8 +21,8 @@
 
 MOST_CRASHES = 3
 """Crashes after which a task is given up. Without a bound one task took a worker each 3.5 s, and
-four to fifteen runs of others with it. Two are soon met by chance: on 24
-emulated days with 117 such tasks, 22 other jobs were given up by two crashes, one by three."""
+four to fifteen runs of others with it. Two are soon met by chance: on 24 emulated days with 117
+such tasks, 22 other jobs were given up by two crashes, one by three."""
 
 MOST_LOSSES = 5
 """Losses of any kind after which a task is given up: users allow three starts after three crashes
@@ -96,14 +97,15 @@
 ) -> None:
     run = task.run
     # A start that was never sent can have done nothing, a task that is done needs no more runs.
-    is_charged = task.phase not in (Phase.RECORDED, Phase.DONE)
+    is_charged = not worker.entry.draining and task.phase not in (Phase.RECORDED, Phase.DONE)
     was_there = task.phase in (Phase.RUNNING, Phase.STOPPING)
     _tell(cell, worker, task, reason)
     void_run(cell, task, now)
+    if not is_charged:
+        return
     if was_there:
         worker.lost.append((task.id, run))
-    if is_charged:
-        _charge(cell, task, run, worker.life, now, is_crash and was_there)
+    _charge(cell, task, run, worker.life, now, is_crash and was_there)
 
 
 def _tell(cell: Cell, worker: Worker, task: Task, reason: str) -> None:
--- a/src/snowdock/jobs/suspects.py
+++ b/src/snowdock/jobs/suspects.py
@@ -98,5 +98,6 @@
 
 
 def note_crash(cell: Cell, worker: Worker, now: float) -> None:
-    """Remember where a worker crashed."""
-    cell.crashed_at[worker.entry.address] = now
+    """Remember where a worker crashed, and forget what was long ago."""
+    recent = {at: t for at, t in cell.crashed_at.items() if now - t < _UNSOUND_SECONDS}
+    cell.crashed_at = {**recent, worker.entry.address: now}
