--- a/tests/jobs_tools.py
+++ b/tests/jobs_tools.py
@@ -3,6 +3,8 @@
 import itertools
 
 from snowdock.declarations import Size
+from snowdock.emulator import Emulator
+from snowdock.emulator.workload import DrawnJob
 from snowdock.jobs.cell import Cell, CellSettings, Policy
 from snowdock.jobs.events import (
     Effect,
@@ -139,6 +141,12 @@
     return AcceptedJob(spec, 100_000, "pool", 0, 3)
 
 
+def unended(emulator: Emulator, jobs: list[DrawnJob]) -> list[str]:
+    """Give the jobs of an emulated day that callers were not shown the end of."""
+    statuses = emulator.statuses
+    return [job.job for job in jobs if job.job not in statuses or not statuses[job.job].is_final]
+
+
 def of_type(effects, kind):
     """Give the effects of one type."""
     return [effect for effect in effects if isinstance(effect, kind)]
--- a/tests/test_jobs_capacity.py
+++ b/tests/test_jobs_capacity.py
@@ -11,7 +11,7 @@
 from snowdock.emulator.workload import default_mixes
 from snowdock.jobs.events import Persist, Persisted, WorkerListed
 from snowdock.jobs.model import JobStatus
-from tests.jobs_tools import DONE, SMALL, Bench, of_type
+from tests.jobs_tools import DONE, SMALL, Bench, of_type, unended
 
 SECONDS = 20
 SETTLE_SECONDS = 30
@@ -89,12 +89,7 @@
             with self.subTest(seed=seed):
                 emulator, jobs = self.play(seed)
                 self.assertEqual(emulator.checks.violations, [])
-                open_jobs = [
-                    job.job
-                    for job in jobs
-                    if job.job not in emulator.statuses or not emulator.statuses[job.job].is_final
-                ]
-                self.assertEqual(open_jobs, [])
+                self.assertEqual(unended(emulator, jobs), [])
 
     @staticmethod
     def play(seed: int):
--- a/tests/test_jobs_chaos.py
+++ b/tests/test_jobs_chaos.py
@@ -6,6 +6,7 @@
 
 from snowdock.emulator import Emulator, EmulatorOptions, WorkloadOptions, draw_workload
 from snowdock.emulator.workload import DrawnJob, default_mixes
+from tests.jobs_tools import unended
 
 SECONDS = 20
 SETTLE_SECONDS = 40
@@ -89,12 +90,7 @@
             with self.subTest(seed=seed):
                 emulator, jobs = play(seed)
                 self.assertEqual(emulator.checks.violations, [])
-                unfinished = [
-                    job.job
-                    for job in jobs
-                    if job.job not in emulator.statuses or not emulator.statuses[job.job].is_final
-                ]
-                self.assertEqual(unfinished, [])
+                self.assertEqual(unended(emulator, jobs), [])
 
     def test_tasks_that_end_their_workers(self) -> None:
         """Beside all troubles they are given up within their bound, and nothing else hangs."""
@@ -106,12 +102,7 @@
                 self.assertTrue(crashing)
                 for job in crashing:
                     self.assertLessEqual(emulator.checks.crashes_under(job.crashing), 5)
-                unfinished = [
-                    job.job
-                    for job in jobs
-                    if job.job not in emulator.statuses or not emulator.statuses[job.job].is_final
-                ]
-                self.assertEqual(unfinished, [])
+                self.assertEqual(unended(emulator, jobs), [])
 
     def test_calm_day_wastes_nothing(self) -> None:
         """Without troubles no gang waits in vain and all jobs end as they should."""
--- a/tests/test_jobs_suspects.py
+++ b/tests/test_jobs_suspects.py
@@ -102,32 +102,26 @@
 
 
 class TestCommonCauses(Suspects):
-    def test_many_at_the_same_moment_are_no_crashes(self) -> None:
-        """Where three workers fall silent at once, what ran there is charged with losses only."""
-        lives = self.add_workers(3, cpu=1000)
-        job = self.bench.submit(msgspec.structs.replace(SMALL, count=3))
+    def charges(self, count: int) -> list[tuple[int, int]]:
+        """Give crashes and losses of tasks whose workers, one each, fall silent at once."""
+        lives = self.add_workers(count, cpu=1000)
+        job = self.bench.submit(msgspec.structs.replace(SMALL, count=count))
         for start in self.new_starts():
             self.bench.confirm(start)
         for life in lives:
             self.bench.miss(life)
         for life in lives:
             self.crash(life)
-        tasks = list(self.bench.cell.jobs[job].all_tasks())
-        self.assertEqual([len(task.lost_runs) for task in tasks], [1, 1, 1])
-        self.assertEqual([len(task.crashed_runs) for task in tasks], [0, 0, 0])
+        tasks = self.bench.cell.jobs[job].all_tasks()
+        return [(len(task.crashed_runs), len(task.lost_runs)) for task in tasks]
+
+    def test_many_at_the_same_moment_are_no_crashes(self) -> None:
+        """Where three workers fall silent at once, what ran there is charged with losses only."""
+        self.assertEqual(self.charges(3), [(0, 1)] * 3)
 
     def test_one_of_two_may_be_to_blame(self) -> None:
         """Two workers may each have had a task of their own that ended them."""
-        lives = self.add_workers(2, cpu=1000)
-        job = self.bench.submit(PAIR)
-        for start in self.new_starts():
-            self.bench.confirm(start)
-        for life in lives:
-            self.bench.miss(life)
-        for life in lives:
-            self.crash(life)
-        tasks = list(self.bench.cell.jobs[job].all_tasks())
-        self.assertEqual([len(task.crashed_runs) for task in tasks], [1, 1])
+        self.assertEqual(self.charges(2), [(1, 1)] * 2)
 
 
 class TestGangs(Suspects):
--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -22,7 +22,7 @@
 from snowdock.jobs.progress import JobProgress, TaskProgress
 from snowdock.jobs.takeover import RecordedJobs
 from snowdock.teams import UNBOUNDED, Team, TeamBook
-from tests.jobs_tools import DONE, Bench, accepted, of_type
+from tests.jobs_tools import DONE, Bench, accepted, of_type, unended
 
 ONE = Size(1000, 100)
 WIDE = StepSpec(count=10, size=ONE, estimate_ms=1000)
@@ -286,12 +286,7 @@
             with self.subTest(seed=seed):
                 emulator, jobs = self.play(seed)
                 self.assertEqual(emulator.checks.violations, [])
-                open_jobs = [
-                    job.job
-                    for job in jobs
-                    if job.job not in emulator.statuses or not emulator.statuses[job.job].is_final
-                ]
-                self.assertEqual(open_jobs, [])
+                self.assertEqual(unended(emulator, jobs), [])
 
     def play(self, seed: int):
         source = random.Random(seed)
