Charge a crash only for runs that their worker has told of, gangs' too

Whether a run was there was judged by its phase; the loss of one member had put the others, whose starts were not answered, into the phase of runs that are being stopped, which counted as there. Ruled out: a member's own doing (its worker was ended by another job's task, as the witness saw). Change: `Task.is_told`, set by an answered start or a worker's list, cleared by each placement. After a takeover a run counts as told of once its worker lists it, so less is charged as a crash.

--- a/specs/crash_model.py
+++ b/specs/crash_model.py
@@ -143,8 +143,8 @@
             # The worker refuses for good what is not there yet, or the new leader's token does.
             gone = state._replace(phase=Phase.WAITING, there=There.NOTHING)
             return [("was not there", gone)] if phase is not Phase.RUNNING else []
-        # Without an answer it may have gone before the start arrived.
-        crashes = 0 if phase is Phase.UNANSWERED else 1
+        # Without the worker's word it may have gone before the start arrived.
+        crashes = 1 if phase is Phase.RUNNING else 0
         steps = [("another life answers", self._charge(state, _RULE_OF_PHASE[phase], crashes))]
         if phase is Phase.ADOPTED:
             steps.append(("its worker is not known", self._charge(state, "orphans", 0)))
--- a/src/snowdock/jobs/lost_runs.py
+++ b/src/snowdock/jobs/lost_runs.py
@@ -98,14 +98,13 @@
     run = task.run
     # A start that was never sent can have done nothing, a task that is done needs no more runs.
     is_charged = not worker.entry.draining and task.phase not in (Phase.RECORDED, Phase.DONE)
-    was_there = task.phase in (Phase.RUNNING, Phase.STOPPING)
     _tell(cell, worker, task, reason)
     void_run(cell, task, now)
     if not is_charged:
         return
-    if was_there:
+    if task.is_told:
         worker.lost.append((task.id, run))
-    _charge(cell, task, run, worker.life, now, is_crash and was_there)
+    _charge(cell, task, run, worker.life, now, is_crash and task.is_told)
 
 
 def _tell(cell: Cell, worker: Worker, task: Task, reason: str) -> None:
--- a/src/snowdock/jobs/order_answers.py
+++ b/src/snowdock/jobs/order_answers.py
@@ -31,6 +31,7 @@
     if result is None:
         _doubt_start(cell, worker, task, now)
     elif result.refusal is None:
+        task.is_told = True
         if task.phase is Phase.ORDERED:
             task.phase = Phase.RUNNING
             task.since = now
--- a/src/snowdock/jobs/parts.py
+++ b/src/snowdock/jobs/parts.py
@@ -72,6 +72,8 @@
         The number of its newest run; 0 before the first.
     life
         The worker's life where that run is or may be; empty where none is.
+    is_told
+        Whether the worker has told this leader that the newest run is there.
     failed_runs
         Runs that count as attempts.
     lost_runs, crashed_runs
@@ -95,6 +97,7 @@
     phase: Phase = Phase.WAITING
     run: int = 0
     life: str = ""
+    is_told: bool = False
     failed_runs: set[int] = dataclasses.field(default_factory=set)
     lost_runs: frozenset[int] = frozenset()
     crashed_runs: frozenset[int] = frozenset()
--- a/src/snowdock/jobs/placing.py
+++ b/src/snowdock/jobs/placing.py
@@ -311,6 +311,7 @@
     for task, worker in zip(tasks, chosen, strict=False):
         task.run = gang_run if step.spec.gang else task.run + 1
         task.life = worker.life
+        task.is_told = False
         task.phase = Phase.RECORDED
         task.since = now
         if step.spec.gang:
--- a/src/snowdock/jobs/worker_reports.py
+++ b/src/snowdock/jobs/worker_reports.py
@@ -90,6 +90,7 @@
     if task is None or not task.is_current_run(row.run, worker.life):
         _stop_stray(cell, worker, row.task, row.run, now)
         return
+    task.is_told = True
     if row.checkpoint:
         task.checkpoint = row.checkpoint
     task.percent = row.percent
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -50,6 +50,9 @@
     # A task beside others that end their workers was given up after three crashes, the third of
     # them before its start was answered: that one may have come first, and counts as a loss now.
     1000: 12.0,
+    # Members of a gang whose start was not answered counted as told of, since the loss of another
+    # member had made their runs ones that are being stopped.
+    1007: 10.0,
 }
 """Seeds that ever failed, with the seconds that they ran, each with its cause beside it."""
 
--- a/tests/test_jobs_suspects.py
+++ b/tests/test_jobs_suspects.py
@@ -125,6 +125,17 @@
 
 
 class TestGangs(Suspects):
+    def test_members_whose_start_was_not_answered(self) -> None:
+        """Losing one member stops the others, which does not make their starts answered ones."""
+        self.add_workers(1)
+        spec = StepSpec(count=3, size=Size(1000, 1000), estimate_ms=1000, gang=True)
+        job = self.bench.submit(spec)
+        starts = self.new_starts()
+        self.bench.confirm(starts[0])
+        self.crash(starts[0].life)
+        tasks = self.bench.cell.jobs[job].all_tasks()
+        self.assertEqual([len(task.crashed_runs) for task in tasks], [1, 0, 0])
+
     def test_only_members_on_the_worker_are_charged(self) -> None:
         """A gang's members on other workers are not charged with a crash."""
         self.add_workers(2, cpu=1000)
