Tell which workers are set aside, and what closes them to a job that starves

Cause: for a job that runs nothing beside free room, no line told why; room_use called it its "turn". Ruled out: nothing yet. No decision is changed; the conditions under which a worker takes nothing new have moved from placing.py to availability.py as they were.

--- a/src/snowdock/cli/explain.py
+++ b/src/snowdock/cli/explain.py
@@ -7,6 +7,8 @@
 
 import msgspec
 
+from ..jobs.availability import Closed
+
 __all__ = ["LogLine", "Story", "format_story", "parse_line", "tell_story"]
 
 _PAIR = re.compile(r'(\w+)=("(?:[^"\\]|\\.)*"|\S*)')
@@ -14,6 +16,7 @@
 """How long before a line a lost dependency of its node may explain it."""
 
 _DEPENDENCIES = ("dependency_lost", "renewal_failed", "election_call_failed", "deposed")
+_CLOSED = ("open", *(reason.value for reason in Closed))
 _ABOUT = ("job", "subject", "task", "path")
 
 
@@ -93,16 +96,30 @@
     taken = any(line.event in ("job_accepted", "job_taken") for line in lines)
     refused = [line for line in lines if line.event in ("request_refused", "request_failed")]
     ended = [line for line in lines if line.event == "job_ended"]
+    starved = _explain_starving(lines)
     if not taken and refused:
         return _explain_refusal(refused[-1], nearby)
     if not ended:
-        return f"it has not ended; the last decision was {lines[-1].event} on {lines[-1].node}"
+        last = f"it has not ended; the last decision was {lines[-1].event} on {lines[-1].node}"
+        return last + starved
     status = ended[-1].fields.get("status", "")
     if status == "failed":
         return _explain_failure(lines)
     if status == "cancelled":
         return "it was cancelled"
-    return _explain_time(lines, ended[-1])
+    return _explain_time(lines, ended[-1]) + starved
+
+
+def _explain_starving(lines: list[LogLine]) -> str:
+    """Tell what closed the workers to a job that ran nothing beside free room, at its worst."""
+    starving = [line for line in lines if line.event == "job_starves"]
+    if not starving:
+        return ""
+    worst = max(starving, key=lambda line: float(line.fields.get("waiting_s", 0)))
+    counts = {reason: worst.fields[reason] for reason in _CLOSED if reason in worst.fields}
+    workers = ", ".join(f"{count} {reason}" for reason, count in counts.items())
+    waited_s = float(worst.fields.get("waiting_s", 0))
+    return f"; it ran nothing beside free room for {waited_s:.1f} s, the workers being: {workers}"
 
 
 def _explain_refusal(line: LogLine, nearby: list[LogLine]) -> str:
--- a/src/snowdock/emulator/checks.py
+++ b/src/snowdock/emulator/checks.py
@@ -67,6 +67,25 @@
         """Note a job that some caller submitted."""
         self._jobs[job] = (spec, max_attempts)
 
+    def spec_of(self, job: str) -> JobSpec:
+        """Give what was submitted."""
+        return self._jobs[job][0]
+
+    def is_over(self, job: str) -> bool:
+        """Whether a job was cancelled, or one of its tasks has failed as often as it may."""
+        spec, most = self._jobs[job]
+        if job in self._cancelled:
+            return True
+        return any(
+            len(self._history(TaskId(job, 0, number, index)).failed_runs) >= most
+            for number, step in enumerate(spec.steps)
+            for index in range(step.count)
+        )
+
+    def is_done(self, task: TaskId) -> bool:
+        """Whether a task, or another member of its gang, has ended well."""
+        return self._is_done(task, self._jobs[task.job][0])
+
     def cancelled(self, job: str, at: float) -> None:
         """Note a cancelling that was acknowledged."""
         self._cancelled.setdefault(job, at)
--- a/src/snowdock/emulator/emulator.py
+++ b/src/snowdock/emulator/emulator.py
@@ -42,6 +42,7 @@
 from ..teams import Team, TeamBook
 from .checks import Checks
 from .options import EmulatorOptions, Faults
+from .starvation import Starvation
 from .timeline import Timeline
 from .worker_calls import Post, WorkerCalls, draw_delay
 from .worker_model import Gangs, RunPlan, WorkerModel
@@ -90,6 +91,8 @@
         The virtual time.
     checks
         What must hold, and what did not.
+    starvation
+        Jobs that ran nothing beside free room.
     faults
         What goes wrong now; may be changed between runs.
     workers
@@ -106,6 +109,7 @@
         self.faults = Faults()
         self.statuses: dict[str, JobStatus] = {}
         self.finished_at: dict[str, float] = {}
+        self._seed = seed
         self._random = random.Random(seed)
         self._options = options
         self._configuration = configuration_for(options.workload)
@@ -140,6 +144,8 @@
             DropJobs: _ignore,
             ForgetAccepted: self._forget_accepted,
         }
+        self.starvation = Starvation(self.checks, self._may_run)
+        self._watch_starvation()
         for job in jobs:
             self.timeline.after(job.at, lambda job=job: self._submit(job))
         self.elect()
@@ -330,6 +336,16 @@
         fails = job.is_hopeless or source.random() < job.mix.failing_share
         return RunPlan(job.work_s[task.step][task.index], fails, task == job.crashing)
 
+    def _watch_starvation(self) -> None:
+        """Look for jobs that run nothing, while nothing excuses it."""
+        if self.faults.store_down or self.faults.cut or not self._leaders[-1:]:
+            self.starvation.disturb()
+        else:
+            shown = self.statuses.items()
+            open_jobs = [job for job, status in shown if not status.is_final]
+            self.starvation.look(self.workers.values(), open_jobs, self.timeline.now)
+        self.timeline.after(TICK_SECONDS, self._watch_starvation)
+
     # -- effects ---------------------------------------------------------------------------
 
     def _delay(self, mean: float) -> float:
@@ -371,8 +387,9 @@
     def _may_run(self, job: str, step: int, life: str) -> bool:
         key = (job, step, life)
         if key not in self._rules:
-            fit_share = self._jobs[job].mix.fit_share
-            self._rules[key] = self._random.random() < fit_share
+            # Drawn by itself: who looks at it, and when, changes nothing else of a day.
+            drawn = random.Random(f"{self._seed}/{job}/{step}/{life}").random()
+            self._rules[key] = drawn < self._jobs[job].mix.fit_share
         return self._rules[key]
 
     def _forget_accepted(self, _: _Leader, effect: ForgetAccepted) -> None:
--- /dev/null
+++ b/src/snowdock/emulator/starvation.py
@@ -0,0 +1,126 @@
+"""Whether jobs run nothing beside free room, judged from what the workers see.
+
+A job starves when, for longer than users allow, nothing of it runs though a task's turn has come,
+its service has room for that task twice over, and less than half of the service is in use.
+"""
+
+import dataclasses
+from collections.abc import Callable, Iterable
+
+from ..declarations import ZERO, Size
+from ..jobs.model import JobSpec, StepSpec, TaskId
+from .checks import Checks
+from .worker_model import WorkerModel
+
+__all__ = ["ALLOWED_SECONDS", "Starvation", "Starved"]
+
+ALLOWED_SECONDS = 3.0
+"""How long users let a job run nothing beside free room."""
+
+_MOSTLY_FREE = 0.5
+_SPARE_FACTOR = 2
+
+MayRun = Callable[[str, int, str], bool]
+"""(job, step, worker's life) -> whether advice lets the step run there."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Starved:
+    """A job that ran nothing: from when, for how many seconds so far, and its step."""
+
+    job: str
+    step: int
+    since: float
+    seconds: float
+
+
+class Starvation:
+    """Looks at all jobs and workers from time to time.
+
+    Parameters
+    ----------
+    checks
+        Knows what was submitted and how runs ended.
+    may_run
+        What advice says; the room of other workers does not count.
+
+    Attributes
+    ----------
+    found
+        Jobs that starved, each with its longest time.
+    """
+
+    def __init__(self, checks: Checks, may_run: MayRun = lambda *_: True) -> None:
+        self.found: dict[str, Starved] = {}
+        self._checks = checks
+        self._may_run = may_run
+        self._idle_since: dict[str, float] = {}
+
+    def disturb(self) -> None:
+        """Begin anew, since something went wrong that excuses waiting."""
+        self._idle_since.clear()
+
+    def look(self, workers: Iterable[WorkerModel], open_jobs: Iterable[str], now: float) -> None:
+        """Look at the jobs that are accepted and have not ended."""
+        up = [worker for worker in workers if worker.is_up and not worker.entry.draining]
+        idle: dict[str, float] = {}
+        if _is_mostly_free(up):
+            busy = {task.job for worker in up for task in worker.running}
+            for job in open_jobs:
+                step = None if job in busy else self._next_step(job, up)
+                if step is not None:
+                    since = idle[job] = self._idle_since.get(job, now)
+                    self._note(job, step, since, now)
+        self._idle_since = idle
+
+    def _note(self, job: str, step: int, since: float, now: float) -> None:
+        known = self.found.get(job)
+        seconds = now - since
+        if seconds >= ALLOWED_SECONDS and (known is None or known.seconds < seconds):
+            self.found[job] = Starved(job, step, since, seconds)
+
+    def _next_step(self, job: str, workers: list[WorkerModel]) -> int | None:
+        """Give a step whose turn has come and that finds room twice over, if there is one."""
+        spec = self._checks.spec_of(job)
+        if self._checks.is_over(job):
+            return None
+        for number, step in enumerate(spec.steps):
+            if self._is_next(job, number, spec) and self._has_room(job, number, step, workers):
+                return number
+        return None
+
+    def _is_next(self, job: str, number: int, spec: JobSpec) -> bool:
+        step = spec.steps[number]
+        return not self._is_done(job, number, step) and all(
+            self._is_done(job, earlier, spec.steps[earlier]) for earlier in step.after
+        )
+
+    def _is_done(self, job: str, number: int, step: StepSpec) -> bool:
+        tasks = (TaskId(job, 0, number, index) for index in range(step.count))
+        return all(self._checks.is_done(task) for task in tasks)
+
+    def _has_room(self, job: str, number: int, step: StepSpec, workers: list[WorkerModel]) -> bool:
+        wanted = _SPARE_FACTOR * (step.count if step.gang else 1)
+        found = 0
+        for worker in workers:
+            if not self._may_run(job, number, worker.entry.life):
+                continue
+            free = worker.entry.capacity.minus(worker.used)
+            while found < wanted and free.holds(step.room):
+                free = free.minus(step.room)
+                found += 1
+                if step.room == ZERO:
+                    break
+        return found >= wanted
+
+
+def _is_mostly_free(workers: list[WorkerModel]) -> bool:
+    used, whole = ZERO, ZERO
+    for worker in workers:
+        used = used.plus(worker.used)
+        whole = whole.plus(worker.entry.capacity)
+    return _within(used, whole, "cpu") and _within(used, whole, "memory")
+
+
+def _within(used: Size, whole: Size, kind: str) -> bool:
+    return getattr(used, kind) <= _MOSTLY_FREE * getattr(whole, kind)
--- a/src/snowdock/emulator/worker_model.py
+++ b/src/snowdock/emulator/worker_model.py
@@ -3,6 +3,7 @@
 import dataclasses
 from collections.abc import Callable
 
+from ..declarations import ZERO, Size
 from ..jobs.model import StepSpec, TaskId
 from ..jobs.orders import (
     EndedRun,
@@ -186,6 +187,19 @@
         """Its steady clock, never 0."""
         return self._timeline.now * 1000 + 1_000_000
 
+    @property
+    def running(self) -> list[TaskId]:
+        """The tasks that run there."""
+        return list(self._runs)
+
+    @property
+    def used(self) -> Size:
+        """The room that its runs take."""
+        total = ZERO
+        for run in self._runs.values():
+            total = total.plus(run.step.room)
+        return total
+
     @property
     def used_cpu(self) -> int:
         """Thousandths of a core that its runs take."""
--- a/src/snowdock/entry/leader.py
+++ b/src/snowdock/entry/leader.py
@@ -211,6 +211,14 @@
             )
         elif effect.decision == "team_use":
             self._note_team(effect.subject, fields)
+        elif effect.decision in ("worker_set_aside", "worker_back"):
+            metrics.set(
+                "workers_aside",
+                "Workers on which nothing new is placed for a while.",
+                fields["aside"],
+                service=fields["service"],
+                cause=fields["cause"],
+            )
         elif effect.decision == "job_ended":
             metrics.time("job_seconds", "From taking in to the end.", fields["seconds"])
 
--- /dev/null
+++ b/src/snowdock/jobs/availability.py
@@ -0,0 +1,53 @@
+"""Whether a worker takes anything new at all, and why not."""
+
+import enum
+
+from .workers import Worker
+
+__all__ = ["Closed", "why_closed"]
+
+_DELISTED_GRACE_SECONDS = 3.0
+"""How long a worker that still answers is used after its entry lapsed with the store: such
+entries are back about two seconds after the store's return."""
+
+
+class Closed(enum.Enum):
+    """Why nothing new is placed on a worker, by any step or by one; names a field in the log."""
+
+    SILENT = "silent"
+    """It has not answered this leader yet, or does not answer any more."""
+    LEAVING = "leaving"
+    """It drains, or its entry is gone."""
+    ASIDE = "aside"
+    """It is set aside, see `set_aside`."""
+    ALONE = "alone"
+    """What runs there has to be alone."""
+    ON_TRIAL = "on_trial"
+    """It has failed, and one run at a time shows whether it still does."""
+    SUSPECT = "suspect"
+    """What runs there may not share a worker with the step."""
+    ROOM = "room"
+    """It has too little room, or may run no more of the step."""
+    RESERVED = "reserved"
+    """Its room is kept for others."""
+    UNFIT = "unfit"
+    """The advice service, or a label, keeps the step out."""
+    TICKET = "ticket"
+    """There is no good ticket for it."""
+
+
+def why_closed(worker: Worker, now: float) -> Closed | None:
+    """Tell why nothing new at all is placed on a worker; None where something may be."""
+    # Plain tests: each pass asks this of each worker.
+    if not worker.settled or worker.is_mute:
+        return Closed.SILENT
+    if worker.entry.draining:
+        return Closed.LEAVING
+    if worker.aside_until > now:
+        return Closed.ASIDE
+    if worker.is_kept_alone:
+        return Closed.ALONE
+    if worker.listed:
+        return None
+    may_return = worker.may_return and now - worker.delisted_at < _DELISTED_GRACE_SECONDS
+    return None if may_return else Closed.LEAVING
--- a/src/snowdock/jobs/order_answers.py
+++ b/src/snowdock/jobs/order_answers.py
@@ -6,6 +6,7 @@
 from .orders import Refusal
 from .parts import Phase, Task
 from .runs import note_begun, stop_run, void_run
+from .set_aside import Cause, set_aside
 from .worker_lives import take_life_refusal
 from .workers import Worker
 
@@ -42,7 +43,7 @@
 
 def _doubt_start(cell: Cell, worker: Worker, task: Task, now: float) -> None:
     cell.tell("start_unanswered", task.id.job, task=task.id, run=task.run, worker=worker.life)
-    worker.shunned_until = max(worker.shunned_until, now + _UNWELL_SECONDS)
+    set_aside(cell, worker, Cause.UNANSWERED, _UNWELL_SECONDS, now)
     if task.phase is not Phase.ORDERED:
         return
     task.phase = Phase.UNSURE
@@ -67,7 +68,7 @@
     if refusal is Refusal.TICKET and step.advice is not None:
         step.advice.tickets[worker.life] = ("", 0.0)
     elif refusal is not Refusal.SUPERSEDED:
-        worker.shunned_until = max(worker.shunned_until, now + _UNWELL_SECONDS)
+        set_aside(cell, worker, Cause.REFUSED, _UNWELL_SECONDS, now)
     if refusal is Refusal.MALFORMED:
         step.not_before = now + _UNWELL_SECONDS
     void_run(cell, task, now)
--- a/src/snowdock/jobs/parts.py
+++ b/src/snowdock/jobs/parts.py
@@ -137,6 +137,8 @@
         What the advice service has told; None where nobody has to be asked.
     rank, ranked_at
         How urgent it is; the highest is placed first. When that was told, in steady seconds.
+    queued_at
+        When it came to wait, in steady seconds.
     not_before
         When its next try may be placed, in steady seconds.
     look_again_at, looked_at
@@ -168,6 +170,7 @@
     advice: Advice | None = None
     rank: float = 0.0
     ranked_at: float = 0.0
+    queued_at: float = 0.0
     not_before: float = 0.0
     look_again_at: float = 0.0
     claim_again_at: float = 0.0
--- a/src/snowdock/jobs/placing.py
+++ b/src/snowdock/jobs/placing.py
@@ -5,6 +5,7 @@
 
 from ..declarations import ZERO, Size
 from .advising import may_ask, needs_advice, want_advice
+from .availability import why_closed
 from .cell import Cell, HeldStart
 from .durability import mark
 from .occupancy import occupy
@@ -42,10 +43,6 @@
 _LOOK_AGAIN_SECONDS = 0.05
 """While more steps than this wait, one that found no room leaves others their turn so long."""
 
-_DELISTED_GRACE_SECONDS = 3.0
-"""How long a worker that still answers is used after its entry lapsed with the store: such
-entries are back about two seconds after the store's return."""
-
 
 @dataclasses.dataclass(slots=True)
 class _Pool:
@@ -131,21 +128,11 @@
     """Give the workers that may take something, by service."""
     pools: dict[str, _Pool] = {}
     for worker in cell.workers.values():
-        if _is_usable(worker, now):
+        if why_closed(worker, now) is None:
             pools.setdefault(worker.entry.service, _Pool()).add(worker)
     return pools
 
 
-def _is_usable(worker: Worker, now: float) -> bool:
-    if not worker.settled or worker.entry.draining or worker.is_mute:
-        return False
-    if worker.shunned_until > now or worker.is_kept_alone:
-        return False
-    if worker.listed:
-        return True
-    return worker.may_return and now - worker.delisted_at < _DELISTED_GRACE_SECONDS
-
-
 def _place_step(cell: Cell, step: Step, pools: dict[str, _Pool], now: float) -> int:
     """Place what finds room of one step; give how many workers were looked at."""
     tasks, company = next_tasks(step, now)
--- a/src/snowdock/jobs/reducer.py
+++ b/src/snowdock/jobs/reducer.py
@@ -27,7 +27,9 @@
 from .progress import AcceptedJob, job_of_record, record_name
 from .room_use import tell_room_use
 from .runs import abort_gang, cancel_job, open_repetition, open_steps
+from .set_aside import take_back_due
 from .shares import count_capacity, tell_team_use
+from .starving import tell_starving
 from .worker_lives import delist_worker, list_named_workers, list_worker
 from .worker_reports import take_renewal
 from .worker_watch import watch_workers
@@ -170,6 +172,7 @@
 
 def _tick(cell: Cell, now: float, wall_ms: float) -> None:
     watch_workers(cell, now)
+    take_back_due(cell, now)
     cell.capacity = count_capacity(cell)
     for job in list(cell.scheduled.values()):
         _open_due(cell, job, wall_ms)
@@ -177,6 +180,7 @@
     _forget_old_jobs(cell, now)
     tell_room_use(cell, now)
     tell_team_use(cell, now)
+    tell_starving(cell, now)
 
 
 def _give_up_late_gangs(cell: Cell, now: float) -> None:
--- a/src/snowdock/jobs/runs.py
+++ b/src/snowdock/jobs/runs.py
@@ -7,6 +7,7 @@
 from .occupancy import vacate
 from .orders import EndedRun, EndKind, StopOrder
 from .parts import Job, Phase, Step, Task
+from .set_aside import Cause, set_aside
 from .workers import Worker
 
 __all__ = [
@@ -61,6 +62,7 @@
         return
     if step.key not in cell.waiting:
         cell.waiting[step.key] = step
+        step.queued_at = cell.now
         step.rank = cell.policy.rank(step, cell.now)
         step.ranked_at = cell.now
     step.look_again_at = 0.0
@@ -85,7 +87,7 @@
     vacate(cell, worker.life, end.task, end.run)
     cell.stops.pop((worker.life, end.task, end.run), None)
     cell.placing_wanted = True
-    _note_health(worker, end, now)
+    _note_health(cell, worker, end, now)
     task = cell.find_task(end.task)
     if task is None:
         return
@@ -131,7 +133,7 @@
         _note_failure(cell, task, end.run, life, now)
 
 
-def _note_health(worker: Worker, end: EndedRun, now: float) -> None:
+def _note_health(cell: Cell, worker: Worker, end: EndedRun, now: float) -> None:
     if end.kind is EndKind.DONE:
         worker.failure_streak = 0
     elif end.kind is EndKind.FAILED:
@@ -139,7 +141,7 @@
         extra = worker.failure_streak - _SHUN_STREAK
         if extra >= 0:
             shun = min(_SHUN_SECONDS * 2**extra, _LONGEST_SHUN_SECONDS)
-            worker.shunned_until = now + shun
+            set_aside(cell, worker, Cause.FAILURES, shun, now)
 
 
 def _finish(cell: Cell, task: Task, now: float) -> None:
--- /dev/null
+++ b/src/snowdock/jobs/set_aside.py
@@ -0,0 +1,55 @@
+"""Workers on which nothing new is placed for a while, and what is told of that."""
+
+import enum
+
+from .cell import Cell
+from .workers import Worker
+
+__all__ = ["Cause", "set_aside", "take_back_due"]
+
+
+class Cause(enum.Enum):
+    """What speaks against a worker that is set aside."""
+
+    FAILURES = "failures"
+    """Runs failed there."""
+    UNANSWERED = "unanswered"
+    """A start had no answer."""
+    REFUSED = "refused"
+    """It refused a start."""
+
+
+def set_aside(cell: Cell, worker: Worker, cause: Cause, seconds: float, now: float) -> None:
+    """Place nothing on a worker for so long, unless it is set aside for longer already."""
+    until = now + seconds
+    if until <= worker.aside_until:
+        return
+    is_news = worker.aside_until <= now or worker.aside_for != cause.value
+    worker.aside_until = until
+    worker.aside_for = cause.value
+    if is_news:
+        cell.tell(
+            "worker_set_aside",
+            worker.life,
+            cause=cause.value,
+            for_s=seconds,
+            failure_streak=worker.failure_streak,
+            **_count_aside(cell, worker, cause.value, now),
+        )
+
+
+def take_back_due(cell: Cell, now: float) -> None:
+    """Tell of workers whose time aside is over."""
+    for worker in cell.workers.values():
+        if worker.aside_for and worker.aside_until <= now:
+            cause, worker.aside_for = worker.aside_for, ""
+            counts = _count_aside(cell, worker, cause, now)
+            cell.tell("worker_back", worker.life, cause=cause, **counts)
+
+
+def _count_aside(cell: Cell, worker: Worker, cause: str, now: float) -> dict[str, object]:
+    """Count the workers of a worker's service, and those of them set aside for a cause."""
+    service = worker.entry.service
+    alike = [each for each in cell.workers.values() if each.entry.service == service]
+    aside = sum(each.aside_until > now and each.aside_for == cause for each in alike)
+    return {"service": service, "aside": aside, "workers": len(alike)}
--- a/src/snowdock/jobs/workers.py
+++ b/src/snowdock/jobs/workers.py
@@ -103,8 +103,10 @@
         Whether several calls in a row found no answer.
     failure_streak
         Runs that failed or were refused there in a row.
-    shunned_until
+    aside_until
         Until when nothing new is placed there, in steady seconds.
+    aside_for
+        What it is, or was last, set aside for; empty once it is known to be back.
     slow_log
         The logarithm of how many times longer runs take there than usual.
     suspects
@@ -133,7 +135,8 @@
     silent_since: float | None = None
     is_mute: bool = False
     failure_streak: int = 0
-    shunned_until: float = 0.0
+    aside_until: float = 0.0
+    aside_for: str = ""
     slow_log: float = 0.0
     suspects: dict[tuple[TaskId, int], bool] = dataclasses.field(default_factory=dict)
     lost: list[tuple[TaskId, int]] = dataclasses.field(default_factory=list)
--- a/tests/standins/platform.py
+++ b/tests/standins/platform.py
@@ -18,6 +18,7 @@
 
 from snowdock.declarations import Size
 from snowdock.emulator.checks import Checks
+from snowdock.emulator.starvation import Starvation
 from snowdock.emulator.timeline import Timeline
 from snowdock.emulator.worker_model import Gangs, RunPlan, WorkerModel, WorkerTerms
 from snowdock.jobs.model import StepSpec, TaskId
@@ -227,6 +228,9 @@
         return as_json({"items": items, "has_more": len(keys) > len(page), "end": part.end})
 
 
+_LOOK_SECONDS = 0.1
+"""How often it is looked for jobs that starve."""
+
 _RETURN_SECONDS = 1.5
 """After how long another worker stands in for one that a task has ended."""
 
@@ -239,6 +243,7 @@
 
     ``work_s`` gives the seconds of work of a run; ``checks`` watches all starts and ends. The
     first task of a job in ``crashing`` ends each worker that starts it; another one comes later.
+    All runs of a job in ``failing`` fail. ``starvation`` looks at the jobs in ``accepted``.
     """
 
     def __init__(
@@ -252,6 +257,9 @@
         self.work_s = work_s
         self.mute: set[str] = set()
         self.crashing: set[str] = set()
+        self.failing: set[str] = set()
+        self.accepted: list[str] = []
+        self.starvation = Starvation(self.checks)
         self._returned = itertools.count()
         self.steps: dict[str, list[StepSpec]] = {}
         self.starts: list[tuple[str, int, str]] = []
@@ -289,7 +297,7 @@
             WorkerTerms(lease_limit_s=6.0),
             self._gangs,
             self.checks,
-            lambda task, _: RunPlan(self.work_s, crashes_worker=self._ends_worker(task)),
+            lambda task, _: RunPlan(self.work_s, task.job in self.failing, self._ends_worker(task)),
             crash=self._crash_and_return,
         )
         self._servers.append(server)
@@ -352,10 +360,15 @@
         )
 
     def _pass_time(self) -> None:
+        look_at = 0.0
         while True:
             time.sleep(0.005)
             with self._lock:
-                self._timeline.run_until(time.monotonic() - self._began)
+                now = time.monotonic() - self._began
+                self._timeline.run_until(now)
+                if now >= look_at:
+                    look_at = now + _LOOK_SECONDS
+                    self.starvation.look(self.models.values(), self.accepted, now)
 
     def _answer(self, life, method, path, query, body, environ) -> Reply:
         if life in self.mute:
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -54,6 +54,21 @@
         )
         self.assertIn("dependency_lost there 0.5 s before: before", story.cause)
 
+    def test_job_that_starved(self) -> None:
+        """What closed the workers to a job is named, as it was at the job's longest wait."""
+        starved = f"event=job_starves subject={JOB} step=0 node=n1"
+        story = tell_story(
+            JOB,
+            [
+                TAKEN,
+                f"time=11.1 {starved} waiting_s=1.1 open=0 aside=2 ticket=22",
+                f"time=12.1 {starved} waiting_s=2.1 open=0 aside=23 on_trial=1",
+                ended("completed", 13.0),
+            ],
+        )
+        self.assertIn("beside free room for 2.1 s, the workers being: 0 open", story.cause)
+        self.assertIn("23 aside, 1 on_trial", story.cause)
+
     def test_unforeseen_failure_is_named(self) -> None:
         """An answer 500 is traced to the fault that the node has logged."""
         story = tell_story(
--- a/tests/test_jobs_preempting.py
+++ b/tests/test_jobs_preempting.py
@@ -107,7 +107,7 @@
     def test_fewest_runs_are_stopped(self) -> None:
         """Of workers with room to make, those are taken where the fewest runs have to yield."""
         half = msgspec.structs.replace(YIELDING, size=Size(500, 100))
-        self.bench.cell.workers["w2"].shunned_until = self.bench.now + 0.005
+        self.bench.cell.workers["w2"].aside_until = self.bench.now + 0.005
         self.fill(half, count=4)
         self.bench.now += 0.01
         self.fill(YIELDING, count=2)
--- /dev/null
+++ b/tests/test_jobs_starving.py
@@ -0,0 +1,51 @@
+"""Jobs that run nothing beside free room, and what the log tells of them."""
+
+import unittest
+
+from snowdock.jobs.events import Decided
+from snowdock.jobs.set_aside import Cause, set_aside
+from tests.jobs_tools import Bench, of_type
+
+
+def told(effects, decision: str) -> list[dict]:
+    found = of_type(effects, Decided)
+    return [dict(each.fields) for each in found if each.decision == decision]
+
+
+class TestSight(unittest.TestCase):
+    def setUp(self) -> None:
+        self.bench = Bench(attempts=4)
+        self.bench.add_worker("w")
+
+    def test_worker_set_aside_and_back(self) -> None:
+        """Both are told, with the cause and how many of the service are set aside for it."""
+        worker = self.bench.cell.workers["w"]
+        set_aside(self.bench.cell, worker, Cause.REFUSED, 1.0, self.bench.now)
+        self.bench.tick(0.1)
+        (aside,) = told(self.bench.seen, "worker_set_aside")
+        self.assertEqual((aside["cause"], aside["aside"], aside["workers"]), ("refused", 1, 1))
+        self.assertEqual(told(self.bench.seen, "worker_back"), [])
+        (back,) = told(self.bench.tick(1.5), "worker_back")
+        self.assertEqual((back["cause"], back["aside"]), ("refused", 0))
+
+    def test_job_that_starves(self) -> None:
+        """It is told of with what closes the workers, and not before a second has gone by."""
+        self.bench.cell.workers["w"].aside_until = self.bench.now + 60
+        job = self.bench.submit()
+        self.assertEqual(told(self.bench.tick(0.9), "job_starves"), [])
+        first = told(self.bench.tick(2.0), "job_starves")[0]
+        self.assertEqual((first["open"], first["aside"], first["starving"]), (0, 1, 1))
+        self.assertEqual(self.bench.cell.jobs[job].status.name, "PENDING")
+
+    def test_job_that_waits_for_room_does_not_starve(self) -> None:
+        """A service that is mostly in use, and one without the room, are no news."""
+        self.bench.add_worker("busy", cpu=1000)
+        for life in ("w", "busy"):
+            self.bench.cell.workers[life].aside_until = self.bench.now + 60
+        self.bench.cell.workers["w"].used = self.bench.cell.workers["w"].entry.capacity
+        self.bench.submit()
+        self.assertEqual(told(self.bench.tick(3.0), "job_starves"), [])
+
+
+if __name__ == "__main__":
+    unittest.main()
