Test that failing jobs and trials without an end leave no job to starve; it fails

Cause: under test: failed runs speak against their workers only, and the trial that follows has no bound. Ruled out: a step's own pause (job_starves tells paused_s=0.000 throughout), tickets and reservations (1 to 2 of 24 workers). Conclusion: the fault can be brought about at will, emulated and with real processes.

--- /dev/null
+++ b/tests/test_jobs_failing.py
@@ -0,0 +1,110 @@
+"""Failing jobs, and workers that spoil what they start: neither may halt the rest.
+
+Accepted jobs ran nothing for seconds, though most of their workers' room was free and a task of
+theirs could run. Some of the jobs around them failed wherever they ran, and each two failed runs in
+a row had their worker set aside, whoever's they were; after that it took one run at a time until
+one ended well, however long that took. With 8 workers and a third of the jobs failing, the leader
+told of a job that had never begun: `job_starves waiting_s=2.211 failures=0 open=0 aside=8`; 22 good
+jobs waited up to 21.6 s.
+"""
+
+import dataclasses
+import unittest
+
+from snowdock.declarations import Size
+from snowdock.emulator import Emulator, EmulatorOptions, WorkloadOptions, draw_workload
+from snowdock.emulator.workload import DrawnJob, default_mixes
+from snowdock.jobs.events import JobCancelled
+from snowdock.jobs.model import JobStatus, StepSpec
+from tests.jobs_tools import FAILED, Bench
+
+SECONDS = 20.0
+SETTLE_SECONDS = 30.0
+LASTING = StepSpec(count=1, size=Size(500, 500), long_running=True)
+LONG = StepSpec(count=1, size=Size(500, 500), estimate_ms=60_000)
+
+
+def play(seed: int, failing_share: float, spoiling: int = 0) -> tuple[Emulator, list[DrawnJob]]:
+    """Play a day on 24 workers, some of which fail all that they start until it ends."""
+    mixes = [dataclasses.replace(mix, hopeless_share=failing_share) for mix in default_mixes()]
+    workload = WorkloadOptions(SECONDS, 0.5, tuple(mixes))
+    jobs = draw_workload(seed, workload)
+    emulator = Emulator(seed, EmulatorOptions(workload), jobs)
+    for life in list(emulator.workers)[:spoiling]:
+        emulator.workers[life].fails_all = True
+    emulator.run_until(SECONDS)
+    for model in emulator.workers.values():
+        model.fails_all = False
+    emulator.run_until(SECONDS + SETTLE_SECONDS)
+    return emulator, jobs
+
+
+class TestFailingJobs(unittest.TestCase):
+    def test_nobody_starves_beside_them(self) -> None:
+        """All workers are sound, three jobs in ten always fail: no job waits beside free room."""
+        for seed in (1, 2, 3):
+            with self.subTest(seed=seed):
+                emulator, _ = play(seed, 0.3)
+                self.assertEqual(emulator.checks.violations, [])
+                self.assertEqual(list(emulator.starvation.found.values()), [])
+
+    def test_nobody_starves_beside_spoiling_workers_too(self) -> None:
+        """A sixth of the workers fail all that they start besides; good jobs end well."""
+        for seed in (1, 2, 3):
+            with self.subTest(seed=seed):
+                emulator, jobs = play(seed, 0.2, spoiling=4)
+                self.assertEqual(emulator.checks.violations, [])
+                self.assertEqual(list(emulator.starvation.found.values()), [])
+                good = [job.job for job in jobs if not job.is_hopeless]
+                failed = [job for job in good if emulator.statuses.get(job) is JobStatus.FAILED]
+                self.assertLessEqual(len(failed), len(good) // 50)
+
+
+class TestTrial(unittest.TestCase):
+    def setUp(self) -> None:
+        self.bench = Bench(attempts=4)
+        self.bench.add_worker("w")
+        self.there: list[tuple] = []
+
+    def begin(self, step: StepSpec) -> None:
+        """Have a task run on the only worker from now on."""
+        self.bench.submit(step)
+        (start,) = self.bench.starts()
+        self.bench.confirm(start)
+        self.there.append((start.order.task, start.order.run, 1.0))
+
+    def fail_jobs(self, count: int) -> None:
+        """Have jobs of one task each fail on the worker as soon as they run there."""
+        for _ in range(count):
+            self.bench.submit()
+            start = self.wait_for_start()
+            task, run = start.order.task, start.order.run
+            self.bench.confirm(start)
+            self.bench.report("w", running=self.there, ended=[(task, run, FAILED)])
+            self.bench.feed(JobCancelled(task.job))
+
+    def wait_for_start(self, seconds: float = 12.0):
+        """Give the next start; the worker tells of what runs there meanwhile."""
+        found = self.bench.starts()
+        waited = 0.0
+        while not found and waited < seconds:
+            found = self.bench.starts(self.bench.tick(0.1))
+            waited += 0.1
+            if "w" in self.bench.renewals:
+                found = found or self.bench.starts(self.bench.report("w", running=self.there))
+        self.assertTrue(found, f"nothing was started for {seconds} s")
+        return found[0]
+
+    def test_it_ends_beside_a_run_that_lasts(self) -> None:
+        """A worker that failed some runs takes work again, whatever else goes on there."""
+        for step in (LASTING, LONG):
+            with self.subTest(lasts=step.long_running):
+                self.setUp()
+                self.begin(step)
+                self.fail_jobs(4)
+                self.bench.submit()
+                self.wait_for_start()
+
+
+if __name__ == "__main__":
+    unittest.main()
