Weigh a failed run by what the step does elsewhere before it speaks against a worker

Cause: two failed runs in a row set a worker aside for 2 to 8 s, whatever made them fail, and after that it took one run at a time until one ended well. Jobs that always fail so set aside most of a pool, and a run that lasts kept its worker on trial for ever. Class: a fault charged to whoever was nearest. Ruled out: pauses of steps, tickets, reservations, lost wake-ups (job_starves: 18 of 24 workers aside, 1 to 2 on trial, 0.0 to 0.2 open). A failure weighs by how surprising it would be on a sound worker, given where the step failed or ended well and how usual failures are; weights change as more is learned; at most half of a service is aside for failures; a trial lasts two seconds at most; a last attempt waits a second at most for a worker without doubts. failure_streak tells of steps, not of runs. test_worker_on_trial_counts_for_nothing sets the trial's own fields, as failure_streak is derived now.

--- a/src/snowdock/jobs/availability.py
+++ b/src/snowdock/jobs/availability.py
@@ -24,6 +24,8 @@
     """What runs there has to be alone."""
     ON_TRIAL = "on_trial"
     """It has failed, and one run at a time shows whether it still does."""
+    DOUBTFUL = "doubtful"
+    """Runs have failed there, and the step may not fail again."""
     SUSPECT = "suspect"
     """What runs there may not share a worker with the step."""
     ROOM = "room"
--- a/src/snowdock/jobs/parts.py
+++ b/src/snowdock/jobs/parts.py
@@ -151,6 +151,8 @@
     kept_since
         Since when nothing but reservations of others keeps it from running anything, in steady
         seconds; None where that is not so.
+    failed_on, done_on
+        Lives of workers where runs of it have failed, and where some have ended well.
     is_bulky
         Whether the pieces of room between other work hardly ever hold its tasks.
     is_at_quota
@@ -177,6 +179,8 @@
     looked_at: float = 0.0
     usual_log: float | None = None
     kept_since: float | None = None
+    failed_on: set[str] = dataclasses.field(default_factory=set)
+    done_on: set[str] = dataclasses.field(default_factory=set)
     is_bulky: bool = False
     is_at_quota: bool = False
     has_news: bool = False
--- a/src/snowdock/jobs/placing.py
+++ b/src/snowdock/jobs/placing.py
@@ -6,6 +6,7 @@
 from ..declarations import ZERO, Size
 from .advising import may_ask, needs_advice, want_advice
 from .availability import why_closed
+from .blame import begin_trial
 from .cell import Cell, HeldStart
 from .durability import mark
 from .occupancy import occupy
@@ -305,6 +306,7 @@
             task.checkpoint = checkpoint
         occupy(cell, worker, task.id, task.run, step)
         note_suspect(worker, task, company)
+        begin_trial(worker, (task.id, task.run), now)
         cell.held.append(HeldStart(task, task.run))
     step.kept_since = None
     mark(cell, step.job)
--- a/src/snowdock/jobs/preempting.py
+++ b/src/snowdock/jobs/preempting.py
@@ -15,7 +15,7 @@
 from .parts import Phase, Step, Task
 from .reserving import release_claim
 from .runs import stop_run
-from .seats import fitting, is_last_attempt, is_on_trial, most_seats
+from .seats import fitting, may_be_trusted, most_seats, needs_sound
 from .workers import Hold, Worker
 
 __all__ = ["drop_claims", "has_claim", "make_room"]
@@ -88,11 +88,11 @@
     def yields(other: Step) -> bool:
         return cell.policy.yields(step, other, now)
 
-    needs_sound = is_last_attempt(cell, step)
+    is_careful = needs_sound(cell, step)
     return [
         _offer(step, worker, _yielding_tasks(cell, worker, yields))
         for worker in workers
-        if _holds_long(step, worker, now) and not is_on_trial(worker, needs_sound)
+        if _holds_long(step, worker, now) and may_be_trusted(cell, worker, is_careful)
     ]
 
 
--- a/src/snowdock/jobs/runs.py
+++ b/src/snowdock/jobs/runs.py
@@ -1,5 +1,6 @@
 """How runs end and what follows for their tasks, steps and jobs."""
 
+from .blame import note_failed_run, note_good_end
 from .cell import Cell, HeldRenewal, Stop
 from .durability import mark
 from .events import PublishStatus, SendStop
@@ -7,7 +8,6 @@
 from .occupancy import vacate
 from .orders import EndedRun, EndKind, StopOrder
 from .parts import Job, Phase, Step, Task
-from .set_aside import Cause, set_aside
 from .workers import Worker
 
 __all__ = [
@@ -24,14 +24,6 @@
     "void_run",
 ]
 
-_SHUN_STREAK = 2
-"""Failures in a row after which a worker gets nothing new for a while: a few in a hundred runs
-fail by their own fault, so two in a row happen by chance once in some hundred ends."""
-
-_SHUN_SECONDS = 2.0
-_LONGEST_SHUN_SECONDS = 8.0
-"""Bounds of that while; it doubles with each further failure."""
-
 
 def open_repetition(job: Job, repetition: int) -> list[Step]:
     """Make the steps and tasks of one repetition."""
@@ -87,8 +79,8 @@
     vacate(cell, worker.life, end.task, end.run)
     cell.stops.pop((worker.life, end.task, end.run), None)
     cell.placing_wanted = True
-    _note_health(cell, worker, end, now)
     task = cell.find_task(end.task)
+    _note_health(cell, worker, end, task, now)
     if task is None:
         return
     if not task.is_current_run(end.run, worker.life):
@@ -133,15 +125,12 @@
         _note_failure(cell, task, end.run, life, now)
 
 
-def _note_health(cell: Cell, worker: Worker, end: EndedRun, now: float) -> None:
+def _note_health(cell: Cell, worker: Worker, end: EndedRun, task: Task | None, now: float) -> None:
+    step = None if task is None else task.step
     if end.kind is EndKind.DONE:
-        worker.failure_streak = 0
-    elif end.kind is EndKind.FAILED:
-        worker.failure_streak += 1
-        extra = worker.failure_streak - _SHUN_STREAK
-        if extra >= 0:
-            shun = min(_SHUN_SECONDS * 2**extra, _LONGEST_SHUN_SECONDS)
-            set_aside(cell, worker, Cause.FAILURES, shun, now)
+        note_good_end(cell, worker, step, now)
+    elif end.kind is EndKind.FAILED and step is not None:
+        note_failed_run(cell, worker, step, now)
 
 
 def _finish(cell: Cell, task: Task, now: float) -> None:
--- a/src/snowdock/jobs/seats.py
+++ b/src/snowdock/jobs/seats.py
@@ -4,9 +4,10 @@
 from collections.abc import Iterable, Iterator
 
 from ..declarations import Size
+from .blame import is_doubtful, is_on_trial
 from .cell import Cell
 from .forecast import expected_end
-from .parts import Step, Task
+from .parts import Phase, Step, Task
 from .workers import Worker
 
 __all__ = [
@@ -15,9 +16,9 @@
     "find_seats",
     "fitting",
     "is_bulky",
-    "is_last_attempt",
-    "is_on_trial",
+    "may_be_trusted",
     "most_seats",
+    "needs_sound",
 ]
 
 _UNBOUNDED = 1_000
@@ -29,6 +30,11 @@
 more than two, a piece as large seldom comes free by chance."""
 
 
+_SOUND_SECONDS = 1.0
+"""How long a last attempt waits for a worker without doubts: tickets and records take as long
+again, and users allow three seconds beside free room."""
+
+
 @dataclasses.dataclass(slots=True)
 class Seats:
     """How many tasks of a step a worker can take now, and how good it is for them."""
@@ -56,12 +62,12 @@
     """
     spec = step.spec
     room = spec.room
-    needs_sound = is_last_attempt(cell, step)
+    is_careful = needs_sound(cell, step)
     for worker in workers:
         free = _free_now(cell, step, worker, over_reservations)
         if not free.holds(room):
             continue
-        if is_on_trial(worker, needs_sound):
+        if not may_be_trusted(cell, worker, is_careful):
             continue
         count = min(fitting(free, room), most_seats(step, worker))
         if count <= 0:
@@ -94,17 +100,20 @@
     return step.spec.gang or not capacity.holds(step.spec.room.times(_BULKY_PARTS))
 
 
-def is_on_trial(worker: Worker, needs_sound: bool) -> bool:
-    """Whether a worker that has been failing is being proved by the one run that it has.
+def may_be_trusted(cell: Cell, worker: Worker, is_careful: bool) -> bool:
+    """Whether a worker takes more than what proves it, from one that is careful or not."""
+    return not (is_on_trial(worker, cell.now) or (is_careful and is_doubtful(cell, worker)))
 
-    What may not fail again, ``needs_sound``, stays away from it after one failure already.
-    """
-    if not worker.failure_streak or not worker.runs:
+
+def needs_sound(cell: Cell, step: Step) -> bool:
+    """Whether a step may not fail again, and has not waited long for a worker without doubts."""
+    if not _is_last_attempt(cell, step):
         return False
-    return worker.failure_streak > 1 or needs_sound
+    since = max((task.since for task in step.tasks if task.phase is Phase.WAITING), default=0.0)
+    return cell.now - since < _SOUND_SECONDS
 
 
-def is_last_attempt(cell: Cell, step: Step) -> bool:
+def _is_last_attempt(cell: Cell, step: Step) -> bool:
     """Whether one more failure would fail the job."""
     most = cell.queue_of(step.job).max_attempts - 1
     return any(task.failures >= most for task in step.tasks)
--- a/src/snowdock/jobs/set_aside.py
+++ b/src/snowdock/jobs/set_aside.py
@@ -5,7 +5,7 @@
 from .cell import Cell
 from .workers import Worker
 
-__all__ = ["Cause", "set_aside", "take_back_due"]
+__all__ = ["Cause", "set_aside", "take_back", "take_back_due"]
 
 
 class Cause(enum.Enum):
@@ -38,13 +38,25 @@
         )
 
 
+def take_back(cell: Cell, worker: Worker, cause: Cause, now: float) -> None:
+    """End a worker's time aside, where it is set aside for that cause."""
+    if worker.aside_for == cause.value:
+        worker.aside_until = min(worker.aside_until, now)
+        _tell_back(cell, worker, now)
+        cell.placing_wanted = True
+
+
 def take_back_due(cell: Cell, now: float) -> None:
     """Tell of workers whose time aside is over."""
     for worker in cell.workers.values():
         if worker.aside_for and worker.aside_until <= now:
-            cause, worker.aside_for = worker.aside_for, ""
-            counts = _count_aside(cell, worker, cause, now)
-            cell.tell("worker_back", worker.life, cause=cause, **counts)
+            _tell_back(cell, worker, now)
+
+
+def _tell_back(cell: Cell, worker: Worker, now: float) -> None:
+    cause, worker.aside_for = worker.aside_for, ""
+    counts = _count_aside(cell, worker, cause, now)
+    cell.tell("worker_back", worker.life, cause=cause, **counts)
 
 
 def _count_aside(cell: Cell, worker: Worker, cause: str, now: float) -> dict[str, object]:
--- a/src/snowdock/jobs/starving.py
+++ b/src/snowdock/jobs/starving.py
@@ -7,9 +7,10 @@
 import collections
 
 from .availability import Closed, why_closed
+from .blame import is_doubtful, is_on_trial
 from .cell import Cell
 from .parts import Phase, Step
-from .seats import fitting, is_last_attempt, is_on_trial, most_seats
+from .seats import fitting, most_seats, needs_sound
 from .suspects import may_join, next_tasks
 from .workers import Worker
 
@@ -110,8 +111,10 @@
     _, company = next_tasks(step, now)
     if not may_join(worker, company):
         return Closed.SUSPECT
-    if is_on_trial(worker, is_last_attempt(cell, step)):
+    if is_on_trial(worker, now):
         return Closed.ON_TRIAL
+    if needs_sound(cell, step) and is_doubtful(cell, worker):
+        return Closed.DOUBTFUL
     if step.spec.label and step.spec.label not in worker.entry.labels:
         return Closed.UNFIT
     if step.advice is not None:
--- a/src/snowdock/jobs/workers.py
+++ b/src/snowdock/jobs/workers.py
@@ -5,6 +5,7 @@
 
 from ..declarations import ZERO, Size
 from .model import StepKey, TaskId
+from .parts import Step
 
 __all__ = ["SLOWEST_CLOCK_RATE", "Hold", "Worker", "WorkerEntry"]
 
@@ -101,8 +102,12 @@
         When a call first found no answer; None while it answers.
     is_mute
         Whether several calls in a row found no answer.
-    failure_streak
-        Runs that failed or were refused there in a row.
+    charged
+        Steps whose runs failed there since one ended well.
+    times_aside
+        How often it was set aside for failures since a run ended well there.
+    trial_until, trial
+        Until when it takes one run at a time after that, in steady seconds, and which one it took.
     aside_until
         Until when nothing new is placed there, in steady seconds.
     aside_for
@@ -134,7 +139,10 @@
     next_renew_at: float = 0.0
     silent_since: float | None = None
     is_mute: bool = False
-    failure_streak: int = 0
+    charged: dict[StepKey, Step] = dataclasses.field(default_factory=dict)
+    times_aside: int = 0
+    trial_until: float = 0.0
+    trial: tuple[TaskId, int] | None = None
     aside_until: float = 0.0
     aside_for: str = ""
     slow_log: float = 0.0
@@ -153,6 +161,11 @@
         """Whether a run there has to be alone."""
         return bool(self.suspects) and any(self.suspects.values())
 
+    @property
+    def failure_streak(self) -> int:
+        """How many steps have failed there in a row."""
+        return len(self.charged)
+
     @property
     def slowness(self) -> float:
         """How many times longer runs take here than usual."""
--- a/tests/test_jobs_preempting.py
+++ b/tests/test_jobs_preempting.py
@@ -118,7 +118,8 @@
         """Room on a worker that is being proved is not counted as free, nor made there."""
         self.fill(count=1)
         (busy,) = [w for w in self.bench.cell.workers.values() if w.runs]
-        busy.failure_streak = 2
+        busy.trial = next(iter(busy.runs))
+        busy.trial_until = self.bench.now + 60
         self.assertEqual(self.submit_gang(count=3), [])
         self.assertEqual(self.bench.cell.claims, {})
 
