Tell bad steps from spoiling workers by what each does elsewhere; compare ways

Change: a step's runs on a worker weigh by whether the step is bad, judged by how many steps are lately and by the other workers where it ran, but for those set aside; good ends elsewhere set a worker aside late; a run clears what failed before it began; retries go to workers without charges first; a step that has run nothing for two seconds takes workers in that are set aside.

--- /dev/null
+++ b/bench/failures.py
@@ -0,0 +1,177 @@
+"""Compare ways to tell failing jobs from spoiling workers: ``python -m bench.failures WAY ...``.
+
+A way is ``standing``, or settings of the decisions, as in `bench.ways`. All ways play the same
+seeds on the emulator: a settlement service on 24 workers, where a share of the jobs always fails
+and a share of the workers spoils what it starts from second 3 to 12, all of it or, with
+``--part``, some of it. Without shares given, the mixes of `SHARES` are played.
+"""
+
+import argparse
+import concurrent.futures
+import dataclasses
+import statistics
+
+from bench.ways import put_in_force
+from snowdock.emulator import Emulator, EmulatorOptions, WorkloadOptions, draw_workload
+from snowdock.emulator.report import make_report
+from snowdock.emulator.workload import DrawnJob, default_mixes
+from snowdock.jobs.events import Decided
+from snowdock.jobs.model import JobStatus
+
+SECONDS = 20.0
+DRAIN_SECONDS = 30.0
+LOAD = 0.5
+SPOILS_FROM, SPOILS_UNTIL = 3.0, 12.0
+SHARES = ((0.03, 0.0), (0.3, 0.0), (0.6, 0.0), (0.03, 0.25), (0.3, 0.25), (0.1, 0.33))
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Outcome:
+    """A day.
+
+    Attributes
+    ----------
+    starved, longest_s
+        Jobs that ran nothing for 3 s beside free room, and the longest such time in seconds.
+    innocent
+        Good jobs that were shown as failed.
+    spoiled
+        Runs of good jobs that spoiling workers failed.
+    aside_s, sound_aside_s
+        Seconds that spoiling workers were set aside while they spoiled, and sound ones ever, each
+        a worker.
+    heard_s
+        Median seconds until callers of a bad job heard of its end.
+    worth
+        What the good jobs were worth, as a share of what they could be.
+    broken
+        Promises that did not hold.
+    """
+
+    starved: int
+    longest_s: float
+    innocent: int
+    spoiled: int
+    aside_s: float
+    sound_aside_s: float
+    heard_s: float
+    worth: float
+    broken: int
+
+
+class _Day:
+    """A day being played, and what its leader tells of it."""
+
+    def __init__(self, seed: int, failing: float, spoiling: float) -> None:
+        mixes = [dataclasses.replace(mix, hopeless_share=failing) for mix in default_mixes()]
+        workload = WorkloadOptions(SECONDS, LOAD, tuple(mixes))
+        self.jobs = draw_workload(seed, workload)
+        self.emulator = Emulator(seed, EmulatorOptions(workload), self.jobs)
+        self.emulator.listen(Decided, self._note)
+        lives = list(self.emulator.workers)
+        self.spoiling = set(lives[: round(spoiling * len(lives))])
+        self.aside: dict[str, float] = dict.fromkeys(lives, 0.0)
+        self._good = {job.job for job in self.jobs if not job.is_hopeless}
+        self.spoiled = 0
+
+    def _note(self, decided: Decided) -> None:
+        fields = dict(decided.fields)
+        if decided.decision == "run_ended" and fields["how"] == "failed":
+            spoils = SPOILS_FROM <= self.emulator.timeline.now <= SPOILS_UNTIL + 1
+            is_theirs = spoils and fields["worker"] in self.spoiling
+            self.spoiled += is_theirs and decided.subject in self._good
+
+    def play(self) -> None:
+        """Play it, and sample which workers are set aside."""
+        emulator = self.emulator
+        at = 0.0
+        while at < SECONDS + DRAIN_SECONDS:
+            at = round(at + 0.1, 1)
+            spoils = SPOILS_FROM <= at < SPOILS_UNTIL
+            for life in self.spoiling:
+                emulator.workers[life].fails_all = spoils
+            emulator.run_until(at)
+            for life, worker in emulator.leader_cell.workers.items():
+                if worker.aside_until > at and (spoils or life not in self.spoiling):
+                    self.aside[life] += 0.1
+
+
+def play(way: str, seed: int, failing: float, spoiling: float) -> Outcome:
+    """Play a day."""
+    put_in_force(way)
+    day = _Day(seed, failing, spoiling)
+    day.play()
+    return _judge(day)
+
+
+def _judge(day: _Day) -> Outcome:
+    emulator = day.emulator
+    bad = [job for job in day.jobs if job.is_hopeless]
+    good = [job for job in day.jobs if not job.is_hopeless]
+    failed = {job for job, status in emulator.statuses.items() if status is JobStatus.FAILED}
+    starved = emulator.starvation.found.values()
+    sound = [seconds for life, seconds in day.aside.items() if life not in day.spoiling]
+    spoiling = [day.aside[life] for life in day.spoiling]
+    return Outcome(
+        starved=len(starved),
+        longest_s=max((each.seconds for each in starved), default=0.0),
+        innocent=sum(job.job in failed for job in good),
+        spoiled=day.spoiled,
+        aside_s=statistics.mean(spoiling) if spoiling else 0.0,
+        sound_aside_s=statistics.mean(sound),
+        heard_s=statistics.median(_heard(emulator, bad) or [0.0]),
+        worth=make_report(emulator, good).worth,
+        broken=len(emulator.checks.violations),
+    )
+
+
+def _heard(emulator: Emulator, bad: list[DrawnJob]) -> list[float]:
+    shown = emulator.finished_at
+    return [shown[job.job] - job.at for job in bad if job.job in shown]
+
+
+def main() -> None:
+    """Play all ways and print a table for each mix of shares."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("ways", nargs="+", help="standing, or MODULE.CONSTANT=VALUE[,...]")
+    parser.add_argument("--seeds", type=int, default=8)
+    parser.add_argument("--failing", type=float)
+    parser.add_argument("--spoiling", type=float, default=0.0)
+    parser.add_argument("--processes", type=int, default=4)
+    options = parser.parse_args()
+    seeds = range(1, options.seeds + 1)
+    chosen = SHARES if options.failing is None else ((options.failing, options.spoiling),)
+    print("starved longest innocent spoiled aside_s sound_s heard_s worth (gain, spread) broken")
+    # A process for each play: settings of one way may not stay in force for the next.
+    with concurrent.futures.ProcessPoolExecutor(options.processes, max_tasks_per_child=1) as pool:
+        for failing, spoiling in chosen:
+            print(f"{failing:.2f} of the jobs fail, {spoiling:.2f} of the workers spoil")
+            plays = {
+                way: [pool.submit(play, way, seed, failing, spoiling) for seed in seeds]
+                for way in options.ways
+            }
+            days = {way: [run.result() for run in runs] for way, runs in plays.items()}
+            _print_table(days)
+
+
+def _print_table(days: dict[str, list[Outcome]]) -> None:
+    first = [day.worth for day in next(iter(days.values()))]
+    for way, outcomes in days.items():
+        gains = [day.worth - before for day, before in zip(outcomes, first, strict=True)]
+        print(
+            f"{sum(day.starved for day in outcomes):7d}"
+            f" {max(day.longest_s for day in outcomes):7.1f}"
+            f" {sum(day.innocent for day in outcomes):8d}"
+            f" {sum(day.spoiled for day in outcomes):7d}"
+            f" {statistics.mean(day.aside_s for day in outcomes):7.2f}"
+            f" {statistics.mean(day.sound_aside_s for day in outcomes):7.2f}"
+            f" {statistics.mean(day.heard_s for day in outcomes):7.2f}"
+            f" {statistics.mean(day.worth for day in outcomes):.3f}"
+            f" ({statistics.mean(gains):+.3f}, {statistics.pstdev(gains):.3f})"
+            f" {sum(day.broken for day in outcomes):4d}  {way}",
+            flush=True,
+        )
+
+
+if __name__ == "__main__":
+    main()
--- a/src/snowdock/emulator/emulator.py
+++ b/src/snowdock/emulator/emulator.py
@@ -156,6 +156,15 @@
         """Let virtual time pass until a moment."""
         self.timeline.run_until(end)
 
+    def listen(self, kind: type, hear: Callable[[object], None]) -> None:
+        """Hear of all effects of a kind that is not carried out here, such as decisions told."""
+        self._handlers[kind] = lambda _, effect: hear(effect)
+
+    @property
+    def leader_cell(self) -> Cell:
+        """What the newest leader knows."""
+        return self._leaders[-1].cell
+
     def add_worker(self, rack: int, address: str = "") -> str:
         """Add a worker, at an address of its own unless one is given; give its life."""
         self._lives += 1
--- a/src/snowdock/jobs/availability.py
+++ b/src/snowdock/jobs/availability.py
@@ -2,7 +2,7 @@
 
 import enum
 
-from .workers import Worker
+from .workers import FAILURES, Worker
 
 __all__ = ["Closed", "why_closed"]
 
@@ -38,14 +38,17 @@
     """There is no good ticket for it."""
 
 
-def why_closed(worker: Worker, now: float) -> Closed | None:
-    """Tell why nothing new at all is placed on a worker; None where something may be."""
+def why_closed(worker: Worker, now: float, is_last_resort: bool = False) -> Closed | None:
+    """Tell why nothing new at all is placed on a worker; None where something may be.
+
+    As a last resort, workers count that are set aside for failures.
+    """
     # Plain tests: each pass asks this of each worker.
     if not worker.settled or worker.is_mute:
         return Closed.SILENT
     if worker.entry.draining:
         return Closed.LEAVING
-    if worker.aside_until > now:
+    if worker.aside_until > now and not (is_last_resort and worker.aside_for == FAILURES):
         return Closed.ASIDE
     if worker.is_kept_alone:
         return Closed.ALONE
--- a/src/snowdock/jobs/blame.py
+++ b/src/snowdock/jobs/blame.py
@@ -1,13 +1,12 @@
 """Whom a failed run speaks against: its worker, or the job that brought it.
 
 The load this answers: jobs all of whose runs fail, wherever they run, beside workers that spoil
-all they start. Seen from one worker both look alike, runs that fail in a row, so a failure is
-weighed by how surprising it would be on a sound worker: little where the step has failed on other
-workers, or where most of what is new fails at the time; much where the step ends well elsewhere,
-or hardly anything fails. The weight is the negative logarithm of that chance. A worker collects one
-weight for each step that failed there since its last good end; beyond `_LIMIT` it is set aside, and
-takes one run at a time when it is back. What is learned of a step later changes its weight
-everywhere.
+all they start. Seen from one worker both look alike, runs that fail in a row, so these are weighed
+by how surprising they would be on a sound worker: a matter of course where the step is bad, and a
+run's own fault else. Whether a step is bad is judged by how many are lately, and by how it fares on
+other workers. The weight is the negative logarithm of that chance; a worker collects one for each
+step that failed there since its last good end. Beyond `_LIMIT` it is set aside, and takes one run
+at a time when it is back. What is learned of a step later changes its weight everywhere.
 
 All of this is a leader's own: a successor begins without doubts.
 """
@@ -17,23 +16,32 @@
 from .cell import Cell
 from .parts import Step
 from .set_aside import Cause, set_aside, take_back
-from .workers import Worker
+from .workers import Charge, Worker
 
 __all__ = ["begin_trial", "doubt", "is_doubtful", "is_on_trial", "note_failed_run", "note_good_end"]
 
 _OWN_FAULT = 0.05
-"""The least chance that a run of a good step fails on a sound worker: a few in a hundred do, by
-their own fault. With it two steps in a row suffice to set a worker aside on a calm day."""
+"""The chance that a run of a good step fails on a sound worker: a few in a hundred do."""
 
-_LIMIT = 4.6
-"""Doubt beyond which a worker is set aside: its failures would come about by chance once in a
-hundred such rows."""
+_FAULT_ELSEWHERE = 0.15
+"""The chance that a good step fails on another worker, which may be one that spoils its runs."""
 
-_EVIDENCE_ELSEWHERE = 1.0
-"""What another worker's end of a step weighs beside what is usual: as much as one end does."""
+_GOOD_ENDS_FACTOR = 0.1
+"""What is left of the chance that a step is bad with each worker on which it ended well; not
+nothing, since single tasks of it may be bad."""
+
+_LIMIT = 3.2
+"""Doubt beyond which a worker is set aside. On a calm day two runs of one step that fail, or one
+each of two, suffice; where four in ten steps are bad it takes four of these."""
+
+_USUAL_BAD = 0.03
+"""The share of bad steps before any is known, and the least that is reckoned with."""
 
 _SHARE_GAIN = 0.05
-"""How fast the usual share of failures follows: the last twenty steps decide."""
+"""How fast the share of bad steps follows: the last twenty steps decide."""
+
+_BAD_FROM = 2
+"""Workers on which a step has failed, and none on which it ended well, to count it as bad."""
 
 _MOST_ASIDE = 0.5
 """The largest share of a service's workers that is set aside for failures at a time."""
@@ -55,17 +63,42 @@
 
 def note_failed_run(cell: Cell, worker: Worker, step: Step, now: float) -> None:
     """Weigh a run of a step that failed on a worker."""
-    _note_first_end(cell, worker, step, has_failed=True)
-    is_news = worker.life not in step.failed_on
-    step.failed_on.add(worker.life)
-    worker.charged[step.key] = step
-    if is_news:
-        _weigh_again(cell, step, now)
-    was_aside = worker.times_aside > 0
-    if doubt(cell, worker) < _LIMIT or (
-        was_aside and _weight(cell, worker, step) < _TELLING_WEIGHT
-    ):
+    charge = worker.charged.setdefault(step.key, Charge(step))
+    charge.runs += 1
+    charge.at = now
+    if worker.life not in step.failed_on:
+        step.failed_on.add(worker.life)
+        if len(_failed_elsewhere(cell, step)) == _BAD_FROM and not step.done_on:
+            _note_share(cell, worker, is_bad=True)
+        _reconsider_others(cell, worker, step, now)
+    if worker.times_aside and _weight(cell, worker, charge) < _TELLING_WEIGHT:
         return
+    if doubt(cell, worker) >= _LIMIT:
+        _set_aside(cell, worker, now)
+
+
+def note_good_end(cell: Cell, worker: Worker, step: Step, began_at: float, now: float) -> None:
+    """Clear a worker of what failed before a run began there that has ended well.
+
+    That run speaks for the worker as it is now; one that began earlier does not.
+    """
+    for key, charge in list(worker.charged.items()):
+        if charge.at <= began_at:
+            del worker.charged[key]
+    if not worker.charged:
+        worker.times_aside = 0
+        worker.trial_until = 0.0
+        worker.trial = None
+        take_back(cell, worker, Cause.FAILURES, now)
+    if worker.life in step.done_on:
+        return
+    if not step.done_on:
+        _note_share(cell, worker, is_bad=False)
+    step.done_on.add(worker.life)
+    _reconsider_others(cell, worker, step, now)
+
+
+def _set_aside(cell: Cell, worker: Worker, now: float) -> None:
     if _is_enough_aside(cell, worker, now):
         return
     seconds = min(_ASIDE_SECONDS * 2**worker.times_aside, _LONGEST_ASIDE_SECONDS)
@@ -75,24 +108,37 @@
     set_aside(cell, worker, Cause.FAILURES, seconds, now)
 
 
-def note_good_end(cell: Cell, worker: Worker, step: Step | None, now: float) -> None:
-    """Clear a worker where a run ended well, and weigh that step's failures elsewhere anew."""
-    worker.charged.clear()
-    worker.times_aside = 0
-    worker.trial_until = 0.0
-    worker.trial = None
-    take_back(cell, worker, Cause.FAILURES, now)
-    if step is None:
-        return
-    _note_first_end(cell, worker, step, has_failed=False)
-    if worker.life not in step.done_on:
-        step.done_on.add(worker.life)
-        _weigh_again(cell, step, now)
+def _reconsider_others(cell: Cell, worker: Worker, step: Step, now: float) -> None:
+    """Judge other workers where a step has failed by what it did on one."""
+    for life in step.failed_on:
+        other = cell.workers.get(life)
+        if other is None or other is worker:
+            continue
+        found = doubt(cell, other)
+        if found < _LIMIT and other.aside_for == Cause.FAILURES.value:
+            other.times_aside = 0
+            other.trial_until = 0.0
+            take_back(cell, other, Cause.FAILURES, now)
+        elif found >= _LIMIT and not other.times_aside:
+            _set_aside(cell, other, now)
+
+
+def _failed_elsewhere(cell: Cell, step: Step, worker: Worker | None = None) -> set[str]:
+    """Give the other workers where a step has failed, but for those thought to spoil runs."""
+    return {
+        life
+        for life in step.failed_on
+        if (worker is None or life != worker.life) and not _is_aside(cell.workers.get(life))
+    }
+
+
+def _is_aside(worker: Worker | None) -> bool:
+    return worker is not None and worker.aside_for == Cause.FAILURES.value
 
 
 def doubt(cell: Cell, worker: Worker) -> float:
     """Give how much speaks against a worker; 0 where nothing does."""
-    return sum(_weight(cell, worker, step) for step in worker.charged.values())
+    return sum(_weight(cell, worker, charge) for charge in worker.charged.values())
 
 
 def is_doubtful(cell: Cell, worker: Worker) -> bool:
@@ -111,32 +157,21 @@
         worker.trial = run
 
 
-def _weight(cell: Cell, worker: Worker, step: Step) -> float:
-    """Give how much a step's failure on a worker speaks against that worker."""
-    failed = len(step.failed_on - {worker.life}) * _EVIDENCE_ELSEWHERE
-    done = len(step.done_on - {worker.life}) * _EVIDENCE_ELSEWHERE
-    usual = cell.failing_share.get(worker.entry.service, _OWN_FAULT)
-    chance = (usual + failed) / (1.0 + failed + done)
-    return -math.log(max(_OWN_FAULT, chance))
+def _weight(cell: Cell, worker: Worker, charge: Charge) -> float:
+    """Give how much a step's failures on a worker speak against that worker."""
+    step = charge.step
+    bad = cell.bad_share.get(worker.entry.service, _USUAL_BAD)
+    good = (1 - bad) * _FAULT_ELSEWHERE ** len(_failed_elsewhere(cell, step, worker))
+    bad *= _GOOD_ENDS_FACTOR ** len(step.done_on - {worker.life})
+    bad /= bad + good
+    return -math.log(bad + (1 - bad) * _OWN_FAULT**charge.runs)
 
 
-def _note_first_end(cell: Cell, worker: Worker, step: Step, has_failed: bool) -> None:
-    """Learn from a step's first end how usual failures are."""
-    if step.failed_on or step.done_on:
-        return
+def _note_share(cell: Cell, worker: Worker, is_bad: bool) -> None:
+    """Learn from a step how usual bad ones are."""
     service = worker.entry.service
-    usual = cell.failing_share.get(service, _OWN_FAULT)
-    cell.failing_share[service] = usual + _SHARE_GAIN * (has_failed - usual)
-
-
-def _weigh_again(cell: Cell, step: Step, now: float) -> None:
-    """Take workers back that were set aside for what turns out to be the step's own doing."""
-    for life in step.failed_on:
-        worker = cell.workers.get(life)
-        if worker is not None and worker.aside_until > now and doubt(cell, worker) < _LIMIT:
-            worker.times_aside = 0
-            worker.trial_until = 0.0
-            take_back(cell, worker, Cause.FAILURES, now)
+    share = cell.bad_share.get(service, _USUAL_BAD)
+    cell.bad_share[service] = max(_USUAL_BAD, share + _SHARE_GAIN * (is_bad - share))
 
 
 def _is_enough_aside(cell: Cell, worker: Worker, now: float) -> bool:
--- a/src/snowdock/jobs/cell.py
+++ b/src/snowdock/jobs/cell.py
@@ -191,8 +191,8 @@
         Jobs with repetitions still to come.
     crashed_at
         When a worker last crashed at an address, in steady seconds.
-    failing_share
-        By service: the share of steps that fail at their first end, lately.
+    bad_share
+        By service: the share of steps that fail wherever they run, lately.
     silences
         When workers last fell silent, in steady seconds.
     claims
@@ -244,7 +244,7 @@
         self.waiting: dict[StepKey, Step] = {}
         self.scheduled: dict[JobId, Job] = {}
         self.crashed_at: dict[str, float] = {}
-        self.failing_share: dict[str, float] = {}
+        self.bad_share: dict[str, float] = {}
         self.silences: collections.deque[float] = collections.deque(maxlen=_SILENCES_KEPT)
         self.claims: dict[StepKey, Claim] = {}
         self.starting_gangs: dict[StepKey, Step] = {}
--- a/src/snowdock/jobs/placing.py
+++ b/src/snowdock/jobs/placing.py
@@ -15,7 +15,7 @@
 from .quotas import keep_quotas, tasks_within_quota
 from .ranking import rank_again
 from .reserving import reserve
-from .seats import Seats, choose_workers, find_seats, is_bulky
+from .seats import Care, Seats, care_of, choose_workers, find_seats, is_bulky
 from .suspects import Company, may_join, next_tasks, note_suspect, spread
 from .workers import Worker
 
@@ -90,6 +90,32 @@
 _NO_POOL = _Pool()
 
 
+class _Pools:
+    """The workers that may take something in a pass, by service."""
+
+    def __init__(self, cell: Cell, now: float) -> None:
+        self._cell = cell
+        self._now = now
+        self._usual = self._make(is_last_resort=False)
+        self._last_resort: dict[str, _Pool] | None = None
+
+    def pool_for(self, step: Step) -> _Pool:
+        """Give the workers that may take something of a step."""
+        service = self._cell.queue_of(step.job).service
+        if care_of(self._cell, step) is not Care.NONE:
+            return self._usual.get(service, _NO_POOL)
+        if self._last_resort is None:
+            self._last_resort = self._make(is_last_resort=True)
+        return self._last_resort.get(service, _NO_POOL)
+
+    def _make(self, is_last_resort: bool) -> dict[str, _Pool]:
+        pools: dict[str, _Pool] = {}
+        for worker in self._cell.workers.values():
+            if why_closed(worker, self._now, is_last_resort) is None:
+                pools.setdefault(worker.entry.service, _Pool()).add(worker)
+        return pools
+
+
 def place_waiting(cell: Cell, now: float) -> None:
     """Place what finds room, the highest rank first."""
     if not cell.waiting or now < cell.place_again_at:
@@ -99,7 +125,7 @@
     drop_claims(cell, now)
     rank_again(cell, now)
     keep_quotas(cell)
-    pools = _make_pools(cell, now)
+    pools = _Pools(cell, now)
     looks = len(cell.workers)
     by_rank = sorted(cell.waiting.values(), key=lambda step: -step.rank)
     looks += _look(cell, by_rank, pools, now, _LOOKS_A_PASS // 2)
@@ -112,7 +138,7 @@
     cell.place_again_at = now + max(_PLACING_INTERVAL_SECONDS, pause)
 
 
-def _look(cell: Cell, steps: list[Step], pools: dict[str, _Pool], now: float, most: int) -> int:
+def _look(cell: Cell, steps: list[Step], pools: _Pools, now: float, most: int) -> int:
     """Look for room for steps in order, with so many looks at most; give how many it took."""
     looks = 0
     for step in steps:
@@ -125,16 +151,7 @@
     return looks
 
 
-def _make_pools(cell: Cell, now: float) -> dict[str, _Pool]:
-    """Give the workers that may take something, by service."""
-    pools: dict[str, _Pool] = {}
-    for worker in cell.workers.values():
-        if why_closed(worker, now) is None:
-            pools.setdefault(worker.entry.service, _Pool()).add(worker)
-    return pools
-
-
-def _place_step(cell: Cell, step: Step, pools: dict[str, _Pool], now: float) -> int:
+def _place_step(cell: Cell, step: Step, pools: _Pools, now: float) -> int:
     """Place what finds room of one step; give how many workers were looked at."""
     tasks, company = next_tasks(step, now)
     if not tasks:
@@ -143,7 +160,7 @@
     tasks = tasks[: _within_quota(cell, step, len(tasks))]
     if not tasks:
         return 1
-    pool = pools.get(cell.queue_of(step.job).service, _NO_POOL)
+    pool = pools.pool_for(step)
     step.is_bulky = is_bulky(step, pool.capacity)
     if not pool.may_hold(step):
         return 1
--- a/src/snowdock/jobs/preempting.py
+++ b/src/snowdock/jobs/preempting.py
@@ -15,7 +15,7 @@
 from .parts import Phase, Step, Task
 from .reserving import release_claim
 from .runs import stop_run
-from .seats import fitting, may_be_trusted, most_seats, needs_sound
+from .seats import care_of, fitting, may_be_trusted, most_seats
 from .workers import Hold, Worker
 
 __all__ = ["drop_claims", "has_claim", "make_room"]
@@ -88,11 +88,11 @@
     def yields(other: Step) -> bool:
         return cell.policy.yields(step, other, now)
 
-    is_careful = needs_sound(cell, step)
+    care = care_of(cell, step)
     return [
         _offer(step, worker, _yielding_tasks(cell, worker, yields))
         for worker in workers
-        if _holds_long(step, worker, now) and may_be_trusted(cell, worker, is_careful)
+        if _holds_long(step, worker, now) and may_be_trusted(cell, worker, care)
     ]
 
 
--- a/src/snowdock/jobs/reserving.py
+++ b/src/snowdock/jobs/reserving.py
@@ -12,7 +12,7 @@
 from .forecast import room_to_come
 from .model import StepKey
 from .parts import Step
-from .seats import fitting, may_be_trusted, most_seats, needs_sound
+from .seats import care_of, fitting, may_be_trusted, most_seats
 from .workers import Hold, Worker
 
 __all__ = ["find_reservation", "keep_room", "release_claim", "reserve"]
@@ -83,10 +83,10 @@
 
     A gang that will not find room for all of its tasks is given none.
     """
-    is_careful = needs_sound(cell, step)
+    care = care_of(cell, step)
     seats: list[tuple[float, Worker]] = []
     for worker in workers:
-        if may_be_trusted(cell, worker, is_careful):
+        if may_be_trusted(cell, worker, care):
             seats += [(at, worker) for at in _seat_times(cell, step, worker, wanted, now)]
     if step.spec.gang and len(seats) < wanted:
         return []
--- a/src/snowdock/jobs/runs.py
+++ b/src/snowdock/jobs/runs.py
@@ -1,5 +1,7 @@
 """How runs end and what follows for their tasks, steps and jobs."""
 
+import math
+
 from .blame import note_failed_run, note_good_end
 from .cell import Cell, HeldRenewal, Stop
 from .durability import mark
@@ -126,11 +128,13 @@
 
 
 def _note_health(cell: Cell, worker: Worker, end: EndedRun, task: Task | None, now: float) -> None:
-    step = None if task is None else task.step
+    if task is None:
+        return
     if end.kind is EndKind.DONE:
-        note_good_end(cell, worker, step, now)
-    elif end.kind is EndKind.FAILED and step is not None:
-        note_failed_run(cell, worker, step, now)
+        began_at = task.since if task.is_current_run(end.run, worker.life) else -math.inf
+        note_good_end(cell, worker, task.step, began_at, now)
+    elif end.kind is EndKind.FAILED:
+        note_failed_run(cell, worker, task.step, now)
 
 
 def _finish(cell: Cell, task: Task, now: float) -> None:
--- a/src/snowdock/jobs/seats.py
+++ b/src/snowdock/jobs/seats.py
@@ -1,6 +1,7 @@
 """Where tasks of a step find room: workers, how many tasks each takes, and how good it is."""
 
 import dataclasses
+import enum
 from collections.abc import Iterable, Iterator
 
 from ..declarations import Size
@@ -11,14 +12,16 @@
 from .workers import Worker
 
 __all__ = [
+    "Care",
     "Seats",
+    "care_of",
     "choose_workers",
     "find_seats",
     "fitting",
     "is_bulky",
     "may_be_trusted",
     "most_seats",
-    "needs_sound",
+    "waiting_since",
 ]
 
 _UNBOUNDED = 1_000
@@ -30,9 +33,21 @@
 more than two, a piece as large seldom comes free by chance."""
 
 
-_SOUND_SECONDS = 1.0
-"""How long a last attempt waits for a worker without doubts: tickets and records take as long
-again, and users allow three seconds beside free room."""
+_CAREFUL_SECONDS = 1.0
+"""How long a last attempt waits for a worker without doubts."""
+
+_LONGEST_CHOOSY_SECONDS = 2.0
+"""A step that runs nothing waits so long at most for workers that are not set aside for failures:
+users allow three seconds beside free room, and a ticket and a record take up to one of them. A last
+attempt waits half a second longer."""
+
+
+class Care(enum.IntEnum):
+    """How choosy a step is about workers where runs have failed."""
+
+    NONE = 0
+    USUAL = 1
+    MOST = 2
 
 
 @dataclasses.dataclass(slots=True)
@@ -62,12 +77,12 @@
     """
     spec = step.spec
     room = spec.room
-    is_careful = needs_sound(cell, step)
+    care = care_of(cell, step)
     for worker in workers:
         free = _free_now(cell, step, worker, over_reservations)
         if not free.holds(room):
             continue
-        if not may_be_trusted(cell, worker, is_careful):
+        if not may_be_trusted(cell, worker, care):
             continue
         count = min(fitting(free, room), most_seats(step, worker))
         if count <= 0:
@@ -100,17 +115,31 @@
     return step.spec.gang or not capacity.holds(step.spec.room.times(_BULKY_PARTS))
 
 
-def may_be_trusted(cell: Cell, worker: Worker, is_careful: bool) -> bool:
-    """Whether a worker takes more than what proves it, from one that is careful or not."""
-    return not (is_on_trial(worker, cell.now) or (is_careful and is_doubtful(cell, worker)))
+def care_of(cell: Cell, step: Step) -> Care:
+    """Tell how choosy a step is about workers where runs have failed."""
+    waited = cell.now - waiting_since(step)
+    if waited < _CAREFUL_SECONDS:
+        return Care.MOST if _is_last_attempt(cell, step) else Care.USUAL
+    longest = _LONGEST_CHOOSY_SECONDS
+    if _is_last_attempt(cell, step):
+        longest += _CAREFUL_SECONDS / 2
+    is_stuck = waited >= longest and not any(task.is_placed for task in step.tasks)
+    return Care.NONE if is_stuck else Care.USUAL
 
 
-def needs_sound(cell: Cell, step: Step) -> bool:
-    """Whether a step may not fail again, and has not waited long for a worker without doubts."""
-    if not _is_last_attempt(cell, step):
+def may_be_trusted(cell: Cell, worker: Worker, care: Care) -> bool:
+    """Whether a worker where runs have failed takes another one."""
+    if care is Care.NONE:
+        return True
+    if is_on_trial(worker, cell.now):
         return False
-    since = max((task.since for task in step.tasks if task.phase is Phase.WAITING), default=0.0)
-    return cell.now - since < _SOUND_SECONDS
+    return care is Care.USUAL or not is_doubtful(cell, worker)
+
+
+def waiting_since(step: Step) -> float:
+    """Give since when all waiting tasks of a step have waited, in steady seconds."""
+    waiting = (task.since for task in step.tasks if task.phase is Phase.WAITING)
+    return max(step.queued_at, max(waiting, default=0.0))
 
 
 def _is_last_attempt(cell: Cell, step: Step) -> bool:
@@ -161,9 +190,10 @@
     avoided = set()
     for task in tasks:
         avoided |= task.avoid or set()
-    if avoided:
-        # What failed on a worker goes elsewhere while there is an elsewhere.
-        seats.sort(key=lambda seat: seat.worker.life in avoided)
+    if avoided or any(seat.worker.aside_for for seat in seats):
+        # What failed on a worker goes elsewhere while there is an elsewhere, and so does what had
+        # to take workers in that are set aside.
+        seats.sort(key=lambda seat: (seat.worker.life in avoided, bool(seat.worker.charged)))
     chosen: list[Worker] = []
     for seat in seats:
         taken = min(seat.count, len(tasks) - len(chosen))
--- a/src/snowdock/jobs/set_aside.py
+++ b/src/snowdock/jobs/set_aside.py
@@ -3,7 +3,7 @@
 import enum
 
 from .cell import Cell
-from .workers import Worker
+from .workers import FAILURES, Worker
 
 __all__ = ["Cause", "set_aside", "take_back", "take_back_due"]
 
@@ -11,7 +11,7 @@
 class Cause(enum.Enum):
     """What speaks against a worker that is set aside."""
 
-    FAILURES = "failures"
+    FAILURES = FAILURES
     """Runs failed there."""
     UNANSWERED = "unanswered"
     """A start had no answer."""
--- a/src/snowdock/jobs/starving.py
+++ b/src/snowdock/jobs/starving.py
@@ -9,8 +9,8 @@
 from .availability import Closed, why_closed
 from .blame import is_doubtful, is_on_trial
 from .cell import Cell
-from .parts import Phase, Step
-from .seats import fitting, most_seats, needs_sound
+from .parts import Step
+from .seats import Care, care_of, fitting, most_seats, waiting_since
 from .suspects import may_join, next_tasks
 from .workers import Worker
 
@@ -38,7 +38,7 @@
     if now - cell.starving_told_at < _TELL_SECONDS:
         return
     cell.starving_told_at = now
-    idle = [step for step in cell.waiting.values() if now - _idle_since(step) >= _IDLE_SECONDS]
+    idle = [step for step in cell.waiting.values() if now - waiting_since(step) >= _IDLE_SECONDS]
     if not idle:
         return
     services: dict[str, list[Worker]] = collections.defaultdict(list)
@@ -46,7 +46,7 @@
         services[worker.entry.service].append(worker)
     free = {service for service, workers in services.items() if _is_mostly_free(workers)}
     starving = [step for step in idle if cell.queue_of(step.job).service in free]
-    starving.sort(key=_idle_since)
+    starving.sort(key=waiting_since)
     told = 0
     for step in starving:
         if told >= _MOST_TOLD:
@@ -57,12 +57,6 @@
             told += 1
 
 
-def _idle_since(step: Step) -> float:
-    """Give since when the waiting tasks of a step have all waited, in steady seconds."""
-    waiting = (task.since for task in step.tasks if task.phase is Phase.WAITING)
-    return max(step.queued_at, max(waiting, default=0.0))
-
-
 def _is_idle(step: Step) -> bool:
     return not any(task.is_placed for task in step.job.all_tasks())
 
@@ -92,7 +86,7 @@
         "job_starves",
         step.job.id,
         step=step.number,
-        waiting_s=now - _idle_since(step),
+        waiting_s=now - waiting_since(step),
         failures=max(task.failures for task in step.tasks),
         paused_s=max(0.0, step.not_before - now),
         at_quota=step.is_at_quota,
@@ -113,7 +107,7 @@
         return Closed.SUSPECT
     if is_on_trial(worker, now):
         return Closed.ON_TRIAL
-    if needs_sound(cell, step) and is_doubtful(cell, worker):
+    if care_of(cell, step) is Care.MOST and is_doubtful(cell, worker):
         return Closed.DOUBTFUL
     if step.spec.label and step.spec.label not in worker.entry.labels:
         return Closed.UNFIT
--- a/src/snowdock/jobs/workers.py
+++ b/src/snowdock/jobs/workers.py
@@ -7,11 +7,14 @@
 from .model import StepKey, TaskId
 from .parts import Step
 
-__all__ = ["SLOWEST_CLOCK_RATE", "Hold", "Worker", "WorkerEntry"]
+__all__ = ["FAILURES", "SLOWEST_CLOCK_RATE", "Charge", "Hold", "Worker", "WorkerEntry"]
 
 SLOWEST_CLOCK_RATE = 0.975
 """A worker's steady clock may run 2 % slow; half a percent is left for the node's own."""
 
+FAILURES = "failures"
+"""Why a worker is set aside where runs have failed."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class WorkerEntry:
@@ -64,6 +67,15 @@
     rank: float = math.inf
 
 
+@dataclasses.dataclass(slots=True)
+class Charge:
+    """A step whose runs failed on a worker, how many did, and when last, in steady seconds."""
+
+    step: Step
+    runs: int = 0
+    at: float = 0.0
+
+
 @dataclasses.dataclass(slots=True)
 class Worker:
     """One life of a worker, as the leader sees it.
@@ -103,7 +115,7 @@
     is_mute
         Whether several calls in a row found no answer.
     charged
-        Steps whose runs failed there since one ended well.
+        Steps whose runs failed there since one ended well, and how many runs of each.
     times_aside
         How often it was set aside for failures since a run ended well there.
     trial_until, trial
@@ -139,7 +151,7 @@
     next_renew_at: float = 0.0
     silent_since: float | None = None
     is_mute: bool = False
-    charged: dict[StepKey, Step] = dataclasses.field(default_factory=dict)
+    charged: dict[StepKey, Charge] = dataclasses.field(default_factory=dict)
     times_aside: int = 0
     trial_until: float = 0.0
     trial: tuple[TaskId, int] | None = None
