Test the same fault where starts are malformed, and on the shared log; it fails

A start that a worker calls malformed sets that worker aside for a second, and the job tries the next one for ever; and on the shared log five failures in a row leave a worker with one task at a time, whatever failed and however many workers are in that state. Change: tests only, and the emulator excuses jobs that went with a worker until that can be known. Conclusion: to be mended next.

--- a/src/snowdock/emulator/emulator.py
+++ b/src/snowdock/emulator/emulator.py
@@ -56,6 +56,10 @@
 _RETURN_SECONDS = 3.5
 """After how long another life stands where a task has ended a worker."""
 
+_CRASH_KNOWN_SECONDS = 5.0
+"""Within so long a leader may take a crashed worker's runs as over: another life answers, or the
+leases are over by the worker's own clock."""
+
 _HEARTBEAT_SECONDS = 1.5
 _SHRUNK_COUNTS_SECONDS = 4.5
 """How often workers' entries are written, and how much later than a change of room starts beyond
@@ -205,6 +209,7 @@
         model = self.workers[life]
         if not model.is_up:
             return
+        self.starvation.excuse(model.running, self.timeline.now + _CRASH_KNOWN_SECONDS)
         model.crash()
         self.timeline.after(4.5, lambda: self._tell_all(WorkerDelisted(life)))
         if returns_after is not None:
--- a/src/snowdock/emulator/starvation.py
+++ b/src/snowdock/emulator/starvation.py
@@ -55,6 +55,12 @@
         self._checks = checks
         self._may_run = may_run
         self._idle_since: dict[str, float] = {}
+        self._excused_until: dict[str, float] = {}
+
+    def excuse(self, tasks: Iterable[TaskId], until: float) -> None:
+        """Let the jobs of tasks that went with their worker wait until that can be known."""
+        for task in tasks:
+            self._excused_until[task.job] = until
 
     def disturb(self) -> None:
         """Begin anew, since something went wrong that excuses waiting."""
@@ -67,7 +73,8 @@
         if _is_mostly_free(up):
             busy = {task.job for worker in up for task in worker.running}
             for job in open_jobs:
-                step = None if job in busy else self._next_step(job, up)
+                is_excused = job in busy or self._excused_until.get(job, now) > now
+                step = None if is_excused else self._next_step(job, up)
                 if step is not None:
                     since = idle[job] = self._idle_since.get(job, now)
                     self._note(job, step, since, now)
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -109,6 +109,34 @@
         self.assertEqual(len(result.placements), 1)
 
 
+class TestFailingWorks(unittest.TestCase):
+    """Works that always fail give all workers a long record of failures; others still run."""
+
+    def failing_cluster(self, workers: int) -> tuple[State, RoomIndex]:
+        state, index = cluster([Size(8, 8)] * workers)
+        for worker in state.workers.values():
+            worker.streak = 9
+            worker.attempts = {"1.0.1": Size(1, 1)}
+            worker.used = Size(1, 1)
+            index.update(worker)
+        return state, index
+
+    def test_most_workers_are_never_closed(self) -> None:
+        """Where more than half of the workers fail, it is for what they are given."""
+        state, index = self.failing_cluster(4)
+        found = place(work("batch", 4, Size(2, 2)), state, index, PolicyBook([].append), ZERO)
+        self.assertEqual(len(found.placements), 4)
+
+    def test_few_workers_that_fail_are_probed(self) -> None:
+        """Where others do well, those that fail have one task at a time."""
+        state, index = self.failing_cluster(4)
+        for name in ("w1", "w2", "w3"):
+            state.workers[name].streak = 0
+            index.update(state.workers[name])
+        found = place(work("batch", 12, Size(2, 2)), state, index, PolicyBook([].append), ZERO)
+        self.assertNotIn("w0", {placed.worker for placed in found.placements})
+
+
 class TestMakeRoom(unittest.TestCase):
     def setUp(self) -> None:
         self.alarms: list = []
--- a/tests/test_jobs_failing.py
+++ b/tests/test_jobs_failing.py
@@ -14,8 +14,9 @@
 from snowdock.declarations import Size
 from snowdock.emulator import Emulator, EmulatorOptions, WorkloadOptions, draw_workload
 from snowdock.emulator.workload import DrawnJob, default_mixes
-from snowdock.jobs.events import JobCancelled
+from snowdock.jobs.events import JobCancelled, StartAnswered
 from snowdock.jobs.model import JobStatus, StepSpec
+from snowdock.jobs.orders import Refusal, StartResult
 from tests.jobs_tools import FAILED, Bench
 
 SECONDS = 20.0
@@ -105,6 +106,50 @@
                 self.bench.submit()
                 self.wait_for_start()
 
+    def test_last_attempt_beside_a_run_that_lasts(self) -> None:
+        """What may not fail again prefers sound workers, and does not wait for one for ever."""
+        self.begin(LASTING)
+        job = self.bench.submit()
+        for run in (1, 2, 3):
+            start = self.wait_for_start()
+            self.assertEqual((start.order.task.job, start.order.run), (job, run))
+            self.bench.confirm(start)
+            ended = [(start.order.task, run, FAILED)]
+            self.bench.report("w", running=self.there, ended=ended)
+        self.assertEqual(self.wait_for_start().order.run, 4)
+
+
+class TestMalformedStarts(unittest.TestCase):
+    """A worker that calls a start malformed has said something of the job, not of itself."""
+
+    def setUp(self) -> None:
+        self.bench = Bench()
+        self.bench.add_worker("w")
+
+    def refuse(self, start) -> None:
+        result = StartResult(Refusal.MALFORMED, self.bench.now * 1000)
+        self.bench.feed(StartAnswered("w", start.order.task, start.order.run, result))
+
+    def test_worker_serves_others_at_once(self) -> None:
+        """Nothing is set aside for it."""
+        self.bench.submit()
+        (bad,) = self.bench.starts()
+        self.refuse(bad)
+        good = self.bench.submit()
+        found = self.bench.starts(self.bench.effects + self.bench.tick(0.1))
+        self.assertEqual([start.order.task.job for start in found], [good])
+
+    def test_job_is_given_up(self) -> None:
+        """Its caller gets its final answer after as many refusals as failed runs are allowed."""
+        job = self.bench.submit()
+        starts = self.bench.starts()
+        for _ in range(3):
+            self.assertEqual(len(starts), 1)
+            self.refuse(starts[0])
+            starts = self.bench.starts(self.bench.tick(3.0))
+        self.assertEqual(starts, [])
+        self.assertEqual(self.bench.cell.jobs[job].status, JobStatus.FAILED)
+
 
 if __name__ == "__main__":
     unittest.main()
