Give up starts that workers call malformed; never close most workers of the shared log

Cause: what a refusal or a failure says of the work was charged to the worker that told of it. Ruled out: charging refusals for want of room or for a late lease to nobody: they do speak of the worker, or of the way to it. Change: a malformed start sets no worker aside and counts as a failed run of its task, on record, so the caller gets a final answer after max_attempts of them, a second apart, also through takeovers. On the shared log a worker with five failures in a row has one task at a time only while at most half of all are so; what is reserved there still counts alone, so the existing test of a single failing worker stands as it was.

--- a/src/snowdock/decisions/room.py
+++ b/src/snowdock/decisions/room.py
@@ -15,6 +15,10 @@
 _SET_ASIDE_STREAK = 5
 """Failures in a row after which a worker gets one task at a time, as a probe."""
 
+_MOST_ASIDE = 0.5
+"""Where a larger share of the workers has failed so often, it is for what they are given: works
+that always fail once closed all four of four workers to everything else."""
+
 
 class RoomIndex:
     """Workers that may take tasks, sorted by free processors within free accelerators.
@@ -30,6 +34,7 @@
         self._free: dict[str, Size] = {}
         self._workers: dict[str, Worker] = {}
         self._reserved: dict[str, Size] = {}
+        self._failing: set[str] = set()
 
     def __len__(self) -> int:
         return len(self._workers)
@@ -46,6 +51,10 @@
     def update(self, worker: Worker) -> None:
         """Take over a worker's present state."""
         self._workers[worker.name] = worker
+        if worker.streak >= _SET_ASIDE_STREAK:
+            self._failing.add(worker.name)
+        else:
+            self._failing.discard(worker.name)
         self._refresh(worker.name)
 
     def reserve(self, name: str, size: Size) -> None:
@@ -71,8 +80,6 @@
         self._free[name] = free
         if worker.state != VmState.LIVE or free.cpu <= 0 or free.memory <= 0:
             return
-        if worker.streak >= _SET_ASIDE_STREAK and (worker.attempts or name in self._reserved):
-            return
         bucket = self._buckets.setdefault(free.accelerators, SortedKeyList(key=lambda e: e))
         bucket.add((free.cpu, name))
         self._entries[name] = (free.accelerators, free.cpu)
@@ -110,5 +117,14 @@
     def _holding(self, bucket: SortedKeyList, numbers, size: Size) -> Iterator[str]:
         for number in numbers:
             name = bucket[number][1]
-            if self._free[name].holds(size):
+            if self._free[name].holds(size) and not self._is_being_probed(name):
                 yield name
+
+    def _is_being_probed(self, name: str) -> bool:
+        """Whether a failing worker has the one task that shows whether it still fails."""
+        if name not in self._failing:
+            return False
+        if name in self._reserved:
+            return True
+        are_few = len(self._failing) <= _MOST_ASIDE * len(self._workers)
+        return are_few and bool(self._workers[name].attempts)
--- a/src/snowdock/jobs/order_answers.py
+++ b/src/snowdock/jobs/order_answers.py
@@ -5,13 +5,16 @@
 from .events import StartAnswered, StopAnswered
 from .orders import Refusal
 from .parts import Phase, Task
-from .runs import note_begun, stop_run, void_run
+from .runs import note_begun, refuse_run, stop_run, void_run
 from .set_aside import Cause, set_aside
 from .worker_lives import take_life_refusal
 from .workers import Worker
 
 __all__ = ["take_start_answer", "take_stop_answer"]
 
+_ABOUT_THE_ORDER = (Refusal.SUPERSEDED, Refusal.MALFORMED)
+"""Refusals that say nothing of the worker; a ticket that does not hold is one more."""
+
 _UNWELL_SECONDS = 1.0
 """How long nothing is placed on a worker that turned a start away as unwell."""
 
@@ -67,11 +70,13 @@
     step = task.step
     if refusal is Refusal.TICKET and step.advice is not None:
         step.advice.tickets[worker.life] = ("", 0.0)
-    elif refusal is not Refusal.SUPERSEDED:
+    elif refusal not in _ABOUT_THE_ORDER:
         set_aside(cell, worker, Cause.REFUSED, _UNWELL_SECONDS, now)
-    if refusal is Refusal.MALFORMED:
-        step.not_before = now + _UNWELL_SECONDS
+    run = task.run
     void_run(cell, task, now)
+    if refusal is Refusal.MALFORMED:
+        # Other workers will say the same: without a bound the job never ends for its caller.
+        refuse_run(cell, task, run, worker.life, now)
 
 
 def take_stop_answer(cell: Cell, event: StopAnswered, now: float) -> None:
--- a/src/snowdock/jobs/runs.py
+++ b/src/snowdock/jobs/runs.py
@@ -20,6 +20,7 @@
     "note_begun",
     "open_repetition",
     "open_steps",
+    "refuse_run",
     "send_stop",
     "stop_run",
     "take_end",
@@ -27,6 +28,10 @@
 ]
 
 
+_MALFORMED_PAUSE_SECONDS = 1.0
+"""Pause after a start that was called malformed."""
+
+
 def open_repetition(job: Job, repetition: int) -> list[Step]:
     """Make the steps and tasks of one repetition."""
     steps = []
@@ -179,6 +184,16 @@
         fail_job(cell, step.job, now)
 
 
+def refuse_run(cell: Cell, task: Task, run: int, life: str, now: float) -> None:
+    """Count a run that its worker called malformed as a failed one, on record as these are."""
+    job = task.step.job
+    if job.status.is_final:
+        return
+    mark(cell, job)
+    _note_failure(cell, task, run, life, now)
+    task.step.not_before = max(task.step.not_before, now + _MALFORMED_PAUSE_SECONDS)
+
+
 def _wait_again(cell: Cell, task: Task, now: float) -> None:
     task.phase = Phase.WAITING
     task.since = now
