Give a worker that is back one run, not one pass; bound what it is charged with

Cause: a worker back from being set aside took as many tasks as fit in one pass, so a spoiling one spoiled them all; charges had no bound where nothing ever ends well; a step could be counted as bad twice. Ruled out: a limit of charges by age (they are cleared by runs that began later). Change: one task at a time while on trial; 32 charges a worker; a step counts as bad once. Tests of each rule of jobs/blame.py.

--- a/src/snowdock/jobs/blame.py
+++ b/src/snowdock/jobs/blame.py
@@ -18,7 +18,14 @@
 from .set_aside import Cause, set_aside, take_back
 from .workers import Charge, Worker
 
-__all__ = ["begin_trial", "doubt", "is_doubtful", "is_on_trial", "note_failed_run", "note_good_end"]
+__all__ = [
+    "begin_trial",
+    "is_being_proved",
+    "is_doubtful",
+    "is_on_trial",
+    "note_failed_run",
+    "note_good_end",
+]
 
 _OWN_FAULT = 0.05
 """The chance that a run of a good step fails on a sound worker: a few in a hundred do."""
@@ -43,6 +50,9 @@
 _BAD_FROM = 2
 """Workers on which a step has failed, and none on which it ended well, to count it as bad."""
 
+_MOST_CHARGES = 32
+"""The most steps that a worker is charged with: the oldest is dropped where nothing ends well."""
+
 _MOST_ASIDE = 0.5
 """The largest share of a service's workers that is set aside for failures at a time."""
 
@@ -63,17 +73,14 @@
 
 def note_failed_run(cell: Cell, worker: Worker, step: Step, now: float) -> None:
     """Weigh a run of a step that failed on a worker."""
-    charge = worker.charged.setdefault(step.key, Charge(step))
-    charge.runs += 1
-    charge.at = now
+    charge = _charge(worker, step, now)
     if worker.life not in step.failed_on:
         step.failed_on.add(worker.life)
-        if len(_failed_elsewhere(cell, step)) == _BAD_FROM and not step.done_on:
-            _note_share(cell, worker, is_bad=True)
+        _judge_step(cell, worker, step)
         _reconsider_others(cell, worker, step, now)
     if worker.times_aside and _weight(cell, worker, charge) < _TELLING_WEIGHT:
         return
-    if doubt(cell, worker) >= _LIMIT:
+    if _doubt(cell, worker) >= _LIMIT:
         _set_aside(cell, worker, now)
 
 
@@ -98,6 +105,24 @@
     _reconsider_others(cell, worker, step, now)
 
 
+def _charge(worker: Worker, step: Step, now: float) -> Charge:
+    charge = worker.charged.pop(step.key, None) or Charge(step)
+    charge.runs += 1
+    charge.at = now
+    worker.charged[step.key] = charge
+    if len(worker.charged) > _MOST_CHARGES:
+        del worker.charged[next(iter(worker.charged))]
+    return charge
+
+
+def _judge_step(cell: Cell, worker: Worker, step: Step) -> None:
+    """Count a step as bad, once, when it has failed on enough workers."""
+    if step.is_bad or step.done_on or len(_failed_elsewhere(cell, step)) < _BAD_FROM:
+        return
+    step.is_bad = True
+    _note_share(cell, worker, is_bad=True)
+
+
 def _set_aside(cell: Cell, worker: Worker, now: float) -> None:
     if _is_enough_aside(cell, worker, now):
         return
@@ -114,7 +139,7 @@
         other = cell.workers.get(life)
         if other is None or other is worker:
             continue
-        found = doubt(cell, other)
+        found = _doubt(cell, other)
         if found < _LIMIT and other.aside_for == Cause.FAILURES.value:
             other.times_aside = 0
             other.trial_until = 0.0
@@ -136,24 +161,29 @@
     return worker is not None and worker.aside_for == Cause.FAILURES.value
 
 
-def doubt(cell: Cell, worker: Worker) -> float:
+def _doubt(cell: Cell, worker: Worker) -> float:
     """Give how much speaks against a worker; 0 where nothing does."""
     return sum(_weight(cell, worker, charge) for charge in worker.charged.values())
 
 
 def is_doubtful(cell: Cell, worker: Worker) -> bool:
     """Whether a worker is no place for what may not fail again, while another run proves it."""
-    return bool(worker.charged and worker.runs) and doubt(cell, worker) >= _DOUBTFUL
+    return bool(worker.charged and worker.runs) and _doubt(cell, worker) >= _DOUBTFUL
 
 
 def is_on_trial(worker: Worker, now: float) -> bool:
-    """Whether a worker that was set aside is being proved by the one run that it took since."""
-    return worker.trial is not None and worker.trial_until > now and worker.trial in worker.runs
+    """Whether a worker that was set aside takes one run at a time."""
+    return worker.trial_until > now
+
+
+def is_being_proved(worker: Worker, now: float) -> bool:
+    """Whether a worker on trial has the one run that shows whether it still fails."""
+    return is_on_trial(worker, now) and worker.trial in worker.runs
 
 
 def begin_trial(worker: Worker, run: tuple, now: float) -> None:
     """Note what a worker is proved by, if it has to be."""
-    if worker.trial_until > now:
+    if is_on_trial(worker, now):
         worker.trial = run
 
 
--- a/src/snowdock/jobs/parts.py
+++ b/src/snowdock/jobs/parts.py
@@ -153,6 +153,8 @@
         seconds; None where that is not so.
     failed_on, done_on
         Lives of workers where runs of it have failed, and where some have ended well.
+    is_bad
+        Whether it was counted as failing wherever it runs.
     is_bulky
         Whether the pieces of room between other work hardly ever hold its tasks.
     is_at_quota
@@ -181,6 +183,7 @@
     kept_since: float | None = None
     failed_on: set[str] = dataclasses.field(default_factory=set)
     done_on: set[str] = dataclasses.field(default_factory=set)
+    is_bad: bool = False
     is_bulky: bool = False
     is_at_quota: bool = False
     has_news: bool = False
--- a/src/snowdock/jobs/seats.py
+++ b/src/snowdock/jobs/seats.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterable, Iterator
 
 from ..declarations import Size
-from .blame import is_doubtful, is_on_trial
+from .blame import is_being_proved, is_doubtful, is_on_trial
 from .cell import Cell
 from .forecast import expected_end
 from .parts import Phase, Step, Task
@@ -87,6 +87,8 @@
         count = min(fitting(free, room), most_seats(step, worker))
         if count <= 0:
             continue
+        if is_on_trial(worker, cell.now):
+            count = 1
         there = _count_there(step, worker) if spec.most_per_worker else 0
         score = cell.policy.score(step, worker, there)
         if score is not None:
@@ -131,7 +133,7 @@
     """Whether a worker where runs have failed takes another one."""
     if care is Care.NONE:
         return True
-    if is_on_trial(worker, cell.now):
+    if is_being_proved(worker, cell.now):
         return False
     return care is Care.USUAL or not is_doubtful(cell, worker)
 
--- a/src/snowdock/jobs/starving.py
+++ b/src/snowdock/jobs/starving.py
@@ -7,7 +7,7 @@
 import collections
 
 from .availability import Closed, why_closed
-from .blame import is_doubtful, is_on_trial
+from .blame import is_being_proved, is_doubtful
 from .cell import Cell
 from .parts import Step
 from .seats import Care, care_of, fitting, most_seats, waiting_since
@@ -105,7 +105,7 @@
     _, company = next_tasks(step, now)
     if not may_join(worker, company):
         return Closed.SUSPECT
-    if is_on_trial(worker, now):
+    if is_being_proved(worker, now):
         return Closed.ON_TRIAL
     if care_of(cell, step) is Care.MOST and is_doubtful(cell, worker):
         return Closed.DOUBTFUL
--- /dev/null
+++ b/tests/test_jobs_blame.py
@@ -0,0 +1,165 @@
+"""Tests of whom a failed run speaks against, on workers and steps made for it."""
+
+import secrets
+import unittest
+
+from snowdock.declarations import Size
+from snowdock.jobs import blame
+from snowdock.jobs.model import StepSpec
+from snowdock.jobs.parts import Job, Step
+from snowdock.jobs.runs import open_repetition
+from tests.jobs_tools import DONE, SMALL, Bench, accepted
+
+WIDE = StepSpec(count=4, size=Size(1000, 1000), estimate_ms=1000)
+
+
+def make_step() -> Step:
+    """Make a step of a job that is not handed in."""
+    job = Job(secrets.token_hex(8), accepted(SMALL), 100.0)
+    return open_repetition(job, 0)[0]
+
+
+class Blame(unittest.TestCase):
+    def setUp(self) -> None:
+        self.bench = Bench(attempts=9)
+        for number in range(4):
+            self.bench.add_worker(f"w{number}")
+        self.cell = self.bench.cell
+        self.began_at = self.bench.now
+
+    @staticmethod
+    def step() -> Step:
+        return make_step()
+
+    def fail(self, life: str, *steps: Step, runs: int = 1) -> None:
+        for step in steps:
+            for _ in range(runs):
+                blame.note_failed_run(self.cell, self.cell.workers[life], step, self.now)
+
+    def end_well(self, life: str, step: Step, began_at: float | None = None) -> None:
+        began_at = self.now if began_at is None else began_at
+        blame.note_good_end(self.cell, self.cell.workers[life], step, began_at, self.now)
+
+    @property
+    def now(self) -> float:
+        return self.bench.now
+
+    @property
+    def aside(self) -> list[str]:
+        return [life for life, w in self.cell.workers.items() if w.aside_until > self.now]
+
+
+class TestWeights(Blame):
+    def test_one_failure_is_chance(self) -> None:
+        """A run of a step fails by its own fault now and then."""
+        self.fail("w0", self.step())
+        self.assertEqual(self.aside, [])
+
+    def test_two_failures_are_none(self) -> None:
+        """Two runs of one step, or one each of two, set their worker aside."""
+        self.fail("w0", self.step(), runs=2)
+        self.fail("w1", self.step(), self.step())
+        self.assertEqual(self.aside, ["w0", "w1"])
+
+    def test_failures_elsewhere_clear_a_worker(self) -> None:
+        """A step that fails on others as well takes its worker's blame on itself."""
+        bad = self.step()
+        self.fail("w0", bad, runs=2)
+        self.fail("w1", bad)
+        self.assertEqual(self.aside, ["w0"])
+        self.fail("w2", bad)
+        self.assertEqual(self.aside, [])
+
+    def test_good_ends_elsewhere_convict_it(self) -> None:
+        """A step that ends well elsewhere was not to blame, also where that comes out late."""
+        good = self.step()
+        self.fail("w1", good)
+        self.fail("w2", good)
+        self.fail("w0", good, runs=2)
+        self.assertEqual(self.aside, [])
+        self.end_well("w3", good)
+        self.assertIn("w0", self.aside)
+
+    def test_good_end_clears_what_came_before_it(self) -> None:
+        """A run that began before the failures says nothing of them."""
+        self.fail("w0", self.step(), runs=2)
+        self.end_well("w0", self.step(), began_at=self.now - 1)
+        self.assertEqual(self.aside, ["w0"])
+        self.end_well("w0", self.step())
+        self.assertEqual(self.aside, [])
+
+    def test_many_bad_steps_make_failures_usual(self) -> None:
+        """Where most steps fail on all workers, two more failures speak against nobody."""
+        for _ in range(30):
+            bad = self.step()
+            for life in ("w1", "w2", "w3"):
+                self.fail(life, bad)
+        self.assertGreater(self.cell.bad_share["pool"], 0.5)
+        self.fail("w0", self.step(), self.step())
+        self.assertNotIn("w0", self.aside)
+
+    def test_charges_are_bounded(self) -> None:
+        """A worker where nothing ends well keeps a bounded number of them."""
+        self.fail("w0", *(self.step() for _ in range(100)))
+        self.assertLessEqual(len(self.cell.workers["w0"].charged), 32)
+
+
+class TestSettingAside(Blame):
+    def test_half_of_a_service_at_most(self) -> None:
+        """However many workers fail, half of them stay in use."""
+        for life in ("w0", "w1", "w2", "w3"):
+            self.fail(life, self.step(), self.step(), runs=3)
+        self.assertEqual(self.aside, ["w0", "w1"])
+
+    def test_longer_each_time(self) -> None:
+        """The time aside doubles up to its bound, until a run ends well."""
+        worker = self.cell.workers["w0"]
+        found = []
+        for _ in range(4):
+            self.fail("w0", self.step(), self.step())
+            found.append(round(worker.aside_until - self.now))
+            self.bench.now = worker.aside_until + 0.001
+        self.assertEqual(found, [2, 4, 8, 8])
+        self.end_well("w0", self.step())
+        self.fail("w0", self.step(), self.step())
+        self.assertEqual(round(worker.aside_until - self.now), 2)
+
+
+class TestTrialAndLastResort(unittest.TestCase):
+    def setUp(self) -> None:
+        self.bench = Bench(attempts=9)
+        self.bench.add_worker("w0")
+        self.bench.add_worker("w1", cpu=1000)
+        self.worker = self.bench.cell.workers["w0"]
+
+    def set_aside(self) -> None:
+        """Have runs of two steps fail on the large worker."""
+        for _ in range(2):
+            blame.note_failed_run(self.bench.cell, self.worker, make_step(), self.bench.now)
+        self.assertGreater(self.worker.aside_until, self.bench.now)
+
+    def test_one_run_proves_a_worker_that_is_back(self) -> None:
+        """It takes one run, and more once that has ended well."""
+        self.set_aside()
+        self.bench.tick(self.worker.aside_until - self.bench.now + 0.1)
+        self.bench.submit(WIDE)
+        starts = [start for start in self.bench.starts() if start.life == "w0"]
+        self.assertEqual(len(starts), 1)
+        self.bench.confirm(starts[0])
+        ended = [(starts[0].order.task, 1, DONE)]
+        found = self.bench.starts(self.bench.report("w0", ended=ended) + self.bench.tick(0.1))
+        self.assertEqual({start.life for start in found}, {"w0"})
+        self.assertEqual(len(found), 2)
+
+    def test_step_that_runs_nothing_takes_a_worker_that_is_set_aside(self) -> None:
+        """Where nobody else has room it does so before users call it lost."""
+        self.set_aside()
+        self.worker.aside_until = self.bench.now + 8.0
+        self.bench.submit(StepSpec(count=1, size=Size(2000, 100), estimate_ms=1000))
+        self.assertEqual(self.bench.starts(self.bench.tick(1.5)), [])
+        (start,) = self.bench.starts(self.bench.tick(1.0))
+        self.assertEqual(start.life, "w0")
+
+
+if __name__ == "__main__":
+    unittest.main()
