Keep a gang's quota only as long as quota is what it lacks

Ruled out: quota in use (none was), advice (both had been told of all workers). Change: quota that a gang could have whole is kept 1.5 s; has_spare in the checks of starving, as users allow jobs of a team with half of its quota in use to wait. Before and after: test_gang_without_room_keeps_no_quota_for_long fails without the change.

--- a/src/snowdock/emulator/quota_checks.py
+++ b/src/snowdock/emulator/quota_checks.py
@@ -14,6 +14,10 @@
 seconds after it was sent."""
 
 
+_HALF = 0.5
+"""A team that has more than this part of its quota running may have jobs that wait."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Version:
     """The teams that came into force at a time."""
@@ -66,6 +70,14 @@
             team = self._teams[task.job]
             self._used[team] = self._used[team].minus(size)
 
+    def has_spare(self, job: str, need: Size) -> bool:
+        """Whether a job's team has under half of its newest quota running, and the need fits."""
+        team = self._versions[-1].teams.get(self._teams.get(job, "")) if self._versions else None
+        if team is None:
+            return True
+        used = self._used.get(team.name, ZERO)
+        return team.quota.scaled(_HALF).holds(used) and team.quota.holds(used.plus(need))
+
     def vanished(self, life: str) -> None:
         """Count nothing more of what ran in a worker's life."""
         for task, other in list(self._running):
--- a/src/snowdock/emulator/starvation.py
+++ b/src/snowdock/emulator/starvation.py
@@ -1,7 +1,8 @@
 """Whether jobs run nothing beside free room, judged from what the workers see.
 
 A job starves when, for longer than users allow, nothing of it runs though a task's turn has come,
-its service has room for that task twice over, and less than half of the service is in use.
+its service has room for that task twice over, and less than half of the service, and of its team's
+quota, is in use.
 """
 
 import dataclasses
@@ -107,7 +108,10 @@
         return all(self._checks.is_done(task) for task in tasks)
 
     def _has_room(self, job: str, number: int, step: StepSpec, workers: list[WorkerModel]) -> bool:
-        wanted = _SPARE_FACTOR * (step.count if step.gang else 1)
+        count = step.count if step.gang else 1
+        if not self._checks.quotas.has_spare(job, step.size.times(count)):
+            return False
+        wanted = _SPARE_FACTOR * count
         found = 0
         for worker in workers:
             if not self._may_run(job, number, worker.entry.life):
--- a/src/snowdock/jobs/parts.py
+++ b/src/snowdock/jobs/parts.py
@@ -157,6 +157,8 @@
         Whether it was counted as failing wherever it runs.
     is_bulky
         Whether the pieces of room between other work hardly ever hold its tasks.
+    has_quota_since
+        Since when its team's quota lets all of a gang begin, in steady seconds; None where not.
     is_at_quota
         Whether its team's quota lets none of its waiting tasks begin.
     has_news
@@ -185,6 +187,7 @@
     done_on: set[str] = dataclasses.field(default_factory=set)
     is_bad: bool = False
     is_bulky: bool = False
+    has_quota_since: float | None = None
     is_at_quota: bool = False
     has_news: bool = False
     shown: Mapping[str, object] | None = None
--- a/src/snowdock/jobs/quotas.py
+++ b/src/snowdock/jobs/quotas.py
@@ -18,6 +18,10 @@
 """Whether quota is kept for a waiting gang: of four emulated days with 20 teams, 0.831 of the
 payouts' worth against 0.802."""
 
+_LONGEST_KEPT_SECONDS = 1.5
+"""How long quota that a gang has whole is kept for it: one of 60 tasks with 57 seats on all the
+workers that may run it kept its team's other gangs waiting for as long as it stood there."""
+
 
 def tasks_within_quota(cell: Cell, step: Step, wanted: int) -> int:
     """Tell how many tasks of a step its team's quota lets begin now.
@@ -63,7 +67,7 @@
         return
     for step in cell.waiting.values():
         team = _team_of(cell, step) if step.spec.gang else None
-        if team is None:
+        if team is None or _is_kept_in_vain(cell, step, team):
             continue
         need = step.spec.size.times(step.spec.count)
         kept = cell.quota_kept.get(team.name)
@@ -71,6 +75,17 @@
             cell.quota_kept[team.name] = QuotaKept(step.key, step.rank, need)
 
 
+def _is_kept_in_vain(cell: Cell, step: Step, team: Team) -> bool:
+    """Whether a gang has had all of its quota for a while and lacks something else."""
+    free = team.quota.minus(cell.team_use.used(team.name))
+    if not free.holds(step.spec.size.times(step.spec.count)):
+        step.has_quota_since = None
+        return False
+    if step.has_quota_since is None:
+        step.has_quota_since = cell.now
+    return cell.now - step.has_quota_since > _LONGEST_KEPT_SECONDS
+
+
 def _kept_from(cell: Cell, step: Step) -> Size:
     """Give what is kept of its team's quota for a gang that ranks higher than a step."""
     kept = cell.quota_kept.get(step.job.team)
--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -125,6 +125,17 @@
         bench.tick(0.2)
         self.assertEqual(len(bench.started), 5)
 
+    def test_gang_without_room_keeps_no_quota_for_long(self) -> None:
+        """What no worker holds for now may not keep its team's other gangs from starting."""
+        bench = QuotaBench(team(10_000))
+        bench.add_worker(cpu=4000)
+        bench.submit_as("a", msgspec.structs.replace(GANG, size=Size(2000, 100)))
+        bench.submit_as("a", GANG)
+        bench.tick(0.5)
+        self.assertEqual(bench.started, [])
+        bench.tick(2.0)
+        self.assertEqual([start.order.task.job[-1] for start in bench.started], ["2"] * 4)
+
     def test_gang_that_can_never_run_waits_and_is_not_failed(self) -> None:
         """A quota may rise again: then it runs; until then it is shown as waiting."""
         bench = QuotaBench(team(2000))
