Soak with failing jobs and spoiling workers, and with as many nodes as told

Cause: no seed of the soak had jobs that fail, and its stand-ins' threads outlived their seed (1,736 after three seeds of 4 s; 22,862 were seen), so that fifty seeds did not run in one process. Ruled out: threads of the daemons (they are processes of their own). Seeds below 2000 draw as before.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -1,12 +1,13 @@
 """A randomized soak: real daemons, faults from outside, promises checked from outside.
 
-    python -m tests.soak --seeds 1-50 [--seconds 15]
+    python -m tests.soak --seeds 1-50 [--seconds 15] [--nodes 3] [--workers 4]
 
-Each seed runs three daemons as processes. Their paths to the store and the workers' paths go
-through loopback proxies. Faults come in series and overlap: processes are killed, paused,
+Each seed runs some daemons as processes, three unless told otherwise. Their paths to the store and
+the workers' paths go through loopback proxies. Faults come in series and overlap: processes are killed, paused,
 stopped and started; paths are delayed, reset, cut one way or silenced; the store refuses, hangs
 or loses answers; workers crash; configurations and settings change. From seed 1000 on, tasks end
-their workers, too, workers' rooms shrink and grow, and another writer's entries lie beside theirs.
+their workers, too, workers' rooms shrink and grow, and another writer's entries lie beside theirs;
+from seed 2000 on, some jobs fail wherever they run, and some workers fail all that they start.
 Callers keep their connections open until a process is gone. Only processes that the soak started
 are ended.
 """
@@ -33,6 +34,8 @@
 ROOM = Size(4000, 16_000, 0)
 CALL_SECONDS = 3.0
 CALLERS = 4
+READY_SECONDS = 5.0
+"""The longest that each node may take to be ready: many start at the same moment."""
 SUBMIT_SECONDS = 0.3
 SETTLE_SECONDS = 60.0
 """The longest until all accepted jobs have ended: a takeover waits up to ten seconds for
@@ -41,7 +44,11 @@
 WIDER_FROM = 1000
 """Seeds from here on draw from more faults; those before play as they always did."""
 
+FAILING_FROM = 2000
+"""Seeds from here on draw from failing jobs and spoiling workers, too."""
+
 CRASHING_SHARE = 0.04
+FAILING_SHARE = 0.25
 FOREIGN_ENTRIES = (b"", b"\xff", b"[" * 5000, b"{}", b'{"service":"pool","address":"x:y"}')
 
 FAILED_SEEDS: dict[int, float] = {
@@ -88,6 +95,9 @@
             if self._soak.is_wider and self._source.random() < CRASHING_SHARE:
                 self._soak.cluster.workers.mark_crashing(path.rpartition("/")[2])
                 submission.ends = "failed"
+            elif self._soak.has_failures and self._source.random() < FAILING_SHARE:
+                self._soak.cluster.workers.failing.add(path.rpartition("/")[2])
+                submission.ends = "failed"
             self.submissions.append(submission)
             for _ in range(3):
                 if not self._submit(submission):
@@ -121,12 +131,12 @@
 class Soak:
     """One seed's run."""
 
-    def __init__(self, seed: int, seconds: float) -> None:
+    def __init__(self, seed: int, seconds: float, nodes: int = 3, workers: int = 4) -> None:
         self.seed = seed
         self.finished = threading.Event()
         self._seconds = seconds
         self._source = random.Random(seed)
-        self.cluster = EntryCluster(3, workers=4, work_s=0.3, proxies=Proxy)
+        self.cluster = EntryCluster(nodes, workers, work_s=0.3, proxies=Proxy)
         # A gang may wait in vain while paths are cut; only calm days forbid it.
         self.cluster.workers.checks.is_calm = False
         self._version = CONFIGURATION["version"]
@@ -144,12 +154,19 @@
         ]
         if self.is_wider:
             self._faults += [self._resize_worker, self._write_foreign_entry]
+        if self.has_failures:
+            self._faults.append(self._spoil)
 
     @property
     def is_wider(self) -> bool:
         """Whether this seed draws from all faults."""
         return self.seed >= WIDER_FROM
 
+    @property
+    def has_failures(self) -> bool:
+        """Whether this seed draws from failing jobs and spoiling workers."""
+        return self.seed >= FAILING_FROM
+
     def run(self, kept_logs: pathlib.Path | None = None) -> list[str]:
         """Play; give what did not hold, and keep the daemons' logs where it did not."""
         try:
@@ -162,7 +179,7 @@
             self.cluster.close()
 
     def _play(self) -> list[str]:
-        if not self.cluster.wait_ready():
+        if not self.cluster.wait_ready(READY_SECONDS * len(self.cluster.nodes)):
             return ["the nodes did not become ready"]
         callers = [Caller(self, number) for number in range(CALLERS)]
         for caller in callers:
@@ -188,7 +205,7 @@
                 node.start()
 
     def _kill(self) -> None:
-        count = self._source.choice((1, 1, 2, 3))
+        count = self._source.choice((1, 1, 2, len(self.cluster.nodes)))
         for node in self._source.sample(self.cluster.nodes, count):
             node.kill()
         time.sleep(self._source.uniform(0.0, 1.0))
@@ -249,7 +266,13 @@
         data = self._source.choice(FOREIGN_ENTRIES)
         self.cluster.store.put_raw("keyed.servers", f"x-{self._source.randrange(9)}", data)
 
+    def _spoil(self) -> None:
+        models = list(self.cluster.workers.models.values())
+        self._source.choice(models).fails_all = self._source.random() < 0.5
+
     def _heal(self) -> None:
+        for model in list(self.cluster.workers.models.values()):
+            model.fails_all = False
         for proxy in (*self.cluster.store_proxies, *self.cluster.workers.proxies):
             proxy.set(Mode.PASS)
         if self.is_wider:
@@ -261,9 +284,11 @@
     # -- checks ----------------------------------------------------------------------------
 
     def _may_be_given_up(self, path: str) -> bool:
-        """Whether two workers, as users allow, have crashed under a task of a job."""
+        """Whether two workers crashed under a task of a job, or its attempts are used up."""
         job = path.rpartition("/")[2]
         checks = self.cluster.workers.checks
+        if self.has_failures and checks.is_over(job):
+            return True
         steps = enumerate(self.cluster.workers.steps[job])
         tasks = (TaskId(job, 0, step, i) for step, spec in steps for i in range(spec.count))
         return any(checks.crashes_under(task) > 1 for task in tasks)
@@ -299,13 +324,16 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--seeds", default="1-5", help="FIRST-LAST")
     parser.add_argument("--seconds", type=float, default=15.0)
+    parser.add_argument("--nodes", type=int, default=3)
+    parser.add_argument("--workers", type=int, default=4)
     parser.add_argument("--logs", type=pathlib.Path, help="keeps the logs of failed seeds")
     options = parser.parse_args()
     first, _, last = options.seeds.partition("-")
     failed = 0
     for seed in range(int(first), int(last or first) + 1):
         began = time.monotonic()
-        broken = Soak(seed, options.seconds).run(options.logs)
+        soak = Soak(seed, options.seconds, options.nodes, options.workers)
+        broken = soak.run(options.logs)
         failed += bool(broken)
         print(f"seed {seed}: {broken or 'held'} ({time.monotonic() - began:.0f} s)", flush=True)
     sys.exit(1 if failed else 0)
--- a/tests/standins/entry_cluster.py
+++ b/tests/standins/entry_cluster.py
@@ -200,10 +200,10 @@
         """Where a node finds the store: behind its own proxy, if there are proxies."""
         return self.store_proxies[number - 1].address if self.store_proxies else self.store.address
 
-    def wait_ready(self) -> bool:
-        return wait_until(lambda: all(node.probe() == 200 for node in self.nodes)) and wait_until(
-            lambda: self.leader is not None
-        )
+    def wait_ready(self, seconds: float = 15.0) -> bool:
+        return wait_until(
+            lambda: all(node.probe() == 200 for node in self.nodes), seconds
+        ) and wait_until(lambda: self.leader is not None)
 
     @property
     def leader(self) -> EntryProcess | None:
--- a/tests/standins/platform.py
+++ b/tests/standins/platform.py
@@ -60,6 +60,8 @@
         with trigger.lock:
             trigger.thunks.append(self._server.close)
             trigger.pull_trigger()
+        # Its threads end as soon as they are idle; 48 a server would outlive it else.
+        self._server.task_dispatcher.shutdown(cancel_pending=True, timeout=0)
 
 
 def as_json(value: object, status: int = 200) -> Reply:
@@ -258,6 +260,7 @@
         self.mute: set[str] = set()
         self.crashing: set[str] = set()
         self.failing: set[str] = set()
+        self._closed = False
         self.accepted: list[str] = []
         self.starvation = Starvation(self.checks)
         self._returned = itertools.count()
@@ -277,6 +280,7 @@
         threading.Thread(target=self._pass_time, daemon=True).start()
 
     def close(self) -> None:
+        self._closed = True
         for proxy in self.proxies:
             proxy.close()
         for server in self._servers:
@@ -361,7 +365,7 @@
 
     def _pass_time(self) -> None:
         look_at = 0.0
-        while True:
+        while not self._closed:
             time.sleep(0.005)
             with self._lock:
                 now = time.monotonic() - self._began
