--- a/tests/soak.py
+++ b/tests/soak.py
@@ -3,11 +3,12 @@
     python -m tests.soak --seeds 1-50 [--seconds 15] [--nodes 3] [--workers 4]
 
 Each seed runs some daemons as processes, three unless told otherwise. Their paths to the store and
-the workers' paths go through loopback proxies. Faults come in series and overlap: processes are killed, paused,
-stopped and started; paths are delayed, reset, cut one way or silenced; the store refuses, hangs
-or loses answers; workers crash; configurations and settings change. From seed 1000 on, tasks end
-their workers, too, workers' rooms shrink and grow, and another writer's entries lie beside theirs;
-from seed 2000 on, some jobs fail wherever they run, and some workers fail all that they start.
+the workers' paths go through loopback proxies. Faults come in series and overlap: processes are
+killed, paused, stopped and started; paths are delayed, reset, cut one way or silenced; the store
+refuses, hangs or loses answers; workers crash; configurations and settings change. From seed 1000
+on, tasks end their workers, too, workers' rooms shrink and grow, and another writer's entries lie
+beside theirs; from seed 2000 on, some jobs fail wherever they run, and some workers fail all that
+they start.
 Callers keep their connections open until a process is gone. Only processes that the soak started
 are ended.
 """
