Name why a worker is set aside by one type, and log the evidence

Cause: the cause stood as a text in one module, a constant in another and an enumeration in a third; worker_set_aside told of steps, not of the doubt that it rests on; blame.py is the twin of lost_runs.py. Ruled out: nothing; no decision changes. Change: AsideCause in workers.py, failed_runs.py, evidence in the line (steps, doubt, bad_share).

--- a/src/snowdock/jobs/blame.py
+++ b/src/snowdock/jobs/failed_runs.py
@@ -15,8 +15,8 @@
 
 from .cell import Cell
 from .parts import Step
-from .set_aside import Cause, set_aside, take_back
-from .workers import Charge, Worker
+from .set_aside import set_aside, take_back
+from .workers import AsideCause, Charge, Worker
 
 __all__ = [
     "begin_trial",
@@ -80,8 +80,7 @@
         _reconsider_others(cell, worker, step, now)
     if worker.times_aside and _weight(cell, worker, charge) < _TELLING_WEIGHT:
         return
-    if _doubt(cell, worker) >= _LIMIT:
-        _set_aside(cell, worker, now)
+    _set_aside_if_doubted(cell, worker, now)
 
 
 def note_good_end(cell: Cell, worker: Worker, step: Step, began_at: float, now: float) -> None:
@@ -96,7 +95,7 @@
         worker.times_aside = 0
         worker.trial_until = 0.0
         worker.trial = None
-        take_back(cell, worker, Cause.FAILURES, now)
+        take_back(cell, worker, AsideCause.FAILURES, now)
     if worker.life in step.done_on:
         return
     if not step.done_on:
@@ -123,14 +122,24 @@
     _note_share(cell, worker, is_bad=True)
 
 
-def _set_aside(cell: Cell, worker: Worker, now: float) -> None:
-    if _is_enough_aside(cell, worker, now):
+def _set_aside_if_doubted(cell: Cell, worker: Worker, now: float) -> None:
+    doubt = _doubt(cell, worker)
+    if doubt < _LIMIT or _is_enough_aside(cell, worker, now):
         return
     seconds = min(_ASIDE_SECONDS * 2**worker.times_aside, _LONGEST_ASIDE_SECONDS)
     worker.times_aside += 1
     worker.trial = None
     worker.trial_until = now + seconds + _TRIAL_SECONDS
-    set_aside(cell, worker, Cause.FAILURES, seconds, now)
+    set_aside(
+        cell,
+        worker,
+        AsideCause.FAILURES,
+        seconds,
+        now,
+        steps=len(worker.charged),
+        doubt=doubt,
+        bad_share=_bad_share(cell, worker),
+    )
 
 
 def _reconsider_others(cell: Cell, worker: Worker, step: Step, now: float) -> None:
@@ -139,13 +148,13 @@
         other = cell.workers.get(life)
         if other is None or other is worker:
             continue
-        found = _doubt(cell, other)
-        if found < _LIMIT and other.aside_for == Cause.FAILURES.value:
+        is_cleared = _doubt(cell, other) < _LIMIT
+        if is_cleared and other.aside_for is AsideCause.FAILURES:
             other.times_aside = 0
             other.trial_until = 0.0
-            take_back(cell, other, Cause.FAILURES, now)
-        elif found >= _LIMIT and not other.times_aside:
-            _set_aside(cell, other, now)
+            take_back(cell, other, AsideCause.FAILURES, now)
+        elif not other.times_aside:
+            _set_aside_if_doubted(cell, other, now)
 
 
 def _failed_elsewhere(cell: Cell, step: Step, worker: Worker | None = None) -> set[str]:
@@ -158,7 +167,7 @@
 
 
 def _is_aside(worker: Worker | None) -> bool:
-    return worker is not None and worker.aside_for == Cause.FAILURES.value
+    return worker is not None and worker.aside_for is AsideCause.FAILURES
 
 
 def _doubt(cell: Cell, worker: Worker) -> float:
@@ -190,7 +199,7 @@
 def _weight(cell: Cell, worker: Worker, charge: Charge) -> float:
     """Give how much a step's failures on a worker speak against that worker."""
     step = charge.step
-    bad = cell.bad_share.get(worker.entry.service, _USUAL_BAD)
+    bad = _bad_share(cell, worker)
     good = (1 - bad) * _FAULT_ELSEWHERE ** len(_failed_elsewhere(cell, step, worker))
     bad *= _GOOD_ENDS_FACTOR ** len(step.done_on - {worker.life})
     bad /= bad + good
@@ -199,13 +208,17 @@
 
 def _note_share(cell: Cell, worker: Worker, is_bad: bool) -> None:
     """Learn from a step how usual bad ones are."""
-    service = worker.entry.service
-    share = cell.bad_share.get(service, _USUAL_BAD)
-    cell.bad_share[service] = max(_USUAL_BAD, share + _SHARE_GAIN * (is_bad - share))
+    share = _bad_share(cell, worker)
+    share += _SHARE_GAIN * (is_bad - share)
+    cell.bad_share[worker.entry.service] = max(_USUAL_BAD, share)
+
+
+def _bad_share(cell: Cell, worker: Worker) -> float:
+    return cell.bad_share.get(worker.entry.service, _USUAL_BAD)
 
 
 def _is_enough_aside(cell: Cell, worker: Worker, now: float) -> bool:
     """Whether as much of a service is set aside for failures as may be."""
     alike = [each for each in cell.workers.values() if each.entry.service == worker.entry.service]
-    aside = sum(each.aside_until > now and each.aside_for == Cause.FAILURES.value for each in alike)
+    aside = sum(each.aside_until > now and _is_aside(each) for each in alike)
     return aside + 1 > _MOST_ASIDE * len(alike)
--- a/src/snowdock/jobs/order_answers.py
+++ b/src/snowdock/jobs/order_answers.py
@@ -6,9 +6,9 @@
 from .orders import Refusal
 from .parts import Phase, Task
 from .runs import note_begun, refuse_run, stop_run, void_run
-from .set_aside import Cause, set_aside
+from .set_aside import set_aside
 from .worker_lives import take_life_refusal
-from .workers import Worker
+from .workers import AsideCause, Worker
 
 __all__ = ["take_start_answer", "take_stop_answer"]
 
@@ -46,7 +46,7 @@
 
 def _doubt_start(cell: Cell, worker: Worker, task: Task, now: float) -> None:
     cell.tell("start_unanswered", task.id.job, task=task.id, run=task.run, worker=worker.life)
-    set_aside(cell, worker, Cause.UNANSWERED, _UNWELL_SECONDS, now)
+    set_aside(cell, worker, AsideCause.UNANSWERED, _UNWELL_SECONDS, now)
     if task.phase is not Phase.ORDERED:
         return
     task.phase = Phase.UNSURE
@@ -71,7 +71,7 @@
     if refusal is Refusal.TICKET and step.advice is not None:
         step.advice.tickets[worker.life] = ("", 0.0)
     elif refusal not in _ABOUT_THE_ORDER:
-        set_aside(cell, worker, Cause.REFUSED, _UNWELL_SECONDS, now)
+        set_aside(cell, worker, AsideCause.REFUSED, _UNWELL_SECONDS, now)
     run = task.run
     void_run(cell, task, now)
     if refusal is Refusal.MALFORMED:
--- a/src/snowdock/jobs/placing.py
+++ b/src/snowdock/jobs/placing.py
@@ -6,9 +6,9 @@
 from ..declarations import ZERO, Size
 from .advising import may_ask, needs_advice, want_advice
 from .availability import why_closed
-from .blame import begin_trial
 from .cell import Cell, HeldStart
 from .durability import mark
+from .failed_runs import begin_trial
 from .occupancy import occupy
 from .parts import Phase, Step, Task
 from .preempting import drop_claims, has_claim, make_room
--- a/src/snowdock/jobs/runs.py
+++ b/src/snowdock/jobs/runs.py
@@ -2,10 +2,10 @@
 
 import math
 
-from .blame import note_failed_run, note_good_end
 from .cell import Cell, HeldRenewal, Stop
 from .durability import mark
 from .events import PublishStatus, SendStop
+from .failed_runs import note_failed_run, note_good_end
 from .model import JobStatus, TaskId
 from .occupancy import vacate
 from .orders import EndedRun, EndKind, StopOrder
--- a/src/snowdock/jobs/seats.py
+++ b/src/snowdock/jobs/seats.py
@@ -5,8 +5,8 @@
 from collections.abc import Iterable, Iterator
 
 from ..declarations import Size
-from .blame import is_being_proved, is_doubtful, is_on_trial
 from .cell import Cell
+from .failed_runs import is_being_proved, is_doubtful, is_on_trial
 from .forecast import expected_end
 from .parts import Phase, Step, Task
 from .workers import Worker
--- a/src/snowdock/jobs/set_aside.py
+++ b/src/snowdock/jobs/set_aside.py
@@ -1,46 +1,51 @@
 """Workers on which nothing new is placed for a while, and what is told of that."""
 
-import enum
-
 from .cell import Cell
-from .workers import FAILURES, Worker
-
-__all__ = ["Cause", "set_aside", "take_back", "take_back_due"]
-
-
-class Cause(enum.Enum):
-    """What speaks against a worker that is set aside."""
-
-    FAILURES = FAILURES
-    """Runs failed there."""
-    UNANSWERED = "unanswered"
-    """A start had no answer."""
-    REFUSED = "refused"
-    """It refused a start."""
-
-
-def set_aside(cell: Cell, worker: Worker, cause: Cause, seconds: float, now: float) -> None:
-    """Place nothing on a worker for so long, unless it is set aside for longer already."""
+from .workers import AsideCause, Worker
+
+__all__ = ["set_aside", "take_back", "take_back_due"]
+
+
+def set_aside(
+    cell: Cell, worker: Worker, cause: AsideCause, seconds: float, now: float, **evidence: float
+) -> None:
+    """Place nothing on a worker for so long, unless it is set aside for longer already.
+
+    Parameters
+    ----------
+    cell
+        The leader's state.
+    worker
+        The worker.
+    cause
+        What speaks against it.
+    seconds
+        For how long.
+    now
+        The steady clock, in seconds.
+    evidence
+        What the decision rests on, for the log.
+    """
     until = now + seconds
     if until <= worker.aside_until:
         return
-    is_news = worker.aside_until <= now or worker.aside_for != cause.value
+    is_news = worker.aside_until <= now or worker.aside_for is not cause
     worker.aside_until = until
-    worker.aside_for = cause.value
+    worker.aside_for = cause
     if is_news:
         cell.tell(
             "worker_set_aside",
             worker.life,
             cause=cause.value,
             for_s=seconds,
-            failure_streak=worker.failure_streak,
-            **_count_aside(cell, worker, cause.value, now),
+            **evidence,
+            **_count_aside(cell, worker, cause, now),
         )
 
 
-def take_back(cell: Cell, worker: Worker, cause: Cause, now: float) -> None:
+def take_back(cell: Cell, worker: Worker, cause: AsideCause, now: float) -> None:
     """End a worker's time aside, where it is set aside for that cause."""
-    if worker.aside_for == cause.value:
+    if worker.aside_for is cause:
         worker.aside_until = min(worker.aside_until, now)
         _tell_back(cell, worker, now)
         cell.placing_wanted = True
@@ -49,19 +54,19 @@
 def take_back_due(cell: Cell, now: float) -> None:
     """Tell of workers whose time aside is over."""
     for worker in cell.workers.values():
-        if worker.aside_for and worker.aside_until <= now:
+        if worker.aside_for is not None and worker.aside_until <= now:
             _tell_back(cell, worker, now)
 
 
 def _tell_back(cell: Cell, worker: Worker, now: float) -> None:
-    cause, worker.aside_for = worker.aside_for, ""
+    cause, worker.aside_for = worker.aside_for, None
     counts = _count_aside(cell, worker, cause, now)
-    cell.tell("worker_back", worker.life, cause=cause, **counts)
+    cell.tell("worker_back", worker.life, cause=cause.value, **counts)
 
 
-def _count_aside(cell: Cell, worker: Worker, cause: str, now: float) -> dict[str, object]:
+def _count_aside(cell: Cell, worker: Worker, cause: AsideCause, now: float) -> dict[str, object]:
     """Count the workers of a worker's service, and those of them set aside for a cause."""
     service = worker.entry.service
     alike = [each for each in cell.workers.values() if each.entry.service == service]
-    aside = sum(each.aside_until > now and each.aside_for == cause for each in alike)
+    aside = sum(each.aside_until > now and each.aside_for is cause for each in alike)
     return {"service": service, "aside": aside, "workers": len(alike)}
--- a/src/snowdock/jobs/starving.py
+++ b/src/snowdock/jobs/starving.py
@@ -7,8 +7,8 @@
 import collections
 
 from .availability import Closed, why_closed
-from .blame import is_being_proved, is_doubtful
 from .cell import Cell
+from .failed_runs import is_being_proved, is_doubtful
 from .parts import Step
 from .seats import Care, care_of, fitting, most_seats, waiting_since
 from .suspects import may_join, next_tasks
@@ -80,7 +80,7 @@
     return False
 
 
-def _tell(cell: Cell, step: Step, workers: list[Worker], now: float, starving: int) -> None:
+def _tell(cell: Cell, step: Step, workers: list[Worker], now: float, idle_steps: int) -> None:
     reasons = collections.Counter(why_closed_to(cell, step, worker, now) for worker in workers)
     cell.tell(
         "job_starves",
@@ -91,7 +91,7 @@
         paused_s=max(0.0, step.not_before - now),
         at_quota=step.is_at_quota,
         asking=step.advice.asking if step.advice else 0,
-        starving=starving,
+        idle_steps=idle_steps,
         open=reasons[None],
         **{closed.value: count for closed, count in reasons.items() if closed is not None},
     )
--- a/src/snowdock/jobs/workers.py
+++ b/src/snowdock/jobs/workers.py
@@ -1,19 +1,28 @@
 """What a leader knows of one life of a worker."""
 
 import dataclasses
+import enum
 import math
 
 from ..declarations import ZERO, Size
 from .model import StepKey, TaskId
 from .parts import Step
 
-__all__ = ["FAILURES", "SLOWEST_CLOCK_RATE", "Charge", "Hold", "Worker", "WorkerEntry"]
+__all__ = ["SLOWEST_CLOCK_RATE", "AsideCause", "Charge", "Hold", "Worker", "WorkerEntry"]
 
 SLOWEST_CLOCK_RATE = 0.975
 """A worker's steady clock may run 2 % slow; half a percent is left for the node's own."""
 
-FAILURES = "failures"
-"""Why a worker is set aside where runs have failed."""
+
+class AsideCause(enum.Enum):
+    """What speaks against a worker that is set aside."""
+
+    FAILURES = "failures"
+    """Runs failed there."""
+    UNANSWERED = "unanswered"
+    """A start had no answer."""
+    REFUSED = "refused"
+    """It refused a start."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -123,7 +132,7 @@
     aside_until
         Until when nothing new is placed there, in steady seconds.
     aside_for
-        What it is, or was last, set aside for; empty once it is known to be back.
+        What it is, or was last, set aside for; None once it is known to be back.
     slow_log
         The logarithm of how many times longer runs take there than usual.
     suspects
@@ -156,7 +165,7 @@
     trial_until: float = 0.0
     trial: tuple[TaskId, int] | None = None
     aside_until: float = 0.0
-    aside_for: str = ""
+    aside_for: AsideCause | None = None
     slow_log: float = 0.0
     suspects: dict[tuple[TaskId, int], bool] = dataclasses.field(default_factory=dict)
     lost: list[tuple[TaskId, int]] = dataclasses.field(default_factory=list)
--- a/tests/test_jobs_blame.py
+++ b/tests/test_jobs_failed_runs.py
@@ -4,7 +4,7 @@
 import unittest
 
 from snowdock.declarations import Size
-from snowdock.jobs import blame
+from snowdock.jobs import failed_runs
 from snowdock.jobs.model import StepSpec
 from snowdock.jobs.parts import Job, Step
 from snowdock.jobs.runs import open_repetition
@@ -19,7 +19,7 @@
     return open_repetition(job, 0)[0]
 
 
-class Blame(unittest.TestCase):
+class FailedRuns(unittest.TestCase):
     def setUp(self) -> None:
         self.bench = Bench(attempts=9)
         for number in range(4):
@@ -34,11 +34,11 @@
     def fail(self, life: str, *steps: Step, runs: int = 1) -> None:
         for step in steps:
             for _ in range(runs):
-                blame.note_failed_run(self.cell, self.cell.workers[life], step, self.now)
+                failed_runs.note_failed_run(self.cell, self.cell.workers[life], step, self.now)
 
     def end_well(self, life: str, step: Step, began_at: float | None = None) -> None:
         began_at = self.now if began_at is None else began_at
-        blame.note_good_end(self.cell, self.cell.workers[life], step, began_at, self.now)
+        failed_runs.note_good_end(self.cell, self.cell.workers[life], step, began_at, self.now)
 
     @property
     def now(self) -> float:
@@ -49,7 +49,7 @@
         return [life for life, w in self.cell.workers.items() if w.aside_until > self.now]
 
 
-class TestWeights(Blame):
+class TestWeights(FailedRuns):
     def test_one_failure_is_chance(self) -> None:
         """A run of a step fails by its own fault now and then."""
         self.fail("w0", self.step())
@@ -62,7 +62,7 @@
         self.assertEqual(self.aside, ["w0", "w1"])
 
     def test_failures_elsewhere_clear_a_worker(self) -> None:
-        """A step that fails on others as well takes its worker's blame on itself."""
+        """A step that fails on others as well clears its worker."""
         bad = self.step()
         self.fail("w0", bad, runs=2)
         self.fail("w1", bad)
@@ -104,7 +104,7 @@
         self.assertLessEqual(len(self.cell.workers["w0"].charged), 32)
 
 
-class TestSettingAside(Blame):
+class TestSettingAside(FailedRuns):
     def test_half_of_a_service_at_most(self) -> None:
         """However many workers fail, half of them stay in use."""
         for life in ("w0", "w1", "w2", "w3"):
@@ -135,7 +135,7 @@
     def set_aside(self) -> None:
         """Have runs of two steps fail on the large worker."""
         for _ in range(2):
-            blame.note_failed_run(self.bench.cell, self.worker, make_step(), self.bench.now)
+            failed_runs.note_failed_run(self.bench.cell, self.worker, make_step(), self.bench.now)
         self.assertGreater(self.worker.aside_until, self.bench.now)
 
     def test_one_run_proves_a_worker_that_is_back(self) -> None:
--- a/tests/test_jobs_starving.py
+++ b/tests/test_jobs_starving.py
@@ -3,7 +3,8 @@
 import unittest
 
 from snowdock.jobs.events import Decided
-from snowdock.jobs.set_aside import Cause, set_aside
+from snowdock.jobs.set_aside import set_aside
+from snowdock.jobs.workers import AsideCause
 from tests.jobs_tools import Bench, of_type
 
 
@@ -20,7 +21,7 @@
     def test_worker_set_aside_and_back(self) -> None:
         """Both are told, with the cause and how many of the service are set aside for it."""
         worker = self.bench.cell.workers["w"]
-        set_aside(self.bench.cell, worker, Cause.REFUSED, 1.0, self.bench.now)
+        set_aside(self.bench.cell, worker, AsideCause.REFUSED, 1.0, self.bench.now)
         self.bench.tick(0.1)
         (aside,) = told(self.bench.seen, "worker_set_aside")
         self.assertEqual((aside["cause"], aside["aside"], aside["workers"]), ("refused", 1, 1))
@@ -34,7 +35,7 @@
         job = self.bench.submit()
         self.assertEqual(told(self.bench.tick(0.9), "job_starves"), [])
         first = told(self.bench.tick(2.0), "job_starves")[0]
-        self.assertEqual((first["open"], first["aside"], first["starving"]), (0, 1, 1))
+        self.assertEqual((first["open"], first["aside"], first["idle_steps"]), (0, 1, 1))
         self.assertEqual(self.bench.cell.jobs[job].status.name, "PENDING")
 
     def test_job_that_waits_for_room_does_not_starve(self) -> None:
