--- a/specs/check.py
+++ b/specs/check.py
@@ -20,6 +20,7 @@
     quota_model,
     request_model,
     slot_model,
+    starvation_model,
 )
 
 __all__ = ["SMALL", "Result", "check", "main"]
@@ -57,6 +58,7 @@
     election_model: election_model.Bounds(),
     quota_model: quota_model.Bounds(),
     crash_model: crash_model.Bounds(),
+    starvation_model: starvation_model.Bounds(),
 }
 
 SMALL = {
@@ -67,6 +69,7 @@
     election_model: election_model.Bounds(orders=1),
     quota_model: quota_model.Bounds(takeovers=0),
     crash_model: crash_model.Bounds(takeovers=1),
+    starvation_model: starvation_model.Bounds(takeovers=0, failures=3),
 }
 """Bounds for every run of the tests."""
 
--- a/tests/test_specs.py
+++ b/tests/test_specs.py
@@ -37,6 +37,7 @@
     quota_model,
     request_model,
     slot_model,
+    starvation_model,
 )
 from specs.check import SMALL, check
 
@@ -62,6 +63,7 @@
             (slot_model, "cooling"),
             (configuration_model, "base_is_current"),
             *((crash_model, rule) for rule in crash_model.RULES),
+            *((starvation_model, rule) for rule in starvation_model.RULES),
             *((quota_model, rule) for rule in quota_model.RULES),
         ):
             with self.subTest(rule):
