Say what the comparison of ways for failures plays

Cause: its description named an option that it does not have. Ruled out: nothing. Before and after: no behaviour changes.

--- a/bench/failures.py
+++ b/bench/failures.py
@@ -2,8 +2,8 @@
 
 A way is ``standing``, or settings of the decisions, as in `bench.ways`. All ways play the same
 seeds on the emulator: a settlement service on 24 workers, where a share of the jobs always fails
-and a share of the workers spoils what it starts from second 3 to 12, all of it or, with
-``--part``, some of it. Without shares given, the mixes of `SHARES` are played.
+and a share of the workers spoils all that it starts from second 3 to 12. Without shares given, the
+mixes of `SHARES` are played.
 """
 
 import argparse
