Count earlier leaders' leases from the claim, and as long as they were asked for

Cause: a new leader took the runs of workers that it never learned of as over when the longest lease that workers grant (10 s) had passed since it led, though leaders ask for 4.5 s, and though no earlier leader could renew since the claim but one that is cut off, for three seconds. Ruled out: asking workers that are not listed (nothing answers at their address, or another one does); dropping such runs at once (their workers may live and be cut off from the store). Change: 3 s + 4.5 s at the slowest clock + 0.5 s from the claim, but two seconds of leading at least, so that workers that live are heard first.

--- a/src/snowdock/entry/daemon.py
+++ b/src/snowdock/entry/daemon.py
@@ -204,6 +204,7 @@
         return LeaderContext(
             store=self._store,
             parts=environment.store.parts,
+            claimed_at=steady_seconds(),
             epoch=epoch,
             settings=cell_settings(environment),
             make_advisers=lambda post: Advisers(
--- a/src/snowdock/entry/leader.py
+++ b/src/snowdock/entry/leader.py
@@ -56,6 +56,8 @@
     ----------
     store, parts
         The store, and the partitions of its topics.
+    claimed_at
+        When it claimed the leadership, in steady seconds.
     epoch
         Its epoch, which is also its fencing token at the workers.
     settings
@@ -76,6 +78,7 @@
 
     store: StoreClient
     parts: int
+    claimed_at: float
     epoch: int
     settings: CellSettings
     make_advisers: Callable[[Callable[[Event], None]], Advisers]
@@ -118,6 +121,7 @@
         now = steady_seconds()
         policy = make_policy(self._raise_alarm, lambda: self._cell)
         self._cell = Cell(context.settings, context.epoch, policy, now)
+        self._cell.claimed_at = context.claimed_at
         self._cell.configuration = context.configuration()
         statuses.note_unreadable(recorded.unreadable | recorded.unstartable)
         restored = restore(self._cell, recorded, now, _wall_ms())
--- a/src/snowdock/entry/leader_terms.py
+++ b/src/snowdock/entry/leader_terms.py
@@ -19,10 +19,10 @@
 
 def cell_settings(environment: NodeEnvironment) -> CellSettings:
     """Give the times that a leader on a node goes by."""
-    longest_lease_s = environment.lease_limit_s / SLOWEST_CLOCK_RATE
+    lease_s = min(LEASE_SECONDS, environment.lease_limit_s)
     return CellSettings(
-        lease_s=min(LEASE_SECONDS, environment.lease_limit_s),
-        takeover_lapse_s=takeover_lapse_seconds(longest_lease_s),
+        lease_s=lease_s,
+        takeover_lapse_s=takeover_lapse_seconds(lease_s / SLOWEST_CLOCK_RATE),
         gang_wait_s=environment.gang_wait_s,
         early_s=environment.early_s,
         stop_s=environment.stop_s,
--- a/src/snowdock/jobs/cell.py
+++ b/src/snowdock/jobs/cell.py
@@ -39,7 +39,7 @@
     lease_s
         The lease that each renewal asks for.
     takeover_lapse_s
-        After a takeover: when runs on a worker that was never reached are surely over.
+        After the claim: when runs on a worker that was never reached are surely over.
     gang_wait_s
         How long a member of a gang waits for the others.
     early_s
@@ -163,8 +163,9 @@
 
     Attributes
     ----------
-    started_at, now
-        The steady clock at the start and at the newest event, in seconds.
+    claimed_at, started_at, now
+        The steady clock when the leadership was claimed, at the start, and at the newest event, in
+        seconds.
     jobs
         All jobs that are known, those that ended included until they are forgotten.
     final_jobs
@@ -227,6 +228,7 @@
         self.settings = settings
         self.token = token
         self.policy = policy
+        self.claimed_at = now
         self.started_at = now
         self.now = now
         self._configuration = Configuration(0)
--- a/src/snowdock/jobs/times.py
+++ b/src/snowdock/jobs/times.py
@@ -1,6 +1,7 @@
 """Times that every leader goes by, real or emulated."""
 
 __all__ = [
+    "HEARING_SECONDS",
     "ISOLATED_SECONDS",
     "LEASE_SECONDS",
     "LONG_QUESTION_MS",
@@ -27,21 +28,26 @@
 """A question to the advice service that takes longer is a long one: it could hold up several
 short ones, for jobs with a person waiting."""
 
+HEARING_SECONDS = 2.0
+"""How long a new leader waits at least for workers to tell of their runs: their entries are known
+when it begins, and a first answer takes up to some half a second."""
+
 _CLOCK_SLACK_SECONDS = 0.5
 """What clocks of two nodes, and an order on its way, may add to the end of the last lease."""
 
 
 def takeover_lapse_seconds(longest_lease_s: float) -> float:
-    """Give when, after a takeover, all leases that an earlier leader renewed are surely over.
+    """Give when, after a claim, all leases that an earlier leader renewed are surely over.
 
     Parameters
     ----------
     longest_lease_s
-        The longest lease that a worker grants, in seconds of this node's clock.
+        The longest lease that leaders ask for, in seconds of this node's clock. A release that
+        asks for more has to reckon with it here one release before.
 
     Returns
     -------
     float
-        Seconds since the takeover: an isolated leader's last orders, and a lease after them.
+        Seconds since the claim: an isolated leader's last orders, and a lease after them.
     """
     return ISOLATED_SECONDS + longest_lease_s + _CLOCK_SLACK_SECONDS
--- a/src/snowdock/jobs/worker_watch.py
+++ b/src/snowdock/jobs/worker_watch.py
@@ -8,6 +8,7 @@
 from .occupancy import vacate
 from .orders import StopOrder
 from .speeds import fade_slowness
+from .times import HEARING_SECONDS
 from .worker_lives import end_life
 from .workers import Worker
 
@@ -30,7 +31,7 @@
     fade_slowness(cell)
     for worker in list(cell.workers.values()):
         _watch_worker(cell, worker, now)
-    if now - cell.started_at >= cell.settings.takeover_lapse_s:
+    if _are_earlier_leases_over(cell, now):
         _lose_orphans(cell, now)
     for (life, task, run), stop in list(cell.stops.items()):
         _watch_stop(cell, life, task, run, stop, now)
@@ -62,9 +63,17 @@
 def _is_over(cell: Cell, worker: Worker, now: float) -> bool:
     if worker.clock_ms:
         # An earlier leader may have renewed later than this one did.
-        after_takeover = now - cell.started_at > cell.settings.takeover_lapse_s
-        return worker.is_surely_lapsed(now) and (worker.settled or after_takeover)
-    return now - cell.started_at > cell.settings.takeover_lapse_s
+        is_known = worker.settled or _are_earlier_leases_over(cell, now)
+        return worker.is_surely_lapsed(now) and is_known
+    return _are_earlier_leases_over(cell, now)
+
+
+def _are_earlier_leases_over(cell: Cell, now: float) -> bool:
+    """Whether no lease that an earlier leader gave can still hold."""
+    # A takeover on a store that loses answers took 3 s: tasks that last stood for 18 s in all.
+    since_claim = now - cell.claimed_at
+    has_heard = now - cell.started_at >= HEARING_SECONDS
+    return has_heard and since_claim >= cell.settings.takeover_lapse_s
 
 
 def _watch_stop(cell: Cell, life: str, task: TaskId, run: int, stop: Stop, now: float) -> None:
