Test that a draining worker's sudden end is charged; it fails

Ruled out: runs whose number was used twice; charges lost at the takeover (both are on record). Before: charged with nothing.

--- a/tests/test_jobs_crashes.py
+++ b/tests/test_jobs_crashes.py
@@ -161,9 +161,25 @@
         """Where the worker was draining, the end of its life is charged to nobody."""
         self.bench.confirm(self.start)
         self.drain("w")
+        for _ in range(30):
+            self.bench.tick(0.1)
+            if "w" in self.bench.renewals:
+                self.bench.report("w", running=[(self.task.id, 1, 1.0)])
         self.answer_as_another_life()
         self.assertEqual(self.counts(), (0, 0))
 
+    def test_worker_that_leaves_as_soon_as_it_is_given_a_task(self) -> None:
+        """A draining worker takes nothing new, and ends seconds later: what is younger may be why.
+
+        A task that ended each worker was started three times after its third crash, since one of
+        its workers was draining when it went, 0.4 s after the start.
+        """
+        self.drain("w")
+        self.bench.confirm(self.start)
+        self.bench.tick(0.4)
+        self.answer_as_another_life()
+        self.assertEqual(self.counts(), (0, 1))
+
     def drain(self, life: str) -> None:
         entry = self.bench.cell.workers[life].entry
         self.bench.feed(WorkerListed(dataclasses.replace(entry, draining=True)))
