Charge a draining worker's sudden end to the runs that had just begun there

Ruled out: charging all runs there (a roll over all workers would fail jobs that outlive many of them); charging a crash (a drained worker may end by itself a moment after a start that was on its way). Change: runs younger than two seconds when it fell silent are charged with a loss; tasks that last never.

--- a/src/snowdock/jobs/lost_runs.py
+++ b/src/snowdock/jobs/lost_runs.py
@@ -4,10 +4,11 @@
 goes, and mostly no end of any of them is ever told, so each such loss is charged to all tasks that
 were, or may have been, running there. It is charged as a *crash* where another life of the worker
 has answered, and the worker had told that the run was there. Else it stays a *loss*: the worker may
-have been cut off, and run on, or gone before the start arrived. Nothing is charged where the worker
-had said that it would leave: a task that lasts meets many of these while workers are replaced in
-turn. A start elsewhere ends as one of the two, a told end, or a refusal, so a task that crashes
-every worker is started `MOST_LOSSES` times at most, whatever is seen of it.
+have been cut off, and run on, or gone before the start arrived. Where the worker had said that it
+would leave, only runs that had just begun are charged, with a loss, and none that last: these meet
+many such workers while all are replaced in turn. A start elsewhere ends as one of the two, a told
+end, or a refusal, so a task that crashes every worker is started `MOST_LOSSES` times at most,
+whatever is seen of it.
 """
 
 from .cell import Cell
@@ -37,6 +38,9 @@
 """What counts as the same moment: a worker that ends closes its connections, which is seen within
 some 10 ms."""
 
+_AT_ONCE_SECONDS = 2.0
+"""A run that is older did not end its worker by its start; the tasks that do so take some 10 ms."""
+
 _PROVEN_SECONDS = 30.0
 """A task that lasts is charged with nothing any more once a run of it has worked for so long: over
 hours it outlives many workers that go for reasons of their own."""
@@ -97,14 +101,29 @@
 ) -> None:
     run = task.run
     # A start that was never sent can have done nothing, a task that is done needs no more runs.
-    is_charged = not worker.entry.draining and task.phase not in (Phase.RECORDED, Phase.DONE)
+    may_be_why = task.phase not in (Phase.RECORDED, Phase.DONE)
+    is_leaving = worker.entry.draining
+    is_charged = may_be_why and (not is_leaving or _ended_at_once(worker, task, now))
     _tell(cell, worker, task, reason)
     void_run(cell, task, now)
     if not is_charged:
         return
-    if task.is_told:
+    is_certain = task.is_told and not is_leaving
+    if is_certain:
         worker.lost.append((task.id, run))
-    _charge(cell, task, run, worker.life, now, is_crash and task.is_told)
+    _charge(cell, task, run, worker.life, now, is_crash and is_certain)
+
+
+def _ended_at_once(worker: Worker, task: Task, now: float) -> bool:
+    """Whether a worker went so soon after a run began there that the run may be why.
+
+    A worker that leaves takes nothing new once that is known, and ends seconds later: without this
+    a task was started three times after it had crashed three workers, the third one draining.
+    """
+    if task.step.spec.long_running:
+        return False
+    gone_at = now if worker.silent_since is None else worker.silent_since
+    return gone_at - task.since <= _AT_ONCE_SECONDS
 
 
 def _tell(cell: Cell, worker: Worker, task: Task, reason: str) -> None:
