Reckon a worker's doubt when evidence comes, not when it is looked at

Cause: found on reading: a last attempt asked for the doubt of each worker it looked at, up to 32 charges each weighed over the workers where their steps failed; with 270 workers and many bad jobs a look would take some 10 ms rather than three. Ruled out: fewer charges (they are what tells bad steps from bad workers). Change: the doubt is kept with the worker, reckoned as its charges or their steps change.

--- a/src/snowdock/jobs/failed_runs.py
+++ b/src/snowdock/jobs/failed_runs.py
@@ -78,6 +78,7 @@
         step.failed_on.add(worker.life)
         _judge_step(cell, worker, step)
         _reconsider_others(cell, worker, step, now)
+    _reckon(cell, worker)
     if worker.times_aside and _weight(cell, worker, charge) < _TELLING_WEIGHT:
         return
     _set_aside_if_doubted(cell, worker, now)
@@ -91,6 +92,7 @@
     for key, charge in list(worker.charged.items()):
         if charge.at <= began_at:
             del worker.charged[key]
+    _reckon(cell, worker)
     if not worker.charged:
         worker.times_aside = 0
         worker.trial_until = 0.0
@@ -123,8 +125,7 @@
 
 
 def _set_aside_if_doubted(cell: Cell, worker: Worker, now: float) -> None:
-    doubt = _doubt(cell, worker)
-    if doubt < _LIMIT or _is_enough_aside(cell, worker, now):
+    if worker.doubt < _LIMIT or _is_enough_aside(cell, worker, now):
         return
     seconds = min(_ASIDE_SECONDS * 2**worker.times_aside, _LONGEST_ASIDE_SECONDS)
     worker.times_aside += 1
@@ -137,7 +138,7 @@
         seconds,
         now,
         steps=len(worker.charged),
-        doubt=doubt,
+        doubt=worker.doubt,
         bad_share=_bad_share(cell, worker),
     )
 
@@ -148,7 +149,7 @@
         other = cell.workers.get(life)
         if other is None or other is worker:
             continue
-        is_cleared = _doubt(cell, other) < _LIMIT
+        is_cleared = _reckon(cell, other) < _LIMIT
         if is_cleared and other.aside_for is AsideCause.FAILURES:
             other.times_aside = 0
             other.trial_until = 0.0
@@ -170,14 +171,15 @@
     return worker is not None and worker.aside_for is AsideCause.FAILURES
 
 
-def _doubt(cell: Cell, worker: Worker) -> float:
-    """Give how much speaks against a worker; 0 where nothing does."""
-    return sum(_weight(cell, worker, charge) for charge in worker.charged.values())
+def _reckon(cell: Cell, worker: Worker) -> float:
+    """Reckon a worker's doubt anew and give it; passes look at it some thousand times a second."""
+    worker.doubt = sum(_weight(cell, worker, charge) for charge in worker.charged.values())
+    return worker.doubt
 
 
-def is_doubtful(cell: Cell, worker: Worker) -> bool:
+def is_doubtful(worker: Worker) -> bool:
     """Whether a worker is no place for what may not fail again, while another run proves it."""
-    return bool(worker.charged and worker.runs) and _doubt(cell, worker) >= _DOUBTFUL
+    return worker.doubt >= _DOUBTFUL and bool(worker.runs)
 
 
 def is_on_trial(worker: Worker, now: float) -> bool:
--- a/src/snowdock/jobs/seats.py
+++ b/src/snowdock/jobs/seats.py
@@ -135,7 +135,7 @@
         return True
     if is_being_proved(worker, cell.now):
         return False
-    return care is Care.USUAL or not is_doubtful(cell, worker)
+    return care is Care.USUAL or not is_doubtful(worker)
 
 
 def waiting_since(step: Step) -> float:
--- a/src/snowdock/jobs/starving.py
+++ b/src/snowdock/jobs/starving.py
@@ -107,7 +107,7 @@
         return Closed.SUSPECT
     if is_being_proved(worker, now):
         return Closed.ON_TRIAL
-    if care_of(cell, step) is Care.MOST and is_doubtful(cell, worker):
+    if care_of(cell, step) is Care.MOST and is_doubtful(worker):
         return Closed.DOUBTFUL
     if step.spec.label and step.spec.label not in worker.entry.labels:
         return Closed.UNFIT
--- a/src/snowdock/jobs/workers.py
+++ b/src/snowdock/jobs/workers.py
@@ -125,6 +125,8 @@
         Whether several calls in a row found no answer.
     charged
         Steps whose runs failed there since one ended well, and how many runs of each.
+    doubt
+        How much these failures speak against it, as last reckoned; see `failed_runs`.
     times_aside
         How often it was set aside for failures since a run ended well there.
     trial_until, trial
@@ -161,6 +163,7 @@
     silent_since: float | None = None
     is_mute: bool = False
     charged: dict[StepKey, Charge] = dataclasses.field(default_factory=dict)
+    doubt: float = 0.0
     times_aside: int = 0
     trial_until: float = 0.0
     trial: tuple[TaskId, int] | None = None
