Let the soak resize no worker where none is up

Cause: seed 2104 ended with an IndexError: tasks that end their workers had ended all four workers at the moment in which one was to be drawn from those that are up. Ruled out: a fault of the daemons (the traceback is the soak's own). Change: nothing is resized then; the seed runs with the tests.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -61,6 +61,8 @@
     # Members of a gang whose start was not answered counted as told of, since the loss of another
     # member had made their runs ones that are being stopped.
     1007: 10.0,
+    # No worker was up at the moment in which one was to be resized: the soak itself failed.
+    2104: 10.0,
 }
 """Seeds that ever failed, with the seconds that they ran, each with its cause beside it."""
 
@@ -259,7 +261,11 @@
 
     def _resize_worker(self) -> None:
         workers = self.cluster.workers
-        life = self._source.choice([life for life, m in workers.models.items() if m.is_up])
+        up = [life for life, model in workers.models.items() if model.is_up]
+        if not up:
+            # Tasks that end their workers may have ended all of them just now.
+            return
+        life = self._source.choice(up)
         share = self._source.choice((0.0, 0.2, 0.5, 1.0))
         workers.resize(life, ROOM.scaled(share))
 
