Play ways, and go through a job's tasks, in one place each

Cause: found on the last reading: three comparisons of ways set up the same plays and wrote the same difference of worth; five places went through all tasks of a job, two of which asked the same question of them. Change: play_paired and format_worth in bench/ways.py; tasks_of, may_be_given_up and one is_done in the emulator's checks, which the comparison of crashes and the soak use.

--- a/bench/crashes.py
+++ b/bench/crashes.py
@@ -7,16 +7,15 @@
 """
 
 import argparse
-import concurrent.futures
 import dataclasses
 import random
 import statistics
 
-from bench.ways import put_in_force
+from bench.ways import format_worth, play_paired, put_in_force
 from snowdock.emulator import Emulator, EmulatorOptions, WorkloadOptions, draw_workload
 from snowdock.emulator.report import make_report
 from snowdock.emulator.workload import DrawnJob, default_mixes
-from snowdock.jobs.model import JobStatus, TaskId
+from snowdock.jobs.model import JobStatus
 
 SECONDS = 30.0
 DRAIN_SECONDS = 30.0
@@ -84,7 +83,9 @@
     return Outcome(
         bad=len(bad),
         bad_ended=sum(job.job in failed for job in bad),
-        innocent=sum(job.job in failed and _was_crashed_under(emulator, job) for job in good),
+        innocent=sum(
+            job.job in failed and emulator.checks.may_be_given_up(job.job) for job in good
+        ),
         crashes=sum(emulator.checks.crashes_under(job.crashing) for job in bad),
         heard_s=statistics.median(waits) if waits else 0.0,
         worth=make_report(emulator, good).worth,
@@ -92,16 +93,6 @@
     )
 
 
-def _was_crashed_under(emulator: Emulator, job: DrawnJob) -> bool:
-    """Whether crashes may be why a job has failed; else its runs failed of themselves."""
-    tasks = (
-        TaskId(job.job, 0, number, index)
-        for number, step in enumerate(job.spec.steps)
-        for index in range(step.count)
-    )
-    return any(emulator.checks.crashes_under(task) > 1 for task in tasks)
-
-
 def main() -> None:
     """Play all ways and print a table."""
     parser = argparse.ArgumentParser(description=__doc__)
@@ -111,26 +102,18 @@
     parser.add_argument("--flaps", action="store_true")
     parser.add_argument("--processes", type=int, default=4)
     options = parser.parse_args()
-    seeds = range(1, options.seeds + 1)
-    # A process for each play: settings of one way may not stay in force for the next.
-    with concurrent.futures.ProcessPoolExecutor(options.processes, max_tasks_per_child=1) as pool:
-        plays = {
-            way: [pool.submit(play, way, seed, options.share, options.flaps) for seed in seeds]
-            for way in options.ways
-        }
-        days = {way: [run.result() for run in runs] for way, runs in plays.items()}
+    given = (options.share, options.flaps)
+    days = play_paired(play, options.ways, options.seeds, options.processes, *given)
     print(f"{'way':<60} bad ended innocent crashes/bad heard_s worth (difference, spread) broken")
-    first = [day.worth for day in days[options.ways[0]]]
+    first = days[options.ways[0]]
     for way, outcomes in days.items():
-        gains = [day.worth - before for day, before in zip(outcomes, first, strict=True)]
         bad = sum(day.bad for day in outcomes)
         print(
             f"{way:<60} {bad:3d} {sum(day.bad_ended for day in outcomes):5d}"
             f" {sum(day.innocent for day in outcomes):8d}"
             f" {sum(day.crashes for day in outcomes) / max(1, bad):11.2f}"
             f" {statistics.mean(day.heard_s for day in outcomes):7.1f}"
-            f" {statistics.mean(day.worth for day in outcomes):.3f}"
-            f" ({statistics.mean(gains):+.3f}, {statistics.pstdev(gains):.3f})"
+            f" {format_worth(outcomes, first)}"
             f" {sum(day.broken for day in outcomes):4d}"
         )
 
--- a/bench/failures.py
+++ b/bench/failures.py
@@ -7,11 +7,10 @@
 """
 
 import argparse
-import concurrent.futures
 import dataclasses
 import statistics
 
-from bench.ways import put_in_force
+from bench.ways import format_worth, play_paired, put_in_force
 from snowdock.emulator import Emulator, EmulatorOptions, WorkloadOptions, draw_workload
 from snowdock.emulator.report import make_report
 from snowdock.emulator.workload import DrawnJob, default_mixes
@@ -139,25 +138,17 @@
     parser.add_argument("--spoiling", type=float, default=0.0)
     parser.add_argument("--processes", type=int, default=4)
     options = parser.parse_args()
-    seeds = range(1, options.seeds + 1)
     chosen = SHARES if options.failing is None else ((options.failing, options.spoiling),)
     print("starved longest innocent spoiled aside_s sound_s heard_s worth (gain, spread) broken")
-    # A process for each play: settings of one way may not stay in force for the next.
-    with concurrent.futures.ProcessPoolExecutor(options.processes, max_tasks_per_child=1) as pool:
-        for failing, spoiling in chosen:
-            print(f"{failing:.2f} of the jobs fail, {spoiling:.2f} of the workers spoil")
-            plays = {
-                way: [pool.submit(play, way, seed, failing, spoiling) for seed in seeds]
-                for way in options.ways
-            }
-            days = {way: [run.result() for run in runs] for way, runs in plays.items()}
-            _print_table(days)
+    for failing, spoiling in chosen:
+        print(f"{failing:.2f} of the jobs fail, {spoiling:.2f} of the workers spoil")
+        given = (failing, spoiling)
+        _print_table(play_paired(play, options.ways, options.seeds, options.processes, *given))
 
 
 def _print_table(days: dict[str, list[Outcome]]) -> None:
-    first = [day.worth for day in next(iter(days.values()))]
+    first = next(iter(days.values()))
     for way, outcomes in days.items():
-        gains = [day.worth - before for day, before in zip(outcomes, first, strict=True)]
         print(
             f"{sum(day.starved for day in outcomes):7d}"
             f" {max(day.longest_s for day in outcomes):7.1f}"
@@ -166,8 +157,7 @@
             f" {statistics.mean(day.aside_s for day in outcomes):7.2f}"
             f" {statistics.mean(day.sound_aside_s for day in outcomes):7.2f}"
             f" {statistics.mean(day.heard_s for day in outcomes):7.2f}"
-            f" {statistics.mean(day.worth for day in outcomes):.3f}"
-            f" ({statistics.mean(gains):+.3f}, {statistics.pstdev(gains):.3f})"
+            f" {format_worth(outcomes, first)}"
             f" {sum(day.broken for day in outcomes):4d}  {way}",
             flush=True,
         )
--- a/bench/ways.py
+++ b/bench/ways.py
@@ -12,6 +12,7 @@
 import importlib
 import statistics
 import time
+from collections.abc import Callable
 
 from snowdock.declarations import Size
 from snowdock.emulator import Emulator, EmulatorOptions, WorkloadOptions, draw_workload
@@ -40,6 +41,38 @@
         setattr(found, constant, ast.literal_eval(value))
 
 
+def play_paired(
+    play: Callable, ways: list[str], seeds: int, processes: int, *given: object
+) -> dict[str, list]:
+    """Play all ways on the same seeds, from 1; give what came of each, by way.
+
+    Parameters
+    ----------
+    play
+        (way, seed, *given) -> what came of a day; it puts the way in force.
+    ways, seeds
+        The ways, and how many seeds each plays.
+    processes
+        How many days are played at the same time.
+    given
+        What else each play gets.
+    """
+    # A process for each play: settings of one way may not stay in force for the next.
+    with concurrent.futures.ProcessPoolExecutor(processes, max_tasks_per_child=1) as pool:
+        runs = {
+            way: [pool.submit(play, way, seed, *given) for seed in range(1, seeds + 1)]
+            for way in ways
+        }
+        return {way: [run.result() for run in of_way] for way, of_way in runs.items()}
+
+
+def format_worth(outcomes: list, first: list) -> str:
+    """Write the mean worth of a way's days, and how it differs from the first way's."""
+    gains = [day.worth - before.worth for day, before in zip(outcomes, first, strict=True)]
+    mean = statistics.mean(day.worth for day in outcomes)
+    return f"{mean:.3f} ({statistics.mean(gains):+.3f}, {statistics.pstdev(gains):.3f})"
+
+
 def play(way: str, seed: int, load: float) -> tuple[str, int, Report, float, float]:
     """Play a day; give its report, the mean use of processors under load, and the time taken."""
     put_in_force(way)
@@ -70,12 +103,8 @@
     parser.add_argument("--processes", type=int, default=4)
     options = parser.parse_args()
     seeds = range(1, options.seeds + 1)
-    # A process for each play: settings of one way may not stay in force for the next.
-    with concurrent.futures.ProcessPoolExecutor(options.processes, max_tasks_per_child=1) as pool:
-        runs = [
-            pool.submit(play, way, seed, options.load) for way in options.ways for seed in seeds
-        ]
-        played = [run.result() for run in runs]
+    days = play_paired(play, options.ways, options.seeds, options.processes, options.load)
+    played = [day for of_way in days.values() for day in of_way]
     first: dict[int, float] = {}
     print(f"{'way':<48} worth  (difference, spread)  queues' worth; worst teams; in use; broken")
     for way in options.ways:
--- a/src/snowdock/emulator/checks.py
+++ b/src/snowdock/emulator/checks.py
@@ -1,14 +1,14 @@
 """What must always hold, checked from what the workers see."""
 
 import dataclasses
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 
 from ..declarations import ZERO, Size
 from ..jobs.model import JobSpec, StepSpec, TaskId
 from ..jobs.orders import EndKind
 from .quota_checks import QuotaChecks
 
-__all__ = ["Checks", "Violation"]
+__all__ = ["Checks", "Violation", "tasks_of"]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -34,6 +34,13 @@
     starts_after_crashes: int = 0
 
 
+def tasks_of(job: str, spec: JobSpec, repetition: int = 0) -> Iterator[TaskId]:
+    """Give all tasks of one time of a job."""
+    for number, step in enumerate(spec.steps):
+        for index in range(step.count):
+            yield TaskId(job, repetition, number, index)
+
+
 _MOST_CRASHES = 3
 _MOST_STARTS_AFTER = 2
 """After so many crashes under a task that ends its workers, so many more starts of it."""
@@ -76,15 +83,11 @@
         spec, most = self._jobs[job]
         if job in self._cancelled:
             return True
-        return any(
-            len(self._history(TaskId(job, 0, number, index)).failed_runs) >= most
-            for number, step in enumerate(spec.steps)
-            for index in range(step.count)
-        )
+        return any(len(self._history(task).failed_runs) >= most for task in tasks_of(job, spec))
 
-    def is_done(self, task: TaskId) -> bool:
-        """Whether a task, or another member of its gang, has ended well."""
-        return self._is_done(task, self._jobs[task.job][0])
+    def may_be_given_up(self, job: str) -> bool:
+        """Whether two workers, as users allow, have crashed under a task of a job."""
+        return any(self.crashes_under(task) > 1 for task in tasks_of(job, self.spec_of(job)))
 
     def cancelled(self, job: str, at: float) -> None:
         """Note a cancelling that was acknowledged."""
@@ -130,7 +133,7 @@
                 self._broken("crashes", at, task, f"{history.crashes} workers crashed under it")
         for earlier in step.after:
             for index in range(spec.steps[earlier].count):
-                if not self._is_done(TaskId(task.job, task.repetition, earlier, index), spec):
+                if not self.is_done(TaskId(task.job, task.repetition, earlier, index)):
                     self._broken("order", at, task, f"step {earlier} is not done")
                     break
         cancelled_at = self._cancelled.get(task.job)
@@ -141,10 +144,11 @@
         if over:
             self._broken("quota", at, task, over)
 
-    def _is_done(self, task: TaskId, spec: JobSpec) -> bool:
+    def is_done(self, task: TaskId) -> bool:
+        """Whether a task, or another member of its gang, has ended well."""
         if self._history(task).done_runs:
             return True
-        step = spec.steps[task.step]
+        step = self.spec_of(task.job).steps[task.step]
         if not step.gang:
             return False
         return any(
@@ -214,9 +218,7 @@
             return
         spec, _ = known
         for repetition in range(max(1, spec.repetitions)):
-            for number, step in enumerate(spec.steps):
-                for index in range(step.count):
-                    task = TaskId(job, repetition, number, index)
-                    if not self._is_done(task, spec):
-                        self._broken("completed", at, task, "shown before it was done")
-                        return
+            for task in tasks_of(job, spec, repetition):
+                if not self.is_done(task):
+                    self._broken("completed", at, task, "shown before it was done")
+                    return
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -27,7 +27,6 @@
 import urllib3
 
 from snowdock.declarations import Size
-from snowdock.jobs.model import TaskId
 from tests.standins.entry_cluster import CONFIGURATION, EntryCluster, EntryProcess, wait_until
 from tests.standins.proxy import Mode, Proxy
 
@@ -294,11 +293,7 @@
         """Whether two workers crashed under a task of a job, or its attempts are used up."""
         job = path.rpartition("/")[2]
         checks = self.cluster.workers.checks
-        if self.has_failures and checks.is_over(job):
-            return True
-        steps = enumerate(self.cluster.workers.steps[job])
-        tasks = (TaskId(job, 0, step, i) for step, spec in steps for i in range(spec.count))
-        return any(checks.crashes_under(task) > 1 for task in tasks)
+        return checks.may_be_given_up(job) or (self.has_failures and checks.is_over(job))
 
     def _check(self, submissions: list[Submission]) -> list[str]:
         cluster = self.cluster
