--- a/src/snowdock/emulator/emulator.py
+++ b/src/snowdock/emulator/emulator.py
@@ -38,7 +38,7 @@
 from ..jobs.reducer import reduce
 from ..jobs.takeover import RecordedJobs, restore
 from ..jobs.times import RETENTION_FACTOR, TICK_SECONDS, takeover_lapse_seconds
-from ..jobs.workers import SLOWEST_CLOCK_RATE, WorkerEntry
+from ..jobs.workers import WorkerEntry
 from ..teams import Team, TeamBook
 from .checks import Checks
 from .options import EmulatorOptions, Faults
@@ -277,7 +277,7 @@
         options = self._options
         settings = CellSettings(
             lease_s=options.lease_s,
-            takeover_lapse_s=takeover_lapse_seconds(options.lease_s / SLOWEST_CLOCK_RATE),
+            takeover_lapse_s=takeover_lapse_seconds(options.lease_s),
             gang_wait_s=options.terms.gang_wait_s,
             early_s=0.25,
             stop_s=options.terms.stop_s,
--- a/src/snowdock/entry/leader_record.py
+++ b/src/snowdock/entry/leader_record.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from ..errors import PlatformError
+from ..errors import UNREADABLE, PlatformError
 from ..platform.store import KeyedRecord
 
 __all__ = ["Identity", "LeaderRecord", "decode_leader", "encode_leader"]
@@ -58,5 +58,5 @@
     """
     try:
         return msgspec.msgpack.decode(record.value, type=LeaderRecord)
-    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
+    except UNREADABLE as error:
         raise PlatformError(f"a leader's record does not fit: {error}") from error
--- a/src/snowdock/entry/leader_terms.py
+++ b/src/snowdock/entry/leader_terms.py
@@ -2,7 +2,6 @@
 
 from ..jobs.cell import CellSettings
 from ..jobs.times import LEASE_SECONDS, RETENTION_FACTOR, takeover_lapse_seconds
-from ..jobs.workers import SLOWEST_CLOCK_RATE
 from ..platform.node_settings import NodeEnvironment
 
 __all__ = ["cell_settings", "claim_delay"]
@@ -22,7 +21,7 @@
     lease_s = min(LEASE_SECONDS, environment.lease_limit_s)
     return CellSettings(
         lease_s=lease_s,
-        takeover_lapse_s=takeover_lapse_seconds(lease_s / SLOWEST_CLOCK_RATE),
+        takeover_lapse_s=takeover_lapse_seconds(lease_s),
         gang_wait_s=environment.gang_wait_s,
         early_s=environment.early_s,
         stop_s=environment.stop_s,
--- a/src/snowdock/entry/messages.py
+++ b/src/snowdock/entry/messages.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from ..errors import InvalidInput
+from ..errors import UNREADABLE, InvalidInput
 from ..jobs.model import JobId, JobStatus
 from ..node.peers import PeerMessages
 
@@ -186,7 +186,7 @@
 def _decode(data: bytes) -> EntryMessage:
     try:
         return _decoder.decode(data)
-    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
+    except UNREADABLE as error:
         raise InvalidInput(f"not an entry message: {error}") from error
 
 
--- a/src/snowdock/errors.py
+++ b/src/snowdock/errors.py
@@ -4,7 +4,10 @@
 answers it, so that no layer above has to translate.
 """
 
+import msgspec
+
 __all__ = [
+    "UNREADABLE",
     "AppendConflict",
     "BodyTooLarge",
     "CallUnanswered",
@@ -36,6 +39,10 @@
 ]
 
 
+UNREADABLE = (msgspec.MsgspecError, UnicodeDecodeError, RecursionError)
+"""What decoding raises for bytes of others that do not fit, are no UTF-8, or nest without end."""
+
+
 class SnowdockError(Exception):
     """Base of every failure that snowdock reports by type."""
 
--- a/src/snowdock/jobs/availability.py
+++ b/src/snowdock/jobs/availability.py
@@ -2,7 +2,7 @@
 
 import enum
 
-from .workers import AsideCause, Worker
+from .workers import Worker
 
 __all__ = ["Closed", "why_closed"]
 
@@ -48,7 +48,7 @@
         return Closed.SILENT
     if worker.entry.draining:
         return Closed.LEAVING
-    if worker.aside_until > now and not (is_last_resort and _has_failed(worker)):
+    if worker.aside_until > now and not (is_last_resort and worker.is_aside_for_failures):
         return Closed.ASIDE
     if worker.is_kept_alone:
         return Closed.ALONE
@@ -56,7 +56,3 @@
         return None
     may_return = worker.may_return and now - worker.delisted_at < _DELISTED_GRACE_SECONDS
     return None if may_return else Closed.LEAVING
-
-
-def _has_failed(worker: Worker) -> bool:
-    return worker.aside_for is AsideCause.FAILURES
--- a/src/snowdock/jobs/failed_runs.py
+++ b/src/snowdock/jobs/failed_runs.py
@@ -15,7 +15,7 @@
 
 from .cell import Cell
 from .parts import Step
-from .set_aside import set_aside, take_back
+from .set_aside import count_aside, set_aside, take_back
 from .workers import AsideCause, Charge, Worker
 
 __all__ = [
@@ -94,10 +94,7 @@
             del worker.charged[key]
     _reckon(cell, worker)
     if not worker.charged:
-        worker.times_aside = 0
-        worker.trial_until = 0.0
-        worker.trial = None
-        take_back(cell, worker, AsideCause.FAILURES, now)
+        _acquit(cell, worker, now)
     if worker.life in step.done_on:
         return
     if not step.done_on:
@@ -143,6 +140,14 @@
     )
 
 
+def _acquit(cell: Cell, worker: Worker, now: float) -> None:
+    """End what follows from a worker's failures: its time aside, its trial, and their growth."""
+    worker.times_aside = 0
+    worker.trial_until = 0.0
+    worker.trial = None
+    take_back(cell, worker, AsideCause.FAILURES, now)
+
+
 def _reconsider_others(cell: Cell, worker: Worker, step: Step, now: float) -> None:
     """Judge other workers where a step has failed by what it did on one."""
     for life in step.failed_on:
@@ -150,25 +155,21 @@
         if other is None or other is worker:
             continue
         is_cleared = _reckon(cell, other) < _LIMIT
-        if is_cleared and other.aside_for is AsideCause.FAILURES:
-            other.times_aside = 0
-            other.trial_until = 0.0
-            take_back(cell, other, AsideCause.FAILURES, now)
+        if is_cleared and other.is_aside_for_failures:
+            _acquit(cell, other, now)
         elif not other.times_aside:
             _set_aside_if_doubted(cell, other, now)
 
 
 def _failed_elsewhere(cell: Cell, step: Step, worker: Worker | None = None) -> set[str]:
     """Give the other workers where a step has failed, but for those thought to spoil runs."""
-    return {
-        life
-        for life in step.failed_on
-        if (worker is None or life != worker.life) and not _is_aside(cell.workers.get(life))
-    }
+    own = "" if worker is None else worker.life
+    return {life for life in step.failed_on if life != own and not _spoils(cell, life)}
 
 
-def _is_aside(worker: Worker | None) -> bool:
-    return worker is not None and worker.aside_for is AsideCause.FAILURES
+def _spoils(cell: Cell, life: str) -> bool:
+    worker = cell.workers.get(life)
+    return worker is not None and worker.is_aside_for_failures
 
 
 def _reckon(cell: Cell, worker: Worker) -> float:
@@ -221,6 +222,5 @@
 
 def _is_enough_aside(cell: Cell, worker: Worker, now: float) -> bool:
     """Whether as much of a service is set aside for failures as may be."""
-    alike = [each for each in cell.workers.values() if each.entry.service == worker.entry.service]
-    aside = sum(each.aside_until > now and _is_aside(each) for each in alike)
-    return aside + 1 > _MOST_ASIDE * len(alike)
+    aside, workers = count_aside(cell, worker.entry.service, AsideCause.FAILURES, now)
+    return aside + 1 > _MOST_ASIDE * workers
--- a/src/snowdock/jobs/parts.py
+++ b/src/snowdock/jobs/parts.py
@@ -197,6 +197,12 @@
         """Names the step."""
         return (self.job.id, self.repetition, self.number)
 
+    @property
+    def waiting_since(self) -> float:
+        """Since when all its waiting tasks have waited, in steady seconds."""
+        waiting = (task.since for task in self.tasks if task.phase is Phase.WAITING)
+        return max(self.queued_at, max(waiting, default=0.0))
+
     @property
     def is_done(self) -> bool:
         """Whether all its tasks have ended well."""
--- a/src/snowdock/jobs/placing.py
+++ b/src/snowdock/jobs/placing.py
@@ -1,7 +1,6 @@
 """Placement of waiting steps on workers: the most urgent first, within a bounded effort."""
 
 import dataclasses
-from collections.abc import Iterable
 
 from ..declarations import ZERO, Size
 from .advising import may_ask, needs_advice, want_advice
@@ -166,7 +165,7 @@
         return 1
     if needs_advice(cell, step):
         return 1 + _place_advised(cell, step, tasks, company, pool, now)
-    workers = _open_to(company, pool.workers.values())
+    workers = _open_to(company, list(pool.workers.values()))
     seats = _find_seats(cell, step, workers, workers, company, now)
     left = _place_tasks(cell, step, tasks, company, seats, now)
     if left:
@@ -209,10 +208,10 @@
     return looks
 
 
-def _open_to(company: Company, workers: Iterable[Worker]) -> list[Worker]:
+def _open_to(company: Company, workers: list[Worker]) -> list[Worker]:
     """Give the workers where tasks may run that keep such company."""
     if company is Company.ANYBODY:
-        return list(workers)
+        return workers
     return [worker for worker in workers if may_join(worker, company)]
 
 
--- a/src/snowdock/jobs/progress.py
+++ b/src/snowdock/jobs/progress.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from ..errors import InvalidInput
+from ..errors import UNREADABLE, InvalidInput
 from .model import JobId, JobSpec, JobStatus
 
 __all__ = [
@@ -143,5 +143,5 @@
 def _decode(data: bytes, kind: type):
     try:
         return msgspec.msgpack.decode(data, type=kind)
-    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
+    except UNREADABLE as error:
         raise InvalidInput(f"a durable record does not fit {kind.__name__}: {error}") from error
--- a/src/snowdock/jobs/quotas.py
+++ b/src/snowdock/jobs/quotas.py
@@ -18,7 +18,7 @@
 """Whether quota is kept for a waiting gang: of four emulated days with 20 teams, 0.831 of the
 payouts' worth against 0.802."""
 
-_LONGEST_KEPT_SECONDS = 1.5
+_KEPT_WHOLE_SECONDS = 1.5
 """How long quota that a gang has whole is kept for it: one of 60 tasks with 57 seats on all the
 workers that may run it kept its team's other gangs waiting for as long as it stood there."""
 
@@ -83,7 +83,7 @@
         return False
     if step.has_quota_since is None:
         step.has_quota_since = cell.now
-    return cell.now - step.has_quota_since > _LONGEST_KEPT_SECONDS
+    return cell.now - step.has_quota_since > _KEPT_WHOLE_SECONDS
 
 
 def _kept_from(cell: Cell, step: Step) -> Size:
--- a/src/snowdock/jobs/room_use.py
+++ b/src/snowdock/jobs/room_use.py
@@ -10,7 +10,7 @@
 from .parts import Step
 from .workers import Worker
 
-__all__ = ["Lack", "find_lack", "tell_room_use"]
+__all__ = ["Lack", "find_lack", "share_in_use", "tell_room_use"]
 
 _TELL_SECONDS = 1.0
 """Time between two lines; one takes some 3 ms with 150 steps that wait for 270 workers."""
@@ -50,9 +50,9 @@
         cell.tell(
             "room_use",
             service,
-            cpu=_share(workers, "cpu"),
-            memory=_share(workers, "memory"),
-            accelerators=_share(workers, "accelerators"),
+            cpu=share_in_use(workers, "cpu"),
+            memory=share_in_use(workers, "memory"),
+            accelerators=share_in_use(workers, "accelerators"),
             waiting=len(waiting[service]),
             **{lack.name.lower(): lacks[lack] for lack in Lack},
         )
@@ -93,7 +93,7 @@
     return Lack.TICKET if has_room else Lack.BOTH
 
 
-def _share(workers: list[Worker], kind: str) -> float:
+def share_in_use(workers: list[Worker], kind: str) -> float:
     """Give the share of one kind of room that is in use; 0 where the workers have none of it."""
     capacity = sum(getattr(worker.entry.capacity, kind) for worker in workers)
     used = sum(getattr(worker.used, kind) for worker in workers)
--- a/src/snowdock/jobs/seats.py
+++ b/src/snowdock/jobs/seats.py
@@ -8,7 +8,7 @@
 from .cell import Cell
 from .failed_runs import is_being_proved, is_doubtful, is_on_trial
 from .forecast import expected_end
-from .parts import Phase, Step, Task
+from .parts import Step, Task
 from .workers import Worker
 
 __all__ = [
@@ -21,7 +21,6 @@
     "is_bulky",
     "may_be_trusted",
     "most_seats",
-    "waiting_since",
 ]
 
 _UNBOUNDED = 1_000
@@ -119,7 +118,7 @@
 
 def care_of(cell: Cell, step: Step) -> Care:
     """Tell how choosy a step is about workers where runs have failed."""
-    waited = cell.now - waiting_since(step)
+    waited = cell.now - step.waiting_since
     if waited < _CAREFUL_SECONDS:
         return Care.MOST if _is_last_attempt(cell, step) else Care.USUAL
     longest = _LONGEST_CHOOSY_SECONDS
@@ -138,12 +137,6 @@
     return care is Care.USUAL or not is_doubtful(worker)
 
 
-def waiting_since(step: Step) -> float:
-    """Give since when all waiting tasks of a step have waited, in steady seconds."""
-    waiting = (task.since for task in step.tasks if task.phase is Phase.WAITING)
-    return max(step.queued_at, max(waiting, default=0.0))
-
-
 def _is_last_attempt(cell: Cell, step: Step) -> bool:
     """Whether one more failure would fail the job."""
     most = cell.queue_of(step.job).max_attempts - 1
--- a/src/snowdock/jobs/set_aside.py
+++ b/src/snowdock/jobs/set_aside.py
@@ -3,7 +3,7 @@
 from .cell import Cell
 from .workers import AsideCause, Worker
 
-__all__ = ["set_aside", "take_back", "take_back_due"]
+__all__ = ["count_aside", "set_aside", "take_back", "take_back_due"]
 
 
 def set_aside(
@@ -39,7 +39,7 @@
             cause=cause.value,
             for_s=seconds,
             **evidence,
-            **_count_aside(cell, worker, cause, now),
+            **_show_counts(cell, worker, cause, now),
         )
 
 
@@ -60,13 +60,18 @@
 
 def _tell_back(cell: Cell, worker: Worker, now: float) -> None:
     cause, worker.aside_for = worker.aside_for, None
-    counts = _count_aside(cell, worker, cause, now)
-    cell.tell("worker_back", worker.life, cause=cause.value, **counts)
+    cell.tell(
+        "worker_back", worker.life, cause=cause.value, **_show_counts(cell, worker, cause, now)
+    )
 
 
-def _count_aside(cell: Cell, worker: Worker, cause: AsideCause, now: float) -> dict[str, object]:
-    """Count the workers of a worker's service, and those of them set aside for a cause."""
-    service = worker.entry.service
+def count_aside(cell: Cell, service: str, cause: AsideCause, now: float) -> tuple[int, int]:
+    """Count the workers of a service that are set aside for a cause, and all of them."""
     alike = [each for each in cell.workers.values() if each.entry.service == service]
-    aside = sum(each.aside_until > now and each.aside_for is cause for each in alike)
-    return {"service": service, "aside": aside, "workers": len(alike)}
+    return sum(each.aside_until > now and each.aside_for is cause for each in alike), len(alike)
+
+
+def _show_counts(cell: Cell, worker: Worker, cause: AsideCause, now: float) -> dict[str, object]:
+    service = worker.entry.service
+    aside, workers = count_aside(cell, service, cause, now)
+    return {"service": service, "aside": aside, "workers": workers}
--- a/src/snowdock/jobs/starving.py
+++ b/src/snowdock/jobs/starving.py
@@ -10,7 +10,8 @@
 from .cell import Cell
 from .failed_runs import is_being_proved, is_doubtful
 from .parts import Step
-from .seats import Care, care_of, fitting, most_seats, waiting_since
+from .room_use import share_in_use
+from .seats import Care, care_of, fitting, most_seats
 from .suspects import may_join, next_tasks
 from .workers import Worker
 
@@ -38,7 +39,7 @@
     if now - cell.starving_told_at < _TELL_SECONDS:
         return
     cell.starving_told_at = now
-    idle = [step for step in cell.waiting.values() if now - waiting_since(step) >= _IDLE_SECONDS]
+    idle = [step for step in cell.waiting.values() if now - step.waiting_since >= _IDLE_SECONDS]
     if not idle:
         return
     services: dict[str, list[Worker]] = collections.defaultdict(list)
@@ -46,7 +47,7 @@
         services[worker.entry.service].append(worker)
     free = {service for service, workers in services.items() if _is_mostly_free(workers)}
     starving = [step for step in idle if cell.queue_of(step.job).service in free]
-    starving.sort(key=waiting_since)
+    starving.sort(key=lambda step: step.waiting_since)
     told = 0
     for step in starving:
         if told >= _MOST_TOLD:
@@ -62,12 +63,8 @@
 
 
 def _is_mostly_free(workers: list[Worker]) -> bool:
-    pairs = [(worker.used, worker.entry.capacity) for worker in workers]
-    for kind in ("cpu", "memory", "accelerators"):
-        used = sum(getattr(each, kind) for each, _ in pairs)
-        if used > _MOSTLY_FREE * sum(getattr(whole, kind) for _, whole in pairs):
-            return False
-    return True
+    kinds = ("cpu", "memory", "accelerators")
+    return all(share_in_use(workers, kind) <= _MOSTLY_FREE for kind in kinds)
 
 
 def _has_spare_room(step: Step, workers: list[Worker]) -> bool:
@@ -86,7 +83,7 @@
         "job_starves",
         step.job.id,
         step=step.number,
-        waiting_s=now - waiting_since(step),
+        waiting_s=now - step.waiting_since,
         failures=max(task.failures for task in step.tasks),
         paused_s=max(0.0, step.not_before - now),
         at_quota=step.is_at_quota,
--- a/src/snowdock/jobs/times.py
+++ b/src/snowdock/jobs/times.py
@@ -6,6 +6,7 @@
     "LEASE_SECONDS",
     "LONG_QUESTION_MS",
     "RETENTION_FACTOR",
+    "SLOWEST_CLOCK_RATE",
     "TICK_SECONDS",
     "takeover_lapse_seconds",
 ]
@@ -36,18 +37,22 @@
 """What clocks of two nodes, and an order on its way, may add to the end of the last lease."""
 
 
+SLOWEST_CLOCK_RATE = 0.975
+"""A worker's steady clock may run 2 % slow; half a percent is left for the node's own."""
+
+
 def takeover_lapse_seconds(longest_lease_s: float) -> float:
     """Give when, after a claim, all leases that an earlier leader renewed are surely over.
 
     Parameters
     ----------
     longest_lease_s
-        The longest lease that leaders ask for, in seconds of this node's clock. A release that
-        asks for more has to reckon with it here one release before.
+        The longest lease that leaders ask for, in seconds of a worker's clock. A release that asks
+        for more has to reckon with it here one release before.
 
     Returns
     -------
     float
         Seconds since the claim: an isolated leader's last orders, and a lease after them.
     """
-    return ISOLATED_SECONDS + longest_lease_s + _CLOCK_SLACK_SECONDS
+    return ISOLATED_SECONDS + longest_lease_s / SLOWEST_CLOCK_RATE + _CLOCK_SLACK_SECONDS
--- a/src/snowdock/jobs/workers.py
+++ b/src/snowdock/jobs/workers.py
@@ -7,11 +7,9 @@
 from ..declarations import ZERO, Size
 from .model import StepKey, TaskId
 from .parts import Step
+from .times import SLOWEST_CLOCK_RATE
 
-__all__ = ["SLOWEST_CLOCK_RATE", "AsideCause", "Charge", "Hold", "Worker", "WorkerEntry"]
-
-SLOWEST_CLOCK_RATE = 0.975
-"""A worker's steady clock may run 2 % slow; half a percent is left for the node's own."""
+__all__ = ["AsideCause", "Charge", "Hold", "Worker", "WorkerEntry"]
 
 
 class AsideCause(enum.Enum):
@@ -185,6 +183,11 @@
         """Whether a run there has to be alone."""
         return bool(self.suspects) and any(self.suspects.values())
 
+    @property
+    def is_aside_for_failures(self) -> bool:
+        """Whether it is set aside since runs failed there, as far as is told."""
+        return self.aside_for is AsideCause.FAILURES
+
     @property
     def failure_streak(self) -> int:
         """How many steps have failed there in a row."""
--- a/src/snowdock/platform/_json.py
+++ b/src/snowdock/platform/_json.py
@@ -2,15 +2,11 @@
 
 import msgspec
 
-from ..errors import PlatformError
+from ..errors import UNREADABLE, PlatformError
 
 __all__ = ["decode_json"]
 
 
-_UNREADABLE = (msgspec.MsgspecError, UnicodeDecodeError, RecursionError)
-"""What bytes that are no JSON, not UTF-8, or nested without end bring about."""
-
-
 def decode_json(data: bytes, kind: type, subject: str = "answer"):
     """Decode an outside system's JSON into a validated model.
 
@@ -31,5 +27,5 @@
     try:
         # Bytes in fields that nobody reads are to be text, too.
         return msgspec.json.decode(data.decode(), type=kind)
-    except _UNREADABLE as error:
+    except UNREADABLE as error:
         raise PlatformError(f"{subject} does not fit: {error}") from error
--- a/src/snowdock/platform/job_bodies.py
+++ b/src/snowdock/platform/job_bodies.py
@@ -7,7 +7,7 @@
 from msgspec import Meta
 
 from ..declarations import Size
-from ..errors import InvalidInput
+from ..errors import UNREADABLE, InvalidInput
 from ..jobs.model import JobSpec, JobStatus, StepSpec
 
 __all__ = [
@@ -89,7 +89,7 @@
     """
     try:
         job = msgspec.json.decode(body, type=_Job)
-    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
+    except UNREADABLE as error:
         raise InvalidInput(f"the job does not fit: {error}") from error
     if len(job.spec.encode("utf-8", "surrogatepass")) > _PAYLOAD_BYTES:
         raise InvalidInput(f"spec is longer than {_PAYLOAD_BYTES} bytes")
