Let the tests of failed runs fail; test that workers are judged in one order, which fails

Four expectations behind them were wrong. Found on the last reading, as a new test passed that had to fail; no other test class overrides a method of unittest (searched). Ruled out: a fault of the decisions: the four state what the sources do not, and did not when they were measured. One failure elsewhere clears a worker (the test said two); two good ends elsewhere convict it (it said one); a burst counts as further times (a test of its own now), so the doubling is shown by one failure a time, with the expectation that stood there.

--- a/tests/test_jobs_failed_runs.py
+++ b/tests/test_jobs_failed_runs.py
@@ -5,6 +5,7 @@
 
 from snowdock.declarations import Size
 from snowdock.jobs import failed_runs
+from snowdock.jobs.events import Decided
 from snowdock.jobs.model import StepSpec
 from snowdock.jobs.parts import Job, Step
 from snowdock.jobs.runs import open_repetition
@@ -31,7 +32,7 @@
     def step() -> Step:
         return make_step()
 
-    def fail(self, life: str, *steps: Step, runs: int = 1) -> None:
+    def fail_runs(self, life: str, *steps: Step, runs: int = 1) -> None:
         for step in steps:
             for _ in range(runs):
                 failed_runs.note_failed_run(self.cell, self.cell.workers[life], step, self.now)
@@ -52,37 +53,36 @@
 class TestWeights(FailedRuns):
     def test_one_failure_is_chance(self) -> None:
         """A run of a step fails by its own fault now and then."""
-        self.fail("w0", self.step())
+        self.fail_runs("w0", self.step())
         self.assertEqual(self.aside, [])
 
     def test_two_failures_are_none(self) -> None:
         """Two runs of one step, or one each of two, set their worker aside."""
-        self.fail("w0", self.step(), runs=2)
-        self.fail("w1", self.step(), self.step())
+        self.fail_runs("w0", self.step(), runs=2)
+        self.fail_runs("w1", self.step(), self.step())
         self.assertEqual(self.aside, ["w0", "w1"])
 
     def test_failures_elsewhere_clear_a_worker(self) -> None:
         """A step that fails on others as well clears its worker."""
         bad = self.step()
-        self.fail("w0", bad, runs=2)
-        self.fail("w1", bad)
+        self.fail_runs("w0", bad, runs=2)
         self.assertEqual(self.aside, ["w0"])
-        self.fail("w2", bad)
+        self.fail_runs("w1", bad)
         self.assertEqual(self.aside, [])
 
     def test_good_ends_elsewhere_convict_it(self) -> None:
         """A step that ends well elsewhere was not to blame, also where that comes out late."""
         good = self.step()
-        self.fail("w1", good)
-        self.fail("w2", good)
-        self.fail("w0", good, runs=2)
-        self.assertEqual(self.aside, [])
+        self.fail_runs("w1", good)
+        self.fail_runs("w0", good, runs=2)
         self.end_well("w3", good)
+        self.assertEqual(self.aside, [])
+        self.end_well("w2", good)
         self.assertIn("w0", self.aside)
 
     def test_good_end_clears_what_came_before_it(self) -> None:
         """A run that began before the failures says nothing of them."""
-        self.fail("w0", self.step(), runs=2)
+        self.fail_runs("w0", self.step(), runs=2)
         self.end_well("w0", self.step(), began_at=self.now - 1)
         self.assertEqual(self.aside, ["w0"])
         self.end_well("w0", self.step())
@@ -93,14 +93,14 @@
         for _ in range(30):
             bad = self.step()
             for life in ("w1", "w2", "w3"):
-                self.fail(life, bad)
+                self.fail_runs(life, bad)
         self.assertGreater(self.cell.bad_share["pool"], 0.5)
-        self.fail("w0", self.step(), self.step())
+        self.fail_runs("w0", self.step(), self.step())
         self.assertNotIn("w0", self.aside)
 
     def test_charges_are_bounded(self) -> None:
         """A worker where nothing ends well keeps a bounded number of them."""
-        self.fail("w0", *(self.step() for _ in range(100)))
+        self.fail_runs("w0", *(self.step() for _ in range(100)))
         self.assertLessEqual(len(self.cell.workers["w0"].charged), 32)
 
 
@@ -108,22 +108,47 @@
     def test_half_of_a_service_at_most(self) -> None:
         """However many workers fail, half of them stay in use."""
         for life in ("w0", "w1", "w2", "w3"):
-            self.fail(life, self.step(), self.step(), runs=3)
+            self.fail_runs(life, self.step(), self.step(), runs=3)
         self.assertEqual(self.aside, ["w0", "w1"])
 
+    def test_workers_are_judged_in_one_order(self) -> None:
+        """What one event brings about does not hang on how the interpreter orders a set.
+
+        Days of one seed had 204,665 to 204,960 effects, by the hash seed of the process.
+        """
+        for number in range(4, 12):
+            self.bench.add_worker(f"w{number}")
+        good = self.step()
+        failing = [f"w{number}" for number in range(6)]
+        for step in (lambda: good, self.step):
+            for life in failing:
+                self.fail_runs(life, step())
+        self.assertEqual(self.aside, [])
+        for number in range(6, 10):
+            self.end_well(f"w{number}", good)
+        told = [each for each in self.cell.effects if isinstance(each, Decided)]
+        aside = [each.subject for each in told if each.decision == "worker_set_aside"]
+        self.assertEqual(aside, failing)
+
     def test_longer_each_time(self) -> None:
         """The time aside doubles up to its bound, until a run ends well."""
         worker = self.cell.workers["w0"]
+        self.fail_runs("w0", self.step())
         found = []
         for _ in range(4):
-            self.fail("w0", self.step(), self.step())
+            self.fail_runs("w0", self.step())
             found.append(round(worker.aside_until - self.now))
             self.bench.now = worker.aside_until + 0.001
         self.assertEqual(found, [2, 4, 8, 8])
         self.end_well("w0", self.step())
-        self.fail("w0", self.step(), self.step())
+        self.fail_runs("w0", self.step(), self.step())
         self.assertEqual(round(worker.aside_until - self.now), 2)
 
+    def test_runs_that_fail_meanwhile_count_as_further_times(self) -> None:
+        """Many runs that fail at the same moment set their worker aside for the longest time."""
+        self.fail_runs("w0", self.step(), runs=4)
+        self.assertEqual(round(self.cell.workers["w0"].aside_until - self.now), 8)
+
 
 class TestTrialAndLastResort(unittest.TestCase):
     def setUp(self) -> None:
