Judge workers in the order of their names

Cause: _reconsider_others went through a set of names. Where at most half of a service may be aside, the order decides who is, so the reducer's effects hung on the hash seed of the process. Ruled out: other sets of the change: only their sizes and members are asked for. Change: sorted.

--- a/src/snowdock/jobs/failed_runs.py
+++ b/src/snowdock/jobs/failed_runs.py
@@ -150,7 +150,8 @@
 
 def _reconsider_others(cell: Cell, worker: Worker, step: Step, now: float) -> None:
     """Judge other workers where a step has failed by what it did on one."""
-    for life in step.failed_on:
+    # In one order: a set has another one in each process, and a seed would play other days.
+    for life in sorted(step.failed_on):
         other = cell.workers.get(life)
         if other is None or other is worker:
             continue
