Tell of each run that goes with its worker whether it is charged, and by what

Cause of the change: the hypotheses differ in whether a lost run is charged, and no line said so; a run that nobody was charged with looked like any other. Change: run_lost has is_charged, is_told and is_leaving. No decision changes. Conclusion: one line of a lost run now tells the hypotheses apart.

--- a/src/snowdock/jobs/lost_runs.py
+++ b/src/snowdock/jobs/lost_runs.py
@@ -104,7 +104,7 @@
     may_be_why = task.phase not in (Phase.RECORDED, Phase.DONE)
     is_leaving = worker.entry.draining
     is_charged = may_be_why and (not is_leaving or _ended_at_once(worker, task, now))
-    _tell(cell, worker, task, reason)
+    _tell(cell, worker, task, reason, is_charged)
     void_run(cell, task, now)
     if not is_charged:
         return
@@ -126,8 +126,8 @@
     return gone_at - task.since <= _AT_ONCE_SECONDS
 
 
-def _tell(cell: Cell, worker: Worker, task: Task, reason: str) -> None:
-    """Log a run that is lost with its worker, and how soon after its start that fell silent."""
+def _tell(cell: Cell, worker: Worker, task: Task, reason: str, is_charged: bool) -> None:
+    """Log a run that is lost with its worker, whether it is charged, and what that goes by."""
     silent_after_s = None if worker.silent_since is None else worker.silent_since - task.since
     cell.tell(
         "run_lost",
@@ -137,6 +137,9 @@
         worker=worker.life,
         phase=task.phase.value,
         silent_after_s=silent_after_s,
+        is_charged=is_charged,
+        is_told=task.is_told,
+        is_leaving=worker.entry.draining,
         reason=reason,
     )
 
