Test that a crash of a draining worker is charged by a successor; it fails

What callers saw: a job whose task ends its workers goes on for ever where workers drain and leaders change; each start takes a worker and what runs there.

--- a/src/snowdock/emulator/emulator.py
+++ b/src/snowdock/emulator/emulator.py
@@ -1,6 +1,7 @@
 """Runs the real decisions of one leader after the other against modelled systems."""
 
 import dataclasses
+import math
 import random
 from collections.abc import Callable
 
@@ -60,6 +61,9 @@
 """Within so long a leader may take a crashed worker's runs as over: another life answers, or the
 leases are over by the worker's own clock."""
 
+_ENTRY_GOES_SECONDS = 4.5
+"""How long after its end a crashed worker's entry goes: three heartbeats of silence."""
+
 _HEARTBEAT_SECONDS = 1.5
 _SHRUNK_COUNTS_SECONDS = 4.5
 """How often workers' entries are written, and how much later than a change of room starts beyond
@@ -128,6 +132,7 @@
         self._lives = 0
         self._rules: dict[tuple[str, int, str], bool] = {}
         self.workers: dict[str, WorkerModel] = {}
+        self._crashed_at: dict[str, float] = {}
         self._leaders: list[_Leader] = []
         for number in range(options.workers):
             self.add_worker(number)
@@ -211,7 +216,8 @@
             return
         self.starvation.excuse(model.running, self.timeline.now + _CRASH_KNOWN_SECONDS)
         model.crash()
-        self.timeline.after(4.5, lambda: self._tell_all(WorkerDelisted(life)))
+        self._crashed_at[life] = self.timeline.now
+        self.timeline.after(_ENTRY_GOES_SECONDS, lambda: self._tell_all(WorkerDelisted(life)))
         if returns_after is not None:
             self.timeline.after(returns_after, lambda: self._return_worker(model))
 
@@ -295,10 +301,16 @@
             self._handlers[type(effect)](leader, effect)
         self._leaders.append(leader)
         for model in self.workers.values():
-            if model.is_up:
+            if model.is_up or self._lingers(model):
                 self._post(leader, WorkerListed(model.entry))
         self._tick(leader)
 
+    def _lingers(self, model: WorkerModel) -> bool:
+        """Whether the entry of a worker that is gone is still there for a leader that begins."""
+        crashed_at = self._crashed_at.get(model.entry.life, -math.inf)
+        is_there = self.timeline.now - crashed_at < _ENTRY_GOES_SECONDS
+        return self._options.entries_linger and is_there
+
     # -- the leader ------------------------------------------------------------------------
 
     def _tell_all(self, event: Event) -> None:
--- a/src/snowdock/emulator/options.py
+++ b/src/snowdock/emulator/options.py
@@ -53,6 +53,8 @@
         Times of all workers.
     lease_s
         The lease that renewals ask for, in seconds.
+    entries_linger
+        Whether a leader that begins still finds the entries of workers that crashed just before.
     """
 
     workload: WorkloadOptions
@@ -64,3 +66,4 @@
     askers: int = 6
     terms: WorkerTerms = _TERMS
     lease_s: float = LEASE_SECONDS
+    entries_linger: bool = False
--- /dev/null
+++ b/tests/test_jobs_leader_changes.py
@@ -0,0 +1,152 @@
+"""Tests of tasks that crash their workers while leaders change.
+
+A task that ended each worker that started it was started six times, three times after its third
+crash, although each run that goes with its worker is charged to its task and five charges give it
+up. One of the six was charged to nobody: its worker drained, and another leader had begun between
+the crash and the answer of the worker's next life. What settled it, from an emulated day:
+
+    run_lost run=5 worker=w-43 silent_after_s=20.35 is_charged=False is_told=False is_leaving=True
+    placed run=6 workers=["w-59"]
+"""
+
+import dataclasses
+import random
+import unittest
+
+from snowdock.emulator import Emulator, EmulatorOptions, WorkloadOptions, draw_workload
+from snowdock.emulator.workload import default_mixes
+from snowdock.jobs.events import RenewAnswered, SendStart, WorkerListed
+from snowdock.jobs.model import JobStatus, StepSpec
+from snowdock.jobs.orders import Refusal
+from snowdock.jobs.progress import decode_progress
+from snowdock.jobs.takeover import RecordedJobs
+from tests.jobs_tools import SMALL, Bench, accepted, of_type, unended
+
+MOST_STARTS = 5
+"""After three crashes under a task, fewer than three more starts."""
+
+ROUNDS = 12
+SECONDS = 20
+SETTLE_SECONDS = 140
+DRAINING_SEEDS = (167, 266, 271)
+"""Days on which runs were lost with draining workers under a new leader."""
+
+
+class Leaders:
+    """Leaders that follow one another, each with what the one before has put on record."""
+
+    def __init__(self, *steps: StepSpec) -> None:
+        self.bench = Bench()
+        self._accepted = accepted(*steps)
+        self._token = 1
+        self._lives = 0
+        self.add_worker()
+        self.job = self.bench.submit(*steps)
+
+    @property
+    def status(self) -> JobStatus:
+        return self.bench.cell.jobs[self.job].status
+
+    def add_worker(self) -> None:
+        self._lives += 1
+        self.bench.add_worker(f"w{self._lives}")
+
+    def next_starts(self) -> list[SendStart]:
+        """Give the starts that a job gets on workers that are new; none once it is given up."""
+        found = self._new_starts()
+        for _ in range(20):
+            if found or self.status.is_final:
+                break
+            self.add_worker()
+            self.bench.tick(0.3)
+            found = self._new_starts()
+        return found
+
+    def _new_starts(self) -> list[SendStart]:
+        found = of_type(self.bench.seen, SendStart)
+        self.bench.seen.clear()
+        return found
+
+    def take_over(self) -> None:
+        """Have another leader begin with what is on record; it knows of no worker yet."""
+        self._token += 1
+        before = self.bench
+        progress = decode_progress(before.recorded[self.job])
+        self.bench = Bench(self._token)
+        self.bench.now = before.now + 0.5
+        self.bench.restore(RecordedJobs({self.job: self._accepted}, set(), {self.job: progress}))
+
+    def list_worker(self, life: str, draining: bool = False) -> None:
+        """Have the leader find the entry of a worker."""
+        self.bench.add_worker(life, settled=False)
+        entry = dataclasses.replace(self.bench.cell.workers[life].entry, draining=draining)
+        self.bench.feed(WorkerListed(entry))
+
+    def end_life(self, life: str) -> None:
+        """Have another life answer at a worker's address."""
+        self.bench.feed(RenewAnswered(life, self.bench.renewal(life), Refusal.OTHER_LIFE))
+
+
+class TestDrainingWorkers(unittest.TestCase):
+    def test_crash_of_a_draining_worker_under_a_new_leader(self) -> None:
+        """It is charged, though the new leader does not know when the run began."""
+        leaders = Leaders(SMALL)
+        starts = 0
+        while starts < ROUNDS and (found := leaders.next_starts()):
+            (start,) = found
+            starts += 1
+            leaders.take_over()
+            leaders.list_worker(start.life, draining=True)
+            leaders.end_life(start.life)
+        self.assertLessEqual(starts, MOST_STARTS)
+        self.assertEqual(leaders.status, JobStatus.FAILED)
+
+    def test_days_with_draining_workers(self) -> None:
+        """On emulated days no task is started three times after it crashed three workers."""
+        check_days(self, DRAINING_SEEDS)
+
+
+def check_days(test: unittest.TestCase, seeds: tuple[int, ...]) -> None:
+    for seed in seeds:
+        with test.subTest(seed=seed):
+            emulator, hanging = play(seed)
+            test.assertEqual(emulator.checks.violations, [])
+            test.assertEqual(hanging, [])
+
+
+def play(seed: int) -> tuple[Emulator, list[str]]:
+    """Play a day on which leaders change every second or so; give the jobs that did not end too."""
+    source = random.Random(seed)
+    mixes = [
+        dataclasses.replace(mix, crashing_share=0.04) for mix in default_mixes(with_advice=False)
+    ]
+    workload = WorkloadOptions(SECONDS, source.choice([0.2, 0.35]), tuple(mixes))
+    jobs = draw_workload(seed, workload)
+    emulator = Emulator(seed, EmulatorOptions(workload, entries_linger=True), jobs)
+    emulator.checks.is_calm = False
+    at = 0.0
+    while at < SECONDS + 25:
+        at += source.uniform(0.2, 2.0)
+        emulator.run_until(at)
+        change(emulator, source)
+    emulator.run_until(SECONDS + SETTLE_SECONDS)
+    return emulator, unended(emulator, jobs)
+
+
+def change(emulator: Emulator, source: random.Random) -> None:
+    """Change the leader, or have a worker drain."""
+    kind = source.random()
+    lives = [
+        life for life, model in emulator.workers.items() if model.is_up and not model.entry.draining
+    ]
+    if kind < 0.5:
+        emulator.kill_leader(source.uniform(0.1, 2))
+    elif kind < 0.65:
+        emulator.depose_leader()
+    elif len(lives) > 15:
+        emulator.drain_worker(source.choice(lives))
+        emulator.add_worker(source.randrange(4))
+
+
+if __name__ == "__main__":
+    unittest.main()
