Charge a run on a draining worker unless the worker has told that it lasted

What callers saw: a job whose task ends its workers was started three times more after three crashes where workers drained and leaders changed, a worker each time and what ran there. Cause: on a draining worker a run is charged if it had just begun, reckoned from task.since to the worker's silence. A run that was taken over has no such time: since was 0, so its age was the machine's uptime, and nobody was charged. A leader that stood still was wrong in the same way. Change: what counts is the worker's own word: charged unless it told this leader of the run, and still listed it more than 2 s after that; a run that lasts is charged where nothing was told. Why it holds: silence or absence of a leader can only make a run look younger, never older. Conclusion: the bound holds again for draining workers whoever leads.

--- a/src/snowdock/jobs/lost_runs.py
+++ b/src/snowdock/jobs/lost_runs.py
@@ -5,10 +5,10 @@
 were, or may have been, running there. It is charged as a *crash* where another life of the worker
 has answered, and the worker had told that the run was there. Else it stays a *loss*: the worker may
 have been cut off, and run on, or gone before the start arrived. Where the worker had said that it
-would leave, only runs that had just begun are charged, with a loss, and none that last: these meet
-many such workers while all are replaced in turn. A start elsewhere ends as one of the two, a told
-end, or a refusal, so a task that crashes every worker is started `MOST_LOSSES` times at most,
-whatever is seen of it.
+would leave, only runs that may just have begun are charged, with a loss, and none that last and
+that it had told of: these meet many such workers while all are replaced in turn. A start elsewhere
+ends as one of the two, a told end, or a refusal, so a task that crashes every worker is started
+`MOST_LOSSES` times at most, whatever is seen of it.
 """
 
 from .cell import Cell
@@ -39,7 +39,8 @@
 some 10 ms."""
 
 _AT_ONCE_SECONDS = 2.0
-"""A run that is older did not end its worker by its start; the tasks that do so take some 10 ms."""
+"""A run that was reported at work for longer did not end its worker by its start; the tasks that do
+so take some 10 ms."""
 
 _PROVEN_SECONDS = 30.0
 """A task that lasts is charged with nothing any more once a run of it has worked for so long: over
@@ -103,7 +104,7 @@
     # A start that was never sent can have done nothing, a task that is done needs no more runs.
     may_be_why = task.phase not in (Phase.RECORDED, Phase.DONE)
     is_leaving = worker.entry.draining
-    is_charged = may_be_why and (not is_leaving or _ended_at_once(worker, task, now))
+    is_charged = may_be_why and (not is_leaving or _may_have_ended_at_once(worker, task))
     _tell(cell, worker, task, reason, is_charged)
     void_run(cell, task, now)
     if not is_charged:
@@ -114,16 +115,20 @@
     _charge(cell, task, run, worker.life, now, is_crash and is_certain)
 
 
-def _ended_at_once(worker: Worker, task: Task, now: float) -> bool:
-    """Whether a worker went so soon after a run began there that the run may be why.
+def _may_have_ended_at_once(worker: Worker, task: Task) -> bool:
+    """Whether a worker may have gone so soon after a run began there that the run may be why.
 
     A worker that leaves takes nothing new once that is known, and ends seconds later: without this
     a task was started three times after it had crashed three workers, the third one draining.
     """
+    if not task.is_told:
+        # A run that was taken over, and of which its worker has told nothing since: it may have
+        # begun at any time. Counted as old, it was charged to nobody.
+        return True
     if task.step.spec.long_running:
         return False
-    gone_at = now if worker.silent_since is None else worker.silent_since
-    return gone_at - task.since <= _AT_ONCE_SECONDS
+    # By the worker's own word: a leader that was away for seconds knows not when its worker went.
+    return worker.heard_at - task.since <= _AT_ONCE_SECONDS
 
 
 def _tell(cell: Cell, worker: Worker, task: Task, reason: str, is_charged: bool) -> None:
--- a/src/snowdock/jobs/worker_reports.py
+++ b/src/snowdock/jobs/worker_reports.py
@@ -55,6 +55,7 @@
         worker.silent_since = None
         worker.is_mute = False
     worker.lost.clear()
+    worker.heard_at = now
     worker.note_clock(report.clock_ms, now)
     listed: set[tuple[TaskId, int]] = set()
     news = False
--- a/src/snowdock/jobs/workers.py
+++ b/src/snowdock/jobs/workers.py
@@ -117,6 +117,8 @@
         Whether a renewal is on its way.
     next_renew_at
         When the next renewal is due, in steady seconds.
+    heard_at
+        When it last told what runs there, in steady seconds.
     silent_since
         When a call first found no answer; None while it answers.
     is_mute
@@ -158,6 +160,7 @@
     known_ends: int = 0
     renewing: bool = False
     next_renew_at: float = 0.0
+    heard_at: float = -math.inf
     silent_since: float | None = None
     is_mute: bool = False
     charged: dict[StepKey, Charge] = dataclasses.field(default_factory=dict)
--- a/tests/test_jobs_leader_changes.py
+++ b/tests/test_jobs_leader_changes.py
@@ -13,6 +13,8 @@
 import random
 import unittest
 
+import msgspec
+
 from snowdock.emulator import Emulator, EmulatorOptions, WorkloadOptions, draw_workload
 from snowdock.emulator.workload import default_mixes
 from snowdock.jobs.events import RenewAnswered, SendStart, WorkerListed
@@ -25,6 +27,8 @@
 MOST_STARTS = 5
 """After three crashes under a task, fewer than three more starts."""
 
+LASTING = msgspec.structs.replace(SMALL, long_running=True)
+
 ROUNDS = 12
 SECONDS = 20
 SETTLE_SECONDS = 140
@@ -101,6 +105,28 @@
         self.assertLessEqual(starts, MOST_STARTS)
         self.assertEqual(leaders.status, JobStatus.FAILED)
 
+    def test_task_that_lasts(self) -> None:
+        """One that lasts is charged as well where its worker went before it told of the run."""
+        leaders = Leaders(LASTING)
+        starts = 0
+        while starts < ROUNDS and (found := leaders.next_starts()):
+            starts += 1
+            leaders.take_over()
+            leaders.list_worker(found[0].life, draining=True)
+            leaders.end_life(found[0].life)
+        self.assertLessEqual(starts, MOST_STARTS)
+
+    def test_leader_that_was_away(self) -> None:
+        """A leader that stood still knows not when the worker went: what it heard last counts."""
+        leaders = Leaders(SMALL)
+        (start,) = leaders.next_starts()
+        leaders.bench.confirm(start)
+        leaders.list_worker(start.life, draining=True)
+        leaders.bench.now += 5.0
+        leaders.end_life(start.life)
+        task = leaders.bench.cell.find_task(start.order.task)
+        self.assertEqual(task.lost_runs, {1})
+
     def test_days_with_draining_workers(self) -> None:
         """On emulated days no task is started three times after it crashed three workers."""
         check_days(self, DRAINING_SEEDS)
