Test what a new leader takes the age of a taken-over run for; it fails

Symptom: two charges on record, none left after the first report to a new leader; 100 s expected of a run of 1 s, on a clock that shows 100 s.

--- a/tests/test_jobs_leader_changes.py
+++ b/tests/test_jobs_leader_changes.py
@@ -18,6 +18,7 @@
 from snowdock.emulator import Emulator, EmulatorOptions, WorkloadOptions, draw_workload
 from snowdock.emulator.workload import default_mixes
 from snowdock.jobs.events import RenewAnswered, SendStart, WorkerListed
+from snowdock.jobs.forecast import room_to_come
 from snowdock.jobs.model import JobStatus, StepSpec
 from snowdock.jobs.orders import Refusal
 from snowdock.jobs.progress import decode_progress
@@ -132,6 +133,46 @@
         check_days(self, DRAINING_SEEDS)
 
 
+class TestTakenOverRuns(unittest.TestCase):
+    """What a new leader goes by that finds a run on record.
+
+    A task that lasts and that had crashed two workers was cleared of both by the first report to
+    a new leader, some milliseconds after its third start: it is cleared after 30 s of work, and
+    the new leader took the time since its machine's start for that. What settled it:
+
+        task_absolved run=3
+    """
+
+    def test_task_that_lasts_is_cleared_by_its_work(self) -> None:
+        """A takeover does not count as 30 seconds of work."""
+        leaders = Leaders(LASTING)
+        for _ in range(2):
+            (start,) = leaders.next_starts()
+            leaders.bench.confirm(start)
+            leaders.end_life(start.life)
+        (start,) = leaders.next_starts()
+        leaders.take_over()
+        leaders.list_worker(start.life)
+        running = [(start.order.task, start.order.run, 100.0)]
+        leaders.bench.report(start.life, running=running)
+        task = leaders.bench.cell.find_task(start.order.task)
+        self.assertEqual(task.lost_runs, {1, 2})
+        for _ in range(62):
+            leaders.bench.tick(0.5)
+            leaders.bench.report(start.life, running=running)
+        self.assertEqual(task.lost_runs, frozenset())
+
+    def test_time_to_come_of_a_run_that_was_taken_over(self) -> None:
+        """Room that a run takes is expected back after its estimate, not after days."""
+        leaders = Leaders(SMALL)
+        (start,) = leaders.next_starts()
+        leaders.take_over()
+        leaders.list_worker(start.life)
+        worker = leaders.bench.cell.workers[start.life]
+        ((at, _),) = room_to_come(leaders.bench.cell, worker, leaders.bench.now)
+        self.assertLessEqual(at - leaders.bench.now, SMALL.estimate_ms / 1000 + 1)
+
+
 def check_days(test: unittest.TestCase, seeds: tuple[int, ...]) -> None:
     for seed in seeds:
         with test.subTest(seed=seed):
