Count the age of a taken-over run from the takeover

Cause: restoring a task that is placed left task.since at 0; all that goes by a run's age took it for the time since the machine's start (task_absolved after one report; forecasts of room). Ruled out: charges that were not on record (the progress read back holds both before the report). Change: the age counts from the takeover, for placed tasks as for waiting ones. Why it holds: what is not on record is taken as new; a task is cleared later than it could be, never before 30 s of work that this leader has seen. Conclusion: nothing takes a taken-over run for old.

--- a/src/snowdock/jobs/takeover.py
+++ b/src/snowdock/jobs/takeover.py
@@ -110,10 +110,12 @@
     task.lost_runs = frozenset(record.lost_runs)
     task.crashed_runs = frozenset(record.crashed_runs)
     task.checkpoint = record.checkpoint
+    # When its phase began is not on record. Left at 0, a task that lasts was cleared of its crashes
+    # by the first report, as if it had worked since this machine's start.
+    task.since = cell.now
     if record.done:
         task.phase = Phase.DONE
     if not record.life:
-        task.since = cell.now
         return
     task.life = record.life
     cell.team_use.hold(record.life, task.id, record.run, job.team, task.step.spec.size)
