Reckon a run's age from its order, not from when it was told to stop

What callers saw: a job charged with a loss it had no part in, where a run was being stopped as its draining worker went; operators saw run_lost with a negative silent_after_s. Cause: a run's age was counted from task.since, which a stop sets anew. Change: ordered_at, set where a run is placed, ordered or taken over. Why it holds: nothing that befalls a run later sets it. Figures: the run of the test, reported at work for 3 s and then stopped: charged before, not after.

--- a/src/snowdock/jobs/batches.py
+++ b/src/snowdock/jobs/batches.py
@@ -86,7 +86,7 @@
         cell.starting_gangs[step.key] = step
     until = worker.extend_lease(now, cell.settings.lease_s)
     task.phase = Phase.ORDERED
-    task.since = now
+    task.since = task.ordered_at = now
     order = StartOrder(
         task=task.id,
         run=task.run,
--- a/src/snowdock/jobs/lost_runs.py
+++ b/src/snowdock/jobs/lost_runs.py
@@ -128,12 +128,14 @@
     if task.step.spec.long_running:
         return False
     # By the worker's own word: a leader that was away for seconds knows not when its worker went.
-    return worker.heard_at - task.since <= _AT_ONCE_SECONDS
+    return worker.heard_at - task.ordered_at <= _AT_ONCE_SECONDS
 
 
 def _tell(cell: Cell, worker: Worker, task: Task, reason: str, is_charged: bool) -> None:
     """Log a run that is lost with its worker, whether it is charged, and what that goes by."""
-    silent_after_s = None if worker.silent_since is None else worker.silent_since - task.since
+    silent_after_s = None
+    if worker.silent_since is not None:
+        silent_after_s = worker.silent_since - task.ordered_at
     cell.tell(
         "run_lost",
         task.id.job,
--- a/src/snowdock/jobs/parts.py
+++ b/src/snowdock/jobs/parts.py
@@ -82,6 +82,9 @@
         From where the next run goes on; empty for the beginning.
     since
         When it came to its phase, in steady seconds.
+    ordered_at
+        When its newest run was placed, then ordered, or taken over from an earlier leader, in
+        steady seconds.
     percent
         How far its run was when last reported.
     seen_percent, seen_at
@@ -103,6 +106,7 @@
     crashed_runs: frozenset[int] = frozenset()
     checkpoint: str = ""
     since: float = 0.0
+    ordered_at: float = 0.0
     percent: float = 0.0
     seen_percent: float = 0.0
     seen_at: float = 0.0
--- a/src/snowdock/jobs/placing.py
+++ b/src/snowdock/jobs/placing.py
@@ -317,7 +317,7 @@
         task.life = worker.life
         task.is_told = False
         task.phase = Phase.RECORDED
-        task.since = now
+        task.since = task.ordered_at = now
         if step.spec.gang:
             task.checkpoint = checkpoint
         occupy(cell, worker, task.id, task.run, step)
--- a/src/snowdock/jobs/takeover.py
+++ b/src/snowdock/jobs/takeover.py
@@ -112,7 +112,7 @@
     task.checkpoint = record.checkpoint
     # When its phase began is not on record. Left at 0, a task that lasts was cleared of its crashes
     # by the first report, as if it had worked since this machine's start.
-    task.since = cell.now
+    task.since = task.ordered_at = cell.now
     if record.done:
         task.phase = Phase.DONE
     if not record.life:
--- a/tests/test_jobs_crashes.py
+++ b/tests/test_jobs_crashes.py
@@ -22,6 +22,7 @@
 from snowdock.jobs.model import JobStatus
 from snowdock.jobs.orders import Refusal
 from snowdock.jobs.progress import decode_progress
+from snowdock.jobs.runs import stop_run
 from snowdock.jobs.takeover import RecordedJobs
 from tests.jobs_tools import DONE, SMALL, Bench, accepted, of_type
 from tests.standins.entry_cluster import EntryCluster
@@ -168,6 +169,18 @@
         self.answer_as_another_life()
         self.assertEqual(self.counts(), (0, 0))
 
+    def test_run_that_is_being_stopped(self) -> None:
+        """A run that worked for long is no younger for being stopped as its worker leaves."""
+        self.bench.confirm(self.start)
+        self.drain("w")
+        for _ in range(30):
+            self.bench.tick(0.1)
+            if "w" in self.bench.renewals:
+                self.bench.report("w", running=[(self.task.id, 1, 1.0)])
+        stop_run(self.bench.cell, self.task, self.bench.now)
+        self.answer_as_another_life()
+        self.assertEqual(self.counts(), (0, 0))
+
     def test_worker_that_leaves_as_soon_as_it_is_given_a_task(self) -> None:
         """A draining worker takes nothing new, and ends seconds later: what is younger may be why.
 
