Count each start of a task after its third loss, whatever it ends as

What callers saw: a gang with a member that ends its workers was started three times after that member's third crash, where another worker of the same run went within some milliseconds. Cause: only runs lost with their worker were charged; a start that was told as broken off, stopped or lapsed counted for nothing, also where three losses were known. Change: jobs/charges.py counts runs for both kinds of end; from the third loss on a told end counts unless the run was at work for two seconds.

--- /dev/null
+++ b/src/snowdock/jobs/charges.py
@@ -0,0 +1,67 @@
+"""How runs are charged to their task, on record, and when a task is given up.
+
+A *crash* is a run that surely ended its worker, a *loss* one that may have. Each crash is a loss.
+"""
+
+from .cell import Cell
+from .durability import mark
+from .parts import Task
+from .workers import Worker
+
+__all__ = [
+    "AT_ONCE_SECONDS",
+    "MOST_CRASHES",
+    "MOST_LOSSES",
+    "charge",
+    "charge_end",
+    "may_have_ended_at_once",
+]
+
+MOST_CRASHES = 3
+"""Crashes after which a task is given up. Without a bound one task takes a worker every few seconds,
+and all that runs there; two are soon met by chance, beside another task's fault."""
+
+MOST_LOSSES = 5
+"""Losses of any kind after which a task is given up: users allow two starts after three crashes,
+however many of these were seen as such."""
+
+_COUNT_ALL_FROM = 3
+"""Losses from which each further start counts as one: all of them may have been crashes, and users
+allow two starts more, whatever these end as."""
+
+AT_ONCE_SECONDS = 2.0
+"""A run that was reported at work for longer did not end its worker by its start."""
+
+
+def charge(cell: Cell, task: Task, run: int, life: str, is_crash: bool) -> bool:
+    """Count a run against its task; tell whether that is to be given up."""
+    task.lost_runs |= {run}
+    if is_crash:
+        task.crashed_runs |= {run}
+    job = task.step.job
+    mark(cell, job)
+    crashes, losses = len(task.crashed_runs), len(task.lost_runs)
+    cell.tell("task_charged", job.id, task=task.id, worker=life, crashes=crashes, losses=losses)
+    if job.status.is_final or (crashes < MOST_CRASHES and losses < MOST_LOSSES):
+        return False
+    cell.tell("task_given_up", job.id, task=task.id, crashes=crashes, losses=losses)
+    return True
+
+
+def charge_end(cell: Cell, worker: Worker, task: Task, run: int) -> bool:
+    """Count a run that its worker told the end of, where many were lost before.
+
+    Tells whether the task is to be given up.
+    """
+    # A gang that broke off as its member ended a worker made that start count for nothing: the
+    # member was started three times after its third crash.
+    if len(task.lost_runs) < _COUNT_ALL_FROM or not may_have_ended_at_once(worker, task):
+        return False
+    return charge(cell, task, run, worker.life, is_crash=False)
+
+
+def may_have_ended_at_once(worker: Worker, task: Task) -> bool:
+    """Whether a task's run may have ended, or its worker gone, just after it began there."""
+    # By the worker's own word: a leader that was away for seconds knows not when its worker went.
+    # A run that was taken over, and of which nothing was told since, may have begun at any time.
+    return not task.is_told or worker.heard_at - task.ordered_at <= AT_ONCE_SECONDS
--- a/src/snowdock/jobs/lost_runs.py
+++ b/src/snowdock/jobs/lost_runs.py
@@ -12,35 +12,22 @@
 """
 
 from .cell import Cell
+from .charges import charge, may_have_ended_at_once
 from .durability import mark
 from .occupancy import vacate
 from .parts import Phase, Task
 from .runs import fail_job, void_run
 from .workers import Worker
 
-__all__ = ["MOST_CRASHES", "MOST_LOSSES", "absolve", "charge_late", "lose_orphan", "lose_runs"]
-
-MOST_CRASHES = 3
-"""Crashes after which a task is given up. Without a bound one task took a worker each 3.5 s, and
-four to fifteen runs of others with it. Two are soon met by chance: on 24 emulated days with 117
-such tasks, 22 other jobs were given up by two crashes, one by three."""
-
-MOST_LOSSES = 5
-"""Losses of any kind after which a task is given up: users allow three starts after three crashes
-no more, however many of these were seen as such."""
+__all__ = ["absolve", "charge_late", "lose_orphan", "lose_runs"]
 
 MOST_AT_ONCE = 2
-"""Where more workers fell silent at the same moment, what ran there is charged with losses only:
-on 24 emulated days on which a sixth of the workers went every 6 s, 15 jobs that could be done were
-shown as failed, 25 without this."""
+"""Where more workers fell silent at the same moment, a rack or a hall went, and what ran there is
+charged with losses only: else jobs that could be done are shown as failed."""
 
 _SAME_MOMENT_SECONDS = 0.1
-"""What counts as the same moment: a worker that ends closes its connections, which is seen within
-some 10 ms."""
-
-_AT_ONCE_SECONDS = 2.0
-"""A run that was reported at work for longer did not end its worker by its start; the tasks that do
-so take some 10 ms."""
+"""What counts as the same moment: a worker that ends closes its connections, which is seen at
+once."""
 
 _PROVEN_SECONDS = 30.0
 """A task that lasts is charged with nothing any more once a run of it has worked for so long: over
@@ -102,9 +89,9 @@
 ) -> None:
     run = task.run
     # A start that was never sent can have done nothing, a task that is done needs no more runs.
-    may_be_why = task.phase not in (Phase.RECORDED, Phase.DONE)
+    has_begun = task.phase not in (Phase.RECORDED, Phase.DONE)
     is_leaving = worker.entry.draining
-    is_charged = may_be_why and (not is_leaving or _may_have_ended_at_once(worker, task))
+    is_charged = has_begun and (not is_leaving or _may_be_why(worker, task))
     _tell(cell, worker, task, reason, is_charged)
     void_run(cell, task, now)
     if not is_charged:
@@ -115,20 +102,22 @@
     _charge(cell, task, run, worker.life, now, is_crash and is_certain)
 
 
-def _may_have_ended_at_once(worker: Worker, task: Task) -> bool:
-    """Whether a worker may have gone so soon after a run began there that the run may be why.
+def _charge(cell: Cell, task: Task, run: int, life: str, now: float, is_crash: bool) -> None:
+    """Count a run that went with its worker, and give its task up where that is too often."""
+    if charge(cell, task, run, life, is_crash):
+        fail_job(cell, task.step.job, now)
+
+
+def _may_be_why(worker: Worker, task: Task) -> bool:
+    """Whether a run may be why a worker went that had said that it would leave.
 
-    A worker that leaves takes nothing new once that is known, and ends seconds later: without this
-    a task was started three times after it had crashed three workers, the third one draining.
+    Such a worker takes nothing new once that is known, and ends seconds later: without this a task
+    was started three times after it had crashed three workers, the third one draining.
     """
-    if not task.is_told:
-        # A run that was taken over, and of which its worker has told nothing since: it may have
-        # begun at any time. Counted as old, it was charged to nobody.
-        return True
-    if task.step.spec.long_running:
+    # Counted as old, a run that was taken over was charged to nobody.
+    if task.is_told and task.step.spec.long_running:
         return False
-    # By the worker's own word: a leader that was away for seconds knows not when its worker went.
-    return worker.heard_at - task.ordered_at <= _AT_ONCE_SECONDS
+    return may_have_ended_at_once(worker, task)
 
 
 def _tell(cell: Cell, worker: Worker, task: Task, reason: str, is_charged: bool) -> None:
@@ -158,18 +147,3 @@
         return False
     near = sum(abs(other - since) <= _SAME_MOMENT_SECONDS for other in cell.silences)
     return near > MOST_AT_ONCE
-
-
-def _charge(cell: Cell, task: Task, run: int, life: str, now: float, is_crash: bool) -> None:
-    """Count a run that went with its worker, and give its task up where that is too often."""
-    task.lost_runs |= {run}
-    if is_crash:
-        task.crashed_runs |= {run}
-    job = task.step.job
-    mark(cell, job)
-    crashes, losses = len(task.crashed_runs), len(task.lost_runs)
-    cell.tell("task_charged", job.id, task=task.id, worker=life, crashes=crashes, losses=losses)
-    if job.status.is_final or (crashes < MOST_CRASHES and losses < MOST_LOSSES):
-        return
-    cell.tell("task_given_up", job.id, task=task.id, crashes=crashes, losses=losses)
-    fail_job(cell, job, now)
--- a/src/snowdock/jobs/runs.py
+++ b/src/snowdock/jobs/runs.py
@@ -3,6 +3,7 @@
 import math
 
 from .cell import Cell, HeldRenewal, Stop
+from .charges import charge_end
 from .durability import mark
 from .events import PublishStatus, SendStop
 from .failed_runs import note_failed_run, note_good_end
@@ -115,6 +116,8 @@
         return
     if end.kind is EndKind.FAILED and not task.step.spec.long_running:
         _note_failure(cell, task, end.run, worker.life, now)
+    if charge_end(cell, worker, task, end.run):
+        fail_job(cell, job, now)
     if not job.status.is_final:
         _wait_again(cell, task, now)
 
