--- a/src/snowdock/jobs/charges.py
+++ b/src/snowdock/jobs/charges.py
@@ -18,7 +18,7 @@
 ]
 
 MOST_CRASHES = 3
-"""Crashes after which a task is given up. Without a bound one task takes a worker every few seconds,
+"""Crashes after which a task is given up. Unbounded, one task takes a worker every few seconds,
 and all that runs there; two are soon met by chance, beside another task's fault."""
 
 MOST_LOSSES = 5
