Test each piece of what gives tasks up that end their workers

One check could not fail: it looked at what was placed before time had passed, and nothing was. Change: tests for them, and that check replaced by one that lets time pass and counts what is placed.

--- a/src/snowdock/jobs/lost_runs.py
+++ b/src/snowdock/jobs/lost_runs.py
@@ -96,10 +96,9 @@
     void_run(cell, task, now)
     if not is_charged:
         return
-    is_certain = task.is_told and not is_leaving
-    if is_certain:
+    if task.is_told:
         worker.lost.append((task.id, run))
-    _charge(cell, task, run, worker.life, now, is_crash and is_certain)
+    _charge(cell, task, run, worker.life, now, is_crash and task.is_told)
 
 
 def _charge(cell: Cell, task: Task, run: int, life: str, now: float, is_crash: bool) -> None:
--- a/tests/jobs_tools.py
+++ b/tests/jobs_tools.py
@@ -94,8 +94,11 @@
             found += self.feed(Ticked(2))
         return found
 
-    def add_worker(self, life: str = "w", cpu: int = 4000, settled: bool = True) -> None:
-        entry = WorkerEntry(life, "pool", "a:1", "hall", "r1", frozenset(), Size(cpu, 9000, 0))
+    def add_worker(
+        self, life: str = "w", cpu: int = 4000, settled: bool = True, address: str = "a:1"
+    ) -> None:
+        size = Size(cpu, 9000, 0)
+        entry = WorkerEntry(life, "pool", address, "hall", "r1", frozenset(), size)
         self.feed(WorkerListed(entry))
         if settled:
             self.report(life)
--- a/tests/test_jobs_crashes.py
+++ b/tests/test_jobs_crashes.py
@@ -18,9 +18,17 @@
 
 import msgspec
 
-from snowdock.jobs.events import Persist, RenewAnswered, SendStart, WorkerListed
+from snowdock.jobs.events import (
+    Decided,
+    Persist,
+    Persisted,
+    RenewAnswered,
+    SendStart,
+    StartAnswered,
+    WorkerListed,
+)
 from snowdock.jobs.model import JobStatus
-from snowdock.jobs.orders import Refusal
+from snowdock.jobs.orders import EndKind, Refusal
 from snowdock.jobs.progress import decode_progress
 from snowdock.jobs.runs import stop_run
 from snowdock.jobs.takeover import RecordedJobs
@@ -240,6 +248,22 @@
         (task,) = next(iter(bench.cell.jobs.values())).all_tasks()
         self.assertEqual(task.lost_runs, frozenset())
 
+    def test_age_of_a_placement_that_was_never_sent(self) -> None:
+        """What is logged of it goes by the placement, not by an earlier run's order."""
+        self.bench.confirm(self.start)
+        self.answer_as_another_life()
+        self.bench.tick(10.0)
+        self.bench.holds_store = True
+        self.bench.add_worker("v")
+        self.bench.tick(0.2)
+        self.bench.miss("v")
+        self.bench.seen.clear()
+        self.bench.feed(RenewAnswered("v", self.bench.renewal("v"), Refusal.OTHER_LIFE))
+        (line,) = [
+            each for each in of_type(self.bench.seen, Decided) if each.decision == "run_lost"
+        ]
+        self.assertLess(dict(line.fields)["silent_after_s"], 5.0)
+
     def test_orphan_is_a_loss(self) -> None:
         """A run whose worker a new leader never gets to know is charged as a loss."""
         progress = decode_progress(self.bench.recorded[self.job])
@@ -248,6 +272,82 @@
         self.bench.tick(12.0)
         self.assertEqual(self.counts(), (0, 1))
 
+    def test_late_crash_is_put_on_record(self) -> None:
+        """What another life's answer tells after the leases were over is known to successors."""
+        self.bench.confirm(self.start)
+        self.fall_silent(9.0)
+        self.answer_as_another_life()
+        self.bench.tick(0.1)
+        (task,) = _recorded(self.bench, self.job).tasks
+        self.assertEqual((task.crashed_runs, task.lost_runs), ([1], [1]))
+
+    def test_run_that_only_a_report_told_of(self) -> None:
+        """A start without an answer counts as a crash once a report has listed its run."""
+        self.bench.report("w", running=[(self.task.id, 1, 1.0)])
+        self.answer_as_another_life()
+        self.assertEqual(self.counts(), (1, 1))
+
+    def test_second_run_is_told_of_anew(self) -> None:
+        """What was told of an earlier run says nothing of the next."""
+        self.bench.confirm(self.start)
+        self.answer_as_another_life()
+        self.bench.add_worker("v")
+        self.bench.tick(0.2)
+        self.bench.feed(RenewAnswered("v", self.bench.renewal("v"), Refusal.OTHER_LIFE))
+        self.assertEqual(self.counts(), (1, 2))
+
+    def test_unanswered_start_on_a_draining_worker(self) -> None:
+        """It may be carried out seconds later, and then be why the worker went."""
+        self.drain("w")
+        order = self.start.order
+        self.bench.feed(StartAnswered("w", order.task, order.run, None))
+        for _ in range(30):
+            self.bench.tick(0.1)
+            if "w" in self.bench.renewals:
+                self.bench.report("w")
+        self.answer_as_another_life()
+        self.assertEqual(self.counts(), (0, 1))
+
+    def test_start_that_waited_for_its_record(self) -> None:
+        """A run is as old as its order: its placement may wait for the store for seconds."""
+        bench = self.bench = Bench()
+        bench.add_worker("w")
+        bench.holds_store = True
+        self.job = bench.submit(SMALL)
+        (batch,) = of_type(bench.effects, Persist)
+        for _ in range(30):
+            bench.tick(0.1)
+            if "w" in bench.renewals:
+                bench.report("w")
+        bench.feed(Persisted(batch.number))
+        (self.start,) = bench.starts()
+        bench.confirm(self.start)
+        bench.report("w", running=[(self.start.order.task, 1, 1.0)])
+        self.drain("w")
+        self.answer_as_another_life()
+        self.assertEqual(self.counts(), (0, 1))
+
+    def test_task_with_an_end_is_not_absolved(self) -> None:
+        """Only one that lasts is cleared by its work: another may end its worker at its end."""
+        self.bench.confirm(self.start)
+        self.answer_as_another_life()
+        self.bench.add_worker("v")
+        self.bench.tick(0.2)
+        (again,) = [each for each in self.bench.starts(self.bench.seen) if each.life == "v"]
+        self.bench.confirm(again)
+        for _ in range(62):
+            self.bench.report("v", running=[(again.order.task, 2, 1.0)])
+            self.bench.tick(0.5)
+        self.assertEqual(self.counts(), (1, 1))
+
+    def test_stops_charge_no_task_that_lost_nothing(self) -> None:
+        """However often an innocent task is stopped just after it began, it goes on."""
+        for run in range(1, 8):
+            self.bench.report("w", ended=[(self.task.id, run, EndKind.STOPPED)])
+            self.bench.tick(0.2)
+        self.assertEqual(self.counts(), (0, 0))
+        self.assertEqual(self.bench.cell.jobs[self.job].status, JobStatus.RUNNING)
+
     def test_task_that_lasts_is_absolved(self) -> None:
         """Once it has worked for long, earlier losses of a task that lasts count no more."""
         bench = self.bench = Bench()
@@ -266,6 +366,8 @@
             bench.tick(0.5)
         self.assertEqual(self.counts(), (0, 0))
         self.assertEqual(bench.cell.jobs[self.task.id.job].status, JobStatus.RUNNING)
+        (task,) = _recorded(bench, self.task.id.job).tasks
+        self.assertEqual((task.crashed_runs, task.lost_runs), ([], []))
 
     def test_records_without_charges_are_read(self) -> None:
         """Progress that was put on record before charges were kept has none."""
--- a/tests/test_jobs_leader_changes.py
+++ b/tests/test_jobs_leader_changes.py
@@ -170,6 +170,34 @@
             leaders.bench.report(start.life, running=running)
         self.assertEqual(task.lost_runs, frozenset())
 
+    def test_run_that_goes_once_it_was_told_of(self) -> None:
+        """On a draining worker it is charged, however old the new leader's machine is."""
+        leaders = Leaders(SMALL)
+        (start,) = leaders.next_starts()
+        leaders.take_over()
+        leaders.list_worker(start.life, draining=True)
+        leaders.bench.report(start.life, running=[(start.order.task, 1, 1.0)])
+        leaders.end_life(start.life)
+        task = leaders.bench.cell.find_task(start.order.task)
+        self.assertEqual(task.lost_runs, {1})
+
+    def test_crashes_are_counted_on(self) -> None:
+        """Three crashes that were seen as such are the most, though a new leader saw the third."""
+        leaders = Leaders(SMALL)
+        starts = 0
+        while starts < ROUNDS and (found := leaders.next_starts()):
+            starts += 1
+            if starts == 3:
+                leaders.take_over()
+                leaders.list_worker(found[0].life)
+                running = [(found[0].order.task, found[0].order.run, 1.0)]
+                leaders.bench.report(found[0].life, running=running)
+            else:
+                leaders.bench.confirm(found[0])
+            leaders.end_life(found[0].life)
+        self.assertEqual(starts, 3)
+        self.assertEqual(leaders.status, JobStatus.FAILED)
+
     def test_time_to_come_of_a_run_that_was_taken_over(self) -> None:
         """Room that a run takes is expected back after its estimate, not after days."""
         leaders = Leaders(SMALL)
--- a/tests/test_jobs_suspects.py
+++ b/tests/test_jobs_suspects.py
@@ -1,16 +1,19 @@
 """Tests of who may run beside a task under which workers went."""
 
+import dataclasses
 import itertools
 import unittest
 
 import msgspec
 
 from snowdock.declarations import Size
-from snowdock.jobs.events import RenewAnswered, SendStart
+from snowdock.jobs.events import RenewAnswered, SendStart, WorkerListed
 from snowdock.jobs.model import StepSpec
 from snowdock.jobs.orders import Refusal
+from snowdock.jobs.progress import decode_progress
 from snowdock.jobs.suspects import next_tasks
-from tests.jobs_tools import SMALL, Bench, of_type
+from snowdock.jobs.takeover import RecordedJobs
+from tests.jobs_tools import DONE, SMALL, Bench, accepted, of_type
 
 PAIR = msgspec.structs.replace(SMALL, count=2)
 
@@ -74,10 +77,86 @@
         (empty,) = self.add_workers(1)
         self.bench.tick(0.2)
         self.assertEqual([start.life for start in self.new_starts()], [empty])
-        self.bench.submit(msgspec.structs.replace(SMALL, size=Size(3000, 1000)))
-        self.bench.submit(msgspec.structs.replace(SMALL, size=Size(3000, 1000)))
-        self.bench.submit(msgspec.structs.replace(SMALL, size=Size(3000, 1000)))
-        self.assertNotIn(empty, {start.life for start in self.new_starts()})
+        placed = []
+        for _ in range(3):
+            self.bench.submit(msgspec.structs.replace(SMALL, size=Size(3000, 1000)))
+            self.bench.tick(0.2)
+            placed += self.new_starts()
+        self.assertEqual(len(placed), 2)
+        self.assertNotIn(empty, {start.life for start in placed})
+
+    def test_suspects_of_different_jobs(self) -> None:
+        """They are kept apart as well, and the second one waits less than two seconds for that."""
+        jobs = self.make_suspects(2)
+        (one,) = self.add_workers(1)
+        self.bench.tick(0.2)
+        self.assertEqual(len(self.new_starts()), 1)
+        self.bench.tick(1.0)
+        self.assertEqual(self.new_starts(), [])
+        self.bench.tick(0.6)
+        self.assertEqual([start.life for start in self.new_starts()], [one])
+        self.assertEqual(len(jobs), 2)
+
+    def make_suspects(self, count: int) -> list[str]:
+        """Have a worker go under tasks of so many jobs."""
+        self.add_workers(1)
+        jobs = []
+        for _ in range(count):
+            jobs.append(self.bench.submit(SMALL))
+            self.bench.tick(0.1)
+        starts = self.new_starts()
+        self.assertEqual(len(starts), count)
+        self.crash_all(starts)
+        return jobs
+
+    def test_suspect_that_was_taken_over(self) -> None:
+        """A new leader keeps other suspects away from the worker where it finds one running."""
+        job, other = self.make_suspects(2)
+        (one,) = self.add_workers(1)
+        self.bench.tick(0.2)
+        (start,) = self.new_starts()
+        self.assertEqual(start.order.task.job, job)
+        recorded = {name: decode_progress(self.bench.recorded[name]) for name in (job, other)}
+        jobs = {name: accepted(SMALL) for name in (job, other)}
+        before, self.bench = self.bench, Bench(2)
+        self.bench.now = before.now
+        self.bench.restore(RecordedJobs(jobs, set(), recorded))
+        self.bench.add_worker(one, settled=False)
+        self.bench.report(one, running=[(start.order.task, start.order.run, 1.0)])
+        self.bench.tick(1.0)
+        self.assertEqual(self.new_starts(), [])
+        (two,) = self.add_workers(1)
+        self.bench.tick(0.2)
+        self.assertEqual([start.life for start in self.new_starts()], [two])
+
+    def test_tasks_with_unlike_pasts(self) -> None:
+        """The rest of a step is placed with the next news, not with the next tick."""
+        job = self.bench.submit(PAIR)
+        ((step,),) = self.bench.cell.jobs[job].repetitions
+        step.tasks[0].lost_runs = frozenset({1})
+        step.tasks[0].since = self.bench.now
+        self.add_workers(1)
+        entry = self.bench.cell.workers["w0"].entry
+        for placed in range(2):
+            self.assertEqual(sum(task.is_placed for task in step.tasks), placed)
+            self.bench.now += 0.01
+            self.bench.feed(WorkerListed(entry))
+        self.assertEqual(sum(task.is_placed for task in step.tasks), 2)
+
+    def test_address_where_a_worker_crashed(self) -> None:
+        """Suspects go there last, also where its next life is the roomiest."""
+        self.bench.add_worker("old", address="a:1")
+        self.bench.submit(SMALL)
+        (start,) = self.new_starts()
+        self.bench.confirm(start)
+        self.bench.add_worker("new", cpu=9000, address="a:1")
+        self.bench.add_worker("else", cpu=2000, address="a:2")
+        self.bench.cell.policy = dataclasses.replace(
+            self.bench.cell.policy, score=lambda step, worker, there: worker.free.cpu / 10_000
+        )
+        self.crash("old")
+        self.bench.tick(0.2)
+        self.assertEqual([start.life for start in self.new_starts()], ["else"])
 
     def test_it_does_not_wait_for_ever(self) -> None:
         """Where no worker is empty a suspect shares one before two seconds have gone by."""
@@ -123,8 +202,53 @@
         """Two workers may each have had a task of their own that ended them."""
         self.assertEqual(self.charges(2), [(1, 1)] * 2)
 
+    def test_many_whose_leases_were_over_first(self) -> None:
+        """It stays losses only where other lives answer after the leases were over."""
+        lives = self.add_workers(3, cpu=1000)
+        job = self.bench.submit(msgspec.structs.replace(SMALL, count=3))
+        for start in self.new_starts():
+            self.bench.confirm(start)
+        end = self.bench.now + 9.0
+        while self.bench.now < end:
+            for life in lives:
+                if life in self.bench.renewals:
+                    self.bench.miss(life)
+            self.bench.tick(0.1)
+        for life in lives:
+            self.crash(life)
+        tasks = list(self.bench.cell.jobs[job].all_tasks())
+        self.assertEqual([len(task.lost_runs) for task in tasks], [1] * 3)
+        self.assertEqual([len(task.crashed_runs) for task in tasks], [0] * 3)
+
 
 class TestGangs(Suspects):
+    def test_gang_does_not_wait_for_empty_workers(self) -> None:
+        """A gang whose member lost two workers goes where no other suspect is, beside others."""
+        self.add_workers(1)
+        job = self.bench.submit(msgspec.structs.replace(SMALL, gang=True, count=2))
+        gang = self.new_starts()
+        (busy,) = self.add_workers(1)
+        self.bench.submit(SMALL)
+        self.bench.tick(0.1)
+        self.assertEqual([start.life for start in self.new_starts()], [busy])
+        for task in self.bench.cell.jobs[job].all_tasks():
+            task.lost_runs = frozenset({0})
+        self.crash_all(gang)
+        self.bench.tick(0.2)
+        self.assertEqual([start.life for start in self.new_starts()], [busy, busy])
+
+    def test_member_that_is_done_already(self) -> None:
+        """One member's good end is that of all; the loss of another's worker charges nobody."""
+        self.add_workers(2, cpu=1000)
+        job = self.bench.submit(msgspec.structs.replace(SMALL, gang=True, count=2))
+        one, other = self.new_starts()
+        for start in (one, other):
+            self.bench.confirm(start)
+        self.bench.report(one.life, ended=[(one.order.task, one.order.run, DONE)])
+        self.crash(other.life)
+        tasks = list(self.bench.cell.jobs[job].all_tasks())
+        self.assertEqual([len(task.lost_runs) for task in tasks], [0, 0])
+
     def test_members_whose_start_was_not_answered(self) -> None:
         """Losing one member stops the others, which does not make their starts answered ones."""
         self.add_workers(1)
