Take back the charge of a run whose worker answers again as it was

What callers saw: a job that could be done was shown as failed where its task met five workers that were cut off. Cause: runs whose leases were over are charged as losses, since their worker may have crashed; the worker's own later answer, which shows that it did not, was taken as no crash and left the loss. Ruled out: crashes told late (crashed_runs stayed empty throughout). Change: a worker's lost runs are kept with whether it had told of them; an answer of the same life takes their charges back, on record (charge_taken_back). Why it holds: a life that answers never ended, so none of its runs ended it; a start that comes after its lease is refused.

--- a/src/snowdock/jobs/charges.py
+++ b/src/snowdock/jobs/charges.py
@@ -15,6 +15,7 @@
     "charge",
     "charge_end",
     "may_have_ended_at_once",
+    "take_back_charge",
 ]
 
 MOST_CRASHES = 3
@@ -48,6 +49,14 @@
     return True
 
 
+def take_back_charge(cell: Cell, task: Task, run: int, life: str) -> None:
+    """Count a run no longer against its task: its worker went on, so it did not end it."""
+    task.lost_runs -= {run}
+    job = task.step.job
+    mark(cell, job)
+    cell.tell("charge_taken_back", job.id, task=task.id, run=run, worker=life)
+
+
 def charge_end(cell: Cell, worker: Worker, task: Task, run: int) -> bool:
     """Count a run that its worker told the end of, where many were lost before.
 
--- a/src/snowdock/jobs/lost_runs.py
+++ b/src/snowdock/jobs/lost_runs.py
@@ -12,14 +12,14 @@
 """
 
 from .cell import Cell
-from .charges import charge, may_have_ended_at_once
+from .charges import charge, may_have_ended_at_once, take_back_charge
 from .durability import mark
 from .occupancy import vacate
 from .parts import Phase, Task
 from .runs import fail_job, void_run
 from .workers import Worker
 
-__all__ = ["absolve", "charge_late", "lose_orphan", "lose_runs"]
+__all__ = ["absolve", "charge_late", "lose_orphan", "lose_runs", "take_back_losses"]
 
 MOST_AT_ONCE = 2
 """Where more workers fell silent at the same moment, a rack or a hall went, and what ran there is
@@ -54,13 +54,25 @@
 def charge_late(cell: Cell, worker: Worker, now: float) -> None:
     """Take losses on a worker as crashes: its leases were over before another life answered."""
     is_crash = not _is_common(cell, worker)
-    for task_id, run in worker.lost:
+    for task_id, run in [key for key, is_told in worker.lost.items() if is_told]:
         task = cell.find_task(task_id)
         if task is not None and run in task.lost_runs:
             _charge(cell, task, run, worker.life, now, is_crash)
     worker.lost.clear()
 
 
+def take_back_losses(cell: Cell, worker: Worker) -> None:
+    """Charge nobody for the runs lost on a worker that answers again as it was.
+
+    Without this, a task that met five workers that were cut off was given up.
+    """
+    for task_id, run in worker.lost:
+        task = cell.find_task(task_id)
+        if task is not None and run in task.lost_runs and not task.step.job.status.is_final:
+            take_back_charge(cell, task, run, worker.life)
+    worker.lost.clear()
+
+
 def lose_orphan(cell: Cell, task: Task, life: str, now: float) -> None:
     """Take a run of an earlier leader as over, whose worker never became known here."""
     cell.tell("orphan_lost", task.id.job, task=task.id, worker=life)
@@ -96,8 +108,7 @@
     void_run(cell, task, now)
     if not is_charged:
         return
-    if task.is_told:
-        worker.lost.append((task.id, run))
+    worker.lost[task.id, run] = task.is_told
     _charge(cell, task, run, worker.life, now, is_crash and task.is_told)
 
 
--- a/src/snowdock/jobs/worker_reports.py
+++ b/src/snowdock/jobs/worker_reports.py
@@ -4,7 +4,7 @@
 from .cell import Cell
 from .durability import RENEW_WAIT_MS, renew
 from .events import RenewAnswered
-from .lost_runs import absolve
+from .lost_runs import absolve, take_back_losses
 from .model import TaskId
 from .occupancy import occupy, vacate
 from .orders import RunningRun, WorkerReport
@@ -54,7 +54,7 @@
         cell.tell("worker_answers", worker.life, silent_s=now - worker.silent_since)
         worker.silent_since = None
         worker.is_mute = False
-    worker.lost.clear()
+    take_back_losses(cell, worker)
     worker.heard_at = now
     worker.note_clock(report.clock_ms, now)
     listed: set[tuple[TaskId, int]] = set()
--- a/src/snowdock/jobs/workers.py
+++ b/src/snowdock/jobs/workers.py
@@ -140,7 +140,8 @@
     suspects
         Of the runs, those of tasks under which workers went before; True where nothing may join.
     lost
-        Runs lost there since it last answered: how it went is not known yet.
+        Runs that were charged as lost there since it last answered, and whether it had told of
+        each: how it went is not known yet.
     """
 
     entry: WorkerEntry
@@ -172,7 +173,7 @@
     aside_for: AsideCause | None = None
     slow_log: float = 0.0
     suspects: dict[tuple[TaskId, int], bool] = dataclasses.field(default_factory=dict)
-    lost: list[tuple[TaskId, int]] = dataclasses.field(default_factory=list)
+    lost: dict[tuple[TaskId, int], bool] = dataclasses.field(default_factory=dict)
     _free: Size = ZERO
     _free_of: tuple[Size, Size] | None = None
 
