Charge no done task with a worker that never became known

What callers saw: a job all of whose gang's members had ended well could be shown as failed after a takeover. Cause: lose_orphan charged whatever an earlier leader had placed; a done member keeps its worker on record until that has listed its end. Ruled out: members that are not done (their gang goes on as before, charged). Change: a done task is not charged there either, as where its worker is known. Why it holds: nothing is started of it any more, so nothing has to be bounded. Figures: test_member_that_is_done: five losses and a failed job before, four and a running job after.

--- a/src/snowdock/jobs/lost_runs.py
+++ b/src/snowdock/jobs/lost_runs.py
@@ -77,8 +77,11 @@
     """Take a run of an earlier leader as over, whose worker never became known here."""
     cell.tell("orphan_lost", task.id.job, task=task.id, worker=life)
     run = task.run
+    # Nothing is wanted of a done task any more: charged, it could fail a job that was done.
+    is_charged = task.phase is not Phase.DONE
     void_run(cell, task, now)
-    _charge(cell, task, run, life, now, is_crash=False)
+    if is_charged:
+        _charge(cell, task, run, life, now, is_crash=False)
 
 
 def absolve(cell: Cell, task: Task, now: float) -> None:
--- a/tests/test_jobs_leader_changes.py
+++ b/tests/test_jobs_leader_changes.py
@@ -198,6 +198,27 @@
         self.assertEqual(starts, 3)
         self.assertEqual(leaders.status, JobStatus.FAILED)
 
+    def test_member_that_is_done(self) -> None:
+        """Its worker may never become known to a new leader, which charges nobody.
+
+        A gang's good end is that of all its members. One that had lost four runs before was
+        charged with a fifth, and its job shown as failed, though every member had ended well:
+
+            orphan_lost worker=w2
+            task_given_up crashes=0 losses=5
+        """
+        leaders = Leaders(GANG, msgspec.structs.replace(SMALL, after=(0,)))
+        one, other = leaders.next_starts()
+        losses = frozenset({-1, -2, -3, -4})
+        leaders.bench.cell.find_task(other.order.task).lost_runs = losses
+        for start in (one, other):
+            leaders.bench.confirm(start)
+        leaders.bench.report(one.life, ended=[(one.order.task, one.order.run, EndKind.DONE)])
+        leaders.take_over()
+        leaders.bench.tick(12.0)
+        self.assertEqual(leaders.bench.cell.find_task(other.order.task).lost_runs, losses)
+        self.assertEqual(leaders.status, JobStatus.RUNNING)
+
     def test_time_to_come_of_a_run_that_was_taken_over(self) -> None:
         """Room that a run takes is expected back after its estimate, not after days."""
         leaders = Leaders(SMALL)
