Say once how lost runs are settled; take figures and history out of comments

Cause: charge_late and take_back_losses went through a worker's lost runs each by itself, _lose_run had six parameters, and comments told what was measured when. No decision changes: the tests of crashes, suspects, changes of leader, quotas and the reducer pass.

--- a/src/snowdock/entry/leader_terms.py
+++ b/src/snowdock/entry/leader_terms.py
@@ -7,10 +7,10 @@
 __all__ = ["cell_settings", "claim_delay"]
 
 _LEADER_CORES = 1.5
-"""What a leader of 176 workers needs: 0.66 of a core was measured, and bursts double it."""
+"""What a leader of a large deployment needs, bursts included."""
 
 _LEADER_MBPS = 50.0
-"""What a leader of 176 workers sends and receives, about 10 Mbit/s at the peak, with room."""
+"""What a leader of a large deployment sends and receives at its peak, with room."""
 
 _CLAIM_DELAY_SECONDS = 0.4
 """The longest that a weak node lets others claim first; a claim takes some 10 ms."""
--- a/src/snowdock/jobs/advising.py
+++ b/src/snowdock/jobs/advising.py
@@ -48,8 +48,7 @@
 
 _QUESTIONS_AT_ONCE = 4
 """Questions about a bulky step that go out together, to as many nodes: asked one after the other,
-the first tickets had expired before the last workers were known. Of four emulated days 0.869 of the
-payouts' worth, 0.831 with one question, 0.846 with two and 0.864 with six."""
+the first tickets expire before the last workers are known."""
 
 _RETRY_SECONDS = 0.2
 """Pause after a question without an answer."""
--- a/src/snowdock/jobs/charges.py
+++ b/src/snowdock/jobs/charges.py
@@ -71,6 +71,7 @@
 
 def may_have_ended_at_once(worker: Worker, task: Task) -> bool:
     """Whether a task's run may have ended, or its worker gone, just after it began there."""
-    # By the worker's own word: a leader that was away for seconds knows not when its worker went.
-    # A run that was taken over, and of which nothing was told since, may have begun at any time.
+    # By the worker's own word: a leader that was away for seconds does not know when its worker
+    # went, nor a new one when a run began that it took over. Taken for old, such a run was charged
+    # to nobody.
     return not task.is_told or worker.heard_at - task.ordered_at <= AT_ONCE_SECONDS
--- a/src/snowdock/jobs/lost_runs.py
+++ b/src/snowdock/jobs/lost_runs.py
@@ -11,6 +11,9 @@
 `MOST_LOSSES` times at most, whatever is seen of it.
 """
 
+import dataclasses
+from collections.abc import Iterator
+
 from .cell import Cell
 from .charges import charge, may_have_ended_at_once, take_back_charge
 from .durability import mark
@@ -34,31 +37,36 @@
 hours it outlives many workers that go for reasons of their own."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _WorkerEnd:
+    """Why a worker's runs are taken as over, and whether it surely crashed by itself."""
+
+    reason: str
+    is_crash: bool
+
+
 def lose_runs(
     cell: Cell, worker: Worker, now: float, reason: str, has_crashed: bool = False
 ) -> None:
     """Take all runs on a worker as over, though how they ended is not known."""
-    is_crash = has_crashed and not _is_common(cell, worker)
+    end = _WorkerEnd(reason, has_crashed and not _is_common(cell, worker))
     if worker.runs:
-        cell.tell(
-            "runs_lost", worker.life, count=len(worker.runs), reason=reason, is_crash=is_crash
-        )
+        count = len(worker.runs)
+        cell.tell("runs_lost", worker.life, count=count, reason=reason, is_crash=end.is_crash)
     for task_id, run in list(worker.runs):
         vacate(cell, worker.life, task_id, run)
         cell.stops.pop((worker.life, task_id, run), None)
         task = cell.find_task(task_id)
         if task is not None and task.is_current_run(run, worker.life):
-            _lose_run(cell, worker, task, now, reason, is_crash)
+            _lose_run(cell, worker, task, now, end)
 
 
 def charge_late(cell: Cell, worker: Worker, now: float) -> None:
     """Take losses on a worker as crashes: its leases were over before another life answered."""
     is_crash = not _is_common(cell, worker)
-    for task_id, run in [key for key, is_told in worker.lost.items() if is_told]:
-        task = cell.find_task(task_id)
-        if task is not None and run in task.lost_runs:
+    for task, run, is_told in _take_lost(cell, worker):
+        if is_told:
             _charge(cell, task, run, worker.life, now, is_crash)
-    worker.lost.clear()
 
 
 def take_back_losses(cell: Cell, worker: Worker) -> None:
@@ -66,11 +74,18 @@
 
     Without this, a task that met five workers that were cut off was given up.
     """
-    for task_id, run in worker.lost:
-        task = cell.find_task(task_id)
-        if task is not None and run in task.lost_runs and not task.step.job.status.is_final:
+    for task, run, _ in _take_lost(cell, worker):
+        if not task.step.job.status.is_final:
             take_back_charge(cell, task, run, worker.life)
-    worker.lost.clear()
+
+
+def _take_lost(cell: Cell, worker: Worker) -> Iterator[tuple[Task, int, bool]]:
+    """Give the charged runs of a worker of which it is settled now how it went, and forget them."""
+    lost, worker.lost = worker.lost, {}
+    for (task_id, run), is_told in lost.items():
+        task = cell.find_task(task_id)
+        if task is not None and run in task.lost_runs:
+            yield task, run, is_told
 
 
 def lose_orphan(cell: Cell, task: Task, life: str, now: float) -> None:
@@ -94,25 +109,17 @@
         cell.tell("task_absolved", task.id.job, task=task.id, run=task.run)
 
 
-def _lose_run(
-    cell: Cell,
-    worker: Worker,
-    task: Task,
-    now: float,
-    reason: str,
-    is_crash: bool,
-) -> None:
+def _lose_run(cell: Cell, worker: Worker, task: Task, now: float, end: _WorkerEnd) -> None:
     run = task.run
     # A start that was never sent can have done nothing, a task that is done needs no more runs.
     has_begun = task.phase not in (Phase.RECORDED, Phase.DONE)
-    is_leaving = worker.entry.draining
-    is_charged = has_begun and (not is_leaving or _may_be_why(worker, task))
-    _tell(cell, worker, task, reason, is_charged)
+    is_charged = has_begun and (not worker.entry.draining or _may_be_why(worker, task))
+    _tell(cell, worker, task, end, is_charged)
     void_run(cell, task, now)
     if not is_charged:
         return
     worker.lost[task.id, run] = task.is_told
-    _charge(cell, task, run, worker.life, now, is_crash and task.is_told)
+    _charge(cell, task, run, worker.life, now, end.is_crash and task.is_told)
 
 
 def _charge(cell: Cell, task: Task, run: int, life: str, now: float, is_crash: bool) -> None:
@@ -124,16 +131,15 @@
 def _may_be_why(worker: Worker, task: Task) -> bool:
     """Whether a run may be why a worker went that had said that it would leave.
 
-    Such a worker takes nothing new once that is known, and ends seconds later: without this a task
-    was started three times after it had crashed three workers, the third one draining.
+    Such a worker takes nothing new once that is known, and ends seconds later: charged to nobody, a
+    task that ends its workers got a start beyond its bound for each worker that drained.
     """
-    # Counted as old, a run that was taken over was charged to nobody.
     if task.is_told and task.step.spec.long_running:
         return False
     return may_have_ended_at_once(worker, task)
 
 
-def _tell(cell: Cell, worker: Worker, task: Task, reason: str, is_charged: bool) -> None:
+def _tell(cell: Cell, worker: Worker, task: Task, end: _WorkerEnd, is_charged: bool) -> None:
     """Log a run that is lost with its worker, whether it is charged, and what that goes by."""
     silent_after_s = None
     if worker.silent_since is not None:
@@ -149,7 +155,7 @@
         is_charged=is_charged,
         is_told=task.is_told,
         is_leaving=worker.entry.draining,
-        reason=reason,
+        reason=end.reason,
     )
 
 
--- a/src/snowdock/jobs/placing.py
+++ b/src/snowdock/jobs/placing.py
@@ -24,7 +24,7 @@
 """Pause between two passes: news that come together are looked at together."""
 
 _LOOK_SECONDS = 10e-6
-"""What looking at one worker for one step takes, roughly: 5 to 15 us were measured."""
+"""What looking at one worker for one step takes, roughly."""
 
 _LOOKS_A_PASS = 1_500
 """The most looks of one pass, some 15 ms: renewals and answers may not wait for longer. Half go
--- a/src/snowdock/jobs/quotas.py
+++ b/src/snowdock/jobs/quotas.py
@@ -15,12 +15,11 @@
 __all__ = ["keep_quotas", "may_start", "tasks_within_quota"]
 
 _KEEPS_QUOTA = True
-"""Whether quota is kept for a waiting gang: of four emulated days with 20 teams, 0.831 of the
-payouts' worth against 0.802."""
+"""Whether quota is kept for a waiting gang: else it waits behind all that starts piece by piece."""
 
 _KEPT_WHOLE_SECONDS = 1.5
-"""How long quota that a gang has whole is kept for it: one of 60 tasks with 57 seats on all the
-workers that may run it kept its team's other gangs waiting for as long as it stood there."""
+"""How long quota that a gang has whole is kept for it: one that the workers it may run on never hold
+would keep its team's other gangs waiting for as long as it stands there."""
 
 
 def tasks_within_quota(cell: Cell, step: Step, wanted: int) -> int:
--- a/src/snowdock/jobs/suspects.py
+++ b/src/snowdock/jobs/suspects.py
@@ -3,8 +3,7 @@
 The load this answers: a worker runs some ten tasks when one of them ends it, and all of them are
 charged. Placed together again, the innocent are charged again with the guilty one, and given up
 with it. So a suspect shares no worker with another one, and after a second loss a worker with
-nobody. A worker that goes then points at one task: on 24 emulated days with 117 tasks that end
-their workers, one innocent job was shown as failed, 19 where suspects were placed like all others.
+nobody. A worker that goes then points at one task.
 
 Where room is short that may have to wait; `_ALONE_SECONDS` and `_APART_SECONDS` bound for how long.
 """
@@ -33,9 +32,8 @@
 
 _UNSOUND_SECONDS = 30.0
 _UNSOUND_MALUS = 10.0
-"""For so long an address where a worker crashed is the last choice for suspects: workers that go
-up and down by themselves would be charged to whoever is there (25 innocent jobs rather than 15 on
-24 emulated days where a sixth of them did). The malus is beyond any score."""
+"""For so long an address where a worker crashed is the last choice for suspects: a worker that goes
+up and down by itself would be charged to whoever is there. The malus is beyond any score."""
 
 
 class Company(enum.IntEnum):
--- a/src/snowdock/jobs/worker_watch.py
+++ b/src/snowdock/jobs/worker_watch.py
@@ -70,7 +70,8 @@
 
 def _are_earlier_leases_over(cell: Cell, now: float) -> bool:
     """Whether no lease that an earlier leader gave can still hold."""
-    # A takeover on a store that loses answers took 3 s: tasks that last stood for 18 s in all.
+    # Leases are counted from the claim: reading the records may take seconds on a store that loses
+    # answers, and tasks that last stand meanwhile.
     since_claim = now - cell.claimed_at
     has_heard = now - cell.started_at >= HEARING_SECONDS
     return has_heard and since_claim >= cell.settings.takeover_lapse_s
