--- a/src/snowdock/jobs/quotas.py
+++ b/src/snowdock/jobs/quotas.py
@@ -18,8 +18,8 @@
 """Whether quota is kept for a waiting gang: else it waits behind all that starts piece by piece."""
 
 _KEPT_WHOLE_SECONDS = 1.5
-"""How long quota that a gang has whole is kept for it: one that the workers it may run on never hold
-would keep its team's other gangs waiting for as long as it stands there."""
+"""How long quota that a gang has whole is kept for it: one that no set of workers ever holds would
+keep its team's other gangs waiting for as long as it stands there."""
 
 
 def tasks_within_quota(cell: Cell, step: Step, wanted: int) -> int:
