Replay walks of the model of crashing tasks on the reducer

Change: 150 seeded walks with up to four changes of leader; after each step crashes, losses and whether the task is given up are compared. Ruled out on the way: divergences of the replay itself (a worker that took the task before the walk placed it; a stop whose answer came after the report).

--- /dev/null
+++ b/tests/test_jobs_crash_replay.py
@@ -0,0 +1,153 @@
+"""Walks of the model of crashing tasks, replayed on the real reducer: both count alike."""
+
+import random
+import unittest
+
+from snowdock.jobs.events import Persist, Persisted, StartAnswered, StopAnswered
+from snowdock.jobs.model import JobStatus
+from snowdock.jobs.orders import EndKind
+from snowdock.jobs.parts import Task
+from specs import crash_model
+from specs.crash_model import Phase, State
+from specs.tools import Rules
+from tests.jobs_tools import SMALL, of_type
+from tests.test_jobs_crashes import cut_off
+from tests.test_jobs_leader_changes import Leaders
+
+WALKS = 150
+STEPS = 60
+_LAPSE_SECONDS = 12.0
+"""When runs on workers that a new leader never learned of are over."""
+
+
+class Replay:
+    """Feeds what happens in a walk to the reducer."""
+
+    def __init__(self) -> None:
+        self.leaders = Leaders(SMALL, workers=0)
+        # Batches wait until the walk says that they are on record.
+        self.leaders.bench.holds_store = True
+        self.life = ""
+        self.is_listed = True
+
+    @property
+    def task(self) -> Task:
+        ((step,),) = self.leaders.bench.cell.jobs[self.leaders.job].repetitions
+        return step.tasks[0]
+
+    def take(self, label: str) -> None:
+        """Let one thing happen."""
+        take = {
+            "is placed": self._place,
+            "is on record": self._record,
+            # The model tells runs apart by whether their number is odd.
+            "is sent": self._record,
+            "another leader takes over": self._take_over,
+            "is answered": lambda: self._answer(is_answered=True),
+            "is not answered": lambda: self._answer(is_answered=False),
+            "was not there": self._deny,
+            "another life answers": self._end_life,
+            "another life answers, it had drained": self._end_draining_life,
+            "its worker is not known": lambda: self.leaders.bench.tick(_LAPSE_SECONDS),
+            "leases are over": lambda: cut_off(self.leaders.bench, self.life),
+            "is told as broken off": self._break_off,
+        }.get(label)
+        if take is not None:
+            take()
+
+    def _place(self) -> None:
+        if not self.task.life:
+            self.leaders.add_worker()
+            # A suspect waits for company that suits it.
+            self.leaders.bench.tick(2.0)
+        self.life = self.task.life
+        self.is_listed = True
+
+    def _record(self) -> None:
+        bench = self.leaders.bench
+        while bench.cell.batch_held is not None:
+            batch = [each for each in of_type(bench.seen, Persist)][-1]
+            bench.recorded |= {record.job: record.data for record in batch.records}
+            bench.feed(Persisted(batch.number))
+
+    def _take_over(self) -> None:
+        self.leaders.take_over()
+        self.leaders.bench.holds_store = True
+        self.life = self.task.life
+        self.is_listed = False
+
+    def _answer(self, is_answered: bool) -> None:
+        (start,) = self.leaders.bench.starts(self.leaders.bench.seen)[-1:]
+        if is_answered:
+            self.leaders.bench.confirm(start)
+        else:
+            order = start.order
+            event = StartAnswered(start.life, order.task, order.run, None)
+            self.leaders.bench.feed(event)
+
+    def _list(self, draining: bool = False) -> None:
+        if draining or not self.is_listed:
+            self.leaders.list_worker(self.life, draining)
+        self.is_listed = True
+
+    def _deny(self) -> None:
+        """Have the worker tell that the run is not there, and refuse it for good."""
+        # It takes nothing more: the walk says when the task is placed again.
+        self._list(draining=True)
+        bench = self.leaders.bench
+        run = self.task.run
+        for _ in range(4):
+            bench.report(self.life)
+            if not self.task.life:
+                return
+            bench.tick(0.1)
+            bench.feed(StopAnswered(self.life, self.task.id, run, True, None))
+        raise AssertionError("the run is still taken as there")
+
+    def _end_life(self) -> None:
+        self._list()
+        self.leaders.end_life(self.life)
+
+    def _end_draining_life(self) -> None:
+        self._list(draining=True)
+        self.leaders.end_life(self.life)
+
+    def _break_off(self) -> None:
+        self._list(draining=True)
+        end = (self.task.id, self.task.run, EndKind.BROKEN)
+        self.leaders.bench.report(self.life, ended=[end])
+
+
+class TestReplay(unittest.TestCase):
+    def test_walks(self) -> None:
+        """Charges, and whether the task is given up, are those of the model after each step."""
+        model = crash_model.Model(crash_model.Bounds(takeovers=4), Rules(""))
+        given_up = 0
+        for seed in range(WALKS):
+            with self.subTest(seed=seed):
+                given_up += self.walk(model, random.Random(seed))
+        self.assertGreater(given_up, WALKS // 10)
+
+    def walk(self, model: crash_model.Model, source: random.Random) -> bool:
+        """Replay one walk; tell whether the task was given up."""
+        state, replay, labels = State(), Replay(), []
+        for _ in range(STEPS):
+            steps = model.transitions(state)
+            if not steps:
+                break
+            label, after = source.choice(steps)
+            labels.append(label)
+            replay.take(label)
+            state = after
+            task = replay.task
+            counted = (len(task.crashed_runs), len(task.lost_runs))
+            self.assertEqual(counted, (state.crashes, state.losses), labels)
+            is_given_up = state.phase is Phase.GIVEN_UP
+            self.assertEqual(replay.leaders.status is JobStatus.FAILED, is_given_up, labels)
+            if is_given_up:
+                return True
+        return False
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_jobs_leader_changes.py
+++ b/tests/test_jobs_leader_changes.py
@@ -48,12 +48,13 @@
 class Leaders:
     """Leaders that follow one another, each with what the one before has put on record."""
 
-    def __init__(self, *steps: StepSpec) -> None:
+    def __init__(self, *steps: StepSpec, workers: int = 1) -> None:
         self.bench = Bench()
         self._accepted = accepted(*steps)
         self._token = 1
         self._lives = 0
-        self.add_worker()
+        for _ in range(workers):
+            self.add_worker()
         self.job = self.bench.submit(*steps)
 
     @property
@@ -84,10 +85,11 @@
         """Have another leader begin with what is on record; it knows of no worker yet."""
         self._token += 1
         before = self.bench
-        progress = decode_progress(before.recorded[self.job])
+        progress = {job: decode_progress(data) for job, data in before.recorded.items()}
         self.bench = Bench(self._token)
+        self.bench.recorded = before.recorded
         self.bench.now = before.now + 0.5
-        self.bench.restore(RecordedJobs({self.job: self._accepted}, set(), {self.job: progress}))
+        self.bench.restore(RecordedJobs({self.job: self._accepted}, set(), progress))
 
     def list_worker(self, life: str, draining: bool = False) -> None:
         """Have the leader find the entry of a worker."""
