--- a/tests/jobs_tools.py
+++ b/tests/jobs_tools.py
@@ -1,5 +1,6 @@
 """A leader's state with workers, and short ways to feed it, for tests of the reducer."""
 
+import dataclasses
 import itertools
 
 from snowdock.declarations import Size
@@ -19,16 +20,25 @@
     Ticked,
     WorkerListed,
 )
-from snowdock.jobs.model import AdviceTerms, Configuration, JobSpec, Queue, Service, StepSpec
+from snowdock.jobs.model import (
+    AdviceTerms,
+    Configuration,
+    JobSpec,
+    JobStatus,
+    Queue,
+    Service,
+    StepSpec,
+)
 from snowdock.jobs.orders import (
     EndedRun,
     EndKind,
+    Refusal,
     RenewOrder,
     RunningRun,
     StartResult,
     WorkerReport,
 )
-from snowdock.jobs.progress import AcceptedJob
+from snowdock.jobs.progress import AcceptedJob, decode_progress
 from snowdock.jobs.reducer import reduce
 from snowdock.jobs.takeover import RecordedJobs, restore
 from snowdock.jobs.workers import WorkerEntry
@@ -139,6 +149,72 @@
         return self.feed(StartAnswered(start.life, order.task, order.run, result))
 
 
+def cut_off(bench: Bench, life: str, seconds: float = 9.0) -> None:
+    """Let a worker give no answer for longer than its leases hold."""
+    end = bench.now + seconds
+    while bench.now < end:
+        if life in bench.renewals:
+            bench.miss(life)
+        bench.tick(0.1)
+
+
+class Leaders:
+    """Leaders that follow one another, each with what the one before has put on record."""
+
+    def __init__(self, *steps: StepSpec, workers: int = 1) -> None:
+        self.bench = Bench()
+        self._accepted = accepted(*steps)
+        self._token = 1
+        self._lives = 0
+        for _ in range(workers):
+            self.add_worker()
+        self.job = self.bench.submit(*steps)
+
+    @property
+    def status(self) -> JobStatus:
+        return self.bench.cell.jobs[self.job].status
+
+    def add_worker(self) -> None:
+        self._lives += 1
+        self.bench.add_worker(f"w{self._lives}")
+
+    def next_starts(self) -> list[SendStart]:
+        """Give the starts that a job gets on workers that are new; none once it is given up."""
+        found = self._new_starts()
+        for _ in range(20):
+            if found or self.status.is_final:
+                break
+            self.add_worker()
+            self.bench.tick(0.3)
+            found = self._new_starts()
+        return found
+
+    def _new_starts(self) -> list[SendStart]:
+        found = of_type(self.bench.seen, SendStart)
+        self.bench.seen.clear()
+        return found
+
+    def take_over(self) -> None:
+        """Have another leader begin with what is on record; it knows of no worker yet."""
+        self._token += 1
+        before = self.bench
+        progress = {job: decode_progress(data) for job, data in before.recorded.items()}
+        self.bench = Bench(self._token)
+        self.bench.recorded = before.recorded
+        self.bench.now = before.now + 0.5
+        self.bench.restore(RecordedJobs({self.job: self._accepted}, set(), progress))
+
+    def list_worker(self, life: str, draining: bool = False) -> None:
+        """Have the leader find the entry of a worker."""
+        self.bench.add_worker(life, settled=False)
+        entry = dataclasses.replace(self.bench.cell.workers[life].entry, draining=draining)
+        self.bench.feed(WorkerListed(entry))
+
+    def end_life(self, life: str) -> None:
+        """Have another life answer at a worker's address."""
+        self.bench.feed(RenewAnswered(life, self.bench.renewal(life), Refusal.OTHER_LIFE))
+
+
 def accepted(*steps: StepSpec, queue: str = "q") -> AcceptedJob:
     spec = JobSpec(queue, "payload", tuple(steps or (SMALL,)))
     return AcceptedJob(spec, 100_000, "pool", 0, 3)
--- a/tests/test_jobs_crash_replay.py
+++ b/tests/test_jobs_crash_replay.py
@@ -10,9 +10,7 @@
 from specs import crash_model
 from specs.crash_model import Phase, State
 from specs.tools import Rules
-from tests.jobs_tools import SMALL, of_type
-from tests.test_jobs_crashes import cut_off
-from tests.test_jobs_leader_changes import Leaders
+from tests.jobs_tools import SMALL, Leaders, cut_off, of_type
 
 WALKS = 150
 STEPS = 60
--- a/tests/test_jobs_crashes.py
+++ b/tests/test_jobs_crashes.py
@@ -32,7 +32,7 @@
 from snowdock.jobs.progress import decode_progress
 from snowdock.jobs.runs import stop_run
 from snowdock.jobs.takeover import RecordedJobs
-from tests.jobs_tools import DONE, SMALL, Bench, accepted, of_type
+from tests.jobs_tools import DONE, SMALL, Bench, accepted, cut_off, of_type
 from tests.standins.entry_cluster import EntryCluster
 
 MOST_STARTS = 5
@@ -148,6 +148,20 @@
         renewal = self.bench.renewal("w")
         self.bench.feed(RenewAnswered("w", renewal, Refusal.OTHER_LIFE))
 
+    def pass_time(self, seconds: float, running=()) -> None:
+        """Let time pass while the worker tells what runs there."""
+        for _ in range(round(seconds * 10)):
+            self.bench.tick(0.1)
+            if "w" in self.bench.renewals:
+                self.bench.report("w", running=running)
+
+    def start_on_another(self) -> SendStart:
+        """Give the start that the task gets on a new worker."""
+        self.bench.add_worker("v")
+        self.bench.tick(0.2)
+        (again,) = [each for each in self.bench.starts(self.bench.seen) if each.life == "v"]
+        return again
+
     def fall_silent(self, seconds: float) -> None:
         cut_off(self.bench, "w", seconds)
 
@@ -166,10 +180,7 @@
         """Where the worker was draining, the end of its life is charged to nobody."""
         self.bench.confirm(self.start)
         self.drain("w")
-        for _ in range(30):
-            self.bench.tick(0.1)
-            if "w" in self.bench.renewals:
-                self.bench.report("w", running=[(self.task.id, 1, 1.0)])
+        self.pass_time(3.0, running=[(self.task.id, 1, 1.0)])
         self.answer_as_another_life()
         self.assertEqual(self.counts(), (0, 0))
 
@@ -177,10 +188,7 @@
         """A run that worked for long is no younger for being stopped as its worker leaves."""
         self.bench.confirm(self.start)
         self.drain("w")
-        for _ in range(30):
-            self.bench.tick(0.1)
-            if "w" in self.bench.renewals:
-                self.bench.report("w", running=[(self.task.id, 1, 1.0)])
+        self.pass_time(3.0, running=[(self.task.id, 1, 1.0)])
         stop_run(self.bench.cell, self.task, self.bench.now)
         self.answer_as_another_life()
         self.assertEqual(self.counts(), (0, 0))
@@ -287,8 +295,7 @@
         """What was told of an earlier run says nothing of the next."""
         self.bench.confirm(self.start)
         self.answer_as_another_life()
-        self.bench.add_worker("v")
-        self.bench.tick(0.2)
+        self.start_on_another()
         self.bench.feed(RenewAnswered("v", self.bench.renewal("v"), Refusal.OTHER_LIFE))
         self.assertEqual(self.counts(), (1, 2))
 
@@ -297,10 +304,7 @@
         self.drain("w")
         order = self.start.order
         self.bench.feed(StartAnswered("w", order.task, order.run, None))
-        for _ in range(30):
-            self.bench.tick(0.1)
-            if "w" in self.bench.renewals:
-                self.bench.report("w")
+        self.pass_time(3.0)
         self.answer_as_another_life()
         self.assertEqual(self.counts(), (0, 1))
 
@@ -311,10 +315,7 @@
         bench.holds_store = True
         self.job = bench.submit(SMALL)
         (batch,) = of_type(bench.effects, Persist)
-        for _ in range(30):
-            bench.tick(0.1)
-            if "w" in bench.renewals:
-                bench.report("w")
+        self.pass_time(3.0)
         bench.feed(Persisted(batch.number))
         (self.start,) = bench.starts()
         bench.confirm(self.start)
@@ -327,9 +328,7 @@
         """Only one that lasts is cleared by its work: another may end its worker at its end."""
         self.bench.confirm(self.start)
         self.answer_as_another_life()
-        self.bench.add_worker("v")
-        self.bench.tick(0.2)
-        (again,) = [each for each in self.bench.starts(self.bench.seen) if each.life == "v"]
+        again = self.start_on_another()
         self.bench.confirm(again)
         for _ in range(62):
             self.bench.report("v", running=[(again.order.task, 2, 1.0)])
@@ -353,9 +352,7 @@
         bench.confirm(self.start)
         self.answer_as_another_life()
         self.assertEqual(self.counts(), (1, 1))
-        bench.add_worker("v")
-        bench.tick(0.2)
-        (again,) = [e for e in bench.starts(bench.seen) if e.life == "v"]
+        again = self.start_on_another()
         bench.confirm(again)
         for _ in range(62):
             bench.report("v", running=[(again.order.task, 2, 100.0)])
@@ -405,15 +402,6 @@
         self.assertEqual(recorded.lost_runs, [])
 
 
-def cut_off(bench: Bench, life: str, seconds: float = 9.0) -> None:
-    """Let a worker give no answer for longer than its leases hold."""
-    end = bench.now + seconds
-    while bench.now < end:
-        if life in bench.renewals:
-            bench.miss(life)
-        bench.tick(0.1)
-
-
 class TestWholePath(unittest.TestCase):
     def test_callers_hear_of_it(self) -> None:
         """With real daemons, such a job is shown as failed, and its neighbours as completed."""
--- a/tests/test_jobs_leader_changes.py
+++ b/tests/test_jobs_leader_changes.py
@@ -17,13 +17,11 @@
 
 from snowdock.emulator import Emulator, EmulatorOptions, WorkloadOptions, draw_workload
 from snowdock.emulator.workload import default_mixes
-from snowdock.jobs.events import RenewAnswered, SendStart, WorkerListed
+from snowdock.jobs.events import SendStart
 from snowdock.jobs.forecast import room_to_come
-from snowdock.jobs.model import JobStatus, StepSpec
-from snowdock.jobs.orders import EndKind, Refusal
-from snowdock.jobs.progress import decode_progress
-from snowdock.jobs.takeover import RecordedJobs
-from tests.jobs_tools import SMALL, Bench, accepted, of_type, unended
+from snowdock.jobs.model import JobStatus
+from snowdock.jobs.orders import EndKind
+from tests.jobs_tools import SMALL, Leaders, unended
 
 MOST_STARTS = 5
 """After three crashes under a task, fewer than three more starts."""
@@ -45,63 +43,6 @@
 """Shares of jobs with a task that ends its workers."""
 
 
-class Leaders:
-    """Leaders that follow one another, each with what the one before has put on record."""
-
-    def __init__(self, *steps: StepSpec, workers: int = 1) -> None:
-        self.bench = Bench()
-        self._accepted = accepted(*steps)
-        self._token = 1
-        self._lives = 0
-        for _ in range(workers):
-            self.add_worker()
-        self.job = self.bench.submit(*steps)
-
-    @property
-    def status(self) -> JobStatus:
-        return self.bench.cell.jobs[self.job].status
-
-    def add_worker(self) -> None:
-        self._lives += 1
-        self.bench.add_worker(f"w{self._lives}")
-
-    def next_starts(self) -> list[SendStart]:
-        """Give the starts that a job gets on workers that are new; none once it is given up."""
-        found = self._new_starts()
-        for _ in range(20):
-            if found or self.status.is_final:
-                break
-            self.add_worker()
-            self.bench.tick(0.3)
-            found = self._new_starts()
-        return found
-
-    def _new_starts(self) -> list[SendStart]:
-        found = of_type(self.bench.seen, SendStart)
-        self.bench.seen.clear()
-        return found
-
-    def take_over(self) -> None:
-        """Have another leader begin with what is on record; it knows of no worker yet."""
-        self._token += 1
-        before = self.bench
-        progress = {job: decode_progress(data) for job, data in before.recorded.items()}
-        self.bench = Bench(self._token)
-        self.bench.recorded = before.recorded
-        self.bench.now = before.now + 0.5
-        self.bench.restore(RecordedJobs({self.job: self._accepted}, set(), progress))
-
-    def list_worker(self, life: str, draining: bool = False) -> None:
-        """Have the leader find the entry of a worker."""
-        self.bench.add_worker(life, settled=False)
-        entry = dataclasses.replace(self.bench.cell.workers[life].entry, draining=draining)
-        self.bench.feed(WorkerListed(entry))
-
-    def end_life(self, life: str) -> None:
-        """Have another life answer at a worker's address."""
-        self.bench.feed(RenewAnswered(life, self.bench.renewal(life), Refusal.OTHER_LIFE))
-
-
 class TestDrainingWorkers(unittest.TestCase):
     def test_crash_of_a_draining_worker_under_a_new_leader(self) -> None:
         """It is charged, though the new leader does not know when the run began."""
