Explain a task that was given up by what is counted now

What operators saw: snowdock explain said that so many workers went under a task, also where some of its starts had ended at once, and named workers that were cut off and came back. Cause: the text went by task_charged lines alone, which tell of both since each start counts after three losses, and charges can be taken back. No decision changes.

--- a/src/snowdock/cli/explain.py
+++ b/src/snowdock/cli/explain.py
@@ -151,16 +151,20 @@
 
 def _explain_giving_up(decision: LogLine, lines: list[LogLine]) -> str:
     task = decision.fields.get("task", "")
-    charged = [
-        line.fields.get("worker", "")
-        for line in lines
-        if line.event == "task_charged" and line.fields.get("task", "") == task
-    ]
-    workers = ", ".join(dict.fromkeys(charged))
+    workers: dict[str, None] = {}
+    for line in lines:
+        if line.fields.get("task", "") != task:
+            continue
+        worker = line.fields.get("worker", "")
+        if line.event == "task_charged":
+            workers[worker] = None
+        elif line.event == "charge_taken_back":
+            workers.pop(worker, None)
     crashes, losses = decision.fields.get("crashes", "?"), decision.fields.get("losses", "?")
     return (
-        f"task {task} was given up after {losses} workers went under it, {crashes} of them surely"
-        f" crashed ({workers}): see silent_after_s of its run_lost lines"
+        f"task {task} was given up after {losses} of its starts went with their workers, or ended"
+        f" at once after three that did; {crashes} of these workers surely crashed"
+        f" ({', '.join(workers)}): see silent_after_s of its run_lost lines"
     )
 
 
