--- a/bench/crashes.py
+++ b/bench/crashes.py
@@ -87,7 +87,7 @@
             return
         lives = [life for life, model in emulator.workers.items() if model.is_up]
         for life in source.sample(lives, round(FLAP_SHARE * len(lives))):
-            emulator.crash_worker(life, RETURN_SECONDS)
+            emulator.fleet.crash(life, RETURN_SECONDS)
         _plan_flap(emulator, source)
 
     emulator.timeline.after(FLAP_EVERY_SECONDS, flap)
@@ -106,8 +106,8 @@
         ]
         if source.random() < DRAIN_SHARE:
             if len(lives) > LEAST_WORKERS:
-                emulator.drain_worker(source.choice(lives))
-                emulator.add_worker(0)
+                emulator.fleet.drain(source.choice(lives))
+                emulator.fleet.add(0)
         else:
             emulator.kill_leader(source.uniform(*LEADERLESS_SECONDS))
         _plan_change(emulator, source)
--- a/src/snowdock/emulator/emulator.py
+++ b/src/snowdock/emulator/emulator.py
@@ -1,13 +1,10 @@
 """Runs the real decisions of one leader after the other against modelled systems."""
 
-import dataclasses
-import math
 import random
 from collections.abc import Callable
 
 import msgspec
 
-from ..declarations import Size
 from ..jobs.cell import Cell, CellSettings
 from ..jobs.events import (
     AdviceAnswered,
@@ -29,7 +26,6 @@
     SendStop,
     StepDown,
     Ticked,
-    WorkerDelisted,
     WorkerListed,
 )
 from ..jobs.model import JobStatus, StepSpec, TaskId
@@ -39,14 +35,14 @@
 from ..jobs.reducer import reduce
 from ..jobs.takeover import RecordedJobs, restore
 from ..jobs.times import RETENTION_FACTOR, TICK_SECONDS, takeover_lapse_seconds
-from ..jobs.workers import WorkerEntry
 from ..teams import Team, TeamBook
 from .checks import Checks
+from .fleet import Fleet
 from .options import EmulatorOptions, Faults
 from .starvation import Starvation
 from .timeline import Timeline
 from .worker_calls import Post, WorkerCalls, draw_delay
-from .worker_model import Gangs, RunPlan, WorkerModel
+from .worker_model import RunPlan, WorkerModel
 from .workload import DrawnJob, configuration_for
 
 __all__ = ["Emulator"]
@@ -54,21 +50,6 @@
 _STATUS_SECONDS = 120.0
 """For how long after its end callers may ask for a job."""
 
-_RETURN_SECONDS = 3.5
-"""After how long another life stands where a task has ended a worker."""
-
-_CRASH_KNOWN_SECONDS = 5.0
-"""Within so long a leader may take a crashed worker's runs as over: another life answers, or the
-leases are over by the worker's own clock."""
-
-_ENTRY_GOES_SECONDS = 4.5
-"""How long after its end a crashed worker's entry goes: three heartbeats of silence."""
-
-_HEARTBEAT_SECONDS = 1.5
-_SHRUNK_COUNTS_SECONDS = 4.5
-"""How often workers' entries are written, and how much later than a change of room starts beyond
-it count: three seconds and one heartbeat."""
-
 _QUOTA_OVERAGE = 0.1
 """By what part of its quota a team may be over it in passing."""
 
@@ -103,8 +84,8 @@
         Jobs that ran nothing beside free room.
     faults
         What goes wrong now; may be changed between runs.
-    workers
-        All workers that ever were, by life.
+    fleet
+        The workers, and what becomes of them.
     statuses
         What callers were last shown, by job.
     finished_at
@@ -124,18 +105,21 @@
         self.checks.quotas.configure(options.workload.teams, 0.0)
         self._jobs = {job.job: job for job in jobs}
         self.checks.crashing = {job.crashing for job in jobs if job.crashing is not None}
-        self._gangs = Gangs()
         self._accepted: dict[str, AcceptedJob] = {}
         self._cancelled: set[str] = set()
         self._progress: dict[str, JobProgress] = {}
         self._epoch = 0
-        self._lives = 0
         self._rules: dict[tuple[str, int, str], bool] = {}
-        self.workers: dict[str, WorkerModel] = {}
-        self._crashed_at: dict[str, float] = {}
         self._leaders: list[_Leader] = []
-        for number in range(options.workers):
-            self.add_worker(number)
+        self.fleet = Fleet(
+            self._random,
+            options,
+            self.timeline,
+            self.checks,
+            self._work,
+            self._tell_all,
+            self._excuse,
+        )
         calls = WorkerCalls(
             self.timeline, self._random, self.faults, self.workers, options.call_s, self._step
         )
@@ -159,6 +143,11 @@
             self.timeline.after(job.at, lambda job=job: self._submit(job))
         self.elect()
 
+    @property
+    def workers(self) -> dict[str, WorkerModel]:
+        """All workers that ever were, by life."""
+        return self.fleet.workers
+
     # -- what happens from outside ---------------------------------------------------------
 
     def run_until(self, end: float) -> None:
@@ -174,82 +163,6 @@
         """What the newest leader knows."""
         return self._leaders[-1].cell
 
-    def add_worker(self, rack: int, address: str = "") -> str:
-        """Add a worker, at an address of its own unless one is given; give its life."""
-        self._lives += 1
-        life = f"w-{self._lives}"
-        entry = WorkerEntry(
-            life=life,
-            service="pool",
-            address=address or f"address-{self._lives}",
-            hall="",
-            rack=f"r1-{rack % self._options.racks}",
-            labels=frozenset(),
-            capacity=self._options.capacity,
-        )
-        model = WorkerModel(
-            entry,
-            self.timeline,
-            self._options.terms,
-            self._gangs,
-            self.checks,
-            self._work,
-            self._random.choice((1.0, 1.0, 1.3)),
-            lambda life: self.crash_worker(life, _RETURN_SECONDS),
-        )
-        self.workers[life] = model
-        self._tell_all(WorkerListed(entry))
-        return life
-
-    def crash_worker(self, life: str, returns_after: float | None = None) -> None:
-        """End a worker's life; its entry goes a few seconds later.
-
-        Parameters
-        ----------
-        life
-            The worker.
-        returns_after
-            After how many seconds another life stands at its address; None for never.
-        """
-        model = self.workers[life]
-        if not model.is_up:
-            return
-        self.starvation.excuse(model.running, self.timeline.now + _CRASH_KNOWN_SECONDS)
-        model.crash()
-        self._crashed_at[life] = self.timeline.now
-        self.timeline.after(_ENTRY_GOES_SECONDS, lambda: self._tell_all(WorkerDelisted(life)))
-        if returns_after is not None:
-            self.timeline.after(returns_after, lambda: self._return_worker(model))
-
-    def _return_worker(self, model: WorkerModel) -> None:
-        rack = int(model.entry.rack.rpartition("-")[2])
-        model.successor = self.add_worker(rack, model.entry.address)
-
-    def resize_worker(self, life: str, capacity: Size) -> None:
-        """Have a worker's room shrink or grow; its entry tells so within a heartbeat."""
-        model = self.workers[life]
-        model.entry = dataclasses.replace(model.entry, capacity=capacity)
-        model.counted_capacity = model.counted_capacity.at_least(capacity)
-        told_after = self._random.uniform(0.0, _HEARTBEAT_SECONDS)
-        self.timeline.after(told_after, lambda: self._tell_entry(model))
-        self.timeline.after(_SHRUNK_COUNTS_SECONDS, lambda: self._count_capacity(model, capacity))
-
-    def _tell_entry(self, model: WorkerModel) -> None:
-        if model.is_up:
-            self._tell_all(WorkerListed(model.entry))
-
-    @staticmethod
-    def _count_capacity(model: WorkerModel, capacity: Size) -> None:
-        if model.entry.capacity == capacity:
-            model.counted_capacity = capacity
-
-    def drain_worker(self, life: str) -> None:
-        """Have a worker state that it leaves, and leave some seconds later."""
-        model = self.workers[life]
-        model.entry = dataclasses.replace(model.entry, draining=True)
-        self._tell_all(WorkerListed(model.entry))
-        self.timeline.after(6.0, lambda: self.crash_worker(life))
-
     def cancel(self, job: str) -> None:
         """Cancel a job."""
         name = record_name(job, self._jobs[job].team)
@@ -300,17 +213,10 @@
         for effect in restore(cell, recorded, now, now * 1000):
             self._handlers[type(effect)](leader, effect)
         self._leaders.append(leader)
-        for model in self.workers.values():
-            if model.is_up or self._lingers(model):
-                self._post(leader, WorkerListed(model.entry))
+        for entry in self.fleet.entries():
+            self._post(leader, WorkerListed(entry))
         self._tick(leader)
 
-    def _lingers(self, model: WorkerModel) -> bool:
-        """Whether the entry of a worker that is gone is still there for a leader that begins."""
-        crashed_at = self._crashed_at.get(model.entry.life, -math.inf)
-        is_there = self.timeline.now - crashed_at < _ENTRY_GOES_SECONDS
-        return self._options.entries_linger and is_there
-
     # -- the leader ------------------------------------------------------------------------
 
     def _tell_all(self, event: Event) -> None:
@@ -362,6 +268,9 @@
         fails = job.is_hopeless or source.random() < job.mix.failing_share
         return RunPlan(job.work_s[task.step][task.index], fails, task == job.crashing)
 
+    def _excuse(self, tasks: list[TaskId], until: float) -> None:
+        self.starvation.excuse(tasks, until)
+
     def _watch_starvation(self) -> None:
         """Look for jobs that run nothing, while nothing excuses it."""
         if self.faults.store_down or self.faults.cut or not self._leaders[-1:]:
--- /dev/null
+++ b/src/snowdock/emulator/fleet.py
@@ -0,0 +1,171 @@
+"""The workers of an emulated cluster: how they come, change and go, and what of it is listed."""
+
+import dataclasses
+import math
+import random
+from collections.abc import Callable
+
+from ..declarations import Size
+from ..jobs.events import Event, WorkerDelisted, WorkerListed
+from ..jobs.model import TaskId
+from ..jobs.workers import WorkerEntry
+from .checks import Checks
+from .options import EmulatorOptions
+from .timeline import Timeline
+from .worker_model import Gangs, Work, WorkerModel
+
+__all__ = ["Fleet"]
+
+_RETURN_SECONDS = 3.5
+"""After how long another life stands where a task has ended a worker."""
+
+_CRASH_KNOWN_SECONDS = 5.0
+"""Within so long a leader may take a crashed worker's runs as over: another life answers, or the
+leases are over by the worker's own clock."""
+
+_ENTRY_GOES_SECONDS = 4.5
+"""How long after its end a crashed worker's entry goes: three heartbeats of silence."""
+
+_HEARTBEAT_SECONDS = 1.5
+_SHRUNK_COUNTS_SECONDS = 4.5
+"""How often workers' entries are written, and how much later than a change of room starts beyond
+it count: three seconds and one heartbeat."""
+
+
+class Fleet:
+    """The workers.
+
+    Parameters
+    ----------
+    source
+        Draws how fast workers are, and when entries change.
+    options
+        The cluster.
+    timeline
+        The virtual time.
+    checks
+        Told of all starts and ends.
+    work
+        How runs go.
+    tell
+        Called with what leaders learn of entries.
+    excuse
+        Called with tasks that may run nothing, and until when.
+
+    Attributes
+    ----------
+    workers
+        All workers that ever were, by life.
+    """
+
+    def __init__(
+        self,
+        source: random.Random,
+        options: EmulatorOptions,
+        timeline: Timeline,
+        checks: Checks,
+        work: Work,
+        tell: Callable[[Event], None],
+        excuse: Callable[[list[TaskId], float], None],
+    ) -> None:
+        self.workers: dict[str, WorkerModel] = {}
+        self._random = source
+        self._options = options
+        self._timeline = timeline
+        self._checks = checks
+        self._work = work
+        self._tell = tell
+        self._excuse = excuse
+        self._gangs = Gangs()
+        self._lives = 0
+        self._crashed_at: dict[str, float] = {}
+        for number in range(options.workers):
+            self.add(number)
+
+    def entries(self) -> list[WorkerEntry]:
+        """Give the entries that a leader finds when it begins."""
+        return [
+            model.entry for model in self.workers.values() if model.is_up or self._lingers(model)
+        ]
+
+    def add(self, rack: int, address: str = "") -> str:
+        """Add a worker, at an address of its own unless one is given; give its life."""
+        self._lives += 1
+        life = f"w-{self._lives}"
+        entry = WorkerEntry(
+            life=life,
+            service="pool",
+            address=address or f"address-{self._lives}",
+            hall="",
+            rack=f"r1-{rack % self._options.racks}",
+            labels=frozenset(),
+            capacity=self._options.capacity,
+        )
+        model = WorkerModel(
+            entry,
+            self._timeline,
+            self._options.terms,
+            self._gangs,
+            self._checks,
+            self._work,
+            self._random.choice((1.0, 1.0, 1.3)),
+            lambda life: self.crash(life, _RETURN_SECONDS),
+        )
+        self.workers[life] = model
+        self._tell(WorkerListed(entry))
+        return life
+
+    def crash(self, life: str, returns_after: float | None = None) -> None:
+        """End a worker's life; its entry goes a few seconds later.
+
+        Parameters
+        ----------
+        life
+            The worker.
+        returns_after
+            After how many seconds another life stands at its address; None for never.
+        """
+        model = self.workers[life]
+        if not model.is_up:
+            return
+        self._excuse(model.running, self._timeline.now + _CRASH_KNOWN_SECONDS)
+        model.crash()
+        self._crashed_at[life] = self._timeline.now
+        self._timeline.after(_ENTRY_GOES_SECONDS, lambda: self._tell(WorkerDelisted(life)))
+        if returns_after is not None:
+            self._timeline.after(returns_after, lambda: self._bring_back(model))
+
+    def _bring_back(self, model: WorkerModel) -> None:
+        rack = int(model.entry.rack.rpartition("-")[2])
+        model.successor = self.add(rack, model.entry.address)
+
+    def resize(self, life: str, capacity: Size) -> None:
+        """Have a worker's room shrink or grow; its entry tells so within a heartbeat."""
+        model = self.workers[life]
+        model.entry = dataclasses.replace(model.entry, capacity=capacity)
+        model.counted_capacity = model.counted_capacity.at_least(capacity)
+        told_after = self._random.uniform(0.0, _HEARTBEAT_SECONDS)
+        self._timeline.after(told_after, lambda: self._tell_entry(model))
+        self._timeline.after(_SHRUNK_COUNTS_SECONDS, lambda: self._count_capacity(model, capacity))
+
+    def _tell_entry(self, model: WorkerModel) -> None:
+        if model.is_up:
+            self._tell(WorkerListed(model.entry))
+
+    @staticmethod
+    def _count_capacity(model: WorkerModel, capacity: Size) -> None:
+        if model.entry.capacity == capacity:
+            model.counted_capacity = capacity
+
+    def drain(self, life: str) -> None:
+        """Have a worker state that it leaves, and leave some seconds later."""
+        model = self.workers[life]
+        model.entry = dataclasses.replace(model.entry, draining=True)
+        self._tell(WorkerListed(model.entry))
+        self._timeline.after(6.0, lambda: self.crash(life))
+
+    def _lingers(self, model: WorkerModel) -> bool:
+        """Whether the entry of a worker that is gone is still there for a leader that begins."""
+        crashed_at = self._crashed_at.get(model.entry.life, -math.inf)
+        is_there = self._timeline.now - crashed_at < _ENTRY_GOES_SECONDS
+        return self._options.entries_linger and is_there
--- a/tests/test_jobs_capacity.py
+++ b/tests/test_jobs_capacity.py
@@ -105,7 +105,7 @@
             emulator.run_until(at)
             life = source.choice(list(emulator.workers))
             share = source.choice((0.0, 0.1, 0.3, 0.6, 1.0))
-            emulator.resize_worker(life, options.capacity.scaled(share))
+            emulator.fleet.resize(life, options.capacity.scaled(share))
             emulator.faults.lost_answers = source.choice((0.0, 0.0, 0.2))
             if source.random() < 0.05:
                 emulator.kill_leader(0.5)
@@ -116,7 +116,7 @@
         emulator.faults.store_down = False
         emulator.faults.lost_answers = 0.0
         for life in list(emulator.workers):
-            emulator.resize_worker(life, options.capacity)
+            emulator.fleet.resize(life, options.capacity)
         emulator.run_until(SECONDS + SETTLE_SECONDS)
         return emulator, jobs
 
--- a/tests/test_jobs_chaos.py
+++ b/tests/test_jobs_chaos.py
@@ -23,8 +23,8 @@
     life = source.choice(lives)
     faults = emulator.faults
     if kind == CRASH:
-        emulator.crash_worker(life)
-        emulator.add_worker(source.randrange(4))
+        emulator.fleet.crash(life)
+        emulator.fleet.add(source.randrange(4))
     elif kind == CUT:
         faults.cut.add(life)
     elif kind == HEAL:
@@ -45,8 +45,8 @@
     elif kind == CANCEL and emulator.statuses:
         emulator.cancel(source.choice(list(emulator.statuses)))
     elif kind == DRAIN and len(lives) > 15:
-        emulator.drain_worker(life)
-        emulator.add_worker(0)
+        emulator.fleet.drain(life)
+        emulator.fleet.add(0)
     elif kind == FAIL:
         emulator.workers[life].fails_all = True
 
--- a/tests/test_jobs_leader_changes.py
+++ b/tests/test_jobs_leader_changes.py
@@ -264,8 +264,8 @@
     elif kind < 0.65:
         emulator.depose_leader()
     elif len(lives) > 15:
-        emulator.drain_worker(source.choice(lives))
-        emulator.add_worker(source.randrange(4))
+        emulator.fleet.drain(source.choice(lives))
+        emulator.fleet.add(source.randrange(4))
 
 
 if __name__ == "__main__":
