Let the stand-ins' server hold more connections than select can; state what was verified

What was seen: with 60 nodes and 60 workers the soak's stand-in of the platform ended with "filedescriptor out of range in select()", and accepted jobs did not end within 60 s. Cause, as far as traced: the server of the stand-in selects, and the process had more than 1,023 descriptors. Change: it polls, and takes 2,000 connections.

--- a/tests/standins/platform.py
+++ b/tests/standins/platform.py
@@ -31,6 +31,7 @@
 logging.getLogger("waitress").setLevel(logging.CRITICAL)
 
 THREADS = 48
+MOST_CONNECTIONS = 2000
 
 
 class Server:
@@ -39,7 +40,13 @@
     def __init__(self, handle: Callable[[str, str, dict[str, str], bytes, dict], Reply]) -> None:
         self._handle = handle
         self._server = waitress.create_server(
-            self._application, host="127.0.0.1", port=0, threads=THREADS, connection_limit=500
+            self._application,
+            host="127.0.0.1",
+            port=0,
+            threads=THREADS,
+            connection_limit=MOST_CONNECTIONS,
+            # Descriptors beyond 1,023 end a server that selects: dozens of nodes have more.
+            asyncore_use_poll=True,
         )
         self.address = f"127.0.0.1:{self._server.effective_port}"
         threading.Thread(target=self._server.run, daemon=True).start()
