Take charges back where a worker answers again; say once which runs count

Cause: take_back_losses ran with every report of every worker, though runs are lost on a worker only while it is silent; that a done task is charged with nothing stood in lose_orphan and in _lose_run. Ruled out: losses on a worker that is not silent (the lease watch asks for silence, and the end of a life drops the worker). Change: the call stands where a silent worker answers; _may_have_run serves both; the bound of a run's age is private; the model charges only where it counts. No decision changes.

--- a/specs/crash_model.py
+++ b/specs/crash_model.py
@@ -159,9 +159,9 @@
         if phase not in _RULE_OF_PHASE:
             return []
         if there is There.BROKEN_OFF:
-            after = self._charge(state, "told_ends", 0)
-            told = after if state.losses >= COUNT_ALL_FROM else self._forget(state)
-            return [("is told as broken off", told)]
+            counts = state.losses >= COUNT_ALL_FROM
+            after = self._charge(state, "told_ends", 0) if counts else self._forget(state)
+            return [("is told as broken off", after)]
         if there is not There.CRASHED:
             # The worker refuses for good what is not there yet, or the new leader's token does.
             return [("was not there", self._forget(state))] if phase is not Phase.RUNNING else []
--- a/src/snowdock/jobs/charges.py
+++ b/src/snowdock/jobs/charges.py
@@ -9,7 +9,6 @@
 from .workers import Worker
 
 __all__ = [
-    "AT_ONCE_SECONDS",
     "MOST_CRASHES",
     "MOST_LOSSES",
     "charge",
@@ -30,7 +29,7 @@
 """Losses from which each further start counts as one: all of them may have been crashes, and users
 allow two starts more, whatever these end as."""
 
-AT_ONCE_SECONDS = 2.0
+_AT_ONCE_SECONDS = 2.0
 """A run that was reported at work for longer did not end its worker by its start."""
 
 
@@ -74,4 +73,4 @@
     # By the worker's own word: a leader that was away for seconds does not know when its worker
     # went, nor a new one when a run began that it took over. Taken for old, such a run was charged
     # to nobody.
-    return not task.is_told or worker.heard_at - task.ordered_at <= AT_ONCE_SECONDS
+    return not task.is_told or worker.heard_at - task.ordered_at <= _AT_ONCE_SECONDS
--- a/src/snowdock/jobs/lost_runs.py
+++ b/src/snowdock/jobs/lost_runs.py
@@ -92,8 +92,7 @@
     """Take a run of an earlier leader as over, whose worker never became known here."""
     cell.tell("orphan_lost", task.id.job, task=task.id, worker=life)
     run = task.run
-    # Nothing is wanted of a done task any more: charged, it could fail a job that was done.
-    is_charged = task.phase is not Phase.DONE
+    is_charged = _may_have_run(task)
     void_run(cell, task, now)
     if is_charged:
         _charge(cell, task, run, life, now, is_crash=False)
@@ -111,9 +110,7 @@
 
 def _lose_run(cell: Cell, worker: Worker, task: Task, now: float, end: _WorkerEnd) -> None:
     run = task.run
-    # A start that was never sent can have done nothing, a task that is done needs no more runs.
-    has_begun = task.phase not in (Phase.RECORDED, Phase.DONE)
-    is_charged = has_begun and (not worker.entry.draining or _may_be_why(worker, task))
+    is_charged = _may_have_run(task) and (not worker.entry.draining or _may_be_why(worker, task))
     _tell(cell, worker, task, end, is_charged)
     void_run(cell, task, now)
     if not is_charged:
@@ -128,6 +125,13 @@
         fail_job(cell, task.step.job, now)
 
 
+def _may_have_run(task: Task) -> bool:
+    """Whether a task's newest run may have begun, and is still wanted."""
+    # A start that was never sent can have done nothing. A done task needs no more runs: charged, it
+    # could fail a job that was done.
+    return task.phase not in (Phase.RECORDED, Phase.DONE)
+
+
 def _may_be_why(worker: Worker, task: Task) -> bool:
     """Whether a run may be why a worker went that had said that it would leave.
 
--- a/src/snowdock/jobs/worker_reports.py
+++ b/src/snowdock/jobs/worker_reports.py
@@ -54,7 +54,8 @@
         cell.tell("worker_answers", worker.life, silent_s=now - worker.silent_since)
         worker.silent_since = None
         worker.is_mute = False
-    take_back_losses(cell, worker)
+        # Runs are lost on a worker only while it is silent.
+        take_back_losses(cell, worker)
     worker.heard_at = now
     worker.note_clock(report.clock_ms, now)
     listed: set[tuple[TaskId, int]] = set()
