Let a timer tell which entries linger; ask a worker's model whether it takes work

Cause: the fleet kept when each worker crashed and compared it with the time after which a timer of its own takes the entry away; the emulator passed a method on only because starvation was made later; that a worker is up and does not drain was written out in two places. Change: a set that the timer empties, starvation made first, WorkerModel.takes_work.

--- a/bench/crashes.py
+++ b/bench/crashes.py
@@ -99,11 +99,7 @@
     def change() -> None:
         if emulator.timeline.now > SECONDS:
             return
-        lives = [
-            life
-            for life, model in emulator.workers.items()
-            if model.is_up and not model.entry.draining
-        ]
+        lives = [life for life, model in emulator.workers.items() if model.takes_work]
         if source.random() < DRAIN_SHARE:
             if len(lives) > LEAST_WORKERS:
                 emulator.fleet.drain(source.choice(lives))
--- a/src/snowdock/emulator/emulator.py
+++ b/src/snowdock/emulator/emulator.py
@@ -111,6 +111,7 @@
         self._epoch = 0
         self._rules: dict[tuple[str, int, str], bool] = {}
         self._leaders: list[_Leader] = []
+        self.starvation = Starvation(self.checks, self._may_run)
         self.fleet = Fleet(
             self._random,
             options,
@@ -118,7 +119,7 @@
             self.checks,
             self._work,
             self._tell_all,
-            self._excuse,
+            self.starvation.excuse,
         )
         calls = WorkerCalls(
             self.timeline, self._random, self.faults, self.workers, options.call_s, self._step
@@ -137,7 +138,6 @@
             DropJobs: _ignore,
             ForgetAccepted: self._forget_accepted,
         }
-        self.starvation = Starvation(self.checks, self._may_run)
         self._watch_starvation()
         for job in jobs:
             self.timeline.after(job.at, lambda job=job: self._submit(job))
@@ -268,9 +268,6 @@
         fails = job.is_hopeless or source.random() < job.mix.failing_share
         return RunPlan(job.work_s[task.step][task.index], fails, task == job.crashing)
 
-    def _excuse(self, tasks: list[TaskId], until: float) -> None:
-        self.starvation.excuse(tasks, until)
-
     def _watch_starvation(self) -> None:
         """Look for jobs that run nothing, while nothing excuses it."""
         if self.faults.store_down or self.faults.cut or not self._leaders[-1:]:
--- a/src/snowdock/emulator/fleet.py
+++ b/src/snowdock/emulator/fleet.py
@@ -1,7 +1,6 @@
 """The workers of an emulated cluster: how they come, change and go, and what of it is listed."""
 
 import dataclasses
-import math
 import random
 from collections.abc import Callable
 
@@ -78,14 +77,15 @@
         self._excuse = excuse
         self._gangs = Gangs()
         self._lives = 0
-        self._crashed_at: dict[str, float] = {}
+        self._lingering: set[str] = set()
         for number in range(options.workers):
             self.add(number)
 
     def entries(self) -> list[WorkerEntry]:
         """Give the entries that a leader finds when it begins."""
+        lingering = self._lingering if self._options.entries_linger else ()
         return [
-            model.entry for model in self.workers.values() if model.is_up or self._lingers(model)
+            model.entry for life, model in self.workers.items() if model.is_up or life in lingering
         ]
 
     def add(self, rack: int, address: str = "") -> str:
@@ -130,11 +130,15 @@
             return
         self._excuse(model.running, self._timeline.now + _CRASH_KNOWN_SECONDS)
         model.crash()
-        self._crashed_at[life] = self._timeline.now
-        self._timeline.after(_ENTRY_GOES_SECONDS, lambda: self._tell(WorkerDelisted(life)))
+        self._lingering.add(life)
+        self._timeline.after(_ENTRY_GOES_SECONDS, lambda: self._delist(life))
         if returns_after is not None:
             self._timeline.after(returns_after, lambda: self._bring_back(model))
 
+    def _delist(self, life: str) -> None:
+        self._lingering.discard(life)
+        self._tell(WorkerDelisted(life))
+
     def _bring_back(self, model: WorkerModel) -> None:
         rack = int(model.entry.rack.rpartition("-")[2])
         model.successor = self.add(rack, model.entry.address)
@@ -163,9 +167,3 @@
         model.entry = dataclasses.replace(model.entry, draining=True)
         self._tell(WorkerListed(model.entry))
         self._timeline.after(6.0, lambda: self.crash(life))
-
-    def _lingers(self, model: WorkerModel) -> bool:
-        """Whether the entry of a worker that is gone is still there for a leader that begins."""
-        crashed_at = self._crashed_at.get(model.entry.life, -math.inf)
-        is_there = self._timeline.now - crashed_at < _ENTRY_GOES_SECONDS
-        return self._options.entries_linger and is_there
--- a/src/snowdock/emulator/starvation.py
+++ b/src/snowdock/emulator/starvation.py
@@ -69,7 +69,7 @@
 
     def look(self, workers: Iterable[WorkerModel], open_jobs: Iterable[str], now: float) -> None:
         """Look at the jobs that are accepted and have not ended."""
-        up = [worker for worker in workers if worker.is_up and not worker.entry.draining]
+        up = [worker for worker in workers if worker.takes_work]
         idle: dict[str, float] = {}
         if _is_mostly_free(up):
             busy = {task.job for worker in up for task in worker.running}
--- a/src/snowdock/emulator/worker_model.py
+++ b/src/snowdock/emulator/worker_model.py
@@ -187,6 +187,11 @@
         """Its steady clock, never 0."""
         return self._timeline.now * 1000 + 1_000_000
 
+    @property
+    def takes_work(self) -> bool:
+        """Whether it is up and does not leave."""
+        return self.is_up and not self.entry.draining
+
     @property
     def running(self) -> list[TaskId]:
         """The tasks that run there."""
