Write once how tests end a worker's life, drain it, and ask for new starts

Cause: three test modules had these by themselves, and one loop stood twice. Change: Bench.end_life, drain and new_starts; count_starts.

--- a/tests/jobs_tools.py
+++ b/tests/jobs_tools.py
@@ -139,6 +139,21 @@
         self.feed(JobAccepted(job, accepted(*steps)))
         return job
 
+    def end_life(self, life: str) -> list[Effect]:
+        """Have another life answer at a worker's address."""
+        return self.feed(RenewAnswered(life, self.renewal(life), Refusal.OTHER_LIFE))
+
+    def drain(self, life: str) -> None:
+        """Have a worker's entry say that it leaves."""
+        entry = self.cell.workers[life].entry
+        self.feed(WorkerListed(dataclasses.replace(entry, draining=True)))
+
+    def new_starts(self) -> list[SendStart]:
+        """Give what was started since this was asked for last."""
+        found = of_type(self.seen, SendStart)
+        self.seen.clear()
+        return found
+
     def starts(self, effects: list[Effect] | None = None):
         found = self.effects if effects is None else effects
         return [effect for effect in found if isinstance(effect, SendStart)]
@@ -180,18 +195,13 @@
 
     def next_starts(self) -> list[SendStart]:
         """Give the starts that a job gets on workers that are new; none once it is given up."""
-        found = self._new_starts()
+        found = self.bench.new_starts()
         for _ in range(20):
             if found or self.status.is_final:
                 break
             self.add_worker()
             self.bench.tick(0.3)
-            found = self._new_starts()
-        return found
-
-    def _new_starts(self) -> list[SendStart]:
-        found = of_type(self.bench.seen, SendStart)
-        self.bench.seen.clear()
+            found = self.bench.new_starts()
         return found
 
     def take_over(self) -> None:
@@ -207,12 +217,8 @@
     def list_worker(self, life: str, draining: bool = False) -> None:
         """Have the leader find the entry of a worker."""
         self.bench.add_worker(life, settled=False)
-        entry = dataclasses.replace(self.bench.cell.workers[life].entry, draining=draining)
-        self.bench.feed(WorkerListed(entry))
-
-    def end_life(self, life: str) -> None:
-        """Have another life answer at a worker's address."""
-        self.bench.feed(RenewAnswered(life, self.bench.renewal(life), Refusal.OTHER_LIFE))
+        if draining:
+            self.bench.drain(life)
 
 
 def accepted(*steps: StepSpec, queue: str = "q") -> AcceptedJob:
--- a/tests/test_jobs_crash_replay.py
+++ b/tests/test_jobs_crash_replay.py
@@ -104,11 +104,11 @@
 
     def _end_life(self) -> None:
         self._list()
-        self.leaders.end_life(self.life)
+        self.leaders.bench.end_life(self.life)
 
     def _end_draining_life(self) -> None:
         self._list(draining=True)
-        self.leaders.end_life(self.life)
+        self.leaders.bench.end_life(self.life)
 
     def _break_off(self) -> None:
         self._list(draining=True)
--- a/tests/test_jobs_crashes.py
+++ b/tests/test_jobs_crashes.py
@@ -13,7 +13,6 @@
 3.5 s apart, over and over.
 """
 
-import dataclasses
 import unittest
 
 import msgspec
@@ -22,13 +21,11 @@
     Decided,
     Persist,
     Persisted,
-    RenewAnswered,
     SendStart,
     StartAnswered,
-    WorkerListed,
 )
 from snowdock.jobs.model import JobStatus
-from snowdock.jobs.orders import EndKind, Refusal
+from snowdock.jobs.orders import EndKind
 from snowdock.jobs.progress import decode_progress
 from snowdock.jobs.runs import stop_run
 from snowdock.jobs.takeover import RecordedJobs
@@ -72,23 +69,16 @@
                 run = (start.order.task, start.order.run, DONE)
                 self.bench.report(start.life, ended=[run])
         for life in crashed:
-            renewal = self.bench.renewal(life)
-            self.bench.feed(RenewAnswered(life, renewal, None))
+            self.bench.miss(life)
             self.bench.tick(3.5)
-            renewal = self.bench.renewal(life)
-            self.bench.feed(RenewAnswered(life, renewal, Refusal.OTHER_LIFE))
+            self.bench.end_life(life)
             self.add_worker()
         return bool(crashed)
 
-    def new_starts(self) -> list[SendStart]:
-        found = of_type(self.bench.seen, SendStart)
-        self.bench.seen.clear()
-        return found
-
     def play(self, after_crash=lambda: None) -> None:
         """Go on until nothing is started any more, or for a number of rounds."""
         for _ in range(ROUNDS):
-            if self.carry_out(self.new_starts()):
+            if self.carry_out(self.bench.new_starts()):
                 after_crash()
             self.bench.tick(3.0)
 
@@ -144,10 +134,6 @@
     def counts(self) -> tuple[int, int]:
         return len(self.task.crashed_runs), len(self.task.lost_runs)
 
-    def answer_as_another_life(self) -> None:
-        renewal = self.bench.renewal("w")
-        self.bench.feed(RenewAnswered("w", renewal, Refusal.OTHER_LIFE))
-
     def pass_time(self, seconds: float, running=()) -> None:
         """Let time pass while the worker tells what runs there."""
         for _ in range(round(seconds * 10)):
@@ -168,29 +154,29 @@
     def test_another_life_is_a_crash(self) -> None:
         """A worker whose next life answers has crashed."""
         self.bench.confirm(self.start)
-        self.answer_as_another_life()
+        self.bench.end_life("w")
         self.assertEqual(self.counts(), (1, 1))
 
     def test_start_without_an_answer(self) -> None:
         """Where the start was not answered, the worker may have gone before it arrived: a loss."""
-        self.answer_as_another_life()
+        self.bench.end_life("w")
         self.assertEqual(self.counts(), (0, 1))
 
     def test_worker_that_had_said_it_leaves(self) -> None:
         """Where the worker was draining, the end of its life is charged to nobody."""
         self.bench.confirm(self.start)
-        self.drain("w")
+        self.bench.drain("w")
         self.pass_time(3.0, running=[(self.task.id, 1, 1.0)])
-        self.answer_as_another_life()
+        self.bench.end_life("w")
         self.assertEqual(self.counts(), (0, 0))
 
     def test_run_that_is_being_stopped(self) -> None:
         """A run that worked for long is no younger for being stopped as its worker leaves."""
         self.bench.confirm(self.start)
-        self.drain("w")
+        self.bench.drain("w")
         self.pass_time(3.0, running=[(self.task.id, 1, 1.0)])
         stop_run(self.bench.cell, self.task, self.bench.now)
-        self.answer_as_another_life()
+        self.bench.end_life("w")
         self.assertEqual(self.counts(), (0, 0))
 
     def test_worker_that_leaves_as_soon_as_it_is_given_a_task(self) -> None:
@@ -199,16 +185,12 @@
         A task that ended each worker was started three times after its third crash, since one of
         its workers was draining when it went, 0.4 s after the start.
         """
-        self.drain("w")
+        self.bench.drain("w")
         self.bench.confirm(self.start)
         self.bench.tick(0.4)
-        self.answer_as_another_life()
+        self.bench.end_life("w")
         self.assertEqual(self.counts(), (0, 1))
 
-    def drain(self, life: str) -> None:
-        entry = self.bench.cell.workers[life].entry
-        self.bench.feed(WorkerListed(dataclasses.replace(entry, draining=True)))
-
     def test_task_that_lasts_outlives_a_roll(self) -> None:
         """A task that lasts goes on, however many workers are replaced under it in turn."""
         bench = self.bench = Bench()
@@ -217,9 +199,9 @@
         for number in range(8):
             (start,) = [each for each in bench.starts(bench.seen) if each.order.run == number + 1]
             bench.confirm(start)
-            self.drain(start.life)
+            self.bench.drain(start.life)
             bench.add_worker(f"w{number + 1}")
-            bench.feed(RenewAnswered(start.life, bench.renewal(start.life), Refusal.OTHER_LIFE))
+            bench.end_life(start.life)
             bench.tick(0.2)
         self.assertEqual(bench.cell.jobs[job].status, JobStatus.RUNNING)
 
@@ -228,7 +210,7 @@
         self.bench.confirm(self.start)
         self.fall_silent(9.0)
         self.assertEqual(self.counts(), (0, 1))
-        self.answer_as_another_life()
+        self.bench.end_life("w")
         self.assertEqual(self.counts(), (1, 1))
 
     def test_worker_that_was_cut_off_has_not_crashed(self) -> None:
@@ -237,7 +219,7 @@
         self.fall_silent(9.0)
         self.bench.report("w")
         self.bench.report("w")
-        self.answer_as_another_life()
+        self.bench.end_life("w")
         self.assertEqual(self.task.crashed_runs & {1}, set())
 
     def test_placement_that_was_never_sent_is_not_charged(self) -> None:
@@ -248,21 +230,21 @@
         bench.submit(SMALL)
         (batch,) = of_type(bench.effects, Persist)
         self.assertEqual(decode_progress(batch.records[0].data).tasks[0].life, "w")
-        self.answer_as_another_life()
+        self.bench.end_life("w")
         (task,) = next(iter(bench.cell.jobs.values())).all_tasks()
         self.assertEqual(task.lost_runs, frozenset())
 
     def test_age_of_a_placement_that_was_never_sent(self) -> None:
         """What is logged of it goes by the placement, not by an earlier run's order."""
         self.bench.confirm(self.start)
-        self.answer_as_another_life()
+        self.bench.end_life("w")
         self.bench.tick(10.0)
         self.bench.holds_store = True
         self.bench.add_worker("v")
         self.bench.tick(0.2)
         self.bench.miss("v")
         self.bench.seen.clear()
-        self.bench.feed(RenewAnswered("v", self.bench.renewal("v"), Refusal.OTHER_LIFE))
+        self.bench.end_life("v")
         (line,) = [
             each for each in of_type(self.bench.seen, Decided) if each.decision == "run_lost"
         ]
@@ -280,7 +262,7 @@
         """What another life's answer tells after the leases were over is known to successors."""
         self.bench.confirm(self.start)
         self.fall_silent(9.0)
-        self.answer_as_another_life()
+        self.bench.end_life("w")
         self.bench.tick(0.1)
         (task,) = _recorded(self.bench, self.job).tasks
         self.assertEqual((task.crashed_runs, task.lost_runs), ([1], [1]))
@@ -288,24 +270,24 @@
     def test_run_that_only_a_report_told_of(self) -> None:
         """A start without an answer counts as a crash once a report has listed its run."""
         self.bench.report("w", running=[(self.task.id, 1, 1.0)])
-        self.answer_as_another_life()
+        self.bench.end_life("w")
         self.assertEqual(self.counts(), (1, 1))
 
     def test_second_run_is_told_of_anew(self) -> None:
         """What was told of an earlier run says nothing of the next."""
         self.bench.confirm(self.start)
-        self.answer_as_another_life()
+        self.bench.end_life("w")
         self.start_on_another()
-        self.bench.feed(RenewAnswered("v", self.bench.renewal("v"), Refusal.OTHER_LIFE))
+        self.bench.end_life("v")
         self.assertEqual(self.counts(), (1, 2))
 
     def test_unanswered_start_on_a_draining_worker(self) -> None:
         """It may be carried out seconds later, and then be why the worker went."""
-        self.drain("w")
+        self.bench.drain("w")
         order = self.start.order
         self.bench.feed(StartAnswered("w", order.task, order.run, None))
         self.pass_time(3.0)
-        self.answer_as_another_life()
+        self.bench.end_life("w")
         self.assertEqual(self.counts(), (0, 1))
 
     def test_start_that_waited_for_its_record(self) -> None:
@@ -320,14 +302,14 @@
         (self.start,) = bench.starts()
         bench.confirm(self.start)
         bench.report("w", running=[(self.start.order.task, 1, 1.0)])
-        self.drain("w")
-        self.answer_as_another_life()
+        self.bench.drain("w")
+        self.bench.end_life("w")
         self.assertEqual(self.counts(), (0, 1))
 
     def test_task_with_an_end_is_not_absolved(self) -> None:
         """Only one that lasts is cleared by its work: another may end its worker at its end."""
         self.bench.confirm(self.start)
-        self.answer_as_another_life()
+        self.bench.end_life("w")
         again = self.start_on_another()
         self.bench.confirm(again)
         for _ in range(62):
@@ -350,7 +332,7 @@
         bench.submit(msgspec.structs.replace(SMALL, long_running=True))
         (self.start,) = bench.starts()
         bench.confirm(self.start)
-        self.answer_as_another_life()
+        self.bench.end_life("w")
         self.assertEqual(self.counts(), (1, 1))
         again = self.start_on_another()
         bench.confirm(again)
@@ -401,6 +383,22 @@
         (recorded,) = _recorded(bench, job).tasks
         self.assertEqual(recorded.lost_runs, [])
 
+    def test_it_is_put_on_record(self) -> None:
+        """A successor knows of it, also where the task runs elsewhere by then."""
+        bench = Bench()
+        bench.add_worker("w")
+        job = bench.submit(SMALL)
+        (start,) = bench.new_starts()
+        bench.confirm(start)
+        cut_off(bench, "w")
+        bench.add_worker("v")
+        bench.tick(0.2)
+        (again,) = bench.new_starts()
+        bench.confirm(again)
+        self.assertEqual(_recorded(bench, job).tasks[0].lost_runs, [1])
+        bench.report("w")
+        self.assertEqual(_recorded(bench, job).tasks[0].lost_runs, [])
+
 
 class TestWholePath(unittest.TestCase):
     def test_callers_hear_of_it(self) -> None:
--- a/tests/test_jobs_leader_changes.py
+++ b/tests/test_jobs_leader_changes.py
@@ -47,26 +47,24 @@
     def test_crash_of_a_draining_worker_under_a_new_leader(self) -> None:
         """It is charged, though the new leader does not know when the run began."""
         leaders = Leaders(SMALL)
-        starts = 0
-        while starts < ROUNDS and (found := leaders.next_starts()):
-            (start,) = found
-            starts += 1
-            leaders.take_over()
-            leaders.list_worker(start.life, draining=True)
-            leaders.end_life(start.life)
-        self.assertLessEqual(starts, MOST_STARTS)
+        self.assertLessEqual(self.count_starts(leaders), MOST_STARTS)
         self.assertEqual(leaders.status, JobStatus.FAILED)
 
     def test_task_that_lasts(self) -> None:
         """One that lasts is charged as well where its worker went before it told of the run."""
-        leaders = Leaders(LASTING)
+        self.assertLessEqual(self.count_starts(Leaders(LASTING)), MOST_STARTS)
+
+    @staticmethod
+    def count_starts(leaders: Leaders) -> int:
+        """Have each worker drain, and crash as the leader changes; give how often one is tried."""
         starts = 0
         while starts < ROUNDS and (found := leaders.next_starts()):
+            (start,) = found
             starts += 1
             leaders.take_over()
-            leaders.list_worker(found[0].life, draining=True)
-            leaders.end_life(found[0].life)
-        self.assertLessEqual(starts, MOST_STARTS)
+            leaders.list_worker(start.life, draining=True)
+            leaders.bench.end_life(start.life)
+        return starts
 
     def test_leader_that_was_away(self) -> None:
         """A leader that stood still knows not when the worker went: what it heard last counts."""
@@ -75,7 +73,7 @@
         leaders.bench.confirm(start)
         leaders.list_worker(start.life, draining=True)
         leaders.bench.now += 5.0
-        leaders.end_life(start.life)
+        leaders.bench.end_life(start.life)
         task = leaders.bench.cell.find_task(start.order.task)
         self.assertEqual(task.lost_runs, {1})
 
@@ -100,7 +98,7 @@
         for _ in range(2):
             (start,) = leaders.next_starts()
             leaders.bench.confirm(start)
-            leaders.end_life(start.life)
+            leaders.bench.end_life(start.life)
         (start,) = leaders.next_starts()
         leaders.take_over()
         leaders.list_worker(start.life)
@@ -120,7 +118,7 @@
         leaders.take_over()
         leaders.list_worker(start.life, draining=True)
         leaders.bench.report(start.life, running=[(start.order.task, 1, 1.0)])
-        leaders.end_life(start.life)
+        leaders.bench.end_life(start.life)
         task = leaders.bench.cell.find_task(start.order.task)
         self.assertEqual(task.lost_runs, {1})
 
@@ -137,7 +135,7 @@
                 leaders.bench.report(found[0].life, running=running)
             else:
                 leaders.bench.confirm(found[0])
-            leaders.end_life(found[0].life)
+            leaders.bench.end_life(found[0].life)
         self.assertEqual(starts, 3)
         self.assertEqual(leaders.status, JobStatus.FAILED)
 
@@ -197,7 +195,7 @@
             for start in starts:
                 leaders.list_worker(start.life)
             leaders.bench.report(starts[0].life, ended=[self.broken(starts[0])])
-            leaders.end_life(starts[1].life)
+            leaders.bench.end_life(starts[1].life)
         more = 0
         while more < ROUNDS and (starts := self.start_all(leaders)):
             more += 1
@@ -256,9 +254,7 @@
 def change(emulator: Emulator, source: random.Random) -> None:
     """Change the leader, or have a worker drain."""
     kind = source.random()
-    lives = [
-        life for life, model in emulator.workers.items() if model.is_up and not model.entry.draining
-    ]
+    lives = [life for life, model in emulator.workers.items() if model.takes_work]
     if kind < 0.5:
         emulator.kill_leader(source.uniform(0.1, 2))
     elif kind < 0.65:
--- a/tests/test_jobs_suspects.py
+++ b/tests/test_jobs_suspects.py
@@ -7,13 +7,12 @@
 import msgspec
 
 from snowdock.declarations import Size
-from snowdock.jobs.events import RenewAnswered, SendStart, WorkerListed
+from snowdock.jobs.events import SendStart, WorkerListed
 from snowdock.jobs.model import StepSpec
-from snowdock.jobs.orders import Refusal
 from snowdock.jobs.progress import decode_progress
 from snowdock.jobs.suspects import next_tasks
 from snowdock.jobs.takeover import RecordedJobs
-from tests.jobs_tools import DONE, SMALL, Bench, accepted, of_type
+from tests.jobs_tools import DONE, SMALL, Bench, accepted
 
 PAIR = msgspec.structs.replace(SMALL, count=2)
 
@@ -30,17 +29,9 @@
             self.bench.add_worker(life, cpu)
         return added
 
-    def new_starts(self) -> list[SendStart]:
-        found = of_type(self.bench.seen, SendStart)
-        self.bench.seen.clear()
-        return found
-
-    def crash(self, life: str) -> None:
-        self.bench.feed(RenewAnswered(life, self.bench.renewal(life), Refusal.OTHER_LIFE))
-
     def crash_all(self, starts: list[SendStart]) -> None:
         for life in {start.life for start in starts}:
-            self.crash(life)
+            self.bench.end_life(life)
 
 
 class TestCompany(Suspects):
@@ -48,13 +39,13 @@
         """Have two workers go under a task while another task runs on a third, which is given."""
         self.add_workers(1)
         self.bench.submit(SMALL)
-        self.crash_all(self.new_starts())
+        self.crash_all(self.bench.new_starts())
         self.add_workers(1, cpu=1000)
         self.bench.tick(0.2)
-        suspect = self.new_starts()
+        suspect = self.bench.new_starts()
         (busy,) = self.add_workers(1, cpu)
         self.bench.submit(SMALL)
-        self.assertEqual([start.life for start in self.new_starts()], [busy])
+        self.assertEqual([start.life for start in self.bench.new_starts()], [busy])
         self.crash_all(suspect)
         return busy
 
@@ -62,26 +53,26 @@
         """Two tasks that went with one worker are not placed together again."""
         self.add_workers(1)
         self.bench.submit(PAIR)
-        first = self.new_starts()
+        first = self.bench.new_starts()
         self.assertEqual({start.life for start in first}, {"w0"})
         self.add_workers(3)
         self.crash_all(first)
         self.bench.tick(0.2)
-        again = self.new_starts()
+        again = self.bench.new_starts()
         self.assertEqual(len({start.life for start in again}), 2)
 
     def test_after_a_second_loss_nobody_is_beside_it(self) -> None:
         """A task under which two workers went gets an empty worker, which takes nothing else."""
         self.lose_twice_beside(cpu=9000)
-        self.assertEqual(self.new_starts(), [])
+        self.assertEqual(self.bench.new_starts(), [])
         (empty,) = self.add_workers(1)
         self.bench.tick(0.2)
-        self.assertEqual([start.life for start in self.new_starts()], [empty])
+        self.assertEqual([start.life for start in self.bench.new_starts()], [empty])
         placed = []
         for _ in range(3):
             self.bench.submit(msgspec.structs.replace(SMALL, size=Size(3000, 1000)))
             self.bench.tick(0.2)
-            placed += self.new_starts()
+            placed += self.bench.new_starts()
         self.assertEqual(len(placed), 2)
         self.assertNotIn(empty, {start.life for start in placed})
 
@@ -90,11 +81,11 @@
         jobs = self.make_suspects(2)
         (one,) = self.add_workers(1)
         self.bench.tick(0.2)
-        self.assertEqual(len(self.new_starts()), 1)
+        self.assertEqual(len(self.bench.new_starts()), 1)
         self.bench.tick(1.0)
-        self.assertEqual(self.new_starts(), [])
+        self.assertEqual(self.bench.new_starts(), [])
         self.bench.tick(0.6)
-        self.assertEqual([start.life for start in self.new_starts()], [one])
+        self.assertEqual([start.life for start in self.bench.new_starts()], [one])
         self.assertEqual(len(jobs), 2)
 
     def make_suspects(self, count: int) -> list[str]:
@@ -104,7 +95,7 @@
         for _ in range(count):
             jobs.append(self.bench.submit(SMALL))
             self.bench.tick(0.1)
-        starts = self.new_starts()
+        starts = self.bench.new_starts()
         self.assertEqual(len(starts), count)
         self.crash_all(starts)
         return jobs
@@ -114,7 +105,7 @@
         job, other = self.make_suspects(2)
         (one,) = self.add_workers(1)
         self.bench.tick(0.2)
-        (start,) = self.new_starts()
+        (start,) = self.bench.new_starts()
         self.assertEqual(start.order.task.job, job)
         recorded = {name: decode_progress(self.bench.recorded[name]) for name in (job, other)}
         jobs = {name: accepted(SMALL) for name in (job, other)}
@@ -124,10 +115,10 @@
         self.bench.add_worker(one, settled=False)
         self.bench.report(one, running=[(start.order.task, start.order.run, 1.0)])
         self.bench.tick(1.0)
-        self.assertEqual(self.new_starts(), [])
+        self.assertEqual(self.bench.new_starts(), [])
         (two,) = self.add_workers(1)
         self.bench.tick(0.2)
-        self.assertEqual([start.life for start in self.new_starts()], [two])
+        self.assertEqual([start.life for start in self.bench.new_starts()], [two])
 
     def test_tasks_with_unlike_pasts(self) -> None:
         """The rest of a step is placed with the next news, not with the next tick."""
@@ -147,24 +138,24 @@
         """Suspects go there last, also where its next life is the roomiest."""
         self.bench.add_worker("old", address="a:1")
         self.bench.submit(SMALL)
-        (start,) = self.new_starts()
+        (start,) = self.bench.new_starts()
         self.bench.confirm(start)
         self.bench.add_worker("new", cpu=9000, address="a:1")
         self.bench.add_worker("else", cpu=2000, address="a:2")
         self.bench.cell.policy = dataclasses.replace(
             self.bench.cell.policy, score=lambda step, worker, there: worker.free.cpu / 10_000
         )
-        self.crash("old")
+        self.bench.end_life("old")
         self.bench.tick(0.2)
-        self.assertEqual([start.life for start in self.new_starts()], ["else"])
+        self.assertEqual([start.life for start in self.bench.new_starts()], ["else"])
 
     def test_it_does_not_wait_for_ever(self) -> None:
         """Where no worker is empty a suspect shares one before two seconds have gone by."""
         busy = self.lose_twice_beside(cpu=4000)
         self.bench.tick(0.5)
-        self.assertEqual(self.new_starts(), [])
+        self.assertEqual(self.bench.new_starts(), [])
         self.bench.tick(1.5)
-        self.assertEqual([start.life for start in self.new_starts()], [busy])
+        self.assertEqual([start.life for start in self.bench.new_starts()], [busy])
 
     def test_something_of_a_waiting_step_is_always_next(self) -> None:
         """Whatever its tasks' pasts are, and since when each waits, no step is left behind."""
@@ -185,12 +176,12 @@
         """Give crashes and losses of tasks whose workers, one each, fall silent at once."""
         lives = self.add_workers(count, cpu=1000)
         job = self.bench.submit(msgspec.structs.replace(SMALL, count=count))
-        for start in self.new_starts():
+        for start in self.bench.new_starts():
             self.bench.confirm(start)
         for life in lives:
             self.bench.miss(life)
         for life in lives:
-            self.crash(life)
+            self.bench.end_life(life)
         tasks = self.bench.cell.jobs[job].all_tasks()
         return [(len(task.crashed_runs), len(task.lost_runs)) for task in tasks]
 
@@ -206,7 +197,7 @@
         """It stays losses only where other lives answer after the leases were over."""
         lives = self.add_workers(3, cpu=1000)
         job = self.bench.submit(msgspec.structs.replace(SMALL, count=3))
-        for start in self.new_starts():
+        for start in self.bench.new_starts():
             self.bench.confirm(start)
         end = self.bench.now + 9.0
         while self.bench.now < end:
@@ -215,7 +206,7 @@
                     self.bench.miss(life)
             self.bench.tick(0.1)
         for life in lives:
-            self.crash(life)
+            self.bench.end_life(life)
         tasks = list(self.bench.cell.jobs[job].all_tasks())
         self.assertEqual([len(task.lost_runs) for task in tasks], [1] * 3)
         self.assertEqual([len(task.crashed_runs) for task in tasks], [0] * 3)
@@ -226,26 +217,26 @@
         """A gang whose member lost two workers goes where no other suspect is, beside others."""
         self.add_workers(1)
         job = self.bench.submit(msgspec.structs.replace(SMALL, gang=True, count=2))
-        gang = self.new_starts()
+        gang = self.bench.new_starts()
         (busy,) = self.add_workers(1)
         self.bench.submit(SMALL)
         self.bench.tick(0.1)
-        self.assertEqual([start.life for start in self.new_starts()], [busy])
+        self.assertEqual([start.life for start in self.bench.new_starts()], [busy])
         for task in self.bench.cell.jobs[job].all_tasks():
             task.lost_runs = frozenset({0})
         self.crash_all(gang)
         self.bench.tick(0.2)
-        self.assertEqual([start.life for start in self.new_starts()], [busy, busy])
+        self.assertEqual([start.life for start in self.bench.new_starts()], [busy, busy])
 
     def test_member_that_is_done_already(self) -> None:
         """One member's good end is that of all; the loss of another's worker charges nobody."""
         self.add_workers(2, cpu=1000)
         job = self.bench.submit(msgspec.structs.replace(SMALL, gang=True, count=2))
-        one, other = self.new_starts()
+        one, other = self.bench.new_starts()
         for start in (one, other):
             self.bench.confirm(start)
         self.bench.report(one.life, ended=[(one.order.task, one.order.run, DONE)])
-        self.crash(other.life)
+        self.bench.end_life(other.life)
         tasks = list(self.bench.cell.jobs[job].all_tasks())
         self.assertEqual([len(task.lost_runs) for task in tasks], [0, 0])
 
@@ -254,9 +245,9 @@
         self.add_workers(1)
         spec = StepSpec(count=3, size=Size(1000, 1000), estimate_ms=1000, gang=True)
         job = self.bench.submit(spec)
-        starts = self.new_starts()
+        starts = self.bench.new_starts()
         self.bench.confirm(starts[0])
-        self.crash(starts[0].life)
+        self.bench.end_life(starts[0].life)
         tasks = self.bench.cell.jobs[job].all_tasks()
         self.assertEqual([len(task.crashed_runs) for task in tasks], [1, 0, 0])
 
@@ -265,10 +256,10 @@
         self.add_workers(2, cpu=1000)
         spec = StepSpec(count=2, size=Size(1000, 1000), estimate_ms=1000, gang=True)
         job = self.bench.submit(spec)
-        starts = self.new_starts()
+        starts = self.bench.new_starts()
         for start in starts:
             self.bench.confirm(start)
-        self.crash(starts[0].life)
+        self.bench.end_life(starts[0].life)
         tasks = list(self.bench.cell.jobs[job].all_tasks())
         self.assertEqual([len(task.lost_runs) for task in tasks], [1, 0])
 
