--- a/src/snowdock/jobs/cell.py
+++ b/src/snowdock/jobs/cell.py
@@ -216,10 +216,12 @@
         Questions to it that are on their way, and whether each may be a long one.
     placing_wanted
         Whether something has changed that may let a waiting step find room.
-    placed_at, place_again_at, ranked_at, room_told_at, teams_told_at, starving_told_at
-        When steps were last placed, when they may be placed again, when some were last ranked,
-        and when the use of room, that by teams, and jobs that starve were last told, in steady
-        seconds.
+    placed_at, place_again_at, ranked_at
+        When steps were last placed, when they may be placed again, and when some were last ranked,
+        in steady seconds.
+    room_told_at, teams_told_at, starving_told_at, overdue_told_at
+        When the use of room, that by teams, jobs that starve, and runs that take too long were last
+        told, in steady seconds.
     capacity
         All room of the workers, as of the last tick.
     """
@@ -265,6 +267,7 @@
         self.room_told_at = now
         self.teams_told_at = now
         self.starving_told_at = now
+        self.overdue_told_at = now
         self.capacity = ZERO
 
     @property
--- /dev/null
+++ b/src/snowdock/jobs/overdue.py
@@ -0,0 +1,58 @@
+"""Runs that take much longer than they should: told every few seconds, with what is known of them.
+
+A run that its worker no longer has keeps its room, and all that waits for its task, until it is
+looked at. These lines tell such a run from one that is slow.
+"""
+
+from .cell import Cell
+from .parts import Phase, Task
+from .speeds import usual_seconds
+from .workers import Worker
+
+__all__ = ["tell_overdue"]
+
+_TELL_SECONDS = 5.0
+"""Time between two looks."""
+
+_FACTOR = 5.0
+_SLACK_SECONDS = 5.0
+"""A run is overdue after so many times its step's usual time, and so much more."""
+
+_MOST_TOLD = 5
+"""The most runs told of at a time, those that are overdue for longest first."""
+
+
+def tell_overdue(cell: Cell, now: float) -> None:
+    """Tell of runs that stay in one phase for too long, if it is time."""
+    if now - cell.overdue_told_at < _TELL_SECONDS:
+        return
+    cell.overdue_told_at = now
+    found: list[tuple[Task, Worker]] = []
+    for worker in cell.workers.values():
+        for task_id, run in worker.runs:
+            task = cell.find_task(task_id)
+            if task is not None and task.run == run and _is_overdue(task, worker, now):
+                found.append((task, worker))
+    found.sort(key=lambda pair: pair[0].since)
+    for task, worker in found[:_MOST_TOLD]:
+        cell.tell(
+            "run_overdue",
+            task.id.job,
+            task=task.id,
+            run=task.run,
+            worker=worker.life,
+            phase=task.phase.value,
+            since_s=now - task.since,
+            usual_s=usual_seconds(task.step),
+            percent=task.percent,
+            heard_s=now - worker.heard_at,
+            silent=worker.silent_since is not None,
+            overdue=len(found),
+        )
+
+
+def _is_overdue(task: Task, worker: Worker, now: float) -> bool:
+    if task.step.spec.long_running and task.phase is Phase.RUNNING:
+        return False
+    usual = usual_seconds(task.step) * max(1.0, worker.slowness)
+    return now - task.since > _FACTOR * usual + _SLACK_SECONDS
--- a/src/snowdock/jobs/reducer.py
+++ b/src/snowdock/jobs/reducer.py
@@ -22,6 +22,7 @@
     WorkerListed,
 )
 from .order_answers import take_start_answer, take_stop_answer
+from .overdue import tell_overdue
 from .parts import Job, Phase
 from .placing import place_waiting
 from .progress import AcceptedJob, job_of_record, record_name
@@ -181,6 +182,7 @@
     tell_room_use(cell, now)
     tell_team_use(cell, now)
     tell_starving(cell, now)
+    tell_overdue(cell, now)
 
 
 def _give_up_late_gangs(cell: Cell, now: float) -> None:
--- a/src/snowdock/jobs/worker_reports.py
+++ b/src/snowdock/jobs/worker_reports.py
@@ -60,6 +60,7 @@
     worker.note_clock(report.clock_ms, now)
     listed: set[tuple[TaskId, int]] = set()
     news = False
+    _tell_passed_over(cell, worker, report)
     for end in report.ended:
         listed.add((end.task, end.run))
         if end.number > worker.known_ends:
@@ -80,6 +81,25 @@
         _plan_renewal(cell, worker, now)
 
 
+def _tell_passed_over(cell: Cell, worker: Worker, report: WorkerReport) -> None:
+    """Tell of ends that count as taken over by their number, while their runs count as there."""
+    passed_over = [
+        end
+        for end in report.ended
+        if end.number <= worker.known_ends and (end.task, end.run) in worker.runs
+    ]
+    if passed_over:
+        cell.tell(
+            "ends_passed_over",
+            worker.life,
+            count=len(passed_over),
+            first=passed_over[0].number,
+            task=passed_over[0].task,
+            known_ends=worker.known_ends,
+            seen_ends=worker.seen_ends,
+        )
+
+
 def _plan_renewal(cell: Cell, worker: Worker, now: float) -> None:
     if worker.runs:
         renew(cell, worker, now, RENEW_WAIT_MS)
--- a/tests/test_jobs_starving.py
+++ b/tests/test_jobs_starving.py
@@ -3,6 +3,7 @@
 import unittest
 
 from snowdock.jobs.events import Decided
+from snowdock.jobs.orders import EndKind
 from snowdock.jobs.set_aside import set_aside
 from snowdock.jobs.workers import AsideCause
 from tests.jobs_tools import Bench, of_type
@@ -47,6 +48,28 @@
         self.bench.submit()
         self.assertEqual(told(self.bench.tick(3.0), "job_starves"), [])
 
+    def test_run_that_takes_too_long(self) -> None:
+        """It is told with its phase, its age and when its worker was heard; others are not."""
+        self.bench.submit()
+        (start,) = self.bench.new_starts()
+        self.bench.confirm(start)
+        self.assertEqual(told(self.bench.tick(9.0), "run_overdue"), [])
+        found = told(self.bench.tick(6.0), "run_overdue")[0]
+        self.assertEqual((found["phase"], found["worker"], found["overdue"]), ("running", "w", 1))
+        self.assertGreater(found["since_s"], 10.0)
+        self.assertGreater(found["heard_s"], 9.0)
+
+    def test_end_that_is_passed_over(self) -> None:
+        """An end whose number is known, of a run that counts as there, is told."""
+        self.bench.submit()
+        (start,) = self.bench.new_starts()
+        self.bench.confirm(start)
+        self.bench.cell.workers["w"].known_ends = 7
+        order = start.order
+        self.bench.report("w", ended=[(order.task, order.run, EndKind.DONE)])
+        (found,) = told(self.bench.effects, "ends_passed_over")
+        self.assertEqual((found["count"], found["first"], found["known_ends"]), (1, 1, 7))
+
 
 if __name__ == "__main__":
     unittest.main()
