Test that nothing runs twice, and every job ends, where workers return under their id; it fails

What callers saw: tasks that must run once ran twice, and jobs that never ended beside free room.

The emulator and the stand-in of workers can restart a worker under its id, with numbers and a clock that begin anew; the stand-in tells born.

--- a/src/snowdock/emulator/fleet.py
+++ b/src/snowdock/emulator/fleet.py
@@ -7,7 +7,7 @@
 from ..declarations import Size
 from ..jobs.events import Event, WorkerDelisted, WorkerListed
 from ..jobs.model import TaskId
-from ..jobs.workers import WorkerEntry
+from ..jobs.workers import WorkerEntry, life_of, worker_of
 from .checks import Checks
 from .options import EmulatorOptions
 from .timeline import Timeline
@@ -25,6 +25,13 @@
 _ENTRY_GOES_SECONDS = 4.5
 """How long after its end a crashed worker's entry goes: three heartbeats of silence."""
 
+_BEGAN_MS = 1_700_000_000_000
+"""The time of day at the emulator's start, in ms since 1970."""
+
+_LATEST_CLOCK_SECONDS = 3000.0
+"""The latest that the clock of a worker's next life tells at its start: it may be below or above
+that of the life before."""
+
 _HEARTBEAT_SECONDS = 1.5
 _SHRUNK_COUNTS_SECONDS = 4.5
 """How often workers' entries are written, and how much later than a change of room starts beyond
@@ -91,9 +98,8 @@
     def add(self, rack: int, address: str = "") -> str:
         """Add a worker, at an address of its own unless one is given; give its life."""
         self._lives += 1
-        life = f"w-{self._lives}"
         entry = WorkerEntry(
-            life=life,
+            life=life_of(f"w-{self._lives}", self._born_ms()),
             service="pool",
             address=address or f"address-{self._lives}",
             hall="",
@@ -101,19 +107,25 @@
             labels=frozenset(),
             capacity=self._options.capacity,
         )
-        model = WorkerModel(
+        self._begin_life(entry, self._random.choice((1.0, 1.0, 1.3)))
+        self._tell(WorkerListed(entry))
+        return entry.life
+
+    def _begin_life(self, entry: WorkerEntry, slowness: float, **terms: float) -> None:
+        self.workers[entry.life] = WorkerModel(
             entry,
             self._timeline,
             self._options.terms,
             self._gangs,
             self._checks,
             self._work,
-            self._random.choice((1.0, 1.0, 1.3)),
+            slowness,
             lambda life: self.crash(life, _RETURN_SECONDS),
+            **terms,
         )
-        self.workers[life] = model
-        self._tell(WorkerListed(entry))
-        return life
+
+    def _born_ms(self) -> int:
+        return round(self._timeline.now * 1000) + _BEGAN_MS
 
     def crash(self, life: str, returns_after: float | None = None) -> None:
         """End a worker's life; its entry goes a few seconds later.
@@ -128,16 +140,40 @@
         model = self.workers[life]
         if not model.is_up:
             return
-        self._excuse(model.running, self._timeline.now + _CRASH_KNOWN_SECONDS)
-        model.crash()
-        self._lingering.add(life)
-        self._timeline.after(_ENTRY_GOES_SECONDS, lambda: self._delist(life))
+        self._end_life(model)
         if returns_after is not None:
             self._timeline.after(returns_after, lambda: self._bring_back(model))
 
-    def _delist(self, life: str) -> None:
-        self._lingering.discard(life)
-        self._tell(WorkerDelisted(life))
+    def restart(self, life: str, returns_after: float) -> None:
+        """End a worker's life; the next one begins under its id some seconds later."""
+        model = self.workers[life]
+        if model.is_up:
+            self._end_life(model)
+            self._timeline.after(returns_after, lambda: self._begin_next_life(model))
+
+    def _end_life(self, model: WorkerModel) -> None:
+        self._excuse(model.running, self._timeline.now + _CRASH_KNOWN_SECONDS)
+        model.crash()
+        self._lingering.add(model.entry.life)
+        self._timeline.after(_ENTRY_GOES_SECONDS, lambda: self._delist(model))
+
+    def _delist(self, model: WorkerModel) -> None:
+        life = model.entry.life
+        if worker_of(model.successor) != worker_of(life):
+            self._lingering.discard(life)
+            self._tell(WorkerDelisted(life))
+
+    def _begin_next_life(self, model: WorkerModel) -> None:
+        """Begin a worker's next life under its id: it knows nothing of before."""
+        self._lingering.discard(model.entry.life)
+        life = life_of(worker_of(model.entry.life), self._born_ms())
+        model.successor = life
+        began = self._random.uniform(0.001, _LATEST_CLOCK_SECONDS)
+        entry = dataclasses.replace(model.entry, life=life)
+        self._begin_life(entry, model.slowness, clock_began=began)
+        told_after = self._random.uniform(0.0, _HEARTBEAT_SECONDS)
+        next_life = self.workers[life]
+        self._timeline.after(told_after, lambda: self._tell_entry(next_life))
 
     def _bring_back(self, model: WorkerModel) -> None:
         rack = int(model.entry.rack.rpartition("-")[2])
--- a/src/snowdock/emulator/worker_calls.py
+++ b/src/snowdock/emulator/worker_calls.py
@@ -14,6 +14,7 @@
 )
 from ..jobs.model import StepSpec
 from ..jobs.orders import Refusal, StartOrder, StartResult
+from ..jobs.workers import worker_of
 from .options import Faults
 from .timeline import Timeline
 from .worker_model import WorkerModel
@@ -146,12 +147,19 @@
         self, life: str, carry_out: Callable[[WorkerModel], object], seconds: float
     ) -> None:
         def arrive() -> None:
-            model = self._reach(life)
-            if model is not None:
+            model = self._newest_life(life)
+            if model.is_up and model.entry.life not in self._faults.cut:
                 carry_out(model)
 
         self._timeline.after(seconds, arrive)
 
+    def _newest_life(self, life: str) -> WorkerModel:
+        """Give the newest life under a worker's id; it carries out what meant an earlier one."""
+        model = self._workers[life]
+        while model.successor and worker_of(model.successor) == worker_of(life):
+            model = self._workers[model.successor]
+        return model
+
     def send_renew(self, post: Post, effect: SendRenew) -> None:
         """Send a renewal; its answer, or the lack of one, is posted."""
         order = effect.order
--- a/src/snowdock/emulator/worker_model.py
+++ b/src/snowdock/emulator/worker_model.py
@@ -39,6 +39,9 @@
         How long a member of a gang waits for the others.
     cancel_s
         How long after a job was cancelled a task of it may still start.
+    forgets_anew
+        Whether each renewal makes a worker forget the ends up to the number it carries; else only
+        one with a higher number than those before does.
     """
 
     lease_limit_s: float = 6.0
@@ -46,6 +49,7 @@
     restore_s: float = 0.25
     gang_wait_s: float = 3.0
     cancel_s: float = 3.0
+    forgets_anew: bool = True
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -132,6 +136,8 @@
         How many times longer everything takes.
     crash
         Called with this worker's life where a run ends it.
+    clock_began
+        Its steady clock at its start, in seconds.
 
     Attributes
     ----------
@@ -159,6 +165,7 @@
         work: Work,
         slowness: float = 1.0,
         crash: Callable[[str], None] = lambda _: None,
+        clock_began: float = 1000.0,
     ) -> None:
         self.entry = entry
         self.is_up = True
@@ -167,6 +174,7 @@
         self.counted_capacity = entry.capacity
         self.successor = ""
         self._crash = crash
+        self._clock_offset = clock_began - timeline.now
         self._timeline = timeline
         self._terms = terms
         self._gangs = gangs
@@ -178,6 +186,7 @@
         self._highest: dict[TaskId, int] = {}
         self._ends: list[EndedRun] = []
         self._end_number = 0
+        self._seen = 0
         self._ended_at: dict[int, float] = {}
         self._lapsed_at = -1.0
         self._waiters: list[Callable[[], None]] = []
@@ -185,7 +194,7 @@
     @property
     def clock_ms(self) -> float:
         """Its steady clock, never 0."""
-        return self._timeline.now * 1000 + 1_000_000
+        return (self._timeline.now + self._clock_offset) * 1000
 
     @property
     def takes_work(self) -> bool:
@@ -302,6 +311,9 @@
         self._timeline.after(order.wait_ms / 1000, give)
 
     def _forget_ends(self, seen: int) -> None:
+        if seen <= self._seen and not self._terms.forgets_anew:
+            return
+        self._seen = max(self._seen, seen)
         for end in self._ends:
             if end.number <= seen:
                 held = self._ended_at[end.number] > self._lapsed_at
--- a/src/snowdock/jobs/workers.py
+++ b/src/snowdock/jobs/workers.py
@@ -9,7 +9,25 @@
 from .parts import Step
 from .times import SLOWEST_CLOCK_RATE
 
-__all__ = ["AsideCause", "Charge", "Hold", "Worker", "WorkerEntry"]
+__all__ = ["AsideCause", "Charge", "Hold", "Worker", "WorkerEntry", "life_of", "worker_of"]
+
+
+def life_of(worker: str, born_ms: int | None) -> str:
+    """Name one life of a worker.
+
+    Parameters
+    ----------
+    worker
+        The worker's id.
+    born_ms
+        When this life began, by the worker's time of day, in ms since 1970; None where untold.
+    """
+    return worker
+
+
+def worker_of(life: str) -> str:
+    """Give the id of the worker whose life is named."""
+    return life
 
 
 class AsideCause(enum.Enum):
--- a/tests/standins/platform.py
+++ b/tests/standins/platform.py
@@ -32,23 +32,28 @@
 
 THREADS = 48
 MOST_CONNECTIONS = 2000
+_PORT_SECONDS = 5.0
+"""How long a port may take to be free again."""
 
 
 class Server:
-    """An HTTP server on a free loopback port."""
+    """An HTTP server on a loopback port, a free one unless one is given."""
 
-    def __init__(self, handle: Callable[[str, str, dict[str, str], bytes, dict], Reply]) -> None:
+    def __init__(
+        self, handle: Callable[[str, str, dict[str, str], bytes, dict], Reply], port: int = 0
+    ) -> None:
         self._handle = handle
         self._server = waitress.create_server(
             self._application,
             host="127.0.0.1",
-            port=0,
+            port=port,
             threads=THREADS,
             connection_limit=MOST_CONNECTIONS,
             # Descriptors beyond 1,023 end a server that selects: dozens of nodes have more.
             asyncore_use_poll=True,
         )
-        self.address = f"127.0.0.1:{self._server.effective_port}"
+        self.port = self._server.effective_port
+        self.address = f"127.0.0.1:{self.port}"
         threading.Thread(target=self._server.run, daemon=True).start()
 
     def _application(self, environ, start_response):
@@ -279,7 +284,8 @@
         self._lock = threading.Condition()
         self._store = store
         self.models: dict[str, WorkerModel] = {}
-        self._servers = []
+        self._servers: dict[str, Server] = {}
+        self._born: dict[str, int] = {}
         self._make_proxy = proxies
         self.proxies: list = []
         for number in range(count):
@@ -290,7 +296,7 @@
         self._closed = True
         for proxy in self.proxies:
             proxy.close()
-        for server in self._servers:
+        for server in self._servers.values():
             server.close()
 
     def add(self, life: str) -> None:
@@ -302,7 +308,12 @@
         entry = WorkerEntry(
             life, "pool", address, "hall", "r1-0", frozenset(), Size(4000, 16_000, 0)
         )
-        self.models[life] = WorkerModel(
+        self._begin_life(entry)
+        self._servers[life] = server
+        self.record(life)
+
+    def _begin_life(self, entry: WorkerEntry, clock_began: float = 1000.0) -> None:
+        self.models[entry.life] = WorkerModel(
             entry,
             self._timeline,
             WorkerTerms(lease_limit_s=6.0),
@@ -310,9 +321,32 @@
             self.checks,
             lambda task, _: RunPlan(self.work_s, task.job in self.failing, self._ends_worker(task)),
             crash=self._crash_and_return,
+            clock_began=clock_began,
         )
-        self._servers.append(server)
-        self.record(life)
+        self._born[entry.life] = time.time_ns() // 1_000_000
+
+    def restart(self, worker: str, away_s: float = 0.0) -> None:
+        """End a worker's life and begin the next one under its id and at its address."""
+        before = self._servers[worker]
+        with self._lock:
+            self.models[worker].crash()
+        before.close()
+        time.sleep(away_s)
+        with self._lock:
+            self._begin_life(self.models[worker].entry, clock_began=1.0)
+        self._servers[worker] = self._serve_again(worker, before.port)
+        self.record(worker)
+
+    def _serve_again(self, worker: str, port: int) -> Server:
+        """Serve at the port of a server that is closing."""
+        end = time.monotonic() + _PORT_SECONDS
+        while True:
+            try:
+                return Server(lambda *call: self._answer(worker, *call), port)
+            except OSError:
+                if time.monotonic() > end:
+                    raise
+                time.sleep(0.01)
 
     def _ends_worker(self, task: TaskId) -> bool:
         return task.job in self.crashing and (task.step, task.index) == (0, 0)
@@ -364,6 +398,7 @@
                 "slots": 8,
                 "cold_left_ms": 0,
                 "seq": 1,
+                "born": self._born[life],
                 "state": state,
                 "capacity": capacity,
                 "labels": ["a", "r1-0"],
@@ -436,7 +471,8 @@
         ended = [
             [e.number, format_task(e.task), e.run, e.kind.value, e.checkpoint] for e in report.ended
         ]
-        return as_json({"clock_ms": report.clock_ms, "running": running, "ended": ended})
+        told = {"clock_ms": report.clock_ms, "running": running, "ended": ended}
+        return as_json(told | {"born": self._born[model.entry.life]})
 
 
 class AdviceStandin:
--- /dev/null
+++ b/tests/test_jobs_returning.py
@@ -0,0 +1,83 @@
+"""Workers that begin another life under their id, in virtual time."""
+
+import dataclasses
+import random
+import unittest
+
+from snowdock.emulator import Emulator, EmulatorOptions, WorkloadOptions, draw_workload
+from snowdock.emulator.worker_model import WorkerTerms
+from snowdock.emulator.workload import DrawnJob, default_mixes
+from tests.jobs_tools import unended
+from tests.standins.entry_cluster import EntryCluster
+
+SECONDS = 20
+SETTLE_SECONDS = 60
+SEEDS = range(3)
+SHARE = 0.35
+AWAY_SECONDS = (0.3, 1.5, 3.0, 6.0)
+
+
+def play(
+    seed: int, changes_leader: bool = False, forgets_anew: bool = True
+) -> tuple[Emulator, list[DrawnJob]]:
+    """Play a day on which a third of the workers restarts under their ids, over and over."""
+    source = random.Random(seed)
+    mixes = [dataclasses.replace(mix) for mix in default_mixes(seed % 2 == 0)]
+    workload = WorkloadOptions(SECONDS, 0.4, tuple(mixes))
+    jobs = draw_workload(seed, workload)
+    terms = WorkerTerms(forgets_anew=forgets_anew)
+    emulator = Emulator(seed, EmulatorOptions(workload, terms=terms, entries_linger=True), jobs)
+    emulator.checks.is_calm = False
+    at = 0.0
+    while at < SECONDS:
+        at += source.uniform(1.5, 6)
+        emulator.run_until(at)
+        up = [life for life, model in emulator.workers.items() if model.is_up]
+        away = source.choice(AWAY_SECONDS)
+        for life in source.sample(up, round(SHARE * len(up))):
+            emulator.fleet.restart(life, away * source.uniform(0.9, 1.2))
+        if changes_leader and source.random() < 0.5:
+            emulator.kill_leader(source.uniform(0.2, 2.0))
+    emulator.run_until(SECONDS + SETTLE_SECONDS)
+    return emulator, jobs
+
+
+class TestReturningWorkers(unittest.TestCase):
+    def test_task_runs_again_after_its_worker_returned(self) -> None:
+        """Ends of a worker's next life count, though their numbers begin again."""
+        for seed in SEEDS:
+            with self.subTest(seed=seed):
+                emulator, _ = play(seed, forgets_anew=True)
+                self.assertEqual(emulator.checks.violations[:3], [])
+
+    def test_job_never_ends_after_its_worker_returned(self) -> None:
+        """A run whose end a worker's next life lists does not count as there for ever."""
+        for seed in SEEDS:
+            with self.subTest(seed=seed):
+                emulator, jobs = play(seed, forgets_anew=False)
+                self.assertEqual(unended(emulator, jobs)[:5], [])
+
+
+class TestWholePath(unittest.TestCase):
+    def test_task_runs_again_with_real_daemons(self) -> None:
+        """Each task starts once after its worker returned under its id, and its job ends."""
+        cluster = EntryCluster(1, workers=1)
+        self.addCleanup(cluster.close)
+        self.assertTrue(cluster.wait_ready())
+        step = {"count": 4, "cpu": 500, "mem_mb": 100, "estimate_ms": 100}
+        node = cluster.nodes[0]
+        first, first_body = cluster.job([step])
+        self.assertEqual(node.call("POST", first, first_body)[0], 200)
+        self.assertTrue(cluster.wait_state(first, "completed"))
+        cluster.workers.restart("i-0")
+        second, second_body = cluster.job([step])
+        self.assertEqual(node.call("POST", second, second_body)[0], 200)
+        self.assertTrue(cluster.wait_state(second, "completed"))
+        job = second.rpartition("/")[2]
+        started = [task for task, _, _ in cluster.workers.starts if task.startswith(job)]
+        self.assertEqual(len(started), len(set(started)), started)
+        self.assertEqual(cluster.workers.checks.violations, [])
+
+
+if __name__ == "__main__":
+    unittest.main()
