--- a/deploy/play_days.py
+++ b/deploy/play_days.py
@@ -1,21 +1,35 @@
 """Play a day for each kind of trouble and print a table of the rules broken.
 
     python deploy/play_days.py --bench PATH --site FILE [--jobs N] [--only TEXT] [--why TEXT]
+        [--vary SEED] [--class NAME]
 
-The bench is a program of the platform's users; it is run as its page says, once a day file.
+The bench is a program of the platform's users; it is run as its page says, once a day file. With
+`--vary`, moments and shares are drawn around those of the files; with `--class`, troubles that name
+a class of requests are for that one.
 """
 
 import argparse
 import concurrent.futures
 import dataclasses
+import json
 import pathlib
+import random
 import re
 import subprocess
+import tomllib
 
 _DAYS = pathlib.Path(__file__).parent / "days"
 _DAY_SECONDS = 600.0
 """The longest that playing one day may take; a usual one takes some 20 s."""
 
+_EARLIER_SECONDS = 2.0
+_LATER_SECONDS = 4.0
+_SHARE_FACTORS = (0.5, 1.6)
+"""How far a varied day's moments and shares may be from those of its file."""
+
+_DRAWN = pathlib.Path(__file__).parent.parent / "target" / "days"
+"""Where days are put that were drawn, for the bench to read."""
+
 _ROW = re.compile(r"^(\S+)\s+\d+/\d+\s+[\d.]+\s+(-?[\d.]+)\s+([\d.]+)", re.MULTILINE)
 _BROKEN = re.compile(r"^rules broken: (.+)$", re.MULTILINE)
 _FIRST = re.compile(r"^([A-Z]{3,}) at .+$", re.MULTILINE)
@@ -56,6 +70,38 @@
     )
 
 
+def draw_day(day: pathlib.Path, seed: int | None, class_name: str) -> pathlib.Path:
+    """Write a day like a file's, with other moments, shares and class; give where it stands."""
+    source = random.Random(f"{seed} {day.stem}")
+    fields = tomllib.loads(day.read_text())
+    for trouble in [*fields.get("faults", []), *fields.get("plan", [])]:
+        if class_name and "class" in trouble:
+            trouble["class"] = class_name
+        if seed is None:
+            continue
+        trouble["at"] = round(max(0.5, trouble["at"] + _draw_shift(source)), 2)
+        if "share" in trouble:
+            share = trouble["share"] * source.uniform(*_SHARE_FACTORS)
+            trouble["share"] = round(min(1.0, share), 3)
+    _DRAWN.mkdir(parents=True, exist_ok=True)
+    drawn = _DRAWN / day.name
+    drawn.write_text("".join(f"{key} = {_format(value)}\n" for key, value in fields.items()))
+    return drawn
+
+
+def _draw_shift(source: random.Random) -> float:
+    return source.uniform(-_EARLIER_SECONDS, _LATER_SECONDS)
+
+
+def _format(value: object) -> str:
+    """Write a value as TOML does."""
+    if isinstance(value, dict):
+        return "{ " + ", ".join(f"{key} = {_format(each)}" for key, each in value.items()) + " }"
+    if isinstance(value, list):
+        return "[" + ", ".join(map(_format, value)) + "]"
+    return json.dumps(value)
+
+
 def main() -> None:
     """Play all days and print the table."""
     parser = argparse.ArgumentParser(description=__doc__)
@@ -64,8 +110,12 @@
     parser.add_argument("--jobs", type=int, default=2)
     parser.add_argument("--only", default="")
     parser.add_argument("--why", default="a day for each kind of trouble")
+    parser.add_argument("--vary", type=int, default=None, metavar="SEED")
+    parser.add_argument("--class", dest="class_name", default="")
     options = parser.parse_args()
     days = [day for day in sorted(_DAYS.glob("*.toml")) if options.only in day.stem]
+    if options.vary is not None or options.class_name:
+        days = [draw_day(day, options.vary, options.class_name) for day in days]
     with concurrent.futures.ThreadPoolExecutor(options.jobs) as pool:
         futures = [pool.submit(play, options.bench, options.site, day, options.why) for day in days]
         for future in futures:
--- a/src/snowdock/emulator/fleet.py
+++ b/src/snowdock/emulator/fleet.py
@@ -6,8 +6,9 @@
 
 from ..declarations import Size
 from ..jobs.events import Event, WorkerDelisted, WorkerListed
+from ..jobs.lives import life_of, worker_of
 from ..jobs.model import TaskId
-from ..jobs.workers import WorkerEntry, life_of, worker_of
+from ..jobs.workers import WorkerEntry
 from .checks import Checks
 from .options import EmulatorOptions
 from .timeline import Timeline
--- a/src/snowdock/emulator/worker_calls.py
+++ b/src/snowdock/emulator/worker_calls.py
@@ -12,9 +12,9 @@
     StartAnswered,
     StopAnswered,
 )
+from ..jobs.lives import worker_of
 from ..jobs.model import StepSpec
 from ..jobs.orders import Refusal, StartOrder, StartResult
-from ..jobs.workers import worker_of
 from .options import Faults
 from .timeline import Timeline
 from .worker_model import WorkerModel
@@ -81,10 +81,15 @@
         model = self._workers[life]
         return model if model.is_up and life not in self._faults.cut else None
 
-    def _is_replaced(self, life: str) -> bool:
-        """Whether another life answers at a worker's address."""
-        successor = self._workers[life].successor
-        return bool(successor) and self._reach(successor) is not None
+    def _refusal_for(self, life: str) -> Refusal | None:
+        """Give what another life answers at a worker's address; None where none answers."""
+        last = self._workers[life]
+        while last.successor:
+            last = self._workers[last.successor]
+        if last.entry.life == life or self._reach(last.entry.life) is None:
+            return None
+        is_next = last.entry.worker == worker_of(life)
+        return Refusal.NEXT_LIFE if is_next else Refusal.OTHER_LIFE
 
     def send_start(self, post: Post, effect: SendStart) -> None:
         """Send a start; its answer, or the lack of one, is posted."""
@@ -94,7 +99,7 @@
             effect.life,
             lambda model: model.start(order, self._spec_of(order)),
             lambda result: StartAnswered(effect.life, order.task, order.run, result),
-            StartResult(Refusal.OTHER_LIFE),
+            StartResult,
         )
 
     def send_stop(self, post: Post, effect: SendStop) -> None:
@@ -107,7 +112,7 @@
             return StopAnswered(effect.life, order.task, order.run, answered, refusal)
 
         self._send_order(
-            post, effect.life, lambda model: model.stop(order), answer, Refusal.OTHER_LIFE, _LOST
+            post, effect.life, lambda model: model.stop(order), answer, lambda each: each, _LOST
         )
 
     def _send_order(
@@ -116,7 +121,7 @@
         life: str,
         carry_out: Callable[[WorkerModel], object],
         answer: Callable[[object], Event],
-        refused: object,
+        refused: Callable[[Refusal], object],
         lost: object = None,
     ) -> None:
         def time_out() -> None:
@@ -130,8 +135,9 @@
         def arrive() -> None:
             model = self._reach(life)
             if model is None:
-                if self._is_replaced(life):
-                    self._timeline.after(self._half_way(), lambda: post(answer(refused)))
+                refusal = self._refusal_for(life)
+                if refusal is not None:
+                    self._timeline.after(self._half_way(), lambda: post(answer(refused(refusal))))
                 else:
                     time_out()
                 return
@@ -147,19 +153,12 @@
         self, life: str, carry_out: Callable[[WorkerModel], object], seconds: float
     ) -> None:
         def arrive() -> None:
-            model = self._newest_life(life)
-            if model.is_up and model.entry.life not in self._faults.cut:
+            model = self._reach(life)
+            if model is not None:
                 carry_out(model)
 
         self._timeline.after(seconds, arrive)
 
-    def _newest_life(self, life: str) -> WorkerModel:
-        """Give the newest life under a worker's id; it carries out what meant an earlier one."""
-        model = self._workers[life]
-        while model.successor and worker_of(model.successor) == worker_of(life):
-            model = self._workers[model.successor]
-        return model
-
     def send_renew(self, post: Post, effect: SendRenew) -> None:
         """Send a renewal; its answer, or the lack of one, is posted."""
         order = effect.order
@@ -183,7 +182,9 @@
             model = self._reach(effect.life)
             if model is not None:
                 model.renew(order, answer)
-            elif self._is_replaced(effect.life):
-                self._timeline.after(self._half_way(), lambda: finish(Refusal.OTHER_LIFE))
+                return
+            refusal = self._refusal_for(effect.life)
+            if refusal is not None:
+                self._timeline.after(self._half_way(), lambda: finish(refusal))
 
         self._timeline.after(self._half_way(), arrive)
--- a/src/snowdock/entry/leader.py
+++ b/src/snowdock/entry/leader.py
@@ -246,7 +246,12 @@
 
     def _open(self, effect: OpenWorker) -> None:
         self._links[effect.life] = WorkerLink(
-            self._calls, effect.life, effect.address, self._post, self._context.metrics
+            self._calls,
+            effect.life,
+            effect.address,
+            self._post,
+            self._context.metrics,
+            self._context.epoch,
         )
 
     def _close(self, effect: CloseWorker) -> None:
--- a/src/snowdock/entry/leader_handle.py
+++ b/src/snowdock/entry/leader_handle.py
@@ -63,7 +63,9 @@
         self._context = context
         self._actor = actor
         self._statuses = statuses
-        self._listed: set[str] = set()
+        # By worker's id: the life that its newest usable entry names, and that entry's offset.
+        self._listed: dict[str, str] = {}
+        self._taken: dict[str, int] = {}
         self._stopped = threading.Event()
         self._jobs = [
             Tail(
@@ -149,33 +151,39 @@
             self.take_job(record)
 
     def _take_worker(self, record: KeyedRecord) -> None:
+        if record.offset < self._taken.get(record.key, record.offset):
+            # Read again after a later one: it may speak of a life before.
+            return
+        self._taken[record.key] = record.offset
         if record.value is None:
-            self._listed.discard(record.key)
-            self._tell(WorkerDelisted(record.key, self._may_return()))
+            self._delist(record.key, self._may_return())
             return
         try:
             entry = decode_worker_entry(record.key, record.value)
         except PlatformError as error:
             self._let_go(record, error)
             return
-        self._listed.add(record.key)
+        self._listed[record.key] = entry.life
         self._tell(WorkerListed(entry))
 
+    def _delist(self, worker: str, may_return: bool) -> None:
+        life = self._listed.pop(worker, None)
+        if life is not None:
+            self._tell(WorkerDelisted(life, may_return))
+
     def _let_go(self, record: KeyedRecord, error: PlatformError) -> None:
         """Use a worker no more whose entry cannot be used; what runs there is watched."""
         log_error("worker_entry_unusable", error, worker=record.key[:_KEY_TOLD])
         self._context.metrics.count(
             "entries_unusable_total", "Entries of others that cannot be used.", table="workers"
         )
-        self._listed.discard(record.key)
-        self._tell(WorkerDelisted(record.key, may_return=False))
+        self._delist(record.key, may_return=False)
 
     def _may_return(self) -> bool:
         return self._workers.seconds_since_failure < _LAPSE_SECONDS
 
     def _take_all_workers(self, records: list[KeyedRecord]) -> None:
-        for life in self._listed - {record.key for record in records}:
-            self._listed.discard(life)
-            self._tell(WorkerDelisted(life, self._may_return()))
+        for worker in self._listed.keys() - {record.key for record in records}:
+            self._delist(worker, self._may_return())
         for record in records:
             self._take_worker(record)
--- a/src/snowdock/entry/worker_link.py
+++ b/src/snowdock/entry/worker_link.py
@@ -12,7 +12,7 @@
 from ..logs import log_error, log_event
 from ..node.metrics import Metrics
 from ..platform.call_loop import CallLoop
-from ..platform.http_channel import Channel, Outcome, Reply
+from ..platform.http_channel import Channel, Greeting, Outcome, Reply
 from ..platform.worker_calls import (
     RENEWAL_PATH,
     START_PATH,
@@ -20,6 +20,7 @@
     decode_renewal,
     decode_start,
     decode_stop,
+    encode_greeting,
     encode_renewal,
     encode_start,
     encode_stop,
@@ -82,7 +83,9 @@
 class WorkerLink:
     """Carries orders and renewals to one life of a worker, each kind in order.
 
-    A renewal may wait for an end at the worker, so orders have a connection of their own.
+    A renewal may wait for an end at the worker, so orders have a connection of their own. Each new
+    connection is greeted first, so that nothing meant for this life reaches the next one: neither a
+    start, nor how many ends may be forgotten.
 
     Parameters
     ----------
@@ -94,6 +97,8 @@
         Called with each answer, on the loop's thread.
     metrics
         Counts and times calls.
+    token
+        The leader's fencing token.
     """
 
     def __init__(
@@ -103,14 +108,17 @@
         address: str,
         post: Callable[[Event], None],
         metrics: Metrics,
+        token: int,
     ) -> None:
         self._loop = loop
         self._life = life
         self._post = post
         self._metrics = metrics
+        self._has_next_life = False
         headers = worker_headers(life)
-        self._orders = _CallQueue(Channel(loop, address, headers), self._send_order)
-        self._renewals = _CallQueue(Channel(loop, address, headers), self._send_renewal)
+        greeting = Greeting(RENEWAL_PATH, encode_greeting(token), self._judge_greeting)
+        self._orders = _CallQueue(Channel(loop, address, headers, greeting), self._send_order)
+        self._renewals = _CallQueue(Channel(loop, address, headers, greeting), self._send_renewal)
 
     def order(self, order: _Order) -> None:
         """Send a start or stop after those before it, once the loop is flushed."""
@@ -130,6 +138,22 @@
         self._orders.close()
         self._renewals.close()
 
+    @property
+    def _next_life(self) -> Refusal | None:
+        """What calls are answered with once the worker is known to have begun another life."""
+        return Refusal.NEXT_LIFE if self._has_next_life else None
+
+    def _judge_greeting(self, reply: Reply) -> Outcome | None:
+        """Let calls follow where this life has answered; else give what is true of them."""
+        try:
+            found = decode_renewal(reply, self._life)
+        except PlatformError as error:
+            return CallUnanswered(str(error), unsent=True)
+        if found is Refusal.NEXT_LIFE:
+            self._has_next_life = True
+            return CallUnanswered("the worker has begun another life", unsent=True)
+        return None if isinstance(found, WorkerReport) else reply
+
     def _send_order(self, order: _Order) -> None:
         if isinstance(order, StartOrder):
             self._send_start(order, steady_seconds(), 0)
@@ -164,6 +188,8 @@
         self._orders.go_on()
 
     def _read_start(self, outcome: Outcome) -> StartResult | None:
+        if self._next_life:
+            return StartResult(self._next_life)
         if isinstance(outcome, CallUnanswered):
             return StartResult(Refusal.UNREACHED) if outcome.unsent else None
         try:
@@ -177,7 +203,7 @@
     def _take_stop_answer(self, order: StopOrder, outcome: Outcome) -> None:
         refusal, answered = None, False
         try:
-            refusal = decode_stop(_answer_of(outcome))
+            refusal = self._next_life or decode_stop(_answer_of(outcome))
             answered = True
         except PlatformError as error:
             self._note_unanswered(outcome, self._renewals.channel)
@@ -195,7 +221,7 @@
     def _take_renewal_answer(self, order: RenewOrder, outcome: Outcome) -> None:
         report: WorkerReport | Refusal | None = None
         try:
-            report = decode_renewal(_answer_of(outcome))
+            report = self._next_life or decode_renewal(_answer_of(outcome), self._life)
         except PlatformError as error:
             self._note_unanswered(outcome, self._orders.channel)
             self._metrics.count("renewals_failed_total", "Renewals without an answer.")
@@ -224,5 +250,5 @@
     An earlier try may have been carried out, so a refusal of a later one tells nothing of the
     run, but where the worker's life is over or another node leads.
     """
-    definite = (None, Refusal.OTHER_LIFE, Refusal.FENCED)
+    definite = (None, Refusal.OTHER_LIFE, Refusal.NEXT_LIFE, Refusal.FENCED)
     return result if tries_before == 0 or result.refusal in definite else None
--- a/src/snowdock/jobs/cell.py
+++ b/src/snowdock/jobs/cell.py
@@ -141,10 +141,22 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Orphan:
-    """A run that an earlier leader placed on a worker that is not known here yet."""
+    """A run that may be at a worker no life of which is known here now.
+
+    Attributes
+    ----------
+    task, run
+        The run, which an earlier leader placed, or whose start an earlier life did not answer.
+    life
+        Where it was placed.
+    since
+        When that could last have changed, in steady seconds.
+    """
 
     task: Task
     run: int
+    life: str
+    since: float
 
 
 class Cell:
@@ -178,10 +190,12 @@
         All workers that are listed or may still run something, by life.
     unnamed
         Entries of workers whose service nothing names, by life: they are not called.
+    newest_lives
+        The life that was listed last, by worker's id, as long as anything is kept of it.
     ended_lives
         Lives that are over while the store still lists them.
     orphans
-        Runs of earlier leaders by the life of a worker that is not known yet.
+        Runs that wait for a life of their worker, by worker's id.
     team_use
         What each team has running.
     quota_kept
@@ -241,6 +255,7 @@
         self.unreadable: set[JobId] = set()
         self.workers: dict[str, Worker] = {}
         self.unnamed: dict[str, WorkerEntry] = {}
+        self.newest_lives: dict[str, str] = {}
         self.ended_lives: set[str] = set()
         self.orphans: dict[str, list[Orphan]] = {}
         self.team_use = TeamUse()
--- /dev/null
+++ b/src/snowdock/jobs/lives.py
@@ -0,0 +1,29 @@
+"""Names of workers' lives.
+
+A worker may start again under its id, and then holds nothing and knows nothing of before. All that
+is kept of a worker is kept under the name of one life.
+"""
+
+__all__ = ["life_of", "worker_of"]
+
+_BORN_MARK = "@"
+
+
+def life_of(worker: str, born_ms: int | None) -> str:
+    """Name one life of a worker.
+
+    Parameters
+    ----------
+    worker
+        The worker's id.
+    born_ms
+        When this life began, by the worker's time of day, in ms since 1970; None where untold:
+        then the id names its only life.
+    """
+    return worker if born_ms is None else f"{worker}{_BORN_MARK}{born_ms}"
+
+
+def worker_of(life: str) -> str:
+    """Give the id of the worker whose life is named."""
+    worker, mark, born = life.rpartition(_BORN_MARK)
+    return worker if mark and born.isdecimal() else life
--- a/src/snowdock/jobs/lost_runs.py
+++ b/src/snowdock/jobs/lost_runs.py
@@ -14,7 +14,7 @@
 import dataclasses
 from collections.abc import Iterator
 
-from .cell import Cell
+from .cell import Cell, Orphan
 from .charges import charge, may_have_ended_at_once, take_back_charge
 from .durability import mark
 from .occupancy import vacate
@@ -22,7 +22,14 @@
 from .runs import fail_job, void_run
 from .workers import Worker
 
-__all__ = ["absolve", "charge_late", "lose_orphan", "lose_runs", "take_back_losses"]
+__all__ = [
+    "absolve",
+    "charge_late",
+    "charge_orphan",
+    "lose_orphan",
+    "lose_runs",
+    "take_back_losses",
+]
 
 MOST_AT_ONCE = 2
 """Where more workers fell silent at the same moment, a rack or a hall went, and what ran there is
@@ -46,9 +53,17 @@
 
 
 def lose_runs(
-    cell: Cell, worker: Worker, now: float, reason: str, has_crashed: bool = False
+    cell: Cell,
+    worker: Worker,
+    now: float,
+    reason: str,
+    has_crashed: bool = False,
+    has_next_life: bool = False,
 ) -> None:
-    """Take all runs on a worker as over, though how they ended is not known."""
+    """Take all runs on a worker as over, though how they ended is not known.
+
+    Those whose start was not answered wait for the worker's next life, if it has begun one.
+    """
     end = _WorkerEnd(reason, has_crashed and not _is_common(cell, worker))
     if worker.runs:
         count = len(worker.runs)
@@ -57,8 +72,9 @@
         vacate(cell, worker.life, task_id, run)
         cell.stops.pop((worker.life, task_id, run), None)
         task = cell.find_task(task_id)
-        if task is not None and task.is_current_run(run, worker.life):
-            _lose_run(cell, worker, task, now, end)
+        if task is None or not task.is_current_run(run, worker.life):
+            continue
+        _lose_run(cell, worker, task, now, end, has_next_life and _may_start_late(task))
 
 
 def charge_late(cell: Cell, worker: Worker, now: float) -> None:
@@ -91,11 +107,14 @@
 def lose_orphan(cell: Cell, task: Task, life: str, now: float) -> None:
     """Take a run of an earlier leader as over, whose worker never became known here."""
     cell.tell("orphan_lost", task.id.job, task=task.id, worker=life)
-    run = task.run
-    is_charged = _may_have_run(task)
+    charge_orphan(cell, task, life, now)
     void_run(cell, task, now)
-    if is_charged:
-        _charge(cell, task, run, life, now, is_crash=False)
+
+
+def charge_orphan(cell: Cell, task: Task, life: str, now: float) -> None:
+    """Charge a task once with a run whose worker's life is over, and was not known here."""
+    if _may_have_run(task) and task.run not in task.lost_runs:
+        _charge(cell, task, task.run, life, now, is_crash=False)
 
 
 def absolve(cell: Cell, task: Task, now: float) -> None:
@@ -108,17 +127,30 @@
         cell.tell("task_absolved", task.id.job, task=task.id, run=task.run)
 
 
-def _lose_run(cell: Cell, worker: Worker, task: Task, now: float, end: _WorkerEnd) -> None:
+def _lose_run(
+    cell: Cell, worker: Worker, task: Task, now: float, end: _WorkerEnd, may_start_late: bool
+) -> None:
     run = task.run
     is_charged = _may_have_run(task) and (not worker.entry.draining or _may_be_why(worker, task))
     _tell(cell, worker, task, end, is_charged)
-    void_run(cell, task, now)
+    if may_start_late:
+        task.phase = Phase.UNSURE
+        task.since = now
+        orphan = Orphan(task, run, worker.life, now)
+        cell.orphans.setdefault(worker.entry.worker, []).append(orphan)
+    else:
+        void_run(cell, task, now)
     if not is_charged:
         return
     worker.lost[task.id, run] = task.is_told
     _charge(cell, task, run, worker.life, now, end.is_crash and task.is_told)
 
 
+def _may_start_late(task: Task) -> bool:
+    """Whether a task's start was sent, and it is not known that it was carried out."""
+    return not task.is_told and task.phase in (Phase.ORDERED, Phase.UNSURE, Phase.STOPPING)
+
+
 def _charge(cell: Cell, task: Task, run: int, life: str, now: float, is_crash: bool) -> None:
     """Count a run that went with its worker, and give its task up where that is too often."""
     if charge(cell, task, run, life, is_crash):
--- a/src/snowdock/jobs/orders.py
+++ b/src/snowdock/jobs/orders.py
@@ -36,7 +36,9 @@
     UNREACHED = "unreached"
     """There was not even a connection, so nothing was sent."""
     OTHER_LIFE = "other_life"
-    """Another life of the worker answered: the one meant is over."""
+    """Another worker answered at the address: the life meant is over."""
+    NEXT_LIFE = "next_life"
+    """The worker has begun another life under its id: the one meant is over."""
     MALFORMED = "malformed"
 
 
--- a/src/snowdock/jobs/takeover.py
+++ b/src/snowdock/jobs/takeover.py
@@ -4,6 +4,7 @@
 
 from .cell import Cell, Orphan
 from .events import Effect, ForgetAccepted, JobAccepted, PublishStatus
+from .lives import worker_of
 from .model import JobId
 from .parts import Job, Phase
 from .progress import AcceptedJob, JobProgress, TaskProgress, job_of_record
@@ -121,4 +122,5 @@
     cell.team_use.hold(record.life, task.id, record.run, job.team, task.step.spec.size)
     if not record.done:
         task.phase = Phase.RUNNING
-    cell.orphans.setdefault(record.life, []).append(Orphan(task, record.run))
+    orphan = Orphan(task, record.run, record.life, cell.claimed_at)
+    cell.orphans.setdefault(worker_of(record.life), []).append(orphan)
--- a/src/snowdock/jobs/worker_lives.py
+++ b/src/snowdock/jobs/worker_lives.py
@@ -1,9 +1,10 @@
 """How a worker's life begins and ends for the leader: the list, and refusals of a whole life."""
 
-from .cell import Cell
+from .cell import Cell, Orphan
 from .durability import renew
 from .events import CloseWorker, OpenWorker, StepDown
-from .lost_runs import charge_late, lose_runs
+from .lives import worker_of
+from .lost_runs import charge_late, charge_orphan, lose_runs
 from .occupancy import occupy, vacate
 from .orders import Refusal
 from .suspects import Company, note_crash, note_suspect
@@ -12,8 +13,12 @@
 __all__ = ["delist_worker", "end_life", "list_named_workers", "list_worker", "take_life_refusal"]
 
 
+_NEXT_LIFE = "its worker has begun another life"
+
+
 def list_worker(cell: Cell, entry: WorkerEntry, now: float) -> None:
     """Take over a worker's entry."""
+    _end_other_life(cell, entry, now)
     if entry.life in cell.ended_lives:
         return
     worker = cell.workers.get(entry.life)
@@ -31,16 +36,44 @@
     worker = Worker(entry)
     cell.workers[entry.life] = worker
     cell.tell("worker_listed", entry.life, service=entry.service, address=entry.address)
-    for orphan in cell.orphans.pop(entry.life, []):
-        if orphan.task.is_current_run(orphan.run, entry.life):
-            occupy(cell, worker, orphan.task.id, orphan.run, orphan.task.step)
-            note_suspect(worker, orphan.task, Company.NO_SUSPECT)
-        else:
-            vacate(cell, entry.life, orphan.task.id, orphan.run)
+    for orphan in cell.orphans.pop(entry.worker, []):
+        _take_orphan(cell, worker, orphan, now)
     cell.emit(OpenWorker(entry.life, entry.address))
     renew(cell, worker, now, 0)
 
 
+def _take_orphan(cell: Cell, worker: Worker, orphan: Orphan, now: float) -> None:
+    """Count a run as there, for now, that waited for a life of its worker."""
+    task, run = orphan.task, orphan.run
+    vacate(cell, orphan.life, task.id, run)
+    if not task.is_current_run(run, orphan.life):
+        return
+    task.life = worker.life
+    occupy(cell, worker, task.id, run, task.step)
+    note_suspect(worker, task, Company.NO_SUSPECT)
+    if orphan.life not in (worker.life, worker.entry.worker):
+        # The life before is over; but its start may yet be carried out by this one.
+        worker.inherited.add((task.id, run))
+        charge_orphan(cell, task, orphan.life, now)
+
+
+def _end_other_life(cell: Cell, entry: WorkerEntry, now: float) -> None:
+    """Take the life that was listed under a worker's id before as over, where it is another one.
+
+    Whichever was listed last counts: a time of day may be set back between two lives.
+    """
+    before = cell.newest_lives.get(entry.worker)
+    cell.newest_lives[entry.worker] = entry.life
+    if before is None or before == entry.life:
+        return
+    cell.unnamed.pop(before, None)
+    worker = cell.workers.get(before)
+    if worker is not None:
+        has_crashed = not worker.entry.draining
+        end_life(cell, worker, now, _NEXT_LIFE, has_crashed, has_next_life=True)
+    cell.ended_lives.discard(before)
+
+
 def list_named_workers(cell: Cell, now: float) -> None:
     """Take over the entries of workers whose service has come to be named."""
     waiting, cell.unnamed = cell.unnamed, {}
@@ -57,7 +90,10 @@
     cell.ended_lives.discard(life)
     cell.unnamed.pop(life, None)
     worker = cell.workers.get(life)
-    if worker is None or not worker.listed:
+    if worker is None:
+        _forget_name(cell, life)
+        return
+    if not worker.listed:
         return
     worker.listed = False
     worker.delisted_at = now
@@ -66,26 +102,46 @@
 
 
 def end_life(
-    cell: Cell, worker: Worker, now: float, reason: str, has_crashed: bool = False
+    cell: Cell,
+    worker: Worker,
+    now: float,
+    reason: str,
+    has_crashed: bool = False,
+    has_next_life: bool = False,
 ) -> None:
-    """Take a worker's life as over, and with it all that ran there."""
+    """Take a worker's life as over, and with it all that ran there.
+
+    A start that it did not answer may yet be carried out by its next life under the same id.
+    """
     if has_crashed:
         note_crash(cell, worker, now)
         charge_late(cell, worker, now)
-    lose_runs(cell, worker, now, reason, has_crashed)
+    lose_runs(cell, worker, now, reason, has_crashed, has_next_life)
     del cell.workers[worker.life]
     if worker.listed:
         cell.ended_lives.add(worker.life)
+    else:
+        _forget_name(cell, worker.life)
     cell.emit(CloseWorker(worker.life))
     cell.tell("worker_ended", worker.life, reason=reason)
 
 
+def _forget_name(cell: Cell, life: str) -> None:
+    """Forget a life of which nothing is kept any more."""
+    worker = worker_of(life)
+    if cell.newest_lives.get(worker) == life:
+        del cell.newest_lives[worker]
+
+
 def take_life_refusal(cell: Cell, worker: Worker, refusal: Refusal | None, now: float) -> bool:
     """Take over a refusal that tells of the worker as a whole; tell whether this one did."""
     if refusal is Refusal.OTHER_LIFE:
         has_crashed = not worker.entry.draining
         end_life(cell, worker, now, "another life answered at its address", has_crashed)
         return True
+    if refusal is Refusal.NEXT_LIFE:
+        end_life(cell, worker, now, _NEXT_LIFE, not worker.entry.draining, has_next_life=True)
+        return True
     if refusal is Refusal.FENCED:
         cell.emit(StepDown(f"worker {worker.life} has seen a higher token"))
         return True
--- a/src/snowdock/jobs/worker_reports.py
+++ b/src/snowdock/jobs/worker_reports.py
@@ -169,6 +169,9 @@
                 _void(cell, worker, task if current else None, task_id, run, now)
         elif not current:
             vacate(cell, worker.life, task_id, run)
+        elif (task_id, run) in worker.inherited and task.phase is not Phase.DONE:
+            # Refused there for good, it cannot come later either.
+            stop_run(cell, task, now)
         elif not worker.settled or task.phase is Phase.DONE:
             _void(cell, worker, task, task_id, run, now)
         elif task.phase is Phase.UNSURE and task.since < sent_at:
--- a/src/snowdock/jobs/worker_watch.py
+++ b/src/snowdock/jobs/worker_watch.py
@@ -31,20 +31,22 @@
     fade_slowness(cell)
     for worker in list(cell.workers.values()):
         _watch_worker(cell, worker, now)
-    if _are_earlier_leases_over(cell, now):
-        _lose_orphans(cell, now)
+    _lose_orphans(cell, now)
     for (life, task, run), stop in list(cell.stops.items()):
         _watch_stop(cell, life, task, run, stop, now)
 
 
 def _lose_orphans(cell: Cell, now: float) -> None:
-    for life, orphans in list(cell.orphans.items()):
-        del cell.orphans[life]
-        for orphan in orphans:
-            if orphan.task.is_current_run(orphan.run, life):
-                lose_orphan(cell, orphan.task, life, now)
+    """Give up runs whose worker has not become known for as long as they may still be there."""
+    for worker, orphans in list(cell.orphans.items()):
+        for orphan in [each for each in orphans if _is_lapsed(cell, each.since, now)]:
+            orphans.remove(orphan)
+            if orphan.task.is_current_run(orphan.run, orphan.life):
+                lose_orphan(cell, orphan.task, orphan.life, now)
             else:
-                vacate(cell, life, orphan.task.id, orphan.run)
+                vacate(cell, orphan.life, orphan.task.id, orphan.run)
+        if not orphans:
+            del cell.orphans[worker]
 
 
 def _watch_worker(cell: Cell, worker: Worker, now: float) -> None:
@@ -72,9 +74,13 @@
     """Whether no lease that an earlier leader gave can still hold."""
     # Leases are counted from the claim: reading the records may take seconds on a store that loses
     # answers, and tasks that last stand meanwhile.
-    since_claim = now - cell.claimed_at
+    return _is_lapsed(cell, cell.claimed_at, now)
+
+
+def _is_lapsed(cell: Cell, since: float, now: float) -> bool:
+    """Whether no lease that was given until a moment can still hold, where workers had a say."""
     has_heard = now - cell.started_at >= HEARING_SECONDS
-    return has_heard and since_claim >= cell.settings.takeover_lapse_s
+    return has_heard and now - since >= cell.settings.takeover_lapse_s
 
 
 def _watch_stop(cell: Cell, life: str, task: TaskId, run: int, stop: Stop, now: float) -> None:
--- a/src/snowdock/jobs/workers.py
+++ b/src/snowdock/jobs/workers.py
@@ -5,29 +5,12 @@
 import math
 
 from ..declarations import ZERO, Size
+from .lives import worker_of
 from .model import StepKey, TaskId
 from .parts import Step
 from .times import SLOWEST_CLOCK_RATE
 
-__all__ = ["AsideCause", "Charge", "Hold", "Worker", "WorkerEntry", "life_of", "worker_of"]
-
-
-def life_of(worker: str, born_ms: int | None) -> str:
-    """Name one life of a worker.
-
-    Parameters
-    ----------
-    worker
-        The worker's id.
-    born_ms
-        When this life began, by the worker's time of day, in ms since 1970; None where untold.
-    """
-    return worker
-
-
-def worker_of(life: str) -> str:
-    """Give the id of the worker whose life is named."""
-    return life
+__all__ = ["AsideCause", "Charge", "Hold", "Worker", "WorkerEntry"]
 
 
 class AsideCause(enum.Enum):
@@ -48,7 +31,7 @@
     Attributes
     ----------
     life
-        Names one life of the worker; a restart gets another one.
+        Names one life of the worker, see `lives`.
     service, address, hall, rack
         Its pool, IP number and port, data hall and rack.
     labels
@@ -71,6 +54,11 @@
     draining: bool = False
     remaining_ms: float | None = None
 
+    @property
+    def worker(self) -> str:
+        """The worker's id, which its next life may have as well."""
+        return worker_of(self.life)
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Hold:
@@ -160,6 +148,9 @@
     lost
         Runs that were charged as lost there since it last answered, and whether it had told of
         each: how it went is not known yet.
+    inherited
+        Of the runs, those that were placed on an earlier life; whether they came here is not known
+        before it first tells what runs.
     """
 
     entry: WorkerEntry
@@ -192,6 +183,7 @@
     slow_log: float = 0.0
     suspects: dict[tuple[TaskId, int], bool] = dataclasses.field(default_factory=dict)
     lost: dict[tuple[TaskId, int], bool] = dataclasses.field(default_factory=dict)
+    inherited: set[tuple[TaskId, int]] = dataclasses.field(default_factory=set)
     _free: Size = ZERO
     _free_of: tuple[Size, Size] | None = None
 
@@ -282,6 +274,7 @@
             del self.yielding[task, run]
             self.yieldable = self.yieldable.minus(size)
         self.suspects.pop((task, run), None)
+        self.inherited.discard((task, run))
 
     def note_clock(self, clock_ms: float, now: float) -> None:
         """Remember the worker's clock from an answer that came now."""
--- a/src/snowdock/platform/_json.py
+++ b/src/snowdock/platform/_json.py
@@ -1,10 +1,21 @@
 """One way to decode what outside systems send: into a validated model, or a typed failure."""
 
+from typing import Annotated
+
 import msgspec
+from msgspec import UNSET, Meta, UnsetType
 
 from ..errors import UNREADABLE, PlatformError
 
-__all__ = ["decode_json"]
+__all__ = ["Born", "born_ms_of", "decode_json"]
+
+Born = Annotated[int, Meta(ge=0)] | UnsetType
+"""When a worker's life began, in ms since 1970; may be left out, but is nothing other than that."""
+
+
+def born_ms_of(born: Born) -> int | None:
+    """Give when a life began; None where it is untold."""
+    return None if born is UNSET else born
 
 
 def decode_json(data: bytes, kind: type, subject: str = "answer"):
--- a/src/snowdock/platform/advice.py
+++ b/src/snowdock/platform/advice.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from ..errors import PlatformError, StoreRefused
+from ..jobs.lives import worker_of
 from ..jobs.orders import AdviceGiven, AdviceWanted
 from ._json import decode_json
 from .http_pool import HttpPool
@@ -35,11 +36,14 @@
         if self._http is None:
             raise PlatformError("the settings name no advice service")
         step = f"{wanted.job}.{wanted.repetition}.{wanted.step}"
-        body = msgspec.json.encode({"step": step, "workers": wanted.workers})
+        # The service knows workers by their ids.
+        lives = {worker_of(life): life for life in wanted.workers}
+        body = msgspec.json.encode({"step": step, "workers": list(lives)})
         reply = self._http.call("POST", "/v1/advise", body, seconds)
         if reply.status in (429, 503):
             raise StoreRefused(f"the advice service answered {reply.status}")
         if reply.status != 200:
             raise PlatformError(f"the advice service answered {reply.status}")
         answer = decode_json(reply.data, _Answer, "advice")
-        return AdviceGiven(wanted, dict(answer.good))
+        good = {lives[worker]: ticket for worker, ticket in answer.good if worker in lives}
+        return AdviceGiven(wanted, good)
--- a/src/snowdock/platform/http_channel.py
+++ b/src/snowdock/platform/http_channel.py
@@ -16,7 +16,7 @@
 from ..errors import CallUnanswered
 from .call_loop import CallLoop
 
-__all__ = ["Channel", "Outcome", "Reply"]
+__all__ = ["Channel", "Greeting", "Outcome", "Reply"]
 
 _CONNECT_SECONDS = 1.0
 """Longest wait for a connection: a path within a region answers in a few ms, a lost opening
@@ -38,9 +38,30 @@
 """What came of a call; without an answer, it may have been carried out."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Greeting:
+    """A call that goes first over each new connection.
+
+    Attributes
+    ----------
+    path, body
+        What is sent.
+    judge
+        Given its answer: None where calls may follow over this connection, else the outcome of the
+        call that waited for it, which is not sent.
+    """
+
+    path: str
+    body: bytes
+    judge: Callable[[Reply], Outcome | None]
+
+
 class Channel:
     """Calls to one address, one at a time, over a connection that is kept between them.
 
+    A connection never outlives the process at its other end. So where a greeting has told which
+    process that is, all calls that follow over the connection reach it or nobody.
+
     Parameters
     ----------
     loop
@@ -49,15 +70,26 @@
         IP number and port.
     headers
         Sent with each call.
+    greeting
+        Sent first over each new connection, if given.
     """
 
-    def __init__(self, loop: CallLoop, address: str, headers: dict[str, str]) -> None:
+    def __init__(
+        self,
+        loop: CallLoop,
+        address: str,
+        headers: dict[str, str],
+        greeting: Greeting | None = None,
+    ) -> None:
         self._loop = loop
         host, _, port = address.rpartition(":")
         self._host = host
         self._port = int(port)
         lines = [f"Host: {address}", *(f"{name}: {value}" for name, value in headers.items())]
         self._head = "\r\n".join(lines).encode()
+        self._greeting = greeting
+        self._is_greeting = False
+        self._request = b""
         self._socket: socket.socket | None = None
         self._is_connected = False
         self._watched = 0
@@ -94,19 +126,19 @@
         self._answered = answered
         self._call = f"POST {self._host}:{self._port}{path[:80]}"
         self._seconds = seconds
-        self._body = []
-        self._is_whole = False
-        self._parser = httptools.HttpResponseParser(self)
-        self._unsent = b"POST %b HTTP/1.1\r\n%b\r\nContent-Length: %d\r\n\r\n%b" % (
+        self._request = self._write(path, body)
+        if self._socket is None:
+            self._connect()
+        else:
+            self._begin(self._request)
+
+    def _write(self, path: str, body: bytes) -> bytes:
+        return b"POST %b HTTP/1.1\r\n%b\r\nContent-Length: %d\r\n\r\n%b" % (
             path.encode(),
             self._head,
             len(body),
             body,
         )
-        if self._socket is None:
-            self._connect()
-        else:
-            self._send()
 
     def drop_idle(self) -> None:
         """Use the connection no more if no call is on its way over it.
@@ -158,6 +190,7 @@
         self._socket.close()
         self._socket = None
         self._is_connected = False
+        self._is_greeting = False
         self._watched = 0
 
     def _take_ready(self, ready: socket.socket, events: int) -> None:
@@ -170,7 +203,7 @@
                 self._fail(_describe(failure), unsent=True)
                 return
             self._is_connected = True
-            self._send()
+            self._greet()
         elif events & selectors.EVENT_READ:
             self._receive()
         elif events & selectors.EVENT_WRITE:
@@ -178,6 +211,21 @@
 
     # -- one call --------------------------------------------------------------------------
 
+    def _greet(self) -> None:
+        """Send the greeting over a new connection, or the call where there is none."""
+        if self._greeting is None:
+            self._begin(self._request)
+            return
+        self._is_greeting = True
+        self._begin(self._write(self._greeting.path, self._greeting.body))
+
+    def _begin(self, request: bytes) -> None:
+        self._body = []
+        self._is_whole = False
+        self._parser = httptools.HttpResponseParser(self)
+        self._unsent = request
+        self._send()
+
     def _send(self) -> None:
         self._limit(self._seconds)
         try:
@@ -227,11 +275,27 @@
 
     def _finish(self) -> None:
         reply = Reply(self._parser.get_status_code(), b"".join(self._body))
+        if self._is_greeting:
+            self._finish_greeting(reply)
+            return
         if not self._is_kept:
             self._disconnect()
         self._conclude(reply)
 
+    def _finish_greeting(self, reply: Reply) -> None:
+        instead = self._greeting.judge(reply)
+        if instead is not None:
+            self._disconnect()
+            self._conclude(instead)
+        elif not self._is_kept:
+            self._fail("the connection was not kept after the greeting", unsent=True)
+        else:
+            self._is_greeting = False
+            self._begin(self._request)
+
     def _fail(self, reason: str, unsent: bool) -> None:
+        # A call that waits for its greeting was not sent.
+        unsent = unsent or self._is_greeting
         self._disconnect()
         self._conclude(CallUnanswered(f"{self._call}: {reason}", unsent))
 
--- a/src/snowdock/platform/worker_calls.py
+++ b/src/snowdock/platform/worker_calls.py
@@ -1,8 +1,10 @@
 """What is said to a worker and what it answers: start a run, stop it, renew the lease and look."""
 
 import msgspec
+from msgspec import UNSET
 
 from ..errors import PlatformError
+from ..jobs.lives import life_of, worker_of
 from ..jobs.model import TaskId
 from ..jobs.orders import (
     EndedRun,
@@ -15,7 +17,7 @@
     StopOrder,
     WorkerReport,
 )
-from ._json import decode_json
+from ._json import Born, born_ms_of, decode_json
 from .http_channel import Reply
 
 __all__ = [
@@ -25,6 +27,7 @@
     "decode_renewal",
     "decode_start",
     "decode_stop",
+    "encode_greeting",
     "encode_renewal",
     "encode_start",
     "encode_stop",
@@ -53,6 +56,7 @@
     running: list[list] = []
     # [number, task, run, how it ended, checkpoint]
     ended: list[list] = []
+    born: Born = UNSET
 
 
 _REFUSALS = {
@@ -93,8 +97,11 @@
 
 
 def worker_headers(life: str) -> dict[str, str]:
-    """Give the headers of calls to one life of a worker; any other life refuses them."""
-    return {"X-Expected-Instance": life, "Content-Type": _JSON}
+    """Give the headers of calls to one life of a worker; other workers refuse them.
+
+    Another life under the same id does not: see `encode_greeting`.
+    """
+    return {"X-Expected-Instance": worker_of(life), "Content-Type": _JSON}
 
 
 def encode_start(order: StartOrder) -> bytes:
@@ -163,8 +170,13 @@
     return _encode(body)
 
 
-def decode_renewal(reply: Reply) -> WorkerReport | Refusal:
-    """Read the answer to a renewal.
+def encode_greeting(token: int) -> bytes:
+    """Write the body of a look at a worker that renews nothing and lets it forget nothing."""
+    return _encode({"fencing_token": token, "last_seen": 0})
+
+
+def decode_renewal(reply: Reply, life: str) -> WorkerReport | Refusal:
+    """Read the answer to a renewal or greeting that was meant for one life of a worker.
 
     Raises
     ------
@@ -175,6 +187,8 @@
     if refusal is not None:
         return refusal
     held = _decode(reply, _Held)
+    if _is_next_life(held, life):
+        return Refusal.NEXT_LIFE
     try:
         running = [_read_running(row) for row in held.running]
         ended = [_read_ended(row) for row in held.ended]
@@ -198,6 +212,13 @@
     return None
 
 
+def _is_next_life(held: _Held, life: str) -> bool:
+    """Whether a list of runs comes from another life than the one named, as far as both tell."""
+    born_ms = born_ms_of(held.born)
+    worker = worker_of(life)
+    return born_ms is not None and worker != life and life_of(worker, born_ms) != life
+
+
 def _read_running(row: list) -> RunningRun:
     load = row[4] if len(row) > 4 else 0
     return RunningRun(parse_task(row[0]), int(row[1]), str(row[2] or ""), float(row[3]), load)
--- a/src/snowdock/platform/worker_list.py
+++ b/src/snowdock/platform/worker_list.py
@@ -8,12 +8,13 @@
 from typing import Annotated, Literal
 
 import msgspec
-from msgspec import Meta
+from msgspec import UNSET, Meta
 
 from ..declarations import Size
 from ..errors import PlatformError
+from ..jobs.lives import life_of
 from ..jobs.workers import WorkerEntry
-from ._json import decode_json
+from ._json import Born, born_ms_of, decode_json
 
 __all__ = ["WORKER_TOPIC", "decode_worker_entry"]
 
@@ -44,6 +45,7 @@
     # rack is the label that names a rack, e.g. "r1-3".
     labels: list[str]
     seq: Annotated[int, Meta(ge=0)]
+    born: Born = UNSET
     remaining_ms: float | None = None
 
 
@@ -66,7 +68,7 @@
 
 
 def decode_worker_entry(key: str, data: bytes) -> WorkerEntry:
-    """Decode a worker's entry; the key names this life of the worker.
+    """Decode a worker's entry; its key is the worker's id.
 
     Raises
     ------
@@ -77,7 +79,7 @@
     _check_address(entry.address)
     capacity = entry.capacity
     return WorkerEntry(
-        life=key,
+        life=life_of(key, born_ms_of(entry.born)),
         service=entry.service,
         address=entry.address,
         hall=entry.zone,
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -8,7 +8,7 @@
 refuses, hangs or loses answers; workers crash; configurations and settings change. From seed 1000
 on, tasks end their workers, too, workers' rooms shrink and grow, and another writer's entries lie
 beside theirs; from seed 2000 on, some jobs fail wherever they run, and some workers fail all that
-they start.
+they start; from seed 3000 on, workers restart under their ids.
 Callers keep their connections open until a process is gone. Only processes that the soak started
 are ended.
 """
@@ -47,6 +47,9 @@
 FAILING_FROM = 2000
 """Seeds from here on draw from failing jobs and spoiling workers, too."""
 
+RETURNING_FROM = 3000
+"""Seeds from here on draw from workers that restart under their ids, too."""
+
 CRASHING_SHARE = 0.04
 FAILING_SHARE = 0.25
 FOREIGN_ENTRIES = (b"", b"\xff", b"[" * 5000, b"{}", b'{"service":"pool","address":"x:y"}')
@@ -158,6 +161,8 @@
             self._faults += [self._resize_worker, self._write_foreign_entry]
         if self.has_failures:
             self._faults.append(self._spoil)
+        if seed >= RETURNING_FROM:
+            self._faults += [self._restart_worker] * 2
 
     @property
     def is_wider(self) -> bool:
@@ -258,6 +263,12 @@
             workers.crash(self._source.choice(up))
             workers.add(f"i-{len(workers.models)}")
 
+    def _restart_worker(self) -> None:
+        workers = self.cluster.workers
+        up = [life for life, model in workers.models.items() if model.is_up]
+        if up:
+            workers.restart(self._source.choice(up), self._source.choice((0.0, 0.3, 1.5)))
+
     def _resize_worker(self) -> None:
         workers = self.cluster.workers
         up = [life for life, model in workers.models.items() if model.is_up]
--- a/tests/test_jobs_chaos.py
+++ b/tests/test_jobs_chaos.py
@@ -12,13 +12,14 @@
 SETTLE_SECONDS = 40
 SEEDS = range(12)
 CRASHING_SEEDS = range(100, 106)
+RETURNING_SEEDS = range(200, 206)
 
-CRASH, CUT, HEAL, LOST, LATE, CALM, STORE, KILL, DEPOSE, CANCEL, DRAIN, FAIL = range(12)
+CRASH, CUT, HEAL, LOST, LATE, CALM, STORE, KILL, DEPOSE, CANCEL, DRAIN, FAIL, RESTART = range(13)
 
 
-def trouble(emulator: Emulator, source: random.Random) -> None:
+def trouble(emulator: Emulator, source: random.Random, kinds: int) -> None:
     """Break or mend one thing."""
-    kind = source.randrange(12)
+    kind = source.randrange(kinds)
     lives = [life for life, model in emulator.workers.items() if model.is_up]
     life = source.choice(lives)
     faults = emulator.faults
@@ -49,6 +50,9 @@
         emulator.fleet.add(0)
     elif kind == FAIL:
         emulator.workers[life].fails_all = True
+    elif kind == RESTART:
+        for each in source.sample(lives, len(lives) // 3):
+            emulator.fleet.restart(each, source.uniform(0.1, 6.0))
 
 
 def bring_store_back(emulator: Emulator) -> None:
@@ -60,7 +64,10 @@
     emulator.faults.store_down = False
 
 
-def play(seed: int, crashing_share: float = 0.0) -> tuple[Emulator, list[DrawnJob]]:
+def play(
+    seed: int, crashing_share: float = 0.0, kinds: int = RESTART
+) -> tuple[Emulator, list[DrawnJob]]:
+    """Play a day with troubles of the first so many kinds."""
     source = random.Random(seed)
     mixes = [
         dataclasses.replace(mix, crashing_share=crashing_share)
@@ -74,7 +81,7 @@
     while at < SECONDS:
         at += source.uniform(0.3, 2)
         emulator.run_until(at)
-        trouble(emulator, source)
+        trouble(emulator, source, kinds)
     calm(emulator)
     emulator.faults.cut.clear()
     for model in emulator.workers.values():
@@ -104,6 +111,14 @@
                     self.assertLessEqual(emulator.checks.crashes_under(job.crashing), 5)
                 self.assertEqual(unended(emulator, jobs), [])
 
+    def test_workers_that_restart_under_their_ids(self) -> None:
+        """Beside all other troubles, no life's runs, ends or leases are taken for another's."""
+        for seed in RETURNING_SEEDS:
+            with self.subTest(seed=seed):
+                emulator, jobs = play(seed, kinds=RESTART + 1)
+                self.assertEqual(emulator.checks.violations, [])
+                self.assertEqual(unended(emulator, jobs), [])
+
     def test_calm_day_wastes_nothing(self) -> None:
         """Without troubles no gang waits in vain and all jobs end as they should."""
         workload = WorkloadOptions(SECONDS, 0.5, default_mixes())
--- /dev/null
+++ b/tests/test_jobs_lives.py
@@ -0,0 +1,272 @@
+"""What is known of one life of a worker is never taken for what is known of another."""
+
+import itertools
+import types
+import unittest
+
+import msgspec
+
+from snowdock.declarations import Size
+from snowdock.entry.leader_handle import LeaderHandle
+from snowdock.entry.statuses import StatusBook
+from snowdock.errors import PlatformError
+from snowdock.jobs.events import RenewAnswered, SendStop, StopAnswered, WorkerDelisted, WorkerListed
+from snowdock.jobs.lives import life_of, worker_of
+from snowdock.jobs.model import JobStatus
+from snowdock.jobs.orders import Refusal, WorkerReport
+from snowdock.jobs.parts import Phase
+from snowdock.jobs.progress import decode_progress
+from snowdock.jobs.takeover import RecordedJobs
+from snowdock.platform.http_channel import Reply
+from snowdock.platform.store import KeyedRecord
+from snowdock.platform.worker_calls import decode_renewal
+from snowdock.platform.worker_list import decode_worker_entry
+from tests.jobs_tools import DONE, SMALL, Bench, accepted, of_type
+
+FIRST, SECOND, BEFORE_FIRST = life_of("i-1", 100), life_of("i-1", 200), life_of("i-1", 50)
+
+ENTRY = {
+    "service": "pool",
+    "address": "1.2.3.4:5",
+    "zone": "z",
+    "version": "v1",
+    "slots": 8,
+    "state": "ready",
+    "cold_left_ms": 0,
+    "capacity": {"cpu": 4000, "mem_mb": 9000, "gpu": 0},
+    "labels": ["a", "r1-3"],
+    "seq": 1,
+}
+BAD_BORN = (-1, 1.5, "100", None, True, [100])
+
+
+def entry(**fields: object) -> bytes:
+    return msgspec.json.encode(ENTRY | fields)
+
+
+def held(**fields: object) -> Reply:
+    told = {"clock_ms": 1, "running": [], "ended": []}
+    return Reply(200, msgspec.json.encode(told | fields))
+
+
+class TestBorder(unittest.TestCase):
+    def test_names(self) -> None:
+        """A life's name tells the worker, and lives that differ in their start differ."""
+        self.assertNotEqual(FIRST, SECOND)
+        self.assertEqual({worker_of(FIRST), worker_of(SECOND), worker_of("i-1")}, {"i-1"})
+        self.assertEqual(worker_of("odd@name"), "odd@name")
+
+    def test_entry_names_its_life(self) -> None:
+        """An entry's life is that of its start; without one, the id names its only life."""
+        self.assertEqual(decode_worker_entry("i-1", entry(born=100)).life, FIRST)
+        self.assertEqual(decode_worker_entry("i-1", entry(born=100)).worker, "i-1")
+        self.assertEqual(decode_worker_entry("i-1", entry()).life, "i-1")
+
+    def test_start_that_is_no_time(self) -> None:
+        """A start that is no whole number, or negative, makes what carries it unusable."""
+        for born in BAD_BORN:
+            with self.subTest(born=born):
+                with self.assertRaises(PlatformError):
+                    decode_worker_entry("i-1", entry(born=born))
+                with self.assertRaises(PlatformError):
+                    decode_renewal(held(born=born), FIRST)
+
+    def test_list_of_runs_of_another_life(self) -> None:
+        """It is told as such, where both tell of their start."""
+        self.assertIs(decode_renewal(held(born=200), FIRST), Refusal.NEXT_LIFE)
+        for reply, life in ((held(born=100), FIRST), (held(), FIRST), (held(born=9), "i-1")):
+            self.assertIsInstance(decode_renewal(reply, life), WorkerReport)
+
+
+class TestList(unittest.TestCase):
+    def setUp(self) -> None:
+        self.told: list = []
+        actor = types.SimpleNamespace(tell=self.told.append)
+        context = types.SimpleNamespace(store=types.SimpleNamespace(), parts=1, metrics=None)
+        self.handle = LeaderHandle(context, actor, StatusBook())
+
+    def take(self, value: bytes | None, offset: int) -> None:
+        self.handle._take_worker(KeyedRecord("i-1", value, offset))
+
+    def test_entry_that_goes_names_the_life_that_was_listed(self) -> None:
+        """The entry's key tells the worker only."""
+        self.take(entry(born=100), 0)
+        self.take(entry(born=200), 1)
+        self.take(None, 2)
+        lives = [event.entry.life for event in of_type(self.told, WorkerListed)]
+        self.assertEqual(lives, [FIRST, SECOND])
+        self.assertEqual([each.life for each in of_type(self.told, WorkerDelisted)], [SECOND])
+
+    def test_entry_of_a_life_before_is_read_again(self) -> None:
+        """Entries are read again after a page that shows later ones: they change nothing."""
+        self.handle._take_all_workers([KeyedRecord("i-1", entry(born=200), 7)])
+        self.take(entry(born=100), 5)
+        self.take(None, 6)
+        self.take(entry(born=200), 7)
+        lives = [event.entry.life for event in of_type(self.told, WorkerListed)]
+        self.assertEqual((lives, len(self.told)), ([SECOND, SECOND], 2))
+
+
+class TestNextLife(unittest.TestCase):
+    def setUp(self) -> None:
+        self.bench = Bench()
+        self.bench.add_worker(FIRST)
+
+    def begin(self, life: str = SECOND, settled: bool = True) -> None:
+        self.bench._ends = itertools.count(1)
+        self.bench.add_worker(life, settled=settled)
+
+    def start(self):
+        self.job = self.bench.submit()
+        self.bench.tick(0.2)
+        (start,) = self.bench.new_starts()
+        return start
+
+    def test_end_of_the_next_life_is_dropped(self) -> None:
+        """Ends of the next life count from 1, however many the life before had told."""
+        for _ in range(3):
+            order = self.start().order
+            self.bench.report(FIRST, ended=[(order.task, order.run, DONE)])
+        self.begin()
+        start = self.start()
+        self.assertEqual(start.life, SECOND)
+        self.assertEqual(self.bench.renewals[SECOND].seen_ends, 0)
+        self.bench.report(SECOND, ended=[(start.order.task, start.order.run, DONE)])
+        self.assertIs(self.bench.cell.jobs[self.job].status, JobStatus.COMPLETED)
+
+    def test_run_goes_with_its_life(self) -> None:
+        """What ran in the life before starts again, as soon as the next one is listed."""
+        start = self.start()
+        self.bench.confirm(start)
+        self.begin()
+        self.bench.tick(0.2)
+        (again,) = self.bench.new_starts()
+        self.assertEqual((again.life, again.order.run), (SECOND, 2))
+        self.assertNotIn(FIRST, self.bench.cell.workers)
+
+    def test_late_answer_of_the_life_before(self) -> None:
+        """It changes nothing of the next one."""
+        order = self.start().order
+        late = self.bench.renewal(FIRST)
+        self.begin()
+        before = self.bench.cell.workers[SECOND].known_ends
+        report = WorkerReport(self.bench.now * 1000, [], [])
+        self.bench.feed(RenewAnswered(FIRST, late, report))
+        self.bench.feed(StopAnswered(FIRST, order.task, order.run, True))
+        self.assertEqual(self.bench.cell.workers[SECOND].known_ends, before)
+
+    def test_time_of_day_set_back_between_two_lives(self) -> None:
+        """Whichever life was listed last counts."""
+        self.begin(BEFORE_FIRST)
+        self.assertEqual(list(self.bench.cell.workers), [BEFORE_FIRST])
+
+    def test_ended_life_is_listed_again(self) -> None:
+        """The entry of a life that is over brings it not back; the next one does."""
+        self.bench.feed(RenewAnswered(FIRST, self.bench.renewal(FIRST), Refusal.NEXT_LIFE))
+        self.bench.add_worker(FIRST, settled=False)
+        self.assertEqual(list(self.bench.cell.workers), [])
+        self.begin()
+        self.assertEqual(list(self.bench.cell.workers), [SECOND])
+        self.assertEqual(self.bench.cell.ended_lives, set())
+
+    def test_names_are_forgotten(self) -> None:
+        """Nothing is kept of a worker that is gone, whichever life it had."""
+        self.begin()
+        self.bench.feed(WorkerDelisted(SECOND, False))
+        self.bench.tick(16.0)
+        cell = self.bench.cell
+        self.assertEqual((cell.workers, cell.newest_lives, cell.ended_lives), ({}, {}, set()))
+
+
+class TestStartInDoubt(unittest.TestCase):
+    """A start without an answer, and a worker that begins its next life."""
+
+    def setUp(self) -> None:
+        self.bench = Bench()
+        self.bench.add_worker(FIRST)
+        self.job = self.bench.submit()
+        (self.first,) = self.bench.new_starts()
+        refused = RenewAnswered(FIRST, self.bench.renewal(FIRST), Refusal.NEXT_LIFE)
+        self.bench.feed(refused)
+        self.bench.tick(0.5)
+        self.assertEqual(self.bench.new_starts(), [])
+        self.bench.add_worker(SECOND, settled=False)
+
+    def test_next_life_has_carried_it_out(self) -> None:
+        """The run goes on there, and no other begins."""
+        order = self.first.order
+        self.bench.report(SECOND, running=[(order.task, order.run, 10)])
+        self.bench.tick(0.5)
+        self.assertEqual(self.bench.new_starts(), [])
+        self.bench.report(SECOND, ended=[(order.task, order.run, DONE)])
+        self.assertIs(self.bench.cell.jobs[self.job].status, JobStatus.COMPLETED)
+
+    def test_next_life_does_not_have_it(self) -> None:
+        """It is refused there for good before the task starts again."""
+        self.bench.report(SECOND)
+        (stop,) = of_type(self.bench.seen, SendStop)
+        self.assertEqual((stop.life, stop.order.run), (SECOND, self.first.order.run))
+        self.assertEqual(self.bench.new_starts(), [])
+        self.bench.feed(StopAnswered(SECOND, stop.order.task, stop.order.run, True))
+        self.bench.report(SECOND)
+        self.bench.tick(0.6)
+        self.bench.report(SECOND)
+        self.bench.tick(1.0)
+        (again,) = self.bench.new_starts()
+        self.assertEqual(again.order.run, 2)
+
+    def test_no_next_life_is_listed(self) -> None:
+        """After the leases of a takeover, the task starts again elsewhere."""
+        bench = Bench()
+        bench.add_worker(FIRST)
+        bench.submit()
+        bench.new_starts()
+        bench.feed(RenewAnswered(FIRST, bench.renewal(FIRST), Refusal.NEXT_LIFE))
+        bench.add_worker("other", address="b:1")
+        bench.tick(9.0)
+        self.assertEqual(bench.new_starts(), [])
+        bench.tick(3.0)
+        self.assertEqual([start.life for start in bench.new_starts()], ["other"])
+
+
+class TestTakeover(unittest.TestCase):
+    """A leader that begins with runs on record."""
+
+    def take_over(self, recorded_life: str) -> Bench:
+        before = Bench()
+        before.add_worker(recorded_life)
+        job = before.submit()
+        (start,) = before.new_starts()
+        before.confirm(start)
+        progress = {name: decode_progress(data) for name, data in before.recorded.items()}
+        after = Bench(token=2)
+        after.now = before.now + 0.5
+        after.restore(RecordedJobs({job: accepted(SMALL)}, set(), progress))
+        self.task = after.cell.jobs[job].repetitions[0][0].tasks[0]
+        return after
+
+    def test_run_of_a_life_before_waits_for_its_leases(self) -> None:
+        """Its worker's next life proves it over, and it is charged as lost once."""
+        bench = self.take_over(FIRST)
+        bench.add_worker(SECOND)
+        (stop,) = of_type(bench.seen, SendStop)
+        bench.feed(StopAnswered(SECOND, stop.order.task, stop.order.run, True))
+        bench.report(SECOND)
+        bench.tick(0.6)
+        bench.report(SECOND)
+        bench.tick(2.0)
+        (again,) = bench.new_starts()
+        self.assertEqual((again.order.run, self.task.lost_runs), (2, {1}))
+
+    def test_record_without_a_start(self) -> None:
+        """A run on record for an id alone goes on in the life that has it."""
+        bench = self.take_over("i-1")
+        bench.add_worker(FIRST, settled=False)
+        bench.report(FIRST, running=[(self.task.id, 1, 30)])
+        self.assertEqual((self.task.life, self.task.phase), (FIRST, Phase.RUNNING))
+        self.assertEqual(of_type(bench.seen, SendStop), [])
+        self.assertEqual(bench.cell.workers[FIRST].used, Size(1000, 1000))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -4,7 +4,7 @@
 
 from tests.soak import FAILED_SEEDS, Soak
 
-SEEDS = (1, 2)
+SEEDS = (1, 2, 3000)
 SECONDS = 8.0
 
 
--- a/tests/test_worker_link.py
+++ b/tests/test_worker_link.py
@@ -16,12 +16,15 @@
 START = StartOrder(TASK, 1, "payload", 7, 5000, "saved", "ticket")
 STOP = StopOrder(TASK, 1, 7)
 RENEW = RenewOrder(7, 3, 5000, 0, 0.0)
+HELD = {"clock_ms": 1, "running": [], "ended": []}
 
 
 class TestWorkerLink(unittest.TestCase):
     def setUp(self) -> None:
         self.answers: list = []
         self.calls: list[dict] = []
+        self.greetings: list[dict] = []
+        self.greeted = as_json(HELD)
         self.server = Server(self.answer)
         self.posted: queue.Queue = queue.Queue()
         self.loop = CallLoop("worker-calls")
@@ -33,7 +36,7 @@
         self.server.close()
 
     def make_link(self, life: str, address: str) -> WorkerLink:
-        return WorkerLink(self.loop, life, address, self.posted.put, Metrics())
+        return WorkerLink(self.loop, life, address, self.posted.put, Metrics(), token=7)
 
     def order(self, order) -> None:
         self.link.order(order)
@@ -45,6 +48,9 @@
 
     def answer(self, method, path, query, body, environ):
         call = json.loads(body) | {"life": environ["HTTP_X_EXPECTED_INSTANCE"], "path": path}
+        if call.get("last_seen") == 0:
+            self.greetings.append(call)
+            return self.greeted
         self.calls.append(call)
         return self.answers.pop(0)
 
@@ -119,6 +125,54 @@
         results = [self.next().result.refusal for _ in range(1000)]
         self.assertEqual(set(results), {Refusal.UNREACHED})
 
+    def test_start_reaches_the_next_life(self) -> None:
+        """Nothing meant for a life is sent to the next one under its id, nor is anything after."""
+        self.link = self.make_link("i-1@100", self.server.address)
+        self.greeted = as_json(HELD | {"born": 200})
+        self.order(START)
+        self.assertEqual(self.next().result.refusal, Refusal.NEXT_LIFE)
+        self.renew(RENEW)
+        self.assertIs(self.next().outcome, Refusal.NEXT_LIFE)
+        self.order(STOP)
+        self.assertEqual(self.next().refusal, Refusal.NEXT_LIFE)
+        self.assertEqual(self.calls, [])
+
+    def test_worker_restarts_between_two_starts(self) -> None:
+        """A connection that breaks is greeted anew, before the next start goes over another one."""
+        self.link = self.make_link("i-1@100", self.server.address)
+        self.greeted = as_json(HELD | {"born": 100})
+        self.answers = [as_json({"clock_ms": 1})]
+        self.order(START)
+        self.assertIsNone(self.next().result.refusal)
+        self.greeted = as_json(HELD | {"born": 200})
+        self.loop.submit(self.link._orders.channel.drop_idle)
+        self.order(START)
+        self.assertEqual(self.next().result.refusal, Refusal.NEXT_LIFE)
+        self.assertEqual(len(self.calls), 1)
+
+    def test_greeting(self) -> None:
+        """It goes once over each connection, names the worker, and lets it forget nothing."""
+        self.link = self.make_link("i-1@100", self.server.address)
+        self.greeted = as_json(HELD | {"born": 100})
+        self.answers = [as_json({"clock_ms": 1})] * 2
+        for _ in range(2):
+            self.order(START)
+            self.assertIsNone(self.next().result.refusal)
+        (greeting,) = self.greetings
+        self.assertEqual((greeting["life"], greeting["fencing_token"]), ("i-1", 7))
+        self.assertNotIn("deadline_ms", greeting)
+
+    def test_greeting_without_a_usable_answer(self) -> None:
+        """The start was surely not sent."""
+        for answer in ((200, b"{}"), (200, b"no"), (500, b"")):
+            self.greeted = answer
+            self.order(START)
+            self.assertIs(self.next().result.refusal, Refusal.UNREACHED, answer)
+        self.greeted = as_json({"reason": "fence"}, 409)
+        self.order(START)
+        self.assertIs(self.next().result.refusal, Refusal.FENCED)
+        self.assertEqual(self.calls, [])
+
     def test_orders_keep_their_order(self) -> None:
         """A stop goes out after the start before it was answered, and renewals beside both."""
         self.answers = [as_json({"clock_ms": 1})] * 6
