Take over an end that a worker lists of a run that counts as there, whatever its number

What callers saw: jobs that never ended, though their worker listed the end of their last run in every answer. Cause: an end was known by its number alone; where that was wrong for any reason, no later report could put it right, and the room of the run stayed taken. What a worker says of its own run, which counts as there on this very life, settles it; the number says only what may be forgotten. It is told as end_passed_over, as it should not happen any more.

The test failed before: the job stayed running.

--- a/src/snowdock/jobs/worker_reports.py
+++ b/src/snowdock/jobs/worker_reports.py
@@ -7,7 +7,7 @@
 from .lost_runs import absolve, take_back_losses
 from .model import TaskId
 from .occupancy import occupy, vacate
-from .orders import RunningRun, WorkerReport
+from .orders import EndedRun, RunningRun, WorkerReport
 from .parts import Phase, Task
 from .runs import acknowledge_ends, note_begun, send_stop, stop_run, take_end, void_run
 from .speeds import note_progress, would_gain_elsewhere
@@ -60,13 +60,16 @@
     worker.note_clock(report.clock_ms, now)
     listed: set[tuple[TaskId, int]] = set()
     news = False
-    _tell_passed_over(cell, worker, report)
     for end in report.ended:
         listed.add((end.task, end.run))
-        if end.number > worker.known_ends:
-            worker.known_ends = end.number
-            news = True
-            take_end(cell, worker, end, now)
+        is_known = end.number <= worker.known_ends
+        if is_known and (end.task, end.run) not in worker.runs:
+            continue
+        if is_known:
+            _tell_passed_over(cell, worker, end)
+        worker.known_ends = max(worker.known_ends, end.number)
+        news = True
+        take_end(cell, worker, end, now)
     for row in report.running:
         listed.add((row.task, row.run))
         _take_running(cell, worker, row, now)
@@ -81,23 +84,18 @@
         _plan_renewal(cell, worker, now)
 
 
-def _tell_passed_over(cell: Cell, worker: Worker, report: WorkerReport) -> None:
-    """Tell of ends that count as taken over by their number, while their runs count as there."""
-    passed_over = [
-        end
-        for end in report.ended
-        if end.number <= worker.known_ends and (end.task, end.run) in worker.runs
-    ]
-    if passed_over:
-        cell.tell(
-            "ends_passed_over",
-            worker.life,
-            count=len(passed_over),
-            first=passed_over[0].number,
-            task=passed_over[0].task,
-            known_ends=worker.known_ends,
-            seen_ends=worker.seen_ends,
-        )
+def _tell_passed_over(cell: Cell, worker: Worker, end: EndedRun) -> None:
+    """Tell of an end that counts as known by its number, while its run counts as there."""
+    cell.tell(
+        "end_passed_over",
+        end.task.job,
+        task=end.task,
+        run=end.run,
+        worker=worker.life,
+        number=end.number,
+        known_ends=worker.known_ends,
+        seen_ends=worker.seen_ends,
+    )
 
 
 def _plan_renewal(cell: Cell, worker: Worker, now: float) -> None:
--- a/tests/test_jobs_starving.py
+++ b/tests/test_jobs_starving.py
@@ -3,6 +3,7 @@
 import unittest
 
 from snowdock.jobs.events import Decided
+from snowdock.jobs.model import JobStatus
 from snowdock.jobs.orders import EndKind
 from snowdock.jobs.set_aside import set_aside
 from snowdock.jobs.workers import AsideCause
@@ -59,16 +60,17 @@
         self.assertGreater(found["since_s"], 10.0)
         self.assertGreater(found["heard_s"], 9.0)
 
-    def test_end_that_is_passed_over(self) -> None:
-        """An end whose number is known, of a run that counts as there, is told."""
-        self.bench.submit()
+    def test_run_counts_as_there_though_its_worker_lists_its_end(self) -> None:
+        """Its end is told as passed over, and taken over, though its number is known."""
+        job = self.bench.submit()
         (start,) = self.bench.new_starts()
         self.bench.confirm(start)
         self.bench.cell.workers["w"].known_ends = 7
         order = start.order
         self.bench.report("w", ended=[(order.task, order.run, EndKind.DONE)])
-        (found,) = told(self.bench.effects, "ends_passed_over")
-        self.assertEqual((found["count"], found["first"], found["known_ends"]), (1, 1, 7))
+        (found,) = told(self.bench.effects, "end_passed_over")
+        self.assertEqual((found["run"], found["number"], found["known_ends"]), (1, 1, 7))
+        self.assertIs(self.bench.cell.jobs[job].status, JobStatus.COMPLETED)
 
 
 if __name__ == "__main__":
