--- a/tests/test_jobs_lives.py
+++ b/tests/test_jobs_lives.py
@@ -13,15 +13,17 @@
 from snowdock.jobs.events import RenewAnswered, SendStop, StopAnswered, WorkerDelisted, WorkerListed
 from snowdock.jobs.lives import life_of, worker_of
 from snowdock.jobs.model import JobStatus
-from snowdock.jobs.orders import Refusal, WorkerReport
+from snowdock.jobs.orders import AdviceWanted, Refusal, WorkerReport
 from snowdock.jobs.parts import Phase
 from snowdock.jobs.progress import decode_progress
 from snowdock.jobs.takeover import RecordedJobs
+from snowdock.platform.advice import AdviceClient
 from snowdock.platform.http_channel import Reply
 from snowdock.platform.store import KeyedRecord
 from snowdock.platform.worker_calls import decode_renewal
 from snowdock.platform.worker_list import decode_worker_entry
 from tests.jobs_tools import DONE, SMALL, Bench, accepted, of_type
+from tests.standins.platform import AdviceStandin
 
 FIRST, SECOND, BEFORE_FIRST = life_of("i-1", 100), life_of("i-1", 200), life_of("i-1", 50)
 
@@ -78,6 +80,18 @@
             self.assertIsInstance(decode_renewal(reply, life), WorkerReport)
 
 
+class TestAdvice(unittest.TestCase):
+    def test_service_knows_workers_by_id(self) -> None:
+        """It is asked about ids, and what it says counts for the lives that were asked about."""
+        service = AdviceStandin()
+        self.addCleanup(service.close)
+        service.unfit = {"i-2"}
+        client = AdviceClient(service.address)
+        lives = (SECOND, life_of("i-2", 300))
+        given = client.ask(AdviceWanted("a" * 16, 0, 0, lives), 5.0)
+        self.assertEqual(given.tickets, {SECOND: "t-i-1"})
+
+
 class TestList(unittest.TestCase):
     def setUp(self) -> None:
         self.told: list = []
--- a/tests/test_worker_link.py
+++ b/tests/test_worker_link.py
@@ -2,7 +2,9 @@
 
 import json
 import queue
+import threading
 import unittest
+from collections.abc import Callable
 
 from snowdock.entry.worker_link import WorkerLink
 from snowdock.jobs.events import RenewAnswered, StartAnswered, StopAnswered
@@ -25,6 +27,7 @@
         self.calls: list[dict] = []
         self.greetings: list[dict] = []
         self.greeted = as_json(HELD)
+        self.hang: Callable[[], object] = lambda: None
         self.server = Server(self.answer)
         self.posted: queue.Queue = queue.Queue()
         self.loop = CallLoop("worker-calls")
@@ -50,6 +53,7 @@
         call = json.loads(body) | {"life": environ["HTTP_X_EXPECTED_INSTANCE"], "path": path}
         if call.get("last_seen") == 0:
             self.greetings.append(call)
+            self.hang()
             return self.greeted
         self.calls.append(call)
         return self.answers.pop(0)
@@ -173,6 +177,15 @@
         self.assertIs(self.next().result.refusal, Refusal.FENCED)
         self.assertEqual(self.calls, [])
 
+    def test_greeting_that_hangs(self) -> None:
+        """A start that waits for its greeting is surely not sent, however the greeting ends."""
+        released = threading.Event()
+        self.addCleanup(released.set)
+        self.hang = lambda: released.wait(10)
+        self.order(START)
+        self.assertIs(self.next().result.refusal, Refusal.UNREACHED)
+        self.assertEqual(self.calls, [])
+
     def test_orders_keep_their_order(self) -> None:
         """A stop goes out after the start before it was answered, and renewals beside both."""
         self.answers = [as_json({"clock_ms": 1})] * 6
