--- a/src/snowdock/entry/worker_link.py
+++ b/src/snowdock/entry/worker_link.py
@@ -36,6 +36,10 @@
 _START_TRIES = 3
 """A start without an answer is sent again: to the worker it is the same run."""
 
+_GREETING_SECONDS = 0.2
+_GREETING_TRIES = 3
+"""How long a greeting may take, and over how many connections it is tried for one call."""
+
 _RENEW_SLACK_SECONDS = 0.3
 """How much longer than its wait a renewal may take."""
 
@@ -116,7 +120,13 @@
         self._metrics = metrics
         self._has_next_life = False
         headers = worker_headers(life)
-        greeting = Greeting(RENEWAL_PATH, encode_greeting(token), self._judge_greeting)
+        greeting = Greeting(
+            RENEWAL_PATH,
+            encode_greeting(token),
+            self._judge_greeting,
+            _GREETING_SECONDS,
+            _GREETING_TRIES,
+        )
         self._orders = _CallQueue(Channel(loop, address, headers, greeting), self._send_order)
         self._renewals = _CallQueue(Channel(loop, address, headers, greeting), self._send_renewal)
 
--- a/src/snowdock/platform/http_channel.py
+++ b/src/snowdock/platform/http_channel.py
@@ -49,11 +49,16 @@
     judge
         Given its answer: None where calls may follow over this connection, else the outcome of the
         call that waited for it, which is not sent.
+    seconds, tries
+        The longest wait for each part of its answer, and over how many connections it is sent for
+        one call at most: it changes nothing, so it is repeated sooner than a call.
     """
 
     path: str
     body: bytes
     judge: Callable[[Reply], Outcome | None]
+    seconds: float
+    tries: int
 
 
 class Channel:
@@ -89,6 +94,7 @@
         self._head = "\r\n".join(lines).encode()
         self._greeting = greeting
         self._is_greeting = False
+        self._greetings_sent = 0
         self._request = b""
         self._socket: socket.socket | None = None
         self._is_connected = False
@@ -109,6 +115,11 @@
         """Whether a call is on its way."""
         return self._answered is not None
 
+    @property
+    def _patience(self) -> float:
+        """The longest wait for a part of the answer to what is being sent, in seconds."""
+        return self._greeting.seconds if self._is_greeting else self._seconds
+
     def call(
         self, path: str, body: bytes, seconds: float, answered: Callable[[Outcome], None]
     ) -> None:
@@ -126,6 +137,7 @@
         self._answered = answered
         self._call = f"POST {self._host}:{self._port}{path[:80]}"
         self._seconds = seconds
+        self._greetings_sent = 0
         self._request = self._write(path, body)
         if self._socket is None:
             self._connect()
@@ -160,6 +172,10 @@
         if self._limit_at > now:
             self._set_reminder(self._limit_at)
             return
+        if self._is_greeting and self._greetings_sent < self._greeting.tries:
+            self._disconnect()
+            self._connect()
+            return
         unsent = not self._is_connected
         self._fail("no connection in time" if unsent else "no answer in time", unsent)
 
@@ -217,6 +233,7 @@
             self._begin(self._request)
             return
         self._is_greeting = True
+        self._greetings_sent += 1
         self._begin(self._write(self._greeting.path, self._greeting.body))
 
     def _begin(self, request: bytes) -> None:
@@ -227,7 +244,7 @@
         self._send()
 
     def _send(self) -> None:
-        self._limit(self._seconds)
+        self._limit(self._patience)
         try:
             sent = self._socket.send(self._unsent)
         except BlockingIOError:
@@ -258,7 +275,7 @@
             # Nothing was asked; what this answers is unknown.
             self._disconnect()
             return
-        self._limit_at = steady_seconds() + self._seconds
+        self._limit_at = steady_seconds() + self._patience
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError as error:
--- a/tests/test_worker_link.py
+++ b/tests/test_worker_link.py
@@ -3,6 +3,7 @@
 import json
 import queue
 import threading
+import time
 import unittest
 from collections.abc import Callable
 
@@ -177,6 +178,15 @@
         self.assertIs(self.next().result.refusal, Refusal.FENCED)
         self.assertEqual(self.calls, [])
 
+    def test_greeting_is_repeated(self) -> None:
+        """A greeting without an answer is sent again over another connection, before the start."""
+        waits = [1.0, 1.0]
+        self.hang = lambda: time.sleep(waits.pop() if waits else 0.0)
+        self.answers = [as_json({"clock_ms": 1})]
+        self.order(START)
+        self.assertIsNone(self.next().result.refusal)
+        self.assertEqual((len(self.greetings), len(self.calls)), (3, 1))
+
     def test_greeting_that_hangs(self) -> None:
         """A start that waits for its greeting is surely not sent, however the greeting ends."""
         released = threading.Event()
