--- a/tests/jobs_tools.py
+++ b/tests/jobs_tools.py
@@ -8,6 +8,7 @@
 from snowdock.emulator.workload import DrawnJob
 from snowdock.jobs.cell import Cell, CellSettings, Policy
 from snowdock.jobs.events import (
+    Decided,
     Effect,
     Event,
     JobAccepted,
@@ -74,6 +75,7 @@
         self.cell.configuration = Configuration(1, (queue,), (Service("pool"),))
         self.effects: list[Effect] = []
         self.seen: list[Effect] = []
+        self.told: list[Effect] = []
         self.renewals: dict[str, RenewOrder] = {}
         self.recorded: dict[str, bytes] = {}
         self.holds_store = False
@@ -83,6 +85,7 @@
     def feed(self, event: Event) -> list[Effect]:
         """Feed one event; batches are on record at once unless the store is held."""
         effects = reduce(self.cell, event, self.now, self.now * 1000)
+        self.told += of_type(effects, Decided)
         for effect in list(effects):
             if isinstance(effect, SendRenew):
                 self.renewals[effect.life] = effect.order
--- a/tests/test_jobs_lives.py
+++ b/tests/test_jobs_lives.py
@@ -10,7 +10,14 @@
 from snowdock.entry.leader_handle import LeaderHandle
 from snowdock.entry.statuses import StatusBook
 from snowdock.errors import PlatformError
-from snowdock.jobs.events import RenewAnswered, SendStop, StopAnswered, WorkerDelisted, WorkerListed
+from snowdock.jobs.events import (
+    Decided,
+    RenewAnswered,
+    SendStop,
+    StopAnswered,
+    WorkerDelisted,
+    WorkerListed,
+)
 from snowdock.jobs.lives import life_of, worker_of
 from snowdock.jobs.model import JobStatus
 from snowdock.jobs.orders import AdviceWanted, Refusal, WorkerReport
@@ -229,9 +236,15 @@
         (again,) = self.bench.new_starts()
         self.assertEqual(again.order.run, 2)
 
+    def test_start_in_doubt_is_charged_twice(self) -> None:
+        """A loss is told and counted when its life ends, and not again with the next life."""
+        charged = [e for e in of_type(self.bench.told, Decided) if e.decision == "task_charged"]
+        self.assertEqual(len(charged), 1)
+
     def test_no_next_life_is_listed(self) -> None:
         """After the leases of a takeover, the task starts again elsewhere."""
         bench = Bench()
+        bench.tick(20.0)
         bench.add_worker(FIRST)
         bench.submit()
         bench.new_starts()
@@ -278,6 +291,7 @@
         bench.add_worker(FIRST, settled=False)
         bench.report(FIRST, running=[(self.task.id, 1, 30)])
         self.assertEqual((self.task.life, self.task.phase), (FIRST, Phase.RUNNING))
+        self.assertEqual(self.task.lost_runs, set())
         self.assertEqual(of_type(bench.seen, SendStop), [])
         self.assertEqual(bench.cell.workers[FIRST].used, Size(1000, 1000))
 
--- a/tests/test_worker_link.py
+++ b/tests/test_worker_link.py
@@ -57,7 +57,8 @@
             self.hang()
             return self.greeted
         self.calls.append(call)
-        return self.answers.pop(0)
+        answer = self.answers.pop(0)
+        return answer() if callable(answer) else answer
 
     def next(self):
         return self.posted.get(timeout=10)
@@ -155,6 +156,20 @@
         self.assertEqual(self.next().result.refusal, Refusal.NEXT_LIFE)
         self.assertEqual(len(self.calls), 1)
 
+    def test_repeated_start_meets_the_next_life(self) -> None:
+        """That it was sent before leaves no doubt: the life that may have it is over."""
+        self.link = self.make_link("i-1@100", self.server.address)
+        self.greeted = as_json(HELD | {"born": 100})
+
+        def hang() -> tuple[int, bytes]:
+            self.greeted = as_json(HELD | {"born": 200})
+            time.sleep(1.0)
+            return 500, b""
+
+        self.answers = [hang]
+        self.order(START)
+        self.assertEqual(self.next().result.refusal, Refusal.NEXT_LIFE)
+
     def test_greeting(self) -> None:
         """It goes once over each connection, names the worker, and lets it forget nothing."""
         self.link = self.make_link("i-1@100", self.server.address)
