--- a/specs/check.py
+++ b/specs/check.py
@@ -16,6 +16,7 @@
     configuration_model,
     crash_model,
     election_model,
+    life_model,
     placement_model,
     quota_model,
     request_model,
@@ -59,6 +60,7 @@
     quota_model: quota_model.Bounds(),
     crash_model: crash_model.Bounds(),
     starvation_model: starvation_model.Bounds(),
+    life_model: life_model.Bounds(),
 }
 
 SMALL = {
@@ -70,6 +72,7 @@
     quota_model: quota_model.Bounds(takeovers=0),
     crash_model: crash_model.Bounds(takeovers=1),
     starvation_model: starvation_model.Bounds(takeovers=0, failures=3),
+    life_model: life_model.Bounds(restarts=1, takeovers=1, runs=2),
 }
 """Bounds for every run of the tests."""
 
--- /dev/null
+++ b/specs/life_model.py
@@ -0,0 +1,208 @@
+"""One task, and a worker that may begin another life under its id.
+
+The worker has told one end of another task before, which is acknowledged. Each life numbers its ends
+from 1. A start or an acknowledgement that is on its way may meet another life than it was sent to.
+A leader may be followed by another one, which knows what is on record. Another worker, which never
+goes, takes the task where the leader believes that it runs nowhere.
+"""
+
+import dataclasses
+from typing import NamedTuple
+
+from minicheck import Protocol
+
+from .tools import Rules, make_protocol
+
+__all__ = ["RULES", "Bounds", "State", "make_model"]
+
+RULES = ("by_life", "greeting", "record_first", "end_on_record")
+"""Rules that may be left out: what is known of a worker is kept by its life, a call reaches the life
+that it was sent to or nobody, a start goes out once its placement is on record, and an end is
+acknowledged once it is."""
+
+_EARLIER_ENDS = 1
+
+_ELSEWHERE = -1
+"""Stands on record for the worker that never goes."""
+
+
+@dataclasses.dataclass(frozen=True)
+class Bounds:
+    """How far the search goes."""
+
+    restarts: int = 2
+    takeovers: int = 2
+    runs: int = 3
+
+
+class State(NamedTuple):
+    """The worker's current life, what is on its way to it, the leader, and what is on record.
+
+    ``end`` is the number and run of the end that the life lists, ``forgotten`` up to which number it
+    has forgotten ends. ``start`` and ``ack`` are the life meant and the run or number. The leader
+    believes in ``life``, has placed ``placed`` there (0 for nowhere), may have sent its start, and
+    knows ends up to ``known``.
+    """
+
+    worker_life: int = 0
+    running: int = 0
+    ends: int = _EARLIER_ENDS
+    end: tuple = ()
+    forgotten: int = _EARLIER_ENDS
+    start: tuple = ()
+    ack: tuple = ()
+    life: int = 0
+    placed: int = 0
+    is_sent: bool = False
+    run: int = 0
+    known: int = _EARLIER_ENDS
+    is_done: bool = False
+    recorded_run: int = 0
+    recorded_life: int = 0
+    is_recorded_done: bool = False
+    elsewhere: int = 0
+    is_noted: bool = False
+    is_twice: bool = False
+    takeovers: int = 0
+
+
+class Model:
+    """Makes the transitions."""
+
+    def __init__(self, bounds: Bounds, rules: Rules) -> None:
+        self._bounds = bounds
+        self._holds = rules.holds
+
+    def transitions(self, state: State) -> list:
+        """List what can happen next."""
+        if state.is_twice:
+            return []
+        steps = [*self._at_worker(state), *self._at_leader(state)]
+        return [(label, after) for label, after in steps if after != state]
+
+    # -- the worker ------------------------------------------------------------------------
+
+    def _at_worker(self, state: State) -> list:
+        steps = []
+        if state.worker_life < self._bounds.restarts:
+            begun = state._replace(
+                worker_life=state.worker_life + 1, running=0, ends=0, end=(), forgotten=0
+            )
+            steps.append(("the worker begins another life", begun))
+        if state.running and not state.end:
+            ends = state.ends + 1
+            ended = state._replace(running=0, ends=ends, end=(ends, state.running))
+            steps.append(("the run ends well", ended))
+        if state.start:
+            steps.append(("the start arrives", self._take_start(state)))
+        if state.ack:
+            steps.append(("the acknowledgement arrives", self._take_ack(state)))
+        if state.elsewhere:
+            ended = state._replace(elsewhere=0, is_done=True, is_recorded_done=True)
+            steps.append(("the run elsewhere ends", ended))
+        return steps
+
+    def _reaches(self, state: State, life: int) -> bool:
+        return life == state.worker_life or not self._holds("greeting")
+
+    def _take_start(self, state: State) -> State:
+        life, run = state.start
+        after = state._replace(start=())
+        if not self._reaches(state, life) or state.running or state.end:
+            return after
+        is_twice = state.is_noted or bool(state.elsewhere)
+        return after._replace(running=run, is_twice=is_twice)
+
+    def _take_ack(self, state: State) -> State:
+        life, number = state.ack
+        after = state._replace(ack=())
+        if not self._reaches(state, life):
+            return after
+        after = after._replace(forgotten=max(state.forgotten, number))
+        if state.end and state.end[0] <= number:
+            return after._replace(end=(), is_noted=True)
+        return after
+
+    # -- the leader ------------------------------------------------------------------------
+
+    def _at_leader(self, state: State) -> list:
+        steps = [
+            ("the leader hears the worker", self._hear(state)),
+            ("progress goes on record", self._record(state)),
+        ]
+        is_idle = not (state.placed or state.elsewhere or state.is_done)
+        if is_idle and state.run < self._bounds.runs:
+            placed = state._replace(run=state.run + 1, placed=state.run + 1, is_sent=False)
+            steps.append(("the task is placed", placed))
+        if is_idle:
+            steps.append(("the task starts elsewhere", self._start_elsewhere(state)))
+        if state.placed and not state.is_sent and self._may_send(state):
+            sent = state._replace(start=(state.life, state.placed), is_sent=True)
+            steps.append(("the start is sent", sent))
+        if self._may_acknowledge(state):
+            steps.append(("ends are acknowledged", state._replace(ack=(state.life, state.known))))
+        if state.takeovers < self._bounds.takeovers:
+            steps.append(("another leader takes over", self._take_over(state)))
+        return steps
+
+    def _may_send(self, state: State) -> bool:
+        is_recorded = (state.recorded_run, state.recorded_life) == (state.placed, state.life)
+        return is_recorded or not self._holds("record_first")
+
+    def _may_acknowledge(self, state: State) -> bool:
+        if state.ack or not state.known:
+            return False
+        is_recorded = state.is_recorded_done or not state.is_done
+        return is_recorded or not self._holds("end_on_record")
+
+    def _start_elsewhere(self, state: State) -> State:
+        run = state.run + 1
+        is_twice = state.is_noted or bool(state.running)
+        recorded = state._replace(recorded_run=run, recorded_life=_ELSEWHERE)
+        return recorded._replace(run=run, elsewhere=run, is_twice=is_twice)
+
+    def _record(self, state: State) -> State:
+        done = state._replace(is_recorded_done=state.is_done)
+        if not state.placed:
+            return done
+        return done._replace(recorded_run=state.run, recorded_life=state.life)
+
+    def _hear(self, state: State) -> State:
+        """Take over a list of runs, which its worker tells over a connection of this life."""
+        if state.worker_life != state.life and self._holds("by_life"):
+            # The life that was known is over, and with it all that ran there.
+            return state._replace(life=state.worker_life, placed=0, known=0)
+        after = state._replace(life=state.worker_life)
+        if state.end and state.end[0] > state.known:
+            number, run = state.end
+            after = after._replace(known=number)
+            return after._replace(is_done=True, placed=0) if run == state.placed else after
+        if state.running or state.end or state.start or not state.is_sent:
+            return after
+        # It is not there any more, and its end is not listed.
+        return after._replace(placed=0)
+
+    def _take_over(self, state: State) -> State:
+        is_there = state.recorded_life != _ELSEWHERE and not state.is_recorded_done
+        return state._replace(
+            life=max(0, state.recorded_life),
+            placed=state.recorded_run if is_there else 0,
+            is_sent=True,
+            run=state.recorded_run,
+            known=0,
+            is_done=state.is_recorded_done,
+            takeovers=state.takeovers + 1,
+        )
+
+
+def make_model(bounds: Bounds, left_out: str = "") -> Protocol:
+    """Make the model, with a rule left out if named."""
+    model = Model(bounds, Rules(left_out))
+    return make_protocol(
+        "life",
+        left_out,
+        State(),
+        model.transitions,
+        {"a task runs once": lambda state: not state["is_twice"]},
+        lambda state: state["is_done"],
+    )
--- a/tests/test_specs.py
+++ b/tests/test_specs.py
@@ -33,6 +33,7 @@
 from specs import (
     configuration_model,
     crash_model,
+    life_model,
     placement_model,
     quota_model,
     request_model,
@@ -64,6 +65,7 @@
             (configuration_model, "base_is_current"),
             *((crash_model, rule) for rule in crash_model.RULES),
             *((starvation_model, rule) for rule in starvation_model.RULES),
+            *((life_model, rule) for rule in life_model.RULES),
             *((quota_model, rule) for rule in quota_model.RULES),
         ):
             with self.subTest(rule):
