--- a/specs/life_model.py
+++ b/specs/life_model.py
@@ -1,9 +1,9 @@
 """One task, and a worker that may begin another life under its id.
 
-The worker has told one end of another task before, which is acknowledged. Each life numbers its ends
-from 1. A start or an acknowledgement that is on its way may meet another life than it was sent to.
-A leader may be followed by another one, which knows what is on record. Another worker, which never
-goes, takes the task where the leader believes that it runs nowhere.
+The worker has told one end of another task before, which is acknowledged. Each life numbers its
+ends from 1. A start or an acknowledgement that is on its way may meet another life than it was sent
+to. A leader may be followed by another one, which knows what is on record. Another worker, which
+never goes, takes the task where the leader believes that it runs nowhere.
 """
 
 import dataclasses
@@ -16,8 +16,8 @@
 __all__ = ["RULES", "Bounds", "State", "make_model"]
 
 RULES = ("by_life", "greeting", "record_first", "end_on_record")
-"""Rules that may be left out: what is known of a worker is kept by its life, a call reaches the life
-that it was sent to or nobody, a start goes out once its placement is on record, and an end is
+"""Rules that may be left out: what is known of a worker is kept by its life, a call reaches the
+life that it was sent to or nobody, a start goes out once its placement is on record, and an end is
 acknowledged once it is."""
 
 _EARLIER_ENDS = 1
@@ -38,10 +38,11 @@
 class State(NamedTuple):
     """The worker's current life, what is on its way to it, the leader, and what is on record.
 
-    ``end`` is the number and run of the end that the life lists, ``forgotten`` up to which number it
-    has forgotten ends. ``start`` and ``ack`` are the life meant and the run or number. The leader
-    believes in ``life``, has placed ``placed`` there (0 for nowhere), may have sent its start, and
-    knows ends up to ``known``.
+    ``end`` is the number and run of the end that the life lists, ``forgotten`` up to which number
+    it has forgotten ends. ``start`` and ``ack`` are the life meant and the run or number.
+
+    The leader believes in ``life``, has placed ``placed`` there (0 for nowhere), may have sent its
+    start, and knows ends up to ``known``.
     """
 
     worker_life: int = 0
