Let a new emulated leader find the entry of the life before until the next one's first heartbeat

The emulator showed the next life's entry to a leader that began before that life had written one, which is kinder than the store: the leader then finds the life before, and learns of the next one from its greeting.

--- a/src/snowdock/emulator/fleet.py
+++ b/src/snowdock/emulator/fleet.py
@@ -86,6 +86,7 @@
         self._gangs = Gangs()
         self._lives = 0
         self._lingering: set[str] = set()
+        self._untold: set[str] = set()
         for number in range(options.workers):
             self.add(number)
 
@@ -93,7 +94,9 @@
         """Give the entries that a leader finds when it begins."""
         lingering = self._lingering if self._options.entries_linger else ()
         return [
-            model.entry for life, model in self.workers.items() if model.is_up or life in lingering
+            model.entry
+            for life, model in self.workers.items()
+            if (model.is_up and life not in self._untold) or life in lingering
         ]
 
     def add(self, rack: int, address: str = "") -> str:
@@ -165,16 +168,23 @@
             self._tell(WorkerDelisted(life))
 
     def _begin_next_life(self, model: WorkerModel) -> None:
-        """Begin a worker's next life under its id: it knows nothing of before."""
-        self._lingering.discard(model.entry.life)
+        """Begin a worker's next life under its id: it knows nothing of before.
+
+        Until its first heartbeat, its entry is that of the life before.
+        """
         life = life_of(worker_of(model.entry.life), self._born_ms())
         model.successor = life
         began = self._random.uniform(0.001, _LATEST_CLOCK_SECONDS)
         entry = dataclasses.replace(model.entry, life=life)
         self._begin_life(entry, model.slowness, clock_began=began)
         told_after = self._random.uniform(0.0, _HEARTBEAT_SECONDS)
-        next_life = self.workers[life]
-        self._timeline.after(told_after, lambda: self._tell_entry(next_life))
+        self._untold.add(life)
+        self._timeline.after(told_after, lambda: self._tell_next_life(model, self.workers[life]))
+
+    def _tell_next_life(self, model: WorkerModel, next_life: WorkerModel) -> None:
+        self._lingering.discard(model.entry.life)
+        self._untold.discard(next_life.entry.life)
+        self._tell_entry(next_life)
 
     def _bring_back(self, model: WorkerModel) -> None:
         rack = int(model.entry.rack.rpartition("-")[2])
