--- a/tests/test_jobs_crashes.py
+++ b/tests/test_jobs_crashes.py
@@ -1,17 +1,4 @@
-"""Tests of tasks that crash the workers that run them.
-
-Two tasks of one deployment ended each worker that started them, within some 10 ms, and were started
-again for as long as the day lasted: thirteen and sixteen times, a worker lost each time with the
-four to fifteen other runs on it. A run that is lost with its worker counted as no attempt, so
-nothing ever added up. What settled it: one leader alone gave the task runs 8 to 13, and no end of
-any of them was ever told, only
-
-    worker_silent subject=i-3ac1fba86a runs=9
-    runs_lost subject=i-3ac1fba86a count=9 reason="another life answered at its address"
-    placed step=0 tasks=2 run=2 workers=["i-8aa64f5f5b"]
-
-3.5 s apart, over and over.
-"""
+"""Tests of tasks that crash the workers that run them."""
 
 import unittest
 
@@ -352,15 +339,7 @@
 
 
 class TestCutOffWorkers(unittest.TestCase):
-    """Workers that are cut off lose their leases, and answer again as they were.
-
-    A job that could be done was shown as failed once its task had met five such workers: each loss
-    stayed charged, also when the worker's own answer had shown that it never crashed. What settled
-    it was the order of two lines:
-
-        task_charged worker=w crashes=0 losses=5
-        worker_answers subject=w silent_s=9.0
-    """
+    """Workers that are cut off lose their leases, and answer again as they were."""
 
     def test_loss_is_taken_back(self) -> None:
         """A worker that answers again as it was did not crash: its losses charge nobody."""
--- a/tests/test_jobs_failing.py
+++ b/tests/test_jobs_failing.py
@@ -1,12 +1,4 @@
-"""Failing jobs, and workers that spoil what they start: neither may halt the rest.
-
-Accepted jobs ran nothing for seconds, though most of their workers' room was free and a task of
-theirs could run. Some of the jobs around them failed wherever they ran, and each two failed runs in
-a row had their worker set aside, whoever's they were; after that it took one run at a time until
-one ended well, however long that took. With 8 workers and a third of the jobs failing, the leader
-told of a job that had never begun: `job_starves waiting_s=2.211 failures=0 open=0 aside=8`; 22 good
-jobs waited up to 21.6 s.
-"""
+"""Failing jobs, and workers that spoil what they start: neither may halt the rest."""
 
 import dataclasses
 import unittest
--- a/tests/test_jobs_leader_changes.py
+++ b/tests/test_jobs_leader_changes.py
@@ -1,13 +1,4 @@
-"""Tests of tasks that crash their workers while leaders change.
-
-A task that ended each worker that started it was started six times, three times after its third
-crash, although each run that goes with its worker is charged to its task and five charges give it
-up. One of the six was charged to nobody: its worker drained, and another leader had begun between
-the crash and the answer of the worker's next life. What settled it, from an emulated day:
-
-    run_lost run=5 worker=w-43 silent_after_s=20.35 is_charged=False is_told=False is_leaving=True
-    placed run=6 workers=["w-59"]
-"""
+"""Tests of tasks that crash their workers while leaders change."""
 
 import dataclasses
 import random
@@ -83,14 +74,7 @@
 
 
 class TestTakenOverRuns(unittest.TestCase):
-    """What a new leader goes by that finds a run on record.
-
-    A task that lasts and that had crashed two workers was cleared of both by the first report to
-    a new leader, some milliseconds after its third start: it is cleared after 30 s of work, and
-    the new leader took the time since its machine's start for that. What settled it:
-
-        task_absolved run=3
-    """
+    """What a new leader goes by that finds a run on record."""
 
     def test_task_that_lasts_is_cleared_by_its_work(self) -> None:
         """A takeover does not count as 30 seconds of work."""
@@ -140,14 +124,7 @@
         self.assertEqual(leaders.status, JobStatus.FAILED)
 
     def test_member_that_is_done(self) -> None:
-        """Its worker may never become known to a new leader, which charges nobody.
-
-        A gang's good end is that of all its members. One that had lost four runs before was
-        charged with a fifth, and its job shown as failed, though every member had ended well:
-
-            orphan_lost worker=w2
-            task_given_up crashes=0 losses=5
-        """
+        """Its worker may never become known to a new leader, which charges nobody."""
         leaders = Leaders(GANG, msgspec.structs.replace(SMALL, after=(0,)))
         one, other = leaders.next_starts()
         losses = frozenset({-1, -2, -3, -4})
@@ -172,19 +149,7 @@
 
 
 class TestGangs(unittest.TestCase):
-    """A start that ends in another way than with its worker.
-
-    A member of a gang that had crashed three workers was started three times more. One of these
-    starts counted for nothing: another member's worker went 1 ms earlier, and the member was told
-    as broken off just before its own worker crashed. What settled it, from an emulated day:
-
-        run_ended task=2 run=4 how=broken worker=w-41
-        run_lost task=3 run=4 worker=w-41 is_charged=True
-        placed step=0 tasks=8 run=5
-
-    Where three losses are known, each further start is one too many for users to allow many more,
-    whatever it ends as.
-    """
+    """A start that ends in another way than with its worker."""
 
     def test_member_that_is_broken_off(self) -> None:
         """After three losses under a member, a start of it counts though the gang broke first."""
--- a/tests/test_leader_terms.py
+++ b/tests/test_leader_terms.py
@@ -1,12 +1,4 @@
-"""When a new leader takes runs as over whose worker it never learns of.
-
-A worker left as planned in the moment in which the leadership changed hands, with five tasks that
-last. Its entry was gone before the next leader read the list, so nothing told of its end, and the
-tasks were begun again only when the longest lease that any worker grants was surely over, reckoned
-from when the new leader had read all records: `claim_won` at 29.67 s, `leading seconds=3.163`,
-`orphan_lost` at 46.65 s. Earlier leaders had asked for leases of 4.5 s, and the last one could give
-none later than three seconds after the claim.
-"""
+"""When a new leader takes runs as over whose worker it never learns of."""
 
 import pathlib
 import tempfile
