Log long-running tasks that wait beside room, and why a lookup gets 503

job_starves looks only at jobs of which nothing runs while most of the service is free, so a single long-running task that stood for a minute left no line. A lookup's 503 named the same reason for five states. No decision changes: the new line and the reasons are read from the state that decisions are made on. StatusReply has a further field with a default, so old and new nodes read each other.

--- a/src/snowdock/entry/leader_queries.py
+++ b/src/snowdock/entry/leader_queries.py
@@ -72,6 +72,19 @@
         )
         return None, is_certain
 
+    def explain_doubt(self, job: JobId) -> str:
+        """Return why this node cannot tell for certain whether a job that it misses exists."""
+        handle = self._leadership.handle
+        if handle is None:
+            return f"{self._node} does not lead"
+        if handle.statuses.is_unreadable(job):
+            return f"{self._node} cannot decode the record of job {job}"
+        read_s = steady_seconds() - handle.jobs_read_at
+        return (
+            f"{self._node} leads and read new jobs {read_s:.1f} s ago, "
+            f"renewed {self._election.renewed_s:.1f} s ago"
+        )
+
     def local_count(self, queue: str) -> int | None:
         """Return the number of a queue's waiting jobs; None if this node is not the leader."""
         handle = self._leadership.handle
@@ -88,20 +101,23 @@
             If the status cannot be determined now, or no leader answers in time.
         """
         status, is_certain = self.local_status(job, team)
+        doubt = "" if is_certain else self.explain_doubt(job)
         leader = self._remote_leader()
-        if self._leadership.handle is None and leader is not None:
+        if self._leadership.handle is None and leader is None:
+            doubt = self._explain_missing_leader()
+        elif self._leadership.handle is None:
             try:
                 reply = self._peers.ask(
                     leader, lambda number: StatusRequest(number, job, team), seconds
                 )
             except PlatformError as error:
                 raise Starting(f"the leader does not answer: {error}") from error
-            status, is_certain = reply.status, reply.is_certain
+            status, is_certain, doubt = reply.status, reply.is_certain, reply.doubt
         if status is not None:
             return status
         if is_certain:
             raise JobGone("no such job")
-        raise Starting(_NO_LEADER)
+        raise Starting(f"{_NO_LEADER}: {doubt}" if doubt else _NO_LEADER)
 
     def count_waiting(self, queue: str, seconds: float) -> int:
         """Return the number of a queue's waiting jobs.
@@ -170,6 +186,12 @@
         if handle is not None:
             handle.apply_job_record(record)
 
+    def _explain_missing_leader(self) -> str:
+        leader = self._election.leader
+        if leader is None:
+            return f"{self._node} knows no leader"
+        return f"{self._node} was the last leader, in epoch {leader.epoch}"
+
     def _remote_leader(self) -> str | None:
         leader = self._election.leader
         if leader is None or leader.node == self._node:
--- a/src/snowdock/entry/messages.py
+++ b/src/snowdock/entry/messages.py
@@ -82,11 +82,15 @@
 
 
 class StatusReply(_EntryMessage, tag="S"):
-    """A job's status; None if it is unknown, and ``is_certain`` if that is certain."""
+    """A job's status; None if it is unknown, and ``is_certain`` if that is certain.
+
+    ``doubt`` is why it is not certain; empty if it is, or if the sender gives no reason.
+    """
 
     number: int
     status: JobStatus | None
     is_certain: bool
+    doubt: str = ""
 
 
 class CountRequest(_EntryMessage, tag="c"):
--- a/src/snowdock/entry/peer_requests.py
+++ b/src/snowdock/entry/peer_requests.py
@@ -55,7 +55,9 @@
     def handle_request(request: EntryMessage) -> EntryMessage | None:
         match request:
             case StatusRequest(number, job, team):
-                return StatusReply(number, *queries.local_status(job, team))
+                status, is_certain = queries.local_status(job, team)
+                doubt = "" if is_certain else queries.explain_doubt(job)
+                return StatusReply(number, status, is_certain, doubt)
             case CountRequest(number, queue):
                 waiting = queries.local_count(queue)
                 return CountReply(number, waiting or 0, waiting is not None)
--- a/src/snowdock/jobs/starving.py
+++ b/src/snowdock/jobs/starving.py
@@ -1,6 +1,6 @@
-"""Periodic logging of jobs that run nothing although room is free.
+"""Periodic logging of jobs, and of single long-running tasks, that wait although room is free.
 
-For each such job the log line counts the service's workers by the reason for which they are
+For each of them the log line counts the service's workers by the reason for which they are
 excluded for the step. A worker counts for the first reason that applies.
 """
 
@@ -10,7 +10,7 @@
 from .candidates import Caution, caution_for, count_fitting, max_additional_tasks
 from .cell import Cell
 from .failed_runs import has_probation_run, is_doubtful
-from .job_state import Step
+from .job_state import Phase, Step, Task
 from .room_use import used_share
 from .suspects import may_share_worker, next_tasks
 from .workers import Worker
@@ -23,8 +23,12 @@
 _IDLE_SECONDS = 1.0
 """Time without any run after which a job is logged; the tolerated time is three seconds."""
 
+_TASK_WAIT_SECONDS = 2.0
+"""Time after which a waiting long-running task is logged; the tolerated time is three seconds."""
+
 _MAX_LOGGED = 5
-"""Maximum number of jobs logged at a time, longest waiting first."""
+"""Maximum number of jobs and of steps with waiting tasks logged at a time, longest waiting
+first."""
 
 _MAX_USED_SHARE = 0.5
 """Share of a service's room in use above which a waiting job is not considered starving."""
@@ -34,18 +38,23 @@
 
 
 def log_starving_jobs(cell: Cell, now: float) -> None:
-    """Log jobs that have run nothing for a while although room is free, once per interval."""
+    """Log jobs and long-running tasks that wait although room is free, once per interval."""
     if now - cell.starving_logged_at < _LOG_INTERVAL_SECONDS:
         return
     cell.starving_logged_at = now
+    services: dict[str, list[Worker]] = collections.defaultdict(list)
+    for worker in cell.workers.values():
+        services[worker.entry.service].append(worker)
+    _log_idle_jobs(cell, services, now)
+    _log_waiting_tasks(cell, services, now)
+
+
+def _log_idle_jobs(cell: Cell, services: dict[str, list[Worker]], now: float) -> None:
     idle = [
         step for step in cell.waiting_steps.values() if now - step.waiting_since >= _IDLE_SECONDS
     ]
     if not idle:
         return
-    services: dict[str, list[Worker]] = collections.defaultdict(list)
-    for worker in cell.workers.values():
-        services[worker.entry.service].append(worker)
     free = {service for service, workers in services.items() if _is_mostly_free(workers)}
     starving = [step for step in idle if cell.queue_of(step.job).service in free]
     starving.sort(key=lambda step: step.waiting_since)
@@ -59,6 +68,30 @@
             logged += 1
 
 
+def _log_waiting_tasks(cell: Cell, services: dict[str, list[Worker]], now: float) -> None:
+    """Log the steps with long-running tasks that wait beside room, however full the service is."""
+    waiting = []
+    for step in cell.waiting_steps.values():
+        if step.spec.long_running and not _is_idle(step):
+            task = _longest_waiting_task(step)
+            if task is not None and now - task.phase_since >= _TASK_WAIT_SECONDS:
+                waiting.append((task.phase_since, step, task))
+    waiting.sort(key=lambda entry: entry[0])
+    logged = 0
+    for _, step, task in waiting:
+        if logged >= _MAX_LOGGED:
+            break
+        workers = services[cell.queue_of(step.job).service]
+        if _has_spare_room(step, workers):
+            _log_waiting_task(cell, step, task, workers, now)
+            logged += 1
+
+
+def _longest_waiting_task(step: Step) -> Task | None:
+    tasks = [task for task in step.tasks if task.phase is Phase.WAITING]
+    return min(tasks, key=lambda task: task.phase_since, default=None)
+
+
 def _is_idle(step: Step) -> bool:
     return not any(task.is_placed for task in step.job.all_tasks())
 
@@ -81,9 +114,6 @@
 def _log_starving_job(
     cell: Cell, step: Step, workers: list[Worker], now: float, idle_steps: int
 ) -> None:
-    reasons = collections.Counter(
-        find_step_exclusion(cell, step, worker, now) for worker in workers
-    )
     cell.log_decision(
         "job_starves",
         step.job.id,
@@ -94,9 +124,36 @@
         at_quota=step.is_at_quota,
         asking=step.advice.pending_requests if step.advice else 0,
         idle_steps=idle_steps,
-        open=reasons[None],
-        **{reason.value: count for reason, count in reasons.items() if reason is not None},
+        **_count_exclusions(cell, step, workers, now),
+    )
+
+
+def _log_waiting_task(
+    cell: Cell, step: Step, task: Task, workers: list[Worker], now: float
+) -> None:
+    cell.log_decision(
+        "long_running_task_waits",
+        step.job.id,
+        task=task.id,
+        waiting_s=now - task.phase_since,
+        tasks=sum(each.phase is Phase.WAITING for each in step.tasks),
+        running=sum(each.is_placed for each in step.tasks),
+        losses=len(task.lost_runs),
+        at_quota=step.is_at_quota,
+        asking=step.advice.pending_requests if step.advice else 0,
+        searched_s=now - step.last_search_at,
+        rank=step.rank,
+        **_count_exclusions(cell, step, workers, now),
+    )
+
+
+def _count_exclusions(cell: Cell, step: Step, workers: list[Worker], now: float) -> dict[str, int]:
+    """Count workers by the reason for which they are excluded; ``open`` ones are not."""
+    reasons = collections.Counter(
+        find_step_exclusion(cell, step, worker, now) for worker in workers
     )
+    excluded = {reason.value: count for reason, count in reasons.items() if reason is not None}
+    return {"open": reasons[None], **excluded}
 
 
 def find_step_exclusion(
--- a/tests/test_jobs_starving.py
+++ b/tests/test_jobs_starving.py
@@ -2,8 +2,9 @@
 
 import unittest
 
+from snowdock.declarations import Size
 from snowdock.jobs.events import LogDecision
-from snowdock.jobs.model import JobStatus
+from snowdock.jobs.model import JobStatus, StepSpec
 from snowdock.jobs.orders import EndKind
 from snowdock.jobs.quarantine import quarantine
 from snowdock.jobs.workers import QuarantineCause
@@ -49,6 +50,26 @@
         self.bench.submit()
         self.assertEqual(decision_fields(self.bench.tick(3.0), "job_starves"), [])
 
+    def test_waiting_long_running_task_is_logged(self) -> None:
+        """A long-running task that waits beside room is logged, although other tasks run."""
+        for life in ("w2", "w3"):
+            self.bench.add_worker(life, address=life)
+        step = StepSpec(count=2, size=Size(1000, 1000), long_running=True, most_per_worker=1)
+        self.bench.submit(step)
+        kept, ended = self.bench.new_starts()
+        for start in (kept, ended):
+            self.bench.confirm(start)
+        for worker in self.bench.cell.workers.values():
+            worker.quarantined_until = self.bench.now + 60
+        order = ended.order
+        self.bench.report(ended.life, ended=[(order.task, order.run, EndKind.FAILED)])
+        self.assertEqual(decision_fields(self.bench.tick(1.8), "long_running_task_waits"), [])
+        found = decision_fields(self.bench.tick(1.5), "long_running_task_waits")[0]
+        self.assertEqual(found["task"], order.task)
+        self.assertEqual((found["tasks"], found["running"]), (1, 1))
+        self.assertEqual((found["open"], found["aside"]), (0, 3))
+        self.assertEqual(decision_fields(self.bench.all_effects, "job_starves"), [])
+
     def test_overdue_run_is_logged(self) -> None:
         """An overdue run is logged with its phase, its age and that of the last report."""
         self.bench.submit()
