Bound the waits of long-running tasks whose step runs others

Callers saw a long-running task that did not run although workers had room for it. Reservations keep a step out for 1.5 s, and workers in quarantine for 2 s, only while the step runs nothing. A step of several long-running tasks nearly always runs one, so a task of it that had ended stood for as long as other steps reserved the room, or for a whole quarantine: the class of fault is a bound on a group that does not hold for its members. Each task of a long-running step must run, so such a step now counts as held up as long as one of them waits, from when the first began to wait; all waiting ones may then take reserved room.

--- a/src/snowdock/jobs/candidates.py
+++ b/src/snowdock/jobs/candidates.py
@@ -35,7 +35,7 @@
 """Time for which the last attempt of a task waits for a worker without recent failures."""
 
 _MAX_CAUTION_SECONDS = 2.0
-"""Maximum time for which a step that runs nothing avoids workers quarantined for failures; a last
+"""Maximum time for which a step that is held up avoids workers quarantined for failures; a last
 attempt waits longer."""
 
 
@@ -122,7 +122,7 @@
     max_wait_s = _MAX_CAUTION_SECONDS
     if _is_last_attempt(cell, step):
         max_wait_s += _LAST_ATTEMPT_CAUTION_SECONDS / 2
-    is_stuck = waited >= max_wait_s and not any(task.is_placed for task in step.tasks)
+    is_stuck = waited >= max_wait_s and step.is_held_up
     return Caution.NONE if is_stuck else Caution.NORMAL
 
 
--- a/src/snowdock/jobs/job_state.py
+++ b/src/snowdock/jobs/job_state.py
@@ -206,9 +206,18 @@
 
     @property
     def waiting_since(self) -> float:
-        """Time since which all waiting tasks have been waiting, in steady-clock seconds."""
+        """Time since which all waiting tasks have been waiting, in steady-clock seconds.
+
+        For long-running tasks, the time since which the first of them has been waiting.
+        """
+        first_or_last = min if self.spec.long_running else max
         waiting_times = (task.phase_since for task in self.tasks if task.phase is Phase.WAITING)
-        return max(self.queued_at, max(waiting_times, default=0.0))
+        return max(self.queued_at, first_or_last(waiting_times, default=0.0))
+
+    @property
+    def is_held_up(self) -> bool:
+        """Whether its waiting tasks hold it up: it runs nothing, or each of its tasks must run."""
+        return self.spec.long_running or not any(task.is_placed for task in self.tasks)
 
     @property
     def is_done(self) -> bool:
