--- a/tests/test_jobs_suspects.py
+++ b/tests/test_jobs_suspects.py
@@ -76,6 +76,25 @@
         self.assertEqual(len(placed), 2)
         self.assertNotIn(empty, {start.life for start in placed})
 
+    def test_long_running_suspect_keeps_its_worker_to_itself(self) -> None:
+        """A long-running task shares its worker again once it is cleared of its losses."""
+        self.bench.submit(msgspec.structs.replace(SMALL, long_running=True))
+        for _ in range(2):
+            self.add_workers(1)
+            self.bench.tick(0.2)
+            self.crash_all(self.bench.new_starts())
+        (empty,) = self.add_workers(1)
+        self.bench.tick(0.2)
+        (suspect,) = self.bench.new_starts()
+        self.assertTrue(self.bench.cell.workers[empty].is_exclusive)
+        self.bench.confirm(suspect)
+        for _ in range(62):
+            self.bench.report(empty, running=[(suspect.order.task, suspect.order.run, 100.0)])
+            self.bench.tick(0.5)
+        self.bench.submit(SMALL)
+        self.bench.tick(0.2)
+        self.assertEqual([start.life for start in self.bench.new_starts()], [empty])
+
     def test_suspects_of_different_jobs(self) -> None:
         """Suspects of different jobs are separated, and the second waits at most two seconds."""
         jobs = self.make_suspects(2)
