Derive a node's peer connections from who leads, not from the order of events

A deposed leader closed all its links, and connected to its successor when it learned of it. The two are reported by different threads (the leader's actor steps down when a worker refuses its token; the election or the peers' thread reads or hears of the successor). When the deposition was handled last, the link to the new leader was closed and nothing opened it again before the next change of leader: each lookup at that node then waited two seconds and got 503. On the code before, a deposition handled after the change of leader leaves no link (script: the calls are {node-2: ...}, then {}). Links are now set under a lock from the election's state.

--- a/src/snowdock/entry/daemon.py
+++ b/src/snowdock/entry/daemon.py
@@ -25,8 +25,9 @@
 from .configuration_watcher import ConfigurationWatcher
 from .election import Election
 from .leader import LeaderContext
+from .leader_links import LeaderLinks
 from .leader_queries import LeaderQueries
-from .leader_record import LeaderRecord, NodeIdentity
+from .leader_record import NodeIdentity
 from .leader_settings import cell_settings, claim_delay_seconds
 from .leadership import Leadership
 from .listener import apply_limits, create_listener
@@ -94,7 +95,7 @@
             lambda: self._configuration_watcher.is_store_stable,
             lambda epoch: self._leadership.begin(epoch),
             lambda reason: self._handle_deposition(reason),
-            self._connect_to_leader,
+            lambda _: self._links.update(),
         )
         self._peers = Peers(
             PeerOptions(
@@ -108,11 +109,14 @@
             self._handle_heartbeat,
             self._make_heartbeat,
         )
+        self._links = LeaderLinks(
+            environment.node, self._election, self._peer_directory, self._peers.set_addresses
+        )
         self._leadership = Leadership(
             self._election,
             lambda: self._configuration_watcher.current,
             self._make_leader_context,
-            self._connect_peers,
+            self._links.update,
             self._metrics,
         )
         queries = LeaderQueries(environment.node, self._election, self._leadership, self._peers)
@@ -226,11 +230,7 @@
     def _handle_deposition(self, reason: str) -> None:
         self._leadership.depose(reason)
         # The peers now connect to another leader; links to them would be reopened repeatedly.
-        self._peers.set_addresses({})
-
-    def _connect_to_leader(self, leader: LeaderRecord) -> None:
-        if leader.node != self._identity.node:
-            self._peers.set_addresses({leader.node: leader.address})
+        self._links.update()
 
     def _make_heartbeat(self, due_s: float, heard_s: float | None) -> Heartbeat:
         heartbeat = self._election.make_heartbeat(due_s, heard_s)
@@ -245,7 +245,7 @@
         self._configuration_watcher.handle_heartbeat(heartbeat)
         is_new = self._peer_directory.record_heartbeat(heartbeat)
         if self._election.own_epoch and is_new:
-            self._connect_peers()
+            self._links.update()
 
     def _frequent_peers(self) -> set[str]:
         """Return the peers that get every heartbeat; none unless this node leads."""
@@ -255,10 +255,6 @@
             else set()
         )
 
-    def _connect_peers(self) -> None:
-        """Connect to all known peers; only a leader sends them requests."""
-        self._peers.set_addresses(self._peer_directory.addresses())
-
     # -- shutdown --------------------------------------------------------------------------
 
     def _shut_down(self) -> int:
