Fail requests to peers without a connection at once, as not sent

A lookup, or a job's record for the leader, that was sent to a peer without a connection was dropped, and its caller waited for the whole timeout: two seconds, then 503; a record counted as perhaps recorded (504), though it had surely not left the node. The request now fails with CallUnanswered(unsent=True), and such a record is answered as not done. Both tests failed before: 'peer unknown did not answer' after 5 s, and UNKNOWN.

--- a/src/snowdock/entry/leader_queries.py
+++ b/src/snowdock/entry/leader_queries.py
@@ -1,7 +1,7 @@
 """Queries that only the leader can answer, on this node or on another."""
 
 from ..clocks import steady_seconds
-from ..errors import PlatformError, Starting
+from ..errors import CallUnanswered, PlatformError, Starting
 from ..jobs.model import JobId, JobStatus
 from ..logs import log_event
 from ..node.peers import Peers
@@ -164,7 +164,8 @@
             )
         except PlatformError as error:
             log_event("relay_unanswered", job=job, leader=leader, reason=str(error))
-            return RecordOutcome.UNKNOWN
+            is_unsent = isinstance(error, CallUnanswered) and error.unsent
+            return RecordOutcome.NOT_DONE if is_unsent else RecordOutcome.UNKNOWN
         return reply.outcome
 
     def notify_leader(self, record: KeyedRecord) -> None:
--- a/src/snowdock/node/peers.py
+++ b/src/snowdock/node/peers.py
@@ -14,7 +14,7 @@
 from zmq.auth.thread import ThreadAuthenticator
 
 from ..clocks import steady_seconds
-from ..errors import InvalidInput, PlatformError
+from ..errors import CallUnanswered, InvalidInput, PlatformError
 from ..logs import log_error, log_event
 from ..threads import ServiceThread
 from .peer_links import HeartbeatPlan, PeerLinks
@@ -117,10 +117,11 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _PeerSend:
-    """A message to send to a peer."""
+    """A message to send to a peer; ``request`` is its number if it is a request."""
 
     node: str
     data: bytes
+    request: int | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -271,6 +272,8 @@
 
         Raises
         ------
+        CallUnanswered
+            At once, if there is no connection to the peer, so that the request is not sent.
         PlatformError
             If there is no response in time; the peer may have handled the request.
         """
@@ -278,7 +281,7 @@
         future = pykka.ThreadingFuture()
         with self._pending_lock:
             self._pending_requests[number] = future
-        self._enqueue_outgoing(_PeerSend(node, self._messages.encode(make(number))))
+        self._enqueue_outgoing(_PeerSend(node, self._messages.encode(make(number)), number))
         try:
             return future.get(timeout=timeout)
         except pykka.Timeout as error:
@@ -360,6 +363,15 @@
             self._try_send(self._links.socket(item.node), [item.data])
         else:
             log_event("peer_unknown", peer=item.node)
+            self._fail_request(item)
+
+    def _fail_request(self, item: _PeerSend) -> None:
+        """Fail a request that cannot be sent, so that its thread does not wait for the timeout."""
+        with self._pending_lock:
+            future = self._pending_requests.pop(item.request, None)
+        if future is not None:
+            error = CallUnanswered(f"there is no connection to peer {item.node}", unsent=True)
+            future.set_exception((CallUnanswered, error, None))
 
     @staticmethod
     def _try_send(socket: zmq.Socket, frames: list[bytes]) -> None:
--- a/tests/test_leader_queries.py
+++ b/tests/test_leader_queries.py
@@ -8,11 +8,12 @@
 from snowdock.entry.leader_handle import LeaderHandle
 from snowdock.entry.leader_queries import LeaderQueries
 from snowdock.entry.leader_record import LeaderRecord
-from snowdock.entry.messages import StatusRequest
+from snowdock.entry.messages import RecordOutcome, StatusRequest
 from snowdock.entry.peer_requests import make_request_handler
-from snowdock.errors import Starting
+from snowdock.errors import CallUnanswered, Starting
 from snowdock.jobs.events import PublishStatus
 from snowdock.jobs.model import JobStatus
+from snowdock.platform.store import KeyedRecord
 
 JOB = "0123456789abcdef"
 
@@ -82,6 +83,20 @@
         self.statuses.mark_processed_until(steady_seconds() - 60.0)
         self.assertEqual(self.queries.local_status(JOB), (JobStatus.RUNNING, True))
 
+    def test_unsent_record_is_answered_as_unknown(self) -> None:
+        """A record that was not sent to the leader is certainly not recorded by it."""
+        self.election.leader = LeaderRecord("other", "1", "a:1", 7)
+        self.election.leader_is_alive = True
+
+        def fail(*_: object) -> None:
+            raise CallUnanswered("there is no connection to peer other", unsent=True)
+
+        queries = LeaderQueries(
+            "node", self.election, self.leadership, types.SimpleNamespace(ask=fail)
+        )
+        outcome = queries.relay_record(JOB, KeyedRecord(JOB, b"1"), 0.1)
+        self.assertIs(outcome, RecordOutcome.NOT_DONE)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_silent_links.py
+++ b/tests/test_silent_links.py
@@ -5,7 +5,7 @@
 import unittest
 
 from snowdock.entry.messages import ENTRY_MESSAGES, Heartbeat, StatusReply, StatusRequest
-from snowdock.errors import PlatformError
+from snowdock.errors import CallUnanswered, PlatformError
 from snowdock.jobs.model import JobStatus, TaskId
 from snowdock.jobs.orders import AdviceRequest, RenewOrder, StartOrder
 from snowdock.node.peers import PeerOptions, Peers
@@ -88,6 +88,13 @@
 
         self.assertTrue(wait_until(is_answered))
 
+    def test_request_without_a_connection_waits_for_its_timeout(self) -> None:
+        """A request to a peer without a connection fails at once, as one that was not sent."""
+        client, _ = self.start_peers()
+        with self.assertRaises(CallUnanswered) as caught:
+            client.ask("unknown", lambda number: StatusRequest(number, JOB), 5.0)
+        self.assertTrue(caught.exception.unsent)
+
     def test_silent_link_is_found_by_heartbeats(self) -> None:
         """A silent connection without ZMQ heartbeats is found by the peer's heartbeats."""
         server, address = self.start_peers(
