--- a/src/snowdock/entry/advice_dispatcher.py
+++ b/src/snowdock/entry/advice_dispatcher.py
@@ -11,7 +11,7 @@
 from collections.abc import Callable
 
 from ..clocks import steady_seconds
-from ..errors import PlatformError
+from ..errors import CallUnanswered, PlatformError
 from ..jobs.events import AdviceAnswered, AdviceFailed, AskAdvice, Event
 from ..jobs.orders import AdviceRequest, AdviceResult
 from ..jobs.timeouts import LONG_ADVICE_REQUEST_MS
@@ -35,6 +35,10 @@
 _PEER_SLACK_SECONDS = 0.3
 """Time in addition to the peer's own timeout, for the round trip."""
 
+_UNREACHABLE_NODE_SECONDS = 1.0
+"""How long no request is given to a node to which there was no connection. It fails at once, and
+would otherwise take each request before the nodes that work."""
+
 _HEDGE_DELAY_FACTOR = 2.0
 _HEDGE_DELAY_SECONDS = 0.15
 """A request without an answer after the expected time multiplied by the factor, plus the seconds,
@@ -135,6 +139,7 @@
         self._long_requests: collections.deque[_PendingRequest] = collections.deque()
         self._pending: dict[AdviceRequest, _PendingRequest] = {}
         self._in_progress: dict[str, _PendingRequest] = {}
+        self._unreachable_until: dict[str, float] = {}
         self._stopped = threading.Event()
         self._lock = threading.Lock()
         self._pool = concurrent.futures.ThreadPoolExecutor(_MAX_THREADS, "adviser")
@@ -159,8 +164,13 @@
 
     def _dispatch(self) -> None:
         nodes = [*sorted(self._live_nodes()), self._own_node]
+        now = steady_seconds()
         with self._lock:
-            idle = [node for node in nodes if node not in self._in_progress]
+            idle = [
+                node
+                for node in nodes
+                if node not in self._in_progress and self._unreachable_until.get(node, 0.0) <= now
+            ]
             long_count = sum(each.is_long for each in self._in_progress.values())
             max_long = max(1, int(len(nodes) * _MAX_LONG_SHARE))
             while idle and (
@@ -210,6 +220,8 @@
                 tickets = self._ask_peer(node, effect, seconds)
         except PlatformError as error:
             log_event("advice_unanswered", job=request.job, by=node, reason=str(error))
+            if node != self._own_node and isinstance(error, CallUnanswered) and error.unsent:
+                self._unreachable_until[node] = steady_seconds() + _UNREACHABLE_NODE_SECONDS
             tickets = None
         except Exception as error:
             # The failure is posted, and the leader requests advice for the step again.
--- a/tests/test_advice_dispatcher.py
+++ b/tests/test_advice_dispatcher.py
@@ -3,7 +3,9 @@
 import queue
 import threading
 import unittest
+from unittest import mock
 
+from snowdock.entry import advice_dispatcher
 from snowdock.entry.advice_dispatcher import AdviceDispatcher
 from snowdock.entry.messages import AdviceReply
 from snowdock.errors import CallUnanswered
@@ -22,11 +24,15 @@
         self.asked: queue.SimpleQueue[str] = queue.SimpleQueue()
         self.release_events = {"own": threading.Event(), "peer": threading.Event()}
         self.fails = False
+        self.is_connected = True
 
     def ask_own(self, request: AdviceRequest, seconds: float) -> AdviceResult:
         return AdviceResult(request, self._answer("own"))
 
     def ask_peer(self, node: str, build_request, seconds: float) -> AdviceReply:
+        if not self.is_connected:
+            self.asked.put(node)
+            raise CallUnanswered(f"there is no connection to peer {node}", unsent=True)
         return AdviceReply(1, self._answer(node))
 
     def _answer(self, node: str) -> dict[str, str]:
@@ -95,6 +101,21 @@
         with self.assertRaises(queue.Empty):
             self.nodes.asked.get(timeout=0.5)
 
+    @mock.patch.object(advice_dispatcher, "_UNREACHABLE_NODE_SECONDS", 60.0)
+    def test_node_without_a_connection_takes_all_requests(self) -> None:
+        """A node that cannot be asked gets no request for a while after it failed at once."""
+        self.nodes.is_connected = False
+        requests = [AdviceRequest(f"{number:016x}", 0, 0, ("w1",)) for number in range(5)]
+        self.dispatcher.ask(AskAdvice(requests[0], 60_000.0))
+        self.assertEqual(self.nodes.asked.get(timeout=15), "own")
+        self.dispatcher.ask(AskAdvice(requests[1], 1.0))
+        self.assertEqual(self.events.get(timeout=15), AdviceFailed(requests[1]))
+        for request in requests[2:]:
+            self.dispatcher.ask(AskAdvice(request, 1.0))
+        self.nodes.release_events["own"].set()
+        answered = [self.events.get(timeout=15) for _ in range(4)]
+        self.assertTrue(all(isinstance(event, AdviceAnswered) for event in answered))
+
 
 if __name__ == "__main__":
     unittest.main()
