Let a suspect share its worker once it has run for five seconds

Other work waited beside the worker's room. A suspect crashes its worker at its start if it does; after five seconds others may join it. The test failed before: nothing was placed beside a run of minutes.

--- a/src/snowdock/jobs/suspects.py
+++ b/src/snowdock/jobs/suspects.py
@@ -5,8 +5,8 @@
 suspect does not share a worker with another suspect, and after a second loss it gets a worker of
 its own. A further crash then identifies the faulty task.
 
-If room is short, isolation delays the task by at most `_EXCLUSIVE_WAIT_SECONDS` or
-`_SEPARATE_WAIT_SECONDS`.
+A suspect that keeps running shares its worker again after `_EXCLUSIVE_RUN_SECONDS`. If room is
+short, isolation delays the task by at most `_EXCLUSIVE_WAIT_SECONDS` or `_SEPARATE_WAIT_SECONDS`.
 """
 
 import dataclasses
@@ -20,6 +20,7 @@
 
 __all__ = [
     "IsolationLevel",
+    "end_exclusive_use",
     "limit_suspect_candidates",
     "may_share_worker",
     "next_tasks",
@@ -37,6 +38,10 @@
 _SEPARATE_WAIT_SECONDS = 1.6
 """How long a task waits for an empty worker, and for one without a suspect."""
 
+_EXCLUSIVE_RUN_SECONDS = 5.0
+"""How long a suspect runs before other runs may join it: it has not crashed its worker at its
+start. The limit also holds for runs that last for hours."""
+
 _CRASHED_ADDRESS_SECONDS = 30.0
 _CRASHED_ADDRESS_PENALTY = 10.0
 """For this time an address where a worker crashed is the last choice for suspects: the crashes of a
@@ -106,6 +111,16 @@
         worker.suspects[task.id, task.run] = isolation is IsolationLevel.EXCLUSIVE
 
 
+def end_exclusive_use(cell: Cell, worker: Worker, task: Task, now: float) -> None:
+    """Open a worker to other runs once the suspect that has it to itself has run long enough."""
+    run = (task.id, task.run)
+    if not worker.suspects.get(run) or task.phase is not Phase.RUNNING:
+        return
+    if now - task.phase_since >= _EXCLUSIVE_RUN_SECONDS:
+        worker.suspects[run] = False
+        cell.needs_placement = True
+
+
 def record_crash(cell: Cell, worker: Worker, now: float) -> None:
     """Record the address where a worker crashed, and drop old entries."""
     recent = {at: t for at, t in cell.crashed_at.items() if now - t < _CRASHED_ADDRESS_SECONDS}
--- a/tests/test_jobs_suspects.py
+++ b/tests/test_jobs_suspects.py
@@ -95,6 +95,29 @@
         self.bench.tick(0.2)
         self.assertEqual([start.life for start in self.bench.new_starts()], [empty])
 
+    def test_running_suspect_keeps_its_worker_to_itself(self) -> None:
+        """A suspect shares its worker a few seconds after its start, also in a run of minutes."""
+        long_task = msgspec.structs.replace(SMALL, estimate_ms=300_000)
+        self.bench.submit(long_task)
+        for _ in range(2):
+            self.add_workers(1)
+            self.bench.tick(0.2)
+            self.crash_all(self.bench.new_starts())
+        (empty,) = self.add_workers(1)
+        self.bench.tick(0.2)
+        (suspect,) = self.bench.new_starts()
+        self.bench.confirm(suspect)
+        run = (suspect.order.task, suspect.order.run, 1.0)
+        self.bench.submit(SMALL)
+        for _ in range(8):
+            self.bench.report(empty, running=[run])
+            self.bench.tick(0.5)
+        self.assertEqual(self.bench.new_starts(), [])
+        for _ in range(4):
+            self.bench.report(empty, running=[run])
+            self.bench.tick(0.5)
+        self.assertEqual([start.life for start in self.bench.new_starts()], [empty])
+
     def test_suspects_of_different_jobs(self) -> None:
         """Suspects of different jobs are separated, and the second waits at most two seconds."""
         jobs = self.make_suspects(2)
