Place a long-running task before all other work once it has waited

Callers saw a long-running task that did not run although workers had room for it. Cause: the shipped program ranks long-running steps at 100 plus the priority, below all work that is not late. In each placement pass higher-ranked steps took the room that had just become free; a question about a worker reserved nothing against them, so its room was gone by the answer. Nothing bounded this: the job never ends, and its wait did not raise its rank. The wait now raises it (aging): 1.5 s after a run ended, 5 s for a task that has never run. With the highest rank it takes free room first, asks for advice first, keeps the room it asks about, and no reservation or quota that is kept for others holds it back. The wait is counted from the end of the last confirmed run, so refused starts do not restart it.

--- a/src/snowdock/jobs/job_state.py
+++ b/src/snowdock/jobs/job_state.py
@@ -84,6 +84,8 @@
         Checkpoint from which the next run resumes; empty to start from the beginning.
     phase_since
         Time at which the task entered its phase.
+    idle_since
+        Time at which the last confirmed run ended; 0 before the first one.
     ordered_at
         Time at which the newest run was placed, ordered, or restored from the records of an earlier
         leader, whichever was last.
@@ -108,6 +110,7 @@
     crashed_runs: frozenset[int] = frozenset()
     checkpoint: str = ""
     phase_since: float = 0.0
+    idle_since: float = 0.0
     ordered_at: float = 0.0
     percent: float = 0.0
     measured_percent: float = 0.0
@@ -126,6 +129,10 @@
         """Whether a run of the task exists, or may exist, on a worker."""
         return bool(self.life)
 
+    def waited_seconds(self, now: float) -> float:
+        """Return for how long the task has not run, however often a start of it has failed."""
+        return now - max(self.step.queued_at, self.idle_since)
+
     def is_current_run(self, run: int, life: str) -> bool:
         """Check whether a run on a life of a worker is the task's current run."""
         return self.run == run and self.life == life
@@ -206,13 +213,9 @@
 
     @property
     def waiting_since(self) -> float:
-        """Time since which all waiting tasks have been waiting, in steady-clock seconds.
-
-        For long-running tasks, the time since which the first of them has been waiting.
-        """
-        first_or_last = min if self.spec.long_running else max
+        """Time since which all waiting tasks have been waiting, in steady-clock seconds."""
         waiting_times = (task.phase_since for task in self.tasks if task.phase is Phase.WAITING)
-        return max(self.queued_at, first_or_last(waiting_times, default=0.0))
+        return max(self.queued_at, max(waiting_times, default=0.0))
 
     @property
     def is_held_up(self) -> bool:
--- a/src/snowdock/jobs/placement.py
+++ b/src/snowdock/jobs/placement.py
@@ -42,8 +42,8 @@
 delayed, tickets expire before their starts are sent, and each refused start needs another pass."""
 
 _MAX_BLOCKED_SECONDS = 1.5
-"""Time after which a step that is held up, and that only reservations block, may place one task on
-reserved room, or all tasks if they are long-running."""
+"""Time after which a step that runs nothing, and that only reservations block, may place one task
+on reserved room."""
 
 _CROWDED_STEP_COUNT = 50
 _SEARCH_RETRY_SECONDS = 0.05
@@ -251,7 +251,9 @@
         candidates = limit_suspect_candidates(cell, step, candidates, isolation)
     if candidates or step.spec.gang or not fit:
         return candidates
-    if not step.is_held_up or not _is_blocked_by_reservations(cell, step, fit):
+    if any(task.is_placed for task in step.tasks) or not _is_blocked_by_reservations(
+        cell, step, fit
+    ):
         step.blocked_since = None
         return []
     if step.blocked_since is None:
@@ -259,9 +261,9 @@
     if now - step.blocked_since < _MAX_BLOCKED_SECONDS:
         return []
     reserved = list(find_candidates(cell, step, workers, ignore_reservations=True))
-    if not reserved or step.spec.long_running:
-        # Without reserved workers, their tickets are being renewed.
-        return reserved
+    if not reserved:
+        # The tickets for these workers are being renewed.
+        return []
     best = max(reserved, key=lambda candidate: candidate.score)
     return [dataclasses.replace(best, count=1)]
 
--- a/src/snowdock/jobs/ranking.py
+++ b/src/snowdock/jobs/ranking.py
@@ -1,12 +1,21 @@
-"""Periodic refresh of the ranks of waiting steps, a few at a time."""
+"""Ranks of waiting steps: computed by the policy, raised by aging, and refreshed periodically."""
+
+import math
 
 from .cell import Cell
+from .job_state import Phase, Step, Task
 
-__all__ = ["refresh_ranks"]
+__all__ = ["refresh_ranks", "update_rank"]
 
 _MAX_RANK_AGE_SECONDS = 0.5
 """Age at which a rank is refreshed, as the slack of a step shrinks while it waits."""
 
+_RESTART_AGING_SECONDS = 1.5
+_FIRST_START_AGING_SECONDS = 5.0
+"""Time after which a waiting long-running task has the highest rank, whatever the policy says: one
+that has run before, and one that has not. Otherwise it might not run for as long as higher-ranked
+work keeps arriving."""
+
 _REFRESH_INTERVAL_SECONDS = 0.05
 _MAX_STEPS_PER_REFRESH = 20
 """Minimum time between two refreshes, and the maximum number of steps of one: these bound the
@@ -27,6 +36,19 @@
         if now - step.ranked_at < _MAX_RANK_AGE_SECONDS:
             return
         del cell.waiting_steps[key]
-        step.rank = cell.policy.rank(step, now)
-        step.ranked_at = now
+        update_rank(cell, step, now)
         cell.waiting_steps[key] = step
+
+
+def update_rank(cell: Cell, step: Step, now: float) -> None:
+    """Update the rank of a step from the policy and from the time for which it has waited."""
+    step.ranked_at = now
+    is_aged = step.spec.long_running and any(
+        task.phase is Phase.WAITING and _has_aged(task, now) for task in step.tasks
+    )
+    step.rank = math.inf if is_aged else cell.policy.rank(step, now)
+
+
+def _has_aged(task: Task, now: float) -> bool:
+    aging_s = _RESTART_AGING_SECONDS if task.run else _FIRST_START_AGING_SECONDS
+    return task.waited_seconds(now) >= aging_s
--- a/src/snowdock/jobs/runs.py
+++ b/src/snowdock/jobs/runs.py
@@ -11,6 +11,7 @@
 from .model import JobStatus, TaskId
 from .occupancy import vacate
 from .orders import EndedRun, EndKind, StopOrder
+from .ranking import update_rank
 from .workers import Worker
 
 __all__ = [
@@ -63,8 +64,7 @@
     if step.key not in cell.waiting_steps:
         cell.waiting_steps[step.key] = step
         step.queued_at = cell.now
-        step.rank = cell.policy.rank(step, cell.now)
-        step.ranked_at = cell.now
+        update_rank(cell, step, cell.now)
     step.next_search_at = 0.0
     cell.needs_placement = True
 
@@ -204,6 +204,8 @@
 def _requeue_task(cell: Cell, task: Task, now: float) -> None:
     task.phase = Phase.WAITING
     task.phase_since = now
+    if task.is_confirmed:
+        task.idle_since = now
     task.percent = 0.0
     task.measured_at = 0.0
     task.measured_percent = 0.0
--- a/src/snowdock/jobs/starving.py
+++ b/src/snowdock/jobs/starving.py
@@ -72,13 +72,13 @@
     """Log the steps with long-running tasks that wait beside room, however full the service is."""
     waiting = []
     for step in cell.waiting_steps.values():
-        if step.spec.long_running and not _is_idle(step):
-            task = _longest_waiting_task(step)
-            if task is not None and now - task.phase_since >= _TASK_WAIT_SECONDS:
-                waiting.append((task.phase_since, step, task))
-    waiting.sort(key=lambda entry: entry[0])
+        if step.spec.long_running:
+            task = _longest_waiting_task(step, now)
+            if task is not None and task.waited_seconds(now) >= _TASK_WAIT_SECONDS:
+                waiting.append((step, task))
+    waiting.sort(key=lambda entry: -entry[1].waited_seconds(now))
     logged = 0
-    for _, step, task in waiting:
+    for step, task in waiting:
         if logged >= _MAX_LOGGED:
             break
         workers = services[cell.queue_of(step.job).service]
@@ -87,9 +87,9 @@
             logged += 1
 
 
-def _longest_waiting_task(step: Step) -> Task | None:
+def _longest_waiting_task(step: Step, now: float) -> Task | None:
     tasks = [task for task in step.tasks if task.phase is Phase.WAITING]
-    return min(tasks, key=lambda task: task.phase_since, default=None)
+    return max(tasks, key=lambda task: task.waited_seconds(now), default=None)
 
 
 def _is_idle(step: Step) -> bool:
@@ -135,7 +135,7 @@
         "long_running_task_waits",
         step.job.id,
         task=task.id,
-        waiting_s=now - task.phase_since,
+        waiting_s=task.waited_seconds(now),
         tasks=sum(each.phase is Phase.WAITING for each in step.tasks),
         running=sum(each.is_placed for each in step.tasks),
         losses=len(task.lost_runs),
