Open workers that refused starts as a last resort as well

A worker that refuses a start is left out for a second for all steps. After two seconds a step that is held up now tries such workers too; one that left a start unanswered stays out. The test failed before: the task did not run within the tolerated 3 s.

--- a/src/snowdock/jobs/availability.py
+++ b/src/snowdock/jobs/availability.py
@@ -2,7 +2,7 @@
 
 import enum
 
-from .workers import Worker
+from .workers import QuarantineCause, Worker
 
 __all__ = ["ExclusionReason", "find_exclusion"]
 
@@ -43,7 +43,7 @@
 ) -> ExclusionReason | None:
     """Return why a worker is excluded from all placements, or None if it is eligible.
 
-    With `is_last_resort`, workers that are in quarantine for failures are eligible.
+    With `is_last_resort`, workers in quarantine are eligible unless they left a start unanswered.
     """
     # Called for every worker in each placement pass, so the checks are kept cheap.
     if not worker.is_synced or worker.is_unresponsive:
@@ -51,7 +51,7 @@
     if worker.entry.draining:
         return ExclusionReason.LEAVING
     if worker.quarantined_until > now and not (
-        is_last_resort and worker.is_quarantined_for_failures
+        is_last_resort and worker.quarantine_cause is not QuarantineCause.UNANSWERED
     ):
         return ExclusionReason.QUARANTINED
     if worker.is_exclusive:
--- a/tests/test_jobs_long_running.py
+++ b/tests/test_jobs_long_running.py
@@ -97,6 +97,19 @@
         self.run_for(TOLERATED_WAIT_SECONDS)
         self.assertIn(task, self.running)
 
+    def test_long_running_task_stands_beside_workers_that_refused_others(self) -> None:
+        """Workers that refuse starts of other steps again and again are tried after a while."""
+        job = self.bench.submit(LONG_RUNNING)
+        self.run_for(0.3)
+        task = self.tasks_of(job)[-1]
+        for number in range(6):
+            for worker in self.bench.cell.workers.values():
+                quarantine(self.bench.cell, worker, QuarantineCause.REFUSED, 1.0, self.bench.now)
+            if not number:
+                self.end_run(task)
+            self.run_for(TOLERATED_WAIT_SECONDS / 6)
+        self.assertIn(task, self.running)
+
     def test_gang_loses_its_reserved_room_to_new_long_running_tasks(self) -> None:
         """Long-running tasks that have never run leave a gang the room that it has reserved."""
         self.rank_first(1500)
