Read jobs only after earlier leaders are fenced

Callers could see an accepted job start over: its tasks ran again from run 1, its failed runs and checkpoints were forgotten. Found by reading, not seen in a run of real processes.

Cause: a new leader read the submissions while it fenced the leader before it. A job that was accepted after that read could still be placed and recorded by the earlier leader before the fence. It then had a progress record and no submission (job_record_missing), and the tail delivered the submission afterwards as that of a new job.

Evidence: tests.test_takeover delays the fence until the jobs are read, accepts a job and records its second run.

Why this works: after the fence no earlier leader records progress, and a leader learns of a job only once its submission is on record. So every job with progress has its submission in a read that starts later. Keeping the progress for a submission still to come would need a second way to restore a job, for a case that can't occur now.

Cost: progress is read after the fence anyway, now along with the jobs.

--- a/src/snowdock/entry/takeover.py
+++ b/src/snowdock/entry/takeover.py
@@ -24,7 +24,7 @@
 from .progress_writer import fence_progress
 from .topics import DEFAULT_PARTITION, JOBS_TOPIC, PROGRESS_TOPIC
 
-__all__ = ["classify_records", "start_leader"]
+__all__ = ["classify_records", "fence_and_read", "start_leader"]
 
 _CALL_TIMEOUT_SECONDS = 3.0
 """Timeout of one call to the store; a page of many jobs takes longer than an append."""
@@ -36,10 +36,12 @@
 """Number of partitions read concurrently, since a call to a slow store takes about 0.4 s."""
 
 
-def _fence_and_read(store: StoreClient, parts: int, epoch: int) -> tuple[RecordedJobs, list[int]]:
-    """Fence earlier leaders, and read all job and progress records.
+def fence_and_read(store: StoreClient, parts: int, epoch: int) -> tuple[RecordedJobs, list[int]]:
+    """Fence earlier leaders, then read all job and progress records.
 
-    Jobs are read concurrently with the fencing, since leaders don't write them.
+    The jobs are read after the fence. Otherwise an earlier leader could still record the progress
+    of a job that was accepted after the read, and the job would be started again from the beginning
+    when its submission is read.
 
     Returns
     -------
@@ -48,11 +50,11 @@
     job_offsets : list of int
         For each partition of the jobs topic, the offset from which to follow it.
     """
+    fence_progress(store, epoch, _CALL_TIMEOUT_SECONDS)
     with concurrent.futures.ThreadPoolExecutor(_READ_THREADS) as pool:
         reads = pool.map(
             lambda part: store.newest(JOBS_TOPIC, part, _CALL_TIMEOUT_SECONDS), range(parts)
         )
-        fence_progress(store, epoch, _CALL_TIMEOUT_SECONDS)
         progress_page = store.newest(PROGRESS_TOPIC, DEFAULT_PARTITION, _CALL_TIMEOUT_SECONDS)
         pages = list(reads)
     progress, unreadable = _read_progress(progress_page.records)
@@ -138,7 +140,7 @@
     started_at = steady_seconds()
     while still_leads():
         try:
-            recorded, job_offsets = _fence_and_read(context.store, context.parts, context.epoch)
+            recorded, job_offsets = fence_and_read(context.store, context.parts, context.epoch)
         except ProducerFenced as error:
             context.step_down(str(error))
             return None
--- /dev/null
+++ b/tests/test_takeover.py
@@ -0,0 +1,108 @@
+"""Tests of reading the records of an earlier leader at a takeover."""
+
+import threading
+import unittest
+
+from snowdock.entry.takeover import fence_and_read
+from snowdock.entry.topics import DEFAULT_PARTITION, JOBS_TOPIC, PROGRESS_TOPIC, job_partition
+from snowdock.errors import ProducerFenced
+from snowdock.jobs.events import SendStart
+from snowdock.jobs.model import JobStatus
+from snowdock.jobs.progress import JobProgress, TaskProgress, encode
+from snowdock.platform.store import KeyedRecord, Producer, StoreClient
+from tests.jobs_tools import SMALL, Bench, make_accepted_job
+from tests.standins.platform import StoreStandin
+
+PARTS = 3
+JOB = "0000000100000000"
+EARLIER_EPOCH, EPOCH = 4, 5
+TIMEOUT_SECONDS = 2.0
+FENCE_DELAY_SECONDS = 0.5
+"""How long the fence is delayed for reads of jobs that don't wait for it."""
+
+
+class DelayedFenceStore(StoreClient):
+    """A store client whose fence is delayed until all jobs were read, but not for long.
+
+    Just before the fence, a job is accepted, and the earlier leader records that it was placed.
+    """
+
+    def __init__(self, address: str, earlier_leader: StoreClient) -> None:
+        super().__init__(address, PARTS)
+        self._earlier_leader = earlier_leader
+        self._unread_parts = PARTS
+        self._jobs_were_read = threading.Event()
+        self._lock = threading.Lock()
+
+    def newest(self, topic, part, timeout_s):
+        page = super().newest(topic, part, timeout_s)
+        if topic == JOBS_TOPIC:
+            with self._lock:
+                self._unread_parts -= 1
+                if not self._unread_parts:
+                    self._jobs_were_read.set()
+        return page
+
+    def append(self, topic, part, records, timeout_s, *, producer=None, expected_end=None):
+        if producer is not None:
+            self._jobs_were_read.wait(FENCE_DELAY_SECONDS)
+            submit_and_place(self._earlier_leader)
+        return super().append(
+            topic, part, records, timeout_s, producer=producer, expected_end=expected_end
+        )
+
+
+def submit_and_place(store: StoreClient) -> None:
+    """Accept a job, and record its second run, as an earlier leader does."""
+    record = KeyedRecord(JOB, encode(make_accepted_job(SMALL)))
+    store.append(JOBS_TOPIC, job_partition(JOB, PARTS), [record], TIMEOUT_SECONDS)
+    record_run(store, 2)
+
+
+def record_run(store: StoreClient, run: int) -> None:
+    """Record a run of the job as the earlier leader's batch of that number."""
+    progress = JobProgress(JobStatus.RUNNING, [TaskProgress(0, 0, 0, run, "w", failed_runs=[1])])
+    store.append(
+        PROGRESS_TOPIC,
+        DEFAULT_PARTITION,
+        [KeyedRecord(JOB, encode(progress))],
+        TIMEOUT_SECONDS,
+        producer=Producer("leader", EARLIER_EPOCH, run),
+    )
+
+
+class TestJobAcceptedBeforeTheFence(unittest.TestCase):
+    """A job that is accepted and placed by the earlier leader during a takeover."""
+
+    def setUp(self) -> None:
+        self.store = StoreStandin()
+        self.earlier_leader = StoreClient(self.store.address, PARTS)
+        client = DelayedFenceStore(self.store.address, self.earlier_leader)
+        self.recorded, self.offsets = fence_and_read(client, PARTS, EPOCH)
+
+    def tearDown(self) -> None:
+        self.store.close()
+
+    def test_submission_is_read_with_its_progress(self) -> None:
+        """Every job with recorded progress is read with its submission."""
+        self.assertEqual(self.recorded.progress[JOB].tasks[0].run, 2)
+        self.assertIn(JOB, self.recorded.accepted)
+        self.assertEqual(sum(self.offsets), 1)
+
+    def test_run_is_not_started_again(self) -> None:
+        """The new leader takes the run over, with its number and failures."""
+        bench = Bench(EPOCH)
+        bench.restore(self.recorded)
+        bench.add_worker("other")
+        self.assertEqual([e for e in bench.tick(1.0) if isinstance(e, SendStart)], [])
+        (task,) = bench.cell.jobs[JOB].all_tasks()
+        self.assertEqual((task.run, task.life, task.failed_runs), (2, "w", {1}))
+
+    def test_earlier_leader_is_fenced(self) -> None:
+        """The earlier leader cannot record progress after the takeover."""
+        with self.assertRaises(ProducerFenced):
+            record_run(self.earlier_leader, 3)
+
+
+if __name__ == "__main__":
+    unittest.main()
