Count a read of a tail only once its records are handled

A caller could get 410 for a job that was accepted more than 3 s before, just after the leader's reads had failed for a time. Found by reading, shown by unit tests only.

Cause: the time up to which a tail knows all records was set before the records of the read were handled.

Evidence: two tests of TestReadAt failed before (python -m nose2 -s tests -t . tests.test_tails): the dropped read counted 0.15 s after the last handled record, and a record was handled while its own read counted already.

Why this works: the time now moves only behind the handling, and not for a read whose records are dropped.

--- a/src/snowdock/entry/tails.py
+++ b/src/snowdock/entry/tails.py
@@ -72,7 +72,7 @@
 
     @property
     def read_at(self) -> float:
-        """The steady time up to which all records are known, in seconds.
+        """The steady time up to which all records have been handled, in seconds.
 
         It is the begin of the last answered read. If the read waited without finding new records,
         it is the end of that wait, since the store answers as soon as there is a record.
@@ -124,9 +124,10 @@
         started_at = steady_seconds()
         if self._next_offset is None:
             page = self._store.newest(self._topic, self._partition, _SNAPSHOT_TIMEOUT_SECONDS)
-            self._record_success(started_at)
+            self._record_success()
             self._next_offset = page.next_offset
             self._on_snapshot(page.records)
+            self._read_at = started_at
             return
         # A waiting read would notice the recovery of the store only at its timeout.
         wait_seconds = self._wait_seconds if self._failing_since is None else 0.0
@@ -134,12 +135,14 @@
         is_up_to_date = not page.records and page.next_offset == self._next_offset
         # An answer that came too early does not prove that the store has waited.
         has_waited = steady_seconds() - started_at >= wait_seconds
-        self._record_success(started_at + (wait_seconds if is_up_to_date and has_waited else 0.0))
+        self._record_success()
         if self._next_offset is None:
             return
         self._next_offset = page.next_offset
         for record in page.records:
             self._on_record(record)
+        # Only after the records are handled, since they may be older than this read.
+        self._read_at = started_at + (wait_seconds if is_up_to_date and has_waited else 0.0)
         if page.records and self._pause_seconds:
             self._stopped.wait(self._pause_seconds)
 
@@ -149,8 +152,7 @@
             self._failing_since = steady_seconds()
             log_event("dependency_lost", dependency="store", topic=self._topic, reason=str(error))
 
-    def _record_success(self, read_at: float) -> None:
-        self._read_at = read_at
+    def _record_success(self) -> None:
         if self._failing_since is None:
             return
         seconds = steady_seconds() - self._failing_since
--- a/tests/test_tails.py
+++ b/tests/test_tails.py
@@ -3,8 +3,10 @@
 import threading
 import time
 import unittest
+from unittest import mock
 
 from snowdock.clocks import steady_seconds
+from snowdock.entry import tails
 from snowdock.entry.tails import Tail
 from snowdock.errors import CallUnanswered, LogExpired
 from snowdock.platform.store import KeyedRecord, StorePage
@@ -141,6 +143,46 @@
         """An empty answer proves nothing if the partition ends after the read offset."""
         self.assert_known_until(WaitingStore(self.WAIT_SECONDS + 0.05, end=2), 0.0)
 
+    def test_read_counts_once_its_records_are_handled(self) -> None:
+        """A read does not count while its records, which may be older, are handled."""
+        store = ScriptedStore("a", "b")
+        handled: list[tuple[float, float]] = []
+        tail = Tail(
+            store,
+            "keyed.t",
+            0,
+            1.0,
+            0.0,
+            lambda record: handled.append((tail.read_at, steady_seconds())),
+            lambda records: None,
+        )
+        tail.start(next_offset=1)
+        self.assertTrue(store.finished.wait(10))
+        tail.stop()
+        (_, first_handled_at), (second_read_at, _) = handled
+        self.assertLess(second_read_at, first_handled_at)
+
+    def test_read_after_an_outage_counts_from_the_snapshot(self) -> None:
+        """The first read after a long outage does not count, since a snapshot read replaces it."""
+        store = ScriptedStore("a", CallUnanswered("lost", False), "b")
+        handled_at: list[float] = []
+        snapshot_read_at: list[float] = []
+        tail = Tail(
+            store,
+            "keyed.t",
+            0,
+            1.0,
+            0.0,
+            lambda record: handled_at.append(steady_seconds()),
+            lambda records: snapshot_read_at.append(tail.read_at),
+        )
+        with mock.patch.object(tails, "_SNAPSHOT_AFTER_SECONDS", 0.0):
+            tail.start()
+            self.assertTrue(store.finished.wait(10))
+            tail.stop()
+        self.assertEqual(len(snapshot_read_at), 2)
+        self.assertLess(snapshot_read_at[1], handled_at[0])
+
 
 if __name__ == "__main__":
     unittest.main()
