Judge an unknown job by the reads of its own partition

A caller that asked about an unknown job got 503 as long as the read of any partition was late, for instance while one call to the store hung, though the job can be in one partition only.

Why this works: a job's submission and cancellation are appended to the partition that its identifier names, and 410 needs the same age of that partition's reads as before.

--- a/src/snowdock/entry/leader_handle.py
+++ b/src/snowdock/entry/leader_handle.py
@@ -15,7 +15,7 @@
     WorkerDelisted,
     WorkerListed,
 )
-from ..jobs.model import Configuration
+from ..jobs.model import Configuration, JobId
 from ..jobs.progress import CANCEL_PREFIX, decode_accepted, parse_job_id
 from ..jobs.timeouts import TICK_SECONDS
 from ..logs import log_error
@@ -25,7 +25,7 @@
 from .job_status_table import JobStatusTable
 from .leader import LeaderContext
 from .tails import Tail
-from .topics import DEFAULT_PARTITION, JOBS_TOPIC
+from .topics import DEFAULT_PARTITION, JOBS_TOPIC, job_partition
 
 __all__ = ["LeaderHandle"]
 
@@ -96,14 +96,14 @@
         """The job statuses shown to callers."""
         return self._statuses
 
-    @property
-    def jobs_read_at(self) -> float:
-        """The time up to which all accepted jobs are known, in seconds of the steady clock.
+    def known_until(self, job: JobId) -> float:
+        """Return the time up to which a job's records are known, in seconds of the steady clock.
 
-        Jobs that were read count as known only after the leader has handled their events.
+        Only the job's own partition counts. Records that were read count as known only after the
+        leader has handled their events.
         """
-        read_at = min(tail.read_at for tail in self._job_tails)
-        return min(read_at, self._statuses.processed_until)
+        tail = self._job_tails[job_partition(job, len(self._job_tails))]
+        return min(tail.read_at, self._statuses.processed_until)
 
     def start(self, job_offsets: list[int]) -> None:
         """Start sending events; jobs of each partition are read from the given offset on."""
--- a/src/snowdock/entry/leader_queries.py
+++ b/src/snowdock/entry/leader_queries.py
@@ -17,8 +17,8 @@
 """Share of a relayed record's timeout that the leader may use; the rest is for the round trip."""
 
 _MAX_READ_AGE_SECONDS = 1.6
-"""Maximum age of the last read of new jobs at which a job can be reported as unknown: a read waits
-for one second, and new jobs may stay unknown for three."""
+"""Maximum age of the last read of new jobs at which a job can be reported as unknown. An idle
+leader's is between zero and one second old, and new jobs may stay unknown for three."""
 
 _MAX_RENEWAL_AGE_SECONDS = 1.0
 """A leader whose last renewal is older may have been replaced; three are due in this time."""
@@ -67,7 +67,7 @@
         if handle.statuses.is_unreadable(job):
             return None, False
         is_certain = (
-            started_at - handle.jobs_read_at < _MAX_READ_AGE_SECONDS
+            started_at - handle.known_until(job) < _MAX_READ_AGE_SECONDS
             and self._election.renewed_s < _MAX_RENEWAL_AGE_SECONDS
         )
         return None, is_certain
@@ -79,7 +79,7 @@
             return f"{self._node} does not lead"
         if handle.statuses.is_unreadable(job):
             return f"{self._node} cannot decode the record of job {job}"
-        read_s = steady_seconds() - handle.jobs_read_at
+        read_s = steady_seconds() - handle.known_until(job)
         return (
             f"{self._node} leads and read new jobs {read_s:.1f} s ago, "
             f"renewed {self._election.renewed_s:.1f} s ago"
