Delete a job's progress only after its submission

An ended job could be run again minutes after its end. Found by reading, shown by unit tests only.

Cause: at the end of the retention the submission and the progress are deleted by separate appends. If the store refused the first and took the second, the submission stayed without progress, and the next leader took it for a new job. The submission of a team's job was named only by another effect, which could come in a later round of deletions or never.

Evidence: test_progress_is_kept_with_a_submission_that_is_not_deleted failed before; the two other new tests give DropJobs the submissions' names, which it did not take. Run with: python -m nose2 -s tests -t . tests.test_record_cleaner tests.test_jobs_reducer

Why this works: progress stays unless the deletion of the submission was answered. The next leader restores such a job as ended, and drops it again. DropJobs now names the submissions, and waits for the records like all that rests on them.

--- a/src/snowdock/entry/record_cleaner.py
+++ b/src/snowdock/entry/record_cleaner.py
@@ -11,7 +11,7 @@
 from ..errors import PlatformError
 from ..jobs.events import DropJobs, ForgetAccepted
 from ..jobs.model import JobId
-from ..jobs.progress import cancel_key
+from ..jobs.progress import cancel_key, parse_job_id
 from ..logs import log_event
 from ..platform.store import KeyedRecord, StoreClient
 from ..threads import ServiceThread
@@ -65,23 +65,29 @@
                 if isinstance(effect, DropJobs):
                     dropped_jobs += effect.jobs
                     ended_names.update(effect.jobs)
-                else:
-                    ended_names.update(effect.names)
-            for partition in range(self._partition_count):
-                partition_names = [
-                    name
-                    for name in ended_names
-                    if job_partition(name, self._partition_count) == partition
-                ]
-                self._drop(
-                    JOBS_TOPIC, partition, [*partition_names, *map(cancel_key, partition_names)]
-                )
-            self._drop(PROGRESS_TOPIC, DEFAULT_PARTITION, dropped_jobs)
-
-    def _drop(self, topic: str, partition: int, keys: Iterable[str]) -> None:
+                ended_names.update(effect.names)
+            kept_jobs = self._drop_submissions(ended_names)
+            # A submission without progress would be started again by the next leader.
+            droppable_jobs = [job for job in dropped_jobs if job not in kept_jobs]
+            self._drop(PROGRESS_TOPIC, DEFAULT_PARTITION, droppable_jobs)
+
+    def _drop_submissions(self, names: set[str]) -> set[JobId]:
+        """Delete submissions and cancellations; return the jobs of which some may remain."""
+        kept_jobs = set()
+        for partition in range(self._partition_count):
+            partition_names = [
+                name for name in names if job_partition(name, self._partition_count) == partition
+            ]
+            keys = [*partition_names, *map(cancel_key, partition_names)]
+            if not self._drop(JOBS_TOPIC, partition, keys):
+                kept_jobs.update(map(parse_job_id, partition_names))
+        return kept_jobs
+
+    def _drop(self, topic: str, partition: int, keys: Iterable[str]) -> bool:
+        """Delete records; return whether it is certain that they are deleted."""
         records = [KeyedRecord(key, None) for key in keys]
         if not records:
-            return
+            return True
         try:
             self._store.append(topic, partition, records, _APPEND_TIMEOUT_SECONDS)
         except PlatformError as error:
@@ -92,3 +98,5 @@
                 count=len(records),
                 reason=str(error),
             )
+            return False
+        return True
--- a/src/snowdock/jobs/events.py
+++ b/src/snowdock/jobs/events.py
@@ -253,9 +253,13 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class DropJobs:
-    """Delete the records of jobs whose retention time has ended."""
+    """Delete the records of jobs whose retention time has ended.
+
+    ``names`` holds the jobs' `record_name`, if known.
+    """
 
     jobs: tuple[JobId, ...]
+    names: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/snowdock/jobs/reducer.py
+++ b/src/snowdock/jobs/reducer.py
@@ -202,13 +202,12 @@
         if now - final_at < cell.settings.retention_s:
             break
         expired.append(job)
-    record_names = []
+    names = []
     for job_id in expired:
         del cell.job_ended_at[job_id]
         job = cell.jobs.pop(job_id, None)
         name = job_id if job is None else job.record_name
-        record_names.append(name)
+        names.append(name)
         cell.early_cancellations.discard(name)
     if expired:
-        cell.emit(DropJobs(tuple(expired)))
-        cell.deferred.append(ForgetAccepted(tuple(record_names)))
+        cell.deferred.append(DropJobs(tuple(expired), tuple(names)))
--- a/tests/test_jobs_reducer.py
+++ b/tests/test_jobs_reducer.py
@@ -10,6 +10,7 @@
     AdviceAnswered,
     AdviceFailed,
     AskAdvice,
+    DropJobs,
     ForgetAccepted,
     JobAccepted,
     JobCancelled,
@@ -30,7 +31,7 @@
 from snowdock.jobs.orders import AdviceResult, EndKind, Refusal, StartResult
 from snowdock.jobs.progress import JobProgress, TaskProgress, decode_progress
 from snowdock.jobs.takeover import RecordedJobs
-from tests.jobs_tools import DONE, FAILED, SMALL, Bench, filter_by_type, make_accepted_job
+from tests.jobs_tools import DONE, FAILED, SETTINGS, SMALL, Bench, filter_by_type, make_accepted_job
 
 
 class TestDurability(unittest.TestCase):
@@ -627,6 +628,13 @@
         found = self.end_run(EndKind.STOPPED) + self.bench.tick(0.1)
         self.assertEqual(self.forgotten_names(found), [(self.job,)])
 
+    def test_end_of_the_retention_drops_all_records_together(self) -> None:
+        """After its retention time a job is dropped with the name of its submission record."""
+        self.end_run(DONE)
+        self.bench.cell.job_ended_at[self.job] -= SETTINGS.retention_s
+        found = self.bench.tick(0.1)
+        self.assertEqual(filter_by_type(found, DropJobs), [DropJobs((self.job,), (self.job,))])
+
 
 class TestCancelling(unittest.TestCase):
     def test_cancellation_may_precede_its_job(self) -> None:
--- a/tests/test_record_cleaner.py
+++ b/tests/test_record_cleaner.py
@@ -6,8 +6,9 @@
 from snowdock.entry import record_cleaner
 from snowdock.entry.record_cleaner import RecordCleaner
 from snowdock.entry.topics import JOBS_TOPIC, PROGRESS_TOPIC, job_partition
+from snowdock.errors import StoreRefused
 from snowdock.jobs.events import DropJobs, ForgetAccepted
-from snowdock.jobs.progress import cancel_key
+from snowdock.jobs.progress import cancel_key, record_name
 from snowdock.platform.store import KeyedRecord, StoreClient
 from tests.standins.entry_cluster import wait_until
 from tests.standins.platform import StoreStandin
@@ -53,6 +54,31 @@
         self.assertTrue(wait_until(lambda: DROPPED not in self.keys(JOBS_TOPIC)))
         self.assertIn(ENDED, self.keys(JOBS_TOPIC))
 
+    def test_progress_is_kept_with_a_submission_that_is_not_deleted(self) -> None:
+        """If a dropped job's submission may remain, so does its progress."""
+        append = self.store.append
+
+        def refuse_jobs(topic, *arguments, **options) -> int:
+            if topic == JOBS_TOPIC:
+                raise StoreRefused("refused")
+            return append(topic, *arguments, **options)
+
+        with mock.patch.object(self.store, "append", refuse_jobs):
+            self.cleaner.clean(DropJobs((DROPPED,)))
+            self.assertTrue(wait_until(self.cleaner._pending.empty))
+            self.assertFalse(wait_until(lambda: DROPPED not in self.keys(PROGRESS_TOPIC), 0.5))
+        self.assertIn(DROPPED, self.keys(JOBS_TOPIC))
+
+    def test_dropped_job_of_a_team(self) -> None:
+        """A dropped job's submission is deleted by its team's name for it."""
+        name = record_name(DROPPED, "ana")
+        self.store.append(
+            JOBS_TOPIC, job_partition(DROPPED, PARTITIONS), [KeyedRecord(name, b"x")], 5.0
+        )
+        self.cleaner.clean(DropJobs((DROPPED,), (name,)))
+        self.assertTrue(wait_until(lambda: DROPPED not in self.keys(PROGRESS_TOPIC)))
+        self.assertNotIn(name, self.keys(JOBS_TOPIC))
+
 
 if __name__ == "__main__":
     unittest.main()
