--- a/tests/test_tails.py
+++ b/tests/test_tails.py
@@ -2,7 +2,10 @@
 
 import threading
 import unittest
+from unittest import mock
 
+from snowdock.clocks import steady_seconds
+from snowdock.entry import tails
 from snowdock.entry.tails import Tail
 from snowdock.errors import CallUnanswered, LogExpired
 from snowdock.platform.store import KeyedRecord, StorePage
@@ -86,5 +89,105 @@
         tail.stop()
 
 
+class WaitingStore:
+    """A store without new records that answers one read after a time, with an end of its own.
+
+    ``now`` is the clock; only the wait of that read advances it.
+    """
+
+    def __init__(self, answer_after_s: float, end: int = 1) -> None:
+        self.now = 100.0
+        self.next_read_began = threading.Event()
+        self.is_closed = threading.Event()
+        self._answer_after_s = answer_after_s
+        self._end = end
+        self._reads = 0
+
+    def read(self, topic: str, part: int, offset: int, wait_seconds: float) -> StorePage:
+        self._reads += 1
+        if self._reads > 1:
+            self.next_read_began.set()
+            self.is_closed.wait()
+        self.now += self._answer_after_s
+        return StorePage([], self._end)
+
+
+class TestReadAt(unittest.TestCase):
+    """The time up to which a tail knows all records, after a read without new records."""
+
+    WAIT_SECONDS = 0.3
+
+    def assert_known_until(self, store: WaitingStore, seconds: float) -> None:
+        """Check that after one read the records are known up to a time after its begin."""
+        began_at = store.now
+        clock = mock.patch.object(tails, "steady_seconds", lambda: store.now)
+        clock.start()
+        self.addCleanup(clock.stop)
+        tail = Tail(
+            store, "keyed.t", 0, self.WAIT_SECONDS, 0.0, lambda record: None, lambda records: None
+        )
+        tail.start(next_offset=1)
+        self.addCleanup(store.is_closed.set)
+        self.addCleanup(tail.stop)
+        self.assertTrue(store.next_read_began.wait(10))
+        self.assertAlmostEqual(tail.read_at - began_at, seconds)
+
+    def test_end_of_the_wait_counts(self) -> None:
+        """A read that waited without new records proves that there were none until then."""
+        self.assert_known_until(WaitingStore(self.WAIT_SECONDS + 0.05), self.WAIT_SECONDS)
+
+    def test_time_after_the_wait_does_not_count(self) -> None:
+        """A record may be appended while the answer is on its way."""
+        self.assert_known_until(WaitingStore(self.WAIT_SECONDS + 0.5), self.WAIT_SECONDS)
+
+    def test_early_answer_proves_nothing_beyond_its_begin(self) -> None:
+        """An empty answer before the end of the wait counts from the begin of the read."""
+        self.assert_known_until(WaitingStore(0.05), 0.0)
+
+    def test_empty_answer_with_a_later_end_counts_from_its_begin(self) -> None:
+        """An empty answer proves nothing if the partition ends after the read offset."""
+        self.assert_known_until(WaitingStore(self.WAIT_SECONDS + 0.05, end=2), 0.0)
+
+    def test_read_counts_once_its_records_are_handled(self) -> None:
+        """A read does not count while its records, which may be older, are handled."""
+        store = ScriptedStore("a", "b")
+        handled: list[tuple[float, float]] = []
+        tail = Tail(
+            store,
+            "keyed.t",
+            0,
+            1.0,
+            0.0,
+            lambda record: handled.append((tail.read_at, steady_seconds())),
+            lambda records: None,
+        )
+        tail.start(next_offset=1)
+        self.assertTrue(store.finished.wait(10))
+        tail.stop()
+        (_, first_handled_at), (second_read_at, _) = handled
+        self.assertLess(second_read_at, first_handled_at)
+
+    def test_read_after_an_outage_counts_from_the_snapshot(self) -> None:
+        """The first read after a long outage does not count, since a snapshot read replaces it."""
+        store = ScriptedStore("a", CallUnanswered("lost", False), "b")
+        handled_at: list[float] = []
+        snapshot_read_at: list[float] = []
+        tail = Tail(
+            store,
+            "keyed.t",
+            0,
+            1.0,
+            0.0,
+            lambda record: handled_at.append(steady_seconds()),
+            lambda records: snapshot_read_at.append(tail.read_at),
+        )
+        with mock.patch.object(tails, "_SNAPSHOT_AFTER_SECONDS", 0.0):
+            tail.start()
+            self.assertTrue(store.finished.wait(10))
+            tail.stop()
+        self.assertEqual(len(snapshot_read_at), 2)
+        self.assertLess(snapshot_read_at[1], handled_at[0])
+
+
 if __name__ == "__main__":
     unittest.main()
