Fail a request that a peer's full queue does not take at once

A request to a peer whose queue is full was dropped, and its caller waited for the whole timeout. It is not sent either, so it now fails like one without a connection (found in review).

--- a/src/snowdock/node/peers.py
+++ b/src/snowdock/node/peers.py
@@ -21,7 +21,7 @@
 
 __all__ = ["PeerMessages", "PeerOptions", "Peers"]
 
-_MAX_QUEUED_MESSAGES = 1000
+MAX_QUEUED_MESSAGES = 1000
 _MAX_MESSAGE_BYTES = 64 * 1024 * 1024
 _MAX_ANSWER_THREADS = 160
 """Maximum number of threads that process requests of peers. With a slow store, each may be blocked
@@ -237,7 +237,7 @@
         socket.reconnect_ivl = _MIN_RECONNECT_MS
         socket.reconnect_ivl_max = _MAX_RECONNECT_MS
         socket.linger = 0
-        socket.sndhwm = socket.rcvhwm = _MAX_QUEUED_MESSAGES
+        socket.sndhwm = socket.rcvhwm = MAX_QUEUED_MESSAGES
         socket.maxmsgsize = _MAX_MESSAGE_BYTES
         return socket
 
@@ -359,27 +359,30 @@
             self._links.connect(item.address, item.address, steady_seconds())
         elif isinstance(item, _Reply):
             self._try_send(self._listener, [item.identity, item.data])
-        elif item.node in self._links:
-            self._try_send(self._links.socket(item.node), [item.data])
-        else:
+        elif item.node not in self._links:
             log_event("peer_unknown", peer=item.node)
             self._fail_request(item)
+        elif not self._try_send(self._links.socket(item.node), [item.data]):
+            self._fail_request(item)
 
     def _fail_request(self, item: _PeerSend) -> None:
         """Fail a request that cannot be sent, so that its thread does not wait for the timeout."""
         with self._pending_lock:
             future = self._pending_requests.pop(item.request, None)
         if future is not None:
-            error = CallUnanswered(f"there is no connection to peer {item.node}", unsent=True)
+            error = CallUnanswered(f"there is no open connection to peer {item.node}", unsent=True)
             future.set_exception((CallUnanswered, error, None))
 
     @staticmethod
-    def _try_send(socket: zmq.Socket, frames: list[bytes]) -> None:
+    def _try_send(socket: zmq.Socket, frames: list[bytes]) -> bool:
+        """Send a message; return whether it was sent or queued."""
         try:
             socket.send_multipart(frames, zmq.NOBLOCK)
         except zmq.ZMQError as error:
-            # The queue is full or the peer is gone; a request runs into its timeout.
+            # The queue is full or the peer is gone.
             log_error("peer_send_failed", error)
+            return False
+        return True
 
     def _handle_message(self, sender: bytes, message: object) -> None:
         if isinstance(message, self._messages.heartbeat):
--- a/tests/test_silent_links.py
+++ b/tests/test_silent_links.py
@@ -8,7 +8,7 @@
 from snowdock.errors import CallUnanswered, PlatformError
 from snowdock.jobs.model import JobStatus, TaskId
 from snowdock.jobs.orders import AdviceRequest, RenewOrder, StartOrder
-from snowdock.node.peers import PeerOptions, Peers
+from snowdock.node.peers import MAX_QUEUED_MESSAGES, PeerOptions, Peers
 from snowdock.platform.advice import AdviceClient
 from snowdock.platform.call_loop import CallLoop
 from snowdock.platform.http_channel import HttpChannel
@@ -95,6 +95,16 @@
             client.ask("unknown", lambda number: StatusRequest(number, JOB), 5.0)
         self.assertTrue(caught.exception.unsent)
 
+    def test_request_behind_a_full_queue_waits_for_its_timeout(self) -> None:
+        """A request that a full queue does not take fails at once, as one that was not sent."""
+        client, _ = self.start_peers()
+        client.set_addresses({"away": f"127.0.0.1:{free_port('127.0.0.1')}"})
+        for _ in range(2 * MAX_QUEUED_MESSAGES):
+            client.tell("away", StatusRequest(0, JOB))
+        with self.assertRaises(CallUnanswered) as caught:
+            client.ask("away", lambda number: StatusRequest(number, JOB), 5.0)
+        self.assertTrue(caught.exception.unsent)
+
     def test_silent_link_is_found_by_heartbeats(self) -> None:
         """A silent connection without ZMQ heartbeats is found by the peer's heartbeats."""
         server, address = self.start_peers(
