Connect a new leader to its peers before its leader starts

A node that was elected opened its links on the thread that starts leaders. While that thread was still busy with the start of an earlier term (calls to a slow store take up to 3 s each), it sent no heartbeats, and lookups sent to it had no link for the reply (found in review). The links now follow the election at once.

--- a/src/snowdock/entry/daemon.py
+++ b/src/snowdock/entry/daemon.py
@@ -93,7 +93,7 @@
             identity,
             claim_delay_seconds(environment),
             lambda: self._configuration_watcher.is_store_stable,
-            lambda epoch: self._leadership.begin(epoch),
+            self._handle_election,
             lambda reason: self._handle_deposition(reason),
             lambda _: self._links.update(),
         )
@@ -116,7 +116,6 @@
             self._election,
             lambda: self._configuration_watcher.current,
             self._make_leader_context,
-            self._links.update,
             self._metrics,
         )
         queries = LeaderQueries(environment.node, self._election, self._leadership, self._peers)
@@ -227,6 +226,11 @@
             metrics=self._metrics,
         )
 
+    def _handle_election(self, epoch: int) -> None:
+        # The peers wait for this node's heartbeats, however long its leader takes to start.
+        self._links.update()
+        self._leadership.begin(epoch)
+
     def _handle_deposition(self, reason: str) -> None:
         self._leadership.depose(reason)
         # The peers now connect to another leader; links to them would be reopened repeatedly.
--- a/src/snowdock/entry/leadership.py
+++ b/src/snowdock/entry/leadership.py
@@ -31,8 +31,6 @@
         Returns the configuration in force, or None before the first.
     make_context
         Returns the context of the leader of an epoch.
-    connect_peers
-        Connects to all peers in the peer directory.
     metrics
         Counts elections and depositions.
     """
@@ -42,13 +40,11 @@
         election: Election,
         configuration: Callable[[], Configuration | None],
         make_context: Callable[[int], LeaderContext],
-        connect_peers: Callable[[], None],
         metrics: Metrics,
     ) -> None:
         self._election = election
         self._configuration = configuration
         self._make_context = make_context
-        self._connect_peers = connect_peers
         self._metrics = metrics
         self._handle: LeaderHandle | None = None
         self._lock = threading.Lock()
@@ -105,8 +101,6 @@
                 self._election.step_down(f"the leader could not start: {error}")
 
     def _start_leader(self, epoch: int) -> None:
-        # Connect at once to the peers whose heartbeats came before the election.
-        self._connect_peers()
         while self._configuration() is None and self.leads_in(epoch):
             time.sleep(_CONFIGURATION_POLL_SECONDS)
         handle = start_leader(self._make_context(epoch), lambda: self.leads_in(epoch))
--- a/tests/test_leader_links.py
+++ b/tests/test_leader_links.py
@@ -2,7 +2,9 @@
 
 import types
 import unittest
+from unittest import mock
 
+from snowdock.entry.daemon import EntryNode
 from snowdock.entry.leader_links import LeaderLinks
 from snowdock.entry.leader_record import LeaderRecord
 
@@ -42,5 +44,38 @@
         self.assertEqual(self.connected, [{}])
 
 
+class TestLeadershipChanges(unittest.TestCase):
+    """The order in which a node's threads handle the beginning and the end of its leadership."""
+
+    def setUp(self) -> None:
+        self.node = EntryNode.__new__(EntryNode)
+        self.node._election = mock.Mock(own_epoch=0, leader=None)
+        self.node._leadership = mock.Mock()
+        self.set_addresses = mock.Mock()
+        directory = mock.Mock(addresses=lambda: dict(PEERS))
+        self.node._links = LeaderLinks("node-1", self.node._election, directory, self.set_addresses)
+
+    def test_successor_is_known_before_the_leader_has_stopped(self) -> None:
+        """The node stays connected to a successor that it learns of while its leader stops."""
+
+        def follow_successor(_: str) -> None:
+            self.node._election.leader = LeaderRecord("node-2", "1", PEERS["node-2"], 9)
+            self.node._links.update()
+
+        self.node._leadership.depose.side_effect = follow_successor
+        self.node._handle_deposition("a worker has seen a higher token")
+        self.assertEqual(self.set_addresses.call_args.args[0], {"node-2": PEERS["node-2"]})
+
+    def test_new_leader_is_connected_before_its_leader_starts(self) -> None:
+        """A leader whose start takes long sends heartbeats meanwhile."""
+        self.node._election.own_epoch = 5
+        connected = []
+        self.node._leadership.begin.side_effect = lambda epoch: connected.extend(
+            call.args[0] for call in self.set_addresses.call_args_list
+        )
+        self.node._handle_election(5)
+        self.assertEqual(connected, [PEERS])
+
+
 if __name__ == "__main__":
     unittest.main()
