Date a new leader's knowledge of jobs by their read, not by its start

A caller could get 410 for an accepted job just after a slow takeover. Found by reading, shown by a unit test only; no soak of real processes showed it.

Cause: the tails of new jobs counted as up to date when they were started, though the jobs had been read before the progress, which takes seconds on a slow store. A job accepted in between is unknown until the first read of its tail is answered; until then, and for up to 1.6 s, it was reported as nonexistent.

Evidence: TestLookupAfterASlowTakeover failed before: with progress that took 2 s to read, an unknown job was certain (python -m nose2 -s tests -t . tests.test_takeover).

Why this works: the tails now start with the time before the takeover's reads, so an unknown job is uncertain after a slow takeover until the tail of its partition has read on.

--- a/src/snowdock/entry/leader_handle.py
+++ b/src/snowdock/entry/leader_handle.py
@@ -105,11 +105,19 @@
         tail = self._job_tails[job_partition(job, len(self._job_tails))]
         return min(tail.read_at, self._statuses.processed_until)
 
-    def start(self, job_offsets: list[int]) -> None:
-        """Start sending events; jobs of each partition are read from the given offset on."""
+    def start(self, job_offsets: list[int], jobs_read_at: float) -> None:
+        """Start sending events.
+
+        Parameters
+        ----------
+        job_offsets
+            For each partition of the jobs topic, the offset from which to read jobs.
+        jobs_read_at
+            When the jobs before these offsets were read, in seconds of the steady clock.
+        """
         self._worker_tail.start()
         for tail, offset in zip(self._job_tails, job_offsets, strict=True):
-            tail.start(offset)
+            tail.start(offset, jobs_read_at)
         ServiceThread(self._tick, "leader-ticks", self._stopped.is_set).start()
 
     def configure(self, configuration: Configuration) -> None:
--- a/src/snowdock/entry/tails.py
+++ b/src/snowdock/entry/tails.py
@@ -95,10 +95,19 @@
         """Whether reads succeed, and have done so for a while."""
         return not self.failing_seconds and self.seconds_since_failure > _STABLE_AFTER_SECONDS
 
-    def start(self, next_offset: int | None = None) -> None:
-        """Start following from an offset, or by reading the newest records of all keys."""
+    def start(self, next_offset: int | None = None, read_at: float | None = None) -> None:
+        """Start following.
+
+        Parameters
+        ----------
+        next_offset
+            The offset to follow from; None to read the newest records of all keys first.
+        read_at
+            The steady time up to which the records before that offset are known, in seconds; None
+            for now.
+        """
         self._next_offset = next_offset
-        self._read_at = steady_seconds()
+        self._read_at = steady_seconds() if read_at is None else read_at
         self._thread.start()
 
     def stop(self) -> None:
--- a/src/snowdock/entry/takeover.py
+++ b/src/snowdock/entry/takeover.py
@@ -139,6 +139,7 @@
     """
     started_at = steady_seconds()
     while still_leads():
+        read_at = steady_seconds()
         try:
             recorded, job_offsets = fence_and_read(context.store, context.parts, context.epoch)
         except ProducerFenced as error:
@@ -151,7 +152,7 @@
         statuses = JobStatusTable()
         actor = Leader.start(context, statuses, recorded)
         handle = LeaderHandle(context, actor, statuses)
-        handle.start(job_offsets)
+        handle.start(job_offsets, read_at)
         log_event(
             "leading",
             epoch=context.epoch,
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -1,16 +1,23 @@
 """Tests of reading the records of an earlier leader at a takeover."""
 
 import threading
+import time
+import types
 import unittest
+from unittest import mock
 
-from snowdock.entry.takeover import fence_and_read
+from snowdock.clocks import steady_seconds
+from snowdock.entry.leader import LeaderContext
+from snowdock.entry.leader_queries import LeaderQueries
+from snowdock.entry.takeover import fence_and_read, start_leader
 from snowdock.entry.topics import DEFAULT_PARTITION, JOBS_TOPIC, PROGRESS_TOPIC, job_partition
-from snowdock.errors import ProducerFenced
+from snowdock.errors import CallUnanswered, ProducerFenced
 from snowdock.jobs.events import SendStart
-from snowdock.jobs.model import JobStatus
+from snowdock.jobs.model import Configuration, JobStatus
 from snowdock.jobs.progress import JobProgress, TaskProgress, encode
+from snowdock.node.metrics import Metrics
 from snowdock.platform.store import KeyedRecord, Producer, StoreClient
-from tests.jobs_tools import SMALL, Bench, make_accepted_job
+from tests.jobs_tools import SETTINGS, SMALL, Bench, make_accepted_job
 from tests.standins.platform import StoreStandin
 
 PARTS = 3
@@ -21,6 +28,10 @@
 """How long the fence is delayed for reads of jobs that don't wait for it."""
 
 
+PROGRESS_SECONDS = 2.0
+"""Longer than an unknown job may be reported as nonexistent after a read of the jobs."""
+
+
 class DelayedFenceStore(StoreClient):
     """A store client whose fence is delayed until all jobs were read, but not for long.
 
@@ -104,5 +115,55 @@
             record_run(self.earlier_leader, 3)
 
 
+class SlowProgressStore(StoreClient):
+    """A store client that is slow to read the progress, and whose reads of new jobs hang."""
+
+    def __init__(self, address: str) -> None:
+        super().__init__(address, PARTS)
+        self.is_closed = threading.Event()
+
+    def newest(self, topic, part, timeout_s):
+        page = super().newest(topic, part, timeout_s)
+        if topic == PROGRESS_TOPIC:
+            time.sleep(PROGRESS_SECONDS)
+        return page
+
+    def read(self, topic, part, offset, wait_seconds):
+        self.is_closed.wait()
+        raise CallUnanswered("closed", False)
+
+
+class TestLookupAfterASlowTakeover(unittest.TestCase):
+    def test_unknown_job_is_uncertain_until_new_jobs_are_read(self) -> None:
+        """A job accepted while the progress was read is not reported as nonexistent."""
+        standin = StoreStandin()
+        self.addCleanup(standin.close)
+        store = SlowProgressStore(standin.address)
+        self.addCleanup(store.is_closed.set)
+        handle = start_leader(make_context(store), lambda: True)
+        self.addCleanup(handle.stop)
+        election = types.SimpleNamespace(renewed_s=0.1)
+        leadership = types.SimpleNamespace(handle=handle)
+        queries = LeaderQueries("node", election, leadership, None)
+        self.assertEqual(queries.local_status(JOB), (None, False))
+
+
+def make_context(store: StoreClient) -> LeaderContext:
+    """Return the context of a leader without workers and without advice."""
+    return LeaderContext(
+        store=store,
+        parts=PARTS,
+        claimed_at=steady_seconds(),
+        epoch=EPOCH,
+        settings=SETTINGS,
+        make_advice_dispatcher=lambda post: mock.Mock(),
+        count_advice_nodes=lambda: 1,
+        configuration=lambda: Configuration(1),
+        may_send_orders=lambda: False,
+        step_down=lambda reason: None,
+        metrics=Metrics(),
+    )
+
+
 if __name__ == "__main__":
     unittest.main()
