Drop expired jobs at once, not behind a batch of progress

A job handed in again under the identifier of one whose retention had just ended could become unknown to the leader: 503 or 410 for an accepted job.

Evidence: test_job_submitted_again_after_its_retention_is_not_dropped failed before: python -m nose2 -s tests -t . tests.test_jobs_reducer

--- a/src/snowdock/jobs/reducer.py
+++ b/src/snowdock/jobs/reducer.py
@@ -210,4 +210,5 @@
         names.append(name)
         cell.early_cancellations.discard(name)
     if expired:
-        cell.deferred.append(DropJobs(tuple(expired), tuple(names)))
+        # Deferred, it could drop a job that is submitted again under the same identifier.
+        cell.emit(DropJobs(tuple(expired), tuple(names)))
--- a/tests/test_jobs_reducer.py
+++ b/tests/test_jobs_reducer.py
@@ -635,6 +635,20 @@
         found = self.bench.tick(0.1)
         self.assertEqual(filter_by_type(found, DropJobs), [DropJobs((self.job,), (self.job,))])
 
+    def test_job_submitted_again_after_its_retention_is_not_dropped(self) -> None:
+        """A job is dropped at once, so that its identifier may be used again."""
+        self.end_run(DONE)
+        self.bench.is_store_paused = True
+        self.bench.submit()
+        self.bench.tick(0.5)
+        self.assertIsNotNone(self.bench.cell.batch_deferred)
+        self.bench.cell.job_ended_at[self.job] -= SETTINGS.retention_s
+        self.assertEqual(len(filter_by_type(self.bench.tick(0.1), DropJobs)), 1)
+        self.bench.feed(JobAccepted(self.job, make_accepted_job()))
+        self.bench.is_store_paused = False
+        found = self.bench.feed(Persisted(self.bench.cell.batch_number)) + self.bench.tick(0.2)
+        self.assertEqual(filter_by_type(found, DropJobs), [])
+
 
 class TestCancelling(unittest.TestCase):
     def test_cancellation_may_precede_its_job(self) -> None:
