--- a/src/snowdock/entry/leader_handle.py
+++ b/src/snowdock/entry/leader_handle.py
@@ -97,10 +97,10 @@
         return self._statuses
 
     def known_until(self, job: JobId) -> float:
-        """Return the time up to which a job's records are known, in seconds of the steady clock.
+        """Return the time up to which a job would be known, in seconds of the steady clock.
 
-        Only the job's own partition counts. Records that were read count as known only after the
-        leader has handled their events.
+        Only the job's own partition counts. Records that were read count only after the leader has
+        handled their events.
         """
         tail = self._job_tails[job_partition(job, len(self._job_tails))]
         return min(tail.read_at, self._statuses.processed_until)
--- a/src/snowdock/entry/tails.py
+++ b/src/snowdock/entry/tails.py
@@ -74,8 +74,9 @@
     def read_at(self) -> float:
         """The steady time up to which all records have been handled, in seconds.
 
-        It is the begin of the last answered read. If the read waited without finding new records,
-        it is the end of that wait, since the store answers as soon as there is a record.
+        It is the start of the last read whose records were handled. If that read waited without
+        finding new records, it is the end of its wait, since the store answers as soon as there is
+        a record.
         """
         return self._read_at
 
