Keep the link to the leader when an earlier election is acted on late

Callers of one node could get 503 for every lookup ("the leader does not answer", peer_unknown in its log), each after 2 s, while a leader led undisturbed. Found by reading, shown by a unit test only.

Cause: an elected node connects to all peers that it has heard of, on the thread that starts leaders, one after the other. After a slow takeover that thread acted on a later election of the node although it was deposed again, and replaced the link to the new leader by links to the peers known by heartbeats. A leader not heard of yet, as after a restart of all nodes, was not among them, and nothing restored its link before the next change of leader. A heartbeat of a new peer that came during a deposition had the same effect.

Evidence: test_late_start_of_a_deposed_leader_keeps_the_link_to_the_next failed before: the link to the leader was closed. Run with: python -m nose2 -s tests -t . tests.test_peer_connections

Why this works: what a node connects to now depends only on the state of the election at the call, under a lock, so the last of several calls sets what the newest state needs.

--- a/src/snowdock/entry/daemon.py
+++ b/src/snowdock/entry/daemon.py
@@ -26,7 +26,7 @@
 from .election import Election
 from .leader import LeaderContext
 from .leader_queries import LeaderQueries
-from .leader_record import LeaderRecord, NodeIdentity
+from .leader_record import NodeIdentity
 from .leader_settings import cell_settings, claim_delay_seconds
 from .leadership import Leadership
 from .listener import apply_limits, create_listener
@@ -81,6 +81,7 @@
         self._stopping = threading.Event()
         self._lost_thread = ""
         self._peer_directory = PeerDirectory()
+        self._connect_lock = threading.Lock()
         self._store = StoreClient(environment.store.address, _STORE_CONNECTIONS, environment.node)
         self._advice_client = LocalAdviceClient(environment.advice_address)
         identity = NodeIdentity(environment.node, secrets.token_hex(4), environment.peer_address)
@@ -94,7 +95,7 @@
             lambda: self._configuration_watcher.is_store_stable,
             lambda epoch: self._leadership.begin(epoch),
             lambda reason: self._handle_deposition(reason),
-            self._connect_to_leader,
+            lambda leader: self._connect_peers(),
         )
         self._peers = Peers(
             PeerOptions(
@@ -226,11 +227,7 @@
     def _handle_deposition(self, reason: str) -> None:
         self._leadership.depose(reason)
         # The peers now connect to another leader; links to them would be reopened repeatedly.
-        self._peers.set_addresses({})
-
-    def _connect_to_leader(self, leader: LeaderRecord) -> None:
-        if leader.node != self._identity.node:
-            self._peers.set_addresses({leader.node: leader.address})
+        self._connect_peers()
 
     def _make_heartbeat(self, due_s: float, heard_s: float | None) -> Heartbeat:
         heartbeat = self._election.make_heartbeat(due_s, heard_s)
@@ -256,8 +253,20 @@
         )
 
     def _connect_peers(self) -> None:
-        """Connect to all known peers; only a leader sends them requests."""
-        self._peers.set_addresses(self._peer_directory.addresses())
+        """Connect a leader to all known peers, and any other node only to the leader.
+
+        Several threads call this in any order, and the last call uses the newest election state.
+        """
+        with self._connect_lock:
+            self._peers.set_addresses(self._needed_addresses())
+
+    def _needed_addresses(self) -> dict[str, str]:
+        if self._election.own_epoch:
+            return self._peer_directory.addresses()
+        leader = self._election.leader
+        if leader is None or leader.node == self._identity.node:
+            return {}
+        return {leader.node: leader.address}
 
     # -- shutdown --------------------------------------------------------------------------
 
