--- a/tests/test_leader_links.py
+++ b/tests/test_leader_links.py
@@ -36,6 +36,12 @@
             self.links.update()
         self.assertEqual(self.connected[-1], {"node-2": PEERS["node-2"]})
 
+    def test_late_start_of_a_deposed_leader_closes_link_to_the_next(self) -> None:
+        """A node that no longer leads stays connected to the leader, though not heard of yet."""
+        self.lead("node-4", 9)
+        self.links.update()
+        self.assertEqual(list(self.connected[-1]), ["node-4"])
+
     def test_deposed_leader_without_a_successor_has_no_links(self) -> None:
         """Until another leader is known, all links are closed."""
         self.lead("node-1", 4)
