Draw long-running tasks in the emulator, and check that none waits beside room

Such a run ends when it is stopped or lost, or fails at a drawn time; its failures use up no attempts, as in jobs.runs. The job is cancelled after a drawn time and earns the share of time during which its tasks ran.

WaitingTaskChecker follows the users' rule: a task runs from 6 s after the end of its last run whenever workers that may run it have had room for it twice over for 3 s, without a fault in these 3 s and the 4 s before. It samples every 0.1 s, so a shorter lack of room is not seen.

--- a/src/snowdock/emulator/checks.py
+++ b/src/snowdock/emulator/checks.py
@@ -32,6 +32,7 @@
     failed_runs: set[int] = dataclasses.field(default_factory=set)
     crashes: int = 0
     starts_after_crashes: int = 0
+    idle_since: float = 0.0
 
 
 def iterate_tasks(job: str, spec: JobSpec, repetition: int = 0) -> Iterator[TaskId]:
@@ -78,6 +79,18 @@
         """Return a job as it was submitted."""
         return self._jobs[job][0]
 
+    def find_step(self, task: TaskId) -> StepSpec:
+        """Return the step of a task as it was submitted."""
+        return self.find_spec(task.job).steps[task.step]
+
+    def _is_long_running(self, task: TaskId) -> bool:
+        return task.job in self._jobs and self.find_step(task).long_running
+
+    def idle_since(self, task: TaskId) -> float | None:
+        """Return when the last run of a task ended, 0 if it had none; None while it runs."""
+        history = self._history(task)
+        return None if history.running else history.idle_since
+
     def has_ended(self, job: str) -> bool:
         """Return whether a job was cancelled or one of its tasks has used up its attempts."""
         spec, max_attempts = self._jobs[job]
@@ -167,7 +180,7 @@
         """Return whether a task, or another member of its gang, has succeeded."""
         if self._history(task).done_runs:
             return True
-        step = self.find_spec(task.job).steps[task.step]
+        step = self.find_step(task)
         if not step.gang:
             return False
         return any(
@@ -198,6 +211,7 @@
         """Record the end of a run."""
         history = self._history(task)
         history.running.pop(life, None)
+        history.idle_since = at
         self.quotas.record_end(task, life)
         if kind is EndKind.DONE:
             history.done_runs.add(run)
@@ -206,10 +220,12 @@
         ):
             self._add_violation("alone", at, task, f"run {run} waited too long on {life}")
 
-    def record_crash(self, tasks: Iterable[TaskId]) -> None:
+    def record_crash(self, tasks: Iterable[TaskId], at: float) -> None:
         """Record a worker's crash for the tasks that ran there."""
         for task in tasks:
-            self._history(task).crashes += 1
+            history = self._history(task)
+            history.crashes += 1
+            history.idle_since = at
 
     def count_crashes(self, task: TaskId) -> int:
         """Return the number of workers that crashed while they ran a task."""
@@ -223,7 +239,7 @@
         ``lease_held`` is whether the worker's lease has not expired since that end.
         """
         history = self._history(task)
-        if kind is EndKind.FAILED:
+        if kind is EndKind.FAILED and not self._is_long_running(task):
             history.failed_runs.add(run)
         if kind is not EndKind.DONE or not lease_held:
             return
--- a/src/snowdock/emulator/emulator.py
+++ b/src/snowdock/emulator/emulator.py
@@ -41,6 +41,7 @@
 from .options import EmulatorOptions, Faults
 from .starvation import StarvationChecker
 from .timeline import Timeline
+from .waiting_tasks import WaitingTaskChecker
 from .worker_calls import Post, WorkerCalls, draw_delay
 from .worker_model import RunPlan, WorkerModel
 from .workload import DrawnJob, make_configuration
@@ -82,6 +83,8 @@
         Checker of the invariants, with the violations found.
     starvation
         Checker for jobs that starve beside free room.
+    waiting_tasks
+        Checker for long-running tasks that wait beside free room.
     faults
         Faults in effect; may be changed between calls of `run_until`.
     fleet
@@ -112,6 +115,7 @@
         self._advice: dict[tuple[str, int, str], bool] = {}
         self._leaders: list[_Leader] = []
         self.starvation = StarvationChecker(self.checks, self._may_run)
+        self.waiting_tasks = WaitingTaskChecker(self.checks, self._may_run)
         self.fleet = Fleet(
             self._random,
             options,
@@ -120,6 +124,7 @@
             self._plan_run,
             self._post_to_all,
             self.starvation.exempt_tasks,
+            self._record_fault,
         )
         calls = WorkerCalls(
             self.timeline,
@@ -188,6 +193,7 @@
         """Kill all leaders; another one is elected after a pause in seconds."""
         for leader in self._leaders:
             leader.is_alive = False
+        self._record_fault()
         self.timeline.call_after(pause, self.elect_leader)
 
     def depose_leader(self) -> None:
@@ -197,6 +203,7 @@
     def elect_leader(self) -> None:
         """Start a leader that restores its state from the recorded jobs."""
         self._epoch += 1
+        self._record_fault()
         now = self.timeline.now
         options = self._options
         settings = CellSettings(
@@ -264,23 +271,45 @@
         self.checks.record_submission(job.job, job.spec, queue.max_attempts)
         self.timeline.call_after(
             self._draw_delay(self._options.typical_append_s),
-            lambda: self._post_to_all(JobAccepted(job.job, accepted)),
+            lambda: self._accept(job.job, accepted),
         )
+        if job.cancel_after is not None:
+            self.timeline.call_after(job.cancel_after, lambda: self._cancel_durably(job.job))
+
+    def _accept(self, job: str, accepted: AcceptedJob) -> None:
+        self.waiting_tasks.record_acceptance(job, self.timeline.now)
+        self._post_to_all(JobAccepted(job, accepted))
+
+    def _cancel_durably(self, job: str) -> None:
+        """Cancel a job once the store accepts the cancellation."""
+        if self.faults.is_store_down:
+            self.timeline.call_after(0.5, lambda: self._cancel_durably(job))
+        else:
+            self.cancel(job)
 
     def _plan_run(self, task: TaskId, run: int) -> RunPlan:
         job = self._jobs[task.job]
         rng = random.Random(f"{task.job}/{task.step}/{task.index}/{run}")
         fails = job.is_hopeless or rng.random() < job.mix.failing_share
-        return RunPlan(job.work_s[task.step][task.index], fails, task == job.crashing)
+        seconds = job.work_s[task.step][task.index]
+        if job.spec.steps[task.step].long_running:
+            seconds = rng.uniform(0.0, job.mix.lasting_s)
+        return RunPlan(seconds, fails, task == job.crashing)
+
+    def _record_fault(self) -> None:
+        self.waiting_tasks.record_fault(self.timeline.now)
 
     def _check_starvation(self) -> None:
-        """Check for starving jobs, unless a fault explains them."""
+        """Check for starving jobs and waiting tasks, unless a fault explains them."""
         if self.faults.is_store_down or self.faults.unreachable_lives or not self._leaders[-1:]:
             self.starvation.reset()
+            self._record_fault()
         else:
             shown = self.statuses.items()
             open_jobs = [job for job, status in shown if not status.is_final]
             self.starvation.check(self.workers.values(), open_jobs, self.timeline.now)
+        ended_jobs = [job for job, status in self.statuses.items() if status.is_final]
+        self.waiting_tasks.check(self.workers.values(), ended_jobs, self.timeline.now)
         self.timeline.call_after(TICK_SECONDS, self._check_starvation)
 
     # -- effects ---------------------------------------------------------------------------
--- a/src/snowdock/emulator/fleet.py
+++ b/src/snowdock/emulator/fleet.py
@@ -59,6 +59,8 @@
         Called with the leaders' events on workers' entries.
     exempt_tasks
         Called with tasks whose jobs are exempt from starvation checks, and until when.
+    record_fault
+        Called when a worker drains or its life ends.
 
     Attributes
     ----------
@@ -75,6 +77,7 @@
         plan_run: PlanRun,
         post: Callable[[Event], None],
         exempt_tasks: Callable[[list[TaskId], float], None],
+        record_fault: Callable[[], None],
     ) -> None:
         self.workers: dict[str, WorkerModel] = {}
         self._random = rng
@@ -84,6 +87,7 @@
         self._plan_run = plan_run
         self._post = post
         self._exempt_tasks = exempt_tasks
+        self._record_fault = record_fault
         self._gangs = GangRegistry()
         self._life_count = 0
         self._listed_after_end: set[str] = set()
@@ -100,7 +104,7 @@
             if (model.is_up and life not in self._unlisted) or life in listed_after_end
         ]
 
-    def add(self, rack: int, address: str = "") -> str:
+    def add(self, rack: int, address: str = "", capacity: Size | None = None) -> str:
         """Add a worker, by default at a new address, and return its life."""
         self._life_count += 1
         entry = WorkerEntry(
@@ -110,7 +114,7 @@
             hall="",
             rack=f"r1-{rack % self._options.racks}",
             labels=frozenset(),
-            capacity=self._options.capacity,
+            capacity=capacity or self._options.capacity_of(self._life_count - 1),
         )
         self._begin_life(entry, self._random.choice((1.0, 1.0, 1.3)))
         self._post(WorkerListed(entry))
@@ -157,6 +161,7 @@
             self._timeline.call_after(return_delay_s, lambda: self._begin_next_life(model))
 
     def _end_life(self, model: WorkerModel) -> None:
+        self._record_fault()
         self._exempt_tasks(model.running, self._timeline.now + _CRASH_DETECTION_SECONDS)
         model.crash()
         self._listed_after_end.add(model.entry.life)
@@ -191,7 +196,7 @@
 
     def _add_replacement(self, model: WorkerModel) -> None:
         rack = int(model.entry.rack.rpartition("-")[2])
-        model.successor = self.add(rack, model.entry.address)
+        model.successor = self.add(rack, model.entry.address, model.entry.capacity)
 
     def resize(self, life: str, capacity: Size) -> None:
         """Change a worker's capacity; its entry follows within one heartbeat."""
@@ -216,6 +221,7 @@
     def drain(self, life: str) -> None:
         """Mark a worker as draining, and end its life some seconds later."""
         model = self.workers[life]
+        self._record_fault()
         model.entry = dataclasses.replace(model.entry, draining=True)
         self._post(WorkerListed(model.entry))
         self._timeline.call_after(6.0, lambda: self.crash(life))
--- a/src/snowdock/emulator/options.py
+++ b/src/snowdock/emulator/options.py
@@ -55,6 +55,9 @@
         Length of the lease that renewals request, in seconds.
     lists_crashed_workers
         Whether a new leader still finds the entries of workers that crashed shortly before.
+    capacities
+        Capacities of the workers in turn, in the order in which they are added; if empty, all have
+        ``capacity``.
     """
 
     workload: WorkloadOptions
@@ -67,3 +70,8 @@
     timings: WorkerTimings = _TIMINGS
     lease_s: float = LEASE_SECONDS
     lists_crashed_workers: bool = False
+    capacities: tuple[Size, ...] = ()
+
+    def capacity_of(self, number: int) -> Size:
+        """Return the capacity of a worker by its number, from 0."""
+        return self.capacities[number % len(self.capacities)] if self.capacities else self.capacity
--- a/src/snowdock/emulator/report.py
+++ b/src/snowdock/emulator/report.py
@@ -19,7 +19,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class QueueReport:
-    """Results of one queue; times are from submission to the published end, in seconds."""
+    """Results of one queue; times are from submission to the published end, in seconds.
+
+    A job with long-running tasks earns the share of time during which they ran.
+    """
 
     queue: str
     jobs: int
@@ -63,6 +66,8 @@
 
 
 def _compute_earned_share(emulator: Emulator, job: DrawnJob) -> float:
+    if job.cancel_after is not None:
+        return emulator.waiting_tasks.running_share(job.job)
     finished = emulator.finished_at.get(job.job)
     status = emulator.statuses.get(job.job)
     wanted = JobStatus.FAILED if job.is_hopeless or job.crashing else JobStatus.COMPLETED
--- a/src/snowdock/emulator/workload.py
+++ b/src/snowdock/emulator/workload.py
@@ -17,6 +17,7 @@
     "crowded_mixes",
     "default_mixes",
     "draw_workload",
+    "make_mix",
     "uneven_teams",
     "wide_mixes",
 ]
@@ -56,6 +57,13 @@
         Most tasks of a gang; larger gangs might never fit on the few workers that advice allows.
     crashing_share
         Share of jobs with a task that crashes each worker that starts it.
+    long_running_share
+        Share of jobs of one step whose tasks run until the job is cancelled.
+    lasting_s
+        Mean time from the submission of such a job to its cancellation, in seconds; their failing
+        runs fail within this time.
+    most_per_worker
+        Most tasks of such a step on one worker: each step draws a limit from 1 up to this.
     """
 
     queue: Queue
@@ -74,6 +82,9 @@
     checkpointing_share: float = 0.0
     widest_gang: int = 12
     crashing_share: float = 0.0
+    long_running_share: float = 0.0
+    lasting_s: float = 30.0
+    most_per_worker: int = 1
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -127,6 +138,8 @@
     """A job, when it is submitted, and how its runs behave.
 
     ``crashing`` is a task that crashes each worker that starts it; None if there is none.
+    ``cancel_after`` is the time from the submission to the cancellation of a job with long-running
+    tasks, in seconds; None for other jobs.
     """
 
     job: str
@@ -137,6 +150,7 @@
     is_hopeless: bool
     team: str = ""
     crashing: TaskId | None = None
+    cancel_after: float | None = None
 
 
 _SERVICE = "pool"
@@ -185,18 +199,18 @@
     """
     return (
         dataclasses.replace(
-            _make_mix("payouts", 1, 2.2, 1000, AdviceTerms(390.0, 5.6, 2000.0), 4.16, 4.71),
+            make_mix("payouts", 1, 2.2, 1000, AdviceTerms(390.0, 5.6, 2000.0), 4.16, 4.71),
             steps=1.2, width=20, cpu=4500, memory=9400, work_s=4.0,
             gang_share=1.0, estimate_error=0.2, fit_share=0.3, checkpointing_share=0.5,
             widest_gang=60,
         ),
         dataclasses.replace(
-            _make_mix("recons", 2, 4.0, 3000, AdviceTerms(140.0, 2.0, 2000.0), 5.55, 2.2),
+            make_mix("recons", 2, 4.0, 3000, AdviceTerms(140.0, 2.0, 2000.0), 5.55, 2.2),
             steps=1.5, width=19, cpu=2800, memory=10_000, work_s=2.7,
             gang_share=0.0, estimate_error=0.9, fit_share=0.45, checkpointing_share=0.8,
         ),
         dataclasses.replace(
-            _make_mix("lookups", 0, 1.5, 300, AdviceTerms(20.0, 0.28, 2000.0), 39.5, 0.435),
+            make_mix("lookups", 0, 1.5, 300, AdviceTerms(20.0, 0.28, 2000.0), 39.5, 0.435),
             steps=1.0, width=3.1, cpu=3900, memory=11_000, work_s=1.0,
             gang_share=0.3, estimate_error=0.2, fit_share=0.7,
         ),
@@ -211,25 +225,25 @@
     """
     return (
         dataclasses.replace(
-            _make_mix("payouts", 1, 2.2, 1000, AdviceTerms(442.0, 6.4, 2000.0), 2.23, 10.3),
+            make_mix("payouts", 1, 2.2, 1000, AdviceTerms(442.0, 6.4, 2000.0), 2.23, 10.3),
             steps=1.2, width=20, cpu=9000, memory=33_000, work_s=4.0,
             gang_share=1.0, estimate_error=0.2, fit_share=0.3, checkpointing_share=0.5,
             widest_gang=60,
         ),
         dataclasses.replace(
-            _make_mix("recons", 2, 4.0, 3000, AdviceTerms(270.0, 2.4, 2000.0), 5.12, 4.86),
+            make_mix("recons", 2, 4.0, 3000, AdviceTerms(270.0, 2.4, 2000.0), 5.12, 4.86),
             steps=1.5, width=25, cpu=3500, memory=13_000, work_s=3.4,
             gang_share=0.0, estimate_error=0.9, fit_share=0.45, checkpointing_share=0.8,
         ),
         dataclasses.replace(
-            _make_mix("lookups", 0, 1.5, 253, AdviceTerms(15.0, 0.13, 2000.0), 51.6, 0.39),
+            make_mix("lookups", 0, 1.5, 253, AdviceTerms(15.0, 0.13, 2000.0), 51.6, 0.39),
             steps=1.0, width=3, cpu=5000, memory=14_000, work_s=0.64,
             gang_share=0.3, estimate_error=0.2, fit_share=0.7,
         ),
     )  # fmt: skip
 
 
-def _make_mix(
+def make_mix(
     name: str,
     priority: int,
     stretch: float,
@@ -322,6 +336,32 @@
     return drawn
 
 
+def _draw_long_running_jobs(seed: int, jobs: list[DrawnJob]) -> list[DrawnJob]:
+    """Draw the jobs with long-running tasks, from a random source of their own."""
+    rng = random.Random(f"long-running jobs of {seed}")
+    drawn = []
+    for job in jobs:
+        mix = job.mix
+        if rng.random() < mix.long_running_share:
+            step = msgspec.structs.replace(
+                job.spec.steps[0],
+                estimate_ms=0,
+                checkpointing=False,
+                gang=False,
+                long_running=True,
+                most_per_worker=rng.randint(1, mix.most_per_worker),
+            )
+            cancel_after = _draw_lognormal(rng, mix.lasting_s, 0.3, mix.lasting_s * 2)
+            job = dataclasses.replace(
+                job,
+                spec=msgspec.structs.replace(job.spec, steps=(step,)),
+                work_s=job.work_s[:1],
+                cancel_after=cancel_after,
+            )
+        drawn.append(job)
+    return drawn
+
+
 def draw_workload(seed: int, options: WorkloadOptions) -> list[DrawnJob]:
     """Return random jobs in the order of their submission; equal seeds yield equal jobs."""
     rng = random.Random(seed)
@@ -336,6 +376,7 @@
     jobs.sort(key=lambda entry: entry[0])
     drawn = [_draw_job(rng, mix, at, number) for number, (at, mix) in enumerate(jobs, 1)]
     drawn = _draw_crashing_tasks(seed, drawn)
+    drawn = _draw_long_running_jobs(seed, drawn)
     if not options.teams:
         return drawn
     names = [team.name for team in options.teams]
