Log a long-running task's wait from its acceptance if it never ran

On a node, the figure would be the age of its steady clock.

test_wait_of_a_task_without_any_run fails before (waiting_s 101.0) and passes now.

--- a/src/snowdock/jobs/starving.py
+++ b/src/snowdock/jobs/starving.py
@@ -74,8 +74,8 @@
     for step in cell.waiting_steps.values():
         if step.spec.long_running and not _is_idle(step):
             task = _longest_waiting_task(step)
-            if task is not None and now - task.phase_since >= _TASK_WAIT_SECONDS:
-                waiting.append((task.phase_since, step, task))
+            if task is not None and now - _waiting_since(step, task) >= _TASK_WAIT_SECONDS:
+                waiting.append((_waiting_since(step, task), step, task))
     waiting.sort(key=lambda entry: entry[0])
     logged = 0
     for _, step, task in waiting:
@@ -92,6 +92,11 @@
     return min(tasks, key=lambda task: task.phase_since, default=None)
 
 
+def _waiting_since(step: Step, task: Task) -> float:
+    """Return since when a task waits: a task without any run has waited since it was enqueued."""
+    return max(step.queued_at, task.phase_since)
+
+
 def _is_idle(step: Step) -> bool:
     return not any(task.is_placed for task in step.job.all_tasks())
 
@@ -135,7 +140,7 @@
         "long_running_task_waits",
         step.job.id,
         task=task.id,
-        waiting_s=now - task.phase_since,
+        waiting_s=now - _waiting_since(step, task),
         tasks=sum(each.phase is Phase.WAITING for each in step.tasks),
         running=sum(each.is_placed for each in step.tasks),
         losses=len(task.lost_runs),
--- a/tests/test_jobs_starving.py
+++ b/tests/test_jobs_starving.py
@@ -70,6 +70,19 @@
         self.assertEqual((found["open"], found["aside"]), (0, 3))
         self.assertEqual(decision_fields(self.bench.all_effects, "job_starves"), [])
 
+    def test_wait_of_a_task_without_any_run(self) -> None:
+        """The wait of a task that never ran is counted from its job's acceptance."""
+        for life in ("w2", "w3"):
+            self.bench.add_worker(life, address=life)
+            self.bench.cell.workers[life].quarantined_until = self.bench.now + 60
+        step = StepSpec(count=3, size=Size(1000, 1000), long_running=True, most_per_worker=1)
+        self.bench.submit(step)
+        (start,) = self.bench.new_starts()
+        self.bench.confirm(start)
+        self.assertEqual(decision_fields(self.bench.tick(1.8), "long_running_task_waits"), [])
+        found = decision_fields(self.bench.tick(1.5), "long_running_task_waits")[0]
+        self.assertLess(found["waiting_s"], 3.4)
+
     def test_overdue_run_is_logged(self) -> None:
         """An overdue run is logged with its phase, its age and that of the last report."""
         self.bench.submit()
