End the exclusive use of a worker by a long-running task after 2 s

A task with two lost runs may get a worker of its own. The worker stayed closed to all others for as long as that run lasted: for a long-running task without bound, since clear_losses drops the task's losses after 30 s but not the worker's mark. Another task then stands beside its free room. Now a run that has been reported as running for 2 s shares its worker; a task that crashes its workers does so at its start, and its losses still keep other suspects away.

test_long_running_task_stands_beside_isolated_run fails before: the other task waits for all of 6 s.

--- a/src/snowdock/jobs/suspects.py
+++ b/src/snowdock/jobs/suspects.py
@@ -20,6 +20,7 @@
 
 __all__ = [
     "IsolationLevel",
+    "end_exclusive_use",
     "limit_suspect_candidates",
     "may_share_worker",
     "next_tasks",
@@ -37,6 +38,10 @@
 _SEPARATE_WAIT_SECONDS = 1.6
 """How long a task waits for an empty worker, and for one without a suspect."""
 
+_MAX_EXCLUSIVE_SECONDS = 2.0
+"""How long a long-running task keeps a worker to itself: it may never end, and a task that crashes
+its workers does so within this time."""
+
 _CRASHED_ADDRESS_SECONDS = 30.0
 _CRASHED_ADDRESS_PENALTY = 10.0
 """For this time an address where a worker crashed is the last choice for suspects: the crashes of a
@@ -106,6 +111,16 @@
         worker.suspects[task.id, task.run] = isolation is IsolationLevel.EXCLUSIVE
 
 
+def end_exclusive_use(cell: Cell, worker: Worker, task: Task, now: float) -> None:
+    """Open the worker of a long-running task to others once its run has lasted long enough."""
+    key = (task.id, task.run)
+    if not worker.suspects.get(key) or not task.step.spec.long_running:
+        return
+    if task.phase is Phase.RUNNING and now - task.phase_since >= _MAX_EXCLUSIVE_SECONDS:
+        worker.suspects[key] = False
+        cell.needs_placement = True
+
+
 def record_crash(cell: Cell, worker: Worker, now: float) -> None:
     """Record the address where a worker crashed, and drop old entries."""
     recent = {at: t for at, t in cell.crashed_at.items() if now - t < _CRASHED_ADDRESS_SECONDS}
--- a/src/snowdock/jobs/worker_reports.py
+++ b/src/snowdock/jobs/worker_reports.py
@@ -11,6 +11,7 @@
 from .orders import EndedRun, RunningRun, WorkerReport
 from .runs import acknowledge_ends, apply_run_end, mark_job_running, send_stop, stop_run, void_run
 from .speeds import learn_speed, should_move
+from .suspects import end_exclusive_use
 from .worker_lives import handle_life_refusal
 from .workers import Worker
 
@@ -125,6 +126,7 @@
         task.phase = Phase.RUNNING
         task.phase_since = now
     clear_losses(cell, task, now)
+    end_exclusive_use(cell, worker, task, now)
     learn_speed(worker, task, running, now)
     if should_move(cell, worker, task):
         task.moves += 1
