Place the long-running tasks of a step in the order in which they began to wait

Tasks were placed by their index. Where runs fail at once, a failed task with a low index took the next slot again before the others, which got none for as long as it failed.

test_long_running_task_stands_behind_a_failing_sibling fails before.

--- a/src/snowdock/jobs/suspects.py
+++ b/src/snowdock/jobs/suspects.py
@@ -62,6 +62,9 @@
     Tasks with the lowest level come first; a gang is placed as a whole.
     """
     waiting = [task for task in step.tasks if task.phase is Phase.WAITING]
+    if step.spec.long_running:
+        # Otherwise a task whose runs fail at once takes each slot before the others.
+        waiting.sort(key=lambda task: task.phase_since)
     if not any(task.lost_runs for task in waiting):
         return waiting, IsolationLevel.NONE
     levels = [_isolation_level(task, now) for task in waiting]
--- a/tests/test_jobs_long_running_bounds.py
+++ b/tests/test_jobs_long_running_bounds.py
@@ -2,6 +2,8 @@
 
 import unittest
 
+import msgspec
+
 from snowdock.declarations import Size
 from snowdock.jobs.events import SendStart
 from snowdock.jobs.model import StepSpec, TaskId
@@ -59,5 +61,19 @@
         self.assertIn(other, {each.job for each in self.running})
 
 
+class TestTaskBesideFailingSiblings(LongRunningTestCase):
+    def test_long_running_task_stands_behind_a_failing_sibling(self) -> None:
+        """A task whose runs fail at once doesn't take the next slot before one that waits."""
+        self.bench.add_worker("w1", address="w1")
+        self.bench.submit(msgspec.structs.replace(LONG_RUNNING, count=2, most_per_worker=1))
+        self.run_for(0.3)
+        (task,) = self.running
+        start = self.running.pop(task)
+        self.bench.report(start.life, ended=[(task, start.order.run, EndKind.FAILED)])
+        self.run_for(0.3)
+        (second,) = self.running
+        self.assertNotEqual(second, task)
+
+
 if __name__ == "__main__":
     unittest.main()
