Search each waiting step once a second although higher-ranked ones use up the passes

A pass stops after 750 examined workers in the order of ranks. Only while more than 50 steps wait were the others searched, oldest search first: with fewer, four steps that can't be placed on 188 workers kept all steps below them from ever being searched, and bulky steps examine their fit workers twice. Now steps whose last search is a second old are searched as well.

test_long_running_task_is_never_searched fails before.

--- a/src/snowdock/jobs/placement.py
+++ b/src/snowdock/jobs/placement.py
@@ -50,6 +50,10 @@
 """While more steps than this are waiting, a step that could not be placed is not searched again
 for this time, so that other steps are."""
 
+_MAX_SEARCH_GAP_SECONDS = 1.0
+"""Time after which a step is searched although steps of higher rank use up each pass, while fewer
+steps than `_CROWDED_STEP_COUNT` are waiting."""
+
 
 @dataclasses.dataclass(slots=True)
 class _WorkerPool:
@@ -134,12 +138,18 @@
     pools = _WorkerPools(cell, now)
     examined = len(cell.workers)
     by_rank = sorted(cell.waiting_steps.values(), key=lambda step: -step.rank)
-    examined += _search_steps(cell, by_rank, pools, now, _MAX_EXAMINED_PER_PASS // 2)
+    max_examined = _MAX_EXAMINED_PER_PASS // 2
+    examined_by_rank = _search_steps(cell, by_rank, pools, now, max_examined)
+    examined += examined_by_rank
     newly_advised = [step for step in by_rank if step.has_new_advice]
     examined += _search_steps(cell, newly_advised, pools, now, _MAX_EXAMINED_PER_PASS)
-    if len(cell.waiting_steps) > _CROWDED_STEP_COUNT:
+    is_crowded = len(cell.waiting_steps) > _CROWDED_STEP_COUNT
+    if is_crowded or examined_by_rank >= max_examined:
         by_last_search = sorted(cell.waiting_steps.values(), key=lambda step: step.last_search_at)
-        examined += _search_steps(cell, by_last_search, pools, now, _MAX_EXAMINED_PER_PASS // 2)
+        if not is_crowded:
+            latest = now - _MAX_SEARCH_GAP_SECONDS
+            by_last_search = [step for step in by_last_search if step.last_search_at <= latest]
+        examined += _search_steps(cell, by_last_search, pools, now, max_examined)
     pause = examined * _SECONDS_PER_EXAMINED_WORKER / _MAX_PASS_TIME_SHARE
     cell.next_placement_at = now + max(_MIN_PASS_INTERVAL_SECONDS, pause)
 
--- a/tests/test_jobs_long_running_bounds.py
+++ b/tests/test_jobs_long_running_bounds.py
@@ -1,5 +1,6 @@
 """Tests that what runs or waits elsewhere keeps a long-running task waiting for a bounded time."""
 
+import dataclasses
 import unittest
 
 import msgspec
@@ -75,5 +76,21 @@
         self.assertNotEqual(second, task)
 
 
+class TestTaskBehindOthersInTheQueue(LongRunningTestCase):
+    def test_long_running_task_is_never_searched(self) -> None:
+        """A few steps that can't be placed don't use up each pass before a lower-ranked one."""
+        policy = self.bench.cell.policy
+        self.bench.cell.policy = dataclasses.replace(
+            policy, rank=lambda step, now: -float(step.spec.long_running)
+        )
+        for number in range(200):
+            self.bench.add_worker(f"w{number}", address=f"w{number}", cpu=1000)
+        for _ in range(8):
+            self.bench.submit(StepSpec(count=1, size=Size(1000, 8999), label="x"))
+        job = self.bench.submit(LONG_RUNNING)
+        self.run_for(TOLERATED_WAIT_SECONDS)
+        self.assertIn(job, {each.job for each in self.running})
+
+
 if __name__ == "__main__":
     unittest.main()
