--- a/src/snowdock/jobs/candidates.py
+++ b/src/snowdock/jobs/candidates.py
@@ -116,7 +116,7 @@
 
 def caution_for(cell: Cell, step: Step) -> Caution:
     """Return how strictly a step avoids workers on which runs have failed."""
-    waited = cell.now - step.waiting_since
+    waited = step.waited_seconds(cell.now)
     if waited < _LAST_ATTEMPT_CAUTION_SECONDS:
         return Caution.HIGH if _is_last_attempt(cell, step) else Caution.NORMAL
     max_wait_s = _MAX_CAUTION_SECONDS
--- a/src/snowdock/jobs/job_state.py
+++ b/src/snowdock/jobs/job_state.py
@@ -86,6 +86,9 @@
         Time at which the task entered its phase.
     idle_since
         Time at which the last confirmed run ended; 0 before the first one.
+    early_failures, not_before
+        For a long-running task: number of runs in a row that failed just after their start, and
+        earliest time of the next start.
     ordered_at
         Time at which the newest run was placed, ordered, or restored from the records of an earlier
         leader, whichever was last.
@@ -111,6 +114,8 @@
     checkpoint: str = ""
     phase_since: float = 0.0
     idle_since: float = 0.0
+    early_failures: int = 0
+    not_before: float = 0.0
     ordered_at: float = 0.0
     percent: float = 0.0
     measured_percent: float = 0.0
@@ -217,6 +222,16 @@
         waiting_times = (task.phase_since for task in self.tasks if task.phase is Phase.WAITING)
         return max(self.queued_at, max(waiting_times, default=0.0))
 
+    def waited_seconds(self, now: float) -> float:
+        """Return for how long its tasks have waited.
+
+        Each long-running task has to run, so for these the longest wait counts.
+        """
+        if not self.spec.long_running:
+            return now - self.waiting_since
+        waiting = (task for task in self.tasks if task.phase is Phase.WAITING)
+        return max((task.waited_seconds(now) for task in waiting), default=0.0)
+
     @property
     def is_held_up(self) -> bool:
         """Whether its waiting tasks hold it up: it runs nothing, or each of its tasks must run."""
--- a/src/snowdock/jobs/placement.py
+++ b/src/snowdock/jobs/placement.py
@@ -176,7 +176,8 @@
     """Place as many tasks of a step as possible, and return the number of workers examined."""
     tasks, isolation = next_tasks(step, now)
     if not tasks:
-        del cell.waiting_steps[step.key]
+        if not any(task.phase is Phase.WAITING for task in step.tasks):
+            del cell.waiting_steps[step.key]
         return 1
     tasks = tasks[: _limit_to_quota(cell, step, len(tasks))]
     if not tasks:
--- a/src/snowdock/jobs/runs.py
+++ b/src/snowdock/jobs/runs.py
@@ -30,6 +30,14 @@
 ]
 
 
+_EARLY_FAILURE_SECONDS = 2.0
+"""A run that fails within this time of its start has failed early."""
+
+_EARLY_PAUSE_SECONDS = 0.25
+_MAX_EARLY_PAUSE_SECONDS = 3.0
+"""Pause of a long-running task after the first early failure, which doubles with each further one
+in a row, and its upper bound."""
+
 _MALFORMED_PAUSE_SECONDS = 1.0
 """Delay of the next attempt after a worker rejected a start order as malformed."""
 
@@ -114,7 +122,9 @@
     if end.kind is EndKind.DONE and not task.step.spec.long_running:
         _complete_task(cell, task, now)
         return
-    if end.kind is EndKind.FAILED and not task.step.spec.long_running:
+    if task.step.spec.long_running:
+        _pause_after_early_failure(task, end.kind, now)
+    elif end.kind is EndKind.FAILED:
         _record_failure(cell, task, end.run, worker.life, now)
     if charge_ended_run(cell, worker, task, end.run):
         fail_job(cell, job, now)
@@ -191,6 +201,19 @@
         fail_job(cell, step.job, now)
 
 
+def _pause_after_early_failure(task: Task, kind: EndKind, now: float) -> None:
+    """Delay the next start of a long-running task that failed just after its start.
+
+    Such a failure uses up no attempt, so the task could start again and again without a pause.
+    """
+    if kind is not EndKind.FAILED or now - task.phase_since >= _EARLY_FAILURE_SECONDS:
+        task.early_failures = 0
+        return
+    pause_s = min(_MAX_EARLY_PAUSE_SECONDS, _EARLY_PAUSE_SECONDS * 2**task.early_failures)
+    task.early_failures += 1
+    task.not_before = now + pause_s
+
+
 def record_malformed_run(cell: Cell, task: Task, run: int, life: str, now: float) -> None:
     """Record a run that its worker rejected as malformed as a failed run."""
     job = task.step.job
--- a/src/snowdock/jobs/suspects.py
+++ b/src/snowdock/jobs/suspects.py
@@ -59,10 +59,12 @@
 def next_tasks(step: Step, now: float) -> tuple[list[Task], IsolationLevel]:
     """Return the waiting tasks of a step to place next, and their isolation level.
 
-    Tasks with the lowest level come first; a gang is placed as a whole.
+    Tasks with the lowest level come first; a gang is placed as a whole. There are none if all
+    waiting tasks are paused.
     """
     waiting = [task for task in step.tasks if task.phase is Phase.WAITING]
-    if step.spec.long_running:
+    if step.spec.long_running and not step.spec.gang:
+        waiting = [task for task in waiting if task.not_before <= now]
         # Otherwise a task whose runs fail at once takes each slot before the others.
         waiting.sort(key=lambda task: -task.waited_seconds(now))
     if not any(task.lost_runs for task in waiting):
