Take runs on unreached workers as over 6.6 s after a claim instead of 8.1 s

A leader now falls silent after 1.5 s without the store and without any peer; peers send heartbeats every 0.6 s. Its record states that time, and successors wait for the time that they read there, so nodes of an older release in the same cluster (3 s, not stated) are still waited for. A long-running task whose run is lost counts its wait from when the run was last seen, or from the takeover, so that it is placed before other work at once: the new test of it, and those of the record and of the settings, failed before.

--- a/src/snowdock/entry/daemon.py
+++ b/src/snowdock/entry/daemon.py
@@ -213,7 +213,7 @@
             parts=environment.store.parts,
             claimed_at=steady_seconds(),
             epoch=epoch,
-            settings=cell_settings(environment),
+            settings=cell_settings(environment, self._election.predecessor_isolation_s),
             make_advice_dispatcher=lambda post: AdviceDispatcher(
                 environment.node, self._advice_client, self._peers, live_peers, post, self._metrics
             ),
--- a/src/snowdock/entry/election.py
+++ b/src/snowdock/entry/election.py
@@ -46,6 +46,10 @@
 """A leader hands over only after this time, since each change of leader stops the
 placement of tasks for some tenths of a second."""
 
+_INHERITED_ISOLATION_SECONDS = 10.0
+"""How long a leader records its predecessor's isolation timeout if that is longer than its own: by
+then the predecessor sends no more orders."""
+
 _UNKNOWN_INCARNATION = ""
 """Stands for the incarnation of a leader known only by its heartbeats."""
 
@@ -101,6 +105,7 @@
         self._own_epoch = 0
         self._elected_at = 0.0
         self._turnover = 0
+        self._predecessor_isolation_s = ISOLATION_TIMEOUT_SECONDS
         self._resigned = False
         self._gone_epoch_logged = 0
         self._last_peer_heartbeat_at = 0.0
@@ -121,6 +126,11 @@
         """The number of consecutive short terms before this node's last term."""
         return self._turnover
 
+    @property
+    def predecessor_isolation_s(self) -> float:
+        """The isolation timeout of the leaders before this node's last term, in seconds."""
+        return self._predecessor_isolation_s
+
     @property
     def renewed_s(self) -> float:
         """Seconds since this node's last recorded renewal."""
@@ -263,9 +273,16 @@
         successor: str = "",
     ) -> None:
         """Append a record of this node, provided that there was no append since the last read."""
-        record = self._identity.make_record(epoch, resigned, successor, self._turnover)
+        record = self._identity.make_record(
+            epoch, resigned, successor, self._turnover, self._recorded_isolation_s()
+        )
         self._log.append(record, seconds)
 
+    def _recorded_isolation_s(self) -> float:
+        if self._own_epoch and steady_seconds() - self._elected_at > _INHERITED_ISOLATION_SECONDS:
+            return ISOLATION_TIMEOUT_SECONDS
+        return max(ISOLATION_TIMEOUT_SECONDS, self._predecessor_isolation_s)
+
     def _renew(self) -> float:
         epoch = self._own_epoch
         while self._own_epoch == epoch and not self._stopped.is_set():
@@ -389,6 +406,9 @@
     def _claim(self) -> None:
         epoch = self._log.next_epoch
         self._turnover = self._known_leader.next_turnover()
+        predecessor = self._known_leader.record
+        if predecessor is not None:
+            self._predecessor_isolation_s = predecessor.isolation_s
         try:
             self._append(epoch, False)
         except AppendConflict:
--- a/src/snowdock/entry/leader_record.py
+++ b/src/snowdock/entry/leader_record.py
@@ -5,10 +5,14 @@
 import msgspec
 
 from ..errors import DECODE_ERRORS, PlatformError
+from ..jobs.timeouts import ISOLATION_TIMEOUT_SECONDS
 from ..platform.store import KeyedRecord
 
 __all__ = ["LeaderRecord", "NodeIdentity", "decode_leader_record", "encode_leader_record"]
 
+_UNSTATED_ISOLATION_SECONDS = 3.0
+"""Isolation timeout of the releases whose records do not state it."""
+
 
 class LeaderRecord(msgspec.Struct, frozen=True, array_like=True):
     """The leader as recorded in the store by a claim, a renewal or a resignation.
@@ -25,6 +29,9 @@
         The node that is to claim next, named by a resignation; empty for none.
     turnover
         The number of consecutive short terms immediately before this one; see `turnover`.
+    isolation_s
+        For how long this leader, or one just before it, may send orders after it lost contact with
+        the store and all peers, in seconds.
     """
 
     node: str
@@ -34,6 +41,7 @@
     resigned: bool = False
     successor: str = ""
     turnover: int = 0
+    isolation_s: float = _UNSTATED_ISOLATION_SECONDS
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -45,11 +53,23 @@
     address: str
 
     def make_record(
-        self, epoch: int, resigned: bool = False, successor: str = "", turnover: int = 0
+        self,
+        epoch: int,
+        resigned: bool = False,
+        successor: str = "",
+        turnover: int = 0,
+        isolation_s: float = ISOLATION_TIMEOUT_SECONDS,
     ) -> LeaderRecord:
         """Return a record that this node leads or, with ``resigned``, has resigned."""
         return LeaderRecord(
-            self.node, self.incarnation, self.address, epoch, resigned, successor, turnover
+            self.node,
+            self.incarnation,
+            self.address,
+            epoch,
+            resigned,
+            successor,
+            turnover,
+            isolation_s,
         )
 
 
--- a/src/snowdock/entry/leader_settings.py
+++ b/src/snowdock/entry/leader_settings.py
@@ -1,7 +1,12 @@
 """Settings of the leader and of its election, derived from the node's settings."""
 
 from ..jobs.cell import CellSettings
-from ..jobs.timeouts import LEASE_SECONDS, RETENTION_FACTOR, lease_expiry_after_claim_seconds
+from ..jobs.timeouts import (
+    ISOLATION_TIMEOUT_SECONDS,
+    LEASE_SECONDS,
+    RETENTION_FACTOR,
+    lease_expiry_after_claim_seconds,
+)
 from ..platform.node_settings import NodeEnvironment
 
 __all__ = ["cell_settings", "claim_delay_seconds"]
@@ -16,12 +21,24 @@
 """The claim delay of the weakest node; a claim takes about 10 ms."""
 
 
-def cell_settings(environment: NodeEnvironment) -> CellSettings:
-    """Return the settings of a leader on a node."""
+def cell_settings(
+    environment: NodeEnvironment, predecessor_isolation_s: float = ISOLATION_TIMEOUT_SECONDS
+) -> CellSettings:
+    """Return the settings of a leader on a node.
+
+    Parameters
+    ----------
+    environment
+        The node's settings.
+    predecessor_isolation_s
+        The isolation timeout of the leaders before it, in seconds.
+    """
     lease_s = min(LEASE_SECONDS, environment.lease_limit_s)
     return CellSettings(
         lease_s=lease_s,
-        unreached_run_expiry_s=lease_expiry_after_claim_seconds(lease_s),
+        unreached_run_expiry_s=lease_expiry_after_claim_seconds(
+            lease_s, max(ISOLATION_TIMEOUT_SECONDS, predecessor_isolation_s)
+        ),
         gang_wait_s=environment.gang_wait_s,
         early_s=environment.early_s,
         stop_s=environment.stop_s,
--- a/src/snowdock/jobs/job_state.py
+++ b/src/snowdock/jobs/job_state.py
@@ -84,8 +84,11 @@
         Checkpoint from which the next run resumes; empty to start from the beginning.
     phase_since
         Time at which the task entered its phase.
+    seen_at
+        Time at which a worker last reported a run of the task to this leader.
     idle_since
-        Time at which the last confirmed run ended; 0 before the first one.
+        Time at which the last run was seen or, if it was inherited from an earlier leader, at which
+        this leader took over; 0 before the first run.
     early_failures, not_before
         For a long-running task: number of runs in a row that failed just after their start, and
         earliest time of the next start.
@@ -113,6 +116,7 @@
     crashed_runs: frozenset[int] = frozenset()
     checkpoint: str = ""
     phase_since: float = 0.0
+    seen_at: float = 0.0
     idle_since: float = 0.0
     early_failures: int = 0
     not_before: float = 0.0
@@ -136,7 +140,7 @@
 
     def waited_seconds(self, now: float) -> float:
         """Return for how long the task has not run, however often a start of it has failed."""
-        return now - max(self.step.queued_at, self.idle_since)
+        return now - (self.idle_since or self.step.queued_at)
 
     def is_current_run(self, run: int, life: str) -> bool:
         """Check whether a run on a life of a worker is the task's current run."""
--- a/src/snowdock/jobs/order_answers.py
+++ b/src/snowdock/jobs/order_answers.py
@@ -36,6 +36,7 @@
         _handle_unanswered_start(cell, worker, task, now)
     elif result.refusal is None:
         task.is_confirmed = True
+        task.seen_at = now
         if task.phase is Phase.ORDERED:
             task.phase = Phase.RUNNING
             task.phase_since = now
--- a/src/snowdock/jobs/ranking.py
+++ b/src/snowdock/jobs/ranking.py
@@ -11,7 +11,7 @@
 """Age at which a rank is refreshed, as the slack of a step shrinks while it waits."""
 
 _RESTART_AGING_SECONDS = 1.5
-_FIRST_START_AGING_SECONDS = 5.0
+_FIRST_START_AGING_SECONDS = 3.5
 """Time after which a waiting long-running task has the highest rank, whatever the policy says: one
 that has run before, and one that has not. Otherwise it might not run for as long as higher-ranked
 work keeps arriving."""
--- a/src/snowdock/jobs/runs.py
+++ b/src/snowdock/jobs/runs.py
@@ -228,7 +228,8 @@
     task.phase = Phase.WAITING
     task.phase_since = now
     if task.is_confirmed:
-        task.idle_since = now
+        # A lost run ended when it was last seen, not when its lease expired.
+        task.idle_since = task.seen_at
     task.percent = 0.0
     task.measured_at = 0.0
     task.measured_percent = 0.0
--- a/src/snowdock/jobs/takeover.py
+++ b/src/snowdock/jobs/takeover.py
@@ -114,6 +114,8 @@
     # The start of the phase is not recorded. If it were left at 0, the first report would clear a
     # long-running task's losses, as if the task had run since this machine booted.
     task.phase_since = task.ordered_at = cell.now
+    if record.run:
+        task.idle_since = cell.now
     if record.done:
         task.phase = Phase.DONE
     if not record.life:
--- a/src/snowdock/jobs/timeouts.py
+++ b/src/snowdock/jobs/timeouts.py
@@ -15,9 +15,9 @@
 """The lease that renewals request. It must outlast a takeover, which takes about two seconds, but
 tasks on a worker that vanished are blocked for this long."""
 
-ISOLATION_TIMEOUT_SECONDS = 3.0
+ISOLATION_TIMEOUT_SECONDS = 1.5
 """Time after which a leader that reaches neither the store nor any peer stops sending orders, since
-it may have been replaced."""
+it may have been replaced. Leaders record it, so that their successors wait for as long."""
 
 RETENTION_FACTOR = 1.5
 """An ended job is kept for this multiple of the time for which callers may query it."""
@@ -43,7 +43,9 @@
 percent for the node's own clock."""
 
 
-def lease_expiry_after_claim_seconds(longest_lease_s: float) -> float:
+def lease_expiry_after_claim_seconds(
+    longest_lease_s: float, isolation_s: float = ISOLATION_TIMEOUT_SECONDS
+) -> float:
     """Return the time after a claim by which all leases of earlier leaders have certainly expired.
 
     Parameters
@@ -51,10 +53,12 @@
     longest_lease_s
         The longest lease that leaders request, in seconds of a worker's clock. Before a release
         requests a longer lease, the preceding release must already use it here.
+    isolation_s
+        The longest isolation timeout of the earlier leaders, in seconds.
 
     Returns
     -------
     float
         Seconds since the claim: the time until an isolated leader's last orders plus a lease.
     """
-    return ISOLATION_TIMEOUT_SECONDS + longest_lease_s / MIN_CLOCK_RATE + _CLOCK_SLACK_SECONDS
+    return isolation_s + longest_lease_s / MIN_CLOCK_RATE + _CLOCK_SLACK_SECONDS
--- a/src/snowdock/jobs/worker_reports.py
+++ b/src/snowdock/jobs/worker_reports.py
@@ -115,6 +115,7 @@
         _stop_stray(cell, worker, running.task, running.run, now)
         return
     task.is_confirmed = True
+    task.seen_at = now
     if running.checkpoint:
         task.checkpoint = running.checkpoint
     task.percent = running.percent
--- a/tests/test_election.py
+++ b/tests/test_election.py
@@ -6,10 +6,14 @@
 import unittest
 from unittest import mock
 
+import msgspec
+
 from snowdock.entry import leader_watch as leader_watch_module
 from snowdock.entry.election import Election
+from snowdock.entry.leader_log import LeaderLog
 from snowdock.entry.leader_record import NodeIdentity
 from snowdock.entry.messages import Heartbeat
+from snowdock.entry.topics import LEADER_KEY, LEADERS_TOPIC
 from snowdock.platform.store import StoreClient
 from tests.standins.entry_cluster import wait_until
 from tests.standins.platform import StoreStandin
@@ -289,6 +293,16 @@
         self.store.refuse = True
         self.assertTrue(wait_until(lambda: first.election.is_isolated))
 
+    def test_leader_of_an_older_release_is_waited_for_by_its_own_timeout(self) -> None:
+        """A record without an isolation timeout stands for the longer one, with successors too."""
+        old = msgspec.msgpack.encode(["old", "old-1", "127.0.0.1:1", 1, False, "", 0])
+        self.store.put_raw(LEADERS_TOPIC, LEADER_KEY, old)
+        candidate = self.add_candidate("new")
+        self.assertTrue(wait_until(lambda: candidate.leads))
+        self.assertEqual(candidate.election.predecessor_isolation_s, 3.0)
+        (record,) = LeaderLog(StoreClient(self.store.address, 1)).read_newest(2.0)
+        self.assertEqual((record.node, record.isolation_s), ("new", 3.0))
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_leader_settings.py
+++ b/tests/test_leader_settings.py
@@ -1,9 +1,12 @@
 """Tests of when a new leader counts runs as lost whose worker it does not know."""
 
+import dataclasses
 import pathlib
 import tempfile
 import unittest
 
+import msgspec
+
 from snowdock.entry.leader_settings import cell_settings
 from snowdock.jobs.cell import CellSettings
 from snowdock.jobs.model import JobStatus
@@ -11,13 +14,13 @@
 from snowdock.jobs.takeover import RecordedJobs
 from snowdock.jobs.timeouts import ISOLATION_TIMEOUT_SECONDS, LEASE_SECONDS
 from snowdock.platform.node_settings import read_node_environment
-from tests.jobs_tools import Bench, make_accepted_job
+from tests.jobs_tools import DONE, SMALL, Bench, make_accepted_job
 from tests.standins.entry_cluster import SETTINGS
 
 JOB = "a" * 16
 
 
-def leader_settings(hold_max_ms: int) -> CellSettings:
+def leader_settings(hold_max_ms: int, *predecessor_isolation_s: float) -> CellSettings:
     """Return the leader settings for a given limit on the leases that workers grant."""
     text = SETTINGS.replace("hold_max_ms = 6000", f"hold_max_ms = {hold_max_ms}")
     names = ("node", "ip", "advice", "store")
@@ -26,7 +29,7 @@
     with tempfile.TemporaryDirectory() as folder:
         path = pathlib.Path(folder, "settings.toml")
         path.write_text(text)
-        return cell_settings(read_node_environment(str(path)))
+        return cell_settings(read_node_environment(str(path)), *predecessor_isolation_s)
 
 
 class TestRunExpiry(unittest.TestCase):
@@ -41,6 +44,12 @@
             settings.unreached_run_expiry_s, ISOLATION_TIMEOUT_SECONDS + LEASE_SECONDS + 1.0
         )
 
+    def test_predecessor_with_a_longer_timeout_extends_expiry(self) -> None:
+        """A leader waits for the isolation timeout that its predecessors have recorded."""
+        usual = leader_settings(hold_max_ms=10_000).unreached_run_expiry_s
+        extended = leader_settings(10_000, ISOLATION_TIMEOUT_SECONDS + 1.5).unreached_run_expiry_s
+        self.assertAlmostEqual(extended - usual, 1.5)
+
     def test_shorter_worker_limit_shortens_expiry(self) -> None:
         """A worker limit below the requested lease shortens the expiry."""
         settings = leader_settings(hold_max_ms=2000)
@@ -64,6 +73,25 @@
         self.assertEqual(bench.starts(bench.tick(5.5)), [])
         self.assertEqual(len(bench.starts(bench.tick(1.0))), 1)
 
+    def test_long_running_task_of_a_lost_worker_waits_for_ranked_work(self) -> None:
+        """A long-running task whose run is lost after a takeover is placed before other work."""
+        bench = Bench(token=9)
+        bench.cell.policy = dataclasses.replace(
+            bench.cell.policy, rank=lambda step, now: float(not step.spec.long_running)
+        )
+        lasting = msgspec.structs.replace(SMALL, long_running=True)
+        progress = JobProgress(JobStatus.RUNNING, [TaskProgress(0, 0, 0, run=3, life="gone")])
+        bench.restore(RecordedJobs({JOB: make_accepted_job(lasting)}, set(), {JOB: progress}))
+        bench.add_worker("w", cpu=1000)
+        for _ in range(2):
+            bench.submit()
+        (first,) = bench.new_starts()
+        bench.confirm(first)
+        bench.tick(10.5)
+        bench.report("w", ended=[(first.order.task, first.order.run, DONE)])
+        bench.tick(0.2)
+        self.assertEqual([start.order.task.job for start in bench.new_starts()], [JOB])
+
     def test_runs_are_lost_only_after_worker_reports(self) -> None:
         """Live workers can report their runs first, even if the takeover took longer."""
         bench = self.make_bench(30.0)
--- a/tests/test_turnover.py
+++ b/tests/test_turnover.py
@@ -83,7 +83,8 @@
         """A record without a turnover has a turnover of zero."""
         record = NodeIdentity("n", "n-1", "a:1").make_record(3)
         self.assertEqual(record.turnover, 0)
-        self.assertEqual(LeaderRecord("n", "n-1", "a:1", 3), record)
+        isolation_s = record.isolation_s
+        self.assertEqual(LeaderRecord("n", "n-1", "a:1", 3, isolation_s=isolation_s), record)
 
 
 class TestLeaderLiveness(unittest.TestCase):
