--- a/tests/standins/entry_cluster.py
+++ b/tests/standins/entry_cluster.py
@@ -39,6 +39,8 @@
 [cloud_api]
 """
 
+_MAX_ATTEMPTS = 3
+
 CONFIGURATION = {
     "version": 3,
     "routes": [
@@ -47,7 +49,7 @@
             "host": "jobs.example",
             "path_prefix": "/jobs/",
             "service": "pool",
-            "max_attempts": 3,
+            "max_attempts": _MAX_ATTEMPTS,
             "stretch": 2.0,
             "target_latency_ms": 500,
             "timeout_ms": 3000,
@@ -58,7 +60,7 @@
             "host": "jobs.example",
             "path_prefix": "/jobs/advised/",
             "service": "pool",
-            "max_attempts": 3,
+            "max_attempts": _MAX_ATTEMPTS,
             "advice": {"decide_ms": 10.0, "each_ms": 0.1, "valid_ms": 2000},
         },
     ],
@@ -217,14 +219,19 @@
         return found[-1] if found else None
 
     def make_job(self, steps: list[dict], prefix: str = "/jobs/") -> tuple[str, dict]:
-        """Make a job's path and body, and register it with the workers' stand-ins and checks."""
+        """Make a job's path and body, and register it with the workers' stand-ins and checks.
+
+        A job with a long-running step may have any number of failed runs.
+        """
         from snowdock.platform.job_bodies import decode_job
 
         job = secrets.token_hex(8)
         body = {"spec": f"payload of {job}", "steps": steps}
         spec = decode_job("jobs", json.dumps(body).encode())
         self.workers.steps[job] = list(spec.steps)
-        self.workers.checks.record_submission(job, spec, 3)
+        is_long_running = any(step.long_running for step in spec.steps)
+        max_attempts = sys.maxsize if is_long_running else _MAX_ATTEMPTS
+        self.workers.checks.record_submission(job, spec, max_attempts)
         return prefix + job, body
 
     def state(self, node: EntryProcess, path: str) -> str:
--- a/tests/standins/platform.py
+++ b/tests/standins/platform.py
@@ -8,6 +8,7 @@
 import itertools
 import json
 import logging
+import math
 import struct
 import threading
 import time
@@ -258,7 +259,8 @@
 
     ``work_s`` is the duration of a run in seconds; ``checks`` records all starts and ends. The
     first task of a job in ``crashing_jobs`` crashes each worker that starts it; the worker is
-    replaced after a delay. All runs of a job in ``failing_jobs`` fail. ``starvation`` checks the
+    replaced after a delay. All runs of a job in ``failing_jobs`` fail. Runs of long-running steps
+    last until they are stopped, unless ``plan_long_running`` is replaced. ``starvation`` checks the
     jobs in ``accepted_jobs``.
     """
 
@@ -274,6 +276,7 @@
         self.unresponsive: set[str] = set()
         self.crashing_jobs: set[str] = set()
         self.failing_jobs: set[str] = set()
+        self.plan_long_running: Callable[[], RunPlan] = lambda: RunPlan(math.inf)
         self._closed = False
         self.accepted_jobs: list[str] = []
         self.starvation = StarvationChecker(self.checks)
@@ -321,9 +324,7 @@
             WorkerTimings(lease_limit_s=6.0),
             self._gangs,
             self.checks,
-            lambda task, _: RunPlan(
-                self.work_s, task.job in self.failing_jobs, self._crashes_worker(task)
-            ),
+            self._plan_run,
             crash=self._crash_and_replace,
             clock_began=clock_began,
         )
@@ -352,6 +353,30 @@
                     raise
                 time.sleep(0.01)
 
+    def _plan_run(self, task: TaskId, _run: int) -> RunPlan:
+        if self.steps[task.job][task.step].long_running:
+            return self.plan_long_running()
+        return RunPlan(self.work_s, task.job in self.failing_jobs, self._crashes_worker(task))
+
+    def find_workers_running(self, task: TaskId) -> list[str]:
+        """Return the lives of the workers that run a task."""
+        with self._lock:
+            return [
+                life for life, model in self.models.items() if model.is_up and task in model.running
+            ]
+
+    def has_spare_room(self, task: TaskId) -> bool:
+        """Check whether some worker has room for a task twice over, and may run it."""
+        step = self.steps[task.job][task.step]
+        twice = step.room.times(2)
+        with self._lock:
+            return any(
+                model.accepts_runs
+                and model.entry.capacity.minus(model.used).holds(twice)
+                and not _is_at_spread_limit(model, task, step)
+                for model in self.models.values()
+            )
+
     def _crashes_worker(self, task: TaskId) -> bool:
         return task.job in self.crashing_jobs and (task.step, task.index) == (0, 0)
 
@@ -481,6 +506,11 @@
         return json_reply(body | {"born": self._born_ms[model.entry.life]})
 
 
+def _is_at_spread_limit(model: WorkerModel, task: TaskId, step: StepSpec) -> bool:
+    same = sum((each.job, each.step) == (task.job, task.step) for each in model.running)
+    return bool(step.most_per_worker) and same >= step.most_per_worker
+
+
 class AdviceStandin:
     """The advice service: all workers except those in ``unfit`` are suitable for every step."""
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -2,10 +2,11 @@
 
 import unittest
 
-from tests.soak import FAILED_SEEDS, Soak
+from tests.soak import FAILED_SEEDS, LONG_RUNNING_FROM_SEED, Soak
 
 SEEDS = (1, 2, 3000)
 SECONDS = 8.0
+OVERLAPPING_SECONDS = 4.0
 
 
 class TestSoak(unittest.TestCase):
@@ -16,5 +17,25 @@
                 self.assertEqual(Soak(seed, seconds).run(), [])
 
 
+class TestSoakWithOverlappingFaults(unittest.TestCase):
+    soak: Soak
+    violations: list[str]
+
+    @classmethod
+    def setUpClass(cls) -> None:
+        cls.soak = Soak(LONG_RUNNING_FROM_SEED, OVERLAPPING_SECONDS)
+        cls.violations = cls.soak.run()
+
+    def test_long_running_jobs_and_lookups(self) -> None:
+        """After overlapping faults, long-running tasks run and all nodes know all accepted jobs."""
+        unknown = self.soak.unknown_job_violations
+        self.assertEqual([each for each in self.violations if each not in unknown], [])
+
+    def test_unknown_jobs_are_called_gone(self) -> None:
+        """After overlapping faults, callers learn within five tries that a job doesn't exist."""
+        self.assertTrue(self.soak.reports)
+        self.assertEqual(self.soak.unknown_job_violations, [])
+
+
 if __name__ == "__main__":
     unittest.main()
