--- a/tests/standins/platform.py
+++ b/tests/standins/platform.py
@@ -53,6 +53,10 @@
             # select() fails for descriptors beyond 1,023, which dozens of nodes exceed.
             asyncore_use_poll=True,
         )
+        self._wake_loop = self._server.trigger._physical_pull
+        self._server.trigger._physical_pull = self._wake_open_loop
+        self._wake_lock = threading.Lock()
+        self._is_closed = False
         self.port = self._server.effective_port
         self.address = f"127.0.0.1:{self.port}"
         threading.Thread(target=self._server.run, daemon=True).start()
@@ -71,11 +75,26 @@
         # thread meanwhile would make it close connections that are still being written to.
         trigger = self._server.trigger
         with trigger.lock:
-            trigger.thunks.append(self._server.close)
+            trigger.thunks.append(self._close_server)
             trigger.pull_trigger()
         # Without this, the server's threads would outlive it.
         self._server.task_dispatcher.shutdown(cancel_pending=True, timeout=0)
 
+    def _wake_open_loop(self) -> None:
+        """Wake the server's loop unless it is closed.
+
+        waitress would write to the number of the closed descriptor, which another connection of
+        this process may have by then.
+        """
+        with self._wake_lock:
+            if not self._is_closed:
+                self._wake_loop()
+
+    def _close_server(self) -> None:
+        with self._wake_lock:
+            self._is_closed = True
+            self._server.close()
+
 
 def json_reply(value: object, status: int = 200) -> Reply:
     return status, json.dumps(value).encode()
