--- a/tests/test_jobs_long_running_bounds.py
+++ b/tests/test_jobs_long_running_bounds.py
@@ -6,10 +6,10 @@
 import msgspec
 
 from snowdock.declarations import Size
-from snowdock.jobs.events import SendStart
-from snowdock.jobs.model import StepSpec, TaskId
-from snowdock.jobs.orders import EndKind
-from tests.jobs_tools import Bench
+from snowdock.jobs.events import AdviceAnswered, AskAdvice, SendStart
+from snowdock.jobs.model import AdviceTerms, StepSpec, TaskId
+from snowdock.jobs.orders import AdviceRequest, AdviceResult, EndKind
+from tests.jobs_tools import SMALL, Bench, filter_by_type
 
 TOLERATED_WAIT_SECONDS = 3.0
 """How long a long-running task may wait while workers have room for it."""
@@ -92,5 +92,57 @@
         self.assertIn(job, {each.job for each in self.running})
 
 
+class TestOthersBehindLongRunningTasks(LongRunningTestCase):
+    def test_long_running_tasks_without_room_delay_no_other(self) -> None:
+        """Long-running tasks that can't be placed don't use up each pass before other steps."""
+        for number in range(200):
+            self.bench.add_worker(f"w{number}", address=f"w{number}", cpu=1000)
+        for _ in range(20):
+            self.bench.submit(msgspec.structs.replace(LONG_RUNNING, label="x"))
+        self.run_for(2.0)
+        for _ in range(3):
+            job = self.bench.submit(SMALL)
+            self.run_for(0.3)
+            self.assertIn(job, {each.job for each in self.running})
+
+
+class TestTaskBehindOthersForAdvice(LongRunningTestCase):
+    """A stream of higher-ranked steps that takes all requests to the advice service."""
+
+    def setUp(self) -> None:
+        self.bench = Bench(advice=AdviceTerms(560.0, 8.0, 2000.0))
+        self.running = {}
+        self.requests: list[AdviceRequest] = []
+        policy = self.bench.cell.policy
+        self.bench.cell.policy = dataclasses.replace(
+            policy, rank=lambda step, now: -float(step.spec.long_running)
+        )
+        for life in ("w1", "w2"):
+            self.bench.add_worker(life, address=life)
+
+    def accept_starts(self) -> None:
+        effects = filter_by_type(self.bench.all_effects, AskAdvice)
+        self.requests += [effect.request for effect in effects]
+        super().accept_starts()
+
+    def answer_oldest_request(self, job: str) -> None:
+        """Answer the oldest request; only the steps of one job may run anywhere."""
+        if self.requests:
+            request = self.requests.pop(0)
+            tickets = {life: "t" for life in request.workers if request.job == job}
+            self.bench.feed(AdviceAnswered(AdviceResult(request, tickets)))
+
+    def test_long_running_task_never_gets_a_request(self) -> None:
+        """A waiting long-running task gets a request before others of higher rank."""
+        for _ in range(4):
+            self.bench.submit(SMALL)
+        job = self.bench.submit(LONG_RUNNING)
+        for _ in range(round(TOLERATED_WAIT_SECONDS / 0.3)):
+            self.bench.submit(SMALL)
+            self.answer_oldest_request(job)
+            self.run_for(0.3)
+        self.assertIn(job, {each.job for each in self.running})
+
+
 if __name__ == "__main__":
     unittest.main()
