Limit the steps that go first by aging to a quarter of a placement pass

Twenty long-running steps that waited and could not be placed on 200 workers used up each pass, so a small job of usual rank waited up to a second for its search: the new test of it failed on.

--- a/src/snowdock/jobs/placement.py
+++ b/src/snowdock/jobs/placement.py
@@ -1,6 +1,7 @@
 """Placement of waiting steps on workers, by rank, in passes of bounded duration."""
 
 import dataclasses
+import math
 
 from ..declarations import ZERO_SIZE, Size
 from .availability import find_exclusion
@@ -54,10 +55,6 @@
 """Time after which a step is searched although steps of higher rank use up each pass, while fewer
 steps than `_CROWDED_STEP_COUNT` are waiting."""
 
-_MAX_OUTRANKED_SECONDS = 1.5
-"""Time after which a waiting long-running task is searched before all other steps. It ranks below
-work that is not late, which otherwise takes free room and advice requests first for ever."""
-
 
 @dataclasses.dataclass(slots=True)
 class _WorkerPool:
@@ -133,7 +130,7 @@
 def place_waiting_steps(cell: Cell, now: float) -> None:
     """Run a placement pass over the waiting steps, in descending order of rank.
 
-    Steps with a long-running task that has waited for long come first, within a limit of their own.
+    Steps that have the highest rank by aging come first, within a limit of their own.
     """
     if not cell.waiting_steps or now < cell.next_placement_at:
         return
@@ -145,9 +142,10 @@
     pools = _WorkerPools(cell, now)
     examined = len(cell.workers)
     by_last_search = sorted(cell.waiting_steps.values(), key=lambda step: step.last_search_at)
-    outranked = [step for step in by_last_search if _goes_first(step, now)]
-    examined += _search_steps(cell, outranked, pools, now, _MAX_EXAMINED_PER_PASS // 4)
-    by_rank = sorted(cell.waiting_steps.values(), key=lambda step: -step.rank)
+    aged = [step for step in by_last_search if math.isinf(step.rank)]
+    examined += _search_steps(cell, aged, pools, now, _MAX_EXAMINED_PER_PASS // 4)
+    others = [step for step in cell.waiting_steps.values() if not math.isinf(step.rank)]
+    by_rank = sorted(others, key=lambda step: -step.rank)
     max_examined = _MAX_EXAMINED_PER_PASS // 2
     examined_by_rank = _search_steps(cell, by_rank, pools, now, max_examined)
     examined += examined_by_rank
@@ -164,11 +162,6 @@
     cell.next_placement_at = now + max(_MIN_PASS_INTERVAL_SECONDS, pause)
 
 
-def _goes_first(step: Step, now: float) -> bool:
-    """Check whether a step is searched before all others, whatever its rank."""
-    return step.spec.long_running and now - step.waiting_since >= _MAX_OUTRANKED_SECONDS
-
-
 def _search_steps(
     cell: Cell, steps: list[Step], pools: _WorkerPools, now: float, max_examined: int
 ) -> int:
