--- a/src/snowdock/jobs/candidates.py
+++ b/src/snowdock/jobs/candidates.py
@@ -35,7 +35,7 @@
 """Time for which the last attempt of a task waits for a worker without recent failures."""
 
 _MAX_CAUTION_SECONDS = 2.0
-"""Maximum time for which a step that is held up avoids workers quarantined for failures; a last
+"""Maximum time for which a step that is held up avoids workers in quarantine; a last
 attempt waits longer."""
 
 
