Reserve a part of the advice requests for each service whose steps wait

Half of the limit is now reserved for the services of waiting steps, in equal parts; a service that does not use its part leaves it to nobody while it has waiting steps. The test failed before: 11 requests, all of the crowded service.

--- a/src/snowdock/jobs/cell.py
+++ b/src/snowdock/jobs/cell.py
@@ -20,6 +20,7 @@
     "DeferredRenewal",
     "DeferredStart",
     "Orphan",
+    "PendingAdvice",
     "PendingStop",
     "QuotaReservation",
     "SchedulingPolicy",
@@ -161,6 +162,14 @@
     since: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class PendingAdvice:
+    """A pending advice request: the service of its step, and whether it may be a long one."""
+
+    service: str
+    is_long: bool
+
+
 class Cell:
     """State of the scheduling leader; only the reducer changes it.
 
@@ -232,7 +241,9 @@
     advice_node_count
         Number of nodes that can call the advice service.
     advice_requests
-        Pending advice requests, and whether each may be a long one.
+        Pending advice requests.
+    advised_services
+        Services of the waiting steps that need advice, as of the last placement pass.
     needs_placement
         Whether a change since the last placement pass may allow a waiting step to be placed.
     last_placement_at, next_placement_at, last_ranking_at
@@ -280,7 +291,8 @@
         self.batch_deferred: list[Deferred] | None = None
         self.effects: list[Effect] = []
         self.advice_node_count = 1
-        self.advice_requests: dict[AdviceRequest, bool] = {}
+        self.advice_requests: dict[AdviceRequest, PendingAdvice] = {}
+        self.advised_services: frozenset[str] = frozenset()
         self.needs_placement = False
         self.last_placement_at = 0.0
         self.next_placement_at = 0.0
--- a/src/snowdock/jobs/placement.py
+++ b/src/snowdock/jobs/placement.py
@@ -11,7 +11,12 @@
 from .failed_runs import begin_probation_run
 from .job_state import Phase, Step, Task
 from .occupancy import occupy
-from .placement_advice import may_request_advice, needs_advice, request_advice
+from .placement_advice import (
+    find_advised_services,
+    may_request_advice,
+    needs_advice,
+    request_advice,
+)
 from .preemption import has_claim, preempt_runs, release_expired_claims
 from .quotas import reserve_quotas, tasks_within_quota
 from .ranking import refresh_ranks
@@ -139,6 +144,7 @@
     release_expired_claims(cell, now)
     refresh_ranks(cell, now)
     reserve_quotas(cell)
+    cell.advised_services = find_advised_services(cell)
     pools = _WorkerPools(cell, now)
     examined = len(cell.workers)
     by_last_search = sorted(cell.waiting_steps.values(), key=lambda step: step.last_search_at)
--- a/src/snowdock/jobs/placement_advice.py
+++ b/src/snowdock/jobs/placement_advice.py
@@ -1,11 +1,12 @@
 """Requests to the external advice service, which decides which workers may run a step."""
 
+import collections
 import math
 from collections.abc import Iterable
 
 from ..declarations import Size
 from .candidates import count_fitting
-from .cell import Cell
+from .cell import Cell, PendingAdvice
 from .events import AdviceAnswered, AdviceFailed, AskAdvice
 from .job_state import Advice, Step
 from .orders import AdviceRequest
@@ -15,6 +16,7 @@
 
 __all__ = [
     "apply_advice",
+    "find_advised_services",
     "handle_advice_failure",
     "may_request_advice",
     "needs_advice",
@@ -56,6 +58,10 @@
 """Maximum number of pending long requests for each node that can call the service, slightly more
 than can be in progress. They are counted separately so that they never delay short requests."""
 
+_RESERVED_SHARE = 0.5
+"""Share of the pending requests that is reserved for the services of waiting steps, in equal parts:
+otherwise a crowded service takes all of them, and steps of another one wait beside free room."""
+
 _BULKY_PARALLEL_REQUESTS = 4
 """Maximum number of parallel requests for a bulky step. If they were sent one after the other, the
 first tickets would expire before the last answer."""
@@ -99,8 +105,20 @@
         return False
     is_long = _may_be_long(advice)
     requests_per_node = _LONG_REQUESTS_PER_NODE if is_long else _SHORT_REQUESTS_PER_NODE
-    pending = sum(each is is_long for each in cell.advice_requests.values())
-    return pending < max(1, requests_per_node * cell.advice_node_count)
+    limit = max(1, requests_per_node * cell.advice_node_count)
+    pending = collections.Counter(
+        each.service for each in cell.advice_requests.values() if each.is_long is is_long
+    )
+    others = cell.advised_services - {cell.queue_of(step.job).service}
+    share = _RESERVED_SHARE * limit / (1 + len(others))
+    reserved = sum(max(0, math.ceil(share) - pending[service]) for service in others)
+    return pending.total() + min(reserved, limit - 1) < limit
+
+
+def find_advised_services(cell: Cell) -> frozenset[str]:
+    """Return the services of the waiting steps that need advice."""
+    queues = (cell.queue_of(step.job) for step in cell.waiting_steps.values())
+    return frozenset(queue.service for queue in queues if queue.advice is not None)
 
 
 def request_advice(
@@ -149,7 +167,8 @@
         hold_room(cell, step, known, wanted, now, hold_s)
     for part in parts:
         request = AdviceRequest(*step.key, tuple(worker.life for worker in part))
-        cell.advice_requests[request] = _may_be_long(advice)
+        service = cell.queue_of(step.job).service
+        cell.advice_requests[request] = PendingAdvice(service, _may_be_long(advice))
         cell.emit(AskAdvice(request, expected_s * 1000))
     return examined
 
--- a/tests/test_jobs_placement.py
+++ b/tests/test_jobs_placement.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from snowdock.declarations import Size
 from snowdock.jobs.events import (
     AdviceAnswered,
     AskAdvice,
@@ -14,10 +15,12 @@
     Persisted,
     SendStop,
     Ticked,
+    WorkerListed,
 )
 from snowdock.jobs.model import AdviceTerms, Configuration, Queue, Service
 from snowdock.jobs.orders import AdviceResult
 from snowdock.jobs.reducer import reduce
+from snowdock.jobs.workers import WorkerEntry
 from tests.jobs_tools import SMALL, Bench, filter_by_type, make_accepted_job
 
 
@@ -130,6 +133,37 @@
             "f" * 16, [each.request.job for each in filter_by_type(bench.all_effects, AskAdvice)]
         )
 
+    def test_crowded_service_takes_all_requests(self) -> None:
+        """Steps of another service get requests, however many of the crowded one rank higher."""
+        terms = AdviceTerms(500, 5, 2000)
+        bench = Bench(advice=terms)
+        queues = [
+            Queue(service, "", f"/{service}/", service, max_attempts=3, advice=terms)
+            for service in ("crowded", "free")
+        ]
+        services = (Service("crowded"), Service("free"))
+        bench.cell.configuration = Configuration(2, tuple(queues), services)
+        bench.cell.policy = dataclasses.replace(
+            bench.cell.policy, rank=lambda step, now: float(step.job.queue == "crowded")
+        )
+        for service in ("crowded", "free"):
+            size = Size(64_000, 64_000, 0)
+            entry = WorkerEntry(service, service, "a:1", "hall", "r1", frozenset(), size)
+            bench.feed(WorkerListed(entry))
+            bench.report(service)
+        bench.tick(0.1)
+        for number in range(40):
+            bench.feed(JobAccepted(f"{number:016x}", make_accepted_job(queue="crowded")))
+        bench.feed(JobAccepted("f" * 16, make_accepted_job(queue="free")))
+        requests = []
+        for _ in range(10):
+            asked = filter_by_type(bench.all_effects, AskAdvice)
+            requests += [each.request for each in asked if each.request not in requests]
+            pending = next(iter(bench.cell.advice_requests))
+            bench.feed(AdviceAnswered(AdviceResult(pending, {})))
+            bench.tick(0.3)
+        self.assertIn("f" * 16, [request.job for request in requests])
+
 
 class TestExpiredTickets(unittest.TestCase):
     TERMS = AdviceTerms(decide_ms=10, each_ms=1, valid_ms=2000)
