--- a/src/snowdock/jobs/suspects.py
+++ b/src/snowdock/jobs/suspects.py
@@ -38,6 +38,10 @@
 _SEPARATE_WAIT_SECONDS = 1.6
 """How long a task waits for an empty worker, and for one without a suspect."""
 
+_MAX_LONG_RUNNING_WAIT_SECONDS = 5.0
+"""Time without a run after which a long-running task is not isolated: a loss of its worker may take
+that long to be detected, and its isolation would add to it."""
+
 _EXCLUSIVE_RUN_SECONDS = 5.0
 """How long a suspect runs before other runs may join it: it has not crashed its worker at its
 start. The limit also holds for runs that last for hours."""
@@ -78,6 +82,8 @@
 
 
 def _isolation_level(task: Task, now: float) -> IsolationLevel:
+    if task.step.spec.long_running and task.waited_seconds(now) >= _MAX_LONG_RUNNING_WAIT_SECONDS:
+        return IsolationLevel.NONE
     losses = len(task.lost_runs)
     waited = now - task.phase_since
     if losses >= EXCLUSIVE_FROM_LOSSES and waited < _EXCLUSIVE_WAIT_SECONDS:
--- a/tests/test_jobs_suspects.py
+++ b/tests/test_jobs_suspects.py
@@ -10,7 +10,7 @@
 from snowdock.jobs.events import SendStart, WorkerListed
 from snowdock.jobs.model import StepSpec
 from snowdock.jobs.progress import decode_progress
-from snowdock.jobs.suspects import next_tasks
+from snowdock.jobs.suspects import IsolationLevel, next_tasks
 from snowdock.jobs.takeover import RecordedJobs
 from tests.jobs_tools import DONE, SMALL, Bench, make_accepted_job
 
@@ -118,6 +118,18 @@
             self.bench.tick(0.5)
         self.assertEqual([start.life for start in self.bench.new_starts()], [empty])
 
+    def test_long_running_suspect_that_was_lost_late_waits_for_isolation(self) -> None:
+        """A long-running task whose loss was detected late is not isolated on top of that."""
+        for lasts, expected in ((True, IsolationLevel.NONE), (False, IsolationLevel.FROM_SUSPECTS)):
+            with self.subTest(lasts=lasts):
+                job = self.bench.submit(msgspec.structs.replace(SMALL, long_running=lasts))
+                ((step,),) = self.bench.cell.jobs[job].repetitions
+                (task,) = step.tasks
+                task.run, task.lost_runs = 1, frozenset({1})
+                task.phase_since = self.bench.now
+                task.idle_since = self.bench.now - 6.0
+                self.assertIs(next_tasks(step, self.bench.now)[1], expected)
+
     def test_suspects_of_different_jobs(self) -> None:
         """Suspects of different jobs are separated, and the second waits at most two seconds."""
         jobs = self.make_suspects(2)
