Judge no worker's speed by long-running tasks, and move none

Their percentage says whether they are at work, not how far they are: 1,930 of 1,952 moves in the logs of the soak were of long-running tasks that reported 0 %. The test failed before: the tasks were moved, and their workers counted as slow.

--- a/src/snowdock/jobs/speeds.py
+++ b/src/snowdock/jobs/speeds.py
@@ -60,7 +60,8 @@
 
 def learn_speed(worker: Worker, task: Task, running: RunningRun, now: float) -> None:
     """Update the estimates of a worker's slowness and a step's time from a run's progress."""
-    if task.phase is not Phase.RUNNING:
+    if task.phase is not Phase.RUNNING or task.step.spec.long_running:
+        # The percentage of a long-running task is not its progress.
         return
     if task.measured_at == 0.0 or running.percent < task.measured_percent:
         # The first measurement, or a run that resumed from its checkpoint.
@@ -95,6 +96,7 @@
         worker.slowness < _SLOW_FACTOR
         or task.moves >= _MAX_MOVES
         or task.phase is not Phase.RUNNING
+        or task.step.spec.long_running
     ):
         return False
     step = task.step
--- a/tests/test_jobs_long_running.py
+++ b/tests/test_jobs_long_running.py
@@ -137,6 +137,16 @@
         self.assertLess(self.failed_starts, 20)
 
 
+class TestMoves(LongRunningTestCase):
+    def test_long_running_task_without_progress_makes_its_worker_slow(self) -> None:
+        """The percentage of a long-running task says nothing about its worker's speed."""
+        step = msgspec.structs.replace(LONG_RUNNING, estimate_ms=100)
+        self.bench.submit(step)
+        self.run_for(5.0)
+        self.assertEqual({worker.slowness for worker in self.bench.cell.workers.values()}, {1.0})
+        self.assertEqual({start.order.run for start in self.running.values()}, {1})
+
+
 class TestQuota(LongRunningTestCase):
     def make_bench(self) -> Bench:
         return QuotaBench(make_team(6000))
