--- a/tests/standins/thread_killer.py
+++ b/tests/standins/thread_killer.py
@@ -42,8 +42,8 @@
     is_leading = threading.Event()
     start = LeaderHandle.start
 
-    def start_and_signal(self, job_offsets) -> None:
-        start(self, job_offsets)
+    def start_and_signal(self, job_offsets, jobs_read_at) -> None:
+        start(self, job_offsets, jobs_read_at)
         is_leading.set()
 
     LeaderHandle.start = start_and_signal
