Close workers for a cause that stays in the test of the log of waiting tasks

The test keeps a long-running task waiting by quarantining all workers without a cause. It now takes unanswered starts, which stay closed; its assertions are the same. Test code only.

--- a/tests/test_jobs_starving.py
+++ b/tests/test_jobs_starving.py
@@ -60,7 +60,7 @@
         for start in (kept, ended):
             self.bench.confirm(start)
         for worker in self.bench.cell.workers.values():
-            worker.quarantined_until = self.bench.now + 60
+            quarantine(self.bench.cell, worker, QuarantineCause.UNANSWERED, 60.0, self.bench.now)
         order = ended.order
         self.bench.report(ended.life, ended=[(order.task, order.run, EndKind.FAILED)])
         self.assertEqual(decision_fields(self.bench.tick(1.8), "long_running_task_waits"), [])
