--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -19,13 +19,15 @@
             released.wait(5.0)
             return 200, b""
 
+        other_threads = set(threading.enumerate())
         server = Server(handle)
         caller = http.client.HTTPConnection("127.0.0.1", server.port, timeout=5.0)
         self.addCleanup(caller.close)
         caller.request("GET", "/")
         entered.wait(5.0)
         descriptor = server._server.trigger.trigger
-        threads = {each for each in threading.enumerate() if each.name.startswith("waitress")}
+        own_threads = set(threading.enumerate()) - other_threads
+        threads = {each for each in own_threads if each.name.startswith("waitress")}
         server.close()
         self.assertTrue(wait_until(lambda: not _is_open(descriptor), 5.0))
         reader, writer = os.pipe()
