Ask a step for its waiting tasks in one place

Step.waiting_tasks serves all. No decision changes: each caller gets the same tasks in the same order.

--- a/src/snowdock/jobs/job_state.py
+++ b/src/snowdock/jobs/job_state.py
@@ -220,10 +220,15 @@
         """Identifier of the step."""
         return (self.job.id, self.repetition, self.number)
 
+    @property
+    def waiting_tasks(self) -> list[Task]:
+        """Tasks that wait for a placement."""
+        return [task for task in self.tasks if task.phase is Phase.WAITING]
+
     @property
     def waiting_since(self) -> float:
         """Time since which all waiting tasks have been waiting, in steady-clock seconds."""
-        waiting_times = (task.phase_since for task in self.tasks if task.phase is Phase.WAITING)
+        waiting_times = (task.phase_since for task in self.waiting_tasks)
         return max(self.queued_at, max(waiting_times, default=0.0))
 
     def waited_seconds(self, now: float) -> float:
@@ -233,8 +238,7 @@
         """
         if not self.spec.long_running:
             return now - self.waiting_since
-        waiting = (task for task in self.tasks if task.phase is Phase.WAITING)
-        return max((task.waited_seconds(now) for task in waiting), default=0.0)
+        return max((task.waited_seconds(now) for task in self.waiting_tasks), default=0.0)
 
     @property
     def is_held_up(self) -> bool:
--- a/src/snowdock/jobs/placement.py
+++ b/src/snowdock/jobs/placement.py
@@ -190,7 +190,7 @@
     """Place as many tasks of a step as possible, and return the number of workers examined."""
     tasks, isolation = next_tasks(step, now)
     if not tasks:
-        if not any(task.phase is Phase.WAITING for task in step.tasks):
+        if not step.waiting_tasks:
             del cell.waiting_steps[step.key]
         return 1
     tasks = tasks[: _limit_to_quota(cell, step, len(tasks))]
@@ -388,7 +388,7 @@
         rank=step.rank,
         waited_s=now - step.job.submitted_at,
     )
-    remaining = [task for task in step.tasks if task.phase is Phase.WAITING]
+    remaining = step.waiting_tasks
     if not remaining:
         del cell.waiting_steps[step.key]
         release_expired_claims(cell, now)
--- a/src/snowdock/jobs/ranking.py
+++ b/src/snowdock/jobs/ranking.py
@@ -3,7 +3,7 @@
 import math
 
 from .cell import Cell
-from .job_state import Phase, Step, Task
+from .job_state import Step, Task
 
 __all__ = ["refresh_ranks", "update_rank"]
 
@@ -43,9 +43,7 @@
 def update_rank(cell: Cell, step: Step, now: float) -> None:
     """Update the rank of a step from the policy and from the time for which it has waited."""
     step.ranked_at = now
-    is_aged = step.spec.long_running and any(
-        task.phase is Phase.WAITING and _has_aged(task, now) for task in step.tasks
-    )
+    is_aged = step.spec.long_running and any(_has_aged(task, now) for task in step.waiting_tasks)
     step.rank = math.inf if is_aged else cell.policy.rank(step, now)
 
 
--- a/src/snowdock/jobs/runs.py
+++ b/src/snowdock/jobs/runs.py
@@ -60,7 +60,7 @@
     for step in steps:
         if step.is_done or not all(steps[earlier].is_done for earlier in step.spec.after):
             continue
-        if any(task.phase is Phase.WAITING for task in step.tasks):
+        if step.waiting_tasks:
             _enqueue_step(cell, step)
 
 
--- a/src/snowdock/jobs/starving.py
+++ b/src/snowdock/jobs/starving.py
@@ -10,7 +10,7 @@
 from .candidates import Caution, caution_for, count_fitting, max_additional_tasks
 from .cell import Cell
 from .failed_runs import has_probation_run, is_doubtful
-from .job_state import Phase, Step, Task
+from .job_state import Step, Task
 from .room_use import used_share
 from .suspects import may_share_worker, next_tasks
 from .workers import Worker
@@ -88,8 +88,7 @@
 
 
 def _longest_waiting_task(step: Step, now: float) -> Task | None:
-    tasks = [task for task in step.tasks if task.phase is Phase.WAITING]
-    return max(tasks, key=lambda task: task.waited_seconds(now), default=None)
+    return max(step.waiting_tasks, key=lambda task: task.waited_seconds(now), default=None)
 
 
 def _is_idle(step: Step) -> bool:
@@ -136,7 +135,7 @@
         step.job.id,
         task=task.id,
         waiting_s=task.waited_seconds(now),
-        tasks=sum(each.phase is Phase.WAITING for each in step.tasks),
+        tasks=len(step.waiting_tasks),
         running=sum(each.is_placed for each in step.tasks),
         losses=len(task.lost_runs),
         at_quota=step.is_at_quota,
--- a/src/snowdock/jobs/suspects.py
+++ b/src/snowdock/jobs/suspects.py
@@ -66,7 +66,7 @@
     Tasks with the lowest level come first; a gang is placed as a whole. There are none if all
     waiting tasks are paused.
     """
-    waiting = [task for task in step.tasks if task.phase is Phase.WAITING]
+    waiting = step.waiting_tasks
     if step.spec.long_running and not step.spec.gang:
         waiting = [task for task in waiting if task.not_before <= now]
         # Otherwise a task whose runs fail at once takes each slot before the others.
