Sort in a placement pass only the steps that are searched in that order

Each pass sorted all waiting steps by their last search only to pick the few that have aged, though passes are kept short for the sake of other events. The steps are now filtered first; the last part of the pass has a function of its own. The sorts are stable, so the order of searches is as before.

--- a/src/snowdock/jobs/placement.py
+++ b/src/snowdock/jobs/placement.py
@@ -147,27 +147,38 @@
     cell.advised_services = find_advised_services(cell)
     pools = _WorkerPools(cell, now)
     examined = len(cell.workers)
-    by_last_search = sorted(cell.waiting_steps.values(), key=lambda step: step.last_search_at)
-    aged = [step for step in by_last_search if math.isinf(step.rank)]
+    waiting = cell.waiting_steps.values()
+    aged = [step for step in waiting if math.isinf(step.rank)]
+    aged.sort(key=lambda step: step.last_search_at)
     examined += _search_steps(cell, aged, pools, now, _MAX_EXAMINED_PER_PASS // 4)
-    others = [step for step in cell.waiting_steps.values() if not math.isinf(step.rank)]
-    by_rank = sorted(others, key=lambda step: -step.rank)
+    by_rank = [step for step in waiting if not math.isinf(step.rank)]
+    by_rank.sort(key=lambda step: -step.rank)
     max_examined = _MAX_EXAMINED_PER_PASS // 2
     examined_by_rank = _search_steps(cell, by_rank, pools, now, max_examined)
     examined += examined_by_rank
     newly_advised = [step for step in by_rank if step.has_new_advice]
     examined += _search_steps(cell, newly_advised, pools, now, _MAX_EXAMINED_PER_PASS)
-    is_crowded = len(cell.waiting_steps) > _CROWDED_STEP_COUNT
-    if is_crowded or examined_by_rank >= max_examined:
-        by_last_search = sorted(cell.waiting_steps.values(), key=lambda step: step.last_search_at)
-        if not is_crowded:
-            latest = now - _MAX_SEARCH_GAP_SECONDS
-            by_last_search = [step for step in by_last_search if step.last_search_at <= latest]
-        examined += _search_steps(cell, by_last_search, pools, now, max_examined)
+    neglected = _find_neglected_steps(cell, examined_by_rank >= max_examined, now)
+    examined += _search_steps(cell, neglected, pools, now, max_examined)
     pause = examined * _SECONDS_PER_EXAMINED_WORKER / _MAX_PASS_TIME_SHARE
     cell.next_placement_at = now + max(_MIN_PASS_INTERVAL_SECONDS, pause)
 
 
+def _find_neglected_steps(cell: Cell, is_limit_reached: bool, now: float) -> list[Step]:
+    """Return the steps to search next that a search by rank may not reach, longest ago first.
+
+    Without a crowd of waiting steps there are none unless that search reached its limit.
+    """
+    neglected = list(cell.waiting_steps.values())
+    if len(neglected) <= _CROWDED_STEP_COUNT:
+        if not is_limit_reached:
+            return []
+        latest = now - _MAX_SEARCH_GAP_SECONDS
+        neglected = [step for step in neglected if step.last_search_at <= latest]
+    neglected.sort(key=lambda step: step.last_search_at)
+    return neglected
+
+
 def _search_steps(
     cell: Cell, steps: list[Step], pools: _WorkerPools, now: float, max_examined: int
 ) -> int:
