Keep what isolation does to workers in suspects

The end of a suspect's isolation after its losses are cleared stood with the losses, the end of its exclusive use with the isolation; both change the same record on the worker. They stand together now. The two tests that bring a task to its third worker share that part, which also checks which worker it is.

--- a/src/snowdock/jobs/lost_runs.py
+++ b/src/snowdock/jobs/lost_runs.py
@@ -20,6 +20,7 @@
 from .job_state import Phase, Task
 from .occupancy import vacate
 from .runs import fail_job, void_run
+from .suspects import remove_suspect
 from .workers import Worker
 
 __all__ = [
@@ -129,17 +130,10 @@
     if task.phase is Phase.RUNNING and now - task.phase_since >= _STABLE_RUN_SECONDS:
         task.lost_runs = task.crashed_runs = frozenset()
         mark_dirty(cell, task.step.job)
-        _end_isolation(cell, task)
+        remove_suspect(cell, task)
         cell.log_decision("task_absolved", task.id.job, task=task.id, run=task.run)
 
 
-def _end_isolation(cell: Cell, task: Task) -> None:
-    """Open the worker of a task's current run to runs that may not share it with a suspect."""
-    worker = cell.workers.get(task.life)
-    if worker is not None and worker.suspects.pop((task.id, task.run), None) is not None:
-        cell.needs_placement = True
-
-
 def _lose_run(
     cell: Cell, worker: Worker, task: Task, now: float, end: _WorkerEnd, may_start_late: bool
 ) -> None:
--- a/src/snowdock/jobs/suspects.py
+++ b/src/snowdock/jobs/suspects.py
@@ -26,6 +26,7 @@
     "next_tasks",
     "record_crash",
     "record_suspect",
+    "remove_suspect",
 ]
 
 SEPARATE_FROM_LOSSES = 1
@@ -132,6 +133,13 @@
         cell.needs_placement = True
 
 
+def remove_suspect(cell: Cell, task: Task) -> None:
+    """Open the worker of a task's current run to runs that may not share it with a suspect."""
+    worker = cell.workers.get(task.life)
+    if worker is not None and worker.suspects.pop((task.id, task.run), None) is not None:
+        cell.needs_placement = True
+
+
 def record_crash(cell: Cell, worker: Worker, now: float) -> None:
     """Record the address where a worker crashed, and drop old entries."""
     recent = {at: t for at, t in cell.crashed_at.items() if now - t < _CRASHED_ADDRESS_SECONDS}
--- a/tests/test_jobs_suspects.py
+++ b/tests/test_jobs_suspects.py
@@ -49,6 +49,19 @@
         self.crash_all(suspect)
         return busy
 
+    def run_after_two_crashes(self, step: StepSpec) -> SendStart:
+        """Crash two workers under a step's task; return its start on a third one."""
+        self.bench.submit(step)
+        for _ in range(2):
+            self.add_workers(1)
+            self.bench.tick(0.2)
+            self.crash_all(self.bench.new_starts())
+        (empty,) = self.add_workers(1)
+        self.bench.tick(0.2)
+        (start,) = self.bench.new_starts()
+        self.assertEqual(start.life, empty)
+        return start
+
     def test_suspects_are_placed_apart(self) -> None:
         """Two tasks that were lost with one worker are not placed together again."""
         self.add_workers(1)
@@ -78,14 +91,8 @@
 
     def test_long_running_suspect_keeps_its_worker_to_itself(self) -> None:
         """A long-running task shares its worker again once it is cleared of its losses."""
-        self.bench.submit(msgspec.structs.replace(SMALL, long_running=True))
-        for _ in range(2):
-            self.add_workers(1)
-            self.bench.tick(0.2)
-            self.crash_all(self.bench.new_starts())
-        (empty,) = self.add_workers(1)
-        self.bench.tick(0.2)
-        (suspect,) = self.bench.new_starts()
+        suspect = self.run_after_two_crashes(msgspec.structs.replace(SMALL, long_running=True))
+        empty = suspect.life
         self.assertTrue(self.bench.cell.workers[empty].is_exclusive)
         self.bench.confirm(suspect)
         for _ in range(62):
@@ -97,15 +104,8 @@
 
     def test_running_suspect_keeps_its_worker_to_itself(self) -> None:
         """A suspect shares its worker a few seconds after its start, also in a run of minutes."""
-        long_task = msgspec.structs.replace(SMALL, estimate_ms=300_000)
-        self.bench.submit(long_task)
-        for _ in range(2):
-            self.add_workers(1)
-            self.bench.tick(0.2)
-            self.crash_all(self.bench.new_starts())
-        (empty,) = self.add_workers(1)
-        self.bench.tick(0.2)
-        (suspect,) = self.bench.new_starts()
+        suspect = self.run_after_two_crashes(msgspec.structs.replace(SMALL, estimate_ms=300_000))
+        empty = suspect.life
         self.bench.confirm(suspect)
         run = (suspect.order.task, suspect.order.run, 1.0)
         self.bench.submit(SMALL)
