Share the long-running tests' cluster, and run unknown lookups on an executor

Two test modules had the same test case that confirms starts and reports runs; the second one now extends the first, with its workers added by each test. The soak had a thread class of its own only to keep one lookup's result, which an executor's future does. Assertions, bounds and seeds are as before.

Checked by taking out what the bounds' tests guard: without aging, without the search of neglected steps, and without the end of exclusive use a test fails, as before. The order of waiting tasks alone is noticed by none, before and now, since the pause after an early failure has the same effect there.

--- a/tests/soak_lookups.py
+++ b/tests/soak_lookups.py
@@ -1,5 +1,6 @@
 """Lookups of jobs at all nodes, after the faults of a soak have been cleared."""
 
+import concurrent.futures
 import dataclasses
 import secrets
 import time
@@ -65,18 +66,6 @@
         time.sleep(delay_s)
 
 
-class _LookupThread(CheckedThread):
-    """Repeats one lookup over connections of its own."""
-
-    def __init__(self, node: EntryProcess, path: str, wanted: int) -> None:
-        super().__init__()
-        self.lookup: Lookup | None = None
-        self._arguments = (Connections(), node, path, wanted)
-
-    def work(self) -> None:
-        self.lookup = look_up(*self._arguments)
-
-
 class NodeLookups(CheckedThread):
     """Asks one node for all accepted jobs, then for jobs that were never submitted.
 
@@ -115,16 +104,16 @@
         self._look_up_unknown_jobs()
 
     def _look_up_unknown_jobs(self) -> None:
-        threads = []
-        for _ in range(_UNKNOWN_JOB_CALLERS):
-            threads.append(_LookupThread(self._node, _unknown_path(), 410))
-            threads[-1].start()
-            time.sleep(_UNKNOWN_JOB_CALLERS_INTERVAL_SECONDS)
-        for each in threads:
-            each.join()
-        unanswered = [each.lookup for each in threads if not each.lookup.is_answered]
+        lookups = []
+        with concurrent.futures.ThreadPoolExecutor(_UNKNOWN_JOB_CALLERS) as callers:
+            for _ in range(_UNKNOWN_JOB_CALLERS):
+                arguments = (Connections(), self._node, _unknown_path(), 410)
+                lookups.append(callers.submit(look_up, *arguments))
+                time.sleep(_UNKNOWN_JOB_CALLERS_INTERVAL_SECONDS)
+        answers = [each.result() for each in lookups]
+        unanswered = [each for each in answers if not each.is_answered]
         if unanswered:
-            count = f"{len(unanswered)} of {len(threads)} jobs that were never submitted"
+            count = f"{len(unanswered)} of {len(answers)} jobs that were never submitted"
             self.unknown_violations.append(self._describe(count, unanswered[0]))
 
     def _describe(self, what: str, lookup: Lookup) -> str:
--- a/tests/test_jobs_long_running.py
+++ b/tests/test_jobs_long_running.py
@@ -43,15 +43,18 @@
     def run_for(self, seconds: float) -> None:
         for _ in range(round(seconds * 10)):
             self.bench.tick(0.1)
-            for start in self.bench.new_starts():
-                self.bench.confirm(start)
-                self.running[start.order.task] = start
-                if start.life == self.failing_worker:
-                    self.end_run(start.order.task)
-                    self.failed_starts += 1
+            self.accept_starts()
             for life in list(self.bench.renewals):
                 self.bench.report(life, running=self.rows(life))
 
+    def accept_starts(self) -> None:
+        for start in self.bench.new_starts():
+            self.bench.confirm(start)
+            self.running[start.order.task] = start
+            if start.life == self.failing_worker:
+                self.end_run(start.order.task)
+                self.failed_starts += 1
+
     def rank_first(self, cpu: int) -> None:
         """Rank the steps whose tasks have a size above all others."""
         self.bench.cell.policy = dataclasses.replace(
--- a/tests/test_jobs_long_running_bounds.py
+++ b/tests/test_jobs_long_running_bounds.py
@@ -6,13 +6,11 @@
 import msgspec
 
 from snowdock.declarations import Size
-from snowdock.jobs.events import AdviceAnswered, AskAdvice, SendStart
-from snowdock.jobs.model import AdviceTerms, StepSpec, TaskId
+from snowdock.jobs.events import AdviceAnswered, AskAdvice
+from snowdock.jobs.model import AdviceTerms, StepSpec
 from snowdock.jobs.orders import AdviceRequest, AdviceResult, EndKind
 from tests.jobs_tools import SMALL, Bench, filter_by_type
-
-TOLERATED_WAIT_SECONDS = 3.0
-"""How long a long-running task may wait while workers have room for it."""
+from tests.test_jobs_long_running import TOLERATED_WAIT_SECONDS, LongRunningTestCase
 
 TOLERATED_FIRST_WAIT_SECONDS = 6.0
 """How long it may take after the acceptance of its job until that time begins."""
@@ -20,31 +18,18 @@
 LONG_RUNNING = StepSpec(count=1, size=Size(1000, 1000), long_running=True)
 
 
-class LongRunningTestCase(unittest.TestCase):
-    """Workers that confirm all starts and report their runs."""
-
-    def setUp(self) -> None:
-        self.bench = Bench()
-        self.running: dict[TaskId, SendStart] = {}
-
-    def run_for(self, seconds: float, interval: float = 0.1) -> None:
-        for _ in range(round(seconds / interval)):
-            self.bench.tick(interval)
-            self.accept_starts()
-            for life in list(self.bench.renewals):
-                self.bench.report(life, running=self.rows(life))
+class BoundsTestCase(LongRunningTestCase):
+    """A cluster whose workers the test adds."""
 
-    def accept_starts(self) -> None:
-        for start in self.bench.new_starts():
-            self.bench.confirm(start)
-            self.running[start.order.task] = start
+    workers = ()
 
-    def rows(self, life: str) -> list[tuple[TaskId, int, float]]:
-        starts = [each for each in self.running.values() if each.life == life]
-        return [(each.order.task, each.order.run, 1.0) for each in starts]
+    def rank_long_running_last(self) -> None:
+        self.bench.cell.policy = dataclasses.replace(
+            self.bench.cell.policy, rank=lambda step, now: -float(step.spec.long_running)
+        )
 
 
-class TestTaskBesideIsolatedRun(LongRunningTestCase):
+class TestTaskBesideIsolatedRun(BoundsTestCase):
     def test_long_running_task_stands_beside_isolated_run(self) -> None:
         """A run that needs a worker of its own keeps others away for a short time only."""
         for life in ("w1", "w2"):
@@ -54,8 +39,7 @@
         (task,) = self.running
         lost = frozenset((101, 102))
         self.bench.cell.find_task(task).lost_runs = lost
-        start = self.running.pop(task)
-        self.bench.report(start.life, ended=[(task, start.order.run, EndKind.STOPPED)])
+        self.end_run(task, EndKind.STOPPED)
         self.run_for(0.3)
         self.assertEqual({each.job for each in self.running}, {suspect})
         other_life = ({"w1", "w2"} - {self.running[task].life}).pop()
@@ -65,27 +49,23 @@
         self.assertIn(other, {each.job for each in self.running})
 
 
-class TestTaskBesideFailingSiblings(LongRunningTestCase):
+class TestTaskBesideFailingSiblings(BoundsTestCase):
     def test_long_running_task_stands_behind_a_failing_sibling(self) -> None:
         """A task whose runs fail at once doesn't take the next slot before one that waits."""
         self.bench.add_worker("w1", address="w1")
         self.bench.submit(msgspec.structs.replace(LONG_RUNNING, count=2, most_per_worker=1))
         self.run_for(0.3)
         (task,) = self.running
-        start = self.running.pop(task)
-        self.bench.report(start.life, ended=[(task, start.order.run, EndKind.FAILED)])
+        self.end_run(task)
         self.run_for(0.3)
         (second,) = self.running
         self.assertNotEqual(second, task)
 
 
-class TestTaskBehindOthersInTheQueue(LongRunningTestCase):
+class TestTaskBehindOthersInTheQueue(BoundsTestCase):
     def test_long_running_task_is_never_searched(self) -> None:
         """A few steps that can't be placed don't use up each pass before a lower-ranked one."""
-        policy = self.bench.cell.policy
-        self.bench.cell.policy = dataclasses.replace(
-            policy, rank=lambda step, now: -float(step.spec.long_running)
-        )
+        self.rank_long_running_last()
         for number in range(200):
             self.bench.add_worker(f"w{number}", address=f"w{number}", cpu=1000)
         for _ in range(8):
@@ -95,7 +75,7 @@
         self.assertIn(job, {each.job for each in self.running})
 
 
-class TestOthersBehindLongRunningTasks(LongRunningTestCase):
+class TestOthersBehindLongRunningTasks(BoundsTestCase):
     def test_long_running_tasks_without_room_delay_no_other(self) -> None:
         """Long-running tasks that can't be placed don't use up each pass before other steps."""
         for number in range(200):
@@ -109,20 +89,19 @@
             self.assertIn(job, {each.job for each in self.running})
 
 
-class TestTaskBehindOthersForAdvice(LongRunningTestCase):
+class TestTaskBehindOthersForAdvice(BoundsTestCase):
     """A stream of higher-ranked steps that takes all requests to the advice service."""
 
     def setUp(self) -> None:
-        self.bench = Bench(advice=AdviceTerms(560.0, 8.0, 2000.0))
-        self.running = {}
+        super().setUp()
         self.requests: list[AdviceRequest] = []
-        policy = self.bench.cell.policy
-        self.bench.cell.policy = dataclasses.replace(
-            policy, rank=lambda step, now: -float(step.spec.long_running)
-        )
+        self.rank_long_running_last()
         for life in ("w1", "w2"):
             self.bench.add_worker(life, address=life)
 
+    def make_bench(self) -> Bench:
+        return Bench(advice=AdviceTerms(560.0, 8.0, 2000.0))
+
     def accept_starts(self) -> None:
         effects = filter_by_type(self.bench.all_effects, AskAdvice)
         self.requests += [effect.request for effect in effects]
