Start tasks with several lost runs one after the other

Cause: a suspect waits at most 1.6 s for a worker without another suspect. In a small pool a crashed worker's replacement comes later than that, so all suspects had given up isolation by then, and were placed on it in one pass. The one that crashes it took the others along, whose starts were charged as losses (they may have begun), up to five.

Ruled out: longer waits alone hold back every task that a mass outage interrupts once, and end too; exempting starts that were never confirmed would break the users' bound of starts after three crashes.

Now a task with two losses joins suspects on a worker only once these have run for a second, for at most 30 s (long-running tasks: until 5 s without a run).

The soak now prints states and crashes of such jobs. bench.crashes counts all other failed jobs as innocent, not only those with two crashes under a task.

--- a/bench/crashes.py
+++ b/bench/crashes.py
@@ -2,9 +2,9 @@
 
 A way is ``standing`` (the defaults) or settings, as in `bench.ways`. All ways run the same seeds
 on the emulator: a settlement service on 24 workers, where one job in a hundred has a task that
-crashes each worker that starts it. With ``--flaps``, a share of the workers goes down and comes
-back every few seconds, independently of tasks; with ``--changes``, the leader changes every second
-or two and workers drain.
+crashes each worker that starts it, or with ``--small-pool`` short jobs on four workers. With
+``--flaps``, a share of the workers goes down and comes back every few seconds, independently of
+tasks; with ``--changes``, the leader changes every second or two and workers drain.
 """
 
 import argparse
@@ -13,12 +13,14 @@
 import statistics
 
 from bench.ways import apply_settings, format_worth, run_paired
+from snowdock.declarations import Size
 from snowdock.emulator import Emulator, EmulatorOptions, WorkloadOptions, draw_workload
 from snowdock.emulator.report import make_report
-from snowdock.emulator.workload import DrawnJob, default_mixes
+from snowdock.emulator.workload import DrawnJob, default_mixes, small_pool_mixes
 from snowdock.jobs.model import JobStatus
 
 SECONDS = 30.0
+SMALL_POOL_SECONDS = 10.0
 DRAIN_SECONDS = 30.0
 LOAD = 0.55
 CRASHING_SHARE = 0.01
@@ -42,7 +44,7 @@
     crashing_jobs, detected_jobs
         Jobs with a crashing task, and those of them that were reported as failed.
     wrongly_failed
-        Other jobs that were reported as failed, with two or more crashes under a task.
+        Other jobs that were reported as failed.
     crashes
         Workers that were crashed by tasks.
     report_delay_s
@@ -62,13 +64,13 @@
     violations: int
 
 
-def run_seed(way: str, seed: int, share: float, flaps: bool, changes: bool) -> Outcome:
+def run_seed(
+    way: str, seed: int, share: float, small_pool: bool, flaps: bool, changes: bool
+) -> Outcome:
     """Run one seed with one way's settings."""
     apply_settings(way)
-    mixes = [dataclasses.replace(mix, crashing_share=share) for mix in default_mixes()]
-    workload = WorkloadOptions(SECONDS, LOAD, tuple(mixes))
-    jobs = draw_workload(seed, workload)
-    options = EmulatorOptions(workload, lists_crashed_workers=changes)
+    options = _make_small_pool(share) if small_pool else _make_options(share, changes)
+    jobs = draw_workload(seed, options.workload)
     emulator = Emulator(seed, options, jobs)
     emulator.checks.is_undisturbed = False
     if flaps:
@@ -79,6 +81,18 @@
     return _evaluate(emulator, jobs)
 
 
+def _make_options(share: float, changes: bool) -> EmulatorOptions:
+    mixes = [dataclasses.replace(mix, crashing_share=share) for mix in default_mixes()]
+    workload = WorkloadOptions(SECONDS, LOAD, tuple(mixes))
+    return EmulatorOptions(workload, lists_crashed_workers=changes)
+
+
+def _make_small_pool(share: float) -> EmulatorOptions:
+    workload = WorkloadOptions(SMALL_POOL_SECONDS, 1.0, small_pool_mixes(share))
+    capacity = Size(4000, 16_000, 0)
+    return EmulatorOptions(workload, 4, capacity, racks=2, replacement_s=1.5)
+
+
 def _schedule_flap(emulator: Emulator, source: random.Random) -> None:
     """Repeatedly crash a share of the workers, which return after a delay."""
 
@@ -119,10 +133,7 @@
     return Outcome(
         crashing_jobs=len(crashing_jobs),
         detected_jobs=sum(job.job in failed for job in crashing_jobs),
-        wrongly_failed=sum(
-            job.job in failed and emulator.checks.may_fail_after_crashes(job.job)
-            for job in other_jobs
-        ),
+        wrongly_failed=sum(job.job in failed and not job.is_hopeless for job in other_jobs),
         crashes=sum(emulator.checks.count_crashes(job.crashing) for job in crashing_jobs),
         report_delay_s=statistics.median(waits) if waits else 0.0,
         worth=make_report(emulator, other_jobs).worth,
@@ -136,11 +147,12 @@
     parser.add_argument("ways", nargs="+", help="standing, or MODULE.CONSTANT=VALUE[,...]")
     parser.add_argument("--seeds", type=int, default=8)
     parser.add_argument("--share", type=float, default=CRASHING_SHARE)
+    parser.add_argument("--small-pool", action="store_true")
     parser.add_argument("--flaps", action="store_true")
     parser.add_argument("--changes", action="store_true")
     parser.add_argument("--processes", type=int, default=4)
     options = parser.parse_args()
-    arguments = (options.share, options.flaps, options.changes)
+    arguments = (options.share, options.small_pool, options.flaps, options.changes)
     outcomes_by_way = run_paired(
         run_seed, options.ways, options.seeds, options.processes, *arguments
     )
--- a/src/snowdock/emulator/fleet.py
+++ b/src/snowdock/emulator/fleet.py
@@ -16,9 +16,6 @@
 
 __all__ = ["Fleet"]
 
-_REPLACEMENT_SECONDS = 3.5
-"""Delay of the replacement of a worker that a task has crashed."""
-
 _CRASH_DETECTION_SECONDS = 5.0
 """Time within which a leader can detect that a crashed worker's runs have ended: another life
 answers at its address, or the leases have expired."""
@@ -129,7 +126,7 @@
             self._checks,
             self._plan_run,
             slowness,
-            lambda life: self.crash(life, _REPLACEMENT_SECONDS),
+            lambda life: self.crash(life, self._options.replacement_s),
             **terms,
         )
 
--- a/src/snowdock/emulator/options.py
+++ b/src/snowdock/emulator/options.py
@@ -53,6 +53,8 @@
         Timings of all workers.
     lease_s
         Length of the lease that renewals request, in seconds.
+    replacement_s
+        Delay of the replacement of a worker that a task has crashed, in seconds.
     lists_crashed_workers
         Whether a new leader still finds the entries of workers that crashed shortly before.
     capacities
@@ -69,6 +71,7 @@
     advice_node_count: int = 6
     timings: WorkerTimings = _TIMINGS
     lease_s: float = LEASE_SECONDS
+    replacement_s: float = 3.5
     lists_crashed_workers: bool = False
     capacities: tuple[Size, ...] = ()
 
--- a/src/snowdock/jobs/placement.py
+++ b/src/snowdock/jobs/placement.py
@@ -213,7 +213,7 @@
         return 1
     if needs_advice(cell, step):
         return 1 + _place_advised(cell, step, tasks, isolation, pool, now)
-    workers = _filter_by_isolation(isolation, list(pool.workers.values()))
+    workers = _filter_by_isolation(isolation, list(pool.workers.values()), now)
     candidates = _find_step_candidates(cell, step, workers, workers, isolation, now)
     remaining = _place_tasks(cell, step, tasks, isolation, candidates, now)
     if remaining:
@@ -246,8 +246,8 @@
     now: float,
 ) -> int:
     """Place tasks on workers with tickets, or request advice; return the workers examined."""
-    workers = _filter_by_isolation(isolation, _find_workers_with_ticket(step, pool, now))
-    fit = _filter_by_isolation(isolation, _find_fit_workers(step, pool))
+    workers = _filter_by_isolation(isolation, _find_workers_with_ticket(step, pool, now), now)
+    fit = _filter_by_isolation(isolation, _find_fit_workers(step, pool), now)
     candidates = _find_step_candidates(cell, step, workers, fit, isolation, now)
     remaining = _place_tasks(cell, step, tasks, isolation, candidates, now)
     examined = len(workers)
@@ -263,11 +263,13 @@
     return examined
 
 
-def _filter_by_isolation(isolation: IsolationLevel, workers: list[Worker]) -> list[Worker]:
+def _filter_by_isolation(
+    isolation: IsolationLevel, workers: list[Worker], now: float
+) -> list[Worker]:
     """Return the workers that satisfy an isolation level."""
     if isolation is IsolationLevel.NONE:
         return workers
-    return [worker for worker in workers if may_share_worker(worker, isolation)]
+    return [worker for worker in workers if may_share_worker(worker, isolation, now)]
 
 
 def _find_step_candidates(
--- a/src/snowdock/jobs/starving.py
+++ b/src/snowdock/jobs/starving.py
@@ -163,7 +163,7 @@
     if reason is not None:
         return reason
     _, isolation = next_tasks(step, now)
-    if not may_share_worker(worker, isolation):
+    if not may_share_worker(worker, isolation, now):
         return ExclusionReason.SUSPECT
     if has_probation_run(worker, now):
         return ExclusionReason.ON_PROBATION
--- a/src/snowdock/jobs/suspects.py
+++ b/src/snowdock/jobs/suspects.py
@@ -7,6 +7,9 @@
 
 A suspect that keeps running shares its worker again after `_EXCLUSIVE_RUN_SECONDS`. If room is
 short, isolation delays the task by at most `_EXCLUSIVE_WAIT_SECONDS` or `_SEPARATE_WAIT_SECONDS`.
+After that, suspects with several losses join a worker one after the other: each waits until those
+there have run for `_START_GAP_SECONDS`. So a task that crashes its worker at its start takes none
+of them with it, even if all of them have waited for the same worker.
 """
 
 import dataclasses
@@ -16,7 +19,7 @@
 from .candidates import Candidate
 from .cell import Cell
 from .job_state import Phase, Step, Task
-from .workers import Worker
+from .workers import Suspect, Worker
 
 __all__ = [
     "IsolationLevel",
@@ -35,10 +38,19 @@
 EXCLUSIVE_FROM_LOSSES = 2
 """Losses from which a task does not share a worker at all."""
 
+START_GAP_FROM_LOSSES = 2
+"""Losses from which a task is not started on a worker just after another suspect."""
+
 _EXCLUSIVE_WAIT_SECONDS = 0.8
 _SEPARATE_WAIT_SECONDS = 1.6
 """How long a task waits for an empty worker, and for one without a suspect."""
 
+_START_GAP_SECONDS = 1.0
+"""How long a suspect runs before another one may join it."""
+
+_MAX_START_GAP_WAIT_SECONDS = 30.0
+"""How long a task waits for a worker on which no suspect has just started."""
+
 _MAX_LONG_RUNNING_WAIT_SECONDS = 5.0
 """Time without a run after which a long-running task is not isolated: a loss of its worker may take
 that long to be detected, and its isolation would add to it."""
@@ -57,8 +69,9 @@
     """Which other runs a task may not share a worker with."""
 
     NONE = 0
-    FROM_SUSPECTS = 1
-    EXCLUSIVE = 2
+    FROM_NEW_SUSPECTS = 1
+    FROM_SUSPECTS = 2
+    EXCLUSIVE = 3
 
 
 def next_tasks(step: Step, now: float) -> tuple[list[Task], IsolationLevel]:
@@ -91,14 +104,29 @@
         return IsolationLevel.EXCLUSIVE
     if losses >= SEPARATE_FROM_LOSSES and waited < _SEPARATE_WAIT_SECONDS:
         return IsolationLevel.FROM_SUSPECTS
+    if losses >= START_GAP_FROM_LOSSES and waited < _MAX_START_GAP_WAIT_SECONDS:
+        return IsolationLevel.FROM_NEW_SUSPECTS
     return IsolationLevel.NONE
 
 
-def may_share_worker(worker: Worker, isolation: IsolationLevel) -> bool:
+def may_share_worker(worker: Worker, isolation: IsolationLevel, now: float) -> bool:
     """Check whether a task's isolation level permits it to join the runs on a worker."""
+    if isolation is IsolationLevel.NONE:
+        return True
     if isolation is IsolationLevel.EXCLUSIVE:
         return not worker.runs
-    return isolation is IsolationLevel.NONE or not worker.suspects
+    if isolation is IsolationLevel.FROM_SUSPECTS:
+        return not worker.suspects
+    return all(
+        _has_run_for(each.task, _START_GAP_SECONDS, now) for each in worker.suspects.values()
+    )
+
+
+def _has_run_for(task: Task, seconds: float, now: float) -> bool:
+    if not task.is_confirmed:
+        return False
+    since = task.phase_since if task.phase is Phase.RUNNING else task.ordered_at
+    return now - since >= seconds
 
 
 def limit_suspect_candidates(
@@ -120,16 +148,17 @@
 def record_suspect(worker: Worker, task: Task, isolation: IsolationLevel) -> None:
     """Record on a worker that a suspect runs there, and whether it needs exclusive use."""
     if task.lost_runs:
-        worker.suspects[task.id, task.run] = isolation is IsolationLevel.EXCLUSIVE
+        is_exclusive = isolation is IsolationLevel.EXCLUSIVE
+        worker.suspects[task.id, task.run] = Suspect(task, is_exclusive)
 
 
 def end_exclusive_use(cell: Cell, worker: Worker, task: Task, now: float) -> None:
     """Open a worker to other runs once the suspect that has it to itself has run long enough."""
-    run = (task.id, task.run)
-    if not worker.suspects.get(run) or task.phase is not Phase.RUNNING:
+    suspect = worker.suspects.get((task.id, task.run))
+    if suspect is None or not suspect.is_exclusive:
         return
-    if now - task.phase_since >= _EXCLUSIVE_RUN_SECONDS:
-        worker.suspects[run] = False
+    if _has_run_for(task, _EXCLUSIVE_RUN_SECONDS, now):
+        suspect.is_exclusive = False
         cell.needs_placement = True
 
 
--- a/src/snowdock/jobs/workers.py
+++ b/src/snowdock/jobs/workers.py
@@ -5,12 +5,12 @@
 import math
 
 from ..declarations import ZERO_SIZE, Size
-from .job_state import Step
+from .job_state import Step, Task
 from .lives import worker_id_of
 from .model import StepKey, TaskId
 from .timeouts import MIN_CLOCK_RATE
 
-__all__ = ["QuarantineCause", "RoomHold", "StepFailures", "Worker", "WorkerEntry"]
+__all__ = ["QuarantineCause", "RoomHold", "StepFailures", "Suspect", "Worker", "WorkerEntry"]
 
 
 class QuarantineCause(enum.Enum):
@@ -79,6 +79,14 @@
     rank: float = math.inf
 
 
+@dataclasses.dataclass(slots=True)
+class Suspect:
+    """A task whose runs were lost with their workers, and whether its run needs exclusive use."""
+
+    task: Task
+    is_exclusive: bool
+
+
 @dataclasses.dataclass(slots=True)
 class StepFailures:
     """Failed runs of a step on one worker: their number, and the last time in steady seconds."""
@@ -143,7 +151,7 @@
     log_slowness
         The logarithm of the factor by which runs take longer there than normal.
     suspects
-        The runs of suspects there, see `suspects`; True for those that need exclusive use.
+        The runs of suspects there, see `suspects`.
     unresolved_losses
         Runs charged as lost there since its last answer, and whether it had confirmed each of
         them: it is not known yet whether the worker crashed.
@@ -180,7 +188,7 @@
     quarantined_until: float = 0.0
     quarantine_cause: QuarantineCause | None = None
     log_slowness: float = 0.0
-    suspects: dict[tuple[TaskId, int], bool] = dataclasses.field(default_factory=dict)
+    suspects: dict[tuple[TaskId, int], Suspect] = dataclasses.field(default_factory=dict)
     unresolved_losses: dict[tuple[TaskId, int], bool] = dataclasses.field(default_factory=dict)
     inherited: set[tuple[TaskId, int]] = dataclasses.field(default_factory=set)
     _free: Size = ZERO_SIZE
@@ -194,7 +202,9 @@
     @property
     def is_exclusive(self) -> bool:
         """Whether a run there requires exclusive use of the worker."""
-        return bool(self.suspects) and any(self.suspects.values())
+        return bool(self.suspects) and any(
+            suspect.is_exclusive for suspect in self.suspects.values()
+        )
 
     @property
     def is_quarantined_for_failures(self) -> bool:
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -24,6 +24,7 @@
 from collections import Counter
 from collections.abc import Sequence
 
+from snowdock.emulator.checks import iterate_tasks
 from snowdock.emulator.worker_model import RunPlan
 from tests.soak_callers import CALL_SECONDS, Caller, LookupCaller, Submission
 from tests.soak_faults import (
@@ -229,7 +230,17 @@
 
         if wait_until(all_ended, SETTLE_SECONDS):
             return []
-        return [f"accepted and not ended as they should: {sorted(open_paths)[:5]}"]
+        paths = sorted(open_paths)[:5]
+        return [f"accepted and not ended as it should: {self._describe(path)}" for path in paths]
+
+    def _describe(self, path: str) -> str:
+        """Describe a job: its states at the nodes, and the crashes under its tasks."""
+        job = path.rpartition("/")[2]
+        states = [self.cluster.state(node, path) for node in self.cluster.nodes]
+        checks = self.cluster.workers.checks
+        tasks = iterate_tasks(job, checks.find_spec(job))
+        crashes = {str(task): checks.count_crashes(task) for task in tasks}
+        return f"{path}, states {states}, crashes {crashes}"
 
     def _check_runs(self, submissions: Sequence[Submission]) -> list[str]:
         """Check all runs that the workers have seen, and that refused jobs never ran."""
--- a/tests/test_jobs_suspects.py
+++ b/tests/test_jobs_suspects.py
@@ -7,8 +7,10 @@
 import msgspec
 
 from snowdock.declarations import Size
-from snowdock.jobs.events import SendStart, WorkerListed
-from snowdock.jobs.model import StepSpec
+from snowdock.emulator import Emulator, EmulatorOptions, WorkloadOptions, draw_workload
+from snowdock.emulator.workload import small_pool_mixes
+from snowdock.jobs.events import JobCancelled, SendStart, WorkerListed
+from snowdock.jobs.model import JobStatus, StepSpec
 from snowdock.jobs.progress import decode_progress
 from snowdock.jobs.suspects import IsolationLevel, next_tasks
 from snowdock.jobs.takeover import RecordedJobs
@@ -33,6 +35,18 @@
         for life in {start.life for start in starts}:
             self.bench.end_life(life)
 
+    def make_suspects(self, count: int) -> list[str]:
+        """Crash a worker under tasks of `count` jobs."""
+        self.add_workers(1)
+        jobs = []
+        for _ in range(count):
+            jobs.append(self.bench.submit(SMALL))
+            self.bench.tick(0.1)
+        starts = self.bench.new_starts()
+        self.assertEqual(len(starts), count)
+        self.crash_all(starts)
+        return jobs
+
 
 class TestIsolation(SuspectsTestCase):
     def crash_two_workers_beside(self, cpu: int) -> str:
@@ -142,18 +156,6 @@
         self.assertEqual([start.life for start in self.bench.new_starts()], [one])
         self.assertEqual(len(jobs), 2)
 
-    def make_suspects(self, count: int) -> list[str]:
-        """Crash a worker under tasks of `count` jobs."""
-        self.add_workers(1)
-        jobs = []
-        for _ in range(count):
-            jobs.append(self.bench.submit(SMALL))
-            self.bench.tick(0.1)
-        starts = self.bench.new_starts()
-        self.assertEqual(len(starts), count)
-        self.crash_all(starts)
-        return jobs
-
     def test_suspect_recovered_by_a_new_leader(self) -> None:
         """A new leader keeps other suspects away from a worker with a restored suspect."""
         job, other = self.make_suspects(2)
@@ -225,6 +227,81 @@
             self.assertTrue(tasks, chosen)
 
 
+class TestStartGap(SuspectsTestCase):
+    SUSPECTS = 3
+
+    def setUp(self) -> None:
+        super().setUp()
+        for job in self.make_suspects(self.SUSPECTS):
+            (task,) = self.bench.cell.jobs[job].all_tasks()
+            task.run, task.lost_runs = 4, frozenset(range(1, 5))
+        self.bench.tick(3.0)
+        self.add_workers(1)
+        self.bench.tick(0.2)
+
+    def run_for(self, starts: list[SendStart], seconds: float) -> None:
+        """Confirm the last start, and report all runs until it has run for a time."""
+        self.bench.confirm(starts[-1])
+        running = [(start.order.task, start.order.run, 1.0) for start in starts]
+        self.bench.report(starts[-1].life, running=running)
+        self.bench.tick(seconds)
+
+    def test_suspects_that_waited_for_the_same_worker(self) -> None:
+        """A task that crashes its worker at its start takes no other suspect with it."""
+        (start,) = self.bench.new_starts()
+        self.crash_all([start])
+        failed = [job.id for job in self.bench.cell.jobs.values() if job.status.is_final]
+        self.assertEqual(failed, [start.order.task.job])
+
+    def test_suspects_join_one_after_the_other(self) -> None:
+        """The next suspect joins once the one before it has run for a second."""
+        starts = []
+        for _ in range(self.SUSPECTS):
+            starts += self.bench.new_starts()
+            self.run_for(starts, 0.6)
+            self.assertEqual(self.bench.new_starts(), [])
+            self.bench.tick(0.6)
+        self.assertEqual(len(starts), self.SUSPECTS)
+
+    def test_run_that_is_being_stopped(self) -> None:
+        """A suspect does not wait until another one, which has run long enough, has stopped."""
+        (start,) = self.bench.new_starts()
+        self.run_for([start], 0.6)
+        self.bench.feed(JobCancelled(start.order.task.job))
+        self.bench.tick(0.6)
+        self.assertEqual([start.life for start in self.bench.new_starts()], [start.life])
+
+    def test_wait_for_another_suspect_is_bounded(self) -> None:
+        """A suspect joins another one whose start is never confirmed."""
+        self.assertEqual(len(self.bench.new_starts()), 1)
+        self.bench.tick(20.0)
+        self.assertEqual(self.bench.new_starts(), [])
+        self.bench.tick(10.0)
+        self.assertEqual(len(self.bench.new_starts()), self.SUSPECTS - 1)
+
+
+class TestSmallPool(unittest.TestCase):
+    SEEDS = (11, 15, 20, 34, 44, 46, 60)
+
+    def run_day(self, seed: int) -> tuple[set[str], set[str]]:
+        """Run a day; return the jobs with crashing tasks, and those that failed."""
+        workload = WorkloadOptions(10.0, 1.0, small_pool_mixes(crashing_share=0.04))
+        capacity = Size(4000, 16_000, 0)
+        options = EmulatorOptions(workload, 4, capacity, racks=2, replacement_s=1.5)
+        jobs = draw_workload(seed, workload)
+        emulator = Emulator(seed, options, jobs)
+        emulator.run_until(60.0)
+        failed = {job for job, status in emulator.statuses.items() if status is JobStatus.FAILED}
+        return {job.job for job in jobs if job.crashing}, failed
+
+    def test_jobs_beside_crashing_tasks_in_a_small_pool(self) -> None:
+        """No other job fails where tasks crash the four workers every second."""
+        for seed in self.SEEDS:
+            with self.subTest(seed=seed):
+                crashing, failed = self.run_day(seed)
+                self.assertEqual(failed, crashing)
+
+
 class TestCommonCauses(SuspectsTestCase):
     def charges(self, count: int) -> list[tuple[int, int]]:
         """Return crashes and losses of tasks whose workers, one each, stop answering together."""
