Let a deposed leader refer lookups to its successor

What callers saw: while the store turned a deposed leader away, a node that it turned away as well went on naming that leader, and answered each lookup with 503, until the store took it back. Other nodes did so until the deposed leader's last heartbeat was late.

Cause: a follower has a link to the leader only, so the next leader knows no other follower and sends it no heartbeats. The deposed leader closes its links without a word. A node that reaches the store reads who leads once the heartbeats are late; one that does not never learns of it.

Ruled out: the deposed leader itself. Its peers know its address, so it hears the next leader's heartbeat and follows it, without the store.

A node that is asked for a job as the leader, and does not lead, now names the leader that it follows, itself if it still loads. Who asked takes the leader for silent, so it watches the store; where it cannot reach the store, it follows the one named if its epoch is later. The lookup goes on waiting and is sent there. A claim still depends on the store alone.

Two tests of the election and one of the replies.

Open: only lookups bring this about. A node without any still has its callers' jobs relayed to the deposed leader, which refuses them.

--- a/src/snowdock/entry/election.py
+++ b/src/snowdock/entry/election.py
@@ -51,7 +51,7 @@
 then the predecessor sends no more orders."""
 
 _UNKNOWN_INCARNATION = ""
-"""Stands for the incarnation of a leader known only by its heartbeats."""
+"""Stands for the incarnation of a leader known only by what peers tell."""
 
 _SUCCESSOR_HEAD_START_SECONDS = 0.4
 """How long the other nodes wait for a claim by the successor that a resigning leader names."""
@@ -116,6 +116,14 @@
         """The newest known leader, this node or another."""
         return self._known_leader.record
 
+    @property
+    def referred_leader(self) -> LeaderRecord | None:
+        """The leader to which this node refers its peers; None if it knows of none."""
+        leader = self._known_leader.record
+        if leader is None or leader.resigned:
+            return None
+        return leader if self._own_epoch or leader.node != self._identity.node else None
+
     @property
     def own_epoch(self) -> int:
         """The epoch in which this node leads; 0 if it is not the leader."""
@@ -187,8 +195,8 @@
         now = steady_seconds()
         self._last_peer_heartbeat_at = now
         self._successors.record_heartbeat(heartbeat, now)
-        if self._is_newer_leader(heartbeat):
-            self._follow_unrecorded_leader(heartbeat)
+        if not heartbeat.resigned and self._is_newer_leader(heartbeat.epoch):
+            self._follow_unrecorded_leader(heartbeat.node, heartbeat.address, heartbeat.epoch)
         leader = self._known_leader.record
         if leader is None or heartbeat.node != leader.node:
             return
@@ -198,27 +206,42 @@
             self._known_leader.liveness.mark_silent()
             self._wake.set()
 
-    def _is_newer_leader(self, heartbeat: Heartbeat) -> bool:
-        """Check whether a heartbeat comes from a newer leader whose record this node cannot read.
+    def handle_referral(self, sender: str, leader: str, address: str, epoch: int) -> None:
+        """Handle the reply of a peer, asked as the leader, that it does not lead.
+
+        Parameters
+        ----------
+        sender
+            The peer.
+        leader, address, epoch
+            The leader that it knows of, itself if it still loads; empty if it knows none.
+        """
+        known = self._known_leader.record
+        if known is None or known.node != sender or leader == sender:
+            return
+        self._known_leader.liveness.mark_silent()
+        self._wake.set()
+        if leader not in ("", self._identity.node) and self._is_newer_leader(epoch):
+            self._follow_unrecorded_leader(leader, address, epoch)
+
+    def _is_newer_leader(self, epoch: int) -> bool:
+        """Check whether an epoch is that of a newer leader whose record this node cannot read.
 
         A node that reaches the store reads the record instead, since it includes the turnover.
         """
         known_epoch = (
             self._known_leader.record.epoch if self._known_leader.record is not None else 0
         )
-        is_newer = heartbeat.epoch > max(known_epoch, self._own_epoch) and not heartbeat.resigned
-        return is_newer and not self._reaches_store()
+        return epoch > max(known_epoch, self._own_epoch) and not self._reaches_store()
 
-    def _follow_unrecorded_leader(self, heartbeat: Heartbeat) -> None:
-        """Follow a leader known by its heartbeat, elected while this node cannot reach the store.
+    def _follow_unrecorded_leader(self, node: str, address: str, epoch: int) -> None:
+        """Follow a leader that peers tell of, elected while this node cannot reach the store.
 
         Callers of this node would otherwise get the answer that there is no leader.
         """
-        log_event("leader_heard", leader=heartbeat.node, epoch=heartbeat.epoch)
-        self.step_down(f"{heartbeat.node} leads in a later epoch")
-        record = LeaderRecord(
-            heartbeat.node, _UNKNOWN_INCARNATION, heartbeat.address, heartbeat.epoch
-        )
+        log_event("leader_heard", leader=node, epoch=epoch)
+        self.step_down(f"{node} leads in a later epoch")
+        record = LeaderRecord(node, _UNKNOWN_INCARNATION, address, epoch)
         self._known_leader.update(record)
         self._known_leader.liveness.start_term()
         self._on_leader_changed(record)
--- a/src/snowdock/entry/leader_queries.py
+++ b/src/snowdock/entry/leader_queries.py
@@ -4,6 +4,8 @@
 import threading
 import time
 
+import msgspec
+
 from ..clocks import steady_seconds
 from ..errors import CallUnanswered, PlatformError, Starting
 from ..jobs.model import JobId, JobStatus
@@ -96,7 +98,13 @@
         doubt = "" if is_certain else self.explain_doubt(request.job)
         # The leader may have been started or deposed meanwhile.
         leads = handle is not None and self._leadership.handle is handle
-        return StatusReply(request.number, status, is_certain, doubt, leads)
+        reply = StatusReply(request.number, status, is_certain, doubt, leads)
+        leader = self._election.referred_leader
+        if leads or leader is None:
+            return reply
+        return msgspec.structs.replace(
+            reply, leader=leader.node, leader_address=leader.address, leader_epoch=leader.epoch
+        )
 
     def local_status(self, job: JobId, team: str = "") -> tuple[JobStatus | None, bool]:
         """Return a job's status as known to this node as the leader.
@@ -209,6 +217,10 @@
             )
         except PlatformError as error:
             return _make_missing_answer(f"the leader does not answer: {error}")
+        if not reply.leads:
+            self._election.handle_referral(
+                leader, reply.leader, reply.leader_address, reply.leader_epoch
+            )
         return _make_answer(reply)
 
     def count_waiting(self, queue: str, seconds: float) -> int:
--- a/src/snowdock/entry/messages.py
+++ b/src/snowdock/entry/messages.py
@@ -89,7 +89,9 @@
     """A job's status; None if it is unknown, and ``is_certain`` if that is certain.
 
     ``doubt`` is why it is not certain; empty if it is, or if the sender gives no reason. ``leads``
-    is whether the sender leads and has loaded the jobs on record.
+    is whether the sender leads and has loaded the jobs on record. If not, ``leader`` is the leader
+    that it knows of, itself if it still loads, with the address where its peers connect and its
+    epoch; empty if it knows none.
     """
 
     number: int
@@ -97,6 +99,9 @@
     is_certain: bool
     doubt: str = ""
     leads: bool = True
+    leader: str = ""
+    leader_address: str = ""
+    leader_epoch: int = 0
 
 
 class CountRequest(_EntryMessage, tag="c"):
--- a/tests/measure_lookups.py
+++ b/tests/measure_lookups.py
@@ -4,6 +4,7 @@
 """
 
 import dataclasses
+import math
 import random
 import sys
 import threading
@@ -99,6 +100,16 @@
     return next(node for node in cluster.nodes if node.node == record.node)
 
 
+def find_takeover_seconds(cluster: EntryCluster, killed_at: float) -> float:
+    """Return the time from a wall-clock time until a leader had loaded; NaN if none has."""
+    times = [
+        float(line.partition("time=")[2].split()[0])
+        for node in cluster.nodes
+        for line in node.log_lines("leading")
+    ]
+    return min((each for each in times if each > killed_at), default=math.nan) - killed_at
+
+
 def measure_kill(cluster: EntryCluster, paths: Sequence[str], seed: int) -> LookupFigures:
     """Kill the leader while all other nodes are asked for jobs; start its node again after it."""
     leader = find_leader(cluster)
@@ -112,6 +123,7 @@
     for caller in callers:
         caller.start()
     time.sleep(0.3)
+    killed_at = time.time()
     leader.kill()
     time.sleep(_KILL_SECONDS)
     stopped.set()
@@ -119,6 +131,7 @@
     for caller in callers:
         caller.join()
         figures.merge(caller.figures)
+    print(f"a leader after {find_takeover_seconds(cluster, killed_at):.2f} s;", end=" ")
     leader.start()
     assert cluster.wait_ready()
     return figures
--- a/tests/test_election.py
+++ b/tests/test_election.py
@@ -183,6 +183,42 @@
         self.assertFalse(first.leads)
         self.assertTrue(first.election.leader_is_alive)
 
+    def test_deposed_leader_is_followed_until_its_heartbeats_are_late(self) -> None:
+        """A follower watches the store once the leader has replied that it does not lead."""
+        first = self.add_candidate("first")
+        self.wait_for_leader()
+        second = self.add_candidate("second")
+        self.wait_until_followed(second)
+        self.heartbeats_enabled = False
+        time.sleep(0.1)
+        second.election.handle_heartbeat(first.election.make_heartbeat(60.0, None))
+        self.assertTrue(second.election.leader_is_heard)
+        second.election.handle_referral("other", "", "", 0)
+        second.election.handle_referral("first", "first", "127.0.0.1:1", first.epochs[0])
+        self.assertTrue(second.election.leader_is_heard)
+        second.election.handle_referral("first", "", "", 0)
+        self.assertFalse(second.election.leader_is_heard)
+        with mock.patch.object(first.election, "_renew", return_value=0.1):
+            self.assertTrue(wait_until(lambda: second.leads))
+
+    def test_referral_names_the_next_leader(self) -> None:
+        """A follower without the store follows a newer leader that the deposed one names."""
+        first = self.add_candidate("first")
+        self.wait_for_leader()
+        second = self.add_candidate("second")
+        self.wait_until_followed(second)
+        self.heartbeats_enabled = False
+        epoch = first.epochs[0]
+        second.election.handle_referral("first", "third", "127.0.0.1:3", epoch + 1)
+        self.assertEqual(second.election.leader.node, "first", "the store tells who leads")
+        second.reaches_store = False
+        second.election._log._store.set_address("127.0.0.1:1")
+        second.election.handle_referral("first", "third", "127.0.0.1:3", epoch)
+        self.assertEqual(second.election.leader.node, "first", "an older leader")
+        second.election.handle_referral("first", "third", "127.0.0.1:3", epoch + 1)
+        self.assertEqual(second.election.leader.node, "third")
+        self.assertEqual(second.election.referred_leader.epoch, epoch + 1)
+
     def test_follower_without_store_does_not_claim(self) -> None:
         """A follower that cannot reach the store does not claim if the store rejects the leader."""
         first = self.add_candidate("first")
--- a/tests/test_entry_node.py
+++ b/tests/test_entry_node.py
@@ -279,6 +279,19 @@
         renewed = [line for line in lines[deposed:] if "event=peer_link_renewed " in line]
         self.assertEqual(renewed, [])
 
+    def test_deposed_leader_is_named_by_a_node_that_the_store_refuses(self) -> None:
+        """A node that cannot read the new claim learns from the deposed leader who leads."""
+        old = self.cluster.leader
+        blind = next(node for node in self.cluster.nodes if node is not old)
+        path, body = self.cluster.make_job([{**SMALL, "long_running": True}])
+        self.assertEqual(old.call("POST", path, body)[0], 200)
+        self.assertTrue(self.cluster.wait_state(path, "running"))
+        self.cluster.store.refused_agents.add(f"snowdock/{blind.node}")
+        self.assertTrue(wait_until(lambda: blind.probe() == 503))
+        self.cluster.store.refused_agents.add(f"snowdock/{old.node}")
+        self.assertTrue(wait_until(lambda: old.log_lines("deposed")))
+        self.assertTrue(wait_until(lambda: blind.call("GET", path)[0] == 200, 5.0))
+
     def test_killed_leader_is_replaced(self) -> None:
         """The next leader adopts running tasks, and no task runs twice."""
         self.cluster.workers.work_s = 4.0
--- a/tests/test_leader_queries.py
+++ b/tests/test_leader_queries.py
@@ -5,6 +5,7 @@
 import time
 import types
 import unittest
+from unittest import mock
 
 from snowdock.clocks import steady_seconds
 from snowdock.entry.held_lookups import HeldLookups
@@ -34,7 +35,9 @@
         context = types.SimpleNamespace(store=store, parts=PARTS)
         self.handle = LeaderHandle(context, None, self.statuses)
         self.set_read_at(steady_seconds())
-        self.election = types.SimpleNamespace(renewed_s=0.1, leader=None, leader_is_heard=True)
+        self.election = mock.Mock(
+            renewed_s=0.1, leader=None, leader_is_heard=True, referred_leader=None
+        )
         self.leadership = types.SimpleNamespace(handle=self.handle)
         self.queries = LeaderQueries("node", self.election, self.leadership, None)
 
@@ -96,6 +99,22 @@
         with self.assertRaisesRegex(Starting, "right now: node does not lead"):
             queries.find_status(JOB, "", 0.1)
 
+    def test_deposed_leader_refers_lookups_to_the_next(self) -> None:
+        """The reply of a node that does not lead names the leader that it knows of."""
+        self.leadership.handle = None
+        self.election.referred_leader = LeaderRecord("next", "1", "a:1", 7)
+        reply = self.queries.answer_status(StatusRequest(1, JOB))
+        self.assertEqual(
+            (reply.leads, reply.leader, reply.leader_address, reply.leader_epoch),
+            (False, "next", "a:1", 7),
+        )
+        self.election.leader = LeaderRecord("other", "1", "a:2", 6)
+        peers = types.SimpleNamespace(ask=lambda node, make, seconds: reply)
+        queries = LeaderQueries("asking", self.election, self.leadership, peers)
+        with self.assertRaises(Starting):
+            queries.find_status(JOB, "", 0.1)
+        self.election.handle_referral.assert_called_with("other", "next", "a:1", 7)
+
     def test_known_job_has_status_when_leader_lags(self) -> None:
         """The status of a known job is reported even if the leader lags."""
         self.statuses.publish(PublishStatus(JOB, "q", JobStatus.RUNNING))
@@ -122,7 +141,9 @@
 
     def setUp(self) -> None:
         leader = LeaderRecord("other", "1", "a:1", 7)
-        self.election = types.SimpleNamespace(renewed_s=0.1, leader=leader, leader_is_heard=True)
+        self.election = mock.Mock(
+            renewed_s=0.1, leader=leader, leader_is_heard=True, referred_leader=None
+        )
         self.leadership = types.SimpleNamespace(handle=None)
         self.requests: list[StatusRequest] = []
         self.reply = StatusReply(0, None, False, "other does not lead", leads=False)
