Refuse a request that was not sent to a peer as one that did not run

What callers saw: a request that is not repeatable was answered 504, "it may have run", although the node had no connection to the peer that was to take it, so nothing was sent. A repeatable one was tried here, but told as 504 too if that failed.

Cause: each failure of a call to a peer counted as one that may have run. Peers has told since by `CallUnanswered.unsent` which ones cannot have.

Ruled out: that a later attempt could still deliver such a request. An unsent one is taken out of the pending requests and is not queued. One whose connection is closed after it was handed to ZeroMQ counts as sent.

A request that was not sent is now tried on the node itself, as one that the peer refused, and if no slot is idle there it is refused as `not_run`, 503, with the router's Retry-After. It may not run later: its id has no intent on the log, and this node gives it up.

Evidence: test_unsent_request_is_reported_as_unknown failed before for both kinds, ('unknown', 504) in place of ('not_run', 503); test_unanswered_request_is_unknown held before and holds now.

--- a/src/snowdock/node/requests.py
+++ b/src/snowdock/node/requests.py
@@ -16,6 +16,7 @@
 from ..declarations import Endpoint
 from ..effects import Accepted
 from ..errors import (
+    CallUnanswered,
     Draining,
     InvalidInput,
     NotFound,
@@ -346,6 +347,8 @@
                     max(remaining_s, _MIN_TIMEOUT_SECONDS),
                 )
         except PlatformError as error:
+            if isinstance(error, CallUnanswered) and error.unsent:
+                return None
             call.may_have_run = True
             return None if request.repeatable else _build_unknown_outcome(str(error))
         was_refused = (
