End the probation of a worker once a task has run there for ten seconds

What callers saw: works waited beside free room. A worker of the shared log that had failed five times in a row got one task at a time, and with a task of a service there none at all, for as long as the service ran.

Cause: only a success resets the count of failures, and a task of a service never succeeds.

Ruled out: that works which wait are not looked at again. Ranks are renewed every two seconds, which starts a pass.

The oldest attempt on such a worker is its probe now. Once it has run for ten seconds without a failure on the worker, further tasks are placed there. A failure, or the end of the attempt, begins the time anew, so a worker on which tasks fail quickly still gets one at a time. The time is each node's own and not part of the state on the log.

--- a/src/snowdock/decisions/capacity_index.py
+++ b/src/snowdock/decisions/capacity_index.py
@@ -1,11 +1,13 @@
 """An index of workers by free capacity, to find a few placement candidates quickly."""
 
+import dataclasses
 import itertools
 import random
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
 from sortedcontainers import SortedKeyList
 
+from ..clocks import steady_seconds
 from ..declarations import ZERO_SIZE, Size
 from ..state import VmState, Worker
 
@@ -15,26 +17,50 @@
 _PROBATION_STREAK = 5
 """Consecutive failures after which a worker gets only one task at a time as a probe."""
 
+_PROBE_SECONDS = 10.0
+"""A probe that has run for this long without a failure on its worker ends the probation. A
+service's task never succeeds, and would keep the worker on probation for as long as it runs."""
+
 _MAX_PROBATION_SHARE = 0.5
 """If a larger share of the workers fails, the work is presumed to be at fault, and failing workers
 get further tasks while others run."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Probe:
+    """An attempt on a worker on probation, the failures before it, and when it was first seen."""
+
+    attempt: str
+    failure_streak: int
+    started_at: float
+
+
 class CapacityIndex:
     """Live workers grouped by free accelerators and sorted by free CPU.
 
     Capacity that this node has proposed to use counts as used until the record is decided;
     see `reserve` and `release`.
+
+    Parameters
+    ----------
+    random_source
+        Samples candidates.
+    clock
+        Returns the steady time in seconds.
     """
 
-    def __init__(self, random_source: random.Random) -> None:
+    def __init__(
+        self, random_source: random.Random, clock: Callable[[], float] = steady_seconds
+    ) -> None:
         self._random = random_source
+        self._clock = clock
         self._buckets: dict[int, SortedKeyList] = {}
         self._entries: dict[str, tuple[int, int]] = {}
         self._free: dict[str, Size] = {}
         self._workers: dict[str, Worker] = {}
         self._reserved: dict[str, Size] = {}
         self._failing: set[str] = set()
+        self._probes: dict[str, _Probe] = {}
 
     def __len__(self) -> int:
         return len(self._workers)
@@ -55,8 +81,24 @@
             self._failing.add(worker.name)
         else:
             self._failing.discard(worker.name)
+        self._update_probe(worker)
         self._refresh(worker.name)
 
+    def _update_probe(self, worker: Worker) -> None:
+        """Take the oldest attempt on a failing worker as its probe, until a failure or its end."""
+        if worker.name not in self._failing or not worker.attempts:
+            self._probes.pop(worker.name, None)
+            return
+        probe = self._probes.get(worker.name)
+        if (
+            probe is None
+            or probe.attempt not in worker.attempts
+            or probe.failure_streak != worker.failure_streak
+        ):
+            self._probes[worker.name] = _Probe(
+                next(iter(worker.attempts)), worker.failure_streak, self._clock()
+            )
+
     def reserve(self, name: str, size: Size) -> None:
         """Count capacity on a worker as used until `release`."""
         self._reserved[name] = self._reserved.get(name, ZERO_SIZE).plus(size)
@@ -126,5 +168,7 @@
             return False
         if name in self._reserved:
             return True
-        is_minority = len(self._failing) <= _MAX_PROBATION_SHARE * len(self._workers)
-        return is_minority and bool(self._workers[name].attempts)
+        probe = self._probes.get(name)
+        if probe is None or self._clock() - probe.started_at >= _PROBE_SECONDS:
+            return False
+        return len(self._failing) <= _MAX_PROBATION_SHARE * len(self._workers)
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -131,6 +131,32 @@
         )
         self.assertEqual(len(found.placements), 4)
 
+    def test_failing_worker_is_closed_while_a_service_runs_there(self) -> None:
+        """A failing worker gets further tasks once one has run there for ten seconds."""
+        now = 100.0
+        index = CapacityIndex(random.Random(1), lambda: now)
+        worker = Worker("w0", "b", Size(8, 8), "r", "h", "a", failure_streak=5)
+        for name in ("w1", "w2"):
+            index.update(Worker(name, "b", Size(1, 1), "r", "h", "a"))
+        worker.attempts = {"1.0.1": Size(1, 1)}
+        index.update(worker)
+        self.assertEqual(index.candidates(Size(2, 2)), [])
+        now += 9.0
+        worker.attempts = {"1.0.1": Size(1, 1), "2.0.1": Size(1, 1)}
+        index.update(worker)
+        self.assertEqual(index.candidates(Size(2, 2)), [])
+        now += 1.0
+        self.assertEqual(index.candidates(Size(2, 2)), ["w0"])
+        worker.failure_streak = 6
+        index.update(worker)
+        self.assertEqual(index.candidates(Size(2, 2)), [], "a failure begins a new probation")
+        now += 10.0
+        del worker.attempts["1.0.1"]
+        index.update(worker)
+        self.assertEqual(index.candidates(Size(2, 2)), [], "another task is the probe")
+        now += 10.0
+        self.assertEqual(index.candidates(Size(2, 2)), ["w0"])
+
     def test_minority_of_failing_workers_is_probed(self) -> None:
         """If most workers succeed, a failing one gets one task at a time."""
         state, index = self.failing_cluster(4)
