Receive from a removed peer for a moment before its connection is closed

Callers could have had a repeatable request run twice beside a planned stop: test_planned_stop_completes_forwarded_requests saw 22 runs for 20 requests (once in 57 plays, five at a time beside a load of 40).

Cause: since a request fails as soon as the connection it went over is closed. A leaving peer sends its last responses, then puts on record that it has left. Where that record was read before the responses, the connection was closed with them unread, and the request was run again here.

Ruled out: a peer that leaves before its requests have ended; it waits for those that were forwarded to it as well.

A connection to a removed peer now receives for 0.25 s before it is closed and the requests sent over it fail. A request remembers its socket, so that a peer that returns under its name doesn't fail those of the new connection.

Evidence: test_response_of_a_peer_that_leaves_is_lost fails on the code before (the connection is closed at once).

--- a/src/snowdock/node/peer_links.py
+++ b/src/snowdock/node/peer_links.py
@@ -11,6 +11,10 @@
 """Age of the last confirmed heartbeat after which a connection is replaced: it may be dead
 without a reset. At least three infrequent heartbeats fall into this time."""
 
+_CLOSE_DELAY_SECONDS = 0.25
+"""How long a connection to a removed peer still receives: a peer leaves once it has sent its last
+responses, and the record of that may be read before them."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class HeartbeatPlan:
@@ -70,6 +74,7 @@
         self._poller = poller
         self._plan = plan
         self._links: dict[str, _Link] = {}
+        self._closing: dict[zmq.Socket, float] = {}
         self._tick_count = 0
 
     def __contains__(self, node: str) -> bool:
@@ -84,16 +89,23 @@
         if node not in self._links:
             self._links[node] = _Link(address, self._open(address), now)
 
-    def set_addresses(self, addresses: dict[str, str], now: float) -> set[str]:
-        """Connect to the given peers, close the connections to all others, and return their names.
+    def set_addresses(self, addresses: dict[str, str], now: float) -> None:
+        """Connect to the given peers, and close the connections to all others after a delay.
 
-        A peer whose address has changed is connected anew; its name is returned too.
+        A peer whose address has changed is connected anew.
         """
-        closed = {node for node, link in self._links.items() if addresses.get(node) != link.address}
-        for node in closed:
-            self._close(self._links.pop(node).socket)
+        for node, link in list(self._links.items()):
+            if addresses.get(node) != link.address:
+                self._closing[self._links.pop(node).socket] = now + _CLOSE_DELAY_SECONDS
         for node, address in addresses.items():
             self.connect(node, address, now)
+
+    def close_removed(self, now: float) -> set[zmq.Socket]:
+        """Close the connections to removed peers whose delay is over, and return their sockets."""
+        closed = {socket for socket, close_at in self._closing.items() if close_at <= now}
+        for socket in closed:
+            del self._closing[socket]
+            self._close(socket)
         return closed
 
     def record_heartbeat(self, node: str, last_received_s: float | None, now: float) -> None:
--- a/src/snowdock/node/peers.py
+++ b/src/snowdock/node/peers.py
@@ -144,11 +144,11 @@
 
 @dataclasses.dataclass(slots=True)
 class _PendingRequest:
-    """A request without a response so far, and whether it was sent over the current connection."""
+    """A request without a response so far, and the socket over which it was sent, if it was."""
 
     node: str
     future: pykka.Future
-    is_sent: bool = False
+    socket: zmq.Socket | None = None
 
 
 _Outgoing = _Addresses | _Connect | _PeerSend | _Reply
@@ -337,6 +337,7 @@
             if self._wake_receiver in ready:
                 self._send_outgoing()
             self._send_due_heartbeats()
+            self._close_removed_links()
 
     def _receive_pending(self, socket: zmq.Socket) -> None:
         """Receive and dispatch the pending messages of a socket."""
@@ -377,8 +378,7 @@
 
     def _send(self, item: _Outgoing) -> None:
         if isinstance(item, _Addresses):
-            closed = self._links.set_addresses(item.addresses, steady_seconds())
-            self._fail_unanswered(closed)
+            self._links.set_addresses(item.addresses, steady_seconds())
         elif isinstance(item, _Connect):
             self._links.connect(item.address, item.address, steady_seconds())
         elif isinstance(item, _Reply):
@@ -386,16 +386,17 @@
         elif item.node not in self._links:
             log_event("peer_unknown", peer=item.node)
             self._fail_request(item)
-        elif self._try_send(self._links.socket(item.node), [item.data]):
-            self._mark_sent(item)
         else:
-            self._fail_request(item)
+            self._send_request(item, self._links.socket(item.node))
 
-    def _mark_sent(self, item: _PeerSend) -> None:
+    def _send_request(self, item: _PeerSend, socket: zmq.Socket) -> None:
+        if not self._try_send(socket, [item.data]):
+            self._fail_request(item)
+            return
         with self._pending_lock:
             pending = self._pending_requests.get(item.request)
             if pending is not None:
-                pending.is_sent = True
+                pending.socket = socket
 
     def _fail_request(self, item: _PeerSend) -> None:
         """Fail a request that cannot be sent, so that its thread does not wait for the timeout."""
@@ -405,15 +406,16 @@
             error = CallUnanswered(f"there is no open connection to peer {item.node}", unsent=True)
             pending.future.set_exception((CallUnanswered, error, None))
 
-    def _fail_unanswered(self, closed: set[str]) -> None:
-        """Fail the requests that were sent to peers whose connections have been closed."""
+    def _close_removed_links(self) -> None:
+        """Close connections to removed peers, and fail the requests that were sent over them."""
+        closed = self._links.close_removed(steady_seconds())
         if not closed:
             return
         with self._pending_lock:
             failed = [
                 self._pending_requests.pop(number)
                 for number, pending in list(self._pending_requests.items())
-                if pending.is_sent and pending.node in closed
+                if pending.socket in closed
             ]
         for pending in failed:
             error = CallUnanswered(
--- a/tests/test_silent_links.py
+++ b/tests/test_silent_links.py
@@ -5,6 +5,7 @@
 import threading
 import time
 import unittest
+from unittest import mock
 
 from snowdock.entry.messages import (
     ENTRY_MESSAGES,
@@ -16,6 +17,7 @@
 from snowdock.errors import CallUnanswered, PlatformError
 from snowdock.jobs.model import JobStatus, TaskId
 from snowdock.jobs.orders import AdviceRequest, RenewOrder, StartOrder
+from snowdock.node.peer_links import HeartbeatPlan, PeerLinks
 from snowdock.node.peers import MAX_QUEUED_MESSAGES, PeerOptions, Peers
 from snowdock.platform.advice import AdviceClient
 from snowdock.platform.call_loop import CallLoop
@@ -128,6 +130,19 @@
         self.assertIn("was closed", str(error))
         self.assertFalse(error.unsent)
 
+    def test_response_of_a_peer_that_leaves_is_lost(self) -> None:
+        """A connection to a removed peer still receives for a moment."""
+        poller, socket = mock.Mock(), mock.Mock()
+        links = PeerLinks(lambda: socket, poller, HeartbeatPlan())
+        links.set_addresses({"leaving": "127.0.0.1:1"}, now=10.0)
+        links.set_addresses({}, now=20.0)
+        self.assertNotIn("leaving", links)
+        self.assertEqual(links.close_removed(20.2), set())
+        poller.unregister.assert_not_called()
+        self.assertEqual(links.close_removed(20.3), {socket})
+        socket.close.assert_called_once_with()
+        self.assertEqual(links.close_removed(20.4), set())
+
     def test_lookup_waits_for_relayed_records(self) -> None:
         """A lookup is answered while relayed records occupy all other threads of a leader."""
         released = threading.Event()
