Let a request that a peer refuses wait where it was taken

Cause: a request that a peer forwarded may not wait here, which was told by its not being forwarded on. A request of our own caller whose peer had refused it (draining, or no longer connected) isn't forwarded again either, so it was taken for one of a peer and refused unless a slot was idle.

Ruled out: the peer's refusal itself; it had begun to drain. Who may wait is now kept apart from what may be forwarded.

Evidence: test_request_refused_by_a_draining_peer_is_refused_here failed before (may_wait False at the second try).

--- a/src/snowdock/node/requests.py
+++ b/src/snowdock/node/requests.py
@@ -78,12 +78,24 @@
 
 @dataclasses.dataclass(slots=True)
 class _CallState:
-    """The progress of a request; ``deadline`` is in seconds on the monotonic clock."""
+    """The progress of a request.
+
+    Attributes
+    ----------
+    deadline
+        The deadline in seconds on the monotonic clock.
+    may_forward
+        Whether it may be forwarded to a peer.
+    may_wait
+        Whether it may wait for a slot here; one that a peer forwarded may not, since that peer can
+        let it wait itself.
+    """
 
     request: CallRequest
     endpoint: Endpoint
     deadline: float
     may_forward: bool
+    may_wait: bool
     is_intent_recorded: bool = False
     may_have_run: bool = False
     attempts: int = 0
@@ -179,7 +191,9 @@
             if known is not None:
                 return known
             deadline = steady_seconds() + request.deadline_ms / 1000
-            return self._run(_CallState(request, endpoint, deadline, may_forward))
+            return self._run(
+                _CallState(request, endpoint, deadline, may_forward, may_wait=may_forward)
+            )
         except SnowdockError as error:
             return build_not_run_outcome(error)
 
@@ -318,7 +332,7 @@
                 deadline=call.deadline,
                 excluded=frozenset(call.failed_minions),
                 may_forward=call.may_forward and not call.is_intent_recorded,
-                may_wait=call.may_forward or call.attempts > 0,
+                may_wait=call.may_wait or call.attempts > 0,
                 result=future,
                 session_minion=request.session,
             )
