List the slowest tests with what each waits for

Callers of `make test` wait for ten minutes and could not see what for.

Cause: nose2 prints one wall time for the whole run. Its `prof` plugin was ruled out, since it slows down all code and doesn't see waiting as such; timing by verbose output has no processor time and no fixtures.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,9 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: demo test lint unit setup check-model bench clean
+.PHONY: demo test lint unit slowest setup check-model bench clean
+
+NOSE2 := $(BIN)/nose2 --plugin tests.known_red -s tests -t .
 
 setup: $(VENV)/.done
 
@@ -23,7 +25,10 @@
 	$(BIN)/ruff check .
 
 unit: setup
-	$(BIN)/nose2 --verbose --plugin tests.known_red -s tests -t .
+	$(NOSE2) --verbose
+
+slowest: setup
+	$(NOSE2) --verbose --plugin tests.slow_tests
 
 check-model: setup
 	$(BIN)/python -m specs.check
