--- a/Makefile
+++ b/Makefile
@@ -4,8 +4,16 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: demo test lint unit slowest setup check-model bench clean
-
+.PHONY: demo test quick lint unit slowest setup check-model bench clean
+
+# Tests of decisions and codecs: no processes, no waiting, no emulated days, and no long backlogs.
+QUICK_TESTS := \
+	active_nodes adaptive_timeout decisions declarations explain jobs_failed_runs \
+	jobs_lives jobs_long_running jobs_long_running_bounds jobs_long_running_rank \
+	jobs_placement.TestAdviceRequests jobs_placement.TestExpiredTickets jobs_preemption \
+	jobs_reducer jobs_reservations jobs_starving known_red leader_settings logs \
+	operations_page orders platform_codecs play_days policies records reducer room_use \
+	router settings shares slow_tests state successors topics turnover
 NOSE2 := $(BIN)/nose2 --plugin tests.known_red -s tests -t .
 
 setup: $(VENV)/.done
@@ -20,6 +28,9 @@
 
 test: lint unit
 
+quick: lint
+	$(NOSE2) $(QUICK_TESTS:%=tests.test_%)
+
 lint: setup
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
