Handle signals that the system delivers to another thread than the main one

Operators could find a node that does not stop: SIGTERM had no effect, and the process went on until it was killed.

Cause: the main thread waited for an event without a timeout. Python runs signal handlers in the main thread, and a wait there ends early only for a signal that the system delivers to that very thread; it may pick any.

Ruled out: a handler that ran and hung (no stack is in one); a stop that hung (it had not begun).

The same held for SIGINT and for SIGHUP.

--- a/src/snowdock/entry/daemon.py
+++ b/src/snowdock/entry/daemon.py
@@ -7,6 +7,7 @@
 import sys
 import threading
 import time
+from collections.abc import Callable
 
 import msgspec
 
@@ -19,6 +20,7 @@
 from ..node.peers import PeerOptions, Peers
 from ..platform.node_settings import NodeEnvironment, read_node_environment
 from ..platform.store import StoreClient
+from ..signals import SignalHandlers
 from ..threads import ServiceThread, add_lost_thread_listener
 from .advice_dispatcher import AdviceDispatcher, LocalAdviceClient
 from .caller_api import CallerApi, CallerApiDependencies
@@ -150,8 +152,14 @@
         self._listener = create_listener(self._caller_api, environment, self._metrics)
         self._settings_watcher = SettingsWatcher(self._apply_environment)
 
-    def run(self) -> int:
-        """Serve until stopped or until a service thread ends; return the exit status."""
+    def run(self, wait: Callable[[threading.Event], object]) -> int:
+        """Serve until stopped or until a service thread ends; return the exit status.
+
+        Parameters
+        ----------
+        wait
+            Waits until the event of the stop is set.
+        """
         add_lost_thread_listener(self._handle_lost_thread)
         self._peers.start()
         self._configuration_watcher.start()
@@ -168,7 +176,7 @@
             incarnation=self._identity.incarnation,
             store=environment.store.address,
         )
-        self._stopping.wait()
+        wait(self._stopping)
         return self._shut_down()
 
     def stop(self) -> None:
@@ -303,10 +311,10 @@
         return
     log_sink = start_logging(environment.node, sys.stdout)
     node = EntryNode(environment)
-    for signal_number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(signal_number, lambda *_: node.stop())
-    signal.signal(signal.SIGHUP, lambda *_: node.reload())
-    status = node.run()
+    handlers = SignalHandlers(
+        {signal.SIGTERM: node.stop, signal.SIGINT: node.stop, signal.SIGHUP: node.reload}
+    )
+    status = node.run(handlers.wait_until_set)
     log_sink.close()
     # Threads blocked in calls to external systems may not end.
     os._exit(status)
--- a/src/snowdock/node/daemon.py
+++ b/src/snowdock/node/daemon.py
@@ -8,6 +8,7 @@
 import sys
 import threading
 import time
+from collections.abc import Callable
 
 import pykka
 import waitress
@@ -22,6 +23,7 @@
 from ..platform.worker_client import WorkerClient
 from ..records import NodeDraining, NodeLeft
 from ..settings import Settings, read_settings
+from ..signals import SignalHandlers
 from ..state import Member, decode_state, encode_state
 from .api import Api
 from .context import NodeContext
@@ -115,8 +117,14 @@
         )
         context.reader = LogReader.start(log, timing.poll_ms / 1000, context.state)
 
-    def run(self) -> int:
-        """Run the node until it is stopped, and return the exit status."""
+    def run(self, wait: Callable[[threading.Event], object]) -> int:
+        """Run the node until it is stopped, and return the exit status.
+
+        Parameters
+        ----------
+        wait
+            Waits until the event of the stop is set.
+        """
         self._peers.start()
         self._load_state_from_seed()
         self._context.reader.tell(Tick())
@@ -124,7 +132,7 @@
         threading.Thread(target=self._watch_vms, name="vm-ticks", daemon=True).start()
         threading.Thread(target=self._server.run, name="api", daemon=True).start()
         log_event("started", api=self._context.api_address, incarnation=self._context.incarnation)
-        self._stopping.wait()
+        wait(self._stopping)
         return self._stop()
 
     def stop(self) -> None:
@@ -268,9 +276,8 @@
     except TokensUnreadable as error:
         print(f"snowdockd: {error}", file=sys.stderr)
         sys.exit(2)
-    for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, lambda *_: node.stop())
-    status = node.run()
+    handlers = SignalHandlers({signal.SIGTERM: node.stop, signal.SIGINT: node.stop})
+    status = node.run(handlers.wait_until_set)
     log_sink.close()
     # Threads blocked on calls to other systems would delay a normal exit.
     os._exit(status)
