Ask a silent leader who leads while the store does not answer

Cause: the referral came only with the reply to a lookup, and a record is not relayed to a leader that sends no heartbeats.

A node that follows, whose store does not answer and whose leader is not heard, now asks that leader from its election thread, for 0.3 s at most and not more often than each 0.1 s.

Ruled out: asking from the threads that take jobs in, which would make each of them wait while the leader is dead.

--- a/src/snowdock/entry/daemon.py
+++ b/src/snowdock/entry/daemon.py
@@ -98,6 +98,7 @@
             self._handle_election,
             lambda reason: self._handle_deposition(reason),
             lambda _: self._links.update(),
+            lambda: self._queries.ask_for_referral(),
         )
         self._peers = Peers(
             PeerOptions(
@@ -120,7 +121,9 @@
             self._make_leader_context,
             self._metrics,
         )
-        queries = LeaderQueries(environment.node, self._election, self._leadership, self._peers)
+        self._queries = queries = LeaderQueries(
+            environment.node, self._election, self._leadership, self._peers
+        )
         self._configuration_watcher = ConfigurationWatcher(
             self._store, self._peers.tell, self._apply_configuration
         )
--- a/src/snowdock/entry/election.py
+++ b/src/snowdock/entry/election.py
@@ -76,6 +76,9 @@
         Called with the reason when this node is no longer the leader.
     on_leader_changed
         Called with the record of another node that has become the leader.
+    ask_silent_leader
+        Asks the known leader whether it leads; called while it sends no heartbeats and the store
+        does not answer. Its reply is passed to `handle_referral`.
     """
 
     def __init__(
@@ -87,6 +90,7 @@
         on_elected: Callable[[int], None],
         on_deposed: Callable[[str], None],
         on_leader_changed: Callable[[LeaderRecord], None],
+        ask_silent_leader: Callable[[], None],
     ) -> None:
         self._log = LeaderLog(store)
         self._identity = identity
@@ -96,6 +100,7 @@
         self._on_elected = on_elected
         self._on_deposed = on_deposed
         self._on_leader_changed = on_leader_changed
+        self._ask_silent_leader = ask_silent_leader
         self._stopped = threading.Event()
         self._wake = threading.Event()
         self._may_claim = True
@@ -282,7 +287,7 @@
     def _run(self) -> None:
         while not self._stopped.is_set():
             try:
-                pause = self._renew() if self._own_epoch else self._follow()
+                pause = self._renew() if self._own_epoch else self._follow_or_ask()
             except PlatformError as error:
                 log_event("election_call_failed", reason=str(error), epoch=self._own_epoch)
                 pause = _POLL_SECONDS
@@ -363,6 +368,15 @@
             for record in records
         )
 
+    def _follow_or_ask(self) -> float:
+        """Follow the leader; if neither the store nor its heartbeats tell who leads, ask it."""
+        try:
+            return self._follow()
+        except PlatformError:
+            if not self.leader_is_heard:
+                self._ask_silent_leader()
+            raise
+
     def _follow(self) -> float:
         if not self._log.has_position:
             self._watch.read_newest()
--- a/src/snowdock/entry/leader_queries.py
+++ b/src/snowdock/entry/leader_queries.py
@@ -33,6 +33,12 @@
 """How long one request to the leader may take before it is repeated, since a leader's process that
 has started again has lost it. A leader that has loaded replies within milliseconds."""
 
+_MAX_REFERRAL_SECONDS = 0.3
+"""How long to wait for the reply of a leader that sends no heartbeats."""
+
+_UNUSED_JOB = "0" * 16
+"""Job identifier of a request whose answer about the job does not matter."""
+
 _RETRY_DELAY_SECONDS = 0.1
 """Pause before a lookup that found no leader is repeated."""
 
@@ -223,6 +229,10 @@
             )
         return _make_answer(reply)
 
+    def ask_for_referral(self) -> None:
+        """Ask a leader that sends no heartbeats whether it still leads, and who does if not."""
+        self._ask_status(_UNUSED_JOB, "", _MAX_REFERRAL_SECONDS, may_wait=True)
+
     def count_waiting(self, queue: str, seconds: float) -> int:
         """Return the number of a queue's waiting jobs.
 
--- a/tests/test_election.py
+++ b/tests/test_election.py
@@ -27,6 +27,7 @@
     ) -> None:
         self.epochs: list[int] = []
         self.deposed = threading.Event()
+        self.silent_leader_asked = threading.Event()
         self.reaches_store = True
         # The listening peer port of the node's process.
         self.port = socket.create_server(("127.0.0.1", 0))
@@ -39,6 +40,7 @@
             self.epochs.append,
             lambda reason: self.deposed.set(),
             lambda leader: None,
+            lambda: self.silent_leader_asked.set(),
         )
         self.election.start()
 
@@ -201,6 +203,18 @@
         with mock.patch.object(first.election, "_renew", return_value=0.1):
             self.assertTrue(wait_until(lambda: second.leads))
 
+    def test_silent_leader_is_named_until_a_lookup(self) -> None:
+        """A follower asks its leader once neither the store nor heartbeats tell who leads."""
+        self.add_candidate("first")
+        self.wait_for_leader()
+        second = self.add_candidate("second")
+        self.wait_until_followed(second)
+        second.election._log._store.set_address("127.0.0.1:1")
+        time.sleep(1.0)
+        self.assertFalse(second.silent_leader_asked.is_set(), "the leader is heard")
+        self.heartbeats_enabled = False
+        self.assertTrue(second.silent_leader_asked.wait(5.0))
+
     def test_referral_names_the_next_leader(self) -> None:
         """A follower without the store follows a newer leader that the deposed one names."""
         first = self.add_candidate("first")
--- a/tests/test_entry_node.py
+++ b/tests/test_entry_node.py
@@ -280,7 +280,10 @@
         self.assertEqual(renewed, [])
 
     def test_deposed_leader_is_named_by_a_node_that_the_store_refuses(self) -> None:
-        """A node that cannot read the new claim learns from the deposed leader who leads."""
+        """A node that cannot read the new claim learns from the deposed leader who leads.
+
+        No lookup is needed for it, and jobs are put on record by way of the new leader.
+        """
         old = self.cluster.leader
         blind = next(node for node in self.cluster.nodes if node is not old)
         path, body = self.cluster.make_job([{**SMALL, "long_running": True}])
@@ -290,7 +293,10 @@
         self.assertTrue(wait_until(lambda: blind.probe() == 503))
         self.cluster.store.refused_agents.add(f"snowdock/{old.node}")
         self.assertTrue(wait_until(lambda: old.log_lines("deposed")))
-        self.assertTrue(wait_until(lambda: blind.call("GET", path)[0] == 200, 5.0))
+        self.assertTrue(wait_until(lambda: blind.log_lines("leader_heard"), 5.0))
+        self.assertEqual(blind.call("GET", path)[0], 200)
+        path, body = self.cluster.make_job([SMALL])
+        self.assertTrue(wait_until(lambda: blind.call("POST", path, body)[0] == 200, 5.0))
 
     def test_killed_leader_is_replaced(self) -> None:
         """The next leader adopts running tasks, and no task runs twice."""
--- a/tests/test_leader_queries.py
+++ b/tests/test_leader_queries.py
@@ -115,6 +115,24 @@
             queries.find_status(JOB, "", 0.1)
         self.election.handle_referral.assert_called_with("other", "next", "a:1", 7)
 
+    def test_silent_leader_that_leads_does_not_answer_who_does(self) -> None:
+        """A leader that has loaded answers a node that asks who leads, and is not left for it."""
+        handle_request = make_request_handler(
+            self.queries, HeldLookups(lambda: False), None, None, None
+        )
+        replies: list[StatusReply] = []
+
+        def ask(node: str, make, seconds: float) -> StatusReply:
+            replies.append(handle_request(make(1)))
+            return replies[-1]
+
+        election = mock.Mock(leader=LeaderRecord("node", "1", "a:1", 7), leader_is_heard=False)
+        leadership = types.SimpleNamespace(handle=None)
+        asking = LeaderQueries("asking", election, leadership, types.SimpleNamespace(ask=ask))
+        asking.ask_for_referral()
+        self.assertTrue(replies[0].leads)
+        election.handle_referral.assert_not_called()
+
     def test_known_job_has_status_when_leader_lags(self) -> None:
         """The status of a known job is reported even if the leader lags."""
         self.statuses.publish(PublishStatus(JOB, "q", JobStatus.RUNNING))
