Ask for advice before a long-running task's run is declared lost

Callers saw a long-running task stand for 8.6 s in the usual case and 11 s in the worst (computed) after its worker and the leader went at the same moment; 9 s are allowed.

Cause: the time at which a run on a silent or unreached worker is over is known seconds before, yet the advice service, which takes 0.8 to 1.7 s, was asked only then. Now each tick asks for advice for such tasks as early as the tickets will still hold at that time: after the placement pass, for no step that waits, and with at most half of the requests that may be pending. The rule when a run is lost is unchanged; its time is now computed in one place, and the early request uses it.

Ruled out: a shorter lease (it must outlast takeovers on a slow store); taking a refused connection as proof of the worker's or the leader's end; holding room from the answer on (docs/design/early-advice.md: hardly faster, takes room from work that is ready).

--- a/bench/standing_tasks.py
+++ b/bench/standing_tasks.py
@@ -16,10 +16,14 @@
 from snowdock.emulator.imaging import imaging_mixes, imaging_options
 from snowdock.emulator.report import make_report
 from snowdock.emulator.waiting_tasks import WaitingTask
+from snowdock.emulator.worker_model import WorkerModel
 from snowdock.emulator.workload import Burst
 from snowdock.jobs.events import LogDecision
+from snowdock.jobs.model import TaskId
 
 WARMUP_SECONDS, DRAIN_SECONDS = 5, 8
+CHECK_SECONDS = 0.05
+ALLOWED_RESTART_SECONDS = 9.0
 BURSTS = (Burst("checks", 8.0, 3.0, 2.0), Burst("checks", 30.0, 3.0, 2.0))
 REASONS = (
     "open", "silent", "leaving", "aside", "alone", "on_trial", "doubtful", "suspect", "reserved",
@@ -27,6 +31,14 @@
 )  # fmt: skip
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Restart:
+    """Seconds from a task's loss until it ran again, and those after the leader declared it."""
+
+    seconds: float
+    seconds_after_declaration: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Outcome:
     """Results of one day.
@@ -49,6 +61,8 @@
         Mean share of the processors in use.
     lines
         Time and fields of the `long_running_task_waits` lines.
+    restarts
+        Restarts of long-running tasks that were lost with their worker.
     cpu_s
         Processor time of the emulation, in seconds.
     """
@@ -62,9 +76,53 @@
     violations: int
     used_share: float
     lines: list[tuple[float, dict[str, object]]]
+    restarts: list[Restart]
     cpu_s: float
 
 
+class RestartWatch:
+    """Measures for how long long-running tasks that are lost with their worker don't run.
+
+    Tasks of jobs that end meanwhile are left out.
+
+    Attributes
+    ----------
+    restarts
+        The restarts so far.
+    """
+
+    def __init__(self, emulator: Emulator) -> None:
+        self.restarts: list[Restart] = []
+        self._emulator = emulator
+        self._running: dict[str, list[TaskId]] = {}
+        self._lost_at: dict[TaskId, float] = {}
+        self._known_at: dict[TaskId, float] = {}
+        self._check()
+
+    def record_known_loss(self, task: TaskId) -> None:
+        """Record that the leader has declared a task's run lost."""
+        self._known_at[task] = self._emulator.timeline.now
+
+    def _check(self) -> None:
+        timeline, checks = self._emulator.timeline, self._emulator.checks
+        for life, model in self._emulator.workers.items():
+            if model.is_up:
+                self._running[life] = [
+                    task for task in model.running if checks.find_step(task).long_running
+                ]
+            else:
+                lost = self._running.pop(life, [])
+                self._lost_at.update(dict.fromkeys(lost, timeline.now))
+        for task, lost_at in list(self._lost_at.items()):
+            is_running = checks.idle_since(task) is None
+            if is_running:
+                known_at = self._known_at.get(task, lost_at)
+                self.restarts.append(Restart(timeline.now - lost_at, timeline.now - known_at))
+            if is_running or checks.has_ended(task.job):
+                del self._lost_at[task]
+        timeline.call_after(CHECK_SECONDS, self._check)
+
+
 def fail_workers(emulator: Emulator, rng: random.Random) -> None:
     """Let a tenth of the workers fail all runs for half of the day."""
     lives = rng.sample(list(emulator.workers), 13)
@@ -99,14 +157,18 @@
     emulator.timeline.call_after(38.0, crash)
 
 
+def runs_long_tasks(emulator: Emulator, model: WorkerModel) -> bool:
+    """Check whether a worker is up and runs a long-running task."""
+    running = (emulator.checks.find_step(task) for task in model.running)
+    return model.is_up and any(step.long_running for step in running)
+
+
 def crash_often(emulator: Emulator, rng: random.Random) -> None:
     """Crash a worker with long-running tasks each second, until second 24."""
 
     def crash() -> None:
         lives = [
-            life
-            for life, model in emulator.workers.items()
-            if model.is_up and any(emulator.checks.find_step(t).long_running for t in model.running)
+            life for life, model in emulator.workers.items() if runs_long_tasks(emulator, model)
         ]
         if lives:
             emulator.fleet.crash(rng.choice(lives), 3.5)
@@ -128,17 +190,33 @@
     emulator.timeline.call_after(35.0, crash)
 
 
+def lose_together(emulator: Emulator, rng: random.Random) -> None:
+    """Crash eight workers with long-running tasks together with the leader, three times."""
+
+    def crash() -> None:
+        lives = [
+            life for life, model in emulator.workers.items() if runs_long_tasks(emulator, model)
+        ]
+        for life in rng.sample(lives, min(8, len(lives))):
+            emulator.fleet.crash(life)
+        emulator.kill_leader(rng.uniform(1.1, 2.5))
+
+    for second in (14, 28, 42):
+        emulator.timeline.call_after(float(second), crash)
+
+
 def do_nothing(_: Emulator, __: random.Random) -> None:
     """Inject no fault."""
 
 
 @dataclasses.dataclass(frozen=True)
 class Kind:
-    """Kind of day: how faults are injected, the number of advice nodes, and the workers."""
+    """Kind of day: how faults are injected, the advice nodes and their delays, and the workers."""
 
     inject: Callable[[Emulator, random.Random], None] = do_nothing
     advice_nodes: int = 32
     has_equal_workers: bool = False
+    advice_delay_factor: float = 1.0
 
 
 KINDS = {
@@ -147,6 +225,8 @@
     "faults": Kind(drain_and_crash),
     "crashes": Kind(crash_often),
     "takeovers": Kind(crash_with_leader),
+    "together": Kind(lose_together),
+    "together_slow": Kind(lose_together, advice_delay_factor=2.0),
     "few_nodes": Kind(advice_nodes=6),
     "equal": Kind(has_equal_workers=True),
     "equal_hard": Kind(fail_workers, 6, has_equal_workers=True),
@@ -159,16 +239,23 @@
     terms = KINDS[kind]
     workload = WorkloadOptions(seconds, load, imaging_mixes(), BURSTS)
     jobs = draw_workload(seed, workload)
-    options = imaging_options(workload, advice_node_count=terms.advice_nodes)
+    options = dataclasses.replace(
+        imaging_options(workload, advice_node_count=terms.advice_nodes),
+        max_advice_delay_factor=terms.advice_delay_factor,
+    )
     if terms.has_equal_workers:
         options = dataclasses.replace(options, capacities=())
     emulator = Emulator(seed, options, jobs)
     lines: list[tuple[float, dict[str, object]]] = []
 
     def collect(effect: LogDecision) -> None:
+        fields = dict(effect.fields)
         if effect.decision == "long_running_task_waits":
-            lines.append((emulator.timeline.now, dict(effect.fields)))
+            lines.append((emulator.timeline.now, fields))
+        elif effect.decision in ("run_lost", "orphan_lost"):
+            watch.record_known_loss(fields["task"])
 
+    watch = RestartWatch(emulator)
     emulator.set_effect_handler(LogDecision, collect)
     terms.inject(emulator, random.Random(seed))
     began = time.process_time()
@@ -190,6 +277,7 @@
         violations=report.violations,
         used_share=statistics.mean(used[WARMUP_SECONDS:]),
         lines=lines,
+        restarts=watch.restarts,
         cpu_s=time.process_time() - began,
     )
 
@@ -230,6 +318,20 @@
             print_outcome(run.result())
 
 
+def format_restarts(restarts: list[Restart]) -> str:
+    """Format the number of restarts, and the median and maximum of their times."""
+    if not restarts:
+        return "0"
+    seconds = [each.seconds for each in restarts]
+    declared = [each.seconds_after_declaration for each in restarts]
+    late = sum(each > ALLOWED_RESTART_SECONDS for each in seconds)
+    return (
+        f"{len(restarts)} after {statistics.median(seconds):.2f} s, at most {max(seconds):.2f} s,"
+        f" {late} late; {statistics.median(declared):.2f} s after the loss is declared, at most"
+        f" {max(declared):.2f} s"
+    )
+
+
 def print_outcome(outcome: Outcome) -> None:
     """Print a day's standing tasks, their longest wait, and the other results."""
     longest = outcome.waits[0].seconds if outcome.waits else 0.0
@@ -239,6 +341,7 @@
         f"{outcome.kind:<10} {outcome.seed:>3} standing {len(outcome.waits)}/{outcome.tasks}"
         f" longest {longest:.1f} s; starved {outcome.starved}; in use"
         f" {outcome.used_share:.2f}; {worths}; broken {outcome.violations};"
+        f" run again {format_restarts(outcome.restarts)};"
         f" lines {len(outcome.lines)} {dict(count_reasons(outcome))}; searched {search_gap_s:.1f} s"
         f" ago at most; {outcome.cpu_s:.0f} s",
         flush=True,
--- a/src/snowdock/emulator/emulator.py
+++ b/src/snowdock/emulator/emulator.py
@@ -347,8 +347,11 @@
             for life in request.workers
             if self._may_run(request.job, request.step, life)
         }
+        answer_s = effect.expected_ms / 1000
+        if self._options.max_advice_delay_factor > 1.0:
+            answer_s *= self._random.uniform(1.0, self._options.max_advice_delay_factor)
         self.timeline.call_after(
-            effect.expected_ms / 1000 + self._draw_delay(self._options.typical_call_s),
+            answer_s + self._draw_delay(self._options.typical_call_s),
             lambda: self._post(leader, AdviceAnswered(AdviceResult(request, tickets))),
         )
 
--- a/src/snowdock/emulator/options.py
+++ b/src/snowdock/emulator/options.py
@@ -49,6 +49,9 @@
         Typical duration of a call to a worker and of an append to the store, in seconds.
     advice_node_count
         Number of nodes that can call the advice service.
+    max_advice_delay_factor
+        Upper bound of the random factor by which answers of the advice service take longer than
+        expected.
     timings
         Timings of all workers.
     lease_s
@@ -69,6 +72,7 @@
     typical_call_s: float = 0.003
     typical_append_s: float = 0.009
     advice_node_count: int = 6
+    max_advice_delay_factor: float = 1.0
     timings: WorkerTimings = _TIMINGS
     lease_s: float = LEASE_SECONDS
     replacement_s: float = 3.5
--- /dev/null
+++ b/src/snowdock/jobs/early_advice.py
@@ -0,0 +1,123 @@
+"""Advice for long-running tasks that is requested before their runs are declared lost.
+
+A run on a silent worker is lost once all its leases have expired. That time is known in advance,
+and an answer of the advice service takes about a second. It is requested so early that the task can
+start again as soon as its run is lost.
+"""
+
+import collections
+import dataclasses
+import itertools
+from collections.abc import Iterator
+
+from ..declarations import ZERO_SIZE
+from .availability import find_exclusion
+from .candidates import count_fitting, is_bulky, max_additional_tasks
+from .cell import Cell
+from .job_state import Phase, Step, Task
+from .placement_advice import (
+    may_request_early_advice,
+    needs_advice,
+    request_early_advice,
+    ticket_lifetime_seconds,
+)
+from .worker_watch import run_expiry_of_orphan, run_expiry_on_worker
+from .workers import Worker
+
+__all__ = ["prepare_restarts"]
+
+_RESTART_SECONDS = 0.3
+"""How long tickets must remain valid after the loss: a tick, and the record of the placement."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _ImminentLoss:
+    """Tasks of one step whose runs are about to be lost: their number, and when the first is."""
+
+    step: Step
+    task_count: int
+    lost_at: float
+
+
+def prepare_restarts(cell: Cell, now: float) -> None:
+    """Request advice for the long-running tasks that are about to be lost with their workers."""
+    losses = _find_imminent_losses(cell, now)
+    if not losses:
+        return
+    open_workers = _find_open_workers(cell, now)
+    for loss in losses:
+        workers = open_workers[cell.queue_of(loss.step.job).service]
+        _prepare_restart(cell, loss, workers, now)
+
+
+def _find_imminent_losses(cell: Cell, now: float) -> list[_ImminentLoss]:
+    """Return the losses for which tickets requested now would be valid, the next one first.
+
+    Steps that already wait are left out, since they request advice anyway.
+    """
+    times: dict[Step, list[float]] = collections.defaultdict(list)
+    for task, lost_at in _find_silent_runs(cell):
+        step = task.step
+        if lost_at <= now or step.key in cell.waiting_steps or not _must_run_again(task):
+            continue
+        if needs_advice(cell, step):
+            expires_at = now + ticket_lifetime_seconds(step.advice)
+            if lost_at + _RESTART_SECONDS <= expires_at:
+                times[step].append(lost_at)
+    losses = [_ImminentLoss(step, len(of_step), min(of_step)) for step, of_step in times.items()]
+    return sorted(losses, key=lambda loss: loss.lost_at)
+
+
+def _find_silent_runs(cell: Cell) -> Iterator[tuple[Task, float]]:
+    """Yield the tasks whose runs are on silent or unknown workers, and when they are lost."""
+    for worker in cell.workers.values():
+        if worker.silent_since is None or not worker.runs:
+            continue
+        lost_at = run_expiry_on_worker(cell, worker)
+        for task_id, run in worker.runs:
+            task = cell.find_task(task_id)
+            if task is not None and task.is_current_run(run, worker.life):
+                yield task, lost_at
+    for orphan in itertools.chain.from_iterable(cell.orphans.values()):
+        if orphan.task.is_current_run(orphan.run, orphan.life):
+            yield orphan.task, run_expiry_of_orphan(cell, orphan)
+
+
+def _must_run_again(task: Task) -> bool:
+    """Check whether a task is a single long-running one that is still needed."""
+    spec = task.step.spec
+    is_needed = task.phase is not Phase.DONE and not task.step.job.status.is_final
+    return spec.long_running and not spec.gang and is_needed
+
+
+def _find_open_workers(cell: Cell, now: float) -> dict[str, list[Worker]]:
+    """Return the open workers of each service, by descending free processors."""
+    workers: dict[str, list[Worker]] = collections.defaultdict(list)
+    for worker in sorted(cell.workers.values(), key=lambda each: -each.free.cpu):
+        if find_exclusion(worker, now) is None:
+            workers[worker.entry.service].append(worker)
+    return workers
+
+
+def _prepare_restart(cell: Cell, loss: _ImminentLoss, workers: list[Worker], now: float) -> None:
+    step, wanted = loss.step, loss.task_count
+    capacity = ZERO_SIZE
+    for worker in workers:
+        capacity = capacity.elementwise_max(worker.entry.capacity)
+    step.is_bulky = is_bulky(step, capacity)
+    needed_until = loss.lost_at + _RESTART_SECONDS
+    ready = [
+        worker
+        for worker in workers
+        if step.advice.valid_ticket(worker.life, needed_until) is not None
+    ]
+    has_room = sum(_count_slots(step, worker) for worker in ready) >= wanted
+    if not has_room and may_request_early_advice(cell, step, now):
+        fit = [worker for worker in workers if worker.life in step.advice.tickets]
+        request_early_advice(cell, step, workers, fit, wanted, now)
+
+
+def _count_slots(step: Step, worker: Worker) -> int:
+    """Return the number of tasks of a step that a worker has room for."""
+    room = worker.unreserved_room(step.key)
+    return min(count_fitting(room, step.spec.room), max_additional_tasks(step, worker))
--- a/src/snowdock/jobs/placement_advice.py
+++ b/src/snowdock/jobs/placement_advice.py
@@ -19,8 +19,11 @@
     "find_advised_services",
     "handle_advice_failure",
     "may_request_advice",
+    "may_request_early_advice",
     "needs_advice",
     "request_advice",
+    "request_early_advice",
+    "ticket_lifetime_seconds",
 ]
 
 _MAX_WORKERS_PER_REQUEST = 100
@@ -62,6 +65,10 @@
 """Share of the pending requests that is reserved for the services of waiting steps, in equal parts:
 otherwise a crowded service takes all of them, and steps of another one wait beside free room."""
 
+_EARLY_REQUEST_SHARE = 0.5
+"""Share of the pending requests up to which requests for steps that do not wait yet are sent. The
+others are left to steps that wait."""
+
 _BULKY_PARALLEL_REQUESTS = 4
 """Maximum number of parallel requests for a bulky step. If they were sent one after the other, the
 first tickets would expire before the last answer."""
@@ -103,18 +110,37 @@
         return False
     if now < advice.next_search_at and not _has_obtainable_room(step, fit):
         return False
-    is_long = _may_be_long(advice)
-    requests_per_node = _LONG_REQUESTS_PER_NODE if is_long else _SHORT_REQUESTS_PER_NODE
-    limit = max(1, requests_per_node * cell.advice_node_count)
-    pending = collections.Counter(
-        each.service for each in cell.advice_requests.values() if each.is_long is is_long
-    )
+    limit, pending = _max_pending_requests(cell, advice), _count_pending_requests(cell, advice)
     others = cell.advised_services - {cell.queue_of(step.job).service}
     share = _RESERVED_SHARE * limit / (1 + len(others))
     reserved = sum(max(0, math.ceil(share) - pending[service]) for service in others)
     return pending.total() + min(reserved, limit - 1) < limit
 
 
+def may_request_early_advice(cell: Cell, step: Step, now: float) -> bool:
+    """Check whether a request may be sent now for a step that does not wait yet."""
+    advice = step.advice
+    if advice.pending_requests or now < max(advice.retry_at, advice.next_search_at):
+        return False
+    limit, pending = _max_pending_requests(cell, advice), _count_pending_requests(cell, advice)
+    return pending.total() + 1 <= _EARLY_REQUEST_SHARE * math.ceil(limit)
+
+
+def _max_pending_requests(cell: Cell, advice: Advice) -> float:
+    """Return the maximum number of pending requests of the same kind, long or short."""
+    is_long = _may_be_long(advice)
+    requests_per_node = _LONG_REQUESTS_PER_NODE if is_long else _SHORT_REQUESTS_PER_NODE
+    return max(1, requests_per_node * cell.advice_node_count)
+
+
+def _count_pending_requests(cell: Cell, advice: Advice) -> collections.Counter[str]:
+    """Count the pending requests of the same kind, long or short, by service."""
+    is_long = _may_be_long(advice)
+    return collections.Counter(
+        each.service for each in cell.advice_requests.values() if each.is_long is is_long
+    )
+
+
 def find_advised_services(cell: Cell) -> frozenset[str]:
     """Return the services of the waiting steps that need advice."""
     queues = (cell.queue_of(step.job) for step in cell.waiting_steps.values())
@@ -156,21 +182,54 @@
     if not chosen:
         advice.next_search_at = now + _NO_CANDIDATE_RETRY_SECONDS
         return examined
-    parts = _split_into_requests(step, chosen)
-    advice.pending_requests += len(parts)
-    expected_s = _estimate_answer_seconds(advice, len(parts[0]))
+    expected_s = _send_requests(cell, step, chosen)
     if not step.is_bulky:
         # Hold the resources until the answer. Otherwise lower-ranked steps that already have
         # tickets are placed first, such as bulky steps, whose tickets are renewed in advance.
         known = [worker for worker in chosen if worker.life in advice.tickets]
         hold_s = _MAX_ANSWER_TIME_FACTOR * expected_s + _ANSWER_SLACK_SECONDS
         hold_room(cell, step, known, wanted, now, hold_s)
+    return examined
+
+
+def request_early_advice(
+    cell: Cell,
+    step: Step,
+    by_free_cpu: list[Worker],
+    fit: list[Worker],
+    wanted: int,
+    now: float,
+) -> None:
+    """Request advice for a step that does not wait yet; the parameters are as in `request_advice`.
+
+    No room is held for it, as work that is ready could use the room now.
+    """
+    chosen, _ = _choose_workers_to_ask(cell, step, by_free_cpu, fit, wanted, now)
+    if chosen:
+        _send_requests(cell, step, chosen)
+    else:
+        step.advice.next_search_at = now + _NO_CANDIDATE_RETRY_SECONDS
+
+
+def ticket_lifetime_seconds(advice: Advice) -> float:
+    """Return the shortest time from a request until its tickets expire."""
+    return (
+        _estimate_answer_seconds(advice, 0) + advice.terms.valid_ms / 1000 - _TICKET_MARGIN_SECONDS
+    )
+
+
+def _send_requests(cell: Cell, step: Step, chosen: list[Worker]) -> float:
+    """Send requests about workers, and return the expected time until their answers, in seconds."""
+    advice = step.advice
+    parts = _split_into_requests(step, chosen)
+    advice.pending_requests += len(parts)
+    expected_s = _estimate_answer_seconds(advice, len(parts[0]))
+    service = cell.queue_of(step.job).service
     for part in parts:
         request = AdviceRequest(*step.key, tuple(worker.life for worker in part))
-        service = cell.queue_of(step.job).service
         cell.advice_requests[request] = PendingAdvice(service, _may_be_long(advice))
         cell.emit(AskAdvice(request, expected_s * 1000))
-    return examined
+    return expected_s
 
 
 def _split_into_requests(step: Step, chosen: list[Worker]) -> list[list[Worker]]:
--- a/src/snowdock/jobs/reducer.py
+++ b/src/snowdock/jobs/reducer.py
@@ -1,6 +1,7 @@
 """Reducer of the leader: applies each event to the state and returns the resulting effects."""
 
 from .cell import Cell
+from .early_advice import prepare_restarts
 from .events import (
     AdviceAnswered,
     AdviceFailed,
@@ -70,6 +71,8 @@
     is_due = is_last or now - cell.last_placement_at >= _MAX_PLACEMENT_DELAY_SECONDS
     if (cell.needs_placement and is_due) or isinstance(event, Ticked):
         place_waiting_steps(cell, now)
+    if isinstance(event, Ticked):
+        prepare_restarts(cell, now)
     send_batch(cell)
     effects, cell.effects = cell.effects, []
     return effects
--- a/src/snowdock/jobs/worker_watch.py
+++ b/src/snowdock/jobs/worker_watch.py
@@ -1,6 +1,6 @@
 """Periodic checks of workers: due renewals, expired leases and stops to repeat."""
 
-from .cell import Cell, PendingStop
+from .cell import Cell, Orphan, PendingStop
 from .durability import RENEW_WAIT_MS, send_renewal
 from .events import SendStop
 from .lost_runs import lose_orphan, lose_runs
@@ -12,7 +12,7 @@
 from .worker_lives import end_life
 from .workers import Worker
 
-__all__ = ["watch_workers"]
+__all__ = ["run_expiry_of_orphan", "run_expiry_on_worker", "watch_workers"]
 
 _STOP_RETRY_SECONDS = 0.5
 """Delay before an unanswered stop is sent again."""
@@ -39,9 +39,7 @@
 def _lose_orphans(cell: Cell, now: float) -> None:
     """Mark orphaned runs as lost once their leases have expired and no worker was listed."""
     for worker, orphans in list(cell.orphans.items()):
-        for orphan in [
-            each for each in orphans if _have_leases_expired_since(cell, each.since, now)
-        ]:
+        for orphan in [each for each in orphans if now >= run_expiry_of_orphan(cell, each)]:
             orphans.remove(orphan)
             if orphan.task.is_current_run(orphan.run, orphan.life):
                 lose_orphan(cell, orphan.task, orphan.life, now)
@@ -52,7 +50,7 @@
 
 
 def _watch_worker(cell: Cell, worker: Worker, now: float) -> None:
-    if worker.silent_since is not None and worker.runs and _have_leases_expired(cell, worker, now):
+    if worker.silent_since is not None and worker.runs and now > run_expiry_on_worker(cell, worker):
         lose_runs(cell, worker, now, "the worker does not answer and its leases have expired")
         worker.is_synced = False
     if not worker.listed and not worker.runs:
@@ -64,25 +62,30 @@
         send_renewal(cell, worker, now, RENEW_WAIT_MS if worker.runs else 0)
 
 
-def _have_leases_expired(cell: Cell, worker: Worker, now: float) -> bool:
-    if worker.clock_ms:
-        # An earlier leader may have renewed later than this one did.
-        is_known = worker.is_synced or _have_earlier_leases_expired(cell, now)
-        return worker.are_leases_expired(now) and is_known
-    return _have_earlier_leases_expired(cell, now)
-
-
-def _have_earlier_leases_expired(cell: Cell, now: float) -> bool:
-    """Check whether all leases granted by earlier leaders have expired."""
+def run_expiry_on_worker(cell: Cell, worker: Worker) -> float:
+    """Return the time at which the runs on a worker are lost if it remains silent."""
     # Measured from the claim and not from the start, since reading the records may take seconds on
     # a slow store and would delay the restart of long-running tasks.
-    return _have_leases_expired_since(cell, cell.leadership_claimed_at, now)
-
-
-def _have_leases_expired_since(cell: Cell, since: float, now: float) -> bool:
-    """Check whether leases granted before a time have expired, and workers had time to report."""
-    has_waited = now - cell.started_at >= WORKER_REPORT_WAIT_SECONDS
-    return has_waited and now - since >= cell.settings.unreached_run_expiry_s
+    earlier_leases_end = _run_expiry_since(cell, cell.leadership_claimed_at)
+    if not worker.clock_ms:
+        return earlier_leases_end
+    if worker.is_synced:
+        return worker.leases_expire_at
+    # An earlier leader may have renewed later than this one did.
+    return max(worker.leases_expire_at, earlier_leases_end)
+
+
+def run_expiry_of_orphan(cell: Cell, orphan: Orphan) -> float:
+    """Return the time at which an orphan is lost if no life of its worker is listed."""
+    return _run_expiry_since(cell, orphan.since)
+
+
+def _run_expiry_since(cell: Cell, since: float) -> float:
+    """Return when leases granted before a time have expired and workers had time to report."""
+    return max(
+        cell.started_at + WORKER_REPORT_WAIT_SECONDS,
+        since + cell.settings.unreached_run_expiry_s,
+    )
 
 
 def _watch_stop(
--- a/src/snowdock/jobs/workers.py
+++ b/src/snowdock/jobs/workers.py
@@ -301,9 +301,12 @@
         self.lease_until_ms = max(self.lease_until_ms, until)
         return until
 
-    def are_leases_expired(self, now: float) -> bool:
-        """Check whether every lease ever sent has expired, even if the worker's clock is slow."""
+    @property
+    def leases_expire_at(self) -> float:
+        """When every lease ever sent has expired, even if the worker's clock is slow.
+
+        In steady seconds; infinite if the worker's clock is unknown.
+        """
         if not self.clock_ms:
-            return False
-        earliest = self.clock_ms + (now - self.clock_at) * 1000 * MIN_CLOCK_RATE
-        return earliest > self.lease_until_ms
+            return math.inf
+        return self.clock_at + (self.lease_until_ms - self.clock_ms) / 1000 / MIN_CLOCK_RATE
