Count an inherited task's wait from the leader's claim

What callers saw: after a takeover in which reading the records took seconds, a long-running task whose worker was gone stood for up to 1.6 s more, beside room.

Cause: a run on an unreached worker is over at a time counted from the claim, but the wait that ends isolation after five seconds, and that raises the rank, counted from the end of the load. Where loading took more than 1.6 s of the 6.6 s, the task was still isolated from other suspects when its run was declared lost.

Ruled out: the time of the last renewal of the leader before, which is not known. A task that runs is unaffected: the time is replaced by that of its last report.

Test: test_restart_waits_for_isolation_after_a_slow_takeover, 1.60 s from the declared loss to the start before, at most 0.15 s now (a claim 8 s before the end of the load; the other workers run suspects).

--- a/src/snowdock/jobs/job_state.py
+++ b/src/snowdock/jobs/job_state.py
@@ -88,7 +88,7 @@
         Time at which a worker last reported a run of the task to this leader.
     idle_since
         Time at which the last run was seen or, if it was inherited from an earlier leader, at which
-        this leader took over; 0 before the first run.
+        this leader claimed the leadership; 0 before the first run.
     early_failures, not_before
         For a long-running task: number of runs in a row that failed just after their start, and
         earliest time of the next start.
--- a/src/snowdock/jobs/takeover.py
+++ b/src/snowdock/jobs/takeover.py
@@ -115,7 +115,7 @@
     # long-running task's losses, as if the task had run since this machine booted.
     task.phase_since = task.ordered_at = cell.now
     if record.run:
-        task.idle_since = cell.now
+        task.idle_since = cell.leadership_claimed_at
     if record.done:
         task.phase = Phase.DONE
     if not record.life:
--- a/tests/test_jobs_early_advice.py
+++ b/tests/test_jobs_early_advice.py
@@ -6,10 +6,12 @@
 
 from snowdock.declarations import Size
 from snowdock.jobs.events import AdviceAnswered, AskAdvice, RenewAnswered, SendStart
-from snowdock.jobs.model import AdviceTerms, StepSpec
+from snowdock.jobs.job_state import Task
+from snowdock.jobs.model import AdviceTerms, StepSpec, TaskId
 from snowdock.jobs.orders import AdviceResult
 from snowdock.jobs.progress import decode_progress
 from snowdock.jobs.takeover import RecordedJobs
+from snowdock.jobs.workers import Suspect
 from tests.jobs_tools import SETTINGS, Bench, filter_by_type
 
 ADVICE = AdviceTerms(decide_ms=560.0, each_ms=8.0, valid_ms=2000.0)
@@ -105,6 +107,9 @@
         for other in before.cell.workers.keys() - {life}:
             self.bench.add_worker(other, address=other, is_synced=False)
 
+    def find_task(self) -> Task:
+        return self.bench.cell.find_task(TaskId(self.job, 0, 0, 0))
+
     def seconds_until_restart(self) -> float:
         """Return the time from the loss of the runs until all their tasks started again."""
         self.assertTrue(self.lost_at)
@@ -132,6 +137,16 @@
         self.assertLessEqual(self.seconds_until_restart(), MAX_RESTART_SECONDS)
         self.assertEqual(len(self.requested_at), 1)
 
+    def test_restart_waits_for_isolation_after_a_slow_takeover(self) -> None:
+        """Time in which a leader loads records counts as waited, so that isolation has ended."""
+        life = self.run_long_task()
+        self.lose_leader(life, loading_s=8.0)
+        for worker in self.bench.cell.workers.values():
+            task = Task(TaskId("other", 0, 0, 0), self.find_task().step)
+            worker.suspects[task.id, 1] = Suspect(task, is_exclusive=False)
+        self.run_for(6.0)
+        self.assertLessEqual(self.seconds_until_restart(), MAX_RESTART_SECONDS)
+
 
 class TestSilentWorker(EarlyAdviceTestCase):
     def test_restart_waits_for_advice_after_the_lease(self) -> None:
