Choose the tests' ports below those of outgoing connections

Logs were not kept, so that the port was taken is an inference.

Cause, by reading: a port was chosen by binding to port 0, which takes one from the range of outgoing connections, and released until the process that is to listen there has started. Any connection of this or another run may take it as its own port meanwhile, and the daemon ends.

Ruled out: a fault of the daemon's start seen elsewhere; the other 60 modules started some hundred daemons in the same runs.

--- a/tests/standins/cluster.py
+++ b/tests/standins/cluster.py
@@ -4,7 +4,6 @@
 import os
 import pathlib
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
@@ -14,6 +13,8 @@
 import msgspec
 import urllib3
 
+from tests.standins.ports import free_port
+
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 WAIT_SECONDS = 40
 POLL_SECONDS = 0.05
@@ -49,12 +50,6 @@
     raise Timeout(f"timed out after {seconds} s: {what} (last: {last!r})")
 
 
-def free_port() -> int:
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
-
-
 class Process:
     """One child process that runs a module."""
 
--- a/tests/standins/entry_cluster.py
+++ b/tests/standins/entry_cluster.py
@@ -5,7 +5,6 @@
 import pathlib
 import secrets
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
@@ -15,6 +14,7 @@
 import urllib3
 
 from tests.standins.platform import AdviceStandin, StoreStandin, WorkersStandin
+from tests.standins.ports import free_port
 
 SETTINGS = """
 node = "{node}"
@@ -69,12 +69,6 @@
 }
 
 
-def free_port(ip: str) -> int:
-    with socket.socket() as probe:
-        probe.bind((ip, 0))
-        return probe.getsockname()[1]
-
-
 def wait_until(condition, seconds: float = 15.0) -> bool:
     """Wait for a condition and return whether it became true within ``seconds``."""
     end = time.monotonic() + seconds
--- a/tests/test_listener.py
+++ b/tests/test_listener.py
@@ -14,7 +14,7 @@
 from snowdock.entry.probe_server import ProbeServer
 from snowdock.node.metrics import Metrics
 from snowdock.threads import ServiceThread
-from tests.standins.entry_cluster import free_port
+from tests.standins.ports import free_port
 
 DESCRIPTORS = 1500
 EXCESS_CONNECTIONS = 10
--- a/tests/test_silent_links.py
+++ b/tests/test_silent_links.py
@@ -31,8 +31,9 @@
     worker_headers,
 )
 from tests.standins.blackhole_server import BlackholeServer
-from tests.standins.entry_cluster import free_port, wait_until
+from tests.standins.entry_cluster import wait_until
 from tests.standins.platform import StoreStandin
+from tests.standins.ports import free_port
 from tests.standins.proxy import Proxy
 
 JOB = "0123456789abcdef"
