Let more suspects join a worker once some have run there

Cause: a task with two losses joined suspects on a worker one at a time, a second apart, for at most 30 s. After two outages of all workers, or of a third of them, most such tasks are sound, and a worker that has held 25 of them takes 25 s for it. The gap says how much a crash at the start may take along, but did not grow with what the worker has shown to hold.

Now a worker takes one such task, then at a time as many as have run there for a second and one more: 31 after five seconds. A crash at the start takes along at most as many starts as it takes settled suspects.

--- a/src/snowdock/jobs/suspects.py
+++ b/src/snowdock/jobs/suspects.py
@@ -7,9 +7,10 @@
 
 A suspect that keeps running shares its worker again after `_EXCLUSIVE_RUN_SECONDS`. If room is
 short, isolation delays the task by at most `_EXCLUSIVE_WAIT_SECONDS` or `_SEPARATE_WAIT_SECONDS`.
-After that, suspects with several losses join a worker one after the other: each waits until those
-there have run for `_START_GAP_SECONDS`. So a task that crashes its worker at its start takes none
-of them with it, even if all of them have waited for the same worker.
+After that, suspects with several losses join a worker gradually: first one, then at a time as many
+as have run there for `_START_GAP_SECONDS` and one more. So a task that crashes its worker at its
+start takes few of them with it, even if all of them have waited for the same worker, and the many
+suspects left by an outage are still placed within seconds.
 """
 
 import dataclasses
@@ -39,17 +40,17 @@
 """Losses from which a task does not share a worker at all."""
 
 START_GAP_FROM_LOSSES = 2
-"""Losses from which a task is not started on a worker just after another suspect."""
+"""Losses from which a task does not join a worker on which many suspects have just started."""
 
 _EXCLUSIVE_WAIT_SECONDS = 0.8
 _SEPARATE_WAIT_SECONDS = 1.6
 """How long a task waits for an empty worker, and for one without a suspect."""
 
 _START_GAP_SECONDS = 1.0
-"""How long a suspect runs before another one may join it."""
+"""How long a suspect runs before it counts as settled, and more may join it."""
 
 _MAX_START_GAP_WAIT_SECONDS = 30.0
-"""How long a task waits for a worker on which no suspect has just started."""
+"""How long a task waits for a worker on which few suspects have just started."""
 
 _MAX_LONG_RUNNING_WAIT_SECONDS = 5.0
 """Time without a run after which a long-running task is not isolated: a loss of its worker may take
@@ -117,9 +118,14 @@
         return not worker.runs
     if isolation is IsolationLevel.FROM_SUSPECTS:
         return not worker.suspects
-    return all(
-        _has_run_for(each.task, _START_GAP_SECONDS, now) for each in worker.suspects.values()
-    )
+    return _has_few_new_suspects(worker, now)
+
+
+def _has_few_new_suspects(worker: Worker, now: float) -> bool:
+    """Check whether no more suspects on a worker have just started than run there for longer."""
+    suspects = worker.suspects.values()
+    settled_count = sum(_has_run_for(each.task, _START_GAP_SECONDS, now) for each in suspects)
+    return len(suspects) <= 2 * settled_count
 
 
 def _has_run_for(task: Task, seconds: float, now: float) -> bool:
