--- a/src/snowdock/entry/leader_queries.py
+++ b/src/snowdock/entry/leader_queries.py
@@ -4,6 +4,8 @@
 import threading
 import time
 
+import msgspec
+
 from ..clocks import steady_seconds
 from ..errors import CallUnanswered, PlatformError, Starting
 from ..jobs.model import JobId, JobStatus
@@ -31,6 +33,12 @@
 """How long one request to the leader may take before it is repeated, since a leader's process that
 has started again has lost it. A leader that has loaded replies within milliseconds."""
 
+_MAX_REFERRAL_SECONDS = 0.3
+"""How long to wait for the reply of a leader that sends no heartbeats."""
+
+_UNUSED_JOB = "0" * 16
+"""Job identifier of a request whose answer about the job does not matter."""
+
 _RETRY_DELAY_SECONDS = 0.1
 """Pause before a lookup that found no leader is repeated."""
 
@@ -96,7 +104,13 @@
         doubt = "" if is_certain else self.explain_doubt(request.job)
         # The leader may have been started or deposed meanwhile.
         leads = handle is not None and self._leadership.handle is handle
-        return StatusReply(request.number, status, is_certain, doubt, leads)
+        reply = StatusReply(request.number, status, is_certain, doubt, leads)
+        leader = self._election.referred_leader
+        if leads or leader is None:
+            return reply
+        return msgspec.structs.replace(
+            reply, leader=leader.node, leader_address=leader.address, leader_epoch=leader.epoch
+        )
 
     def local_status(self, job: JobId, team: str = "") -> tuple[JobStatus | None, bool]:
         """Return a job's status as known to this node as the leader.
@@ -209,8 +223,16 @@
             )
         except PlatformError as error:
             return _make_missing_answer(f"the leader does not answer: {error}")
+        if not reply.leads:
+            self._election.handle_referral(
+                leader, reply.leader, reply.leader_address, reply.leader_epoch
+            )
         return _make_answer(reply)
 
+    def ask_for_referral(self) -> None:
+        """Ask a leader that sends no heartbeats whether it still leads, and who does if not."""
+        self._ask_status(_UNUSED_JOB, "", _MAX_REFERRAL_SECONDS, may_wait=True)
+
     def count_waiting(self, queue: str, seconds: float) -> int:
         """Return the number of a queue's waiting jobs.
 
--- a/src/snowdock/node/requests.py
+++ b/src/snowdock/node/requests.py
@@ -16,6 +16,7 @@
 from ..declarations import Endpoint
 from ..effects import Accepted
 from ..errors import (
+    CallUnanswered,
     Draining,
     InvalidInput,
     NotFound,
@@ -77,12 +78,24 @@
 
 @dataclasses.dataclass(slots=True)
 class _CallState:
-    """The progress of a request; ``deadline`` is in seconds on the monotonic clock."""
+    """The progress of a request.
+
+    Attributes
+    ----------
+    deadline
+        The deadline in seconds on the monotonic clock.
+    may_forward
+        Whether it may be forwarded to a peer.
+    may_wait
+        Whether it may wait for a slot here; one that a peer forwarded may not, since that peer can
+        let it wait itself.
+    """
 
     request: CallRequest
     endpoint: Endpoint
     deadline: float
     may_forward: bool
+    may_wait: bool
     is_intent_recorded: bool = False
     may_have_run: bool = False
     attempts: int = 0
@@ -178,7 +191,9 @@
             if known is not None:
                 return known
             deadline = steady_seconds() + request.deadline_ms / 1000
-            return self._run(_CallState(request, endpoint, deadline, may_forward))
+            return self._run(
+                _CallState(request, endpoint, deadline, may_forward, may_wait=may_forward)
+            )
         except SnowdockError as error:
             return build_not_run_outcome(error)
 
@@ -317,7 +332,7 @@
                 deadline=call.deadline,
                 excluded=frozenset(call.failed_minions),
                 may_forward=call.may_forward and not call.is_intent_recorded,
-                may_wait=call.may_forward or call.attempts > 0,
+                may_wait=call.may_wait or call.attempts > 0,
                 result=future,
                 session_minion=request.session,
             )
@@ -346,6 +361,8 @@
                     max(remaining_s, _MIN_TIMEOUT_SECONDS),
                 )
         except PlatformError as error:
+            if isinstance(error, CallUnanswered) and error.unsent:
+                return None
             call.may_have_run = True
             return None if request.repeatable else _build_unknown_outcome(str(error))
         was_refused = (
