--- a/bench/standing_tasks.py
+++ b/bench/standing_tasks.py
@@ -116,7 +116,7 @@
         for task, lost_at in list(self._lost_at.items()):
             is_running = checks.idle_since(task) is None
             if is_running:
-                known_at = self._known_at.get(task, lost_at)
+                known_at = max(lost_at, self._known_at.get(task, lost_at))
                 self.restarts.append(Restart(timeline.now - lost_at, timeline.now - known_at))
             if is_running or checks.has_ended(task.job):
                 del self._lost_at[task]
