Show the log of a test's process that does not start

Its log went with the folder, as did those of the nodes that did not start earlier today, so the cause can't be told.

The error now carries the end of the log (shown with a stand-in that is given wrong arguments).

--- a/tests/standins/cluster.py
+++ b/tests/standins/cluster.py
@@ -18,6 +18,7 @@
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 WAIT_SECONDS = 40
 POLL_SECONDS = 0.05
+_SHOWN_LOG_CHARACTERS = 2000
 
 
 class Timeout(AssertionError):
@@ -72,9 +73,13 @@
     def first_line(self) -> str:
         line = self._process.stdout.readline().decode().strip()
         if not line:
-            raise Timeout(f"the process printed no line; see {self.log}")
+            raise Timeout(f"the process printed no line; its log ends: {self.read_log_end()}")
         return line
 
+    def read_log_end(self) -> str:
+        """Return the end of the log, which goes with the cluster's folder."""
+        return self.log.read_text(errors="replace")[-_SHOWN_LOG_CHARACTERS:]
+
     def signal(self, number: int) -> None:
         self._process.send_signal(number)
 
@@ -243,7 +248,10 @@
         )
 
     def wait_ready(self, name: str) -> None:
-        wait_for(lambda: self.request(name, "GET", "/readyz").status == 200, f"{name} is ready")
+        try:
+            wait_for(lambda: self.request(name, "GET", "/readyz").status == 200, f"{name} is ready")
+        except Timeout as error:
+            raise Timeout(f"{error}; its log ends: {self.nodes[name].read_log_end()}") from error
 
     def kill_node(self, name: str, vm_gone: bool = False) -> None:
         self.nodes.pop(name).kill()
