Count a worker's slots for a step in one place

Early advice had written again what candidates, the log of starving jobs and held room compute: the lesser of what fits into free room and of what the step's limits admit. All four call candidates.count_slots now. Preemption and reservations keep theirs, as they need the limit alone as well.

--- a/src/snowdock/jobs/candidates.py
+++ b/src/snowdock/jobs/candidates.py
@@ -17,6 +17,7 @@
     "caution_for",
     "choose_workers",
     "count_fitting",
+    "count_slots",
     "find_candidates",
     "is_bulky",
     "is_trusted",
@@ -81,7 +82,7 @@
             continue
         if not is_trusted(cell, worker, caution):
             continue
-        count = min(count_fitting(free, room), max_additional_tasks(step, worker))
+        count = count_slots(step, worker, free)
         if count <= 0:
             continue
         if is_on_probation(worker, cell.now):
@@ -165,6 +166,11 @@
     return max(0, min(counts, default=_UNBOUNDED_TASKS))
 
 
+def count_slots(step: Step, worker: Worker, free: Size) -> int:
+    """Return the number of tasks of a step that a worker may take into free room."""
+    return min(count_fitting(free, step.spec.room), max_additional_tasks(step, worker))
+
+
 def _count_step_runs(step: Step, worker: Worker) -> int:
     """Count a step's runs on a worker, including those that are being stopped."""
     job, repetition, number = step.key
--- a/src/snowdock/jobs/early_advice.py
+++ b/src/snowdock/jobs/early_advice.py
@@ -12,7 +12,7 @@
 
 from ..declarations import ZERO_SIZE
 from .availability import find_exclusion
-from .candidates import count_fitting, is_bulky, max_additional_tasks
+from .candidates import count_slots, is_bulky
 from .cell import Cell
 from .job_state import Phase, Step, Task
 from .placement_advice import (
@@ -111,13 +111,7 @@
         for worker in workers
         if step.advice.valid_ticket(worker.life, needed_until) is not None
     ]
-    has_room = sum(_count_slots(step, worker) for worker in ready) >= wanted
-    if not has_room and may_request_early_advice(cell, step, now):
+    slots = sum(count_slots(step, worker, worker.unreserved_room(step.key)) for worker in ready)
+    if slots < wanted and may_request_early_advice(cell, step, now):
         fit = [worker for worker in workers if worker.life in step.advice.tickets]
         request_early_advice(cell, step, workers, fit, wanted, now)
-
-
-def _count_slots(step: Step, worker: Worker) -> int:
-    """Return the number of tasks of a step that a worker has room for."""
-    room = worker.unreserved_room(step.key)
-    return min(count_fitting(room, step.spec.room), max_additional_tasks(step, worker))
--- a/src/snowdock/jobs/reservations.py
+++ b/src/snowdock/jobs/reservations.py
@@ -9,7 +9,13 @@
 import math
 from collections.abc import Iterable
 
-from .candidates import caution_for, count_fitting, is_trusted, max_additional_tasks
+from .candidates import (
+    caution_for,
+    count_fitting,
+    count_slots,
+    is_trusted,
+    max_additional_tasks,
+)
 from .cell import Cell, Claim
 from .forecast import upcoming_free_room
 from .job_state import Step
@@ -138,7 +144,7 @@
     lives = set()
     for worker in workers:
         free = worker.free_for(step.key, step.rank)
-        slots = min(wanted, max_additional_tasks(step, worker), count_fitting(free, step.spec.room))
+        slots = min(wanted, count_slots(step, worker, free))
         if slots:
             worker.room_holds[step.key] = RoomHold(step.spec.room.times(slots), now, step.rank)
             lives.add(worker.life)
--- a/src/snowdock/jobs/starving.py
+++ b/src/snowdock/jobs/starving.py
@@ -7,7 +7,7 @@
 import collections
 
 from .availability import ExclusionReason, find_exclusion
-from .candidates import Caution, caution_for, count_fitting, max_additional_tasks
+from .candidates import Caution, caution_for, count_slots, max_additional_tasks
 from .cell import Cell
 from .failed_runs import has_probation_run, is_doubtful
 from .job_state import Step, Task
@@ -104,7 +104,7 @@
     wanted = len(step.tasks) if step.spec.gang else 1
     slots = 0
     for worker in workers:
-        slots += min(count_fitting(worker.free, step.spec.room), max_additional_tasks(step, worker))
+        slots += count_slots(step, worker, worker.free)
         if slots >= _SPARE_FACTOR * wanted:
             return True
     return False
