Group open workers by service in one place

Early advice had written again how a placement pass groups open workers by service, orders them by free processors and finds their largest capacity. A step that does not wait has waited for no time, so pool_for gives it the regular pool, as before.

--- a/src/snowdock/jobs/early_advice.py
+++ b/src/snowdock/jobs/early_advice.py
@@ -10,8 +10,6 @@
 import itertools
 from collections.abc import Iterator
 
-from ..declarations import ZERO_SIZE
-from .availability import find_exclusion
 from .candidates import count_slots, is_bulky
 from .cell import Cell
 from .job_state import Phase, Step, Task
@@ -21,8 +19,8 @@
     request_early_advice,
     ticket_lifetime_seconds,
 )
+from .worker_pools import WorkerPool, WorkerPools
 from .worker_watch import run_expiry_of_orphan, run_expiry_on_worker
-from .workers import Worker
 
 __all__ = ["prepare_restarts"]
 
@@ -44,10 +42,9 @@
     losses = _find_imminent_losses(cell, now)
     if not losses:
         return
-    open_workers = _find_open_workers(cell, now)
+    pools = WorkerPools(cell, now)
     for loss in losses:
-        workers = open_workers[cell.queue_of(loss.step.job).service]
-        _prepare_restart(cell, loss, workers, now)
+        _prepare_restart(cell, loss, pools.pool_for(loss.step), now)
 
 
 def _find_imminent_losses(cell: Cell, now: float) -> list[_ImminentLoss]:
@@ -90,21 +87,10 @@
     return spec.long_running and not spec.gang and is_needed
 
 
-def _find_open_workers(cell: Cell, now: float) -> dict[str, list[Worker]]:
-    """Return the open workers of each service, by descending free processors."""
-    workers: dict[str, list[Worker]] = collections.defaultdict(list)
-    for worker in sorted(cell.workers.values(), key=lambda each: -each.free.cpu):
-        if find_exclusion(worker, now) is None:
-            workers[worker.entry.service].append(worker)
-    return workers
-
-
-def _prepare_restart(cell: Cell, loss: _ImminentLoss, workers: list[Worker], now: float) -> None:
+def _prepare_restart(cell: Cell, loss: _ImminentLoss, pool: WorkerPool, now: float) -> None:
     step, wanted = loss.step, loss.task_count
-    capacity = ZERO_SIZE
-    for worker in workers:
-        capacity = capacity.elementwise_max(worker.entry.capacity)
-    step.is_bulky = is_bulky(step, capacity)
+    workers = pool.by_free_cpu
+    step.is_bulky = is_bulky(step, pool.capacity)
     needed_until = loss.lost_at + _RESTART_SECONDS
     ready = [
         worker
--- a/src/snowdock/jobs/placement.py
+++ b/src/snowdock/jobs/placement.py
@@ -3,9 +3,7 @@
 import dataclasses
 import math
 
-from ..declarations import ZERO_SIZE, Size
-from .availability import find_exclusion
-from .candidates import Candidate, Caution, caution_for, choose_workers, find_candidates, is_bulky
+from .candidates import Candidate, choose_workers, find_candidates, is_bulky
 from .cell import Cell, DeferredStart
 from .durability import mark_dirty
 from .failed_runs import begin_probation_run
@@ -28,6 +26,7 @@
     next_tasks,
     record_suspect,
 )
+from .worker_pools import WorkerPool, WorkerPools
 from .workers import Worker
 
 __all__ = ["place_waiting_steps"]
@@ -61,77 +60,6 @@
 steps than `_CROWDED_STEP_COUNT` are waiting."""
 
 
-@dataclasses.dataclass(slots=True)
-class _WorkerPool:
-    """Open workers of one service, and the maximum free room among them.
-
-    Bulky steps are searched even if no worker has enough free room, because runs may be
-    preempted or resources reserved for them.
-    """
-
-    workers: dict[str, Worker] = dataclasses.field(default_factory=dict)
-    _by_free_cpu: list[Worker] | None = None
-    max_free_cpu: int = 0
-    max_free_memory: int = 0
-    max_free_accelerators: int = 0
-    capacity: Size = ZERO_SIZE
-
-    def add(self, worker: Worker) -> None:
-        """Add a worker to the pool."""
-        free = worker.free
-        self.workers[worker.entry.life] = worker
-        # Plain comparisons instead of Size methods: every pass calls this for every worker.
-        if free.cpu > self.max_free_cpu:
-            self.max_free_cpu = free.cpu
-        if free.memory > self.max_free_memory:
-            self.max_free_memory = free.memory
-        if free.accelerators > self.max_free_accelerators:
-            self.max_free_accelerators = free.accelerators
-        if not self.capacity.holds(worker.entry.capacity):
-            self.capacity = self.capacity.elementwise_max(worker.entry.capacity)
-
-    @property
-    def by_free_cpu(self) -> list[Worker]:
-        """Workers by descending free processors, as of the first access."""
-        if self._by_free_cpu is None:
-            self._by_free_cpu = sorted(self.workers.values(), key=lambda each: -each.free.cpu)
-        return self._by_free_cpu
-
-    def may_hold(self, step: Step) -> bool:
-        """Check whether a worker might have enough free room for a task of a step."""
-        max_free = Size(self.max_free_cpu, self.max_free_memory, self.max_free_accelerators)
-        return step.is_bulky or max_free.holds(step.spec.room)
-
-
-_EMPTY_POOL = _WorkerPool()
-
-
-class _WorkerPools:
-    """Open workers of one pass, by service."""
-
-    def __init__(self, cell: Cell, now: float) -> None:
-        self._cell = cell
-        self._now = now
-        self._regular = self._build_pools(is_last_resort=False)
-        self._last_resort: dict[str, _WorkerPool] | None = None
-
-    def pool_for(self, step: Step) -> _WorkerPool:
-        """Return the open workers for a step; quarantined ones only as a last resort."""
-        service = self._cell.queue_of(step.job).service
-        if caution_for(self._cell, step) is not Caution.NONE:
-            return self._regular.get(service, _EMPTY_POOL)
-        if self._last_resort is None:
-            self._last_resort = self._build_pools(is_last_resort=True)
-        return self._last_resort.get(service, _EMPTY_POOL)
-
-    def _build_pools(self, is_last_resort: bool) -> dict[str, _WorkerPool]:
-        pools: dict[str, _WorkerPool] = {}
-        for worker in self._cell.workers.values():
-            if find_exclusion(worker, self._now, is_last_resort) is None:
-                pools.setdefault(worker.entry.service, _WorkerPool()).add(worker)
-        return pools
-
-
 def place_waiting_steps(cell: Cell, now: float) -> None:
     """Run a placement pass over the waiting steps, in descending order of rank.
 
@@ -145,7 +73,7 @@
     refresh_ranks(cell, now)
     reserve_quotas(cell)
     cell.advised_services = find_advised_services(cell)
-    pools = _WorkerPools(cell, now)
+    pools = WorkerPools(cell, now)
     examined = len(cell.workers)
     waiting = cell.waiting_steps.values()
     aged = [step for step in waiting if math.isinf(step.rank)]
@@ -180,7 +108,7 @@
 
 
 def _search_steps(
-    cell: Cell, steps: list[Step], pools: _WorkerPools, now: float, max_examined: int
+    cell: Cell, steps: list[Step], pools: WorkerPools, now: float, max_examined: int
 ) -> int:
     """Search workers for steps, in order, and return the number of workers examined.
 
@@ -197,7 +125,7 @@
     return examined
 
 
-def _place_step(cell: Cell, step: Step, pools: _WorkerPools, now: float) -> int:
+def _place_step(cell: Cell, step: Step, pools: WorkerPools, now: float) -> int:
     """Place as many tasks of a step as possible, and return the number of workers examined."""
     tasks, isolation = next_tasks(step, now)
     if not tasks:
@@ -242,7 +170,7 @@
     step: Step,
     tasks: list[Task],
     isolation: IsolationLevel,
-    pool: _WorkerPool,
+    pool: WorkerPool,
     now: float,
 ) -> int:
     """Place tasks on workers with tickets, or request advice; return the workers examined."""
@@ -351,7 +279,7 @@
         step.next_search_at = now + _SEARCH_RETRY_SECONDS
 
 
-def _find_workers_with_ticket(step: Step, pool: _WorkerPool, now: float) -> list[Worker]:
+def _find_workers_with_ticket(step: Step, pool: WorkerPool, now: float) -> list[Worker]:
     """Return the workers for which the step has a valid ticket."""
     workers = []
     for life, (_, expires) in step.advice.tickets.items():
@@ -361,7 +289,7 @@
     return workers
 
 
-def _find_fit_workers(step: Step, pool: _WorkerPool) -> list[Worker]:
+def _find_fit_workers(step: Step, pool: WorkerPool) -> list[Worker]:
     """Return the workers known to be fit for the step, even if their tickets have expired."""
     return [pool.workers[life] for life in step.advice.tickets if life in pool.workers]
 
