Keep the one run that has a worker to itself, in place of a flag on each suspect

Only an empty worker is given to a suspect alone, and nothing joins it then, so at most one run there is exclusive. Worker.exclusive_run tells it; the Suspect class and a search of all suspects, made for each worker in each placement pass, go. Worker.remove_suspect is the one place where a suspect's run goes.

In test_jobs_early_advice only the set-up follows: a suspect is stored as its task.

--- a/src/snowdock/jobs/suspects.py
+++ b/src/snowdock/jobs/suspects.py
@@ -20,7 +20,7 @@
 from .candidates import Candidate
 from .cell import Cell
 from .job_state import Phase, Step, Task
-from .workers import Suspect, Worker
+from .workers import Worker
 
 __all__ = [
     "IsolationLevel",
@@ -124,7 +124,7 @@
 def _has_few_new_suspects(worker: Worker, now: float) -> bool:
     """Check whether no more suspects on a worker have just started than run there for longer."""
     suspects = worker.suspects.values()
-    settled_count = sum(_has_run_for(each.task, _START_GAP_SECONDS, now) for each in suspects)
+    settled_count = sum(_has_run_for(task, _START_GAP_SECONDS, now) for task in suspects)
     return len(suspects) <= 2 * settled_count
 
 
@@ -154,24 +154,24 @@
 def record_suspect(worker: Worker, task: Task, isolation: IsolationLevel) -> None:
     """Record on a worker that a suspect runs there, and whether it needs exclusive use."""
     if task.lost_runs:
-        is_exclusive = isolation is IsolationLevel.EXCLUSIVE
-        worker.suspects[task.id, task.run] = Suspect(task, is_exclusive)
+        worker.suspects[task.id, task.run] = task
+        if isolation is IsolationLevel.EXCLUSIVE:
+            worker.exclusive_run = (task.id, task.run)
 
 
 def end_exclusive_use(cell: Cell, worker: Worker, task: Task, now: float) -> None:
     """Open a worker to other runs once the suspect that has it to itself has run long enough."""
-    suspect = worker.suspects.get((task.id, task.run))
-    if suspect is None or not suspect.is_exclusive:
+    if worker.exclusive_run != (task.id, task.run):
         return
     if _has_run_for(task, _EXCLUSIVE_RUN_SECONDS, now):
-        suspect.is_exclusive = False
+        worker.exclusive_run = None
         cell.needs_placement = True
 
 
 def remove_suspect(cell: Cell, task: Task) -> None:
     """Open the worker of a task's current run to runs that may not share it with a suspect."""
     worker = cell.workers.get(task.life)
-    if worker is not None and worker.suspects.pop((task.id, task.run), None) is not None:
+    if worker is not None and worker.remove_suspect(task.id, task.run):
         cell.needs_placement = True
 
 
--- a/src/snowdock/jobs/workers.py
+++ b/src/snowdock/jobs/workers.py
@@ -10,7 +10,7 @@
 from .model import StepKey, TaskId
 from .timeouts import MIN_CLOCK_RATE
 
-__all__ = ["QuarantineCause", "RoomHold", "StepFailures", "Suspect", "Worker", "WorkerEntry"]
+__all__ = ["QuarantineCause", "RoomHold", "StepFailures", "Worker", "WorkerEntry"]
 
 
 class QuarantineCause(enum.Enum):
@@ -79,14 +79,6 @@
     rank: float = math.inf
 
 
-@dataclasses.dataclass(slots=True)
-class Suspect:
-    """A task whose runs were lost with their workers, and whether its run needs exclusive use."""
-
-    task: Task
-    is_exclusive: bool
-
-
 @dataclasses.dataclass(slots=True)
 class StepFailures:
     """Failed runs of a step on one worker: their number, and the last time in steady seconds."""
@@ -151,7 +143,9 @@
     log_slowness
         The logarithm of the factor by which runs take longer there than normal.
     suspects
-        The runs of suspects there, see `suspects`.
+        The suspects there by their runs, see `suspects`.
+    exclusive_run
+        The run of the suspect that has the worker to itself; None if there is none.
     unresolved_losses
         Runs charged as lost there since its last answer, and whether it had confirmed each of
         them: it is not known yet whether the worker crashed.
@@ -188,7 +182,8 @@
     quarantined_until: float = 0.0
     quarantine_cause: QuarantineCause | None = None
     log_slowness: float = 0.0
-    suspects: dict[tuple[TaskId, int], Suspect] = dataclasses.field(default_factory=dict)
+    suspects: dict[tuple[TaskId, int], Task] = dataclasses.field(default_factory=dict)
+    exclusive_run: tuple[TaskId, int] | None = None
     unresolved_losses: dict[tuple[TaskId, int], bool] = dataclasses.field(default_factory=dict)
     inherited: set[tuple[TaskId, int]] = dataclasses.field(default_factory=set)
     _free: Size = ZERO_SIZE
@@ -202,9 +197,7 @@
     @property
     def is_exclusive(self) -> bool:
         """Whether a run there requires exclusive use of the worker."""
-        return bool(self.suspects) and any(
-            suspect.is_exclusive for suspect in self.suspects.values()
-        )
+        return self.exclusive_run is not None
 
     @property
     def is_quarantined_for_failures(self) -> bool:
@@ -286,9 +279,15 @@
         if (task, run) in self.preemptible_runs:
             del self.preemptible_runs[task, run]
             self.preemptible_room = self.preemptible_room.minus(size)
-        self.suspects.pop((task, run), None)
+        self.remove_suspect(task, run)
         self.inherited.discard((task, run))
 
+    def remove_suspect(self, task: TaskId, run: int) -> bool:
+        """Remove the run of a suspect; return whether it was one."""
+        if self.exclusive_run == (task, run):
+            self.exclusive_run = None
+        return self.suspects.pop((task, run), None) is not None
+
     def update_clock(self, clock_ms: float, now: float) -> None:
         """Update the worker's clock from an answer that arrived now."""
         if clock_ms > 0 and clock_ms >= self.clock_ms:
--- a/tests/test_jobs_early_advice.py
+++ b/tests/test_jobs_early_advice.py
@@ -11,7 +11,6 @@
 from snowdock.jobs.orders import AdviceResult
 from snowdock.jobs.progress import decode_progress
 from snowdock.jobs.takeover import RecordedJobs
-from snowdock.jobs.workers import Suspect
 from tests.jobs_tools import SETTINGS, Bench, filter_by_type
 
 ADVICE = AdviceTerms(decide_ms=560.0, each_ms=8.0, valid_ms=2000.0)
@@ -143,7 +142,7 @@
         self.lose_leader(life, loading_s=8.0)
         for worker in self.bench.cell.workers.values():
             task = Task(TaskId("other", 0, 0, 0), self.find_task().step)
-            worker.suspects[task.id, 1] = Suspect(task, is_exclusive=False)
+            worker.suspects[task.id, 1] = task
         self.run_for(6.0)
         self.assertLessEqual(self.seconds_until_restart(), MAX_RESTART_SECONDS)
 
