Describe the small pool of crashing tasks in one place

bench.crashes and TestSmallPool built the same four workers and the same mix of jobs; both take them from emulator/small_pool.py now, beside the imaging service's. It uses make_mix, which takes a queue without advice for it.

--- a/bench/crashes.py
+++ b/bench/crashes.py
@@ -13,14 +13,13 @@
 import statistics
 
 from bench.ways import apply_settings, format_worth, run_paired
-from snowdock.declarations import Size
 from snowdock.emulator import Emulator, EmulatorOptions, WorkloadOptions, draw_workload
 from snowdock.emulator.report import make_report
-from snowdock.emulator.workload import DrawnJob, default_mixes, small_pool_mixes
+from snowdock.emulator.small_pool import small_pool_options
+from snowdock.emulator.workload import DrawnJob, default_mixes
 from snowdock.jobs.model import JobStatus
 
 SECONDS = 30.0
-SMALL_POOL_SECONDS = 10.0
 DRAIN_SECONDS = 30.0
 LOAD = 0.55
 CRASHING_SHARE = 0.01
@@ -69,7 +68,7 @@
 ) -> Outcome:
     """Run one seed with one way's settings."""
     apply_settings(way)
-    options = _make_small_pool(share) if small_pool else _make_options(share, changes)
+    options = small_pool_options(share) if small_pool else _make_options(share, changes)
     jobs = draw_workload(seed, options.workload)
     emulator = Emulator(seed, options, jobs)
     emulator.checks.is_undisturbed = False
@@ -87,12 +86,6 @@
     return EmulatorOptions(workload, lists_crashed_workers=changes)
 
 
-def _make_small_pool(share: float) -> EmulatorOptions:
-    workload = WorkloadOptions(SMALL_POOL_SECONDS, 1.0, small_pool_mixes(share))
-    capacity = Size(4000, 16_000, 0)
-    return EmulatorOptions(workload, 4, capacity, racks=2, replacement_s=1.5)
-
-
 def _schedule_flap(emulator: Emulator, source: random.Random) -> None:
     """Repeatedly crash a share of the workers, which return after a delay."""
 
--- a/src/snowdock/emulator/workload.py
+++ b/src/snowdock/emulator/workload.py
@@ -191,19 +191,6 @@
     )  # fmt: skip
 
 
-def small_pool_mixes(crashing_share: float) -> tuple[QueueMix, ...]:
-    """Return a mix of short jobs for four workers of four cores each.
-
-    Parameters
-    ----------
-    crashing_share
-        Share of jobs with a task that crashes each worker that starts it.
-    """
-    queue = _make_queue("checks", 1, 2.2, 1000, 0.0)
-    mix = QueueMix(queue, 10.0, 1.3, 2, 500, 100, 0.3, 0.3, 0.0, 0.0, 0.2, 1.0, widest_gang=3)
-    return (dataclasses.replace(mix, crashing_share=crashing_share),)
-
-
 def crowded_mixes() -> tuple[QueueMix, ...]:
     """Return the mix of a settlement service that uses 80% of the processors of 270 workers.
 
@@ -261,7 +248,7 @@
     priority: int,
     stretch: float,
     target_ms: float,
-    advice: AdviceTerms,
+    advice: AdviceTerms | None,
     per_second: float,
     worth: float,
 ) -> QueueMix:
--- a/tests/test_jobs_suspects.py
+++ b/tests/test_jobs_suspects.py
@@ -7,8 +7,8 @@
 import msgspec
 
 from snowdock.declarations import Size
-from snowdock.emulator import Emulator, EmulatorOptions, WorkloadOptions, draw_workload
-from snowdock.emulator.workload import small_pool_mixes
+from snowdock.emulator import Emulator, draw_workload
+from snowdock.emulator.small_pool import small_pool_options
 from snowdock.jobs.events import JobCancelled, SendStart, WorkerListed
 from snowdock.jobs.model import JobStatus, StepSpec
 from snowdock.jobs.progress import decode_progress
@@ -310,10 +310,8 @@
 
     def run_day(self, seed: int) -> tuple[set[str], set[str]]:
         """Run a day; return the jobs with crashing tasks, and those that failed."""
-        workload = WorkloadOptions(10.0, 1.0, small_pool_mixes(crashing_share=0.04))
-        capacity = Size(4000, 16_000, 0)
-        options = EmulatorOptions(workload, 4, capacity, racks=2, replacement_s=1.5)
-        jobs = draw_workload(seed, workload)
+        options = small_pool_options(crashing_share=0.04)
+        jobs = draw_workload(seed, options.workload)
         emulator = Emulator(seed, options, jobs)
         emulator.run_until(60.0)
         failed = {job for job, status in emulator.statuses.items() if status is JobStatus.FAILED}
