--- a/src/snowdock/entry/daemon.py
+++ b/src/snowdock/entry/daemon.py
@@ -122,12 +122,7 @@
         self._configuration_watcher = ConfigurationWatcher(
             self._store, self._peers.tell, self._apply_configuration
         )
-        self._recorder = recorder = Recorder(
-            self._store,
-            environment.store.parts,
-            self._metrics,
-            may_repeat=lambda: self._leadership.handle is not None,
-        )
+        self._recorder = recorder = Recorder(self._store, environment.store.parts, self._metrics)
         self._caller_api = CallerApi(
             CallerApiDependencies(
                 recorder,
--- a/src/snowdock/entry/recorder.py
+++ b/src/snowdock/entry/recorder.py
@@ -5,13 +5,11 @@
 throughput is kept when the store is slow.
 """
 
-import concurrent.futures
 import dataclasses
 import itertools
 import math
 import threading
 import time
-from collections.abc import Callable
 
 from ..clocks import steady_seconds
 from ..errors import CallUnanswered, PlatformError
@@ -57,15 +55,6 @@
 """The store also counts as slow while an append has had no answer for this long, so that no
 further appends queue behind it."""
 
-_MAX_OVERLAPPING_ATTEMPTS = 4
-"""Most attempts of one append, which start while the earlier ones still wait for their answers.
-A connection on which an answer was lost stays silent, and another one is usually answered."""
-
-_MAX_REPEAT_BUDGET = 2
-"""Most overlapping attempts that may be made before the next fast answer. Each fast answer allows
-one. A store that loses answers gives some fast ones; a slow store gives none, and each repeated
-append would lengthen the queue of its partition."""
-
 _MAX_BATCH_RECORDS = 64
 """Largest number of records in one append, well below the size limit of a call."""
 
@@ -84,7 +73,6 @@
         self._last_result_at = 0.0
         self._is_probing = False
         self._slow_probe_at = -math.inf
-        self._repeat_budget = 0
         self._started_at: dict[int, float] = {}
         self._append_ids = itertools.count()
         self._lock = threading.Lock()
@@ -118,14 +106,6 @@
             return False
         return self._timeout.average_s > _SLOW_APPEND_SECONDS
 
-    def take_repeat(self) -> bool:
-        """Check whether an unanswered append may be sent again now; if so, reduce the budget."""
-        with self._lock:
-            if self._repeat_budget == 0 or self._failures >= _FAILURES_UNTIL_DOWN:
-                return False
-            self._repeat_budget -= 1
-            return True
-
     def prefers_relay(self) -> bool:
         """Check whether a record should be sent by way of the leader instead.
 
@@ -169,8 +149,6 @@
             self._is_probing = False
             self._last_result_at = steady_seconds()
             self._timeout.record_answer(seconds)
-            if seconds <= _SLOW_APPEND_SECONDS:
-                self._repeat_budget = min(self._repeat_budget + 1, _MAX_REPEAT_BUDGET)
 
     def release_probe(self) -> None:
         """Record that an admitted record was not sent, so that another may be the probe."""
@@ -225,27 +203,13 @@
         Number of partitions of the topic of jobs.
     metrics
         Counts and times appends.
-    may_repeat
-        Whether this node may send an append again before its timeout. If many nodes do so when the
-        store becomes slow, they fill the queues of its partitions.
     """
 
-    def __init__(
-        self,
-        store: StoreClient,
-        partition_count: int,
-        metrics: Metrics,
-        may_repeat: Callable[[], bool] = lambda: False,
-    ) -> None:
+    def __init__(self, store: StoreClient, partition_count: int, metrics: Metrics) -> None:
         self._store = store
         self._metrics = metrics
-        self._may_repeat = may_repeat
         self._health = _StoreHealth()
         self._partitions = [_Partition() for _ in range(partition_count)]
-        # An append may begin while the attempts of the one before it still wait.
-        self._attempt_pool = concurrent.futures.ThreadPoolExecutor(
-            2 * _MAX_OVERLAPPING_ATTEMPTS * partition_count, "append-attempt"
-        )
 
     @property
     def is_slow(self) -> bool:
@@ -335,64 +299,14 @@
     def _append(
         self, partition_number: int, records: list[KeyedRecord], seconds: float
     ) -> RecordOutcome:
+        started_at = steady_seconds()
         # Other threads share the append, so a thread with little time left may not shorten it.
         timeout_s = max(_MIN_ATTEMPT_SECONDS, min(seconds, self._health.attempt_timeout_s))
         append_id = self._health.start_append()
-        try:
-            outcome = self._append_overlapping(
-                lambda remaining_s: self._append_once(partition_number, records, remaining_s),
-                timeout_s,
-            )
-        finally:
-            self._health.finish_append(append_id)
-        if outcome is not RecordOutcome.DONE:
-            self._health.record_failure()
-        return outcome
-
-    def _append_overlapping(
-        self, attempt: Callable[[float], RecordOutcome], timeout_s: float
-    ) -> RecordOutcome:
-        """Make attempts until one succeeds or all have ended; a repeated record has no effect.
-
-        Parameters
-        ----------
-        attempt
-            Appends the records within a timeout in seconds.
-        timeout_s
-            Time for all attempts, in seconds.
-        """
-        if not self._may_repeat():
-            return attempt(timeout_s)
-        deadline = steady_seconds() + timeout_s
-        pending = {self._attempt_pool.submit(attempt, timeout_s)}
-        attempt_count = 1
-        worst_outcome = RecordOutcome.DONE
-        while pending:
-            finished, pending = concurrent.futures.wait(
-                pending, _HANGING_APPEND_SECONDS, concurrent.futures.FIRST_COMPLETED
-            )
-            outcomes = [each.result() for each in finished]
-            if RecordOutcome.DONE in outcomes:
-                return RecordOutcome.DONE
-            worst_outcome = max([worst_outcome, *outcomes])
-            remaining_s = deadline - steady_seconds()
-            if (
-                not outcomes
-                and attempt_count < _MAX_OVERLAPPING_ATTEMPTS
-                and remaining_s > _MIN_WAIT_SECONDS
-                and self._health.take_repeat()
-            ):
-                pending.add(self._attempt_pool.submit(attempt, remaining_s))
-                attempt_count += 1
-        return worst_outcome
-
-    def _append_once(
-        self, partition_number: int, records: list[KeyedRecord], timeout_s: float
-    ) -> RecordOutcome:
-        started_at = steady_seconds()
         try:
             self._store.append(JOBS_TOPIC, partition_number, records, timeout_s)
         except PlatformError as error:
+            self._health.record_failure()
             self._metrics.count("store_appends_total", "Appends to the store.", outcome=error.code)
             log_event(
                 "append_failed", part=partition_number, records=len(records), reason=str(error)
@@ -401,8 +315,11 @@
             return RecordOutcome.UNKNOWN if may_be_recorded else RecordOutcome.NOT_DONE
         except Exception as error:
             # The append may have been applied; the waiting threads still need a result.
+            self._health.record_failure()
             log_error("append_failed", error, part=partition_number, records=len(records))
             return RecordOutcome.UNKNOWN
+        finally:
+            self._health.finish_append(append_id)
         elapsed_s = steady_seconds() - started_at
         self._health.record_success(elapsed_s)
         self._metrics.count("store_appends_total", "Appends to the store.", outcome="done")
--- a/tests/test_recorder.py
+++ b/tests/test_recorder.py
@@ -1,7 +1,6 @@
 """Tests of batched appends of job records and of their reported outcomes."""
 
 import threading
-import time
 import unittest
 from unittest import mock
 
@@ -36,30 +35,6 @@
         return 0
 
 
-class LossyStore:
-    """A store that loses the answers of as many appends as it is told."""
-
-    def __init__(self) -> None:
-        self.answered_at = 0.0
-        self.append_count = 0
-        self.waiting_count = 0
-        self.max_waiting_count = 0
-        self.answers_to_lose = 0
-        self.answer_s = 0.0
-
-    def append(self, topic: str, part: int, records: list[KeyedRecord], seconds: float) -> int:
-        self.append_count += 1
-        if self.answers_to_lose > 0:
-            self.answers_to_lose -= 1
-            self.waiting_count += 1
-            self.max_waiting_count = max(self.max_waiting_count, self.waiting_count)
-            time.sleep(seconds)
-            self.waiting_count -= 1
-            raise CallUnanswered("no answer", False)
-        time.sleep(self.answer_s)
-        return 0
-
-
 class TestRecorder(unittest.TestCase):
     def setUp(self) -> None:
         self.store = BlockingStore()
@@ -194,59 +169,3 @@
         self.store.gate.set()
         thread.join(10.0)
         self.assertFalse(self.recorder.is_slow)
-
-
-class TestRepeatedAppends(unittest.TestCase):
-    def setUp(self) -> None:
-        self.store = LossyStore()
-        self.is_leader = True
-        self.recorder = Recorder(self.store, 1, Metrics(), lambda: self.is_leader)
-
-    def record(self) -> RecordOutcome:
-        return self.recorder.record(JOB, RECORD, 2.0)
-
-    def record_with_fast_answers(self, count: int) -> None:
-        for _ in range(count):
-            self.assertIs(self.record(), RecordOutcome.DONE)
-        self.store.append_count = 0
-
-    def test_lost_answers_left_the_outcome_unknown(self) -> None:
-        """An append whose answer is lost is repeated while its first attempts still wait."""
-        self.record_with_fast_answers(2)
-        self.store.answers_to_lose = 2
-        self.assertIs(self.record(), RecordOutcome.DONE)
-        self.assertEqual(self.store.append_count, 3)
-        self.assertEqual(self.store.max_waiting_count, 2)
-
-    def test_lost_answer_does_not_mark_the_store_slow(self) -> None:
-        """After a repeated append was answered in time, records are not relayed."""
-        self.record_with_fast_answers(2)
-        self.store.answers_to_lose = 1
-        self.assertIs(self.record(), RecordOutcome.DONE)
-        self.assertFalse(self.recorder.prefers_relay())
-
-    def test_slow_answers_are_awaited(self) -> None:
-        """A store that has become slow gets few repeated appends, and then none."""
-        self.record_with_fast_answers(10)
-        self.store.answer_s = 0.7
-        for _ in range(3):
-            self.assertIs(self.record(), RecordOutcome.DONE)
-        self.assertLessEqual(self.store.append_count, 3 + recorder._MAX_REPEAT_BUDGET)
-
-    def test_only_the_leader_repeats_appends(self) -> None:
-        """A node that does not lead waits for the answer of its one append."""
-        self.record_with_fast_answers(2)
-        self.is_leader = False
-        self.store.answers_to_lose = 1
-        self.assertIs(self.record(), RecordOutcome.UNKNOWN)
-        self.assertEqual(self.store.append_count, 1)
-
-    def test_store_that_is_down_is_probed_with_single_appends(self) -> None:
-        """While the store counts as down, appends are not repeated."""
-        self.record_with_fast_answers(10)
-        for _ in range(2):
-            self.recorder._health.record_failure()
-        self.store.answers_to_lose = 1_000
-        with mock.patch.object(recorder, "_PROBE_DELAY_SECONDS", 0.0):
-            self.assertIs(self.record(), RecordOutcome.UNKNOWN)
-        self.assertEqual(self.store.append_count, 1)
--- a/tests/test_slow_store.py
+++ b/tests/test_slow_store.py
@@ -56,17 +56,7 @@
     def test_all_callers_are_served(self) -> None:
         """Every submission succeeds, with fewer appends than jobs."""
         store = SlowStore()
-        self.check_submissions(store, Recorder(store, PARTITIONS, Metrics()))
-
-    def test_repeats_of_the_leader_filled_the_queues(self) -> None:
-        """Every submission succeeds if the store was fast before and the leader may repeat."""
-        store = SlowStore()
-        leader = Recorder(store, PARTITIONS, Metrics(), lambda: True)
-        for _ in range(10):
-            leader._health.record_success(0.01)
-        self.check_submissions(store, leader)
-
-    def check_submissions(self, store: SlowStore, leader: Recorder) -> None:
+        leader = Recorder(store, PARTITIONS, Metrics())
         nodes = [self.make_node(store, leader) for _ in range(NODES)]
 
         def submit(number: int) -> int:
