Record a resignation that meets a renewal without an answer

Cause: a leader that was asked to stop appended its resignation while a renewal was on its way. The renewal moved the end of the partition, so the resignation conflicted and was never recorded (resign_unrecorded); the other nodes waited until the leader counted as silent. Change: appends of a node to the leaders' partition follow one another, and a resignation that conflicts with the node's own renewal is tried again. Result: test_resignation_during_a_renewal_is_recorded fails before and passes now; tests/test_election.py passes.

--- a/src/snowdock/entry/election.py
+++ b/src/snowdock/entry/election.py
@@ -53,6 +53,10 @@
 _UNKNOWN_INCARNATION = ""
 """Stands for the incarnation of a leader known only by what peers tell."""
 
+_RESIGN_ATTEMPTS = 3
+"""Attempts to record a resignation: the leader's own renewals are the only records that it may
+conflict with while it leads."""
+
 _SUCCESSOR_HEAD_START_SECONDS = 0.4
 """How long the other nodes wait for a claim by the successor that a resigning leader names."""
 
@@ -114,6 +118,8 @@
         self._resigned = False
         self._gone_epoch_logged = 0
         self._last_peer_heartbeat_at = 0.0
+        # Appends follow one another, since each is conditional on the position after the last one.
+        self._append_lock = threading.Lock()
         self._thread = ServiceThread(self._run, "election", self._stopped.is_set)
 
     @property
@@ -266,10 +272,23 @@
             return
         self._resigned = True
         try:
-            self._append(epoch, True, successor=successor)
+            for _ in range(_RESIGN_ATTEMPTS):
+                if self._try_append_resignation(epoch, successor):
+                    return
+            log_event("resign_unrecorded", epoch=epoch, reason="renewals without an answer")
         except PlatformError as error:
             log_event("resign_unrecorded", epoch=epoch, reason=str(error))
 
+    def _try_append_resignation(self, epoch: int, successor: str) -> bool:
+        """Append a resignation; return whether the epoch is over, and False to try again."""
+        with self._append_lock:
+            try:
+                self._append(epoch, True, successor=successor)
+            except AppendConflict:
+                # A renewal without an answer may have been applied.
+                return not self._still_leads(epoch)
+        return True
+
     def step_down(self, reason: str) -> None:
         """End this node's leadership because another node leads or this one cannot."""
         if self._own_epoch:
@@ -321,7 +340,10 @@
         while self._own_epoch == epoch and not self._stopped.is_set():
             started_at = steady_seconds()
             try:
-                self._append(epoch, False, self._renewals.limit_s)
+                with self._append_lock:
+                    if self._own_epoch != epoch:
+                        return 0.0
+                    self._append(epoch, False, self._renewals.limit_s)
             except AppendConflict:
                 if not self._still_leads(epoch):
                     self.step_down("another node has claimed the leadership")
--- a/tests/test_election.py
+++ b/tests/test_election.py
@@ -254,6 +254,30 @@
         self.assertTrue(wait_until(lambda: second.leads))
         self.assertFalse(first.leads)
 
+    def test_resignation_during_a_renewal_is_recorded(self) -> None:
+        """A resignation waits for the answer to a renewal instead of conflicting with it."""
+        first = self.add_candidate("first")
+        self.wait_for_leader()
+        store = first.election._log._store
+        append = store.append
+        applied, answered = threading.Event(), threading.Event()
+
+        def append_slowly(*arguments, **options) -> int:
+            offset = append(*arguments, **options)
+            applied.set()
+            answered.wait(5.0)
+            return offset
+
+        with mock.patch.object(store, "append", append_slowly):
+            self.assertTrue(applied.wait(5.0))
+            resigning = threading.Thread(target=first.election.resign)
+            resigning.start()
+            self.assertTrue(wait_until(lambda: not first.leads))
+            answered.set()
+            resigning.join()
+        (record,) = LeaderLog(store).read_newest(1.0)
+        self.assertTrue(record.resigned)
+
     def test_follower_without_heartbeats_sees_renewals_in_store(self) -> None:
         """A follower without heartbeats does not claim while renewals arrive in the store."""
         first = self.add_candidate("first")
