Cache policy scores by the fields that a program reads

Cause: scores were cached by the work's name, with all sizes in it, and by every property of the VM, though the shipped programs read two or three of the VM's. Change: the fields that a program's score reads are found in its source, and are the key; a program that passes its arguments on keeps the key as it was.

--- a/src/snowdock/policies.py
+++ b/src/snowdock/policies.py
@@ -6,6 +6,7 @@
 limit. If a call fails, the built-in program for the kind is used instead.
 """
 
+import ast
 import dataclasses
 import time
 from collections.abc import Callable, Mapping
@@ -96,12 +97,42 @@
     problem: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _ScoreFields:
+    """The fields of the work and of the VM that a program's ``score`` reads."""
+
+    work: tuple[str, ...]
+    vm: tuple[str, ...]
+
+    def select(self, work: Mapping, vm: Mapping) -> tuple:
+        """Return the values of these fields, on which a score depends."""
+        return (*(work.get(field) for field in self.work), *(vm.get(field) for field in self.vm))
+
+
 class Program:
-    """A compiled program whose calls have a time limit and whose results are validated."""
+    """A compiled program whose calls have a time limit and whose results are validated.
 
-    def __init__(self, name: str, module: starlark.FrozenModule) -> None:
+    Parameters
+    ----------
+    name
+        The program's file name.
+    module
+        The compiled program.
+    score_fields
+        The fields that ``score`` reads; None if they cannot be told.
+    """
+
+    def __init__(
+        self, name: str, module: starlark.FrozenModule, score_fields: _ScoreFields | None
+    ) -> None:
         self._name = name
         self._module = module
+        self._score_fields = score_fields
+
+    @property
+    def score_fields(self) -> _ScoreFields | None:
+        """The fields that ``score`` reads; None if they cannot be told."""
+        return self._score_fields
 
     @property
     def name(self) -> str:
@@ -163,13 +194,51 @@
         starlark.eval_with(options, module, tree, starlark.Globals.standard())
     except starlark.StarlarkError as error:
         raise PolicyError(f"{name}: {_format_error(error)}") from error
-    program = Program(name, module.freeze())
+    program = Program(name, module.freeze(), _find_score_fields(text))
     for function in _FUNCTIONS:
         for sample in _SAMPLES[function]:
             program.call(function, *sample)
     return program
 
 
+def _find_score_fields(text: str) -> _ScoreFields | None:
+    """Return the fields that a program's ``score`` reads, or None if it may read others.
+
+    Starlark is a subset of Python, whose parser is used here. Each use of an argument has to be a
+    subscript with a constant name.
+    """
+    try:
+        tree = ast.parse(text)
+    except (SyntaxError, ValueError):
+        return None
+    scores = [
+        node for node in tree.body if isinstance(node, ast.FunctionDef) and node.name == "score"
+    ]
+    if len(scores) != 1 or len(scores[0].args.args) != 2:
+        return None
+    fields = [_find_read_fields(scores[0], argument.arg) for argument in scores[0].args.args]
+    return None if None in fields else _ScoreFields(*fields)
+
+
+def _find_read_fields(function: ast.FunctionDef, argument: str) -> tuple[str, ...] | None:
+    """Return the fields of an argument that a function reads, or None if it may read others."""
+    uses = 0
+    fields = set()
+    for node in ast.walk(function):
+        if isinstance(node, ast.Name) and node.id == argument:
+            uses += 1
+        elif (
+            isinstance(node, ast.Subscript)
+            and isinstance(node.value, ast.Name)
+            and node.value.id == argument
+            and isinstance(node.slice, ast.Constant)
+            and isinstance(node.slice.value, str)
+        ):
+            fields.add((node.slice.value, node.lineno, node.col_offset))
+    names = tuple(sorted({name for name, _, _ in fields}))
+    return names if uses == len(fields) else None
+
+
 class PolicySet:
     """The programs in force, one for each kind of work.
 
@@ -233,12 +302,16 @@
             return self._builtin[kind].call(function, *arguments)
 
     def score(self, kind: str, work: Mapping, vm: Mapping) -> float | None:
-        """Return the score of a VM for a work, cached by the work's name, team and the VM.
+        """Return the score of a VM for a work, cached by the fields that the program reads.
 
-        A score must not depend on the time that the work has waited, which is not part of
-        the cache key.
+        If these cannot be told, it is cached by the work's name and team, and by the VM: then a
+        score must not depend on the time that the work has waited.
         """
-        key = (kind, work["name"], work["team"], *vm.values())
+        fields = self._current[kind].score_fields
+        if fields is None:
+            key = (kind, work["name"], work["team"], *vm.values())
+        else:
+            key = (kind, *fields.select(work, vm))
         if key not in self._scores:
             if len(self._scores) >= _MAX_CACHED_SCORES:
                 self._scores.clear()
--- a/tests/test_policies.py
+++ b/tests/test_policies.py
@@ -1,6 +1,7 @@
 """Tests of policy programs."""
 
 import unittest
+from unittest import mock
 
 from hypothesis import given
 from hypothesis import strategies as st
@@ -75,6 +76,30 @@
         self.assertEqual(self.policies.call("batch", "rank", WORK), 7)
         self.assertEqual(len(self.failures), 1)
 
+    def test_scores_are_cached_by_the_fields_that_are_read(self) -> None:
+        """Works and VMs that differ only in other fields share a score, and no others do."""
+        vm = {"free_fraction": 0.5, "failure_streak": 0, "slowness": 1.0}
+        program = self.policies._current["batch"]
+        with mock.patch.object(program, "call", wraps=program.call) as call:
+            for work in (WORK, {**WORK, "name": "y"}):
+                for slowness in (1.0, 2.0):
+                    self.policies.score("batch", work, {**vm, "slowness": slowness})
+            self.assertEqual(call.call_count, 1)
+            score = self.policies.score("batch", WORK, {**vm, "free_fraction": 0.25})
+        self.assertEqual(score, program.call("score", WORK, {**vm, "free_fraction": 0.25}))
+        self.assertEqual(call.call_count, 2)
+
+    def test_score_that_passes_an_argument_on_is_cached_by_all_fields(self) -> None:
+        """The fields that another function reads are not known."""
+        score = "def score(work, vm):"
+        text = VALID_PROGRAM.replace(
+            score, f'def pick(vm):\n    return vm["slowness"]\n\n{score}\n    return pick(vm)'
+        )
+        self.policies.replace(make_declarations(text))
+        vm = {"free_fraction": 0.5, "failure_streak": 0, "slowness": 1.0}
+        self.assertEqual(self.policies.score("batch", WORK, vm), 1.0)
+        self.assertEqual(self.policies.score("batch", WORK, {**vm, "slowness": 2.0}), 2.0)
+
     def test_check_names_the_program(self) -> None:
         """The check of a configuration names a program that does not compile."""
         with self.assertRaises(DeclarationErrors) as caught:
