Hand over the leadership from a node that falls behind

Cause: a leader whose VM runs 3.4 times slower sends heartbeats and renewals often enough to stay the leader, while advice and placement starve; no node measured that.

A leader that is late accepts gaps of 3 s between the heartbeats of a peer, since it causes them.

--- a/src/snowdock/entry/advice_dispatcher.py
+++ b/src/snowdock/entry/advice_dispatcher.py
@@ -118,6 +118,9 @@
         Called with each answer or failure.
     metrics
         Records the time of each attempt.
+    record_relay_excess
+        Called with the seconds that each relayed request took beyond the time at the other node
+        and a usual round trip.
     """
 
     def __init__(
@@ -128,6 +131,7 @@
         live_nodes: Callable[[], list[str]],
         post: Callable[[Event], None],
         metrics: Metrics,
+        record_relay_excess: Callable[[float], None],
     ) -> None:
         self._own_node = own_node
         self._local_client = local_client
@@ -135,6 +139,7 @@
         self._live_nodes = live_nodes
         self._post = post
         self._metrics = metrics
+        self._record_relay_excess = record_relay_excess
         self._short_requests: collections.deque[_PendingRequest] = collections.deque()
         self._long_requests: collections.deque[_PendingRequest] = collections.deque()
         self._pending: dict[AdviceRequest, _PendingRequest] = {}
@@ -273,5 +278,11 @@
                 seconds,
             )
 
+        started_at = steady_seconds()
         reply = self._peers.ask(node, build_request, seconds + _PEER_SLACK_SECONDS)
-        return reply.tickets if isinstance(reply, AdviceReply) else None
+        if not isinstance(reply, AdviceReply):
+            return None
+        if reply.took_s is not None:
+            round_trip_s = steady_seconds() - started_at - reply.took_s
+            self._record_relay_excess(max(0.0, round_trip_s - _PEER_SLACK_SECONDS))
+        return reply.tickets
--- a/src/snowdock/entry/daemon.py
+++ b/src/snowdock/entry/daemon.py
@@ -27,6 +27,7 @@
 from .configuration_watcher import ConfigurationWatcher
 from .election import Election
 from .held_lookups import HeldLookups
+from .lag_monitor import LagMonitor
 from .leader import LeaderContext
 from .leader_links import LeaderLinks
 from .leader_queries import LeaderQueries
@@ -90,6 +91,7 @@
         self._advice_client = LocalAdviceClient(environment.advice_address)
         identity = NodeIdentity(environment.node, secrets.token_hex(4), environment.peer_address)
         self._identity = identity
+        self._lag = LagMonitor(self._metrics)
         # Components are started only after all of them exist, so the callbacks may refer to later
         # ones.
         self._election = Election(
@@ -101,6 +103,7 @@
             lambda reason: self._handle_deposition(reason),
             lambda _: self._links.update(),
             lambda: self._queries.ask_for_referral(),
+            self._lag,
         )
         self._peers = Peers(
             PeerOptions(
@@ -113,6 +116,7 @@
             lambda question: self._answer_peer(question),
             self._handle_heartbeat,
             self._make_heartbeat,
+            self._lag.record_heartbeat_lateness,
         )
         self._links = LeaderLinks(
             environment.node, self._election, self._peer_directory, self._peers.set_addresses
@@ -229,7 +233,13 @@
             epoch=epoch,
             settings=cell_settings(environment, self._election.predecessor_isolation_s),
             make_advice_dispatcher=lambda post: AdviceDispatcher(
-                environment.node, self._advice_client, self._peers, live_peers, post, self._metrics
+                environment.node,
+                self._advice_client,
+                self._peers,
+                live_peers,
+                post,
+                self._metrics,
+                self._lag.record_relay_excess,
             ),
             count_advice_nodes=lambda: len(live_peers()) + 1,
             configuration=lambda: self._configuration_watcher.current,
@@ -237,6 +247,7 @@
                 self._leadership.leads_in(epoch) and not self._election.is_isolated
             ),
             step_down=self._election.step_down,
+            record_event_age=self._lag.record_event_age,
             metrics=self._metrics,
         )
 
--- a/src/snowdock/entry/election.py
+++ b/src/snowdock/entry/election.py
@@ -23,6 +23,8 @@
 from ..platform.store import StoreClient
 from ..threads import ServiceThread
 from .known_leader import KnownLeader
+from .lag_monitor import LagMonitor
+from .leader_lag import HandoverLimiter
 from .leader_liveness import find_end_evidence
 from .leader_log import LeaderLog
 from .leader_record import LeaderRecord, NodeIdentity
@@ -46,6 +48,10 @@
 """A leader hands over only after this time, since each change of leader stops the
 placement of tasks for some tenths of a second."""
 
+_MIN_TERM_BEFORE_LAG_HANDOVER_SECONDS = 5.0
+"""The same for a handover because of a lag: a takeover takes up to 3.4 s, in which a new leader is
+behind for no other reason."""
+
 _INHERITED_ISOLATION_SECONDS = 10.0
 """How long a leader records its predecessor's isolation timeout if that is longer than its own: by
 then the predecessor sends no more orders."""
@@ -79,6 +85,8 @@
     ask_silent_leader
         Asks the known leader whether it leads; called while it sends no heartbeats and the store
         does not answer. Its reply is passed to `handle_referral`.
+    lag
+        How far this node is behind its work, which delays its claims further.
     """
 
     def __init__(
@@ -91,12 +99,15 @@
         on_deposed: Callable[[str], None],
         on_leader_changed: Callable[[LeaderRecord], None],
         ask_silent_leader: Callable[[], None],
+        lag: LagMonitor,
     ) -> None:
         self._log = LeaderLog(store)
         self._identity = identity
         self._claim_delay_s = claim_delay_s
         self._reaches_store = reaches_store
-        self._successors = SuccessorTracker(claim_delay_s)
+        self._lag = lag
+        self._lag_handovers = HandoverLimiter()
+        self._successors = SuccessorTracker()
         self._on_elected = on_elected
         self._on_deposed = on_deposed
         self._on_leader_changed = on_leader_changed
@@ -188,7 +199,7 @@
             self._own_epoch,
             self.renewed_s,
             self._resigned,
-            self._claim_delay_s,
+            self._claim_delay_s + self._lag.held_delay_s,
             self._reaches_store(),
             self._renewals.are_rejected,
             due_s,
@@ -199,7 +210,7 @@
         """Handle a heartbeat of a peer."""
         now = steady_seconds()
         self._last_peer_heartbeat_at = now
-        self._successors.record_heartbeat(heartbeat, now)
+        self._successors.record_heartbeat(heartbeat, now, self._lag.is_late)
         if not heartbeat.resigned and self._is_newer_leader(heartbeat.epoch):
             self._follow_unrecorded_leader(heartbeat.node, heartbeat.address, heartbeat.epoch)
         leader = self._known_leader.record
@@ -260,13 +271,13 @@
         self._may_claim = False
         self._append_resignation("")
 
-    def _append_resignation(self, successor: str) -> None:
+    def _append_resignation(self, successor: str, was_behind: bool = False) -> None:
         epoch, self._own_epoch = self._own_epoch, 0
         if not epoch:
             return
         self._resigned = True
         try:
-            self._append(epoch, True, successor=successor)
+            self._append(epoch, True, successor=successor, was_behind=was_behind)
         except PlatformError as error:
             log_event("resign_unrecorded", epoch=epoch, reason=str(error))
 
@@ -304,10 +315,11 @@
         resigned: bool,
         seconds: float = MAX_CALL_SECONDS,
         successor: str = "",
+        was_behind: bool = False,
     ) -> None:
         """Append a record of this node, provided that there was no append since the last read."""
         record = self._identity.make_record(
-            epoch, resigned, successor, self._turnover, self._recorded_isolation_s()
+            epoch, resigned, successor, self._turnover, self._recorded_isolation_s(), was_behind
         )
         self._log.append(record, seconds)
 
@@ -341,15 +353,36 @@
     def _hand_over_leadership(self) -> bool:
         """Hand over to a stronger node, if there is one; return whether it did."""
         now = steady_seconds()
-        successor = self._successors.choose_successor(now)
-        if successor is None or now - self._elected_at < _MIN_TERM_SECONDS:
+        if now - self._elected_at < _MIN_TERM_SECONDS:
+            return False
+        successor = self._successors.choose_successor(now, self._claim_delay_s)
+        is_behind = successor is None
+        if is_behind:
+            successor = self._choose_successor_for_lag(now)
+        if successor is None:
             return False
-        log_event("handing_over", epoch=self._own_epoch, successor=successor)
-        self._append_resignation(successor)
+        log_event("handing_over", epoch=self._own_epoch, successor=successor, behind=is_behind)
+        if is_behind:
+            self._lag_handovers.record(now)
+        self._append_resignation(successor, is_behind)
         self._on_deposed(f"{successor} was named as the successor")
         self._follow_own_resignation(successor)
         return True
 
+    def _choose_successor_for_lag(self, now: float) -> str | None:
+        """Return a clearly better node if this one has fallen behind, and may hand over for that.
+
+        A lag that has passed does not count: the leadership would change for nothing.
+        """
+        lag_delay_s = self._lag.current_delay_s
+        if not lag_delay_s or now - self._elected_at < _MIN_TERM_BEFORE_LAG_HANDOVER_SECONDS:
+            return None
+        if not self._lag_handovers.permits(now):
+            return None
+        return self._successors.choose_successor(
+            now, self._claim_delay_s + lag_delay_s, self._lag.is_late
+        )
+
     def _follow_own_resignation(self, successor: str) -> None:
         """Update the known leader by this node's own resignation."""
         record = self._known_leader.record
@@ -394,7 +427,8 @@
             _SUCCESSOR_HEAD_START_SECONDS
         ):
             return 0.0
-        self._stopped.wait(self._claim_delay_s + random.uniform(0, _MAX_CLAIM_JITTER_SECONDS))
+        claim_delay_s = self._claim_delay_s + self._lag.held_delay_s
+        self._stopped.wait(claim_delay_s + random.uniform(0, _MAX_CLAIM_JITTER_SECONDS))
         self._claim()
         return 0.0
 
@@ -426,6 +460,9 @@
         leader = records[-1] if records else None
         if leader is None or leader == self._known_leader.record:
             return
+        incarnation = self._identity.incarnation
+        if any(record.was_behind and record.incarnation != incarnation for record in records):
+            self._lag_handovers.record(steady_seconds())
         self._known_leader.update(leader)
         log_event(
             "leader_seen",
--- a/src/snowdock/entry/leader.py
+++ b/src/snowdock/entry/leader.py
@@ -72,6 +72,8 @@
         Returns whether orders may be sent; false if another node may have become the leader.
     step_down
         Called with the reason when the leader has failed or another node leads.
+    record_event_age
+        Called with the age of each timer event when it is handled, in seconds.
     metrics
         The node's metrics.
     """
@@ -86,6 +88,7 @@
     configuration: Callable[[], Configuration]
     may_send_orders: Callable[[], bool]
     step_down: Callable[[str], None]
+    record_event_age: Callable[[float], None]
     metrics: Metrics
 
 
@@ -169,6 +172,7 @@
                 "Time that an event waited for a leader that was behind.",
                 started_at - message.sent_at,
             )
+            self._context.record_event_age(started_at - message.sent_at)
             if started_at - self._last_tick_at < TICK_SECONDS / 2:
                 # Ticks that were delayed while the leader lagged are dropped except for one.
                 return
--- a/src/snowdock/entry/leader_record.py
+++ b/src/snowdock/entry/leader_record.py
@@ -32,6 +32,8 @@
     isolation_s
         For how long this leader, or one just before it, may send orders after it lost contact with
         the store and all peers, in seconds.
+    was_behind
+        Whether it resigned because it had fallen behind; see `leader_lag`.
     """
 
     node: str
@@ -42,6 +44,7 @@
     successor: str = ""
     turnover: int = 0
     isolation_s: float = _UNSTATED_ISOLATION_SECONDS
+    was_behind: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -59,6 +62,7 @@
         successor: str = "",
         turnover: int = 0,
         isolation_s: float = ISOLATION_TIMEOUT_SECONDS,
+        was_behind: bool = False,
     ) -> LeaderRecord:
         """Return a record that this node leads or, with ``resigned``, has resigned."""
         return LeaderRecord(
@@ -70,6 +74,7 @@
             successor,
             turnover,
             isolation_s,
+            was_behind,
         )
 
 
--- a/src/snowdock/entry/messages.py
+++ b/src/snowdock/entry/messages.py
@@ -131,10 +131,14 @@
 
 
 class AdviceReply(_EntryMessage, tag="A"):
-    """The answer of the advice service: tickets by worker; None if there was no answer."""
+    """The answer of the advice service: tickets by worker; None if there was no answer.
+
+    ``took_s`` is how long the sender had the request; None in messages of older releases.
+    """
 
     number: int
     tickets: dict[str, str] | None
+    took_s: float | None = None
 
 
 class RecordNotice(_EntryMessage, tag="n"):
--- a/src/snowdock/entry/peer_requests.py
+++ b/src/snowdock/entry/peer_requests.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from concurrent.futures import Future
 
+from ..clocks import steady_seconds
 from ..errors import PlatformError
 from ..jobs.model import JobId
 from ..jobs.orders import AdviceRequest
@@ -82,9 +83,10 @@
     advice_request = AdviceRequest(
         request.job, request.repetition, request.step, tuple(request.workers)
     )
+    started_at = steady_seconds()
     try:
         advice = advice_client.ask(advice_request, request.timeout_s)
     except PlatformError as error:
         log_event("advice_unanswered", job=request.job, step=request.step, reason=str(error))
         return AdviceReply(request.number, None)
-    return AdviceReply(request.number, advice.tickets)
+    return AdviceReply(request.number, advice.tickets, steady_seconds() - started_at)
--- a/src/snowdock/entry/successors.py
+++ b/src/snowdock/entry/successors.py
@@ -17,10 +17,14 @@
 _MAX_GAP_SECONDS = 0.95
 """The longest silence that is not a gap; a heartbeat is due every 0.6 s."""
 
+_MAX_GAP_WHILE_LATE_SECONDS = 3.0
+"""The same while this node itself is late: it reads the heartbeats late, and the peers renew their
+connections to it after 2 s without confirmation."""
+
 
 @dataclasses.dataclass(slots=True)
-class _StrongerPeer:
-    """A stronger peer: start of its heartbeats without a gap, last one, and claim delay."""
+class _Peer:
+    """A peer: start of its heartbeats without a gap, last one, and claim delay."""
 
     stable_since: float
     last_heartbeat_at: float
@@ -28,42 +32,59 @@
 
 
 class SuccessorTracker:
-    """The stronger peers that send a node heartbeats; read and written by two threads.
-
-    Parameters
-    ----------
-    claim_delay_s
-        How long this node waits before a claim, to let stronger nodes claim first, in seconds.
-    """
+    """The peers that send a node heartbeats; read and written by two threads."""
 
-    def __init__(self, claim_delay_s: float) -> None:
-        self._claim_delay_s = claim_delay_s
-        self._stronger_peers: dict[str, _StrongerPeer] = {}
+    def __init__(self) -> None:
+        self._peers: dict[str, _Peer] = {}
         self._lock = threading.Lock()
 
-    def record_heartbeat(self, heartbeat: Heartbeat, now: float) -> None:
-        """Record a peer's heartbeat; ``now`` is the steady clock in seconds."""
-        is_stronger = heartbeat.claim_delay_s + _MIN_DELAY_ADVANTAGE_SECONDS <= self._claim_delay_s
+    def record_heartbeat(self, heartbeat: Heartbeat, now: float, is_late: bool = False) -> None:
+        """Record a peer's heartbeat.
+
+        Parameters
+        ----------
+        heartbeat
+            The heartbeat.
+        now
+            The steady clock in seconds.
+        is_late
+            Whether this node was late with its own work in the last seconds.
+        """
         with self._lock:
-            if not is_stronger or not heartbeat.reaches_store:
-                self._stronger_peers.pop(heartbeat.node, None)
+            if not heartbeat.reaches_store:
+                self._peers.pop(heartbeat.node, None)
                 return
-            known = self._stronger_peers.get(heartbeat.node)
-            if known is None or now - known.last_heartbeat_at > _MAX_GAP_SECONDS:
-                self._stronger_peers[heartbeat.node] = _StrongerPeer(
-                    now, now, heartbeat.claim_delay_s
-                )
+            known = self._peers.get(heartbeat.node)
+            if known is None or now - known.last_heartbeat_at > _max_gap_s(is_late):
+                self._peers[heartbeat.node] = _Peer(now, now, heartbeat.claim_delay_s)
                 return
             known.last_heartbeat_at = now
             known.claim_delay_s = heartbeat.claim_delay_s
 
-    def choose_successor(self, now: float) -> str | None:
-        """Return the strongest peer without heartbeat gaps; None if there is none."""
+    def choose_successor(
+        self, now: float, claim_delay_s: float, is_late: bool = False
+    ) -> str | None:
+        """Return the strongest peer without heartbeat gaps; None if no peer is stronger.
+
+        Parameters
+        ----------
+        now
+            The steady clock in seconds.
+        claim_delay_s
+            How long this node waits before a claim, to let stronger nodes claim first, in seconds.
+        is_late
+            Whether this node was late with its own work in the last seconds.
+        """
         with self._lock:
             stable = [
                 (peer.claim_delay_s, node)
-                for node, peer in self._stronger_peers.items()
-                if now - peer.last_heartbeat_at <= _MAX_GAP_SECONDS
+                for node, peer in self._peers.items()
+                if peer.claim_delay_s + _MIN_DELAY_ADVANTAGE_SECONDS <= claim_delay_s
+                and now - peer.last_heartbeat_at <= _max_gap_s(is_late)
                 and peer.last_heartbeat_at - peer.stable_since >= _MIN_STABLE_SECONDS
             ]
         return min(stable)[1] if stable else None
+
+
+def _max_gap_s(is_late: bool) -> float:
+    return _MAX_GAP_WHILE_LATE_SECONDS if is_late else _MAX_GAP_SECONDS
--- a/src/snowdock/node/peers.py
+++ b/src/snowdock/node/peers.py
@@ -186,6 +186,8 @@
         Creates the heartbeat to send to a peer. Its arguments are the seconds until the next
         heartbeat to that peer is due, and the seconds since the last heartbeat of that peer
         arrived, or None if there was none.
+    record_lateness
+        Called with the seconds by which the thread was late, each time that heartbeats are due.
     """
 
     def __init__(
@@ -195,12 +197,14 @@
         answer_request: Callable[[object], object | None],
         on_heartbeat: Callable[[object], None],
         make_heartbeat: Callable[[float, float | None], object],
+        record_lateness: Callable[[float], None] = lambda _: None,
     ) -> None:
         self._options = options
         self._messages = messages
         self._answer_request = answer_request
         self._on_heartbeat = on_heartbeat
         self._make_heartbeat = make_heartbeat
+        self._record_lateness = record_lateness
         self._context = zmq.Context()
         self._outgoing: queue.SimpleQueue[_Outgoing] = queue.SimpleQueue()
         self._wake_lock = threading.Lock()
@@ -471,6 +475,8 @@
         now = steady_seconds()
         if now < self._next_heartbeat_at:
             return
+        if self._next_heartbeat_at:
+            self._record_lateness(now - self._next_heartbeat_at)
         options = self._options
         self._next_heartbeat_at = now + options.heartbeat_interval_s
         if options.confirms_links:
--- a/tests/test_advice_dispatcher.py
+++ b/tests/test_advice_dispatcher.py
@@ -50,7 +50,7 @@
         local = type("Local", (), {"ask": staticmethod(self.nodes.ask_own)})
         peers = type("Peers", (), {"ask": staticmethod(self.nodes.ask_peer)})
         self.dispatcher = AdviceDispatcher(
-            "own", local, peers, lambda: ["peer"], self.events.put, Metrics()
+            "own", local, peers, lambda: ["peer"], self.events.put, Metrics(), lambda seconds: None
         )
         self.addCleanup(self.dispatcher.stop)
         self.addCleanup(lambda: [each.set() for each in self.nodes.release_events.values()])
--- a/tests/test_election.py
+++ b/tests/test_election.py
@@ -10,10 +10,12 @@
 
 from snowdock.entry import leader_watch as leader_watch_module
 from snowdock.entry.election import Election
+from snowdock.entry.lag_monitor import LagMonitor
 from snowdock.entry.leader_log import LeaderLog
 from snowdock.entry.leader_record import NodeIdentity
 from snowdock.entry.messages import Heartbeat
 from snowdock.entry.topics import LEADER_KEY, LEADERS_TOPIC
+from snowdock.node.metrics import Metrics
 from snowdock.platform.store import StoreClient
 from tests.standins.entry_cluster import wait_until
 from tests.standins.platform import StoreStandin
@@ -29,6 +31,7 @@
         self.deposed = threading.Event()
         self.silent_leader_asked = threading.Event()
         self.reaches_store = True
+        self.lag = LagMonitor(Metrics())
         # The listening peer port of the node's process.
         self.port = socket.create_server(("127.0.0.1", 0))
         address = f"127.0.0.1:{self.port.getsockname()[1]}"
@@ -41,6 +44,7 @@
             lambda reason: self.deposed.set(),
             lambda leader: None,
             lambda: self.silent_leader_asked.set(),
+            self.lag,
         )
         self.election.start()
 
--- a/tests/test_successors.py
+++ b/tests/test_successors.py
@@ -15,13 +15,13 @@
         self, *heartbeats: Heartbeat, seconds: float = 3.0, own_delay_s: float = 0.36
     ) -> str | None:
         """Return the successor after heartbeats of some peers every 0.2 s."""
-        tracker = SuccessorTracker(own_delay_s)
+        tracker = SuccessorTracker()
         now = 100.0
         for _ in range(round(seconds / 0.2)):
             now += 0.2
             for heartbeat in heartbeats:
                 tracker.record_heartbeat(heartbeat, now)
-        return tracker.choose_successor(now)
+        return tracker.choose_successor(now, own_delay_s)
 
     def test_strongest_peer_is_chosen(self) -> None:
         """The strongest of several stronger peers is chosen."""
@@ -50,15 +50,23 @@
 
     def test_silent_peer_is_not_chosen(self) -> None:
         """A peer whose heartbeats have stopped is not chosen."""
-        tracker = SuccessorTracker(0.36)
+        tracker = SuccessorTracker()
         for step in range(20):
             tracker.record_heartbeat(make_heartbeat("a"), 100.0 + step * 0.2)
-        self.assertEqual(tracker.choose_successor(104.0), "a")
-        self.assertIsNone(tracker.choose_successor(105.0))
+        self.assertEqual(tracker.choose_successor(104.0, 0.36), "a")
+        self.assertIsNone(tracker.choose_successor(105.0, 0.36))
 
     def test_peer_with_heartbeat_gaps_is_not_chosen(self) -> None:
         """A gap in a peer's heartbeats restarts the time for which it must be stable."""
-        tracker = SuccessorTracker(0.36)
+        tracker = SuccessorTracker()
         for step in range(10):
             tracker.record_heartbeat(make_heartbeat("a"), 100.0 + step)
-        self.assertIsNone(tracker.choose_successor(109.1))
+        self.assertIsNone(tracker.choose_successor(109.1, 0.36))
+
+    def test_late_node_still_finds_a_successor(self) -> None:
+        """A node that reads heartbeats late takes the gaps for its own."""
+        tracker = SuccessorTracker()
+        for step in range(4):
+            tracker.record_heartbeat(make_heartbeat("a"), 100.0 + 1.5 * step, is_late=True)
+        self.assertEqual(tracker.choose_successor(106.0, 0.36, is_late=True), "a")
+        self.assertIsNone(tracker.choose_successor(108.0, 0.36, is_late=True), "gone for 3.5 s")
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -161,6 +161,7 @@
         configuration=lambda: Configuration(1),
         may_send_orders=lambda: False,
         step_down=lambda reason: None,
+        record_event_age=lambda seconds: None,
         metrics=Metrics(),
     )
 
