Write progress to another partition while one of them fails

Cause: the leader recorded all placements in partition 0 of keyed.progress. While that partition failed, nothing started, although the leader kept leading and jobs were accepted.

Progress records have their leader's epoch and batch number, of which the highest counts. A new leader fences all three partitions before it reads them. The sequence number of an append without an answer stays bound to its batch, which is repeated first on a return to the partition. A job's newest record is deleted last, and none while an append of it is open. While a peer of an earlier version is heard, progress stays in partition 0.

Ruled out: a producer name for each visit (a new leader could not fence it); no return within a term (fails after an outage of the whole store).

--- a/specs/check.py
+++ b/specs/check.py
@@ -18,6 +18,7 @@
     election_model,
     life_model,
     placement_model,
+    progress_model,
     quota_model,
     request_model,
     slot_model,
@@ -61,6 +62,7 @@
     crash_model: crash_model.Bounds(),
     starvation_model: starvation_model.Bounds(),
     life_model: life_model.Bounds(),
+    progress_model: progress_model.Bounds(),
 }
 
 SMALL_BOUNDS = {
@@ -73,6 +75,7 @@
     crash_model: crash_model.Bounds(takeovers=1),
     starvation_model: starvation_model.Bounds(takeovers=0, failures=3),
     life_model: life_model.Bounds(restarts=1, takeovers=1, runs=2),
+    progress_model: progress_model.Bounds(batches=2, switches=2),
 }
 """Bounds that are small enough for each run of the test suite."""
 
--- a/src/snowdock/entry/daemon.py
+++ b/src/snowdock/entry/daemon.py
@@ -238,6 +238,7 @@
             ),
             step_down=self._election.step_down,
             metrics=self._metrics,
+            peers_read_all_progress=self._peer_directory.all_read_progress,
         )
 
     def _handle_election(self, epoch: int) -> None:
@@ -256,6 +257,7 @@
             heartbeat,
             configuration=self._configuration_watcher.version,
             store_is_slow=self._recorder.is_slow,
+            reads_all_progress=True,
         )
 
     def _handle_heartbeat(self, heartbeat: Heartbeat) -> None:
--- a/src/snowdock/entry/leader.py
+++ b/src/snowdock/entry/leader.py
@@ -41,8 +41,10 @@
 from ..platform.store import StoreClient
 from .advice_dispatcher import AdviceDispatcher
 from .job_status_table import JobStatusTable
+from .progress_partitions import ProgressPartitions
 from .progress_writer import ProgressWriter
 from .record_cleaner import RecordCleaner
+from .topics import progress_partition_count
 from .worker_link import WorkerLink
 
 __all__ = ["Leader", "LeaderContext"]
@@ -74,6 +76,8 @@
         Called with the reason when the leader has failed or another node leads.
     metrics
         The node's metrics.
+    peers_read_all_progress
+        Returns whether all known peers would read all partitions of the progress as the leader.
     """
 
     store: StoreClient
@@ -87,6 +91,7 @@
     may_send_orders: Callable[[], bool]
     step_down: Callable[[str], None]
     metrics: Metrics
+    peers_read_all_progress: Callable[[], bool] = lambda: True
 
 
 class Leader(pykka.ThreadingActor):
@@ -113,10 +118,19 @@
         self._stepped_down = False
         self._last_tick_at = 0.0
         post = self._post
+        progress_partitions = ProgressPartitions(
+            progress_partition_count(context.parts), recorded.progress_partitions
+        )
         self._writer = ProgressWriter(
-            context.store, context.epoch, post, self._step_down, context.metrics
+            context.store,
+            context.epoch,
+            post,
+            self._step_down,
+            context.metrics,
+            progress_partitions,
+            context.peers_read_all_progress,
         )
-        self._cleaner = RecordCleaner(context.store, context.parts)
+        self._cleaner = RecordCleaner(context.store, context.parts, progress_partitions)
         self._advice_dispatcher = context.make_advice_dispatcher(post)
         now = steady_seconds()
         policy = make_policy(self._log_policy_failure, lambda: self._cell)
--- a/src/snowdock/entry/messages.py
+++ b/src/snowdock/entry/messages.py
@@ -57,6 +57,9 @@
         Whether the sender's recent appends to the store have been slow.
     configuration
         The version of the configuration in force at the sender; 0 for none.
+    reads_all_progress
+        Whether the sender would read all partitions of the progress as the leader; earlier versions
+        read only the first.
     """
 
     node: str
@@ -71,6 +74,7 @@
     heard_s: float | None = None
     configuration: int = 0
     store_is_slow: bool = False
+    reads_all_progress: bool = False
 
 
 class StatusRequest(_EntryMessage, tag="s"):
--- a/src/snowdock/entry/peer_directory.py
+++ b/src/snowdock/entry/peer_directory.py
@@ -18,11 +18,12 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Peer:
-    """The time of a peer's last heartbeat, its address and its claim delay in seconds."""
+    """The time of a peer's last heartbeat, and what it stated."""
 
     last_heartbeat_at: float
     address: str
     claim_delay_s: float
+    reads_all_progress: bool
 
 
 class PeerDirectory:
@@ -37,19 +38,31 @@
         with self._lock:
             known = self._peers.get(heartbeat.node)
             self._peers[heartbeat.node] = _Peer(
-                steady_seconds(), heartbeat.address, heartbeat.claim_delay_s
+                steady_seconds(),
+                heartbeat.address,
+                heartbeat.claim_delay_s,
+                heartbeat.reads_all_progress,
             )
         return known is None or known.address != heartbeat.address
 
     def addresses(self) -> dict[str, str]:
         """Return the addresses of all peers by name, except those without recent heartbeats."""
-        oldest = steady_seconds() - _FORGET_SECONDS
         with self._lock:
-            for node, peer in list(self._peers.items()):
-                if peer.last_heartbeat_at < oldest:
-                    del self._peers[node]
+            self._remove_old_peers()
             return {node: peer.address for node, peer in self._peers.items()}
 
+    def all_read_progress(self) -> bool:
+        """Check whether no peer is of a version that reads only the first progress partition."""
+        with self._lock:
+            self._remove_old_peers()
+            return all(peer.reads_all_progress for peer in self._peers.values())
+
+    def _remove_old_peers(self) -> None:
+        oldest = steady_seconds() - _FORGET_SECONDS
+        for node, peer in list(self._peers.items()):
+            if peer.last_heartbeat_at < oldest:
+                del self._peers[node]
+
     def live_peers(self) -> list[str]:
         """Return the names of the live peers."""
         return [node for node, _ in self._live_peer_delays()]
--- a/src/snowdock/entry/progress_writer.py
+++ b/src/snowdock/entry/progress_writer.py
@@ -1,8 +1,14 @@
-"""Appends the leader's progress batches to the store, in order, retrying each until it succeeds."""
+"""Appends the leader's progress batches to the store, in order, retrying each until it succeeds.
+
+While one partition fails, the batches go to another one. At most one batch is being written at a
+time, so that of several records of a job the one with the highest batch number is the newest,
+whichever partition it is in and whenever the append was carried out.
+"""
 
 import concurrent.futures
 import contextlib
 import dataclasses
+import functools
 import queue
 import threading
 from collections.abc import Callable
@@ -19,7 +25,8 @@
 from ..platform.store import KeyedRecord, Producer, StoreClient
 from ..threads import ServiceThread
 from .adaptive_timeout import AdaptiveTimeout
-from .topics import DEFAULT_PARTITION, PROGRESS_TOPIC
+from .progress_partitions import FENCE_SEQUENCE, ProgressAppend, ProgressPartitions
+from .topics import PROGRESS_TOPIC
 
 __all__ = ["ProgressWriter", "fence_progress"]
 
@@ -33,18 +40,15 @@
 
 _NEXT_ATTEMPT_DELAY_SECONDS = 0.25
 _MAX_PARALLEL_ATTEMPTS = 4
-"""After this delay without an answer, the next attempt starts in parallel, up to a limit: four
-attempts of at most a second each, a quarter of a second apart."""
+"""After this delay without an answer, the next attempt starts in parallel, up to a limit for each
+partition: four attempts of at most a second each, a quarter of a second apart."""
 
 _PRODUCER_NAME = "leader"
 """Producer name shared by all leaders, so that a later epoch fences the earlier ones."""
 
-_FENCE_SEQUENCE = 0
-"""Sequence number of the fencing append; batches start at 1."""
-
 
-def fence_progress(store: StoreClient, epoch: int, seconds: float) -> None:
-    """Fence all earlier leaders, so that they can no longer append progress records.
+def fence_progress(store: StoreClient, epoch: int, seconds: float, partition: int) -> None:
+    """Fence all earlier leaders, so that they can no longer append progress to a partition.
 
     Repeating the call is safe: if an earlier attempt was applied but its answer lost, the store
     reports the sequence number as used, which counts as success.
@@ -56,11 +60,11 @@
     PlatformError
         If the fence may not have been applied.
     """
-    producer = Producer(_PRODUCER_NAME, epoch, _FENCE_SEQUENCE)
+    producer = Producer(_PRODUCER_NAME, epoch, FENCE_SEQUENCE)
     try:
-        store.append(PROGRESS_TOPIC, DEFAULT_PARTITION, [], seconds, producer=producer)
+        store.append(PROGRESS_TOPIC, partition, [], seconds, producer=producer)
     except AppendConflict:
-        log_event("fence_repeated", epoch=epoch)
+        log_event("fence_repeated", epoch=epoch, part=partition)
 
 
 class ProgressWriter:
@@ -81,6 +85,10 @@
         Called once with the reason, if a later leader has fenced this one or a batch failed.
     metrics
         Counts and times appends.
+    partitions
+        The partitions that may hold progress; by default, only the first.
+    may_switch
+        Returns whether another partition may be used: whether all peers would read it.
     """
 
     def __init__(
@@ -90,12 +98,16 @@
         on_persisted: Callable[[Persisted], None],
         on_fenced: Callable[[str], None],
         metrics: Metrics,
+        partitions: ProgressPartitions | None = None,
+        may_switch: Callable[[], bool] = lambda: True,
     ) -> None:
         self._store = store
         self._epoch = epoch
         self._on_persisted = on_persisted
         self._on_fenced = on_fenced
         self._metrics = metrics
+        self._partitions = partitions or ProgressPartitions(1)
+        self._may_switch = may_switch
         self._timeout = AdaptiveTimeout(_MIN_ATTEMPT_SECONDS, _MAX_ATTEMPT_SECONDS)
         self._batches: queue.SimpleQueue[Persist | None] = queue.SimpleQueue()
         self._stopped = threading.Event()
@@ -132,18 +144,25 @@
 
     def _write(self, batch: Persist) -> bool:
         """Append a batch; return whether the writer may continue."""
-        records = [KeyedRecord(record.job, record.data) for record in batch.records]
         started_at = steady_seconds()
-        outcome = self._append_once(records, batch.number, self._timeout.limit_s)
+        self._partitions.begin(started_at)
+        append = self._partitions.next_append(batch)
+        outcome = self._append_once(append, self._timeout.limit_s)
         if isinstance(outcome, _AppendFailed):
             self._timeout.record_timeout()
             log_event(
-                "dependency_lost", dependency="store", batch=batch.number, reason=outcome.reason
+                "dependency_lost",
+                dependency="store",
+                batch=batch.number,
+                part=append.partition,
+                reason=outcome.reason,
             )
-            outcome = self._append_until_answered(records, batch.number)
+            outcome = self._append_until_answered(batch)
             log_event(
                 "dependency_regained", dependency="store", seconds=steady_seconds() - started_at
             )
+        elif isinstance(outcome, _Appended):
+            self._partitions.settle(append)
         if isinstance(outcome, _Appended):
             self._timeout.record_answer(outcome.seconds)
             self._metrics.count("store_appends_total", "Appends to the store.", outcome="done")
@@ -156,40 +175,73 @@
             self._on_fenced(outcome.reason)
         return False
 
-    def _append_until_answered(
-        self, records: list[KeyedRecord], sequence: int
-    ) -> "_Appended | _Fenced | None":
+    def _append_until_answered(self, batch: Persist) -> "_Appended | _Fenced | None":
         """Retry a batch with overlapping attempts until one is answered; return None if stopped.
 
         An attempt that starts just before the store recovers may hang until its timeout, while
-        another connection is answered at once.
+        another connection is answered at once. Attempts in a partition that was left count, too.
         """
-        pending: set[concurrent.futures.Future[_Outcome]] = set()
-        with contextlib.closing(_AttemptPool()) as attempts:
+        pending: dict[concurrent.futures.Future[_Outcome], ProgressAppend] = {}
+        partitions = self._partitions
+        with contextlib.closing(_AttemptPool(partitions.count)) as attempts:
             while not self._stopped.is_set():
-                if len(pending) < _MAX_PARALLEL_ATTEMPTS:
-                    pending.add(
-                        attempts.submit(
-                            lambda: self._append_once(records, sequence, _MAX_ATTEMPT_SECONDS)
-                        )
-                    )
-                finished, pending = concurrent.futures.wait(
-                    pending, _NEXT_ATTEMPT_DELAY_SECONDS, concurrent.futures.FIRST_COMPLETED
+                self._switch_if_overdue(batch)
+                append = partitions.next_append(batch)
+                if list(pending.values()).count(append) < _MAX_PARALLEL_ATTEMPTS:
+                    attempt = functools.partial(self._append_once, append, _MAX_ATTEMPT_SECONDS)
+                    pending[attempts.submit(attempt)] = append
+                finished, _ = concurrent.futures.wait(
+                    pending, self._seconds_until_next_attempt(), concurrent.futures.FIRST_COMPLETED
                 )
-                outcomes = [each.result() for each in finished]
-                for outcome in outcomes:
-                    if not isinstance(outcome, _AppendFailed):
+                has_failed = False
+                for future in finished:
+                    append, outcome = pending.pop(future), future.result()
+                    if isinstance(outcome, _AppendFailed):
+                        has_failed = True
+                    elif not partitions.is_open(append):
+                        continue
+                    elif isinstance(outcome, _Fenced):
                         return outcome
-                if outcomes:
+                    else:
+                        partitions.settle(append)
+                        if append.batch is batch:
+                            return outcome
+                if has_failed:
                     self._stopped.wait(_RETRY_DELAY_SECONDS)
         return None
 
-    def _append_once(self, records: list[KeyedRecord], sequence: int, seconds: float) -> "_Outcome":
-        producer = Producer(_PRODUCER_NAME, self._epoch, sequence)
+    def _seconds_until_next_attempt(self) -> float:
+        until_switch_s = self._partitions.seconds_until_switch(steady_seconds())
+        if until_switch_s <= 0:
+            return _NEXT_ATTEMPT_DELAY_SECONDS
+        return min(_NEXT_ATTEMPT_DELAY_SECONDS, until_switch_s)
+
+    def _switch_if_overdue(self, batch: Persist) -> None:
+        """Continue with the next partition once the current one has failed for too long."""
+        partitions = self._partitions
+        now = steady_seconds()
+        if (
+            partitions.count == 1
+            or partitions.seconds_until_switch(now) > 0
+            or not self._may_switch()
+        ):
+            return
+        left = partitions.current
+        partitions.switch(now)
+        self._metrics.count(
+            "progress_switches_total", "Changes of the partition that takes progress records."
+        )
+        log_event(
+            "progress_partition_changed", batch=batch.number, left=left, part=partitions.current
+        )
+
+    def _append_once(self, append: ProgressAppend, seconds: float) -> "_Outcome":
+        producer = Producer(_PRODUCER_NAME, self._epoch, append.sequence)
+        records = [KeyedRecord(record.job, record.data) for record in append.batch.records]
         started_at = steady_seconds()
         try:
             self._store.append(
-                PROGRESS_TOPIC, DEFAULT_PARTITION, records, seconds, producer=producer
+                PROGRESS_TOPIC, append.partition, records, seconds, producer=producer
             )
         except (ProducerFenced, AppendConflict) as error:
             return _Fenced(f"progress append: {error}")
@@ -226,8 +278,10 @@
 class _AttemptPool:
     """Runs attempts of one batch on threads; does not wait for those still running on close."""
 
-    def __init__(self) -> None:
-        self._pool = concurrent.futures.ThreadPoolExecutor(_MAX_PARALLEL_ATTEMPTS, "progress-try")
+    def __init__(self, partition_count: int) -> None:
+        self._pool = concurrent.futures.ThreadPoolExecutor(
+            _MAX_PARALLEL_ATTEMPTS * partition_count, "progress-try"
+        )
 
     def submit(self, attempt: Callable[[], _Outcome]) -> "concurrent.futures.Future[_Outcome]":
         """Start an attempt on a thread."""
--- a/src/snowdock/entry/record_cleaner.py
+++ b/src/snowdock/entry/record_cleaner.py
@@ -15,7 +15,8 @@
 from ..logs import log_event
 from ..platform.store import KeyedRecord, StoreClient
 from ..threads import ServiceThread
-from .topics import DEFAULT_PARTITION, JOBS_TOPIC, PROGRESS_TOPIC, job_partition
+from .progress_partitions import ProgressPartitions
+from .topics import JOBS_TOPIC, PROGRESS_TOPIC, job_partition
 
 __all__ = ["RecordCleaner"]
 
@@ -35,10 +36,18 @@
         The store.
     partition_count
         Number of partitions of the topic of jobs.
+    progress
+        The partitions that may hold progress; by default, only the first.
     """
 
-    def __init__(self, store: StoreClient, partition_count: int) -> None:
+    def __init__(
+        self,
+        store: StoreClient,
+        partition_count: int,
+        progress: ProgressPartitions | None = None,
+    ) -> None:
         self._store = store
+        self._progress = progress or ProgressPartitions(1)
         self._partition_count = partition_count
         self._pending: queue.SimpleQueue[DropJobs | ForgetAccepted] = queue.SimpleQueue()
         self._stopped = threading.Event()
@@ -69,7 +78,34 @@
             kept_jobs = self._drop_submissions(ended_names)
             # A submission without progress would be started again by the next leader.
             droppable_jobs = [job for job in dropped_jobs if job not in kept_jobs]
-            self._drop(PROGRESS_TOPIC, DEFAULT_PARTITION, droppable_jobs)
+            self._drop_progress(droppable_jobs)
+
+    def _drop_progress(self, jobs: Iterable[JobId]) -> None:
+        """Delete progress from all partitions, each job's newest record last.
+
+        A job's later deletions are only sent once the earlier ones are certain. What stays is
+        dropped by the next leader.
+        """
+        remaining = {job: self._progress.deletable_from(job) for job in jobs}
+        blocked = [job for job, partitions in remaining.items() if not partitions]
+        if blocked:
+            reason = "an append of their progress has not been answered"
+            log_event(
+                "records_not_dropped", topic=PROGRESS_TOPIC, count=len(blocked), reason=reason
+            )
+        remaining = {job: partitions for job, partitions in remaining.items() if partitions}
+        while remaining:
+            deleted = {
+                partition: self._drop(
+                    PROGRESS_TOPIC,
+                    partition,
+                    [j for j, p in remaining.items() if p[0] == partition],
+                )
+                for partition in {partitions[0] for partitions in remaining.values()}
+            }
+            certain = {job: p for job, p in remaining.items() if deleted[p[0]]}
+            self._progress.forget(job for job, p in certain.items() if len(p) == 1)
+            remaining = {job: p[1:] for job, p in certain.items() if len(p) > 1}
 
     def _drop_submissions(self, names: set[str]) -> set[JobId]:
         """Delete submissions and cancellations; return the jobs of which some may remain."""
--- a/src/snowdock/entry/takeover.py
+++ b/src/snowdock/entry/takeover.py
@@ -1,6 +1,7 @@
 """Start of a leader after an election: fence earlier leaders, and load the jobs on record."""
 
 import concurrent.futures
+import dataclasses
 import time
 from collections.abc import Callable, Iterable
 
@@ -17,12 +18,12 @@
 )
 from ..jobs.takeover import RecordedJobs
 from ..logs import log_error, log_event
-from ..platform.store import KeyedRecord, StoreClient
+from ..platform.store import KeyedRecord, StoreClient, StorePage
 from .job_status_table import JobStatusTable
 from .leader import Leader, LeaderContext
 from .leader_handle import LeaderHandle
 from .progress_writer import fence_progress
-from .topics import DEFAULT_PARTITION, JOBS_TOPIC, PROGRESS_TOPIC
+from .topics import JOBS_TOPIC, PROGRESS_TOPIC, progress_partition_count
 
 __all__ = ["classify_records", "fence_and_read", "start_leader"]
 
@@ -39,9 +40,12 @@
 def fence_and_read(store: StoreClient, parts: int, epoch: int) -> tuple[RecordedJobs, list[int]]:
     """Fence earlier leaders, then read all job and progress records.
 
-    The jobs are read after the fence. Otherwise an earlier leader could still record the progress
-    of a job that was accepted after the read, and the job would be started again from the beginning
-    when its submission is read.
+    All partitions of the progress are fenced before any is read. Otherwise an earlier leader could
+    record a placement in one of them after the read, and the task would be placed twice.
+
+    The jobs are read after the fences, too. Otherwise an earlier leader could still record the
+    progress of a job that was accepted after the read, and the job would be started again from the
+    beginning when its submission is read.
 
     Returns
     -------
@@ -50,37 +54,61 @@
     job_offsets : list of int
         For each partition of the jobs topic, the offset from which to follow it.
     """
-    fence_progress(store, epoch, _CALL_TIMEOUT_SECONDS)
+    progress_parts = range(progress_partition_count(parts))
+
+    def fence(part: int) -> None:
+        fence_progress(store, epoch, _CALL_TIMEOUT_SECONDS, part)
+
+    def read(topic_part: tuple[str, int]) -> StorePage:
+        return store.newest(*topic_part, _CALL_TIMEOUT_SECONDS)
+
     with concurrent.futures.ThreadPoolExecutor(_READ_THREADS) as pool:
-        reads = pool.map(
-            lambda part: store.newest(JOBS_TOPIC, part, _CALL_TIMEOUT_SECONDS), range(parts)
-        )
-        progress_page = store.newest(PROGRESS_TOPIC, DEFAULT_PARTITION, _CALL_TIMEOUT_SECONDS)
-        pages = list(reads)
-    progress, unreadable = _read_progress(progress_page.records)
-    records = [record for page in pages for record in page.records]
+        list(pool.map(fence, progress_parts))
+        progress_reads = pool.map(read, [(PROGRESS_TOPIC, part) for part in progress_parts])
+        job_pages = list(pool.map(read, [(JOBS_TOPIC, part) for part in range(parts)]))
+        progress_pages = list(progress_reads)
+    progress, unreadable, partitions = _read_progress([page.records for page in progress_pages])
+    records = [record for page in job_pages for record in page.records]
     recorded = classify_records(records, progress, unreadable)
-    return recorded, [page.next_offset for page in pages]
+    recorded = dataclasses.replace(recorded, progress_partitions=partitions)
+    return recorded, [page.next_offset for page in job_pages]
 
 
 def _read_progress(
-    records: Iterable[KeyedRecord],
-) -> tuple[dict[JobId, JobProgress], frozenset[JobId]]:
-    """Return the progress of jobs, and the jobs whose progress record is malformed.
+    partitions: Iterable[Iterable[KeyedRecord]],
+) -> tuple[dict[JobId, JobProgress], frozenset[JobId], dict[JobId, tuple[int, ...]]]:
+    """Return the newest progress of jobs, the jobs with a malformed record, and their partitions.
+
+    A malformed record doesn't raise, since it would keep every node from leading. It may be the
+    newest of its job, whose other records are therefore not used.
 
-    A malformed record doesn't raise, since it would keep every node from leading.
+    Parameters
+    ----------
+    partitions
+        The records of each partition.
     """
+    found: dict[JobId, list[tuple[int, JobProgress | None]]] = {}
+    for part, records in enumerate(partitions):
+        for record in records:
+            if not record.value:
+                continue
+            job_progress = None
+            try:
+                job_progress = decode_progress(record.value)
+            except InvalidInput as error:
+                log_error("progress_record_unusable", error, job=record.key, part=part)
+            found.setdefault(record.key, []).append((part, job_progress))
     progress = {}
     unreadable = set()
-    for record in records:
-        if not record.value:
+    job_partitions = {}
+    for job, versions in found.items():
+        if any(each is None for _, each in versions):
+            unreadable.add(job)
             continue
-        try:
-            progress[record.key] = decode_progress(record.value)
-        except InvalidInput as error:
-            log_error("progress_record_unusable", error, job=record.key)
-            unreadable.add(record.key)
-    return progress, frozenset(unreadable)
+        versions.sort(key=lambda version: version[1].version)
+        progress[job] = versions[-1][1]
+        job_partitions[job] = tuple(part for part, _ in versions)
+    return progress, frozenset(unreadable), job_partitions
 
 
 def classify_records(
--- a/src/snowdock/entry/topics.py
+++ b/src/snowdock/entry/topics.py
@@ -9,6 +9,7 @@
     "LEADER_KEY",
     "PROGRESS_TOPIC",
     "job_partition",
+    "progress_partition_count",
 ]
 
 JOBS_TOPIC = "keyed.jobs"
@@ -17,6 +18,9 @@
 PROGRESS_TOPIC = "keyed.progress"
 """Progress of each job; only the leader appends, fenced by its epoch."""
 
+_MAX_PROGRESS_PARTITIONS = 3
+"""Enough to outlast the loss of two partitions; a takeover needs an answer from each."""
+
 LEADERS_TOPIC = "keyed.leaders"
 """The leader and its epoch."""
 
@@ -33,3 +37,8 @@
     keeps the throughput when the store is slow.
     """
     return int(job[:8], 16) % partition_count
+
+
+def progress_partition_count(partition_count: int) -> int:
+    """Return the number of partitions that may hold progress, of all that a topic has."""
+    return min(_MAX_PROGRESS_PARTITIONS, partition_count)
--- a/src/snowdock/jobs/progress.py
+++ b/src/snowdock/jobs/progress.py
@@ -85,11 +85,27 @@
 
 
 class JobProgress(msgspec.Struct, array_like=True):
-    """Progress of a job: its status, each task that was ever started, and its team."""
+    """Progress of a job: its status, each task that was ever started, and its team.
+
+    Of several records of a job, the one with the highest `version` counts.
+
+    Attributes
+    ----------
+    epoch, batch
+        The epoch of the leader that wrote the record, and the number of its batch. Both are 0 in
+        the records of leaders that did not state them, which therefore count as the oldest.
+    """
 
     status: JobStatus
     tasks: list[TaskProgress]
     team: str = ""
+    epoch: int = 0
+    batch: int = 0
+
+    @property
+    def version(self) -> tuple[int, int]:
+        """The record's position among all records of its job."""
+        return self.epoch, self.batch
 
 
 def record_name(job: JobId, team: str) -> str:
--- a/src/snowdock/jobs/progress_batches.py
+++ b/src/snowdock/jobs/progress_batches.py
@@ -27,7 +27,7 @@
     while cell.dirty_jobs and size < _MAX_BATCH_BYTES:
         job_id = next(iter(cell.dirty_jobs))
         job = cell.dirty_jobs.pop(job_id)
-        progress = _build_progress(job)
+        progress = _build_progress(job, cell.token, cell.batch_number + 1)
         if progress.status.is_final and not progress.tasks:
             # A takeover reads all submission records, so keep only those of open jobs.
             cell.deferred.append(ForgetAccepted((job.record_name,)))
@@ -124,7 +124,7 @@
         send_renewal(cell, worker, now, RENEW_WAIT_MS)
 
 
-def _build_progress(job: Job) -> JobProgress:
+def _build_progress(job: Job, epoch: int, batch: int) -> JobProgress:
     is_open = not job.status.is_final
     tasks = [
         TaskProgress(
@@ -142,4 +142,4 @@
         for task in job.all_tasks()
         if task.life or (is_open and (task.run or task.phase is Phase.DONE))
     ]
-    return JobProgress(job.status, tasks, job.team)
+    return JobProgress(job.status, tasks, job.team, epoch, batch)
--- a/src/snowdock/jobs/takeover.py
+++ b/src/snowdock/jobs/takeover.py
@@ -21,6 +21,8 @@
     Cancelled jobs are identified by their `record_name`. ``unreadable`` jobs have a progress record
     that cannot be decoded, ``unstartable`` ones such a submission record. No status is published
     for either, and they are not reported as unknown.
+
+    ``progress_partitions`` are those in which the store holds a job's progress, the newest last.
     """
 
     accepted: dict[JobId, AcceptedJob]
@@ -28,6 +30,7 @@
     progress: dict[JobId, JobProgress]
     unreadable: frozenset[JobId] = frozenset()
     unstartable: frozenset[JobId] = frozenset()
+    progress_partitions: dict[JobId, tuple[int, ...]] = dataclasses.field(default_factory=dict)
 
 
 def restore(cell: Cell, recorded: RecordedJobs, now: float, wall_ms: float) -> list[Effect]:
--- a/tests/test_specs.py
+++ b/tests/test_specs.py
@@ -35,6 +35,7 @@
     crash_model,
     life_model,
     placement_model,
+    progress_model,
     quota_model,
     request_model,
     slot_model,
@@ -67,6 +68,7 @@
             *((starvation_model, rule) for rule in starvation_model.RULES),
             *((life_model, rule) for rule in life_model.RULES),
             *((quota_model, rule) for rule in quota_model.RULES),
+            *((progress_model, rule) for rule in progress_model.RULES),
         ):
             with self.subTest(rule):
                 bounds = module.Bounds()
