State a lag to peers before it is sustained

Cause: in one of three runs of the test with all nodes slowed at once, the leader noticed its lag before the heartbeats of its peers stated theirs, and handed over to a node that was as slow.

Change: heartbeats state the largest lateness of the last 3 s, and a leader that is late names only a node that it heard in the last 0.6 s.

--- a/src/snowdock/entry/election.py
+++ b/src/snowdock/entry/election.py
@@ -199,7 +199,7 @@
             self._own_epoch,
             self.renewed_s,
             self._resigned,
-            self._claim_delay_s + self._lag.held_delay_s,
+            self._claim_delay_s + self._lag.stated_delay_s,
             self._reaches_store(),
             self._renewals.are_rejected,
             due_s,
--- a/src/snowdock/entry/lag_monitor.py
+++ b/src/snowdock/entry/lag_monitor.py
@@ -64,6 +64,12 @@
         with self._lock:
             return self._lag.current_delay_s(steady_seconds())
 
+    @property
+    def stated_delay_s(self) -> float:
+        """The extra claim delay to state to peers, in seconds."""
+        with self._lock:
+            return self._lag.stated_delay_s(steady_seconds())
+
     @property
     def held_delay_s(self) -> float:
         """The extra claim delay, which outlasts the lag, in seconds."""
--- a/src/snowdock/entry/leader_lag.py
+++ b/src/snowdock/entry/leader_lag.py
@@ -113,13 +113,28 @@
 
     def current_delay_s(self, now: float) -> float:
         """Return the extra claim delay for the present lag, in seconds."""
-        excess = (self.lag_s(now) - _MIN_LAG_SECONDS) / (_FULL_LAG_SECONDS - _MIN_LAG_SECONDS)
-        return _MAX_EXTRA_DELAY_SECONDS * min(1.0, max(0.0, excess))
+        return _extra_delay_s(self.lag_s(now))
 
     def held_delay_s(self, now: float) -> float:
         """Return the largest extra claim delay of the last seconds, in seconds."""
         return self._held_delay_s if now < self._held_until else 0.0
 
+    def stated_delay_s(self, now: float) -> float:
+        """Return the extra claim delay to state to peers, in seconds.
+
+        A lag that is not sustained so far counts as well: if all nodes slow down at once, the
+        leader would otherwise notice its lag before it learns of that of its peers.
+        """
+        latest_s = max(
+            (
+                sample.lag_s
+                for sample in self._samples[LagSource.HEARTBEATS]
+                if now - sample.at <= _MAX_SAMPLE_AGE_SECONDS
+            ),
+            default=0.0,
+        )
+        return max(self.held_delay_s(now), _extra_delay_s(latest_s))
+
     def _hold(self, now: float) -> None:
         current = self.current_delay_s(now)
         if current > 0.0:
@@ -140,6 +155,11 @@
         return lag_s if lag_s >= _MIN_LAG_SECONDS else 0.0
 
 
+def _extra_delay_s(lag_s: float) -> float:
+    excess = (lag_s - _MIN_LAG_SECONDS) / (_FULL_LAG_SECONDS - _MIN_LAG_SECONDS)
+    return _MAX_EXTRA_DELAY_SECONDS * min(1.0, max(0.0, excess))
+
+
 class HandoverLimiter:
     """Limits handovers because of a lag, by those that this node has made or seen."""
 
--- a/src/snowdock/entry/successors.py
+++ b/src/snowdock/entry/successors.py
@@ -17,6 +17,10 @@
 _MAX_GAP_SECONDS = 0.95
 """The longest silence that is not a gap; a heartbeat is due every 0.6 s."""
 
+_MAX_AGE_WHILE_LATE_SECONDS = 0.6
+"""While this node itself is late, a successor's last heartbeat must not be older. If all nodes slow
+down at once, older heartbeats do not state the peers' lag."""
+
 _MAX_GAP_WHILE_LATE_SECONDS = 3.0
 """The same while this node itself is late: it reads the heartbeats late, and the peers renew their
 connections to it after 2 s without confirmation."""
@@ -55,7 +59,8 @@
                 self._peers.pop(heartbeat.node, None)
                 return
             known = self._peers.get(heartbeat.node)
-            if known is None or now - known.last_heartbeat_at > _max_gap_s(is_late):
+            max_gap_s = _MAX_GAP_WHILE_LATE_SECONDS if is_late else _MAX_GAP_SECONDS
+            if known is None or now - known.last_heartbeat_at > max_gap_s:
                 self._peers[heartbeat.node] = _Peer(now, now, heartbeat.claim_delay_s)
                 return
             known.last_heartbeat_at = now
@@ -75,16 +80,13 @@
         is_late
             Whether this node was late with its own work in the last seconds.
         """
+        max_age_s = _MAX_AGE_WHILE_LATE_SECONDS if is_late else _MAX_GAP_SECONDS
         with self._lock:
             stable = [
                 (peer.claim_delay_s, node)
                 for node, peer in self._peers.items()
                 if peer.claim_delay_s + _MIN_DELAY_ADVANTAGE_SECONDS <= claim_delay_s
-                and now - peer.last_heartbeat_at <= _max_gap_s(is_late)
+                and now - peer.last_heartbeat_at <= max_age_s
                 and peer.last_heartbeat_at - peer.stable_since >= _MIN_STABLE_SECONDS
             ]
         return min(stable)[1] if stable else None
-
-
-def _max_gap_s(is_late: bool) -> float:
-    return _MAX_GAP_WHILE_LATE_SECONDS if is_late else _MAX_GAP_SECONDS
--- a/tests/test_leader_lag.py
+++ b/tests/test_leader_lag.py
@@ -49,6 +49,11 @@
         self.assertEqual(lag.held_delay_s(14.2), 0.4)
         self.assertEqual(lag.held_delay_s(24.0), 0.0)
 
+    def test_lag_is_stated_before_it_is_sustained(self) -> None:
+        """Peers of a leader that slow down together with it are known to be late in time."""
+        lag = feed([(10.0, 0.0), (10.4, 0.5)])
+        self.assertEqual((lag.stated_delay_s(10.4), lag.held_delay_s(10.4)), (0.4, 0.0))
+
     def test_starting_node_is_not_behind(self) -> None:
         """A process that is late only while it starts is not behind."""
         lag = feed((0.3 * step, 1.0) for step in range(10))
--- a/tests/test_successors.py
+++ b/tests/test_successors.py
@@ -68,5 +68,5 @@
         tracker = SuccessorTracker()
         for step in range(4):
             tracker.record_heartbeat(make_heartbeat("a"), 100.0 + 1.5 * step, is_late=True)
-        self.assertEqual(tracker.choose_successor(106.0, 0.36, is_late=True), "a")
-        self.assertIsNone(tracker.choose_successor(108.0, 0.36, is_late=True), "gone for 3.5 s")
+        self.assertEqual(tracker.choose_successor(105.0, 0.36, is_late=True), "a")
+        self.assertIsNone(tracker.choose_successor(106.0, 0.36, is_late=True), "no news")
