Relay requests for advice without a thread each, and free nodes of lost answers

Cause: each relayed request blocked one of 64 threads of the leader, so that an answer passed three threads, which starved on a slow VM. A lost answer held its node and a thread for 2.5 s beyond the expected time, also if the request was lost with a connection that had been renewed.

Change: Peers.request calls back on the peers' thread, which also fails overdue requests. Requests on a renewed connection fail at once, and are sent by another idle node, three times in all. An answer that is later than five times the usual excess (0.6 to 2.5 s) counts as lost: its node pauses for 0.5 to 4 s and is used after the others. The node's own timeout stays, since the service completes what it was asked; an answer that comes late is used and ends the pause.

--- a/src/snowdock/entry/advice_dispatcher.py
+++ b/src/snowdock/entry/advice_dispatcher.py
@@ -20,13 +20,11 @@
 from ..node.peers import Peers
 from ..platform.advice import AdviceClient
 from ..threads import ServiceThread
+from .adaptive_timeout import AdaptiveTimeout
 from .messages import AdviceRelayRequest, AdviceReply
 
 __all__ = ["AdviceDispatcher", "LocalAdviceClient"]
 
-_MAX_THREADS = 64
-"""Threads that wait for answers; each node uses at most one at a time."""
-
 _ANSWER_SLACK_SECONDS = 2.5
 """Time in addition to the expected time after which an answer counts as lost. The service does not
 abandon a request whose call has timed out, and the node's next request queues behind it, so a
@@ -44,8 +42,21 @@
 """A request without an answer after the expected time multiplied by the factor, plus the seconds,
 is also sent by a second node: the first one may have failed, and its timeout takes seconds."""
 
-_HEDGE_CHECK_SECONDS = 0.05
-"""Time between checks for late requests."""
+_CHECK_SECONDS = 0.05
+"""Time between checks for late and lost requests."""
+
+_MAX_ATTEMPTS = 3
+"""Maximum number of times that a request is sent before the leader decides anew what to ask."""
+
+_MIN_LOSS_SECONDS = 0.6
+"""Minimum time in addition to the expected time after which an answer of a peer counts as lost; the
+time is a multiple of what answers take beyond it, at most `_ANSWER_SLACK_SECONDS`. The node is
+then free again, but an answer that comes nevertheless is used."""
+
+_LOSS_PAUSE_SECONDS = 0.5
+_MAX_LOSS_PAUSE_SECONDS = 4.0
+"""How long a node gets no request after a lost answer, doubled with each one in a row. The service
+may still work on the request. An answer that comes nevertheless ends the pause."""
 
 _MAX_LONG_SHARE = 0.67
 """Largest share of the nodes that long requests may occupy at a time, so that short requests,
@@ -86,14 +97,15 @@
     effect
         The leader's effect, with the request and its expected time.
     hedge_at
-        When a second node is to send it, in steady seconds; None before the first attempt, and once
-        the second one is queued.
-    open_attempts
-        Number of attempts whose result is not known yet.
+        When another node is to send it as well, in steady seconds; None before an attempt, and once
+        the next one is queued.
+    attempts, open_attempts
+        Number of attempts so far, and of those whose result is not known yet.
     """
 
     effect: AskAdvice
     hedge_at: float | None = None
+    attempts: int = 0
     open_attempts: int = 0
 
     @property
@@ -101,9 +113,29 @@
         return self.effect.expected_ms > LONG_ADVICE_REQUEST_MS
 
 
+@dataclasses.dataclass(slots=True, eq=False)
+class _Attempt:
+    """A request sent by a node at a time of the steady clock.
+
+    ``is_finished`` is whether it was answered, has failed or counts as lost.
+    """
+
+    pending: _PendingRequest
+    node: str
+    started_at: float
+    is_finished: bool = False
+
+    @property
+    def expected_s(self) -> float:
+        return self.pending.effect.expected_ms / 1000
+
+
 class AdviceDispatcher:
     """Assigns each request to a free node; a node has one request at a time.
 
+    Requests to other nodes are sent and answered on the peers' thread, without a thread each. A
+    leader on a slow VM otherwise spends its processor time on passing answers between threads.
+
     Parameters
     ----------
     own_node
@@ -143,12 +175,15 @@
         self._short_requests: collections.deque[_PendingRequest] = collections.deque()
         self._long_requests: collections.deque[_PendingRequest] = collections.deque()
         self._pending: dict[AdviceRequest, _PendingRequest] = {}
-        self._in_progress: dict[str, _PendingRequest] = {}
-        self._unreachable_until: dict[str, float] = {}
+        self._in_progress: dict[str, _Attempt] = {}
+        self._unavailable_until: dict[str, float] = {}
+        # By node: answers lost in a row.
+        self._losses: collections.Counter[str] = collections.Counter()
+        self._loss_timeout = AdaptiveTimeout(_MIN_LOSS_SECONDS, _ANSWER_SLACK_SECONDS)
         self._stopped = threading.Event()
         self._lock = threading.Lock()
-        self._pool = concurrent.futures.ThreadPoolExecutor(_MAX_THREADS, "adviser")
-        ServiceThread(self._hedge_late_requests, "advisers", self._stopped.is_set).start()
+        self._own_thread = concurrent.futures.ThreadPoolExecutor(1, "adviser")
+        ServiceThread(self._check_late_requests, "advisers", self._stopped.is_set).start()
 
     def ask(self, effect: AskAdvice) -> None:
         """Queue a request for the next free node."""
@@ -165,41 +200,60 @@
             self._pending.clear()
             self._short_requests.clear()
             self._long_requests.clear()
-        self._pool.shutdown(wait=False, cancel_futures=True)
+        self._own_thread.shutdown(wait=False, cancel_futures=True)
 
     def _dispatch(self) -> None:
-        nodes = [*sorted(self._live_nodes()), self._own_node]
+        if not self._short_requests and not self._long_requests:
+            return
+        nodes = self._nodes()
         now = steady_seconds()
+        attempts = []
         with self._lock:
-            idle = [
-                node
-                for node in nodes
-                if node not in self._in_progress and self._unreachable_until.get(node, 0.0) <= now
-            ]
-            long_count = sum(each.is_long for each in self._in_progress.values())
+            idle = self._find_idle(nodes, now)
+            long_count = sum(each.pending.is_long for each in self._in_progress.values())
             max_long = max(1, int(len(nodes) * _MAX_LONG_SHARE))
             while idle and (
                 self._short_requests or (self._long_requests and long_count < max_long)
             ):
                 pending = (self._short_requests or self._long_requests).popleft()
                 long_count += pending.is_long
-                node = idle.pop()
-                self._in_progress[node] = pending
-                self._record_attempt(pending)
-                self._pool.submit(self._ask, pending, node)
+                attempt = _Attempt(pending, idle.pop(), now)
+                self._in_progress[attempt.node] = attempt
+                self._record_attempt(pending, now)
+                attempts.append(attempt)
+        for attempt in attempts:
+            if attempt.node != self._own_node:
+                self._ask_peer(attempt)
+            elif not self._stopped.is_set():
+                self._own_thread.submit(self._ask_own, attempt)
+
+    def _nodes(self) -> list[str]:
+        return [*sorted(self._live_nodes()), self._own_node]
+
+    def _find_idle(self, nodes: list[str], now: float) -> list[str]:
+        """Return the nodes that may get a request, those that lost the fewest answers last."""
+        idle = [
+            node
+            for node in nodes
+            if node not in self._in_progress and self._unavailable_until.get(node, 0.0) <= now
+        ]
+        if self._losses:
+            idle.sort(key=lambda node: -self._losses.get(node, 0))
+        return idle
 
     @staticmethod
-    def _record_attempt(pending: _PendingRequest) -> None:
+    def _record_attempt(pending: _PendingRequest, now: float) -> None:
+        pending.attempts += 1
         pending.open_attempts += 1
-        if pending.open_attempts == 1:
+        if pending.open_attempts == 1 and pending.attempts < _MAX_ATTEMPTS:
             hedge_delay_s = (
                 pending.effect.expected_ms / 1000 * _HEDGE_DELAY_FACTOR + _HEDGE_DELAY_SECONDS
             )
-            pending.hedge_at = steady_seconds() + hedge_delay_s
+            pending.hedge_at = now + hedge_delay_s
 
-    def _hedge_late_requests(self) -> None:
-        """Queue late requests for a second node until stopped."""
-        while not self._stopped.wait(_HEDGE_CHECK_SECONDS):
+    def _check_late_requests(self) -> None:
+        """Queue late requests for another node, and free nodes of lost ones, until stopped."""
+        while not self._stopped.wait(_CHECK_SECONDS):
             now = steady_seconds()
             with self._lock:
                 late = [
@@ -207,82 +261,143 @@
                 ]
                 for each in late:
                     each.hedge_at = None
-                    (self._long_requests if each.is_long else self._short_requests).appendleft(each)
+                    self._queue_first(each)
+                loss_s = self._loss_timeout.limit_s
+                lost = [
+                    each
+                    for each in self._in_progress.values()
+                    if each.node != self._own_node
+                    and now - each.started_at - each.expected_s > loss_s
+                ]
+                for each in lost:
+                    self._loss_timeout.record_timeout()
+                    self._record_loss(each.node, now)
             for each in late:
                 log_event("advice_late", job=each.effect.request.job, tries=each.open_attempts)
-            if late:
+            for each in lost:
+                log_event("advice_lost", job=each.pending.effect.request.job, by=each.node)
+                self._finish_attempt(each, None, may_retry=True)
+            if late or lost or self._unavailable_until:
                 self._dispatch()
 
-    def _ask(self, pending: _PendingRequest, node: str) -> None:
-        effect = pending.effect
-        request = effect.request
-        seconds = effect.expected_ms / 1000 + _ANSWER_SLACK_SECONDS
-        started_at = steady_seconds()
+    def _queue_first(self, pending: _PendingRequest) -> None:
+        (self._long_requests if pending.is_long else self._short_requests).appendleft(pending)
+
+    def _ask_own(self, attempt: _Attempt) -> None:
+        request = attempt.pending.effect.request
+        tickets = None
         try:
-            if node == self._own_node:
-                tickets = self._local_client.ask(request, seconds).tickets
-            else:
-                tickets = self._ask_peer(node, effect, seconds)
+            timeout_s = attempt.expected_s + _ANSWER_SLACK_SECONDS
+            tickets = self._local_client.ask(request, timeout_s).tickets
         except PlatformError as error:
-            log_event("advice_unanswered", job=request.job, by=node, reason=str(error))
-            if node != self._own_node and isinstance(error, CallUnanswered) and error.unsent:
-                self._unreachable_until[node] = steady_seconds() + _UNREACHABLE_NODE_SECONDS
-            tickets = None
+            log_event("advice_unanswered", job=request.job, by=attempt.node, reason=str(error))
         except Exception as error:
             # The failure is posted, and the leader requests advice for the step again.
-            log_error("adviser_failed", error, job=request.job, by=node)
-            tickets = None
-        self._metrics.time(
-            "advice_seconds", "Time until advice was there.", steady_seconds() - started_at
+            log_error("adviser_failed", error, job=request.job, by=attempt.node)
+        self._record_time(attempt)
+        self._finish_attempt(attempt, tickets)
+        self._dispatch()
+
+    def _ask_peer(self, attempt: _Attempt) -> None:
+        request = attempt.pending.effect.request
+        timeout_s = attempt.expected_s + _ANSWER_SLACK_SECONDS
+
+        def build_request(number: int) -> AdviceRelayRequest:
+            return AdviceRelayRequest(
+                number,
+                request.job,
+                request.repetition,
+                request.step,
+                list(request.workers),
+                timeout_s,
+            )
+
+        self._peers.request(
+            attempt.node,
+            build_request,
+            timeout_s + _PEER_SLACK_SECONDS,
+            lambda outcome: self._handle_outcome(attempt, outcome),
         )
-        self._finish_attempt(pending, node, tickets)
+
+    def _handle_outcome(self, attempt: _Attempt, outcome: AdviceReply | PlatformError) -> None:
+        """Handle the reply of a peer, or its absence; called on the peers' thread."""
+        tickets = None
+        if isinstance(outcome, PlatformError):
+            job = attempt.pending.effect.request.job
+            log_event("advice_unanswered", job=job, by=attempt.node, reason=str(outcome))
+            if isinstance(outcome, CallUnanswered):
+                self._record_failure(attempt, outcome)
+        elif isinstance(outcome, AdviceReply):
+            tickets = outcome.tickets
+            self._record_reply(attempt, outcome)
+        self._record_time(attempt)
+        self._finish_attempt(attempt, tickets, may_retry=isinstance(outcome, CallUnanswered))
         self._dispatch()
 
+    def _record_failure(self, attempt: _Attempt, error: CallUnanswered) -> None:
+        now = steady_seconds()
+        with self._lock:
+            if error.unsent:
+                self._unavailable_until[attempt.node] = now + _UNREACHABLE_NODE_SECONDS
+            elif not attempt.is_finished:
+                self._record_loss(attempt.node, now)
+
+    def _record_reply(self, attempt: _Attempt, reply: AdviceReply) -> None:
+        took_s = steady_seconds() - attempt.started_at
+        if reply.took_s is not None:
+            self._record_relay_excess(max(0.0, took_s - reply.took_s - _PEER_SLACK_SECONDS))
+        with self._lock:
+            # The node and its connection work, and the service is done with the request.
+            self._losses.pop(attempt.node, None)
+            self._unavailable_until.pop(attempt.node, None)
+            self._loss_timeout.record_answer(max(0.0, took_s - attempt.expected_s))
+
+    def _record_time(self, attempt: _Attempt) -> None:
+        self._metrics.time(
+            "advice_seconds", "Time until advice was there.", steady_seconds() - attempt.started_at
+        )
+
     def _finish_attempt(
-        self, pending: _PendingRequest, node: str, tickets: dict[str, str] | None
+        self, attempt: _Attempt, tickets: dict[str, str] | None, may_retry: bool = False
     ) -> None:
-        """Post the first answer to a request, or a failure once all its attempts have failed."""
+        """Free the node, and post the first answer, or a failure once all attempts have failed.
+
+        An attempt that counted as lost has been finished before, but its answer is still used. With
+        ``may_retry``, a failed request is sent again if another node is idle.
+        """
+        pending = attempt.pending
         request = pending.effect.request
+        nodes = self._nodes() if may_retry else []
         with self._lock:
-            del self._in_progress[node]
-            is_first = self._pending.get(request) is pending
-            pending.open_attempts -= 1
-            is_last = (
-                not pending.open_attempts
-                and pending not in self._short_requests
-                and pending not in self._long_requests
-            )
-            if is_first and (tickets is not None or is_last):
+            is_first_result = not attempt.is_finished
+            attempt.is_finished = True
+            if is_first_result:
+                del self._in_progress[attempt.node]
+                pending.open_attempts -= 1
+            is_current = self._pending.get(request) is pending
+            is_queued = pending in self._short_requests or pending in self._long_requests
+            if may_retry and is_first_result and is_current and not is_queued:
+                is_queued = pending.attempts < _MAX_ATTEMPTS and bool(
+                    self._find_idle(nodes, steady_seconds())
+                )
+                if is_queued:
+                    self._queue_first(pending)
+            is_last = is_first_result and not pending.open_attempts and not is_queued
+            if is_current and (tickets is not None or is_last):
                 del self._pending[request]
                 self._remove_from_queues(pending)
-        if is_first and tickets is not None:
+        if is_current and tickets is not None:
             self._post(AdviceAnswered(AdviceResult(request, tickets)))
-        elif is_first and is_last:
+        elif is_current and is_last:
             self._post(AdviceFailed(request))
 
+    def _record_loss(self, node: str, now: float) -> None:
+        self._losses[node] += 1
+        pause_s = min(_MAX_LOSS_PAUSE_SECONDS, _LOSS_PAUSE_SECONDS * 2 ** (self._losses[node] - 1))
+        until = max(self._unavailable_until.get(node, 0.0), now + pause_s)
+        self._unavailable_until[node] = until
+
     def _remove_from_queues(self, pending: _PendingRequest) -> None:
         for request_queue in (self._short_requests, self._long_requests):
             with contextlib.suppress(ValueError):
                 request_queue.remove(pending)
-
-    def _ask_peer(self, node: str, effect: AskAdvice, seconds: float) -> dict[str, str] | None:
-        request = effect.request
-
-        def build_request(number: int) -> AdviceRelayRequest:
-            return AdviceRelayRequest(
-                number,
-                request.job,
-                request.repetition,
-                request.step,
-                list(request.workers),
-                seconds,
-            )
-
-        started_at = steady_seconds()
-        reply = self._peers.ask(node, build_request, seconds + _PEER_SLACK_SECONDS)
-        if not isinstance(reply, AdviceReply):
-            return None
-        if reply.took_s is not None:
-            round_trip_s = steady_seconds() - started_at - reply.took_s
-            self._record_relay_excess(max(0.0, round_trip_s - _PEER_SLACK_SECONDS))
-        return reply.tickets
--- a/src/snowdock/node/peer_links.py
+++ b/src/snowdock/node/peer_links.py
@@ -127,17 +127,17 @@
         if last_received_s is not None:
             link.confirmed_at = max(link.confirmed_at, now - last_received_s)
 
-    def reconnect_unconfirmed(self, now: float) -> list[str]:
-        """Replace connections without recent confirmation, and return the names of their peers."""
-        reconnected = []
+    def reconnect_unconfirmed(self, now: float) -> dict[str, zmq.Socket]:
+        """Replace connections without recent confirmation; return the closed sockets by peer."""
+        closed = {}
         for node, link in self._links.items():
             if now - link.confirmed_at > _CONFIRMATION_TIMEOUT_SECONDS:
+                closed[node] = link.socket
                 self._close(link.socket)
                 link.socket = self._open(link.address)
                 link.confirmed_at = now
                 link.is_new = True
-                reconnected.append(node)
-        return reconnected
+        return closed
 
     def due_heartbeats(self, now: float) -> Iterator[tuple[zmq.Socket, bool, float | None]]:
         """Start the next tick and yield the connections on which a heartbeat is due.
--- a/src/snowdock/node/peers.py
+++ b/src/snowdock/node/peers.py
@@ -3,11 +3,12 @@
 import concurrent.futures
 import contextlib
 import dataclasses
+import heapq
 import hmac
 import itertools
 import queue
 import threading
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 
 import pykka
 import zmq
@@ -142,12 +143,19 @@
     data: bytes
 
 
+Outcome = object | PlatformError
+"""The response to a request, or the reason why there is none."""
+
+
 @dataclasses.dataclass(slots=True)
 class _PendingRequest:
-    """A request without a response so far, and the socket over which it was sent, if it was."""
+    """A request without a response so far, and the socket over which it was sent, if it was.
+
+    ``on_outcome`` is called once, with the response or the reason why there is none.
+    """
 
     node: str
-    future: pykka.Future
+    on_outcome: Callable[[Outcome], None]
     socket: zmq.Socket | None = None
 
 
@@ -221,6 +229,8 @@
         self._links = PeerLinks(lambda: self._make_socket(zmq.DEALER), self._poller, options.plan)
         self._request_numbers = itertools.count(1)
         self._pending_requests: dict[int, _PendingRequest] = {}
+        # Deadlines and numbers of requests; those of answered ones stay until they are due.
+        self._deadlines: list[tuple[float, int]] = []
         self._pending_lock = threading.Lock()
         self._answer_pool = concurrent.futures.ThreadPoolExecutor(
             _MAX_ANSWER_THREADS, "peer-answer"
@@ -304,18 +314,58 @@
         PlatformError
             If there is no response in time; the peer may have handled the request.
         """
-        number = next(self._request_numbers)
         future = pykka.ThreadingFuture()
-        with self._pending_lock:
-            self._pending_requests[number] = _PendingRequest(node, future)
-        self._enqueue_outgoing(_PeerSend(node, self._messages.encode(make(number)), number))
+        number = self._send_numbered(node, make, _PendingRequest(node, future.set))
         try:
-            return future.get(timeout=timeout)
+            outcome = future.get(timeout=timeout)
         except pykka.Timeout as error:
             raise PlatformError(f"peer {node} did not answer") from error
         finally:
-            with self._pending_lock:
-                self._pending_requests.pop(number, None)
+            self._pop_pending(number)
+        if isinstance(outcome, PlatformError):
+            raise outcome
+        return outcome
+
+    def request(
+        self,
+        node: str,
+        make: Callable[[int], object],
+        timeout: float,
+        on_outcome: Callable[[Outcome], None],
+    ) -> None:
+        """Send a request to a peer without waiting for the response.
+
+        Parameters
+        ----------
+        node, make
+            As for `ask`.
+        timeout
+            Seconds after which there is no response; checked about every 0.2 s.
+        on_outcome
+            Called once on the thread that owns the sockets, with the response or with the error
+            that `ask` would raise. It must not block.
+        """
+        pending = _PendingRequest(node, on_outcome)
+        self._send_numbered(node, make, pending, steady_seconds() + timeout)
+
+    def _send_numbered(
+        self,
+        node: str,
+        make: Callable[[int], object],
+        pending: _PendingRequest,
+        deadline: float | None = None,
+    ) -> int:
+        number = next(self._request_numbers)
+        with self._pending_lock:
+            self._pending_requests[number] = pending
+            if deadline is not None:
+                heapq.heappush(self._deadlines, (deadline, number))
+        self._enqueue_outgoing(_PeerSend(node, self._messages.encode(make(number)), number))
+        return number
+
+    def _pop_pending(self, number: int | None) -> _PendingRequest | None:
+        with self._pending_lock:
+            return self._pending_requests.pop(number, None)
 
     def tell(self, node: str, message: object) -> None:
         """Send a message without a response to a peer; delivery is not guaranteed."""
@@ -341,7 +391,8 @@
             if self._wake_receiver in ready:
                 self._send_outgoing()
             self._send_due_heartbeats()
-            self._close_removed_links()
+            self._fail_requests_on(self._links.close_removed(steady_seconds()), "closed")
+            self._fail_overdue_requests()
 
     def _receive_pending(self, socket: zmq.Socket) -> None:
         """Receive and dispatch the pending messages of a socket."""
@@ -403,16 +454,14 @@
                 pending.socket = socket
 
     def _fail_request(self, item: _PeerSend) -> None:
-        """Fail a request that cannot be sent, so that its thread does not wait for the timeout."""
-        with self._pending_lock:
-            pending = self._pending_requests.pop(item.request, None)
+        """Fail a request that cannot be sent, so that its sender does not wait for the timeout."""
+        pending = self._pop_pending(item.request)
         if pending is not None:
             error = CallUnanswered(f"there is no open connection to peer {item.node}", unsent=True)
-            pending.future.set_exception((CallUnanswered, error, None))
+            self._report_outcome(pending, error)
 
-    def _close_removed_links(self) -> None:
-        """Close connections to removed peers, and fail the requests that were sent over them."""
-        closed = self._links.close_removed(steady_seconds())
+    def _fail_requests_on(self, closed: Collection[zmq.Socket], change: str) -> None:
+        """Fail the requests that were sent over connections that were closed or renewed."""
         if not closed:
             return
         with self._pending_lock:
@@ -422,10 +471,28 @@
                 if pending.socket in closed
             ]
         for pending in failed:
-            error = CallUnanswered(
-                f"the connection to peer {pending.node} was closed", unsent=False
-            )
-            pending.future.set_exception((CallUnanswered, error, None))
+            message = f"the connection to peer {pending.node} was {change}"
+            self._report_outcome(pending, CallUnanswered(message, unsent=False))
+
+    def _fail_overdue_requests(self) -> None:
+        now = steady_seconds()
+        overdue = []
+        with self._pending_lock:
+            while self._deadlines and self._deadlines[0][0] <= now:
+                _, number = heapq.heappop(self._deadlines)
+                if number in self._pending_requests:
+                    overdue.append(self._pending_requests.pop(number))
+        for pending in overdue:
+            error = PlatformError(f"peer {pending.node} did not answer")
+            self._report_outcome(pending, error)
+
+    @staticmethod
+    def _report_outcome(pending: _PendingRequest, outcome: Outcome) -> None:
+        try:
+            pending.on_outcome(outcome)
+        except Exception as error:
+            # A failing receiver must not stop the thread.
+            log_error("peer_outcome_failed", error, peer=pending.node)
 
     @staticmethod
     def _try_send(socket: zmq.Socket, frames: list[bytes]) -> bool:
@@ -466,10 +533,9 @@
     def _handle_response(self, message: object) -> None:
         if not isinstance(message, self._messages.responses):
             return
-        with self._pending_lock:
-            pending = self._pending_requests.pop(message.number, None)
+        pending = self._pop_pending(message.number)
         if pending is not None:
-            pending.future.set(message)
+            self._report_outcome(pending, message)
 
     def _send_due_heartbeats(self) -> None:
         now = steady_seconds()
@@ -480,8 +546,10 @@
         options = self._options
         self._next_heartbeat_at = now + options.heartbeat_interval_s
         if options.confirms_links:
-            for node in self._links.reconnect_unconfirmed(now):
+            renewed = self._links.reconnect_unconfirmed(now)
+            for node in renewed:
                 log_event("peer_link_renewed", peer=node)
+            self._fail_requests_on(set(renewed.values()), "renewed")
         for socket, is_frequent, last_received_s in self._links.due_heartbeats(now):
             due_s = options.heartbeat_interval_s * (
                 1 if is_frequent else options.plan.rare_interval
--- a/tests/test_advice_dispatcher.py
+++ b/tests/test_advice_dispatcher.py
@@ -29,11 +29,19 @@
     def ask_own(self, request: AdviceRequest, seconds: float) -> AdviceResult:
         return AdviceResult(request, self._answer("own"))
 
-    def ask_peer(self, node: str, build_request, seconds: float) -> AdviceReply:
+    def ask_peer(self, node: str, build_request, seconds: float, on_outcome) -> None:
+        threading.Thread(target=self._report, args=(node, on_outcome), daemon=True).start()
+
+    def _report(self, node: str, on_outcome) -> None:
         if not self.is_connected:
             self.asked.put(node)
-            raise CallUnanswered(f"there is no connection to peer {node}", unsent=True)
-        return AdviceReply(1, self._answer(node))
+            outcome = CallUnanswered(f"there is no connection to peer {node}", unsent=True)
+        else:
+            try:
+                outcome = AdviceReply(1, self._answer(node))
+            except CallUnanswered as error:
+                outcome = error
+        on_outcome(outcome)
 
     def _answer(self, node: str) -> dict[str, str]:
         self.asked.put(node)
@@ -48,7 +56,7 @@
         self.nodes = ScriptedNodes()
         self.events: queue.SimpleQueue = queue.SimpleQueue()
         local = type("Local", (), {"ask": staticmethod(self.nodes.ask_own)})
-        peers = type("Peers", (), {"ask": staticmethod(self.nodes.ask_peer)})
+        peers = type("Peers", (), {"request": staticmethod(self.nodes.ask_peer)})
         self.dispatcher = AdviceDispatcher(
             "own", local, peers, lambda: ["peer"], self.events.put, Metrics(), lambda seconds: None
         )
@@ -116,6 +124,39 @@
         answered = [self.events.get(timeout=15) for _ in range(4)]
         self.assertTrue(all(isinstance(event, AdviceAnswered) for event in answered))
 
+    def test_lost_answer_frees_its_node(self) -> None:
+        """A node whose answer is lost is asked again in less than the 2.5 s of the service."""
+        requests = [AdviceRequest(f"{number:016x}", 0, 0, ("w1",)) for number in range(2)]
+        self.dispatcher.ask(AskAdvice(requests[0], 60_000.0))
+        self.dispatcher.ask(AskAdvice(requests[1], 1.0))
+        self.assertEqual([self.nodes.asked.get(timeout=15) for _ in range(2)], ["own", "peer"])
+        self.assertEqual(self.nodes.asked.get(timeout=2.0), "peer")
+        self.nodes.release_events["peer"].set()
+        answered = AdviceAnswered(AdviceResult(requests[1], TICKETS))
+        self.assertEqual(self.events.get(timeout=15), answered)
+        self.assert_no_event()
+
+    def test_node_that_lost_answers_is_used_last(self) -> None:
+        """Of several idle nodes, one whose answers were lost is not chosen."""
+        self.dispatcher._losses["own"] = 1
+        self.assertEqual(self.dispatcher._find_idle(["peer", "own"], 0.0), ["own", "peer"])
+
+    def test_relayed_requests_have_no_threads(self) -> None:
+        """Requests that wait for the answers of many nodes block no thread each."""
+        nodes = [f"n{number}" for number in range(90)]
+        sent: list[str] = []
+        peers = type("P", (), {"request": staticmethod(lambda node, *rest: sent.append(node))})
+        local = type("Local", (), {"ask": staticmethod(self.nodes.ask_own)})
+        dispatcher = AdviceDispatcher(
+            "own", local, peers, lambda: nodes, self.events.put, Metrics(), mock.Mock()
+        )
+        self.addCleanup(dispatcher.stop)
+        before = threading.active_count()
+        for number in range(91):
+            dispatcher.ask(AskAdvice(AdviceRequest(f"{number:016x}", 0, 0, ()), 50.0))
+        self.assertEqual(sorted(sent), sorted(nodes))
+        self.assertLessEqual(threading.active_count(), before + 1)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_silent_links.py
+++ b/tests/test_silent_links.py
@@ -78,7 +78,10 @@
 
         self.assertTrue(wait_until(is_answered))
         proxy.swallow_open()
+        outcomes = queue.SimpleQueue()
+        client.request("other", lambda number: StatusRequest(number, JOB), 0.3, outcomes.put)
         self.assertFalse(is_answered())
+        self.assertIn("did not answer", str(outcomes.get(timeout=1.0)))
         self.assertTrue(wait_until(is_answered))
 
     def test_invalid_address_does_not_affect_other_peers(self) -> None:
@@ -188,7 +191,12 @@
         time.sleep(3.0)
         self.assertEqual(proxy.accepted, accepted_before, "a working connection was replaced")
         proxy.swallow_open()
+        outcomes = queue.SimpleQueue()
+        client.request("answering", lambda n: StatusRequest(n, JOB), 30.0, outcomes.put)
         self.assertFalse(is_answered())
+        error = outcomes.get(timeout=10.0)
+        self.assertIn("was renewed", str(error), "the request is lost with its connection")
+        self.assertFalse(error.unsent)
         self.assertTrue(wait_until(is_answered))
 
 
