Place jobs while a slow store records their submissions

Cause: on a slow store a short job waits in turn for the appends of its submission, its placement and its end. Change: the leader is told of a submission that it appends for another node before the append (JobAnnounced), places the job and records the placement at the same time. Starts are held until the submission is recorded; a submission that surely failed withdraws the job.

--- a/src/snowdock/entry/leader_handle.py
+++ b/src/snowdock/entry/leader_handle.py
@@ -10,7 +10,9 @@
     ConfigurationChanged,
     Event,
     JobAccepted,
+    JobAnnounced,
     JobCancelled,
+    JobWithdrawn,
     Ticked,
     WorkerDelisted,
     WorkerListed,
@@ -138,6 +140,22 @@
             log_error("job_record_unusable", error, job=record.key)
             self._statuses.add_unreadable([parse_job_id(record.key)])
 
+    def announce_job_record(self, record: KeyedRecord) -> None:
+        """Tell the leader of a job's record that is about to be appended."""
+        if record.value is None or record.key.startswith(CANCEL_PREFIX):
+            return
+        try:
+            accepted = decode_accepted(record.value)
+        except InvalidInput as error:
+            log_error("job_record_unusable", error, job=record.key)
+            return
+        self._post(JobAnnounced(parse_job_id(record.key), accepted))
+
+    def withdraw_job_record(self, record: KeyedRecord) -> None:
+        """Tell the leader of an announced record that was certainly not appended."""
+        if not record.key.startswith(CANCEL_PREFIX):
+            self._post(JobWithdrawn(parse_job_id(record.key)))
+
     def stop(self) -> None:
         """Stop the threads and the actor."""
         self._stopped.set()
--- a/src/snowdock/entry/leader_queries.py
+++ b/src/snowdock/entry/leader_queries.py
@@ -3,6 +3,7 @@
 import dataclasses
 import threading
 import time
+from collections.abc import Callable
 
 import msgspec
 
@@ -301,6 +302,23 @@
         if handle is not None:
             handle.apply_job_record(record)
 
+    def record_for_peer(
+        self,
+        record: KeyedRecord,
+        append: Callable[[], RecordOutcome],
+    ) -> RecordOutcome:
+        """Append a peer's job record, while the leader on this node already places the job."""
+        handle = self._leadership.handle
+        if handle is None:
+            return append()
+        handle.announce_job_record(record)
+        outcome = append()
+        if outcome is RecordOutcome.DONE:
+            handle.apply_job_record(record)
+        elif outcome is RecordOutcome.NOT_DONE:
+            handle.withdraw_job_record(record)
+        return outcome
+
     def _explain_missing_leader(self) -> str:
         leader = self._election.leader
         if leader is None:
--- a/src/snowdock/entry/peer_requests.py
+++ b/src/snowdock/entry/peer_requests.py
@@ -69,7 +69,11 @@
             case AdviceRelayRequest():
                 return _ask_advice(advice_client, request)
             case RecordRequest(number, job, key, value, seconds):
-                return RecordReply(number, record_locally(job, KeyedRecord(key, value), seconds))
+                record = KeyedRecord(key, value)
+                outcome = queries.record_for_peer(
+                    record, lambda: record_locally(job, record, seconds)
+                )
+                return RecordReply(number, outcome)
             case RecordNotice(key, value):
                 queries.apply_record(KeyedRecord(key, value))
             case ConfigurationNotice(data):
--- /dev/null
+++ b/src/snowdock/jobs/announced_jobs.py
@@ -0,0 +1,79 @@
+"""Jobs that are placed while their submissions are being recorded.
+
+On a slow store an append takes a large part of a short job's objective. The record of an announced
+job and that of its first placement are appended at the same time; a start waits for both.
+"""
+
+from .cell import Cell
+from .events import JobAnnounced
+from .job_state import Job, Phase
+from .model import JobId
+from .progress import AcceptedJob
+from .reservations import release_claim
+from .runs import create_repetition, enqueue_ready_steps, stop_run
+
+__all__ = ["announce_job", "confirm_job", "withdraw_expired_jobs", "withdraw_job"]
+
+_MAX_ANNOUNCED_SECONDS = 5.0
+"""Time after which an announced job is withdrawn. Callers give up their submissions after three
+seconds, and a record that is appended later makes the job known again."""
+
+
+def announce_job(cell: Cell, event: JobAnnounced, now: float) -> None:
+    """Add a job whose record is being appended, unless it is known or scheduled for later."""
+    job_id, accepted = event.job, event.accepted
+    is_known = job_id in cell.jobs or job_id in cell.job_ended_at or job_id in cell.unreadable_jobs
+    if is_known or accepted.spec.repetitions:
+        return
+    job = Job(job_id, accepted, now, is_recorded=False)
+    cell.jobs[job_id] = job
+    cell.held_starts[job_id] = []
+    enqueue_ready_steps(cell, create_repetition(job, 0))
+
+
+def confirm_job(cell: Cell, job: Job, recorded: AcceptedJob, now: float) -> bool:
+    """Confirm an announced job by its record; the starts that were held may be released then.
+
+    Returns
+    -------
+    bool
+        False if the record is that of another job under the same identifier; the announced one is
+        withdrawn then.
+    """
+    if (recorded.team, recorded.spec) != (job.team, job.accepted.spec):
+        withdraw_job(cell, job.id, now)
+        return False
+    job.accepted = recorded
+    job.is_recorded = True
+    return True
+
+
+def withdraw_job(cell: Cell, job_id: JobId, now: float) -> None:
+    """Remove an announced job that is not recorded; nothing of it has started."""
+    job = cell.jobs.get(job_id)
+    if job is None or job.is_recorded:
+        return
+    for task in job.all_tasks():
+        if task.phase is Phase.RECORDED:
+            stop_run(cell, task, now)
+    for steps in job.repetitions:
+        for step in steps:
+            cell.waiting_steps.pop(step.key, None)
+            release_claim(cell, step.key)
+    # Its progress may be on record already. Without a submission, a takeover ignores it.
+    cell.dirty_jobs.pop(job_id, None)
+    cell.held_starts.pop(job_id, None)
+    del cell.jobs[job_id]
+    cell.needs_placement = True
+    cell.log_decision("job_withdrawn", job_id, queue=job.queue, announced_s=now - job.submitted_at)
+
+
+def withdraw_expired_jobs(cell: Cell, now: float) -> None:
+    """Withdraw the jobs that were announced long ago, and of which no record was read."""
+    expired = []
+    for job_id in cell.held_starts:
+        if now - cell.jobs[job_id].submitted_at < _MAX_ANNOUNCED_SECONDS:
+            break
+        expired.append(job_id)
+    for job_id in expired:
+        withdraw_job(cell, job_id, now)
--- a/src/snowdock/jobs/cell.py
+++ b/src/snowdock/jobs/cell.py
@@ -192,6 +192,9 @@
         Times of the leadership claim, of the start, and of the newest event.
     jobs
         Known jobs by id, including ended ones until their retention time ends.
+    held_starts
+        Starts of announced jobs that wait for the jobs' submissions to be recorded, by job. Each
+        announced job has an entry, in the order of the announcements.
     job_ended_at
         End times of ended jobs, in ascending order.
     early_cancellations
@@ -267,6 +270,7 @@
         self._configuration = Configuration(0)
         self._queues: dict[str, Queue] = {}
         self.jobs: dict[JobId, Job] = {}
+        self.held_starts: dict[JobId, list[DeferredStart]] = {}
         self.job_ended_at: dict[JobId, float] = {}
         self.early_cancellations: set[str] = set()
         self.unreadable_jobs: set[JobId] = set()
--- a/src/snowdock/jobs/events.py
+++ b/src/snowdock/jobs/events.py
@@ -27,7 +27,9 @@
     "Event",
     "ForgetAccepted",
     "JobAccepted",
+    "JobAnnounced",
     "JobCancelled",
+    "JobWithdrawn",
     "LogDecision",
     "OpenWorker",
     "Persist",
@@ -58,6 +60,21 @@
     accepted: AcceptedJob
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class JobAnnounced:
+    """A job's record is being appended; it may be placed, but nothing of it may start yet."""
+
+    job: JobId
+    accepted: AcceptedJob
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class JobWithdrawn:
+    """The record of an announced job was certainly not appended."""
+
+    job: JobId
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class JobCancelled:
     """The cancellation of a job is recorded; ``name`` is the `record_name` of the job."""
@@ -161,6 +178,8 @@
 
 Event = (
     JobAccepted
+    | JobAnnounced
+    | JobWithdrawn
     | JobCancelled
     | ConfigurationChanged
     | WorkerListed
--- a/src/snowdock/jobs/job_state.py
+++ b/src/snowdock/jobs/job_state.py
@@ -269,6 +269,8 @@
         Time of the job's acceptance, in seconds on this node's steady clock.
     critical_paths_ms
         Estimated length of the critical path that starts at each step.
+    is_recorded
+        Whether its submission is recorded; otherwise it was announced, and nothing of it starts.
     """
 
     id: JobId
@@ -277,6 +279,7 @@
     status: JobStatus = JobStatus.PENDING
     repetitions: list[list[Step]] = dataclasses.field(default_factory=list)
     critical_paths_ms: tuple[float, ...] = ()
+    is_recorded: bool = True
 
     def __post_init__(self) -> None:
         self.critical_paths_ms = _compute_critical_paths_ms(self.accepted.spec.steps)
--- a/src/snowdock/jobs/placement.py
+++ b/src/snowdock/jobs/placement.py
@@ -268,6 +268,9 @@
     ``workers`` are those on which the step could start now, ``fit`` those that may run it at
     all.
     """
+    if not step.job.is_recorded:
+        # Its record may still fail, and runs would have been stopped in vain.
+        return False
     if has_claim(cell, step, now) or preempt_runs(cell, step, workers, wanted, now):
         return True
     reserve_room(cell, step, fit, wanted, now)
--- a/src/snowdock/jobs/progress_batches.py
+++ b/src/snowdock/jobs/progress_batches.py
@@ -12,7 +12,7 @@
 from .quotas import may_start_within_quota
 from .runs import void_run
 
-__all__ = ["handle_persisted", "send_batch"]
+__all__ = ["handle_persisted", "release_held_starts", "send_batch"]
 
 _MAX_BATCH_BYTES = 1_000_000
 """Size at which a batch is full, in bytes: half of the store's limit for one call."""
@@ -55,6 +55,12 @@
     _release_deferred(cell, deferred, now)
 
 
+def release_held_starts(cell: Cell, job: Job, now: float) -> None:
+    """Send the starts of a job that were held until its submission was recorded."""
+    for item in cell.held_starts.pop(job.id, []):
+        _send_start(cell, item, now)
+
+
 def _release_deferred(cell: Cell, deferred: list[Deferred], now: float) -> None:
     for item in deferred:
         if isinstance(item, DeferredStart):
@@ -67,6 +73,9 @@
 
 def _send_start(cell: Cell, deferred: DeferredStart, now: float) -> None:
     task = deferred.task
+    if not task.step.job.is_recorded:
+        cell.held_starts.get(task.id.job, []).append(deferred)
+        return
     worker = cell.workers.get(task.life)
     if task.run != deferred.run or task.phase is not Phase.RECORDED or worker is None:
         return
--- a/src/snowdock/jobs/reducer.py
+++ b/src/snowdock/jobs/reducer.py
@@ -1,5 +1,6 @@
 """Reducer of the leader: applies each event to the state and returns the resulting effects."""
 
+from .announced_jobs import announce_job, confirm_job, withdraw_expired_jobs, withdraw_job
 from .cell import Cell
 from .early_advice import prepare_restarts
 from .events import (
@@ -11,7 +12,9 @@
     Event,
     ForgetAccepted,
     JobAccepted,
+    JobAnnounced,
     JobCancelled,
+    JobWithdrawn,
     Persisted,
     RenewAnswered,
     StartAnswered,
@@ -26,7 +29,7 @@
 from .placement import place_waiting_steps
 from .placement_advice import apply_advice, handle_advice_failure
 from .progress import AcceptedJob, parse_job_id, record_name
-from .progress_batches import handle_persisted, send_batch
+from .progress_batches import handle_persisted, release_held_starts, send_batch
 from .quarantine import release_expired
 from .room_use import log_room_use
 from .runs import abort_gang, cancel_job, create_repetition, enqueue_ready_steps
@@ -92,6 +95,10 @@
             handle_advice_failure(cell, event, now)
         case JobAccepted():
             accept_job(cell, event, now, wall_ms)
+        case JobAnnounced():
+            announce_job(cell, event, now)
+        case JobWithdrawn(job):
+            withdraw_job(cell, job, now)
         case JobCancelled(name):
             _handle_cancellation(cell, name, now)
         case StopAnswered():
@@ -123,21 +130,20 @@
         cell.deferred.append(ForgetAccepted((record_name(event.job, event.accepted.team),)))
         return
     known = cell.jobs.get(event.job)
+    if known is not None and not known.is_recorded:
+        if confirm_job(cell, known, event.accepted, now):
+            _publish_accepted_job(cell, known)
+            if known.record_name in cell.early_cancellations:
+                cancel_job(cell, known, now)
+            release_held_starts(cell, known, now)
+            return
+        known = None
     if known is not None:
         _handle_resubmission(cell, known, event.accepted)
         return
     job = Job(event.job, event.accepted, now)
     cell.jobs[job.id] = job
-    cell.publish_status(job)
-    cell.log_decision(
-        "job_taken",
-        job.id,
-        queue=job.queue,
-        steps=len(event.accepted.spec.steps),
-        stretch=cell.queue_of(job).stretch,
-        target_s=cell.queue_of(job).target_latency_ms / 1000,
-        lasts=any(step.long_running for step in event.accepted.spec.steps),
-    )
+    _publish_accepted_job(cell, job)
     if job.record_name in cell.early_cancellations:
         cancel_job(cell, job, now)
     elif event.accepted.spec.repetitions:
@@ -147,6 +153,21 @@
         enqueue_ready_steps(cell, create_repetition(job, 0))
 
 
+def _publish_accepted_job(cell: Cell, job: Job) -> None:
+    cell.publish_status(job)
+    steps = job.accepted.spec.steps
+    queue = cell.queue_of(job)
+    cell.log_decision(
+        "job_taken",
+        job.id,
+        queue=job.queue,
+        steps=len(steps),
+        stretch=queue.stretch,
+        target_s=queue.target_latency_ms / 1000,
+        lasts=any(step.long_running for step in steps),
+    )
+
+
 def _handle_resubmission(cell: Cell, job: Job, resubmitted: AcceptedJob) -> None:
     """Ignore the resubmission of a known job, and delete the record of one by another team."""
     if resubmitted.team != job.team:
@@ -166,7 +187,7 @@
 
 def _handle_cancellation(cell: Cell, name: str, now: float) -> None:
     job = cell.jobs.get(parse_job_id(name))
-    if job is None:
+    if job is None or not job.is_recorded:
         cell.early_cancellations.add(name)
     elif job.record_name == name:
         cancel_job(cell, job, now)
@@ -182,6 +203,7 @@
         _start_due_repetitions(cell, job, wall_ms)
     _abort_late_gangs(cell, now)
     _drop_expired_jobs(cell, now)
+    withdraw_expired_jobs(cell, now)
     log_room_use(cell, now)
     log_team_usage(cell, now)
     log_starving_jobs(cell, now)
--- a/tests/test_leader_queries.py
+++ b/tests/test_leader_queries.py
@@ -85,6 +85,21 @@
         with self.assertRaisesRegex(Starting, "node was the last leader, in epoch 7"):
             self.queries.find_status(JOB, "", 0.1)
 
+    def test_relayed_record_is_announced_before_it_is_appended(self) -> None:
+        """The leader learns of the outcome of each append, unless it is unknown."""
+        record = KeyedRecord(JOB, b"value")
+        expected = {
+            RecordOutcome.DONE: ["announce_job_record", "append", "apply_job_record"],
+            RecordOutcome.NOT_DONE: ["announce_job_record", "append", "withdraw_job_record"],
+            RecordOutcome.UNKNOWN: ["announce_job_record", "append"],
+        }
+        for outcome, calls in expected.items():
+            handle = mock.Mock()
+            handle.append.return_value = outcome
+            self.leadership.handle = handle
+            self.assertIs(self.queries.record_for_peer(record, handle.append), outcome)
+            self.assertEqual([name for name, _, _ in handle.method_calls], calls)
+
     def test_refusal_names_a_node_that_does_not_lead(self) -> None:
         """A node that is asked as the leader but does not lead says so in its reply."""
         self.leadership.handle = None
