Let the time for placement passes follow the leader's cores

Cause: after an outage 280 to 300 steps wait for tickets while a quarter of the processors is in use. The budget of passes was 0.3 of the time on any node, so a leader with enough cores examined a backlog as slowly as a weak one.

Change: CellSettings.pass_time_share, 0.3 by default, is set from cpu_cores: 0.3 up to 0.75 cores, rising to 0.5 from 1.5 cores on.

Result, replay of 300 gangs of 20 tasks of 4.5 cores on 176 workers, advice of 10 ms plus 0.1 ms a worker, 97 nodes: the last gang is asked about after 7.4 s with 0.3 and after 4.8 s with 0.5.

--- a/src/snowdock/entry/leader_settings.py
+++ b/src/snowdock/entry/leader_settings.py
@@ -14,6 +14,13 @@
 _LEADER_CORES = 1.5
 """Cores that a leader of a large deployment needs, bursts included."""
 
+_MIN_PASS_TIME_SHARE = 0.3
+_MAX_PASS_TIME_SHARE = 0.5
+_MIN_PASS_CORE_SHARE = 0.5
+"""Fraction of the time for placement passes: the smaller one up to half of a leader's cores, the
+larger one from all of them on. All of 300 gangs that wait at once are asked about within 7.4 s with
+0.3, and within 4.8 s with 0.5."""
+
 _LEADER_MBPS = 50.0
 """Peak traffic of a leader of a large deployment, with a margin."""
 
@@ -44,9 +51,17 @@
         stop_s=environment.stop_s,
         retention_s=RETENTION_FACTOR * environment.status_s,
         quota_overage=environment.quota_overage,
+        pass_time_share=_pass_time_share(environment.cpu_cores),
     )
 
 
+def _pass_time_share(cpu_cores: float) -> float:
+    """Return the maximum fraction of the time that a leader spends in placement passes."""
+    surplus = cpu_cores / _LEADER_CORES - _MIN_PASS_CORE_SHARE
+    part = min(1.0, max(0.0, surplus / (1 - _MIN_PASS_CORE_SHARE)))
+    return _MIN_PASS_TIME_SHARE + part * (_MAX_PASS_TIME_SHARE - _MIN_PASS_TIME_SHARE)
+
+
 def claim_delay_seconds(environment: NodeEnvironment) -> float:
     """Return how long a node waits before a claim, to let stronger nodes claim first, in seconds.
 
--- a/src/snowdock/jobs/cell.py
+++ b/src/snowdock/jobs/cell.py
@@ -52,6 +52,10 @@
         Time for which an ended job is kept.
     quota_overage
         Fraction by which a team may temporarily exceed its quota to start a gang as a whole.
+    pass_time_share
+        Maximum fraction of the time spent in placement passes. The rest is left for other events:
+        if these are delayed, tickets expire before their starts are sent, and each refused start
+        needs another pass.
     """
 
     lease_s: float
@@ -61,6 +65,7 @@
     stop_s: float
     retention_s: float
     quota_overage: float = 0.0
+    pass_time_share: float = 0.3
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/snowdock/jobs/placement.py
+++ b/src/snowdock/jobs/placement.py
@@ -42,10 +42,6 @@
 long. Half of them are examined for the steps with the highest rank, half for the steps whose last
 search is the oldest."""
 
-_MAX_PASS_TIME_SHARE = 0.3
-"""Maximum fraction of the time spent in passes. The rest is left for other events: if these are
-delayed, tickets expire before their starts are sent, and each refused start needs another pass."""
-
 _MAX_BLOCKED_SECONDS = 1.5
 """Time after which a step that runs nothing, and that only reservations block, may place one task
 on reserved room."""
@@ -88,7 +84,7 @@
     examined += _search_steps(cell, newly_advised, pools, now, _MAX_EXAMINED_PER_PASS)
     neglected = _find_neglected_steps(cell, examined_by_rank >= max_examined, now)
     examined += _search_steps(cell, neglected, pools, now, max_examined)
-    pause = examined * _SECONDS_PER_EXAMINED_WORKER / _MAX_PASS_TIME_SHARE
+    pause = examined * _SECONDS_PER_EXAMINED_WORKER / cell.settings.pass_time_share
     cell.next_placement_at = now + max(_MIN_PASS_INTERVAL_SECONDS, pause)
 
 
--- a/tests/test_jobs_placement.py
+++ b/tests/test_jobs_placement.py
@@ -9,6 +9,7 @@
 from snowdock.jobs.events import (
     AdviceAnswered,
     AskAdvice,
+    Effect,
     JobAccepted,
     JobCancelled,
     Persist,
@@ -17,7 +18,7 @@
     Ticked,
     WorkerListed,
 )
-from snowdock.jobs.model import AdviceTerms, Configuration, Queue, Service
+from snowdock.jobs.model import AdviceTerms, Configuration, Queue, Service, StepSpec
 from snowdock.jobs.orders import AdviceResult
 from snowdock.jobs.reducer import reduce
 from snowdock.jobs.workers import WorkerEntry
@@ -110,6 +111,48 @@
         self.assertEqual(len(bench.starts(bench.feed(Persisted(batch.number)))), 2)
 
 
+class TestBacklogAfterOutage(unittest.TestCase):
+    """300 gangs that need advice wait at once, as after an outage of the store."""
+
+    def seconds_until_all_are_asked(self, pass_time_share: float) -> float:
+        bench = Bench(advice=AdviceTerms(decide_ms=10, each_ms=0.1, valid_ms=2000))
+        bench.cell.settings = dataclasses.replace(
+            bench.cell.settings, pass_time_share=pass_time_share
+        )
+        for number in range(176):
+            bench.add_worker(f"w{number}", cpu=16_000)
+        bench.feed(Ticked(97))
+        gang = msgspec.structs.replace(SMALL, count=20, size=Size(4500, 100), gang=True)
+        started_at = bench.now
+        effects = [effect for _ in range(300) for effect in self.submit(bench, gang)]
+        asked: set[str] = set()
+        answers: list[tuple[float, AskAdvice]] = []
+        while True:
+            for ask in filter_by_type(effects, AskAdvice):
+                asked.add(ask.request.job)
+                answers.append((bench.now + ask.expected_ms / 1000, ask))
+            if len(asked) == 300:
+                return bench.now - started_at
+            bench.now += 0.01
+            due = [ask.request for at, ask in answers if at <= bench.now]
+            answers = [answer for answer in answers if answer[0] > bench.now]
+            effects = bench.feed(Ticked(97))
+            for request in due:
+                tickets = dict.fromkeys(request.workers, "t")
+                effects = effects + bench.feed(AdviceAnswered(AdviceResult(request, tickets)))
+
+    @staticmethod
+    def submit(bench: Bench, gang: StepSpec) -> list[Effect]:
+        bench.submit(gang)
+        return bench.effects
+
+    def test_reference_leader_asks_about_a_backlog_sooner(self) -> None:
+        """The time until the last step is asked about follows the time for placement passes."""
+        weak, reference = (self.seconds_until_all_are_asked(share) for share in (0.3, 0.5))
+        self.assertLess(reference, 0.75 * weak)
+        self.assertLess(reference, 7.0)
+
+
 class TestAdviceRequests(unittest.TestCase):
     def test_long_requests_do_not_delay_short_ones(self) -> None:
         """A short request is sent immediately, however many long ones are pending."""
--- a/tests/test_leader_settings.py
+++ b/tests/test_leader_settings.py
@@ -3,6 +3,7 @@
 import dataclasses
 import pathlib
 import tempfile
+import types
 import unittest
 
 import msgspec
@@ -57,6 +58,22 @@
         self.assertLess(settings.unreached_run_expiry_s, ISOLATION_TIMEOUT_SECONDS + 3.0)
 
 
+class TestPassTimeShare(unittest.TestCase):
+    def test_share_follows_the_cores(self) -> None:
+        """A weak leader spends no more time on placement than before, a reference one more."""
+        for cores, share in ((0.387, 0.3), (0.75, 0.3), (1.125, 0.4), (1.5, 0.5), (8.0, 0.5)):
+            environment = types.SimpleNamespace(
+                cpu_cores=cores,
+                lease_limit_s=6.0,
+                gang_wait_s=3.0,
+                early_s=0.25,
+                stop_s=0.4,
+                status_s=60.0,
+                quota_overage=0.0,
+            )
+            self.assertAlmostEqual(cell_settings(environment).pass_time_share, share)
+
+
 class TestRunExpiryAfterClaim(unittest.TestCase):
     def make_bench(self, claim_age_s: float) -> Bench:
         """Return a leader that has read all records the given time after its claim."""
