Emulate lasting speeds of machines and long tails of run times

Cause: the emulator drew speeds between 1.0 and 1.3 and had no tails of run times, so that nothing could be compared for a pool on which a third of the machines take 1.7 times as long.

--- a/src/snowdock/emulator/fleet.py
+++ b/src/snowdock/emulator/fleet.py
@@ -101,7 +101,13 @@
             if (model.is_up and life not in self._unlisted) or life in listed_after_end
         ]
 
-    def add(self, rack: int, address: str = "", capacity: Size | None = None) -> str:
+    def add(
+        self,
+        rack: int,
+        address: str = "",
+        capacity: Size | None = None,
+        slowness: float | None = None,
+    ) -> str:
         """Add a worker, by default at a new address, and return its life."""
         self._life_count += 1
         entry = WorkerEntry(
@@ -113,10 +119,16 @@
             labels=frozenset(),
             capacity=capacity or self._options.capacity_of(self._life_count - 1),
         )
-        self._begin_life(entry, self._random.choice((1.0, 1.0, 1.3)))
+        if slowness is None:
+            slowness = self._draw_slowness(self._life_count - 1)
+        self._begin_life(entry, slowness)
         self._post(WorkerListed(entry))
         return entry.life
 
+    def _draw_slowness(self, number: int) -> float:
+        factors = self._options.lasting_slowness
+        return factors[number % len(factors)] if factors else self._random.choice((1.0, 1.0, 1.3))
+
     def _begin_life(self, entry: WorkerEntry, slowness: float, **terms: float) -> None:
         self.workers[entry.life] = WorkerModel(
             entry,
@@ -193,7 +205,8 @@
 
     def _add_replacement(self, model: WorkerModel) -> None:
         rack = int(model.entry.rack.rpartition("-")[2])
-        model.successor = self.add(rack, model.entry.address, model.entry.capacity)
+        slowness = model.slowness if self._options.lasting_slowness else None
+        model.successor = self.add(rack, model.entry.address, model.entry.capacity, slowness)
 
     def resize(self, life: str, capacity: Size) -> None:
         """Change a worker's capacity; its entry follows within one heartbeat."""
--- a/src/snowdock/emulator/options.py
+++ b/src/snowdock/emulator/options.py
@@ -63,6 +63,10 @@
     capacities
         Capacities of the workers in turn, in the order in which they are added; if empty, all have
         ``capacity``.
+    lasting_slowness
+        Factors by which runs take longer on the machines in turn, in the order in which they are
+        added. A machine keeps its factor across lives and replacements. If empty, one in three
+        workers is slower by 1.3, drawn at random.
     """
 
     workload: WorkloadOptions
@@ -78,6 +82,7 @@
     replacement_s: float = 3.5
     lists_crashed_workers: bool = False
     capacities: tuple[Size, ...] = ()
+    lasting_slowness: tuple[float, ...] = ()
 
     def capacity_of(self, number: int) -> Size:
         """Return the capacity of a worker by its number, from 0."""
--- a/src/snowdock/emulator/worker_model.py
+++ b/src/snowdock/emulator/worker_model.py
@@ -42,6 +42,9 @@
     forgets_ends_on_each_renewal
         Whether each renewal makes a worker forget the ends up to the number that it acknowledges;
         otherwise only a renewal with a higher number than all before does.
+    gangs_share_pace
+        Whether all members of a gang run at the pace of the slowest; otherwise the first member
+        that ends completes the gang.
     """
 
     lease_limit_s: float = 6.0
@@ -50,6 +53,7 @@
     gang_wait_s: float = 3.0
     cancel_s: float = 3.0
     forgets_ends_on_each_renewal: bool = True
+    gangs_share_pace: bool = False
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -261,7 +265,12 @@
         if plan.crashes_worker:
             self._timeline.call_after(_CRASH_DELAY_SECONDS, lambda: self._crash(self.entry.life))
         if step.gang:
-            for member in self._gangs.join(run):
+            members = self._gangs.join(run)
+            if members and self._timings.gangs_share_pace:
+                longest_s = max(member.work_s for member in members)
+                for member in members:
+                    member.work_s = longest_s
+            for member in members:
                 member.worker.begin_work(member)
             self._timeline.call_after(
                 self._timings.gang_wait_s, lambda: self._check_gang_timeout(run)
--- a/src/snowdock/emulator/workload.py
+++ b/src/snowdock/emulator/workload.py
@@ -17,6 +17,7 @@
     "crowded_mixes",
     "default_mixes",
     "draw_workload",
+    "log_mixes",
     "make_mix",
     "uneven_teams",
     "wide_mixes",
@@ -64,6 +65,8 @@
         runs fail within this time.
     most_per_worker
         Most tasks of such a step on one worker: each step draws a limit from 1 up to this.
+    tail_share, tail_factor
+        Share of tasks that take longer than estimated by a factor, and that factor.
     """
 
     queue: Queue
@@ -85,6 +88,8 @@
     long_running_share: float = 0.0
     lasting_s: float = 30.0
     most_per_worker: int = 1
+    tail_share: float = 0.0
+    tail_factor: float = 7.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -243,6 +248,33 @@
     )  # fmt: skip
 
 
+def log_mixes() -> tuple[QueueMix, ...]:
+    """Return the mix of a radio log service: contest matches, log imports and lookups.
+
+    Estimates are off by up to 90%, and 3 tasks in 100 take seven times as long as the rest. Use
+    with 176 workers of 16 cores and 64 GiB.
+    """
+    return (
+        dataclasses.replace(
+            make_mix("matches", 1, 2.2, 1005, AdviceTerms(572.0, 8.06, 2000.0), 2.07, 11.7),
+            steps=1.2, width=16, cpu=4500, memory=9318, work_s=5.3,
+            gang_share=1.0, estimate_error=0.9, fit_share=0.35, checkpointing_share=0.5,
+            widest_gang=60, tail_share=0.03,
+        ),
+        dataclasses.replace(
+            make_mix("imports", 2, 4.0, 3006, AdviceTerms(104.0, 1.43, 2000.0), 5.42, 3.7),
+            steps=1.5, width=25, cpu=1700, memory=6554, work_s=1.9,
+            gang_share=0.0, estimate_error=0.2, fit_share=0.45, checkpointing_share=0.8,
+            tail_share=0.03,
+        ),
+        dataclasses.replace(
+            make_mix("lookups", 0, 1.5, 255, AdviceTerms(14.3, 0.21, 2000.0), 38.8, 0.41),
+            steps=1.0, width=3.2, cpu=2500, memory=7270, work_s=0.85,
+            gang_share=0.3, estimate_error=0.9, fit_share=0.7, tail_share=0.03,
+        ),
+    )  # fmt: skip
+
+
 def make_mix(
     name: str,
     priority: int,
@@ -336,6 +368,22 @@
     return drawn
 
 
+def _draw_tails(seed: int, jobs: list[DrawnJob]) -> list[DrawnJob]:
+    """Draw the tasks that take several times as long, from a random source of their own."""
+    rng = random.Random(f"tails of {seed}")
+
+    def stretch(mix: QueueMix, seconds: float) -> float:
+        return seconds * (mix.tail_factor if rng.random() < mix.tail_share else 1.0)
+
+    return [
+        dataclasses.replace(
+            job,
+            work_s=tuple(tuple(stretch(job.mix, each) for each in step) for step in job.work_s),
+        )
+        for job in jobs
+    ]
+
+
 def _draw_long_running_jobs(seed: int, jobs: list[DrawnJob]) -> list[DrawnJob]:
     """Draw the jobs with long-running tasks, from a random source of their own."""
     rng = random.Random(f"long-running jobs of {seed}")
@@ -376,6 +424,7 @@
     jobs.sort(key=lambda entry: entry[0])
     drawn = [_draw_job(rng, mix, at, number) for number, (at, mix) in enumerate(jobs, 1)]
     drawn = _draw_crashing_tasks(seed, drawn)
+    drawn = _draw_tails(seed, drawn)
     drawn = _draw_long_running_jobs(seed, drawn)
     if not options.teams:
         return drawn
