Learn lasting speeds of machines, and place by expected finish

Cause: a worker's slowness was forgotten within seconds of idling and moved runs away from machines whose slowness was known before; all steps competed for the fast workers, whatever their slack.

Change: machine_speeds learns the lasting slowness by address from whole runs that succeeded (medians of periods of 2 s, at least four of nine); idle workers decay to it, and runs are moved only for slowness beyond it. From a factor of 1.5 between the slow and the fast tenth on, expected_finish lets steps with slack fill slow workers, asks about wanted workers first, and withholds slow workers from gangs and from steps that would be late there, if fast ones are expected to be free soon enough.

--- a/src/snowdock/jobs/cell.py
+++ b/src/snowdock/jobs/cell.py
@@ -2,6 +2,7 @@
 
 import collections
 import dataclasses
+import typing
 from collections.abc import Callable
 
 from ..declarations import ZERO_SIZE, Size
@@ -12,6 +13,9 @@
 from .team_usage import TeamUsage
 from .workers import Worker, WorkerEntry
 
+if typing.TYPE_CHECKING:
+    from .machine_speeds import MachineSpeed
+
 __all__ = [
     "Cell",
     "CellSettings",
@@ -223,6 +227,16 @@
         Recent share of steps that fail on every worker, by service.
     silence_times
         Times at which workers stopped answering.
+    machine_speeds
+        Lasting speeds of machines, by address.
+    queue_ratios
+        Number of runs learned from, and mean logarithm of the ratio of their times to their
+        estimates, by queue.
+    is_uneven, unevenness_updated_at
+        Whether lasting speeds differ enough to matter, and when that was last determined.
+    fast_log_slowness, slow_log_slowness
+        The logarithms of the lasting slowness of fast and of slow machines: the first and the last
+        tenth.
     claims
         Resources that are held for steps, by preemption or by reservation.
     starting_gangs
@@ -282,6 +296,11 @@
         self.crashed_at: dict[str, float] = {}
         self.failing_step_share: dict[str, float] = {}
         self.silence_times: collections.deque[float] = collections.deque(maxlen=_MAX_SILENCES)
+        self.machine_speeds: dict[str, MachineSpeed] = {}
+        self.queue_ratios: dict[str, tuple[int, float]] = {}
+        self.is_uneven = False
+        self.unevenness_updated_at = now
+        self.fast_log_slowness = self.slow_log_slowness = 0.0
         self.claims: dict[StepKey, Claim] = {}
         self.starting_gangs: dict[StepKey, Step] = {}
         self.pending_stops: dict[tuple[str, TaskId, int], PendingStop] = {}
--- /dev/null
+++ b/src/snowdock/jobs/expected_finish.py
@@ -0,0 +1,115 @@
+"""Choice of workers by expected finish, in pools with lasting differences of speed.
+
+Steps with slack fill slow workers; gangs, which run at the pace of their slowest member, and steps
+with little slack go to fast ones, and wait for these if that lets them end earlier, or in time.
+"""
+
+import math
+from collections.abc import Iterable
+
+from .candidates import Candidate
+from .cell import Cell
+from .job_state import Step
+from .machine_speeds import is_slow
+from .reservations import find_earliest_slots
+from .speeds import typical_seconds
+from .workers import Worker
+
+__all__ = ["order_by_speed", "prefer_by_finish", "withhold_slow_workers"]
+
+_SLACK_SHARE = 0.15
+"""Share of a job's objective that a step on a slow worker must leave: its run may take longer."""
+
+_SLOWNESS_PREFERENCE = 2.0
+"""Score for each unit of slowness: `deadline_first.star` subtracts one, and the rest outweighs its
+preference for full workers."""
+
+
+def _latest_end(cell: Cell, step: Step) -> float:
+    """Return when a step has to end for its job to be in time, in steady seconds."""
+    job = step.job
+    later_s = (job.critical_paths_ms[step.number] - step.spec.estimate_ms) / 1000
+    return job.submitted_at + cell.objective_seconds(job) - later_s
+
+
+def has_slack(cell: Cell, step: Step, now: float) -> bool:
+    """Check whether a step ends in time on a slow worker, too."""
+    if step.spec.gang or step.spec.long_running:
+        return False
+    slack = _SLACK_SHARE * cell.objective_seconds(step.job)
+    end = now + typical_seconds(step) * math.exp(cell.slow_log_slowness)
+    return end + slack <= _latest_end(cell, step)
+
+
+def prefer_by_finish(
+    cell: Cell, step: Step, candidates: list[Candidate], now: float
+) -> list[Candidate]:
+    """Raise the scores of slow workers for a step with slack."""
+    if cell.is_uneven and candidates and has_slack(cell, step, now):
+        for candidate in candidates:
+            candidate.score += _SLOWNESS_PREFERENCE * candidate.worker.slowness
+    return candidates
+
+
+def order_by_speed(cell: Cell, step: Step, by_free_cpu: list[Worker], now: float) -> list[Worker]:
+    """Return workers in the order in which advice about them is worth having."""
+    if not cell.is_uneven:
+        return by_free_cpu
+    wants_slow = has_slack(cell, step, now)
+    return sorted(by_free_cpu, key=lambda worker: is_slow(cell, worker) is not wants_slow)
+
+
+def withhold_slow_workers(
+    cell: Cell,
+    step: Step,
+    candidates: list[Candidate],
+    wanted: int,
+    fit: Iterable[Worker],
+    now: float,
+) -> list[Candidate]:
+    """Leave out slow workers if fast ones are expected to be free soon enough.
+
+    Parameters
+    ----------
+    cell
+        State of the leader.
+    step
+        The step.
+    candidates
+        Workers that can take tasks now.
+    wanted
+        Number of tasks to place.
+    fit
+        Workers that may run the step.
+    now
+        Current time on the steady clock, in seconds.
+    """
+    if not cell.is_uneven or not candidates or step.spec.long_running:
+        return candidates
+    fast = [each for each in candidates if not is_slow(cell, each.worker)]
+    if len(fast) == len(candidates):
+        return candidates
+    free_slots = sum(each.count for each in fast)
+    if free_slots >= wanted and step.spec.gang:
+        return fast
+    typical = typical_seconds(step)
+    end_here = now + typical * max(each.worker.slowness for each in candidates)
+    if step.spec.gang:
+        # A gang doesn't wait for longer than it could gain.
+        gain_s = typical * (math.exp(cell.slow_log_slowness) - math.exp(cell.fast_log_slowness))
+        if step.waited_seconds(now) > gain_s:
+            return candidates
+        latest_end = end_here
+        missing = wanted
+    else:
+        latest_end = _latest_end(cell, step)
+        missing = wanted - free_slots
+        if end_here <= latest_end or missing <= 0:
+            return candidates
+    fast_fit = [worker for worker in fit if not is_slow(cell, worker)]
+    slots = find_earliest_slots(cell, step, fast_fit, missing, now)
+    if len(slots) < missing:
+        return candidates
+    slowest = max(worker.slowness for _, worker in slots)
+    end_fast = slots[-1][0] + typical * slowest
+    return fast if end_fast < latest_end else candidates
--- a/src/snowdock/jobs/job_state.py
+++ b/src/snowdock/jobs/job_state.py
@@ -99,6 +99,8 @@
         Progress of the run in the last report.
     measured_percent, measured_at
         Progress and time at the last measurement of the run's speed.
+    is_whole_run
+        Whether this leader started the newest run, and from the beginning.
     moves, preemptions
         Number of times that a run was moved away from a slow worker, and was preempted.
     avoided_lives
@@ -124,6 +126,7 @@
     percent: float = 0.0
     measured_percent: float = 0.0
     measured_at: float = 0.0
+    is_whole_run: bool = False
     moves: int = 0
     preemptions: int = 0
     avoided_lives: set[str] | None = None
--- a/src/snowdock/jobs/placement.py
+++ b/src/snowdock/jobs/placement.py
@@ -6,6 +6,7 @@
 from .candidates import Candidate, choose_workers, find_candidates, is_bulky
 from .cell import Cell, DeferredStart
 from .durability import mark_dirty
+from .expected_finish import order_by_speed, prefer_by_finish, withhold_slow_workers
 from .failed_runs import begin_probation_run
 from .job_state import Phase, Step, Task
 from .occupancy import occupy
@@ -143,6 +144,7 @@
         return 1 + _place_advised(cell, step, tasks, isolation, pool, now)
     workers = _filter_by_isolation(isolation, list(pool.workers.values()), now)
     candidates = _find_step_candidates(cell, step, workers, workers, isolation, now)
+    candidates = _choose_by_finish(cell, step, candidates, len(tasks), workers, now)
     remaining = _place_tasks(cell, step, tasks, isolation, candidates, now)
     if remaining:
         if step.is_bulky:
@@ -177,6 +179,7 @@
     workers = _filter_by_isolation(isolation, _find_workers_with_ticket(step, pool, now), now)
     fit = _filter_by_isolation(isolation, _find_fit_workers(step, pool), now)
     candidates = _find_step_candidates(cell, step, workers, fit, isolation, now)
+    candidates = _choose_by_finish(cell, step, candidates, len(tasks), fit, now)
     remaining = _place_tasks(cell, step, tasks, isolation, candidates, now)
     examined = len(workers)
     if not remaining or (len(remaining) < len(tasks) and not step.is_bulky):
@@ -186,11 +189,24 @@
         if _claim_or_reserve_room(cell, step, workers, fit, len(remaining), now):
             return examined
     if not step.advice.pending_requests and may_request_advice(cell, step, fit, now):
-        examined += request_advice(cell, step, pool.by_free_cpu, fit, len(remaining), now)
+        by_worth = order_by_speed(cell, step, pool.by_free_cpu, now)
+        examined += request_advice(cell, step, by_worth, fit, len(remaining), now)
     _defer_search(cell, step, now)
     return examined
 
 
+def _choose_by_finish(
+    cell: Cell,
+    step: Step,
+    candidates: list[Candidate],
+    wanted: int,
+    fit: list[Worker],
+    now: float,
+) -> list[Candidate]:
+    candidates = prefer_by_finish(cell, step, candidates, now)
+    return withhold_slow_workers(cell, step, candidates, wanted, fit, now)
+
+
 def _filter_by_isolation(
     isolation: IsolationLevel, workers: list[Worker], now: float
 ) -> list[Worker]:
@@ -313,6 +329,7 @@
         task.phase_since = task.ordered_at = now
         if step.spec.gang:
             task.checkpoint = checkpoint
+        task.is_whole_run = not task.checkpoint
         occupy(cell, worker, task.id, task.run, step)
         record_suspect(worker, task, isolation)
         begin_probation_run(worker, (task.id, task.run), now)
--- a/src/snowdock/jobs/placement_advice.py
+++ b/src/snowdock/jobs/placement_advice.py
@@ -270,7 +270,7 @@
     chosen = _choose_roomiest(step, known, wanted * _KNOWN_SLOTS_PER_TASK) if known else []
     if not _could_place(step, chosen, wanted):
         unknown, unknown_examined = _find_unknown_workers(
-            step, by_free_cpu, wanted * _UNKNOWN_SLOTS_PER_TASK
+            step, by_free_cpu, wanted * _UNKNOWN_SLOTS_PER_TASK, cell.is_uneven
         )
         examined += unknown_examined
         if not unknown and not _could_place(step, known, wanted):
@@ -293,7 +293,7 @@
 
 
 def _find_unknown_workers(
-    step: Step, by_free_cpu: list[Worker], slots: int
+    step: Step, by_free_cpu: list[Worker], slots: int, is_uneven: bool
 ) -> tuple[list[Worker], int]:
     """Return workers with free room whose fitness for a step is unknown.
 
@@ -308,6 +308,8 @@
         if slots <= 0 and len(found) >= cheap:
             break
         if not step.is_bulky and worker.free.cpu < room.cpu:
+            if is_uneven:
+                continue
             # The remaining workers have even fewer free processors.
             break
         examined += 1
--- a/src/snowdock/jobs/reservations.py
+++ b/src/snowdock/jobs/reservations.py
@@ -19,10 +19,12 @@
 from .cell import Cell, Claim
 from .forecast import upcoming_free_room
 from .job_state import Step
+from .machine_speeds import is_slow
 from .model import StepKey
+from .speeds import typical_seconds
 from .workers import RoomHold, Worker
 
-__all__ = ["find_reservation", "hold_room", "release_claim", "reserve_room"]
+__all__ = ["find_earliest_slots", "find_reservation", "hold_room", "release_claim", "reserve_room"]
 
 _RESERVATION_SECONDS = 0.6
 """Duration of a reservation; it is renewed while its step waits."""
@@ -64,7 +66,7 @@
     ):
         return
     release_claim(cell, step.key)
-    slots = _find_earliest_slots(cell, step, workers, wanted, now)
+    slots = _find_best_slots(cell, step, list(workers), wanted, now)
     if not slots:
         return
     lives = frozenset(worker.life for _, worker in slots)
@@ -87,7 +89,25 @@
         )
 
 
-def _find_earliest_slots(
+def _find_best_slots(
+    cell: Cell, step: Step, workers: list[Worker], wanted: int, now: float
+) -> list[tuple[float, Worker]]:
+    """Return the earliest slots; for a gang in an uneven pool, those with the earliest end."""
+    slots = find_earliest_slots(cell, step, workers, wanted, now)
+    if not cell.is_uneven or not step.spec.gang or not slots:
+        return slots
+    fast = [worker for worker in workers if not is_slow(cell, worker)]
+    fast_slots = find_earliest_slots(cell, step, fast, wanted, now)
+    if not fast_slots:
+        return slots
+    return min(slots, fast_slots, key=lambda each: _gang_end(step, each))
+
+
+def _gang_end(step: Step, slots: list[tuple[float, Worker]]) -> float:
+    return slots[-1][0] + typical_seconds(step) * max(worker.slowness for _, worker in slots)
+
+
+def find_earliest_slots(
     cell: Cell, step: Step, workers: Iterable[Worker], wanted: int, now: float
 ) -> list[tuple[float, Worker]]:
     """Return the times and workers of the earliest slots for tasks, in ascending order of time.
--- a/src/snowdock/jobs/speeds.py
+++ b/src/snowdock/jobs/speeds.py
@@ -8,6 +8,7 @@
 
 from .cell import Cell
 from .job_state import Phase, Step, Task
+from .machine_speeds import lasting_slowness
 from .orders import RunningRun
 from .workers import Worker
 
@@ -35,7 +36,9 @@
 """Minimum estimate of a run's time, since an estimate of 0 has no logarithm."""
 
 _SLOW_FACTOR = 1.8
-"""Slowness from which runs are moved away from a worker; sound workers differ by up to 50 %."""
+_LOG_SLOW_FACTOR = math.log(_SLOW_FACTOR)
+"""Slowness, relative to the lasting one, from which runs are moved away from a worker; sound
+workers differ by up to 50 %. Lasting slowness was known when the run was placed."""
 
 _MIN_GAIN_FACTOR = 1.6
 """A run is moved only if its remaining time here is at least this multiple of that elsewhere."""
@@ -84,16 +87,17 @@
 
 
 def decay_idle_slowness(cell: Cell) -> None:
-    """Decay the slowness of idle workers towards normal speed."""
+    """Decay the slowness of idle workers towards their lasting one, in even pools normal speed."""
     for worker in cell.workers.values():
         if not worker.runs:
-            worker.log_slowness *= _IDLE_DECAY
+            lasting = lasting_slowness(cell, worker)
+            worker.log_slowness = lasting + _IDLE_DECAY * (worker.log_slowness - lasting)
 
 
 def should_move(cell: Cell, worker: Worker, task: Task) -> bool:
     """Check whether a run on a slow worker would end sooner if it were moved to another worker."""
     if (
-        worker.slowness < _SLOW_FACTOR
+        worker.log_slowness - lasting_slowness(cell, worker) < _LOG_SLOW_FACTOR
         or task.moves >= _MAX_MOVES
         or task.phase is not Phase.RUNNING
         or task.step.spec.long_running
--- a/src/snowdock/jobs/worker_lives.py
+++ b/src/snowdock/jobs/worker_lives.py
@@ -5,6 +5,7 @@
 from .events import CloseWorker, OpenWorker, StepDown
 from .lives import worker_id_of
 from .lost_runs import charge_confirmed_crashes, charge_orphan, lose_runs
+from .machine_speeds import lasting_slowness
 from .occupancy import occupy, vacate
 from .orders import Refusal
 from .suspects import IsolationLevel, record_crash, record_suspect
@@ -42,6 +43,7 @@
         cell.unknown_service_workers[entry.life] = entry
         return
     worker = Worker(entry)
+    worker.log_slowness = lasting_slowness(cell, worker)
     cell.workers[entry.life] = worker
     cell.log_decision("worker_listed", entry.life, service=entry.service, address=entry.address)
     for orphan in cell.orphans.pop(entry.worker, []):
--- a/src/snowdock/jobs/worker_reports.py
+++ b/src/snowdock/jobs/worker_reports.py
@@ -6,9 +6,10 @@
 from .events import RenewAnswered
 from .job_state import Phase, Task
 from .lost_runs import clear_losses, revoke_losses
+from .machine_speeds import learn_from_end
 from .model import TaskId
 from .occupancy import occupy, vacate
-from .orders import EndedRun, RunningRun, WorkerReport
+from .orders import EndedRun, EndKind, RunningRun, WorkerReport
 from .runs import acknowledge_ends, apply_run_end, mark_job_running, send_stop, stop_run, void_run
 from .speeds import learn_speed, should_move
 from .suspects import end_exclusive_use
@@ -52,7 +53,8 @@
 def _handle_report(
     cell: Cell, worker: Worker, event: RenewAnswered, report: WorkerReport, now: float
 ) -> None:
-    if worker.silent_since is not None:
+    was_silent = worker.silent_since is not None
+    if was_silent:
         cell.log_decision("worker_answers", worker.life, silent_s=now - worker.silent_since)
         worker.silent_since = None
         worker.is_unresponsive = False
@@ -71,6 +73,14 @@
             _log_passed_over_end(cell, worker, end)
         worker.last_processed_end = max(worker.last_processed_end, end.number)
         has_new_ends = True
+        task = cell.find_task(end.task)
+        if (
+            task is not None
+            and end.kind is EndKind.DONE
+            and not was_silent
+            and task.is_current_run(end.run, worker.life)
+        ):
+            learn_from_end(cell, worker, task, now)
         apply_run_end(cell, worker, end, now)
     for running in report.running:
         listed.add((running.task, running.run))
--- a/src/snowdock/jobs/worker_watch.py
+++ b/src/snowdock/jobs/worker_watch.py
@@ -4,6 +4,7 @@
 from .durability import RENEW_WAIT_MS, send_renewal
 from .events import SendStop
 from .lost_runs import lose_orphan, lose_runs
+from .machine_speeds import update_unevenness
 from .model import TaskId
 from .occupancy import vacate
 from .orders import StopOrder
@@ -28,6 +29,7 @@
 
 def watch_workers(cell: Cell, now: float) -> None:
     """Send due renewals, mark runs with expired leases as lost, and repeat stops."""
+    update_unevenness(cell, now)
     decay_idle_slowness(cell)
     for worker in list(cell.workers.values()):
         _watch_worker(cell, worker, now)
