Let the cost of placement passes follow the leader's cores

Cause: the budget of placement passes reckoned with the time of one core for each worker that is examined. Change: CellSettings.examination_s, 10 us on one core, is divided by cpu_cores.

--- a/src/snowdock/entry/leader_settings.py
+++ b/src/snowdock/entry/leader_settings.py
@@ -21,6 +21,11 @@
 larger one from all of them on. All of 300 gangs that wait at once are asked about within 7.4 s with
 0.3, and within 4.8 s with 0.5."""
 
+_EXAMINATION_SECONDS = 10e-6
+"""Approximate time to examine one worker for one step on one core. A faster VM needs less; with the
+time of one core, a leader of two cores searched for 130 short jobs a second and left the rest
+waiting beside free room."""
+
 _LEADER_MBPS = 50.0
 """Peak traffic of a leader of a large deployment, with a margin."""
 
@@ -52,6 +57,7 @@
         retention_s=RETENTION_FACTOR * environment.status_s,
         quota_overage=environment.quota_overage,
         pass_time_share=_pass_time_share(environment.cpu_cores),
+        examination_s=_EXAMINATION_SECONDS / max(1.0, environment.cpu_cores),
     )
 
 
--- a/src/snowdock/jobs/cell.py
+++ b/src/snowdock/jobs/cell.py
@@ -53,9 +53,11 @@
     quota_overage
         Fraction by which a team may temporarily exceed its quota to start a gang as a whole.
     pass_time_share
-        Maximum fraction of the time spent in placement passes. The rest is left for other events:
-        if these are delayed, tickets expire before their starts are sent, and each refused start
-        needs another pass.
+        Maximum fraction of the time spent in placement passes, as estimated. The rest is left for
+        other events: if these are delayed, tickets expire before their starts are sent, and each
+        refused start needs another pass.
+    examination_s
+        Approximate time to examine one worker for one step.
     """
 
     lease_s: float
@@ -66,6 +68,7 @@
     retention_s: float
     quota_overage: float = 0.0
     pass_time_share: float = 0.3
+    examination_s: float = 10e-6
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/snowdock/jobs/placement.py
+++ b/src/snowdock/jobs/placement.py
@@ -34,9 +34,6 @@
 _MIN_PASS_INTERVAL_SECONDS = 0.005
 """Minimum time between two passes, so that one pass covers several changes."""
 
-_SECONDS_PER_EXAMINED_WORKER = 10e-6
-"""Approximate time to examine one worker for one step."""
-
 _MAX_EXAMINED_PER_PASS = 1_500
 """Maximum number of workers examined in one pass, so that renewals and answers are not delayed for
 long. Half of them are examined for the steps with the highest rank, half for the steps whose last
@@ -84,7 +81,7 @@
     examined += _search_steps(cell, newly_advised, pools, now, _MAX_EXAMINED_PER_PASS)
     neglected = _find_neglected_steps(cell, examined_by_rank >= max_examined, now)
     examined += _search_steps(cell, neglected, pools, now, max_examined)
-    pause = examined * _SECONDS_PER_EXAMINED_WORKER / cell.settings.pass_time_share
+    pause = examined * cell.settings.examination_s / cell.settings.pass_time_share
     cell.next_placement_at = now + max(_MIN_PASS_INTERVAL_SECONDS, pause)
 
 
--- a/tests/test_leader_settings.py
+++ b/tests/test_leader_settings.py
@@ -71,7 +71,9 @@
                 status_s=60.0,
                 quota_overage=0.0,
             )
-            self.assertAlmostEqual(cell_settings(environment).pass_time_share, share)
+            settings = cell_settings(environment)
+            self.assertAlmostEqual(settings.pass_time_share, share)
+            self.assertAlmostEqual(settings.examination_s, 10e-6 / max(1.0, cores))
 
 
 class TestRunExpiryAfterClaim(unittest.TestCase):
