Refuse records at once while the store is silent

Cause: while the store answers nothing, each append hung for up to 2.1 s of the caller's 3 s, and the answer was 504; records that waited behind it met the same end.

Change: store_health.py, without I/O, takes over the recorder's view of the store and adds silence: an append has hung for 0.6 s without an answer to any call, or for 0.3 s with the leader's renewal overdue. Waiting records are then withdrawn unsent and refused (503, Retry-After 1), one record at a time is a probe, and records go by way of the leader first while its renewals are on time. Appends that still hang after an answer delay no later record.

All calls from 1 s after the return on are accepted.

--- a/Makefile
+++ b/Makefile
@@ -13,7 +13,8 @@
 	jobs_placement.TestAdviceRequests jobs_placement.TestExpiredTickets jobs_preemption \
 	jobs_reducer jobs_reservations jobs_starving known_red leader_settings logs \
 	operations_page orders platform_codecs play_days policies records reducer room_use \
-	router settings shares slow_tests state successors topics turnover
+	progress_writer.TestDeletionOrder router settings shares slow_tests state \
+	store_health.TestSilence successors topics turnover
 NOSE2 := $(BIN)/nose2 --plugin tests.known_red -s tests -t .
 
 setup: $(VENV)/.done
--- a/src/snowdock/entry/daemon.py
+++ b/src/snowdock/entry/daemon.py
@@ -129,7 +129,12 @@
         self._configuration_watcher = ConfigurationWatcher(
             self._store, self._peers.tell, self._apply_configuration
         )
-        self._recorder = recorder = Recorder(self._store, environment.store.parts, self._metrics)
+        self._recorder = recorder = Recorder(
+            self._store,
+            environment.store.parts,
+            self._metrics,
+            lambda: self._election.renewal_is_overdue,
+        )
         self._caller_api = CallerApi(
             CallerApiDependencies(
                 recorder,
--- a/src/snowdock/entry/election.py
+++ b/src/snowdock/entry/election.py
@@ -149,6 +149,13 @@
         """Seconds since this node's last recorded renewal."""
         return self._renewals.age_s
 
+    @property
+    def renewal_is_overdue(self) -> bool:
+        """Whether the leader, this node or another, is alive but cannot record its renewals."""
+        if self._own_epoch:
+            return self._renewals.is_overdue
+        return self._known_leader.liveness.renewal_is_overdue
+
     @property
     def is_isolated(self) -> bool:
         """Whether this node has lost contact with the store and with all former peers."""
--- a/src/snowdock/entry/leader_liveness.py
+++ b/src/snowdock/entry/leader_liveness.py
@@ -6,6 +6,7 @@
 from ..clocks import steady_seconds
 from .leader_record import LeaderRecord, NodeIdentity
 from .messages import Heartbeat
+from .renewals import OVERDUE_SECONDS
 from .turnover import MAX_TIMEOUT_FACTOR
 
 __all__ = ["LeaderLiveness", "find_end_evidence"]
@@ -106,6 +107,16 @@
         )
         return _MAX_RENEWAL_AGE_SECONDS * max(factor, min(adaptive_factor, MAX_TIMEOUT_FACTOR))
 
+    @property
+    def renewal_is_overdue(self) -> bool:
+        """Whether the leader is alive, but has reported a renewal older than the store explains.
+
+        The limit follows recent gaps between renewals, which are longer on a slow store.
+        """
+        now = steady_seconds()
+        limit_s = max(OVERDUE_SECONDS, self._renewal_age_limit(now, 1.0))
+        return self.is_heard() and self._renewal_age_s > limit_s
+
     @property
     def store_is_slow(self) -> bool:
         """Whether the leader's last heartbeat reported slow appends."""
--- a/src/snowdock/entry/recorder.py
+++ b/src/snowdock/entry/recorder.py
@@ -3,13 +3,15 @@
 The store handles the appends to a partition one at a time. While an append of this node is in
 progress, further records for that partition wait and are sent together in the next one, so that the
 throughput is kept when the store is slow.
+
+While the store is silent, records that have not been sent are refused, and only what has been sent
+has an unknown outcome.
 """
 
 import dataclasses
-import itertools
-import math
 import threading
 import time
+from collections.abc import Callable
 
 from ..clocks import steady_seconds
 from ..errors import CallUnanswered, PlatformError
@@ -17,18 +19,12 @@
 from ..logs import log_error, log_event
 from ..node.metrics import Metrics
 from ..platform.store import KeyedRecord, StoreClient
-from .adaptive_timeout import AdaptiveTimeout
 from .messages import RecordOutcome
+from .store_health import MIN_ATTEMPT_SECONDS, Admission, StoreHealth
 from .topics import JOBS_TOPIC, job_partition
 
 __all__ = ["Recorder"]
 
-_MIN_ATTEMPT_SECONDS = 0.8
-_MAX_ATTEMPT_SECONDS = 2.0
-"""Bounds of the timeout of one append. An append usually takes about 10 ms, and half a second on a
-very slow store. The store still applies an append that has timed out, so repeating it early would
-only add to the partition's queue."""
-
 _RETRY_PERIOD_SECONDS = 0.5
 """No further attempt starts after this time. Callers wait about 3 s, and their own retries go to
 other nodes, which may reach the store when this one does not."""
@@ -39,131 +35,23 @@
 _RETRY_DELAY_SECONDS = 0.05
 """Pause between two attempts to append a record."""
 
-_FAILURES_UNTIL_DOWN = 2
-"""Consecutive failures after which the store counts as down."""
-
 _PROBE_DELAY_SECONDS = 0.4
 """How long the store counts as down before one record is sent as a probe."""
 
-_SLOW_APPEND_SECONDS = 0.1
-"""The store counts as slow if appends usually take longer than this, ten times the normal time."""
-
 _SLOW_STATE_SECONDS = 2.0
 """How long the store counts as slow after the last append; then one record is sent as a probe."""
 
-_HANGING_APPEND_SECONDS = 0.2
-"""The store also counts as slow while an append has had no answer for this long, so that no
-further appends queue behind it."""
+_TIMED_OUT_SECONDS = 0.3
+"""An append without an answer that has failed sooner was reset or not connected, and says nothing
+about a silent store."""
+
+_SILENCE_POLL_SECONDS = 0.05
+"""Interval at which a waiting record checks whether the store has become silent."""
 
 _MAX_BATCH_RECORDS = 64
 """Largest number of records in one append, well below the size limit of a call."""
 
 
-class _StoreHealth:
-    """Tracks failures and durations of recent appends.
-
-    While the store counts as down, one record at a time is sent as a probe, and all others are
-    refused at once.
-    """
-
-    def __init__(self) -> None:
-        self._timeout = AdaptiveTimeout(_MIN_ATTEMPT_SECONDS, _MAX_ATTEMPT_SECONDS)
-        self._failures = 0
-        self._failed_at = 0.0
-        self._last_result_at = 0.0
-        self._is_probing = False
-        self._slow_probe_at = -math.inf
-        self._started_at: dict[int, float] = {}
-        self._append_ids = itertools.count()
-        self._lock = threading.Lock()
-
-    def start_append(self) -> int:
-        """Record the start of an append; return an identifier for `finish_append`."""
-        with self._lock:
-            append_id = next(self._append_ids)
-            self._started_at[append_id] = steady_seconds()
-            return append_id
-
-    def finish_append(self, append_id: int) -> None:
-        """Record the end of an append."""
-        with self._lock:
-            del self._started_at[append_id]
-
-    @property
-    def attempt_timeout_s(self) -> float:
-        """Timeout of one append, in seconds."""
-        return self._timeout.limit_s
-
-    @property
-    def is_slow(self) -> bool:
-        """Whether an append is hanging, or recent appends have usually been slow."""
-        now = steady_seconds()
-        with self._lock:
-            oldest_start = min(self._started_at.values(), default=now)
-        if now - oldest_start > _HANGING_APPEND_SECONDS:
-            return True
-        if now - self._last_result_at > _SLOW_STATE_SECONDS:
-            return False
-        return self._timeout.average_s > _SLOW_APPEND_SECONDS
-
-    def prefers_relay(self) -> bool:
-        """Check whether a record should be sent by way of the leader instead.
-
-        If the store was slow some time ago, one record is let through as a probe, and the others go
-        by way of the leader until the probe is answered.
-        """
-        if self.is_slow:
-            return True
-        now = steady_seconds()
-        with self._lock:
-            if self._timeout.average_s <= _SLOW_APPEND_SECONDS:
-                return False
-            if now - self._slow_probe_at < _SLOW_STATE_SECONDS:
-                return True
-            self._slow_probe_at = now
-            return False
-
-    def may_append(self, answered_at: float) -> bool:
-        """Check whether a record may be appended; the caller must then report the result.
-
-        Parameters
-        ----------
-        answered_at
-            When the store last answered any call, in steady seconds. After the last failure, such
-            an answer ends the down state; a single further failure restores it.
-        """
-        with self._lock:
-            if answered_at > self._failed_at:
-                self._failures = min(self._failures, _FAILURES_UNTIL_DOWN - 1)
-            if self._failures < _FAILURES_UNTIL_DOWN:
-                return True
-            if self._is_probing or steady_seconds() - self._failed_at < _PROBE_DELAY_SECONDS:
-                return False
-            self._is_probing = True
-            return True
-
-    def record_success(self, seconds: float) -> None:
-        """Record a successful append and its duration in seconds."""
-        with self._lock:
-            self._failures = 0
-            self._is_probing = False
-            self._last_result_at = steady_seconds()
-            self._timeout.record_answer(seconds)
-
-    def release_probe(self) -> None:
-        """Record that an admitted record was not sent, so that another may be the probe."""
-        with self._lock:
-            self._is_probing = False
-
-    def record_failure(self) -> None:
-        """Record a failed append."""
-        with self._lock:
-            self._failures += 1
-            self._is_probing = False
-            self._timeout.record_timeout()
-            self._last_result_at = self._failed_at = steady_seconds()
-
-
 @dataclasses.dataclass(slots=True, eq=False)
 class _PendingRecord:
     """A record that waits to be appended.
@@ -173,7 +61,7 @@
     record
         The record.
     wake
-        Set when the record's append has ended, or when its thread is to append the waiting records.
+        Set when the record's append has ended, or when its thread may append the waiting records.
     outcome
         Result of the append; None while it is not known.
     """
@@ -183,13 +71,21 @@
     outcome: RecordOutcome | None = None
 
 
+@dataclasses.dataclass(frozen=True, slots=True, eq=False)
+class _Turn:
+    """One append to a partition: its start in steady seconds, and its records."""
+
+    started_at: float
+    batch: list[_PendingRecord]
+
+
 class _Partition:
-    """Records waiting for a partition; ``is_busy`` while this node has an append in progress."""
+    """Records waiting for a partition; ``turn`` is this node's append in progress, if any."""
 
     def __init__(self) -> None:
         self.lock = threading.Lock()
         self.pending: list[_PendingRecord] = []
-        self.is_busy = False
+        self.turn: _Turn | None = None
 
 
 class Recorder:
@@ -203,22 +99,34 @@
         Number of partitions of the topic of jobs.
     metrics
         Counts and times appends.
+    renewal_is_overdue
+        Returns whether the leader's last renewal is older than one that reaches the store.
     """
 
-    def __init__(self, store: StoreClient, partition_count: int, metrics: Metrics) -> None:
+    def __init__(
+        self,
+        store: StoreClient,
+        partition_count: int,
+        metrics: Metrics,
+        renewal_is_overdue: Callable[[], bool] = lambda: False,
+    ) -> None:
         self._store = store
         self._metrics = metrics
-        self._health = _StoreHealth()
+        self._health = StoreHealth(steady_seconds, renewal_is_overdue)
+        self._silent_since: float | None = None
         self._partitions = [_Partition() for _ in range(partition_count)]
 
     @property
     def is_slow(self) -> bool:
         """Whether this node's recent appends have been slow."""
-        return self._health.is_slow
+        return self._health.is_slow(_SLOW_STATE_SECONDS)
 
     def prefers_relay(self) -> bool:
-        """Check whether a record should be sent by way of the leader instead of from this node."""
-        return self._health.prefers_relay()
+        """Check whether a record should be sent by way of the leader instead of from this node.
+
+        While the store does not answer this node, it may answer the leader.
+        """
+        return self._is_silent() or self._health.prefers_relay(_SLOW_STATE_SECONDS)
 
     def record(self, job: JobId, record: KeyedRecord, seconds: float) -> RecordOutcome:
         """Append a record to the store and wait for the result.
@@ -236,12 +144,19 @@
         outcome = RecordOutcome.NOT_DONE
         started_at = steady_seconds()
         while steady_seconds() - started_at < min(_RETRY_PERIOD_SECONDS, seconds):
-            if not self._health.may_append(self._store.answered_at):
+            self._is_silent()
+            admission = self._health.admit(self._store.answered_at, _PROBE_DELAY_SECONDS)
+            if admission is Admission.REFUSE:
                 return outcome
             remaining_s = seconds - (steady_seconds() - started_at)
-            attempt_outcome = self._record_once(
-                partition_number, record, max(_MIN_WAIT_SECONDS, remaining_s)
-            )
+            is_probe = admission is Admission.PROBE
+            try:
+                attempt_outcome = self._record_once(
+                    partition_number, record, max(_MIN_WAIT_SECONDS, remaining_s), is_probe
+                )
+            finally:
+                if is_probe:
+                    self._health.finish_silence_probe()
             if attempt_outcome is RecordOutcome.DONE:
                 return attempt_outcome
             outcome = max(outcome, attempt_outcome)
@@ -255,63 +170,108 @@
         return outcome
 
     def _record_once(
-        self, partition_number: int, record: KeyedRecord, seconds: float
+        self, partition_number: int, record: KeyedRecord, seconds: float, is_probe: bool
     ) -> RecordOutcome:
         """Send a record once, in another thread's append or in one for all waiting records."""
         partition = self._partitions[partition_number]
         pending = _PendingRecord(record)
+        deadline = steady_seconds() + seconds
         with partition.lock:
             partition.pending.append(pending)
-            is_appender = not partition.is_busy
-            partition.is_busy = True
-        deadline = steady_seconds() + seconds
-        if not is_appender and not pending.wake.wait(seconds):
+        while True:
             with partition.lock:
-                if pending.outcome is None and not pending.wake.is_set():
-                    return self._withdraw(partition, pending)
-        if pending.outcome is None:
-            self._append_pending(partition_number, partition, deadline - steady_seconds())
-        return pending.outcome
+                turn_or_outcome = self._decide(partition, pending, deadline, is_probe)
+            if isinstance(turn_or_outcome, RecordOutcome):
+                return turn_or_outcome
+            if turn_or_outcome is not None:
+                self._append_batch(
+                    partition_number, partition, turn_or_outcome, deadline - steady_seconds()
+                )
+                continue
+            remaining_s = max(0.0, deadline - steady_seconds())
+            pending.wake.wait(min(_SILENCE_POLL_SECONDS, remaining_s))
+            pending.wake.clear()
+
+    def _decide(
+        self, partition: _Partition, pending: _PendingRecord, deadline: float, is_probe: bool
+    ) -> _Turn | RecordOutcome | None:
+        """Return a record's outcome, or the append that its thread must make, or None to wait.
+
+        Call with the partition's lock held.
+        """
+        if pending.outcome is not None:
+            return pending.outcome
+        is_over = steady_seconds() >= deadline
+        if pending not in partition.pending:
+            return RecordOutcome.UNKNOWN if is_over else None
+        if is_probe:
+            # Other records do not wait for a probe, which may hang on after the store's return.
+            partition.pending.remove(pending)
+            return _Turn(steady_seconds(), [pending])
+        if self._is_silent():
+            return self._withdraw(partition, pending)
+        # An append that has hung in a silent store may hang on after the store's return.
+        if partition.turn is None or self._health.was_silent_since(partition.turn.started_at):
+            batch = partition.pending[:_MAX_BATCH_RECORDS]
+            del partition.pending[:_MAX_BATCH_RECORDS]
+            partition.turn = _Turn(steady_seconds(), batch)
+            return partition.turn
+        return self._withdraw(partition, pending) if is_over else None
 
     def _withdraw(self, partition: _Partition, pending: _PendingRecord) -> RecordOutcome:
-        """Remove a record whose timeout has expired; call with the partition's lock held."""
-        if pending not in partition.pending:
-            return RecordOutcome.UNKNOWN
+        """Remove a record that was admitted but not sent."""
         partition.pending.remove(pending)
-        # The record was admitted but not sent.
         self._health.release_probe()
         return RecordOutcome.NOT_DONE
 
-    def _append_pending(self, partition_number: int, partition: _Partition, seconds: float) -> None:
-        """Append the waiting records, then wake the thread of the first remaining one."""
+    def _is_silent(self) -> bool:
+        """Check whether the store is silent, and log the beginning and end of that state."""
+        is_silent = self._health.is_silent(self._store.answered_at)
+        now = steady_seconds()
+        since = self._silent_since
+        if is_silent and since is None:
+            self._silent_since = now
+            hung_s = self._health.silent_seconds(self._store.answered_at)
+            log_event("store_silent", hung_s=hung_s)
+        elif not is_silent and since is not None:
+            self._silent_since = None
+            log_event("store_answers", seconds=now - since)
+        return is_silent
+
+    def _append_batch(
+        self, partition_number: int, partition: _Partition, turn: _Turn, seconds: float
+    ) -> None:
+        """Append the records of a turn, then wake their threads and that of the next record."""
+        outcome = self._append(partition_number, [each.record for each in turn.batch], seconds)
         with partition.lock:
-            batch = partition.pending[:_MAX_BATCH_RECORDS]
-            del partition.pending[:_MAX_BATCH_RECORDS]
-        outcome = self._append(partition_number, [each.record for each in batch], seconds)
-        for each in batch:
-            each.outcome = outcome
+            for each in turn.batch:
+                each.outcome = outcome
+            woken = list(turn.batch)
+            if partition.turn is turn:
+                partition.turn = None
+                woken += partition.pending[:1]
+        for each in woken:
             each.wake.set()
-        with partition.lock:
-            partition.is_busy = bool(partition.pending)
-            if partition.pending:
-                partition.pending[0].wake.set()
 
     def _append(
         self, partition_number: int, records: list[KeyedRecord], seconds: float
     ) -> RecordOutcome:
         started_at = steady_seconds()
         # Other threads share the append, so a thread with little time left may not shorten it.
-        timeout_s = max(_MIN_ATTEMPT_SECONDS, min(seconds, self._health.attempt_timeout_s))
+        timeout_s = max(MIN_ATTEMPT_SECONDS, min(seconds, self._health.attempt_timeout_s))
         append_id = self._health.start_append()
+        timed_out = False
         try:
             self._store.append(JOBS_TOPIC, partition_number, records, timeout_s)
         except PlatformError as error:
-            self._health.record_failure()
+            is_unanswered = isinstance(error, CallUnanswered)
+            timed_out = is_unanswered and steady_seconds() - started_at >= _TIMED_OUT_SECONDS
+            self._health.record_failure(responded=not is_unanswered)
             self._metrics.count("store_appends_total", "Appends to the store.", outcome=error.code)
             log_event(
                 "append_failed", part=partition_number, records=len(records), reason=str(error)
             )
-            may_be_recorded = isinstance(error, CallUnanswered) and not error.unsent
+            may_be_recorded = is_unanswered and not error.unsent
             return RecordOutcome.UNKNOWN if may_be_recorded else RecordOutcome.NOT_DONE
         except Exception as error:
             # The append may have been applied; the waiting threads still need a result.
@@ -319,7 +279,7 @@
             log_error("append_failed", error, part=partition_number, records=len(records))
             return RecordOutcome.UNKNOWN
         finally:
-            self._health.finish_append(append_id)
+            self._health.finish_append(append_id, timed_out=timed_out)
         elapsed_s = steady_seconds() - started_at
         self._health.record_success(elapsed_s)
         self._metrics.count("store_appends_total", "Appends to the store.", outcome="done")
--- a/src/snowdock/entry/renewals.py
+++ b/src/snowdock/entry/renewals.py
@@ -3,7 +3,7 @@
 from ..clocks import steady_seconds
 from .adaptive_timeout import AdaptiveTimeout
 
-__all__ = ["MAX_CALL_SECONDS", "Renewals"]
+__all__ = ["MAX_CALL_SECONDS", "OVERDUE_SECONDS", "Renewals"]
 
 _MIN_CALL_SECONDS = 0.3
 MAX_CALL_SECONDS = 1.0
@@ -16,6 +16,11 @@
 _REJECTION_SECONDS = 0.1
 """A renewal that fails faster counts as rejected; after a slower failure it may still arrive."""
 
+OVERDUE_SECONDS = 1.0
+_OVERDUE_CALLS = 3.0
+"""A renewal older than this is overdue: three are due in this time, and on a slow store one, whose
+call may start just before the next is due."""
+
 
 class Renewals:
     """The renewals of one node; written by the election thread, read by others."""
@@ -35,6 +40,11 @@
         """Seconds since the start of the last renewal that was recorded."""
         return steady_seconds() - self._renewed_at
 
+    @property
+    def is_overdue(self) -> bool:
+        """Whether the last recorded renewal is older than the store's response times explain."""
+        return self.age_s > max(OVERDUE_SECONDS, _OVERDUE_CALLS * self._timeout.average_s)
+
     @property
     def are_rejected(self) -> bool:
         """Whether the store has rejected the last renewals."""
--- a/tests/standins/platform.py
+++ b/tests/standins/platform.py
@@ -32,6 +32,9 @@
 logging.getLogger("waitress").setLevel(logging.CRITICAL)
 
 THREADS = 48
+STORE_THREADS = 160
+"""A silent store holds a thread for each call of some seconds."""
+
 MAX_CONNECTIONS = 2000
 _PORT_RELEASE_TIMEOUT_SECONDS = 5.0
 """The longest that a port may take to be released."""
@@ -41,14 +44,17 @@
     """An HTTP server on a loopback port; port 0 selects a free one."""
 
     def __init__(
-        self, handle: Callable[[str, str, dict[str, str], bytes, dict], Reply], port: int = 0
+        self,
+        handle: Callable[[str, str, dict[str, str], bytes, dict], Reply],
+        port: int = 0,
+        threads: int = THREADS,
     ) -> None:
         self._handle = handle
         self._server = waitress.create_server(
             self._application,
             host="127.0.0.1",
             port=port,
-            threads=THREADS,
+            threads=threads,
             connection_limit=MAX_CONNECTIONS,
             # select() fails for descriptors beyond 1,023, which dozens of nodes exceed.
             asyncore_use_poll=True,
@@ -139,7 +145,7 @@
         self.calls: list[str] = []
         self._parts: dict[tuple[str, int], Partition] = {}
         self._changed = threading.Condition()
-        self._server = Server(self._handle)
+        self._server = Server(self._handle, threads=STORE_THREADS)
         self.address = self._server.address
 
     def close(self) -> None:
--- a/tests/test_store_outages.py
+++ b/tests/test_store_outages.py
@@ -4,7 +4,12 @@
 import time
 import unittest
 
-from tests.standins.entry_cluster import EntryCluster, wait_until
+from tests.standins.entry_cluster import EntryCluster, EntryProcess, wait_until
+from tests.standins.proxy import Mode, Proxy
+
+SMALL = {"count": 1, "cpu": 10, "mem_mb": 10, "estimate_ms": 100}
+MAX_PROBES = 4
+"""The most probes that a node sends in the 2.5 s counted; each takes at least 0.8 s."""
 
 WORK_SECONDS = 6.0
 """Longer than a partition's outage, so that runs outlast it."""
@@ -60,7 +65,6 @@
         """Every job starts in time; after the leader is killed, none runs or is shown otherwise."""
         leader = self.cluster.leader
         self.submit_during_fault("reset")
-        print(f"longest start: {max(self.start_waits):.2f} s of {len(self.paths)} jobs")
         self.assertLess(max(self.start_waits), MAX_START_SECONDS)
         self.assertEqual(len(leader.log_lines("progress_partition_changed")), 1)
         self.assert_all_completed()
@@ -84,5 +88,82 @@
         self.assertEqual(self.cluster.workers.checks.violations, [])
 
 
+class TestSilentStore(unittest.TestCase):
+    """The store answers nothing for four seconds while callers keep coming to three nodes."""
+
+    def setUp(self) -> None:
+        self.cluster = EntryCluster(3)
+        self.addCleanup(self.cluster.close)
+        self.assertTrue(self.cluster.wait_ready())
+        self.answers: list[tuple[float, int, float, str | None]] = []
+
+    def submit(self, node: EntryProcess) -> None:
+        """Submit a job; keep the time of its call, status, seconds and `Retry-After`."""
+        path, body = self.cluster.make_job([SMALL])
+        called_at = time.monotonic()
+        status, _, headers = node.call("POST", path, body, {"X-Deadline-Ms": "3000"})
+        seconds = time.monotonic() - called_at
+        self.answers.append((called_at, status, seconds, headers.get("Retry-After")))
+        if status == 200:
+            self.accepted.append(path)
+
+    def test_callers_are_refused_at_once_and_accepted_after_the_return(self) -> None:
+        """From the second second on, only probes are unknown; after the return, all are served."""
+        self.accepted: list[str] = []
+        threads = []
+
+        def submit_for(seconds: float) -> None:
+            end = time.monotonic() + seconds
+            while time.monotonic() < end:
+                node = self.cluster.nodes[len(threads) % 3]
+                threads.append(threading.Thread(target=self.submit, args=(node,)))
+                threads[-1].start()
+                time.sleep(0.03)
+
+        submit_for(1.0)
+        silent_at = time.monotonic()
+        self.cluster.store.silent = True
+        submit_for(OUTAGE_SECONDS)
+        back_at = time.monotonic()
+        self.cluster.store.silent = False
+        submit_for(2.0)
+        for thread in threads:
+            thread.join()
+        during = [each for each in self.answers if silent_at + 1.0 <= each[0] < back_at - 0.5]
+        refused = [each for each in during if each[1] == 503]
+        unknown = [each for each in during if each[1] == 504]
+        after = [each for each in self.answers if each[0] >= back_at + 1.0]
+        slowest = max(seconds for _, _, seconds, _ in refused)
+        figures = f"{len(refused)} refused in {slowest:.2f} s, {len(unknown)} unknown"
+        self.assertEqual(len(refused) + len(unknown), len(during), figures)
+        self.assertLess(slowest, 0.5, figures)
+        self.assertEqual({each[3] for each in refused}, {"1"})
+        self.assertLessEqual(len(unknown), 3 * MAX_PROBES, figures)
+        self.assertEqual({each[1] for each in after}, {200})
+        for path in self.accepted:
+            self.assertTrue(self.cluster.wait_state(path, "completed"))
+        self.assertEqual(self.cluster.workers.checks.violations, [])
+
+
+class TestStoreOfOneNode(unittest.TestCase):
+    def test_callers_of_a_node_without_the_store(self) -> None:
+        """While the store answers the leader only, the other node's callers are served by it."""
+        cluster = EntryCluster(2, proxies=Proxy)
+        self.addCleanup(cluster.close)
+        self.assertTrue(cluster.wait_ready())
+        (node,) = [each for each in cluster.nodes if each is not cluster.leader]
+        cluster.store_proxies[node.number - 1].set(Mode.SILENT)
+        silent_at = time.monotonic()
+        statuses = []
+        while time.monotonic() < silent_at + OUTAGE_SECONDS:
+            path, body = cluster.make_job([SMALL])
+            called_at = time.monotonic()
+            status, _, _ = node.call("POST", path, body, {"X-Deadline-Ms": "3000"})
+            if called_at > silent_at + 1.0:
+                statuses.append((status, time.monotonic() - called_at < 1.0))
+            time.sleep(0.1)
+        self.assertEqual(set(statuses), {(200, True)})
+
+
 if __name__ == "__main__":
     unittest.main()
