--- a/src/snowdock/errors.py
+++ b/src/snowdock/errors.py
@@ -31,6 +31,7 @@
     "StoreRefused",
     "TokensUnreadable",
     "Unauthorized",
+    "UnknownSummaryVersion",
     "UnsupportedMedia",
     "VerdictUnknown",
     "Voided",
@@ -57,6 +58,12 @@
     status = 400
 
 
+class UnknownSummaryVersion(InvalidInput):
+    """A load summary is encoded in a version that this node does not know."""
+
+    code = "unknown_summary_version"
+
+
 class BodyTooLarge(InvalidInput):
     """A body exceeds the API's size limit."""
 
