Add refusal errors, the exchange format of callers and the lookup before a refusal

Cause: a refusal needs a typed error with its status, must not deny a job that an earlier attempt recorded, and other nodes have to learn of the caller.

Change: an error class for each reason; an encoding of recently refused callers with their ages for heartbeats, bounded and decoded with a typed error; and LeaderQueries.is_recorded, one request to the leader that answers None where it cannot tell. Nothing uses them yet.

--- a/src/snowdock/admission/caller_history.py
+++ b/src/snowdock/admission/caller_history.py
@@ -9,10 +9,23 @@
 import hashlib
 import itertools
 from collections.abc import Iterable
+from typing import Annotated
 
 import msgspec
+from msgspec import Meta
 
-__all__ = ["CallerEntry", "CallerHistory", "KnownCaller", "caller_key"]
+from ..errors import DECODE_ERRORS, InvalidInput
+
+__all__ = [
+    "MAX_CALLERS",
+    "CallerEntry",
+    "CallerHistory",
+    "CallerNews",
+    "KnownCaller",
+    "caller_key",
+    "decode_news",
+    "encode_news",
+]
 
 MAX_CALLERS = 4096
 _RETENTION_SECONDS = 30.0
@@ -28,6 +41,9 @@
 
 _KEY_BYTES = 8
 
+_MAX_NEWS_ENTRIES = 256
+"""Entries of a heartbeat beyond which it counts as invalid; twice as many as any node sends."""
+
 
 class CallerEntry(msgspec.Struct, array_like=True, frozen=True):
     """A caller as sent to peers.
@@ -42,11 +58,45 @@
         Whether an earlier attempt may have been accepted.
     """
 
-    key: bytes
-    age_ms: int
+    key: Annotated[bytes, Meta(max_length=_KEY_BYTES)]
+    age_ms: Annotated[int, Meta(ge=0)]
     is_in_doubt: bool = False
 
 
+class CallerNews(msgspec.Struct, array_like=True, frozen=True):
+    """What a node's heartbeats tell of callers.
+
+    Attributes
+    ----------
+    entries
+        Callers with a recent change.
+    node_count
+        For a leader: number of live nodes, among which the load of a summary's cluster is divided.
+    """
+
+    entries: Annotated[list[CallerEntry], Meta(max_length=_MAX_NEWS_ENTRIES)] = []
+    node_count: Annotated[int, Meta(ge=0)] = 0
+
+
+def encode_news(news: CallerNews) -> bytes:
+    """Encode news for a heartbeat."""
+    return msgspec.msgpack.encode(news)
+
+
+def decode_news(data: bytes) -> CallerNews:
+    """Decode the news of a heartbeat.
+
+    Raises
+    ------
+    InvalidInput
+        If the data cannot be decoded.
+    """
+    try:
+        return msgspec.msgpack.decode(data, type=CallerNews)
+    except DECODE_ERRORS as error:
+        raise InvalidInput(f"cannot decode news of callers: {error}") from error
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class KnownCaller:
     """A caller with the time of its first attempt, and whether an earlier attempt is in doubt."""
--- a/src/snowdock/entry/leader_queries.py
+++ b/src/snowdock/entry/leader_queries.py
@@ -185,6 +185,13 @@
             raise JobGone("no such job")
         raise Starting(answer.reason)
 
+    def is_recorded(self, job: JobId, team: str, seconds: float) -> bool | None:
+        """Check with one request whether the leader knows a team's job; None if it cannot tell."""
+        answer = self._ask_status(job, team, seconds, may_wait=False)
+        if answer.status is not None:
+            return True
+        return False if answer.is_certain else None
+
     def _wait_for_status(
         self, job: JobId, team: str, deadline: float, answer: _StatusAnswer
     ) -> _StatusAnswer:
--- a/src/snowdock/errors.py
+++ b/src/snowdock/errors.py
@@ -16,6 +16,10 @@
     "Draining",
     "Forbidden",
     "InvalidInput",
+    "JobRefused",
+    "JobTooLate",
+    "JobUnplaceable",
+    "LoadUnknown",
     "LogExpired",
     "LogUnavailable",
     "MethodNotAllowed",
@@ -24,11 +28,13 @@
     "PlatformError",
     "PolicyError",
     "ProducerFenced",
+    "ServiceOverloaded",
     "SettingsErrors",
     "SettingsUnreadable",
     "SnowdockError",
     "Starting",
     "StoreRefused",
+    "TeamBeyondShare",
     "TokensUnreadable",
     "Unauthorized",
     "UnknownSummaryVersion",
@@ -162,6 +168,43 @@
     code = "log_unavailable"
 
 
+class JobRefused(Overloaded):
+    """Admission control refused the job; it was not recorded and will never run."""
+
+    code = "job_refused"
+
+
+class JobUnplaceable(JobRefused):
+    """A task of the job is larger than the largest worker of its service."""
+
+    code = "unplaceable"
+
+
+class JobTooLate(JobRefused):
+    """The job cannot end in useful time, since its caller has waited too long already."""
+
+    code = "too_late"
+
+
+class TeamBeyondShare(JobRefused):
+    """The service is overloaded, and the job's team uses more than its share."""
+
+    code = "beyond_share"
+    status = 429
+
+
+class ServiceOverloaded(JobRefused):
+    """The service is overloaded, so that the job cannot end in useful time."""
+
+    code = "overloaded"
+
+
+class LoadUnknown(JobRefused):
+    """The load is not known, and the node admits no more jobs at the moment."""
+
+    code = "no_summary"
+
+
 class VerdictUnknown(SnowdockError):
     """The record may be on the log, but its verdict was not read in time."""
 
--- a/tests/test_leader_queries.py
+++ b/tests/test_leader_queries.py
@@ -115,6 +115,17 @@
             queries.find_status(JOB, "", 0.1)
         self.election.handle_referral.assert_called_with("other", "next", "a:1", 7)
 
+    def test_record_is_denied_only_if_certain(self) -> None:
+        """Guards against refusing a job that the leader has not read yet, or without a leader."""
+        self.statuses.publish(PublishStatus(OTHER_JOB, "q", JobStatus.PENDING, "team"))
+        self.assertIs(self.queries.is_recorded(OTHER_JOB, "team", 0.1), True)
+        self.assertIs(self.queries.is_recorded(OTHER_JOB, "other", 0.1), False)
+        self.assertIs(self.queries.is_recorded(JOB, "", 0.1), False)
+        self.set_read_at(steady_seconds() - 2.0)
+        self.assertIsNone(self.queries.is_recorded(JOB, "", 0.1))
+        self.leadership.handle = None
+        self.assertIsNone(self.queries.is_recorded(JOB, "", 0.1))
+
     def test_silent_leader_that_leads_does_not_answer_who_does(self) -> None:
         """A leader that has loaded answers a node that asks who leads, and is not left for it."""
         handle_request = make_request_handler(
