Collect the load summary and judge its predictions, with the contract pressure

Nothing tracked load, so no decision could depend on it. Every 0.5 s the leader now sums capacity, waiting and running work, and compares each predicted wait with the one observed at the job's first placement. The records of jobs may carry the time of the caller's first attempt, and after a takeover jobs that never started count from their acceptance.

--- a/src/snowdock/emulator/emulator.py
+++ b/src/snowdock/emulator/emulator.py
@@ -20,7 +20,9 @@
     OpenWorker,
     Persist,
     Persisted,
+    PublishLoad,
     PublishStatus,
+    RecordPrediction,
     SendRenewal,
     SendStart,
     SendStop,
@@ -143,6 +145,8 @@
             PublishStatus: self._publish,
             StepDown: lambda leader, _: self._end_leadership(leader),
             LogDecision: _ignore,
+            PublishLoad: _ignore,
+            RecordPrediction: _ignore,
             OpenWorker: _ignore,
             CloseWorker: _ignore,
             DropJobs: _ignore,
@@ -214,6 +218,7 @@
             stop_s=options.timings.stop_s,
             retention_s=RETENTION_FACTOR * _STATUS_SECONDS,
             quota_overage=_QUOTA_OVERAGE,
+            summarizes_load=options.summarizes_load,
         )
         holder: list[Cell] = []
         policy = make_policy(_ignore, lambda: holder[0])
--- a/src/snowdock/emulator/options.py
+++ b/src/snowdock/emulator/options.py
@@ -63,6 +63,8 @@
     capacities
         Capacities of the workers in turn, in the order in which they are added; if empty, all have
         ``capacity``.
+    summarizes_load
+        Whether the leaders summarize their load and predict waits.
     """
 
     workload: WorkloadOptions
@@ -78,6 +80,7 @@
     replacement_s: float = 3.5
     lists_crashed_workers: bool = False
     capacities: tuple[Size, ...] = ()
+    summarizes_load: bool = False
 
     def capacity_of(self, number: int) -> Size:
         """Return the capacity of a worker by its number, from 0."""
--- a/src/snowdock/entry/leader_settings.py
+++ b/src/snowdock/entry/leader_settings.py
@@ -7,7 +7,7 @@
     RETENTION_FACTOR,
     lease_expiry_after_claim_seconds,
 )
-from ..platform.node_settings import NodeEnvironment
+from ..platform.node_settings import PRESSURE, NodeEnvironment
 
 __all__ = ["cell_settings", "claim_delay_seconds"]
 
@@ -44,6 +44,7 @@
         stop_s=environment.stop_s,
         retention_s=RETENTION_FACTOR * environment.status_s,
         quota_overage=environment.quota_overage,
+        summarizes_load=PRESSURE in environment.contracts,
     )
 
 
--- a/src/snowdock/jobs/cell.py
+++ b/src/snowdock/jobs/cell.py
@@ -7,6 +7,7 @@
 from ..declarations import ZERO_SIZE, Size
 from .events import Effect, LogDecision, PublishStatus
 from .job_state import Job, Step, Task
+from .load_history import LoadHistory
 from .model import Configuration, JobId, Queue, StepKey, TaskId
 from .orders import AdviceRequest
 from .team_usage import TeamUsage
@@ -52,6 +53,8 @@
         Time for which an ended job is kept.
     quota_overage
         Fraction by which a team may temporarily exceed its quota to start a gang as a whole.
+    summarizes_load
+        Whether the load is summarized and waits are predicted (contract `pressure`).
     """
 
     lease_s: float
@@ -61,6 +64,7 @@
     stop_s: float
     retention_s: float
     quota_overage: float = 0.0
+    summarizes_load: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -253,6 +257,8 @@
         Times of the last log lines on resource use, team usage, starving jobs and overdue runs.
     capacity
         Total resources of all workers as of the last tick.
+    load_history
+        Rates and waits for the load summary; None unless the settings ask for it.
     """
 
     def __init__(
@@ -302,6 +308,7 @@
         self.starving_logged_at = now
         self.overdue_logged_at = now
         self.capacity = ZERO_SIZE
+        self.load_history = LoadHistory(now) if settings.summarizes_load else None
 
     @property
     def configuration(self) -> Configuration:
--- a/src/snowdock/jobs/events.py
+++ b/src/snowdock/jobs/events.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from .load_summary import LoadSummary
 from .model import Configuration, JobId, JobStatus, TaskId
 from .orders import (
     AdviceRequest,
@@ -33,7 +34,9 @@
     "Persist",
     "Persisted",
     "ProgressRecord",
+    "PublishLoad",
     "PublishStatus",
+    "RecordPrediction",
     "RenewAnswered",
     "SendRenewal",
     "SendStart",
@@ -279,6 +282,22 @@
     reason: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class PublishLoad:
+    """Publish the load summary to all nodes."""
+
+    summary: LoadSummary
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RecordPrediction:
+    """Record the wait that was predicted for a job, and the one observed at its first placement."""
+
+    queue: str
+    predicted_s: float
+    observed_s: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class LogDecision:
     """Log a decision about a job, task or worker, with the data that it is based on."""
@@ -301,4 +320,6 @@
     | ForgetAccepted
     | StepDown
     | LogDecision
+    | PublishLoad
+    | RecordPrediction
 )
--- a/src/snowdock/jobs/job_state.py
+++ b/src/snowdock/jobs/job_state.py
@@ -4,6 +4,7 @@
 import enum
 from collections.abc import Mapping
 
+from .load_history import WaitPrediction
 from .model import AdviceTerms, JobId, JobStatus, StepKey, StepSpec, TaskId
 from .progress import AcceptedJob, record_name
 
@@ -266,9 +267,11 @@
     Attributes
     ----------
     submitted_at
-        Time of the job's acceptance, in seconds on this node's steady clock.
+        Time of the caller's first attempt to submit the job, in steady-clock seconds.
     critical_paths_ms
         Estimated length of the critical path that starts at each step.
+    wait_prediction
+        The wait predicted at acceptance; None if there is none, and after the first placement.
     """
 
     id: JobId
@@ -277,6 +280,7 @@
     status: JobStatus = JobStatus.PENDING
     repetitions: list[list[Step]] = dataclasses.field(default_factory=list)
     critical_paths_ms: tuple[float, ...] = ()
+    wait_prediction: WaitPrediction | None = None
 
     def __post_init__(self) -> None:
         self.critical_paths_ms = _compute_critical_paths_ms(self.accepted.spec.steps)
--- a/src/snowdock/jobs/load_summary.py
+++ b/src/snowdock/jobs/load_summary.py
@@ -9,6 +9,7 @@
 from ..errors import DECODE_ERRORS, InvalidInput, UnknownSummaryVersion
 
 __all__ = [
+    "BEYOND_SHARE",
     "MAX_QUEUES",
     "MAX_TEAMS",
     "LoadSummary",
@@ -27,10 +28,10 @@
 """Limits of the summary's size, as the leader sends it to all nodes; the rest is left out."""
 
 _MIN_RATE_SHARE = 0.02
-"""Minimum rate at which a queue is assumed to start work, as a share of its service's work rate:
-keeps the predicted wait of a queue that starts nothing at the moment finite."""
+"""Minimum rate at which a queue is assumed to start work, as a share of its service's usable cores:
+keeps the predicted wait of a queue that starts nothing finite."""
 
-_BEYOND_SHARE = 2.0
+BEYOND_SHARE = 2.0
 """Multiple of a team's share from which its work ranks behind that of other teams in the same queue
 (`programs/deadline_first.star`)."""
 
@@ -74,14 +75,15 @@
     waiting_core_s
         Estimated core-seconds of the waiting work.
     preceding_core_s
-        Part of it that a new job of a team within its share has to wait for: excluding work that
-        has missed its objective, and work of teams beyond their share.
+        Part of it that ranks ahead of other work: excluding work that has missed its objective, and
+        work of teams that are held back.
     waiting_steps
         Number of waiting steps.
     longest_wait_s
-        Time for which the oldest waiting job has waited for its first placement.
+        Longest time for which a job that has not started has waited.
     recent_wait_s
-        Mean time from acceptance to first placement of the jobs placed recently.
+        Median time from acceptance to first placement of the jobs placed recently, without those of
+        teams that are held back; 0 if there are none.
     accepted_rate, started_rate
         Estimated core-seconds of work that recently arrived, and were recently placed, per second.
     """
@@ -113,6 +115,9 @@
     running_core_s, waiting_core_s
         Expected remaining core-seconds of its running work, and estimated core-seconds of its
         waiting work.
+    is_held_back
+        Whether its work waits at its quota, or behind work of other teams as it uses more than
+        `BEYOND_SHARE` times its share.
     """
 
     name: str
@@ -120,6 +125,7 @@
     running_cores: float = 0.0
     running_core_s: float = 0.0
     waiting_core_s: float = 0.0
+    is_held_back: bool = False
 
 
 class LoadSummary(msgspec.Struct, frozen=True, array_like=True):
@@ -255,10 +261,15 @@
         return 0.0
     if service.usable.cpu <= 0:
         return math.inf
-    is_beyond_share = _is_beyond_share(summary, team, service)
-    preceding_core_s = load.waiting_core_s if is_beyond_share else load.preceding_core_s
-    rate = max(load.started_rate, _MIN_RATE_SHARE * service.work_rate, 1.0)
-    return max(load.recent_wait_s, preceding_core_s / rate, _seconds_until_room(service, size))
+    wait_s = load.recent_wait_s
+    if not wait_s:
+        cores = service.usable.cpu / 1000
+        rate = load.started_rate or cores
+        wait_s = load.preceding_core_s / max(rate, _MIN_RATE_SHARE * cores)
+    own = summary.team(team)
+    if own is not None and own.is_held_back:
+        wait_s = max(wait_s, own.waiting_core_s / max(own.running_cores, 1.0))
+    return max(wait_s, _seconds_until_room(service, size))
 
 
 def _seconds_until_room(service: ServiceLoad, size: Size) -> float:
@@ -269,10 +280,3 @@
     mean_remaining_s = service.running_core_s * 1000 / service.used.cpu
     # Runs that are spread evenly over their duration have on average half of it left.
     return min(1.0, missing / service.used.cpu) * 2 * mean_remaining_s
-
-
-def _is_beyond_share(summary: LoadSummary, name: str, service: ServiceLoad) -> bool:
-    team = summary.team(name)
-    if team is None or not team.share:
-        return False
-    return team.running_cores * 1000 > _BEYOND_SHARE * team.share * service.usable.cpu
--- a/src/snowdock/jobs/placement.py
+++ b/src/snowdock/jobs/placement.py
@@ -8,6 +8,7 @@
 from .durability import mark_dirty
 from .failed_runs import begin_probation_run
 from .job_state import Phase, Step, Task
+from .load import record_first_wait, record_started
 from .occupancy import occupy
 from .placement_advice import (
     find_advised_services,
@@ -319,6 +320,8 @@
         cell.deferred.append(DeferredStart(task, task.run))
     step.blocked_since = None
     mark_dirty(cell, step.job)
+    record_started(cell, step, len(chosen))
+    record_first_wait(cell, step.job, now)
     cell.log_decision(
         "placed",
         step.job.id,
--- a/src/snowdock/jobs/progress.py
+++ b/src/snowdock/jobs/progress.py
@@ -23,6 +23,10 @@
 CANCEL_PREFIX = "cancel."
 """Prefix of the keys of records that cancel a job."""
 
+_MAX_CALLER_WAIT_SECONDS = 30.0
+"""Upper bound of a caller's wait before the acceptance, as clocks may jump. First attempts are
+remembered for this long."""
+
 _TEAM_SEPARATOR = "@"
 _TEAM_DIGEST_BYTES = 6
 
@@ -40,6 +44,9 @@
         The queue's settings at that time, used once the queue is removed.
     team
         The team whose key submitted the job; empty if no key was required.
+    first_seen_ms
+        When the caller first tried to submit the job, on the clock of ``accepted_ms``; 0 if the
+        first attempt is the accepted one.
     """
 
     spec: JobSpec
@@ -48,6 +55,15 @@
     priority: int
     max_attempts: int
     team: str = ""
+    first_seen_ms: int = 0
+
+    @property
+    def waited_s(self) -> float:
+        """Time from the caller's first attempt to the acceptance, in seconds."""
+        if not self.first_seen_ms:
+            return 0.0
+        waited_s = (self.accepted_ms - self.first_seen_ms) / 1000
+        return min(_MAX_CALLER_WAIT_SECONDS, max(0.0, waited_s))
 
 
 class TaskProgress(msgspec.Struct, array_like=True):
--- a/src/snowdock/jobs/reducer.py
+++ b/src/snowdock/jobs/reducer.py
@@ -21,6 +21,7 @@
     WorkerListed,
 )
 from .job_state import Job, Phase
+from .load import predict_job, summarize_load
 from .order_answers import handle_start_answer, handle_stop_answer
 from .overdue import log_overdue_runs
 from .placement import place_waiting_steps
@@ -111,8 +112,13 @@
             _handle_tick(cell, now, wall_ms)
 
 
-def accept_job(cell: Cell, event: JobAccepted, now: float, wall_ms: float) -> None:
-    """Add an accepted job; a job that is already known is left unchanged."""
+def accept_job(
+    cell: Cell, event: JobAccepted, now: float, wall_ms: float, recorded_s: float = 0.0
+) -> None:
+    """Add an accepted job; a job that is already known is left unchanged.
+
+    ``recorded_s`` is for how long its acceptance has been recorded, in seconds.
+    """
     if event.job in cell.unreadable_jobs:
         # A resubmission; earlier runs of the job are unknown.
         cell.log_decision("job_record_unreadable", event.job)
@@ -126,7 +132,7 @@
     if known is not None:
         _handle_resubmission(cell, known, event.accepted)
         return
-    job = Job(event.job, event.accepted, now)
+    job = Job(event.job, event.accepted, now - event.accepted.waited_s - recorded_s)
     cell.jobs[job.id] = job
     cell.publish_status(job)
     cell.log_decision(
@@ -138,6 +144,7 @@
         target_s=cell.queue_of(job).target_latency_ms / 1000,
         lasts=any(step.long_running for step in event.accepted.spec.steps),
     )
+    predict_job(cell, job)
     if job.record_name in cell.early_cancellations:
         cancel_job(cell, job, now)
     elif event.accepted.spec.repetitions:
@@ -186,6 +193,7 @@
     log_team_usage(cell, now)
     log_starving_jobs(cell, now)
     log_overdue_runs(cell, now)
+    summarize_load(cell, now)
 
 
 def _abort_late_gangs(cell: Cell, now: float) -> None:
--- a/src/snowdock/jobs/runs.py
+++ b/src/snowdock/jobs/runs.py
@@ -8,6 +8,7 @@
 from .events import PublishStatus, SendStop
 from .failed_runs import record_failed_run, record_success
 from .job_state import Job, Phase, Step, Task
+from .load import record_completed
 from .model import JobStatus, TaskId
 from .occupancy import vacate
 from .orders import EndedRun, EndKind, StopOrder
@@ -167,6 +168,7 @@
         if each.phase is not Phase.DONE:
             each.phase = Phase.DONE
             step.done_count += 1
+            record_completed(cell, each)
     if not step.is_done or step.job.status.is_final:
         return
     cell.waiting_steps.pop(step.key, None)
--- a/src/snowdock/jobs/shares.py
+++ b/src/snowdock/jobs/shares.py
@@ -8,8 +8,9 @@
 
 from ..declarations import ZERO_SIZE, Size
 from .cell import Cell
+from .load_summary import BEYOND_SHARE
 
-__all__ = ["log_team_usage", "share_used", "sum_capacity"]
+__all__ = ["is_beyond_share", "log_team_usage", "share_used", "sum_capacity"]
 
 _LOG_INTERVAL_SECONDS = 1.0
 """Time between two log lines on a team's usage."""
@@ -34,6 +35,11 @@
     return _compute_dominant_share(cell.team_usage.used(team), cell.capacity) / share
 
 
+def is_beyond_share(cell: Cell, team: str) -> bool:
+    """Check whether a team's work ranks behind that of other teams in the same queue."""
+    return share_used(cell, team) > BEYOND_SHARE
+
+
 def log_team_usage(cell: Cell, now: float) -> None:
     """Log periodically how much of its quota and share each team with waiting steps uses."""
     if now - cell.teams_logged_at < _LOG_INTERVAL_SECONDS:
--- a/src/snowdock/jobs/takeover.py
+++ b/src/snowdock/jobs/takeover.py
@@ -42,7 +42,9 @@
     for job_id, accepted in recorded.accepted.items():
         progress = recorded.progress.get(job_id)
         if progress is None:
-            accept_job(cell, JobAccepted(job_id, accepted), now, wall_ms)
+            # Without the contract, jobs that never started count as new after a takeover.
+            recorded_s = _recorded_seconds(accepted, wall_ms) if cell.load_history else 0.0
+            accept_job(cell, JobAccepted(job_id, accepted), now, wall_ms, recorded_s)
             _cancel_if_recorded(cell, job_id, recorded, now)
             continue
         _restore_job(cell, job_id, accepted, progress, now, wall_ms)
@@ -56,6 +58,11 @@
     return effects
 
 
+def _recorded_seconds(accepted: AcceptedJob, wall_ms: float) -> float:
+    """Return for how long a job's acceptance has been recorded."""
+    return max(0.0, (wall_ms - accepted.accepted_ms) / 1000)
+
+
 def _cancel_if_recorded(cell: Cell, job_id: JobId, recorded: RecordedJobs, now: float) -> None:
     job = cell.jobs[job_id]
     if job.record_name in recorded.cancelled:
@@ -80,7 +87,7 @@
     now: float,
     wall_ms: float,
 ) -> None:
-    age_s = max(0.0, (wall_ms - accepted.accepted_ms) / 1000)
+    age_s = _recorded_seconds(accepted, wall_ms) + accepted.waited_s
     job = Job(job_id, accepted, now - age_s, progress.status)
     cell.jobs[job_id] = job
     if job.status.is_final:
--- a/src/snowdock/platform/node_settings.py
+++ b/src/snowdock/platform/node_settings.py
@@ -10,11 +10,20 @@
 
 from ..errors import SettingsUnreadable
 
-__all__ = ["SETTINGS_VARIABLE", "NodeEnvironment", "StoreSettings", "read_node_environment"]
+__all__ = [
+    "PRESSURE",
+    "SETTINGS_VARIABLE",
+    "NodeEnvironment",
+    "StoreSettings",
+    "read_node_environment",
+]
 
 SETTINGS_VARIABLE = "SNOWDOCK_CONFIG"
 """Name of the environment variable with the file's path."""
 
+PRESSURE = "pressure"
+"""The contract under which load is summarized, and jobs are rejected during an overload."""
+
 
 class _Listen(msgspec.Struct):
     front: str = ""
@@ -75,6 +84,7 @@
     advice: str = ""
     bootstrap: bool = False
     heartbeat_ms: float = 1500
+    contracts: tuple[str, ...] = ()
 
 
 class NodeEnvironment(msgspec.Struct, frozen=True):
@@ -116,6 +126,8 @@
         Processor capacity, in reference cores.
     link_mbps
         Bandwidth of the network link, in Mbit/s.
+    contracts
+        Names of the optional behaviour that the settings call for, such as `pressure`.
     """
 
     node: str
@@ -138,6 +150,7 @@
     max_descriptors: int
     cpu_cores: float
     link_mbps: float
+    contracts: tuple[str, ...] = ()
 
 
 def read_node_environment(path: str | None = None) -> NodeEnvironment:
@@ -177,4 +190,5 @@
         max_descriptors=file.limits.max_fds,
         cpu_cores=file.limits.cpu_share * file.limits.cores,
         link_mbps=file.limits.link_mbps,
+        contracts=file.contracts,
     )
