Send the load summary to all nodes with the leader's heartbeats

Nodes know nothing of the load that the leader sees. Its heartbeats now carry the newest summary, at most once a second to each peer; a node keeps the newest one by epoch with the time of its arrival, and drops it once it follows a later leader. The callback that makes a heartbeat gets the peer's name for this. Older nodes ignore the field: heartbeats of both versions decode each other.

--- a/Makefile
+++ b/Makefile
@@ -11,7 +11,7 @@
 	active_nodes adaptive_timeout decisions declarations explain jobs_failed_runs \
 	jobs_lives jobs_long_running jobs_long_running_bounds jobs_long_running_rank \
 	jobs_placement.TestAdviceRequests jobs_placement.TestExpiredTickets jobs_preemption \
-	jobs_reducer jobs_reservations jobs_starving known_red leader_settings load load_summary logs \
+	jobs_reducer jobs_reservations jobs_starving known_red leader_settings load load_summary load_view logs \
 	operations_page orders platform_codecs play_days policies records reducer room_use \
 	router settings shares slow_tests state successors topics turnover
 NOSE2 := $(BIN)/nose2 --plugin tests.known_red -s tests -t .
--- a/src/snowdock/entry/daemon.py
+++ b/src/snowdock/entry/daemon.py
@@ -30,10 +30,11 @@
 from .leader import LeaderContext
 from .leader_links import LeaderLinks
 from .leader_queries import LeaderQueries
-from .leader_record import NodeIdentity
+from .leader_record import LeaderRecord, NodeIdentity
 from .leader_settings import cell_settings, claim_delay_seconds
 from .leadership import Leadership
 from .listener import apply_limits, create_listener
+from .load_view import LoadView
 from .messages import ENTRY_MESSAGES, Heartbeat
 from .peer_directory import PeerDirectory
 from .peer_requests import make_request_handler
@@ -86,6 +87,7 @@
         self._stopping = threading.Event()
         self._lost_thread = ""
         self._peer_directory = PeerDirectory()
+        self._load_view = LoadView()
         self._store = StoreClient(environment.store.address, _STORE_CONNECTIONS, environment.node)
         self._advice_client = LocalAdviceClient(environment.advice_address)
         identity = NodeIdentity(environment.node, secrets.token_hex(4), environment.peer_address)
@@ -99,7 +101,7 @@
             lambda: self._configuration_watcher.is_store_stable,
             self._handle_election,
             lambda reason: self._handle_deposition(reason),
-            lambda _: self._links.update(),
+            self._handle_new_leader,
             lambda: self._queries.ask_for_referral(),
         )
         self._peers = Peers(
@@ -238,9 +240,15 @@
             ),
             step_down=self._election.step_down,
             metrics=self._metrics,
+            publish_load=self._load_view.publish,
         )
 
+    def _handle_new_leader(self, leader: LeaderRecord) -> None:
+        self._load_view.follow(leader.epoch)
+        self._links.update()
+
     def _handle_election(self, epoch: int) -> None:
+        self._load_view.follow(epoch)
         # The peers wait for this node's heartbeats, however long its leader takes to start.
         self._links.update()
         self._leadership.begin(epoch)
@@ -250,17 +258,19 @@
         # The peers now connect to another leader; links to them would be reopened repeatedly.
         self._links.update()
 
-    def _make_heartbeat(self, due_s: float, heard_s: float | None) -> Heartbeat:
+    def _make_heartbeat(self, peer: str, due_s: float, heard_s: float | None) -> Heartbeat:
         heartbeat = self._election.make_heartbeat(due_s, heard_s)
         return msgspec.structs.replace(
             heartbeat,
             configuration=self._configuration_watcher.version,
             store_is_slow=self._recorder.is_slow,
+            load=self._load_view.data_for(peer, heartbeat.epoch),
         )
 
     def _handle_heartbeat(self, heartbeat: Heartbeat) -> None:
         self._election.handle_heartbeat(heartbeat)
         self._configuration_watcher.handle_heartbeat(heartbeat)
+        self._load_view.receive(heartbeat.load)
         is_new = self._peer_directory.record_heartbeat(heartbeat)
         if self._election.own_epoch and is_new:
             self._links.update()
--- a/src/snowdock/entry/leader.py
+++ b/src/snowdock/entry/leader.py
@@ -19,7 +19,9 @@
     LogDecision,
     OpenWorker,
     Persist,
+    PublishLoad,
     PublishStatus,
+    RecordPrediction,
     RenewAnswered,
     SendRenewal,
     SendStart,
@@ -29,6 +31,8 @@
     StopAnswered,
     Ticked,
 )
+from ..jobs.load_history import prediction_ratio
+from ..jobs.load_summary import LoadSummary
 from ..jobs.model import Configuration
 from ..jobs.orders import Refusal, StartResult
 from ..jobs.policy import make_policy
@@ -74,6 +78,8 @@
         Called with the reason when the leader has failed or another node leads.
     metrics
         The node's metrics.
+    publish_load
+        Publishes a load summary to this node and its peers.
     """
 
     store: StoreClient
@@ -87,6 +93,7 @@
     may_send_orders: Callable[[], bool]
     step_down: Callable[[str], None]
     metrics: Metrics
+    publish_load: Callable[[LoadSummary], None]
 
 
 class Leader(pykka.ThreadingActor):
@@ -138,6 +145,8 @@
             ForgetAccepted: self._cleaner.clean,
             StepDown: lambda effect: self._step_down(effect.reason),
             LogDecision: self._record_decision,
+            PublishLoad: lambda effect: context.publish_load(effect.summary),
+            RecordPrediction: self._record_prediction,
         }
         # Publish the jobs on record before this node answers queries as the leader.
         self._apply_effects(effects)
@@ -229,6 +238,14 @@
         elif effect.decision == "job_ended":
             metrics.time("job_seconds", "From taking in to the end.", fields["seconds"])
 
+    def _record_prediction(self, effect: RecordPrediction) -> None:
+        self._context.metrics.ratio(
+            "wait_prediction_ratio",
+            "Wait of a job until its first placement, as a multiple of the predicted one.",
+            prediction_ratio(effect.predicted_s, effect.observed_s),
+            queue=effect.queue,
+        )
+
     def _record_team_use(self, team: str, fields: dict[str, object]) -> None:
         metrics = self._context.metrics
         metrics.set(
--- a/src/snowdock/entry/messages.py
+++ b/src/snowdock/entry/messages.py
@@ -57,6 +57,8 @@
         Whether the sender's recent appends to the store have been slow.
     configuration
         The version of the configuration in force at the sender; 0 for none.
+    load
+        For a leader: the encoded load summary; empty if none is due.
     """
 
     node: str
@@ -71,6 +73,7 @@
     heard_s: float | None = None
     configuration: int = 0
     store_is_slow: bool = False
+    load: bytes = b""
 
 
 class StatusRequest(_EntryMessage, tag="s"):
--- a/src/snowdock/jobs/load_history.py
+++ b/src/snowdock/jobs/load_history.py
@@ -10,7 +10,7 @@
 
 from .load_summary import LoadSummary
 
-__all__ = ["LoadHistory", "QueueHistory", "WaitPrediction", "is_accurate"]
+__all__ = ["LoadHistory", "QueueHistory", "WaitPrediction", "is_accurate", "prediction_ratio"]
 
 _RATE_SECONDS = 2.0
 """Time over which rates are smoothed: a wide gang arrives or ends about twice in a second, and the
@@ -66,6 +66,14 @@
     return longer <= _MAX_ERROR_FACTOR * shorter
 
 
+def prediction_ratio(predicted_s: float, observed_s: float) -> float:
+    """Return the observed wait as a multiple of the predicted one.
+
+    Waits below the tolerated error count as that long: their ratio says nothing.
+    """
+    return max(observed_s, _MAX_ERROR_SECONDS) / max(predicted_s, _MAX_ERROR_SECONDS)
+
+
 class _Rate:
     """An exponentially smoothed rate of amounts."""
 
--- a/src/snowdock/node/daemon.py
+++ b/src/snowdock/node/daemon.py
@@ -172,7 +172,9 @@
             {name: member.peer_address for name, member in members.items() if name != own}
         )
 
-    def _build_heartbeat(self, _due_s: float, _last_received_s: float | None) -> Heartbeat:
+    def _build_heartbeat(
+        self, _peer: str, _due_s: float, _last_received_s: float | None
+    ) -> Heartbeat:
         context = self._context
         digest_offset, digest = context.latest_digest
         return Heartbeat(
--- a/src/snowdock/node/metrics.py
+++ b/src/snowdock/node/metrics.py
@@ -13,6 +13,8 @@
 
 _TIME_BUCKETS_SECONDS = [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0]
 
+_RATIO_BUCKETS = [0.1, 0.25, 0.5, 0.8, 1.25, 2.0, 4.0, 10.0]
+
 _QUANTILE_ERRORS = ((0.5, 0.02), (0.9, 0.01), (0.99, 0.001))
 
 
@@ -58,6 +60,12 @@
             )
             found.observe(labels, seconds)
 
+    def ratio(self, name: str, doc: str, value: float, **labels: str) -> None:
+        """Record a ratio in a histogram whose buckets are centred on 1."""
+        with self._lock:
+            found = self._ensure_metric(aioprometheus.Histogram, name, doc, buckets=_RATIO_BUCKETS)
+            found.observe(labels, value)
+
     def render(self) -> tuple[bytes, str]:
         """Return all metrics in the text format, and its content type."""
         with self._lock:
--- a/src/snowdock/node/peer_links.py
+++ b/src/snowdock/node/peer_links.py
@@ -139,14 +139,14 @@
                 reconnected.append(node)
         return reconnected
 
-    def due_heartbeats(self, now: float) -> Iterator[tuple[zmq.Socket, bool, float | None]]:
+    def due_heartbeats(self, now: float) -> Iterator[tuple[str, zmq.Socket, bool, float | None]]:
         """Start the next tick and yield the connections on which a heartbeat is due.
 
         Yields
         ------
         tuple
-            The socket, whether the peer is sent a heartbeat at each tick, and the seconds since
-            the last heartbeat of the peer arrived, or None if there was none.
+            The peer, the socket, whether the peer is sent a heartbeat at each tick, and the seconds
+            since the last heartbeat of the peer arrived, or None if there was none.
         """
         self._tick_count += 1
         frequent_peers = self._plan.frequent_peers()
@@ -156,7 +156,7 @@
             is_scheduled = (self._tick_count + number) % self._plan.rare_interval == 0
             if is_frequent or is_scheduled or link.is_new:
                 link.is_new = False
-                yield link.socket, is_frequent, self._heartbeat_age_s(link, now)
+                yield node, link.socket, is_frequent, self._heartbeat_age_s(link, now)
 
     @staticmethod
     def _heartbeat_age_s(link: _Link, now: float) -> float | None:
--- a/src/snowdock/node/peers.py
+++ b/src/snowdock/node/peers.py
@@ -183,8 +183,8 @@
     on_heartbeat
         Called with each received heartbeat.
     make_heartbeat
-        Creates the heartbeat to send to a peer. Its arguments are the seconds until the next
-        heartbeat to that peer is due, and the seconds since the last heartbeat of that peer
+        Creates the heartbeat to send to a peer. Its arguments are the peer, the seconds until the
+        next heartbeat to that peer is due, and the seconds since the last heartbeat of that peer
         arrived, or None if there was none.
     """
 
@@ -194,7 +194,7 @@
         messages: PeerMessages,
         answer_request: Callable[[object], object | None],
         on_heartbeat: Callable[[object], None],
-        make_heartbeat: Callable[[float, float | None], object],
+        make_heartbeat: Callable[[str, float, float | None], object],
     ) -> None:
         self._options = options
         self._messages = messages
@@ -476,9 +476,9 @@
         if options.confirms_links:
             for node in self._links.reconnect_unconfirmed(now):
                 log_event("peer_link_renewed", peer=node)
-        for socket, is_frequent, last_received_s in self._links.due_heartbeats(now):
+        for node, socket, is_frequent, last_received_s in self._links.due_heartbeats(now):
             due_s = options.heartbeat_interval_s * (
                 1 if is_frequent else options.plan.rare_interval
             )
-            heartbeat = self._make_heartbeat(due_s, last_received_s)
+            heartbeat = self._make_heartbeat(node, due_s, last_received_s)
             self._try_send(socket, [self._messages.encode(heartbeat)])
--- a/tests/test_operations_page.py
+++ b/tests/test_operations_page.py
@@ -7,7 +7,7 @@
 ROOT = pathlib.Path(__file__).parent.parent
 PAGE = (ROOT / "docs" / "OPERATIONS.md").read_text()
 SOURCES = "".join(path.read_text() for path in sorted((ROOT / "src/snowdock/entry").glob("*.py")))
-METRIC = re.compile(r"\.(?:count|time|set)\(\s*\"([a-z_]+)\"")
+METRIC = re.compile(r"\.(?:count|time|set|ratio)\(\s*\"([a-z_]+)\"")
 
 
 class TestOperationsPage(unittest.TestCase):
--- a/tests/test_silent_links.py
+++ b/tests/test_silent_links.py
@@ -45,7 +45,7 @@
     ) -> tuple[Peers, str]:
         address = f"127.0.0.1:{free_port('127.0.0.1')}"
 
-        def make_heartbeat(due_s: float, heard_s: float | None) -> Heartbeat:
+        def make_heartbeat(peer: str, due_s: float, heard_s: float | None) -> Heartbeat:
             return Heartbeat(name, address, 0, 0.0, due_s=due_s, heard_s=heard_s)
 
         peers = Peers(
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -162,6 +162,7 @@
         may_send_orders=lambda: False,
         step_down=lambda reason: None,
         metrics=Metrics(),
+        publish_load=lambda summary: None,
     )
 
 
