Refuse jobs before they are recorded, with the contract pressure

Cause: all jobs that can be recorded are accepted, so during an overload work is done that no caller waits for, and one team can take the room of all.

Change: the caller API asks entry/admission_gate.py before it records a job, if the settings file names the contract pressure. The gate decides by the leader's load summary, asks the leader once before a refusal whether an earlier attempt was accepted, and plans when the caller returns. Refused callers and unknown outcomes travel in a last field of heartbeats (callers) from nodes to the leader and from there to all; an accepted job's record has the time of its caller's first attempt. A queue without waiting work is open whatever its recent waits were, since refusals would keep those as they are.

Where the lookup is not answered with certainty, the job is admitted: a 503 for a job that another node has recorded would be false. So the token bucket refuses only while a leader answers.

tests/test_load_view.py took load for the last field of a heartbeat; it now checks both releases, without callers and without load.

--- a/src/snowdock/admission/inputs.py
+++ b/src/snowdock/admission/inputs.py
@@ -68,13 +68,15 @@
     if summary is None:
         return LoadView(bucket_wait_s=bucket_wait_s)
     service = summary.service(accepted.service)
-    queue = accepted.spec.queue
-    wait_s = predict_wait(summary, queue, start_size(accepted), accepted.team)
+    queue = summary.queue(accepted.spec.queue)
+    wait_s = predict_wait(summary, accepted.spec.queue, start_size(accepted), accepted.team)
+    # Otherwise, waits of jobs that were placed earlier could keep an empty queue closed.
+    is_waited_for = queue is not None and queue.waiting_core_s > 0
     return LoadView(
         made_at=arrived_at,
         largest_worker=service.largest if service and service.largest != ZERO_SIZE else None,
-        # Infinite if no worker is usable at the moment, which says nothing about the next second.
-        predicted_wait_s=wait_s if math.isfinite(wait_s) else None,
+        # Infinite if no worker is usable now, which says nothing about the next second.
+        predicted_wait_s=wait_s if is_waited_for and math.isfinite(wait_s) else None,
         is_reliable=summary.is_reliable,
         # The use of teams is known for all services together only.
         rate=sum(each.work_rate for each in summary.services),
--- /dev/null
+++ b/src/snowdock/entry/admission_gate.py
@@ -0,0 +1,362 @@
+"""Admission control of a node: applies the decisions of `snowdock.admission` to callers' jobs."""
+
+import collections
+import dataclasses
+import random
+import threading
+from collections.abc import Callable
+
+import msgspec
+
+from ..admission.caller_history import (
+    CallerHistory,
+    CallerNews,
+    KnownCaller,
+    caller_key,
+    decode_news,
+    encode_news,
+)
+from ..admission.decision import (
+    MAX_SUMMARY_AGE_SECONDS,
+    Admitted,
+    Caller,
+    LoadView,
+    Reason,
+    Refused,
+    decide,
+)
+from ..admission.inputs import make_demand, make_view, work_core_seconds
+from ..admission.retry_planner import RetryPlanner
+from ..admission.token_bucket import TokenBucket
+from ..clocks import steady_seconds
+from ..errors import (
+    InvalidInput,
+    JobRefused,
+    JobTooLate,
+    JobUnplaceable,
+    LoadUnknown,
+    ServiceOverloaded,
+    SnowdockError,
+    TeamBeyondShare,
+)
+from ..jobs.load_summary import LoadSummary
+from ..jobs.model import JobId, Queue
+from ..jobs.progress import AcceptedJob, record_name
+from ..logs import log_error, log_event
+from ..node.metrics import Metrics
+from .load_view import LoadReading
+from .messages import Heartbeat
+
+__all__ = ["AdmissionGate", "Submission"]
+
+_LOOKUP_SECONDS = 0.3
+"""How long the lookup before a refusal may take. A leader that has loaded replies within
+milliseconds; a job whose lookup is unanswered is admitted."""
+
+_CAPACITY_FACTOR = 2.0
+"""Without a summary, the nodes admit together this many times the last known capacity: a usual load
+passes, and of a burst no more than is worked off in as long again as the summary was missing."""
+
+_JOBS_PER_SECOND = 20.0
+"""Jobs that a node admits in a second if no capacity was ever known."""
+
+_OWN_ENTRIES = 64
+_FORWARDED_ENTRIES = 128
+"""Entries of callers in a node's heartbeat, and in a leader's, which is for the refusals of all
+nodes: about 2 kB."""
+
+_NEWS_MARGIN_SECONDS = 0.3
+"""An entry is sent for this long beyond the interval of heartbeats, so that a late or lost one does
+not leave it out."""
+
+_LOGGED_REFUSALS_PER_SECOND = 20.0
+
+_REFUSALS: dict[Reason, tuple[type[JobRefused], str]] = {
+    Reason.UNPLACEABLE: (JobUnplaceable, "a task is larger than any worker"),
+    Reason.TOO_LATE: (JobTooLate, "the job cannot end in useful time any more"),
+    Reason.BEYOND_SHARE: (TeamBeyondShare, "overload, and the team uses more than its share"),
+    Reason.OVERLOADED: (ServiceOverloaded, "overload; the job cannot end in useful time"),
+    Reason.NO_SUMMARY: (LoadUnknown, "the load is not known; this node admits no more jobs now"),
+}
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Submission:
+    """A caller's job.
+
+    Attributes
+    ----------
+    job, accepted, queue
+        The job's identifier, its record and its queue.
+    started_at
+        When this attempt arrived.
+    deadline_s
+        Seconds after its first attempt after which the caller gives up.
+    """
+
+    job: JobId
+    accepted: AcceptedJob
+    queue: Queue
+    started_at: float
+    deadline_s: float
+
+    @property
+    def key(self) -> bytes:
+        """Key of the caller in the history."""
+        return caller_key(record_name(self.job, self.accepted.team))
+
+
+class AdmissionGate:
+    """Admits or refuses jobs, and remembers callers that were refused; thread-safe.
+
+    Parameters
+    ----------
+    is_enabled
+        Checks whether the node's contracts ask for admission control. Otherwise, all jobs are
+        admitted and nothing is remembered.
+    find_load
+        Returns the newest load summary of the current leader, or None.
+    is_recorded
+        Checks at the leader within a number of seconds whether a team's job is known; None if that
+        cannot be told.
+    count_nodes
+        Returns the number of live nodes that this node knows of, at least 1.
+    metrics
+        Counts refusals.
+    """
+
+    def __init__(
+        self,
+        is_enabled: Callable[[], bool],
+        find_load: Callable[[], LoadReading | None],
+        is_recorded: Callable[[JobId, str, float], bool | None],
+        count_nodes: Callable[[], int],
+        metrics: Metrics,
+    ) -> None:
+        self._is_enabled = is_enabled
+        self._find_load = find_load
+        self._is_recorded = is_recorded
+        self._count_nodes = count_nodes
+        self._metrics = metrics
+        now = steady_seconds()
+        self._history = CallerHistory()
+        self._planner = RetryPlanner()
+        self._recording: collections.Counter[bytes] = collections.Counter()
+        self._node_count = 0
+        self._usable_cores = 0.0
+        self._bucket = _make_bucket(_JOBS_PER_SECOND, now)
+        self._log_bucket = TokenBucket(
+            _LOGGED_REFUSALS_PER_SECOND, _LOGGED_REFUSALS_PER_SECOND, now
+        )
+        self._lock = threading.Lock()
+
+    # -- callers ---------------------------------------------------------------------------
+
+    def submit(self, submission: Submission, record: Callable[[AcceptedJob], None]) -> bool:
+        """Record a job that is admitted, and remember its caller if that fails.
+
+        Parameters
+        ----------
+        submission
+            The job.
+        record
+            Records it, and raises an error if it is not recorded or may not be.
+
+        Returns
+        -------
+        bool
+            Whether it was recorded; not if the leader knows it from an earlier attempt.
+
+        Raises
+        ------
+        JobRefused
+            If the job is refused; the leader is certain that no earlier attempt was accepted.
+        """
+        if not self._is_enabled():
+            record(submission.accepted)
+            return True
+        admitted = self._admit(submission)
+        if admitted is None:
+            return False
+        with self._lock:
+            self._recording[submission.key] += 1
+        try:
+            record(admitted)
+        except SnowdockError as error:
+            if error.status in (429, 503, 504):
+                self._remember(submission, error.status == 504)
+            raise
+        finally:
+            with self._lock:
+                self._recording[submission.key] -= 1
+                # Removes the key, unless another attempt is being recorded.
+                self._recording += collections.Counter()
+        return True
+
+    def _admit(self, submission: Submission) -> AcceptedJob | None:
+        """Return the record of an admitted job, or None if it was recorded by an earlier attempt.
+
+        The record has the time of the caller's first attempt.
+        """
+        now = steady_seconds()
+        load = self._find_load()
+        with self._lock:
+            known = self._history.find(submission.key, now)
+            caller = Caller(
+                known.first_seen if known else submission.started_at,
+                # An earlier attempt whose caller did not wait may still be accepted.
+                submission.key in self._recording or (known is not None and known.is_in_doubt),
+            )
+            view = self._make_view(submission, load, now)
+            demand = make_demand(submission.accepted, submission.queue)
+            decision = decide(demand, caller, view, now)
+            if isinstance(decision, Admitted):
+                self._planner.remove(submission.key)
+                if decision.by_bucket:
+                    self._spend(submission, now)
+        if isinstance(decision, Refused):
+            team = submission.accepted.team
+            is_recorded = self._is_recorded(submission.job, team, _LOOKUP_SECONDS)
+            if is_recorded:
+                return None
+            if is_recorded is not None:
+                raise self._refuse(submission, caller, view, decision)
+            # An attempt at another node may have been accepted, so that a refusal could be wrong.
+            log_event("refusal_unconfirmed", job=submission.job, reason=decision.reason.value)
+        return _with_first_attempt(submission.accepted, known, now)
+
+    def _remember(self, submission: Submission, is_in_doubt: bool) -> None:
+        now = steady_seconds()
+        with self._lock:
+            self._history.record(submission.key, submission.started_at, is_in_doubt, now)
+
+    def _make_view(self, submission: Submission, load: LoadReading | None, now: float) -> LoadView:
+        if load is not None:
+            self._metrics.set(
+                "admission_summary_age_seconds",
+                "Age of the load summary at the last decision.",
+                load.age_s,
+            )
+            self._update_bucket(load.summary, now)
+        return make_view(
+            load.summary if load else None,
+            now - load.age_s if load else 0.0,
+            submission.accepted,
+            self._bucket.wait_s(now),
+        )
+
+    def _update_bucket(self, summary: LoadSummary, now: float) -> None:
+        cores = sum(service.usable.cpu for service in summary.services) / 1000
+        if cores <= 0:
+            return
+        is_first = not self._usable_cores
+        self._usable_cores = cores
+        rate = _CAPACITY_FACTOR * cores / max(1, self._node_count, self._count_nodes())
+        if is_first:
+            self._bucket = _make_bucket(rate, now)
+        else:
+            self._bucket.set_rate(rate, rate * MAX_SUMMARY_AGE_SECONDS, now)
+
+    def _spend(self, submission: Submission, now: float) -> None:
+        cost = work_core_seconds(submission.accepted) if self._usable_cores else 1.0
+        self._bucket.spend(cost, now)
+
+    def _refuse(
+        self, submission: Submission, caller: Caller, view: LoadView, decision: Refused
+    ) -> JobRefused:
+        now = steady_seconds()
+        remaining_s = caller.first_seen + submission.deadline_s - now
+        nodes = max(1, self._node_count, self._count_nodes())
+        core_s = max(work_core_seconds(submission.accepted), 0.001)
+        with self._lock:
+            self._history.record(submission.key, caller.first_seen, False, now)
+            retry_after_s = self._planner.plan(
+                submission.key,
+                caller.first_seen,
+                decision.retry_after_s,
+                remaining_s,
+                view.rate / core_s / nodes,
+                random.random(),
+                now,
+            )
+            is_logged = not self._log_bucket.wait_s(now)
+            if is_logged:
+                self._log_bucket.spend(1.0, now)
+        team = submission.accepted.team
+        self._metrics.count(
+            "refusals_total",
+            "Jobs that admission control refused.",
+            reason=decision.reason.value,
+            team=team,
+        )
+        self._metrics.time(
+            "retry_after_seconds", "Retry-After sent to refused callers.", retry_after_s
+        )
+        if is_logged:
+            use = view.teams.get(team)
+            total = sum(each.core_s for each in view.teams.values())
+            log_event(
+                "job_refused",
+                job=submission.job,
+                queue=submission.queue.name,
+                team=team,
+                reason=decision.reason.value,
+                status=decision.status,
+                share=use.share if use else None,
+                use=use.core_s / total if use and total else 0.0,
+                predicted_wait_s=view.predicted_wait_s,
+                summary_age_s=None if view.made_at is None else now - view.made_at,
+                caller_age_s=now - caller.first_seen,
+                retry_after_s=retry_after_s,
+            )
+        error, message = _REFUSALS[decision.reason]
+        return error(f"{message}; the job was not accepted", float(retry_after_s))
+
+    # -- peers -----------------------------------------------------------------------------
+
+    def make_news(self, due_s: float, leads: bool) -> bytes:
+        """Return the news of callers for a heartbeat; empty if there are none.
+
+        Parameters
+        ----------
+        due_s
+            Seconds until the next heartbeat to the same peer.
+        leads
+            Whether this node leads. A leader passes on the news of all nodes.
+        """
+        if not self._is_enabled():
+            return b""
+        now = steady_seconds()
+        limit = _FORWARDED_ENTRIES if leads else _OWN_ENTRIES
+        with self._lock:
+            since = now - due_s - _NEWS_MARGIN_SECONDS
+            entries = self._history.list_changed(since, now, limit, own=not leads)
+        node_count = self._count_nodes() if leads else 0
+        return encode_news(CallerNews(entries, node_count)) if entries or node_count else b""
+
+    def handle_heartbeat(self, heartbeat: Heartbeat) -> None:
+        """Take over the news of a peer."""
+        if not heartbeat.callers or not self._is_enabled():
+            return
+        try:
+            news = decode_news(heartbeat.callers)
+        except InvalidInput as error:
+            log_error("caller_news_dropped", error, peer=heartbeat.node)
+            return
+        with self._lock:
+            self._history.merge(news.entries, steady_seconds())
+            if heartbeat.epoch:
+                self._node_count = news.node_count
+
+
+def _make_bucket(rate: float, now: float) -> TokenBucket:
+    return TokenBucket(rate, rate * MAX_SUMMARY_AGE_SECONDS, now)
+
+
+def _with_first_attempt(
+    accepted: AcceptedJob, known: KnownCaller | None, now: float
+) -> AcceptedJob:
+    if known is None:
+        return accepted
+    first_seen_ms = accepted.accepted_ms - round((now - known.first_seen) * 1000)
+    return msgspec.structs.replace(accepted, first_seen_ms=first_seen_ms)
--- a/src/snowdock/entry/caller_api.py
+++ b/src/snowdock/entry/caller_api.py
@@ -33,6 +33,7 @@
     is_job_id,
 )
 from ..platform.store import KeyedRecord
+from .admission_gate import AdmissionGate, Submission
 from .messages import RecordOutcome
 from .recorder import Recorder
 
@@ -98,6 +99,8 @@
         Sends the leader a record that was appended to the store.
     metrics
         Records the time of requests by method and status.
+    admission
+        Refuses jobs that are not to be recorded; None to admit all.
     """
 
     recorder: Recorder
@@ -110,6 +113,7 @@
     relay_record: Callable[[JobId, KeyedRecord, float], RecordOutcome]
     notify_leader: Callable[[KeyedRecord], None]
     metrics: Metrics
+    admission: AdmissionGate | None = None
 
 
 class CallerApi:
@@ -251,8 +255,20 @@
             queue.max_attempts,
             team,
         )
-        record = KeyedRecord(record_name(job, team), encode(accepted))
-        self._record(job, record, _recording_seconds(environ, started_at))
+
+        def record(admitted: AcceptedJob) -> None:
+            keyed_record = KeyedRecord(record_name(job, team), encode(admitted))
+            self._record(job, keyed_record, _recording_seconds(environ, started_at))
+
+        admission = self._dependencies.admission
+        if admission is None:
+            record(accepted)
+        else:
+            deadline_s = _caller_wait_seconds(environ)
+            submission = Submission(job, accepted, queue, started_at, deadline_s)
+            if not admission.submit(submission, record):
+                log_event("job_already_accepted", job=job, queue=queue.name, team=team)
+                return HttpResponse(200, b"{}", _JSON)
         log_event(
             "job_accepted",
             job=job,
--- a/src/snowdock/entry/daemon.py
+++ b/src/snowdock/entry/daemon.py
@@ -18,10 +18,11 @@
 from ..node.metrics import Metrics
 from ..node.peer_links import HeartbeatPlan
 from ..node.peers import PeerOptions, Peers
-from ..platform.node_settings import NodeEnvironment, read_node_environment
+from ..platform.node_settings import PRESSURE, NodeEnvironment, read_node_environment
 from ..platform.store import StoreClient
 from ..signals import SignalHandlers
 from ..threads import ServiceThread, add_lost_thread_listener
+from .admission_gate import AdmissionGate
 from .advice_dispatcher import AdviceDispatcher, LocalAdviceClient
 from .caller_api import CallerApi, CallerApiDependencies
 from .configuration_watcher import ConfigurationWatcher
@@ -132,6 +133,13 @@
             self._store, self._peers.tell, self._apply_configuration
         )
         self._recorder = recorder = Recorder(self._store, environment.store.parts, self._metrics)
+        self._admission = AdmissionGate(
+            lambda: PRESSURE in self._environment.contracts,
+            self._load_view.read,
+            queries.is_recorded,
+            lambda: len(self._peer_directory.live_peers()) + 1,
+            self._metrics,
+        )
         self._caller_api = CallerApi(
             CallerApiDependencies(
                 recorder,
@@ -144,6 +152,7 @@
                 queries.relay_record,
                 queries.notify_leader,
                 self._metrics,
+                self._admission,
             )
         )
         self._answer_peer = make_request_handler(
@@ -265,12 +274,14 @@
             configuration=self._configuration_watcher.version,
             store_is_slow=self._recorder.is_slow,
             load=self._load_view.data_for(peer, heartbeat.epoch),
+            callers=self._admission.make_news(due_s, leads=bool(heartbeat.epoch)),
         )
 
     def _handle_heartbeat(self, heartbeat: Heartbeat) -> None:
         self._election.handle_heartbeat(heartbeat)
         self._configuration_watcher.handle_heartbeat(heartbeat)
         self._load_view.receive(heartbeat.load)
+        self._admission.handle_heartbeat(heartbeat)
         is_new = self._peer_directory.record_heartbeat(heartbeat)
         if self._election.own_epoch and is_new:
             self._links.update()
--- a/src/snowdock/entry/messages.py
+++ b/src/snowdock/entry/messages.py
@@ -59,6 +59,8 @@
         The version of the configuration in force at the sender; 0 for none.
     load
         For a leader: the encoded load summary; empty if none is due.
+    callers
+        Encoded news of callers that were refused, or whose job may be recorded; empty if none.
     """
 
     node: str
@@ -74,6 +76,7 @@
     configuration: int = 0
     store_is_slow: bool = False
     load: bytes = b""
+    callers: bytes = b""
 
 
 class StatusRequest(_EntryMessage, tag="s"):
--- a/tests/test_admission_replay.py
+++ b/tests/test_admission_replay.py
@@ -67,7 +67,9 @@
         accepted = AcceptedJob(spec, 0, "pool", queue.priority, 1, team)
         view = make_view(self.summary, self.summary_at, accepted, 0.0)
         kind = (team, queue.name)
-        self.longest_prediction[kind] = max(self.longest_prediction[kind], view.predicted_wait_s)
+        self.longest_prediction[kind] = max(
+            self.longest_prediction[kind], view.predicted_wait_s or 0.0
+        )
         decision = decide(make_demand(accepted, queue), Caller(self.now), view, self.now)
         if isinstance(decision, Refused):
             self.refusals[team, queue.name, decision.reason] += 1
--- a/tests/test_load_view.py
+++ b/tests/test_load_view.py
@@ -92,8 +92,11 @@
 class TestHeartbeat(unittest.TestCase):
     def test_versions_decode_each_other(self) -> None:
         """Guards against nodes of two releases that do not hear each other."""
-        heartbeat = Heartbeat("n", "a:1", 3, 0.0, load=encoded(3, 50.0))
+        heartbeat = Heartbeat("n", "a:1", 3, 0.0, load=encoded(3, 50.0), callers=b"c")
         self.assertEqual(ENTRY_MESSAGES.decode(ENTRY_MESSAGES.encode(heartbeat)), heartbeat)
         fields = msgspec.msgpack.decode(ENTRY_MESSAGES.encode(heartbeat))
-        older = ENTRY_MESSAGES.decode(msgspec.msgpack.encode(fields[:-1]))
-        self.assertEqual(older, msgspec.structs.replace(heartbeat, load=b""))
+        without_callers = msgspec.structs.replace(heartbeat, callers=b"")
+        without_both = msgspec.structs.replace(without_callers, load=b"")
+        for left_out, expected in ((1, without_callers), (2, without_both)):
+            older = ENTRY_MESSAGES.decode(msgspec.msgpack.encode(fields[:-left_out]))
+            self.assertEqual(older, expected)
