--- a/src/snowdock/emulator/options.py
+++ b/src/snowdock/emulator/options.py
@@ -67,6 +67,8 @@
         Factors by which runs take longer on the machines in turn, in the order in which they are
         added. A machine keeps its factor across lives and replacements. If empty, one in three
         workers is slower by 1.3, drawn at random.
+    summarizes_load
+        Whether the leaders summarize their load and predict waits.
     """
 
     workload: WorkloadOptions
@@ -83,6 +85,7 @@
     lists_crashed_workers: bool = False
     capacities: tuple[Size, ...] = ()
     lasting_slowness: tuple[float, ...] = ()
+    summarizes_load: bool = False
 
     def capacity_of(self, number: int) -> Size:
         """Return the capacity of a worker by its number, from 0."""
--- a/src/snowdock/entry/daemon.py
+++ b/src/snowdock/entry/daemon.py
@@ -18,10 +18,11 @@
 from ..node.metrics import Metrics
 from ..node.peer_links import HeartbeatPlan
 from ..node.peers import PeerOptions, Peers
-from ..platform.node_settings import NodeEnvironment, read_node_environment
+from ..platform.node_settings import PRESSURE, NodeEnvironment, read_node_environment
 from ..platform.store import StoreClient
 from ..signals import SignalHandlers
 from ..threads import ServiceThread, add_lost_thread_listener
+from .admission_gate import AdmissionGate
 from .advice_dispatcher import AdviceDispatcher, LocalAdviceClient
 from .caller_api import CallerApi, CallerApiDependencies
 from .configuration_watcher import ConfigurationWatcher
@@ -31,10 +32,11 @@
 from .leader import LeaderContext
 from .leader_links import LeaderLinks
 from .leader_queries import LeaderQueries
-from .leader_record import NodeIdentity
+from .leader_record import LeaderRecord, NodeIdentity
 from .leader_settings import cell_settings, claim_delay_seconds
 from .leadership import Leadership
 from .listener import apply_limits, create_listener
+from .load_view import LoadView
 from .messages import ENTRY_MESSAGES, Heartbeat
 from .peer_directory import PeerDirectory
 from .peer_requests import make_request_handler
@@ -87,6 +89,7 @@
         self._stopping = threading.Event()
         self._lost_thread = ""
         self._peer_directory = PeerDirectory()
+        self._load_view = LoadView()
         self._store = StoreClient(environment.store.address, _STORE_CONNECTIONS, environment.node)
         self._advice_client = LocalAdviceClient(environment.advice_address)
         identity = NodeIdentity(environment.node, secrets.token_hex(4), environment.peer_address)
@@ -101,7 +104,7 @@
             lambda: self._configuration_watcher.is_store_stable,
             self._handle_election,
             lambda reason: self._handle_deposition(reason),
-            lambda _: self._links.update(),
+            self._handle_new_leader,
             lambda: self._queries.ask_for_referral(),
             self._lag,
         )
@@ -139,6 +142,13 @@
             self._metrics,
             lambda: self._election.renewal_is_overdue,
         )
+        self._admission = AdmissionGate(
+            lambda: PRESSURE in self._environment.contracts,
+            self._load_view.read,
+            queries.is_recorded,
+            lambda: len(self._peer_directory.live_peers()) + 1,
+            self._metrics,
+        )
         self._caller_api = CallerApi(
             CallerApiDependencies(
                 recorder,
@@ -151,6 +161,7 @@
                 queries.relay_record,
                 queries.notify_leader,
                 self._metrics,
+                self._admission,
             )
         )
         self._answer_peer = make_request_handler(
@@ -255,9 +266,15 @@
             record_event_age=self._lag.record_event_age,
             metrics=self._metrics,
             peers_read_all_progress=self._peer_directory.all_read_progress,
+            publish_load=self._load_view.publish,
         )
 
+    def _handle_new_leader(self, leader: LeaderRecord) -> None:
+        self._load_view.follow(leader.epoch)
+        self._links.update()
+
     def _handle_election(self, epoch: int) -> None:
+        self._load_view.follow(epoch)
         # The peers wait for this node's heartbeats, however long its leader takes to start.
         self._links.update()
         self._leadership.begin(epoch)
@@ -267,18 +284,22 @@
         # The peers now connect to another leader; links to them would be reopened repeatedly.
         self._links.update()
 
-    def _make_heartbeat(self, due_s: float, heard_s: float | None) -> Heartbeat:
+    def _make_heartbeat(self, peer: str, due_s: float, heard_s: float | None) -> Heartbeat:
         heartbeat = self._election.make_heartbeat(due_s, heard_s)
         return msgspec.structs.replace(
             heartbeat,
             configuration=self._configuration_watcher.version,
             store_is_slow=self._recorder.is_slow,
             reads_all_progress=True,
+            load=self._load_view.data_for(peer, heartbeat.epoch),
+            callers=self._admission.make_news(due_s, leads=bool(heartbeat.epoch)),
         )
 
     def _handle_heartbeat(self, heartbeat: Heartbeat) -> None:
         self._election.handle_heartbeat(heartbeat)
         self._configuration_watcher.handle_heartbeat(heartbeat)
+        self._load_view.receive(heartbeat.load)
+        self._admission.handle_heartbeat(heartbeat)
         is_new = self._peer_directory.record_heartbeat(heartbeat)
         if self._election.own_epoch and is_new:
             self._links.update()
--- a/src/snowdock/entry/leader_settings.py
+++ b/src/snowdock/entry/leader_settings.py
@@ -7,7 +7,7 @@
     RETENTION_FACTOR,
     lease_expiry_after_claim_seconds,
 )
-from ..platform.node_settings import NodeEnvironment
+from ..platform.node_settings import PRESSURE, NodeEnvironment
 
 __all__ = ["cell_settings", "claim_delay_seconds"]
 
@@ -58,6 +58,7 @@
         quota_overage=environment.quota_overage,
         pass_time_share=_pass_time_share(environment.cpu_cores),
         examination_s=_EXAMINATION_SECONDS / max(1.0, environment.cpu_cores),
+        summarizes_load=PRESSURE in environment.contracts,
     )
 
 
--- a/src/snowdock/entry/messages.py
+++ b/src/snowdock/entry/messages.py
@@ -60,6 +60,10 @@
     reads_all_progress
         Whether the sender would read all partitions of the progress as the leader; earlier versions
         read only the first.
+    load
+        For a leader: the encoded load summary; empty if none is due.
+    callers
+        Encoded news of callers that were refused, or whose job may be recorded; empty if none.
     """
 
     node: str
@@ -75,6 +79,8 @@
     configuration: int = 0
     store_is_slow: bool = False
     reads_all_progress: bool = False
+    load: bytes = b""
+    callers: bytes = b""
 
 
 class StatusRequest(_EntryMessage, tag="s"):
--- a/src/snowdock/jobs/cell.py
+++ b/src/snowdock/jobs/cell.py
@@ -8,6 +8,7 @@
 from ..declarations import ZERO_SIZE, Size
 from .events import Effect, LogDecision, PublishStatus
 from .job_state import Job, Step, Task
+from .load_history import LoadHistory
 from .model import Configuration, JobId, Queue, StepKey, TaskId
 from .orders import AdviceRequest
 from .team_usage import TeamUsage
@@ -62,6 +63,8 @@
         refused start needs another pass.
     examination_s
         Approximate time to examine one worker for one step.
+    summarizes_load
+        Whether the load is summarized and waits are predicted (contract `pressure`).
     """
 
     lease_s: float
@@ -73,6 +76,7 @@
     quota_overage: float = 0.0
     pass_time_share: float = 0.3
     examination_s: float = 10e-6
+    summarizes_load: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -278,6 +282,8 @@
         Times of the last log lines on resource use, team usage, starving jobs and overdue runs.
     capacity
         Total resources of all workers as of the last tick.
+    load_history
+        Rates and waits for the load summary; None unless the settings ask for it.
     """
 
     def __init__(
@@ -333,6 +339,7 @@
         self.starving_logged_at = now
         self.overdue_logged_at = now
         self.capacity = ZERO_SIZE
+        self.load_history = LoadHistory(now) if settings.summarizes_load else None
 
     @property
     def configuration(self) -> Configuration:
--- a/src/snowdock/jobs/job_state.py
+++ b/src/snowdock/jobs/job_state.py
@@ -4,6 +4,7 @@
 import enum
 from collections.abc import Mapping
 
+from .load_history import WaitPrediction
 from .model import AdviceTerms, JobId, JobStatus, StepKey, StepSpec, TaskId
 from .progress import AcceptedJob, record_name
 
@@ -269,11 +270,14 @@
     Attributes
     ----------
     submitted_at
-        Time of the job's acceptance, in seconds on this node's steady clock.
+        Time of the caller's first attempt to submit the job, in steady-clock seconds.
     critical_paths_ms
         Estimated length of the critical path that starts at each step.
-    is_recorded
-        Whether its submission is recorded; otherwise it was announced, and nothing of it starts.
+    announced_at
+        Time of its announcement while its submission is not recorded, so that nothing of it may
+        start; None once it is.
+    wait_prediction
+        The wait predicted at acceptance; None if there is none, and after the first placement.
     """
 
     id: JobId
@@ -282,11 +286,17 @@
     status: JobStatus = JobStatus.PENDING
     repetitions: list[list[Step]] = dataclasses.field(default_factory=list)
     critical_paths_ms: tuple[float, ...] = ()
-    is_recorded: bool = True
+    announced_at: float | None = None
+    wait_prediction: WaitPrediction | None = None
 
     def __post_init__(self) -> None:
         self.critical_paths_ms = _compute_critical_paths_ms(self.accepted.spec.steps)
 
+    @property
+    def is_recorded(self) -> bool:
+        """Whether the job's submission is recorded."""
+        return self.announced_at is None
+
     @property
     def queue(self) -> str:
         """Name of the job's queue."""
--- a/src/snowdock/jobs/placement.py
+++ b/src/snowdock/jobs/placement.py
@@ -9,6 +9,7 @@
 from .expected_finish import order_by_speed, prefer_by_finish, withhold_slow_workers
 from .failed_runs import begin_probation_run
 from .job_state import Phase, Step, Task
+from .load import record_first_wait, record_started
 from .occupancy import occupy
 from .placement_advice import (
     find_advised_services,
@@ -332,6 +333,8 @@
         cell.deferred.append(DeferredStart(task, task.run))
     step.blocked_since = None
     mark_dirty(cell, step.job)
+    record_started(cell, step, len(chosen))
+    record_first_wait(cell, step.job, now)
     cell.log_decision(
         "placed",
         step.job.id,
--- a/src/snowdock/node/peers.py
+++ b/src/snowdock/node/peers.py
@@ -191,8 +191,8 @@
     on_heartbeat
         Called with each received heartbeat.
     make_heartbeat
-        Creates the heartbeat to send to a peer. Its arguments are the seconds until the next
-        heartbeat to that peer is due, and the seconds since the last heartbeat of that peer
+        Creates the heartbeat to send to a peer. Its arguments are the peer, the seconds until the
+        next heartbeat to that peer is due, and the seconds since the last heartbeat of that peer
         arrived, or None if there was none.
     record_lateness
         Called with the seconds by which the thread was late, each time that heartbeats are due.
@@ -204,7 +204,7 @@
         messages: PeerMessages,
         answer_request: Callable[[object], object | None],
         on_heartbeat: Callable[[object], None],
-        make_heartbeat: Callable[[float, float | None], object],
+        make_heartbeat: Callable[[str, float, float | None], object],
         record_lateness: Callable[[float], None] = lambda _: None,
     ) -> None:
         self._options = options
@@ -550,9 +550,9 @@
             for node in renewed:
                 log_event("peer_link_renewed", peer=node)
             self._fail_requests_on(set(renewed.values()), "renewed")
-        for socket, is_frequent, last_received_s in self._links.due_heartbeats(now):
+        for node, socket, is_frequent, last_received_s in self._links.due_heartbeats(now):
             due_s = options.heartbeat_interval_s * (
                 1 if is_frequent else options.plan.rare_interval
             )
-            heartbeat = self._make_heartbeat(due_s, last_received_s)
+            heartbeat = self._make_heartbeat(node, due_s, last_received_s)
             self._try_send(socket, [self._messages.encode(heartbeat)])
