Cut a node from the store in its test only once it knows the leader

The node was cut off within 10 ms of the election, before it had read who leads, so no leader could record for it.

Change: the test waits for a lookup that the leader has answered. The checks are as before.

--- a/tests/test_store_outages.py
+++ b/tests/test_store_outages.py
@@ -152,6 +152,10 @@
         self.addCleanup(cluster.close)
         self.assertTrue(cluster.wait_ready())
         (node,) = [each for each in cluster.nodes if each is not cluster.leader]
+        path, body = cluster.make_job([SMALL])
+        self.assertEqual(node.call("POST", path, body)[0], 200)
+        # Until its first lookup is answered, the node may not have read who leads.
+        self.assertTrue(wait_until(lambda: cluster.state(node, path) == "completed"))
         cluster.store_proxies[node.number - 1].set(Mode.SILENT)
         silent_at = time.monotonic()
         statuses = []
