Take no answer for lost after a pause of the leader, and queue a request once

Cause: after a pause of the leader's process, the thread that checks for late requests may run before the peers' thread has read the answers that arrived; it would take them for lost, pause their nodes and send all requests again. A request that failed with its link and waited to be sent again could also become late meanwhile, and be queued twice.

Change: after a gap of more than 0.3 s between two checks no answer is taken for lost; a queued request has no time at which it becomes late.

--- a/src/snowdock/entry/advice_dispatcher.py
+++ b/src/snowdock/entry/advice_dispatcher.py
@@ -49,6 +49,10 @@
 _CHECK_SECONDS = 0.05
 """Time between checks for late and lost requests."""
 
+_MAX_CHECK_GAP_SECONDS = 0.3
+"""After a longer gap between two checks no answer is taken for lost: the process was paused, and
+answers that arrived in that time have not been read yet."""
+
 _MAX_ATTEMPTS = 3
 """Maximum number of times that a request is sent before the leader decides anew what to ask."""
 
@@ -257,22 +261,18 @@
 
     def _check_late_requests(self) -> None:
         """Queue late requests for another node, and free nodes of lost ones, until stopped."""
+        checked_at = steady_seconds()
         while not self._stopped.wait(_CHECK_SECONDS):
             now = steady_seconds()
+            was_paused = now - checked_at > _MAX_CHECK_GAP_SECONDS
+            checked_at = now
             with self._lock:
                 late = [
                     each for each in self._pending.values() if each.hedge_at and each.hedge_at < now
                 ]
                 for each in late:
-                    each.hedge_at = None
                     self._queue_first(each)
-                loss_s = self._loss_timeout.limit_s
-                lost = [
-                    each
-                    for each in self._in_progress.values()
-                    if each.node != self._own_node
-                    and now - each.started_at - each.expected_s > loss_s
-                ]
+                lost = [] if was_paused else self._find_lost(now)
                 for each in lost:
                     self._loss_timeout.record_timeout()
                     self._record_loss(each.node, now)
@@ -284,7 +284,17 @@
             if late or lost or self._unavailable_until:
                 self._dispatch()
 
+    def _find_lost(self, now: float) -> list[_Attempt]:
+        """Return the attempts of peers whose answers count as lost."""
+        loss_s = self._loss_timeout.limit_s
+        return [
+            each
+            for each in self._in_progress.values()
+            if each.node != self._own_node and now - each.started_at - each.expected_s > loss_s
+        ]
+
     def _queue_first(self, pending: _PendingRequest) -> None:
+        pending.hedge_at = None
         (self._long_requests if pending.is_long else self._short_requests).appendleft(pending)
 
     def _ask_own(self, attempt: _Attempt) -> None:
--- a/tests/test_advice_dispatcher.py
+++ b/tests/test_advice_dispatcher.py
@@ -1,7 +1,9 @@
 """Tests of distributing requests to the advice service over nodes that may not answer."""
 
+import itertools
 import queue
 import threading
+import time
 import unittest
 from unittest import mock
 
@@ -136,6 +138,24 @@
         self.assertEqual(self.events.get(timeout=15), answered)
         self.assert_no_event()
 
+    def test_pause_of_the_process_loses_no_answer(self) -> None:
+        """After a pause, answers that have arrived are read before any is taken for lost."""
+        self.dispatcher.ask(AskAdvice(REQUEST, 60_000.0))
+        second = AdviceRequest("f" * 16, 0, 0, ())
+        self.dispatcher.ask(AskAdvice(second, 50.0))
+        self.assertEqual([self.nodes.asked.get(timeout=15) for _ in range(2)], ["own", "peer"])
+        with mock.patch.object(advice_dispatcher, "steady_seconds") as clock:
+            # Each check finds that 10 s have passed since the one before.
+            clock.side_effect = itertools.count(time.clock_gettime(time.CLOCK_BOOTTIME), 10.0)
+            time.sleep(0.5)
+            self.assertIn("peer", self.dispatcher._in_progress)
+
+    def test_request_is_queued_once(self) -> None:
+        """A request that is to be sent again does not become late while it waits for a node."""
+        pending = advice_dispatcher._PendingRequest(AskAdvice(REQUEST, 1.0), hedge_at=1.0)
+        self.dispatcher._queue_first(pending)
+        self.assertIsNone(pending.hedge_at)
+
     def test_node_that_lost_answers_is_used_last(self) -> None:
         """Of several idle nodes, one whose answers were lost is not chosen."""
         self.dispatcher._losses["own"] = 1
