--- a/tests/test_advice_dispatcher.py
+++ b/tests/test_advice_dispatcher.py
@@ -156,6 +156,21 @@
         self.dispatcher._queue_first(pending)
         self.assertIsNone(pending.hedge_at)
 
+    @mock.patch.object(advice_dispatcher, "_HEDGE_DELAY_SECONDS", 60.0)
+    def test_request_lost_with_its_connection_is_sent_by_another_node(self) -> None:
+        """A request whose connection was renewed is sent again at once, without a failure."""
+        other = AdviceRequest("f" * 16, 0, 0, ())
+        self.dispatcher.ask(AskAdvice(other, 60_000.0))
+        self.dispatcher.ask(AskAdvice(REQUEST, 50.0))
+        self.assertEqual([self.nodes.asked.get(timeout=15) for _ in range(2)], ["own", "peer"])
+        self.nodes.release_events["own"].set()
+        self.assertEqual(self.events.get(timeout=15).result.request, other)
+        attempt = self.dispatcher._in_progress["peer"]
+        self.dispatcher._handle_outcome(attempt, CallUnanswered("was renewed", unsent=False))
+        self.assertEqual(self.nodes.asked.get(timeout=2.0), "own")
+        answered = AdviceAnswered(AdviceResult(REQUEST, TICKETS))
+        self.assertEqual(self.events.get(timeout=2.0), answered)
+
     def test_node_that_lost_answers_is_used_last(self) -> None:
         """Of several idle nodes, one whose answers were lost is not chosen."""
         self.dispatcher._losses["own"] = 1
