--- a/src/snowdock/entry/load_view.py
+++ b/src/snowdock/entry/load_view.py
@@ -36,6 +36,7 @@
     def __init__(self) -> None:
         self._lock = threading.Lock()
         self._epoch = 0
+        self._seen_epoch = 0
         self._summary: LoadSummary | None = None
         self._arrived_at = 0.0
         self._encoded = b""
@@ -109,6 +110,9 @@
         is_newer = held is None or (summary.epoch, summary.made_at) > (held.epoch, held.made_at)
         if summary.epoch < self._epoch or not is_newer:
             return False
+        if summary.epoch != self._seen_epoch:
+            self._seen_epoch = summary.epoch
+            log_event("load_summary_seen", epoch=summary.epoch)
         self._summary = summary
         self._arrived_at = steady_seconds()
         return True
