Test that a node drops the load of an earlier leader

The test of the order at an election builds a node without its constructor and lacked the holder of the load summary, which an election now tells the epoch. It has one, and a test that both ways of learning of a new leader drop the summary of the one before.

--- a/tests/test_leader_links.py
+++ b/tests/test_leader_links.py
@@ -7,6 +7,8 @@
 from snowdock.entry.daemon import EntryNode
 from snowdock.entry.leader_links import LeaderLinks
 from snowdock.entry.leader_record import LeaderRecord
+from snowdock.entry.load_view import LoadView
+from snowdock.jobs.load_summary import LoadSummary
 
 PEERS = {"node-2": "10.0.0.2:7400", "node-3": "10.0.0.3:7400"}
 
@@ -57,6 +59,7 @@
         self.node = EntryNode.__new__(EntryNode)
         self.node._election = mock.Mock(own_epoch=0, leader=None)
         self.node._leadership = mock.Mock()
+        self.node._load_view = LoadView()
         self.set_addresses = mock.Mock()
         directory = mock.Mock(addresses=lambda: dict(PEERS))
         self.node._links = LeaderLinks("node-1", self.node._election, directory, self.set_addresses)
@@ -82,6 +85,19 @@
         self.node._handle_election(5)
         self.assertEqual(connected, [PEERS])
 
+    def test_load_of_an_earlier_leader_is_dropped(self) -> None:
+        """Guards against decisions by an earlier leader's load, whoever leads next."""
+        record = LeaderRecord("node-2", "1", PEERS["node-2"], 6)
+        for follow in (
+            lambda: self.node._handle_election(5),
+            lambda: self.node._handle_new_leader(record),
+        ):
+            epoch = self.node._load_view._epoch
+            self.node._load_view.publish(LoadSummary(epoch=epoch, made_at=1.0))
+            self.assertIsNotNone(self.node._load_view.read())
+            follow()
+            self.assertIsNone(self.node._load_view.read())
+
 
 if __name__ == "__main__":
     unittest.main()
