Model the tails of run times, and move runs for a stated gain

Cause: a run in the tail made its worker and its step look slow, so that sound runs were moved away, and its end was forecast too early; a step that probably has a run in the tail counted as having slack on a slow machine.

Change: run_times keeps, by queue, the mean ratio of real to estimated time, and the share and mean of the tail. Where one run in a hundred is in it, such a run hardly counts for its worker and not for its step, its end follows its rate so far, and the slack of steps allows for it. stragglers replaces should_move: run_moved has a reason and the expected gain, and runs in the tail that save checkpoints move from slow machines to fast ones. Ranks don't use the model yet.

--- a/src/snowdock/jobs/cell.py
+++ b/src/snowdock/jobs/cell.py
@@ -10,6 +10,7 @@
 from .job_state import Job, Step, Task
 from .model import Configuration, JobId, Queue, StepKey, TaskId
 from .orders import AdviceRequest
+from .run_times import QueueTimes
 from .team_usage import TeamUsage
 from .workers import Worker, WorkerEntry
 
@@ -229,9 +230,8 @@
         Times at which workers stopped answering.
     machine_speeds
         Lasting speeds of machines, by address.
-    queue_ratios
-        Number of runs learned from, and mean logarithm of the ratio of their times to their
-        estimates, by queue.
+    queue_times
+        Model of run times, by queue.
     is_uneven, unevenness_updated_at
         Whether lasting speeds differ enough to matter, and when that was last determined.
     fast_log_slowness, slow_log_slowness
@@ -297,7 +297,7 @@
         self.failing_step_share: dict[str, float] = {}
         self.silence_times: collections.deque[float] = collections.deque(maxlen=_MAX_SILENCES)
         self.machine_speeds: dict[str, MachineSpeed] = {}
-        self.queue_ratios: dict[str, tuple[int, float]] = {}
+        self.queue_times: dict[str, QueueTimes] = {}
         self.is_uneven = False
         self.unevenness_updated_at = now
         self.fast_log_slowness = self.slow_log_slowness = 0.0
--- a/src/snowdock/jobs/expected_finish.py
+++ b/src/snowdock/jobs/expected_finish.py
@@ -12,7 +12,7 @@
 from .job_state import Step
 from .machine_speeds import is_slow
 from .reservations import find_earliest_slots
-from .speeds import typical_seconds
+from .speeds import has_tail, typical_seconds
 from .workers import Worker
 
 __all__ = ["order_by_speed", "prefer_by_finish", "withhold_slow_workers"]
@@ -20,6 +20,9 @@
 _SLACK_SHARE = 0.15
 """Share of a job's objective that a step on a slow worker must leave: its run may take longer."""
 
+_LIKELY = 0.5
+"""Chance that a step has a run in the tail of its queue from which it is expected to have one."""
+
 _SLOWNESS_PREFERENCE = 2.0
 """Score for each unit of slowness: `deadline_first.star` subtracts one, and the rest outweighs its
 preference for full workers."""
@@ -32,12 +35,22 @@
     return job.submitted_at + cell.objective_seconds(job) - later_s
 
 
+def _longest_seconds(cell: Cell, step: Step) -> float:
+    """Return how long the longest run of a step probably takes on a machine of normal speed."""
+    seconds = typical_seconds(step)
+    if has_tail(cell, step):
+        times = cell.queue_times[step.job.queue]
+        if 1 - (1 - times.tail_share) ** step.spec.count >= _LIKELY:
+            seconds *= math.exp(times.mean_log_tail)
+    return seconds
+
+
 def has_slack(cell: Cell, step: Step, now: float) -> bool:
     """Check whether a step ends in time on a slow worker, too."""
     if step.spec.gang or step.spec.long_running:
         return False
     slack = _SLACK_SHARE * cell.objective_seconds(step.job)
-    end = now + typical_seconds(step) * math.exp(cell.slow_log_slowness)
+    end = now + _longest_seconds(cell, step) * math.exp(cell.slow_log_slowness)
     return end + slack <= _latest_end(cell, step)
 
 
--- a/src/snowdock/jobs/forecast.py
+++ b/src/snowdock/jobs/forecast.py
@@ -5,7 +5,8 @@
 from ..declarations import Size
 from .cell import Cell
 from .job_state import Phase, Step, Task
-from .speeds import typical_seconds
+from .run_times import TAIL_FACTOR
+from .speeds import has_tail, typical_seconds
 from .workers import Worker
 
 __all__ = ["expected_end", "remaining_seconds", "upcoming_free_room"]
@@ -21,9 +22,26 @@
 def remaining_seconds(cell: Cell, worker: Worker, task: Task, now: float) -> float:
     """Return for how many more seconds a task's run is expected to occupy its worker.
 
-    An overdue run is expected to take as much longer as it is overdue.
+    An overdue run is expected to take as much longer as it is overdue. In a queue whose run times
+    have a tail, a run that outlasts the body continues at its rate so far, or, if that is unknown,
+    takes as long as a run in the tail.
     """
-    return abs(_planned_remaining_seconds(cell, worker, task, now))
+    planned = _planned_remaining_seconds(cell, worker, task, now)
+    if task.phase is not Phase.RUNNING or task.step.spec.long_running:
+        return abs(planned)
+    if not has_tail(cell, task.step):
+        return abs(planned)
+    longest_body_s = TAIL_FACTOR * typical_seconds(task.step) * worker.slowness
+    elapsed = now - task.phase_since
+    if task.is_whole_run and 0 < task.measured_percent < 100:
+        measured_s = task.measured_at - task.phase_since
+        total_s = 100 * measured_s / task.measured_percent
+    elif elapsed > longest_body_s:
+        times = cell.queue_times[task.step.job.queue]
+        total_s = longest_body_s / TAIL_FACTOR * math.exp(times.mean_log_tail)
+    else:
+        return abs(planned)
+    return max(abs(planned), total_s - elapsed) if total_s > longest_body_s else abs(planned)
 
 
 def _planned_remaining_seconds(cell: Cell, worker: Worker, task: Task, now: float) -> float:
--- a/src/snowdock/jobs/machine_speeds.py
+++ b/src/snowdock/jobs/machine_speeds.py
@@ -13,6 +13,7 @@
 
 from .cell import Cell
 from .job_state import Phase, Task
+from .run_times import QueueTimes
 from .workers import Worker
 
 __all__ = [
@@ -32,12 +33,6 @@
 _MIN_RUN_SECONDS = 0.25
 """Shorter runs are not learned from, since calls and reports take a large part of their time."""
 
-_MAX_LOG_RATIO = math.log(3)
-"""Limit of one run's slowness, so that a task in the tail of its queue counts little."""
-
-_MIN_QUEUE_WEIGHT = 0.005
-"""Minimum weight of one run in the mean ratio of its queue: the last 200 runs count."""
-
 _UNEVEN_FACTOR = 1.5
 """Lasting speeds matter from this factor between slow and fast machines on: sound workers of one
 kind differ by up to this much for moments, and speeds within 15 % must not change any decision."""
@@ -122,13 +117,11 @@
     machine = cell.machine_speeds.get(worker.entry.address)
     if machine is None:
         machine = cell.machine_speeds[worker.entry.address] = MachineSpeed()
+    times = cell.queue_times.get(task.step.job.queue)
+    if times is None:
+        times = cell.queue_times[task.step.job.queue] = QueueTimes()
     log_ratio = math.log(1000 * seconds / spec.estimate_ms)
-    queue = task.step.job.queue
-    count, mean = cell.queue_ratios.get(queue, (0, log_ratio))
-    deviation = max(-_MAX_LOG_RATIO, min(_MAX_LOG_RATIO, log_ratio - mean))
-    weight = max(_MIN_QUEUE_WEIGHT, 1 / (count + 1))
-    cell.queue_ratios[queue] = (count + 1, mean + weight * (deviation - machine.log_slowness))
-    machine.observe(deviation, now)
+    machine.observe(times.observe(log_ratio, machine.log_slowness), now)
 
 
 def lasting_slowness(cell: Cell, worker: Worker) -> float:
--- a/src/snowdock/jobs/speeds.py
+++ b/src/snowdock/jobs/speeds.py
@@ -10,9 +10,10 @@
 from .job_state import Phase, Step, Task
 from .machine_speeds import lasting_slowness
 from .orders import RunningRun
+from .run_times import TAIL_FACTOR
 from .workers import Worker
 
-__all__ = ["decay_idle_slowness", "learn_speed", "should_move", "typical_seconds"]
+__all__ = ["decay_idle_slowness", "has_tail", "learn_speed", "typical_seconds"]
 
 _WINDOW_SECONDS = 0.25
 """Minimum time over which progress is measured, as it is reported in whole percents."""
@@ -28,6 +29,12 @@
 _MAX_LOG_RATIO = math.log(8)
 """Limit of one observation, a factor of 8, so that a stalled run does not dominate the estimate."""
 
+_TAIL_LOG_RATIO = math.log(TAIL_FACTOR)
+"""Limit in a queue whose run times have a tail, so that one run does not make its worker slow."""
+
+_TAIL_WORKER_WEIGHT = _WORKER_WEIGHT / 4
+"""Weight of such an observation: all runs of a worker together show a real slowdown in 2 to 3 s."""
+
 _IDLE_DECAY = 0.97
 """Factor by which an idle worker's slowness decays each tick of 0.1 s: by half in about two
 seconds, so that the worker is used again."""
@@ -35,20 +42,6 @@
 _MIN_RUN_SECONDS = 0.05
 """Minimum estimate of a run's time, since an estimate of 0 has no logarithm."""
 
-_SLOW_FACTOR = 1.8
-_LOG_SLOW_FACTOR = math.log(_SLOW_FACTOR)
-"""Slowness, relative to the lasting one, from which runs are moved away from a worker; sound
-workers differ by up to 50 %. Lasting slowness was known when the run was placed."""
-
-_MIN_GAIN_FACTOR = 1.6
-"""A run is moved only if its remaining time here is at least this multiple of that elsewhere."""
-
-_MOVE_COST_SECONDS = 0.5
-"""Cost of moving a run: the stop, new advice and a new start."""
-
-_MAX_MOVES = 2
-"""Maximum number of moves of a task, so that it ends eventually."""
-
 
 def typical_seconds(step: Step) -> float:
     """Return the estimated time of a run of a step on a worker of normal speed."""
@@ -61,7 +54,13 @@
     return step.log_run_seconds
 
 
-def learn_speed(worker: Worker, task: Task, running: RunningRun, now: float) -> None:
+def has_tail(cell: Cell, step: Step) -> bool:
+    """Check whether the run times of a step's queue have a tail."""
+    times = cell.queue_times.get(step.job.queue)
+    return times is not None and times.has_tail
+
+
+def learn_speed(cell: Cell, worker: Worker, task: Task, running: RunningRun, now: float) -> None:
     """Update the estimates of a worker's slowness and a step's time from a run's progress."""
     if task.phase is not Phase.RUNNING or task.step.spec.long_running:
         # The percentage of a long-running task is not its progress.
@@ -80,6 +79,10 @@
     observed_log = math.log(100 * seconds / gained_percent)
     step_log = _log_run_seconds(task.step)
     log_ratio = max(-_MAX_LOG_RATIO, min(_MAX_LOG_RATIO, observed_log - step_log))
+    if log_ratio > _TAIL_LOG_RATIO and has_tail(cell, task.step):
+        # Probably a run in the tail, which says little about its worker and nothing about its step.
+        worker.log_slowness += _TAIL_WORKER_WEIGHT * (_TAIL_LOG_RATIO - worker.log_slowness)
+        return
     worker.log_slowness += _WORKER_WEIGHT * (log_ratio - worker.log_slowness)
     task.step.log_run_seconds = step_log + _STEP_WEIGHT * (
         observed_log - worker.log_slowness - step_log
@@ -92,41 +95,3 @@
         if not worker.runs:
             lasting = lasting_slowness(cell, worker)
             worker.log_slowness = lasting + _IDLE_DECAY * (worker.log_slowness - lasting)
-
-
-def should_move(cell: Cell, worker: Worker, task: Task) -> bool:
-    """Check whether a run on a slow worker would end sooner if it were moved to another worker."""
-    if (
-        worker.log_slowness - lasting_slowness(cell, worker) < _LOG_SLOW_FACTOR
-        or task.moves >= _MAX_MOVES
-        or task.phase is not Phase.RUNNING
-        or task.step.spec.long_running
-    ):
-        return False
-    step = task.step
-    typical = typical_seconds(step)
-    remaining = typical * (100 - task.percent) / 100
-    elsewhere = remaining if step.spec.checkpointing else typical
-    if remaining * worker.slowness < _MIN_GAIN_FACTOR * elsewhere + _MOVE_COST_SECONDS:
-        return False
-    return _has_room_elsewhere(cell, worker, step)
-
-
-def _has_room_elsewhere(cell: Cell, worker: Worker, step: Step) -> bool:
-    wanted = len(step.tasks) if step.spec.gang else 1
-    room = step.spec.room
-    slots = 0
-    for other in cell.workers.values():
-        if other is worker or not other.is_synced or other.entry.draining:
-            continue
-        if other.entry.service != worker.entry.service or other.slowness >= _SLOW_FACTOR:
-            continue
-        if step.advice is not None and other.life not in step.advice.tickets:
-            continue
-        free = other.free
-        while free.holds(room) and slots < wanted:
-            slots += 1
-            free = free.minus(room)
-        if slots >= wanted:
-            return True
-    return False
--- a/src/snowdock/jobs/worker_reports.py
+++ b/src/snowdock/jobs/worker_reports.py
@@ -11,7 +11,8 @@
 from .occupancy import occupy, vacate
 from .orders import EndedRun, EndKind, RunningRun, WorkerReport
 from .runs import acknowledge_ends, apply_run_end, mark_job_running, send_stop, stop_run, void_run
-from .speeds import learn_speed, should_move
+from .speeds import learn_speed
+from .stragglers import find_move
 from .suspects import end_exclusive_use
 from .worker_lives import handle_life_refusal
 from .workers import Worker
@@ -138,8 +139,9 @@
         task.phase_since = now
     end_exclusive_use(cell, worker, task, now)
     clear_losses(cell, task, now)
-    learn_speed(worker, task, running, now)
-    if should_move(cell, worker, task):
+    learn_speed(cell, worker, task, running, now)
+    move = find_move(cell, worker, task, now)
+    if move is not None:
         task.moves += 1
         cell.log_decision(
             "run_moved",
@@ -149,6 +151,8 @@
             worker=worker.life,
             slowness=worker.slowness,
             percent=running.percent,
+            reason=move.reason,
+            gain_s=move.gain_s,
         )
         stop_run(cell, task, now)
 
--- a/tests/test_machine_speeds.py
+++ b/tests/test_machine_speeds.py
@@ -70,7 +70,7 @@
     def test_slow_machine_is_told_from_a_fast_one_whatever_the_estimates(self) -> None:
         for estimate_ms in (1, 700, 10**9):
             self.cell.machine_speeds.clear()
-            self.cell.queue_ratios.clear()
+            self.cell.queue_times.clear()
             self.learn(1.7, estimate_ms)
             found = {key: each.log_slowness for key, each in self.cell.machine_speeds.items()}
             self.assertAlmostEqual(SLOW, found["slow"] - found["fast"], delta=0.05)
