Restore reasons and figures of constants in comments

Cause: when comments were reworded, some lost the figure, the reason or the fault behind a constant.

Change: comments only.

--- a/src/snowdock/decisions/capacity_index.py
+++ b/src/snowdock/decisions/capacity_index.py
@@ -23,7 +23,8 @@
 
 _MAX_PROBATION_SHARE = 0.5
 """If a larger share of the workers fails, the work is presumed to be at fault, and failing workers
-get further tasks while others run."""
+get further tasks while others run. Without this limit, jobs that always fail have closed all four
+workers of a small cluster to everything else."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/snowdock/entry/configuration_watcher.py
+++ b/src/snowdock/entry/configuration_watcher.py
@@ -29,7 +29,7 @@
 
 _FORWARD_INTERVAL_SECONDS = 1.0
 """Pause before a version is sent to the same peer again, in case the message was lost. A
-configuration may have 100 KB."""
+configuration may have 100 KB, a sixth of a second on the narrowest links."""
 
 
 class ConfigurationWatcher:
--- a/src/snowdock/entry/daemon.py
+++ b/src/snowdock/entry/daemon.py
@@ -51,7 +51,8 @@
 
 _INFREQUENT_HEARTBEAT_FACTOR = 3
 """The other peers get every third heartbeat, and send the leader heartbeats at the same rate. This
-limits the traffic of the leader of a large cluster."""
+limits the traffic of the leader of a large cluster: with 97 nodes, it sends and receives about 400
+heartbeats a second instead of 960."""
 
 _FREQUENT_PEERS = 12
 """Number of peers that get every heartbeat of a leader; enough to survive a common failure."""
--- a/src/snowdock/entry/listener.py
+++ b/src/snowdock/entry/listener.py
@@ -24,7 +24,8 @@
 
 _CALLERS_DESCRIPTOR_SHARE = 0.5
 """Share of a node's file descriptors that callers' connections may use. The rest is for files, the
-store, workers and peers, which use two descriptors each."""
+store, workers and peers, which use two descriptors each: of 4,100 descriptors, it suffices for 700
+workers and 97 nodes."""
 
 _EXTRA_CONNECTIONS = 100
 """Connections above the limit that are still accepted, to be answered with an error. Further ones
--- a/src/snowdock/entry/recorder.py
+++ b/src/snowdock/entry/recorder.py
@@ -49,7 +49,8 @@
 """Interval at which a waiting record checks whether the store has become silent."""
 
 _MAX_BATCH_RECORDS = 64
-"""Largest number of records in one append, well below the size limit of a call."""
+"""Largest number of records in one append: with the longest bodies, a quarter of the size limit of
+a call."""
 
 
 @dataclasses.dataclass(slots=True, eq=False)
--- a/src/snowdock/entry/renewals.py
+++ b/src/snowdock/entry/renewals.py
@@ -11,7 +11,8 @@
 it is conditional."""
 
 _REJECTED_RENEWALS = 2
-"""Rejected renewals without a success in between, after which a leader reports the rejection."""
+"""Rejected renewals without a success in between, after which a leader reports the rejection.
+A single one may be chance."""
 
 _REJECTION_SECONDS = 0.1
 """A renewal that fails faster counts as rejected; after a slower failure it may still arrive."""
--- a/src/snowdock/entry/store_health.py
+++ b/src/snowdock/entry/store_health.py
@@ -22,7 +22,7 @@
 only add to the partition's queue."""
 
 _FAILURES_UNTIL_DOWN = 2
-"""Consecutive failures after which the store counts as down."""
+"""Consecutive failures after which the store counts as down; a single one may be chance."""
 
 _SLOW_APPEND_SECONDS = 0.1
 """The store counts as slow if appends usually take longer than this, ten times the normal time."""
--- a/src/snowdock/entry/turnover.py
+++ b/src/snowdock/entry/turnover.py
@@ -14,7 +14,8 @@
 
 MAX_TIMEOUT_FACTOR = 2.0**_MAX_DOUBLINGS
 """Upper bound of the timeout as a multiple of the usual one, so that slow nodes can complete a
-takeover."""
+takeover: about 14 s in all. With 350 jobs on record, a node of 0.12 of a core needs 3.4 s from its
+claim to its first orders."""
 
 
 def timeout_factor(turnover: int, term_s: float) -> float:
--- a/src/snowdock/jobs/candidates.py
+++ b/src/snowdock/jobs/candidates.py
@@ -37,7 +37,8 @@
 
 _MAX_CAUTION_SECONDS = 2.0
 """Maximum time for which a step that is held up avoids workers in quarantine; a last
-attempt waits longer."""
+attempt waits longer. Users allow three seconds beside free room, and a ticket and a record take up
+to one of them."""
 
 
 class Caution(enum.IntEnum):
--- a/src/snowdock/jobs/placement.py
+++ b/src/snowdock/jobs/placement.py
@@ -38,12 +38,13 @@
 
 _MAX_EXAMINED_PER_PASS = 1_500
 """Maximum number of workers examined in one pass, so that renewals and answers are not delayed for
-long. Half of them are examined for the steps with the highest rank, half for the steps whose last
-search is the oldest."""
+long: about 15 ms. Half of them are examined for the steps with the highest rank, half for the
+steps whose last search is the oldest."""
 
 _MAX_BLOCKED_SECONDS = 1.5
 """Time after which a step that runs nothing, and that only reservations block, may place one task
-on reserved room."""
+on reserved room. Users allow three seconds beside free room, and tickets take up to half a second
+of them."""
 
 _CROWDED_STEP_COUNT = 50
 _SEARCH_RETRY_SECONDS = 0.05
--- a/src/snowdock/jobs/placement_advice.py
+++ b/src/snowdock/jobs/placement_advice.py
@@ -30,8 +30,8 @@
 """Maximum number of workers in one request, a limit of the service."""
 
 _UNKNOWN_SLOTS_PER_TASK = 5
-"""Slots on workers not asked about yet that are requested for each task: some of the workers are
-not fit, and some of the slots are taken before the answer."""
+"""Slots on workers not asked about yet that are requested for each task: as few as three in
+ten workers are fit, and some of the slots are taken before the answer."""
 
 _KNOWN_SLOTS_PER_TASK = 2
 """Slots on workers known to be fit that are requested for each task."""
--- a/src/snowdock/jobs/preemption.py
+++ b/src/snowdock/jobs/preemption.py
@@ -21,8 +21,9 @@
 __all__ = ["has_claim", "preempt_runs", "release_expired_claims"]
 
 _CLAIM_SECONDS = 1.0
-"""Time for which freed resources are held for a step: longer than a stop, its report and the
-recording of the placement, shorter than a ticket is valid."""
+"""Time for which freed resources are held for a step: longer than a stop (up to 0.4 s), its
+report and the recording of the placement (about 0.1 s), shorter than a ticket is valid (1.5 s or
+more)."""
 
 _MIN_TICKET_SECONDS = 0.7
 """Minimum remaining validity of a ticket, so that it does not expire before the runs end."""
--- a/src/snowdock/logs.py
+++ b/src/snowdock/logs.py
@@ -22,8 +22,8 @@
 """Lines queued for the stream: a few seconds of the busiest node, about 1 MB."""
 
 _EVENT_LINES_PER_SECOND = 400
-"""Maximum number of lines of one kind per second; a large cluster's leader logs hundreds of ends of
-runs in that time."""
+"""Maximum number of lines of one kind per second; the leader of 270 workers logs about 300 ends of
+runs in that time. With a limit of 100, half of the time that late jobs took was not explained."""
 
 _ERROR_LINES_PER_SECOND = 800
 """Lines of one kind of error per second; higher because operators look for errors."""
--- a/src/snowdock/node/peers.py
+++ b/src/snowdock/node/peers.py
@@ -26,7 +26,7 @@
 _MAX_MESSAGE_BYTES = 64 * 1024 * 1024
 _MAX_ANSWER_THREADS = 160
 """Maximum number of threads that process requests of peers. With a slow store, each may be blocked
-for a second or two. Threads are started on demand."""
+for a second or two, and 100 jobs a second may arrive. Threads are started on demand."""
 
 _LOOKUP_THREADS = 8
 """Threads that process lookups of peers, each of which takes well below a millisecond."""
--- a/src/snowdock/platform/store.py
+++ b/src/snowdock/platform/store.py
@@ -24,7 +24,8 @@
 _LENGTH_PREFIX = struct.Struct(">I")
 _PAGE_HEADER = struct.Struct(">QQ")
 _LONG_POLL_SLACK_SECONDS = 0.7
-"""Added to the wait of a long poll for its timeout; leaves room for a store that takes 0.3 s."""
+"""Added to the wait of a long poll for its timeout; leaves room for a store that takes 0.3 s,
+which is 70 times its normal time."""
 
 _REFUSAL_STATUSES = (429, 503, 507)
 
--- a/src/snowdock/reducer/_common.py
+++ b/src/snowdock/reducer/_common.py
@@ -33,7 +33,8 @@
 KEY_WINDOW_MS = 8 * 3600 * 1000
 """How long the key and the task counts of a finished work are kept.
 
-This bounds the memory of a node; see ``docs/CAPACITY.md``.
+This bounds the memory of a node: at 13,000 jobs a day, these take about 4 MB, and those of a whole
+day would take 11 MB; see ``docs/CAPACITY.md``.
 """
 
 
