--- a/src/snowdock/entry/peer_requests.py
+++ b/src/snowdock/entry/peer_requests.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from concurrent.futures import Future
 
+from ..clocks import steady_seconds
 from ..errors import PlatformError
 from ..jobs.model import JobId
 from ..jobs.orders import AdviceRequest
@@ -68,7 +69,11 @@
             case AdviceRelayRequest():
                 return _ask_advice(advice_client, request)
             case RecordRequest(number, job, key, value, seconds):
-                return RecordReply(number, record_locally(job, KeyedRecord(key, value), seconds))
+                record = KeyedRecord(key, value)
+                outcome = queries.record_for_peer(
+                    record, lambda: record_locally(job, record, seconds)
+                )
+                return RecordReply(number, outcome)
             case RecordNotice(key, value):
                 queries.apply_record(KeyedRecord(key, value))
             case ConfigurationNotice(data):
@@ -82,9 +87,10 @@
     advice_request = AdviceRequest(
         request.job, request.repetition, request.step, tuple(request.workers)
     )
+    started_at = steady_seconds()
     try:
         advice = advice_client.ask(advice_request, request.timeout_s)
     except PlatformError as error:
         log_event("advice_unanswered", job=request.job, step=request.step, reason=str(error))
         return AdviceReply(request.number, None)
-    return AdviceReply(request.number, advice.tickets)
+    return AdviceReply(request.number, advice.tickets, steady_seconds() - started_at)
--- a/src/snowdock/jobs/cell.py
+++ b/src/snowdock/jobs/cell.py
@@ -2,6 +2,7 @@
 
 import collections
 import dataclasses
+import typing
 from collections.abc import Callable
 
 from ..declarations import ZERO_SIZE, Size
@@ -12,6 +13,9 @@
 from .team_usage import TeamUsage
 from .workers import Worker, WorkerEntry
 
+if typing.TYPE_CHECKING:
+    from .machine_speeds import MachineSpeed
+
 __all__ = [
     "Cell",
     "CellSettings",
@@ -52,6 +56,12 @@
         Time for which an ended job is kept.
     quota_overage
         Fraction by which a team may temporarily exceed its quota to start a gang as a whole.
+    pass_time_share
+        Maximum fraction of the time spent in placement passes, as estimated. The rest is left for
+        other events: if these are delayed, tickets expire before their starts are sent, and each
+        refused start needs another pass.
+    examination_s
+        Approximate time to examine one worker for one step.
     """
 
     lease_s: float
@@ -61,6 +71,8 @@
     stop_s: float
     retention_s: float
     quota_overage: float = 0.0
+    pass_time_share: float = 0.3
+    examination_s: float = 10e-6
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -192,6 +204,9 @@
         Times of the leadership claim, of the start, and of the newest event.
     jobs
         Known jobs by id, including ended ones until their retention time ends.
+    held_starts
+        Starts of announced jobs that wait for the jobs' submissions to be recorded, by job. Each
+        announced job has an entry, in the order of the announcements.
     job_ended_at
         End times of ended jobs, in ascending order.
     early_cancellations
@@ -223,6 +238,16 @@
         Recent share of steps that fail on every worker, by service.
     silence_times
         Times at which workers stopped answering.
+    machine_speeds
+        Lasting speeds of machines, by address.
+    queue_ratios
+        Number of runs learned from, and mean logarithm of the ratio of their times to their
+        estimates, by queue.
+    is_uneven, unevenness_updated_at
+        Whether lasting speeds differ enough to matter, and when that was last determined.
+    fast_log_slowness, slow_log_slowness
+        The logarithms of the lasting slowness of fast and of slow machines: the first and the last
+        tenth.
     claims
         Resources that are held for steps, by preemption or by reservation.
     starting_gangs
@@ -267,6 +292,7 @@
         self._configuration = Configuration(0)
         self._queues: dict[str, Queue] = {}
         self.jobs: dict[JobId, Job] = {}
+        self.held_starts: dict[JobId, list[DeferredStart]] = {}
         self.job_ended_at: dict[JobId, float] = {}
         self.early_cancellations: set[str] = set()
         self.unreadable_jobs: set[JobId] = set()
@@ -282,6 +308,11 @@
         self.crashed_at: dict[str, float] = {}
         self.failing_step_share: dict[str, float] = {}
         self.silence_times: collections.deque[float] = collections.deque(maxlen=_MAX_SILENCES)
+        self.machine_speeds: dict[str, MachineSpeed] = {}
+        self.queue_ratios: dict[str, tuple[int, float]] = {}
+        self.is_uneven = False
+        self.unevenness_updated_at = now
+        self.fast_log_slowness = self.slow_log_slowness = 0.0
         self.claims: dict[StepKey, Claim] = {}
         self.starting_gangs: dict[StepKey, Step] = {}
         self.pending_stops: dict[tuple[str, TaskId, int], PendingStop] = {}
--- a/src/snowdock/jobs/placement.py
+++ b/src/snowdock/jobs/placement.py
@@ -6,6 +6,7 @@
 from .candidates import Candidate, choose_workers, find_candidates, is_bulky
 from .cell import Cell, DeferredStart
 from .durability import mark_dirty
+from .expected_finish import order_by_speed, prefer_by_finish, withhold_slow_workers
 from .failed_runs import begin_probation_run
 from .job_state import Phase, Step, Task
 from .occupancy import occupy
@@ -34,18 +35,11 @@
 _MIN_PASS_INTERVAL_SECONDS = 0.005
 """Minimum time between two passes, so that one pass covers several changes."""
 
-_SECONDS_PER_EXAMINED_WORKER = 10e-6
-"""Approximate time to examine one worker for one step."""
-
 _MAX_EXAMINED_PER_PASS = 1_500
 """Maximum number of workers examined in one pass, so that renewals and answers are not delayed for
 long. Half of them are examined for the steps with the highest rank, half for the steps whose last
 search is the oldest."""
 
-_MAX_PASS_TIME_SHARE = 0.3
-"""Maximum fraction of the time spent in passes. The rest is left for other events: if these are
-delayed, tickets expire before their starts are sent, and each refused start needs another pass."""
-
 _MAX_BLOCKED_SECONDS = 1.5
 """Time after which a step that runs nothing, and that only reservations block, may place one task
 on reserved room."""
@@ -88,7 +82,7 @@
     examined += _search_steps(cell, newly_advised, pools, now, _MAX_EXAMINED_PER_PASS)
     neglected = _find_neglected_steps(cell, examined_by_rank >= max_examined, now)
     examined += _search_steps(cell, neglected, pools, now, max_examined)
-    pause = examined * _SECONDS_PER_EXAMINED_WORKER / _MAX_PASS_TIME_SHARE
+    pause = examined * cell.settings.examination_s / cell.settings.pass_time_share
     cell.next_placement_at = now + max(_MIN_PASS_INTERVAL_SECONDS, pause)
 
 
@@ -143,6 +137,7 @@
         return 1 + _place_advised(cell, step, tasks, isolation, pool, now)
     workers = _filter_by_isolation(isolation, list(pool.workers.values()), now)
     candidates = _find_step_candidates(cell, step, workers, workers, isolation, now)
+    candidates = _choose_by_finish(cell, step, candidates, len(tasks), workers, now)
     remaining = _place_tasks(cell, step, tasks, isolation, candidates, now)
     if remaining:
         if step.is_bulky:
@@ -177,6 +172,7 @@
     workers = _filter_by_isolation(isolation, _find_workers_with_ticket(step, pool, now), now)
     fit = _filter_by_isolation(isolation, _find_fit_workers(step, pool), now)
     candidates = _find_step_candidates(cell, step, workers, fit, isolation, now)
+    candidates = _choose_by_finish(cell, step, candidates, len(tasks), fit, now)
     remaining = _place_tasks(cell, step, tasks, isolation, candidates, now)
     examined = len(workers)
     if not remaining or (len(remaining) < len(tasks) and not step.is_bulky):
@@ -186,11 +182,24 @@
         if _claim_or_reserve_room(cell, step, workers, fit, len(remaining), now):
             return examined
     if not step.advice.pending_requests and may_request_advice(cell, step, fit, now):
-        examined += request_advice(cell, step, pool.by_free_cpu, fit, len(remaining), now)
+        by_worth = order_by_speed(cell, step, pool.by_free_cpu, now)
+        examined += request_advice(cell, step, by_worth, fit, len(remaining), now)
     _defer_search(cell, step, now)
     return examined
 
 
+def _choose_by_finish(
+    cell: Cell,
+    step: Step,
+    candidates: list[Candidate],
+    wanted: int,
+    fit: list[Worker],
+    now: float,
+) -> list[Candidate]:
+    candidates = prefer_by_finish(cell, step, candidates, now)
+    return withhold_slow_workers(cell, step, candidates, wanted, fit, now)
+
+
 def _filter_by_isolation(
     isolation: IsolationLevel, workers: list[Worker], now: float
 ) -> list[Worker]:
@@ -268,6 +277,9 @@
     ``workers`` are those on which the step could start now, ``fit`` those that may run it at
     all.
     """
+    if not step.job.is_recorded:
+        # Its record may still fail, and runs would have been stopped in vain.
+        return False
     if has_claim(cell, step, now) or preempt_runs(cell, step, workers, wanted, now):
         return True
     reserve_room(cell, step, fit, wanted, now)
@@ -313,6 +325,7 @@
         task.phase_since = task.ordered_at = now
         if step.spec.gang:
             task.checkpoint = checkpoint
+        task.is_whole_run = not task.checkpoint
         occupy(cell, worker, task.id, task.run, step)
         record_suspect(worker, task, isolation)
         begin_probation_run(worker, (task.id, task.run), now)
--- a/src/snowdock/jobs/progress_batches.py
+++ b/src/snowdock/jobs/progress_batches.py
@@ -12,7 +12,7 @@
 from .quotas import may_start_within_quota
 from .runs import void_run
 
-__all__ = ["handle_persisted", "send_batch"]
+__all__ = ["handle_persisted", "release_held_starts", "send_batch"]
 
 _MAX_BATCH_BYTES = 1_000_000
 """Size at which a batch is full, in bytes: half of the store's limit for one call."""
@@ -27,7 +27,7 @@
     while cell.dirty_jobs and size < _MAX_BATCH_BYTES:
         job_id = next(iter(cell.dirty_jobs))
         job = cell.dirty_jobs.pop(job_id)
-        progress = _build_progress(job)
+        progress = _build_progress(job, cell.token, cell.batch_number + 1)
         if progress.status.is_final and not progress.tasks:
             # A takeover reads all submission records, so keep only those of open jobs.
             cell.deferred.append(ForgetAccepted((job.record_name,)))
@@ -55,6 +55,12 @@
     _release_deferred(cell, deferred, now)
 
 
+def release_held_starts(cell: Cell, job: Job, now: float) -> None:
+    """Send the starts of a job that were held until its submission was recorded."""
+    for item in cell.held_starts.pop(job.id, []):
+        _send_start(cell, item, now)
+
+
 def _release_deferred(cell: Cell, deferred: list[Deferred], now: float) -> None:
     for item in deferred:
         if isinstance(item, DeferredStart):
@@ -67,6 +73,9 @@
 
 def _send_start(cell: Cell, deferred: DeferredStart, now: float) -> None:
     task = deferred.task
+    if not task.step.job.is_recorded:
+        cell.held_starts.get(task.id.job, []).append(deferred)
+        return
     worker = cell.workers.get(task.life)
     if task.run != deferred.run or task.phase is not Phase.RECORDED or worker is None:
         return
@@ -124,7 +133,7 @@
         send_renewal(cell, worker, now, RENEW_WAIT_MS)
 
 
-def _build_progress(job: Job) -> JobProgress:
+def _build_progress(job: Job, epoch: int, batch: int) -> JobProgress:
     is_open = not job.status.is_final
     tasks = [
         TaskProgress(
@@ -142,4 +151,4 @@
         for task in job.all_tasks()
         if task.life or (is_open and (task.run or task.phase is Phase.DONE))
     ]
-    return JobProgress(job.status, tasks, job.team)
+    return JobProgress(job.status, tasks, job.team, epoch, batch)
--- a/tests/test_election.py
+++ b/tests/test_election.py
@@ -10,10 +10,12 @@
 
 from snowdock.entry import leader_watch as leader_watch_module
 from snowdock.entry.election import Election
+from snowdock.entry.lag_monitor import LagMonitor
 from snowdock.entry.leader_log import LeaderLog
 from snowdock.entry.leader_record import NodeIdentity
 from snowdock.entry.messages import Heartbeat
 from snowdock.entry.topics import LEADER_KEY, LEADERS_TOPIC
+from snowdock.node.metrics import Metrics
 from snowdock.platform.store import StoreClient
 from tests.standins.entry_cluster import wait_until
 from tests.standins.platform import StoreStandin
@@ -29,6 +31,7 @@
         self.deposed = threading.Event()
         self.silent_leader_asked = threading.Event()
         self.reaches_store = True
+        self.lag = LagMonitor(Metrics())
         # The listening peer port of the node's process.
         self.port = socket.create_server(("127.0.0.1", 0))
         address = f"127.0.0.1:{self.port.getsockname()[1]}"
@@ -41,6 +44,7 @@
             lambda reason: self.deposed.set(),
             lambda leader: None,
             lambda: self.silent_leader_asked.set(),
+            self.lag,
         )
         self.election.start()
 
@@ -254,6 +258,30 @@
         self.assertTrue(wait_until(lambda: second.leads))
         self.assertFalse(first.leads)
 
+    def test_resignation_during_a_renewal_is_recorded(self) -> None:
+        """A resignation waits for the answer to a renewal instead of conflicting with it."""
+        first = self.add_candidate("first")
+        self.wait_for_leader()
+        store = first.election._log._store
+        append = store.append
+        applied, answered = threading.Event(), threading.Event()
+
+        def append_slowly(*arguments, **options) -> int:
+            offset = append(*arguments, **options)
+            applied.set()
+            answered.wait(5.0)
+            return offset
+
+        with mock.patch.object(store, "append", append_slowly):
+            self.assertTrue(applied.wait(5.0))
+            resigning = threading.Thread(target=first.election.resign)
+            resigning.start()
+            self.assertTrue(wait_until(lambda: not first.leads))
+            answered.set()
+            resigning.join()
+        (record,) = LeaderLog(store).read_newest(1.0)
+        self.assertTrue(record.resigned)
+
     def test_follower_without_heartbeats_sees_renewals_in_store(self) -> None:
         """A follower without heartbeats does not claim while renewals arrive in the store."""
         first = self.add_candidate("first")
