--- a/src/snowdock/jobs/announced_jobs.py
+++ b/src/snowdock/jobs/announced_jobs.py
@@ -7,6 +7,7 @@
 from .cell import Cell
 from .events import JobAnnounced
 from .job_state import Job, Phase
+from .load import predict_job
 from .model import JobId
 from .progress import AcceptedJob
 from .reservations import release_claim
@@ -25,9 +26,10 @@
     is_known = job_id in cell.jobs or job_id in cell.job_ended_at or job_id in cell.unreadable_jobs
     if is_known or accepted.spec.repetitions:
         return
-    job = Job(job_id, accepted, now, is_recorded=False)
+    job = Job(job_id, accepted, now - accepted.waited_s, announced_at=now)
     cell.jobs[job_id] = job
     cell.held_starts[job_id] = []
+    predict_job(cell, job)
     enqueue_ready_steps(cell, create_repetition(job, 0))
 
 
@@ -44,7 +46,7 @@
         withdraw_job(cell, job.id, now)
         return False
     job.accepted = recorded
-    job.is_recorded = True
+    job.announced_at = None
     return True
 
 
@@ -65,14 +67,14 @@
     cell.held_starts.pop(job_id, None)
     del cell.jobs[job_id]
     cell.needs_placement = True
-    cell.log_decision("job_withdrawn", job_id, queue=job.queue, announced_s=now - job.submitted_at)
+    cell.log_decision("job_withdrawn", job_id, queue=job.queue, announced_s=now - job.announced_at)
 
 
 def withdraw_expired_jobs(cell: Cell, now: float) -> None:
     """Withdraw the jobs that were announced long ago, and of which no record was read."""
     expired = []
     for job_id in cell.held_starts:
-        if now - cell.jobs[job_id].submitted_at < _MAX_ANNOUNCED_SECONDS:
+        if now - cell.jobs[job_id].announced_at < _MAX_ANNOUNCED_SECONDS:
             break
         expired.append(job_id)
     for job_id in expired:
--- a/src/snowdock/jobs/cell.py
+++ b/src/snowdock/jobs/cell.py
@@ -8,8 +8,10 @@
 from ..declarations import ZERO_SIZE, Size
 from .events import Effect, LogDecision, PublishStatus
 from .job_state import Job, Step, Task
+from .load_history import LoadHistory
 from .model import Configuration, JobId, Queue, StepKey, TaskId
 from .orders import AdviceRequest
+from .run_times import QueueTimes
 from .team_usage import TeamUsage
 from .workers import Worker, WorkerEntry
 
@@ -62,6 +64,8 @@
         refused start needs another pass.
     examination_s
         Approximate time to examine one worker for one step.
+    summarizes_load
+        Whether the load is summarized and waits are predicted (contract `pressure`).
     """
 
     lease_s: float
@@ -73,6 +77,7 @@
     quota_overage: float = 0.0
     pass_time_share: float = 0.3
     examination_s: float = 10e-6
+    summarizes_load: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -240,9 +245,8 @@
         Times at which workers stopped answering.
     machine_speeds
         Lasting speeds of machines, by address.
-    queue_ratios
-        Number of runs learned from, and mean logarithm of the ratio of their times to their
-        estimates, by queue.
+    queue_times
+        Model of run times, by queue.
     is_uneven, unevenness_updated_at
         Whether lasting speeds differ enough to matter, and when that was last determined.
     fast_log_slowness, slow_log_slowness
@@ -278,6 +282,8 @@
         Times of the last log lines on resource use, team usage, starving jobs and overdue runs.
     capacity
         Total resources of all workers as of the last tick.
+    load_history
+        Rates and waits for the load summary; None unless the settings ask for it.
     """
 
     def __init__(
@@ -309,7 +315,7 @@
         self.failing_step_share: dict[str, float] = {}
         self.silence_times: collections.deque[float] = collections.deque(maxlen=_MAX_SILENCES)
         self.machine_speeds: dict[str, MachineSpeed] = {}
-        self.queue_ratios: dict[str, tuple[int, float]] = {}
+        self.queue_times: dict[str, QueueTimes] = {}
         self.is_uneven = False
         self.unevenness_updated_at = now
         self.fast_log_slowness = self.slow_log_slowness = 0.0
@@ -333,6 +339,7 @@
         self.starving_logged_at = now
         self.overdue_logged_at = now
         self.capacity = ZERO_SIZE
+        self.load_history = LoadHistory(now) if settings.summarizes_load else None
 
     @property
     def configuration(self) -> Configuration:
--- a/src/snowdock/jobs/placement.py
+++ b/src/snowdock/jobs/placement.py
@@ -9,6 +9,7 @@
 from .expected_finish import order_by_speed, prefer_by_finish, withhold_slow_workers
 from .failed_runs import begin_probation_run
 from .job_state import Phase, Step, Task
+from .load import record_first_wait, record_started
 from .occupancy import occupy
 from .placement_advice import (
     find_advised_services,
@@ -37,12 +38,13 @@
 
 _MAX_EXAMINED_PER_PASS = 1_500
 """Maximum number of workers examined in one pass, so that renewals and answers are not delayed for
-long. Half of them are examined for the steps with the highest rank, half for the steps whose last
-search is the oldest."""
+long: about 15 ms. Half of them are examined for the steps with the highest rank, half for the
+steps whose last search is the oldest."""
 
 _MAX_BLOCKED_SECONDS = 1.5
 """Time after which a step that runs nothing, and that only reservations block, may place one task
-on reserved room."""
+on reserved room. Users allow three seconds beside free room, and tickets take up to half a second
+of them."""
 
 _CROWDED_STEP_COUNT = 50
 _SEARCH_RETRY_SECONDS = 0.05
@@ -332,6 +334,8 @@
         cell.deferred.append(DeferredStart(task, task.run))
     step.blocked_since = None
     mark_dirty(cell, step.job)
+    record_started(cell, step, len(chosen))
+    record_first_wait(cell, step.job, now)
     cell.log_decision(
         "placed",
         step.job.id,
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -205,6 +205,7 @@
         step_down=lambda reason: None,
         record_event_age=lambda seconds: None,
         metrics=Metrics(),
+        publish_load=lambda summary: None,
     )
 
 
