State a job's work, start room and objective once

Cause: the leader's load summary and admission control each computed a job's core-seconds and the room that its start needs, and admission control repeated the objective of the leader and built a job to get a critical path. The loop over all steps of a job stood in two places.

Change: StepSpec.task_core_s, StepSpec.start_room, JobSpec.work_core_s, Queue.objective_seconds and Job.all_steps are called instead. A submission's key is hashed once, and the count of attempts that are being recorded is deleted by key rather than by a copy of the counter.

Left: predict_job compares the first step without predecessors, admission the largest; for jobs with several such steps they differ.

--- a/src/snowdock/admission/inputs.py
+++ b/src/snowdock/admission/inputs.py
@@ -4,13 +4,13 @@
 import math
 
 from ..declarations import ZERO_SIZE, Size
-from ..jobs.job_state import Job
+from ..jobs.job_state import compute_critical_paths_ms
 from ..jobs.load_summary import LoadSummary, predict_wait
 from ..jobs.model import Queue
 from ..jobs.progress import AcceptedJob
 from .decision import Demand, LoadView, TeamUse
 
-__all__ = ["make_demand", "make_view", "start_size", "work_core_seconds"]
+__all__ = ["make_demand", "make_view", "start_size"]
 
 
 def make_demand(accepted: AcceptedJob, queue: Queue) -> Demand:
@@ -20,35 +20,23 @@
     a target, one that repeats, and one that runs until it is cancelled.
     """
     spec = accepted.spec
-    critical_path_s = max(Job("", accepted, 0.0).critical_paths_ms) / 1000
+    critical_path_ms = max(compute_critical_paths_ms(spec.steps))
     is_timed = (
         queue.target_latency_ms > 0
         and not spec.repetitions
         and not any(step.long_running for step in spec.steps)
     )
-    objective_s = queue.stretch * critical_path_s + queue.target_latency_ms / 1000
     return Demand(
         accepted.team,
         _largest(step.room for step in spec.steps),
-        critical_path_s,
-        objective_s if is_timed else None,
-    )
-
-
-def work_core_seconds(accepted: AcceptedJob) -> float:
-    """Return the estimated core-seconds of one execution of a job's steps."""
-    return sum(
-        step.count * step.size.cpu * step.estimate_ms / 1_000_000 for step in accepted.spec.steps
+        critical_path_ms / 1000,
+        queue.objective_seconds(critical_path_ms) if is_timed else None,
     )
 
 
 def start_size(accepted: AcceptedJob) -> Size:
     """Return the resources that a job's start needs at once: one task, or all tasks of a gang."""
-    return _largest(
-        step.room.times(step.count) if step.gang else step.room
-        for step in accepted.spec.steps
-        if not step.after
-    )
+    return _largest(step.start_room for step in accepted.spec.steps if not step.after)
 
 
 def make_view(
--- a/src/snowdock/entry/admission_gate.py
+++ b/src/snowdock/entry/admission_gate.py
@@ -2,6 +2,7 @@
 
 import collections
 import dataclasses
+import functools
 import math
 import random
 import threading
@@ -26,7 +27,7 @@
     Refused,
     decide,
 )
-from ..admission.inputs import make_demand, make_view, work_core_seconds
+from ..admission.inputs import make_demand, make_view
 from ..admission.retry_planner import RetryPlanner
 from ..admission.token_bucket import TokenBucket
 from ..clocks import steady_seconds
@@ -86,7 +87,7 @@
 }
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@dataclasses.dataclass(frozen=True)
 class Submission:
     """A caller's job.
 
@@ -106,7 +107,7 @@
     started_at: float
     deadline_s: float
 
-    @property
+    @functools.cached_property
     def key(self) -> bytes:
         """Key of the caller in the history."""
         return caller_key(record_name(self.job, self.accepted.team))
@@ -199,8 +200,8 @@
         finally:
             with self._lock:
                 self._recording[submission.key] -= 1
-                # Removes the key, unless another attempt is being recorded.
-                self._recording += collections.Counter()
+                if not self._recording[submission.key]:
+                    del self._recording[submission.key]
         return True
 
     def _admit(self, submission: Submission) -> AcceptedJob | None:
@@ -264,23 +265,26 @@
             return
         is_first = not self._usable_cores
         self._usable_cores = cores
-        rate = _CAPACITY_FACTOR * cores / max(1, self._node_count, self._count_nodes())
+        rate = _CAPACITY_FACTOR * cores / self._cluster_size()
         if is_first:
             self._bucket = _make_bucket(rate, now)
         else:
             self._bucket.set_rate(rate, rate * MAX_SUMMARY_AGE_SECONDS, now)
 
     def _spend(self, submission: Submission, now: float) -> None:
-        cost = work_core_seconds(submission.accepted) if self._usable_cores else 1.0
+        cost = submission.accepted.spec.work_core_s if self._usable_cores else 1.0
         self._bucket.spend(cost, now)
 
+    def _cluster_size(self) -> int:
+        """Return the number of nodes that share the load, as known here or stated by the leader."""
+        return max(self._node_count, self._count_nodes())
+
     def _refuse(
         self, submission: Submission, caller: Caller, view: LoadView, decision: Refused
     ) -> JobRefused:
         now = steady_seconds()
         remaining_s = caller.first_seen + submission.deadline_s - now
-        nodes = max(1, self._node_count, self._count_nodes())
-        core_s = max(work_core_seconds(submission.accepted), 0.001)
+        core_s = max(submission.accepted.spec.work_core_s, 0.001)
         with self._lock:
             self._history.record(submission.key, caller.first_seen, False, now)
             retry_after_s = self._planner.plan(
@@ -288,7 +292,7 @@
                 caller.first_seen,
                 decision.retry_after_s,
                 remaining_s,
-                view.rate / core_s / nodes,
+                view.rate / core_s / self._cluster_size(),
                 random.random(),
                 now,
             )
--- a/src/snowdock/jobs/announced_jobs.py
+++ b/src/snowdock/jobs/announced_jobs.py
@@ -58,10 +58,9 @@
     for task in job.all_tasks():
         if task.phase is Phase.RECORDED:
             stop_run(cell, task, now)
-    for steps in job.repetitions:
-        for step in steps:
-            cell.waiting_steps.pop(step.key, None)
-            release_claim(cell, step.key)
+    for step in job.all_steps():
+        cell.waiting_steps.pop(step.key, None)
+        release_claim(cell, step.key)
     # Its progress may be on record already. Without a submission, a takeover ignores it.
     cell.dirty_jobs.pop(job_id, None)
     cell.held_starts.pop(job_id, None)
--- a/src/snowdock/jobs/cell.py
+++ b/src/snowdock/jobs/cell.py
@@ -399,5 +399,4 @@
 
     def objective_seconds(self, job: Job) -> float:
         """Return the target duration of a job, in seconds, based on its run time estimates."""
-        queue = self.queue_of(job)
-        return (queue.stretch * max(job.critical_paths_ms) + queue.target_latency_ms) / 1000
+        return self.queue_of(job).objective_seconds(max(job.critical_paths_ms))
--- a/src/snowdock/jobs/job_state.py
+++ b/src/snowdock/jobs/job_state.py
@@ -255,7 +255,8 @@
         return self.done_count == len(self.tasks)
 
 
-def _compute_critical_paths_ms(specs: tuple[StepSpec, ...]) -> tuple[float, ...]:
+def compute_critical_paths_ms(specs: tuple[StepSpec, ...]) -> tuple[float, ...]:
+    """Return the estimated length of the critical path that starts at each step."""
     longest = [float(spec.estimate_ms) for spec in specs]
     for number in reversed(range(len(specs))):
         for earlier in specs[number].after:
@@ -290,7 +291,7 @@
     wait_prediction: WaitPrediction | None = None
 
     def __post_init__(self) -> None:
-        self.critical_paths_ms = _compute_critical_paths_ms(self.accepted.spec.steps)
+        self.critical_paths_ms = compute_critical_paths_ms(self.accepted.spec.steps)
 
     @property
     def is_recorded(self) -> bool:
@@ -312,8 +313,12 @@
         """Name of the job's submission record."""
         return record_name(self.id, self.team)
 
+    def all_steps(self):
+        """Yield all steps of all repetitions created so far."""
+        for steps in self.repetitions:
+            yield from steps
+
     def all_tasks(self):
         """Yield all tasks of all repetitions created so far."""
-        for steps in self.repetitions:
-            for step in steps:
-                yield from step.tasks
+        for step in self.all_steps():
+            yield from step.tasks
--- a/src/snowdock/jobs/load.py
+++ b/src/snowdock/jobs/load.py
@@ -59,13 +59,11 @@
     is_special = job.accepted.spec.repetitions or any(spec.long_running for spec in steps)
     if history is None or is_special or not steps:
         return
-    work = sum(spec.count * spec.size.cpu * spec.estimate_ms for spec in steps)
-    history.queues[job.queue].accepted.add(work / 1e6)
+    history.queues[job.queue].accepted.add(job.accepted.spec.work_core_s)
     if history.summary is None or job.team in history.held_back_teams:
         return
     first = next(spec for spec in steps if not spec.after)
-    size = first.room.times(first.count) if first.gang else first.room
-    predicted_s = predict_wait(history.summary, job.queue, size, job.team)
+    predicted_s = predict_wait(history.summary, job.queue, first.start_room, job.team)
     if math.isfinite(predicted_s):
         job.wait_prediction = WaitPrediction(predicted_s, cell.now)
 
@@ -81,8 +79,8 @@
     """Count the work of a task that was just completed."""
     history = cell.load_history
     if history is not None:
-        work = task.step.spec.size.cpu * task.step.spec.estimate_ms / 1e6
-        history.completed[cell.queue_of(task.step.job).service].add(work)
+        service = cell.queue_of(task.step.job).service
+        history.completed[service].add(task.step.spec.task_core_s)
 
 
 def record_first_wait(cell: Cell, job: Job, now: float) -> None:
--- a/src/snowdock/jobs/model.py
+++ b/src/snowdock/jobs/model.py
@@ -129,6 +129,16 @@
         """Resources that one task reserves on its worker."""
         return Size(0, self.size.memory, self.size.accelerators) if self.fills else self.size
 
+    @property
+    def start_room(self) -> Size:
+        """Resources that the first start needs at once: those of one task, or of a whole gang."""
+        return self.room.times(self.count) if self.gang else self.room
+
+    @property
+    def task_core_s(self) -> float:
+        """Estimated work of one task, in core-seconds."""
+        return self.size.cpu * self.estimate_ms / 1e6
+
 
 class JobSpec(msgspec.Struct, frozen=True, array_like=True):
     """A job as submitted by a caller.
@@ -154,6 +164,11 @@
     first_due_ms: int = 0
     interval_ms: int = 0
 
+    @property
+    def work_core_s(self) -> float:
+        """Estimated work of one execution of the steps, in core-seconds."""
+        return sum(step.count * step.task_core_s for step in self.steps)
+
 
 class AdviceTerms(msgspec.Struct, frozen=True):
     """Terms of a queue's external advice service, in ms.
@@ -208,6 +223,10 @@
     advice: AdviceTerms | None = None
     is_public: bool = False
 
+    def objective_seconds(self, critical_path_ms: float) -> float:
+        """Return the target duration of a job with a critical path, in seconds."""
+        return (self.stretch * critical_path_ms + self.target_latency_ms) / 1000
+
 
 class Service(msgspec.Struct, frozen=True):
     """A pool of workers.
--- a/src/snowdock/jobs/runs.py
+++ b/src/snowdock/jobs/runs.py
@@ -184,7 +184,7 @@
     repetition_count = max(1, job.accepted.spec.repetitions)
     if len(job.repetitions) < repetition_count:
         return
-    if all(step.is_done for steps in job.repetitions for step in steps):
+    if all(step.is_done for step in job.all_steps()):
         _end_job(cell, job, JobStatus.COMPLETED, now)
 
 
@@ -304,9 +304,8 @@
     job.status = status
     cell.job_ended_at[job.id] = now
     cell.scheduled_jobs.pop(job.id, None)
-    for steps in job.repetitions:
-        for step in steps:
-            cell.waiting_steps.pop(step.key, None)
+    for step in job.all_steps():
+        cell.waiting_steps.pop(step.key, None)
     for task in job.all_tasks():
         if task.phase is not Phase.DONE:
             stop_run(cell, task, now)
