Order a pool by speed once per placement pass

Cause: in an uneven pool, each step that needs advice sorted all open workers by speed. The end of a step on given slots, and the time from which a run is in the tail, were computed in two places each.

Change: the order is kept with the pool for the pass; last_end and longest_body_seconds serve both callers. QueueTimes.deviation had a branch that was never taken, and is part of observe.

--- a/src/snowdock/jobs/expected_finish.py
+++ b/src/snowdock/jobs/expected_finish.py
@@ -11,8 +11,9 @@
 from .cell import Cell
 from .job_state import Step
 from .machine_speeds import is_slow
-from .reservations import find_earliest_slots
+from .reservations import find_earliest_slots, last_end
 from .speeds import has_tail, typical_seconds
+from .worker_pools import WorkerPool
 from .workers import Worker
 
 __all__ = ["order_by_speed", "prefer_by_finish", "withhold_slow_workers"]
@@ -70,12 +71,11 @@
     return candidates
 
 
-def order_by_speed(cell: Cell, step: Step, by_free_cpu: list[Worker], now: float) -> list[Worker]:
-    """Return workers in the order in which advice about them is worth having."""
+def order_by_speed(cell: Cell, step: Step, pool: WorkerPool, now: float) -> list[Worker]:
+    """Return a pool's workers in the order in which a step prefers advice about them."""
     if not cell.is_uneven:
-        return by_free_cpu
-    wants_slow = has_slack(cell, step, now)
-    return sorted(by_free_cpu, key=lambda worker: is_slow(cell, worker) is not wants_slow)
+        return pool.by_free_cpu
+    return pool.order_by_speed(cell, slow_first=has_slack(cell, step, now))
 
 
 def withhold_slow_workers(
@@ -129,6 +129,4 @@
     slots = find_earliest_slots(cell, step, fast_fit, missing, now)
     if len(slots) < missing:
         return candidates
-    slowest = max(worker.slowness for _, worker in slots)
-    end_fast = slots[-1][0] + typical * slowest
-    return fast if end_fast < latest_end else candidates
+    return fast if last_end(step, slots) < latest_end else candidates
--- a/src/snowdock/jobs/forecast.py
+++ b/src/snowdock/jobs/forecast.py
@@ -6,7 +6,7 @@
 from .cell import Cell
 from .job_state import Phase, Step, Task
 from .run_times import TAIL_FACTOR
-from .speeds import has_tail, typical_seconds
+from .speeds import has_tail, longest_body_seconds, typical_seconds
 from .workers import Worker
 
 __all__ = ["expected_end", "remaining_seconds", "upcoming_free_room"]
@@ -31,7 +31,7 @@
         return abs(planned)
     if not has_tail(cell, task.step):
         return abs(planned)
-    longest_body_s = TAIL_FACTOR * typical_seconds(task.step) * worker.slowness
+    longest_body_s = longest_body_seconds(task.step, worker)
     elapsed = now - task.phase_since
     if task.is_whole_run and 0 < task.measured_percent < 100:
         measured_s = task.measured_at - task.phase_since
--- a/src/snowdock/jobs/placement.py
+++ b/src/snowdock/jobs/placement.py
@@ -184,8 +184,8 @@
         if _claim_or_reserve_room(cell, step, workers, fit, len(remaining), now):
             return examined
     if not step.advice.pending_requests and may_request_advice(cell, step, fit, now):
-        by_worth = order_by_speed(cell, step, pool.by_free_cpu, now)
-        examined += request_advice(cell, step, by_worth, fit, len(remaining), now)
+        preferred_first = order_by_speed(cell, step, pool, now)
+        examined += request_advice(cell, step, preferred_first, fit, len(remaining), now)
     _defer_search(cell, step, now)
     return examined
 
--- a/src/snowdock/jobs/reservations.py
+++ b/src/snowdock/jobs/reservations.py
@@ -24,7 +24,14 @@
 from .speeds import typical_seconds
 from .workers import RoomHold, Worker
 
-__all__ = ["find_earliest_slots", "find_reservation", "hold_room", "release_claim", "reserve_room"]
+__all__ = [
+    "find_earliest_slots",
+    "find_reservation",
+    "hold_room",
+    "last_end",
+    "release_claim",
+    "reserve_room",
+]
 
 _RESERVATION_SECONDS = 0.6
 """Duration of a reservation; it is renewed while its step waits."""
@@ -100,10 +107,11 @@
     fast_slots = find_earliest_slots(cell, step, fast, wanted, now)
     if not fast_slots:
         return slots
-    return min(slots, fast_slots, key=lambda each: _gang_end(step, each))
+    return min(slots, fast_slots, key=lambda each: last_end(step, each))
 
 
-def _gang_end(step: Step, slots: list[tuple[float, Worker]]) -> float:
+def last_end(step: Step, slots: list[tuple[float, Worker]]) -> float:
+    """Return when the last of a step's tasks ends, if all run at the pace of the slowest worker."""
     return slots[-1][0] + typical_seconds(step) * max(worker.slowness for _, worker in slots)
 
 
--- a/src/snowdock/jobs/run_times.py
+++ b/src/snowdock/jobs/run_times.py
@@ -50,17 +50,13 @@
         """Whether the tail matters."""
         return self.runs >= _MIN_RUNS and self.tail_share >= _MIN_TAIL_SHARE
 
-    def deviation(self, log_ratio: float) -> float:
-        """Return a run's log ratio relative to the mean, limited to the tail's start."""
-        mean = self.mean_log_ratio if self.runs else log_ratio
-        return max(-_LOG_TAIL_FACTOR, min(_LOG_TAIL_FACTOR, log_ratio - mean))
-
     def observe(self, log_ratio: float, machine_log_slowness: float) -> float:
         """Learn from a run, and return its log ratio relative to the mean before, limited."""
         if not self.runs:
             self.mean_log_ratio = log_ratio
-        deviation = self.deviation(log_ratio)
-        excess = log_ratio - self.mean_log_ratio - machine_log_slowness
+        difference = log_ratio - self.mean_log_ratio
+        deviation = max(-_LOG_TAIL_FACTOR, min(_LOG_TAIL_FACTOR, difference))
+        excess = difference - machine_log_slowness
         self.runs += 1
         weight = max(_MIN_WEIGHT, 1 / self.runs)
         self.mean_log_ratio += weight * (deviation - machine_log_slowness)
--- a/src/snowdock/jobs/speeds.py
+++ b/src/snowdock/jobs/speeds.py
@@ -13,7 +13,13 @@
 from .run_times import TAIL_FACTOR
 from .workers import Worker
 
-__all__ = ["decay_idle_slowness", "has_tail", "learn_speed", "typical_seconds"]
+__all__ = [
+    "decay_idle_slowness",
+    "has_tail",
+    "learn_speed",
+    "longest_body_seconds",
+    "typical_seconds",
+]
 
 _WINDOW_SECONDS = 0.25
 """Minimum time over which progress is measured, as it is reported in whole percents."""
@@ -54,6 +60,11 @@
     return step.log_run_seconds
 
 
+def longest_body_seconds(step: Step, worker: Worker) -> float:
+    """Return the time from which a run of a step on a worker is in the tail of its queue."""
+    return TAIL_FACTOR * typical_seconds(step) * worker.slowness
+
+
 def has_tail(cell: Cell, step: Step) -> bool:
     """Check whether the run times of a step's queue have a tail."""
     times = cell.queue_times.get(step.job.queue)
--- a/src/snowdock/jobs/stragglers.py
+++ b/src/snowdock/jobs/stragglers.py
@@ -11,8 +11,7 @@
 from .forecast import remaining_seconds
 from .job_state import Phase, Step, Task
 from .machine_speeds import is_slow, lasting_slowness
-from .run_times import TAIL_FACTOR
-from .speeds import typical_seconds
+from .speeds import longest_body_seconds, typical_seconds
 from .workers import Worker
 
 __all__ = ["Move", "find_move"]
@@ -75,8 +74,7 @@
     """Return how long a run in the tail takes here and, by its checkpoint, on a fast machine."""
     spec = task.step.spec
     here = remaining_seconds(cell, worker, task, now)
-    longest_body_s = TAIL_FACTOR * typical_seconds(task.step) * worker.slowness
-    if not spec.checkpointing or spec.gang or here <= longest_body_s:
+    if not spec.checkpointing or spec.gang or here <= longest_body_seconds(task.step, worker):
         return 0.0, 0.0
     return here, here * math.exp(cell.fast_log_slowness - worker.log_slowness)
 
--- a/src/snowdock/jobs/worker_pools.py
+++ b/src/snowdock/jobs/worker_pools.py
@@ -7,6 +7,7 @@
 from .candidates import Caution, caution_for
 from .cell import Cell
 from .job_state import Step
+from .machine_speeds import is_slow
 from .workers import Worker
 
 __all__ = ["WorkerPool", "WorkerPools"]
@@ -31,6 +32,7 @@
 
     workers: dict[str, Worker] = dataclasses.field(default_factory=dict)
     _by_free_cpu: list[Worker] | None = None
+    _by_speed: dict[bool, list[Worker]] | None = None
     max_free_cpu: int = 0
     max_free_memory: int = 0
     max_free_accelerators: int = 0
@@ -57,6 +59,18 @@
             self._by_free_cpu = sorted(self.workers.values(), key=lambda each: -each.free.cpu)
         return self._by_free_cpu
 
+    def order_by_speed(self, cell: Cell, slow_first: bool) -> list[Worker]:
+        """Return the workers with those on slow machines first or last, else by free processors.
+
+        Kept, as many steps ask for it in one pass.
+        """
+        if self._by_speed is None:
+            slow, fast = [], []
+            for worker in self.by_free_cpu:
+                (slow if is_slow(cell, worker) else fast).append(worker)
+            self._by_speed = {True: slow + fast, False: fast + slow}
+        return self._by_speed[slow_first]
+
     def may_hold(self, step: Step) -> bool:
         """Check whether a worker might have enough free room for a task of a step."""
         max_free = Size(self.max_free_cpu, self.max_free_memory, self.max_free_accelerators)
