--- a/bench/uneven.py
+++ b/bench/uneven.py
@@ -11,7 +11,7 @@
 import dataclasses
 import statistics
 
-from bench.ways import apply_settings, run_paired
+from bench.ways import apply_settings, format_queue_worths, run_day, run_paired
 from snowdock.declarations import Size
 from snowdock.emulator import Emulator, EmulatorOptions, WorkloadOptions, draw_workload
 from snowdock.emulator.report import Report, make_report
@@ -102,14 +102,8 @@
         decisions[effect.decision] += 1
 
     emulator.set_effect_handler(LogDecision, count)
-    used = []
-    for second in range(int(SECONDS + DRAIN_SECONDS)):
-        emulator.run_until(second + 1.0)
-        if 5 <= second < SECONDS:
-            busy = sum(worker.used_cpu for worker in emulator.workers.values())
-            used.append(busy / CAPACITY.times(WORKERS).cpu)
-    report = make_report(emulator, jobs)
-    return Outcome(report, waste.core_s, decisions["run_moved"], statistics.mean(used))
+    used_share = run_day(emulator, SECONDS, DRAIN_SECONDS, CAPACITY.times(WORKERS))
+    return Outcome(make_report(emulator, jobs), waste.core_s, decisions["run_moved"], used_share)
 
 
 def main() -> None:
@@ -129,13 +123,10 @@
     for way, of_way in outcomes.items():
         reports = [outcome.report for outcome in of_way]
         gains = [each.worth - before.worth for each, before in zip(of_way, first, strict=True)]
-        queues = " ".join(
-            f"{queue.queue} {statistics.mean(r.queues[number].worth for r in reports):.3f}"
-            for number, queue in enumerate(reports[0].queues)
-        )
         print(
             f"{way:<48} {statistics.mean(each.worth for each in of_way):.4f}"
-            f"  ({statistics.mean(gains):+.4f}, {statistics.pstdev(gains):.4f})  {queues};"
+            f"  ({statistics.mean(gains):+.4f}, {statistics.pstdev(gains):.4f})"
+            f"  {format_queue_worths(reports)};"
             f" {statistics.mean(each.wasted_core_s for each in of_way):.0f} core s;"
             f" {statistics.mean(each.moves for each in of_way):.0f};"
             f" {statistics.mean(each.used_share for each in of_way):.2f};"
--- a/bench/ways.py
+++ b/bench/ways.py
@@ -13,7 +13,7 @@
 import importlib
 import statistics
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 from snowdock.declarations import Size
 from snowdock.emulator import Emulator, EmulatorOptions, WorkloadOptions, draw_workload
@@ -91,15 +91,29 @@
     jobs = draw_workload(seed, workload)
     began = time.perf_counter()
     emulator = Emulator(seed, options, jobs)
+    used_share = run_day(emulator, SECONDS, DRAIN_SECONDS, total_capacity)
+    # The overloading team's jobs aren't counted, since they exceed its share.
+    report = make_report(emulator, [job for job in jobs if job.team != HOT_TEAM[0]])
+    return way, seed, report, used_share, time.perf_counter() - began
+
+
+def run_day(emulator: Emulator, seconds: float, drain_seconds: float, capacity: Size) -> float:
+    """Run a day and its drain; return the mean share of the processors in use from second 5 on."""
     used = []
-    for second in range(int(SECONDS + DRAIN_SECONDS)):
+    for second in range(int(seconds + drain_seconds)):
         emulator.run_until(second + 1.0)
-        if 5 <= second < SECONDS:
+        if 5 <= second < seconds:
             busy = sum(worker.used_cpu for worker in emulator.workers.values())
-            used.append(busy / total_capacity.cpu)
-    # The overloading team's jobs aren't counted, since they exceed its share.
-    report = make_report(emulator, [job for job in jobs if job.team != HOT_TEAM[0]])
-    return way, seed, report, statistics.mean(used), time.perf_counter() - began
+            used.append(busy / capacity.cpu)
+    return statistics.mean(used)
+
+
+def format_queue_worths(reports: Sequence[Report]) -> str:
+    """Return the mean worth of each queue."""
+    return " ".join(
+        f"{queue.queue} {statistics.mean(r.queues[number].worth for r in reports):.3f}"
+        for number, queue in enumerate(reports[0].queues)
+    )
 
 
 def main() -> None:
@@ -124,13 +138,9 @@
         gains = [worths[seed] - first[seed] for seed in seeds]
         spread = statistics.stdev(gains) if len(gains) > 1 else 0.0
         reports = [report for _, _, report, _, _ in of_way]
-        queues = " ".join(
-            f"{queue.queue} {statistics.mean(r.queues[number].worth for r in reports):.3f}"
-            for number, queue in enumerate(reports[0].queues)
-        )
         print(
             f"{way:<48} {statistics.mean(worths.values()):.3f}"
-            f"  ({statistics.mean(gains):+.3f}, {spread:.3f})  {queues};"
+            f"  ({statistics.mean(gains):+.3f}, {spread:.3f})  {format_queue_worths(reports)};"
             f" {statistics.mean(r.worst_teams for r in reports):.3f};"
             f" {statistics.mean(use for _, _, _, use, _ in of_way):.2f};"
             f" {sum(r.violations for r in reports)}"
