--- a/review/deployment.py
+++ b/review/deployment.py
@@ -364,6 +364,8 @@
         How many of each to start.
     """
     disturbs = os.environ.get("TROUBLE", "1") != "0"
+    # Ends the daemons, too.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     # Connections that are open at the end are dropped with the loop.
     logging.getLogger("asyncio").setLevel(logging.CRITICAL)
     case_folder = pathlib.Path(folder).resolve()
@@ -394,4 +396,7 @@
         await play(deployment, disturbs)
     except Outcome as outcome:
         return outcome
+    except Exception as error:
+        # Says nothing about the rule.
+        return Outcome(2, f"the case could not run: {error!r}")
     return Outcome(2, "the case came to no conclusion")
