--- a/src/snowdock/emulator/emulator.py
+++ b/src/snowdock/emulator/emulator.py
@@ -9,9 +9,11 @@
 from ..jobs.events import (
     AdviceAnswered,
     AskAdvice,
+    BatchRejected,
     CloseWorker,
     ConfigurationChanged,
     DropJobs,
+    DropProgress,
     Event,
     ForgetAccepted,
     JobAccepted,
@@ -33,7 +35,8 @@
 from ..jobs.model import JobStatus, StepSpec, TaskId
 from ..jobs.orders import AdviceResult, StartOrder
 from ..jobs.policy import make_policy
-from ..jobs.progress import AcceptedJob, JobProgress, decode_progress, parse_job_id, record_name
+from ..jobs.progress import AcceptedJob, parse_job_id, record_name
+from ..jobs.recorded_progress import read_progress
 from ..jobs.reducer import reduce
 from ..jobs.takeover import RecordedJobs, restore
 from ..jobs.timeouts import RETENTION_FACTOR, TICK_SECONDS, lease_expiry_after_claim_seconds
@@ -112,7 +115,7 @@
         self.checks.crashing_tasks = {job.crashing for job in jobs if job.crashing is not None}
         self._accepted: dict[str, AcceptedJob] = {}
         self._cancelled: set[str] = set()
-        self._progress: dict[str, JobProgress] = {}
+        self._progress: dict[str, bytes] = {}
         self._epoch = 0
         self._advice: dict[tuple[str, int, str], bool] = {}
         self._leaders: list[_Leader] = []
@@ -150,6 +153,7 @@
             OpenWorker: _ignore,
             CloseWorker: _ignore,
             DropJobs: _ignore,
+            DropProgress: self._drop_progress,
             ForgetAccepted: self._forget_accepted,
         }
         self._check_starvation()
@@ -219,13 +223,22 @@
             retention_s=RETENTION_FACTOR * _STATUS_SECONDS,
             quota_overage=_QUOTA_OVERAGE,
             summarizes_load=options.summarizes_load,
+            max_record_bytes=options.max_record_bytes,
+            max_append_bytes=options.max_append_bytes,
         )
         holder: list[Cell] = []
         policy = make_policy(_ignore, lambda: holder[0])
         cell = Cell(settings, self._epoch, policy, now)
         holder.append(cell)
         cell.configuration = self._configuration
-        recorded = RecordedJobs(dict(self._accepted), set(self._cancelled), dict(self._progress))
+        on_record = read_progress([self._progress.items()])
+        recorded = RecordedJobs(
+            dict(self._accepted),
+            set(self._cancelled),
+            on_record.progress,
+            on_record.unreadable,
+            layouts=on_record.layouts,
+        )
         leader = _Leader(cell)
         for effect in restore(cell, recorded, now, now * 1000):
             self._handlers[type(effect)](leader, effect)
@@ -336,11 +349,22 @@
         if leader.cell.token < self._epoch:
             self._end_leadership(leader)
             return
-        for record in effect.records:
-            self._progress[record.job] = decode_progress(record.data)
-        self.timeline.call_after(
-            self._options.typical_call_s, lambda: self._post(leader, Persisted(effect.number))
-        )
+        outcome = BatchRejected(effect.number)
+        if self._takes(effect):
+            outcome = Persisted(effect.number)
+            self._progress |= {record.key: record.data for record in effect.records}
+        self.timeline.call_after(self._options.typical_call_s, lambda: self._post(leader, outcome))
+
+    def _takes(self, effect: Persist) -> bool:
+        """Check whether the store takes a batch, by its length and that of each record."""
+        longest = max(record.size for record in effect.records)
+        total = sum(record.append_size for record in effect.records)
+        options = self._options
+        return longest <= options.max_record_bytes and total <= options.max_append_bytes
+
+    def _drop_progress(self, _: _Leader, effect: DropProgress) -> None:
+        for key in effect.keys:
+            self._progress.pop(key, None)
 
     def _find_step(self, order: StartOrder) -> StepSpec:
         return self._jobs[order.task.job].spec.steps[order.task.step]
--- a/src/snowdock/emulator/options.py
+++ b/src/snowdock/emulator/options.py
@@ -69,6 +69,8 @@
         workers is slower by 1.3, drawn at random.
     summarizes_load
         Whether the leaders summarize their load and predict waits.
+    max_record_bytes, max_append_bytes
+        Length of the longest record, and of the longest append, that the store takes.
     """
 
     workload: WorkloadOptions
@@ -86,6 +88,8 @@
     capacities: tuple[Size, ...] = ()
     lasting_slowness: tuple[float, ...] = ()
     summarizes_load: bool = False
+    max_record_bytes: int = 262_144
+    max_append_bytes: int = 2_097_152
 
     def capacity_of(self, number: int) -> Size:
         """Return the capacity of a worker by its number, from 0."""
--- a/src/snowdock/entry/caller_api.py
+++ b/src/snowdock/entry/caller_api.py
@@ -32,7 +32,7 @@
     encode_waiting,
     is_job_id,
 )
-from ..platform.store import KeyedRecord
+from ..platform.store import AppendLimits, KeyedRecord
 from .admission_gate import AdmissionGate, Submission
 from .messages import RecordOutcome
 from .recorder import Recorder
@@ -101,6 +101,8 @@
         Records the time of requests by method and status.
     admission
         Refuses jobs that are not to be recorded; None to admit all.
+    append_limits
+        Returns the longest records and appends that the store takes.
     """
 
     recorder: Recorder
@@ -114,6 +116,7 @@
     notify_leader: Callable[[KeyedRecord], None]
     metrics: Metrics
     admission: AdmissionGate | None = None
+    append_limits: Callable[[], AppendLimits] = AppendLimits
 
 
 class CallerApi:
@@ -256,9 +259,19 @@
             team,
         )
 
+        def make_record(admitted: AcceptedJob) -> KeyedRecord:
+            return KeyedRecord(record_name(job, team), encode(admitted))
+
+        max_bytes = self._dependencies.append_limits().record_bytes
+        size = make_record(accepted).size
+        if size > max_bytes:
+            raise BodyTooLarge(
+                f"the record of job {job} has {size} bytes; {max_bytes} are the most"
+            )
+
         def record(admitted: AcceptedJob) -> None:
-            keyed_record = KeyedRecord(record_name(job, team), encode(admitted))
-            self._record(job, keyed_record, _recording_seconds(environ, started_at))
+            seconds = _recording_seconds(environ, started_at)
+            self._record(job, make_record(admitted), seconds)
 
         admission = self._dependencies.admission
         if admission is None:
--- a/src/snowdock/entry/daemon.py
+++ b/src/snowdock/entry/daemon.py
@@ -19,7 +19,7 @@
 from ..node.peer_links import HeartbeatPlan
 from ..node.peers import PeerOptions, Peers
 from ..platform.node_settings import PRESSURE, NodeEnvironment, read_node_environment
-from ..platform.store import StoreClient
+from ..platform.store import AppendLimits, StoreClient
 from ..signals import SignalHandlers
 from ..threads import ServiceThread, add_lost_thread_listener
 from .admission_gate import AdmissionGate
@@ -91,7 +91,12 @@
         self._lost_thread = ""
         self._peer_directory = PeerDirectory()
         self._load_view = LoadView()
-        self._store = StoreClient(environment.store.address, _STORE_CONNECTIONS, environment.node)
+        self._store = StoreClient(
+            environment.store.address,
+            _STORE_CONNECTIONS,
+            environment.node,
+            _append_limits(environment),
+        )
         self._advice_client = LocalAdviceClient(environment.advice_address)
         identity = NodeIdentity(environment.node, secrets.token_hex(4), environment.peer_address)
         self._identity = identity
@@ -142,6 +147,7 @@
             environment.store.parts,
             self._metrics,
             lambda: self._election.renewal_is_overdue,
+            lambda: self._store.limits,
         )
         self._admission = AdmissionGate(
             lambda: PRESSURE in self._environment.contracts,
@@ -163,6 +169,7 @@
                 queries.notify_leader,
                 self._metrics,
                 self._admission,
+                lambda: self._store.limits,
             )
         )
         self._answer_peer = make_request_handler(
@@ -234,6 +241,7 @@
         previous, self._environment = self._environment, environment
         if environment.store.address != previous.store.address:
             self._store.set_address(environment.store.address)
+        self._store.set_limits(_append_limits(environment))
         if environment.advice_address != previous.advice_address:
             self._advice_client.set_address(environment.advice_address)
         log_event("settings_reloaded", changed=environment != previous)
@@ -339,6 +347,10 @@
         return _LOST_THREAD_EXIT_STATUS if self._lost_thread else 0
 
 
+def _append_limits(environment: NodeEnvironment) -> AppendLimits:
+    return AppendLimits(environment.store.record_bytes, environment.store.call_bytes)
+
+
 def main() -> None:
     """Run the daemon."""
     parser = argparse.ArgumentParser(prog="snowdock-entry", description=__doc__)
--- a/src/snowdock/entry/leader_settings.py
+++ b/src/snowdock/entry/leader_settings.py
@@ -59,6 +59,8 @@
         pass_time_share=_pass_time_share(environment.cpu_cores),
         examination_s=_EXAMINATION_SECONDS / max(1.0, environment.cpu_cores),
         summarizes_load=PRESSURE in environment.contracts,
+        max_record_bytes=environment.store.record_bytes,
+        max_append_bytes=environment.store.call_bytes,
     )
 
 
--- a/src/snowdock/entry/progress_partitions.py
+++ b/src/snowdock/entry/progress_partitions.py
@@ -1,4 +1,4 @@
-"""The partitions that hold progress records: sequence numbers, open appends and each job's records.
+"""The partitions that hold progress records: sequence numbers, open appends and each record's key.
 
 Pure bookkeeping for `ProgressWriter` and `RecordCleaner`. It serves the load of a store of which
 single partitions reset, refuse or hang while the others answer.
@@ -14,7 +14,6 @@
 from collections.abc import Iterable, Mapping
 
 from ..jobs.events import Persist
-from ..jobs.model import JobId
 from .topics import DEFAULT_PARTITION
 
 __all__ = ["FENCE_SEQUENCE", "ProgressAppend", "ProgressPartitions"]
@@ -43,20 +42,20 @@
     ----------
     count
         Number of partitions that may hold progress.
-    job_partitions
-        For each job on record, the partitions that hold its progress, with the newest last.
+    key_partitions
+        For each key on record, the partitions that hold a record of it, with the newest last.
     """
 
     def __init__(
-        self, count: int, job_partitions: Mapping[JobId, tuple[int, ...]] | None = None
+        self, count: int, key_partitions: Mapping[str, tuple[int, ...]] | None = None
     ) -> None:
         self._count = count
         self._current = DEFAULT_PARTITION
         self._tried_since = 0.0
         self._sequences = [FENCE_SEQUENCE] * count
         self._open: list[ProgressAppend | None] = [None] * count
-        # Most jobs are in one partition, so that the tuples are shared.
-        self._job_partitions = dict(job_partitions or {})
+        # Most records are in one partition, so that the tuples are shared.
+        self._key_partitions = dict(key_partitions or {})
         self._lock = threading.Lock()
 
     @property
@@ -95,14 +94,14 @@
                 append = ProgressAppend(part, self._sequences[part], batch)
                 self._open[part] = append
                 for record in batch.records:
-                    self._mark_newest(record.job, part)
+                    self._mark_newest(record.key, part)
             return append
 
-    def _mark_newest(self, job: JobId, part: int) -> None:
-        known = self._job_partitions.get(job, ())
+    def _mark_newest(self, key: str, part: int) -> None:
+        known = self._key_partitions.get(key, ())
         if not known or known[-1] != part:
             others = tuple(each for each in known if each != part)
-            self._job_partitions[job] = (*others, part)
+            self._key_partitions[key] = (*others, part)
 
     def is_open(self, append: ProgressAppend) -> bool:
         """Check whether an append has not been answered yet."""
@@ -115,21 +114,28 @@
                 self._open[append.partition] = None
         self._current = append.partition
 
-    def deletable_from(self, job: JobId) -> tuple[int, ...]:
-        """Return the partitions from which to delete a job's progress, in this order.
+    def withdraw(self, append: ProgressAppend) -> None:
+        """Record that an append was rejected, so that its sequence number is still to be used."""
+        with self._lock:
+            if self._open[append.partition] is append:
+                self._open[append.partition] = None
+                self._sequences[append.partition] -= 1
+
+    def deletable_from(self, key: str) -> tuple[int, ...]:
+        """Return the partitions from which to delete the records of a key, in this order.
 
-        The newest record goes last, since an older one would count as the job's progress if it
-        remained alone. Nothing may be deleted while an open append has a record of the job: it
-        would bring that record back.
+        The newest record goes last, since an older one would count if it remained alone. Nothing
+        may be deleted while an open append has a record of the key: it would bring that record
+        back.
         """
         with self._lock:
             for append in self._open:
-                if append is not None and any(r.job == job for r in append.batch.records):
+                if append is not None and any(r.key == key for r in append.batch.records):
                     return ()
-            return self._job_partitions.get(job, (DEFAULT_PARTITION,))
+            return self._key_partitions.get(key, (DEFAULT_PARTITION,))
 
-    def forget(self, jobs: Iterable[JobId]) -> None:
-        """Forget jobs whose progress is deleted."""
+    def forget(self, keys: Iterable[str]) -> None:
+        """Forget keys whose records are deleted."""
         with self._lock:
-            for job in jobs:
-                self._job_partitions.pop(job, None)
+            for key in keys:
+                self._key_partitions.pop(key, None)
--- a/src/snowdock/entry/progress_writer.py
+++ b/src/snowdock/entry/progress_writer.py
@@ -1,5 +1,7 @@
 """Appends the leader's progress batches to the store, in order, retrying each until it succeeds.
 
+A batch that the store rejects for good is given back instead, since no later one could follow it.
+
 While one partition fails, the batches go to another one. At most one batch is being written at a
 time, so that of several records of a job the one with the highest batch number is the newest,
 whichever partition it is in and whenever the append was carried out.
@@ -16,10 +18,13 @@
 from ..clocks import steady_seconds
 from ..errors import (
     AppendConflict,
+    AppendRejected,
+    CallUnanswered,
     PlatformError,
     ProducerFenced,
+    StoreRefused,
 )
-from ..jobs.events import Persist, Persisted
+from ..jobs.events import BatchRejected, Persist, Persisted
 from ..logs import log_error, log_event
 from ..node.metrics import Metrics
 from ..platform.store import KeyedRecord, Producer, StoreClient
@@ -79,8 +84,8 @@
         The store.
     epoch
         The leader's epoch.
-    on_persisted
-        Called for each batch that is stored.
+    on_outcome
+        Called for each batch that is stored, or that the store rejects for good.
     on_fenced
         Called once with the reason, if a later leader has fenced this one or a batch failed.
     metrics
@@ -95,7 +100,7 @@
         self,
         store: StoreClient,
         epoch: int,
-        on_persisted: Callable[[Persisted], None],
+        on_outcome: Callable[[Persisted | BatchRejected], None],
         on_fenced: Callable[[str], None],
         metrics: Metrics,
         partitions: ProgressPartitions | None = None,
@@ -103,12 +108,15 @@
     ) -> None:
         self._store = store
         self._epoch = epoch
-        self._on_persisted = on_persisted
+        self._on_outcome = on_outcome
         self._on_fenced = on_fenced
         self._metrics = metrics
         self._partitions = partitions or ProgressPartitions(1)
         self._may_switch = may_switch
         self._timeout = AdaptiveTimeout(_MIN_ATTEMPT_SECONDS, _MAX_ATTEMPT_SECONDS)
+        # Appends of which an attempt had no answer. Even if the store rejects a later attempt, the
+        # sequence number may be taken, so that it must not be used for another batch.
+        self._uncertain: set[ProgressAppend] = set()
         self._batches: queue.SimpleQueue[Persist | None] = queue.SimpleQueue()
         self._stopped = threading.Event()
         self._thread = ServiceThread(self._run, "progress", self._stopped.is_set)
@@ -157,25 +165,38 @@
                 part=append.partition,
                 reason=outcome.reason,
             )
+            if outcome.may_be_stored:
+                self._uncertain.add(append)
             outcome = self._append_until_answered(batch)
             log_event(
                 "dependency_regained", dependency="store", seconds=steady_seconds() - started_at
             )
         elif isinstance(outcome, _Appended):
             self._partitions.settle(append)
+        elif isinstance(outcome, _Rejected):
+            self._partitions.withdraw(append)
         if isinstance(outcome, _Appended):
             self._timeout.record_answer(outcome.seconds)
             self._metrics.count("store_appends_total", "Appends to the store.", outcome="done")
             self._metrics.time(
                 "store_append_seconds", "Time of an append that was answered.", outcome.seconds
             )
-            self._on_persisted(Persisted(batch.number))
+            self._on_outcome(Persisted(batch.number))
+            return True
+        if isinstance(outcome, _Rejected):
+            log_event(
+                "append_rejected",
+                batch=batch.number,
+                records=len(batch.records),
+                reason=outcome.reason,
+            )
+            self._on_outcome(BatchRejected(batch.number))
             return True
         if isinstance(outcome, _Fenced):
             self._on_fenced(outcome.reason)
         return False
 
-    def _append_until_answered(self, batch: Persist) -> "_Appended | _Fenced | None":
+    def _append_until_answered(self, batch: Persist) -> "_Appended | _Rejected | _Fenced | None":
         """Retry a batch with overlapping attempts until one is answered; return None if stopped.
 
         An attempt that starts just before the store recovers may hang until its timeout, while
@@ -198,12 +219,20 @@
                     append, outcome = pending.pop(future), future.result()
                     if isinstance(outcome, _AppendFailed):
                         has_failed = True
+                        if outcome.may_be_stored:
+                            self._uncertain.add(append)
                     elif not partitions.is_open(append):
                         continue
                     elif isinstance(outcome, _Fenced):
                         return outcome
                     else:
-                        partitions.settle(append)
+                        if isinstance(outcome, _Rejected):
+                            if append in self._uncertain or append in pending.values():
+                                return _Fenced(f"an append that may be stored: {outcome.reason}")
+                            partitions.withdraw(append)
+                        else:
+                            self._uncertain.discard(append)
+                            partitions.settle(append)
                         if append.batch is batch:
                             return outcome
                 if has_failed:
@@ -237,7 +266,7 @@
 
     def _append_once(self, append: ProgressAppend, seconds: float) -> "_Outcome":
         producer = Producer(_PRODUCER_NAME, self._epoch, append.sequence)
-        records = [KeyedRecord(record.job, record.data) for record in append.batch.records]
+        records = [KeyedRecord(record.key, record.data) for record in append.batch.records]
         started_at = steady_seconds()
         try:
             self._store.append(
@@ -247,7 +276,11 @@
             return _Fenced(f"progress append: {error}")
         except PlatformError as error:
             self._metrics.count("store_appends_total", "Appends to the store.", outcome=error.code)
-            return _AppendFailed(str(error))
+            if isinstance(error, AppendRejected):
+                return _Rejected(str(error))
+            is_unsent = isinstance(error, CallUnanswered) and error.unsent
+            is_refused = is_unsent or isinstance(error, StoreRefused)
+            return _AppendFailed(str(error), may_be_stored=not is_refused)
         return _Appended(steady_seconds() - started_at)
 
 
@@ -263,16 +296,24 @@
     """The attempt failed or had no answer; the batch may be stored nevertheless."""
 
     reason: str
+    may_be_stored: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Rejected:
+    """The store will never take the batch as it is; nothing of it is stored."""
+
+    reason: str
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Fenced:
-    """Another leader has fenced this one."""
+    """Another leader has fenced this one, or it cannot tell what is stored."""
 
     reason: str
 
 
-_Outcome = _Appended | _AppendFailed | _Fenced
+_Outcome = _Appended | _AppendFailed | _Rejected | _Fenced
 
 
 class _AttemptPool:
--- a/src/snowdock/entry/record_cleaner.py
+++ b/src/snowdock/entry/record_cleaner.py
@@ -9,11 +9,11 @@
 from collections.abc import Iterable
 
 from ..errors import PlatformError
-from ..jobs.events import DropJobs, ForgetAccepted
+from ..jobs.events import DropJobs, DropProgress, ForgetAccepted
 from ..jobs.model import JobId
-from ..jobs.progress import cancel_key, parse_job_id
+from ..jobs.progress import cancel_key, parse_block_key, parse_job_id
 from ..logs import log_event
-from ..platform.store import KeyedRecord, StoreClient
+from ..platform.store import KeyedRecord, StoreClient, split_records
 from ..threads import ServiceThread
 from .progress_partitions import ProgressPartitions
 from .topics import JOBS_TOPIC, PROGRESS_TOPIC, job_partition
@@ -27,6 +27,9 @@
 """Timeout of one append. Records whose deletion fails stay, which costs only space and time."""
 
 
+_Effect = DropJobs | DropProgress | ForgetAccepted
+
+
 class RecordCleaner:
     """A thread that deletes job records.
 
@@ -49,7 +52,7 @@
         self._store = store
         self._progress = progress or ProgressPartitions(1)
         self._partition_count = partition_count
-        self._pending: queue.SimpleQueue[DropJobs | ForgetAccepted] = queue.SimpleQueue()
+        self._pending: queue.SimpleQueue[_Effect] = queue.SimpleQueue()
         self._stopped = threading.Event()
         self._thread = ServiceThread(self._run, "record-cleaner", self._stopped.is_set)
 
@@ -61,7 +64,7 @@
         """Stop the thread; queued records are not deleted."""
         self._stopped.set()
 
-    def clean(self, effect: DropJobs | ForgetAccepted) -> None:
+    def clean(self, effect: _Effect) -> None:
         """Queue records for deletion."""
         self._pending.put(effect)
 
@@ -69,25 +72,37 @@
         while not self._stopped.wait(_BATCH_SECONDS):
             ended_names: set[str] = set()
             dropped_jobs: list[JobId] = []
+            dropped_blocks: list[str] = []
             while not self._pending.empty():
                 effect = self._pending.get()
+                if isinstance(effect, DropProgress):
+                    dropped_blocks += effect.keys
+                    continue
                 if isinstance(effect, DropJobs):
                     dropped_jobs += effect.jobs
                     ended_names.update(effect.jobs)
                 ended_names.update(effect.names)
             kept_jobs = self._drop_submissions(ended_names)
+            # The blocks of a job without its own record would never be deleted.
+            kept_jobs.update(map(parse_block_key, self._drop_progress(dropped_blocks)))
             # A submission without progress would be started again by the next leader.
             droppable_jobs = [job for job in dropped_jobs if job not in kept_jobs]
             self._drop_progress(droppable_jobs)
 
-    def _drop_progress(self, jobs: Iterable[JobId]) -> None:
-        """Delete progress from all partitions, each job's newest record last.
+    def _drop_progress(self, keys: Iterable[str]) -> set[str]:
+        """Delete progress from all partitions, each key's newest record last.
 
-        A job's later deletions are only sent once the earlier ones are certain. What stays is
+        A key's later deletions are only sent once the earlier ones are certain. What stays is
         dropped by the next leader.
+
+        Returns
+        -------
+        set of str
+            The keys of which a record may remain.
         """
-        remaining = {job: self._progress.deletable_from(job) for job in jobs}
-        blocked = [job for job, partitions in remaining.items() if not partitions]
+        kept = set(keys)
+        remaining = {key: self._progress.deletable_from(key) for key in kept}
+        blocked = [key for key, partitions in remaining.items() if not partitions]
         if blocked:
             reason = "an append of their progress has not been answered"
             log_event(
@@ -95,17 +110,16 @@
             )
         remaining = {job: partitions for job, partitions in remaining.items() if partitions}
         while remaining:
-            deleted = {
-                partition: self._drop(
-                    PROGRESS_TOPIC,
-                    partition,
-                    [j for j, p in remaining.items() if p[0] == partition],
-                )
-                for partition in {partitions[0] for partitions in remaining.values()}
-            }
-            certain = {job: p for job, p in remaining.items() if deleted[p[0]]}
-            self._progress.forget(job for job, p in certain.items() if len(p) == 1)
-            remaining = {job: p[1:] for job, p in certain.items() if len(p) > 1}
+            failed: set[str] = set()
+            for partition in {partitions[0] for partitions in remaining.values()}:
+                due = [key for key, parts in remaining.items() if parts[0] == partition]
+                failed |= self._drop(PROGRESS_TOPIC, partition, due)
+            certain = {key: parts for key, parts in remaining.items() if key not in failed}
+            deleted = [key for key, parts in certain.items() if len(parts) == 1]
+            self._progress.forget(deleted)
+            kept.difference_update(deleted)
+            remaining = {key: parts[1:] for key, parts in certain.items() if len(parts) > 1}
+        return kept
 
     def _drop_submissions(self, names: set[str]) -> set[JobId]:
         """Delete submissions and cancellations; return the jobs of which some may remain."""
@@ -115,24 +129,28 @@
                 name for name in names if job_partition(name, self._partition_count) == partition
             ]
             keys = [*partition_names, *map(cancel_key, partition_names)]
-            if not self._drop(JOBS_TOPIC, partition, keys):
-                kept_jobs.update(map(parse_job_id, partition_names))
+            failed = self._drop(JOBS_TOPIC, partition, keys)
+            kept_jobs.update(
+                parse_job_id(name)
+                for name in partition_names
+                if name in failed or cancel_key(name) in failed
+            )
         return kept_jobs
 
-    def _drop(self, topic: str, partition: int, keys: Iterable[str]) -> bool:
-        """Delete records; return whether it is certain that they are deleted."""
+    def _drop(self, topic: str, partition: int, keys: Iterable[str]) -> set[str]:
+        """Delete records; return the keys of those that may remain."""
+        failed: set[str] = set()
         records = [KeyedRecord(key, None) for key in keys]
-        if not records:
-            return True
-        try:
-            self._store.append(topic, partition, records, _APPEND_TIMEOUT_SECONDS)
-        except PlatformError as error:
-            log_event(
-                "records_not_dropped",
-                topic=topic,
-                part=partition,
-                count=len(records),
-                reason=str(error),
-            )
-            return False
-        return True
+        for batch in split_records(records, self._store.limits):
+            try:
+                self._store.append(topic, partition, batch, _APPEND_TIMEOUT_SECONDS)
+            except PlatformError as error:
+                failed.update(record.key for record in batch)
+                log_event(
+                    "records_not_dropped",
+                    topic=topic,
+                    part=partition,
+                    count=len(batch),
+                    reason=str(error),
+                )
+        return failed
--- a/src/snowdock/entry/recorder.py
+++ b/src/snowdock/entry/recorder.py
@@ -14,11 +14,11 @@
 from collections.abc import Callable
 
 from ..clocks import steady_seconds
-from ..errors import CallUnanswered, PlatformError
+from ..errors import AppendRejected, CallUnanswered, PlatformError
 from ..jobs.model import JobId
 from ..logs import log_error, log_event
 from ..node.metrics import Metrics
-from ..platform.store import KeyedRecord, StoreClient
+from ..platform.store import AppendLimits, KeyedRecord, StoreClient
 from .messages import RecordOutcome
 from .store_health import MIN_ATTEMPT_SECONDS, Admission, StoreHealth
 from .topics import JOBS_TOPIC, job_partition
@@ -49,8 +49,7 @@
 """Interval at which a waiting record checks whether the store has become silent."""
 
 _MAX_BATCH_RECORDS = 64
-"""Largest number of records in one append: with the longest bodies, a quarter of the size limit of
-a call."""
+"""Largest number of records in one append, which is also limited by the store in bytes."""
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -102,6 +101,8 @@
         Counts and times appends.
     renewal_is_overdue
         Returns whether the leader's last renewal is older than one that reaches the store.
+    limits
+        Returns the longest records and appends that the store takes.
     """
 
     def __init__(
@@ -110,9 +111,11 @@
         partition_count: int,
         metrics: Metrics,
         renewal_is_overdue: Callable[[], bool] = lambda: False,
+        limits: Callable[[], AppendLimits] = AppendLimits,
     ) -> None:
         self._store = store
         self._metrics = metrics
+        self._limits = limits
         self._health = StoreHealth(steady_seconds, renewal_is_overdue)
         self._silent_since: float | None = None
         self._partitions = [_Partition() for _ in range(partition_count)]
@@ -143,6 +146,10 @@
         """
         partition_number = job_partition(job, len(self._partitions))
         outcome = RecordOutcome.NOT_DONE
+        if record.size > self._limits().record_bytes:
+            # In one append with others, it would have all of them rejected.
+            log_event("record_too_long", job=job, part=partition_number, bytes=record.size)
+            return outcome
         started_at = steady_seconds()
         while steady_seconds() - started_at < min(_RETRY_PERIOD_SECONDS, seconds):
             self._is_silent()
@@ -213,12 +220,24 @@
             return self._withdraw(partition, pending)
         # An append that has hung in a silent store may hang on after the store's return.
         if partition.turn is None or self._health.was_silent_since(partition.turn.started_at):
-            batch = partition.pending[:_MAX_BATCH_RECORDS]
-            del partition.pending[:_MAX_BATCH_RECORDS]
-            partition.turn = _Turn(steady_seconds(), batch)
+            partition.turn = _Turn(steady_seconds(), self._take_batch(partition))
             return partition.turn
         return self._withdraw(partition, pending) if is_over else None
 
+    def _take_batch(self, partition: _Partition) -> list[_PendingRecord]:
+        """Remove and return the first waiting records, as many as one append may have."""
+        count = 0
+        size = 0
+        max_bytes = self._limits().call_bytes
+        for pending in partition.pending[:_MAX_BATCH_RECORDS]:
+            size += pending.record.append_size
+            if count and size > max_bytes:
+                break
+            count += 1
+        batch = partition.pending[:count]
+        del partition.pending[:count]
+        return batch
+
     def _withdraw(self, partition: _Partition, pending: _PendingRecord) -> RecordOutcome:
         """Remove a record that was admitted but not sent."""
         partition.pending.remove(pending)
@@ -243,9 +262,10 @@
         self, partition_number: int, partition: _Partition, turn: _Turn, seconds: float
     ) -> None:
         """Append the records of a turn, then wake their threads and that of the next record."""
-        outcome = self._append(partition_number, [each.record for each in turn.batch], seconds)
+        records = [each.record for each in turn.batch]
+        outcomes = self._append_separable(partition_number, records, seconds)
         with partition.lock:
-            for each in turn.batch:
+            for each, outcome in zip(turn.batch, outcomes, strict=True):
                 each.outcome = outcome
             woken = list(turn.batch)
             if partition.turn is turn:
@@ -254,9 +274,34 @@
         for each in woken:
             each.wake.set()
 
+    def _append_separable(
+        self, partition_number: int, records: list[KeyedRecord], seconds: float
+    ) -> list[RecordOutcome]:
+        """Append records together, or each alone if the store rejects them for good.
+
+        One record that the store never takes would have the others rejected at each attempt.
+        """
+        try:
+            outcome = self._append(partition_number, records, seconds)
+            return [outcome] * len(records)
+        except AppendRejected:
+            if len(records) == 1:
+                return [RecordOutcome.NOT_DONE]
+        outcomes = []
+        for record in records:
+            outcomes += self._append_separable(partition_number, [record], seconds)
+        return outcomes
+
     def _append(
         self, partition_number: int, records: list[KeyedRecord], seconds: float
     ) -> RecordOutcome:
+        """Append records once.
+
+        Raises
+        ------
+        AppendRejected
+            If the store will never take them as they are.
+        """
         started_at = steady_seconds()
         # Other threads share the append, so a thread with little time left may not shorten it.
         timeout_s = max(MIN_ATTEMPT_SECONDS, min(seconds, self._health.attempt_timeout_s))
@@ -272,6 +317,8 @@
             log_event(
                 "append_failed", part=partition_number, records=len(records), reason=str(error)
             )
+            if isinstance(error, AppendRejected):
+                raise
             may_be_recorded = is_unanswered and not error.unsent
             return RecordOutcome.UNKNOWN if may_be_recorded else RecordOutcome.NOT_DONE
         except Exception as error:
--- a/src/snowdock/entry/takeover.py
+++ b/src/snowdock/entry/takeover.py
@@ -13,9 +13,9 @@
     AcceptedJob,
     JobProgress,
     decode_accepted,
-    decode_progress,
     parse_job_id,
 )
+from ..jobs.recorded_progress import ProgressOnRecord, read_progress
 from ..jobs.takeover import RecordedJobs
 from ..logs import log_error, log_event
 from ..platform.store import KeyedRecord, StoreClient, StorePage
@@ -67,48 +67,26 @@
         progress_reads = pool.map(read, [(PROGRESS_TOPIC, part) for part in progress_parts])
         job_pages = list(pool.map(read, [(JOBS_TOPIC, part) for part in range(parts)]))
         progress_pages = list(progress_reads)
-    progress, unreadable, partitions = _read_progress([page.records for page in progress_pages])
+    on_record = _read_progress([page.records for page in progress_pages])
     records = [record for page in job_pages for record in page.records]
-    recorded = classify_records(records, progress, unreadable)
-    recorded = dataclasses.replace(recorded, progress_partitions=partitions)
+    recorded = classify_records(records, on_record.progress, on_record.unreadable)
+    recorded = dataclasses.replace(
+        recorded, progress_partitions=on_record.partitions, layouts=on_record.layouts
+    )
     return recorded, [page.next_offset for page in job_pages]
 
 
-def _read_progress(
-    partitions: Iterable[Iterable[KeyedRecord]],
-) -> tuple[dict[JobId, JobProgress], frozenset[JobId], dict[JobId, tuple[int, ...]]]:
-    """Return the newest progress of jobs, the jobs with a malformed record, and their partitions.
+def _read_progress(partitions: Iterable[Iterable[KeyedRecord]]) -> ProgressOnRecord:
+    """Read the newest progress of jobs from the records of each partition.
 
-    A malformed record doesn't raise, since it would keep every node from leading. It may be the
-    newest of its job, whose other records are therefore not used.
-
-    Parameters
-    ----------
-    partitions
-        The records of each partition.
+    A malformed record doesn't raise, since it would keep every node from leading.
     """
-    found: dict[JobId, list[tuple[int, JobProgress | None]]] = {}
-    for part, records in enumerate(partitions):
-        for record in records:
-            if not record.value:
-                continue
-            job_progress = None
-            try:
-                job_progress = decode_progress(record.value)
-            except InvalidInput as error:
-                log_error("progress_record_unusable", error, job=record.key, part=part)
-            found.setdefault(record.key, []).append((part, job_progress))
-    progress = {}
-    unreadable = set()
-    job_partitions = {}
-    for job, versions in found.items():
-        if any(each is None for _, each in versions):
-            unreadable.add(job)
-            continue
-        versions.sort(key=lambda version: version[1].version)
-        progress[job] = versions[-1][1]
-        job_partitions[job] = tuple(part for part, _ in versions)
-    return progress, frozenset(unreadable), job_partitions
+    on_record = read_progress(
+        [(record.key, record.value) for record in records if record.value] for records in partitions
+    )
+    for each in on_record.malformed:
+        log_error("progress_record_unusable", each.error, job=each.key, part=each.partition)
+    return on_record
 
 
 def classify_records(
--- a/src/snowdock/errors.py
+++ b/src/snowdock/errors.py
@@ -8,6 +8,7 @@
 __all__ = [
     "DECODE_ERRORS",
     "AppendConflict",
+    "AppendRejected",
     "BodyTooLarge",
     "CallUnanswered",
     "ConfigurationConflict",
@@ -251,6 +252,15 @@
     code = "store_refused"
 
 
+class AppendRejected(PlatformError):
+    """The store will never take an append as it is, such as one that is too long.
+
+    Nothing was appended, and repeating the append is useless.
+    """
+
+    code = "append_rejected"
+
+
 class AppendConflict(PlatformError):
     """A conditional append expected another end of the partition; nothing was appended."""
 
--- a/src/snowdock/jobs/cell.py
+++ b/src/snowdock/jobs/cell.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 
 from ..declarations import ZERO_SIZE, Size
-from .events import Effect, LogDecision, PublishStatus
+from .events import Effect, LogDecision, ProgressRecord, PublishStatus
 from .job_state import Job, Step, Task
 from .load_history import LoadHistory
 from .model import Configuration, JobId, Queue, StepKey, TaskId
@@ -66,6 +66,8 @@
         Approximate time to examine one worker for one step.
     summarizes_load
         Whether the load is summarized and waits are predicted (contract `pressure`).
+    max_record_bytes, max_append_bytes
+        Length of the longest record, and of the longest append, that the store takes.
     """
 
     lease_s: float
@@ -78,6 +80,8 @@
     pass_time_share: float = 0.3
     examination_s: float = 10e-6
     summarizes_load: bool = False
+    max_record_bytes: int = 262_144
+    max_append_bytes: int = 2_097_152
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -262,9 +266,16 @@
         Jobs whose progress is recorded with the next batch.
     deferred
         Actions that are deferred until the next batch is recorded, in order.
-    batch_number, batch_deferred
-        Number of the newest batch, and the actions deferred until it is recorded; None if no batch
-        is being recorded.
+    unsent_records
+        Encoded progress that the last batch had no room for.
+    batch_number, batch_records, batch_deferred
+        Number of the newest batch, its records, and the actions deferred until it is recorded; None
+        if no batch is being recorded.
+    max_record_bytes, max_append_bytes, limits_lowered_until
+        Length of the longest record, and of the longest append, that the store takes. Lower than in
+        the settings for a while after the store has rejected an append.
+    next_batch_at
+        Earliest time of the next batch.
     effects
         Effects of the event that is being handled.
     advice_node_count
@@ -324,7 +335,13 @@
         self.pending_stops: dict[tuple[str, TaskId, int], PendingStop] = {}
         self.dirty_jobs: dict[JobId, Job] = {}
         self.deferred: list[Deferred] = []
+        self.unsent_records: collections.deque[ProgressRecord] = collections.deque()
         self.batch_number = 0
+        self.batch_records: tuple[ProgressRecord, ...] = ()
+        self.max_record_bytes = settings.max_record_bytes
+        self.max_append_bytes = settings.max_append_bytes
+        self.next_batch_at = 0.0
+        self.limits_lowered_until = 0.0
         self.batch_deferred: list[Deferred] | None = None
         self.effects: list[Effect] = []
         self.advice_node_count = 1
--- a/src/snowdock/jobs/events.py
+++ b/src/snowdock/jobs/events.py
@@ -21,9 +21,11 @@
     "AdviceAnswered",
     "AdviceFailed",
     "AskAdvice",
+    "BatchRejected",
     "CloseWorker",
     "ConfigurationChanged",
     "DropJobs",
+    "DropProgress",
     "Effect",
     "Event",
     "ForgetAccepted",
@@ -162,6 +164,13 @@
     number: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class BatchRejected:
+    """The store has rejected a batch of progress records for good; none of it is recorded."""
+
+    number: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Ticked:
     """A periodic timer event.
@@ -193,6 +202,7 @@
     | AdviceAnswered
     | AdviceFailed
     | Persisted
+    | BatchRejected
     | Ticked
 )
 
@@ -200,13 +210,27 @@
 # -- effects -------------------------------------------------------------------------------
 
 
+_LENGTH_PREFIX_BYTES = 4
+"""What a record adds to an append beside its own length."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ProgressRecord:
-    """The encoded current progress of one job."""
+    """The encoded current progress of a job, or of some of its tasks; see `progress`."""
 
-    job: JobId
+    key: str
     data: bytes
 
+    @property
+    def size(self) -> int:
+        """The record's length in bytes, as the store counts it: the key has a byte of length."""
+        return 1 + len(self.key) + len(self.data)
+
+    @property
+    def append_size(self) -> int:
+        """What the record adds to the length of an append, in bytes."""
+        return _LENGTH_PREFIX_BYTES + self.size
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Persist:
@@ -294,6 +318,13 @@
     names: tuple[str, ...]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class DropProgress:
+    """Delete blocks of progress that no longer count, by their keys."""
+
+    keys: tuple[str, ...]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class StepDown:
     """Resign the leadership, because another node leads."""
@@ -337,6 +368,7 @@
     | PublishStatus
     | DropJobs
     | ForgetAccepted
+    | DropProgress
     | StepDown
     | LogDecision
     | PublishLoad
--- a/src/snowdock/jobs/job_state.py
+++ b/src/snowdock/jobs/job_state.py
@@ -7,6 +7,7 @@
 from .load_history import WaitPrediction
 from .model import AdviceTerms, JobId, JobStatus, StepKey, StepSpec, TaskId
 from .progress import AcceptedJob, record_name
+from .progress_layout import ProgressLayout
 
 __all__ = ["Advice", "Job", "Phase", "Step", "Task"]
 
@@ -279,6 +280,8 @@
         start; None once it is.
     wait_prediction
         The wait predicted at acceptance; None if there is none, and after the first placement.
+    layout
+        The blocks in which its progress is recorded; None while there are none.
     """
 
     id: JobId
@@ -289,6 +292,7 @@
     critical_paths_ms: tuple[float, ...] = ()
     announced_at: float | None = None
     wait_prediction: WaitPrediction | None = None
+    layout: ProgressLayout | None = None
 
     def __post_init__(self) -> None:
         self.critical_paths_ms = compute_critical_paths_ms(self.accepted.spec.steps)
@@ -298,6 +302,11 @@
         """Whether the job's submission is recorded."""
         return self.announced_at is None
 
+    @property
+    def is_split(self) -> bool:
+        """Whether the job's progress takes several records."""
+        return self.layout is not None and self.layout.since is not None
+
     @property
     def queue(self) -> str:
         """Name of the job's queue."""
--- a/src/snowdock/jobs/placement_advice.py
+++ b/src/snowdock/jobs/placement_advice.py
@@ -452,4 +452,6 @@
     job = cell.jobs.get(request.job)
     if job is None or request.repetition >= len(job.repetitions):
         return None
-    return job.repetitions[request.repetition][request.step]
+    steps = job.repetitions[request.repetition]
+    # A finished repetition may have dropped its steps.
+    return steps[request.step] if request.step < len(steps) else None
--- a/src/snowdock/jobs/progress.py
+++ b/src/snowdock/jobs/progress.py
@@ -11,11 +11,19 @@
     "CANCEL_PREFIX",
     "AcceptedJob",
     "JobProgress",
+    "SplitProgress",
+    "TaskBlock",
     "TaskProgress",
+    "block_key",
     "cancel_key",
     "decode_accepted",
     "decode_progress",
+    "decode_split_progress",
+    "decode_task_block",
     "encode",
+    "is_block_key",
+    "parse_block_key",
+    "parse_block_repetition",
     "parse_job_id",
     "record_name",
 ]
@@ -30,6 +38,11 @@
 _TEAM_SEPARATOR = "@"
 _TEAM_DIGEST_BYTES = 6
 
+_BLOCK_SEPARATOR = "."
+
+Version = tuple[int, int]
+"""The epoch of the leader that wrote a record, and the number of its batch."""
+
 
 class AcceptedJob(msgspec.Struct, frozen=True, array_like=True):
     """Submission record of a job; written once, by the node that accepted the job.
@@ -119,11 +132,87 @@
     batch: int = 0
 
     @property
-    def version(self) -> tuple[int, int]:
+    def version(self) -> Version:
         """The record's position among all records of its job."""
         return self.epoch, self.batch
 
 
+class SplitProgress(msgspec.Struct, array_like=True, tag="split"):
+    """Progress of a job that takes several records: all but the tasks, which are in blocks.
+
+    It has the key that a `JobProgress` of the job would have, and replaces it. Earlier versions
+    cannot decode it, so that they do not take the job for one of which nothing was started.
+
+    Attributes
+    ----------
+    status, team, epoch, batch
+        As in `JobProgress`.
+    since
+        The version from which the blocks count; older ones are left from before.
+    finished
+        Ranges of repetitions of which all tasks are done: their first and last numbers.
+    """
+
+    status: JobStatus
+    team: str
+    epoch: int
+    batch: int
+    since: Version
+    finished: list[tuple[int, int]] = []
+
+    @property
+    def version(self) -> Version:
+        """The record's position among all records of its job under this key."""
+        return self.epoch, self.batch
+
+
+class TaskBlock(msgspec.Struct, array_like=True, tag="block"):
+    """Progress of some tasks of a job; see `SplitProgress`.
+
+    Of several blocks that state the same task, the one with the highest `version` counts.
+    """
+
+    epoch: int
+    batch: int
+    tasks: list[TaskProgress]
+
+    @property
+    def version(self) -> Version:
+        """The record's position among all blocks of its job."""
+        return self.epoch, self.batch
+
+
+def block_key(job: JobId, repetition: int, block: int, part: int) -> str:
+    """Return the key of a `TaskBlock`: one part of a numbered block of a job's repetition."""
+    return _BLOCK_SEPARATOR.join((job, str(repetition), str(block), str(part)))
+
+
+def is_block_key(key: str) -> bool:
+    """Check whether a key is that of a `TaskBlock`."""
+    return _BLOCK_SEPARATOR in key
+
+
+def parse_block_key(key: str) -> JobId:
+    """Return the job of a key of progress, be it that of a block or of the job itself."""
+    return key.partition(_BLOCK_SEPARATOR)[0]
+
+
+def parse_block_repetition(key: str) -> int:
+    """Return the repetition that a block belongs to, from its key.
+
+    Raises
+    ------
+    InvalidInput
+        If the key is not that of a block.
+    """
+    try:
+        _, repetition, block, part = key.split(_BLOCK_SEPARATOR)
+        int(block), int(part)
+        return int(repetition)
+    except ValueError as error:
+        raise InvalidInput(f"malformed key of a block: {key[:60]!r}") from error
+
+
 def record_name(job: JobId, team: str) -> str:
     """Return the key under which a team's job is recorded.
 
@@ -146,7 +235,7 @@
     return f"{CANCEL_PREFIX}{name}"
 
 
-def encode(record: AcceptedJob | JobProgress) -> bytes:
+def encode(record: AcceptedJob | JobProgress | SplitProgress | TaskBlock) -> bytes:
     """Encode a durable record."""
     return msgspec.msgpack.encode(record)
 
@@ -163,7 +252,7 @@
 
 
 def decode_progress(data: bytes) -> JobProgress:
-    """Decode a progress record.
+    """Decode the progress of a job that takes one record.
 
     Raises
     ------
@@ -173,6 +262,28 @@
     return _decode(data, JobProgress)
 
 
+def decode_split_progress(data: bytes) -> SplitProgress:
+    """Decode the progress of a job whose tasks are in blocks.
+
+    Raises
+    ------
+    InvalidInput
+        If the record cannot be decoded.
+    """
+    return _decode(data, SplitProgress)
+
+
+def decode_task_block(data: bytes) -> TaskBlock:
+    """Decode a block of tasks.
+
+    Raises
+    ------
+    InvalidInput
+        If the record cannot be decoded.
+    """
+    return _decode(data, TaskBlock)
+
+
 def _decode(data: bytes, kind: type):
     try:
         return msgspec.msgpack.decode(data, type=kind)
--- a/src/snowdock/jobs/progress_batches.py
+++ b/src/snowdock/jobs/progress_batches.py
@@ -3,38 +3,55 @@
 At most one batch is in flight.
 """
 
+import collections
+
 from .cell import Cell, Deferred, DeferredRenewal, DeferredStart
-from .durability import RENEW_WAIT_MS, send_renewal
-from .events import ForgetAccepted, Persist, ProgressRecord, SendStart
+from .durability import RENEW_WAIT_MS, mark_dirty, send_renewal
+from .events import DropProgress, ForgetAccepted, Persist, SendStart
 from .job_state import Job, Phase, Task
+from .model import JobId
 from .orders import StartOrder
-from .progress import JobProgress, TaskProgress, encode
+from .progress import parse_block_key
+from .progress_encoding import encode_progress
 from .quotas import may_start_within_quota
 from .runs import void_run
 
-__all__ = ["handle_persisted", "release_held_starts", "send_batch"]
+__all__ = ["handle_persisted", "handle_rejected", "release_held_starts", "send_batch"]
 
 _MAX_BATCH_BYTES = 1_000_000
-"""Size at which a batch is full, in bytes: half of the store's limit for one call."""
+"""Size at which a batch is full, in bytes: half of the store's usual limit for one append."""
+
+_MIN_LIMIT_BYTES = 1024
+"""A store that rejects a record, or an append, of this length does so for another reason."""
+
+_REJECTED_DELAY_SECONDS = 1.0
+"""Delay of the next batch after the store has rejected the shortest one."""
+
+_LOWERED_LIMITS_SECONDS = 60.0
+"""How long the limits stay lowered after a rejection, which may have had a passing reason."""
 
 
 def send_batch(cell: Cell) -> None:
     """Send the next batch, unless one is in flight or there is nothing to send."""
-    if cell.batch_deferred is not None or not (cell.dirty_jobs or cell.deferred):
+    is_empty = not (cell.dirty_jobs or cell.unsent_records or cell.deferred)
+    if is_empty or cell.batch_deferred is not None or cell.now < cell.next_batch_at:
         return
+    if 0.0 < cell.limits_lowered_until <= cell.now:
+        cell.limits_lowered_until = 0.0
+        cell.max_record_bytes = cell.settings.max_record_bytes
+        cell.max_append_bytes = cell.settings.max_append_bytes
     records = []
     size = 0
-    while cell.dirty_jobs and size < _MAX_BATCH_BYTES:
-        job_id = next(iter(cell.dirty_jobs))
-        job = cell.dirty_jobs.pop(job_id)
-        progress = _build_progress(job, cell.token, cell.batch_number + 1)
-        if progress.status.is_final and not progress.tasks:
-            # A takeover reads all submission records, so keep only those of open jobs.
-            cell.deferred.append(ForgetAccepted((job.record_name,)))
-        data = encode(progress)
-        size += len(data)
-        records.append(ProgressRecord(job_id, data))
-    if cell.dirty_jobs:
+    max_bytes = min(_MAX_BATCH_BYTES, cell.max_append_bytes)
+    while cell.unsent_records or cell.dirty_jobs:
+        if not cell.unsent_records:
+            _encode_next_job(cell)
+            continue
+        size += cell.unsent_records[0].append_size
+        if records and size > max_bytes:
+            break
+        records.append(cell.unsent_records.popleft())
+    if cell.dirty_jobs or cell.unsent_records:
         # The deferred actions depend on all of these records, so they wait for the last batch.
         deferred = []
     else:
@@ -44,7 +61,25 @@
         return
     cell.batch_number += 1
     cell.batch_deferred = deferred
-    cell.emit(Persist(cell.batch_number, tuple(records)))
+    cell.batch_records = tuple(records)
+    cell.emit(Persist(cell.batch_number, cell.batch_records))
+
+
+def _encode_next_job(cell: Cell) -> None:
+    job_id = next(iter(cell.dirty_jobs))
+    job = cell.dirty_jobs.pop(job_id)
+    was_split = job.is_split
+    encoded = encode_progress(job, (cell.token, cell.batch_number + 1), cell.max_record_bytes)
+    if job.is_split and not was_split:
+        cell.log_decision("progress_split", job_id, records=len(encoded.records))
+    for task, size in encoded.long_checkpoints:
+        cell.log_decision("checkpoint_not_recorded", job_id, task=task, bytes=size)
+    if job.status.is_final and not encoded.has_tasks:
+        # A takeover reads all submission records, so keep only those of open jobs.
+        cell.deferred.append(ForgetAccepted((job.record_name,)))
+    if encoded.obsolete_keys:
+        cell.deferred.append(DropProgress(tuple(encoded.obsolete_keys)))
+    cell.unsent_records.extend(encoded.records)
 
 
 def handle_persisted(cell: Cell, number: int, now: float) -> None:
@@ -55,6 +90,52 @@
     _release_deferred(cell, deferred, now)
 
 
+def handle_rejected(cell: Cell, number: int, now: float) -> None:
+    """Encode a batch again in shorter records and batches, after the store rejected it for good.
+
+    The store's limits may have been lowered since this leader read them.
+    """
+    if number != cell.batch_number or cell.batch_deferred is None:
+        return
+    sizes = [record.append_size for record in cell.batch_records]
+    cell.deferred = cell.batch_deferred + cell.deferred
+    cell.batch_deferred = None
+    cell.max_append_bytes = _lower_limit(cell.max_append_bytes, sum(sizes))
+    cell.max_record_bytes = _lower_limit(cell.max_record_bytes, max(sizes))
+    cell.limits_lowered_until = now + _LOWERED_LIMITS_SECONDS
+    if sum(sizes) <= _MIN_LIMIT_BYTES:
+        cell.next_batch_at = now + _REJECTED_DELAY_SECONDS
+    cell.log_decision(
+        "batch_rejected",
+        str(number),
+        records=len(sizes),
+        bytes=sum(sizes),
+        longest_bytes=max(sizes),
+        max_append_bytes=cell.max_append_bytes,
+        max_record_bytes=cell.max_record_bytes,
+    )
+    for job_id in {parse_block_key(record.key) for record in cell.batch_records}:
+        _encode_again(cell, job_id)
+
+
+def _lower_limit(limit: int, rejected: int) -> int:
+    """Return a lower limit for lengths, after the store has rejected one."""
+    return min(limit, max(_MIN_LIMIT_BYTES, rejected // 2))
+
+
+def _encode_again(cell: Cell, job_id: JobId) -> None:
+    """Have all progress of a job written again."""
+    cell.unsent_records = collections.deque(
+        record for record in cell.unsent_records if parse_block_key(record.key) != job_id
+    )
+    job = cell.jobs.get(job_id)
+    if job is None:
+        return
+    if job.layout is not None:
+        job.layout.forget_content()
+    mark_dirty(cell, job)
+
+
 def release_held_starts(cell: Cell, job: Job, now: float) -> None:
     """Send the starts of a job that were held until its submission was recorded."""
     for item in cell.held_starts.pop(job.id, []):
@@ -131,24 +212,3 @@
     worker.last_recorded_end = max(worker.last_recorded_end, deferred.last_recorded_end)
     if not worker.is_renewing:
         send_renewal(cell, worker, now, RENEW_WAIT_MS)
-
-
-def _build_progress(job: Job, epoch: int, batch: int) -> JobProgress:
-    is_open = not job.status.is_final
-    tasks = [
-        TaskProgress(
-            task.id.repetition,
-            task.id.step,
-            task.id.index,
-            task.run,
-            task.life,
-            task.phase is Phase.DONE,
-            sorted(task.failed_runs),
-            task.checkpoint,
-            sorted(task.lost_runs),
-            sorted(task.crashed_runs),
-        )
-        for task in job.all_tasks()
-        if task.life or (is_open and (task.run or task.phase is Phase.DONE))
-    ]
-    return JobProgress(job.status, tasks, job.team, epoch, batch)
--- /dev/null
+++ b/src/snowdock/jobs/progress_encoding.py
@@ -0,0 +1,238 @@
+"""Encoding of a job's progress as records that the store takes, whatever the job's size.
+
+The progress of most jobs is a single record. A job with many tasks gets a record of its own state
+and one for each block of tasks, and only those that have changed are written. Repetitions of which
+all tasks are done are reduced to ranges of numbers, so that the progress of a timed job does not
+grow with its age.
+"""
+
+import dataclasses
+from collections.abc import Iterator
+
+import msgspec
+
+from .events import ProgressRecord
+from .job_state import Job, Phase, Step, Task
+from .model import TaskId
+from .progress import (
+    JobProgress,
+    SplitProgress,
+    TaskBlock,
+    TaskProgress,
+    Version,
+    block_key,
+    encode,
+)
+from .progress_layout import ProgressLayout
+
+__all__ = ["EncodedProgress", "encode_progress"]
+
+_SINGLE_RECORD_SHARE = 0.25
+"""Share of the longest record up to which a job's progress is one record. The whole record is
+written at each change of the job, and a batch has room for those of several jobs."""
+
+_BLOCK_TASKS = 64
+"""Tasks in a block, of some 40 bytes each; all of them are written when one changes."""
+
+_BLOCK_OVERHEAD_BYTES = 96
+"""Upper bound of what a block's key, version and list add to the lengths of its tasks."""
+
+_RANGE_BYTES = 16
+"""Upper bound of the length of an encoded range of finished repetitions."""
+
+_RANGES_SHARE = 0.5
+"""Share of the longest record that ranges of finished repetitions may take."""
+
+_NO_TASKS = msgspec.msgpack.encode([])
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EncodedProgress:
+    """A job's progress as records.
+
+    Attributes
+    ----------
+    records
+        The records to write, in this order: a job's own record counts on those of its blocks.
+    has_tasks
+        Whether the progress of any task is on record.
+    obsolete_keys
+        Keys of blocks that no longer count once the records are written.
+    long_checkpoints
+        Tasks, each with the length in bytes of a checkpoint that is too long for a record. Without
+        it the task starts from the beginning after a takeover.
+    """
+
+    records: list[ProgressRecord]
+    has_tasks: bool
+    obsolete_keys: list[str] = dataclasses.field(default_factory=list)
+    long_checkpoints: list[tuple[TaskId, int]] = dataclasses.field(default_factory=list)
+
+
+def encode_progress(job: Job, version: Version, max_record_bytes: int) -> EncodedProgress:
+    """Encode what has changed of a job's progress, and update its layout.
+
+    Parameters
+    ----------
+    job
+        The job.
+    version
+        The epoch of the leader, and the number of the batch that is being made.
+    max_record_bytes
+        The length of the longest record that the store takes.
+    """
+    layout = job.layout
+    if layout is None or layout.since is None:
+        progress = _build_progress(job, version)
+        data = encode(progress)
+        if len(data) <= max_record_bytes * _SINGLE_RECORD_SHARE:
+            obsolete_keys = [] if layout is None or progress.tasks else layout.keys
+            return EncodedProgress(
+                [ProgressRecord(job.id, data)], bool(progress.tasks), obsolete_keys
+            )
+        if layout is None:
+            layout = job.layout = ProgressLayout()
+        layout.since = version
+    return _encode_split(job, layout, version, max_record_bytes)
+
+
+def _build_progress(job: Job, version: Version) -> JobProgress:
+    tasks = [_make_record(task) for task in job.all_tasks() if _is_recorded(task)]
+    return JobProgress(job.status, tasks, job.team, *version)
+
+
+def _is_recorded(task: Task) -> bool:
+    if task.life:
+        return True
+    return not task.step.job.status.is_final and bool(task.run or task.phase is Phase.DONE)
+
+
+def _make_record(task: Task) -> TaskProgress:
+    return TaskProgress(
+        task.id.repetition,
+        task.id.step,
+        task.id.index,
+        task.run,
+        task.life,
+        task.phase is Phase.DONE,
+        sorted(task.failed_runs),
+        task.checkpoint,
+        sorted(task.lost_runs),
+        sorted(task.crashed_runs),
+    )
+
+
+# -- blocks --------------------------------------------------------------------------------
+
+
+def _encode_split(
+    job: Job, layout: ProgressLayout, version: Version, max_record_bytes: int
+) -> EncodedProgress:
+    max_ranges = max(1, int(max_record_bytes * _RANGES_SHARE / _RANGE_BYTES))
+    obsolete_keys = _close_repetitions(job, layout, max_ranges)
+    payloads: dict[int, dict[str, bytes]] = {}
+    long_checkpoints: list[tuple[TaskId, int]] = []
+    for repetition in sorted(layout.open_repetitions):
+        payloads[repetition] = _encode_blocks(job, repetition, max_record_bytes, long_checkpoints)
+    has_tasks = any(payloads.values())
+    if job.status.is_final and not has_tasks:
+        # What is left of the blocks until they are deleted must not count.
+        layout.since = version
+        obsolete_keys += layout.keys
+        records = []
+    else:
+        records = [
+            ProgressRecord(key, _encode_block(version, payload))
+            for key, payload in _replace_payloads(layout, payloads)
+        ]
+    head = SplitProgress(job.status, job.team, *version, layout.since, layout.finished)
+    records.append(ProgressRecord(job.id, encode(head)))
+    return EncodedProgress(records, has_tasks, obsolete_keys, long_checkpoints)
+
+
+def _close_repetitions(job: Job, layout: ProgressLayout, max_ranges: int) -> list[str]:
+    """Reduce the repetitions that have become finished to ranges; return the keys of their blocks.
+
+    Their steps are dropped, so that a timed job takes no more memory the longer it runs.
+    """
+    layout.open_created(len(job.repetitions))
+    obsolete_keys = []
+    for number in sorted(layout.open_repetitions):
+        if _is_finished(job.repetitions[number]) and layout.finish(number, max_ranges):
+            job.repetitions[number] = []
+            obsolete_keys += layout.blocks.pop(number, {})
+    return obsolete_keys
+
+
+def _is_finished(steps: list[Step]) -> bool:
+    return all(step.is_done for step in steps) and not any(
+        task.is_placed for step in steps for task in step.tasks
+    )
+
+
+def _encode_blocks(
+    job: Job, repetition: int, max_record_bytes: int, long_checkpoints: list[tuple[TaskId, int]]
+) -> dict[str, bytes]:
+    """Encode the tasks of a repetition as blocks; return the lists of tasks by key."""
+    blocks: dict[int, list[TaskProgress]] = {}
+    tasks = (task for step in job.repetitions[repetition] for task in step.tasks)
+    for position, task in enumerate(tasks):
+        if _is_recorded(task):
+            blocks.setdefault(position // _BLOCK_TASKS, []).append(_make_record(task))
+    max_bytes = max_record_bytes - _BLOCK_OVERHEAD_BYTES
+    payloads = {}
+    for block, records in blocks.items():
+        parts = _split_block(job, records, max_bytes, long_checkpoints)
+        for part, payload in enumerate(parts):
+            payloads[block_key(job.id, repetition, block, part)] = payload
+    return payloads
+
+
+def _split_block(
+    job: Job,
+    records: list[TaskProgress],
+    max_bytes: int,
+    long_checkpoints: list[tuple[TaskId, int]],
+) -> Iterator[bytes]:
+    """Yield the encoded lists of a block's tasks, of which none is too long for a record."""
+    payload = msgspec.msgpack.encode(records)
+    if len(payload) <= max_bytes:
+        yield payload
+        return
+    part: list[msgspec.Raw] = []
+    size = 0
+    for record in records:
+        data = msgspec.msgpack.encode(record)
+        if len(data) > max_bytes:
+            task = TaskId(job.id, record.repetition, record.step, record.index)
+            long_checkpoints.append((task, len(record.checkpoint.encode())))
+            record.checkpoint = ""
+            data = msgspec.msgpack.encode(record)
+        if part and size + len(data) > max_bytes:
+            yield msgspec.msgpack.encode(part)
+            part, size = [], 0
+        part.append(msgspec.Raw(data))
+        size += len(data)
+    yield msgspec.msgpack.encode(part)
+
+
+def _replace_payloads(
+    layout: ProgressLayout, payloads: dict[int, dict[str, bytes]]
+) -> Iterator[tuple[str, bytes]]:
+    """Yield the keys and lists of the blocks that have changed; a block that is left becomes empty.
+
+    An empty block is written rather than deleted: an older one in another partition would count.
+    """
+    for repetition in layout.open_repetitions:
+        written = layout.blocks.setdefault(repetition, {})
+        current = payloads[repetition]
+        for key in dict.fromkeys([*current, *written]):
+            payload = current.get(key, _NO_TASKS)
+            if written.get(key) != payload:
+                written[key] = payload
+                yield key, payload
+
+
+def _encode_block(version: Version, payload: bytes) -> bytes:
+    """Encode a `TaskBlock` whose list of tasks is encoded already."""
+    return msgspec.msgpack.encode([TaskBlock.__struct_config__.tag, *version, msgspec.Raw(payload)])
--- a/src/snowdock/jobs/reducer.py
+++ b/src/snowdock/jobs/reducer.py
@@ -6,8 +6,10 @@
 from .events import (
     AdviceAnswered,
     AdviceFailed,
+    BatchRejected,
     ConfigurationChanged,
     DropJobs,
+    DropProgress,
     Effect,
     Event,
     ForgetAccepted,
@@ -30,7 +32,12 @@
 from .placement import place_waiting_steps
 from .placement_advice import apply_advice, handle_advice_failure
 from .progress import AcceptedJob, parse_job_id, record_name
-from .progress_batches import handle_persisted, release_held_starts, send_batch
+from .progress_batches import (
+    handle_persisted,
+    handle_rejected,
+    release_held_starts,
+    send_batch,
+)
 from .quarantine import release_expired
 from .room_use import log_room_use
 from .runs import abort_gang, cancel_job, create_repetition, enqueue_ready_steps
@@ -90,6 +97,8 @@
             handle_start_answer(cell, event, now)
         case Persisted(number):
             handle_persisted(cell, number, now)
+        case BatchRejected(number):
+            handle_rejected(cell, number, now)
         case AdviceAnswered():
             apply_advice(cell, event, now)
         case AdviceFailed():
@@ -236,12 +245,17 @@
             break
         expired.append(job)
     names = []
+    blocks = []
     for job_id in expired:
         del cell.job_ended_at[job_id]
         job = cell.jobs.pop(job_id, None)
         name = job_id if job is None else job.record_name
+        if job is not None and job.layout is not None:
+            blocks += job.layout.keys
         names.append(name)
         cell.early_cancellations.discard(name)
+    if blocks:
+        cell.emit(DropProgress(tuple(blocks)))
     if expired:
         # Deferred, it could drop a job that is submitted again under the same identifier.
         cell.emit(DropJobs(tuple(expired), tuple(names)))
--- a/src/snowdock/jobs/runs.py
+++ b/src/snowdock/jobs/runs.py
@@ -20,6 +20,7 @@
     "acknowledge_ends",
     "apply_run_end",
     "cancel_job",
+    "complete_job_if_done",
     "create_repetition",
     "enqueue_ready_steps",
     "fail_job",
@@ -59,14 +60,22 @@
 def enqueue_ready_steps(cell: Cell, steps: list[Step]) -> None:
     """Enqueue the steps of a repetition whose predecessors are done."""
     for step in steps:
-        if step.is_done or not all(steps[earlier].is_done for earlier in step.spec.after):
-            continue
-        if step.waiting_tasks:
+        if not step.is_done and step.waiting_tasks:
             _enqueue_step(cell, step)
 
 
+def _is_ready(step: Step) -> bool:
+    """Check whether the steps that must come before a step are done.
+
+    After a takeover a step may have a run without that: the earlier leader had recorded the run,
+    but not yet the ends before it, which are in another record. No such run was started.
+    """
+    steps = step.job.repetitions[step.repetition]
+    return all(steps[earlier].is_done for earlier in step.spec.after)
+
+
 def _enqueue_step(cell: Cell, step: Step) -> None:
-    if step.job.status.is_final:
+    if step.job.status.is_final or not _is_ready(step):
         return
     if step.spec.gang and any(task.is_placed for task in step.tasks):
         return
@@ -175,12 +184,13 @@
     job = step.job
     steps = job.repetitions[step.repetition]
     if all(each.is_done for each in steps):
-        _complete_job_if_done(cell, job, now)
+        complete_job_if_done(cell, job, now)
     else:
         enqueue_ready_steps(cell, steps)
 
 
-def _complete_job_if_done(cell: Cell, job: Job, now: float) -> None:
+def complete_job_if_done(cell: Cell, job: Job, now: float) -> None:
+    """Complete a job if all tasks of all its repetitions are done."""
     repetition_count = max(1, job.accepted.spec.repetitions)
     if len(job.repetitions) < repetition_count:
         return
--- a/src/snowdock/jobs/takeover.py
+++ b/src/snowdock/jobs/takeover.py
@@ -3,13 +3,14 @@
 import dataclasses
 
 from .cell import Cell, Orphan
-from .events import Effect, ForgetAccepted, JobAccepted, PublishStatus
+from .events import DropProgress, Effect, ForgetAccepted, JobAccepted, PublishStatus
 from .job_state import Job, Phase
 from .lives import worker_id_of
 from .model import JobId
 from .progress import AcceptedJob, JobProgress, TaskProgress, parse_job_id
+from .progress_layout import ProgressLayout
 from .reducer import accept_job
-from .runs import cancel_job, create_repetition, enqueue_ready_steps
+from .runs import cancel_job, complete_job_if_done, create_repetition, enqueue_ready_steps
 
 __all__ = ["RecordedJobs", "restore"]
 
@@ -22,7 +23,8 @@
     that cannot be decoded, ``unstartable`` ones such a submission record. No status is published
     for either, and they are not reported as unknown.
 
-    ``progress_partitions`` are those in which the store holds a job's progress, the newest last.
+    ``progress_partitions`` are those in which the store holds a record of progress, the newest
+    last, by the record's key. ``layouts`` are the blocks of progress, by job.
     """
 
     accepted: dict[JobId, AcceptedJob]
@@ -30,7 +32,8 @@
     progress: dict[JobId, JobProgress]
     unreadable: frozenset[JobId] = frozenset()
     unstartable: frozenset[JobId] = frozenset()
-    progress_partitions: dict[JobId, tuple[int, ...]] = dataclasses.field(default_factory=dict)
+    progress_partitions: dict[str, tuple[int, ...]] = dataclasses.field(default_factory=dict)
+    layouts: dict[JobId, ProgressLayout] = dataclasses.field(default_factory=dict)
 
 
 def restore(cell: Cell, recorded: RecordedJobs, now: float, wall_ms: float) -> list[Effect]:
@@ -48,12 +51,15 @@
             # Without the contract, jobs that never started count as new after a takeover.
             recorded_s = _recorded_seconds(accepted, wall_ms) if cell.load_history else 0.0
             accept_job(cell, JobAccepted(job_id, accepted), now, wall_ms, recorded_s)
+            cell.jobs[job_id].layout = recorded.layouts.get(job_id)
             _cancel_if_recorded(cell, job_id, recorded, now)
             continue
-        _restore_job(cell, job_id, accepted, progress, now, wall_ms)
+        layout = recorded.layouts.get(job_id)
+        _restore_job(cell, job_id, accepted, progress, layout, now, wall_ms)
         _cancel_if_recorded(cell, job_id, recorded, now)
     for job_id in recorded.progress.keys() - recorded.accepted.keys():
-        _restore_ended(cell, job_id, recorded.progress[job_id], now)
+        layout = recorded.layouts.get(job_id)
+        _restore_ended(cell, job_id, recorded.progress[job_id], layout, now)
     for name in recorded.cancelled:
         if parse_job_id(name) not in cell.jobs.keys() | cell.job_ended_at.keys():
             cell.early_cancellations.add(name)
@@ -72,11 +78,15 @@
         cancel_job(cell, job, now)
 
 
-def _restore_ended(cell: Cell, job_id: JobId, progress: JobProgress, now: float) -> None:
+def _restore_ended(
+    cell: Cell, job_id: JobId, progress: JobProgress, layout: ProgressLayout | None, now: float
+) -> None:
     """Publish the final status of a job for which nothing else is recorded."""
     if not progress.status.is_final:
         cell.log_decision("job_record_missing", job_id, status=progress.status.name.lower())
         return
+    if layout is not None:
+        cell.emit(DropProgress(tuple(layout.keys)))
     cell.job_ended_at[job_id] = now
     # The job's queue is unknown, and not needed since the job has ended.
     cell.emit(PublishStatus(job_id, "", progress.status, progress.team))
@@ -87,18 +97,26 @@
     job_id: JobId,
     accepted: AcceptedJob,
     progress: JobProgress,
+    layout: ProgressLayout | None,
     now: float,
     wall_ms: float,
 ) -> None:
     age_s = _recorded_seconds(accepted, wall_ms) + accepted.waited_s
-    job = Job(job_id, accepted, now - age_s, progress.status)
+    job = Job(job_id, accepted, now - age_s, progress.status, layout=layout)
     cell.jobs[job_id] = job
     if job.status.is_final:
         cell.job_ended_at[job_id] = now
+    obsolete_keys = [] if layout is None else layout.drop_finished()
+    if obsolete_keys:
+        cell.emit(DropProgress(tuple(obsolete_keys)))
     spec = accepted.spec
     reached = max((record.repetition + 1 for record in progress.tasks), default=0)
+    reached = max(reached, 0 if layout is None else layout.finished_end)
     while len(job.repetitions) < max(reached, 0 if spec.repetitions else 1):
-        create_repetition(job, len(job.repetitions))
+        if layout is not None and layout.is_finished(len(job.repetitions)):
+            job.repetitions.append([])
+        else:
+            create_repetition(job, len(job.repetitions))
     for record in progress.tasks:
         _restore_task(cell, job, record)
     cell.publish_status(job)
@@ -112,6 +130,8 @@
         for step in steps:
             step.done_count = sum(task.phase is Phase.DONE for task in step.tasks)
         enqueue_ready_steps(cell, steps)
+    # The earlier leader may have recorded the last end, but not yet that of the job.
+    complete_job_if_done(cell, job, now)
 
 
 def _restore_task(cell: Cell, job: Job, record: TaskProgress) -> None:
--- a/src/snowdock/platform/store.py
+++ b/src/snowdock/platform/store.py
@@ -3,6 +3,7 @@
 import base64
 import dataclasses
 import struct
+from collections.abc import Iterable, Iterator
 from urllib.parse import quote
 
 import msgspec
@@ -10,6 +11,7 @@
 from ..clocks import steady_seconds
 from ..errors import (
     AppendConflict,
+    AppendRejected,
     CallUnanswered,
     LogExpired,
     PlatformError,
@@ -19,7 +21,14 @@
 from ._json import decode_json
 from .http_pool import HttpPool, HttpReply
 
-__all__ = ["KeyedRecord", "Producer", "StoreClient", "StorePage"]
+__all__ = [
+    "AppendLimits",
+    "KeyedRecord",
+    "Producer",
+    "StoreClient",
+    "StorePage",
+    "split_records",
+]
 
 _LENGTH_PREFIX = struct.Struct(">I")
 _PAGE_HEADER = struct.Struct(">QQ")
@@ -27,7 +36,19 @@
 """Added to the wait of a long poll for its timeout; leaves room for a store that takes 0.3 s,
 which is 70 times its normal time."""
 
-_REFUSAL_STATUSES = (429, 503, 507)
+_REFUSAL_STATUSES = (408, 429, 503, 507)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AppendLimits:
+    """The longest record, and the longest append, that the store takes; in bytes.
+
+    A record's length is that of its key and value, and one byte more. Each record of an append
+    counts with four bytes more than its length.
+    """
+
+    record_bytes: int = 262_144
+    call_bytes: int = 2_097_152
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -38,6 +59,16 @@
     value: bytes | None
     offset: int = -1
 
+    @property
+    def size(self) -> int:
+        """The record's length in bytes, as the store counts it."""
+        return 1 + len(self.key.encode()) + len(self.value or b"")
+
+    @property
+    def append_size(self) -> int:
+        """What the record adds to the length of an append, in bytes."""
+        return _LENGTH_PREFIX.size + self.size
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class StorePage:
@@ -101,6 +132,44 @@
     return records
 
 
+def split_records(
+    records: Iterable[KeyedRecord], limits: AppendLimits
+) -> Iterator[list[KeyedRecord]]:
+    """Yield records in their order, in lists that the store takes as one append each."""
+    batch: list[KeyedRecord] = []
+    size = 0
+    for record in records:
+        if batch and size + record.append_size > limits.call_bytes:
+            yield batch
+            batch, size = [], 0
+        batch.append(record)
+        size += record.append_size
+    if batch:
+        yield batch
+
+
+def _check_sizes(topic: str, records: list[KeyedRecord], limits: AppendLimits) -> None:
+    """Check an append against the store's limits.
+
+    Raises
+    ------
+    AppendRejected
+        If a record, or the append as a whole, is too long.
+    """
+    for record in records:
+        if record.size > limits.record_bytes:
+            raise AppendRejected(
+                f"record {record.key!r} of {topic} has {record.size} bytes; "
+                f"the store takes {limits.record_bytes}"
+            )
+    total = sum(record.append_size for record in records)
+    if total > limits.call_bytes:
+        raise AppendRejected(
+            f"append of {len(records)} records to {topic} has {total} bytes; "
+            f"the store takes {limits.call_bytes}"
+        )
+
+
 def _decode_value(item: _Item) -> bytes:
     """Return a record's bytes; a value that isn't Base64 is returned as it is, for its decoder."""
     try:
@@ -124,9 +193,18 @@
         Most connections that are kept open.
     node
         Name of the node, part of the user agent.
+    limits
+        The longest records and appends that the store takes.
     """
 
-    def __init__(self, address: str, connections: int, node: str = "") -> None:
+    def __init__(
+        self,
+        address: str,
+        connections: int,
+        node: str = "",
+        limits: AppendLimits = AppendLimits(),
+    ) -> None:
+        self._limits = limits
         self._connections = connections
         self._headers = {"User-Agent": f"snowdock/{node}"}
         self._http = HttpPool(address, connections, self._headers)
@@ -137,10 +215,19 @@
         """Time of the last successful call, in steady seconds."""
         return self._answered_at
 
+    @property
+    def limits(self) -> AppendLimits:
+        """The longest records and appends that the store takes."""
+        return self._limits
+
     def set_address(self, address: str) -> None:
         """Use another address for all later calls."""
         self._http = HttpPool(address, self._connections, self._headers)
 
+    def set_limits(self, limits: AppendLimits) -> None:
+        """Apply other limits to all later appends."""
+        self._limits = limits
+
     def append(
         self,
         topic: str,
@@ -169,7 +256,9 @@
         Raises
         ------
         StoreRefused
-            If the store rejected the append.
+            If the store rejected the append, but may take it later.
+        AppendRejected
+            If the append exceeds the store's limits, or the store rejected it for good.
         AppendConflict
             If the partition ends elsewhere, or the sequence number has a gap.
         ProducerFenced
@@ -177,6 +266,7 @@
         CallUnanswered
             If the append may have been carried out, or may be later.
         """
+        _check_sizes(topic, records, self._limits)
         target = f"/v1/log-append?topic={quote(topic)}&part={part}"
         if producer is not None:
             target += (
@@ -188,7 +278,7 @@
         reply = self._call("POST", target, body, timeout_s)
         if reply.status == 200:
             return _decode(reply, _Appended).offset
-        self._raise_for_status(reply)
+        self._raise_for_status(reply, AppendRejected)
         raise CallUnanswered(f"append returned status {reply.status}", False)
 
     def _call(self, method: str, target: str, body: bytes | None, timeout_s: float) -> HttpReply:
@@ -198,7 +288,7 @@
         return reply
 
     @staticmethod
-    def _raise_for_status(reply: HttpReply) -> None:
+    def _raise_for_status(reply: HttpReply, rejection: type[PlatformError] = PlatformError) -> None:
         if reply.status in _REFUSAL_STATUSES:
             raise StoreRefused(f"the store returned status {reply.status}")
         if reply.status == 412:
@@ -211,7 +301,7 @@
         if reply.status == 410:
             raise LogExpired("these records have expired", _decode(reply, _Conflict).first)
         if 400 <= reply.status < 500:
-            raise PlatformError(f"the store returned status {reply.status}: {reply.data[:200]!r}")
+            raise rejection(f"the store returned status {reply.status}: {reply.data[:200]!r}")
 
     def read(self, topic: str, part: int, offset: int, wait_seconds: float) -> StorePage:
         """Read records from an offset on, waiting up to ``wait_seconds`` for the first.
--- a/tests/jobs_tools.py
+++ b/tests/jobs_tools.py
@@ -8,6 +8,7 @@
 from snowdock.emulator.workload import DrawnJob
 from snowdock.jobs.cell import Cell, CellSettings, SchedulingPolicy
 from snowdock.jobs.events import (
+    DropProgress,
     Effect,
     Event,
     JobAccepted,
@@ -39,7 +40,8 @@
     StartResult,
     WorkerReport,
 )
-from snowdock.jobs.progress import AcceptedJob, decode_progress
+from snowdock.jobs.progress import AcceptedJob
+from snowdock.jobs.recorded_progress import read_progress
 from snowdock.jobs.reducer import reduce
 from snowdock.jobs.takeover import RecordedJobs, restore
 from snowdock.jobs.workers import WorkerEntry
@@ -90,8 +92,11 @@
             if isinstance(effect, SendRenewal):
                 self.renewals[effect.life] = effect.order
             if isinstance(effect, Persist) and not self.is_store_paused:
-                self.recorded |= {record.job: record.data for record in effect.records}
+                self.recorded |= {record.key: record.data for record in effect.records}
                 effects += self.feed(Persisted(effect.number))
+            if isinstance(effect, DropProgress):
+                for key in effect.keys:
+                    self.recorded.pop(key, None)
         self.effects = effects
         self.all_effects += [effect for effect in effects if effect not in self.all_effects[-50:]]
         return effects
@@ -211,11 +216,14 @@
         """Replace the leader by one that restores the records and knows no workers yet."""
         self._token += 1
         before = self.bench
-        progress = {job: decode_progress(data) for job, data in before.recorded.items()}
+        on_record = read_progress([before.recorded.items()])
         self.bench = Bench(self._token)
         self.bench.recorded = before.recorded
         self.bench.now = before.now + 0.5
-        self.bench.restore(RecordedJobs({self.job: self._accepted}, set(), progress))
+        accepted = {self.job: self._accepted}
+        self.bench.restore(
+            RecordedJobs(accepted, set(), on_record.progress, layouts=on_record.layouts)
+        )
 
     def list_worker(self, life: str, draining: bool = False) -> None:
         """List a worker that has not answered a renewal of this leader."""
--- a/tests/standins/platform.py
+++ b/tests/standins/platform.py
@@ -129,6 +129,9 @@
 class StoreStandin:
     """The store: appends, reads with long polling, latest records, producers, conditions.
 
+    Appends of too long records, and too long appends, are rejected; ``rejected`` has the lengths of
+    their longest records.
+
     Faults: with ``refuse``, calls are refused; with ``silent``, they hang; with ``lose``, appends
     are executed but not answered in time; with ``hides_new_records``, reads return no records.
     ``part_faults`` has the fault of a topic's partition: "refuse" and "silent" as above, "reset"
@@ -143,6 +146,9 @@
         self.refused_agents: set[str] = set()
         self.part_faults: dict[tuple[str, int], str] = {}
         self.calls: list[str] = []
+        self.record_bytes = 262_144
+        self.call_bytes = 2_097_152
+        self.rejected: list[int] = []
         self._parts: dict[tuple[str, int], Partition] = {}
         self._changed = threading.Condition()
         self._server = Server(self._handle, threads=STORE_THREADS)
@@ -217,12 +223,17 @@
 
     def _handle_append(self, part: Partition, query, body: bytes) -> Reply:
         records = []
+        longest = 0
         position = 0
         while position < len(body):
             (length,) = struct.unpack_from(">I", body, position)
+            longest = max(longest, length)
             data = body[position + 4 : position + 4 + length]
             position += 4 + length
             records.append((data[1 : 1 + data[0]], data[1 + data[0] :]))
+        if longest > self.record_bytes or len(body) > self.call_bytes:
+            self.rejected.append(longest)
+            return json_reply({"reason": "size"}, 413)
         producer = query.get("producer")
         if producer is not None:
             refusal = self._check_producer(part, producer, query)
--- a/tests/test_jobs_chaos.py
+++ b/tests/test_jobs_chaos.py
@@ -79,7 +79,7 @@
 
 
 def run_with_faults(
-    seed: int, crashing_share: float = 0.0, kind_count: int = RESTART
+    seed: int, crashing_share: float = 0.0, kind_count: int = RESTART, **options
 ) -> tuple[Emulator, list[DrawnJob]]:
     """Run the emulator with random faults of the first `kind_count` kinds."""
     rng = random.Random(seed)
@@ -89,7 +89,7 @@
     ]
     workload = WorkloadOptions(SECONDS, rng.choice([0.3, 0.5]), tuple(mixes))
     jobs = draw_workload(seed, workload)
-    emulator = Emulator(seed, EmulatorOptions(workload), jobs)
+    emulator = Emulator(seed, EmulatorOptions(workload, **options), jobs)
     emulator.checks.is_undisturbed = False
     at = 0.0
     while at < SECONDS:
--- a/tests/test_leader_settings.py
+++ b/tests/test_leader_settings.py
@@ -14,7 +14,7 @@
 from snowdock.jobs.progress import JobProgress, TaskProgress
 from snowdock.jobs.takeover import RecordedJobs
 from snowdock.jobs.timeouts import ISOLATION_TIMEOUT_SECONDS, LEASE_SECONDS
-from snowdock.platform.node_settings import read_node_environment
+from snowdock.platform.node_settings import StoreSettings, read_node_environment
 from tests.jobs_tools import DONE, SMALL, Bench, make_accepted_job
 from tests.standins.entry_cluster import SETTINGS
 
@@ -83,10 +83,13 @@
                 status_s=60.0,
                 quota_overage=0.0,
                 contracts=(),
+                store=StoreSettings("127.0.0.1:1", record_bytes=1000, call_bytes=5000),
             )
             settings = cell_settings(environment)
             self.assertAlmostEqual(settings.pass_time_share, share)
             self.assertAlmostEqual(settings.examination_s, 10e-6 / max(1.0, cores))
+            limits = (settings.max_record_bytes, settings.max_append_bytes)
+            self.assertEqual(limits, (1000, 5000))
 
 
 class TestRunExpiryAfterClaim(unittest.TestCase):
--- a/tests/test_progress_writer.py
+++ b/tests/test_progress_writer.py
@@ -9,8 +9,14 @@
 from snowdock.entry.peer_directory import PeerDirectory
 from snowdock.entry.progress_partitions import ProgressPartitions
 from snowdock.entry.progress_writer import ProgressWriter, fence_progress
-from snowdock.errors import AppendConflict, CallUnanswered, ProducerFenced
-from snowdock.jobs.events import Persist, Persisted, ProgressRecord
+from snowdock.errors import (
+    AppendConflict,
+    AppendRejected,
+    CallUnanswered,
+    ProducerFenced,
+    StoreRefused,
+)
+from snowdock.jobs.events import BatchRejected, Persist, Persisted, ProgressRecord
 from snowdock.node.metrics import Metrics
 from snowdock.platform.store import KeyedRecord, Producer, StoreClient
 from tests.standins.entry_cluster import wait_until
@@ -56,6 +62,7 @@
         writer.start()
         self.addCleanup(writer.stop)
         writer.write(BATCH)
+        self.writer = writer
         return events
 
     def test_batch_is_retried_until_it_is_recorded(self) -> None:
@@ -75,6 +82,31 @@
         with self.assertRaises(queue.Empty):
             events.get(timeout=0.3)
 
+    def test_rejected_batch_is_given_back(self) -> None:
+        """A batch that the store never takes was repeated for ever; the next one has its number."""
+        store = ScriptedStore(AppendRejected("too long"))
+        events = self.start(store)
+        self.assertEqual(events.get(timeout=15), BatchRejected(1))
+        self.writer.write(make_batch(2))
+        self.assertEqual(events.get(timeout=15), Persisted(2))
+        self.assertEqual(store.sequences, [1, 1])
+
+    def test_batch_rejected_after_an_outage(self) -> None:
+        """A batch that was certainly not stored before is given back as well."""
+        refused = StoreRefused("down")
+        store = ScriptedStore(refused, refused, AppendRejected("too long"))
+        events = self.start(store)
+        self.assertEqual(events.get(timeout=15), BatchRejected(1))
+        self.writer.write(make_batch(2))
+        self.assertEqual(events.get(timeout=15), Persisted(2))
+        self.assertEqual(store.sequences, [1, 1, 1, 1])
+
+    def test_rejected_batch_that_may_be_stored(self) -> None:
+        """Its number may be taken: under it, the store would drop the records of the next batch."""
+        store = ScriptedStore(TIMED_OUT, AppendRejected("too long"))
+        events = self.start(store)
+        self.assertIn("may be stored", events.get(timeout=15))
+
     def test_fenced_writer_reports_it_once_and_stops(self) -> None:
         """The fence may be found by the first attempt or by a later one."""
         for steps in ((ProducerFenced("later"),), (TIMED_OUT, ProducerFenced("later"))):
@@ -188,6 +220,15 @@
         self.assertLess(self.write(1), 2.6)
         self.assertLess(self.write(2), 0.2)
 
+    def test_rejected_batch_leaves_no_gap(self) -> None:
+        """The batch that follows one that was too long is stored under the same number."""
+        self.write(1)
+        self.standin.record_bytes = 100
+        self.writer.write(Persist(2, (ProgressRecord(JOB, b"x" * 100),)))
+        self.assertEqual(self.events.get(timeout=10), BatchRejected(2))
+        self.write(3)
+        self.assertEqual(self.read(0), {JOB: b"batch 3"})
+
     def test_switch_that_is_not_allowed(self) -> None:
         """While a peer would not read the other partition, the writer stays in the first."""
         self.may_switch = False
--- a/tests/test_record_cleaner.py
+++ b/tests/test_record_cleaner.py
@@ -8,9 +8,15 @@
 from snowdock.entry.record_cleaner import RecordCleaner
 from snowdock.entry.topics import JOBS_TOPIC, PROGRESS_TOPIC, job_partition
 from snowdock.errors import StoreRefused
-from snowdock.jobs.events import DropJobs, ForgetAccepted, Persist, ProgressRecord
-from snowdock.jobs.progress import cancel_key, record_name
-from snowdock.platform.store import KeyedRecord, StoreClient
+from snowdock.jobs.events import (
+    DropJobs,
+    DropProgress,
+    ForgetAccepted,
+    Persist,
+    ProgressRecord,
+)
+from snowdock.jobs.progress import block_key, cancel_key, record_name
+from snowdock.platform.store import AppendLimits, KeyedRecord, StoreClient
 from tests.standins.entry_cluster import wait_until
 from tests.standins.platform import StoreStandin
 
@@ -85,6 +91,32 @@
         for part in (1, 2):
             self.store.append(PROGRESS_TOPIC, part, [KeyedRecord(DROPPED, b"old")], 5.0)
 
+    def test_more_deletions_than_one_append_holds(self) -> None:
+        """Deletions that filled more than one append were refused as a whole, each time again."""
+        jobs = [f"{number:016x}" for number in range(1, 301)]
+        records = [KeyedRecord(job, b"x") for job in jobs]
+        self.store.append(PROGRESS_TOPIC, 0, records, 5.0)
+        self.standin.call_bytes = 1000
+        self.store.set_limits(AppendLimits(call_bytes=1000))
+        self.cleaner.clean(DropJobs(tuple(jobs)))
+        self.assertTrue(wait_until(lambda: self.keys(PROGRESS_TOPIC) == {ENDED, DROPPED, OPEN}))
+        self.assertEqual(self.standin.rejected, [])
+
+    def test_blocks_of_a_job(self) -> None:
+        """Blocks are deleted; if one may remain, so does its job's record."""
+        block = block_key(DROPPED, 0, 0, 0)
+        self.store.append(PROGRESS_TOPIC, 0, [KeyedRecord(block, b"x")], 5.0)
+        append = self.partitions.next_append(Persist(1, (ProgressRecord(block, b"x"),)))
+        for _ in range(2):
+            self.cleaner.clean(DropProgress((block,)))
+            self.cleaner.clean(DropJobs((DROPPED,)))
+            self.assertTrue(wait_until(lambda: DROPPED not in self.keys(JOBS_TOPIC)))
+            self.assertFalse(wait_until(lambda: DROPPED not in self.keys(PROGRESS_TOPIC), 0.3))
+        self.partitions.settle(append)
+        self.cleaner.clean(DropProgress((block,)))
+        self.cleaner.clean(DropJobs((DROPPED,)))
+        self.assertTrue(wait_until(lambda: self.keys(PROGRESS_TOPIC) == {ENDED, OPEN}))
+
     def test_progress_in_several_partitions(self) -> None:
         """A dropped job's progress is deleted from all of its partitions."""
         self.put_older_progress()
--- a/tests/test_recorder.py
+++ b/tests/test_recorder.py
@@ -8,9 +8,9 @@
 from snowdock.entry import recorder
 from snowdock.entry.messages import RecordOutcome
 from snowdock.entry.recorder import Recorder
-from snowdock.errors import CallUnanswered, StoreRefused
+from snowdock.errors import AppendRejected, CallUnanswered, StoreRefused
 from snowdock.node.metrics import Metrics
-from snowdock.platform.store import KeyedRecord
+from snowdock.platform.store import AppendLimits, KeyedRecord
 from tests.standins.entry_cluster import wait_until
 
 JOB = "0123456789abcdef"
@@ -89,6 +89,38 @@
         self.assertEqual(outcomes, [RecordOutcome.DONE] * 100)
         self.assertEqual([len(keys) for keys in self.store.appends], [1, 64, 35])
 
+    def test_append_is_bounded_in_bytes(self) -> None:
+        """Long records that fill an append before their number does are sent in several."""
+        limits = AppendLimits(record_bytes=100, call_bytes=150)
+        self.recorder = Recorder(self.store, 1, Metrics(), limits=lambda: limits)
+        outcomes = self.record_many(10)
+        self.assertEqual(outcomes, [RecordOutcome.DONE] * 10)
+        self.assertEqual([len(keys) for keys in self.store.appends], [1, 6, 3])
+
+    def test_record_that_is_too_long_stops_no_other(self) -> None:
+        """One record that the store never took had all records of its append refused."""
+        too_long = f"{3:016x}"
+
+        def reject(topic, part, records, seconds) -> int:
+            BlockingStore.append(self.store, topic, part, records, seconds)
+            if any(record.key == too_long for record in records):
+                raise AppendRejected("too long")
+            return 0
+
+        self.store.append = reject
+        outcomes = self.record_many(10)
+        self.assertEqual(sorted(outcomes), [RecordOutcome.DONE] * 9 + [RecordOutcome.NOT_DONE])
+        alone = [keys for keys in self.store.appends if too_long in keys][-1]
+        self.assertEqual(alone, [too_long])
+
+    def test_record_beyond_the_limit_is_not_sent(self) -> None:
+        """A record that is known to be too long joins no append."""
+        limits = AppendLimits(record_bytes=100)
+        self.recorder = Recorder(self.store, 1, Metrics(), limits=lambda: limits)
+        outcome = self.recorder.record(JOB, KeyedRecord(JOB, b"x" * 100), 1.0)
+        self.assertIs(outcome, RecordOutcome.NOT_DONE)
+        self.assertEqual(self.store.appends, [])
+
     def test_unanswered_append_is_unknown_to_all(self) -> None:
         """Every record of an append without an answer is reported as unknown."""
         self.store.error = CallUnanswered("lost", False)
--- a/tests/test_store_client.py
+++ b/tests/test_store_client.py
@@ -4,12 +4,13 @@
 
 from snowdock.errors import (
     AppendConflict,
+    AppendRejected,
     CallUnanswered,
     LogExpired,
     ProducerFenced,
     StoreRefused,
 )
-from snowdock.platform.store import KeyedRecord, Producer, StoreClient
+from snowdock.platform.store import AppendLimits, KeyedRecord, Producer, StoreClient
 from tests.standins.platform import StoreStandin
 
 TOPIC = "keyed.test"
@@ -49,6 +50,24 @@
         self.append(*(record(f"k{number:03}") for number in range(120)))
         self.assertEqual(len(self.client.newest(TOPIC, 0, 2.0).records), 120)
 
+    def test_append_beyond_the_limits(self) -> None:
+        """A record or an append that is too long is rejected without a call, and at the store."""
+        limits = AppendLimits(record_bytes=50, call_bytes=120)
+        self.client.set_limits(limits)
+        for records in ([record("a", b"x" * 49)], [record("a", b"x" * 40)] * 3):
+            with self.assertRaises(AppendRejected):
+                self.append(*records)
+        self.assertEqual(self.store.calls, [])
+        self.append(record("a", b"x" * 48))
+        self.append(*[record("a", b"x" * 34)] * 3)
+        self.client.set_limits(AppendLimits())
+        self.store.record_bytes, self.store.call_bytes = limits.record_bytes, limits.call_bytes
+        for records in ([record("a", b"x" * 49)], [record("a", b"x" * 40)] * 3):
+            with self.assertRaises(AppendRejected):
+                self.append(*records)
+        self.assertEqual(self.store.rejected, [51, 42])
+        self.assertEqual(self.store.part(TOPIC).end, 4)
+
     def test_expected_end(self) -> None:
         """An append with a wrong expected end fails and reports the actual end."""
         self.append(record("a"), expected_end=0)
