Conclude nothing about runs that a full report leaves out

Cause: a worker lists 500 ends at once. Ends can't be recorded while the store is silent, so that the list stays full; the leader took runs in neither list for vanished, stopped them and placed them again. A new leader concluded the same from its first list, without a stop.

The log has 500 run_ended, then 100 run_vanished and run_void in the same second, and 100 stale_end how=done with the first list after the outage; no end_passed_over. How many ends a report had was not logged; ends_omitted tells of a full one now.

Change: from a report with 500 ends nothing follows about a run that it does not list, and a worker is synced with its first whole report. The same cause elsewhere: a tail took a read that the store had cut at a megabyte for one of all records, so that a job in the rest could be reported as nonexistent; a leader could conclude that it still leads from a cut read; an empty page of newest records that is not the last ended the list. The emulator's worker and the store's stand-in cut their lists now.

Why this works: ends are listed in order and the rest comes once the first are dropped, so the first report that is not full has them all; until then each such run stays counted where it is.

Ruled out: ends passed over by their number (no end_passed_over), and ends that the worker had forgotten (they came with the next list).

--- a/Makefile
+++ b/Makefile
@@ -12,7 +12,7 @@
 	jobs_failed_runs jobs_lives jobs_long_running jobs_long_running_bounds jobs_long_running_rank \
 	jobs_placement.TestAdviceRequests jobs_placement.TestExpiredTickets jobs_preemption \
 	jobs_reducer jobs_reservations jobs_starving known_red leader_settings load load_summary load_view logs \
-	operations_page orders platform_codecs play_days policies \
+	omitted_ends.TestReducer operations_page orders platform_codecs play_days policies \
 	progress_encoding.TestLayout progress_encoding.TestRecordLimit progress_encoding.TestRejectedBatch \
 	progress_writer.TestDeletionOrder records reducer room_use router settings shares slow_tests state \
 	store_health.TestSilence successors topics turnover
--- a/src/snowdock/emulator/worker_model.py
+++ b/src/snowdock/emulator/worker_model.py
@@ -6,6 +6,7 @@
 from ..declarations import ZERO_SIZE, Size
 from ..jobs.model import StepSpec, TaskId
 from ..jobs.orders import (
+    MAX_LISTED_ENDS,
     EndedRun,
     EndKind,
     Refusal,
@@ -344,7 +345,7 @@
             RunningRun(run.task, run.run, run.checkpoint, self._percent(run), 0.0)
             for run in self._runs.values()
         ]
-        return WorkerReport(self.clock_ms, running, list(self._ends))
+        return WorkerReport(self.clock_ms, running, self._ends[:MAX_LISTED_ENDS])
 
     def _percent(self, run: RunModel) -> float:
         if run.working_since is None or run.step.long_running:
--- a/src/snowdock/entry/leader_log.py
+++ b/src/snowdock/entry/leader_log.py
@@ -43,7 +43,7 @@
         return _decode_records(page.records)
 
     def read_new(self, seconds: float) -> list[LeaderRecord] | None:
-        """Return the records after the position, and move the position behind them.
+        """Return all records after the position, and move the position behind them.
 
         Parameters
         ----------
@@ -58,13 +58,20 @@
         """
         if self._next_offset is None:
             return None
-        try:
-            page = self._store.read(LEADERS_TOPIC, DEFAULT_PARTITION, self._next_offset, seconds)
-        except LogExpired:
-            self.reset_position()
-            return None
-        self._next_offset = page.next_offset
-        return _decode_records(page.records)
+        records: list[KeyedRecord] = []
+        is_cut = True
+        while is_cut:
+            try:
+                page = self._store.read(
+                    LEADERS_TOPIC, DEFAULT_PARTITION, self._next_offset, seconds
+                )
+            except LogExpired:
+                self.reset_position()
+                return None
+            self._next_offset = page.next_offset
+            records += page.records
+            is_cut = page.is_cut
+        return _decode_records(records)
 
     def append(self, record: LeaderRecord, seconds: float) -> None:
         """Append a record, provided that the partition ends at the position.
--- a/src/snowdock/entry/tails.py
+++ b/src/snowdock/entry/tails.py
@@ -74,9 +74,9 @@
     def read_at(self) -> float:
         """The steady time up to which all records have been handled, in seconds.
 
-        It is the start of the last read whose records were handled. If that read waited without
-        finding new records, it is the end of its wait, since the store answers as soon as there is
-        a record.
+        It is the start of the last read whose records were handled and reached the partition's end.
+        If that read waited without finding new records, it is the end of its wait, since the store
+        answers as soon as there is a record.
         """
         return self._read_at
 
@@ -151,8 +151,10 @@
         self._next_offset = page.next_offset
         for record in page.records:
             self._on_record(record)
-        # Only after the records are handled, since they may be older than this read.
-        self._read_at = started_at + (wait_seconds if is_up_to_date and has_waited else 0.0)
+        # Only after the records are handled, since they may be older than this read. A page that is
+        # cut says nothing of the records that it leaves out.
+        if not page.is_cut:
+            self._read_at = started_at + (wait_seconds if is_up_to_date and has_waited else 0.0)
         if page.records and self._pause_seconds:
             self._stopped.wait(self._pause_seconds)
 
--- a/src/snowdock/jobs/orders.py
+++ b/src/snowdock/jobs/orders.py
@@ -6,6 +6,7 @@
 from .model import JobId, TaskId
 
 __all__ = [
+    "MAX_LISTED_ENDS",
     "AdviceRequest",
     "AdviceResult",
     "EndKind",
@@ -20,6 +21,11 @@
 ]
 
 
+MAX_LISTED_ENDS = 500
+"""The most ended runs in one report of a worker. It lists the further ones once the first are
+recorded and dropped."""
+
+
 class Refusal(enum.Enum):
     """Why a worker refused an order; a refused order has no effect."""
 
@@ -135,12 +141,17 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class WorkerReport:
-    """All runs on a worker, and the ended runs that it has not dropped yet."""
+    """All runs on a worker, and the first of the ended runs that it has not dropped yet."""
 
     clock_ms: float
     running: list[RunningRun]
     ended: list[EndedRun]
 
+    @property
+    def may_omit_ends(self) -> bool:
+        """Whether runs may have ended that the report does not list."""
+        return len(self.ended) >= MAX_LISTED_ENDS
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class AdviceRequest:
--- a/src/snowdock/jobs/worker_reports.py
+++ b/src/snowdock/jobs/worker_reports.py
@@ -86,8 +86,12 @@
     for running in report.running:
         listed.add((running.task, running.run))
         _handle_running(cell, worker, running, now)
-    _check_missing(cell, worker, listed, event.order.sent_at, now)
-    if not worker.is_synced:
+    if report.may_omit_ends:
+        # A run that is not listed may have ended, so nothing follows from its absence.
+        cell.log_decision("ends_omitted", worker.life, listed=len(report.ended))
+    else:
+        _check_missing(cell, worker, listed, event.order.sent_at, now)
+    if not worker.is_synced and not report.may_omit_ends:
         worker.is_synced = True
         cell.needs_placement = True
         cell.log_decision(
@@ -174,7 +178,7 @@
 def _check_missing(
     cell: Cell, worker: Worker, listed: set[tuple[TaskId, int]], sent_at: float, now: float
 ) -> None:
-    """Handle runs that are tracked on a worker but missing from its report."""
+    """Handle runs that are tracked on a worker but missing from its report of all runs."""
     for task_id, run in list(worker.runs):
         if (task_id, run) in listed:
             continue
--- a/src/snowdock/jobs/workers.py
+++ b/src/snowdock/jobs/workers.py
@@ -109,7 +109,7 @@
     may_return
         If it is not listed: whether its entry may have expired due to a store outage.
     is_synced
-        Whether it has answered a renewal of this leader since its runs were last marked as lost.
+        Whether it has listed all its runs to this leader since its runs were last marked as lost.
     clock_ms, clock_at
         Its clock in its latest answer, and the steady time in seconds when that answer arrived.
     lease_until_ms
--- a/src/snowdock/platform/store.py
+++ b/src/snowdock/platform/store.py
@@ -72,10 +72,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class StorePage:
-    """Records read, and the offset of the next read."""
+    """Records read, and the offset of the next read.
+
+    ``is_cut`` is whether the partition had further records when the page was made: a page has a
+    megabyte of records at most.
+    """
 
     records: list[KeyedRecord]
     next_offset: int
+    is_cut: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -326,7 +331,7 @@
         records = _decode_records(reply.data[_PAGE_HEADER.size :], offset)
         # A page may end before the partition; an empty one means no records before its end.
         next_offset = offset + len(records) if records else max(offset, end)
-        return StorePage(records, next_offset)
+        return StorePage(records, next_offset, is_cut=next_offset < end)
 
     def newest(self, topic: str, part: int, timeout_s: float) -> StorePage:
         """Read the newest record of each key, page by page.
@@ -355,6 +360,10 @@
             first_end = page.end if first_end is None else first_end
             for item in page.items:
                 records.append(KeyedRecord(item.key, _decode_value(item), item.offset))
-            if not page.has_more or not page.items:
+            if not page.has_more:
                 return StorePage(records, first_end)
+            if not page.items:
+                raise PlatformError(
+                    f"page of {topic}[{part}] after {after!r} has no items but more"
+                )
             after = page.items[-1].key
--- a/tests/standins/platform.py
+++ b/tests/standins/platform.py
@@ -126,11 +126,18 @@
         return self.first + len(self.records)
 
 
+_MAX_NEWEST_ITEMS = 50
+"""Fewer than the platform's 500, so that a test gets several pages from few records."""
+
+_MAX_PAGE_BYTES = 1_000_000
+_DEFAULT_READ_KB = 1024
+
+
 class StoreStandin:
     """The store: appends, reads with long polling, latest records, producers, conditions.
 
     Appends of too long records, and too long appends, are rejected; ``rejected`` has the lengths of
-    their longest records.
+    their longest records. Pages are cut as the platform cuts them.
 
     Faults: with ``refuse``, calls are refused; with ``silent``, they hang; with ``lose``, appends
     are executed but not answered in time; with ``hides_new_records``, reads return no records.
@@ -275,26 +282,30 @@
             return json_reply({"first": part.first}, 410)
         if self.hides_new_records:
             return 200, struct.pack(">QQ", start, part.first)
-        answer = struct.pack(">QQ", part.end, part.first)
+        page = [struct.pack(">QQ", part.end, part.first)]
+        size = 0
         for key, value in part.records[start - part.first :]:
             data = bytes((len(key),)) + key + value
-            answer += struct.pack(">I", len(data)) + data
-        return 200, answer
+            size += len(data)
+            if size > int(query.get("max_kb", _DEFAULT_READ_KB)) * 1024 and len(page) > 1:
+                break
+            page.append(struct.pack(">I", len(data)) + data)
+        return 200, b"".join(page)
 
     @staticmethod
     def _read_newest(part: Partition, query) -> Reply:
         after = query.get("after", "").encode()
         keys = sorted(key for key in part.newest if key > after)
-        page = keys[:50]
-        items = [
-            {
-                "key": key.decode(),
-                "value": base64.b64encode(part.newest[key][1]).decode(),
-                "offset": part.newest[key][0],
-            }
-            for key in page
-        ]
-        return json_reply({"items": items, "has_more": len(keys) > len(page), "end": part.end})
+        items = []
+        size = 0
+        for key in keys[:_MAX_NEWEST_ITEMS]:
+            offset, value = part.newest[key]
+            size += len(value)
+            if size > _MAX_PAGE_BYTES and items:
+                break
+            text = base64.b64encode(value).decode()
+            items.append({"key": key.decode(), "value": text, "offset": offset})
+        return json_reply({"items": items, "has_more": len(keys) > len(items), "end": part.end})
 
 
 _STARVATION_CHECK_SECONDS = 0.1
--- a/tests/test_leader_log.py
+++ b/tests/test_leader_log.py
@@ -5,7 +5,7 @@
 from snowdock.entry.leader_log import LeaderLog
 from snowdock.entry.leader_record import NodeIdentity
 from snowdock.errors import AppendConflict, PlatformError
-from snowdock.platform.store import StoreClient
+from snowdock.platform.store import KeyedRecord, StoreClient
 from tests.standins.platform import StoreStandin
 
 FIRST = NodeIdentity("n1", "n1-1", "127.0.0.1:1")
@@ -33,6 +33,15 @@
         second.append(SECOND.make_record(second.next_epoch), 2.0)
         self.assertEqual(first.read_new(0.0), [SECOND.make_record(2)])
 
+    def test_records_beyond_one_page(self) -> None:
+        """A leader's claim that the first page leaves out is read as well."""
+        log, other = self.open_log(), self.open_log()
+        filler = KeyedRecord("other", b"x" * 200_000)
+        StoreClient(self.store.address, 2).append("keyed.leaders", 0, [filler] * 8, 2.0)
+        other.read_new(0.0)
+        other.append(SECOND.make_record(other.next_epoch), 2.0)
+        self.assertEqual(log.read_new(0.0), [SECOND.make_record(9)])
+
     def test_append_without_position_fails(self) -> None:
         """A node without a position cannot claim before it has read the newest record."""
         log = self.open_log()
--- a/tests/test_store_client.py
+++ b/tests/test_store_client.py
@@ -1,17 +1,19 @@
 """Tests of the store client against a fake store."""
 
 import unittest
+from unittest import mock
 
 from snowdock.errors import (
     AppendConflict,
     AppendRejected,
     CallUnanswered,
     LogExpired,
+    PlatformError,
     ProducerFenced,
     StoreRefused,
 )
 from snowdock.platform.store import AppendLimits, KeyedRecord, Producer, StoreClient
-from tests.standins.platform import StoreStandin
+from tests.standins.platform import StoreStandin, json_reply
 
 TOPIC = "keyed.test"
 
@@ -50,6 +52,25 @@
         self.append(*(record(f"k{number:03}") for number in range(120)))
         self.assertEqual(len(self.client.newest(TOPIC, 0, 2.0).records), 120)
 
+    def test_page_that_is_cut(self) -> None:
+        """A page that ends before the partition says so, and reading on finds the rest."""
+        self.append(*(record(f"k{number}", b"x" * 200_000) for number in range(8)))
+        first = self.client.read(TOPIC, 0, 0, 0.0)
+        self.assertEqual((len(first.records), first.is_cut), (5, True))
+        rest = self.client.read(TOPIC, 0, first.next_offset, 0.0)
+        self.assertEqual((len(rest.records), rest.is_cut), (3, False))
+        self.assertFalse(self.client.read(TOPIC, 0, rest.next_offset, 0.0).is_cut)
+        self.assertEqual(len(self.client.newest(TOPIC, 0, 2.0).records), 8)
+
+    def test_empty_page_that_is_not_the_last(self) -> None:
+        """A list of keys that breaks off is not taken for all keys."""
+        page = {"items": [], "has_more": True, "end": 3}
+        with (
+            mock.patch.object(self.store, "_read_newest", lambda part, query: json_reply(page)),
+            self.assertRaisesRegex(PlatformError, "has no items but more"),
+        ):
+            self.client.newest(TOPIC, 0, 2.0)
+
     def test_append_beyond_the_limits(self) -> None:
         """A record or an append that is too long is rejected without a call, and at the store."""
         limits = AppendLimits(record_bytes=50, call_bytes=120)
--- a/tests/test_tails.py
+++ b/tests/test_tails.py
@@ -8,8 +8,9 @@
 from snowdock.entry import tails
 from snowdock.entry.tails import Tail
 from snowdock.errors import CallUnanswered, LogExpired
-from snowdock.platform.store import KeyedRecord, StorePage
+from snowdock.platform.store import KeyedRecord, StoreClient, StorePage
 from tests.standins.entry_cluster import wait_until
+from tests.standins.platform import StoreStandin
 
 
 class ScriptedStore:
@@ -148,6 +149,28 @@
         """An empty answer proves nothing if the partition ends after the read offset."""
         self.assert_known_until(WaitingStore(self.WAIT_SECONDS + 0.05, end=2), 0.0)
 
+    def test_cut_page_does_not_count(self) -> None:
+        """A job that a page left out was reported as nonexistent while the rest was being read."""
+        standin = StoreStandin()
+        self.addCleanup(standin.close)
+        client = StoreClient(standin.address, 2)
+        client.append("keyed.t", 0, [KeyedRecord("k", b"x" * 200_000)] * 8, 5.0)
+        read_ats: list[float] = []
+        began_at = steady_seconds() - 10.0
+        tail = Tail(
+            client,
+            "keyed.t",
+            0,
+            self.WAIT_SECONDS,
+            0.0,
+            lambda record: read_ats.append(tail.read_at),
+            lambda records: None,
+        )
+        tail.start(next_offset=0, read_at=began_at)
+        self.addCleanup(tail.stop)
+        self.assertTrue(wait_until(lambda: tail.read_at > began_at))
+        self.assertEqual(read_ats, [began_at] * 8)
+
     def test_read_counts_once_its_records_are_handled(self) -> None:
         """A read does not count while its records, which may be older, are handled."""
         store = ScriptedStore("a", "b")
