Release deferred actions once their own changes are recorded

Cause: deferred actions were released with a batch after which nothing was left to record. A job whose changes fill each batch anew, or several, hold up the starts, acknowledgements and final statuses of all jobs for as long as they change.

Change: what has changed when a batch is made forms a change set of one or several batches; its deferred actions are released with the last of them. Later changes belong to the next set. A set ends, since each of its jobs is encoded once.

Why this works: an action depends on the changes of the events before it, which are in the same set or an earlier one.

--- a/src/snowdock/jobs/announced_jobs.py
+++ b/src/snowdock/jobs/announced_jobs.py
@@ -63,6 +63,8 @@
         release_claim(cell, step.key)
     # Its progress may be on record already. Without a submission, a takeover ignores it.
     cell.dirty_jobs.pop(job_id, None)
+    if cell.change_set is not None:
+        cell.change_set.jobs.pop(job_id, None)
     cell.held_starts.pop(job_id, None)
     del cell.jobs[job_id]
     cell.needs_placement = True
--- a/src/snowdock/jobs/cell.py
+++ b/src/snowdock/jobs/cell.py
@@ -21,6 +21,7 @@
 __all__ = [
     "Cell",
     "CellSettings",
+    "ChangeSet",
     "Claim",
     "Deferred",
     "DeferredRenewal",
@@ -151,7 +152,33 @@
 
 
 Deferred = DeferredStart | DeferredRenewal | Effect
-"""An action that is deferred until a batch of progress records is recorded."""
+"""An action that is deferred until the progress that it depends on is recorded."""
+
+
+@dataclasses.dataclass(slots=True)
+class ChangeSet:
+    """Changes that are recorded in one or several batches.
+
+    Attributes
+    ----------
+    jobs
+        Jobs that are still to be encoded.
+    deferred
+        Actions that are deferred until all of the changes are recorded, in order.
+    records
+        Encoded progress that the last batch had no room for.
+    """
+
+    jobs: dict[JobId, Job]
+    deferred: list[Deferred]
+    records: collections.deque[ProgressRecord] = dataclasses.field(
+        default_factory=collections.deque
+    )
+
+    @property
+    def is_encoded(self) -> bool:
+        """Whether all of the changes have been put into batches."""
+        return not (self.jobs or self.records)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -263,14 +290,13 @@
     pending_stops
         Stop orders that are not completed, by worker life, task and run.
     dirty_jobs
-        Jobs whose progress is recorded with the next batch.
+        Jobs whose progress is recorded with the next change set.
     deferred
-        Actions that are deferred until the next batch is recorded, in order.
-    unsent_records
-        Encoded progress that the last batch had no room for.
-    batch_number, batch_records, batch_deferred
-        Number of the newest batch, its records, and the actions deferred until it is recorded; None
-        if no batch is being recorded.
+        Actions that are deferred until the next change set is recorded, in order.
+    change_set
+        The changes that are being recorded; None if there are none.
+    batch_number, batch_records
+        Number of the newest batch, and its records; none if no batch is being recorded.
     max_record_bytes, max_append_bytes, limits_lowered_until
         Length of the longest record, and of the longest append, that the store takes. Lower than in
         the settings for a while after the store has rejected an append.
@@ -335,14 +361,13 @@
         self.pending_stops: dict[tuple[str, TaskId, int], PendingStop] = {}
         self.dirty_jobs: dict[JobId, Job] = {}
         self.deferred: list[Deferred] = []
-        self.unsent_records: collections.deque[ProgressRecord] = collections.deque()
+        self.change_set: ChangeSet | None = None
         self.batch_number = 0
         self.batch_records: tuple[ProgressRecord, ...] = ()
         self.max_record_bytes = settings.max_record_bytes
         self.max_append_bytes = settings.max_append_bytes
         self.next_batch_at = 0.0
         self.limits_lowered_until = 0.0
-        self.batch_deferred: list[Deferred] | None = None
         self.effects: list[Effect] = []
         self.advice_node_count = 1
         self.advice_requests: dict[AdviceRequest, PendingAdvice] = {}
--- a/src/snowdock/jobs/progress_batches.py
+++ b/src/snowdock/jobs/progress_batches.py
@@ -1,13 +1,15 @@
-"""Batches of progress records, and the actions deferred until each batch is recorded.
+"""Batches of progress records, and the actions deferred until what they depend on is recorded.
 
-At most one batch is in flight.
+At most one batch is in flight. All that has changed by then forms a change set, which takes several
+batches if it is large. Later changes belong to the next one, so that jobs that change all the time
+do not hold up the actions of others.
 """
 
 import collections
 
-from .cell import Cell, Deferred, DeferredRenewal, DeferredStart
-from .durability import RENEW_WAIT_MS, mark_dirty, send_renewal
-from .events import DropProgress, ForgetAccepted, Persist, SendStart
+from .cell import Cell, ChangeSet, Deferred, DeferredRenewal, DeferredStart
+from .durability import RENEW_WAIT_MS, send_renewal
+from .events import DropProgress, ForgetAccepted, Persist, ProgressRecord, SendStart
 from .job_state import Job, Phase, Task
 from .model import JobId
 from .orders import StartOrder
@@ -33,9 +35,25 @@
 
 def send_batch(cell: Cell) -> None:
     """Send the next batch, unless one is in flight or there is nothing to send."""
-    is_empty = not (cell.dirty_jobs or cell.unsent_records or cell.deferred)
-    if is_empty or cell.batch_deferred is not None or cell.now < cell.next_batch_at:
+    if cell.batch_records or cell.now < cell.next_batch_at:
         return
+    changes = cell.change_set
+    if changes is None:
+        if not (cell.dirty_jobs or cell.deferred):
+            return
+        changes = cell.change_set = ChangeSet(cell.dirty_jobs, cell.deferred)
+        cell.dirty_jobs, cell.deferred = {}, []
+    records = _fill_batch(cell, changes)
+    if not records:
+        _finish_change_set(cell, changes, cell.now)
+        return
+    cell.batch_number += 1
+    cell.batch_records = tuple(records)
+    cell.emit(Persist(cell.batch_number, cell.batch_records))
+
+
+def _fill_batch(cell: Cell, changes: ChangeSet) -> list[ProgressRecord]:
+    """Remove and return as many records of a change set as an append may have."""
     if 0.0 < cell.limits_lowered_until <= cell.now:
         cell.limits_lowered_until = 0.0
         cell.max_record_bytes = cell.settings.max_record_bytes
@@ -43,31 +61,19 @@
     records = []
     size = 0
     max_bytes = min(_MAX_BATCH_BYTES, cell.max_append_bytes)
-    while cell.unsent_records or cell.dirty_jobs:
-        if not cell.unsent_records:
-            _encode_next_job(cell)
-            continue
-        size += cell.unsent_records[0].append_size
+    while not changes.is_encoded:
+        if not changes.records:
+            _encode_next_job(cell, changes)
+        size += changes.records[0].append_size
         if records and size > max_bytes:
             break
-        records.append(cell.unsent_records.popleft())
-    if cell.dirty_jobs or cell.unsent_records:
-        # The deferred actions depend on all of these records, so they wait for the last batch.
-        deferred = []
-    else:
-        deferred, cell.deferred = cell.deferred, []
-    if not records:
-        _release_deferred(cell, deferred, cell.now)
-        return
-    cell.batch_number += 1
-    cell.batch_deferred = deferred
-    cell.batch_records = tuple(records)
-    cell.emit(Persist(cell.batch_number, cell.batch_records))
+        records.append(changes.records.popleft())
+    return records
 
 
-def _encode_next_job(cell: Cell) -> None:
-    job_id = next(iter(cell.dirty_jobs))
-    job = cell.dirty_jobs.pop(job_id)
+def _encode_next_job(cell: Cell, changes: ChangeSet) -> None:
+    job_id = next(iter(changes.jobs))
+    job = changes.jobs.pop(job_id)
     was_split = job.is_split
     encoded = encode_progress(job, (cell.token, cell.batch_number + 1), cell.max_record_bytes)
     if job.is_split and not was_split:
@@ -76,18 +82,24 @@
         cell.log_decision("checkpoint_not_recorded", job_id, task=task, bytes=size)
     if job.status.is_final and not encoded.has_tasks:
         # A takeover reads all submission records, so keep only those of open jobs.
-        cell.deferred.append(ForgetAccepted((job.record_name,)))
+        changes.deferred.append(ForgetAccepted((job.record_name,)))
     if encoded.obsolete_keys:
-        cell.deferred.append(DropProgress(tuple(encoded.obsolete_keys)))
-    cell.unsent_records.extend(encoded.records)
+        changes.deferred.append(DropProgress(tuple(encoded.obsolete_keys)))
+    changes.records.extend(encoded.records)
 
 
 def handle_persisted(cell: Cell, number: int, now: float) -> None:
-    """Release the actions that were deferred until a batch was recorded."""
-    if number != cell.batch_number or cell.batch_deferred is None:
+    """Release the deferred actions of a change set once its last batch is recorded."""
+    if number != cell.batch_number or not cell.batch_records:
         return
-    deferred, cell.batch_deferred = cell.batch_deferred, None
-    _release_deferred(cell, deferred, now)
+    cell.batch_records = ()
+    if cell.change_set.is_encoded:
+        _finish_change_set(cell, cell.change_set, now)
+
+
+def _finish_change_set(cell: Cell, changes: ChangeSet, now: float) -> None:
+    cell.change_set = None
+    _release_deferred(cell, changes.deferred, now)
 
 
 def handle_rejected(cell: Cell, number: int, now: float) -> None:
@@ -95,11 +107,10 @@
 
     The store's limits may have been lowered since this leader read them.
     """
-    if number != cell.batch_number or cell.batch_deferred is None:
+    if number != cell.batch_number or not cell.batch_records:
         return
-    sizes = [record.append_size for record in cell.batch_records]
-    cell.deferred = cell.batch_deferred + cell.deferred
-    cell.batch_deferred = None
+    rejected, cell.batch_records = cell.batch_records, ()
+    sizes = [record.append_size for record in rejected]
     cell.max_append_bytes = _lower_limit(cell.max_append_bytes, sum(sizes))
     cell.max_record_bytes = _lower_limit(cell.max_record_bytes, max(sizes))
     cell.limits_lowered_until = now + _LOWERED_LIMITS_SECONDS
@@ -114,7 +125,7 @@
         max_append_bytes=cell.max_append_bytes,
         max_record_bytes=cell.max_record_bytes,
     )
-    for job_id in {parse_block_key(record.key) for record in cell.batch_records}:
+    for job_id in dict.fromkeys(parse_block_key(record.key) for record in rejected):
         _encode_again(cell, job_id)
 
 
@@ -125,15 +136,16 @@
 
 def _encode_again(cell: Cell, job_id: JobId) -> None:
     """Have all progress of a job written again."""
-    cell.unsent_records = collections.deque(
-        record for record in cell.unsent_records if parse_block_key(record.key) != job_id
+    changes = cell.change_set
+    changes.records = collections.deque(
+        record for record in changes.records if parse_block_key(record.key) != job_id
     )
     job = cell.jobs.get(job_id)
     if job is None:
         return
     if job.layout is not None:
         job.layout.forget_content()
-    mark_dirty(cell, job)
+    changes.jobs[job_id] = job
 
 
 def release_held_starts(cell: Cell, job: Job, now: float) -> None:
--- a/tests/test_jobs_crash_replay.py
+++ b/tests/test_jobs_crash_replay.py
@@ -63,9 +63,9 @@
 
     def _record(self) -> None:
         bench = self.leaders.bench
-        while bench.cell.batch_deferred is not None:
+        while bench.cell.batch_records:
             batch = [each for each in filter_by_type(bench.all_effects, Persist)][-1]
-            bench.recorded |= {record.job: record.data for record in batch.records}
+            bench.recorded |= {record.key: record.data for record in batch.records}
             bench.feed(Persisted(batch.number))
 
     def _replace_leader(self) -> None:
--- a/tests/test_jobs_reducer.py
+++ b/tests/test_jobs_reducer.py
@@ -641,7 +641,7 @@
         self.bench.is_store_paused = True
         self.bench.submit()
         self.bench.tick(0.5)
-        self.assertIsNotNone(self.bench.cell.batch_deferred)
+        self.assertTrue(self.bench.cell.batch_records)
         self.bench.cell.job_ended_at[self.job] -= SETTINGS.retention_s
         self.assertEqual(len(filter_by_type(self.bench.tick(0.1), DropJobs)), 1)
         self.bench.feed(JobAccepted(self.job, make_accepted_job()))
--- a/tests/test_progress_encoding.py
+++ b/tests/test_progress_encoding.py
@@ -7,6 +7,7 @@
 
 from snowdock.declarations import Size
 from snowdock.errors import InvalidInput
+from snowdock.jobs.durability import mark_dirty
 from snowdock.jobs.events import (
     BatchRejected,
     DropProgress,
@@ -361,6 +362,31 @@
         self.assertEqual(leaders.bench.cell.max_record_bytes, 262_144)
 
 
+class TestChangeSets(unittest.TestCase):
+    def test_large_job_that_changes_all_the_time(self) -> None:
+        """A job that fills each batch anew held up the starts of all others for ever."""
+        bench = Bench()
+        bench.cell.max_record_bytes, bench.cell.max_append_bytes = 2000, 4000
+        bench.add_worker(cpu=1_000_000)
+        large = bench.submit(msgspec.structs.replace(TINY, count=1000))
+        tasks = list(bench.cell.jobs[large].all_tasks())
+        self.assertEqual({task.phase for task in tasks}, {Phase.ORDERED})
+        bench.is_store_paused = True
+        for batches in range(100):
+            for task in tasks:
+                task.checkpoint = f"{batches:08x}"
+            mark_dirty(bench.cell, tasks[0].step.job)
+            if batches == 20:
+                small = bench.submit(TINY)
+            starts = [effect.order.task.job for effect in bench.new_starts()]
+            if batches >= 20 and small in starts:
+                break
+            bench.feed(Persisted(bench.cell.batch_number))
+            bench.tick(0.1)
+        else:
+            self.fail("the small job was not started")
+
+
 class TestTakeover(unittest.TestCase):
     """What a leader reads back of progress in several records."""
 
