Keep a rejected record from counting against the store

Cause: a job record that the store rejects for good counted as a failure of the store. Three of them, or one that is tried again, had the node take the store for down and refuse other callers' jobs.

Also: a batch of progress that is rejected in one partition while an append of it is open in another one may be stored there; the writer gives up its term then, as it does when the append itself had no answer. A requeued step of a finished repetition, which has dropped its steps, is not enqueued.

Change: a rejection is an answer of the store, the record is not tried again by this node, and the partitions tell whether an append of the same batch is open elsewhere.

--- a/src/snowdock/entry/progress_partitions.py
+++ b/src/snowdock/entry/progress_partitions.py
@@ -114,6 +114,14 @@
                 self._open[append.partition] = None
         self._current = append.partition
 
+    def is_open_elsewhere(self, append: ProgressAppend) -> bool:
+        """Check whether another partition has an open append of the same batch."""
+        with self._lock:
+            return any(
+                other is not None and other is not append and other.batch is append.batch
+                for other in self._open
+            )
+
     def withdraw(self, append: ProgressAppend) -> None:
         """Record that an append was rejected, so that its sequence number is still to be used."""
         with self._lock:
--- a/src/snowdock/entry/progress_writer.py
+++ b/src/snowdock/entry/progress_writer.py
@@ -13,7 +13,7 @@
 import functools
 import queue
 import threading
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 
 from ..clocks import steady_seconds
 from ..errors import (
@@ -227,7 +227,7 @@
                         return outcome
                     else:
                         if isinstance(outcome, _Rejected):
-                            if append in self._uncertain or append in pending.values():
+                            if self._may_be_stored(append, pending.values()):
                                 return _Fenced(f"an append that may be stored: {outcome.reason}")
                             partitions.withdraw(append)
                         else:
@@ -239,6 +239,11 @@
                     self._stopped.wait(_RETRY_DELAY_SECONDS)
         return None
 
+    def _may_be_stored(self, append: ProgressAppend, pending: Collection[ProgressAppend]) -> bool:
+        """Check whether an append may be stored although the store has rejected it."""
+        is_unanswered = append in self._uncertain or append in pending
+        return is_unanswered or self._partitions.is_open_elsewhere(append)
+
     def _seconds_until_next_attempt(self) -> float:
         until_switch_s = self._partitions.seconds_until_switch(steady_seconds())
         if until_switch_s <= 0:
--- a/src/snowdock/entry/record_cleaner.py
+++ b/src/snowdock/entry/record_cleaner.py
@@ -26,7 +26,6 @@
 _APPEND_TIMEOUT_SECONDS = 1.0
 """Timeout of one append. Records whose deletion fails stay, which costs only space and time."""
 
-
 _Effect = DropJobs | DropProgress | ForgetAccepted
 
 
@@ -108,7 +107,7 @@
             log_event(
                 "records_not_dropped", topic=PROGRESS_TOPIC, count=len(blocked), reason=reason
             )
-        remaining = {job: partitions for job, partitions in remaining.items() if partitions}
+        remaining = {key: parts for key, parts in remaining.items() if parts}
         while remaining:
             failed: set[str] = set()
             for partition in {partitions[0] for partitions in remaining.values()}:
--- a/src/snowdock/entry/recorder.py
+++ b/src/snowdock/entry/recorder.py
@@ -63,12 +63,13 @@
     wake
         Set when the record's append has ended, or when its thread may append the waiting records.
     outcome
-        Result of the append; None while it is not known.
+        Result of the append, or why the store will never take the record; None while it is not
+        known.
     """
 
     record: KeyedRecord
     wake: threading.Event = dataclasses.field(default_factory=threading.Event)
-    outcome: RecordOutcome | None = None
+    outcome: RecordOutcome | AppendRejected | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True, eq=False)
@@ -148,7 +149,8 @@
         outcome = RecordOutcome.NOT_DONE
         if record.size > self._limits().record_bytes:
             # In one append with others, it would have all of them rejected.
-            log_event("record_too_long", job=job, part=partition_number, bytes=record.size)
+            reason = f"the record has {record.size} bytes"
+            log_event("record_rejected", job=job, part=partition_number, reason=reason)
             return outcome
         started_at = steady_seconds()
         while steady_seconds() - started_at < min(_RETRY_PERIOD_SECONDS, seconds):
@@ -162,6 +164,9 @@
                 attempt_outcome = self._record_once(
                     partition_number, record, max(_MIN_WAIT_SECONDS, remaining_s), is_probe
                 )
+            except AppendRejected as error:
+                log_event("record_rejected", job=job, part=partition_number, reason=str(error))
+                return outcome
             finally:
                 if is_probe:
                     self._health.finish_silence_probe()
@@ -180,7 +185,13 @@
     def _record_once(
         self, partition_number: int, record: KeyedRecord, seconds: float, is_probe: bool
     ) -> RecordOutcome:
-        """Send a record once, in another thread's append or in one for all waiting records."""
+        """Send a record once, in another thread's append or in one for all waiting records.
+
+        Raises
+        ------
+        AppendRejected
+            If the store will never take the record.
+        """
         partition = self._partitions[partition_number]
         pending = _PendingRecord(record)
         deadline = steady_seconds() + seconds
@@ -207,6 +218,8 @@
 
         Call with the partition's lock held.
         """
+        if isinstance(pending.outcome, AppendRejected):
+            raise pending.outcome
         if pending.outcome is not None:
             return pending.outcome
         is_over = steady_seconds() >= deadline
@@ -276,7 +289,7 @@
 
     def _append_separable(
         self, partition_number: int, records: list[KeyedRecord], seconds: float
-    ) -> list[RecordOutcome]:
+    ) -> list[RecordOutcome | AppendRejected]:
         """Append records together, or each alone if the store rejects them for good.
 
         One record that the store never takes would have the others rejected at each attempt.
@@ -284,9 +297,9 @@
         try:
             outcome = self._append(partition_number, records, seconds)
             return [outcome] * len(records)
-        except AppendRejected:
+        except AppendRejected as error:
             if len(records) == 1:
-                return [RecordOutcome.NOT_DONE]
+                return [error]
         outcomes = []
         for record in records:
             outcomes += self._append_separable(partition_number, [record], seconds)
@@ -309,6 +322,10 @@
         timed_out = False
         try:
             self._store.append(JOBS_TOPIC, partition_number, records, timeout_s)
+        except AppendRejected as error:
+            # The store has answered, so that this says nothing against the next append.
+            self._metrics.count("store_appends_total", "Appends to the store.", outcome=error.code)
+            raise
         except PlatformError as error:
             is_unanswered = isinstance(error, CallUnanswered)
             timed_out = is_unanswered and steady_seconds() - started_at >= _TIMED_OUT_SECONDS
@@ -317,8 +334,6 @@
             log_event(
                 "append_failed", part=partition_number, records=len(records), reason=str(error)
             )
-            if isinstance(error, AppendRejected):
-                raise
             may_be_recorded = is_unanswered and not error.unsent
             return RecordOutcome.UNKNOWN if may_be_recorded else RecordOutcome.NOT_DONE
         except Exception as error:
--- a/src/snowdock/jobs/runs.py
+++ b/src/snowdock/jobs/runs.py
@@ -71,7 +71,8 @@
     but not yet the ends before it, which are in another record. No such run was started.
     """
     steps = step.job.repetitions[step.repetition]
-    return all(steps[earlier].is_done for earlier in step.spec.after)
+    # A finished repetition has dropped its steps.
+    return bool(steps) and all(steps[earlier].is_done for earlier in step.spec.after)
 
 
 def _enqueue_step(cell: Cell, step: Step) -> None:
--- a/tests/test_progress_writer.py
+++ b/tests/test_progress_writer.py
@@ -229,6 +229,14 @@
         self.write(3)
         self.assertEqual(self.read(0), {JOB: b"batch 3"})
 
+    def test_rejection_beside_an_open_append(self) -> None:
+        """A batch that may be stored in another partition is not taken for one that is not."""
+        self.write(1)
+        self.standin.part_faults[TOPIC, 0] = "late"
+        self.standin.record_bytes = 100
+        self.writer.write(Persist(2, (ProgressRecord(JOB, b"x" * 100),)))
+        self.assertIn("may be stored", self.events.get(timeout=10))
+
     def test_switch_that_is_not_allowed(self) -> None:
         """While a peer would not read the other partition, the writer stays in the first."""
         self.may_switch = False
--- a/tests/test_recorder.py
+++ b/tests/test_recorder.py
@@ -110,8 +110,18 @@
         self.store.append = reject
         outcomes = self.record_many(10)
         self.assertEqual(sorted(outcomes), [RecordOutcome.DONE] * 9 + [RecordOutcome.NOT_DONE])
-        alone = [keys for keys in self.store.appends if too_long in keys][-1]
-        self.assertEqual(alone, [too_long])
+        tries = [keys for keys in self.store.appends if too_long in keys]
+        self.assertEqual(tries[1:], [[too_long]])
+
+    def test_rejected_record_does_not_count_against_the_store(self) -> None:
+        """After records that the store never takes, others were refused as if it was down."""
+        self.store.error = AppendRejected("too long")
+        with mock.patch.object(recorder, "_PROBE_DELAY_SECONDS", 60.0):
+            for _ in range(5):
+                self.assertIs(self.recorder.record(JOB, RECORD, 1.0), RecordOutcome.NOT_DONE)
+            self.assertEqual(len(self.store.appends), 5)
+            self.store.error = None
+            self.assertIs(self.recorder.record(JOB, RECORD, 1.0), RecordOutcome.DONE)
 
     def test_record_beyond_the_limit_is_not_sent(self) -> None:
         """A record that is known to be too long joins no append."""
