--- a/src/snowdock/entry/caller_api.py
+++ b/src/snowdock/entry/caller_api.py
@@ -266,7 +266,7 @@
         size = make_record(accepted).size
         if size > max_bytes:
             raise BodyTooLarge(
-                f"the record of job {job} has {size} bytes; {max_bytes} are the most"
+                f"the record of job {job} has {size} bytes; the store takes {max_bytes}"
             )
 
         def record(admitted: AcceptedJob) -> None:
--- a/src/snowdock/entry/record_cleaner.py
+++ b/src/snowdock/entry/record_cleaner.py
@@ -11,7 +11,7 @@
 from ..errors import PlatformError
 from ..jobs.events import DropJobs, DropProgress, ForgetAccepted
 from ..jobs.model import JobId
-from ..jobs.progress import cancel_key, parse_block_key, parse_job_id
+from ..jobs.progress import cancel_key, parse_progress_key, parse_job_id
 from ..logs import log_event
 from ..platform.store import KeyedRecord, StoreClient, split_records
 from ..threads import ServiceThread
@@ -83,7 +83,7 @@
                 ended_names.update(effect.names)
             kept_jobs = self._drop_submissions(ended_names)
             # The blocks of a job without its own record would never be deleted.
-            kept_jobs.update(map(parse_block_key, self._drop_progress(dropped_blocks)))
+            kept_jobs.update(map(parse_progress_key, self._drop_progress(dropped_blocks)))
             # A submission without progress would be started again by the next leader.
             droppable_jobs = [job for job in dropped_jobs if job not in kept_jobs]
             self._drop_progress(droppable_jobs)
--- a/src/snowdock/jobs/progress.py
+++ b/src/snowdock/jobs/progress.py
@@ -14,6 +14,7 @@
     "SplitProgress",
     "TaskBlock",
     "TaskProgress",
+    "Version",
     "block_key",
     "cancel_key",
     "decode_accepted",
@@ -22,9 +23,9 @@
     "decode_task_block",
     "encode",
     "is_block_key",
-    "parse_block_key",
     "parse_block_repetition",
     "parse_job_id",
+    "parse_progress_key",
     "record_name",
 ]
 
@@ -192,8 +193,8 @@
     return _BLOCK_SEPARATOR in key
 
 
-def parse_block_key(key: str) -> JobId:
-    """Return the job of a key of progress, be it that of a block or of the job itself."""
+def parse_progress_key(key: str) -> JobId:
+    """Return the job of a key of the progress topic, which may be that of a block."""
     return key.partition(_BLOCK_SEPARATOR)[0]
 
 
--- a/src/snowdock/jobs/progress_batches.py
+++ b/src/snowdock/jobs/progress_batches.py
@@ -13,7 +13,7 @@
 from .job_state import Job, Phase, Task
 from .model import JobId
 from .orders import StartOrder
-from .progress import parse_block_key
+from .progress import parse_progress_key
 from .progress_encoding import encode_progress
 from .quotas import may_start_within_quota
 from .runs import void_run
@@ -125,7 +125,7 @@
         max_append_bytes=cell.max_append_bytes,
         max_record_bytes=cell.max_record_bytes,
     )
-    for job_id in dict.fromkeys(parse_block_key(record.key) for record in rejected):
+    for job_id in dict.fromkeys(parse_progress_key(record.key) for record in rejected):
         _encode_again(cell, job_id)
 
 
@@ -138,7 +138,7 @@
     """Have all progress of a job written again."""
     changes = cell.change_set
     changes.records = collections.deque(
-        record for record in changes.records if parse_block_key(record.key) != job_id
+        record for record in changes.records if parse_progress_key(record.key) != job_id
     )
     job = cell.jobs.get(job_id)
     if job is None:
--- a/src/snowdock/jobs/recorded_progress.py
+++ b/src/snowdock/jobs/recorded_progress.py
@@ -14,7 +14,7 @@
     decode_split_progress,
     decode_task_block,
     is_block_key,
-    parse_block_key,
+    parse_progress_key,
     parse_block_repetition,
 )
 from .progress_layout import ProgressLayout
@@ -75,12 +75,12 @@
                 found.setdefault(key, []).append((partition, _decode(key, data)))
             except InvalidInput as error:
                 malformed.append(MalformedRecord(key, partition, error))
-    unreadable = frozenset(parse_block_key(each.key) for each in malformed)
+    unreadable = frozenset(parse_progress_key(each.key) for each in malformed)
     newest: dict[str, _Record] = {}
     key_partitions = {}
     blocks: dict[JobId, list[str]] = {}
     for key, versions in found.items():
-        job = parse_block_key(key)
+        job = parse_progress_key(key)
         if job in unreadable:
             continue
         versions.sort(key=lambda version: version[1].version)
@@ -89,7 +89,7 @@
         if is_block_key(key):
             blocks.setdefault(job, []).append(key)
     progress, layouts = {}, {}
-    for job in dict.fromkeys(map(parse_block_key, newest)):
+    for job in dict.fromkeys(map(parse_progress_key, newest)):
         head = newest.get(job)
         keys = blocks.get(job, [])
         if keys or isinstance(head, SplitProgress):
--- a/src/snowdock/jobs/worker_reports.py
+++ b/src/snowdock/jobs/worker_reports.py
@@ -91,18 +91,24 @@
         cell.log_decision("ends_omitted", worker.life, listed=len(report.ended))
     else:
         _check_missing(cell, worker, listed, event.order.sent_at, now)
-    if not worker.is_synced and not report.may_omit_ends:
-        worker.is_synced = True
-        cell.needs_placement = True
-        cell.log_decision(
-            "worker_settled", worker.life, runs=len(worker.runs), clock_ms=report.clock_ms
-        )
+        _mark_synced(cell, worker)
     if has_new_ends:
         acknowledge_ends(cell, worker)
     elif worker.last_processed_end == worker.last_recorded_end:
         _schedule_renewal(cell, worker, now)
 
 
+def _mark_synced(cell: Cell, worker: Worker) -> None:
+    """Allow new runs on a worker, after its first report that lists all its runs."""
+    if worker.is_synced:
+        return
+    worker.is_synced = True
+    cell.needs_placement = True
+    cell.log_decision(
+        "worker_settled", worker.life, runs=len(worker.runs), clock_ms=worker.clock_ms
+    )
+
+
 def _log_passed_over_end(cell: Cell, worker: Worker, end: EndedRun) -> None:
     """Log an end that counts as processed by its number although its run is still tracked."""
     cell.log_decision(
