--- a/src/snowdock/entry/record_cleaner.py
+++ b/src/snowdock/entry/record_cleaner.py
@@ -11,7 +11,7 @@
 from ..errors import PlatformError
 from ..jobs.events import DropJobs, DropProgress, ForgetAccepted
 from ..jobs.model import JobId
-from ..jobs.progress import cancel_key, parse_progress_key, parse_job_id
+from ..jobs.progress import cancel_key, parse_job_id, parse_progress_key
 from ..logs import log_event
 from ..platform.store import KeyedRecord, StoreClient, split_records
 from ..threads import ServiceThread
--- a/src/snowdock/jobs/recorded_progress.py
+++ b/src/snowdock/jobs/recorded_progress.py
@@ -14,8 +14,8 @@
     decode_split_progress,
     decode_task_block,
     is_block_key,
-    parse_progress_key,
     parse_block_repetition,
+    parse_progress_key,
 )
 from .progress_layout import ProgressLayout
 
