Play the soak on a store that takes short records

Cause: the soak's store took any record, so that progress in several records was never played beside overlapping faults. Where the limits of a test's store were stated, each test had its own daemon class.

Change: from seed 5000 on the store takes records of 1,200 bytes and appends of 3,000, as the settings of even seeds state; odd seeds' daemons learn it from rejections. EntryCluster sets both.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -9,7 +9,8 @@
 workers, workers' capacities change, and another writer appends malformed entries; from seed 2000
 on, some jobs fail on every worker, and some workers fail every run; from seed 3000 on, workers
 restart under their ids; from seed 4000 on, faults of several kinds come in bursts at the same time,
-some jobs are long-running, of which some are cancelled, and jobs are looked up during the faults.
+some jobs are long-running, of which some are cancelled, and jobs are looked up during the faults;
+from seed 5000 on, the store takes short records only, as the settings of even seeds state.
 Callers reuse their connections until a process ends.
 """
 
@@ -52,6 +53,11 @@
 WATCH_SECONDS = 10.0
 """How long long-running tasks are watched undisturbed, while some of their runs fail."""
 
+SHORT_RECORDS_FROM_SEED = 5000
+
+SHORT_RECORD_LIMITS = (1200, 3000)
+"""The longest record and append in bytes; the progress of a few tasks takes several records."""
+
 FAILED_SEEDS: dict[int, float] = {
     # A new leader repeated a fencing append whose response was lost, and treated the conflict as
     # a failure.
@@ -86,7 +92,14 @@
         self._finished = threading.Event()
         self._seconds = seconds
         self._source = random.Random(seed)
-        self.cluster = EntryCluster(nodes, workers, work_s=0.3, proxies=Proxy)
+        self.cluster = EntryCluster(
+            nodes,
+            workers,
+            work_s=0.3,
+            proxies=Proxy,
+            store_limits=SHORT_RECORD_LIMITS if seed >= SHORT_RECORDS_FROM_SEED else None,
+            states_limits=seed % 2 == 0,
+        )
         # The gang wait limit doesn't apply while connections are cut.
         self.cluster.workers.checks.is_undisturbed = False
         self._injector = FaultInjector(self.cluster, seed, self._source)
--- a/tests/standins/entry_cluster.py
+++ b/tests/standins/entry_cluster.py
@@ -107,6 +107,9 @@
             advice=cluster.advice.address,
             store=cluster.store_address(self.number),
         )
+        if cluster.stated_limits is not None:
+            stated = "parts = 3\nrecord_bytes = {}\ncall_bytes = {}"
+            text = text.replace("parts = 3", stated.format(*cluster.stated_limits))
         self.settings.write_text(text)
 
     def environment(self) -> dict[str, str]:
@@ -170,7 +173,11 @@
 
 
 class EntryCluster:
-    """Entry daemons and the stand-ins that they connect to."""
+    """Entry daemons and the stand-ins that they connect to.
+
+    ``store_limits`` are the longest record and append that the store takes, in bytes; with
+    ``states_limits``, the daemons' settings state them.
+    """
 
     def __init__(
         self,
@@ -179,9 +186,14 @@
         work_s: float = 0.1,
         proxies: Callable[[str], object] | None = None,
         make_process: Callable[["EntryCluster", int], EntryProcess] = EntryProcess,
+        store_limits: tuple[int, int] | None = None,
+        states_limits: bool = True,
     ) -> None:
         self.folder = tempfile.TemporaryDirectory()
         self.store = StoreStandin()
+        self.stated_limits = store_limits if states_limits else None
+        if store_limits is not None:
+            self.store.record_bytes, self.store.call_bytes = store_limits
         self.advice = AdviceStandin()
         self.store_proxies = [proxies(self.store.address) for _ in range(nodes if proxies else 0)]
         self.workers = WorkersStandin(self.store, workers, work_s, proxies)
--- a/tests/test_record_limits.py
+++ b/tests/test_record_limits.py
@@ -3,37 +3,18 @@
 import time
 import unittest
 
-from tests.standins.entry_cluster import EntryCluster, EntryProcess, wait_until
+from tests.standins.entry_cluster import EntryCluster, wait_until
 
-RECORD_BYTES = 3000
-CALL_BYTES = 9000
+LIMITS = (3000, 9000)
 TINY = {"count": 30, "cpu": 10, "mem_mb": 10, "estimate_ms": 100}
 TIMES = 40
 INTERVAL_MS = 50
 
 
-class LimitedProcess(EntryProcess):
-    """A daemon whose settings state the limits of the store."""
-
-    limits = (RECORD_BYTES, CALL_BYTES)
-
-    def write_settings(self) -> None:
-        super().write_settings()
-        stated = "parts = 3\nrecord_bytes = {}\ncall_bytes = {}".format(*self.limits)
-        self.settings.write_text(self.settings.read_text().replace("parts = 3", stated))
-
-
-class MisinformedProcess(LimitedProcess):
-    """A daemon whose settings state higher limits than the store has."""
-
-    limits = (262_144, 2_097_152)
-
-
 class TestTimedJob(unittest.TestCase):
-    def start(self, nodes: int, make_process: type[EntryProcess]) -> EntryCluster:
-        cluster = EntryCluster(nodes, make_process=make_process)
+    def start(self, nodes: int, states_limits: bool = True) -> EntryCluster:
+        cluster = EntryCluster(nodes, store_limits=LIMITS, states_limits=states_limits)
         self.addCleanup(cluster.close)
-        cluster.store.record_bytes, cluster.store.call_bytes = RECORD_BYTES, CALL_BYTES
         self.assertTrue(cluster.wait_ready())
         return cluster
 
@@ -56,7 +37,7 @@
 
     def test_progress_outgrows_a_record(self) -> None:
         """A timed job's progress outgrew a record, and from then on nothing was started."""
-        cluster = self.start(1, LimitedProcess)
+        cluster = self.start(1)
         path = self.submit(cluster)
         self.assertTrue(cluster.wait_state(path, "completed", 30.0))
         self.check_each_started_once(cluster, path)
@@ -66,7 +47,7 @@
 
     def test_store_with_lower_limits_than_stated(self) -> None:
         """A batch that the store rejects is split, and what waits behind it is started."""
-        cluster = self.start(1, MisinformedProcess)
+        cluster = self.start(1, states_limits=False)
         path = self.submit(cluster)
         late, late_body = cluster.make_job([{**TINY, "count": 2}])
         self.assertTrue(wait_until(lambda: cluster.store.rejected))
@@ -77,7 +58,7 @@
 
     def test_leader_is_killed(self) -> None:
         """The next leader reads back progress in several records, and nothing runs twice."""
-        cluster = self.start(3, LimitedProcess)
+        cluster = self.start(3)
         path = self.submit(cluster)
         for count in (300, 700):
             self.assertTrue(wait_until(lambda: len(cluster.workers.starts) >= count))  # noqa: B023
@@ -94,11 +75,10 @@
 class TestSubmission(unittest.TestCase):
     def test_job_that_no_record_holds(self) -> None:
         """A job that the store never takes is rejected at once, and others beside it are not."""
-        cluster = EntryCluster(1, make_process=LimitedProcess)
+        cluster = EntryCluster(1, store_limits=LIMITS)
         self.addCleanup(cluster.close)
-        cluster.store.record_bytes, cluster.store.call_bytes = RECORD_BYTES, CALL_BYTES
         self.assertTrue(cluster.wait_ready())
-        path, body = cluster.make_job([{**TINY, "requires": "x" * RECORD_BYTES}])
+        path, body = cluster.make_job([{**TINY, "requires": "x" * LIMITS[0]}])
         status, answer, _ = cluster.nodes[0].call("POST", path, body)
         self.assertEqual((status, answer["code"]), (413, "body_too_large"))
         self.assertEqual(cluster.state(cluster.nodes[0], path), "410")
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -2,7 +2,12 @@
 
 import unittest
 
-from tests.soak import FAILED_SEEDS, LONG_RUNNING_FROM_SEED, Soak
+from tests.soak import (
+    FAILED_SEEDS,
+    LONG_RUNNING_FROM_SEED,
+    SHORT_RECORDS_FROM_SEED,
+    Soak,
+)
 
 SEEDS = (1, 2, 3000)
 SECONDS = 8.0
@@ -17,6 +22,13 @@
                 self.assertEqual(Soak(seed, seconds).run(), [])
 
 
+class TestSoakWithShortRecords(unittest.TestCase):
+    def test_promises_hold(self) -> None:
+        """No task runs twice and accepted jobs end if the progress takes several records."""
+        soak = Soak(SHORT_RECORDS_FROM_SEED, OVERLAPPING_SECONDS)
+        self.assertEqual(soak.run(), [])
+
+
 class TestSoakWithOverlappingFaults(unittest.TestCase):
     soak: Soak
     violations: list[str]
