Bound a record of progress by the longest append as well

Cause: with a store whose append holds less than its longest record, blocks could be longer than an append; they were rejected again and again, and nothing started.

Change: a record of progress is as long as the smaller of both limits at most.

--- a/src/snowdock/jobs/progress_batches.py
+++ b/src/snowdock/jobs/progress_batches.py
@@ -75,7 +75,8 @@
     job_id = next(iter(changes.jobs))
     job = changes.jobs.pop(job_id)
     was_split = job.is_split
-    encoded = encode_progress(job, (cell.token, cell.batch_number + 1), cell.max_record_bytes)
+    max_bytes = min(cell.max_record_bytes, cell.max_append_bytes)
+    encoded = encode_progress(job, (cell.token, cell.batch_number + 1), max_bytes)
     if job.is_split and not was_split:
         cell.log_decision("progress_split", job_id, records=len(encoded.records))
     for task, size in encoded.long_checkpoints:
--- a/tests/test_progress_encoding.py
+++ b/tests/test_progress_encoding.py
@@ -241,6 +241,12 @@
         self.assertEqual(len(leaders.running), 3000)
         self.check_limits(leaders)
 
+    def test_append_is_shorter_than_a_record(self) -> None:
+        """A store whose append holds less than one record gets records that an append holds."""
+        leaders = place_all(make_wide_job(300), 2000, 600)
+        self.assertEqual(len(leaders.running), 300)
+        self.check_limits(leaders)
+
     def test_finished_times_take_no_room(self) -> None:
         """A timed job's progress and state don't grow with the times that are over."""
         for times in (20, 200):
