Tell what holds up the requests of a waiting step

A job that ran nothing was logged with "ticket=19 asking=0" once a second: that no request was pending, but not why. `job_starves` and `long_running_task_waits` now tell when the step was last searched and asked about, the obstacle that its last search met, the pending requests of its kind, their limit, and the nodes counted. A worker whose room is taken or reserved counts as such, and as lacking a ticket only otherwise.

`idle_steps` counted all waiting steps of mostly free services, among them the tasks that wait at the limit of tasks on one worker while others of their job run; it now counts jobs that run nothing, as its name says.

The three new tests fail without the change. No decision changes.

--- a/src/snowdock/jobs/job_state.py
+++ b/src/snowdock/jobs/job_state.py
@@ -9,7 +9,7 @@
 from .progress import AcceptedJob, record_name
 from .progress_layout import ProgressLayout
 
-__all__ = ["Advice", "Job", "Phase", "Step", "Task"]
+__all__ = ["Advice", "AskObstacle", "Job", "Phase", "Step", "Task"]
 
 
 class Phase(enum.Enum):
@@ -27,6 +27,31 @@
     DONE = "done"
 
 
+class AskObstacle(enum.Enum):
+    """Why the last search for a step requested no advice; values are log fields."""
+
+    PAUSE = "pause"
+    """All its waiting tasks are paused."""
+    QUOTA = "quota"
+    """The team's quota admits none of its tasks."""
+    ROOM = "room"
+    """No open worker has room for one of its tasks."""
+    PLACED = "placed"
+    """Some of its tasks were placed."""
+    CLAIM = "claim"
+    """Runs are being preempted for it."""
+    PENDING = "pending"
+    """A request is not answered yet."""
+    RETRY = "retry"
+    """A request failed just before, or the last search found no worker to ask about."""
+    LIMIT = "limit"
+    """As many requests of its kind are pending as may be."""
+    SHARE = "share"
+    """The remaining requests are reserved for other steps."""
+    WORKER = "worker"
+    """There is no worker for which an answer could lead to a placement."""
+
+
 @dataclasses.dataclass(slots=True)
 class Advice:
     """Answers of the advice service about a step.
@@ -46,6 +71,8 @@
     next_search_at
         Earliest time of the next search for workers to ask about, in steady-clock seconds. It does
         not apply once a fit worker has enough free room.
+    asked_at
+        Time of the last request, in steady-clock seconds; 0 before the first.
     """
 
     terms: AdviceTerms
@@ -54,6 +81,7 @@
     pending_requests: int = 0
     retry_at: float = 0.0
     next_search_at: float = 0.0
+    asked_at: float = 0.0
 
     def is_known(self, life: str) -> bool:
         """Check whether the service has answered for a worker."""
@@ -190,6 +218,8 @@
         Whether the team's quota admits none of the waiting tasks.
     has_new_advice
         Whether advice arrived since the last search.
+    ask_obstacle
+        Why the last search requested no advice; None if it did, or before the first search.
     policy_view
         Description of the step that is passed to policy programs to score workers; None before
         the first score.
@@ -218,6 +248,7 @@
     quota_available_since: float | None = None
     is_at_quota: bool = False
     has_new_advice: bool = False
+    ask_obstacle: AskObstacle | None = None
     policy_view: Mapping[str, object] | None = None
 
     @property
--- a/src/snowdock/jobs/placement.py
+++ b/src/snowdock/jobs/placement.py
@@ -8,12 +8,12 @@
 from .durability import mark_dirty
 from .expected_finish import order_by_speed, prefer_by_finish, withhold_slow_workers
 from .failed_runs import begin_probation_run
-from .job_state import Phase, Step, Task
+from .job_state import AskObstacle, Phase, Step, Task
 from .load import record_first_wait, record_started
 from .occupancy import occupy
 from .placement_advice import (
     find_advised_services,
-    may_request_advice,
+    find_ask_obstacle,
     needs_advice,
     request_advice,
 )
@@ -127,13 +127,16 @@
     if not tasks:
         if not step.waiting_tasks:
             del cell.waiting_steps[step.key]
+        step.ask_obstacle = AskObstacle.PAUSE
         return 1
     tasks = tasks[: _limit_to_quota(cell, step, len(tasks))]
     if not tasks:
+        step.ask_obstacle = AskObstacle.QUOTA
         return 1
     pool = pools.pool_for(step)
     step.is_bulky = is_bulky(step, pool.capacity)
     if not pool.may_hold(step):
+        step.ask_obstacle = AskObstacle.ROOM
         return 1
     if needs_advice(cell, step):
         return 1 + _place_advised(cell, step, tasks, isolation, pool, now)
@@ -178,12 +181,15 @@
     remaining = _place_tasks(cell, step, tasks, isolation, candidates, now)
     examined = len(workers)
     if not remaining or (len(remaining) < len(tasks) and not step.is_bulky):
+        step.ask_obstacle = AskObstacle.PLACED
         return examined
     if step.is_bulky:
         examined += len(fit)
         if _claim_or_reserve_room(cell, step, workers, fit, len(remaining), now):
+            step.ask_obstacle = AskObstacle.CLAIM
             return examined
-    if not step.advice.pending_requests and may_request_advice(cell, step, fit, now):
+    step.ask_obstacle = find_ask_obstacle(cell, step, fit, now)
+    if step.ask_obstacle is None:
         preferred_first = order_by_speed(cell, step, pool, now)
         examined += request_advice(cell, step, preferred_first, fit, len(remaining), now)
     _defer_search(cell, step, now)
--- a/src/snowdock/jobs/placement_advice.py
+++ b/src/snowdock/jobs/placement_advice.py
@@ -8,7 +8,7 @@
 from .candidates import count_fitting
 from .cell import Cell, PendingAdvice
 from .events import AdviceAnswered, AdviceFailed, AskAdvice
-from .job_state import Advice, Step
+from .job_state import Advice, AskObstacle, Step
 from .orders import AdviceRequest
 from .reservations import find_reservation, hold_room
 from .timeouts import LONG_ADVICE_REQUEST_MS
@@ -16,9 +16,10 @@
 
 __all__ = [
     "apply_advice",
+    "describe_asking",
     "find_advised_services",
+    "find_ask_obstacle",
     "handle_advice_failure",
-    "may_request_advice",
     "may_request_early_advice",
     "needs_advice",
     "request_advice",
@@ -91,8 +92,10 @@
     return True
 
 
-def may_request_advice(cell: Cell, step: Step, fit: Iterable[Worker], now: float) -> bool:
-    """Check whether a request about a step may be sent now.
+def find_ask_obstacle(
+    cell: Cell, step: Step, fit: Iterable[Worker], now: float
+) -> AskObstacle | None:
+    """Return why no request about a step may be sent now, or None if one may.
 
     Parameters
     ----------
@@ -106,15 +109,41 @@
         Current time on the steady clock, in seconds.
     """
     advice = step.advice
+    if advice.pending_requests:
+        return AskObstacle.PENDING
     if now < advice.retry_at:
-        return False
+        return AskObstacle.RETRY
     if now < advice.next_search_at and not _has_obtainable_room(step, fit):
-        return False
+        return AskObstacle.RETRY
     limit, pending = _max_pending_requests(cell, advice), _count_pending_requests(cell, advice)
     others = cell.advised_services - {cell.queue_of(step.job).service}
     share = _RESERVED_SHARE * limit / (1 + len(others))
     reserved = sum(max(0, math.ceil(share) - pending[service]) for service in others)
-    return pending.total() + min(reserved, limit - 1) < limit
+    if pending.total() >= limit:
+        return AskObstacle.LIMIT
+    return None if pending.total() + min(reserved, limit - 1) < limit else AskObstacle.SHARE
+
+
+def describe_asking(cell: Cell, step: Step, now: float) -> dict[str, object]:
+    """Return log fields on the requests for a waiting step, and on what holds up the next one.
+
+    Seconds are counted from when the step was enqueued if it was not searched or asked about since.
+    """
+    fields = {
+        "searched_s": now - max(step.last_search_at, step.queued_at),
+        "obstacle": step.ask_obstacle.value if step.ask_obstacle else "",
+    }
+    advice = step.advice
+    if advice is None:
+        return {"asking": 0, **fields}
+    return {
+        "asking": advice.pending_requests,
+        "asked_s": now - max(advice.asked_at, step.queued_at),
+        **fields,
+        "pending": _count_pending_requests(cell, advice).total(),
+        "limit": _max_pending_requests(cell, advice),
+        "nodes": cell.advice_node_count,
+    }
 
 
 def may_request_early_advice(cell: Cell, step: Step, now: float) -> bool:
@@ -180,6 +209,7 @@
     advice = step.advice
     chosen, examined = _choose_workers_to_ask(cell, step, by_free_cpu, fit, wanted, now)
     if not chosen:
+        step.ask_obstacle = AskObstacle.WORKER
         advice.next_search_at = now + _NO_CANDIDATE_RETRY_SECONDS
         return examined
     expected_s = _send_requests(cell, step, chosen)
@@ -223,6 +253,7 @@
     advice = step.advice
     parts = _split_into_requests(step, chosen)
     advice.pending_requests += len(parts)
+    advice.asked_at = cell.now
     expected_s = _estimate_answer_seconds(advice, len(parts[0]))
     service = cell.queue_of(step.job).service
     for part in parts:
--- a/src/snowdock/jobs/starving.py
+++ b/src/snowdock/jobs/starving.py
@@ -11,6 +11,7 @@
 from .cell import Cell
 from .failed_runs import has_probation_run, is_doubtful
 from .job_state import Step, Task
+from .placement_advice import describe_asking
 from .room_use import used_share
 from .suspects import may_share_worker, next_tasks
 from .workers import Worker
@@ -56,14 +57,14 @@
     if not idle:
         return
     free = {service for service, workers in services.items() if _is_mostly_free(workers)}
-    starving = [step for step in idle if cell.queue_of(step.job).service in free]
+    starving = [step for step in idle if cell.queue_of(step.job).service in free and _is_idle(step)]
     starving.sort(key=lambda step: step.waiting_since)
     logged = 0
     for step in starving:
         if logged >= _MAX_LOGGED:
             break
         workers = services[cell.queue_of(step.job).service]
-        if _is_idle(step) and _has_spare_room(step, workers):
+        if _has_spare_room(step, workers):
             _log_starving_job(cell, step, workers, now, len(starving))
             logged += 1
 
@@ -121,8 +122,8 @@
         failures=max(task.failures for task in step.tasks),
         paused_s=max(0.0, step.not_before - now),
         at_quota=step.is_at_quota,
-        asking=step.advice.pending_requests if step.advice else 0,
         idle_steps=idle_steps,
+        **describe_asking(cell, step, now),
         **_count_exclusions(cell, step, workers, now),
     )
 
@@ -139,9 +140,8 @@
         running=sum(each.is_placed for each in step.tasks),
         losses=len(task.lost_runs),
         at_quota=step.is_at_quota,
-        asking=step.advice.pending_requests if step.advice else 0,
-        searched_s=now - step.last_search_at,
         rank=step.rank,
+        **describe_asking(cell, step, now),
         **_count_exclusions(cell, step, workers, now),
     )
 
@@ -171,12 +171,12 @@
         return ExclusionReason.DOUBTFUL
     if step.spec.label and step.spec.label not in worker.entry.labels:
         return ExclusionReason.UNFIT
-    if step.advice is not None:
-        if worker.life in step.advice.unfit:
-            return ExclusionReason.UNFIT
-        if step.advice.valid_ticket(worker.life, now) is None:
-            return ExclusionReason.TICKET
+    if step.advice is not None and worker.life in step.advice.unfit:
+        return ExclusionReason.UNFIT
     if not worker.free.holds(step.spec.room) or max_additional_tasks(step, worker) <= 0:
         return ExclusionReason.ROOM
-    unreserved = worker.free_for(step.key, step.rank)
-    return None if unreserved.holds(step.spec.room) else ExclusionReason.RESERVED
+    if not worker.free_for(step.key, step.rank).holds(step.spec.room):
+        return ExclusionReason.RESERVED
+    if step.advice is not None and step.advice.valid_ticket(worker.life, now) is None:
+        return ExclusionReason.TICKET
+    return None
--- a/tests/test_jobs_starving.py
+++ b/tests/test_jobs_starving.py
@@ -4,10 +4,10 @@
 
 from snowdock.declarations import Size
 from snowdock.jobs.events import LogDecision
-from snowdock.jobs.model import JobStatus, StepSpec
+from snowdock.jobs.model import AdviceTerms, JobStatus, StepSpec
 from snowdock.jobs.orders import EndKind
 from snowdock.jobs.quarantine import quarantine
-from snowdock.jobs.workers import QuarantineCause
+from snowdock.jobs.workers import QuarantineCause, RoomHold
 from tests.jobs_tools import Bench, filter_by_type
 
 
@@ -83,6 +83,46 @@
         found = decision_fields(self.bench.tick(1.5), "long_running_task_waits")[0]
         self.assertLess(found["waiting_s"], 3.4)
 
+    def test_starving_job_without_a_request_is_logged(self) -> None:
+        """A job that may not ask yet is logged with the requests that are pending instead."""
+        bench = Bench(advice=AdviceTerms(170.0, 2.4, 2000.0))
+        bench.add_worker("w")
+        asking, _, held_up = (bench.submit() for _ in range(3))
+        bench.tick(2.2)
+        lines = {
+            effect.subject: dict(effect.fields)
+            for effect in filter_by_type(bench.all_effects, LogDecision)
+            if effect.decision == "job_starves"
+        }
+        first, second = lines[asking], lines[held_up]
+        self.assertEqual((first["asking"], first["obstacle"]), (1, "pending"))
+        self.assertEqual((second["asking"], second["obstacle"]), (0, "limit"))
+        self.assertEqual((second["pending"], second["limit"], second["nodes"]), (2, 1.5, 2))
+        self.assertLess(second["searched_s"], 0.2)
+        self.assertGreater(second["asked_s"], 1.0)
+
+    def test_reserved_room_is_logged_before_a_missing_ticket(self) -> None:
+        """A worker whose room is reserved counts as such, although its ticket is missing too."""
+        bench = Bench(advice=AdviceTerms(170.0, 2.4, 2000.0))
+        bench.add_worker("w")
+        bench.submit()
+        worker = bench.cell.workers["w"]
+        worker.room_holds["other", 0, 0] = RoomHold(worker.entry.capacity)
+        line = decision_fields(bench.tick(2.2), "job_starves")[0]
+        self.assertEqual(line["reserved"], 1)
+        self.assertNotIn("ticket", line)
+
+    def test_steps_beside_running_tasks_are_not_idle(self) -> None:
+        """Waiting tasks of a job that runs others are not counted as idle."""
+        step = StepSpec(count=2, size=Size(1000, 1000), most_per_worker=1)
+        self.bench.submit(step)
+        (start,) = self.bench.new_starts()
+        self.bench.confirm(start)
+        self.bench.cell.workers["w"].quarantined_until = self.bench.now + 60
+        self.bench.submit()
+        line = decision_fields(self.bench.tick(2.2), "job_starves")[0]
+        self.assertEqual(line["idle_steps"], 1)
+
     def test_overdue_run_is_logged(self) -> None:
         """An overdue run is logged with its phase, its age and that of the last report."""
         self.bench.submit()
