Request no advice whose answer could place nothing

What callers saw: jobs ran nothing for over 3 s beside free room, with "open=0 ticket=19 asking=0" once a second.

Cause, reproduced: a step with `most_per_worker` tasks on each worker that admits it has tasks left which no worker may take. It asked about these workers again whenever its tickets were over, each 1.85 s and for ever, since a question counted room only, while a placement counts the limit of tasks on a worker, trust and reservations as well. Long-running steps that have waited 3.5 s go before all others. 36 of them with 19 workers and 9 nodes use all of the requests that may be pending, and steps behind them were not asked about at all.

Now `candidates.count_startable` decides both what is placed on a worker and whether to ask about it, at the time when the answer is expected: limit of tasks, label, room with reservations, trust and probation; isolation likewise.

--- a/src/snowdock/jobs/candidates.py
+++ b/src/snowdock/jobs/candidates.py
@@ -14,10 +14,12 @@
 __all__ = [
     "Candidate",
     "Caution",
+    "available_room",
     "caution_for",
     "choose_workers",
     "count_fitting",
     "count_slots",
+    "count_startable",
     "find_candidates",
     "is_bulky",
     "is_trusted",
@@ -74,27 +76,19 @@
     ignore_reservations
         Whether resources that are only reserved for other steps count as free.
     """
-    spec = step.spec
-    room = spec.room
-    caution = caution_for(cell, step)
+    caution = caution_for(cell, step, cell.now)
     for worker in workers:
-        free = _available_room(cell, step, worker, ignore_reservations)
-        if not free.holds(room):
-            continue
-        if not is_trusted(cell, worker, caution):
+        free = available_room(cell, step, worker, ignore_reservations)
+        count = count_startable(step, worker, free, caution, cell.now)
+        if not count:
             continue
-        count = count_slots(step, worker, free)
-        if count <= 0:
-            continue
-        if is_on_probation(worker, cell.now):
-            count = 1
-        step_runs = _count_step_runs(step, worker) if spec.most_per_worker else 0
+        step_runs = _count_step_runs(step, worker) if step.spec.most_per_worker else 0
         score = cell.policy.score(step, worker, step_runs)
         if score is not None:
             yield Candidate(worker, count, score)
 
 
-def _available_room(cell: Cell, step: Step, worker: Worker, ignore_reservations: bool) -> Size:
+def available_room(cell: Cell, step: Step, worker: Worker, ignore_reservations: bool) -> Size:
     """Return the resources of a worker that a run of a step may use if it starts now."""
     if not worker.room_holds:
         return worker.free
@@ -103,6 +97,31 @@
     return worker.free_for(step.key, step.rank, expected_end(step, worker, cell.now))
 
 
+def count_startable(step: Step, worker: Worker, free: Size, caution: Caution, at: float) -> int:
+    """Return how many tasks of a step may start on a worker if it admits the step.
+
+    The condition of placements, and of requests for advice: an answer about a worker on which
+    nothing may start places nothing.
+
+    Parameters
+    ----------
+    step
+        The step.
+    worker
+        A worker that is open to placements.
+    free
+        Resources of the worker that the step may use.
+    caution
+        How strictly the step avoids workers on which runs have failed.
+    at
+        When the tasks would start, in steady-clock seconds.
+    """
+    if not free.holds(step.spec.room) or not is_trusted(worker, caution, at):
+        return 0
+    count = count_slots(step, worker, free)
+    return min(count, 1) if is_on_probation(worker, at) else count
+
+
 def is_bulky(step: Step, capacity: Size) -> bool:
     """Check whether the resources left free between other runs rarely hold a step's tasks.
 
@@ -116,9 +135,9 @@
     return step.spec.gang or not capacity.holds(step.spec.room.times(_BULKY_TASKS_PER_WORKER))
 
 
-def caution_for(cell: Cell, step: Step) -> Caution:
-    """Return how strictly a step avoids workers on which runs have failed."""
-    waited = step.waited_seconds(cell.now)
+def caution_for(cell: Cell, step: Step, at: float) -> Caution:
+    """Return how strictly a step avoids workers on which runs have failed, at a time."""
+    waited = step.waited_seconds(at)
     if waited < _LAST_ATTEMPT_CAUTION_SECONDS:
         return Caution.HIGH if _is_last_attempt(cell, step) else Caution.NORMAL
     max_wait_s = _MAX_CAUTION_SECONDS
@@ -128,11 +147,11 @@
     return Caution.NONE if is_stuck else Caution.NORMAL
 
 
-def is_trusted(cell: Cell, worker: Worker, caution: Caution) -> bool:
-    """Check whether a worker's failures permit another run at a caution level."""
+def is_trusted(worker: Worker, caution: Caution, at: float) -> bool:
+    """Check whether a worker's failures permit another run at a caution level, at a time."""
     if caution is Caution.NONE:
         return True
-    if has_probation_run(worker, cell.now):
+    if has_probation_run(worker, at):
         return False
     return caution is Caution.NORMAL or not is_doubtful(worker)
 
--- a/src/snowdock/jobs/placement.py
+++ b/src/snowdock/jobs/placement.py
@@ -16,6 +16,7 @@
     find_ask_obstacle,
     needs_advice,
     request_advice,
+    shortest_answer_seconds,
 )
 from .preemption import has_claim, preempt_runs, release_expired_claims
 from .quotas import reserve_quotas, tasks_within_quota
@@ -188,14 +189,33 @@
         if _claim_or_reserve_room(cell, step, workers, fit, len(remaining), now):
             step.ask_obstacle = AskObstacle.CLAIM
             return examined
-    step.ask_obstacle = find_ask_obstacle(cell, step, fit, now)
-    if step.ask_obstacle is None:
-        preferred_first = order_by_speed(cell, step, pool, now)
-        examined += request_advice(cell, step, preferred_first, fit, len(remaining), now)
+    examined += _request_advice(cell, step, pool, fit, isolation, len(remaining), now)
     _defer_search(cell, step, now)
     return examined
 
 
+def _request_advice(
+    cell: Cell,
+    step: Step,
+    pool: WorkerPool,
+    fit: list[Worker],
+    isolation: IsolationLevel,
+    wanted: int,
+    now: float,
+) -> int:
+    """Request advice if an answer could lead to a placement; return the workers examined."""
+    answer_at = now + shortest_answer_seconds(step.advice)
+    if isolation is not IsolationLevel.NONE:
+        # It may be lower by then.
+        _, isolation = next_tasks(step, answer_at)
+        fit = _filter_by_isolation(isolation, _find_fit_workers(step, pool), answer_at)
+    step.ask_obstacle = find_ask_obstacle(cell, step, fit, now)
+    if step.ask_obstacle is not None:
+        return 0
+    workers = _filter_by_isolation(isolation, order_by_speed(cell, step, pool, now), answer_at)
+    return request_advice(cell, step, workers, fit, wanted, now)
+
+
 def _choose_by_finish(
     cell: Cell,
     step: Step,
--- a/src/snowdock/jobs/placement_advice.py
+++ b/src/snowdock/jobs/placement_advice.py
@@ -2,10 +2,9 @@
 
 import collections
 import math
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
-from ..declarations import Size
-from .candidates import count_fitting
+from .candidates import available_room, caution_for, count_startable
 from .cell import Cell, PendingAdvice
 from .events import AdviceAnswered, AdviceFailed, AskAdvice
 from .job_state import Advice, AskObstacle, Step
@@ -24,6 +23,7 @@
     "needs_advice",
     "request_advice",
     "request_early_advice",
+    "shortest_answer_seconds",
     "ticket_lifetime_seconds",
 ]
 
@@ -80,6 +80,9 @@
 _NO_CANDIDATE_RETRY_SECONDS = 0.1
 """Delay before the next search after one that found no worker to ask about."""
 
+_SlotCounter = Callable[[Worker], int]
+"""(worker) -> number of tasks of a step that could start there."""
+
 
 def needs_advice(cell: Cell, step: Step) -> bool:
     """Check whether a step's queue requires external advice for its placements."""
@@ -113,7 +116,7 @@
         return AskObstacle.PENDING
     if now < advice.retry_at:
         return AskObstacle.RETRY
-    if now < advice.next_search_at and not _has_obtainable_room(step, fit):
+    if now < advice.next_search_at and not any(map(_make_slot_counter(cell, step, now), fit)):
         return AskObstacle.RETRY
     limit, pending = _max_pending_requests(cell, advice), _count_pending_requests(cell, advice)
     others = cell.advised_services - {cell.queue_of(step.job).service}
@@ -241,6 +244,11 @@
         step.advice.next_search_at = now + _NO_CANDIDATE_RETRY_SECONDS
 
 
+def shortest_answer_seconds(advice: Advice) -> float:
+    """Return the expected time until an answer about a single worker."""
+    return _estimate_answer_seconds(advice, 1)
+
+
 def ticket_lifetime_seconds(advice: Advice) -> float:
     """Return the shortest time from a request until its tickets expire."""
     return (
@@ -290,21 +298,20 @@
     valid.
     """
     advice = step.advice
-    room = step.spec.room
+    count_slots = _make_slot_counter(cell, step, now)
     known = [
         worker
         for worker in fit
-        if advice.valid_ticket(worker.life, now) is None
-        and _obtainable_room(step, worker).holds(room)
+        if advice.valid_ticket(worker.life, now) is None and count_slots(worker)
     ]
     examined = len(fit)
-    chosen = _choose_roomiest(step, known, wanted * _KNOWN_SLOTS_PER_TASK) if known else []
-    if not _could_place(step, chosen, wanted):
+    chosen = _choose_roomiest(step, known, count_slots, wanted * _KNOWN_SLOTS_PER_TASK)
+    if not _could_place(step, chosen, count_slots, wanted):
         unknown, unknown_examined = _find_unknown_workers(
-            step, by_free_cpu, wanted * _UNKNOWN_SLOTS_PER_TASK, cell.is_uneven
+            step, by_free_cpu, count_slots, wanted * _UNKNOWN_SLOTS_PER_TASK, cell.is_uneven
         )
         examined += unknown_examined
-        if not unknown and not _could_place(step, known, wanted):
+        if not unknown and not _could_place(step, known, count_slots, wanted):
             chosen = []
         chosen = chosen + unknown
     if not chosen:
@@ -324,30 +331,35 @@
 
 
 def _find_unknown_workers(
-    step: Step, by_free_cpu: list[Worker], slots: int, is_uneven: bool
+    step: Step,
+    by_free_cpu: list[Worker],
+    count_slots: _SlotCounter,
+    slots: int,
+    is_uneven: bool,
 ) -> tuple[list[Worker], int]:
     """Return workers with free room whose fitness for a step is unknown.
 
     They offer at least ``slots`` slots, if possible, and are at least as many as are cheap to ask
     about. Also return the number of workers examined.
     """
-    room = step.spec.room
     cheap = _count_cheap_workers(step)
     found: list[Worker] = []
     examined = 0
     for worker in by_free_cpu:
         if slots <= 0 and len(found) >= cheap:
             break
-        if not step.is_bulky and worker.free.cpu < room.cpu:
+        if not step.is_bulky and worker.free.cpu < step.spec.room.cpu:
             if is_uneven:
                 continue
             # The remaining workers have even fewer free processors.
             break
         examined += 1
-        if step.advice.is_known(worker.life) or not _obtainable_room(step, worker).holds(room):
+        if step.advice.is_known(worker.life):
             continue
-        found.append(worker)
-        slots -= _count_slots(step, worker, slots)
+        count = count_slots(worker)
+        if count:
+            found.append(worker)
+            slots -= count
     return found, examined
 
 
@@ -382,34 +394,46 @@
     )
 
 
-def _count_slots(step: Step, worker: Worker, wanted: int) -> int:
-    """Return the number of tasks of a step that fit on a worker, at most ``wanted``."""
-    return min(wanted, count_fitting(_obtainable_room(step, worker), step.spec.room))
+def _make_slot_counter(cell: Cell, step: Step, now: float) -> _SlotCounter:
+    """Return a function that counts the tasks of a step that could start on a worker.
 
+    They would start as soon as an answer about the worker arrives.
+    """
+    answer_at = now + _estimate_answer_seconds(step.advice, 1)
+    caution = caution_for(cell, step, answer_at)
+    may_use_reserved = _may_use_reserved_room(step)
 
-def _obtainable_room(step: Step, worker: Worker) -> Size:
-    """Return the resources of a worker that a step may be able to use.
+    def count(worker: Worker) -> int:
+        free = available_room(cell, step, worker, may_use_reserved)
+        if step.is_bulky:
+            free = free.plus(worker.preemptible_room)
+        return count_startable(step, worker, free, caution, answer_at)
 
-    They include those that are only reserved for other steps if the step is small or blocked, and
-    those of preemptible runs if the step is bulky.
-    """
-    if not step.is_bulky:
-        return worker.unreserved_room(step.key)
-    if step.blocked_since is not None:
-        return worker.unreserved_room(step.key).plus(worker.preemptible_room)
-    return worker.free_for(step.key, step.rank).plus(worker.preemptible_room)
+    return count
 
 
-def _has_obtainable_room(step: Step, fit: Iterable[Worker]) -> bool:
-    return any(_obtainable_room(step, worker).holds(step.spec.room) for worker in fit)
+def _may_use_reserved_room(step: Step) -> bool:
+    """Check whether a step may soon use room that is only reserved for other steps.
+
+    One that runs nothing may once it has been blocked for long; a long-running one by its rank.
+    """
+    if step.is_bulky:
+        return step.blocked_since is not None
+    return step.is_held_up
 
 
-def _could_place(step: Step, workers: list[Worker], wanted: int) -> bool:
-    needed = wanted if step.spec.gang else 1
-    return sum(_count_slots(step, worker, wanted) for worker in workers) >= needed
+def _could_place(
+    step: Step, workers: Iterable[Worker], count_slots: _SlotCounter, wanted: int
+) -> bool:
+    """Check whether workers can take a task of a step, or all tasks of a gang."""
+    if not step.spec.gang:
+        return any(count_slots(worker) for worker in workers)
+    return sum(count_slots(worker) for worker in workers) >= wanted
 
 
-def _choose_roomiest(step: Step, workers: list[Worker], slots: int) -> list[Worker]:
+def _choose_roomiest(
+    step: Step, workers: list[Worker], count_slots: _SlotCounter, slots: int
+) -> list[Worker]:
     """Return the workers that can take most tasks, until they offer ``slots`` slots.
 
     At least as many as are cheap to ask about are returned. The number is limited because each
@@ -417,11 +441,12 @@
     """
     cheap = _count_cheap_workers(step)
     chosen: list[Worker] = []
-    for worker in sorted(workers, key=lambda each: -_count_slots(step, each, slots)):
+    counts = {worker.life: min(slots, count_slots(worker)) for worker in workers}
+    for worker in sorted(workers, key=lambda each: -counts[each.life]):
         if slots <= 0 and len(chosen) >= cheap:
             break
         chosen.append(worker)
-        slots -= _count_slots(step, worker, slots)
+        slots -= counts[worker.life]
     return chosen
 
 
--- a/src/snowdock/jobs/preemption.py
+++ b/src/snowdock/jobs/preemption.py
@@ -93,11 +93,11 @@
     def may_preempt(other: Step) -> bool:
         return cell.policy.may_preempt(step, other, now)
 
-    caution = caution_for(cell, step)
+    caution = caution_for(cell, step, now)
     return [
         _build_option(step, worker, _find_preemptible_tasks(cell, worker, may_preempt))
         for worker in workers
-        if _has_lasting_ticket(step, worker, now) and is_trusted(cell, worker, caution)
+        if _has_lasting_ticket(step, worker, now) and is_trusted(worker, caution, now)
     ]
 
 
--- a/src/snowdock/jobs/reservations.py
+++ b/src/snowdock/jobs/reservations.py
@@ -122,10 +122,10 @@
 
     Returns none for a gang if there are not enough slots for all of its tasks.
     """
-    caution = caution_for(cell, step)
+    caution = caution_for(cell, step, now)
     slots: list[tuple[float, Worker]] = []
     for worker in workers:
-        if is_trusted(cell, worker, caution):
+        if is_trusted(worker, caution, now):
             slots += [(at, worker) for at in _compute_slot_times(cell, step, worker, wanted, now)]
     if step.spec.gang and len(slots) < wanted:
         return []
--- a/src/snowdock/jobs/starving.py
+++ b/src/snowdock/jobs/starving.py
@@ -167,7 +167,7 @@
         return ExclusionReason.SUSPECT
     if has_probation_run(worker, now):
         return ExclusionReason.ON_PROBATION
-    if caution_for(cell, step) is Caution.HIGH and is_doubtful(worker):
+    if caution_for(cell, step, now) is Caution.HIGH and is_doubtful(worker):
         return ExclusionReason.DOUBTFUL
     if step.spec.label and step.spec.label not in worker.entry.labels:
         return ExclusionReason.UNFIT
--- a/src/snowdock/jobs/worker_pools.py
+++ b/src/snowdock/jobs/worker_pools.py
@@ -100,7 +100,7 @@
     def pool_for(self, step: Step) -> WorkerPool:
         """Return the open workers for a step; quarantined ones only as a last resort."""
         service = self._cell.queue_of(step.job).service
-        if caution_for(self._cell, step) is not Caution.NONE:
+        if caution_for(self._cell, step, self._now) is not Caution.NONE:
             return self._regular.get(service, _EMPTY_POOL)
         if self._last_resort is None:
             self._last_resort = self._build_pools(is_last_resort=True)
