Give each step that runs nothing its turn to request advice

What callers saw: a job that ranks below others ran nothing beside free room, without a pending request, for as long as others of higher rank arrived.

Cause: requests were sent in the order of rank alone while as many as may be pending were pending. Only long-running steps rise with their wait, after 3.5 s, and nothing bounded the wait of the others.

Now half of the requests of each kind may be taken by steps in turn: those that run nothing, or are long-running, and have gone longest without a request, from 0.5 s on. They are searched before all others, as many as requests are free, and one without a worker to ask about lets the next one have its turn. The other half is sent by rank as before.

--- /dev/null
+++ b/src/snowdock/jobs/advice_turns.py
@@ -0,0 +1,59 @@
+"""Turns of waiting steps to request advice, whatever their rank.
+
+Where answers take long, few requests may be pending, and steps of higher rank could use all of
+them. So some are left to the steps that have gone longest without one.
+"""
+
+import heapq
+import math
+
+from .cell import Cell
+from .job_state import Step
+from .placement_advice import count_free_requests, is_long_advice, needs_advice
+
+__all__ = ["find_steps_in_turn"]
+
+_TURN_SECONDS = 0.5
+"""Time without a request or a turn after which a step may have one. Users allow three seconds
+beside free room; an answer and the next free request take up to 0.8 s each."""
+
+_TURN_SHARE = 0.5
+"""Share of the pending requests that steps in turn may use; the others are sent by rank."""
+
+
+def find_steps_in_turn(cell: Cell, now: float) -> list[Step]:
+    """Return the steps whose turn it is to request advice, and record their turns.
+
+    These are as many as may send a request, of those that have gone longest without one. Only steps
+    that run nothing and long-running ones have turns.
+    """
+    steps: list[Step] = []
+    for is_long in (False, True):
+        free = count_free_requests(cell, is_long, _TURN_SHARE)
+        if free:
+            steps += _find_longest_without_request(cell, is_long, free, now)
+    for step in steps:
+        step.advice.turn_at = now
+    return steps
+
+
+def _find_longest_without_request(
+    cell: Cell, is_long: bool, max_count: int, now: float
+) -> list[Step]:
+    latest = now - _TURN_SECONDS
+    waiting = [
+        (since, number, step)
+        for number, step in enumerate(cell.waiting_steps.values())
+        if (since := _last_request_at(cell, step)) <= latest
+        and is_long_advice(step.advice) is is_long
+        and max(step.not_before, step.next_search_at) <= now
+        and step.is_held_up
+    ]
+    return [step for _, _, step in heapq.nsmallest(max_count, waiting)]
+
+
+def _last_request_at(cell: Cell, step: Step) -> float:
+    """Return when a step last had a request or a turn, or infinity if it needs none now."""
+    if not needs_advice(cell, step) or step.advice.pending_requests:
+        return math.inf
+    return max(step.queued_at, step.advice.asked_at, step.advice.turn_at)
--- a/src/snowdock/jobs/cell.py
+++ b/src/snowdock/jobs/cell.py
@@ -212,10 +212,21 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class PendingAdvice:
-    """A pending advice request: the service of its step, and whether it may be a long one."""
+    """A pending advice request.
+
+    Attributes
+    ----------
+    service
+        The service of its step.
+    is_long
+        Whether it may be a long one.
+    is_in_turn
+        Whether its step sent it in turn, see `advice_turns`.
+    """
 
     service: str
     is_long: bool
+    is_in_turn: bool = False
 
 
 class Cell:
--- a/src/snowdock/jobs/job_state.py
+++ b/src/snowdock/jobs/job_state.py
@@ -73,6 +73,8 @@
         not apply once a fit worker has enough free room.
     asked_at
         Time of the last request, in steady-clock seconds; 0 before the first.
+    turn_at
+        Time of the last turn to request advice whatever the step's rank, see `advice_turns`.
     """
 
     terms: AdviceTerms
@@ -82,6 +84,7 @@
     retry_at: float = 0.0
     next_search_at: float = 0.0
     asked_at: float = 0.0
+    turn_at: float = 0.0
 
     def is_known(self, life: str) -> bool:
         """Check whether the service has answered for a worker."""
--- a/src/snowdock/jobs/placement.py
+++ b/src/snowdock/jobs/placement.py
@@ -3,6 +3,7 @@
 import dataclasses
 import math
 
+from .advice_turns import find_steps_in_turn
 from .candidates import Candidate, choose_workers, find_candidates, is_bulky
 from .cell import Cell, DeferredStart
 from .durability import mark_dirty
@@ -60,7 +61,8 @@
 def place_waiting_steps(cell: Cell, now: float) -> None:
     """Run a placement pass over the waiting steps, in descending order of rank.
 
-    Steps that have the highest rank by aging come first, within a limit of their own.
+    Steps whose turn it is to request advice come first, then, within a limit of their own, those
+    that have the highest rank by aging.
     """
     if not cell.waiting_steps or now < cell.next_placement_at:
         return
@@ -72,6 +74,8 @@
     cell.advised_services = find_advised_services(cell)
     pools = WorkerPools(cell, now)
     examined = len(cell.workers)
+    in_turn = find_steps_in_turn(cell, now)
+    examined += _search_steps(cell, in_turn, pools, now, _MAX_EXAMINED_PER_PASS // 4)
     waiting = cell.waiting_steps.values()
     aged = [step for step in waiting if math.isinf(step.rank)]
     aged.sort(key=lambda step: step.last_search_at)
--- a/src/snowdock/jobs/placement_advice.py
+++ b/src/snowdock/jobs/placement_advice.py
@@ -15,10 +15,12 @@
 
 __all__ = [
     "apply_advice",
+    "count_free_requests",
     "describe_asking",
     "find_advised_services",
     "find_ask_obstacle",
     "handle_advice_failure",
+    "is_long_advice",
     "may_request_early_advice",
     "needs_advice",
     "request_advice",
@@ -118,15 +120,37 @@
         return AskObstacle.RETRY
     if now < advice.next_search_at and not any(map(_make_slot_counter(cell, step, now), fit)):
         return AskObstacle.RETRY
-    limit, pending = _max_pending_requests(cell, advice), _count_pending_requests(cell, advice)
+    is_long = is_long_advice(advice)
+    limit = _max_pending_requests(cell, is_long)
+    pending = _count_pending_requests(cell, is_long)
+    if pending.total() >= limit:
+        return AskObstacle.LIMIT
+    if advice.turn_at == now:
+        return None
     others = cell.advised_services - {cell.queue_of(step.job).service}
     share = _RESERVED_SHARE * limit / (1 + len(others))
     reserved = sum(max(0, math.ceil(share) - pending[service]) for service in others)
-    if pending.total() >= limit:
-        return AskObstacle.LIMIT
     return None if pending.total() + min(reserved, limit - 1) < limit else AskObstacle.SHARE
 
 
+def count_free_requests(cell: Cell, is_long: bool, share: float) -> int:
+    """Return how many requests of a kind steps may send now in turn.
+
+    Parameters
+    ----------
+    cell
+        State of the leader.
+    is_long
+        The kind: long or short requests.
+    share
+        Share of the pending requests that steps in turn may use; they may always use one.
+    """
+    limit = math.ceil(_max_pending_requests(cell, is_long))
+    pending = [each for each in cell.advice_requests.values() if each.is_long is is_long]
+    in_turn = sum(each.is_in_turn for each in pending)
+    return max(0, min(limit - len(pending), math.ceil(share * limit) - in_turn))
+
+
 def describe_asking(cell: Cell, step: Step, now: float) -> dict[str, object]:
     """Return log fields on the requests for a waiting step, and on what holds up the next one.
 
@@ -143,8 +167,8 @@
         "asking": advice.pending_requests,
         "asked_s": now - max(advice.asked_at, step.queued_at),
         **fields,
-        "pending": _count_pending_requests(cell, advice).total(),
-        "limit": _max_pending_requests(cell, advice),
+        "pending": _count_pending_requests(cell, is_long_advice(advice)).total(),
+        "limit": _max_pending_requests(cell, is_long_advice(advice)),
         "nodes": cell.advice_node_count,
     }
 
@@ -154,20 +178,20 @@
     advice = step.advice
     if advice.pending_requests or now < max(advice.retry_at, advice.next_search_at):
         return False
-    limit, pending = _max_pending_requests(cell, advice), _count_pending_requests(cell, advice)
-    return pending.total() + 1 <= _EARLY_REQUEST_SHARE * math.ceil(limit)
+    is_long = is_long_advice(advice)
+    limit = math.ceil(_max_pending_requests(cell, is_long))
+    pending = _count_pending_requests(cell, is_long).total()
+    return pending + 1 <= _EARLY_REQUEST_SHARE * limit
 
 
-def _max_pending_requests(cell: Cell, advice: Advice) -> float:
-    """Return the maximum number of pending requests of the same kind, long or short."""
-    is_long = _may_be_long(advice)
+def _max_pending_requests(cell: Cell, is_long: bool) -> float:
+    """Return the maximum number of pending requests of a kind, long or short."""
     requests_per_node = _LONG_REQUESTS_PER_NODE if is_long else _SHORT_REQUESTS_PER_NODE
     return max(1, requests_per_node * cell.advice_node_count)
 
 
-def _count_pending_requests(cell: Cell, advice: Advice) -> collections.Counter[str]:
-    """Count the pending requests of the same kind, long or short, by service."""
-    is_long = _may_be_long(advice)
+def _count_pending_requests(cell: Cell, is_long: bool) -> collections.Counter[str]:
+    """Count the pending requests of a kind, long or short, by service."""
     return collections.Counter(
         each.service for each in cell.advice_requests.values() if each.is_long is is_long
     )
@@ -266,7 +290,9 @@
     service = cell.queue_of(step.job).service
     for part in parts:
         request = AdviceRequest(*step.key, tuple(worker.life for worker in part))
-        cell.advice_requests[request] = PendingAdvice(service, _may_be_long(advice))
+        cell.advice_requests[request] = PendingAdvice(
+            service, is_long_advice(advice), is_in_turn=advice.turn_at == cell.now
+        )
         cell.emit(AskAdvice(request, expected_s * 1000))
     return expected_s
 
@@ -386,7 +412,7 @@
     return (advice.terms.decide_ms + advice.terms.each_ms * workers) / 1000
 
 
-def _may_be_long(advice: Advice) -> bool:
+def is_long_advice(advice: Advice) -> bool:
     """Check whether a request about the maximum number of workers would be a long one."""
     return (
         advice.terms.decide_ms + advice.terms.each_ms * _MAX_WORKERS_PER_REQUEST
--- a/tests/test_jobs_asking.py
+++ b/tests/test_jobs_asking.py
@@ -1,6 +1,8 @@
 """Tests of which steps get requests to the advice service while these are scarce."""
 
 import collections
+import dataclasses
+import math
 import random
 import unittest
 
@@ -26,6 +28,9 @@
 TOLERATED_IDLE_SECONDS = 3.0
 """How long a job may run nothing beside free room."""
 
+MAX_TURN_SECONDS = 2.2
+"""How long a step waits for its turn to request advice, the answer, and its start."""
+
 TICK_SECONDS = 0.05
 ROUND_TRIP_SECONDS = 0.01
 NODES = 9
@@ -36,12 +41,19 @@
 CHECKS = AdviceTerms(13.0, 0.19, 2000.0)
 FIT_SHARES = {"watchers": 0.3, "reviews": 0.45, "checks": 0.7}
 
+REVIEW_ANSWER_SECONDS = 0.2
+"""Slightly less than an answer about a review takes."""
+
+REQUESTS_PER_NODE = 0.75
+"""Long requests that may be pending for each node."""
+
 SIZE = Size(500, 50)
 STANDING = StepSpec(count=WORKERS, size=SIZE, long_running=True, most_per_worker=1)
 """A step that few workers may run, one task each: the others of its tasks wait for ever."""
 
 WATCHER = StepSpec(count=2, size=SIZE, long_running=True)
 REVIEW = StepSpec(count=4, size=SIZE, estimate_ms=60_000)
+OTHER_REVIEW = StepSpec(count=3, size=SIZE, estimate_ms=60_000)
 
 
 class AdvisedService(Bench):
@@ -190,5 +202,32 @@
         self.assertLess(longest, TOLERATED_IDLE_SECONDS)
 
 
+class TestTurns(unittest.TestCase):
+    """Steps of higher rank that could use all requests."""
+
+    def assert_waits_briefly(self, nodes: int, queue: str, step: StepSpec) -> None:
+        """Check the wait of a step that ranks below slightly more reviews than may ask."""
+        service = AdvisedService(nodes)
+        service.cell.policy = dataclasses.replace(
+            service.cell.policy, rank=lambda step, now: float(step.spec == REVIEW)
+        )
+        requests = math.ceil(max(1, REQUESTS_PER_NODE * nodes))
+        job = ""
+        for number in range(40):
+            if number == 10:
+                job = service.submit_to(queue, step)
+            for _ in range(requests):
+                service.submit_to("reviews", REVIEW)
+            service.run_for(REVIEW_ANSWER_SECONDS)
+        self.assertLess(service.waited_seconds(job), MAX_TURN_SECONDS)
+
+    def test_step_of_low_rank_never_asks(self) -> None:
+        """A step gets its turn to request advice within a bound, whatever arrives above it."""
+        for nodes in (0, 1, 2, NODES):
+            for queue, step in (("reviews", OTHER_REVIEW), ("watchers", WATCHER)):
+                with self.subTest(nodes=nodes, queue=queue):
+                    self.assert_waits_briefly(nodes, queue, step)
+
+
 if __name__ == "__main__":
     unittest.main()
