Bound how long a request for advice without an answer counts as pending

What callers saw, possible by reading and reproduced in the reducer: once as many requests as may be pending are neither answered nor reported as failed, no other step is asked about, and a step whose request was lost never asks again. The dispatcher answers or fails each request, but only after up to three attempts of 2.8 s and the expected time each.

Now the leader stops counting a request as pending after three times its expected time and 0.5 s (1.15 s for a review of 19 workers, 2.6 s for a watcher), logs `advice_expired`, and has the dispatcher send it to no further node. An answer that still comes is applied, also if the same question was asked again meanwhile: the dispatcher dropped it so far. Each step knows its pending requests by name, so an answer to an older question no longer counts for a newer one.

Three new tests failed before (the two in test_jobs_asking after 3.0 and 3.5 s without a run; the one of the repeated request without its part of the change).

--- a/src/snowdock/entry/advice_dispatcher.py
+++ b/src/snowdock/entry/advice_dispatcher.py
@@ -201,6 +201,18 @@
             (self._long_requests if pending.is_long else self._short_requests).append(pending)
         self._dispatch()
 
+    def drop(self, request: AdviceRequest) -> None:
+        """Send a request to no further node; an answer that still comes is posted."""
+        with self._lock:
+            pending = self._pending.get(request)
+            if pending is None:
+                return
+            pending.hedge_at = None
+            pending.attempts = _MAX_ATTEMPTS
+            self._remove_from_queues(pending)
+            if not pending.open_attempts:
+                del self._pending[request]
+
     def stop(self) -> None:
         """Drop all requests and send no more."""
         self._stopped.set()
@@ -388,7 +400,8 @@
             if is_first_result:
                 del self._in_progress[attempt.node]
                 pending.open_attempts -= 1
-            is_current = self._pending.get(request) is pending
+            current = self._pending.get(request)
+            is_current = current is pending
             is_queued = pending in self._short_requests or pending in self._long_requests
             if may_retry and is_first_result and is_current and not is_queued:
                 is_queued = pending.attempts < _MAX_ATTEMPTS and bool(
@@ -397,10 +410,12 @@
                 if is_queued:
                     self._queue_first(pending)
             is_last = is_first_result and not pending.open_attempts and not is_queued
-            if is_current and (tickets is not None or is_last):
+            # The answer also serves a request that was sent again with the same workers.
+            is_answered = current is not None and tickets is not None
+            if is_answered or (is_current and is_last):
                 del self._pending[request]
-                self._remove_from_queues(pending)
-        if is_current and tickets is not None:
+                self._remove_from_queues(current)
+        if is_answered:
             self._post(AdviceAnswered(AdviceResult(request, tickets)))
         elif is_current and is_last:
             self._post(AdviceFailed(request))
--- a/src/snowdock/entry/leader.py
+++ b/src/snowdock/entry/leader.py
@@ -12,6 +12,7 @@
 from ..jobs.events import (
     AskAdvice,
     CloseWorker,
+    DropAdvice,
     DropJobs,
     DropProgress,
     Effect,
@@ -156,6 +157,7 @@
             SendStop: self._send_order,
             SendRenewal: self._send_renewal,
             AskAdvice: self._advice_dispatcher.ask,
+            DropAdvice: lambda effect: self._advice_dispatcher.drop(effect.request),
             OpenWorker: self._open_worker,
             CloseWorker: self._close_worker,
             PublishStatus: self._statuses.publish,
--- a/src/snowdock/jobs/cell.py
+++ b/src/snowdock/jobs/cell.py
@@ -220,12 +220,15 @@
         The service of its step.
     is_long
         Whether it may be a long one.
+    expires_at
+        Time from which it no longer counts as pending, in steady-clock seconds.
     is_in_turn
         Whether its step sent it in turn, see `advice_turns`.
     """
 
     service: str
     is_long: bool
+    expires_at: float
     is_in_turn: bool = False
 
 
--- a/src/snowdock/jobs/events.py
+++ b/src/snowdock/jobs/events.py
@@ -24,6 +24,7 @@
     "BatchRejected",
     "CloseWorker",
     "ConfigurationChanged",
+    "DropAdvice",
     "DropJobs",
     "DropProgress",
     "Effect",
@@ -272,6 +273,13 @@
     expected_ms: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class DropAdvice:
+    """Send a request to no further node; an answer that still comes is used."""
+
+    request: AdviceRequest
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class OpenWorker:
     """Prepare calls to a worker."""
@@ -363,6 +371,7 @@
     | SendStop
     | SendRenewal
     | AskAdvice
+    | DropAdvice
     | OpenWorker
     | CloseWorker
     | PublishStatus
--- a/src/snowdock/jobs/job_state.py
+++ b/src/snowdock/jobs/job_state.py
@@ -6,6 +6,7 @@
 
 from .load_history import WaitPrediction
 from .model import AdviceTerms, JobId, JobStatus, StepKey, StepSpec, TaskId
+from .orders import AdviceRequest
 from .progress import AcceptedJob, record_name
 from .progress_layout import ProgressLayout
 
@@ -64,8 +65,8 @@
         Ticket and its expiry time, in steady-clock seconds, by life of a fit worker.
     unfit
         Lives of workers that may not run the step.
-    pending_requests
-        Number of requests that are not answered yet.
+    pending
+        Requests that are not answered yet.
     retry_at
         Earliest time of the next request after a failed one, in steady-clock seconds.
     next_search_at
@@ -80,12 +81,17 @@
     terms: AdviceTerms
     tickets: dict[str, tuple[str, float]] = dataclasses.field(default_factory=dict)
     unfit: set[str] = dataclasses.field(default_factory=set)
-    pending_requests: int = 0
+    pending: set[AdviceRequest] = dataclasses.field(default_factory=set)
     retry_at: float = 0.0
     next_search_at: float = 0.0
     asked_at: float = 0.0
     turn_at: float = 0.0
 
+    @property
+    def pending_requests(self) -> int:
+        """Number of requests that are not answered yet."""
+        return len(self.pending)
+
     def is_known(self, life: str) -> bool:
         """Check whether the service has answered for a worker."""
         return life in self.tickets or life in self.unfit
--- a/src/snowdock/jobs/placement_advice.py
+++ b/src/snowdock/jobs/placement_advice.py
@@ -6,7 +6,7 @@
 
 from .candidates import available_room, caution_for, count_startable
 from .cell import Cell, PendingAdvice
-from .events import AdviceAnswered, AdviceFailed, AskAdvice
+from .events import AdviceAnswered, AdviceFailed, AskAdvice, DropAdvice
 from .job_state import Advice, AskObstacle, Step
 from .orders import AdviceRequest
 from .reservations import find_reservation, hold_room
@@ -17,6 +17,7 @@
     "apply_advice",
     "count_free_requests",
     "describe_asking",
+    "expire_requests",
     "find_advised_services",
     "find_ask_obstacle",
     "handle_advice_failure",
@@ -76,6 +77,12 @@
 """Maximum number of parallel requests for a bulky step. If they were sent one after the other, the
 first tickets would expire before the last answer."""
 
+_EXPIRY_FACTOR = 3.0
+_EXPIRY_SECONDS = 0.5
+"""A request without an answer no longer counts as pending after its expected duration multiplied by
+the factor, plus the seconds: another node is asked after twice that duration, and answers by then.
+Users allow three seconds beside free room."""
+
 _RETRY_SECONDS = 0.2
 """Delay before the next request after a failed one."""
 
@@ -284,14 +291,15 @@
     """Send requests about workers, and return the expected time until their answers, in seconds."""
     advice = step.advice
     parts = _split_into_requests(step, chosen)
-    advice.pending_requests += len(parts)
     advice.asked_at = cell.now
     expected_s = _estimate_answer_seconds(advice, len(parts[0]))
+    expires_at = cell.now + _EXPIRY_FACTOR * expected_s + _EXPIRY_SECONDS
     service = cell.queue_of(step.job).service
     for part in parts:
         request = AdviceRequest(*step.key, tuple(worker.life for worker in part))
+        advice.pending.add(request)
         cell.advice_requests[request] = PendingAdvice(
-            service, is_long_advice(advice), is_in_turn=advice.turn_at == cell.now
+            service, is_long_advice(advice), expires_at, is_in_turn=advice.turn_at == cell.now
         )
         cell.emit(AskAdvice(request, expected_s * 1000))
     return expected_s
@@ -492,7 +500,7 @@
     if step is None or step.advice is None:
         return
     advice = step.advice
-    _decrement_pending(advice)
+    advice.pending.discard(request)
     step.next_search_at = 0.0
     step.has_new_advice = True
     expires = now + advice.terms.valid_ms / 1000 - _TICKET_MARGIN_SECONDS
@@ -515,19 +523,33 @@
 
 def handle_advice_failure(cell: Cell, event: AdviceFailed, now: float) -> None:
     """Handle a failed advice request; it is repeated after a delay."""
-    cell.advice_requests.pop(event.request, None)
+    if cell.advice_requests.pop(event.request, None) is None:
+        return
     cell.needs_placement = True
     step = _find_step(cell, event.request)
     if step is None or step.advice is None:
         return
-    _decrement_pending(step.advice)
+    step.advice.pending.discard(event.request)
     step.advice.retry_at = now + _RETRY_SECONDS
     cell.log_decision("advice_failed", event.request.job, step=event.request.step)
 
 
-def _decrement_pending(advice: Advice) -> None:
-    """Decrement the pending requests; those sent before the queue's terms changed don't count."""
-    advice.pending_requests = max(0, advice.pending_requests - 1)
+def expire_requests(cell: Cell, now: float) -> None:
+    """Stop counting requests as pending that should have been answered long ago.
+
+    Their steps may request advice again. An answer that comes nevertheless is applied.
+    """
+    expired = [
+        request for request, pending in cell.advice_requests.items() if pending.expires_at <= now
+    ]
+    for request in expired:
+        del cell.advice_requests[request]
+        cell.emit(DropAdvice(request))
+        step = _find_step(cell, request)
+        if step is not None and step.advice is not None:
+            step.advice.pending.discard(request)
+        cell.log_decision("advice_expired", request.job, step=request.step)
+        cell.needs_placement = True
 
 
 def _find_step(cell: Cell, request: AdviceRequest) -> Step | None:
--- a/src/snowdock/jobs/reducer.py
+++ b/src/snowdock/jobs/reducer.py
@@ -30,7 +30,7 @@
 from .order_answers import handle_start_answer, handle_stop_answer
 from .overdue import log_overdue_runs
 from .placement import place_waiting_steps
-from .placement_advice import apply_advice, handle_advice_failure
+from .placement_advice import apply_advice, expire_requests, handle_advice_failure
 from .progress import AcceptedJob, parse_job_id, record_name
 from .progress_batches import (
     handle_persisted,
@@ -214,6 +214,7 @@
 def _handle_tick(cell: Cell, now: float, wall_ms: float) -> None:
     watch_workers(cell, now)
     release_expired(cell, now)
+    expire_requests(cell, now)
     cell.capacity = sum_capacity(cell)
     for job in list(cell.scheduled_jobs.values()):
         _start_due_repetitions(cell, job, wall_ms)
--- a/tests/test_advice_dispatcher.py
+++ b/tests/test_advice_dispatcher.py
@@ -171,6 +171,35 @@
         answered = AdviceAnswered(AdviceResult(REQUEST, TICKETS))
         self.assertEqual(self.events.get(timeout=2.0), answered)
 
+    @mock.patch.object(advice_dispatcher, "_HEDGE_DELAY_SECONDS", 60.0)
+    def test_answer_to_a_request_that_was_sent_again_is_lost(self) -> None:
+        """The answer to an earlier request about the same workers serves the later one too."""
+        self.dispatcher._loss_timeout = mock.Mock(limit_s=60.0)
+        self.dispatcher.ask(AskAdvice(REQUEST, 1.0))
+        first = self.nodes.asked.get(timeout=15)
+        self.dispatcher.drop(REQUEST)
+        self.dispatcher.ask(AskAdvice(REQUEST, 1.0))
+        second = self.nodes.asked.get(timeout=15)
+        self.nodes.release_events[first].set()
+        answered = AdviceAnswered(AdviceResult(REQUEST, TICKETS))
+        self.assertEqual(self.events.get(timeout=2.0), answered)
+        self.nodes.release_events[second].set()
+        self.assert_no_event()
+
+    @mock.patch.object(advice_dispatcher, "_HEDGE_DELAY_SECONDS", 60.0)
+    def test_dropped_request_is_sent_to_no_node(self) -> None:
+        """A request that is dropped before a node was free is neither sent nor reported."""
+        requests = [AdviceRequest(f"{number:016x}", 0, 0, ()) for number in range(3)]
+        for request in requests:
+            self.dispatcher.ask(AskAdvice(request, 1.0))
+        self.dispatcher.drop(requests[2])
+        for release_event in self.nodes.release_events.values():
+            release_event.set()
+        answered = {self.events.get(timeout=15).result.request for _ in range(2)}
+        self.assertEqual(answered, set(requests[:2]))
+        self.assert_no_event()
+        self.assertEqual(self.nodes.asked.qsize(), 2)
+
     def test_node_that_lost_answers_is_used_last(self) -> None:
         """Of several idle nodes, one whose answers were lost is not chosen."""
         self.dispatcher._losses["own"] = 1
--- a/tests/test_jobs_asking.py
+++ b/tests/test_jobs_asking.py
@@ -229,5 +229,32 @@
                     self.assert_waits_briefly(nodes, queue, step)
 
 
+class TestLostAnswers(unittest.TestCase):
+    """Requests that are neither answered nor reported as failed."""
+
+    def setUp(self) -> None:
+        self.service = AdvisedService()
+
+    def test_requests_that_never_return_keep_their_places(self) -> None:
+        """Steps are asked about although as many requests as may be pending were lost."""
+        lost = [f"{number + 1:016x}" for number in range(math.ceil(REQUESTS_PER_NODE * NODES))]
+        self.service.answers_lost_of = set(lost)
+        for _ in lost:
+            self.service.submit_to("reviews", REVIEW)
+        self.service.run_for(0.5)
+        job = self.service.submit_to("reviews", REVIEW)
+        self.service.run_for(TOLERATED_IDLE_SECONDS)
+        self.assertLess(self.service.waited_seconds(job), MAX_TURN_SECONDS)
+
+    def test_step_whose_answer_is_lost_never_asks_again(self) -> None:
+        """A step whose request never returns sends another one."""
+        self.service.answers_lost_of = {f"{1:016x}"}
+        job = self.service.submit_to("reviews", REVIEW)
+        self.service.run_for(0.5)
+        self.service.answers_lost_of = set()
+        self.service.run_for(TOLERATED_IDLE_SECONDS)
+        self.assertLess(self.service.waited_seconds(job), MAX_TURN_SECONDS)
+
+
 if __name__ == "__main__":
     unittest.main()
