Send a request that one node's call has failed by another node

What callers saw, by reading and shown by the test only: where the advice service rejects the calls of one node at once (429), or that node cannot reach it, requests fail one after the other and steps are not asked about although other nodes could ask.

Cause: a node that has failed a request at once is idle again before the others, so it got the next one as well, and the request went back to the leader as failed. Only nodes without a connection were spared.

Now such a node gets no request for 0.5 s, and the request is sent by another node, after its current one if it is busy. The test, with 6 requests and either the leader's own node or a peer that fails, got failures before; now all are answered.

--- a/src/snowdock/entry/advice_dispatcher.py
+++ b/src/snowdock/entry/advice_dispatcher.py
@@ -41,6 +41,10 @@
 """How long no request is given to a node to which there was no connection. It fails at once, and
 would otherwise take each request before the nodes that work."""
 
+_FAILED_CALL_PAUSE_SECONDS = 0.5
+"""How long no request is given to a node whose call to the service has failed. It may fail at once
+as well; if all nodes do, the pause delays the first request after an outage."""
+
 _HEDGE_DELAY_FACTOR = 2.0
 _HEDGE_DELAY_SECONDS = 0.15
 """A request without an answer after the expected time multiplied by the factor, plus the seconds,
@@ -320,8 +324,11 @@
         except Exception as error:
             # The failure is posted, and the leader requests advice for the step again.
             log_error("adviser_failed", error, job=request.job, by=attempt.node)
+        has_failed = tickets is None
+        if has_failed:
+            self._record_failed_call(attempt.node)
         self._record_time(attempt)
-        self._finish_attempt(attempt, tickets)
+        self._finish_attempt(attempt, tickets, may_retry=has_failed, may_wait=has_failed)
         self._dispatch()
 
     def _ask_peer(self, attempt: _Attempt) -> None:
@@ -348,6 +355,7 @@
     def _handle_outcome(self, attempt: _Attempt, outcome: AdviceReply | PlatformError) -> None:
         """Handle the reply of a peer, or its absence; called on the peers' thread."""
         tickets = None
+        may_wait = False
         if isinstance(outcome, PlatformError):
             job = attempt.pending.effect.request.job
             log_event("advice_unanswered", job=job, by=attempt.node, reason=str(outcome))
@@ -356,8 +364,12 @@
         elif isinstance(outcome, AdviceReply):
             tickets = outcome.tickets
             self._record_reply(attempt, outcome)
+            if tickets is None:
+                may_wait = True
+                self._record_failed_call(attempt.node)
         self._record_time(attempt)
-        self._finish_attempt(attempt, tickets, may_retry=isinstance(outcome, CallUnanswered))
+        may_retry = may_wait or isinstance(outcome, CallUnanswered)
+        self._finish_attempt(attempt, tickets, may_retry, may_wait)
         self._dispatch()
 
     def _record_failure(self, attempt: _Attempt, error: CallUnanswered) -> None:
@@ -368,6 +380,11 @@
             elif not attempt.is_finished:
                 self._record_loss(attempt.node, now)
 
+    def _record_failed_call(self, node: str) -> None:
+        """Give a node no request for a while, because its call to the service has failed."""
+        with self._lock:
+            self._unavailable_until[node] = steady_seconds() + _FAILED_CALL_PAUSE_SECONDS
+
     def _record_reply(self, attempt: _Attempt, reply: AdviceReply) -> None:
         took_s = steady_seconds() - attempt.started_at
         if reply.took_s is not None:
@@ -384,12 +401,17 @@
         )
 
     def _finish_attempt(
-        self, attempt: _Attempt, tickets: dict[str, str] | None, may_retry: bool = False
+        self,
+        attempt: _Attempt,
+        tickets: dict[str, str] | None,
+        may_retry: bool = False,
+        may_wait: bool = False,
     ) -> None:
         """Free the node, and post the first answer, or a failure once all attempts have failed.
 
         An attempt that counted as lost has been finished before, but its answer is still used. With
-        ``may_retry``, a failed request is sent again if another node is idle.
+        ``may_retry``, a failed request is sent again if another node is idle; with ``may_wait``,
+        also if it has to wait for one that is busy.
         """
         pending = attempt.pending
         request = pending.effect.request
@@ -404,9 +426,7 @@
             is_current = current is pending
             is_queued = pending in self._short_requests or pending in self._long_requests
             if may_retry and is_first_result and is_current and not is_queued:
-                is_queued = pending.attempts < _MAX_ATTEMPTS and bool(
-                    self._find_idle(nodes, steady_seconds())
-                )
+                is_queued = self._may_send_again(pending, nodes, may_wait)
                 if is_queued:
                     self._queue_first(pending)
             is_last = is_first_result and not pending.open_attempts and not is_queued
@@ -420,6 +440,15 @@
         elif is_current and is_last:
             self._post(AdviceFailed(request))
 
+    def _may_send_again(self, pending: _PendingRequest, nodes: list[str], may_wait: bool) -> bool:
+        if pending.attempts >= _MAX_ATTEMPTS:
+            return False
+        now = steady_seconds()
+        if not may_wait:
+            return bool(self._find_idle(nodes, now))
+        is_open = pending.open_attempts > 0
+        return not is_open and any(self._unavailable_until.get(node, 0.0) <= now for node in nodes)
+
     def _record_loss(self, node: str, now: float) -> None:
         self._losses[node] += 1
         pause_s = min(_MAX_LOSS_PAUSE_SECONDS, _LOSS_PAUSE_SECONDS * 2 ** (self._losses[node] - 1))
--- a/tests/test_advice_dispatcher.py
+++ b/tests/test_advice_dispatcher.py
@@ -10,7 +10,7 @@
 from snowdock.entry import advice_dispatcher
 from snowdock.entry.advice_dispatcher import AdviceDispatcher
 from snowdock.entry.messages import AdviceReply
-from snowdock.errors import CallUnanswered
+from snowdock.errors import CallUnanswered, StoreRefused
 from snowdock.jobs.events import AdviceAnswered, AdviceFailed, AskAdvice
 from snowdock.jobs.orders import AdviceRequest, AdviceResult
 from snowdock.node.metrics import Metrics
@@ -26,9 +26,13 @@
         self.asked: queue.SimpleQueue[str] = queue.SimpleQueue()
         self.release_events = {"own": threading.Event(), "peer": threading.Event()}
         self.fails = False
+        self.node_without_service = ""
         self.is_connected = True
 
     def ask_own(self, request: AdviceRequest, seconds: float) -> AdviceResult:
+        if self.node_without_service == "own":
+            self.asked.put("own")
+            raise StoreRefused("the advice service returned status 429")
         return AdviceResult(request, self._answer("own"))
 
     def ask_peer(self, node: str, build_request, seconds: float, on_outcome) -> None:
@@ -38,6 +42,9 @@
         if not self.is_connected:
             self.asked.put(node)
             outcome = CallUnanswered(f"there is no connection to peer {node}", unsent=True)
+        elif self.node_without_service == node:
+            self.asked.put(node)
+            outcome = AdviceReply(1, None)
         else:
             try:
                 outcome = AdviceReply(1, self._answer(node))
@@ -126,6 +133,21 @@
         answered = [self.events.get(timeout=15) for _ in range(4)]
         self.assertTrue(all(isinstance(event, AdviceAnswered) for event in answered))
 
+    @mock.patch.object(advice_dispatcher, "_FAILED_CALL_PAUSE_SECONDS", 60.0)
+    @mock.patch.object(advice_dispatcher, "_HEDGE_DELAY_SECONDS", 60.0)
+    def test_node_that_fails_at_once_takes_all_requests(self) -> None:
+        """Requests that a node's advice service fails at once are sent by another node."""
+        for node, other in (("own", "peer"), ("peer", "own")):
+            with self.subTest(node=node):
+                self.dispatcher._unavailable_until.clear()
+                self.nodes.node_without_service = node
+                self.nodes.release_events[other].set()
+                requests = [AdviceRequest(f"{number:016x}", 0, 0, ()) for number in range(6)]
+                for request in requests:
+                    self.dispatcher.ask(AskAdvice(request, 1.0))
+                answered = [self.events.get(timeout=15) for _ in requests]
+                self.assertTrue(all(isinstance(event, AdviceAnswered) for event in answered))
+
     def test_lost_answer_frees_its_node(self) -> None:
         """A node whose answer is lost is asked again in less than the 2.5 s of the service."""
         requests = [AdviceRequest(f"{number:016x}", 0, 0, ("w1",)) for number in range(2)]
