Search steps in turn after those of higher rank

Steps whose turn it is to request advice were searched first, and so were also placed before steps of higher rank in the room that was left.

Now requests are kept for them, and they are searched last. Only steps that the limit of pending requests has held up have turns, so that no request is kept for one that could not use it.

--- a/src/snowdock/jobs/advice_turns.py
+++ b/src/snowdock/jobs/advice_turns.py
@@ -8,7 +8,7 @@
 import math
 
 from .cell import Cell
-from .job_state import Step
+from .job_state import AskObstacle, Step
 from .placement_advice import count_free_requests, is_long_advice, needs_advice
 
 __all__ = ["find_steps_in_turn"]
@@ -20,18 +20,23 @@
 _TURN_SHARE = 0.5
 """Share of the pending requests that steps in turn may use; the others are sent by rank."""
 
+_OBSTACLES = (None, AskObstacle.LIMIT, AskObstacle.SHARE)
+"""Steps with another obstacle could not use a turn."""
+
 
 def find_steps_in_turn(cell: Cell, now: float) -> list[Step]:
     """Return the steps whose turn it is to request advice, and record their turns.
 
     These are as many as may send a request, of those that have gone longest without one. Only steps
-    that run nothing and long-running ones have turns.
+    that run nothing and long-running ones have turns. Requests are kept for them until they are
+    searched, after the steps that may be placed before them.
     """
     steps: list[Step] = []
     for is_long in (False, True):
         free = count_free_requests(cell, is_long, _TURN_SHARE)
-        if free:
-            steps += _find_longest_without_request(cell, is_long, free, now)
+        in_turn = _find_longest_without_request(cell, is_long, free, now) if free else []
+        cell.reserved_requests[is_long] = len(in_turn)
+        steps += in_turn
     for step in steps:
         step.advice.turn_at = now
     return steps
@@ -44,7 +49,8 @@
     waiting = [
         (since, number, step)
         for number, step in enumerate(cell.waiting_steps.values())
-        if (since := _last_request_at(cell, step)) <= latest
+        if step.ask_obstacle in _OBSTACLES
+        and (since := _last_request_at(cell, step)) <= latest
         and is_long_advice(step.advice) is is_long
         and max(step.not_before, step.next_search_at) <= now
         and step.is_held_up
--- a/src/snowdock/jobs/cell.py
+++ b/src/snowdock/jobs/cell.py
@@ -322,6 +322,9 @@
         Number of nodes that can call the advice service.
     advice_requests
         Pending advice requests.
+    reserved_requests
+        Number of requests that are kept for steps in turn, by whether they are long ones; see
+        `advice_turns`.
     advised_services
         Services of the waiting steps that need advice, as of the last placement pass.
     needs_placement
@@ -385,6 +388,7 @@
         self.effects: list[Effect] = []
         self.advice_node_count = 1
         self.advice_requests: dict[AdviceRequest, PendingAdvice] = {}
+        self.reserved_requests: collections.Counter[bool] = collections.Counter()
         self.advised_services: frozenset[str] = frozenset()
         self.needs_placement = False
         self.last_placement_at = 0.0
--- a/src/snowdock/jobs/placement.py
+++ b/src/snowdock/jobs/placement.py
@@ -61,8 +61,8 @@
 def place_waiting_steps(cell: Cell, now: float) -> None:
     """Run a placement pass over the waiting steps, in descending order of rank.
 
-    Steps whose turn it is to request advice come first, then, within a limit of their own, those
-    that have the highest rank by aging.
+    Steps that have the highest rank by aging come first, within a limit of their own. Steps whose
+    turn it is to request advice come last, so that they are not placed before steps of higher rank.
     """
     if not cell.waiting_steps or now < cell.next_placement_at:
         return
@@ -75,7 +75,6 @@
     pools = WorkerPools(cell, now)
     examined = len(cell.workers)
     in_turn = find_steps_in_turn(cell, now)
-    examined += _search_steps(cell, in_turn, pools, now, _MAX_EXAMINED_PER_PASS // 4)
     waiting = cell.waiting_steps.values()
     aged = [step for step in waiting if math.isinf(step.rank)]
     aged.sort(key=lambda step: step.last_search_at)
@@ -89,6 +88,8 @@
     examined += _search_steps(cell, newly_advised, pools, now, _MAX_EXAMINED_PER_PASS)
     neglected = _find_neglected_steps(cell, examined_by_rank >= max_examined, now)
     examined += _search_steps(cell, neglected, pools, now, max_examined)
+    in_turn = [step for step in in_turn if step.key in cell.waiting_steps]
+    examined += _search_steps(cell, in_turn, pools, now, _MAX_EXAMINED_PER_PASS // 4)
     pause = examined * cell.settings.examination_s / cell.settings.pass_time_share
     cell.next_placement_at = now + max(_MIN_PASS_INTERVAL_SECONDS, pause)
 
--- a/src/snowdock/jobs/placement_advice.py
+++ b/src/snowdock/jobs/placement_advice.py
@@ -134,6 +134,8 @@
         return AskObstacle.LIMIT
     if advice.turn_at == now:
         return None
+    if pending.total() + cell.reserved_requests[is_long] >= limit:
+        return AskObstacle.SHARE
     others = cell.advised_services - {cell.queue_of(step.job).service}
     share = _RESERVED_SHARE * limit / (1 + len(others))
     reserved = sum(max(0, math.ceil(share) - pending[service]) for service in others)
@@ -295,12 +297,15 @@
     expected_s = _estimate_answer_seconds(advice, len(parts[0]))
     expires_at = cell.now + _EXPIRY_FACTOR * expected_s + _EXPIRY_SECONDS
     service = cell.queue_of(step.job).service
+    is_long = is_long_advice(advice)
+    is_in_turn = advice.turn_at == cell.now
+    if is_in_turn and cell.reserved_requests[is_long]:
+        cell.reserved_requests[is_long] -= 1
     for part in parts:
         request = AdviceRequest(*step.key, tuple(worker.life for worker in part))
         advice.pending.add(request)
-        cell.advice_requests[request] = PendingAdvice(
-            service, is_long_advice(advice), expires_at, is_in_turn=advice.turn_at == cell.now
-        )
+        pending = PendingAdvice(service, is_long, expires_at, is_in_turn)
+        cell.advice_requests[request] = pending
         cell.emit(AskAdvice(request, expected_s * 1000))
     return expected_s
 
