Reserve no requests for services whose steps cannot use them

Half of the requests that may be pending are reserved for the services of waiting steps, among them those whose steps could not ask: at their quota, without room, or with no worker to ask about. A step whose label no worker has was also asked about once, since questions are filled up with workers that have no room now.

Now only services count whose steps may ask soon, and questions are filled up with workers that may run the step. The new test failed before: of two requests one went to the service that cannot use it.

--- a/src/snowdock/jobs/cell.py
+++ b/src/snowdock/jobs/cell.py
@@ -326,7 +326,7 @@
         Number of requests that are kept for steps in turn, by whether they are long ones; see
         `advice_turns`.
     advised_services
-        Services of the waiting steps that need advice, as of the last placement pass.
+        Services of the waiting steps that may request advice soon, as of the last placement pass.
     needs_placement
         Whether a change since the last placement pass may allow a waiting step to be placed.
     last_placement_at, next_placement_at, last_ranking_at
--- a/src/snowdock/jobs/job_state.py
+++ b/src/snowdock/jobs/job_state.py
@@ -44,7 +44,7 @@
     PENDING = "pending"
     """A request is not answered yet."""
     RETRY = "retry"
-    """A request failed just before, or the last search found no worker to ask about."""
+    """A request failed just before."""
     LIMIT = "limit"
     """As many requests of its kind are pending as may be."""
     SHARE = "share"
--- a/src/snowdock/jobs/placement_advice.py
+++ b/src/snowdock/jobs/placement_advice.py
@@ -4,7 +4,12 @@
 import math
 from collections.abc import Callable, Iterable
 
-from .candidates import available_room, caution_for, count_startable
+from .candidates import (
+    available_room,
+    caution_for,
+    count_startable,
+    max_additional_tasks,
+)
 from .cell import Cell, PendingAdvice
 from .events import AdviceAnswered, AdviceFailed, AskAdvice, DropAdvice
 from .job_state import Advice, AskObstacle, Step
@@ -73,6 +78,16 @@
 """Share of the pending requests up to which requests for steps that do not wait yet are sent. The
 others are left to steps that wait."""
 
+_LASTING_OBSTACLES = (
+    AskObstacle.PAUSE,
+    AskObstacle.QUOTA,
+    AskObstacle.ROOM,
+    AskObstacle.CLAIM,
+    AskObstacle.WORKER,
+)
+"""No requests are reserved for a service whose waiting steps have these obstacles only: they could
+not use them."""
+
 _BULKY_PARALLEL_REQUESTS = 4
 """Maximum number of parallel requests for a bulky step. If they were sent one after the other, the
 first tickets would expire before the last answer."""
@@ -126,7 +141,7 @@
     if now < advice.retry_at:
         return AskObstacle.RETRY
     if now < advice.next_search_at and not any(map(_make_slot_counter(cell, step, now), fit)):
-        return AskObstacle.RETRY
+        return AskObstacle.WORKER
     is_long = is_long_advice(advice)
     limit = _max_pending_requests(cell, is_long)
     pending = _count_pending_requests(cell, is_long)
@@ -207,8 +222,12 @@
 
 
 def find_advised_services(cell: Cell) -> frozenset[str]:
-    """Return the services of the waiting steps that need advice."""
-    queues = (cell.queue_of(step.job) for step in cell.waiting_steps.values())
+    """Return the services of the waiting steps that may request advice soon."""
+    queues = (
+        cell.queue_of(step.job)
+        for step in cell.waiting_steps.values()
+        if step.ask_obstacle not in _LASTING_OBSTACLES
+    )
     return frozenset(queue.service for queue in queues if queue.advice is not None)
 
 
@@ -363,7 +382,9 @@
         if spare <= 0:
             break
         examined += 1
-        if not advice.is_known(worker.life) and worker.life not in asked:
+        if advice.is_known(worker.life) or worker.life in asked:
+            continue
+        if max_additional_tasks(step, worker):
             chosen.append(worker)
             spare -= 1
     return chosen, examined
--- a/tests/test_jobs_placement.py
+++ b/tests/test_jobs_placement.py
@@ -207,6 +207,29 @@
             bench.tick(0.3)
         self.assertIn("f" * 16, [request.job for request in requests])
 
+    def test_service_that_cannot_ask_keeps_requests(self) -> None:
+        """No requests are reserved for a service none of whose steps may use one."""
+        terms = AdviceTerms(500, 5, 2000)
+        bench = Bench(advice=terms)
+        queues = [
+            Queue(service, "", f"/{service}/", service, max_attempts=3, advice=terms)
+            for service in ("standing", "crowded")
+        ]
+        services = (Service("standing"), Service("crowded"))
+        bench.cell.configuration = Configuration(2, tuple(queues), services)
+        for service in ("standing", "crowded"):
+            size = Size(64_000, 64_000, 0)
+            entry = WorkerEntry(service, service, "a:1", "hall", "r1", frozenset(), size)
+            bench.feed(WorkerListed(entry))
+            bench.report(service)
+        standing = msgspec.structs.replace(SMALL, label="x")
+        bench.feed(JobAccepted("f" * 16, make_accepted_job(standing, queue="standing")))
+        for number in range(4):
+            bench.feed(JobAccepted(f"{number:016x}", make_accepted_job(queue="crowded")))
+        bench.tick(0.3)
+        pending = [each.service for each in bench.cell.advice_requests.values()]
+        self.assertEqual(pending, ["crowded", "crowded"])
+
 
 class TestExpiredTickets(unittest.TestCase):
     TERMS = AdviceTerms(decide_ms=10, each_ms=1, valid_ms=2000)
--- a/tests/test_jobs_starving.py
+++ b/tests/test_jobs_starving.py
@@ -85,10 +85,10 @@
 
     def test_starving_job_without_a_request_is_logged(self) -> None:
         """A job that may not ask yet is logged with the requests that are pending instead."""
-        bench = Bench(advice=AdviceTerms(170.0, 2.4, 2000.0))
+        bench = Bench(advice=AdviceTerms(560.0, 8.0, 2000.0))
         bench.add_worker("w")
         asking, _, held_up = (bench.submit() for _ in range(3))
-        bench.tick(2.2)
+        bench.tick(2.1)
         lines = {
             effect.subject: dict(effect.fields)
             for effect in filter_by_type(bench.all_effects, LogDecision)
