Split the requests for advice into choice, limits and sending

`advice_choice` chooses the workers to ask about, `advice_limits` says which step may send a request, and `placement_advice` sends requests and applies answers.

--- a/src/snowdock/jobs/advice_turns.py
+++ b/src/snowdock/jobs/advice_turns.py
@@ -7,9 +7,10 @@
 import heapq
 import math
 
+from .advice_limits import count_free_requests, is_long_advice
 from .cell import Cell
 from .job_state import AskObstacle, Step
-from .placement_advice import count_free_requests, is_long_advice, needs_advice
+from .placement_advice import needs_advice
 
 __all__ = ["find_steps_in_turn"]
 
--- a/src/snowdock/jobs/early_advice.py
+++ b/src/snowdock/jobs/early_advice.py
@@ -10,11 +10,11 @@
 import itertools
 from collections.abc import Iterator
 
+from .advice_limits import may_request_early_advice
 from .candidates import count_slots, is_bulky
 from .cell import Cell
 from .job_state import Phase, Step, Task
 from .placement_advice import (
-    may_request_early_advice,
     needs_advice,
     request_early_advice,
     ticket_lifetime_seconds,
--- a/src/snowdock/jobs/placement.py
+++ b/src/snowdock/jobs/placement.py
@@ -3,6 +3,8 @@
 import dataclasses
 import math
 
+from .advice_choice import shortest_answer_seconds
+from .advice_limits import find_advised_services, find_ask_obstacle
 from .advice_turns import find_steps_in_turn
 from .candidates import Candidate, choose_workers, find_candidates, is_bulky
 from .cell import Cell, DeferredStart
@@ -12,13 +14,7 @@
 from .job_state import AskObstacle, Phase, Step, Task
 from .load import record_first_wait, record_started
 from .occupancy import occupy
-from .placement_advice import (
-    find_advised_services,
-    find_ask_obstacle,
-    needs_advice,
-    request_advice,
-    shortest_answer_seconds,
-)
+from .placement_advice import needs_advice, request_advice
 from .preemption import has_claim, preempt_runs, release_expired_claims
 from .quotas import reserve_quotas, tasks_within_quota
 from .ranking import refresh_ranks
--- a/src/snowdock/jobs/starving.py
+++ b/src/snowdock/jobs/starving.py
@@ -6,12 +6,12 @@
 
 import collections
 
+from .advice_limits import describe_asking
 from .availability import ExclusionReason, find_exclusion
 from .candidates import Caution, caution_for, count_slots, max_additional_tasks
 from .cell import Cell
 from .failed_runs import has_probation_run, is_doubtful
 from .job_state import Step, Task
-from .placement_advice import describe_asking
 from .room_use import used_share
 from .suspects import may_share_worker, next_tasks
 from .workers import Worker
