Let long requests for advice use every node while there are no short ones

Cause: a third of the nodes, and of two nodes one, is kept free of long requests so that short ones find a free node soon, also while no short ones come; and at most 0.75 long requests a node are pending.

Change: nodes are kept free only for a second after a short request. Without one, 1.25 long requests a node may be pending, so that one waits while each node has one.

The test of the dispatcher fails without the change: the second node is never asked.

--- a/src/snowdock/entry/advice_dispatcher.py
+++ b/src/snowdock/entry/advice_dispatcher.py
@@ -7,6 +7,7 @@
 import concurrent.futures
 import contextlib
 import dataclasses
+import math
 import threading
 from collections.abc import Callable
 
@@ -14,7 +15,7 @@
 from ..errors import CallUnanswered, PlatformError
 from ..jobs.events import AdviceAnswered, AdviceFailed, AskAdvice, Event
 from ..jobs.orders import AdviceRequest, AdviceResult
-from ..jobs.timeouts import LONG_ADVICE_REQUEST_MS
+from ..jobs.timeouts import ADVICE_MIX_SECONDS, LONG_ADVICE_REQUEST_MS
 from ..logs import log_error, log_event
 from ..node.metrics import Metrics
 from ..node.peers import Peers
@@ -71,8 +72,8 @@
 may still work on the request. An answer that comes nevertheless ends the pause."""
 
 _MAX_LONG_SHARE = 0.67
-"""Largest share of the nodes that long requests may occupy at a time, so that short requests,
-which belong to interactive jobs, find a free node soon."""
+"""Largest share of the nodes that long requests may occupy at a time while there are short ones, so
+that these, which belong to interactive jobs, find a free node soon."""
 
 
 class LocalAdviceClient:
@@ -185,6 +186,7 @@
         self._metrics = metrics
         self._record_relay_excess = record_relay_excess
         self._short_requests: collections.deque[_PendingRequest] = collections.deque()
+        self._last_short_at = -math.inf
         self._long_requests: collections.deque[_PendingRequest] = collections.deque()
         self._pending: dict[AdviceRequest, _PendingRequest] = {}
         self._in_progress: dict[str, _Attempt] = {}
@@ -201,6 +203,8 @@
         """Queue a request for the next free node."""
         pending = _PendingRequest(effect)
         with self._lock:
+            if not pending.is_long:
+                self._last_short_at = steady_seconds()
             self._pending[effect.request] = pending
             (self._long_requests if pending.is_long else self._short_requests).append(pending)
         self._dispatch()
@@ -235,7 +239,7 @@
         with self._lock:
             idle = self._find_idle(nodes, now)
             long_count = sum(each.pending.is_long for each in self._in_progress.values())
-            max_long = max(1, int(len(nodes) * _MAX_LONG_SHARE))
+            max_long = self._max_long_attempts(len(nodes), now)
             while idle and (
                 self._short_requests or (self._long_requests and long_count < max_long)
             ):
@@ -251,6 +255,12 @@
             elif not self._stopped.is_set():
                 self._own_thread.submit(self._ask_own, attempt)
 
+    def _max_long_attempts(self, node_count: int, now: float) -> int:
+        """Return how many nodes long requests may occupy at a time."""
+        if now - self._last_short_at > ADVICE_MIX_SECONDS:
+            return node_count
+        return max(1, int(node_count * _MAX_LONG_SHARE))
+
     def _nodes(self) -> list[str]:
         return [*sorted(self._live_nodes()), self._own_node]
 
@@ -297,7 +307,7 @@
             for each in lost:
                 log_event("advice_lost", job=each.pending.effect.request.job, by=each.node)
                 self._finish_attempt(each, None, may_retry=True)
-            if late or lost or self._unavailable_until:
+            if late or lost or self._unavailable_until or self._long_requests:
                 self._dispatch()
 
     def _find_lost(self, now: float) -> list[_Attempt]:
--- a/src/snowdock/jobs/advice_limits.py
+++ b/src/snowdock/jobs/advice_limits.py
@@ -7,7 +7,7 @@
 from .advice_choice import MAX_WORKERS_PER_REQUEST, make_slot_counter
 from .cell import Cell
 from .job_state import Advice, AskObstacle, Step
-from .timeouts import LONG_ADVICE_REQUEST_MS
+from .timeouts import ADVICE_MIX_SECONDS, LONG_ADVICE_REQUEST_MS
 from .workers import Worker
 
 __all__ = [
@@ -26,7 +26,11 @@
 
 _LONG_REQUESTS_PER_NODE = 0.75
 """Maximum number of pending long requests for each node that can call the service, slightly more
-than can be in progress. They are counted separately so that they never delay short requests."""
+than can be in progress beside short ones. They are counted separately so that they never delay
+short requests."""
+
+_ONLY_LONG_REQUESTS_PER_NODE = 1.25
+"""The same while there are no short requests, so that all nodes are free for long ones."""
 
 _RESERVED_SHARE = 0.5
 """Share of the pending requests that is reserved for the services of waiting steps, in equal parts:
@@ -146,7 +150,12 @@
 
 def _max_pending_requests(cell: Cell, is_long: bool) -> float:
     """Return the maximum number of pending requests of a kind, long or short."""
-    requests_per_node = _LONG_REQUESTS_PER_NODE if is_long else _SHORT_REQUESTS_PER_NODE
+    if not is_long:
+        requests_per_node = _SHORT_REQUESTS_PER_NODE
+    elif cell.now - cell.last_short_request_at > ADVICE_MIX_SECONDS:
+        requests_per_node = _ONLY_LONG_REQUESTS_PER_NODE
+    else:
+        requests_per_node = _LONG_REQUESTS_PER_NODE
     return max(1, requests_per_node * cell.advice_node_count)
 
 
--- a/src/snowdock/jobs/cell.py
+++ b/src/snowdock/jobs/cell.py
@@ -2,6 +2,7 @@
 
 import collections
 import dataclasses
+import math
 import typing
 from collections.abc import Callable
 
@@ -322,6 +323,8 @@
         Number of nodes that can call the advice service.
     advice_requests
         Pending advice requests.
+    last_short_request_at
+        Time of the last short advice request.
     reserved_requests
         Number of requests that are kept for steps in turn, by whether they are long ones; see
         `advice_turns`.
@@ -388,6 +391,7 @@
         self.effects: list[Effect] = []
         self.advice_node_count = 1
         self.advice_requests: dict[AdviceRequest, PendingAdvice] = {}
+        self.last_short_request_at = -math.inf
         self.reserved_requests: collections.Counter[bool] = collections.Counter()
         self.advised_services: frozenset[str] = frozenset()
         self.needs_placement = False
--- a/src/snowdock/jobs/placement_advice.py
+++ b/src/snowdock/jobs/placement_advice.py
@@ -141,6 +141,8 @@
     expires_at = cell.now + _EXPIRY_FACTOR * expected_s + _EXPIRY_SECONDS
     service = cell.queue_of(step.job).service
     is_long = is_long_advice(advice)
+    if not is_long:
+        cell.last_short_request_at = cell.now
     is_in_turn = advice.turn_at == cell.now
     if is_in_turn and cell.reserved_requests[is_long]:
         cell.reserved_requests[is_long] -= 1
--- a/src/snowdock/jobs/timeouts.py
+++ b/src/snowdock/jobs/timeouts.py
@@ -1,6 +1,7 @@
 """Timeouts and intervals shared by real and emulated leaders."""
 
 __all__ = [
+    "ADVICE_MIX_SECONDS",
     "ISOLATION_TIMEOUT_SECONDS",
     "LEASE_SECONDS",
     "LONG_ADVICE_REQUEST_MS",
@@ -29,6 +30,10 @@
 """Duration from which a request to the advice service counts as long: it could delay several short
 ones for interactive jobs."""
 
+ADVICE_MIX_SECONDS = 1.0
+"""How long after a short request to the advice service some nodes are kept free of long ones. With
+no short request in that time, a long one could rarely delay another."""
+
 WORKER_REPORT_WAIT_SECONDS = 2.0
 """Minimum time for which a new leader waits for workers to report their runs: their entries are
 known from the start, and a first answer takes up to about half a second."""
--- a/tests/test_advice_dispatcher.py
+++ b/tests/test_advice_dispatcher.py
@@ -222,6 +222,23 @@
         self.assert_no_event()
         self.assertEqual(self.nodes.asked.qsize(), 2)
 
+    def test_nodes_idle_beside_waiting_long_requests(self) -> None:
+        """Long requests use all nodes, but leave one to short requests while there are some."""
+        requests = [AdviceRequest(f"{number:016x}", 0, 0, ()) for number in range(3)]
+        self.nodes.release_events["peer"].set()
+        self.dispatcher.ask(AskAdvice(requests[0], 1.0))
+        self.nodes.asked.get(timeout=15)
+        self.nodes.release_events["own"].set()
+        self.assertIsInstance(self.events.get(timeout=15), AdviceAnswered)
+        for release_event in self.nodes.release_events.values():
+            release_event.clear()
+        for request in requests[1:]:
+            self.dispatcher.ask(AskAdvice(request, 60_000.0))
+        first = self.nodes.asked.get(timeout=15)
+        self.assertTrue(self.nodes.asked.empty())
+        second = self.nodes.asked.get(timeout=15)
+        self.assertEqual({first, second}, {"own", "peer"})
+
     def test_node_that_lost_answers_is_used_last(self) -> None:
         """Of several idle nodes, one whose answers were lost is not chosen."""
         self.dispatcher._losses["own"] = 1
