Give steps that run nothing their turn before long-running ones

After a takeover no advice is known, and steps with tasks at their limit ask about all workers anew. A long-running step of which some tasks run may wait for longer, and asks by rank as well.

--- a/src/snowdock/jobs/advice_turns.py
+++ b/src/snowdock/jobs/advice_turns.py
@@ -28,9 +28,9 @@
 def find_steps_in_turn(cell: Cell, now: float) -> list[Step]:
     """Return the steps whose turn it is to request advice, and record their turns.
 
-    These are as many as may send a request, of those that have gone longest without one. Only steps
-    that run nothing and long-running ones have turns. Requests are kept for them until they are
-    searched, after the steps that may be placed before them.
+    These are as many as may send a request, of those that have gone longest without one. Steps that
+    run nothing come first, then long-running ones; no others have turns. Requests are kept for them
+    until they are searched, after the steps that may be placed before them.
     """
     steps: list[Step] = []
     for is_long in (False, True):
@@ -48,7 +48,7 @@
 ) -> list[Step]:
     latest = now - _TURN_SECONDS
     waiting = [
-        (since, number, step)
+        (_runs_something(step), since, number, step)
         for number, step in enumerate(cell.waiting_steps.values())
         if step.ask_obstacle in _OBSTACLES
         and (since := _last_request_at(cell, step)) <= latest
@@ -56,7 +56,11 @@
         and max(step.not_before, step.next_search_at) <= now
         and step.is_held_up
     ]
-    return [step for _, _, step in heapq.nsmallest(max_count, waiting)]
+    return [step for *_, step in heapq.nsmallest(max_count, waiting)]
+
+
+def _runs_something(step: Step) -> bool:
+    return any(task.is_placed for task in step.tasks)
 
 
 def _last_request_at(cell: Cell, step: Step) -> float:
--- a/tests/test_jobs_asking.py
+++ b/tests/test_jobs_asking.py
@@ -20,6 +20,7 @@
     SendStart,
     Ticked,
 )
+from snowdock.jobs.job_state import Advice
 from snowdock.jobs.model import AdviceTerms, Configuration, Queue, Service, StepSpec
 from snowdock.jobs.orders import AdviceRequest, AdviceResult, RunningRun, WorkerReport
 from snowdock.jobs.reducer import reduce
@@ -201,6 +202,16 @@
         longest = max(self.service.waited_seconds(job) for job in jobs)
         self.assertLess(longest, TOLERATED_IDLE_SECONDS)
 
+    def test_steps_beside_running_tasks_ask_first_after_a_takeover(self) -> None:
+        """While all advice is asked for anew, steps that run nothing have their turn first."""
+        self.submit_standing(36)
+        for step in self.service.cell.waiting_steps.values():
+            step.advice = Advice(step.advice.terms)
+        jobs = [self.service.submit_to("watchers", WATCHER) for _ in range(8)]
+        self.service.run_for(2 * TOLERATED_IDLE_SECONDS)
+        longest = max(self.service.waited_seconds(job) for job in jobs)
+        self.assertLess(longest, TOLERATED_IDLE_SECONDS)
+
 
 class TestTurns(unittest.TestCase):
     """Steps of higher rank that could use all requests."""
