Log the rule that ended a job, and the runs that it goes by

job_ended said only that a job had failed, so that its log could not tell failed attempts from losses charged to a task. It now has the cause: done, failed_attempts, crashes or cancel_record. attempts_used_up names the runs that failed and the attempts that were permitted, task_given_up the rule and the charged runs, those of earlier leaders included, task_charged the run and whether it is a crash. No decision changes.

--- a/src/snowdock/jobs/charges.py
+++ b/src/snowdock/jobs/charges.py
@@ -43,11 +43,27 @@
     mark_dirty(cell, job)
     crashes, losses = len(task.crashed_runs), len(task.lost_runs)
     cell.log_decision(
-        "task_charged", job.id, task=task.id, worker=life, crashes=crashes, losses=losses
+        "task_charged",
+        job.id,
+        task=task.id,
+        run=run,
+        worker=life,
+        is_crash=is_crash,
+        crashes=crashes,
+        losses=losses,
     )
     if job.status.is_final or (crashes < MAX_CRASHES and losses < MAX_LOSSES):
         return False
-    cell.log_decision("task_given_up", job.id, task=task.id, crashes=crashes, losses=losses)
+    cell.log_decision(
+        "task_given_up",
+        job.id,
+        task=task.id,
+        crashes=crashes,
+        losses=losses,
+        rule="crashes" if crashes >= MAX_CRASHES else "losses",
+        crashed_runs=sorted(task.crashed_runs),
+        lost_runs=sorted(task.lost_runs),
+    )
     return True
 
 
--- a/src/snowdock/jobs/lost_runs.py
+++ b/src/snowdock/jobs/lost_runs.py
@@ -19,7 +19,7 @@
 from .durability import mark_dirty
 from .job_state import Phase, Task
 from .occupancy import vacate
-from .runs import fail_job, void_run
+from .runs import EndCause, fail_job, void_run
 from .suspects import remove_suspect
 from .workers import Worker
 
@@ -165,7 +165,7 @@
 ) -> None:
     """Charge a run that was lost with its worker, and fail the job at the task's limit."""
     if charge_run(cell, task, run, life, is_crash):
-        fail_job(cell, task.step.job, now)
+        fail_job(cell, task.step.job, EndCause.CRASHES, now)
 
 
 def _may_have_run(task: Task) -> bool:
--- a/src/snowdock/jobs/runs.py
+++ b/src/snowdock/jobs/runs.py
@@ -1,5 +1,6 @@
 """State transitions of runs, tasks, steps and jobs, mainly at the end of a run."""
 
+import enum
 import math
 
 from .cell import Cell, DeferredRenewal, PendingStop
@@ -16,6 +17,7 @@
 from .workers import Worker
 
 __all__ = [
+    "EndCause",
     "abort_gang",
     "acknowledge_ends",
     "apply_run_end",
@@ -44,6 +46,19 @@
 """Delay of the next attempt after a worker rejected a start order as malformed."""
 
 
+class EndCause(enum.Enum):
+    """The rule by which a job ended."""
+
+    DONE = "done"
+    """All tasks are done."""
+    FAILED_ATTEMPTS = "failed_attempts"
+    """The runs of a task, or of a gang, have failed as often as the queue permits."""
+    CRASHES = "crashes"
+    """A task was given up because workers crashed under it."""
+    CANCEL_RECORD = "cancel_record"
+    """The store has a record that cancels the job."""
+
+
 def create_repetition(job: Job, repetition: int) -> list[Step]:
     """Create the steps and tasks of one repetition."""
     steps = []
@@ -138,7 +153,7 @@
     elif end.kind is EndKind.FAILED:
         _record_failure(cell, task, end.run, worker.life, now)
     if charge_ended_run(cell, worker, task, end.run):
-        fail_job(cell, job, now)
+        fail_job(cell, job, EndCause.CRASHES, now)
     if not job.status.is_final:
         _requeue_task(cell, task, now)
 
@@ -196,7 +211,7 @@
     if len(job.repetitions) < repetition_count:
         return
     if all(step.is_done for step in job.all_steps()):
-        _end_job(cell, job, JobStatus.COMPLETED, now)
+        _end_job(cell, job, JobStatus.COMPLETED, EndCause.DONE, now)
 
 
 def _record_failure(cell: Cell, task: Task, run: int, life: str, now: float) -> None:
@@ -211,7 +226,14 @@
     step.not_before = now + cell.policy.backoff_seconds(step, task.failures)
     max_attempts = cell.queue_of(step.job).max_attempts
     if task.failures >= max_attempts:
-        fail_job(cell, step.job, now)
+        cell.log_decision(
+            "attempts_used_up",
+            step.job.id,
+            task=task.id,
+            failed_runs=sorted(task.failed_runs),
+            max_attempts=max_attempts,
+        )
+        fail_job(cell, step.job, EndCause.FAILED_ATTEMPTS, now)
 
 
 def _pause_after_early_failure(task: Task, kind: EndKind, now: float) -> None:
@@ -302,16 +324,16 @@
 def cancel_job(cell: Cell, job: Job, now: float) -> None:
     """Cancel a job that has not ended."""
     if not job.status.is_final:
-        _end_job(cell, job, JobStatus.CANCELLED, now)
+        _end_job(cell, job, JobStatus.CANCELLED, EndCause.CANCEL_RECORD, now)
 
 
-def fail_job(cell: Cell, job: Job, now: float) -> None:
+def fail_job(cell: Cell, job: Job, cause: EndCause, now: float) -> None:
     """Fail a job that has not ended; the status is published once it is recorded."""
     if not job.status.is_final:
-        _end_job(cell, job, JobStatus.FAILED, now)
+        _end_job(cell, job, JobStatus.FAILED, cause, now)
 
 
-def _end_job(cell: Cell, job: Job, status: JobStatus, now: float) -> None:
+def _end_job(cell: Cell, job: Job, status: JobStatus, cause: EndCause, now: float) -> None:
     job.status = status
     cell.job_ended_at[job.id] = now
     cell.scheduled_jobs.pop(job.id, None)
@@ -326,6 +348,7 @@
         "job_ended",
         job.id,
         status=status.name.lower(),
+        cause=cause.value,
         queue=job.queue,
         seconds=now - job.submitted_at,
     )
