Count a start that is refused as malformed as no failed attempt

Callers saw a job as failed though no run of it had begun, let alone failed: each start that a worker refused with 400 was recorded as a failed run, and as many as the queue permits ended the job. Callers are promised that only runs that end failed count as attempts.

Such a start is now tried again after 1 s, 2 s, ... up to 30 s, on other workers first, and malformed_start_postponed says so. No run can exist after a refusal, so starting again breaks nothing, and the pauses bound what an order costs that all workers refuse.

--- a/src/snowdock/jobs/job_state.py
+++ b/src/snowdock/jobs/job_state.py
@@ -94,6 +94,8 @@
     early_failures, not_before
         For a long-running task: number of runs in a row that failed just after their start, and
         earliest time of the next start.
+    malformed_starts
+        Number of starts that workers refused as malformed to this leader.
     ordered_at
         Time at which the newest run was placed, ordered, or restored from the records of an earlier
         leader, whichever was last.
@@ -106,7 +108,8 @@
     moves, preemptions
         Number of times that a run was moved away from a slow worker, and was preempted.
     avoided_lives
-        Lives of workers on which runs of the task failed; None for none.
+        Lives of workers on which runs of the task failed, or that refused a start as malformed;
+        None for none.
     """
 
     id: TaskId
@@ -124,6 +127,7 @@
     idle_since: float = 0.0
     early_failures: int = 0
     not_before: float = 0.0
+    malformed_starts: int = 0
     ordered_at: float = 0.0
     percent: float = 0.0
     measured_percent: float = 0.0
--- a/src/snowdock/jobs/order_answers.py
+++ b/src/snowdock/jobs/order_answers.py
@@ -6,7 +6,7 @@
 from .job_state import Phase, Task
 from .orders import Refusal
 from .quarantine import quarantine
-from .runs import mark_job_running, record_malformed_run, stop_run, void_run
+from .runs import mark_job_running, postpone_malformed_start, stop_run, void_run
 from .worker_lives import handle_life_refusal
 from .workers import QuarantineCause, Worker
 
@@ -75,11 +75,9 @@
         step.advice.tickets[worker.life] = ("", 0.0)
     elif refusal not in _ORDER_REFUSALS:
         quarantine(cell, worker, QuarantineCause.REFUSED, _REFUSAL_QUARANTINE_SECONDS, now)
-    run = task.run
     void_run(cell, task, now)
     if refusal is Refusal.MALFORMED:
-        # Other workers would refuse it as well: without a limit the job would never end.
-        record_malformed_run(cell, task, run, worker.life, now)
+        postpone_malformed_start(cell, task, worker.life, now)
 
 
 def handle_stop_answer(cell: Cell, event: StopAnswered, now: float) -> None:
--- a/src/snowdock/jobs/runs.py
+++ b/src/snowdock/jobs/runs.py
@@ -27,7 +27,7 @@
     "enqueue_ready_steps",
     "fail_job",
     "mark_job_running",
-    "record_malformed_run",
+    "postpone_malformed_start",
     "send_stop",
     "stop_run",
     "void_run",
@@ -43,7 +43,9 @@
 in a row, and its upper bound."""
 
 _MALFORMED_PAUSE_SECONDS = 1.0
-"""Delay of the next attempt after a worker rejected a start order as malformed."""
+_MAX_MALFORMED_PAUSE_SECONDS = 30.0
+"""Delay of a task's next start after a worker refused one as malformed, which doubles with each
+further refusal, and its upper bound: other workers probably refuse it as well."""
 
 
 class EndCause(enum.Enum):
@@ -217,9 +219,7 @@
 def _record_failure(cell: Cell, task: Task, run: int, life: str, now: float) -> None:
     """Count a failed run, and fail the job if its queue permits no further attempt."""
     step = task.step
-    if task.avoided_lives is None:
-        task.avoided_lives = set()
-    task.avoided_lives.add(life)
+    _avoid_worker(task, life)
     # All members share the failure count: a gang's run fails once, however many members fail.
     for each in step.tasks if step.spec.gang else [task]:
         each.failed_runs.add(run)
@@ -236,6 +236,12 @@
         fail_job(cell, step.job, EndCause.FAILED_ATTEMPTS, now)
 
 
+def _avoid_worker(task: Task, life: str) -> None:
+    if task.avoided_lives is None:
+        task.avoided_lives = set()
+    task.avoided_lives.add(life)
+
+
 def _pause_after_early_failure(task: Task, kind: EndKind, now: float) -> None:
     """Delay the next start of a long-running task that failed just after its start.
 
@@ -249,14 +255,26 @@
     task.not_before = now + pause_s
 
 
-def record_malformed_run(cell: Cell, task: Task, run: int, life: str, now: float) -> None:
-    """Record a run that its worker rejected as malformed as a failed run."""
+def postpone_malformed_start(cell: Cell, task: Task, life: str, now: float) -> None:
+    """Delay a task's next start after a worker refused one as malformed.
+
+    Nothing has run, so no attempt is used up. Another worker may accept the start.
+    """
     job = task.step.job
     if job.status.is_final:
         return
-    mark_dirty(cell, job)
-    _record_failure(cell, task, run, life, now)
-    task.step.not_before = max(task.step.not_before, now + _MALFORMED_PAUSE_SECONDS)
+    _avoid_worker(task, life)
+    pause_s = min(_MAX_MALFORMED_PAUSE_SECONDS, _MALFORMED_PAUSE_SECONDS * 2**task.malformed_starts)
+    task.malformed_starts += 1
+    task.step.not_before = max(task.step.not_before, now + pause_s)
+    cell.log_decision(
+        "malformed_start_postponed",
+        job.id,
+        task=task.id,
+        worker=life,
+        refusals=task.malformed_starts,
+        pause_s=pause_s,
+    )
 
 
 def _requeue_task(cell: Cell, task: Task, now: float) -> None:
