Charge no run for a worker that leaves without having said so

Callers saw a job as failed after its task's workers had been replaced five times by workers that leave without draining: their entries go while they serve on, and each end was charged as a loss, or as a crash if another life answered at the address. A planned end is no crash, said or unsaid.

A worker that answers after its entry was removed now counts as shutting down, like one that drains, until it is listed again; after a store outage only once entries have had time to return. A crashed worker answers nothing after its entry lapsed, and gets nothing new without one, so a task that crashes its workers is charged as before: its run has just begun, and is charged on a leaving worker too.

--- a/src/snowdock/jobs/lost_runs.py
+++ b/src/snowdock/jobs/lost_runs.py
@@ -4,8 +4,9 @@
 it ends, and reports the end of none of them, so a loss is charged to every task that was, or may
 have been, running there. The loss counts as a *crash* if another life of the worker has answered
 and the worker had confirmed the run. Otherwise it stays a *loss*: the worker may be partitioned and
-still running, or may have ended before the start arrived. If the worker was draining, only runs
-that may have just begun are charged, as losses; confirmed long-running ones are not, since they
+still running, or may have ended before the start arrived. If the worker was shutting down (it was
+marked as draining, or answered after its entry was removed), only runs that may have just begun are
+charged, as losses; confirmed long-running ones are not, since they
 are lost with many draining workers during a rolling replacement. Every start ends as a crash, a
 loss, a reported end or a refusal, so a task that crashes every worker is started at most
 `MAX_LOSSES` times.
@@ -139,7 +140,7 @@
 ) -> None:
     run = task.run
     is_charged = _may_have_run(task) and (
-        not worker.entry.draining or _may_have_caused_exit(worker, task)
+        not worker.is_leaving or _may_have_caused_exit(worker, task)
     )
     _log_lost_run(cell, worker, task, end, is_charged)
     if may_start_late:
@@ -176,10 +177,10 @@
 
 
 def _may_have_caused_exit(worker: Worker, task: Task) -> bool:
-    """Check whether a run may have crashed a worker that was draining.
+    """Check whether a run may have crashed a worker that was shutting down.
 
-    A draining worker gets no new runs and ends seconds later, so only a run that just began may be
-    the cause. If none were charged, each draining worker would allow a crashing task a start beyond
+    Such a worker gets no new runs and ends seconds later, so only a run that just began may be
+    the cause. If none were charged, each such worker would allow a crashing task a start beyond
     its limit.
     """
     if task.is_confirmed and task.step.spec.long_running:
@@ -204,7 +205,7 @@
         silent_after_s=silent_after_s,
         is_charged=is_charged,
         is_told=task.is_confirmed,
-        is_leaving=worker.entry.draining,
+        is_leaving=worker.is_leaving,
         reason=end.reason,
     )
 
--- a/src/snowdock/jobs/worker_lives.py
+++ b/src/snowdock/jobs/worker_lives.py
@@ -34,6 +34,7 @@
             cell.log_decision("worker_draining", entry.life, remaining_ms=entry.remaining_ms)
         worker.entry = entry
         worker.listed = True
+        worker.has_left = False
         return
     if not cell.is_known_service(entry.service):
         if entry.life not in cell.unknown_service_workers:
@@ -79,7 +80,7 @@
     cell.unknown_service_workers.pop(previous_life, None)
     worker = cell.workers.get(previous_life)
     if worker is not None:
-        has_crashed = not worker.entry.draining
+        has_crashed = not worker.is_leaving
         end_life(cell, worker, now, _NEXT_LIFE_REASON, has_crashed, has_next_life=True)
     cell.ended_lives.discard(previous_life)
 
@@ -146,13 +147,11 @@
 def handle_life_refusal(cell: Cell, worker: Worker, refusal: Refusal | None, now: float) -> bool:
     """Handle a refusal that concerns the worker's life; return whether it was one."""
     if refusal is Refusal.OTHER_LIFE:
-        has_crashed = not worker.entry.draining
+        has_crashed = not worker.is_leaving
         end_life(cell, worker, now, "another life answered at the worker's address", has_crashed)
         return True
     if refusal is Refusal.NEXT_LIFE:
-        end_life(
-            cell, worker, now, _NEXT_LIFE_REASON, not worker.entry.draining, has_next_life=True
-        )
+        end_life(cell, worker, now, _NEXT_LIFE_REASON, not worker.is_leaving, has_next_life=True)
         return True
     if refusal is Refusal.FENCED:
         cell.emit(StepDown(f"worker {worker.life} has seen a higher token"))
--- a/src/snowdock/jobs/worker_reports.py
+++ b/src/snowdock/jobs/worker_reports.py
@@ -27,6 +27,11 @@
 """Interval of renewals for a worker without runs, which needs no lease."""
 
 
+_RELISTING_SECONDS = 3.0
+"""Time after which an entry that expired in a store outage is missing for good: workers restore
+theirs within about two seconds."""
+
+
 def handle_renewal(cell: Cell, event: RenewAnswered, now: float) -> None:
     """Handle the answer to a renewal, or its absence."""
     worker = cell.workers.get(event.life)
@@ -62,6 +67,7 @@
         # Runs are lost on a worker only while it is silent.
         revoke_losses(cell, worker)
     worker.last_report_at = now
+    _note_departure(worker, now)
     worker.update_clock(report.clock_ms, now)
     listed: set[tuple[TaskId, int]] = set()
     has_new_ends = False
@@ -98,6 +104,17 @@
         _schedule_renewal(cell, worker, now)
 
 
+def _note_departure(worker: Worker, now: float) -> None:
+    """Note that a worker answers although its entry was removed: it is shutting down.
+
+    The entry of a crashed worker is removed after the worker has fallen silent.
+    """
+    if worker.listed or worker.has_left:
+        return
+    waits_s = _RELISTING_SECONDS if worker.may_return else 0.0
+    worker.has_left = now - worker.delisted_at >= waits_s
+
+
 def _mark_synced(cell: Cell, worker: Worker) -> None:
     """Allow new runs on a worker, after its first report that lists all its runs."""
     if worker.is_synced:
--- a/src/snowdock/jobs/workers.py
+++ b/src/snowdock/jobs/workers.py
@@ -108,6 +108,9 @@
         Whether the store lists it, and if not, since when, in steady seconds.
     may_return
         If it is not listed: whether its entry may have expired due to a store outage.
+    has_left
+        If it is not listed: whether it has answered since, so that it will end soon without having
+        been marked as draining.
     is_synced
         Whether it has listed all its runs to this leader since its runs were last marked as lost.
     clock_ms, clock_at
@@ -163,6 +166,7 @@
     listed: bool = True
     delisted_at: float = 0.0
     may_return: bool = False
+    has_left: bool = False
     is_synced: bool = False
     clock_ms: float = 0.0
     clock_at: float = 0.0
@@ -194,6 +198,11 @@
         """The identifier of this life of the worker."""
         return self.entry.life
 
+    @property
+    def is_leaving(self) -> bool:
+        """Whether it is shutting down, announced or not, so that its end is not a crash."""
+        return self.entry.draining or self.has_left
+
     @property
     def is_exclusive(self) -> bool:
         """Whether a run there requires exclusive use of the worker."""
