Fail a job for lost runs only if workers have crashed under its task

Callers saw a job as failed although no run of it had failed often enough: five losses of any kind gave its task up, whether or not a worker had crashed. Losses were taken back only by the leader that had charged them, while it still knew the worker: after a change of leader, or once an entry had gone and come back, a cut that had healed counted for ever. A worker that never came back counted too, and from the third loss each run that ended as stopped, broken, alone or lapsed. Users count ends as failed, or two workers that crashed under a task.

Each charge now has its evidence and the worker's life and address, on record (TaskProgress.charges, address), so that any leader resolves it: the same life answers, and the charge is dropped; another life answers in its place, and the loss becomes a crash, or a possible crash if the run may not have begun, or many workers fell silent together, or the other life is only listed at the address. Three crashes give up, or five that are at least possible. Losses without a sign of the worker never do: while they might all be crashes, the task waits, for at most 30 s (task_on_hold). Runs that end early count only beside three possible crashes. Records keep lost_runs and crashed_runs, so that an earlier version counts as before; from its records, losses name no worker and only delay.

Why the bound holds: each start that may have crashed its worker is charged as before, and counts against a next start until it is known to be harmless. The emulator checks from the workers' side that a job shown as failed has its attempts used up or two workers crashed under a task, knows planned ends and workers that leave unsaid, and the chaos tests use them.

--- a/src/snowdock/cli/explain.py
+++ b/src/snowdock/cli/explain.py
@@ -165,11 +165,15 @@
             workers[worker] = None
         elif line.event == "charge_taken_back":
             workers.pop(worker, None)
-    crashes, losses = given_up.fields.get("crashes", "?"), given_up.fields.get("losses", "?")
+    counts = {
+        name: given_up.fields.get(name, "0")
+        for name in ("crashes", "possible_crashes", "early_ends", "losses")
+    }
     return (
-        f"task {task} was given up after {losses} of its starts went with their workers, or ended"
-        f" at once after three that did; {crashes} of these workers surely crashed"
-        f" ({', '.join(workers)}): see silent_after_s of its run_lost lines"
+        f"task {task} was given up: {counts['crashes']} workers surely crashed under it and"
+        f" {counts['possible_crashes']} may have, {counts['early_ends']} starts after three of"
+        f" these ended at once, and {counts['losses']} runs were lost, which does not count"
+        f" ({', '.join(workers)}): see evidence and silent_after_s of its run_lost lines"
     )
 
 
--- a/src/snowdock/emulator/checks.py
+++ b/src/snowdock/emulator/checks.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterable, Iterator
 
 from ..declarations import ZERO_SIZE, Size
-from ..jobs.model import JobSpec, StepSpec, TaskId
+from ..jobs.model import JobSpec, JobStatus, StepSpec, TaskId
 from ..jobs.orders import EndKind
 from .quota_checks import QuotaChecker
 
@@ -30,6 +30,7 @@
     is_success_acknowledged: bool = False
     done_runs_before_restart: set[int] = dataclasses.field(default_factory=set)
     failed_runs: set[int] = dataclasses.field(default_factory=set)
+    failed_ends: set[int] = dataclasses.field(default_factory=set)
     crashes: int = 0
     starts_after_crashes: int = 0
     idle_since: float = 0.0
@@ -215,6 +216,8 @@
         self.quotas.record_end(task, life)
         if kind is EndKind.DONE:
             history.done_runs.add(run)
+        elif kind is EndKind.FAILED:
+            history.failed_ends.add(run)
         elif (
             kind is EndKind.GANG_TIMEOUT and task.job not in self._cancelled and self.is_undisturbed
         ):
@@ -253,12 +256,35 @@
             history.running.pop(life, None)
         self.quotas.record_life_end(life)
 
-    def check_status(self, job: str, is_completed: bool, at: float) -> None:
+    def may_fail(self, job: str) -> bool:
+        """Return whether a job may be shown as failed.
+
+        Either the runs of a task, or of a gang, have ended as failed as often as is permitted, or
+        two workers have crashed under a task. Nothing else counts, such as runs that were stopped,
+        or lost with a worker that was partitioned or shut down as planned.
+        """
+        spec, max_attempts = self._jobs[job]
+        for repetition in range(max(1, spec.repetitions)):
+            for number, step in enumerate(spec.steps):
+                tasks = [TaskId(job, repetition, number, index) for index in range(step.count)]
+                ends = [self._history(task).failed_ends for task in tasks]
+                counted = [set().union(*ends)] if step.gang else ends
+                if not step.long_running and max(map(len, counted)) >= max_attempts:
+                    return True
+                if any(self.count_crashes(task) > 1 for task in tasks):
+                    return True
+        return False
+
+    def check_status(self, job: str, status: JobStatus, at: float) -> None:
         """Check a published status of a job."""
         submitted_job = self._jobs.get(job)
-        if submitted_job is None or not is_completed:
+        if submitted_job is None:
             return
         spec, _ = submitted_job
+        if status is JobStatus.FAILED and not self.may_fail(job):
+            self._add_violation("failed", at, TaskId(job, 0, 0, 0), "published without cause")
+        if status is not JobStatus.COMPLETED:
+            return
         for repetition in range(max(1, spec.repetitions)):
             for task in iterate_tasks(job, spec, repetition):
                 if not self.is_done(task):
--- a/src/snowdock/emulator/emulator.py
+++ b/src/snowdock/emulator/emulator.py
@@ -402,7 +402,7 @@
         self.statuses[effect.job] = effect.status
         if effect.status.is_final:
             self.finished_at.setdefault(effect.job, now)
-            self.checks.check_status(effect.job, effect.status is JobStatus.COMPLETED, now)
+            self.checks.check_status(effect.job, effect.status, now)
 
 
 def _ignore(*_: object) -> None:
--- a/src/snowdock/emulator/fleet.py
+++ b/src/snowdock/emulator/fleet.py
@@ -23,6 +23,9 @@
 _ENTRY_EXPIRY_SECONDS = 4.5
 """Time until a crashed worker's entry is deleted: three missed heartbeats."""
 
+_SHUTDOWN_SECONDS = 6.0
+"""How long a worker serves on after it is marked as draining or has deleted its entry."""
+
 _START_TIME_MS = 1_700_000_000_000
 """Wall-clock time of the emulator's start, in ms since 1970."""
 
@@ -159,6 +162,7 @@
         if not model.is_up:
             return
         self._end_life(model)
+        self._delist_later(model)
         if return_delay_s is not None:
             self._timeline.call_after(return_delay_s, lambda: self._add_replacement(model))
 
@@ -167,12 +171,18 @@
         model = self.workers[life]
         if model.is_up:
             self._end_life(model)
+            self._delist_later(model)
             self._timeline.call_after(return_delay_s, lambda: self._begin_next_life(model))
 
-    def _end_life(self, model: WorkerModel) -> None:
+    def _end_life(self, model: WorkerModel, is_planned: bool = False) -> None:
         self._record_fault()
         self._exempt_tasks(model.running, self._timeline.now + _CRASH_DETECTION_SECONDS)
-        model.crash()
+        model.crash(is_planned)
+
+    def _delist_later(self, model: WorkerModel) -> None:
+        """Delete the entry of a worker that has ended after three missed heartbeats."""
+        if model.entry.life in self._unlisted:
+            return
         self._listed_after_end.add(model.entry.life)
         self._timeline.call_after(_ENTRY_EXPIRY_SECONDS, lambda: self._delist(model))
 
@@ -220,7 +230,7 @@
         )
 
     def _list_worker(self, model: WorkerModel) -> None:
-        if model.is_up:
+        if model.is_up and model.entry.life not in self._unlisted:
             self._post(WorkerListed(model.entry))
 
     @staticmethod
@@ -234,4 +244,26 @@
         self._record_fault()
         model.entry = dataclasses.replace(model.entry, draining=True)
         self._post(WorkerListed(model.entry))
-        self._timeline.call_after(6.0, lambda: self.crash(life))
+        self._timeline.call_after(_SHUTDOWN_SECONDS, lambda: self._shut_down(model))
+
+    def leave(self, life: str, return_delay_s: float | None = None) -> None:
+        """Delete a worker's entry, and end its life some seconds later, without draining it.
+
+        Another worker at the same address follows after a delay, if there is one.
+        """
+        model = self.workers[life]
+        self._record_fault()
+        model.is_leaving = True
+        self._unlisted.add(life)
+        self._post(WorkerDelisted(life, may_return=False))
+        self._timeline.call_after(_SHUTDOWN_SECONDS, lambda: self._shut_down(model))
+        if return_delay_s is not None:
+            self._timeline.call_after(
+                _SHUTDOWN_SECONDS + return_delay_s, lambda: self._add_replacement(model)
+            )
+
+    def _shut_down(self, model: WorkerModel) -> None:
+        """End a worker's life as planned."""
+        if model.is_up:
+            self._end_life(model, is_planned=True)
+            self._delist_later(model)
--- a/src/snowdock/emulator/worker_model.py
+++ b/src/snowdock/emulator/worker_model.py
@@ -175,6 +175,7 @@
     ) -> None:
         self.entry = entry
         self.is_up = True
+        self.is_leaving = False
         self.fails_all_runs = False
         self.slowness = slowness
         self.enforced_capacity = entry.capacity
@@ -204,8 +205,8 @@
 
     @property
     def accepts_runs(self) -> bool:
-        """Whether the worker is up and not draining."""
-        return self.is_up and not self.entry.draining
+        """Whether the worker is up and not shutting down."""
+        return self.is_up and not self.entry.draining and not self.is_leaving
 
     @property
     def running(self) -> list[TaskId]:
@@ -421,12 +422,13 @@
         share = min(1.0, (self._timeline.now - run.working_since) / run.work_s)
         run.checkpoint = f"{before + (1 - before) * share:.3f}"
 
-    def crash(self) -> None:
-        """End this life and all its runs."""
+    def crash(self, is_planned: bool = False) -> None:
+        """End this life and all its runs; a planned end is no crash."""
         if not self.is_up:
             return
         self.is_up = False
-        self._checks.record_crash(list(self._runs), self._timeline.now)
+        if not is_planned:
+            self._checks.record_crash(list(self._runs), self._timeline.now)
         for run in self._runs.values():
             run.has_ended = True
             if run.step.gang:
--- a/src/snowdock/jobs/cell.py
+++ b/src/snowdock/jobs/cell.py
@@ -268,6 +268,8 @@
         Steps with unplaced tasks, in the order in which they were last ranked.
     scheduled_jobs
         Jobs with repetitions that are not due yet.
+    charged_lives
+        The charged runs of unended jobs, by the life of their worker.
     crashed_at
         Time of the last worker crash, by address.
     failing_step_share
@@ -348,6 +350,7 @@
         self.quota_reservations: dict[str, QuotaReservation] = {}
         self.waiting_steps: dict[StepKey, Step] = {}
         self.scheduled_jobs: dict[JobId, Job] = {}
+        self.charged_lives: dict[str, set[tuple[TaskId, int]]] = {}
         self.crashed_at: dict[str, float] = {}
         self.failing_step_share: dict[str, float] = {}
         self.silence_times: collections.deque[float] = collections.deque(maxlen=_MAX_SILENCES)
--- a/src/snowdock/jobs/job_state.py
+++ b/src/snowdock/jobs/job_state.py
@@ -4,6 +4,7 @@
 import enum
 from collections.abc import Mapping
 
+from .evidence import Charge, Evidence
 from .load_history import WaitPrediction
 from .model import AdviceTerms, JobId, JobStatus, StepKey, StepSpec, TaskId
 from .progress import AcceptedJob, record_name
@@ -75,13 +76,14 @@
         Number of the newest run; 0 before the first.
     life
         Life of the worker on which that run exists or may exist; empty for none.
+    address
+        IP address and port of the worker that the newest run was placed on; empty if unknown.
     is_confirmed
         Whether the worker has reported the newest run to this leader.
     failed_runs
         Numbers of the failed runs, which count as attempts.
-    lost_runs, crashed_runs
-        Numbers of the runs that were lost with their worker, and of those whose worker certainly
-        crashed.
+    charges
+        Its runs that may have crashed their workers, the newest charges last.
     checkpoint
         Checkpoint from which the next run resumes; empty to start from the beginning.
     phase_since
@@ -117,10 +119,10 @@
     phase: Phase = Phase.WAITING
     run: int = 0
     life: str = ""
+    address: str = ""
     is_confirmed: bool = False
     failed_runs: set[int] = dataclasses.field(default_factory=set)
-    lost_runs: frozenset[int] = frozenset()
-    crashed_runs: frozenset[int] = frozenset()
+    charges: tuple[Charge, ...] = ()
     checkpoint: str = ""
     phase_since: float = 0.0
     seen_at: float = 0.0
@@ -142,6 +144,16 @@
         """Number of failed runs; for a member of a gang, of the whole gang."""
         return len(self.failed_runs)
 
+    @property
+    def lost_runs(self) -> frozenset[int]:
+        """Numbers of the charged runs."""
+        return frozenset(charge.run for charge in self.charges)
+
+    @property
+    def crashed_runs(self) -> frozenset[int]:
+        """Numbers of the charged runs that certainly crashed their workers."""
+        return frozenset(charge.run for charge in self.charges if charge.evidence is Evidence.CRASH)
+
     @property
     def is_placed(self) -> bool:
         """Whether a run of the task exists, or may exist, on a worker."""
--- a/src/snowdock/jobs/lost_runs.py
+++ b/src/snowdock/jobs/lost_runs.py
@@ -2,34 +2,34 @@
 
 This limits tasks that crash every worker on which they start. A worker usually runs many tasks when
 it ends, and reports the end of none of them, so a loss is charged to every task that was, or may
-have been, running there. The loss counts as a *crash* if another life of the worker has answered
-and the worker had confirmed the run. Otherwise it stays a *loss*: the worker may be partitioned and
-still running, or may have ended before the start arrived. If the worker was shutting down (it was
-marked as draining, or answered after its entry was removed), only runs that may have just begun are
-charged, as losses; confirmed long-running ones are not, since they
-are lost with many draining workers during a rolling replacement. Every start ends as a crash, a
-loss, a reported end or a refusal, so a task that crashes every worker is started at most
-`MAX_LOSSES` times.
+have been, running there. Whether the worker crashed is often known only later, and perhaps by
+another leader: another life answers or is listed in its place, or the same life answers again.
+Until then the charge is unresolved. A worker that was marked as draining, or that answered after
+its entry was removed, has shut down as planned: only runs that may have just begun are charged. Of
+a task that crashes every worker, every start ends as a crash, a loss, a reported end or a refusal,
+so it is started at most `MAX_POSSIBLE_CRASHES` times as long as its workers return.
 """
 
 import dataclasses
-from collections.abc import Iterator
 
 from .cell import Cell, Orphan
-from .charges import charge_run, may_have_ended_early, revoke_charge
-from .durability import mark_dirty
+from .charges import charge_run, charges_on, drop_charges, may_have_ended_early, revoke_charge
+from .evidence import Charge, Evidence
 from .job_state import Phase, Task
+from .lives import worker_id_of
 from .occupancy import vacate
 from .runs import EndCause, fail_job, void_run
 from .suspects import remove_suspect
-from .workers import Worker
+from .workers import Worker, WorkerEntry
 
 __all__ = [
-    "charge_confirmed_crashes",
     "charge_orphan",
+    "charge_replaced_orphans",
     "clear_losses",
     "lose_orphan",
     "lose_runs",
+    "resolve_losses",
+    "resolve_replaced_lives",
     "revoke_losses",
 ]
 
@@ -46,31 +46,22 @@
 hours it runs on many workers that end for unrelated reasons."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _WorkerEnd:
-    """Why a worker's runs count as lost, and whether the worker certainly crashed by itself."""
-
-    reason: str
-    is_crash: bool
-
-
 def lose_runs(
     cell: Cell,
     worker: Worker,
     now: float,
     reason: str,
-    has_crashed: bool = False,
+    is_replaced: bool = False,
     has_next_life: bool = False,
 ) -> None:
     """Mark all runs on a worker as lost, since it is unknown how they ended.
 
     Runs whose start was not answered wait for the worker's next life, if there is one.
     """
-    end = _WorkerEnd(reason, has_crashed and not _is_correlated_failure(cell, worker))
     if worker.runs:
         count = len(worker.runs)
         cell.log_decision(
-            "runs_lost", worker.life, count=count, reason=reason, is_crash=end.is_crash
+            "runs_lost", worker.life, count=count, reason=reason, is_replaced=is_replaced
         )
     for task_id, run in list(worker.runs):
         vacate(cell, worker.life, task_id, run)
@@ -78,37 +69,55 @@
         task = cell.find_task(task_id)
         if task is None or not task.is_current_run(run, worker.life):
             continue
-        _lose_run(cell, worker, task, now, end, has_next_life and _may_start_late(task))
-
+        may_start_late = has_next_life and _may_start_late(task)
+        _lose_run(cell, worker, task, now, reason, is_replaced, may_start_late)
 
-def charge_confirmed_crashes(cell: Cell, worker: Worker, now: float) -> None:
-    """Charge losses on a worker as crashes after its next life answered.
 
-    The losses were recorded earlier, when the worker's leases expired.
+def resolve_losses(
+    cell: Cell, life: str, now: float, is_leaving: bool, is_certain: bool = True
+) -> None:
+    """Resolve the charges of runs lost on a worker's life, which has ended.
+
+    Parameters
+    ----------
+    is_leaving
+        Whether it was shutting down, so that its end was not a crash.
+    is_certain
+        Whether another life has answered in its place, rather than only been listed.
     """
-    is_crash = not _is_correlated_failure(cell, worker)
-    for task, run, is_confirmed in _pop_losses(cell, worker):
-        if is_confirmed:
-            _charge_lost_run(cell, task, run, worker.life, now, is_crash)
+    for task, charge in list(charges_on(cell, life)):
+        if not charge.is_unresolved or task.step.job.status.is_final:
+            continue
+        is_crash = charge.evidence is Evidence.LOSS
+        if is_crash and is_leaving:
+            revoke_charge(cell, task, charge, "the worker was shutting down")
+            continue
+        evidence = Evidence.CRASH if is_crash and is_certain else Evidence.POSSIBLE_CRASH
+        resolved = dataclasses.replace(charge, evidence=evidence, charged_at=now)
+        _charge(cell, task, resolved, now)
 
 
-def revoke_losses(cell: Cell, worker: Worker) -> None:
-    """Revoke the charges for runs lost on a worker whose same life answers again.
+def resolve_replaced_lives(cell: Cell, entry: WorkerEntry, now: float) -> None:
+    """Resolve charges on earlier lives of a worker, or at its address, once it is listed."""
+    for life in list(cell.charged_lives):
+        worker = cell.workers.get(life)
+        if life == entry.life or (worker is not None and worker.silent_since is None):
+            continue
+        is_same_worker = worker_id_of(life) == entry.worker
+        if is_same_worker or any(
+            charge.address == entry.address for _, charge in charges_on(cell, life)
+        ):
+            is_leaving = worker is not None and worker.is_leaving
+            resolve_losses(cell, life, now, is_leaving, is_certain=is_same_worker)
 
-    Without this, a task that was on `MAX_LOSSES` partitioned workers would be given up.
-    """
-    for task, run, _ in _pop_losses(cell, worker):
-        if not task.step.job.status.is_final:
-            revoke_charge(cell, task, run, worker.life)
 
+def revoke_losses(cell: Cell, worker: Worker) -> None:
+    """Revoke the charges of runs on a life that answers, so that it has not crashed.
 
-def _pop_losses(cell: Cell, worker: Worker) -> Iterator[tuple[Task, int, bool]]:
-    """Yield and remove a worker's unresolved losses, once it is known whether it crashed."""
-    losses, worker.unresolved_losses = worker.unresolved_losses, {}
-    for (task_id, run), is_confirmed in losses.items():
-        task = cell.find_task(task_id)
-        if task is not None and run in task.lost_runs:
-            yield task, run, is_confirmed
+    Without this, a task that was on several partitioned workers would be given up.
+    """
+    for task, charge in list(charges_on(cell, worker.life)):
+        revoke_charge(cell, task, charge, "the worker answers")
 
 
 def lose_orphan(cell: Cell, task: Task, life: str, now: float) -> None:
@@ -118,31 +127,55 @@
     void_run(cell, task, now)
 
 
-def charge_orphan(cell: Cell, task: Task, life: str, now: float) -> None:
+def charge_orphan(cell: Cell, task: Task, life: str, now: float, is_replaced: bool = False) -> None:
     """Charge a task once for a run on a worker life that ended before this leader knew it."""
-    if _may_have_run(task) and task.run not in task.lost_runs:
-        _charge_lost_run(cell, task, task.run, life, now, is_crash=False)
+    if not _may_have_run(task) or task.run in task.lost_runs:
+        return
+    is_replaced = is_replaced or _is_replacement_listed(cell, life, task.address)
+    evidence = Evidence.POSSIBLE_CRASH if is_replaced else Evidence.UNCERTAIN_LOSS
+    _charge(cell, task, Charge(task.run, evidence, life, task.address, now), now)
+
+
+def charge_replaced_orphans(cell: Cell, now: float) -> None:
+    """Charge the runs of earlier leaders at whose worker's address another life is listed.
+
+    They are charged before they are lost, since this leader may not last until then.
+    """
+    lives_by_address = {
+        worker.entry.address: worker.life for worker in cell.workers.values() if worker.listed
+    }
+    for orphan in [each for orphans in cell.orphans.values() for each in orphans]:
+        task = orphan.task
+        life = lives_by_address.get(task.address, orphan.life)
+        if life != orphan.life and task.is_current_run(orphan.run, orphan.life):
+            charge_orphan(cell, task, orphan.life, now, is_replaced=True)
 
 
 def clear_losses(cell: Cell, task: Task, now: float) -> None:
     """Clear a long-running task's losses once a run of it has lasted long enough."""
-    if not task.lost_runs or not task.step.spec.long_running:
+    if not task.charges or not task.step.spec.long_running:
         return
     if task.phase is Phase.RUNNING and now - task.phase_since >= _STABLE_RUN_SECONDS:
-        task.lost_runs = task.crashed_runs = frozenset()
-        mark_dirty(cell, task.step.job)
+        drop_charges(cell, task)
         remove_suspect(cell, task)
         cell.log_decision("task_absolved", task.id.job, task=task.id, run=task.run)
 
 
 def _lose_run(
-    cell: Cell, worker: Worker, task: Task, now: float, end: _WorkerEnd, may_start_late: bool
+    cell: Cell,
+    worker: Worker,
+    task: Task,
+    now: float,
+    reason: str,
+    is_replaced: bool,
+    may_start_late: bool,
 ) -> None:
     run = task.run
     is_charged = _may_have_run(task) and (
         not worker.is_leaving or _may_have_caused_exit(worker, task)
     )
-    _log_lost_run(cell, worker, task, end, is_charged)
+    evidence = _classify_loss(cell, worker, task, is_replaced) if is_charged else None
+    _log_lost_run(cell, worker, task, reason, evidence)
     if may_start_late:
         task.phase = Phase.UNSURE
         task.phase_since = now
@@ -150,10 +183,40 @@
         cell.orphans.setdefault(worker.entry.worker, []).append(orphan)
     else:
         void_run(cell, task, now)
-    if not is_charged:
+    if evidence is None:
         return
-    worker.unresolved_losses[task.id, run] = task.is_confirmed
-    _charge_lost_run(cell, task, run, worker.life, now, end.is_crash and task.is_confirmed)
+    charge = Charge(run, evidence, worker.life, worker.entry.address, now)
+    if _was_silent_before(worker, task):
+        # Charged without a life, so that it only delays the next start.
+        charge = Charge(run, Evidence.UNCERTAIN_LOSS, charged_at=now)
+    _charge(cell, task, charge, now)
+
+
+def _classify_loss(cell: Cell, worker: Worker, task: Task, is_replaced: bool) -> Evidence:
+    """Return what is known about a run that is lost with its worker."""
+    is_own_end = (
+        task.is_confirmed and not worker.is_leaving and not _is_correlated_failure(cell, worker)
+    )
+    if is_replaced:
+        return Evidence.CRASH if is_own_end else Evidence.POSSIBLE_CRASH
+    if _is_replacement_listed(cell, worker.life, worker.entry.address):
+        return Evidence.POSSIBLE_CRASH
+    return Evidence.LOSS if is_own_end else Evidence.UNCERTAIN_LOSS
+
+
+def _was_silent_before(worker: Worker, task: Task) -> bool:
+    """Check whether a worker had fallen silent for good before the task's start was ordered."""
+    if task.is_confirmed or worker.silent_since is None:
+        return False
+    return worker.silent_since < task.ordered_at
+
+
+def _is_replacement_listed(cell: Cell, life: str, address: str) -> bool:
+    """Check whether the store lists another life at a worker's address."""
+    return bool(address) and any(
+        other.listed and other.life != life and other.entry.address == address
+        for other in cell.workers.values()
+    )
 
 
 def _may_start_late(task: Task) -> bool:
@@ -161,11 +224,9 @@
     return not task.is_confirmed and task.phase in (Phase.ORDERED, Phase.UNSURE, Phase.STOPPING)
 
 
-def _charge_lost_run(
-    cell: Cell, task: Task, run: int, life: str, now: float, is_crash: bool
-) -> None:
+def _charge(cell: Cell, task: Task, charge: Charge, now: float) -> None:
     """Charge a run that was lost with its worker, and fail the job at the task's limit."""
-    if charge_run(cell, task, run, life, is_crash):
+    if charge_run(cell, task, charge):
         fail_job(cell, task.step.job, EndCause.CRASHES, now)
 
 
@@ -189,7 +250,7 @@
 
 
 def _log_lost_run(
-    cell: Cell, worker: Worker, task: Task, end: _WorkerEnd, is_charged: bool
+    cell: Cell, worker: Worker, task: Task, reason: str, evidence: Evidence | None
 ) -> None:
     """Log a run that is lost with its worker, whether it is charged, and on what grounds."""
     silent_after_s = None
@@ -203,10 +264,11 @@
         worker=worker.life,
         phase=task.phase.value,
         silent_after_s=silent_after_s,
-        is_charged=is_charged,
+        is_charged=evidence is not None,
+        evidence=None if evidence is None else evidence.name.lower(),
         is_told=task.is_confirmed,
         is_leaving=worker.is_leaving,
-        reason=end.reason,
+        reason=reason,
     )
 
 
--- a/src/snowdock/jobs/placement.py
+++ b/src/snowdock/jobs/placement.py
@@ -322,6 +322,7 @@
     for task, worker in zip(tasks, chosen, strict=False):
         task.run = gang_run if step.spec.gang else task.run + 1
         task.life = worker.life
+        task.address = worker.entry.address
         task.is_confirmed = False
         task.phase = Phase.RECORDED
         task.phase_since = task.ordered_at = now
@@ -350,7 +351,7 @@
     if not remaining:
         del cell.waiting_steps[step.key]
         release_expired_claims(cell, now)
-    elif any(task.lost_runs for task in remaining):
+    elif any(task.charges for task in remaining):
         # These tasks have another isolation level and were not considered in this search.
         cell.needs_placement = True
 
--- a/src/snowdock/jobs/progress.py
+++ b/src/snowdock/jobs/progress.py
@@ -5,11 +5,13 @@
 import msgspec
 
 from ..errors import DECODE_ERRORS, InvalidInput
+from .evidence import Evidence
 from .model import JobId, JobSpec, JobStatus
 
 __all__ = [
     "CANCEL_PREFIX",
     "AcceptedJob",
+    "ChargeRecord",
     "JobProgress",
     "SplitProgress",
     "TaskBlock",
@@ -80,6 +82,15 @@
         return min(_MAX_CALLER_WAIT_SECONDS, max(0.0, waited_s))
 
 
+class ChargeRecord(msgspec.Struct, frozen=True, array_like=True):
+    """A run that is charged to its task; see `Charge` for the attributes."""
+
+    run: int
+    evidence: Evidence
+    life: str = ""
+    address: str = ""
+
+
 class TaskProgress(msgspec.Struct, array_like=True):
     """Progress of one task.
 
@@ -98,8 +109,13 @@
     checkpoint
         The checkpoint from which the next run resumes; empty to start from the beginning.
     lost_runs, crashed_runs
-        Numbers of the runs that were lost with their worker, and those of them whose worker
-        certainly crashed.
+        Numbers of the charged runs, and those of them that certainly crashed their workers.
+        Earlier versions know only these.
+    charges
+        The same runs with what is known about each.
+    address
+        The IP address and port of the worker on which the newest run is or may be; empty if there
+        is none, or if an earlier version placed the run.
     """
 
     repetition: int
@@ -112,6 +128,8 @@
     checkpoint: str = ""
     lost_runs: list[int] = []
     crashed_runs: list[int] = []
+    charges: list[ChargeRecord] = []
+    address: str = ""
 
 
 class JobProgress(msgspec.Struct, array_like=True):
--- a/src/snowdock/jobs/progress_encoding.py
+++ b/src/snowdock/jobs/progress_encoding.py
@@ -15,6 +15,7 @@
 from .job_state import Job, Phase, Step, Task
 from .model import TaskId
 from .progress import (
+    ChargeRecord,
     JobProgress,
     SplitProgress,
     TaskBlock,
@@ -119,6 +120,8 @@
         task.checkpoint,
         sorted(task.lost_runs),
         sorted(task.crashed_runs),
+        [ChargeRecord(each.run, each.evidence, each.life, each.address) for each in task.charges],
+        task.address if task.life else "",
     )
 
 
--- a/src/snowdock/jobs/runs.py
+++ b/src/snowdock/jobs/runs.py
@@ -4,7 +4,7 @@
 import math
 
 from .cell import Cell, DeferredRenewal, PendingStop
-from .charges import charge_ended_run
+from .charges import charge_ended_run, forget_charges
 from .durability import mark_dirty
 from .events import PublishStatus, SendStop
 from .failed_runs import record_failed_run, record_success
@@ -353,6 +353,7 @@
 
 def _end_job(cell: Cell, job: Job, status: JobStatus, cause: EndCause, now: float) -> None:
     job.status = status
+    forget_charges(cell, job)
     cell.job_ended_at[job.id] = now
     cell.scheduled_jobs.pop(job.id, None)
     for step in job.all_steps():
--- a/src/snowdock/jobs/starving.py
+++ b/src/snowdock/jobs/starving.py
@@ -137,7 +137,7 @@
         waiting_s=task.waited_seconds(now),
         tasks=len(step.waiting_tasks),
         running=sum(each.is_placed for each in step.tasks),
-        losses=len(task.lost_runs),
+        losses=len(task.charges),
         at_quota=step.is_at_quota,
         asking=step.advice.pending_requests if step.advice else 0,
         searched_s=now - step.last_search_at,
--- a/src/snowdock/jobs/suspects.py
+++ b/src/snowdock/jobs/suspects.py
@@ -19,6 +19,7 @@
 
 from .candidates import Candidate
 from .cell import Cell
+from .charges import is_on_hold
 from .job_state import Phase, Step, Task
 from .workers import Worker
 
@@ -79,14 +80,16 @@
     """Return the waiting tasks of a step to place next, and their isolation level.
 
     Tasks with the lowest level come first; a gang is placed as a whole. There are none if all
-    waiting tasks are paused.
+    waiting tasks are paused or on hold.
     """
     waiting = step.waiting_tasks
+    if any(is_on_hold(task, now) for task in waiting):
+        waiting = [] if step.spec.gang else [x for x in waiting if not is_on_hold(x, now)]
     if step.spec.long_running and not step.spec.gang:
         waiting = [task for task in waiting if task.not_before <= now]
         # Otherwise a task whose runs fail at once takes each slot before the others.
         waiting.sort(key=lambda task: -task.waited_seconds(now))
-    if not any(task.lost_runs for task in waiting):
+    if not any(task.charges for task in waiting):
         return waiting, IsolationLevel.NONE
     levels = [_isolation_level(task, now) for task in waiting]
     if step.spec.gang:
@@ -99,7 +102,7 @@
 def _isolation_level(task: Task, now: float) -> IsolationLevel:
     if task.step.spec.long_running and task.waited_seconds(now) >= _MAX_LONG_RUNNING_WAIT_SECONDS:
         return IsolationLevel.NONE
-    losses = len(task.lost_runs)
+    losses = len(task.charges)
     waited = now - task.phase_since
     if losses >= EXCLUSIVE_FROM_LOSSES and waited < _EXCLUSIVE_WAIT_SECONDS:
         return IsolationLevel.EXCLUSIVE
@@ -153,7 +156,7 @@
 
 def record_suspect(worker: Worker, task: Task, isolation: IsolationLevel) -> None:
     """Record on a worker that a suspect runs there, and whether it needs exclusive use."""
-    if task.lost_runs:
+    if task.charges:
         worker.suspects[task.id, task.run] = task
         if isolation is IsolationLevel.EXCLUSIVE:
             worker.exclusive_run = (task.id, task.run)
--- a/src/snowdock/jobs/takeover.py
+++ b/src/snowdock/jobs/takeover.py
@@ -3,7 +3,9 @@
 import dataclasses
 
 from .cell import Cell, Orphan
+from .charges import restore_charges
 from .events import DropProgress, Effect, ForgetAccepted, JobAccepted, PublishStatus
+from .evidence import Charge, Evidence
 from .job_state import Job, Phase
 from .lives import worker_id_of
 from .model import JobId
@@ -138,8 +140,7 @@
     task = job.repetitions[record.repetition][record.step].tasks[record.index]
     task.run = record.run
     task.failed_runs = set(record.failed_runs)
-    task.lost_runs = frozenset(record.lost_runs)
-    task.crashed_runs = frozenset(record.crashed_runs)
+    restore_charges(cell, task, _read_charges(record, cell.now))
     task.checkpoint = record.checkpoint
     # The start of the phase is not recorded. If it were left at 0, the first report would clear a
     # long-running task's losses, as if the task had run since this machine booted.
@@ -151,8 +152,22 @@
     if not record.life:
         return
     task.life = record.life
+    task.address = record.address
     cell.team_usage.add_run(record.life, task.id, record.run, job.team, task.step.spec.size)
     if not record.done:
         task.phase = Phase.RUNNING
     orphan = Orphan(task, record.run, record.life, cell.leadership_claimed_at)
     cell.orphans.setdefault(worker_id_of(record.life), []).append(orphan)
+
+
+def _read_charges(record: TaskProgress, now: float) -> tuple[Charge, ...]:
+    """Return the recorded charges; records of earlier versions do not name the workers."""
+    if record.charges:
+        return tuple(
+            Charge(each.run, each.evidence, each.life, each.address, now) for each in record.charges
+        )
+    crashed = set(record.crashed_runs)
+    return tuple(
+        Charge(run, Evidence.CRASH if run in crashed else Evidence.LOSS, charged_at=now)
+        for run in record.lost_runs
+    )
--- a/src/snowdock/jobs/worker_lives.py
+++ b/src/snowdock/jobs/worker_lives.py
@@ -4,7 +4,7 @@
 from .durability import send_renewal
 from .events import CloseWorker, OpenWorker, StepDown
 from .lives import worker_id_of
-from .lost_runs import charge_confirmed_crashes, charge_orphan, lose_runs
+from .lost_runs import charge_orphan, lose_runs, resolve_losses, resolve_replaced_lives
 from .machine_speeds import lasting_slowness
 from .occupancy import occupy, vacate
 from .orders import Refusal
@@ -47,6 +47,7 @@
     worker.log_slowness = lasting_slowness(cell, worker)
     cell.workers[entry.life] = worker
     cell.log_decision("worker_listed", entry.life, service=entry.service, address=entry.address)
+    resolve_replaced_lives(cell, entry, now)
     for orphan in cell.orphans.pop(entry.worker, []):
         _adopt_orphan(cell, worker, orphan, now)
     cell.emit(OpenWorker(entry.life, entry.address))
@@ -65,7 +66,8 @@
     if orphan.life not in (worker.life, worker.entry.worker):
         # The previous life has ended, but this one may still execute the start.
         worker.inherited.add((task.id, run))
-        charge_orphan(cell, task, orphan.life, now)
+        charge_orphan(cell, task, orphan.life, now, is_replaced=True)
+    task.address = worker.entry.address
 
 
 def _end_previous_life(cell: Cell, entry: WorkerEntry, now: float) -> None:
@@ -80,8 +82,7 @@
     cell.unknown_service_workers.pop(previous_life, None)
     worker = cell.workers.get(previous_life)
     if worker is not None:
-        has_crashed = not worker.is_leaving
-        end_life(cell, worker, now, _NEXT_LIFE_REASON, has_crashed, has_next_life=True)
+        end_life(cell, worker, now, _NEXT_LIFE_REASON, is_replaced=True, has_next_life=True)
     cell.ended_lives.discard(previous_life)
 
 
@@ -117,17 +118,23 @@
     worker: Worker,
     now: float,
     reason: str,
-    has_crashed: bool = False,
+    is_replaced: bool = False,
     has_next_life: bool = False,
 ) -> None:
     """End a worker's life, and mark all runs on it as lost.
 
-    A start that it did not answer may still be executed by its next life under the same id.
+    Parameters
+    ----------
+    is_replaced
+        Whether another life has answered in its place, so that it certainly has ended.
+    has_next_life
+        Whether that life has the same id: it may still execute a start that was not answered.
     """
-    if has_crashed:
-        record_crash(cell, worker, now)
-        charge_confirmed_crashes(cell, worker, now)
-    lose_runs(cell, worker, now, reason, has_crashed, has_next_life)
+    if is_replaced:
+        if not worker.is_leaving:
+            record_crash(cell, worker, now)
+        resolve_losses(cell, worker.life, now, worker.is_leaving)
+    lose_runs(cell, worker, now, reason, is_replaced, has_next_life)
     del cell.workers[worker.life]
     if worker.listed:
         cell.ended_lives.add(worker.life)
@@ -147,11 +154,11 @@
 def handle_life_refusal(cell: Cell, worker: Worker, refusal: Refusal | None, now: float) -> bool:
     """Handle a refusal that concerns the worker's life; return whether it was one."""
     if refusal is Refusal.OTHER_LIFE:
-        has_crashed = not worker.is_leaving
-        end_life(cell, worker, now, "another life answered at the worker's address", has_crashed)
+        reason = "another life answered at the worker's address"
+        end_life(cell, worker, now, reason, is_replaced=True)
         return True
     if refusal is Refusal.NEXT_LIFE:
-        end_life(cell, worker, now, _NEXT_LIFE_REASON, not worker.is_leaving, has_next_life=True)
+        end_life(cell, worker, now, _NEXT_LIFE_REASON, is_replaced=True, has_next_life=True)
         return True
     if refusal is Refusal.FENCED:
         cell.emit(StepDown(f"worker {worker.life} has seen a higher token"))
--- a/src/snowdock/jobs/worker_reports.py
+++ b/src/snowdock/jobs/worker_reports.py
@@ -64,8 +64,7 @@
         cell.log_decision("worker_answers", worker.life, silent_s=now - worker.silent_since)
         worker.silent_since = None
         worker.is_unresponsive = False
-        # Runs are lost on a worker only while it is silent.
-        revoke_losses(cell, worker)
+    revoke_losses(cell, worker)
     worker.last_report_at = now
     _note_departure(worker, now)
     worker.update_clock(report.clock_ms, now)
--- a/src/snowdock/jobs/worker_watch.py
+++ b/src/snowdock/jobs/worker_watch.py
@@ -3,7 +3,7 @@
 from .cell import Cell, Orphan, PendingStop
 from .durability import RENEW_WAIT_MS, send_renewal
 from .events import SendStop
-from .lost_runs import lose_orphan, lose_runs
+from .lost_runs import charge_replaced_orphans, lose_orphan, lose_runs
 from .machine_speeds import update_unevenness
 from .model import TaskId
 from .occupancy import vacate
@@ -33,7 +33,9 @@
     decay_idle_slowness(cell)
     for worker in list(cell.workers.values()):
         _watch_worker(cell, worker, now)
-    _lose_orphans(cell, now)
+    if cell.orphans:
+        charge_replaced_orphans(cell, now)
+        _lose_orphans(cell, now)
     for (life, task, run), stop in list(cell.pending_stops.items()):
         _watch_stop(cell, life, task, run, stop, now)
 
--- a/src/snowdock/jobs/workers.py
+++ b/src/snowdock/jobs/workers.py
@@ -149,9 +149,6 @@
         The suspects there by their runs, see `suspects`.
     exclusive_run
         The run of the suspect that has the worker to itself; None if there is none.
-    unresolved_losses
-        Runs charged as lost there since its last answer, and whether it had confirmed each of
-        them: it is not known yet whether the worker crashed.
     inherited
         The runs that were placed on an earlier life; whether this one has them is unknown until
         its first report.
@@ -188,7 +185,6 @@
     log_slowness: float = 0.0
     suspects: dict[tuple[TaskId, int], Task] = dataclasses.field(default_factory=dict)
     exclusive_run: tuple[TaskId, int] | None = None
-    unresolved_losses: dict[tuple[TaskId, int], bool] = dataclasses.field(default_factory=dict)
     inherited: set[tuple[TaskId, int]] = dataclasses.field(default_factory=set)
     _free: Size = ZERO_SIZE
     _free_inputs: tuple[Size, Size] | None = None
