Test late evidence about lost runs, the hold, and records of earlier versions

Each piece of how a charge is resolved has a test: by the next life under the worker's id, by another worker at its address, by a later leader, against an entry of another writer, for a run of an earlier leader, and for a start ordered after its worker fell silent; the hold begins, ends by itself and ends with evidence; losses on records of earlier versions fail no job.

--- a/tests/test_jobs_false_failures.py
+++ b/tests/test_jobs_false_failures.py
@@ -1,11 +1,25 @@
 """Tests that a job is not shown as failed for runs that were lost without a crash."""
 
+import dataclasses
 import unittest
 
-from snowdock.jobs.events import SendStart, WorkerDelisted, WorkerListed
+import msgspec
+
+from snowdock.jobs.events import Persist, Persisted, SendStart, WorkerDelisted, WorkerListed
+from snowdock.jobs.evidence import Evidence
 from snowdock.jobs.job_state import Task
+from snowdock.jobs.model import JobStatus
 from snowdock.jobs.orders import EndKind
-from tests.jobs_tools import SMALL, Bench, LeaderSequence, disconnect_worker
+from snowdock.jobs.progress import decode_progress
+from snowdock.jobs.takeover import RecordedJobs
+from tests.jobs_tools import (
+    SMALL,
+    Bench,
+    LeaderSequence,
+    charge_task,
+    disconnect_worker,
+    make_accepted_job,
+)
 
 ROUNDS = 8
 """More losses than a task that crashes its workers is allowed."""
@@ -136,6 +150,131 @@
         self.assertEqual(len(self.task.lost_runs), 0)
 
 
+class TestLateEvidence(LostRunsTestCase):
+    """Evidence about a lost run that only a later leader sees."""
+
+    def lose_run(self) -> SendStart:
+        """Lose a run by the expiry of its lease, and change the leader."""
+        start = self.next_start()
+        self.work(start)
+        disconnect_worker(self.bench, start.life)
+        self.leaders.replace_leader()
+        self.assertEqual(self.evidence(), Evidence.LOSS)
+        return start
+
+    def evidence(self) -> Evidence:
+        (charge,) = self.task.charges
+        return charge.evidence
+
+    def test_next_life_under_the_same_id(self) -> None:
+        """An earlier leader's loss is a crash once the next life of the worker is listed."""
+        start = self.lose_run()
+        self.bench.add_worker(f"{start.life}@1")
+        self.assertIs(self.evidence(), Evidence.CRASH)
+
+    def test_another_worker_at_the_address(self) -> None:
+        """It is only a possible crash if another worker is listed at the address."""
+        start = self.lose_run()
+        self.bench.add_worker("other", address=f"{start.life}:1")
+        self.assertIs(self.evidence(), Evidence.POSSIBLE_CRASH)
+
+    def test_evidence_survives_changes_of_leader(self) -> None:
+        """What is known about a run is the same for the next leader."""
+        start = self.lose_run()
+        self.bench.add_worker(f"{start.life}@1", is_synced=False)
+        before = [dataclasses.replace(each, charged_at=0.0) for each in self.task.charges]
+        self.leaders.replace_leader()
+        after = [dataclasses.replace(each, charged_at=0.0) for each in self.task.charges]
+        self.assertEqual(after, before)
+
+    def test_entry_of_another_writer(self) -> None:
+        """An entry with the address of a worker that turns out to be up is no sign of a crash."""
+        start = self.lose_run()
+        self.bench.add_worker("other", address=f"{start.life}:1", is_synced=False)
+        self.bench.add_worker(start.life)
+        self.assertEqual(self.task.charges, ())
+
+    def test_run_of_an_earlier_leader(self) -> None:
+        """A run is a possible crash if only a worker at its worker's address is listed."""
+        start = self.next_start()
+        self.leaders.replace_leader()
+        self.bench.add_worker("other", address=f"{start.life}:1", is_synced=False)
+        self.bench.tick(0.2)
+        self.assertIs(self.evidence(), Evidence.POSSIBLE_CRASH)
+
+    def test_start_after_the_worker_fell_silent(self) -> None:
+        """A start that was ordered after its worker had fallen silent is no possible crash."""
+        self.leaders = LeaderSequence(SMALL, workers=0)
+        self.bench.is_store_paused = True
+        self.leaders.add_worker()
+        self.bench.tick(0.1)
+        self.bench.leave_unanswered(self.task.life)
+        self.bench.tick(0.2)
+        (batch,) = [each for each in self.bench.all_effects if isinstance(each, Persist)][-1:]
+        self.bench.feed(Persisted(batch.number))
+        self.assertEqual(len(self.bench.starts()), 1)
+        self.bench.end_life(self.task.life)
+        self.assertIs(self.evidence(), Evidence.UNCERTAIN_LOSS)
+
+
+class TestHold(LostRunsTestCase):
+    """Losses that may all be crashes delay the next start for a bounded time."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        start = self.next_start()
+        charge_task(self.task, -1, -2, -3, -4)
+        disconnect_worker(self.bench, start.life)
+        self.life = start.life
+        self.leaders.add_worker()
+        self.bench.new_starts()
+
+    def test_start_is_delayed(self) -> None:
+        """A fifth possible crash delays the next start, and does not fail the job."""
+        self.bench.tick(20.0)
+        self.assertEqual(self.bench.new_starts(), [])
+        self.assert_may_run()
+        (line,) = [each for each in self.bench.decisions if each.decision == "task_on_hold"]
+        self.assertEqual(dict(line.fields)["losses"], 1)
+
+    def test_delay_is_bounded(self) -> None:
+        """Without a sign of the worker, the task starts again."""
+        self.bench.tick(31.0)
+        self.assertEqual(len(self.bench.new_starts()), 1)
+
+    def test_worker_answers(self) -> None:
+        """Once the worker answers, the task starts again at once."""
+        self.bench.report(self.life)
+        self.bench.tick(2.0)
+        self.assertEqual(len(self.bench.new_starts()), 1)
+
+    def test_worker_has_crashed(self) -> None:
+        """Once the worker is known to have crashed, the job is shown as failed."""
+        self.bench.end_life(self.life)
+        self.assertIs(self.leaders.status, JobStatus.FAILED)
+        self.assertEqual(self.bench.cell.charged_lives, {})
+
+
+class TestRecordsOfEarlierVersions(LostRunsTestCase):
+    def test_losses_of_unknown_workers(self) -> None:
+        """Losses that an earlier version charged do not fail the job, and crashes still count."""
+        for lost, crashed, expected in (
+            ([1, 2, 3, 4, 5, 6], [], Evidence.LOSS),
+            ([1, 2], [1, 2], Evidence.CRASH),
+        ):
+            with self.subTest(lost=lost):
+                record = [0, 0, 0, 6, "", False, [], "", lost, crashed]
+                progress = decode_progress(msgspec.msgpack.encode([1, [record], ""]))
+                bench = Bench(2)
+                accepted = {"a" * 16: make_accepted_job(SMALL)}
+                bench.restore(RecordedJobs(accepted, set(), {"a" * 16: progress}))
+                bench.add_worker("w")
+                bench.tick(40.0)
+                (task,) = bench.cell.jobs["a" * 16].all_tasks()
+                self.assertEqual({each.evidence for each in task.charges}, {expected})
+                self.assertEqual(task.run, 7)
+
+
 class TestEnds(LostRunsTestCase):
     def test_ends_after_three_losses(self) -> None:
         """Runs that end at once without having failed do not fail their job, also after losses."""
