Play a job whose workers leave, drain or are cut off again and again

Three seconds after each start of its first task its worker goes without a crash, for two minutes, and leaders change meanwhile.

--- a/tests/test_jobs_chaos.py
+++ b/tests/test_jobs_chaos.py
@@ -3,9 +3,11 @@
 import dataclasses
 import random
 import unittest
+from functools import partial
 
 from snowdock.emulator import Emulator, EmulatorOptions, WorkloadOptions, draw_workload
 from snowdock.emulator.workload import DrawnJob, default_mixes
+from snowdock.jobs.model import JobStatus, TaskId
 from tests.jobs_tools import find_unended_jobs
 
 SECONDS = 20
@@ -14,6 +16,13 @@
 CRASHING_SEEDS = range(100, 106)
 RESTARTING_SEEDS = range(200, 206)
 LEAVING_SEEDS = range(300, 306)
+UNLUCKY_SEEDS = range(400, 406)
+
+UNLUCKY_RUN_SECONDS = 3.0
+UNLUCKY_SECONDS = 120.0
+UNLUCKY_WORK_SECONDS = 30.0
+"""How long the unlucky job's runs last before their workers go, for how long this happens, and how
+long a run takes: none ends before that."""
 
 (
     CRASH,
@@ -109,6 +118,65 @@
     return emulator, jobs
 
 
+def run_with_unlucky_job(seed: int) -> tuple[Emulator, DrawnJob]:
+    """Run the emulator while one job loses its workers, none of which crashes.
+
+    Some seconds after each start of its first task, the worker leaves without draining, drains, or
+    is cut off until its leases have expired; at times the leader changes as well.
+    """
+    rng = random.Random(seed)
+    mixes = [
+        dataclasses.replace(mix, failing_share=0.0, hopeless_share=0.0)
+        for mix in default_mixes(False)
+    ]
+    jobs = draw_workload(seed, WorkloadOptions(SECONDS, 0.2, tuple(mixes)))
+    unlucky = next(job for job in jobs if len(job.spec.steps) == 1 and not job.spec.repetitions)
+    long_work = tuple(tuple(UNLUCKY_WORK_SECONDS for _ in step) for step in unlucky.work_s)
+    jobs = [dataclasses.replace(j, work_s=long_work) if j is unlucky else j for j in jobs]
+    options = EmulatorOptions(WorkloadOptions(SECONDS, 0.2, tuple(mixes)), workers=20)
+    emulator = Emulator(seed, options, jobs)
+    emulator.checks.is_undisturbed = False
+    task = TaskId(unlucky.job, 0, 0, 0)
+    at = 0.0
+    while at < UNLUCKY_SECONDS:
+        at += UNLUCKY_RUN_SECONDS
+        emulator.run_until(at)
+        take_worker_of(emulator, task, rng)
+    emulator.faults.unreachable_lives.clear()
+    emulator.run_until(at + 2 * UNLUCKY_WORK_SECONDS)
+    return emulator, unlucky
+
+
+def take_worker_of(emulator: Emulator, task: TaskId, rng: random.Random) -> None:
+    """Take the worker of a task away, without a crash."""
+    lives = [life for life, each in emulator.workers.items() if each.accepts_runs]
+    busy = [life for life in lives if task in emulator.workers[life].running]
+    for life in busy:
+        kind = rng.randrange(3)
+        if kind == 0:
+            emulator.fleet.leave(life, rng.choice([None, 0.5]))
+            emulator.fleet.add(0)
+        elif kind == 1:
+            emulator.fleet.drain(life)
+            emulator.fleet.add(0)
+        else:
+            cut_off = emulator.faults.unreachable_lives
+            cut_off.add(life)
+            emulator.timeline.call_after(rng.uniform(8.0, 20.0), partial(cut_off.discard, life))
+    if busy and rng.random() < 0.3:
+        emulator.kill_leader(rng.uniform(0.5, 3))
+
+
+class TestUnluckyJob(unittest.TestCase):
+    def test_job_that_loses_its_workers(self) -> None:
+        """A job is not shown as failed, however many of its workers leave or are cut off."""
+        for seed in UNLUCKY_SEEDS:
+            with self.subTest(seed=seed):
+                emulator, job = run_with_unlucky_job(seed)
+                self.assertEqual(emulator.checks.violations, [])
+                self.assertIs(emulator.statuses[job.job], JobStatus.COMPLETED)
+
+
 class TestChaos(unittest.TestCase):
     def test_invariants_hold_and_all_jobs_end(self) -> None:
         """Limits, single execution, order, attempts and cancellation hold, and every job ends."""
