Count no end of an earlier job under the same identifier as an attempt

Found by reading, not seen by callers: a worker that still lists the ends of a job long gone used up attempts of a new job that a caller handed in under the same identifier. A run number above the task's newest one, or the newest one on another worker than the run is on, can't be this job's: placements are on record before they are ordered.

Further tests, which held before: raised attempts and a removed queue, and a failure that later leaders hear of again.

--- a/src/snowdock/jobs/runs.py
+++ b/src/snowdock/jobs/runs.py
@@ -167,6 +167,9 @@
     )
     if end.kind is not EndKind.FAILED or task.step.spec.long_running:
         return
+    if end.run > task.run or (end.run == task.run and task.is_placed):
+        # The run of an earlier job under the same identifier: this job's is not there.
+        return
     if end.run in task.failed_runs:
         # Already counted; the acknowledgement has not reached the worker.
         return
--- a/tests/test_jobs_false_failures.py
+++ b/tests/test_jobs_false_failures.py
@@ -5,14 +5,22 @@
 
 import msgspec
 
-from snowdock.jobs.events import Persist, Persisted, SendStart, WorkerDelisted, WorkerListed
+from snowdock.jobs.events import (
+    ConfigurationChanged,
+    Persist,
+    Persisted,
+    SendStart,
+    WorkerDelisted,
+    WorkerListed,
+)
 from snowdock.jobs.evidence import Evidence
 from snowdock.jobs.job_state import Task
-from snowdock.jobs.model import JobStatus
+from snowdock.jobs.model import Configuration, JobStatus, Queue
 from snowdock.jobs.orders import EndKind
 from snowdock.jobs.progress import decode_progress
 from snowdock.jobs.takeover import RecordedJobs
 from tests.jobs_tools import (
+    FAILED,
     SMALL,
     Bench,
     LeaderSequence,
@@ -255,6 +263,58 @@
         self.assertEqual(self.bench.cell.charged_lives, {})
 
 
+class TestAttempts(LostRunsTestCase):
+    """What uses up the attempts that a queue permits: three here."""
+
+    def fail_runs(self, count: int) -> None:
+        for _ in range(count):
+            start = self.next_start()
+            self.bench.report(start.life, ended=[(self.task.id, start.order.run, FAILED)])
+
+    def configure(self, *queues: Queue) -> None:
+        version = self.bench.cell.configuration.version + 1
+        configuration = Configuration(version, queues, self.bench.cell.configuration.services)
+        self.bench.feed(ConfigurationChanged(configuration))
+
+    def test_attempts_are_raised(self) -> None:
+        """The attempts that the queue permits when a run fails count."""
+        self.fail_runs(2)
+        (queue,) = self.bench.cell.configuration.queues
+        self.configure(msgspec.structs.replace(queue, max_attempts=4))
+        self.fail_runs(1)
+        self.assert_may_run()
+        self.fail_runs(1)
+        self.assertIs(self.leaders.status, JobStatus.FAILED)
+
+    def test_queue_is_removed(self) -> None:
+        """The attempts at the job's acceptance count once its queue is removed."""
+        self.configure()
+        self.fail_runs(2)
+        self.assert_may_run()
+        self.fail_runs(1)
+        self.assertIs(self.leaders.status, JobStatus.FAILED)
+
+    def test_end_of_an_earlier_job(self) -> None:
+        """A failed run of an earlier job under the same identifier is no attempt."""
+        start = self.next_start()
+        self.bench.add_worker("v")
+        for run in (start.order.run, start.order.run + 1):
+            self.bench.report("v", ended=[(self.task.id, run, FAILED)])
+        self.assertEqual(self.task.failures, 0)
+
+    def test_failure_is_listed_again_to_the_next_leader(self) -> None:
+        """A failed run counts once, though the next leader hears of it again."""
+        start = self.next_start()
+        end = (self.task.id, start.order.run, FAILED)
+        self.bench.report(start.life, ended=[end])
+        for _ in range(3):
+            self.leaders.replace_leader()
+            self.leaders.list_worker(start.life, draining=True)
+            self.bench.report(start.life, ended=[end])
+        self.assertEqual(self.task.failures, 1)
+        self.assert_may_run()
+
+
 class TestRecordsOfEarlierVersions(LostRunsTestCase):
     def test_losses_of_unknown_workers(self) -> None:
         """Losses that an earlier version charged do not fail the job, and crashes still count."""
