--- a/src/snowdock/jobs/runs.py
+++ b/src/snowdock/jobs/runs.py
@@ -1,9 +1,10 @@
 """State transitions of runs, tasks, steps and jobs, mainly at the end of a run."""
 
+import enum
 import math
 
 from .cell import Cell, DeferredRenewal, PendingStop
-from .charges import charge_ended_run
+from .charges import charge_ended_run, forget_charges
 from .durability import mark_dirty
 from .events import PublishStatus, SendStop
 from .failed_runs import record_failed_run, record_success
@@ -16,6 +17,7 @@
 from .workers import Worker
 
 __all__ = [
+    "EndCause",
     "abort_gang",
     "acknowledge_ends",
     "apply_run_end",
@@ -25,7 +27,7 @@
     "enqueue_ready_steps",
     "fail_job",
     "mark_job_running",
-    "record_malformed_run",
+    "postpone_malformed_start",
     "send_stop",
     "stop_run",
     "void_run",
@@ -41,7 +43,22 @@
 in a row, and its upper bound."""
 
 _MALFORMED_PAUSE_SECONDS = 1.0
-"""Delay of the next attempt after a worker rejected a start order as malformed."""
+_MAX_MALFORMED_PAUSE_SECONDS = 30.0
+"""Delay of a task's next start after a worker refused one as malformed, which doubles with each
+further refusal, and its upper bound: other workers probably refuse it as well."""
+
+
+class EndCause(enum.Enum):
+    """The rule by which a job ended."""
+
+    DONE = "done"
+    """All tasks are done."""
+    FAILED_ATTEMPTS = "failed_attempts"
+    """The runs of a task, or of a gang, have failed as often as the queue permits."""
+    CRASHES = "crashes"
+    """A task was given up because workers crashed under it."""
+    CANCEL_RECORD = "cancel_record"
+    """The store has a record that cancels the job."""
 
 
 def create_repetition(job: Job, repetition: int) -> list[Step]:
@@ -138,7 +155,7 @@
     elif end.kind is EndKind.FAILED:
         _record_failure(cell, task, end.run, worker.life, now)
     if charge_ended_run(cell, worker, task, end.run):
-        fail_job(cell, job, now)
+        fail_job(cell, job, EndCause.CRASHES, now)
     if not job.status.is_final:
         _requeue_task(cell, task, now)
 
@@ -150,6 +167,9 @@
     )
     if end.kind is not EndKind.FAILED or task.step.spec.long_running:
         return
+    if end.run > task.run or (end.run == task.run and task.is_placed):
+        # The run of an earlier job under the same identifier: this job's is not there.
+        return
     if end.run in task.failed_runs:
         # Already counted; the acknowledgement has not reached the worker.
         return
@@ -196,22 +216,33 @@
     if len(job.repetitions) < repetition_count:
         return
     if all(step.is_done for step in job.all_steps()):
-        _end_job(cell, job, JobStatus.COMPLETED, now)
+        _end_job(cell, job, JobStatus.COMPLETED, EndCause.DONE, now)
 
 
 def _record_failure(cell: Cell, task: Task, run: int, life: str, now: float) -> None:
     """Count a failed run, and fail the job if its queue permits no further attempt."""
     step = task.step
-    if task.avoided_lives is None:
-        task.avoided_lives = set()
-    task.avoided_lives.add(life)
+    _avoid_worker(task, life)
     # All members share the failure count: a gang's run fails once, however many members fail.
     for each in step.tasks if step.spec.gang else [task]:
         each.failed_runs.add(run)
     step.not_before = now + cell.policy.backoff_seconds(step, task.failures)
     max_attempts = cell.queue_of(step.job).max_attempts
     if task.failures >= max_attempts:
-        fail_job(cell, step.job, now)
+        cell.log_decision(
+            "attempts_used_up",
+            step.job.id,
+            task=task.id,
+            failed_runs=sorted(task.failed_runs),
+            max_attempts=max_attempts,
+        )
+        fail_job(cell, step.job, EndCause.FAILED_ATTEMPTS, now)
+
+
+def _avoid_worker(task: Task, life: str) -> None:
+    if task.avoided_lives is None:
+        task.avoided_lives = set()
+    task.avoided_lives.add(life)
 
 
 def _pause_after_early_failure(task: Task, kind: EndKind, now: float) -> None:
@@ -227,14 +258,26 @@
     task.not_before = now + pause_s
 
 
-def record_malformed_run(cell: Cell, task: Task, run: int, life: str, now: float) -> None:
-    """Record a run that its worker rejected as malformed as a failed run."""
+def postpone_malformed_start(cell: Cell, task: Task, life: str, now: float) -> None:
+    """Delay a task's next start after a worker refused one as malformed.
+
+    Nothing has run, so no attempt is used up. Another worker may accept the start.
+    """
     job = task.step.job
     if job.status.is_final:
         return
-    mark_dirty(cell, job)
-    _record_failure(cell, task, run, life, now)
-    task.step.not_before = max(task.step.not_before, now + _MALFORMED_PAUSE_SECONDS)
+    _avoid_worker(task, life)
+    pause_s = min(_MAX_MALFORMED_PAUSE_SECONDS, _MALFORMED_PAUSE_SECONDS * 2**task.malformed_starts)
+    task.malformed_starts += 1
+    task.step.not_before = max(task.step.not_before, now + pause_s)
+    cell.log_decision(
+        "malformed_start_postponed",
+        job.id,
+        task=task.id,
+        worker=life,
+        refusals=task.malformed_starts,
+        pause_s=pause_s,
+    )
 
 
 def _requeue_task(cell: Cell, task: Task, now: float) -> None:
@@ -302,17 +345,18 @@
 def cancel_job(cell: Cell, job: Job, now: float) -> None:
     """Cancel a job that has not ended."""
     if not job.status.is_final:
-        _end_job(cell, job, JobStatus.CANCELLED, now)
+        _end_job(cell, job, JobStatus.CANCELLED, EndCause.CANCEL_RECORD, now)
 
 
-def fail_job(cell: Cell, job: Job, now: float) -> None:
+def fail_job(cell: Cell, job: Job, cause: EndCause, now: float) -> None:
     """Fail a job that has not ended; the status is published once it is recorded."""
     if not job.status.is_final:
-        _end_job(cell, job, JobStatus.FAILED, now)
+        _end_job(cell, job, JobStatus.FAILED, cause, now)
 
 
-def _end_job(cell: Cell, job: Job, status: JobStatus, now: float) -> None:
+def _end_job(cell: Cell, job: Job, status: JobStatus, cause: EndCause, now: float) -> None:
     job.status = status
+    forget_charges(cell, job)
     cell.job_ended_at[job.id] = now
     cell.scheduled_jobs.pop(job.id, None)
     for step in job.all_steps():
@@ -326,6 +370,7 @@
         "job_ended",
         job.id,
         status=status.name.lower(),
+        cause=cause.value,
         queue=job.queue,
         seconds=now - job.submitted_at,
     )
--- a/src/snowdock/jobs/workers.py
+++ b/src/snowdock/jobs/workers.py
@@ -108,6 +108,9 @@
         Whether the store lists it, and if not, since when, in steady seconds.
     may_return
         If it is not listed: whether its entry may have expired due to a store outage.
+    has_left
+        If it is not listed: whether it has answered since, so that it will end soon without having
+        been marked as draining.
     is_synced
         Whether it has listed all its runs to this leader since its runs were last marked as lost.
     clock_ms, clock_at
@@ -146,9 +149,6 @@
         The suspects there by their runs, see `suspects`.
     exclusive_run
         The run of the suspect that has the worker to itself; None if there is none.
-    unresolved_losses
-        Runs charged as lost there since its last answer, and whether it had confirmed each of
-        them: it is not known yet whether the worker crashed.
     inherited
         The runs that were placed on an earlier life; whether this one has them is unknown until
         its first report.
@@ -163,6 +163,7 @@
     listed: bool = True
     delisted_at: float = 0.0
     may_return: bool = False
+    has_left: bool = False
     is_synced: bool = False
     clock_ms: float = 0.0
     clock_at: float = 0.0
@@ -184,7 +185,6 @@
     log_slowness: float = 0.0
     suspects: dict[tuple[TaskId, int], Task] = dataclasses.field(default_factory=dict)
     exclusive_run: tuple[TaskId, int] | None = None
-    unresolved_losses: dict[tuple[TaskId, int], bool] = dataclasses.field(default_factory=dict)
     inherited: set[tuple[TaskId, int]] = dataclasses.field(default_factory=set)
     _free: Size = ZERO_SIZE
     _free_inputs: tuple[Size, Size] | None = None
@@ -194,6 +194,11 @@
         """The identifier of this life of the worker."""
         return self.entry.life
 
+    @property
+    def is_leaving(self) -> bool:
+        """Whether it is shutting down, announced or not, so that its end is not a crash."""
+        return self.entry.draining or self.has_left
+
     @property
     def is_exclusive(self) -> bool:
         """Whether a run there requires exclusive use of the worker."""
