--- a/src/snowdock/emulator/emulator.py
+++ b/src/snowdock/emulator/emulator.py
@@ -12,6 +12,7 @@
     BatchRejected,
     CloseWorker,
     ConfigurationChanged,
+    DropAdvice,
     DropJobs,
     DropProgress,
     Event,
@@ -152,6 +153,7 @@
             RecordPrediction: _ignore,
             OpenWorker: _ignore,
             CloseWorker: _ignore,
+            DropAdvice: _ignore,
             DropJobs: _ignore,
             DropProgress: self._drop_progress,
             ForgetAccepted: self._forget_accepted,
@@ -402,7 +404,7 @@
         self.statuses[effect.job] = effect.status
         if effect.status.is_final:
             self.finished_at.setdefault(effect.job, now)
-            self.checks.check_status(effect.job, effect.status is JobStatus.COMPLETED, now)
+            self.checks.check_status(effect.job, effect.status, now)
 
 
 def _ignore(*_: object) -> None:
--- a/src/snowdock/entry/advice_dispatcher.py
+++ b/src/snowdock/entry/advice_dispatcher.py
@@ -7,6 +7,7 @@
 import concurrent.futures
 import contextlib
 import dataclasses
+import math
 import threading
 from collections.abc import Callable
 
@@ -14,7 +15,7 @@
 from ..errors import CallUnanswered, PlatformError
 from ..jobs.events import AdviceAnswered, AdviceFailed, AskAdvice, Event
 from ..jobs.orders import AdviceRequest, AdviceResult
-from ..jobs.timeouts import LONG_ADVICE_REQUEST_MS
+from ..jobs.timeouts import ADVICE_MIX_SECONDS, LONG_ADVICE_REQUEST_MS
 from ..logs import log_error, log_event
 from ..node.metrics import Metrics
 from ..node.peers import Peers
@@ -41,6 +42,10 @@
 """How long no request is given to a node to which there was no connection. It fails at once, and
 would otherwise take each request before the nodes that work."""
 
+_FAILED_CALL_PAUSE_SECONDS = 0.5
+"""How long no request is given to a node whose call to the service has failed. It may fail at once
+as well; if all nodes do, the pause delays the first request after an outage."""
+
 _HEDGE_DELAY_FACTOR = 2.0
 _HEDGE_DELAY_SECONDS = 0.15
 """A request without an answer after the expected time multiplied by the factor, plus the seconds,
@@ -67,8 +72,8 @@
 may still work on the request. An answer that comes nevertheless ends the pause."""
 
 _MAX_LONG_SHARE = 0.67
-"""Largest share of the nodes that long requests may occupy at a time, so that short requests,
-which belong to interactive jobs, find a free node soon."""
+"""Largest share of the nodes that long requests may occupy at a time while there are short ones, so
+that these, which belong to interactive jobs, find a free node soon."""
 
 
 class LocalAdviceClient:
@@ -181,6 +186,7 @@
         self._metrics = metrics
         self._record_relay_excess = record_relay_excess
         self._short_requests: collections.deque[_PendingRequest] = collections.deque()
+        self._last_short_at = -math.inf
         self._long_requests: collections.deque[_PendingRequest] = collections.deque()
         self._pending: dict[AdviceRequest, _PendingRequest] = {}
         self._in_progress: dict[str, _Attempt] = {}
@@ -197,10 +203,24 @@
         """Queue a request for the next free node."""
         pending = _PendingRequest(effect)
         with self._lock:
+            if not pending.is_long:
+                self._last_short_at = steady_seconds()
             self._pending[effect.request] = pending
             (self._long_requests if pending.is_long else self._short_requests).append(pending)
         self._dispatch()
 
+    def drop(self, request: AdviceRequest) -> None:
+        """Send a request to no further node; an answer that still comes is posted."""
+        with self._lock:
+            pending = self._pending.get(request)
+            if pending is None:
+                return
+            pending.hedge_at = None
+            pending.attempts = _MAX_ATTEMPTS
+            self._remove_from_queues(pending)
+            if not pending.open_attempts:
+                del self._pending[request]
+
     def stop(self) -> None:
         """Drop all requests and send no more."""
         self._stopped.set()
@@ -219,7 +239,7 @@
         with self._lock:
             idle = self._find_idle(nodes, now)
             long_count = sum(each.pending.is_long for each in self._in_progress.values())
-            max_long = max(1, int(len(nodes) * _MAX_LONG_SHARE))
+            max_long = self._max_long_attempts(len(nodes), now)
             while idle and (
                 self._short_requests or (self._long_requests and long_count < max_long)
             ):
@@ -235,6 +255,12 @@
             elif not self._stopped.is_set():
                 self._own_thread.submit(self._ask_own, attempt)
 
+    def _max_long_attempts(self, node_count: int, now: float) -> int:
+        """Return how many nodes long requests may occupy at a time."""
+        if now - self._last_short_at > ADVICE_MIX_SECONDS:
+            return node_count
+        return max(1, int(node_count * _MAX_LONG_SHARE))
+
     def _nodes(self) -> list[str]:
         return [*sorted(self._live_nodes()), self._own_node]
 
@@ -281,7 +307,7 @@
             for each in lost:
                 log_event("advice_lost", job=each.pending.effect.request.job, by=each.node)
                 self._finish_attempt(each, None, may_retry=True)
-            if late or lost or self._unavailable_until:
+            if late or lost or self._unavailable_until or self._long_requests:
                 self._dispatch()
 
     def _find_lost(self, now: float) -> list[_Attempt]:
@@ -308,8 +334,11 @@
         except Exception as error:
             # The failure is posted, and the leader requests advice for the step again.
             log_error("adviser_failed", error, job=request.job, by=attempt.node)
+        has_failed = tickets is None
+        if has_failed:
+            self._record_failed_call(attempt.node)
         self._record_time(attempt)
-        self._finish_attempt(attempt, tickets)
+        self._finish_attempt(attempt, tickets, may_retry=has_failed, may_wait=has_failed)
         self._dispatch()
 
     def _ask_peer(self, attempt: _Attempt) -> None:
@@ -336,6 +365,7 @@
     def _handle_outcome(self, attempt: _Attempt, outcome: AdviceReply | PlatformError) -> None:
         """Handle the reply of a peer, or its absence; called on the peers' thread."""
         tickets = None
+        may_wait = False
         if isinstance(outcome, PlatformError):
             job = attempt.pending.effect.request.job
             log_event("advice_unanswered", job=job, by=attempt.node, reason=str(outcome))
@@ -344,8 +374,12 @@
         elif isinstance(outcome, AdviceReply):
             tickets = outcome.tickets
             self._record_reply(attempt, outcome)
+            if tickets is None:
+                may_wait = True
+                self._record_failed_call(attempt.node)
         self._record_time(attempt)
-        self._finish_attempt(attempt, tickets, may_retry=isinstance(outcome, CallUnanswered))
+        may_retry = may_wait or isinstance(outcome, CallUnanswered)
+        self._finish_attempt(attempt, tickets, may_retry, may_wait)
         self._dispatch()
 
     def _record_failure(self, attempt: _Attempt, error: CallUnanswered) -> None:
@@ -356,6 +390,11 @@
             elif not attempt.is_finished:
                 self._record_loss(attempt.node, now)
 
+    def _record_failed_call(self, node: str) -> None:
+        """Give a node no request for a while, because its call to the service has failed."""
+        with self._lock:
+            self._unavailable_until[node] = steady_seconds() + _FAILED_CALL_PAUSE_SECONDS
+
     def _record_reply(self, attempt: _Attempt, reply: AdviceReply) -> None:
         took_s = steady_seconds() - attempt.started_at
         if reply.took_s is not None:
@@ -372,12 +411,17 @@
         )
 
     def _finish_attempt(
-        self, attempt: _Attempt, tickets: dict[str, str] | None, may_retry: bool = False
+        self,
+        attempt: _Attempt,
+        tickets: dict[str, str] | None,
+        may_retry: bool = False,
+        may_wait: bool = False,
     ) -> None:
         """Free the node, and post the first answer, or a failure once all attempts have failed.
 
         An attempt that counted as lost has been finished before, but its answer is still used. With
-        ``may_retry``, a failed request is sent again if another node is idle.
+        ``may_retry``, a failed request is sent again if another node is idle; with ``may_wait``,
+        also if it has to wait for one that is busy.
         """
         pending = attempt.pending
         request = pending.effect.request
@@ -388,23 +432,33 @@
             if is_first_result:
                 del self._in_progress[attempt.node]
                 pending.open_attempts -= 1
-            is_current = self._pending.get(request) is pending
+            current = self._pending.get(request)
+            is_current = current is pending
             is_queued = pending in self._short_requests or pending in self._long_requests
             if may_retry and is_first_result and is_current and not is_queued:
-                is_queued = pending.attempts < _MAX_ATTEMPTS and bool(
-                    self._find_idle(nodes, steady_seconds())
-                )
+                is_queued = self._may_send_again(pending, nodes, may_wait)
                 if is_queued:
                     self._queue_first(pending)
             is_last = is_first_result and not pending.open_attempts and not is_queued
-            if is_current and (tickets is not None or is_last):
+            # The answer also serves a request that was sent again with the same workers.
+            is_answered = current is not None and tickets is not None
+            if is_answered or (is_current and is_last):
                 del self._pending[request]
-                self._remove_from_queues(pending)
-        if is_current and tickets is not None:
+                self._remove_from_queues(current)
+        if is_answered:
             self._post(AdviceAnswered(AdviceResult(request, tickets)))
         elif is_current and is_last:
             self._post(AdviceFailed(request))
 
+    def _may_send_again(self, pending: _PendingRequest, nodes: list[str], may_wait: bool) -> bool:
+        if pending.attempts >= _MAX_ATTEMPTS:
+            return False
+        now = steady_seconds()
+        if not may_wait:
+            return bool(self._find_idle(nodes, now))
+        is_open = pending.open_attempts > 0
+        return not is_open and any(self._unavailable_until.get(node, 0.0) <= now for node in nodes)
+
     def _record_loss(self, node: str, now: float) -> None:
         self._losses[node] += 1
         pause_s = min(_MAX_LOSS_PAUSE_SECONDS, _LOSS_PAUSE_SECONDS * 2 ** (self._losses[node] - 1))
--- a/src/snowdock/jobs/cell.py
+++ b/src/snowdock/jobs/cell.py
@@ -2,6 +2,7 @@
 
 import collections
 import dataclasses
+import math
 import typing
 from collections.abc import Callable
 
@@ -212,10 +213,24 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class PendingAdvice:
-    """A pending advice request: the service of its step, and whether it may be a long one."""
+    """A pending advice request.
+
+    Attributes
+    ----------
+    service
+        The service of its step.
+    is_long
+        Whether it may be a long one.
+    expires_at
+        Time from which it no longer counts as pending, in steady-clock seconds.
+    is_in_turn
+        Whether its step sent it in turn, see `advice_turns`.
+    """
 
     service: str
     is_long: bool
+    expires_at: float
+    is_in_turn: bool = False
 
 
 class Cell:
@@ -268,6 +283,8 @@
         Steps with unplaced tasks, in the order in which they were last ranked.
     scheduled_jobs
         Jobs with repetitions that are not due yet.
+    charged_lives
+        The charged runs of unended jobs, by the life of their worker.
     crashed_at
         Time of the last worker crash, by address.
     failing_step_share
@@ -308,8 +325,13 @@
         Number of nodes that can call the advice service.
     advice_requests
         Pending advice requests.
+    last_short_request_at
+        Time of the last short advice request.
+    reserved_requests
+        Number of requests that are kept for steps in turn, by whether they are long ones; see
+        `advice_turns`.
     advised_services
-        Services of the waiting steps that need advice, as of the last placement pass.
+        Services of the waiting steps that may request advice soon, as of the last placement pass.
     needs_placement
         Whether a change since the last placement pass may allow a waiting step to be placed.
     last_placement_at, next_placement_at, last_ranking_at
@@ -348,6 +370,7 @@
         self.quota_reservations: dict[str, QuotaReservation] = {}
         self.waiting_steps: dict[StepKey, Step] = {}
         self.scheduled_jobs: dict[JobId, Job] = {}
+        self.charged_lives: dict[str, set[tuple[TaskId, int]]] = {}
         self.crashed_at: dict[str, float] = {}
         self.failing_step_share: dict[str, float] = {}
         self.silence_times: collections.deque[float] = collections.deque(maxlen=_MAX_SILENCES)
@@ -371,6 +394,8 @@
         self.effects: list[Effect] = []
         self.advice_node_count = 1
         self.advice_requests: dict[AdviceRequest, PendingAdvice] = {}
+        self.last_short_request_at = -math.inf
+        self.reserved_requests: collections.Counter[bool] = collections.Counter()
         self.advised_services: frozenset[str] = frozenset()
         self.needs_placement = False
         self.last_placement_at = 0.0
--- a/src/snowdock/jobs/job_state.py
+++ b/src/snowdock/jobs/job_state.py
@@ -4,12 +4,14 @@
 import enum
 from collections.abc import Mapping
 
+from .evidence import Charge, Evidence
 from .load_history import WaitPrediction
 from .model import AdviceTerms, JobId, JobStatus, StepKey, StepSpec, TaskId
+from .orders import AdviceRequest
 from .progress import AcceptedJob, record_name
 from .progress_layout import ProgressLayout
 
-__all__ = ["Advice", "Job", "Phase", "Step", "Task"]
+__all__ = ["Advice", "AskObstacle", "Job", "Phase", "Step", "Task"]
 
 
 class Phase(enum.Enum):
@@ -27,6 +29,31 @@
     DONE = "done"
 
 
+class AskObstacle(enum.Enum):
+    """Why the last search for a step requested no advice; values are log fields."""
+
+    PAUSE = "pause"
+    """All its waiting tasks are paused."""
+    QUOTA = "quota"
+    """The team's quota admits none of its tasks."""
+    ROOM = "room"
+    """No open worker has room for one of its tasks."""
+    PLACED = "placed"
+    """Some of its tasks were placed."""
+    CLAIM = "claim"
+    """Runs are being preempted for it."""
+    PENDING = "pending"
+    """A request is not answered yet."""
+    RETRY = "retry"
+    """A request failed just before."""
+    LIMIT = "limit"
+    """As many requests of its kind are pending as may be."""
+    SHARE = "share"
+    """The remaining requests are reserved for other steps."""
+    WORKER = "worker"
+    """There is no worker for which an answer could lead to a placement."""
+
+
 @dataclasses.dataclass(slots=True)
 class Advice:
     """Answers of the advice service about a step.
@@ -39,21 +66,32 @@
         Ticket and its expiry time, in steady-clock seconds, by life of a fit worker.
     unfit
         Lives of workers that may not run the step.
-    pending_requests
-        Number of requests that are not answered yet.
+    pending
+        Requests that are not answered yet.
     retry_at
         Earliest time of the next request after a failed one, in steady-clock seconds.
     next_search_at
         Earliest time of the next search for workers to ask about, in steady-clock seconds. It does
         not apply once a fit worker has enough free room.
+    asked_at
+        Time of the last request, in steady-clock seconds; 0 before the first.
+    turn_at
+        Time of the last turn to request advice whatever the step's rank, see `advice_turns`.
     """
 
     terms: AdviceTerms
     tickets: dict[str, tuple[str, float]] = dataclasses.field(default_factory=dict)
     unfit: set[str] = dataclasses.field(default_factory=set)
-    pending_requests: int = 0
+    pending: set[AdviceRequest] = dataclasses.field(default_factory=set)
     retry_at: float = 0.0
     next_search_at: float = 0.0
+    asked_at: float = 0.0
+    turn_at: float = 0.0
+
+    @property
+    def pending_requests(self) -> int:
+        """Number of requests that are not answered yet."""
+        return len(self.pending)
 
     def is_known(self, life: str) -> bool:
         """Check whether the service has answered for a worker."""
@@ -75,13 +113,14 @@
         Number of the newest run; 0 before the first.
     life
         Life of the worker on which that run exists or may exist; empty for none.
+    address
+        IP address and port of the worker that the newest run was placed on; empty if unknown.
     is_confirmed
         Whether the worker has reported the newest run to this leader.
     failed_runs
         Numbers of the failed runs, which count as attempts.
-    lost_runs, crashed_runs
-        Numbers of the runs that were lost with their worker, and of those whose worker certainly
-        crashed.
+    charges
+        Its runs that may have crashed their workers, the newest charges last.
     checkpoint
         Checkpoint from which the next run resumes; empty to start from the beginning.
     phase_since
@@ -94,6 +133,8 @@
     early_failures, not_before
         For a long-running task: number of runs in a row that failed just after their start, and
         earliest time of the next start.
+    malformed_starts
+        Number of starts that workers refused as malformed to this leader.
     ordered_at
         Time at which the newest run was placed, ordered, or restored from the records of an earlier
         leader, whichever was last.
@@ -106,7 +147,8 @@
     moves, preemptions
         Number of times that a run was moved away from a slow worker, and was preempted.
     avoided_lives
-        Lives of workers on which runs of the task failed; None for none.
+        Lives of workers on which runs of the task failed, or that refused a start as malformed;
+        None for none.
     """
 
     id: TaskId
@@ -114,16 +156,17 @@
     phase: Phase = Phase.WAITING
     run: int = 0
     life: str = ""
+    address: str = ""
     is_confirmed: bool = False
     failed_runs: set[int] = dataclasses.field(default_factory=set)
-    lost_runs: frozenset[int] = frozenset()
-    crashed_runs: frozenset[int] = frozenset()
+    charges: tuple[Charge, ...] = ()
     checkpoint: str = ""
     phase_since: float = 0.0
     seen_at: float = 0.0
     idle_since: float = 0.0
     early_failures: int = 0
     not_before: float = 0.0
+    malformed_starts: int = 0
     ordered_at: float = 0.0
     percent: float = 0.0
     measured_percent: float = 0.0
@@ -138,6 +181,16 @@
         """Number of failed runs; for a member of a gang, of the whole gang."""
         return len(self.failed_runs)
 
+    @property
+    def lost_runs(self) -> frozenset[int]:
+        """Numbers of the charged runs."""
+        return frozenset(charge.run for charge in self.charges)
+
+    @property
+    def crashed_runs(self) -> frozenset[int]:
+        """Numbers of the charged runs that certainly crashed their workers."""
+        return frozenset(charge.run for charge in self.charges if charge.evidence is Evidence.CRASH)
+
     @property
     def is_placed(self) -> bool:
         """Whether a run of the task exists, or may exist, on a worker."""
@@ -190,6 +243,8 @@
         Whether the team's quota admits none of the waiting tasks.
     has_new_advice
         Whether advice arrived since the last search.
+    ask_obstacle
+        Why the last search requested no advice; None if it did, or before the first search.
     policy_view
         Description of the step that is passed to policy programs to score workers; None before
         the first score.
@@ -218,6 +273,7 @@
     quota_available_since: float | None = None
     is_at_quota: bool = False
     has_new_advice: bool = False
+    ask_obstacle: AskObstacle | None = None
     policy_view: Mapping[str, object] | None = None
 
     @property
--- a/src/snowdock/jobs/placement.py
+++ b/src/snowdock/jobs/placement.py
@@ -3,20 +3,18 @@
 import dataclasses
 import math
 
+from .advice_choice import shortest_answer_seconds
+from .advice_limits import find_advised_services, find_ask_obstacle
+from .advice_turns import find_steps_in_turn
 from .candidates import Candidate, choose_workers, find_candidates, is_bulky
 from .cell import Cell, DeferredStart
 from .durability import mark_dirty
 from .expected_finish import order_by_speed, prefer_by_finish, withhold_slow_workers
 from .failed_runs import begin_probation_run
-from .job_state import Phase, Step, Task
+from .job_state import AskObstacle, Phase, Step, Task
 from .load import record_first_wait, record_started
 from .occupancy import occupy
-from .placement_advice import (
-    find_advised_services,
-    may_request_advice,
-    needs_advice,
-    request_advice,
-)
+from .placement_advice import needs_advice, request_advice
 from .preemption import has_claim, preempt_runs, release_expired_claims
 from .quotas import reserve_quotas, tasks_within_quota
 from .ranking import refresh_ranks
@@ -59,7 +57,8 @@
 def place_waiting_steps(cell: Cell, now: float) -> None:
     """Run a placement pass over the waiting steps, in descending order of rank.
 
-    Steps that have the highest rank by aging come first, within a limit of their own.
+    Steps that have the highest rank by aging come first, within a limit of their own. Steps whose
+    turn it is to request advice come last, so that they are not placed before steps of higher rank.
     """
     if not cell.waiting_steps or now < cell.next_placement_at:
         return
@@ -71,6 +70,7 @@
     cell.advised_services = find_advised_services(cell)
     pools = WorkerPools(cell, now)
     examined = len(cell.workers)
+    in_turn = find_steps_in_turn(cell, now)
     waiting = cell.waiting_steps.values()
     aged = [step for step in waiting if math.isinf(step.rank)]
     aged.sort(key=lambda step: step.last_search_at)
@@ -84,6 +84,8 @@
     examined += _search_steps(cell, newly_advised, pools, now, _MAX_EXAMINED_PER_PASS)
     neglected = _find_neglected_steps(cell, examined_by_rank >= max_examined, now)
     examined += _search_steps(cell, neglected, pools, now, max_examined)
+    in_turn = [step for step in in_turn if step.key in cell.waiting_steps]
+    examined += _search_steps(cell, in_turn, pools, now, _MAX_EXAMINED_PER_PASS // 4)
     pause = examined * cell.settings.examination_s / cell.settings.pass_time_share
     cell.next_placement_at = now + max(_MIN_PASS_INTERVAL_SECONDS, pause)
 
@@ -127,13 +129,16 @@
     if not tasks:
         if not step.waiting_tasks:
             del cell.waiting_steps[step.key]
+        step.ask_obstacle = AskObstacle.PAUSE
         return 1
     tasks = tasks[: _limit_to_quota(cell, step, len(tasks))]
     if not tasks:
+        step.ask_obstacle = AskObstacle.QUOTA
         return 1
     pool = pools.pool_for(step)
     step.is_bulky = is_bulky(step, pool.capacity)
     if not pool.may_hold(step):
+        step.ask_obstacle = AskObstacle.ROOM
         return 1
     if needs_advice(cell, step):
         return 1 + _place_advised(cell, step, tasks, isolation, pool, now)
@@ -178,18 +183,40 @@
     remaining = _place_tasks(cell, step, tasks, isolation, candidates, now)
     examined = len(workers)
     if not remaining or (len(remaining) < len(tasks) and not step.is_bulky):
+        step.ask_obstacle = AskObstacle.PLACED
         return examined
     if step.is_bulky:
         examined += len(fit)
         if _claim_or_reserve_room(cell, step, workers, fit, len(remaining), now):
+            step.ask_obstacle = AskObstacle.CLAIM
             return examined
-    if not step.advice.pending_requests and may_request_advice(cell, step, fit, now):
-        preferred_first = order_by_speed(cell, step, pool, now)
-        examined += request_advice(cell, step, preferred_first, fit, len(remaining), now)
+    examined += _request_advice(cell, step, pool, fit, isolation, len(remaining), now)
     _defer_search(cell, step, now)
     return examined
 
 
+def _request_advice(
+    cell: Cell,
+    step: Step,
+    pool: WorkerPool,
+    fit: list[Worker],
+    isolation: IsolationLevel,
+    wanted: int,
+    now: float,
+) -> int:
+    """Request advice if an answer could lead to a placement; return the workers examined."""
+    answer_at = now + shortest_answer_seconds(step.advice)
+    if isolation is not IsolationLevel.NONE:
+        # It may be lower by then.
+        _, isolation = next_tasks(step, answer_at)
+        fit = _filter_by_isolation(isolation, _find_fit_workers(step, pool), answer_at)
+    step.ask_obstacle = find_ask_obstacle(cell, step, fit, now)
+    if step.ask_obstacle is not None:
+        return 0
+    workers = _filter_by_isolation(isolation, order_by_speed(cell, step, pool, now), answer_at)
+    return request_advice(cell, step, workers, fit, wanted, now)
+
+
 def _choose_by_finish(
     cell: Cell,
     step: Step,
@@ -322,6 +349,7 @@
     for task, worker in zip(tasks, chosen, strict=False):
         task.run = gang_run if step.spec.gang else task.run + 1
         task.life = worker.life
+        task.address = worker.entry.address
         task.is_confirmed = False
         task.phase = Phase.RECORDED
         task.phase_since = task.ordered_at = now
@@ -350,7 +378,7 @@
     if not remaining:
         del cell.waiting_steps[step.key]
         release_expired_claims(cell, now)
-    elif any(task.lost_runs for task in remaining):
+    elif any(task.charges for task in remaining):
         # These tasks have another isolation level and were not considered in this search.
         cell.needs_placement = True
 
--- a/src/snowdock/jobs/placement_advice.py
+++ b/src/snowdock/jobs/placement_advice.py
@@ -1,49 +1,33 @@
 """Requests to the external advice service, which decides which workers may run a step."""
 
-import collections
 import math
-from collections.abc import Iterable
 
-from ..declarations import Size
-from .candidates import count_fitting
+from .advice_choice import (
+    MAX_ANSWER_TIME_FACTOR,
+    MAX_WORKERS_PER_REQUEST,
+    choose_workers_to_ask,
+    count_cheap_workers,
+    estimate_answer_seconds,
+    max_parallel_requests,
+)
+from .advice_limits import is_long_advice
 from .cell import Cell, PendingAdvice
-from .events import AdviceAnswered, AdviceFailed, AskAdvice
-from .job_state import Advice, Step
+from .events import AdviceAnswered, AdviceFailed, AskAdvice, DropAdvice
+from .job_state import Advice, AskObstacle, Step
 from .orders import AdviceRequest
-from .reservations import find_reservation, hold_room
-from .timeouts import LONG_ADVICE_REQUEST_MS
+from .reservations import hold_room
 from .workers import Worker
 
 __all__ = [
     "apply_advice",
-    "find_advised_services",
+    "expire_requests",
     "handle_advice_failure",
-    "may_request_advice",
-    "may_request_early_advice",
     "needs_advice",
     "request_advice",
     "request_early_advice",
     "ticket_lifetime_seconds",
 ]
 
-_MAX_WORKERS_PER_REQUEST = 100
-"""Maximum number of workers in one request, a limit of the service."""
-
-_UNKNOWN_SLOTS_PER_TASK = 5
-"""Slots on workers not asked about yet that are requested for each task: as few as three in
-ten workers are fit, and some of the slots are taken before the answer."""
-
-_KNOWN_SLOTS_PER_TASK = 2
-"""Slots on workers known to be fit that are requested for each task."""
-
-_CHEAP_TIME_SHARE = 0.5
-"""Workers are added to a request as long as they extend it by at most this fraction of its fixed
-duration."""
-
-_MAX_ANSWER_TIME_FACTOR = 1.5
-"""Assumed maximum ratio of an answer's actual to its expected duration: a request may be queued
-behind another one."""
-
 _TICKET_MARGIN_SECONDS = 0.15
 """Tickets are considered expired this much early, to cover the time to record and send a start,
 including earlier calls to the same worker."""
@@ -52,26 +36,11 @@
 """Time for which resources are held beyond an answer's duration: the network round trip and a
 placement pass."""
 
-_SHORT_REQUESTS_PER_NODE = 2
-"""Maximum number of pending short requests for each node that can call the service: one in
-progress and one queued. Further ones would be answered in the order of sending, even if others
-became more urgent meanwhile."""
-
-_LONG_REQUESTS_PER_NODE = 0.75
-"""Maximum number of pending long requests for each node that can call the service, slightly more
-than can be in progress. They are counted separately so that they never delay short requests."""
-
-_RESERVED_SHARE = 0.5
-"""Share of the pending requests that is reserved for the services of waiting steps, in equal parts:
-otherwise a crowded service takes all of them, and steps of another one wait beside free room."""
-
-_EARLY_REQUEST_SHARE = 0.5
-"""Share of the pending requests up to which requests for steps that do not wait yet are sent. The
-others are left to steps that wait."""
-
-_BULKY_PARALLEL_REQUESTS = 4
-"""Maximum number of parallel requests for a bulky step. If they were sent one after the other, the
-first tickets would expire before the last answer."""
+_EXPIRY_FACTOR = 3.0
+_EXPIRY_SECONDS = 0.5
+"""A request without an answer no longer counts as pending after its expected duration multiplied by
+the factor, plus the seconds: another node is asked after twice that duration, and answers by then.
+Users allow three seconds beside free room."""
 
 _RETRY_SECONDS = 0.2
 """Delay before the next request after a failed one."""
@@ -91,62 +60,6 @@
     return True
 
 
-def may_request_advice(cell: Cell, step: Step, fit: Iterable[Worker], now: float) -> bool:
-    """Check whether a request about a step may be sent now.
-
-    Parameters
-    ----------
-    cell
-        State of the leader.
-    step
-        The step.
-    fit
-        Workers that are known to be fit for the step.
-    now
-        Current time on the steady clock, in seconds.
-    """
-    advice = step.advice
-    if now < advice.retry_at:
-        return False
-    if now < advice.next_search_at and not _has_obtainable_room(step, fit):
-        return False
-    limit, pending = _max_pending_requests(cell, advice), _count_pending_requests(cell, advice)
-    others = cell.advised_services - {cell.queue_of(step.job).service}
-    share = _RESERVED_SHARE * limit / (1 + len(others))
-    reserved = sum(max(0, math.ceil(share) - pending[service]) for service in others)
-    return pending.total() + min(reserved, limit - 1) < limit
-
-
-def may_request_early_advice(cell: Cell, step: Step, now: float) -> bool:
-    """Check whether a request may be sent now for a step that does not wait yet."""
-    advice = step.advice
-    if advice.pending_requests or now < max(advice.retry_at, advice.next_search_at):
-        return False
-    limit, pending = _max_pending_requests(cell, advice), _count_pending_requests(cell, advice)
-    return pending.total() + 1 <= _EARLY_REQUEST_SHARE * math.ceil(limit)
-
-
-def _max_pending_requests(cell: Cell, advice: Advice) -> float:
-    """Return the maximum number of pending requests of the same kind, long or short."""
-    is_long = _may_be_long(advice)
-    requests_per_node = _LONG_REQUESTS_PER_NODE if is_long else _SHORT_REQUESTS_PER_NODE
-    return max(1, requests_per_node * cell.advice_node_count)
-
-
-def _count_pending_requests(cell: Cell, advice: Advice) -> collections.Counter[str]:
-    """Count the pending requests of the same kind, long or short, by service."""
-    is_long = _may_be_long(advice)
-    return collections.Counter(
-        each.service for each in cell.advice_requests.values() if each.is_long is is_long
-    )
-
-
-def find_advised_services(cell: Cell) -> frozenset[str]:
-    """Return the services of the waiting steps that need advice."""
-    queues = (cell.queue_of(step.job) for step in cell.waiting_steps.values())
-    return frozenset(queue.service for queue in queues if queue.advice is not None)
-
-
 def request_advice(
     cell: Cell,
     step: Step,
@@ -178,8 +91,9 @@
         Number of workers examined.
     """
     advice = step.advice
-    chosen, examined = _choose_workers_to_ask(cell, step, by_free_cpu, fit, wanted, now)
+    chosen, examined = choose_workers_to_ask(cell, step, by_free_cpu, fit, wanted, now)
     if not chosen:
+        step.ask_obstacle = AskObstacle.WORKER
         advice.next_search_at = now + _NO_CANDIDATE_RETRY_SECONDS
         return examined
     expected_s = _send_requests(cell, step, chosen)
@@ -187,7 +101,7 @@
         # Hold the resources until the answer. Otherwise lower-ranked steps that already have
         # tickets are placed first, such as bulky steps, whose tickets are renewed in advance.
         known = [worker for worker in chosen if worker.life in advice.tickets]
-        hold_s = _MAX_ANSWER_TIME_FACTOR * expected_s + _ANSWER_SLACK_SECONDS
+        hold_s = MAX_ANSWER_TIME_FACTOR * expected_s + _ANSWER_SLACK_SECONDS
         hold_room(cell, step, known, wanted, now, hold_s)
     return examined
 
@@ -204,7 +118,7 @@
 
     No room is held for it, as work that is ready could use the room now.
     """
-    chosen, _ = _choose_workers_to_ask(cell, step, by_free_cpu, fit, wanted, now)
+    chosen, _ = choose_workers_to_ask(cell, step, by_free_cpu, fit, wanted, now)
     if chosen:
         _send_requests(cell, step, chosen)
     else:
@@ -214,7 +128,7 @@
 def ticket_lifetime_seconds(advice: Advice) -> float:
     """Return the shortest time from a request until its tickets expire."""
     return (
-        _estimate_answer_seconds(advice, 0) + advice.terms.valid_ms / 1000 - _TICKET_MARGIN_SECONDS
+        estimate_answer_seconds(advice, 0) + advice.terms.valid_ms / 1000 - _TICKET_MARGIN_SECONDS
     )
 
 
@@ -222,186 +136,33 @@
     """Send requests about workers, and return the expected time until their answers, in seconds."""
     advice = step.advice
     parts = _split_into_requests(step, chosen)
-    advice.pending_requests += len(parts)
-    expected_s = _estimate_answer_seconds(advice, len(parts[0]))
+    advice.asked_at = cell.now
+    expected_s = estimate_answer_seconds(advice, len(parts[0]))
+    expires_at = cell.now + _EXPIRY_FACTOR * expected_s + _EXPIRY_SECONDS
     service = cell.queue_of(step.job).service
+    is_long = is_long_advice(advice)
+    if not is_long:
+        cell.last_short_request_at = cell.now
+    is_in_turn = advice.turn_at == cell.now
+    if is_in_turn and cell.reserved_requests[is_long]:
+        cell.reserved_requests[is_long] -= 1
     for part in parts:
         request = AdviceRequest(*step.key, tuple(worker.life for worker in part))
-        cell.advice_requests[request] = PendingAdvice(service, _may_be_long(advice))
+        advice.pending.add(request)
+        pending = PendingAdvice(service, is_long, expires_at, is_in_turn)
+        cell.advice_requests[request] = pending
         cell.emit(AskAdvice(request, expected_s * 1000))
     return expected_s
 
 
 def _split_into_requests(step: Step, chosen: list[Worker]) -> list[list[Worker]]:
     """Split workers into the requests that are sent in parallel."""
-    max_workers = min(_MAX_WORKERS_PER_REQUEST, max(1, _count_cheap_workers(step)))
-    count = min(_max_parallel_requests(step), math.ceil(len(chosen) / max_workers))
-    size = min(_MAX_WORKERS_PER_REQUEST, math.ceil(len(chosen) / count))
+    max_workers = min(MAX_WORKERS_PER_REQUEST, max(1, count_cheap_workers(step)))
+    count = min(max_parallel_requests(step), math.ceil(len(chosen) / max_workers))
+    size = min(MAX_WORKERS_PER_REQUEST, math.ceil(len(chosen) / count))
     return [chosen[at : at + size] for at in range(0, min(len(chosen), count * size), size)]
 
 
-def _max_parallel_requests(step: Step) -> int:
-    return _BULKY_PARALLEL_REQUESTS if step.is_bulky else 1
-
-
-def _choose_workers_to_ask(
-    cell: Cell,
-    step: Step,
-    by_free_cpu: list[Worker],
-    fit: list[Worker],
-    wanted: int,
-    now: float,
-) -> tuple[list[Worker], int]:
-    """Return the workers to ask about, or none if no answer could help yet.
-
-    Also return the number of workers examined. The search ends with the first workers that have
-    enough free room: examining all workers for every step can take longer than tickets are
-    valid.
-    """
-    advice = step.advice
-    room = step.spec.room
-    known = [
-        worker
-        for worker in fit
-        if advice.valid_ticket(worker.life, now) is None
-        and _obtainable_room(step, worker).holds(room)
-    ]
-    examined = len(fit)
-    chosen = _choose_roomiest(step, known, wanted * _KNOWN_SLOTS_PER_TASK) if known else []
-    if not _could_place(step, chosen, wanted):
-        unknown, unknown_examined = _find_unknown_workers(
-            step, by_free_cpu, wanted * _UNKNOWN_SLOTS_PER_TASK, cell.is_uneven
-        )
-        examined += unknown_examined
-        if not unknown and not _could_place(step, known, wanted):
-            chosen = []
-        chosen = chosen + unknown
-    if not chosen:
-        chosen = _find_reserved_workers_due(cell, step, now)
-        examined += len(chosen)
-    # Fitness never changes, so also ask about workers without free room while that is cheap.
-    asked = {worker.life for worker in chosen}
-    spare = _count_cheap_workers(step) * _max_parallel_requests(step) - len(chosen)
-    for worker in by_free_cpu:
-        if spare <= 0:
-            break
-        examined += 1
-        if not advice.is_known(worker.life) and worker.life not in asked:
-            chosen.append(worker)
-            spare -= 1
-    return chosen, examined
-
-
-def _find_unknown_workers(
-    step: Step, by_free_cpu: list[Worker], slots: int, is_uneven: bool
-) -> tuple[list[Worker], int]:
-    """Return workers with free room whose fitness for a step is unknown.
-
-    They offer at least ``slots`` slots, if possible, and are at least as many as are cheap to ask
-    about. Also return the number of workers examined.
-    """
-    room = step.spec.room
-    cheap = _count_cheap_workers(step)
-    found: list[Worker] = []
-    examined = 0
-    for worker in by_free_cpu:
-        if slots <= 0 and len(found) >= cheap:
-            break
-        if not step.is_bulky and worker.free.cpu < room.cpu:
-            if is_uneven:
-                continue
-            # The remaining workers have even fewer free processors.
-            break
-        examined += 1
-        if step.advice.is_known(worker.life) or not _obtainable_room(step, worker).holds(room):
-            continue
-        found.append(worker)
-        slots -= _count_slots(step, worker, slots)
-    return found, examined
-
-
-def _find_reserved_workers_due(cell: Cell, step: Step, now: float) -> list[Worker]:
-    """Return the workers reserved for a step whose tickets expire before it can use them."""
-    claim = find_reservation(cell, step, now)
-    if claim is None:
-        return []
-    advice = step.advice
-    workers = (cell.workers.get(life) for life in claim.lives)
-    reserved = [
-        worker for worker in workers if worker is not None and step.key in worker.room_holds
-    ]
-    answer_at = now + _MAX_ANSWER_TIME_FACTOR * _estimate_answer_seconds(advice, len(reserved))
-    return [
-        worker
-        for worker in reserved
-        if worker.room_holds[step.key].needed_at <= answer_at
-        and advice.valid_ticket(worker.life, answer_at) is None
-    ]
-
-
-def _estimate_answer_seconds(advice: Advice, workers: int) -> float:
-    return (advice.terms.decide_ms + advice.terms.each_ms * workers) / 1000
-
-
-def _may_be_long(advice: Advice) -> bool:
-    """Check whether a request about the maximum number of workers would be a long one."""
-    return (
-        advice.terms.decide_ms + advice.terms.each_ms * _MAX_WORKERS_PER_REQUEST
-        > LONG_ADVICE_REQUEST_MS
-    )
-
-
-def _count_slots(step: Step, worker: Worker, wanted: int) -> int:
-    """Return the number of tasks of a step that fit on a worker, at most ``wanted``."""
-    return min(wanted, count_fitting(_obtainable_room(step, worker), step.spec.room))
-
-
-def _obtainable_room(step: Step, worker: Worker) -> Size:
-    """Return the resources of a worker that a step may be able to use.
-
-    They include those that are only reserved for other steps if the step is small or blocked, and
-    those of preemptible runs if the step is bulky.
-    """
-    if not step.is_bulky:
-        return worker.unreserved_room(step.key)
-    if step.blocked_since is not None:
-        return worker.unreserved_room(step.key).plus(worker.preemptible_room)
-    return worker.free_for(step.key, step.rank).plus(worker.preemptible_room)
-
-
-def _has_obtainable_room(step: Step, fit: Iterable[Worker]) -> bool:
-    return any(_obtainable_room(step, worker).holds(step.spec.room) for worker in fit)
-
-
-def _could_place(step: Step, workers: list[Worker], wanted: int) -> bool:
-    needed = wanted if step.spec.gang else 1
-    return sum(_count_slots(step, worker, wanted) for worker in workers) >= needed
-
-
-def _choose_roomiest(step: Step, workers: list[Worker], slots: int) -> list[Worker]:
-    """Return the workers that can take most tasks, until they offer ``slots`` slots.
-
-    At least as many as are cheap to ask about are returned. The number is limited because each
-    worker prolongs the request and tickets are valid for a short time only.
-    """
-    cheap = _count_cheap_workers(step)
-    chosen: list[Worker] = []
-    for worker in sorted(workers, key=lambda each: -_count_slots(step, each, slots)):
-        if slots <= 0 and len(chosen) >= cheap:
-            break
-        chosen.append(worker)
-        slots -= _count_slots(step, worker, slots)
-    return chosen
-
-
-def _count_cheap_workers(step: Step) -> int:
-    """Return the number of workers that extend a request's duration only a little."""
-    terms = step.advice.terms
-    if not terms.each_ms:
-        return _MAX_WORKERS_PER_REQUEST
-    return min(_MAX_WORKERS_PER_REQUEST, int(_CHEAP_TIME_SHARE * terms.decide_ms / terms.each_ms))
-
-
 def apply_advice(cell: Cell, event: AdviceAnswered, now: float) -> None:
     """Apply an answer of the advice service to its step."""
     request = event.result.request
@@ -410,7 +171,7 @@
     if step is None or step.advice is None:
         return
     advice = step.advice
-    _decrement_pending(advice)
+    advice.pending.discard(request)
     step.next_search_at = 0.0
     step.has_new_advice = True
     expires = now + advice.terms.valid_ms / 1000 - _TICKET_MARGIN_SECONDS
@@ -433,19 +194,33 @@
 
 def handle_advice_failure(cell: Cell, event: AdviceFailed, now: float) -> None:
     """Handle a failed advice request; it is repeated after a delay."""
-    cell.advice_requests.pop(event.request, None)
+    if cell.advice_requests.pop(event.request, None) is None:
+        return
     cell.needs_placement = True
     step = _find_step(cell, event.request)
     if step is None or step.advice is None:
         return
-    _decrement_pending(step.advice)
+    step.advice.pending.discard(event.request)
     step.advice.retry_at = now + _RETRY_SECONDS
     cell.log_decision("advice_failed", event.request.job, step=event.request.step)
 
 
-def _decrement_pending(advice: Advice) -> None:
-    """Decrement the pending requests; those sent before the queue's terms changed don't count."""
-    advice.pending_requests = max(0, advice.pending_requests - 1)
+def expire_requests(cell: Cell, now: float) -> None:
+    """Stop counting requests as pending that should have been answered long ago.
+
+    Their steps may request advice again. An answer that comes nevertheless is applied.
+    """
+    expired = [
+        request for request, pending in cell.advice_requests.items() if pending.expires_at <= now
+    ]
+    for request in expired:
+        del cell.advice_requests[request]
+        cell.emit(DropAdvice(request))
+        step = _find_step(cell, request)
+        if step is not None and step.advice is not None:
+            step.advice.pending.discard(request)
+        cell.log_decision("advice_expired", request.job, step=request.step)
+        cell.needs_placement = True
 
 
 def _find_step(cell: Cell, request: AdviceRequest) -> Step | None:
--- a/src/snowdock/jobs/starving.py
+++ b/src/snowdock/jobs/starving.py
@@ -6,6 +6,7 @@
 
 import collections
 
+from .advice_limits import describe_asking
 from .availability import ExclusionReason, find_exclusion
 from .candidates import Caution, caution_for, count_slots, max_additional_tasks
 from .cell import Cell
@@ -56,14 +57,14 @@
     if not idle:
         return
     free = {service for service, workers in services.items() if _is_mostly_free(workers)}
-    starving = [step for step in idle if cell.queue_of(step.job).service in free]
+    starving = [step for step in idle if cell.queue_of(step.job).service in free and _is_idle(step)]
     starving.sort(key=lambda step: step.waiting_since)
     logged = 0
     for step in starving:
         if logged >= _MAX_LOGGED:
             break
         workers = services[cell.queue_of(step.job).service]
-        if _is_idle(step) and _has_spare_room(step, workers):
+        if _has_spare_room(step, workers):
             _log_starving_job(cell, step, workers, now, len(starving))
             logged += 1
 
@@ -121,8 +122,8 @@
         failures=max(task.failures for task in step.tasks),
         paused_s=max(0.0, step.not_before - now),
         at_quota=step.is_at_quota,
-        asking=step.advice.pending_requests if step.advice else 0,
         idle_steps=idle_steps,
+        **describe_asking(cell, step, now),
         **_count_exclusions(cell, step, workers, now),
     )
 
@@ -137,11 +138,10 @@
         waiting_s=task.waited_seconds(now),
         tasks=len(step.waiting_tasks),
         running=sum(each.is_placed for each in step.tasks),
-        losses=len(task.lost_runs),
+        losses=len(task.charges),
         at_quota=step.is_at_quota,
-        asking=step.advice.pending_requests if step.advice else 0,
-        searched_s=now - step.last_search_at,
         rank=step.rank,
+        **describe_asking(cell, step, now),
         **_count_exclusions(cell, step, workers, now),
     )
 
@@ -167,16 +167,16 @@
         return ExclusionReason.SUSPECT
     if has_probation_run(worker, now):
         return ExclusionReason.ON_PROBATION
-    if caution_for(cell, step) is Caution.HIGH and is_doubtful(worker):
+    if caution_for(cell, step, now) is Caution.HIGH and is_doubtful(worker):
         return ExclusionReason.DOUBTFUL
     if step.spec.label and step.spec.label not in worker.entry.labels:
         return ExclusionReason.UNFIT
-    if step.advice is not None:
-        if worker.life in step.advice.unfit:
-            return ExclusionReason.UNFIT
-        if step.advice.valid_ticket(worker.life, now) is None:
-            return ExclusionReason.TICKET
+    if step.advice is not None and worker.life in step.advice.unfit:
+        return ExclusionReason.UNFIT
     if not worker.free.holds(step.spec.room) or max_additional_tasks(step, worker) <= 0:
         return ExclusionReason.ROOM
-    unreserved = worker.free_for(step.key, step.rank)
-    return None if unreserved.holds(step.spec.room) else ExclusionReason.RESERVED
+    if not worker.free_for(step.key, step.rank).holds(step.spec.room):
+        return ExclusionReason.RESERVED
+    if step.advice is not None and step.advice.valid_ticket(worker.life, now) is None:
+        return ExclusionReason.TICKET
+    return None
--- a/tests/test_jobs_placement.py
+++ b/tests/test_jobs_placement.py
@@ -1,6 +1,7 @@
 """Tests of placement: bounds of a pass, fairness between steps, and expired tickets."""
 
 import dataclasses
+import math
 import unittest
 
 import msgspec
@@ -176,6 +177,20 @@
             "f" * 16, [each.request.job for each in filter_by_type(bench.all_effects, AskAdvice)]
         )
 
+    def test_long_requests_without_short_ones(self) -> None:
+        """Fewer long requests are pending while short ones may need a free node."""
+        pending = []
+        for last_short_request_at in (-math.inf, 1e9):
+            bench = Bench(advice=AdviceTerms(500, 5, 2000))
+            bench.cell.advice_node_count = 8
+            bench.cell.last_short_request_at = last_short_request_at
+            bench.add_worker(cpu=64_000)
+            for number in range(20):
+                bench.now += 0.01
+                bench.feed(JobAccepted(f"{number:016x}", make_accepted_job(queue="q")))
+            pending.append(len(bench.cell.advice_requests))
+        self.assertEqual(pending, [10, 6])
+
     def test_crowded_service_takes_all_requests(self) -> None:
         """Steps of another service get requests, however many of the crowded one rank higher."""
         terms = AdviceTerms(500, 5, 2000)
@@ -207,6 +222,29 @@
             bench.tick(0.3)
         self.assertIn("f" * 16, [request.job for request in requests])
 
+    def test_service_that_cannot_ask_keeps_requests(self) -> None:
+        """No requests are reserved for a service none of whose steps may use one."""
+        terms = AdviceTerms(500, 5, 2000)
+        bench = Bench(advice=terms)
+        queues = [
+            Queue(service, "", f"/{service}/", service, max_attempts=3, advice=terms)
+            for service in ("standing", "crowded")
+        ]
+        services = (Service("standing"), Service("crowded"))
+        bench.cell.configuration = Configuration(2, tuple(queues), services)
+        for service in ("standing", "crowded"):
+            size = Size(64_000, 64_000, 0)
+            entry = WorkerEntry(service, service, "a:1", "hall", "r1", frozenset(), size)
+            bench.feed(WorkerListed(entry))
+            bench.report(service)
+        standing = msgspec.structs.replace(SMALL, label="x")
+        bench.feed(JobAccepted("f" * 16, make_accepted_job(standing, queue="standing")))
+        for number in range(4):
+            bench.feed(JobAccepted(f"{number:016x}", make_accepted_job(queue="crowded")))
+        bench.tick(0.3)
+        pending = [each.service for each in bench.cell.advice_requests.values()]
+        self.assertEqual(pending, ["crowded"] * 3)
+
 
 class TestExpiredTickets(unittest.TestCase):
     TERMS = AdviceTerms(decide_ms=10, each_ms=1, valid_ms=2000)
