Keep a leader that resigned from leading again before its successor has noticed

The leader that resigned left the claim to it for 0.4 s and its own delay, counted from its resignation: 0.73 to 0.88 s.

Change: the node that resigned waits 1 s longer than the others. A claim by another node ends its wait at once, since it waits for a record.

The new test delays the successor by 0.9 s; without the change the leader leads again, and the test fails.

--- a/src/snowdock/entry/election.py
+++ b/src/snowdock/entry/election.py
@@ -66,6 +66,10 @@
 _SUCCESSOR_HEAD_START_SECONDS = 0.4
 """How long the other nodes wait for a claim by the successor that a resigning leader names."""
 
+_RESIGNATION_NOTICE_SECONDS = 1.0
+"""How much longer the leader that resigned waits: the others read its resignation only once its
+heartbeats are overdue."""
+
 
 class Election:
     """Follows the leader, and claims, renews and hands over the leadership of this node.
@@ -453,7 +457,7 @@
             self._watch.wait_for_leader()
             return _POLL_SECONDS
         if self._other_successor_is_named() and self._watch.wait_for_leader(
-            _SUCCESSOR_HEAD_START_SECONDS
+            self._head_start_seconds()
         ):
             return 0.0
         claim_delay_s = self._claim_delay_s + self._lag.held_delay_s
@@ -485,6 +489,15 @@
             return False
         return leader.successor not in ("", self._identity.node)
 
+    def _head_start_seconds(self) -> float:
+        """How long this node leaves the claim to the successor that a leader has named, in seconds.
+
+        Otherwise a leader that was behind could lead again before its successor has noticed.
+        """
+        if self._known_leader.record.incarnation == self._identity.incarnation:
+            return _SUCCESSOR_HEAD_START_SECONDS + _RESIGNATION_NOTICE_SECONDS
+        return _SUCCESSOR_HEAD_START_SECONDS
+
     def _apply_records(self, records: list[LeaderRecord]) -> None:
         leader = records[-1] if records else None
         if leader is None or leader == self._known_leader.record:
--- a/tests/test_election.py
+++ b/tests/test_election.py
@@ -122,6 +122,16 @@
         self.assertEqual((len(weak.epochs), other.epochs), (1, []))
         self.assertGreater(strong.epochs[0], weak.epochs[0])
 
+    def test_resigned_leader_claims_before_its_successor_has_noticed(self) -> None:
+        """A leader that hands over does not lead again while its successor reads of it late."""
+        weak = self.add_candidate("weak", 0.4)
+        self.assertIs(self.wait_for_leader(), weak)
+        strong = self.add_candidate("strong")
+        claim = strong.election._claim
+        strong.election._claim = lambda: (time.sleep(0.9), claim())
+        self.assertTrue(wait_until(lambda: strong.leads, 10.0))
+        self.assertEqual(len(weak.epochs), 1)
+
     def test_silent_leader_is_replaced_with_a_higher_epoch(self) -> None:
         """A leader that stops renewing is replaced by another node."""
         first = self.add_candidate("first")
