Let a busy machine lose no answer in a test of failing nodes

test_node_that_fails_at_once_takes_all_requests failed once in 10 runs beside a load of 25 to 30 on 8 cores: a peer that answered after more than 0.6 s counted as lost, and the request went back as failed, which is right then. The test is about nodes that fail, and no longer lets answers be lost. With a peer that takes 0.9 s it failed each time before, and passes now.

--- a/tests/test_advice_dispatcher.py
+++ b/tests/test_advice_dispatcher.py
@@ -137,6 +137,8 @@
     @mock.patch.object(advice_dispatcher, "_HEDGE_DELAY_SECONDS", 60.0)
     def test_node_that_fails_at_once_takes_all_requests(self) -> None:
         """Requests that a node's advice service fails at once are sent by another node."""
+        # An answer that is late because the machine is busy is not lost.
+        self.dispatcher._loss_timeout = mock.Mock(limit_s=60.0)
         for node, other in (("own", "peer"), ("peer", "own")):
             with self.subTest(node=node):
                 self.dispatcher._unavailable_until.clear()
