--- a/src/snowdock/jobs/charges.py
+++ b/src/snowdock/jobs/charges.py
@@ -40,9 +40,9 @@
 """Possible crashes from which every further start is charged, however it ends: all of them may have
 been crashes, and at most two more starts are allowed."""
 
-_UNRESOLVED_SECONDS = 30.0
+_UNRESOLVED_SECONDS = 15.0
 """How long a loss counts as a possible crash without any sign of its worker. Crashed workers return
-after some seconds, and five losses in a row take 25 s."""
+after some seconds; callers of a job whose workers were cut off wait for this."""
 
 _EARLY_END_SECONDS = 2.0
 """A run that was reported as running for longer did not crash its worker at its start."""
