Wait for the log line of a refused job in the test of admission on nodes

A node's log lines are written by a thread of its own (logs.py), so that a response may come first. The test waits for the line now; that it comes is checked as before.

--- a/tests/test_admission_node.py
+++ b/tests/test_admission_node.py
@@ -34,12 +34,17 @@
             path, retry_after = refused[0]
             self.assertEqual(retry_after, "60")
             job = path.rpartition("/")[2]
-            self.assertTrue(any(job in line for line in node.log_lines("job_refused")))
+            self.assertTrue(self.wait_for_line(node, "job_refused", job))
             self.assertEqual(cluster.state(node, path), "410")
             path, body = cluster.make_job([SMALL])
             self.assertEqual(node.call("POST", path, body)[0], 200)
             self.assertTrue(cluster.wait_state(path, "completed"))
 
+    @staticmethod
+    def wait_for_line(node: EntryProcess, event: str, text: str) -> bool:
+        """Wait for a log line, which a node's log thread may write after its response."""
+        return wait_until(lambda: any(text in line for line in node.log_lines(event)))
+
 
 if __name__ == "__main__":
     unittest.main()
