--- a/src/snowdock/jobs/worker_reports.py
+++ b/src/snowdock/jobs/worker_reports.py
@@ -26,7 +26,6 @@
 _IDLE_RENEW_SECONDS = 2.0
 """Interval of renewals for a worker without runs, which needs no lease."""
 
-
 _RELISTING_SECONDS = 3.0
 """Time after which an entry that expired in a store outage is missing for good: workers restore
 theirs within about two seconds."""
