Spend no turns to request advice on steps that find no worker to ask about

What callers saw (in the reducer's harness, found by the review): 100 gangs that fit nowhere kept a review of low rank waiting for 6.7 to 8.0 s with 2 nodes and 4.4 to 5.8 s with 4, beside workers used by 7 %; without the gangs 0.4 s.

Cause: a step that the limit of requests holds up counts as one that could use a turn. Only its turn shows that it has no worker to ask about, and by the next pass the limit hides that again, so 347 of 388 turns came to nothing.

Change: a turn that comes to nothing passes to the next step within the same pass, and a step whose last search found no worker to ask about has its next turn a second later. A turn counts only in the search that is kept for it.

--- a/src/snowdock/jobs/advice_limits.py
+++ b/src/snowdock/jobs/advice_limits.py
@@ -87,7 +87,7 @@
     pending = _count_pending_requests(cell, is_long)
     if pending.total() >= limit:
         return AskObstacle.LIMIT
-    if advice.turn_at == now:
+    if advice.turn_at == now and cell.reserved_requests[is_long]:
         return None
     if pending.total() + cell.reserved_requests[is_long] >= limit:
         return AskObstacle.SHARE
--- a/src/snowdock/jobs/job_state.py
+++ b/src/snowdock/jobs/job_state.py
@@ -76,7 +76,9 @@
     asked_at
         Time of the last request, in steady-clock seconds; 0 before the first.
     turn_at
-        Time of the last turn to request advice whatever the step's rank, see `advice_turns`.
+        Time of the last placement pass in which it was the step's turn, see `advice_turns`.
+    fruitless_at
+        Time of the last search that found no worker to ask about, in steady-clock seconds.
     """
 
     terms: AdviceTerms
@@ -87,6 +89,7 @@
     next_search_at: float = 0.0
     asked_at: float = 0.0
     turn_at: float = 0.0
+    fruitless_at: float = 0.0
 
     @property
     def pending_requests(self) -> int:
--- a/src/snowdock/jobs/placement.py
+++ b/src/snowdock/jobs/placement.py
@@ -5,7 +5,7 @@
 
 from .advice_choice import shortest_answer_seconds
 from .advice_limits import find_advised_services, find_ask_obstacle
-from .advice_turns import find_steps_in_turn
+from .advice_turns import begin_turns, find_steps_in_turn
 from .candidates import Candidate, choose_workers, find_candidates, is_bulky
 from .cell import Cell, DeferredStart
 from .durability import mark_dirty
@@ -85,6 +85,7 @@
     neglected = _find_neglected_steps(cell, examined_by_rank >= max_examined, now)
     examined += _search_steps(cell, neglected, pools, now, max_examined)
     in_turn = [step for step in in_turn if step.key in cell.waiting_steps]
+    begin_turns(in_turn, now)
     examined += _search_steps(cell, in_turn, pools, now, _MAX_EXAMINED_PER_PASS // 4)
     pause = examined * cell.settings.examination_s / cell.settings.pass_time_share
     cell.next_placement_at = now + max(_MIN_PASS_INTERVAL_SECONDS, pause)
--- a/src/snowdock/jobs/placement_advice.py
+++ b/src/snowdock/jobs/placement_advice.py
@@ -94,6 +94,7 @@
     chosen, examined = choose_workers_to_ask(cell, step, by_free_cpu, fit, wanted, now)
     if not chosen:
         step.ask_obstacle = AskObstacle.WORKER
+        advice.fruitless_at = now
         advice.next_search_at = now + _NO_CANDIDATE_RETRY_SECONDS
         return examined
     expected_s = _send_requests(cell, step, chosen)
--- a/tests/test_jobs_asking.py
+++ b/tests/test_jobs_asking.py
@@ -5,6 +5,7 @@
 import math
 import random
 import unittest
+from unittest import mock
 
 from snowdock.declarations import Size
 from snowdock.jobs.events import (
@@ -56,6 +57,10 @@
 REVIEW = StepSpec(count=4, size=SIZE, estimate_ms=60_000)
 OTHER_REVIEW = StepSpec(count=3, size=SIZE, estimate_ms=60_000)
 
+BLOCKER = StepSpec(count=3, size=Size(300_000, 50), estimate_ms=600_000, most_per_worker=1)
+GANG_WITHOUT_ROOM = StepSpec(count=WORKERS, size=Size(400_000, 50), estimate_ms=60_000, gang=True)
+"""A gang that needs each worker, on three of which a blocker runs."""
+
 
 class AdvisedService(Bench):
     """A service whose workers confirm all starts, with an advice service that answers in time.
@@ -239,6 +244,26 @@
                 with self.subTest(nodes=nodes, queue=queue):
                     self.assert_waits_briefly(nodes, queue, step)
 
+    @mock.patch.dict(FIT_SHARES, reviews=1.0)
+    def test_turns_are_spent_on_gangs_that_fit_nowhere(self) -> None:
+        """Steps that have no worker to ask about keep no turn from a step that has one."""
+        service = AdvisedService(2)
+        service.cell.policy = dataclasses.replace(
+            service.cell.policy, rank=lambda step, now: float(step.spec == REVIEW)
+        )
+        service.submit_to("reviews", BLOCKER)
+        service.run_for(2.0)
+        for _ in range(100):
+            service.submit_to("reviews", GANG_WITHOUT_ROOM)
+            service.run_for(0.1)
+        for number in range(40):
+            if number == 10:
+                job = service.submit_to("reviews", OTHER_REVIEW)
+            for _ in range(2):
+                service.submit_to("reviews", REVIEW)
+            service.run_for(REVIEW_ANSWER_SECONDS)
+        self.assertLess(service.waited_seconds(job), TOLERATED_IDLE_SECONDS)
+
 
 class TestLostAnswers(unittest.TestCase):
     """Requests that are neither answered nor reported as failed."""
