Reset the pause after malformed starts once a worker accepts one

The pause of a task doubles with each start that is refused as malformed, up to 30 s, and was never reset: found by the review, which saw starts at 0, 1, 3, 7, 15, 31 and 61 s. A start that a worker accepts shows that the order was sound.

--- a/src/snowdock/jobs/order_answers.py
+++ b/src/snowdock/jobs/order_answers.py
@@ -37,6 +37,7 @@
     elif result.refusal is None:
         task.is_confirmed = True
         task.seen_at = now
+        task.malformed_starts = 0
         if task.phase is Phase.ORDERED:
             task.phase = Phase.RUNNING
             task.phase_since = now
