Fail no job on late evidence about finished tasks or planned ends, and bound the hold

A task that had lost three runs to silent workers ended well on a fourth. As the three workers came back in their next lives, its job was shown as failed. A task that is done is no longer resolved.

A leader read that a worker drained, and forgot it with the worker; its next life then made the loss a certain crash. Losses on a worker that drains are taken back, on record, when that is read, and at the latest when the worker is forgotten.

Each new leader counted the age of recorded losses from its own start, so that a task with five of them stood for 15 s after each change of leader: no start in 125 s with leaders of 12 s. They count for 5 s after a change of leader.

Tried and not kept: to take a worker that was delisted before it fell silent for one that has left. A leader that was paused sees a crash in that order, too, and a crashing task would pass its bound.

--- a/src/snowdock/jobs/charges.py
+++ b/src/snowdock/jobs/charges.py
@@ -6,6 +6,7 @@
 charges are part of the job's durable progress, so that any later leader can resolve them.
 """
 
+import dataclasses
 from collections.abc import Iterable, Iterator
 
 from .cell import Cell
@@ -44,6 +45,10 @@
 """How long a loss counts as a possible crash without any sign of its worker. Crashed workers return
 after some seconds; callers of a job whose workers were cut off wait for this."""
 
+_UNRESOLVED_AFTER_TAKEOVER_SECONDS = 5.0
+"""The same for a loss that an earlier leader has recorded. A new leader reads all entries at once,
+and a hold must not begin anew with each change of leader."""
+
 _EARLY_END_SECONDS = 2.0
 """A run that was reported as running for longer did not crash its worker at its start."""
 
@@ -111,6 +116,8 @@
 
 def restore_charges(cell: Cell, task: Task, charges: tuple[Charge, ...]) -> None:
     """Set the charges that an earlier leader recorded for a task."""
+    charged_at = cell.now - (_UNRESOLVED_SECONDS - _UNRESOLVED_AFTER_TAKEOVER_SECONDS)
+    charges = tuple(dataclasses.replace(each, charged_at=charged_at) for each in charges)
     task.charges = charges
     if not task.step.job.status.is_final:
         for charge in charges:
@@ -151,7 +158,7 @@
     """Check whether a task may not start, since it may already have used up its starts.
 
     The hold ends once the workers of its lost runs answer, or have been missing for
-    `_UNRESOLVED_SECONDS`.
+    `_UNRESOLVED_SECONDS`, or for `_UNRESOLVED_AFTER_TAKEOVER_SECONDS` after a change of leader.
     """
     if len(task.charges) < MAX_POSSIBLE_CRASHES:
         return False
--- a/src/snowdock/jobs/lost_runs.py
+++ b/src/snowdock/jobs/lost_runs.py
@@ -23,6 +23,7 @@
 from .workers import Worker, WorkerEntry
 
 __all__ = [
+    "acquit_departed",
     "charge_orphan",
     "charge_replaced_orphans",
     "clear_losses",
@@ -86,7 +87,8 @@
         Whether another life has answered in its place, rather than only been listed.
     """
     for task, charge in list(charges_on(cell, life)):
-        if not charge.is_unresolved or task.step.job.status.is_final:
+        if not charge.is_unresolved or task.phase is Phase.DONE:
+            # A task that is done is no reason to fail its job.
             continue
         is_crash = charge.evidence is Evidence.LOSS
         if is_crash and is_leaving:
@@ -97,6 +99,13 @@
         _charge(cell, task, resolved, now)
 
 
+def acquit_departed(cell: Cell, life: str) -> None:
+    """Revoke the charges of runs whose worker is shutting down: its silence was no crash."""
+    for task, charge in list(charges_on(cell, life)):
+        if charge.evidence is Evidence.LOSS:
+            revoke_charge(cell, task, charge, "the worker was shutting down")
+
+
 def resolve_replaced_lives(cell: Cell, entry: WorkerEntry, now: float) -> None:
     """Resolve charges on earlier lives of a worker, or at its address, once it is listed."""
     for life in list(cell.charged_lives):
--- a/src/snowdock/jobs/takeover.py
+++ b/src/snowdock/jobs/takeover.py
@@ -140,7 +140,7 @@
     task = job.repetitions[record.repetition][record.step].tasks[record.index]
     task.run = record.run
     task.failed_runs = set(record.failed_runs)
-    restore_charges(cell, task, _read_charges(record, cell.now))
+    restore_charges(cell, task, _read_charges(record))
     task.checkpoint = record.checkpoint
     # The start of the phase is not recorded. If it were left at 0, the first report would clear a
     # long-running task's losses, as if the task had run since this machine booted.
@@ -160,14 +160,13 @@
     cell.orphans.setdefault(worker_id_of(record.life), []).append(orphan)
 
 
-def _read_charges(record: TaskProgress, now: float) -> tuple[Charge, ...]:
+def _read_charges(record: TaskProgress) -> tuple[Charge, ...]:
     """Return the recorded charges; records of earlier versions do not name the workers."""
     if record.charges:
         return tuple(
-            Charge(each.run, each.evidence, each.life, each.address, now) for each in record.charges
+            Charge(each.run, each.evidence, each.life, each.address) for each in record.charges
         )
     crashed = set(record.crashed_runs)
     return tuple(
-        Charge(run, Evidence.CRASH if run in crashed else Evidence.LOSS, charged_at=now)
-        for run in record.lost_runs
+        Charge(run, Evidence.CRASH if run in crashed else Evidence.LOSS) for run in record.lost_runs
     )
--- a/src/snowdock/jobs/worker_lives.py
+++ b/src/snowdock/jobs/worker_lives.py
@@ -4,7 +4,13 @@
 from .durability import send_renewal
 from .events import CloseWorker, OpenWorker, StepDown
 from .lives import worker_id_of
-from .lost_runs import charge_orphan, lose_runs, resolve_losses, resolve_replaced_lives
+from .lost_runs import (
+    acquit_departed,
+    charge_orphan,
+    lose_runs,
+    resolve_losses,
+    resolve_replaced_lives,
+)
 from .machine_speeds import lasting_slowness
 from .occupancy import occupy, vacate
 from .orders import Refusal
@@ -26,6 +32,9 @@
 def handle_worker_listed(cell: Cell, entry: WorkerEntry, now: float) -> None:
     """Handle a worker's entry in the store, which may be new or updated."""
     _end_previous_life(cell, entry, now)
+    if entry.draining:
+        # On record before the worker is forgotten, since its next life may be seen much later.
+        acquit_departed(cell, entry.life)
     if entry.life in cell.ended_lives:
         return
     worker = cell.workers.get(entry.life)
@@ -134,6 +143,8 @@
         if not worker.is_leaving:
             record_crash(cell, worker, now)
         resolve_losses(cell, worker.life, now, worker.is_leaving)
+    elif worker.is_leaving:
+        acquit_departed(cell, worker.life)
     lose_runs(cell, worker, now, reason, is_replaced, has_next_life)
     del cell.workers[worker.life]
     if worker.listed:
--- a/tests/test_jobs_false_failures.py
+++ b/tests/test_jobs_false_failures.py
@@ -32,6 +32,9 @@
 ROUNDS = 8
 """More losses than a task that crashes its workers is allowed."""
 
+MAX_HOLD_AFTER_CHANGE_SECONDS = 6.5
+"""Time in which a task with many lost runs must start under a new leader."""
+
 OLD_RUN_SECONDS = 3.0
 """Age from which a run cannot be the reason for its worker's planned end."""
 
@@ -120,6 +123,16 @@
             self.bench.tick(12.0)
         self.assert_may_run()
 
+    def test_hold_begins_anew_with_each_leader(self) -> None:
+        """Losses that an earlier leader recorded hold up a task for a few seconds only."""
+        for _ in range(ROUNDS):
+            start = self.next_start()
+            self.delist_after_silence(start)
+        self.leaders.replace_leader()
+        changed_at = self.bench.now
+        self.next_start()
+        self.assertLess(self.bench.now - changed_at, MAX_HOLD_AFTER_CHANGE_SECONDS)
+
 
 class TestPlannedEnds(LostRunsTestCase):
     """Workers that leave, having said so or not."""
@@ -157,6 +170,42 @@
         self.assert_may_run()
         self.assertEqual(len(self.task.lost_runs), 0)
 
+    def test_draining_is_forgotten_with_the_worker(self) -> None:
+        """Draining that a leader has read counts when the worker's next life is listed later."""
+        for _ in range(ROUNDS):
+            start = self.next_start()
+            self.work(start)
+            disconnect_worker(self.bench, start.life)
+            self.bench.drain(start.life)
+            self.delist(start.life)
+            disconnect_worker(self.bench, start.life, 1.0)
+            self.assertNotIn(start.life, self.bench.cell.workers)
+            self.leaders.replace_leader()
+            self.bench.add_worker(f"{start.life}@1")
+        self.assert_may_run()
+        self.assertFalse(any(charge.is_crash for charge in self.task.charges))
+
+
+class TestFinishedTasks(unittest.TestCase):
+    def test_crashes_that_are_seen_after_the_task_is_done(self) -> None:
+        """Late evidence about a task that is done does not fail its job."""
+        bench = Bench()
+        job = bench.submit(SMALL, msgspec.structs.replace(SMALL, after=(0,)))
+        for life in ("w1", "w2", "w3"):
+            bench.add_worker(life)
+            bench.tick(1.0)
+            (start,) = bench.new_starts()
+            bench.confirm(start)
+            disconnect_worker(bench, start.life)
+        bench.add_worker("w4")
+        bench.tick(1.0)
+        (start,) = bench.new_starts()
+        bench.confirm(start)
+        bench.report("w4", ended=[(start.order.task, start.order.run, EndKind.DONE)])
+        for life in ("w1", "w2", "w3"):
+            bench.add_worker(f"{life}@1")
+        self.assertFalse(bench.cell.jobs[job].status.is_final)
+
 
 class TestLateEvidence(LostRunsTestCase):
     """Evidence about a lost run that only a later leader sees."""
