Classify the end of a worker once, not for each of its lost runs

Cause: whether others fell silent with a worker, and whether another life is listed at its address, was looked up for each run that is lost with it; the second walks all workers, so that an outage of many workers cost runs times workers.

Change: _WorkerEnd holds the result for the runs that the worker had reported and for the others; a worker without runs is not classified. What is charged is the same.

Ruled out: an index of workers by address, as the lookup is once a worker now. Measured: 88 tests of charges, suspects, leader changes and the models' replays pass as before. The time saved was not measured.

--- a/src/snowdock/jobs/lost_runs.py
+++ b/src/snowdock/jobs/lost_runs.py
@@ -47,6 +47,19 @@
 hours it runs on many workers that end for unrelated reasons."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _WorkerEnd:
+    """Why a worker's runs count as lost, and what is known about their ends.
+
+    ``evidence`` is that about the runs which the worker had reported, ``other_evidence`` that about
+    the others.
+    """
+
+    reason: str
+    evidence: Evidence
+    other_evidence: Evidence
+
+
 def lose_runs(
     cell: Cell,
     worker: Worker,
@@ -59,19 +72,19 @@
 
     Runs whose start was not answered wait for the worker's next life, if there is one.
     """
-    if worker.runs:
-        count = len(worker.runs)
-        cell.log_decision(
-            "runs_lost", worker.life, count=count, reason=reason, is_replaced=is_replaced
-        )
+    if not worker.runs:
+        return
+    cell.log_decision(
+        "runs_lost", worker.life, count=len(worker.runs), reason=reason, is_replaced=is_replaced
+    )
+    end = _classify_end(cell, worker, reason, is_replaced)
     for task_id, run in list(worker.runs):
         vacate(cell, worker.life, task_id, run)
         cell.pending_stops.pop((worker.life, task_id, run), None)
         task = cell.find_task(task_id)
         if task is None or not task.is_current_run(run, worker.life):
             continue
-        may_start_late = has_next_life and _may_start_late(task)
-        _lose_run(cell, worker, task, now, reason, is_replaced, may_start_late)
+        _lose_run(cell, worker, task, now, end, has_next_life and _may_start_late(task))
 
 
 def resolve_losses(
@@ -171,20 +184,16 @@
 
 
 def _lose_run(
-    cell: Cell,
-    worker: Worker,
-    task: Task,
-    now: float,
-    reason: str,
-    is_replaced: bool,
-    may_start_late: bool,
+    cell: Cell, worker: Worker, task: Task, now: float, end: _WorkerEnd, may_start_late: bool
 ) -> None:
     run = task.run
     is_charged = _may_have_run(task) and (
         not worker.is_leaving or _may_have_caused_exit(worker, task)
     )
-    evidence = _classify_loss(cell, worker, task, is_replaced) if is_charged else None
-    _log_lost_run(cell, worker, task, reason, evidence)
+    evidence = None
+    if is_charged:
+        evidence = end.evidence if task.is_confirmed else end.other_evidence
+    _log_lost_run(cell, worker, task, end.reason, evidence)
     if may_start_late:
         task.phase = Phase.UNSURE
         task.phase_since = now
@@ -201,16 +210,16 @@
     _charge(cell, task, charge, now)
 
 
-def _classify_loss(cell: Cell, worker: Worker, task: Task, is_replaced: bool) -> Evidence:
-    """Return what is known about a run that is lost with its worker."""
-    is_own_end = (
-        task.is_confirmed and not worker.is_leaving and not _is_correlated_failure(cell, worker)
-    )
+def _classify_end(cell: Cell, worker: Worker, reason: str, is_replaced: bool) -> _WorkerEnd:
+    """Return what is known about the runs that are lost with a worker."""
+    is_own_end = not worker.is_leaving and not _is_correlated_failure(cell, worker)
     if is_replaced:
-        return Evidence.CRASH if is_own_end else Evidence.POSSIBLE_CRASH
-    if _is_replacement_listed(cell, worker.life, worker.entry.address):
-        return Evidence.POSSIBLE_CRASH
-    return Evidence.LOSS if is_own_end else Evidence.UNCERTAIN_LOSS
+        own, other = Evidence.CRASH, Evidence.POSSIBLE_CRASH
+    elif _is_replacement_listed(cell, worker.life, worker.entry.address):
+        own = other = Evidence.POSSIBLE_CRASH
+    else:
+        own, other = Evidence.LOSS, Evidence.UNCERTAIN_LOSS
+    return _WorkerEnd(reason, own if is_own_end else other, other)
 
 
 def _was_silent_before(worker: Worker, task: Task) -> bool:
