Set and index a task's charges in one place

restore_charges and _replace_charges both set the charges of a task and indexed them by worker life unless the job had ended. Both call _set_charges now. No behaviour changes; the tests of charges and changes of leader pass as before.

--- a/src/snowdock/jobs/charges.py
+++ b/src/snowdock/jobs/charges.py
@@ -117,11 +117,9 @@
 def restore_charges(cell: Cell, task: Task, charges: tuple[Charge, ...]) -> None:
     """Set the charges that an earlier leader recorded for a task."""
     charged_at = cell.now - (_UNRESOLVED_SECONDS - _UNRESOLVED_AFTER_TAKEOVER_SECONDS)
-    charges = tuple(dataclasses.replace(each, charged_at=charged_at) for each in charges)
-    task.charges = charges
-    if not task.step.job.status.is_final:
-        for charge in charges:
-            _add_to_index(cell, task, charge)
+    _set_charges(
+        cell, task, tuple(dataclasses.replace(each, charged_at=charged_at) for each in charges)
+    )
 
 
 def charges_on(cell: Cell, life: str) -> Iterator[tuple[Task, Charge]]:
@@ -228,11 +226,15 @@
 def _replace_charges(cell: Cell, task: Task, charges: tuple[Charge, ...]) -> None:
     for charge in task.charges:
         _remove_from_index(cell, task, charge)
+    _set_charges(cell, task, charges)
+    mark_dirty(cell, task.step.job)
+
+
+def _set_charges(cell: Cell, task: Task, charges: tuple[Charge, ...]) -> None:
     task.charges = charges
     if not task.step.job.status.is_final:
         for charge in charges:
             _add_to_index(cell, task, charge)
-    mark_dirty(cell, task.step.job)
 
 
 def _add_to_index(cell: Cell, task: Task, charge: Charge) -> None:
