--- a/tests/test_jobs_placement.py
+++ b/tests/test_jobs_placement.py
@@ -154,6 +154,21 @@
         self.assertLess(reference, 7.0)
 
 
+def make_bench_of_services(*names: str) -> Bench:
+    """Return a bench with a worker and a queue of each service, whose advice takes long."""
+    terms = AdviceTerms(500, 5, 2000)
+    bench = Bench(advice=terms)
+    queues = tuple(
+        Queue(name, "", f"/{name}/", name, max_attempts=3, advice=terms) for name in names
+    )
+    bench.cell.configuration = Configuration(2, queues, tuple(Service(name) for name in names))
+    for name in names:
+        size = Size(64_000, 64_000, 0)
+        bench.feed(WorkerListed(WorkerEntry(name, name, "a:1", "hall", "r1", frozenset(), size)))
+        bench.report(name)
+    return bench
+
+
 class TestAdviceRequests(unittest.TestCase):
     def test_long_requests_do_not_delay_short_ones(self) -> None:
         """A short request is sent immediately, however many long ones are pending."""
@@ -193,22 +208,10 @@
 
     def test_crowded_service_takes_all_requests(self) -> None:
         """Steps of another service get requests, however many of the crowded one rank higher."""
-        terms = AdviceTerms(500, 5, 2000)
-        bench = Bench(advice=terms)
-        queues = [
-            Queue(service, "", f"/{service}/", service, max_attempts=3, advice=terms)
-            for service in ("crowded", "free")
-        ]
-        services = (Service("crowded"), Service("free"))
-        bench.cell.configuration = Configuration(2, tuple(queues), services)
+        bench = make_bench_of_services("crowded", "free")
         bench.cell.policy = dataclasses.replace(
             bench.cell.policy, rank=lambda step, now: float(step.job.queue == "crowded")
         )
-        for service in ("crowded", "free"):
-            size = Size(64_000, 64_000, 0)
-            entry = WorkerEntry(service, service, "a:1", "hall", "r1", frozenset(), size)
-            bench.feed(WorkerListed(entry))
-            bench.report(service)
         bench.tick(0.1)
         for number in range(40):
             bench.feed(JobAccepted(f"{number:016x}", make_accepted_job(queue="crowded")))
@@ -224,19 +227,7 @@
 
     def test_service_that_cannot_ask_keeps_requests(self) -> None:
         """No requests are reserved for a service none of whose steps may use one."""
-        terms = AdviceTerms(500, 5, 2000)
-        bench = Bench(advice=terms)
-        queues = [
-            Queue(service, "", f"/{service}/", service, max_attempts=3, advice=terms)
-            for service in ("standing", "crowded")
-        ]
-        services = (Service("standing"), Service("crowded"))
-        bench.cell.configuration = Configuration(2, tuple(queues), services)
-        for service in ("standing", "crowded"):
-            size = Size(64_000, 64_000, 0)
-            entry = WorkerEntry(service, service, "a:1", "hall", "r1", frozenset(), size)
-            bench.feed(WorkerListed(entry))
-            bench.report(service)
+        bench = make_bench_of_services("standing", "crowded")
         standing = msgspec.structs.replace(SMALL, label="x")
         bench.feed(JobAccepted("f" * 16, make_accepted_job(standing, queue="standing")))
         for number in range(4):
