Log on what a leader's authority to order rests

Cause: no line tells the hypotheses of the incident apart. A leader logs neither why it may order without the store nor that it no longer may, and a successor not how long it waits for its predecessor's orders.

Change: authority_changed with the basis (renewal, the heartbeat of which peer, or none) whenever it changes, and the predecessor with its isolation timeout in claim_won.

--- a/src/snowdock/entry/election.py
+++ b/src/snowdock/entry/election.py
@@ -133,6 +133,8 @@
         self._resigned = False
         self._gone_epoch_logged = 0
         self._last_peer_heartbeat_at = 0.0
+        self._last_peer = ""
+        self._logged_basis = ""
         # Appends follow one another, since each is conditional on the position after the last one.
         self._append_lock = threading.Lock()
         self._thread = ServiceThread(self._run, "election", self._stopped.is_set)
@@ -227,6 +229,7 @@
         """Handle a heartbeat of a peer."""
         now = steady_seconds()
         self._last_peer_heartbeat_at = now
+        self._last_peer = heartbeat.node
         self._successors.record_heartbeat(heartbeat, now, self._lag.is_late)
         if not heartbeat.resigned and self._is_newer_leader(heartbeat.epoch):
             self._follow_unrecorded_leader(heartbeat.node, heartbeat.address, heartbeat.epoch)
@@ -358,10 +361,23 @@
             return ISOLATION_TIMEOUT_SECONDS
         return max(ISOLATION_TIMEOUT_SECONDS, self._predecessor_isolation_s)
 
+    def _log_authority(self) -> None:
+        """Log on what a leader's authority to order rests, whenever that changes."""
+        basis = "renewal"
+        if self.renewed_s >= ISOLATION_TIMEOUT_SECONDS:
+            basis = "none" if self.is_isolated else f"heartbeat of {self._last_peer}"
+        if basis == self._logged_basis:
+            return
+        self._logged_basis = basis
+        log_event(
+            "authority_changed", epoch=self._own_epoch, basis=basis, renewal_age_s=self.renewed_s
+        )
+
     def _renew(self) -> float:
         epoch = self._own_epoch
         while self._own_epoch == epoch and not self._stopped.is_set():
             started_at = steady_seconds()
+            self._log_authority()
             try:
                 with self._append_lock:
                     if self._own_epoch != epoch:
@@ -536,12 +552,20 @@
             log_event("claim_lost", epoch=epoch)
             self._watch.wait_for_leader()
             return
-        log_event("claim_won", epoch=epoch, turnover=self._turnover)
+        log_event(
+            "claim_won",
+            epoch=epoch,
+            turnover=self._turnover,
+            predecessor="" if predecessor is None else predecessor.node,
+            predecessor_epoch=0 if predecessor is None else predecessor.epoch,
+            isolation_s=self._predecessor_isolation_s,
+        )
         self._start_term(self._identity.make_record(epoch, turnover=self._turnover))
 
     def _start_term(self, record: LeaderRecord) -> None:
         self._known_leader.update(record)
         self._resigned = False
+        self._logged_basis = "renewal"
         self._turnover = record.turnover
         self._elected_at = steady_seconds()
         self._renewals.start_term()
