End a leader's authority once another node may lead

Cause: a leader that lost the store went on ordering and renewing for as long as it heard a heartbeat of any peer, also of one that was cut off with it and knew nothing of the record. Its successor's wait for earlier leases (1.5 s, a lease and 0.5 s) rested on a silence that never came. Callers saw tasks run twice: payouts, filings.

Change: the rule of authority (entry/authority.py). A leader acts while its last renewal began less than 1.5 s ago. Without the store it acts while each member of its roster states that it has claimed nothing and knows of no later epoch, as of a heartbeat that the leader sent less than 1.5 s ago and that the statement echoes; for at most 12 s after its last renewal. A silent member is dropped only by a record with a higher version of the roster, or if it said before that it does not reach the store. A claimant knows from the leader's heartbeats whether it is a member, and so which of the two bounds its wait rests on; both stand in jobs/timeouts.py alone. A longer bound ends early once the old leader's node is heard to lead no more. Records name what is left of the bounds of earlier leaders. Earlier releases make no statements, so they are no members, and read the longer bound in the record.

Tests changed: the election's heartbeats now depend on their receiver. The outage test waits until the second node is known to the leader, since a node that never was may claim. The test of a leader without peers uses a peer that was a member. A record of an earlier release stands for 12 s, not 3 s: its leader may go on for longer than its record states.

--- a/src/snowdock/entry/daemon.py
+++ b/src/snowdock/entry/daemon.py
@@ -14,6 +14,7 @@
 from ..clocks import steady_seconds
 from ..errors import SettingsUnreadable
 from ..jobs.model import Configuration
+from ..jobs.timeouts import lease_expiry_after_claim_seconds
 from ..logs import log_event, start_logging
 from ..node.metrics import Metrics
 from ..node.peer_links import HeartbeatPlan
@@ -33,7 +34,7 @@
 from .leader_links import LeaderLinks
 from .leader_queries import LeaderQueries
 from .leader_record import LeaderRecord, NodeIdentity
-from .leader_settings import cell_settings, claim_delay_seconds
+from .leader_settings import cell_settings, claim_delay_seconds, lease_seconds
 from .leadership import Leadership
 from .listener import apply_limits, create_listener
 from .load_view import LoadView
@@ -251,12 +252,17 @@
     def _make_leader_context(self, epoch: int) -> LeaderContext:
         environment = self._environment
         live_peers = self._peer_directory.live_peers
+        claimed_at = steady_seconds()
+
+        def earlier_authority_s() -> float:
+            return max(0.0, self._election.earlier_authority_until - claimed_at)
+
         return LeaderContext(
             store=self._store,
             parts=environment.store.parts,
-            claimed_at=steady_seconds(),
+            claimed_at=claimed_at,
             epoch=epoch,
-            settings=cell_settings(environment, self._election.predecessor_isolation_s),
+            settings=cell_settings(environment, earlier_authority_s()),
             make_advice_dispatcher=lambda post: AdviceDispatcher(
                 environment.node,
                 self._advice_client,
@@ -269,13 +275,16 @@
             count_advice_nodes=lambda: len(live_peers()) + 1,
             configuration=lambda: self._configuration_watcher.current,
             may_send_orders=lambda: (
-                self._leadership.leads_in(epoch) and not self._election.is_isolated
+                self._leadership.leads_in(epoch) and self._election.has_authority
             ),
             step_down=self._election.step_down,
             record_event_age=self._lag.record_event_age,
             metrics=self._metrics,
             peers_read_all_progress=self._peer_directory.all_read_progress,
             publish_load=self._load_view.publish,
+            unreached_run_expiry_s=lambda: lease_expiry_after_claim_seconds(
+                lease_seconds(environment), earlier_authority_s()
+            ),
         )
 
     def _handle_new_leader(self, leader: LeaderRecord) -> None:
@@ -294,7 +303,7 @@
         self._links.update()
 
     def _make_heartbeat(self, peer: str, due_s: float, heard_s: float | None) -> Heartbeat:
-        heartbeat = self._election.make_heartbeat(due_s, heard_s)
+        heartbeat = self._election.make_heartbeat(peer, due_s, heard_s)
         return msgspec.structs.replace(
             heartbeat,
             configuration=self._configuration_watcher.version,
--- a/src/snowdock/entry/election.py
+++ b/src/snowdock/entry/election.py
@@ -18,10 +18,10 @@
     PlatformError,
     StoreRefused,
 )
-from ..jobs.timeouts import ISOLATION_TIMEOUT_SECONDS
 from ..logs import log_error, log_event
 from ..platform.store import StoreClient
 from ..threads import ServiceThread
+from .authority import Authority, Basis, RosterPlace
 from .known_leader import KnownLeader
 from .lag_monitor import LagMonitor
 from .leader_lag import HandoverLimiter
@@ -29,7 +29,7 @@
 from .leader_log import LeaderLog
 from .leader_record import LeaderRecord, NodeIdentity
 from .leader_watch import LeaderWatch
-from .messages import Heartbeat
+from .messages import Heartbeat, Statement
 from .renewals import MAX_CALL_SECONDS, Renewals
 from .successors import SuccessorTracker
 
@@ -52,10 +52,6 @@
 """The same for a handover because of a lag: a takeover takes up to 3.4 s, in which a new leader is
 behind for no other reason."""
 
-_INHERITED_ISOLATION_SECONDS = 10.0
-"""How long a leader records its predecessor's isolation timeout if that is longer than its own: by
-then the predecessor sends no more orders."""
-
 _UNKNOWN_INCARNATION = ""
 """Stands for the incarnation of a leader known only by what peers tell."""
 
@@ -129,12 +125,20 @@
         self._own_epoch = 0
         self._elected_at = 0.0
         self._turnover = 0
-        self._predecessor_isolation_s = ISOLATION_TIMEOUT_SECONDS
+        self._authority = Authority(identity.incarnation)
+        self._place = RosterPlace()
+        self._predecessor: LeaderRecord | None = None
+        # Until when earlier leaders may act, the last one and those before it.
+        self._earlier_authority_until = 0.0
+        self._chain_authority_until = 0.0
+        self._claimed_at = 0.0
+        self._claim_offset: int | None = None
+        self._newest_epoch = 0
+        # By peer: its process and the newest time of its clock that this node has heard of.
+        self._heard: dict[str, tuple[str, float]] = {}
         self._resigned = False
         self._gone_epoch_logged = 0
-        self._last_peer_heartbeat_at = 0.0
-        self._last_peer = ""
-        self._logged_basis = ""
+        self._logged_basis = Basis.NONE
         # Appends follow one another, since each is conditional on the position after the last one.
         self._append_lock = threading.Lock()
         self._thread = ServiceThread(self._run, "election", self._stopped.is_set)
@@ -163,9 +167,9 @@
         return self._turnover
 
     @property
-    def predecessor_isolation_s(self) -> float:
-        """The isolation timeout of the leaders before this node's last term, in seconds."""
-        return self._predecessor_isolation_s
+    def earlier_authority_until(self) -> float:
+        """Until when leaders before this node's last term may act, in steady-clock seconds."""
+        return self._earlier_authority_until
 
     @property
     def renewed_s(self) -> float:
@@ -180,11 +184,13 @@
         return self._known_leader.liveness.renewal_is_overdue
 
     @property
-    def is_isolated(self) -> bool:
-        """Whether this node has lost contact with the store and with all former peers."""
-        if not self._last_peer_heartbeat_at or self.renewed_s < ISOLATION_TIMEOUT_SECONDS:
-            return False
-        return steady_seconds() - self._last_peer_heartbeat_at > ISOLATION_TIMEOUT_SECONDS
+    def has_authority(self) -> bool:
+        """Whether this node leads, and can prove that nobody else has led for a while."""
+        return bool(self._own_epoch) and self._basis is not Basis.NONE
+
+    @property
+    def _basis(self) -> Basis:
+        return self._authority.basis_at(steady_seconds())
 
     @property
     def leader_finds_store_slow(self) -> bool:
@@ -201,17 +207,20 @@
         """Whether another node is the leader, and its heartbeats are on time."""
         return self._known_leader.is_heard
 
-    def make_heartbeat(self, due_s: float, heard_s: float | None) -> Heartbeat:
+    def make_heartbeat(self, peer: str, due_s: float, heard_s: float | None) -> Heartbeat:
         """Return the heartbeat to send to a peer.
 
         Parameters
         ----------
+        peer
+            The peer.
         due_s
             Seconds until the next heartbeat to this peer.
         heard_s
             Seconds since the last heartbeat received from this peer; None for never.
         """
         identity = self._identity
+        reaches_store = self._reaches_store()
         return Heartbeat(
             identity.node,
             identity.address,
@@ -219,17 +228,36 @@
             self.renewed_s,
             self._resigned,
             self._claim_delay_s + self._lag.stated_delay_s,
-            self._reaches_store(),
+            reaches_store,
             self._renewals.are_rejected,
             due_s,
             heard_s,
+            statement=self._make_statement(peer, reaches_store),
+        )
+
+    def _make_statement(self, peer: str, reaches_store: bool) -> Statement:
+        """Return what this node knows of the leaders on record, for a peer."""
+        now = steady_seconds()
+        may_have_claimed = self._place.begin_statement(now, reaches_store)
+        roster = 0
+        heard_incarnation, heard_at = self._heard.get(peer, ("", 0.0))
+        if self._own_epoch:
+            roster, heard_incarnation, heard_at = self._authority.place_of(peer)
+        return Statement(
+            self._identity.incarnation,
+            now,
+            heard_incarnation,
+            heard_at,
+            self._newest_epoch,
+            may_have_claimed,
+            roster,
         )
 
     def handle_heartbeat(self, heartbeat: Heartbeat) -> None:
         """Handle a heartbeat of a peer."""
         now = steady_seconds()
-        self._last_peer_heartbeat_at = now
-        self._last_peer = heartbeat.node
+        if heartbeat.statement is not None:
+            self._handle_statement(heartbeat, heartbeat.statement, now)
         self._successors.record_heartbeat(heartbeat, now, self._lag.is_late)
         if not heartbeat.resigned and self._is_newer_leader(heartbeat.epoch):
             self._follow_unrecorded_leader(heartbeat.node, heartbeat.address, heartbeat.epoch)
@@ -242,6 +270,33 @@
             self._known_leader.liveness.mark_silent()
             self._wake.set()
 
+    def _handle_statement(self, heartbeat: Heartbeat, statement: Statement, now: float) -> None:
+        """Handle what a peer's heartbeat states of the leaders on record."""
+        node = heartbeat.node
+        incarnation, heard_at = self._heard.get(node, ("", 0.0))
+        if statement.incarnation != incarnation or statement.sent_at > heard_at:
+            self._heard[node] = (statement.incarnation, statement.sent_at)
+        self._newest_epoch = max(self._newest_epoch, statement.newest_epoch)
+        self._authority.record_statement(node, statement, heartbeat.reaches_store, now)
+        is_echo = statement.heard_incarnation == self._identity.incarnation
+        if heartbeat.epoch and is_echo:
+            self._place.record_place(heartbeat.epoch, statement.roster, statement.heard_at)
+        if is_echo and statement.heard_at >= self._claimed_at and self._own_epoch:
+            self._note_predecessor(heartbeat, statement, now)
+
+    def _note_predecessor(self, heartbeat: Heartbeat, statement: Statement, now: float) -> None:
+        """End the wait for the predecessor once its node, asked after the claim, leads no more."""
+        predecessor = self._predecessor
+        if predecessor is None or heartbeat.node != predecessor.node:
+            return
+        is_same_process = statement.incarnation == predecessor.incarnation
+        if is_same_process and heartbeat.epoch == predecessor.epoch:
+            return
+        self._predecessor = None
+        until = max(now, self._chain_authority_until)
+        self._earlier_authority_until = min(self._earlier_authority_until, until)
+        log_event("predecessor_ended", leader=predecessor.node, epoch=predecessor.epoch)
+
     def handle_referral(self, sender: str, leader: str, address: str, epoch: int) -> None:
         """Handle the reply of a peer, asked as the leader, that it does not lead.
 
@@ -276,6 +331,7 @@
         Callers of this node would otherwise get the answer that there is no leader.
         """
         log_event("leader_heard", leader=node, epoch=epoch)
+        self._newest_epoch = max(self._newest_epoch, epoch)
         self.step_down(f"{node} leads in a later epoch")
         record = LeaderRecord(node, _UNKNOWN_INCARNATION, address, epoch)
         self._known_leader.update(record)
@@ -318,6 +374,7 @@
         """End this node's leadership because another node leads or this one cannot."""
         if self._own_epoch:
             self._own_epoch = 0
+            self._authority.start_term(0, steady_seconds())
             self._log.reset_position()
             self._on_deposed(reason)
 
@@ -349,40 +406,44 @@
         seconds: float = MAX_CALL_SECONDS,
         successor: str = "",
         was_behind: bool = False,
+        roster: int = 0,
     ) -> None:
         """Append a record of this node, provided that there was no append since the last read."""
         record = self._identity.make_record(
-            epoch, resigned, successor, self._turnover, self._recorded_isolation_s(), was_behind
+            epoch,
+            resigned,
+            successor,
+            self._turnover,
+            was_behind,
+            roster,
+            max(0.0, self._earlier_authority_until - steady_seconds()),
         )
         self._log.append(record, seconds)
 
-    def _recorded_isolation_s(self) -> float:
-        if self._own_epoch and steady_seconds() - self._elected_at > _INHERITED_ISOLATION_SECONDS:
-            return ISOLATION_TIMEOUT_SECONDS
-        return max(ISOLATION_TIMEOUT_SECONDS, self._predecessor_isolation_s)
-
     def _log_authority(self) -> None:
-        """Log on what a leader's authority to order rests, whenever that changes."""
-        basis = "renewal"
-        if self.renewed_s >= ISOLATION_TIMEOUT_SECONDS:
-            basis = "none" if self.is_isolated else f"heartbeat of {self._last_peer}"
-        if basis == self._logged_basis:
+        """Log on what a leader's authority rests, whenever that changes."""
+        basis = self._basis
+        if basis is self._logged_basis:
             return
         self._logged_basis = basis
         log_event(
-            "authority_changed", epoch=self._own_epoch, basis=basis, renewal_age_s=self.renewed_s
+            "authority_changed",
+            epoch=self._own_epoch,
+            basis=basis.value,
+            renewal_age_s=self.renewed_s,
+            missing=self._authority.missing_at(steady_seconds()),
         )
 
     def _renew(self) -> float:
         epoch = self._own_epoch
         while self._own_epoch == epoch and not self._stopped.is_set():
             started_at = steady_seconds()
-            self._log_authority()
             try:
                 with self._append_lock:
                     if self._own_epoch != epoch:
                         return 0.0
-                    self._append(epoch, False, self._renewals.limit_s)
+                    roster = self._authority.next_roster(started_at)
+                    self._append(epoch, False, self._renewals.limit_s, roster=roster)
             except AppendConflict:
                 if not self._still_leads(epoch):
                     self.step_down("another node has claimed the leadership")
@@ -391,9 +452,12 @@
             except (CallUnanswered, StoreRefused) as error:
                 self._renewals.record_failure(started_at)
                 log_event("renewal_failed", epoch=epoch, reason=str(error))
+                self._log_authority()
                 self._stopped.wait(_POLL_SECONDS)
                 continue
             self._renewals.record_success(started_at)
+            self._authority.record_renewal(started_at, roster)
+            self._log_authority()
             if self._hand_over_leadership():
                 return 0.0
             return max(0.0, started_at + _RENEWAL_INTERVAL_SECONDS - steady_seconds())
@@ -515,13 +579,24 @@
         return _SUCCESSOR_HEAD_START_SECONDS
 
     def _apply_records(self, records: list[LeaderRecord]) -> None:
+        self._apply_newest_record(records)
+        if self._claim_offset is not None and self._log.next_epoch > self._claim_offset + 1:
+            # What was appended behind the claim's position decides it, also one on its way.
+            self._claim_offset = None
+            self._place.end_claim()
+
+    def _apply_newest_record(self, records: list[LeaderRecord]) -> None:
         leader = records[-1] if records else None
         if leader is None or leader == self._known_leader.record:
             return
+        if self._is_renewal(leader):
+            self._known_leader.update(leader)
+            return
         incarnation = self._identity.incarnation
         if any(record.was_behind and record.incarnation != incarnation for record in records):
             self._lag_handovers.record(steady_seconds())
         self._known_leader.update(leader)
+        self._newest_epoch = max(self._newest_epoch, leader.epoch)
         log_event(
             "leader_seen",
             leader=leader.node,
@@ -540,12 +615,19 @@
                 self._known_leader.liveness.start_term()
             self._on_leader_changed(leader)
 
+    def _is_renewal(self, record: LeaderRecord) -> bool:
+        """Check whether a record only renews the one of the known leader."""
+        known = self._known_leader.record
+        return known is not None and (
+            (record.epoch, record.incarnation, record.resigned)
+            == (known.epoch, known.incarnation, known.resigned)
+        )
+
     def _claim(self) -> None:
         epoch = self._log.next_epoch
         self._turnover = self._known_leader.next_turnover()
         predecessor = self._known_leader.record
-        if predecessor is not None:
-            self._predecessor_isolation_s = predecessor.isolation_s
+        self._begin_claim(predecessor)
         try:
             self._append(epoch, False)
         except AppendConflict:
@@ -558,16 +640,31 @@
             turnover=self._turnover,
             predecessor="" if predecessor is None else predecessor.node,
             predecessor_epoch=0 if predecessor is None else predecessor.epoch,
-            isolation_s=self._predecessor_isolation_s,
+            earlier_authority_s=self._earlier_authority_until - steady_seconds(),
         )
         self._start_term(self._identity.make_record(epoch, turnover=self._turnover))
+        self._claim_offset = None
+        self._place.end_claim()
+
+    def _begin_claim(self, predecessor: LeaderRecord | None) -> None:
+        """Note that a claim may be on record from now on, and until when earlier leaders act."""
+        self._claim_offset = self._log.next_epoch - 1
+        bound_s = self._place.begin_claim(predecessor, self._identity.node)
+        now = steady_seconds()
+        self._claimed_at = now
+        self._predecessor = predecessor
+        self._earlier_authority_until = now + bound_s
+        chain_s = 0.0 if predecessor is None else predecessor.earlier_authority_s
+        self._chain_authority_until = now + chain_s
 
     def _start_term(self, record: LeaderRecord) -> None:
         self._known_leader.update(record)
         self._resigned = False
-        self._logged_basis = "renewal"
         self._turnover = record.turnover
         self._elected_at = steady_seconds()
+        self._newest_epoch = max(self._newest_epoch, record.epoch)
+        self._logged_basis = Basis.NONE
+        self._authority.start_term(record.epoch, self._elected_at)
         self._renewals.start_term()
         self._own_epoch = record.epoch
         self._on_elected(record.epoch)
--- a/src/snowdock/entry/leader_handle.py
+++ b/src/snowdock/entry/leader_handle.py
@@ -8,6 +8,7 @@
 from ..errors import InvalidInput, PlatformError
 from ..jobs.events import (
     ConfigurationChanged,
+    EarlierLeadersEnded,
     Event,
     JobAccepted,
     JobAnnounced,
@@ -171,8 +172,14 @@
             self._stopped.set()
 
     def _tick(self) -> None:
+        context = self._context
+        expiry_s = context.settings.unreached_run_expiry_s
         while not self._stopped.wait(TICK_SECONDS):
-            self._post(Ticked(self._context.count_advice_nodes(), steady_seconds()))
+            newest_expiry_s = context.unreached_run_expiry_s()
+            if newest_expiry_s is not None and newest_expiry_s < expiry_s:
+                expiry_s = newest_expiry_s
+                self._post(EarlierLeadersEnded(expiry_s))
+            self._post(Ticked(context.count_advice_nodes(), steady_seconds()))
 
     def _apply_job_records(self, records: list[KeyedRecord]) -> None:
         for record in records:
--- a/src/snowdock/entry/leader_record.py
+++ b/src/snowdock/entry/leader_record.py
@@ -5,13 +5,16 @@
 import msgspec
 
 from ..errors import DECODE_ERRORS, PlatformError
-from ..jobs.timeouts import ISOLATION_TIMEOUT_SECONDS
+from ..jobs.timeouts import AUTHORITY_SECONDS, OUTAGE_AUTHORITY_SECONDS
 from ..platform.store import KeyedRecord
 
 __all__ = ["LeaderRecord", "NodeIdentity", "decode_leader_record", "encode_leader_record"]
 
-_UNSTATED_ISOLATION_SECONDS = 3.0
-"""Isolation timeout of the releases whose records do not state it."""
+_UNSTATED_AUTHORITY_SECONDS = 3.0
+"""The bound of the releases whose records do not state it."""
+
+_UNSTATED_ROSTER = -1
+"""Stands for the roster in records of releases without one."""
 
 
 class LeaderRecord(msgspec.Struct, frozen=True, array_like=True):
@@ -29,11 +32,15 @@
         The node that is to claim next, named by a resignation; empty for none.
     turnover
         The number of consecutive short terms immediately before this one; see `turnover`.
-    isolation_s
-        For how long this leader, or one just before it, may send orders after it lost contact with
-        the store and all peers, in seconds.
+    authority_s
+        How long after this record the leader, or one before it, may act, unless the claimant knows
+        of a shorter bound, in seconds.
     was_behind
         Whether it resigned because it had fallen behind; see `leader_lag`.
+    roster
+        The version of the leader's roster; 0 if it has no authority beyond its renewals.
+    earlier_authority_s
+        How long after this record the leaders before this one may act, in seconds.
     """
 
     node: str
@@ -43,8 +50,10 @@
     resigned: bool = False
     successor: str = ""
     turnover: int = 0
-    isolation_s: float = _UNSTATED_ISOLATION_SECONDS
+    authority_s: float = _UNSTATED_AUTHORITY_SECONDS
     was_behind: bool = False
+    roster: int = _UNSTATED_ROSTER
+    earlier_authority_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -61,10 +70,12 @@
         resigned: bool = False,
         successor: str = "",
         turnover: int = 0,
-        isolation_s: float = ISOLATION_TIMEOUT_SECONDS,
         was_behind: bool = False,
+        roster: int = 0,
+        earlier_authority_s: float = 0.0,
     ) -> LeaderRecord:
         """Return a record that this node leads or, with ``resigned``, has resigned."""
+        authority_s = OUTAGE_AUTHORITY_SECONDS if roster else AUTHORITY_SECONDS
         return LeaderRecord(
             self.node,
             self.incarnation,
@@ -73,8 +84,10 @@
             resigned,
             successor,
             turnover,
-            isolation_s,
+            max(authority_s, earlier_authority_s),
             was_behind,
+            roster,
+            earlier_authority_s,
         )
 
 
--- a/src/snowdock/entry/leader_settings.py
+++ b/src/snowdock/entry/leader_settings.py
@@ -2,14 +2,14 @@
 
 from ..jobs.cell import CellSettings
 from ..jobs.timeouts import (
-    ISOLATION_TIMEOUT_SECONDS,
+    AUTHORITY_SECONDS,
     LEASE_SECONDS,
     RETENTION_FACTOR,
     lease_expiry_after_claim_seconds,
 )
 from ..platform.node_settings import PRESSURE, NodeEnvironment
 
-__all__ = ["cell_settings", "claim_delay_seconds"]
+__all__ = ["cell_settings", "claim_delay_seconds", "lease_seconds"]
 
 _LEADER_CORES = 1.5
 """Cores that a leader of a large deployment needs, bursts included."""
@@ -34,7 +34,7 @@
 
 
 def cell_settings(
-    environment: NodeEnvironment, predecessor_isolation_s: float = ISOLATION_TIMEOUT_SECONDS
+    environment: NodeEnvironment, earlier_authority_s: float = AUTHORITY_SECONDS
 ) -> CellSettings:
     """Return the settings of a leader on a node.
 
@@ -42,15 +42,13 @@
     ----------
     environment
         The node's settings.
-    predecessor_isolation_s
-        The isolation timeout of the leaders before it, in seconds.
+    earlier_authority_s
+        How long after its claim earlier leaders may act, in seconds.
     """
-    lease_s = min(LEASE_SECONDS, environment.lease_limit_s)
+    lease_s = lease_seconds(environment)
     return CellSettings(
         lease_s=lease_s,
-        unreached_run_expiry_s=lease_expiry_after_claim_seconds(
-            lease_s, max(ISOLATION_TIMEOUT_SECONDS, predecessor_isolation_s)
-        ),
+        unreached_run_expiry_s=lease_expiry_after_claim_seconds(lease_s, earlier_authority_s),
         gang_wait_s=environment.gang_wait_s,
         early_s=environment.early_s,
         stop_s=environment.stop_s,
@@ -64,6 +62,11 @@
     )
 
 
+def lease_seconds(environment: NodeEnvironment) -> float:
+    """Return the length of the leases that a leader requests, in seconds of a worker's clock."""
+    return min(LEASE_SECONDS, environment.lease_limit_s)
+
+
 def _pass_time_share(cpu_cores: float) -> float:
     """Return the maximum fraction of the time that a leader spends in placement passes."""
     surplus = cpu_cores / _LEADER_CORES - _MIN_PASS_CORE_SHARE
--- a/src/snowdock/entry/messages.py
+++ b/src/snowdock/entry/messages.py
@@ -21,6 +21,7 @@
     "RecordOutcome",
     "RecordReply",
     "RecordRequest",
+    "Statement",
     "StatusReply",
     "StatusRequest",
 ]
@@ -30,6 +31,33 @@
     """Base class of the messages; ``number`` matches a reply with its request."""
 
 
+class Statement(msgspec.Struct, array_like=True, frozen=True):
+    """What a node knows of the leaders on record; see `authority`.
+
+    Attributes
+    ----------
+    incarnation, sent_at
+        The sender's process, and its steady clock in seconds.
+    heard_incarnation, heard_at
+        The receiver's process and its clock, as in the newest statement that the sender has of it:
+        a leader names the newest one that it has accepted. An empty process for none.
+    newest_epoch
+        The newest epoch in which the sender leads or knows a leader; 0 for none.
+    may_have_claimed
+        Whether a claim of the sender may be on record without its knowledge.
+    roster
+        For a leader: the newest version of its roster that includes the receiver; 0 for none.
+    """
+
+    incarnation: str
+    sent_at: float
+    heard_incarnation: str
+    heard_at: float
+    newest_epoch: int
+    may_have_claimed: bool
+    roster: int = 0
+
+
 class Heartbeat(_EntryMessage, tag="b"):
     """The heartbeat that a node sends to its peers.
 
@@ -64,6 +92,8 @@
         For a leader: the encoded load summary; empty if none is due.
     callers
         Encoded news of callers that were refused, or whose job may be recorded; empty if none.
+    statement
+        What the sender knows of the leaders on record; None from earlier releases.
     """
 
     node: str
@@ -81,6 +111,7 @@
     reads_all_progress: bool = False
     load: bytes = b""
     callers: bytes = b""
+    statement: Statement | None = None
 
 
 class StatusRequest(_EntryMessage, tag="s"):
--- a/src/snowdock/jobs/events.py
+++ b/src/snowdock/jobs/events.py
@@ -27,6 +27,7 @@
     "DropAdvice",
     "DropJobs",
     "DropProgress",
+    "EarlierLeadersEnded",
     "Effect",
     "Event",
     "ForgetAccepted",
@@ -189,12 +190,26 @@
     sent_at: float = 0.0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class EarlierLeadersEnded:
+    """Earlier leaders are known to act no more.
+
+    Attributes
+    ----------
+    unreached_run_expiry_s
+        The new value of `CellSettings.unreached_run_expiry_s`, in seconds.
+    """
+
+    unreached_run_expiry_s: float
+
+
 Event = (
     JobAccepted
     | JobAnnounced
     | JobWithdrawn
     | JobCancelled
     | ConfigurationChanged
+    | EarlierLeadersEnded
     | WorkerListed
     | WorkerDelisted
     | StartAnswered
--- a/src/snowdock/jobs/reducer.py
+++ b/src/snowdock/jobs/reducer.py
@@ -1,5 +1,7 @@
 """Reducer of the leader: applies each event to the state and returns the resulting effects."""
 
+import dataclasses
+
 from .announced_jobs import announce_job, confirm_job, withdraw_expired_jobs, withdraw_job
 from .cell import Cell
 from .early_advice import prepare_restarts
@@ -10,6 +12,7 @@
     ConfigurationChanged,
     DropJobs,
     DropProgress,
+    EarlierLeadersEnded,
     Effect,
     Event,
     ForgetAccepted,
@@ -123,6 +126,8 @@
                 cell.log_decision("configuration", str(configuration.version))
                 list_pending_workers(cell, now)
                 cell.needs_placement = True
+        case EarlierLeadersEnded(expiry_s):
+            cell.settings = dataclasses.replace(cell.settings, unreached_run_expiry_s=expiry_s)
         case Ticked(advice_node_count):
             cell.advice_node_count = advice_node_count
             _handle_tick(cell, now, wall_ms)
--- a/src/snowdock/jobs/timeouts.py
+++ b/src/snowdock/jobs/timeouts.py
@@ -2,10 +2,11 @@
 
 __all__ = [
     "ADVICE_MIX_SECONDS",
-    "ISOLATION_TIMEOUT_SECONDS",
+    "AUTHORITY_SECONDS",
     "LEASE_SECONDS",
     "LONG_ADVICE_REQUEST_MS",
     "MIN_CLOCK_RATE",
+    "OUTAGE_AUTHORITY_SECONDS",
     "RETENTION_FACTOR",
     "TICK_SECONDS",
     "WORKER_REPORT_WAIT_SECONDS",
@@ -16,9 +17,14 @@
 """The lease that renewals request. It must outlast a takeover, which takes about two seconds, but
 tasks on a worker that vanished are blocked for this long."""
 
-ISOLATION_TIMEOUT_SECONDS = 1.5
-"""Time after which a leader that reaches neither the store nor any peer stops sending orders, since
-it may have been replaced. Leaders record it, so that their successors wait for as long."""
+AUTHORITY_SECONDS = 1.5
+"""Age of the newest proof that nobody else leads at which a leader stops to act, since it may have
+been replaced. Renewals are due every 0.3 s, and statements of peers every 0.6 s."""
+
+OUTAGE_AUTHORITY_SECONDS = 12.0
+"""Age of the last renewal at which a leader stops to act even if all statements of its peers are
+fresh, since a node that it does not know may lead. Running work then lasts for one more lease, so
+outages of the store of up to 16 s end no runs."""
 
 RETENTION_FACTOR = 1.5
 """An ended job is kept for this multiple of the time for which callers may query it."""
@@ -49,7 +55,7 @@
 
 
 def lease_expiry_after_claim_seconds(
-    longest_lease_s: float, isolation_s: float = ISOLATION_TIMEOUT_SECONDS
+    longest_lease_s: float, authority_s: float = AUTHORITY_SECONDS
 ) -> float:
     """Return the time after a claim by which all leases of earlier leaders have certainly expired.
 
@@ -58,12 +64,12 @@
     longest_lease_s
         The longest lease that leaders request, in seconds of a worker's clock. Before a release
         requests a longer lease, the preceding release must already use it here.
-    isolation_s
-        The longest isolation timeout of the earlier leaders, in seconds.
+    authority_s
+        How long after the claim earlier leaders may act, in seconds.
 
     Returns
     -------
     float
-        Seconds since the claim: the time until an isolated leader's last orders plus a lease.
+        Seconds since the claim: the time until an earlier leader's last orders plus a lease.
     """
-    return isolation_s + longest_lease_s / MIN_CLOCK_RATE + _CLOCK_SLACK_SECONDS
+    return authority_s + longest_lease_s / MIN_CLOCK_RATE + _CLOCK_SLACK_SECONDS
--- a/tests/test_election.py
+++ b/tests/test_election.py
@@ -1,5 +1,6 @@
 """Tests of the election against a fake store."""
 
+import itertools
 import socket
 import threading
 import time
@@ -8,13 +9,14 @@
 
 import msgspec
 
+from snowdock.clocks import steady_seconds
 from snowdock.entry import leader_watch as leader_watch_module
 from snowdock.entry.election import Election
 from snowdock.entry.lag_monitor import LagMonitor
 from snowdock.entry.leader_log import LeaderLog
-from snowdock.entry.leader_record import NodeIdentity
-from snowdock.entry.messages import Heartbeat
+from snowdock.entry.leader_record import LeaderRecord, NodeIdentity
 from snowdock.entry.topics import LEADER_KEY, LEADERS_TOPIC
+from snowdock.jobs.timeouts import OUTAGE_AUTHORITY_SECONDS
 from snowdock.node.metrics import Metrics
 from snowdock.platform.store import StoreClient
 from tests.standins.entry_cluster import wait_until
@@ -27,6 +29,7 @@
     def __init__(
         self, store: StoreStandin, name: str, claim_delay_s: float = 0.0, incarnation: str = ""
     ) -> None:
+        self.name = name
         self.epochs: list[int] = []
         self.deposed = threading.Event()
         self.silent_leader_asked = threading.Event()
@@ -74,11 +77,9 @@
             if not self.heartbeats_enabled:
                 continue
             candidates = list(self.candidates)
-            heartbeats = [(c, c.election.make_heartbeat(0.2, None)) for c in candidates]
-            for sender, heartbeat in heartbeats:
-                for other in candidates:
-                    if other is not sender:
-                        other.election.handle_heartbeat(heartbeat)
+            for sender, other in itertools.permutations(candidates, 2):
+                heartbeat = sender.election.make_heartbeat(other.name, 0.2, None)
+                other.election.handle_heartbeat(heartbeat)
 
     def add_candidate(
         self, name: str, claim_delay_s: float = 0.0, incarnation: str = ""
@@ -207,7 +208,7 @@
         self.wait_until_followed(second)
         self.heartbeats_enabled = False
         time.sleep(0.1)
-        second.election.handle_heartbeat(first.election.make_heartbeat(60.0, None))
+        second.election.handle_heartbeat(first.election.make_heartbeat("second", 60.0, None))
         self.assertTrue(second.election.leader_is_heard)
         second.election.handle_referral("other", "", "", 0)
         second.election.handle_referral("first", "first", "127.0.0.1:1", first.epochs[0])
@@ -324,11 +325,13 @@
         first = self.add_candidate("first")
         self.wait_for_leader()
         second = self.add_candidate("second")
+        self.wait_until_followed(second)
+        self.assertTrue(wait_until(lambda: self.read_record().roster > 0))
         self.store.refuse = True
         self.assertTrue(wait_until(lambda: first.election.renewed_s > 2.0))
         self.assertTrue(first.leads)
         self.assertEqual(second.epochs, [])
-        self.assertFalse(first.election.is_isolated)
+        self.assertTrue(first.election.has_authority)
         self.store.refuse = False
         self.assertTrue(wait_until(lambda: first.election.renewed_s < 0.5))
         self.assertTrue(first.leads)
@@ -373,23 +376,69 @@
         self.assertTrue(first.leads)
         self.assertEqual(second.epochs, [])
 
-    def test_leader_without_store_and_peers_is_isolated(self) -> None:
-        """A leader without contact to the store and to its former peers counts as isolated."""
-        first = self.add_candidate("first")
+    def read_record(self) -> LeaderRecord:
+        """Read the newest record of the leader from the store."""
+        (record,) = LeaderLog(StoreClient(self.store.address, 1)).read_newest(2.0)
+        return record
+
+    def start_outage(self, *followers: str) -> tuple[Candidate, list[Candidate]]:
+        """Elect a leader that states a roster, and have the store refuse all calls."""
+        leader = self.add_candidate("first")
         self.wait_for_leader()
-        first.election.handle_heartbeat(Heartbeat("peer", "127.0.0.1:2", 0, 0.0))
+        candidates = [self.add_candidate(name) for name in followers]
+        for candidate in candidates:
+            self.wait_until_followed(candidate)
+        self.assertTrue(wait_until(lambda: self.read_record().roster > 0))
+        self.assertTrue(leader.election.has_authority)
         self.store.refuse = True
-        self.assertTrue(wait_until(lambda: first.election.is_isolated))
+        return leader, candidates
 
-    def test_leader_of_an_older_release_is_waited_for_by_its_own_timeout(self) -> None:
-        """A record without an isolation timeout stands for the longer one, with successors too."""
+    def test_leader_without_store_and_peers_loses_its_authority(self) -> None:
+        """A leader without contact to the store and to a former peer may not order."""
+        leader, _ = self.start_outage("second")
+        self.heartbeats_enabled = False
+        self.assertTrue(wait_until(lambda: not leader.election.has_authority))
+
+    def test_peer_cut_off_with_the_leader_keeps_it_ordering(self) -> None:
+        """A leader without the store stops although one of its two peers is heard."""
+        leader, (_, outside) = self.start_outage("neighbour", "outside")
+        self.candidates.remove(outside)
+        self.assertTrue(wait_until(lambda: not leader.election.has_authority))
+        self.assertLess(leader.election.renewed_s, OUTAGE_AUTHORITY_SECONDS)
+
+    def test_peer_with_an_unanswered_claim_keeps_the_leader_ordering(self) -> None:
+        """Heartbeats of a peer whose claim may be on record prove nothing."""
+        leader, (second,) = self.start_outage("second")
+        second.election._place.begin_claim(None, "second")
+        self.assertTrue(wait_until(lambda: not leader.election.has_authority))
+
+    def test_leader_with_a_later_epoch_known_to_a_peer_goes_on_ordering(self) -> None:
+        """A heartbeat that knows of a later epoch ends the authority at once."""
+        leader, (second,) = self.start_outage("second")
+        second.election._newest_epoch = leader.election.own_epoch + 1
+        self.assertTrue(wait_until(lambda: not leader.election.has_authority, 1.0))
+
+    def test_own_record_is_read_after_stepping_down(self) -> None:
+        """A leader that failed does not lead again in the epoch of its newest record."""
+        leader = self.add_candidate("first")
+        self.wait_for_leader()
+        self.assertTrue(wait_until(lambda: self.read_record().roster > 0))
+        leader.election.step_down("the leader failed")
+        self.assertTrue(wait_until(lambda: len(leader.epochs) == 2))
+        self.assertGreater(leader.epochs[1], leader.epochs[0])
+
+    def test_leader_of_an_older_release_is_waited_for_by_the_longest_bound(self) -> None:
+        """A record without a roster stands for the longest bound, with successors too."""
         old = msgspec.msgpack.encode(["old", "old-1", "127.0.0.1:1", 1, False, "", 0])
         self.store.put_raw(LEADERS_TOPIC, LEADER_KEY, old)
         candidate = self.add_candidate("new")
         self.assertTrue(wait_until(lambda: candidate.leads))
-        self.assertEqual(candidate.election.predecessor_isolation_s, 3.0)
-        (record,) = LeaderLog(StoreClient(self.store.address, 1)).read_newest(2.0)
-        self.assertEqual((record.node, record.isolation_s), ("new", 3.0))
+        waits_s = candidate.election.earlier_authority_until - steady_seconds()
+        self.assertGreater(waits_s, OUTAGE_AUTHORITY_SECONDS / 2)
+        record = self.read_record()
+        self.assertEqual(record.node, "new")
+        self.assertGreater(record.earlier_authority_s, OUTAGE_AUTHORITY_SECONDS / 2)
+        self.assertGreaterEqual(record.authority_s, record.earlier_authority_s)
 
 
 if __name__ == "__main__":
--- a/tests/test_leader_settings.py
+++ b/tests/test_leader_settings.py
@@ -13,7 +13,7 @@
 from snowdock.jobs.model import JobStatus
 from snowdock.jobs.progress import JobProgress, TaskProgress
 from snowdock.jobs.takeover import RecordedJobs
-from snowdock.jobs.timeouts import ISOLATION_TIMEOUT_SECONDS, LEASE_SECONDS
+from snowdock.jobs.timeouts import AUTHORITY_SECONDS, LEASE_SECONDS
 from snowdock.platform.node_settings import StoreSettings, read_node_environment
 from tests.jobs_tools import DONE, SMALL, Bench, make_accepted_job
 from tests.standins.entry_cluster import SETTINGS
@@ -22,7 +22,7 @@
 
 
 def leader_settings(
-    hold_max_ms: int, *predecessor_isolation_s: float, contracts: list[str] | None = None
+    hold_max_ms: int, *earlier_authority_s: float, contracts: list[str] | None = None
 ) -> CellSettings:
     """Return the leader settings for a given limit on the leases that workers grant."""
     text = SETTINGS.replace("hold_max_ms = 6000", f"hold_max_ms = {hold_max_ms}")
@@ -34,7 +34,7 @@
     with tempfile.TemporaryDirectory() as folder:
         path = pathlib.Path(folder, "settings.toml")
         path.write_text(text)
-        return cell_settings(read_node_environment(str(path)), *predecessor_isolation_s)
+        return cell_settings(read_node_environment(str(path)), *earlier_authority_s)
 
 
 class TestContracts(unittest.TestCase):
@@ -51,23 +51,21 @@
         settings = leader_settings(hold_max_ms=10_000)
         self.assertEqual(settings.lease_s, LEASE_SECONDS)
         self.assertGreater(
-            settings.unreached_run_expiry_s, ISOLATION_TIMEOUT_SECONDS + LEASE_SECONDS / 0.98
-        )
-        self.assertLess(
-            settings.unreached_run_expiry_s, ISOLATION_TIMEOUT_SECONDS + LEASE_SECONDS + 1.0
+            settings.unreached_run_expiry_s, AUTHORITY_SECONDS + LEASE_SECONDS / 0.98
         )
+        self.assertLess(settings.unreached_run_expiry_s, AUTHORITY_SECONDS + LEASE_SECONDS + 1.0)
 
-    def test_predecessor_with_a_longer_timeout_extends_expiry(self) -> None:
-        """A leader waits for the isolation timeout that its predecessors have recorded."""
+    def test_longer_earlier_authority_extends_expiry(self) -> None:
+        """A leader waits for as long as earlier leaders may act."""
         usual = leader_settings(hold_max_ms=10_000).unreached_run_expiry_s
-        extended = leader_settings(10_000, ISOLATION_TIMEOUT_SECONDS + 1.5).unreached_run_expiry_s
+        extended = leader_settings(10_000, AUTHORITY_SECONDS + 1.5).unreached_run_expiry_s
         self.assertAlmostEqual(extended - usual, 1.5)
 
     def test_shorter_worker_limit_shortens_expiry(self) -> None:
         """A worker limit below the requested lease shortens the expiry."""
         settings = leader_settings(hold_max_ms=2000)
         self.assertEqual(settings.lease_s, 2.0)
-        self.assertLess(settings.unreached_run_expiry_s, ISOLATION_TIMEOUT_SECONDS + 3.0)
+        self.assertLess(settings.unreached_run_expiry_s, AUTHORITY_SECONDS + 3.0)
 
 
 class TestPassTimeShare(unittest.TestCase):
--- a/tests/test_turnover.py
+++ b/tests/test_turnover.py
@@ -83,8 +83,8 @@
         """A record without a turnover has a turnover of zero."""
         record = NodeIdentity("n", "n-1", "a:1").make_record(3)
         self.assertEqual(record.turnover, 0)
-        isolation_s = record.isolation_s
-        self.assertEqual(LeaderRecord("n", "n-1", "a:1", 3, isolation_s=isolation_s), record)
+        expected = LeaderRecord("n", "n-1", "a:1", 3, authority_s=record.authority_s, roster=0)
+        self.assertEqual(expected, record)
 
 
 class TestLeaderLiveness(unittest.TestCase):
