Refuse workers' entries with long ports, start times and unsendable keys

A port is digits of any number, and int() raises ValueError for more than 4,300 of them, which is not the decoder's error: the tail gave up the rest of its page or list, so workers after the odd entry stayed unknown to the leader. A start time (born) and a count (seq) of 400 digits were taken. A key with line breaks was taken, and put a header of its choice into the calls to the worker; a key without a start time that ends like one, such as i@7, passed for another worker.

A port has five digits at most, a start time lies before the year 10000, counts fit into 64 bits, and a key is visible ASCII that names one worker only.

All six tests of tests/test_odd_entries.py failed before: two with ValueError, two waiting for workers behind odd entries (717 of them in one list), two for what was taken. They pass now, with tests.test_platform_codecs and the unit tests of tests.test_malformed_records.

--- a/src/snowdock/platform/_json.py
+++ b/src/snowdock/platform/_json.py
@@ -7,9 +7,15 @@
 
 from ..errors import DECODE_ERRORS, PlatformError
 
-__all__ = ["BornMs", "decode_born_ms", "decode_json"]
+__all__ = ["MAX_STORED_INT", "BornMs", "decode_born_ms", "decode_json"]
 
-BornMs = Annotated[int, Meta(ge=0)] | UnsetType
+MAX_STORED_INT = 2**63 - 1
+"""Largest integer taken from external systems; the records in the store have 64 bits for one."""
+
+_MAX_BORN_MS = 253_402_300_799_999
+"""The last ms of the year 9999."""
+
+BornMs = Annotated[int, Meta(ge=0, le=_MAX_BORN_MS)] | UnsetType
 """Start of a worker's life in ms since 1970; optional, but not null."""
 
 
--- a/src/snowdock/platform/worker_entries.py
+++ b/src/snowdock/platform/worker_entries.py
@@ -5,6 +5,7 @@
 """
 
 import ipaddress
+import re
 from typing import Annotated, Literal
 
 import msgspec
@@ -12,9 +13,9 @@
 
 from ..declarations import Size
 from ..errors import PlatformError
-from ..jobs.lives import format_life
+from ..jobs.lives import format_life, worker_id_of
 from ..jobs.workers import WorkerEntry
-from ._json import BornMs, decode_born_ms, decode_json
+from ._json import MAX_STORED_INT, BornMs, decode_born_ms, decode_json
 
 __all__ = ["WORKER_TOPIC", "decode_worker_entry"]
 
@@ -24,6 +25,12 @@
 _Name = Annotated[str, Meta(min_length=1, max_length=255)]
 _LARGEST_PORT = 65_535
 
+_PORT = re.compile(r"[0-9]{1,5}")
+"""A port's digits; `int` raises ValueError for thousands of them."""
+
+_WORKER_ID = re.compile(r"[!-~]{1,255}")
+"""Visible ASCII characters, since a worker's id is sent as a header."""
+
 
 class _Capacity(msgspec.Struct):
     cpu: _Amount
@@ -43,7 +50,7 @@
     capacity: _Capacity
     # In no fixed order; one of them is the rack, e.g. "r1-3".
     labels: list[str]
-    seq: Annotated[int, Meta(ge=0)]
+    seq: Annotated[int, Meta(ge=0, le=MAX_STORED_INT)]
     born: BornMs = UNSET
     remaining_ms: float | None = None
 
@@ -61,10 +68,24 @@
         ipaddress.IPv4Address(host)
     except ValueError as error:
         raise PlatformError(f"invalid IP address in {address[:60]!r}") from error
-    if not (port.isascii() and port.isdigit() and 0 < int(port) <= _LARGEST_PORT):
+    if not (_PORT.fullmatch(port) and 0 < int(port) <= _LARGEST_PORT):
         raise PlatformError(f"invalid port in {address[:60]!r}")
 
 
+def _make_life(worker: str, born: BornMs) -> str:
+    """Return the identifier of a worker's life.
+
+    Raises
+    ------
+    PlatformError
+        If the worker's id cannot be sent as a header, or reads like the life of another worker.
+    """
+    life = format_life(worker, decode_born_ms(born))
+    if not _WORKER_ID.fullmatch(worker) or worker_id_of(life) != worker:
+        raise PlatformError(f"invalid worker id {worker[:60]!r}")
+    return life
+
+
 def _find_rack(labels: list[str]) -> str:
     for label in labels:
         if label.startswith("r") and "-" in label:
@@ -84,7 +105,7 @@
     _check_address(entry.address)
     capacity = entry.capacity
     return WorkerEntry(
-        life=format_life(key, decode_born_ms(entry.born)),
+        life=_make_life(key, entry.born),
         service=entry.service,
         address=entry.address,
         hall=entry.zone,
--- /dev/null
+++ b/tests/test_odd_entries.py
@@ -0,0 +1,141 @@
+"""Tests that one odd entry in the store affects no other."""
+
+import json
+import types
+import unittest
+
+import msgspec
+
+from snowdock.entry.job_status_table import JobStatusTable
+from snowdock.entry.leader_handle import LeaderHandle
+from snowdock.errors import PlatformError
+from snowdock.jobs.events import WorkerListed
+from snowdock.platform.store import StoreClient
+from snowdock.platform.worker_calls import worker_headers
+from snowdock.platform.worker_entries import decode_worker_entry
+from tests.odd_values import ODD_ADDRESSES, ODD_KEYS, ODD_VALUES, replace_field
+from tests.standins.entry_cluster import wait_until
+from tests.standins.platform import StoreStandin
+
+ENTRY = {
+    "service": "pool",
+    "address": "10.1.2.3:8709",
+    "zone": "hall",
+    "version": "v1",
+    "slots": 8,
+    "state": "ready",
+    "cold_left_ms": 0,
+    "capacity": {"cpu": 16_000, "mem_mb": 65_536, "gpu": 0},
+    "labels": ["a", "r1-3"],
+    "seq": 4,
+    "born": 1_700_000_000_000,
+    "remaining_ms": 500,
+}
+ENTRY_PATHS = (
+    *((name,) for name in ENTRY),
+    *(("capacity", name) for name in ENTRY["capacity"]),
+    ("labels", 0),
+    ("unknown",),
+)
+TOO_LARGE = ("400_digits", "5000_digits", "2**63", "2**64", "1e300")
+
+ODD_ENTRIES = (
+    *ODD_VALUES.values(),
+    *(replace_field(ENTRY, path, value) for path in ENTRY_PATHS for value in ODD_VALUES.values()),
+    *(json.dumps({**ENTRY, "address": address}).encode() for address in ODD_ADDRESSES),
+    b"\x00",
+    json.dumps(ENTRY).encode()[:-1] + b',"address":"10.1.2.3:' + b"9" * 5000 + b'"}',
+)
+
+
+def encode_entry(**fields: object) -> bytes:
+    return json.dumps({**ENTRY, **fields}).encode()
+
+
+class TestWorkerEntries(unittest.TestCase):
+    def test_odd_value_in_any_field(self) -> None:
+        """Any value in any field is refused with a typed error, or leaves an entry usable."""
+        for data in ODD_ENTRIES:
+            try:
+                entry = decode_worker_entry("i-1", data)
+            except PlatformError:
+                continue
+            self.assertEqual(entry.address, ENTRY["address"], data[:300])
+            self.assertEqual(worker_headers(entry.life)["X-Expected-Instance"], "i-1")
+            msgspec.msgpack.encode([entry.life, entry.capacity, sorted(entry.labels)])
+
+    def test_port_with_thousands_of_digits(self) -> None:
+        """The port raised ValueError in place of the typed error."""
+        for address in ODD_ADDRESSES:
+            with self.assertRaises(PlatformError, msg=address[:60]):
+                decode_worker_entry("i-1", encode_entry(address=address))
+
+    def test_start_time_with_hundreds_of_digits(self) -> None:
+        """A number too large for the store's records became part of the worker's identifier."""
+        for field in ("born", "seq", "slots"):
+            for name in TOO_LARGE:
+                with self.assertRaises(PlatformError, msg=f"{field}: {name}"):
+                    decode_worker_entry("i-1", replace_field(ENTRY, (field,), ODD_VALUES[name]))
+
+    def test_key_with_line_breaks(self) -> None:
+        """The key became a header of the calls to the worker and added another header."""
+        valid = json.loads(encode_entry())
+        del valid["born"]
+        for key in ODD_KEYS:
+            with self.assertRaises(PlatformError, msg=key):
+                decode_worker_entry(key.decode("utf-8", "replace"), json.dumps(valid).encode())
+        self.assertEqual(decode_worker_entry("i-1", json.dumps(valid).encode()).life, "i-1")
+
+
+class TestReadingOfWorkers(unittest.TestCase):
+    """The worker list as a leader follows it in a store."""
+
+    def setUp(self) -> None:
+        self.store = StoreStandin()
+        self.addCleanup(self.store.close)
+        self.listed: list[str] = []
+        metrics = types.SimpleNamespace(count=lambda *_, **__: None)
+        context = types.SimpleNamespace(
+            store=StoreClient(self.store.address, 2), parts=1, metrics=metrics
+        )
+        actor = types.SimpleNamespace(tell=self.tell)
+        self.handle = LeaderHandle(context, actor, JobStatusTable())
+
+    def tell(self, event) -> None:
+        if isinstance(event, WorkerListed):
+            self.listed.append(event.entry.worker)
+
+    def put(self, worker: str) -> None:
+        self.store.put_raw("keyed.servers", worker, encode_entry())
+
+    def follow(self) -> None:
+        self.handle._worker_tail.start()
+        self.addCleanup(self.handle._worker_tail.stop)
+
+    def test_entries_beside_odd_ones_in_a_snapshot(self) -> None:
+        """One odd entry hid the workers after it in the list of all workers."""
+        for number, data in enumerate(ODD_ENTRIES):
+            self.store.put_raw("keyed.servers", f"m-{number}", data)
+        for worker in ("a", "n", "z"):
+            self.put(worker)
+        self.follow()
+        self.assertTrue(wait_until(lambda: {"a", "n", "z"} <= set(self.listed)))
+
+    def test_entries_beside_odd_ones_in_a_page(self) -> None:
+        """One odd entry hid those that were appended after it, until they changed again."""
+        self.put("first")
+        self.follow()
+        self.assertTrue(wait_until(lambda: "first" in self.listed))
+        self.store.hides_new_records = True
+        for number, data in enumerate(ODD_ENTRIES):
+            self.store.put_raw("keyed.servers", f"m-{number}", data)
+            self.put(f"after-{number}")
+        self.store.hides_new_records = False
+        expected = {f"after-{number}" for number in range(len(ODD_ENTRIES))}
+        self.assertTrue(wait_until(lambda: expected <= set(self.listed)))
+        self.put("last")
+        self.assertTrue(wait_until(lambda: "last" in self.listed))
+
+
+if __name__ == "__main__":
+    unittest.main()
