Skip one record whose handling fails, not the rest of its page

The tail handled a page's records in one loop, after it had moved on from the page, so an exception in handling one left out all later ones for good. The lists of all workers, jobs and configurations ended at such a record as well. A PlatformError counted as a failure of the store, and a LogExpired made the tail read everything again.

Each record is handled on its own; one that fails is logged as record_skipped with its key and offset. The decoders refuse odd records before; this holds for what they miss.

Both tests failed before: of a page with five failing records in turn with good ones, only the next page was handled; of three records of a list, the first two.

--- a/src/snowdock/entry/configuration_watcher.py
+++ b/src/snowdock/entry/configuration_watcher.py
@@ -15,7 +15,7 @@
 from ..platform.configuration import CONFIGURATION_KEY, OPERATOR_TOPIC, decode_configuration
 from ..platform.store import KeyedRecord, StoreClient
 from .messages import ConfigurationNotice, Heartbeat
-from .tails import Tail
+from .tails import Tail, handle_each
 from .topics import DEFAULT_PARTITION
 
 __all__ = ["ConfigurationWatcher"]
@@ -118,8 +118,7 @@
         self._apply(data, "peer")
 
     def _handle_records(self, records: list[KeyedRecord]) -> None:
-        for record in records:
-            self._handle_record(record)
+        handle_each(records, self._handle_record)
 
     def _handle_record(self, record: KeyedRecord) -> None:
         if record.key == CONFIGURATION_KEY and record.value is not None:
--- a/src/snowdock/entry/leader_handle.py
+++ b/src/snowdock/entry/leader_handle.py
@@ -26,7 +26,7 @@
 from ..threads import ServiceThread
 from .job_status_table import JobStatusTable
 from .leader import LeaderContext
-from .tails import Tail
+from .tails import Tail, handle_each
 from .topics import DEFAULT_PARTITION, JOBS_TOPIC, job_partition
 
 __all__ = ["LeaderHandle"]
@@ -175,8 +175,7 @@
             self._post(Ticked(self._context.count_advice_nodes(), steady_seconds()))
 
     def _apply_job_records(self, records: list[KeyedRecord]) -> None:
-        for record in records:
-            self.apply_job_record(record)
+        handle_each(records, self.apply_job_record)
 
     def _apply_worker_record(self, record: KeyedRecord) -> None:
         if record.offset < self._applied_offsets.get(record.key, record.offset):
@@ -213,5 +212,4 @@
     def _replace_workers(self, records: list[KeyedRecord]) -> None:
         for worker in self._listed_lives.keys() - {record.key for record in records}:
             self._delist(worker, self._may_return())
-        for record in records:
-            self._apply_worker_record(record)
+        handle_each(records, self._apply_worker_record)
--- a/src/snowdock/entry/tails.py
+++ b/src/snowdock/entry/tails.py
@@ -2,7 +2,7 @@
 
 import math
 import threading
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from ..clocks import steady_seconds
 from ..errors import LogExpired, PlatformError
@@ -10,7 +10,7 @@
 from ..platform.store import KeyedRecord, StoreClient
 from ..threads import ServiceThread
 
-__all__ = ["Tail"]
+__all__ = ["Tail", "handle_each"]
 
 _SNAPSHOT_TIMEOUT_SECONDS = 1.5
 """Timeout of reading the newest records of all keys."""
@@ -26,6 +26,19 @@
 """After an outage of the store longer than this, the newest records of all keys are read again,
 since entries that expired meanwhile may have left no record."""
 
+_MAX_LOGGED_KEY_CHARS = 60
+"""Length to which the key of a skipped record is truncated in logs."""
+
+
+def handle_each(records: Iterable[KeyedRecord], handle: Callable[[KeyedRecord], None]) -> None:
+    """Handle records in order; one whose handling fails is logged and skipped."""
+    for record in records:
+        try:
+            handle(record)
+        except Exception as error:
+            key = record.key[:_MAX_LOGGED_KEY_CHARS]
+            log_error("record_skipped", error, key=key, offset=record.offset)
+
 
 class Tail:
     """A thread that follows one partition of a keyed topic.
@@ -41,9 +54,10 @@
     pause_seconds
         Pause after each read with new records, to handle several together.
     on_record
-        Called with each new record, in order.
+        Called with each new record, in order; a record for which it fails is skipped.
     on_snapshot
-        Called with the newest records of all keys, at the start and after records were missed.
+        Called with the newest records of all keys, at the start and after records were missed. It
+        handles them with `handle_each`.
     """
 
     def __init__(
@@ -126,7 +140,7 @@
                 self._record_failure(error)
                 self._stopped.wait(_RETRY_DELAY_SECONDS)
             except Exception as error:
-                # An error in handling one record must not stop those after it.
+                # An error in handling a snapshot must not stop the reading.
                 log_error("tail_failed", error, topic=self._topic)
                 self._stopped.wait(_RETRY_DELAY_SECONDS)
 
@@ -149,8 +163,7 @@
         if self._next_offset is None:
             return
         self._next_offset = page.next_offset
-        for record in page.records:
-            self._on_record(record)
+        handle_each(page.records, self._on_record)
         # Only after the records are handled, since they may be older than this read. A page that is
         # cut says nothing of the records that it leaves out.
         if not page.is_cut:
--- a/tests/test_tails.py
+++ b/tests/test_tails.py
@@ -1,20 +1,28 @@
 """Tests of following a topic of the store."""
 
+import math
 import threading
+import types
 import unittest
 from unittest import mock
 
 from snowdock.clocks import steady_seconds
 from snowdock.entry import tails
+from snowdock.entry.configuration_watcher import ConfigurationWatcher
+from snowdock.entry.job_status_table import JobStatusTable
+from snowdock.entry.leader_handle import LeaderHandle
 from snowdock.entry.tails import Tail
-from snowdock.errors import CallUnanswered, LogExpired
+from snowdock.errors import CallUnanswered, LogExpired, PlatformError
 from snowdock.platform.store import KeyedRecord, StoreClient, StorePage
 from tests.standins.entry_cluster import wait_until
 from tests.standins.platform import StoreStandin
 
 
 class ScriptedStore:
-    """A store with scripted answers that records the wait time of each read."""
+    """A store with scripted answers that records the wait time of each read.
+
+    An answer is a record's key, the keys of a page's records, or an error.
+    """
 
     def __init__(self, *answers) -> None:
         self.answers = list(answers)
@@ -35,7 +43,9 @@
         answer = self.answers.pop(0)
         if isinstance(answer, Exception):
             raise answer
-        return StorePage([KeyedRecord(answer, b"x", offset)], offset + 1)
+        keys = answer if isinstance(answer, tuple) else (answer,)
+        records = [KeyedRecord(key, b"x", offset + number) for number, key in enumerate(keys)]
+        return StorePage(records, offset + len(keys))
 
 
 class TestTail(unittest.TestCase):
@@ -89,6 +99,59 @@
         self.assertTrue(wait_until(lambda: handled == ["good"]))
         tail.stop()
 
+    def test_record_that_fails_hides_the_rest_of_its_page(self) -> None:
+        """Whatever handling a record raises, the later records of its page are handled."""
+        odd = {
+            "value": ValueError("x"),
+            "platform": PlatformError("x"),
+            "expired": LogExpired("x", 0),
+            "nested": RecursionError("x"),
+            "memory": MemoryError("x"),
+        }
+        keys = [key for kind in odd for key in (kind, f"after-{kind}")]
+        store = ScriptedStore(tuple(keys), "later")
+        handled: list[str] = []
+
+        def on_record(record: KeyedRecord) -> None:
+            if record.key in odd:
+                raise odd[record.key]
+            handled.append(record.key)
+
+        tail = Tail(store, "keyed.t", 0, 1.0, 0.0, on_record, lambda records: None)
+        tail.start()
+        self.assertTrue(store.finished.wait(10))
+        tail.stop()
+        self.assertEqual(handled, [*(key for key in keys if key not in odd), "later"])
+        self.assertEqual((store.newest_reads, tail.seconds_since_failure), (1, math.inf))
+
+
+class TestSnapshots(unittest.TestCase):
+    """The readers of the newest records of all keys, where handling one record fails."""
+
+    RECORDS = tuple(KeyedRecord(key, b"x", number) for number, key in enumerate("abc"))
+
+    def check(self, owner, handler: str, handle_all) -> None:
+        """Check that all records are handled although the second one fails."""
+        handled: list[str] = []
+
+        def handle(record: KeyedRecord) -> None:
+            handled.append(record.key)
+            if record.key == "b":
+                raise ValueError("odd record")
+
+        with mock.patch.object(owner, handler, handle):
+            handle_all(list(self.RECORDS))
+        self.assertEqual(handled, ["a", "b", "c"])
+
+    def test_record_that_fails_hides_the_rest_of_a_snapshot(self) -> None:
+        """Workers, jobs and the configuration after the record were never handed over."""
+        context = types.SimpleNamespace(store=None, parts=1)
+        handle = LeaderHandle(context, None, JobStatusTable())
+        self.check(handle, "_apply_worker_record", handle._replace_workers)
+        self.check(handle, "apply_job_record", handle._apply_job_records)
+        watcher = ConfigurationWatcher(None, None, None)
+        self.check(watcher, "_handle_record", watcher._handle_records)
+
 
 class WaitingStore:
     """A store without new records that answers one read after a time, with an end of its own.
