Decode workers' reports strictly, so that an odd one does not end the leader

The rows of a report were lists of anything, converted by hand. A task's name that is no text raised AttributeError. The handshake on a new connection expects PlatformError only, so the thread of the calls to workers ended, and the node with it (status 70, thread_lost=worker-calls). The next leader called the same worker: both nodes of a test ended within 0.01 s of their election, again after each restart for as long as the entry stood. A clock of 1e300 ms, run numbers of 400 digits and a percent of text such as 1e999 were taken; leases, records and renewals are computed from them.

Rows are validated models. Clocks end at 2**53 ms, numbers at 64 bits, a percent is kept within 0 to 100. The load, which nothing uses, may be missing or null. An odd report counts as no answer: dropping only its row would take the run for one that is not there.

Of the new tests, the greeting and renewal tests of tests.test_worker_link and TestProcesses.test_worker_with_an_odd_report_ends_the_leader failed before, the latter with both processes gone. The tests of worker links, codecs, silent links and lives pass, and both of TestProcesses (11 s).

--- a/src/snowdock/platform/worker_calls.py
+++ b/src/snowdock/platform/worker_calls.py
@@ -1,7 +1,10 @@
 """Encoding of requests to workers (start, stop, renew) and decoding of their replies."""
 
+import re
+from typing import Annotated
+
 import msgspec
-from msgspec import UNSET
+from msgspec import UNSET, Meta
 
 from ..errors import PlatformError
 from ..jobs.lives import format_life, worker_id_of
@@ -17,7 +20,7 @@
     StopOrder,
     WorkerReport,
 )
-from ._json import BornMs, decode_born_ms, decode_json
+from ._json import MAX_STORED_INT, BornMs, decode_born_ms, decode_json
 from .http_channel import Reply
 
 __all__ = [
@@ -43,19 +46,45 @@
 _JSON = "application/json"
 _OTHER_LIFE_STATUS = 421
 
+_TASK_NAME = re.compile(r"(.+)\.([0-9]{1,10})\.([0-9]{1,10})\.([0-9]{1,10})")
+"""A job and three numbers of ASCII digits, ten at most, as no count of a job has more."""
+
+_MAX_CLOCK_MS = 2.0**53
+"""Latest time of a worker's clock; a float has no whole ms beyond."""
+
+_MAX_PERCENT = 100.0
+
+_ClockMs = Annotated[float, Meta(ge=0, le=_MAX_CLOCK_MS)]
+_Number = Annotated[int, Meta(ge=0, le=MAX_STORED_INT)]
+
 
 class _Answer(msgspec.Struct):
     # The worker's own steady clock in ms; deadlines refer to it.
-    clock_ms: float = 0.0
+    clock_ms: _ClockMs = 0.0
     reason: str = ""
 
 
+class _Running(msgspec.Struct, array_like=True):
+    task: str
+    run: _Number
+    checkpoint: str | None
+    percent: float
+    # Over the last 0.5 s.
+    load: float | None = None
+
+
+class _Ended(msgspec.Struct, array_like=True):
+    number: _Number
+    task: str
+    run: _Number
+    kind: str
+    checkpoint: str | None
+
+
 class _Renewal(msgspec.Struct):
-    clock_ms: float
-    # [task, run, checkpoint, percent done, load over the last 0.5 s]
-    running: list[list] = []
-    # [number, task, run, kind of end, checkpoint]
-    ended: list[list] = []
+    clock_ms: _ClockMs
+    running: list[_Running] = []
+    ended: list[_Ended] = []
     born: BornMs = UNSET
 
 
@@ -89,11 +118,11 @@
     PlatformError
         If the name is malformed.
     """
-    try:
-        job, repetition, step, index = name.rsplit(".", 3)
-        return TaskId(job, int(repetition), int(step), int(index))
-    except ValueError as error:
-        raise PlatformError(f"malformed task name {name[:60]!r}") from error
+    found = _TASK_NAME.fullmatch(name)
+    if found is None:
+        raise PlatformError(f"malformed task name {name[:60]!r}")
+    job, *numbers = found.groups()
+    return TaskId(job, *map(int, numbers))
 
 
 def worker_headers(life: str) -> dict[str, str]:
@@ -191,11 +220,8 @@
     renewal = _decode(reply, _Renewal)
     if _is_next_life(renewal, life):
         return Refusal.NEXT_LIFE
-    try:
-        running = [_decode_running(row) for row in renewal.running]
-        ended = [_decode_ended(row) for row in renewal.ended]
-    except (IndexError, TypeError, ValueError) as error:
-        raise PlatformError(f"invalid reply to hold: {error}") from error
+    running = [_make_running(row) for row in renewal.running]
+    ended = [_make_ended(row) for row in renewal.ended]
     return WorkerReport(renewal.clock_ms, running, ended)
 
 
@@ -221,15 +247,16 @@
     return born_ms is not None and worker != life and format_life(worker, born_ms) != life
 
 
-def _decode_running(row: list) -> RunningRun:
-    load = row[4] if len(row) > 4 else 0
-    return RunningRun(parse_task(row[0]), int(row[1]), str(row[2] or ""), float(row[3]), load)
+def _make_running(row: _Running) -> RunningRun:
+    task = parse_task(row.task)
+    percent = min(_MAX_PERCENT, max(0.0, row.percent))
+    return RunningRun(task, row.run, row.checkpoint or "", percent, row.load or 0.0)
 
 
-def _decode_ended(row: list) -> EndedRun:
+def _make_ended(row: _Ended) -> EndedRun:
     # An unknown kind of end counts as an external abort.
-    kind = _END_KINDS.get(row[3], EndKind.GANG_BROKEN)
-    return EndedRun(int(row[0]), parse_task(row[1]), int(row[2]), kind, str(row[4] or ""))
+    kind = _END_KINDS.get(row.kind, EndKind.GANG_BROKEN)
+    return EndedRun(row.number, parse_task(row.task), row.run, kind, row.checkpoint or "")
 
 
 def _decode(reply: Reply, model: type):
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -14,8 +14,9 @@
 from snowdock.platform.worker_calls import worker_headers
 from snowdock.platform.worker_entries import decode_worker_entry
 from tests.odd_values import ODD_ADDRESSES, ODD_KEYS, ODD_VALUES, replace_field
-from tests.standins.entry_cluster import wait_until
-from tests.standins.platform import StoreStandin
+from tests.standins.entry_cluster import EntryCluster, wait_until
+from tests.standins.platform import Server, StoreStandin
+from tests.test_worker_link import REPORT
 
 ENTRY = {
     "service": "pool",
@@ -137,5 +138,68 @@
         self.assertTrue(wait_until(lambda: "last" in self.listed))
 
 
+class TestProcesses(unittest.TestCase):
+    """Nodes as real processes, beside odd entries and workers that answer oddly."""
+
+    def setUp(self) -> None:
+        self.cluster = EntryCluster(2)
+        self.addCleanup(self.cluster.close)
+
+    def put_odd_workers(self, reports: list[bytes]) -> None:
+        """Add a worker for each report that answers all calls with it."""
+        for number, report in enumerate(reports):
+            server = Server(lambda *_, report=report: (200, report), threads=2)
+            self.addCleanup(server.close)
+            entry = encode_entry(address=server.address)
+            self.cluster.store.put_raw("keyed.servers", f"odd-{number}", entry)
+
+    def run_job(self) -> None:
+        step = {"count": 2, "cpu": 500, "mem_mb": 100, "estimate_ms": 100}
+        path, body = self.cluster.make_job([step])
+        node = self.cluster.nodes[0]
+        self.assertTrue(wait_until(lambda: node.call("POST", path, body)[0] == 200))
+        self.assertTrue(self.cluster.wait_state(path, "completed"))
+
+    def check_processes(self) -> None:
+        """Check that no process ended, no thread failed and nobody stepped down."""
+        for node in self.cluster.nodes:
+            self.assertIsNone(node.process.poll(), node.log.read_text()[-2000:])
+            for event in ("thread_lost", "leader_failed", "tail_failed", "record_skipped"):
+                self.assertEqual(node.log_lines(event), [], event)
+
+    def test_worker_with_an_odd_report_ends_the_leader(self) -> None:
+        """A number in place of a task's name ended the process of each leader in turn."""
+        self.put_odd_workers([replace_field(REPORT, ("running", 0, 0), b"1")])
+        self.assertTrue(self.cluster.wait_ready())
+        self.run_job()
+        node = self.cluster.leader
+        self.assertTrue(wait_until(lambda: node.log_lines("renewal_unanswered")))
+        self.check_processes()
+
+    def test_odd_entries_among_the_workers(self) -> None:
+        """Workers beside odd entries are used, and changes after those are followed."""
+        store = self.cluster.store
+        self.assertTrue(self.cluster.wait_ready())
+        for number, data in enumerate(ODD_ENTRIES):
+            store.put_raw("keyed.servers", f"m-{number}", data)
+        self.cluster.workers.add("later")
+        self.run_job()
+        before = self.cluster.leader
+        self.assertTrue(
+            wait_until(lambda: any("later" in x for x in before.log_lines("worker_listed")))
+        )
+        before.kill()
+        self.cluster.nodes.remove(before)
+        self.addCleanup(before.kill)
+        self.assertTrue(wait_until(lambda: self.cluster.leader is not None))
+        self.run_job()
+        self.cluster.workers.record("later", "draining")
+        after = self.cluster.leader
+        self.assertTrue(
+            wait_until(lambda: any("later" in x for x in after.log_lines("worker_draining")))
+        )
+        self.check_processes()
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_worker_link.py
+++ b/tests/test_worker_link.py
@@ -13,6 +13,7 @@
 from snowdock.jobs.orders import Refusal, RenewOrder, StartOrder, StopOrder, WorkerReport
 from snowdock.node.metrics import Metrics
 from snowdock.platform.call_loop import CallLoop
+from tests.odd_values import ODD_VALUES, replace_field
 from tests.standins.platform import Server, json_reply
 
 TASK = TaskId("a" * 16, 0, 0, 0)
@@ -20,6 +21,53 @@
 STOP = StopOrder(TASK, 1, 7)
 RENEW = RenewOrder(7, 3, 5000, 0, 0.0)
 EMPTY_REPORT = {"clock_ms": 1, "running": [], "ended": []}
+NAME = f"{TASK.job}.0.0.0"
+REPORT = {
+    "clock_ms": 482_113,
+    "running": [[NAME, 2, "saved", 41.5, 0.5]],
+    "ended": [[58, NAME, 1, "done", "saved"]],
+    "born": 1_700_000_000_000,
+}
+ODD_TASKS = (
+    "", "a", "a.0.0", "a.0.0.x", "a.0.0.-1", "a.0.0.+1", "a.0.0.1_0", "a.0.0. 1", "a.0.0.\u0663",
+    f"{TASK.job}.0.0." + "9" * 400, f"{TASK.job}.0.0." + "9" * 5000, f"{TASK.job}.0.0.{2**63}",
+)  # fmt: skip
+
+
+def _odd_reports() -> list[bytes]:
+    """Return reports with a value that does not fit, one at a time."""
+    numbers = {"400_digits", "5000_digits", "1e999", "NaN", "2**64", "1e300", "negative", "text"}
+    no_numbers = {"1e999", "NaN", "400_digits", "5000_digits", "text", "text_of_nan", "list"}
+    rows = {"object", "text", "list", "list_of_lists", "list_of_null", "nested_arrays"}
+    wrong = {
+        ("clock_ms",): numbers | {"null", "true", "list"},
+        ("born",): numbers | {"fraction", "null", "true", "list"},
+        ("running",): rows | {"null", "true", "list_of_an_object"},
+        ("ended",): rows | {"null", "true", "list_of_an_object"},
+        ("running", 0): rows | {"null", "empty_list"},
+        ("ended", 0): rows | {"null", "empty_list"},
+        ("running", 0, 0): numbers | {"null", "list", "object", "lone_surrogate", "invalid_utf8"},
+        ("running", 0, 1): numbers | {"fraction", "null", "text_of_a_number"},
+        ("running", 0, 2): {"list", "object", "nested_objects", "lone_surrogate", "1e300"},
+        ("running", 0, 3): no_numbers | {"null"},
+        ("running", 0, 4): no_numbers,
+        ("ended", 0, 0): numbers | {"fraction", "null", "text_of_a_number"},
+        ("ended", 0, 1): numbers | {"null", "list", "object", "lone_surrogate", "invalid_utf8"},
+        ("ended", 0, 2): numbers | {"fraction", "null", "text_of_a_number"},
+        ("ended", 0, 3): {"list", "object", "null", "nested_objects", "lone_surrogate"},
+        ("ended", 0, 4): {"list", "object", "nested_objects", "lone_surrogate", "1e300"},
+    }
+    reports = [
+        replace_field(REPORT, path, ODD_VALUES[name])
+        for path, names in wrong.items()
+        for name in sorted(names)
+    ]
+    reports += [replace_field(REPORT, ("running", 0, 0), json.dumps(n).encode()) for n in ODD_TASKS]
+    reports += [replace_field(REPORT, ("ended", 0, 1), json.dumps(n).encode()) for n in ODD_TASKS]
+    return [*reports, b"", b"null", ODD_VALUES["nested_arrays"], ODD_VALUES["nested_objects"]]
+
+
+ODD_REPORTS = _odd_reports()
 
 
 class TestWorkerLink(unittest.TestCase):
@@ -211,6 +259,36 @@
         self.assertIs(self.next_event().result.refusal, Refusal.UNREACHABLE)
         self.assertEqual(self.calls, [])
 
+    def test_odd_report_in_a_greeting_ends_the_loop(self) -> None:
+        """The loop ended with AttributeError, and the whole process with it."""
+        for report in ODD_REPORTS:
+            self.greeting_answer = (200, report)
+            self.order(START)
+            event = self.next_event()
+            self.assertIsInstance(event, StartAnswered, report[:200])
+            self.assertIsNotNone(event.result.refusal, report[:200])
+        self.greeting_answer = json_reply(EMPTY_REPORT)
+        self.answers = [json_reply({"clock_ms": 12})]
+        self.order(START)
+        self.assertIsNone(self.next_event().result.refusal)
+
+    def test_odd_report_in_a_renewal(self) -> None:
+        """An odd report counts as no answer; the next renewal is sent."""
+        for report in ODD_REPORTS:
+            self.answers = [(200, report)]
+            self.renew(RENEW)
+            self.assertEqual(self.next_event().outcome, None, report[:200])
+        self.answers = [json_reply(EMPTY_REPORT)]
+        self.renew(RENEW)
+        self.assertIsInstance(self.next_event().outcome, WorkerReport)
+
+    def test_percent_beyond_100(self) -> None:
+        """A percent outside 0 to 100 is limited to that range."""
+        for value, expected in ((b"1e300", 100.0), (b"-1", 0.0), (b"41", 41.0)):
+            self.answers = [(200, replace_field(REPORT, ("running", 0, 3), value))]
+            self.renew(RENEW)
+            self.assertEqual(self.next_event().outcome.running[0].percent, expected)
+
     def test_orders_are_sent_in_sequence(self) -> None:
         """A stop is sent after the start before it has been answered."""
         self.answers = [json_reply({"clock_ms": 1})] * 6
