Fail a call to a worker whose connection cannot be made, not the leader

A link to an address that is no IPv4 address and port raised ValueError in the leader's actor, which stepped down. A connection for which the process had no free descriptor raised OSError on the thread of the calls, and an unexpected error in the check of a greeting ended it too, as the other answers' decoders catch such errors but the greeting's did not. A lost thread ends the node.

A channel takes any address and fails its calls as unsent; so does a connection without a descriptor. The parsing of addresses moves to a module of its own, which the decoder of entries uses as well, so that both accept the same.

--- a/src/snowdock/entry/worker_link.py
+++ b/src/snowdock/entry/worker_link.py
@@ -161,6 +161,9 @@
             report = decode_renewal(reply, self._life)
         except PlatformError as error:
             return CallUnanswered(str(error), unsent=True)
+        except Exception as error:
+            log_error("greeting_failed", error, worker=self._life)
+            return CallUnanswered(str(error), unsent=True)
         if report is Refusal.NEXT_LIFE:
             self._has_next_life = True
             return CallUnanswered("the worker has begun another life", unsent=True)
--- a/src/snowdock/platform/http_channel.py
+++ b/src/snowdock/platform/http_channel.py
@@ -13,7 +13,8 @@
 import httptools
 
 from ..clocks import steady_seconds
-from ..errors import CallUnanswered
+from ..errors import CallUnanswered, PlatformError
+from ._addresses import split_address
 from .call_loop import CallLoop
 
 __all__ = ["CallOutcome", "Handshake", "HttpChannel", "Reply"]
@@ -25,6 +26,9 @@
 _READ_BYTES = 65_536
 """Most bytes read by one call of ``recv``; most responses have a few hundred bytes."""
 
+_MAX_LABEL_CHARS = 80
+"""Length to which the address and the path of a call are truncated in messages."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Reply:
@@ -74,7 +78,7 @@
     loop
         Event loop that makes the calls; all methods must be called on its thread.
     address
-        IP address and port.
+        IP address and port; calls to an invalid address fail as unsent.
     headers
         Headers sent with each call.
     handshake
@@ -89,11 +93,9 @@
         handshake: Handshake | None = None,
     ) -> None:
         self._loop = loop
-        host, _, port = address.rpartition(":")
-        self._host = host
-        self._port = int(port)
+        self._address = address
         lines = [f"Host: {address}", *(f"{name}: {value}" for name, value in headers.items())]
-        self._header_lines = "\r\n".join(lines).encode()
+        self._header_lines = "\r\n".join(lines).encode("utf-8", "replace")
         self._handshake = handshake
         self._is_handshaking = False
         self._handshakes_sent = 0
@@ -137,7 +139,7 @@
             Called with the outcome, on the loop's thread.
         """
         self._on_outcome = on_outcome
-        self._call_label = f"POST {self._host}:{self._port}{path[:80]}"
+        self._call_label = f"POST {self._address[:_MAX_LABEL_CHARS]}{path[:_MAX_LABEL_CHARS]}"
         self._timeout_s = timeout_s
         self._handshakes_sent = 0
         self._request = self._format_request(path, body)
@@ -185,20 +187,31 @@
     # -- the connection --------------------------------------------------------------------
 
     def _connect(self) -> None:
-        self._socket = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        try:
+            address = split_address(self._address)
+            self._socket = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        except (PlatformError, OSError) as error:
+            self._fail_later(str(error))
+            return
         self._socket.setblocking(False)
         self._socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        error_number = self._socket.connect_ex((self._host, self._port))
+        error_number = self._socket.connect_ex(address)
         if error_number not in (0, errno.EINPROGRESS):
             self._close_socket()
-            # Deferred, because the callback may start a call that fails at once as well.
-            outcome = CallUnanswered(f"{self._call_label}: {_format_errno(error_number)}", True)
-            self._loop.submit(functools.partial(self._finish_call, outcome))
+            self._fail_later(_format_errno(error_number))
             return
         on_ready = functools.partial(self._handle_ready, self._socket)
         self._loop.watch(self._socket, selectors.EVENT_WRITE, on_ready)
         self._set_deadline(min(self._timeout_s, _CONNECT_SECONDS))
 
+    def _fail_later(self, reason: str) -> None:
+        """Fail a call that could not be sent, after the current callback.
+
+        Its own callback may start a call that fails at once as well.
+        """
+        outcome = CallUnanswered(f"{self._call_label}: {reason}", True)
+        self._loop.submit(functools.partial(self._finish_call, outcome))
+
     def _disconnect(self) -> None:
         if self._socket is None:
             return
--- a/src/snowdock/platform/worker_entries.py
+++ b/src/snowdock/platform/worker_entries.py
@@ -4,7 +4,6 @@
 missing field, a wrong type, an unknown value or a value out of range is rejected.
 """
 
-import ipaddress
 import re
 from typing import Annotated, Literal
 
@@ -15,6 +14,7 @@
 from ..errors import PlatformError
 from ..jobs.lives import format_life, worker_id_of
 from ..jobs.workers import WorkerEntry
+from ._addresses import split_address
 from ._json import MAX_STORED_INT, BornMs, decode_born_ms, decode_json
 
 __all__ = ["WORKER_TOPIC", "decode_worker_entry"]
@@ -23,10 +23,6 @@
 
 _Amount = Annotated[int, Meta(ge=0, le=1_000_000_000)]
 _Name = Annotated[str, Meta(min_length=1, max_length=255)]
-_LARGEST_PORT = 65_535
-
-_PORT = re.compile(r"[0-9]{1,5}")
-"""A port's digits; `int` raises ValueError for thousands of them."""
 
 _WORKER_ID = re.compile(r"[!-~]{1,255}")
 """Visible ASCII characters, since a worker's id is sent as a header."""
@@ -55,23 +51,6 @@
     remaining_ms: float | None = None
 
 
-def _check_address(address: str) -> None:
-    """Check that an address is an IPv4 address and a port.
-
-    Raises
-    ------
-    PlatformError
-        If it is anything else.
-    """
-    host, _, port = address.rpartition(":")
-    try:
-        ipaddress.IPv4Address(host)
-    except ValueError as error:
-        raise PlatformError(f"invalid IP address in {address[:60]!r}") from error
-    if not (_PORT.fullmatch(port) and 0 < int(port) <= _LARGEST_PORT):
-        raise PlatformError(f"invalid port in {address[:60]!r}")
-
-
 def _make_life(worker: str, born: BornMs) -> str:
     """Return the identifier of a worker's life.
 
@@ -102,7 +81,7 @@
         If the entry is malformed.
     """
     entry = decode_json(data, _Entry, f"worker entry {key[:60]!r}")
-    _check_address(entry.address)
+    split_address(entry.address)
     capacity = entry.capacity
     return WorkerEntry(
         life=_make_life(key, entry.born),
--- a/tests/test_worker_link.py
+++ b/tests/test_worker_link.py
@@ -1,19 +1,22 @@
 """Tests of the calls to one worker, against a server with scripted answers."""
 
+import errno
 import json
 import queue
 import threading
 import time
 import unittest
 from collections.abc import Callable
+from unittest import mock
 
+from snowdock.entry import worker_link
 from snowdock.entry.worker_link import WorkerLink
 from snowdock.jobs.events import RenewAnswered, StartAnswered, StopAnswered
 from snowdock.jobs.model import TaskId
 from snowdock.jobs.orders import Refusal, RenewOrder, StartOrder, StopOrder, WorkerReport
 from snowdock.node.metrics import Metrics
 from snowdock.platform.call_loop import CallLoop
-from tests.odd_values import ODD_VALUES, replace_field
+from tests.odd_values import ODD_ADDRESSES, ODD_VALUES, replace_field
 from tests.standins.platform import Server, json_reply
 
 TASK = TaskId("a" * 16, 0, 0, 0)
@@ -282,6 +285,32 @@
         self.renew(RENEW)
         self.assertIsInstance(self.next_event().outcome, WorkerReport)
 
+    def test_address_that_cannot_be_connected_to(self) -> None:
+        """Making a link to an odd address raised in the leader, or its call ended the loop."""
+        for address in (*ODD_ADDRESSES, "10.1.2.3:8\ud800"):
+            self.link = self.make_link("i-1", address)
+            self.order(START)
+            self.assertIs(self.next_event().result.refusal, Refusal.UNREACHABLE, address[:60])
+
+    def test_node_without_free_descriptors(self) -> None:
+        """A call that finds no free descriptor fails; the loop ended with OSError."""
+        exhausted = mock.patch("socket.socket", side_effect=OSError(errno.EMFILE, "too many"))
+        with exhausted:
+            self.order(START)
+            self.assertIs(self.next_event().result.refusal, Refusal.UNREACHABLE)
+        self.answers = [json_reply({"clock_ms": 12})]
+        self.order(START)
+        self.assertIsNone(self.next_event().result.refusal)
+
+    def test_defect_in_the_check_of_a_greeting(self) -> None:
+        """An unexpected error in checking a greeting fails the call, not the loop."""
+        with mock.patch.object(worker_link, "decode_renewal", side_effect=ValueError("defect")):
+            self.order(START)
+            self.assertIs(self.next_event().result.refusal, Refusal.UNREACHABLE)
+        self.answers = [json_reply({"clock_ms": 12})]
+        self.order(START)
+        self.assertIsNone(self.next_event().result.refusal)
+
     def test_percent_beyond_100(self) -> None:
         """A percent outside 0 to 100 is limited to that range."""
         for value, expected in ((b"1e300", 100.0), (b"-1", 0.0), (b"41", 41.0)):
