Read lists of newest records that have a key that is not UTF-8

A page of newest records is one JSON text, and its keys are other programs'. A key that the store states as a lone surrogate or as raw bytes made the whole page malformed, so that the list of workers, or the records for a takeover, were read again and again without success. A key that it states with U+FFFD as the last of its page made the reader ask for what follows a key that the store does not have: where that sorts before the true one, the same page came forever, and its records were collected until the process was ended.

A page that does not decode is decoded with U+FFFD for what is not UTF-8, as records of a page of a log are. The reading goes on after the last key that was not changed, and a page that repeats a key it went on after is an error.

--- a/src/snowdock/platform/store.py
+++ b/src/snowdock/platform/store.py
@@ -2,6 +2,8 @@
 
 import base64
 import dataclasses
+import json
+import re
 import struct
 from collections.abc import Iterable, Iterator
 from urllib.parse import quote
@@ -36,6 +38,9 @@
 """Added to the wait of a long poll for its timeout; leaves room for a store that takes 0.3 s,
 which is 70 times its normal time."""
 
+_REPLACEMENT = "\ufffd"
+_LONE_SURROGATE = re.compile("[\ud800-\udfff]")
+
 _REFUSAL_STATUSES = (408, 429, 503, 507)
 
 
@@ -187,6 +192,52 @@
     return decode_json(reply.data, model, "store response")
 
 
+def _decode_newest_page(reply: HttpReply) -> _NewestPage:
+    """Decode a page of newest records.
+
+    Keys are chosen by other programs and may not be UTF-8. What is not is replaced, as in `read`.
+    """
+    try:
+        return _decode(reply, _NewestPage)
+    except PlatformError:
+        text = _replace_invalid_text(reply.data)
+        return decode_json(text.encode(), _NewestPage, "store response")
+
+
+def _replace_invalid_text(data: bytes) -> str:
+    """Return JSON with U+FFFD in place of bytes that are not UTF-8 and of lone surrogates.
+
+    Raises
+    ------
+    PlatformError
+        If it is not JSON even so.
+    """
+    try:
+        # The standard library accepts lone surrogates, which msgspec does not.
+        value = json.loads(data.decode("utf-8", "replace"))
+    except (ValueError, RecursionError) as error:
+        raise PlatformError(f"invalid store response: {error}") from error
+    return _LONE_SURROGATE.sub(_REPLACEMENT, json.dumps(value, ensure_ascii=False))
+
+
+def _find_last_key(items: list[_Item], used: set[str], partition: str) -> str:
+    """Return the key of a page after which to read on.
+
+    A key with replaced bytes is used only if there is no other, since the store does not have it
+    and may repeat records after it.
+
+    Raises
+    ------
+    PlatformError
+        If the page repeats a key after which the list was read on.
+    """
+    keys = [item.key for item in items]
+    if not used.isdisjoint(keys):
+        raise PlatformError(f"page of {partition} up to {keys[-1]!r} does not advance")
+    sound = [key for key in keys if _REPLACEMENT not in key]
+    return (sound or keys)[-1]
+
+
 class StoreClient:
     """Appends records to topics of the store and reads them.
 
@@ -347,23 +398,21 @@
         """
         records: list[KeyedRecord] = []
         first_end = None
-        after = ""
+        target = first_page = f"/v1/log-newest?topic={quote(topic)}&part={part}"
+        used: set[str] = set()
         while True:
-            target = f"/v1/log-newest?topic={quote(topic)}&part={part}"
-            if after:
-                target += f"&after={quote(after)}"
             reply = self._call("GET", target, None, timeout_s)
             if reply.status != 200:
                 self._raise_for_status(reply)
                 raise CallUnanswered(f"newest returned status {reply.status}", False)
-            page = _decode(reply, _NewestPage)
+            page = _decode_newest_page(reply)
             first_end = page.end if first_end is None else first_end
             for item in page.items:
                 records.append(KeyedRecord(item.key, _decode_value(item), item.offset))
             if not page.has_more:
                 return StorePage(records, first_end)
             if not page.items:
-                raise PlatformError(
-                    f"page of {topic}[{part}] after {after!r} has no items but more"
-                )
-            after = page.items[-1].key
+                raise PlatformError(f"page of {topic}[{part}] has no items but more")
+            after = _find_last_key(page.items, used, f"{topic}[{part}]")
+            used.add(after)
+            target = f"{first_page}&after={quote(after)}"
--- a/tests/standins/platform.py
+++ b/tests/standins/platform.py
@@ -143,6 +143,9 @@
     are executed but not answered in time; with ``hides_new_records``, reads return no records.
     ``part_faults`` has the fault of a topic's partition: "refuse" and "silent" as above, "reset"
     closes connections, and "late" executes calls only after their callers have given up.
+
+    ``key_form`` is how a list of newest records states a key that is not UTF-8: "replaced" by
+    U+FFFD, with "escaped" surrogates, or as "raw" bytes.
     """
 
     def __init__(self) -> None:
@@ -156,6 +159,7 @@
         self.record_bytes = 262_144
         self.call_bytes = 2_097_152
         self.rejected: list[int] = []
+        self.key_form = "replaced"
         self._parts: dict[tuple[str, int], Partition] = {}
         self._changed = threading.Condition()
         self._server = Server(self._handle, threads=STORE_THREADS)
@@ -171,16 +175,17 @@
         """Append a JSON value as the operator or a worker does; None deletes the key."""
         self.put_raw(topic, key, b"" if value is None else json.dumps(value).encode())
 
-    def put_raw(self, topic: str, key: str, data: bytes) -> None:
+    def put_raw(self, topic: str, key: str | bytes, data: bytes) -> None:
         """Append raw bytes."""
+        raw_key = key.encode() if isinstance(key, str) else key
         with self._changed:
-            self._append(self.part(topic), [(key.encode(), data)])
+            self._append(self.part(topic), [(raw_key, data)])
 
     def keys(self, topic: str) -> set[str]:
         """Return the keys of all partitions of a topic."""
         with self._changed:
             parts = [part for (name, _), part in self._parts.items() if name == topic]
-            return {key.decode() for part in parts for key in part.newest}
+            return {key.decode(errors="replace") for part in parts for key in part.newest}
 
     def discard_history(self, topic: str) -> None:
         with self._changed:
@@ -292,8 +297,7 @@
             page.append(struct.pack(">I", len(data)) + data)
         return 200, b"".join(page)
 
-    @staticmethod
-    def _read_newest(part: Partition, query) -> Reply:
+    def _read_newest(self, part: Partition, query) -> Reply:
         after = query.get("after", "").encode()
         keys = sorted(key for key in part.newest if key > after)
         items = []
@@ -304,8 +308,12 @@
             if size > _MAX_PAGE_BYTES and items:
                 break
             text = base64.b64encode(value).decode()
-            items.append({"key": key.decode(), "value": text, "offset": offset})
-        return json_reply({"items": items, "has_more": len(keys) > len(items), "end": part.end})
+            errors = "replace" if self.key_form == "replaced" else "surrogateescape"
+            items.append({"key": key.decode(errors=errors), "value": text, "offset": offset})
+        page = {"items": items, "has_more": len(keys) > len(items), "end": part.end}
+        if self.key_form == "raw":
+            return 200, json.dumps(page, ensure_ascii=False).encode(errors="surrogateescape")
+        return json_reply(page)
 
 
 _STARVATION_CHECK_SECONDS = 0.1
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -138,6 +138,45 @@
         self.assertTrue(wait_until(lambda: "last" in self.listed))
 
 
+class TestKeysInLists(unittest.TestCase):
+    """Keys that are not UTF-8, in lists of newest records of several pages."""
+
+    def setUp(self) -> None:
+        self.store = StoreStandin()
+        self.addCleanup(self.store.close)
+        self.client = StoreClient(self.store.address, 2)
+
+    def read(self) -> list[str]:
+        page = self.client.newest("keyed.servers", 0, 2.0)
+        return [record.key for record in page.records]
+
+    def test_key_that_is_not_utf8_hides_the_whole_list(self) -> None:
+        """The page with the key was refused, so that the list was never read."""
+        sound = {f"i-{number:03}" for number in range(120)}
+        for key in (*sound, *ODD_KEYS):
+            self.store.put_raw("keyed.servers", key, b"x")
+        for form in ("replaced", "escaped", "raw"):
+            self.store.key_form = form
+            self.assertEqual(sound - set(self.read()), set(), form)
+
+    def test_key_that_is_not_utf8_at_the_end_of_a_page(self) -> None:
+        """Reading on after a key that the store does not have repeated a page forever."""
+        for number in range(60):
+            self.store.put_raw("keyed.servers", f"i-{number:03}", b"x")
+        self.store.put_raw("keyed.servers", b"i-049\xf0", b"x")
+        self.store.put_raw("keyed.servers", b"i-048\xff", b"x")
+        for form in ("replaced", "escaped", "raw"):
+            self.store.key_form = form
+            self.assertLessEqual({f"i-{number:03}" for number in range(60)}, set(self.read()))
+
+    def test_pages_that_do_not_advance(self) -> None:
+        """A store that repeats its pages raises the typed error."""
+        for number in range(120):
+            self.store.put_raw("keyed.servers", b"\xff%03d" % number, b"x")
+        with self.assertRaises(PlatformError):
+            self.read()
+
+
 class TestProcesses(unittest.TestCase):
     """Nodes as real processes, beside odd entries and workers that answer oddly."""
 
