Refuse odd records of jobs and progress, which made each leader fail in turn

Submissions and progress in the store were decoded without bounds. A step after one that does not exist, and progress of a task or repetition that the job does not have, raised IndexError in every new leader's takeover; 2**31 tasks or finished repetitions filled its memory. A submission under a key that is no job id was run, and by reading the code the thread that deletes records, or the one that writes progress, would end at the key (no hexadecimal digits, or 255 bytes and more). Callers' bodies were checked, but not against times that no record can hold: an estimate of 1e300 ms was accepted, and encoding it raised OverflowError.

The types of durable records have the bounds of callers' bodies, which use the same types now. A job whose progress does not match its submission counts as unreadable. Keys of other forms are ignored and logged, and an append refuses a key of more than 255 bytes with the typed error. Numbers of failed and lost runs have no lower bound, as before.

--- a/src/snowdock/entry/leader_handle.py
+++ b/src/snowdock/entry/leader_handle.py
@@ -18,9 +18,9 @@
     WorkerListed,
 )
 from ..jobs.model import Configuration, JobId
-from ..jobs.progress import CANCEL_PREFIX, decode_accepted, parse_job_id
+from ..jobs.progress import CANCEL_PREFIX, decode_accepted, is_job_key, parse_job_id
 from ..jobs.timeouts import TICK_SECONDS
-from ..logs import log_error
+from ..logs import log_error, log_event
 from ..platform.store import KeyedRecord
 from ..platform.worker_entries import WORKER_TOPIC, decode_worker_entry
 from ..threads import ServiceThread
@@ -32,7 +32,7 @@
 __all__ = ["LeaderHandle"]
 
 _MAX_LOGGED_KEY_CHARS = 60
-"""Length to which the key of an unusable entry is truncated in logs."""
+"""Length to which the key of an unusable record is truncated in logs."""
 
 _JOBS_WAIT_SECONDS = 1.0
 """How long one read of new jobs waits, which bounds how outdated "no such job" may be."""
@@ -128,7 +128,7 @@
 
     def apply_job_record(self, record: KeyedRecord) -> None:
         """Send the leader a job's record or its cancellation; known ones have no effect."""
-        if record.value is None:
+        if record.value is None or not _has_job_key(record):
             return
         if record.key.startswith(CANCEL_PREFIX):
             self._post(JobCancelled(record.key.removeprefix(CANCEL_PREFIX)))
@@ -144,6 +144,8 @@
         """Tell the leader of a job's record that is about to be appended."""
         if record.value is None or record.key.startswith(CANCEL_PREFIX):
             return
+        if not _has_job_key(record):
+            return
         try:
             accepted = decode_accepted(record.value)
         except InvalidInput as error:
@@ -213,3 +215,11 @@
         for worker in self._listed_lives.keys() - {record.key for record in records}:
             self._delist(worker, self._may_return())
         handle_each(records, self._apply_worker_record)
+
+
+def _has_job_key(record: KeyedRecord) -> bool:
+    """Check whether a record of the jobs topic has a key of snowdock's; log any other key."""
+    if is_job_key(record.key):
+        return True
+    log_event("job_key_unusable", key=record.key[:_MAX_LOGGED_KEY_CHARS])
+    return False
--- a/src/snowdock/entry/takeover.py
+++ b/src/snowdock/entry/takeover.py
@@ -3,7 +3,8 @@
 import concurrent.futures
 import dataclasses
 import time
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
+from types import MappingProxyType
 
 from ..clocks import steady_seconds
 from ..errors import InvalidInput, PlatformError, ProducerFenced
@@ -13,9 +14,12 @@
     AcceptedJob,
     JobProgress,
     decode_accepted,
+    is_job_key,
+    is_progress_key,
     parse_job_id,
 )
-from ..jobs.recorded_progress import ProgressOnRecord, read_progress
+from ..jobs.progress_layout import ProgressLayout
+from ..jobs.recorded_progress import ProgressOnRecord, check_progress, read_progress
 from ..jobs.takeover import RecordedJobs
 from ..logs import log_error, log_event
 from ..platform.store import KeyedRecord, StoreClient, StorePage
@@ -33,6 +37,9 @@
 _TAKEOVER_RETRY_SECONDS = 0.1
 """Pause before a takeover is retried after the store did not answer."""
 
+_MAX_LOGGED_KEY_CHARS = 60
+"""Length to which the key of an unusable record is truncated in logs."""
+
 _READ_THREADS = 12
 """Number of partitions read concurrently, since a call to a slow store takes about 0.4 s."""
 
@@ -69,7 +76,9 @@
         progress_pages = list(progress_reads)
     on_record = _read_progress([page.records for page in progress_pages])
     records = [record for page in job_pages for record in page.records]
-    recorded = classify_records(records, on_record.progress, on_record.unreadable)
+    recorded = classify_records(
+        records, on_record.progress, on_record.unreadable, on_record.layouts
+    )
     recorded = dataclasses.replace(
         recorded, progress_partitions=on_record.partitions, layouts=on_record.layouts
     )
@@ -81,29 +90,43 @@
 
     A malformed record doesn't raise, since it would keep every node from leading.
     """
-    on_record = read_progress(
-        [(record.key, record.value) for record in records if record.value] for records in partitions
-    )
+    on_record = read_progress(map(_list_progress, partitions))
     for each in on_record.malformed:
         log_error("progress_record_unusable", each.error, job=each.key, part=each.partition)
     return on_record
 
 
+def _list_progress(records: Iterable[KeyedRecord]) -> list[tuple[str, bytes]]:
+    """Return the keys and data of a partition's records; other programs' keys are left out."""
+    listed = []
+    for record in records:
+        if not is_progress_key(record.key):
+            log_event("progress_key_unusable", key=record.key[:_MAX_LOGGED_KEY_CHARS])
+        elif record.value:
+            listed.append((record.key, record.value))
+    return listed
+
+
 def classify_records(
     records: Iterable[KeyedRecord],
     progress: dict[JobId, JobProgress],
     unreadable: frozenset[JobId] = frozenset(),
+    layouts: Mapping[JobId, ProgressLayout] = MappingProxyType({}),
 ) -> RecordedJobs:
     """Classify the records of the jobs topic into accepted, cancelled and unstartable jobs.
 
     Teams choose job identifiers themselves, so that jobs of several teams may share one. The job
-    of the team named in the progress record is kept, or else the one accepted first.
+    of the team named in the progress record is kept, or else the one accepted first. A job whose
+    progress does not match it counts as unreadable.
     """
     accepted: dict[JobId, AcceptedJob] = {}
     cancelled = set()
     unstartable = set()
+    mismatched = set()
     for record in records:
-        if record.key.startswith(CANCEL_PREFIX):
+        if not is_job_key(record.key):
+            log_event("job_key_unusable", key=record.key[:_MAX_LOGGED_KEY_CHARS])
+        elif record.key.startswith(CANCEL_PREFIX):
             cancelled.add(record.key.removeprefix(CANCEL_PREFIX))
         elif record.value:
             job = parse_job_id(record.key)
@@ -124,8 +147,20 @@
             earlier = accepted.get(job)
             if earlier is None or job_record.accepted_ms < earlier.accepted_ms:
                 accepted[job] = job_record
+    for job in accepted.keys() & progress.keys():
+        try:
+            check_progress(accepted[job].spec, progress[job], layouts.get(job))
+        except InvalidInput as error:
+            log_error("progress_record_unusable", error, job=job)
+            mismatched.add(job)
     unstartable -= accepted.keys()
-    return RecordedJobs(accepted, cancelled, progress, unreadable, frozenset(unstartable))
+    return RecordedJobs(
+        {job: record for job, record in accepted.items() if job not in mismatched},
+        cancelled,
+        {job: record for job, record in progress.items() if job not in mismatched},
+        unreadable | mismatched,
+        frozenset(unstartable),
+    )
 
 
 def start_leader(context: LeaderContext, still_leads: Callable[[], bool]) -> LeaderHandle | None:
--- a/src/snowdock/jobs/model.py
+++ b/src/snowdock/jobs/model.py
@@ -1,14 +1,19 @@
 """Specifications that callers and operators submit: jobs, steps, queues and limits."""
 
 import enum
+import re
+from typing import Annotated
 
 import msgspec
+from msgspec import Meta
 
 from ..declarations import Size
 from ..teams import TeamRegistry
 
 __all__ = [
+    "MAX_STEPS",
     "AdviceTerms",
+    "Amount",
     "Configuration",
     "JobId",
     "JobSpec",
@@ -18,12 +23,37 @@
     "Service",
     "StepKey",
     "StepSpec",
+    "StepTaskCount",
     "TaskId",
+    "TimeMs",
+    "is_job_id",
 ]
 
 JobId = str
 """A job's identifier, chosen by the caller: 16 hexadecimal digits."""
 
+_JOB_ID = re.compile(r"[0-9a-f]{16}")
+
+MAX_STEPS = 100
+"""Most steps of a job."""
+
+_MAX_STEP_TASKS = 10_000
+"""Most tasks of a step."""
+
+Amount = Annotated[int, Meta(ge=0, le=1_000_000_000)]
+"""An amount of resources, or a count; sums over all runs of a cluster stay far below 64 bits."""
+
+StepTaskCount = Annotated[int, Meta(ge=1, le=_MAX_STEP_TASKS)]
+"""The number of tasks of a step."""
+
+TimeMs = Annotated[int, Meta(ge=0, le=2**53)]
+"""A duration or a time since 1970 in ms, which a float represents exactly."""
+
+
+def is_job_id(text: str) -> bool:
+    """Return whether a text has the form of a job id."""
+    return _JOB_ID.fullmatch(text) is not None
+
 
 class JobStatus(enum.IntEnum):
     """Status of a job."""
@@ -102,22 +132,22 @@
         Maximum number of long-running tasks that the scheduler may keep stopped at a time.
     """
 
-    count: int
+    count: StepTaskCount
     size: Size
-    estimate_ms: int = 0
-    after: tuple[int, ...] = ()
+    estimate_ms: TimeMs = 0
+    after: tuple[Amount, ...] = ()
     checkpointing: bool = False
     gang: bool = False
     same_rack: bool = False
     label: str = ""
     data_rack: str = ""
-    most_per_worker: int = 0
+    most_per_worker: Amount = 0
     speculative: bool = False
     long_running: bool = False
     image: str = ""
-    target_ms: int = 0
+    target_ms: TimeMs = 0
     fills: bool = False
-    may_miss: int = 0
+    may_miss: Amount = 0
 
     @property
     def is_preemptible(self) -> bool:
@@ -159,10 +189,10 @@
 
     queue: str
     payload: str
-    steps: tuple[StepSpec, ...]
-    repetitions: int = 0
-    first_due_ms: int = 0
-    interval_ms: int = 0
+    steps: Annotated[tuple[StepSpec, ...], Meta(min_length=1, max_length=MAX_STEPS)]
+    repetitions: Amount = 0
+    first_due_ms: TimeMs = 0
+    interval_ms: Amount = 0
 
     @property
     def work_core_s(self) -> float:
--- a/src/snowdock/jobs/progress.py
+++ b/src/snowdock/jobs/progress.py
@@ -1,12 +1,15 @@
 """Durable records of jobs: submission, cancellation and progress."""
 
 import hashlib
+import re
+from typing import Annotated
 
 import msgspec
+from msgspec import Meta
 
 from ..errors import DECODE_ERRORS, InvalidInput
 from .evidence import Evidence
-from .model import JobId, JobSpec, JobStatus
+from .model import Amount, JobId, JobSpec, JobStatus, StepSpec, TimeMs
 
 __all__ = [
     "CANCEL_PREFIX",
@@ -25,6 +28,8 @@
     "decode_task_block",
     "encode",
     "is_block_key",
+    "is_job_key",
+    "is_progress_key",
     "parse_block_repetition",
     "parse_job_id",
     "parse_progress_key",
@@ -43,6 +48,21 @@
 
 _BLOCK_SEPARATOR = "."
 
+_JOB_KEY = re.compile(r"(cancel\.)?[0-9a-f]{16}(@[0-9a-f]{12})?")
+"""Keys of submissions and cancellations; the store takes keys of 255 bytes at most, and other
+programs may write any."""
+
+_PROGRESS_KEY = re.compile(r"[0-9a-f]{16}(\.[0-9]{1,10}){0,3}")
+"""Keys of progress: a job, for a block with three numbers."""
+
+_MAX_AMOUNT = 1_000_000_000
+"""Most of a resource that a task may need, as for `Amount`."""
+
+_MAX_RUN = 2**53
+"""Highest number of a run, so that later ones fit into 64 bits too."""
+
+_RunNumber = Annotated[int, Meta(le=_MAX_RUN)]
+
 Version = tuple[int, int]
 """The epoch of the leader that wrote a record, and the number of its batch."""
 
@@ -66,12 +86,12 @@
     """
 
     spec: JobSpec
-    accepted_ms: int
+    accepted_ms: TimeMs
     service: str
-    priority: int
-    max_attempts: int
+    priority: Annotated[int, Meta(ge=-1_000_000_000, le=1_000_000_000)]
+    max_attempts: Annotated[int, Meta(ge=0, le=2**63 - 1)]
     team: str = ""
-    first_seen_ms: int = 0
+    first_seen_ms: TimeMs = 0
 
     @property
     def waited_s(self) -> float:
@@ -85,7 +105,7 @@
 class ChargeRecord(msgspec.Struct, frozen=True, array_like=True):
     """A run that is charged to its task; see `Charge` for the attributes."""
 
-    run: int
+    run: _RunNumber
     evidence: Evidence
     life: str = ""
     address: str = ""
@@ -118,16 +138,16 @@
         is none, or if an earlier version placed the run.
     """
 
-    repetition: int
-    step: int
-    index: int
-    run: int = 0
+    repetition: Amount
+    step: Amount
+    index: Amount
+    run: Annotated[int, Meta(ge=0, le=_MAX_RUN)] = 0
     life: str = ""
     done: bool = False
-    failed_runs: list[int] = []
+    failed_runs: list[_RunNumber] = []
     checkpoint: str = ""
-    lost_runs: list[int] = []
-    crashed_runs: list[int] = []
+    lost_runs: list[_RunNumber] = []
+    crashed_runs: list[_RunNumber] = []
     charges: list[ChargeRecord] = []
     address: str = ""
 
@@ -177,7 +197,7 @@
     epoch: int
     batch: int
     since: Version
-    finished: list[tuple[int, int]] = []
+    finished: list[tuple[Amount, Amount]] = []
 
     @property
     def version(self) -> Version:
@@ -206,6 +226,16 @@
     return _BLOCK_SEPARATOR.join((job, str(repetition), str(block), str(part)))
 
 
+def is_job_key(key: str) -> bool:
+    """Check whether a key of the jobs topic is that of a submission or a cancellation."""
+    return _JOB_KEY.fullmatch(key) is not None
+
+
+def is_progress_key(key: str) -> bool:
+    """Check whether a key of the progress topic is that of a job's progress or of a block."""
+    return _PROGRESS_KEY.fullmatch(key) is not None
+
+
 def is_block_key(key: str) -> bool:
     """Check whether a key is that of a `TaskBlock`."""
     return _BLOCK_SEPARATOR in key
@@ -267,7 +297,26 @@
     InvalidInput
         If the record cannot be decoded.
     """
-    return _decode(data, AcceptedJob)
+    accepted = _decode(data, AcceptedJob)
+    for number, step in enumerate(accepted.spec.steps):
+        _check_step(number, step)
+    return accepted
+
+
+def _check_step(number: int, step: StepSpec) -> None:
+    """Check what the types of a step's fields leave open.
+
+    Raises
+    ------
+    InvalidInput
+        If the step comes after itself or a later one, or an amount of resources is out of range.
+    """
+    if any(earlier >= number for earlier in step.after):
+        raise InvalidInput(f"step {number} comes after steps {step.after[:10]}")
+    size = step.size
+    for amount in (size.cpu, size.memory, size.accelerators):
+        if not 0 <= amount <= _MAX_AMOUNT:
+            raise InvalidInput(f"step {number} has an amount of resources of {amount}")
 
 
 def decode_progress(data: bytes) -> JobProgress:
--- a/src/snowdock/jobs/recorded_progress.py
+++ b/src/snowdock/jobs/recorded_progress.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterable
 
 from ..errors import InvalidInput
-from .model import JobId
+from .model import JobId, JobSpec
 from .progress import (
     JobProgress,
     SplitProgress,
@@ -19,7 +19,7 @@
 )
 from .progress_layout import ProgressLayout
 
-__all__ = ["MalformedRecord", "ProgressOnRecord", "read_progress"]
+__all__ = ["MalformedRecord", "ProgressOnRecord", "check_progress", "read_progress"]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -102,6 +102,31 @@
     return ProgressOnRecord(progress, layouts, unreadable, key_partitions, malformed)
 
 
+def check_progress(
+    spec: JobSpec, progress: JobProgress, layout: ProgressLayout | None = None
+) -> None:
+    """Check that all tasks and finished repetitions of a job's progress exist in the job.
+
+    Raises
+    ------
+    InvalidInput
+        If one does not, or if the finished repetitions are not in order.
+    """
+    count = max(1, spec.repetitions)
+    for task in progress.tasks:
+        if not (
+            task.repetition < count
+            and task.step < len(spec.steps)
+            and task.index < spec.steps[task.step].count
+        ):
+            raise InvalidInput(f"no task {task.repetition}.{task.step}.{task.index} in the job")
+    following = 0
+    for first, last in () if layout is None else layout.finished:
+        if not following <= first <= last < count:
+            raise InvalidInput(f"no repetitions from {first} to {last} in the job")
+        following = last + 1
+
+
 def _decode(key: str, data: bytes) -> _Record:
     if is_block_key(key):
         parse_block_repetition(key)
--- a/src/snowdock/platform/job_bodies.py
+++ b/src/snowdock/platform/job_bodies.py
@@ -1,6 +1,5 @@
 """Encoding and decoding of the bodies of callers' requests and responses."""
 
-import re
 from typing import Annotated
 
 import msgspec
@@ -8,7 +7,16 @@
 
 from ..declarations import Size
 from ..errors import DECODE_ERRORS, InvalidInput
-from ..jobs.model import JobSpec, JobStatus, StepSpec
+from ..jobs.model import (
+    MAX_STEPS,
+    Amount,
+    JobSpec,
+    JobStatus,
+    StepSpec,
+    StepTaskCount,
+    TimeMs,
+    is_job_id,
+)
 
 __all__ = [
     "DEADLINE_HEADER",
@@ -29,47 +37,40 @@
 KEY_HEADER = "HTTP_X_API_KEY"
 """WSGI name of the header with the caller's API key."""
 
-_JOB_ID = re.compile(r"[0-9a-f]{16}")
 _MAX_PAYLOAD_BYTES = 4000
-_MAX_STEPS = 100
-_MAX_TASKS = 10_000
+_MAX_MS = 2.0**53
+"""Longest time in a body, in ms; a float represents no whole ms beyond."""
 
-_Amount = Annotated[int, Meta(ge=0, le=1_000_000_000)]
-_Count = Annotated[int, Meta(ge=1, le=_MAX_TASKS)]
+_FloatMs = Annotated[float, Meta(ge=0, le=_MAX_MS)]
 
 
 class _Step(msgspec.Struct):
-    count: _Count
-    cpu: _Amount = 0
-    mem_mb: _Amount = 0
-    gpu: _Amount = 0
-    estimate_ms: Annotated[float, Meta(ge=0)] = 0
-    after: list[_Amount] = []
+    count: StepTaskCount
+    cpu: Amount = 0
+    mem_mb: Amount = 0
+    gpu: Amount = 0
+    estimate_ms: _FloatMs = 0
+    after: list[Amount] = []
     checkpointing: bool = False
     gang: bool = False
     same_rack: bool = False
     requires: str = ""
     affinity: str = ""
-    anti_affinity: _Amount = 0
+    anti_affinity: Amount = 0
     speculative: bool = False
     long_running: bool = False
     image: str = ""
-    target_ms: Annotated[float, Meta(ge=0)] = 0
+    target_ms: _FloatMs = 0
     fills: bool = False
-    may_miss: _Amount = 0
+    may_miss: Amount = 0
 
 
 class _Job(msgspec.Struct):
     spec: str
-    steps: Annotated[list[_Step], Meta(min_length=1, max_length=_MAX_STEPS)]
-    max_runs: _Amount = 0
-    initial_delay_ms: Annotated[int, Meta(ge=0)] = 0
-    interval_ms: _Amount = 0
-
-
-def is_job_id(text: str) -> bool:
-    """Return whether a text has the form of a job id."""
-    return _JOB_ID.fullmatch(text) is not None
+    steps: Annotated[list[_Step], Meta(min_length=1, max_length=MAX_STEPS)]
+    max_runs: Amount = 0
+    initial_delay_ms: TimeMs = 0
+    interval_ms: Amount = 0
 
 
 def decode_job(queue: str, body: bytes) -> JobSpec:
--- a/src/snowdock/platform/store.py
+++ b/src/snowdock/platform/store.py
@@ -38,6 +38,9 @@
 """Added to the wait of a long poll for its timeout; leaves room for a store that takes 0.3 s,
 which is 70 times its normal time."""
 
+_MAX_KEY_BYTES = 255
+"""Longest key, since a record states its length in one byte."""
+
 _REPLACEMENT = "\ufffd"
 _LONE_SURROGATE = re.compile("[\ud800-\udfff]")
 
@@ -164,9 +167,14 @@
     Raises
     ------
     AppendRejected
-        If a record, or the append as a whole, is too long.
+        If a key, a record, or the append as a whole, is too long.
     """
     for record in records:
+        if len(record.key.encode()) > _MAX_KEY_BYTES:
+            raise AppendRejected(
+                f"key {record.key[:_MAX_KEY_BYTES]!r} of {topic} has more than "
+                f"{_MAX_KEY_BYTES} bytes"
+            )
         if record.size > limits.record_bytes:
             raise AppendRejected(
                 f"record {record.key!r} of {topic} has {record.size} bytes; "
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -1,18 +1,30 @@
 """Tests that one odd entry in the store affects no other."""
 
 import json
+import math
 import types
 import unittest
 
 import msgspec
 
+from snowdock.declarations import Size
 from snowdock.entry.job_status_table import JobStatusTable
 from snowdock.entry.leader_handle import LeaderHandle
-from snowdock.errors import PlatformError
+from snowdock.entry.takeover import fence_and_read
+from snowdock.errors import AppendRejected, InvalidInput, PlatformError
 from snowdock.jobs.events import WorkerListed
-from snowdock.platform.store import StoreClient
+from snowdock.jobs.model import JobStatus, StepSpec
+from snowdock.jobs.progress import (
+    JobProgress,
+    SplitProgress,
+    TaskProgress,
+    decode_accepted,
+    encode,
+)
+from snowdock.platform.store import KeyedRecord, StoreClient, StorePage
 from snowdock.platform.worker_calls import worker_headers
 from snowdock.platform.worker_entries import decode_worker_entry
+from tests.jobs_tools import Bench, make_accepted_job
 from tests.odd_values import ODD_ADDRESSES, ODD_KEYS, ODD_VALUES, replace_field
 from tests.standins.entry_cluster import EntryCluster, wait_until
 from tests.standins.platform import Server, StoreStandin
@@ -177,6 +189,107 @@
             self.read()
 
 
+def encode_odd(record: object, path: tuple[int, ...], value: object) -> bytes:
+    """Return a record of the store with another value at a path of its array."""
+    array = msgspec.msgpack.decode(encode(record))
+    parent = array
+    for position in path[:-1]:
+        parent = parent[position]
+    parent[path[-1]] = value
+    return msgspec.msgpack.encode(array)
+
+
+GOOD_JOB, ODD_JOB = "f" * 16, "0" * 16
+ACCEPTED = make_accepted_job(StepSpec(1, Size(500, 100)), StepSpec(1, Size(500, 100), after=(0,)))
+TASK = TaskProgress(0, 0, 0, run=1, life="i-1@5", address="10.1.2.3:8709")
+PROGRESS = JobProgress(JobStatus.RUNNING, [TASK])
+SPLIT = SplitProgress(JobStatus.RUNNING, "", 1, 1, (1, 1))
+
+ODD_SUBMISSIONS = (
+    # Numbers of tasks, resources, estimates, predecessors, and limits of a step.
+    *(((0, 2, 1, 0), count) for count in (-1, 0, 2**31, 2**63)),
+    *(((0, 2, 1, 1, kind), size) for kind in range(3) for size in (-1, 2**62, 2**64 - 1, 1.5)),
+    *(((0, 2, 1, 2), estimate) for estimate in (-1, 2**63, math.nan, math.inf, "x")),
+    *(((0, 2, 1, 3), after) for after in ([1], [2], [-1], [2**63], ["0"], 0)),
+    *(((0, 2, 1, field), -1) for field in (10, 13, 15)),
+    # All steps, repetitions, times, and settings of the queue.
+    ((0, 2), []),
+    *(((0, field), value) for field in (3, 4, 5) for value in (-1, 2**64 - 1, math.nan)),
+    *(((field,), value) for field in (1, 3, 4) for value in (2**64 - 1, math.nan, "x")),
+)
+ODD_PROGRESS = (
+    *(((1, 0, 0), repetition) for repetition in (-1, 1, 2**31, 2**63)),
+    *(((1, 0, 1), step) for step in (-1, 2, 2**63)),
+    *(((1, 0, 2), index) for index in (-1, 1, 2**63)),
+    *(((1, 0, 3), run) for run in (-1, 2**64 - 1, math.inf)),
+    *(((1, 0, field), [2**64 - 1]) for field in (6, 8, 9)),
+    ((0,), 9),
+)
+
+
+class TestJobRecords(unittest.TestCase):
+    """Odd records of jobs, of their cancellation and of their progress."""
+
+    def restore(self, jobs: list[KeyedRecord], progress: dict[str, bytes]) -> Bench:
+        """Return a new leader's reducer after it has read the records and begun to work."""
+        pages = {
+            ("keyed.jobs", 0): jobs,
+            ("keyed.progress", 0): [KeyedRecord(key, data) for key, data in progress.items()],
+        }
+        store = types.SimpleNamespace(
+            append=lambda *_, **__: 0,
+            newest=lambda topic, part, seconds: StorePage(pages.get((topic, part), []), 0),
+        )
+        recorded, _ = fence_and_read(store, 2, 1)
+        bench = Bench()
+        bench.restore(recorded)
+        bench.add_worker()
+        bench.tick(1.0)
+        return bench
+
+    def check_good_job_starts(self, jobs: list[KeyedRecord], progress: dict[str, bytes]) -> None:
+        """Check that a job is started by a leader that has read odd records, and nothing else."""
+        good = KeyedRecord(GOOD_JOB, encode(make_accepted_job()))
+        bench = self.restore([good, *jobs], progress)
+        started = {start.order.task.job for start in bench.starts(bench.all_effects)}
+        self.assertEqual(started, {GOOD_JOB})
+
+    def test_odd_submissions(self) -> None:
+        """A submission with a number out of range made each leader fail in turn."""
+        for path, value in ODD_SUBMISSIONS:
+            with self.subTest(path=path, value=value):
+                data = encode_odd(ACCEPTED, path, value)
+                with self.assertRaises(InvalidInput):
+                    decode_accepted(data)
+                self.check_good_job_starts([KeyedRecord(ODD_JOB, data)], {})
+
+    def test_odd_progress(self) -> None:
+        """Progress of a task that the job does not have made each leader fail in turn."""
+        records = [encode_odd(PROGRESS, path, value) for path, value in ODD_PROGRESS]
+        records += [
+            encode_odd(SPLIT, (6,), ranges)
+            for ranges in ([[0, 2**31]], [[-1, 0]], [[1, 0]], [[0, 0], [0, 0]], [[0, 2**64 - 1]])
+        ]
+        for data in records:
+            with self.subTest(data=data):
+                self.check_good_job_starts(
+                    [KeyedRecord(ODD_JOB, encode(ACCEPTED))], {ODD_JOB: data}
+                )
+
+    def test_odd_keys(self) -> None:
+        """A job under a key that cannot be extended made the writer of its progress fail."""
+        data = encode(make_accepted_job())
+        keys = [key.decode(errors="replace") for key in ODD_KEYS if key != b"i@7"]
+        keys += ["x" * 255, "a.b", ODD_JOB + ".0", ODD_JOB + "\n", "cancel.", "cancel." + "x" * 240]
+        blocks = {f"{ODD_JOB}.{odd}.0.0": encode(SPLIT) for odd in ("-1", "٣", "1_0", "9" * 200)}
+        self.check_good_job_starts([KeyedRecord(key, data) for key in keys], blocks)
+
+    def test_record_with_a_key_that_is_too_long(self) -> None:
+        """The length of the key did not fit into its byte, which ended the writing thread."""
+        with self.assertRaises(AppendRejected):
+            StoreClient("127.0.0.1:9", 1).append("t", 0, [KeyedRecord("x" * 256, b"x")], 1.0)
+
+
 class TestProcesses(unittest.TestCase):
     """Nodes as real processes, beside odd entries and workers that answer oddly."""
 
--- a/tests/test_platform_codecs.py
+++ b/tests/test_platform_codecs.py
@@ -61,6 +61,17 @@
         with self.assertRaises(InvalidInput):
             decode_job("q", data)
 
+    def test_times_that_no_record_can_hold(self) -> None:
+        """A time of hundreds of digits was accepted, and its record could not be encoded."""
+        for field in ("estimate_ms", "target_ms"):
+            body = {"spec": "x", "steps": [{**STEP, field: 1e300}]}
+            with self.assertRaises(InvalidInput):
+                decode_job("q", json.dumps(body).encode())
+        with self.assertRaises(InvalidInput):
+            decode_job(
+                "q", json.dumps({"spec": "", "steps": [STEP], "initial_delay_ms": 10**400}).encode()
+            )
+
     def test_job_ids(self) -> None:
         """A job id has exactly 16 lower-case hexadecimal digits."""
         self.assertTrue(is_job_id("0123456789abcdef"))
