--- a/src/snowdock/platform/worker_entries.py
+++ b/src/snowdock/platform/worker_entries.py
@@ -4,7 +4,7 @@
 missing field, a wrong type, an unknown value or a value out of range is rejected.
 """
 
-import ipaddress
+import re
 from typing import Annotated, Literal
 
 import msgspec
@@ -12,9 +12,10 @@
 
 from ..declarations import Size
 from ..errors import PlatformError
-from ..jobs.lives import format_life
+from ..jobs.lives import format_life, worker_id_of
 from ..jobs.workers import WorkerEntry
-from ._json import BornMs, decode_born_ms, decode_json
+from ._addresses import split_address
+from ._json import MAX_STORED_INT, BornMs, decode_born_ms, decode_json
 
 __all__ = ["WORKER_TOPIC", "decode_worker_entry"]
 
@@ -22,7 +23,9 @@
 
 _Amount = Annotated[int, Meta(ge=0, le=1_000_000_000)]
 _Name = Annotated[str, Meta(min_length=1, max_length=255)]
-_LARGEST_PORT = 65_535
+
+_WORKER_ID = re.compile(r"[!-~]{1,255}")
+"""Visible ASCII characters, since a worker's id is sent as a header."""
 
 
 class _Capacity(msgspec.Struct):
@@ -43,26 +46,23 @@
     capacity: _Capacity
     # In no fixed order; one of them is the rack, e.g. "r1-3".
     labels: list[str]
-    seq: Annotated[int, Meta(ge=0)]
+    seq: Annotated[int, Meta(ge=0, le=MAX_STORED_INT)]
     born: BornMs = UNSET
     remaining_ms: float | None = None
 
 
-def _check_address(address: str) -> None:
-    """Check that an address is an IPv4 address and a port.
+def _make_life(worker: str, born: BornMs) -> str:
+    """Return the identifier of a worker's life.
 
     Raises
     ------
     PlatformError
-        If it is anything else.
+        If the worker's id cannot be sent as a header, or reads like the life of another worker.
     """
-    host, _, port = address.rpartition(":")
-    try:
-        ipaddress.IPv4Address(host)
-    except ValueError as error:
-        raise PlatformError(f"invalid IP address in {address[:60]!r}") from error
-    if not (port.isascii() and port.isdigit() and 0 < int(port) <= _LARGEST_PORT):
-        raise PlatformError(f"invalid port in {address[:60]!r}")
+    life = format_life(worker, decode_born_ms(born))
+    if not _WORKER_ID.fullmatch(worker) or worker_id_of(life) != worker:
+        raise PlatformError(f"invalid worker id {worker[:60]!r}")
+    return life
 
 
 def _find_rack(labels: list[str]) -> str:
@@ -81,10 +81,10 @@
         If the entry is malformed.
     """
     entry = decode_json(data, _Entry, f"worker entry {key[:60]!r}")
-    _check_address(entry.address)
+    split_address(entry.address)
     capacity = entry.capacity
     return WorkerEntry(
-        life=format_life(key, decode_born_ms(entry.born)),
+        life=_make_life(key, entry.born),
         service=entry.service,
         address=entry.address,
         hall=entry.zone,
