--- /dev/null
+++ b/tests/standins/group_cuts.py
@@ -0,0 +1,267 @@
+"""Entry daemons whose paths to the store, to workers and to each other can be cut for groups.
+
+All paths pass proxies, which tell the daemons apart by the process that owns a connection. Data
+that is sent over a cut path arrives once the path is open again, as after a network partition.
+"""
+
+import contextlib
+import os
+import pathlib
+import select
+import socket
+import struct
+import subprocess
+import sys
+import threading
+from collections.abc import Callable, Collection
+
+from tests.standins.entry_cluster import EntryCluster, EntryProcess
+from tests.standins.hidden_peer_daemon import PEER_LISTEN_VARIABLE
+from tests.standins.ports import free_port
+
+__all__ = ["STORE", "CutCluster", "Network", "cut_between", "cut_group"]
+
+STORE = "store"
+"""The store's name as an endpoint; nodes and workers have their own names."""
+
+_CHUNK_BYTES = 65_536
+_CONNECT_TIMEOUT_SECONDS = 2.0
+_ACCEPT_TIMEOUT_SECONDS = 0.2
+_LINGER_RESET = struct.pack("ii", 1, 0)
+
+IsCut = Callable[[str, str], bool]
+"""Whether the path from one endpoint to another is cut, by their names."""
+
+
+def cut_between(senders: Collection[str], receivers: Collection[str]) -> IsCut:
+    """Cut the paths from some endpoints to others, in that direction only."""
+    return lambda sender, receiver: sender in senders and receiver in receivers
+
+
+def cut_group(group: Collection[str], sends: bool = False, hears: bool = False) -> IsCut:
+    """Cut a group of endpoints off from all others.
+
+    With ``sends``, what the group sends still arrives outside, and with ``hears``, the reverse.
+    """
+
+    def is_cut(sender: str, receiver: str) -> bool:
+        if (sender in group) == (receiver in group):
+            return False
+        return not (sends if sender in group else hears)
+
+    return is_cut
+
+
+class Network:
+    """The paths between all endpoints, and which of them are cut."""
+
+    def __init__(self) -> None:
+        self._is_cut: IsCut = lambda _sender, _receiver: False
+        self._changed = threading.Condition()
+        self._nodes: dict[int, str] = {}
+
+    def cut(self, *cuts: IsCut) -> None:
+        """Replace all cuts."""
+        with self._changed:
+            self._is_cut = lambda sender, receiver: any(cut(sender, receiver) for cut in cuts)
+            self._changed.notify_all()
+
+    def add_process(self, pid: int, node: str) -> None:
+        self._nodes[pid] = node
+
+    def is_cut(self, sender: str, receiver: str) -> bool:
+        return self._is_cut(sender, receiver)
+
+    def wait_open(self, sender: str, receiver: str) -> None:
+        with self._changed:
+            self._changed.wait_for(lambda: not self._is_cut(sender, receiver))
+
+    def find_sender(self, connection: socket.socket) -> str | None:
+        """Return the node whose process opened an accepted connection."""
+        link = f"socket:[{_find_inode(connection.getpeername(), connection.getsockname())}]"
+        for pid, node in list(self._nodes.items()):
+            if link in _read_descriptors(pid):
+                return node
+        return None
+
+
+def _find_inode(local: tuple[str, int], remote: tuple[str, int]) -> str:
+    """Return the inode of a connection's socket, given the addresses of both ends."""
+    ends = [_format_kernel_address(*local), _format_kernel_address(*remote)]
+    for line in pathlib.Path("/proc/net/tcp").read_text().splitlines():
+        fields = line.split()
+        if fields[1:3] == ends:
+            return fields[9]
+    return ""
+
+
+def _format_kernel_address(host: str, port: int) -> str:
+    (number,) = struct.unpack("=I", socket.inet_aton(host))
+    return f"{number:08X}:{port:04X}"
+
+
+def _read_descriptors(pid: int) -> set[str]:
+    """Return what the open descriptors of a process refer to; empty if the process has ended."""
+    links = set()
+    with contextlib.suppress(OSError):
+        for entry in os.scandir(f"/proc/{pid}/fd"):
+            with contextlib.suppress(OSError):
+                links.add(os.readlink(entry.path))
+    return links
+
+
+class CutProxy:
+    """Forwards connections to one endpoint while the paths to and from it are open."""
+
+    def __init__(
+        self, network: Network, target: str, name: str, listen: tuple[str, int] = ("127.0.0.1", 0)
+    ) -> None:
+        host, _, port = target.rpartition(":")
+        self.name = name
+        self._network = network
+        self._target = (host, int(port))
+        self._listener = socket.create_server(listen)
+        self._listener.settimeout(_ACCEPT_TIMEOUT_SECONDS)
+        self.address = "{}:{}".format(*self._listener.getsockname())
+        self._sockets: set[socket.socket] = set()
+        self._lock = threading.Lock()
+        self._is_closed = False
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def close(self) -> None:
+        self._is_closed = True
+        with self._lock:
+            sockets, self._sockets = self._sockets, set()
+        for each in sockets:
+            _reset(each)
+
+    def _accept(self) -> None:
+        while not self._is_closed:
+            try:
+                client, _ = self._listener.accept()
+            except TimeoutError:
+                continue
+            except OSError:
+                break
+            client.settimeout(None)
+            threading.Thread(target=self._serve, args=(client,), daemon=True).start()
+        self._listener.close()
+
+    def _serve(self, client: socket.socket) -> None:
+        """Forward one connection, which is established only once its path is open."""
+        with self._lock:
+            self._sockets.add(client)
+        sender = self._network.find_sender(client)
+        if sender is None:
+            self._drop(client)
+            return
+        if self._network.is_cut(sender, self.name) or self._network.is_cut(self.name, sender):
+            self._network.wait_open(sender, self.name)
+            self._network.wait_open(self.name, sender)
+            if _was_closed(client):
+                self._drop(client)
+                return
+        try:
+            server = socket.create_connection(self._target, _CONNECT_TIMEOUT_SECONDS)
+        except OSError:
+            self._drop(client)
+            return
+        server.settimeout(None)
+        with self._lock:
+            self._sockets.add(server)
+        threading.Thread(
+            target=self._forward, args=(server, client, self.name, sender), daemon=True
+        ).start()
+        self._forward(client, server, sender, self.name)
+
+    def _forward(
+        self, source: socket.socket, sink: socket.socket, sender: str, receiver: str
+    ) -> None:
+        data = b"\0"
+        while data:
+            try:
+                data = source.recv(_CHUNK_BYTES)
+            except OSError:
+                data = b""
+            self._network.wait_open(sender, receiver)
+            try:
+                sink.sendall(data)
+            except OSError:
+                break
+        # The other direction's thread ends with its socket, without waiting for more data.
+        self._drop(source)
+        self._drop(sink)
+
+    def _drop(self, each: socket.socket) -> None:
+        with self._lock:
+            self._sockets.discard(each)
+        with contextlib.suppress(OSError):
+            each.shutdown(socket.SHUT_RDWR)
+        with contextlib.suppress(OSError):
+            each.close()
+
+
+def _reset(each: socket.socket) -> None:
+    with contextlib.suppress(OSError):
+        each.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_RESET)
+        each.shutdown(socket.SHUT_RDWR)
+    with contextlib.suppress(OSError):
+        each.close()
+
+
+def _was_closed(client: socket.socket) -> bool:
+    """Check whether the other end of a connection has closed it, even with data left to read."""
+    poller = select.poll()
+    try:
+        poller.register(client, select.POLLRDHUP)
+    except (OSError, ValueError):
+        return True
+    return bool(poller.poll(0))
+
+
+class CutProcess(EntryProcess):
+    """An entry daemon whose stated peer address is that of a proxy."""
+
+    def __init__(self, cluster: "CutCluster", number: int) -> None:
+        self.peer_proxy: CutProxy | None = None
+        super().__init__(cluster, number)
+
+    def environment(self) -> dict[str, str]:
+        return {**super().environment(), PEER_LISTEN_VARIABLE: self._hidden_address}
+
+    def start(self) -> None:
+        network = self.cluster.network
+        if self.peer_proxy is None:
+            self._hidden_address = f"{self.ip}:{free_port(self.ip)}"
+            listen = (self.ip, self.peer)
+            self.peer_proxy = CutProxy(network, self._hidden_address, self.node, listen)
+        with self.log.open("ab") as log:
+            self.process = subprocess.Popen(
+                [sys.executable, "-m", "tests.standins.hidden_peer_daemon"],
+                env=self.environment(),
+                stdout=log,
+                stderr=log,
+            )
+        network.add_process(self.process.pid, self.node)
+
+
+class CutCluster(EntryCluster):
+    """Entry daemons, the store and the workers, all of whose paths may be cut in ``network``."""
+
+    def __init__(self, nodes: int, workers: int = 3, work_s: float = 0.1) -> None:
+        self.network = Network()
+        super().__init__(
+            nodes,
+            workers,
+            work_s,
+            lambda target: CutProxy(self.network, target, STORE),
+            CutProcess,
+        )
+        for life, proxy in zip(self.workers.models, self.workers.proxies, strict=True):
+            proxy.name = life
+
+    def close(self) -> None:
+        self.network.cut()
+        super().close()
+        for node in self.nodes:
+            node.peer_proxy.close()
