Let emulated leaders be cut off with workers and go on beside their successors

Change: cut_off_leader cuts the newest leader and some workers off from the store, the other workers and the successor, which claims some time later; the old leader sends orders for as long as its authority lasts after the claim, and its successors wait for the leases that it may have renewed until then. After heal_cut, all reach the same workers until the old leader reads of its successor.

--- a/src/snowdock/emulator/emulator.py
+++ b/src/snowdock/emulator/emulator.py
@@ -1,7 +1,9 @@
 """Runs the leaders' real decision code against modelled systems."""
 
+import math
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Collection
+from functools import partial
 
 import msgspec
 
@@ -26,21 +28,29 @@
     PublishLoad,
     PublishStatus,
     RecordPrediction,
+    RenewAnswered,
     SendRenewal,
     SendStart,
     SendStop,
+    StartAnswered,
     StepDown,
+    StopAnswered,
     Ticked,
     WorkerListed,
 )
 from ..jobs.model import JobStatus, StepSpec, TaskId
-from ..jobs.orders import AdviceResult, StartOrder
+from ..jobs.orders import AdviceResult, Refusal, StartOrder, StartResult
 from ..jobs.policy import make_policy
 from ..jobs.progress import AcceptedJob, parse_job_id, record_name
 from ..jobs.recorded_progress import read_progress
 from ..jobs.reducer import reduce
 from ..jobs.takeover import RecordedJobs, restore
-from ..jobs.timeouts import RETENTION_FACTOR, TICK_SECONDS, lease_expiry_after_claim_seconds
+from ..jobs.timeouts import (
+    ISOLATION_TIMEOUT_SECONDS,
+    RETENTION_FACTOR,
+    TICK_SECONDS,
+    lease_expiry_after_claim_seconds,
+)
 from ..teams import Team, TeamRegistry
 from .checks import InvariantChecker
 from .fleet import Fleet
@@ -60,13 +70,31 @@
 _QUOTA_OVERAGE = 0.1
 """Share of its quota by which a team may exceed it temporarily."""
 
+_MAX_NOTICE_SECONDS = 1.0
+"""The longest time after a cut heals until the old leader reads of its successor."""
+
 
 class _Leader:
-    """One leadership: its cell, and whether it still handles events."""
+    """One leadership.
 
-    def __init__(self, cell: Cell) -> None:
+    Attributes
+    ----------
+    cell, calls
+        Its cell and its calls to workers.
+    is_alive
+        Whether it still handles events.
+    is_cut_off
+        Whether it reaches only the workers that are cut off with it.
+    authority_ends_at
+        When it stops sending orders, in virtual seconds.
+    """
+
+    def __init__(self, cell: Cell, make_calls: Callable[["_Leader"], WorkerCalls]) -> None:
         self.cell = cell
+        self.calls = make_calls(self)
         self.is_alive = True
+        self.is_cut_off = False
+        self.authority_ends_at = math.inf
 
 
 class Emulator:
@@ -120,6 +148,8 @@
         self._epoch = 0
         self._advice: dict[tuple[str, int, str], bool] = {}
         self._leaders: list[_Leader] = []
+        self._lives_cut_off: set[str] = set()
+        self._authority_ends_at = 0.0
         self.starvation = StarvationChecker(self.checks, self._may_run)
         self.waiting_tasks = WaitingTaskChecker(self.checks, self._may_run)
         self.fleet = Fleet(
@@ -132,19 +162,11 @@
             self.starvation.exempt_tasks,
             self._record_fault,
         )
-        calls = WorkerCalls(
-            self.timeline,
-            self._random,
-            self.faults,
-            self.workers,
-            options.typical_call_s,
-            self._find_step,
-        )
         self._handlers: dict[type, Callable] = {
             Persist: self._persist,
-            SendStart: lambda leader, effect: calls.send_start(self._make_post(leader), effect),
-            SendStop: lambda leader, effect: calls.send_stop(self._make_post(leader), effect),
-            SendRenewal: lambda leader, effect: calls.send_renewal(self._make_post(leader), effect),
+            SendStart: self._send_start,
+            SendStop: self._send_stop,
+            SendRenewal: self._send_renewal,
             AskAdvice: self._ask_advice,
             PublishStatus: self._publish,
             StepDown: lambda leader, _: self._end_leadership(leader),
@@ -210,6 +232,49 @@
         """Elect another leader without stopping the old one."""
         self.elect_leader()
 
+    def cut_off_leader(
+        self,
+        lives: Collection[str],
+        claim_after_s: float,
+        authority_s: float = ISOLATION_TIMEOUT_SECONDS,
+        exceeds_authority: bool = False,
+    ) -> None:
+        """Cut the newest leader and some workers off from all else, and elect another leader.
+
+        Parameters
+        ----------
+        lives
+            Lives of the workers that only the old leader reaches, until `heal_cut`.
+        claim_after_s
+            Delay of the successor's claim, in seconds.
+        authority_s
+            How long after the claim the old leader may send orders, in seconds. Its successors wait
+            for the leases that it may have renewed until then.
+        exceeds_authority
+            Whether the old leader sends orders until it reads of its successor.
+        """
+        leader = self._leaders[-1]
+        leader.is_cut_off = True
+        self._lives_cut_off.update(lives)
+
+        def claim() -> None:
+            self._authority_ends_at = max(self._authority_ends_at, self.timeline.now + authority_s)
+            if not exceeds_authority:
+                leader.authority_ends_at = self.timeline.now + authority_s
+            self.elect_leader()
+
+        self.timeline.call_after(claim_after_s, claim)
+
+    def heal_cut(self) -> None:
+        """Connect all leaders and workers again; the old leader then reads of its successor."""
+        self._record_fault()
+        self._lives_cut_off.clear()
+        for leader in self._leaders:
+            if leader.is_cut_off:
+                leader.is_cut_off = False
+                notice_s = self._random.uniform(0.0, _MAX_NOTICE_SECONDS)
+                self.timeline.call_after(notice_s, partial(self._end_if_deposed, leader))
+
     def elect_leader(self) -> None:
         """Start a leader that restores its state from the recorded jobs."""
         self._epoch += 1
@@ -218,7 +283,9 @@
         options = self._options
         settings = CellSettings(
             lease_s=options.lease_s,
-            unreached_run_expiry_s=lease_expiry_after_claim_seconds(options.lease_s),
+            unreached_run_expiry_s=lease_expiry_after_claim_seconds(
+                options.lease_s, max(ISOLATION_TIMEOUT_SECONDS, self._authority_ends_at - now)
+            ),
             gang_wait_s=options.timings.gang_wait_s,
             early_s=0.25,
             stop_s=options.timings.stop_s,
@@ -241,7 +308,7 @@
             on_record.unreadable,
             layouts=on_record.layouts,
         )
-        leader = _Leader(cell)
+        leader = _Leader(cell, self._make_calls)
         for effect in restore(cell, recorded, now, now * 1000):
             self._handlers[type(effect)](leader, effect)
         self._leaders.append(leader)
@@ -253,7 +320,8 @@
 
     def _post_to_all(self, event: Event) -> None:
         for leader in self._leaders:
-            self._post(leader, event)
+            if not leader.is_cut_off:
+                self._post(leader, event)
 
     def _post(self, leader: _Leader, event: Event) -> None:
         if not leader.is_alive:
@@ -265,6 +333,22 @@
     def _make_post(self, leader: _Leader) -> Post:
         return lambda event: self._post(leader, event)
 
+    def _make_calls(self, leader: _Leader) -> WorkerCalls:
+        return WorkerCalls(
+            self.timeline,
+            self._random,
+            self.faults,
+            self.workers,
+            self._options.typical_call_s,
+            self._find_step,
+            lambda life: self._reaches(leader, life),
+        )
+
+    def _reaches(self, leader: _Leader, life: str) -> bool:
+        if life in self.faults.unreachable_lives:
+            return False
+        return leader.is_cut_off == (life in self._lives_cut_off)
+
     def _tick(self, leader: _Leader) -> None:
         if leader.is_alive:
             self._post(leader, Ticked(self._options.advice_node_count))
@@ -273,6 +357,10 @@
     def _end_leadership(self, leader: _Leader) -> None:
         leader.is_alive = False
 
+    def _end_if_deposed(self, leader: _Leader) -> None:
+        if leader.cell.token < self._epoch:
+            self._end_leadership(leader)
+
     def _submit(self, job: DrawnJob) -> None:
         if self.faults.is_store_down:
             self.timeline.call_after(0.5, lambda: self._submit(job))
@@ -321,7 +409,8 @@
 
     def _check_starvation(self) -> None:
         """Check for starving jobs and waiting tasks, unless a fault explains them."""
-        if self.faults.is_store_down or self.faults.unreachable_lives or not self._leaders[-1:]:
+        cut_off = self.faults.unreachable_lives or self._lives_cut_off
+        if self.faults.is_store_down or cut_off or not self._leaders[-1:]:
             self.starvation.reset()
             self._record_fault()
         else:
@@ -345,7 +434,7 @@
     def _append(self, leader: _Leader, effect: Persist) -> None:
         if not leader.is_alive:
             return
-        if self.faults.is_store_down:
+        if self.faults.is_store_down or leader.is_cut_off:
             self.timeline.call_after(0.1, lambda: self._append(leader, effect))
             return
         if leader.cell.token < self._epoch:
@@ -368,6 +457,34 @@
         for key in effect.keys:
             self._progress.pop(key, None)
 
+    def _send_start(self, leader: _Leader, effect: SendStart) -> None:
+        order = effect.order
+        if self._may_send_orders(leader):
+            leader.calls.send_start(self._make_post(leader), effect)
+        else:
+            result = StartResult(Refusal.UNREACHABLE)
+            self._post_soon(leader, StartAnswered(effect.life, order.task, order.run, result))
+
+    def _send_stop(self, leader: _Leader, effect: SendStop) -> None:
+        order = effect.order
+        if self._may_send_orders(leader):
+            leader.calls.send_stop(self._make_post(leader), effect)
+        else:
+            self._post_soon(leader, StopAnswered(effect.life, order.task, order.run, False))
+
+    def _send_renewal(self, leader: _Leader, effect: SendRenewal) -> None:
+        if self._may_send_orders(leader):
+            leader.calls.send_renewal(self._make_post(leader), effect)
+        else:
+            self._post_soon(leader, RenewAnswered(effect.life, effect.order, None))
+
+    def _may_send_orders(self, leader: _Leader) -> bool:
+        return self.timeline.now < leader.authority_ends_at
+
+    def _post_soon(self, leader: _Leader, event: Event) -> None:
+        """Post an event after a call's typical duration, outside the handling of another event."""
+        self.timeline.call_after(self._options.typical_call_s, lambda: self._post(leader, event))
+
     def _find_step(self, order: StartOrder) -> StepSpec:
         return self._jobs[order.task.job].spec.steps[order.task.step]
 
@@ -399,9 +516,10 @@
             self._accepted.pop(parse_job_id(name), None)
             self._cancelled.discard(name)
 
-    def _publish(self, _: _Leader, effect: PublishStatus) -> None:
+    def _publish(self, leader: _Leader, effect: PublishStatus) -> None:
         now = self.timeline.now
-        self.statuses[effect.job] = effect.status
+        if not leader.is_cut_off:
+            self.statuses[effect.job] = effect.status
         if effect.status.is_final:
             self.finished_at.setdefault(effect.job, now)
             self.checks.check_status(effect.job, effect.status, now)
