Start one leader at most in each epoch of a node

Cause: a node that has stepped down and reads its own record back starts a term in that record's epoch (Election._apply_records, meant for a claim whose answer was lost). It does so whenever the stored record differs from the one that the node holds: after a predecessor that states a longer isolation timeout, or after a resignation that could not be recorded. The second leader has the token and the producer epoch of the first. Its fence is answered as a repeated one, its first batches are answered with the first leader's answers and are not stored, and workers carry out late starts of the first leader after they have reported to the second, whose first report was taken as proof that they never would.

What callers saw: nothing known; tasks could run twice after a leader had stepped down.

Change: Leadership.begin refuses an epoch that this node has led in, and steps down, so that the node claims another.

--- a/src/snowdock/entry/leadership.py
+++ b/src/snowdock/entry/leadership.py
@@ -47,6 +47,7 @@
         self._make_context = make_context
         self._metrics = metrics
         self._handle: LeaderHandle | None = None
+        self._last_epoch = 0
         self._lock = threading.Lock()
         self._epochs: queue.SimpleQueue[int] = queue.SimpleQueue()
         self._thread = ServiceThread(self._run, "leadership")
@@ -66,7 +67,15 @@
         self._thread.start()
 
     def begin(self, epoch: int) -> None:
-        """Start a leader for an epoch in which this node was elected."""
+        """Start a leader for an epoch in which this node was elected.
+
+        An epoch serves one leader only. Neither workers nor the store could tell a second one from
+        the late orders and appends of the first, so the node has to claim another epoch.
+        """
+        if epoch <= self._last_epoch:
+            self._election.step_down(f"this node has led in epoch {epoch} before")
+            return
+        self._last_epoch = epoch
         kind = "soon_after_another" if self._election.turnover else "usual"
         self._metrics.count("leaderships_total", "Elections that this node won.", kind=kind)
         self._epochs.put(epoch)
