Don't take an entry without a later start for the end of a worker's life

Cause: of two lives under a worker's id, the one listed last ended the other, whatever its start. All runs of the known life were lost at once and placed again, while they went on, and the link to the second "life" acknowledged the first one's ends.

What callers saw: nothing known; tasks could run twice, and ends as done could be acknowledged unseen.

Change: only a later start proves the end. Otherwise the entry waits (Cell.unproven_entries), the known life counts as delisted and is asked at once: its answer, a refusal, or the end of its leases decides. A worker that did restart with its clock set back is proven by the answer, without a wait for leases.

--- a/src/snowdock/jobs/cell.py
+++ b/src/snowdock/jobs/cell.py
@@ -273,6 +273,8 @@
         The life that was listed last, by worker id, while any state of the worker is kept.
     ended_lives
         Lives that have ended but are still listed in the store.
+    unproven_entries
+        The newest entries of workers whose previous life may not have ended, by worker id.
     orphans
         Runs that may exist on a worker of which no life is known, by worker id.
     team_usage
@@ -365,6 +367,7 @@
         self.unknown_service_workers: dict[str, WorkerEntry] = {}
         self.newest_lives: dict[str, str] = {}
         self.ended_lives: set[str] = set()
+        self.unproven_entries: dict[str, WorkerEntry] = {}
         self.orphans: dict[str, list[Orphan]] = {}
         self.team_usage = TeamUsage()
         self.quota_reservations: dict[str, QuotaReservation] = {}
--- a/src/snowdock/jobs/lives.py
+++ b/src/snowdock/jobs/lives.py
@@ -4,7 +4,7 @@
 so the leader keeps all state of a worker under the identifier of one life.
 """
 
-__all__ = ["format_life", "worker_id_of"]
+__all__ = ["begins_later", "format_life", "worker_id_of"]
 
 _BORN_SEPARATOR = "@"
 
@@ -27,3 +27,17 @@
     """Return the worker's id from the identifier of one of its lives."""
     worker, separator, born = life.rpartition(_BORN_SEPARATOR)
     return worker if separator and born.isdecimal() else life
+
+
+def begins_later(life: str, other: str) -> bool:
+    """Check whether a life of a worker certainly began after another one.
+
+    It cannot be told if one of them doesn't report its start, or if the wall clock was set back.
+    """
+    born, other_born = _born_ms(life), _born_ms(other)
+    return born is not None and other_born is not None and born > other_born
+
+
+def _born_ms(life: str) -> int | None:
+    suffix = life.removeprefix(worker_id_of(life)).removeprefix(_BORN_SEPARATOR)
+    return int(suffix) if suffix else None
--- a/src/snowdock/jobs/worker_lives.py
+++ b/src/snowdock/jobs/worker_lives.py
@@ -3,7 +3,7 @@
 from .cell import Cell, Orphan
 from .durability import send_renewal
 from .events import CloseWorker, OpenWorker, StepDown
-from .lives import worker_id_of
+from .lives import begins_later, worker_id_of
 from .lost_runs import (
     acquit_departed,
     charge_orphan,
@@ -31,6 +31,10 @@
 
 def handle_worker_listed(cell: Cell, entry: WorkerEntry, now: float) -> None:
     """Handle a worker's entry in the store, which may be new or updated."""
+    cell.unproven_entries.pop(entry.worker, None)
+    if _may_precede_known_life(cell, entry):
+        _await_proof(cell, entry, now)
+        return
     _end_previous_life(cell, entry, now)
     if entry.draining:
         # On record before the worker is forgotten, since its next life may be seen much later.
@@ -79,11 +83,33 @@
     task.address = worker.entry.address
 
 
-def _end_previous_life(cell: Cell, entry: WorkerEntry, now: float) -> None:
-    """End the life that was listed before under a worker's id, if it is another one.
+def _find_known_life(cell: Cell, worker_id: str) -> Worker | None:
+    return cell.workers.get(cell.newest_lives.get(worker_id, ""))
+
+
+def _may_precede_known_life(cell: Cell, entry: WorkerEntry) -> bool:
+    """Check whether an entry may be older than the known life of its worker, or not the worker's.
 
-    The life that was listed last counts, since a wall clock may be set back between two lives.
+    Only the worker's answer then tells whether a clock was set back between two lives.
     """
+    known = _find_known_life(cell, entry.worker)
+    if known is None or known.life in (entry.life, entry.worker):
+        return False
+    return not begins_later(entry.life, known.life)
+
+
+def _await_proof(cell: Cell, entry: WorkerEntry, now: float) -> None:
+    """Ask the known life of a worker, and keep an entry of another one until the known one ends."""
+    known = _find_known_life(cell, entry.worker)
+    cell.unproven_entries[entry.worker] = entry
+    cell.log_decision("worker_life_unproven", entry.life, known=known.life, runs=len(known.runs))
+    _delist(cell, known, may_return=True, now=now)
+    if not known.is_renewing:
+        send_renewal(cell, known, now, 0)
+
+
+def _end_previous_life(cell: Cell, entry: WorkerEntry, now: float) -> None:
+    """End the life that was listed before under a worker's id, if it is another one."""
     previous_life = cell.newest_lives.get(entry.worker)
     cell.newest_lives[entry.worker] = entry.life
     if previous_life is None or previous_life == entry.life:
@@ -110,16 +136,23 @@
     """
     cell.ended_lives.discard(life)
     cell.unknown_service_workers.pop(life, None)
+    unproven = cell.unproven_entries.get(worker_id_of(life))
+    if unproven is not None and unproven.life == life:
+        del cell.unproven_entries[unproven.worker]
     worker = cell.workers.get(life)
     if worker is None:
         _forget_newest_life(cell, life)
-        return
+    else:
+        _delist(cell, worker, may_return, now)
+
+
+def _delist(cell: Cell, worker: Worker, may_return: bool, now: float) -> None:
     if not worker.listed:
         return
     worker.listed = False
     worker.delisted_at = now
     worker.may_return = may_return
-    cell.log_decision("worker_delisted", life, runs=len(worker.runs), may_return=may_return)
+    cell.log_decision("worker_delisted", worker.life, runs=len(worker.runs), may_return=may_return)
 
 
 def end_life(
@@ -153,6 +186,9 @@
         _forget_newest_life(cell, worker.life)
     cell.emit(CloseWorker(worker.life))
     cell.log_decision("worker_ended", worker.life, reason=reason)
+    unproven = cell.unproven_entries.get(worker.entry.worker)
+    if unproven is not None:
+        handle_worker_listed(cell, unproven, now)
 
 
 def _forget_newest_life(cell: Cell, life: str) -> None:
