Keep the progress of a job whose submission is read after a takeover

Cause: an announced job's placement and submission are appended at the same time. A takeover between the two found the progress without a submission and dropped it. If the submission was recorded after the new leader's read, the earlier leader, as long as it may give orders, sent the start that its progress permits, while the new one took the job for one of which nothing had begun: the task ran under the same run number on two workers. The same held for a submission that could not be decoded and was submitted again: its done tasks were forgotten. An end that the new leader had acknowledged meanwhile was lost to the job as well.

What callers saw: nothing known; a job handed in on a slow store during a change of leader could run twice.

Change: such progress is kept (Cell.unsubmitted), with the ends that workers report meanwhile; the job is restored from it once its submission is read, as in a takeover. A worker that has answered without the run is proof, so that nothing waits; the leases of a worker that does not answer have to expire. A second announcement of the job is not placed.

Remaining: an end that was acknowledged for such a job is in the leader's memory until the submission is read.

--- a/src/snowdock/jobs/announced_jobs.py
+++ b/src/snowdock/jobs/announced_jobs.py
@@ -23,8 +23,9 @@
 def announce_job(cell: Cell, event: JobAnnounced, now: float) -> None:
     """Add a job whose record is being appended, unless it is known or scheduled for later."""
     job_id, accepted = event.job, event.accepted
-    is_known = job_id in cell.jobs or job_id in cell.job_ended_at or job_id in cell.unreadable_jobs
-    if is_known or accepted.spec.repetitions:
+    is_known = job_id in cell.jobs or job_id in cell.job_ended_at
+    has_unknown_runs = job_id in cell.unreadable_jobs or job_id in cell.unsubmitted
+    if is_known or has_unknown_runs or accepted.spec.repetitions:
         return
     job = Job(job_id, accepted, now - accepted.waited_s, announced_at=now)
     cell.jobs[job_id] = job
--- a/src/snowdock/jobs/cell.py
+++ b/src/snowdock/jobs/cell.py
@@ -11,7 +11,9 @@
 from .job_state import Job, Step, Task
 from .load_history import LoadHistory
 from .model import Configuration, JobId, Queue, StepKey, TaskId
-from .orders import AdviceRequest
+from .orders import AdviceRequest, EndedRun
+from .progress import JobProgress
+from .progress_layout import ProgressLayout
 from .run_times import QueueTimes
 from .team_usage import TeamUsage
 from .workers import Worker, WorkerEntry
@@ -32,6 +34,7 @@
     "PendingStop",
     "QuotaReservation",
     "SchedulingPolicy",
+    "UnsubmittedProgress",
 ]
 
 
@@ -152,6 +155,25 @@
     last_recorded_end: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class UnsubmittedProgress:
+    """Progress on record of a job whose submission has not been read.
+
+    An earlier leader may have started what it had placed, once the submission was recorded.
+
+    Attributes
+    ----------
+    progress, layout
+        The progress, and its blocks, if there are any.
+    ends
+        The ends of runs that workers have reported meanwhile.
+    """
+
+    progress: JobProgress
+    layout: ProgressLayout | None
+    ends: list[tuple[Worker, EndedRun]] = dataclasses.field(default_factory=list)
+
+
 Deferred = DeferredStart | DeferredRenewal | Effect
 """An action that is deferred until the progress that it depends on is recorded."""
 
@@ -262,6 +284,8 @@
         End times of ended jobs, in ascending order.
     early_cancellations
         The `record_name` of each job whose cancellation arrived before the job itself.
+    unsubmitted
+        Progress on record of jobs that have not ended and whose submission has not been read.
     unreadable_jobs
         Jobs whose recorded progress cannot be decoded, so that their past runs are unknown.
     workers
@@ -362,6 +386,7 @@
         self.held_starts: dict[JobId, list[DeferredStart]] = {}
         self.job_ended_at: dict[JobId, float] = {}
         self.early_cancellations: set[str] = set()
+        self.unsubmitted: dict[JobId, UnsubmittedProgress] = {}
         self.unreadable_jobs: set[JobId] = set()
         self.workers: dict[str, Worker] = {}
         self.unknown_service_workers: dict[str, WorkerEntry] = {}
--- a/src/snowdock/jobs/reducer.py
+++ b/src/snowdock/jobs/reducer.py
@@ -1,7 +1,7 @@
 """Reducer of the leader: applies each event to the state and returns the resulting effects."""
 
 from .announced_jobs import announce_job, confirm_job, withdraw_expired_jobs, withdraw_job
-from .cell import Cell
+from .cell import Cell, UnsubmittedProgress
 from .early_advice import prepare_restarts
 from .events import (
     AdviceAnswered,
@@ -39,6 +39,7 @@
     send_batch,
 )
 from .quarantine import release_expired
+from .restored_jobs import restore_late_job
 from .room_use import log_room_use
 from .runs import abort_gang, cancel_job, create_repetition, enqueue_ready_steps
 from .shares import log_team_usage, sum_capacity
@@ -156,6 +157,10 @@
     if known is not None:
         _handle_resubmission(cell, known, event.accepted)
         return
+    unsubmitted = cell.unsubmitted.pop(event.job, None)
+    if unsubmitted is not None and unsubmitted.progress.team == event.accepted.team:
+        _accept_late_job(cell, event, unsubmitted, now, wall_ms)
+        return
     job = Job(event.job, event.accepted, now - event.accepted.waited_s - recorded_s)
     cell.jobs[job.id] = job
     _publish_accepted_job(cell, job)
@@ -169,6 +174,17 @@
         enqueue_ready_steps(cell, create_repetition(job, 0))
 
 
+def _accept_late_job(
+    cell: Cell, event: JobAccepted, unsubmitted: UnsubmittedProgress, now: float, wall_ms: float
+) -> None:
+    """Add a job whose progress was on record before its submission was read."""
+    restore_late_job(cell, event.job, event.accepted, unsubmitted, now, wall_ms)
+    job = cell.jobs[event.job]
+    _publish_accepted_job(cell, job)
+    if job.record_name in cell.early_cancellations:
+        cancel_job(cell, job, now)
+
+
 def _publish_accepted_job(cell: Cell, job: Job) -> None:
     cell.publish_status(job)
     steps = job.accepted.spec.steps
--- a/src/snowdock/jobs/runs.py
+++ b/src/snowdock/jobs/runs.py
@@ -126,6 +126,9 @@
     task = cell.find_task(end.task)
     _record_worker_health(cell, worker, end, task, now)
     if task is None:
+        unsubmitted = cell.unsubmitted.get(end.task.job)
+        if unsubmitted is not None:
+            unsubmitted.ends.append((worker, end))
         return
     if not task.is_current_run(end.run, worker.life):
         _apply_stale_end(cell, task, end, worker.life, now)
--- a/src/snowdock/jobs/worker_lives.py
+++ b/src/snowdock/jobs/worker_lives.py
@@ -18,7 +18,9 @@
 from .workers import Worker, WorkerEntry
 
 __all__ = [
+    "adopt_orphan",
     "end_life",
+    "find_known_life",
     "handle_life_refusal",
     "handle_worker_delisted",
     "handle_worker_listed",
@@ -62,12 +64,12 @@
     cell.log_decision("worker_listed", entry.life, service=entry.service, address=entry.address)
     resolve_replaced_lives(cell, entry, now)
     for orphan in cell.orphans.pop(entry.worker, []):
-        _adopt_orphan(cell, worker, orphan, now)
+        adopt_orphan(cell, worker, orphan, now)
     cell.emit(OpenWorker(entry.life, entry.address))
     send_renewal(cell, worker, now, 0)
 
 
-def _adopt_orphan(cell: Cell, worker: Worker, orphan: Orphan, now: float) -> None:
+def adopt_orphan(cell: Cell, worker: Worker, orphan: Orphan, now: float) -> None:
     """Assign a run that waited for a life of its worker to that life, until it reports."""
     task, run = orphan.task, orphan.run
     vacate(cell, orphan.life, task.id, run)
@@ -83,7 +85,8 @@
     task.address = worker.entry.address
 
 
-def _find_known_life(cell: Cell, worker_id: str) -> Worker | None:
+def find_known_life(cell: Cell, worker_id: str) -> Worker | None:
+    """Return the life of a worker that was listed last, or None if it is not known or has ended."""
     return cell.workers.get(cell.newest_lives.get(worker_id, ""))
 
 
@@ -92,7 +95,7 @@
 
     Only the worker's answer then tells whether a clock was set back between two lives.
     """
-    known = _find_known_life(cell, entry.worker)
+    known = find_known_life(cell, entry.worker)
     if known is None or known.life in (entry.life, entry.worker):
         return False
     return not begins_later(entry.life, known.life)
@@ -100,7 +103,7 @@
 
 def _await_proof(cell: Cell, entry: WorkerEntry, now: float) -> None:
     """Ask the known life of a worker, and keep an entry of another one until the known one ends."""
-    known = _find_known_life(cell, entry.worker)
+    known = find_known_life(cell, entry.worker)
     cell.unproven_entries[entry.worker] = entry
     cell.log_decision("worker_life_unproven", entry.life, known=known.life, runs=len(known.runs))
     _delist(cell, known, may_return=True, now=now)
--- a/tests/test_jobs_second_runs.py
+++ b/tests/test_jobs_second_runs.py
@@ -3,13 +3,31 @@
 import types
 import unittest
 
+import msgspec
+
 from snowdock.entry.leadership import Leadership
-from snowdock.jobs.events import RenewAnswered, WorkerDelisted
+from snowdock.jobs.events import (
+    JobAccepted,
+    JobAnnounced,
+    RenewAnswered,
+    SendStop,
+    StopAnswered,
+    WorkerDelisted,
+)
 from snowdock.jobs.lives import format_life
 from snowdock.jobs.model import JobStatus
 from snowdock.jobs.orders import Refusal
+from snowdock.jobs.recorded_progress import read_progress
+from snowdock.jobs.takeover import RecordedJobs
 from snowdock.node.metrics import Metrics
-from tests.jobs_tools import DONE, Bench, disconnect_worker
+from tests.jobs_tools import (
+    DONE,
+    SMALL,
+    Bench,
+    disconnect_worker,
+    filter_by_type,
+    make_accepted_job,
+)
 from tests.standins.entry_cluster import wait_until
 
 UNDATED, EARLIER, KNOWN, LATER = "i-1", *(format_life("i-1", born) for born in (100, 200, 300))
@@ -123,5 +141,98 @@
         self.assertEqual([each.order.run for each in self.bench.new_starts()], [2])
 
 
+class TestLateSubmissions(unittest.TestCase):
+    """A placement is on record, but its job's submission only after the next leader has read.
+
+    The earlier leader sends the start once it reads the submission, while it may still give orders.
+    """
+
+    JOB = "a" * 16
+
+    def setUp(self) -> None:
+        before = Bench()
+        before.add_worker("w")
+        self.accepted = make_accepted_job(SMALL)
+        before.feed(JobAnnounced(self.JOB, self.accepted))
+        before.feed(JobAccepted(self.JOB, self.accepted))
+        (start,) = before.new_starts()
+        self.task, self.run = start.order.task, start.order.run
+        on_record = read_progress([before.recorded.items()])
+        self.bench = Bench(token=2)
+        self.bench.now = before.now + 0.5
+        self.bench.recorded = before.recorded
+        self.bench.restore(RecordedJobs({}, set(), on_record.progress, layouts=on_record.layouts))
+        self.bench.add_worker("other")
+
+    def submit(self) -> None:
+        self.bench.feed(JobAccepted(self.JOB, self.accepted))
+        self.bench.tick(0.3)
+
+    @property
+    def status(self) -> JobStatus:
+        return self.bench.cell.jobs[self.JOB].status
+
+    def started_runs(self) -> list[int]:
+        return [start.order.run for start in self.bench.new_starts()]
+
+    def test_placement_on_record_is_forgotten_with_its_submission(self) -> None:
+        """A job that is read late isn't started beside the start that its record may allow."""
+        self.submit()
+        self.assertEqual(self.started_runs(), [])
+        self.bench.add_worker("w", is_synced=False)
+        self.bench.report("w", running=[(self.task, self.run, 10)])
+        self.bench.report("w", ended=[(self.task, self.run, DONE)])
+        self.assertEqual((self.status, self.started_runs()), (JobStatus.COMPLETED, []))
+
+    def test_worker_is_not_reached(self) -> None:
+        """A job that is read late starts once the earlier leader's leases have expired."""
+        self.submit()
+        self.bench.tick(9.0)
+        self.assertEqual(self.started_runs(), [])
+        self.bench.tick(2.0)
+        self.assertEqual(self.started_runs(), [2])
+
+    def test_worker_has_reported_without_the_run(self) -> None:
+        """The report of a worker that doesn't have the run is proof, without a wait."""
+        self.bench.add_worker("w")
+        self.submit()
+        self.assertEqual(self.started_runs(), [2])
+
+    def test_run_is_being_stopped(self) -> None:
+        """A run that was stopped since its job was unknown ends before the task restarts."""
+        self.bench.add_worker("w", is_synced=False)
+        self.bench.report("w", running=[(self.task, self.run, 10)])
+        (stop,) = filter_by_type(self.bench.all_effects, SendStop)
+        self.submit()
+        self.assertEqual(self.started_runs(), [])
+        self.bench.feed(StopAnswered("w", stop.order.task, stop.order.run, True))
+        self.bench.report("w")
+        self.bench.tick(0.6)
+        self.bench.report("w")
+        self.bench.tick(0.3)
+        self.assertEqual(self.started_runs(), [2])
+
+    def test_run_has_ended_before_its_job_was_read(self) -> None:
+        """An end that was acknowledged while its job was unknown counts for the job."""
+        self.bench.add_worker("w", is_synced=False)
+        self.bench.report("w", ended=[(self.task, self.run, DONE)])
+        self.bench.tick(0.3)
+        self.submit()
+        self.assertEqual((self.status, self.started_runs()), (JobStatus.COMPLETED, []))
+
+    def test_announcement_of_a_job_with_progress(self) -> None:
+        """A job with progress on record isn't placed before its submission is read."""
+        self.bench.feed(JobAnnounced(self.JOB, self.accepted))
+        self.bench.tick(0.3)
+        self.submit()
+        self.assertEqual(self.started_runs(), [])
+
+    def test_progress_of_another_job_under_the_identifier(self) -> None:
+        """Progress that doesn't fit a submission's team is not that job's."""
+        self.accepted = msgspec.structs.replace(self.accepted, team="team")
+        self.submit()
+        self.assertEqual(self.started_runs(), [1])
+
+
 if __name__ == "__main__":
     unittest.main()
