Send a refused stop again instead of counting it as accepted

Cause: every answer to a stop but a fencing or another life's counted as its acceptance, also a refusal (409 with another reason, to the stop or to the greeting before it, after which the stop is never sent). A later report without the run was then proof that the run would never start, and the task was placed again; an unanswered start could still be carried out seconds later.

Change: only an acceptance, or the refusal that a later run has superseded this one, counts.

Measured: test_refused_stop_counts_as_accepted failed before (run 2 was started). second_runs, reducer, worker_link and operations_page pass.

--- a/src/snowdock/jobs/order_answers.py
+++ b/src/snowdock/jobs/order_answers.py
@@ -15,6 +15,10 @@
 _ORDER_REFUSALS = (Refusal.SUPERSEDED, Refusal.MALFORMED)
 """Refusals caused by the order and not by the worker's state; an invalid ticket is another one."""
 
+_ACCEPTED_STOP_ANSWERS = (None, Refusal.SUPERSEDED)
+"""Answers to a stop after which the worker starts the run no more: it has accepted the stop, or a
+later run of the task has ended there. A stop refused for another reason has no effect."""
+
 _REFUSAL_QUARANTINE_SECONDS = 1.0
 """Quarantine time of a worker that refused a start, or did not answer it."""
 
@@ -91,6 +95,16 @@
     stop = cell.pending_stops.get((event.life, event.task, event.run))
     if stop is None or not event.answered:
         return
+    if event.refusal not in _ACCEPTED_STOP_ANSWERS:
+        cell.log_decision(
+            "stop_refused",
+            event.task.job,
+            task=event.task,
+            run=event.run,
+            worker=event.life,
+            reason=event.refusal.value,
+        )
+        return
     if stop.answered_at is None:
         # The first answer counts: a repeated stop must not postpone what depends on its time.
         stop.answered_at = now
--- a/tests/test_jobs_second_runs.py
+++ b/tests/test_jobs_second_runs.py
@@ -11,6 +11,7 @@
     JobAnnounced,
     RenewAnswered,
     SendStop,
+    StartAnswered,
     StopAnswered,
     WorkerDelisted,
 )
@@ -234,5 +235,46 @@
         self.assertEqual(self.started_runs(), [1])
 
 
+class TestStops(unittest.TestCase):
+    """An accepted stop proves that a start never begins later."""
+
+    def setUp(self) -> None:
+        self.bench = Bench()
+        self.bench.add_worker("w")
+        self.bench.submit()
+        (start,) = self.bench.new_starts()
+        order = start.order
+        self.bench.feed(StartAnswered("w", order.task, order.run, None))
+        for _ in range(2):
+            self.bench.tick(0.2)
+            self.bench.report("w")
+        (stop,) = filter_by_type(self.bench.all_effects, SendStop)
+        self.stop = stop.order
+
+    def answer_stop(self, refusal: Refusal | None) -> None:
+        answer = StopAnswered("w", self.stop.task, self.stop.run, True, refusal)
+        self.bench.feed(answer)
+        for _ in range(2):
+            self.bench.tick(0.2)
+            self.bench.report("w")
+        self.repeated = filter_by_type(self.bench.tick(2.0), SendStop)
+
+    def test_refused_stop_counts_as_accepted(self) -> None:
+        """After a refused stop the start may still arrive, so the stop is sent again."""
+        self.answer_stop(Refusal.MALFORMED)
+        self.assertEqual(self.bench.new_starts(), [])
+        self.assertIn(self.stop, [each.order for each in self.repeated])
+
+    def test_accepted_stop(self) -> None:
+        """After an accepted stop, a report without the run is proof."""
+        self.answer_stop(None)
+        self.assertEqual([each.order.run for each in self.bench.new_starts()], [2])
+
+    def test_stop_of_a_superseded_run(self) -> None:
+        """A worker that refuses a stop since the run is superseded won't start it either."""
+        self.answer_stop(Refusal.SUPERSEDED)
+        self.assertEqual([each.order.run for each in self.bench.new_starts()], [2])
+
+
 if __name__ == "__main__":
     unittest.main()
