Keep a run that was placed on another life when the listed one ends

Cause: a new leader assigns a run on record to the life of its worker that is listed. If that life was refused (another one answered), the run was lost at once with it, although it was never placed there. With an old entry in the list, the life that answered was the very one that the run was on, and it went on.

What callers saw: nothing known; needs an old entry of a worker at a takeover.

Change: such a run waits for the next life that is listed, as an unanswered start does.

--- a/src/snowdock/jobs/lost_runs.py
+++ b/src/snowdock/jobs/lost_runs.py
@@ -70,7 +70,8 @@
 ) -> None:
     """Mark all runs on a worker as lost, since it is unknown how they ended.
 
-    Runs whose start was not answered wait for the worker's next life, if there is one.
+    If there is a next life, two kinds of runs wait for it: those whose start was not answered, and
+    those placed on another life, since the end of this one says nothing about that.
     """
     if not worker.runs:
         return
@@ -79,12 +80,14 @@
     )
     end = _classify_end(cell, worker, reason, is_replaced)
     for task_id, run in list(worker.runs):
+        is_inherited = (task_id, run) in worker.inherited
         vacate(cell, worker.life, task_id, run)
         cell.pending_stops.pop((worker.life, task_id, run), None)
         task = cell.find_task(task_id)
         if task is None or not task.is_current_run(run, worker.life):
             continue
-        _lose_run(cell, worker, task, now, end, has_next_life and _may_start_late(task))
+        waits = has_next_life and (is_inherited or _may_start_late(task))
+        _lose_run(cell, worker, task, now, end, waits)
 
 
 def resolve_losses(
--- a/tests/test_jobs_second_runs.py
+++ b/tests/test_jobs_second_runs.py
@@ -276,5 +276,32 @@
         self.assertEqual([each.order.run for each in self.bench.new_starts()], [2])
 
 
+class TestInheritedRuns(unittest.TestCase):
+    """A run placed on one life, and assigned to another that is listed."""
+
+    def test_run_is_lost_with_a_life_that_never_had_it(self) -> None:
+        """The refusal of a life that was assigned a run doesn't end the life that it was on."""
+        before = Bench()
+        before.add_worker(KNOWN)
+        job = before.submit()
+        (start,) = before.new_starts()
+        before.confirm(start)
+        on_record = read_progress([before.recorded.items()])
+        bench = Bench(token=2)
+        bench.now = before.now + 0.5
+        bench.restore(RecordedJobs({job: make_accepted_job()}, set(), on_record.progress))
+        bench.add_worker("other")
+        bench.add_worker(EARLIER, is_synced=False)
+        order = bench.await_renewal(EARLIER)
+        bench.feed(RenewAnswered(EARLIER, order, Refusal.NEXT_LIFE))
+        bench.tick(0.3)
+        self.assertEqual(bench.new_starts(), [])
+        bench.add_worker(KNOWN, is_synced=False)
+        bench.report(KNOWN, running=[(start.order.task, 1, 50)])
+        bench.report(KNOWN, ended=[(start.order.task, 1, DONE)])
+        self.assertIs(bench.cell.jobs[job].status, JobStatus.COMPLETED)
+        self.assertEqual(bench.new_starts(), [])
+
+
 if __name__ == "__main__":
     unittest.main()
