Emulate a leader that is cut off with some workers, and notice more second runs

The emulator's deposed leaders reached the same workers as their successors, and learned of these at their next append.

Emulator.cut_off_leader lets the newest leader reach some workers only, without the store, and give orders for a given time; the next leaders reach the others.

--- a/src/snowdock/emulator/checks.py
+++ b/src/snowdock/emulator/checks.py
@@ -149,10 +149,9 @@
         step = spec.steps[task.step]
         history = self._history(task)
         self._check_room(task, step, capacity, list(occupants), life, at)
-        others = {other: r for other, r in history.running.items() if other != life}
-        if others:
-            self._add_violation("twice", at, task, f"also on {sorted(others)}")
-        if history.is_success_acknowledged:
+        if history.running:
+            self._add_violation("twice", at, task, f"also on {sorted(history.running)}")
+        if self._is_success_acknowledged(task):
             self._add_violation("twice", at, task, "its success was acknowledged before")
         # A violation only if a leader acknowledges one of these ends later.
         history.done_runs_before_restart |= history.done_runs
@@ -179,15 +178,19 @@
 
     def is_done(self, task: TaskId) -> bool:
         """Return whether a task, or another member of its gang, has succeeded."""
-        if self._history(task).done_runs:
-            return True
+        return any(each.done_runs for each in self._member_histories(task))
+
+    def _is_success_acknowledged(self, task: TaskId) -> bool:
+        return any(each.is_success_acknowledged for each in self._member_histories(task))
+
+    def _member_histories(self, task: TaskId) -> Iterator[_TaskHistory]:
+        """Yield the history of a task and, in a gang, those of the other members."""
         step = self.find_step(task)
         if not step.gang:
-            return False
-        return any(
-            self._history(TaskId(task.job, task.repetition, task.step, index)).done_runs
-            for index in range(step.count)
-        )
+            yield self._history(task)
+            return
+        for index in range(step.count):
+            yield self._history(TaskId(task.job, task.repetition, task.step, index))
 
     def _check_room(
         self,
--- a/src/snowdock/emulator/emulator.py
+++ b/src/snowdock/emulator/emulator.py
@@ -1,7 +1,9 @@
 """Runs the leaders' real decision code against modelled systems."""
 
+import functools
+import math
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import msgspec
 
@@ -26,15 +28,18 @@
     PublishLoad,
     PublishStatus,
     RecordPrediction,
+    RenewAnswered,
     SendRenewal,
     SendStart,
     SendStop,
+    StartAnswered,
     StepDown,
+    StopAnswered,
     Ticked,
     WorkerListed,
 )
 from ..jobs.model import JobStatus, StepSpec, TaskId
-from ..jobs.orders import AdviceResult, StartOrder
+from ..jobs.orders import AdviceResult, Refusal, StartOrder, StartResult
 from ..jobs.policy import make_policy
 from ..jobs.progress import AcceptedJob, parse_job_id, record_name
 from ..jobs.recorded_progress import read_progress
@@ -62,11 +67,27 @@
 
 
 class _Leader:
-    """One leadership: its cell, and whether it still handles events."""
+    """One leadership.
+
+    Attributes
+    ----------
+    cell
+        Its cell.
+    is_alive
+        Whether it still handles events.
+    reached_lives
+        The lives of workers that it reaches while it is cut off from the store and all others; None
+        while it isn't.
+    orders_until
+        Until when it gives orders, in virtual seconds.
+    """
 
     def __init__(self, cell: Cell) -> None:
         self.cell = cell
         self.is_alive = True
+        self.reached_lives: frozenset[str] | None = None
+        self.orders_until = math.inf
+        self.calls: WorkerCalls | None = None
 
 
 class Emulator:
@@ -132,19 +153,12 @@
             self.starvation.exempt_tasks,
             self._record_fault,
         )
-        calls = WorkerCalls(
-            self.timeline,
-            self._random,
-            self.faults,
-            self.workers,
-            options.typical_call_s,
-            self._find_step,
-        )
+        self._cut_lives: frozenset[str] = frozenset()
         self._handlers: dict[type, Callable] = {
             Persist: self._persist,
-            SendStart: lambda leader, effect: calls.send_start(self._make_post(leader), effect),
-            SendStop: lambda leader, effect: calls.send_stop(self._make_post(leader), effect),
-            SendRenewal: lambda leader, effect: calls.send_renewal(self._make_post(leader), effect),
+            SendStart: self._send_start,
+            SendStop: self._send_stop,
+            SendRenewal: self._send_renewal,
             AskAdvice: self._ask_advice,
             PublishStatus: self._publish,
             StepDown: lambda leader, _: self._end_leadership(leader),
@@ -210,6 +224,23 @@
         """Elect another leader without stopping the old one."""
         self.elect_leader()
 
+    def cut_off_leader(self, lives: Iterable[str], order_s: float) -> None:
+        """Cut off the newest leader, with some workers, from the store and all others.
+
+        ``order_s`` is for how long it gives orders nevertheless, in seconds.
+        """
+        leader = self._leaders[-1]
+        self._cut_lives = leader.reached_lives = frozenset(lives)
+        leader.orders_until = self.timeline.now + order_s
+        self._record_fault()
+
+    def end_cut(self) -> None:
+        """End the cut: all leaders reach the store and all workers."""
+        self._cut_lives = frozenset()
+        for leader in self._leaders:
+            leader.reached_lives = None
+        self._record_fault()
+
     def elect_leader(self) -> None:
         """Start a leader that restores its state from the recorded jobs."""
         self._epoch += 1
@@ -242,6 +273,15 @@
             layouts=on_record.layouts,
         )
         leader = _Leader(cell)
+        leader.calls = WorkerCalls(
+            self.timeline,
+            self._random,
+            self.faults,
+            self.workers,
+            options.typical_call_s,
+            self._find_step,
+            functools.partial(self._can_reach, leader),
+        )
         for effect in restore(cell, recorded, now, now * 1000):
             self._handlers[type(effect)](leader, effect)
         self._leaders.append(leader)
@@ -321,7 +361,8 @@
 
     def _check_starvation(self) -> None:
         """Check for starving jobs and waiting tasks, unless a fault explains them."""
-        if self.faults.is_store_down or self.faults.unreachable_lives or not self._leaders[-1:]:
+        has_cuts = self.faults.unreachable_lives or self._cut_lives
+        if self.faults.is_store_down or has_cuts or not self._leaders[-1:]:
             self.starvation.reset()
             self._record_fault()
         else:
@@ -334,6 +375,38 @@
 
     # -- effects ---------------------------------------------------------------------------
 
+    def _can_reach(self, leader: _Leader, life: str) -> bool:
+        if leader.reached_lives is not None:
+            return life in leader.reached_lives
+        return life not in self._cut_lives
+
+    def _may_order(self, leader: _Leader) -> bool:
+        return self.timeline.now < leader.orders_until
+
+    def _send_start(self, leader: _Leader, effect: SendStart) -> None:
+        if self._may_order(leader):
+            leader.calls.send_start(self._make_post(leader), effect)
+            return
+        order = effect.order
+        result = StartResult(Refusal.UNREACHABLE)
+        self._post_soon(leader, StartAnswered(effect.life, order.task, order.run, result))
+
+    def _send_stop(self, leader: _Leader, effect: SendStop) -> None:
+        if self._may_order(leader):
+            leader.calls.send_stop(self._make_post(leader), effect)
+            return
+        order = effect.order
+        self._post_soon(leader, StopAnswered(effect.life, order.task, order.run, False))
+
+    def _send_renewal(self, leader: _Leader, effect: SendRenewal) -> None:
+        if self._may_order(leader):
+            leader.calls.send_renewal(self._make_post(leader), effect)
+        else:
+            self._post_soon(leader, RenewAnswered(effect.life, effect.order, None))
+
+    def _post_soon(self, leader: _Leader, event: Event) -> None:
+        self.timeline.call_after(0.0, lambda: self._post(leader, event))
+
     def _draw_delay(self, mean: float) -> float:
         return draw_delay(self._random, mean)
 
@@ -345,7 +418,7 @@
     def _append(self, leader: _Leader, effect: Persist) -> None:
         if not leader.is_alive:
             return
-        if self.faults.is_store_down:
+        if self.faults.is_store_down or leader.reached_lives is not None:
             self.timeline.call_after(0.1, lambda: self._append(leader, effect))
             return
         if leader.cell.token < self._epoch:
--- a/src/snowdock/emulator/worker_calls.py
+++ b/src/snowdock/emulator/worker_calls.py
@@ -56,6 +56,8 @@
         Typical duration of a call, in seconds.
     find_step
         Returns the step of the task that an order starts.
+    can_reach
+        Returns whether the leader that makes the calls reaches a worker's life.
     """
 
     def __init__(
@@ -66,6 +68,7 @@
         workers: dict[str, WorkerModel],
         typical_call_s: float,
         find_step: Callable[[StartOrder], StepSpec],
+        can_reach: Callable[[str], bool] = lambda life: True,
     ) -> None:
         self._timeline = timeline
         self._random = rng
@@ -73,13 +76,17 @@
         self._workers = workers
         self._typical_call_s = typical_call_s
         self._find_step = find_step
+        self._can_reach = can_reach
 
     def _draw_one_way_delay(self) -> float:
         return draw_delay(self._random, self._typical_call_s / 2)
 
+    def _is_reachable(self, life: str) -> bool:
+        return life not in self._faults.unreachable_lives and self._can_reach(life)
+
     def _find_reachable(self, life: str) -> WorkerModel | None:
         model = self._workers[life]
-        return model if model.is_up and life not in self._faults.unreachable_lives else None
+        return model if model.is_up and self._is_reachable(life) else None
 
     def _find_refusal(self, life: str) -> Refusal | None:
         """Return the refusal by a later life at a worker's address; None if none answers there."""
@@ -180,7 +187,7 @@
         self._timeline.call_after(order.wait_ms / 1000 + _RENEW_SLACK_SECONDS, lambda: finish(None))
 
         def answer(outcome) -> None:
-            if effect.life in self._faults.unreachable_lives:
+            if not self._is_reachable(effect.life):
                 return
             if self._random.random() >= self._faults.lost_answer_share:
                 self._timeline.call_after(self._draw_one_way_delay(), lambda: finish(outcome))
--- a/tests/test_jobs_second_runs.py
+++ b/tests/test_jobs_second_runs.py
@@ -1,10 +1,16 @@
 """Tests that no proof of a run's end holds while the run may still start or go on."""
 
+import dataclasses
+import random
 import types
 import unittest
 
 import msgspec
 
+from snowdock.declarations import Size
+from snowdock.emulator import Emulator, EmulatorOptions, WorkloadOptions, draw_workload
+from snowdock.emulator.checks import InvariantChecker
+from snowdock.emulator.workload import DrawnJob, default_mixes
 from snowdock.entry.leadership import Leadership
 from snowdock.jobs.events import (
     JobAccepted,
@@ -16,10 +22,11 @@
     WorkerDelisted,
 )
 from snowdock.jobs.lives import format_life
-from snowdock.jobs.model import JobStatus
-from snowdock.jobs.orders import Refusal
+from snowdock.jobs.model import JobSpec, JobStatus, StepSpec, TaskId
+from snowdock.jobs.orders import EndKind, Refusal
 from snowdock.jobs.recorded_progress import read_progress
 from snowdock.jobs.takeover import RecordedJobs
+from snowdock.jobs.timeouts import ISOLATION_TIMEOUT_SECONDS
 from snowdock.node.metrics import Metrics
 from tests.jobs_tools import (
     DONE,
@@ -27,12 +34,28 @@
     Bench,
     disconnect_worker,
     filter_by_type,
+    find_unended_jobs,
     make_accepted_job,
 )
 from tests.standins.entry_cluster import wait_until
 
 UNDATED, EARLIER, KNOWN, LATER = "i-1", *(format_life("i-1", born) for born in (100, 200, 300))
 
+CUT_SEEDS = range(6)
+CUT_DAY_SECONDS = 40
+SETTLE_SECONDS = 150
+RESTART_SHARE = 0.5
+"""Share of cuts in which a worker restarts under its id."""
+
+WORK_FACTOR = 5
+"""Makes the runs outlast a cut."""
+
+
+def lengthen(job: DrawnJob) -> DrawnJob:
+    """Return a job of which each run takes longer."""
+    work_s = tuple(tuple(WORK_FACTOR * each for each in step) for step in job.work_s)
+    return dataclasses.replace(job, work_s=work_s)
+
 
 class TestEpochs(unittest.TestCase):
     """A leader's epoch is its token and its producer epoch, so that each leader needs its own."""
@@ -303,5 +326,105 @@
         self.assertEqual(bench.new_starts(), [])
 
 
+class TestChecks(unittest.TestCase):
+    """The emulator's checks notice each way in which a task may run twice."""
+
+    TASK, MEMBER = TaskId("a" * 16, 0, 0, 0), TaskId("a" * 16, 0, 0, 1)
+
+    def make_checks(self, step: StepSpec = SMALL) -> InvariantChecker:
+        checks = InvariantChecker()
+        checks.record_submission(self.TASK.job, JobSpec("q", "", (step,)), 3)
+        return checks
+
+    def start(self, checks: InvariantChecker, run: int, life: str, task: TaskId = TASK) -> None:
+        checks.check_start(task, run, life, Size(4000, 9000), [], 0.0, 3.0)
+
+    def find_rules(self, checks: InvariantChecker) -> list[str]:
+        return [each.rule for each in checks.violations]
+
+    def test_runs_at_once(self) -> None:
+        """A second run is noticed on another worker, in another life, and on the same one."""
+        for life in ("other", LATER, KNOWN):
+            with self.subTest(life=life):
+                checks = self.make_checks()
+                self.start(checks, 1, KNOWN)
+                self.start(checks, 2, life)
+                self.assertEqual(self.find_rules(checks), ["twice"])
+
+    def test_start_after_an_acknowledged_end(self) -> None:
+        """A start is noticed after an acknowledged success, and an acknowledgement after it."""
+        for is_acknowledged_first in (True, False):
+            with self.subTest(is_acknowledged_first=is_acknowledged_first):
+                checks = self.make_checks()
+                self.start(checks, 1, KNOWN)
+                checks.record_end(self.TASK, 1, KNOWN, DONE, 1.0)
+                if is_acknowledged_first:
+                    checks.acknowledge_end(self.TASK, 1, DONE, True, 1.0)
+                self.start(checks, 2, "other")
+                if not is_acknowledged_first:
+                    checks.acknowledge_end(self.TASK, 1, DONE, True, 1.0)
+                self.assertEqual(self.find_rules(checks), ["twice"])
+
+    def test_start_after_a_success_of_another_member(self) -> None:
+        """The acknowledged success of one member of a gang counts for all of them."""
+        checks = self.make_checks(msgspec.structs.replace(SMALL, count=2, gang=True))
+        for task, life in ((self.TASK, KNOWN), (self.MEMBER, "other")):
+            self.start(checks, 1, life, task)
+        checks.record_end(self.TASK, 1, KNOWN, DONE, 1.0)
+        checks.record_end(self.MEMBER, 1, "other", EndKind.LEASE_EXPIRED, 1.0)
+        checks.acknowledge_end(self.TASK, 1, DONE, True, 1.0)
+        self.start(checks, 2, "other", self.MEMBER)
+        self.assertEqual(self.find_rules(checks), ["twice"])
+
+
+class TestCutGroups(unittest.TestCase):
+    """A leader that is cut off together with some workers, on the emulator."""
+
+    def run_with_cuts(self, seed: int, excess_s: float) -> Emulator:
+        """Cut off each leader in turn; it gives orders for longer than it may by ``excess_s``."""
+        rng = random.Random(seed)
+        workload = WorkloadOptions(CUT_DAY_SECONDS, 0.1, default_mixes(seed % 2 == 0))
+        jobs = [lengthen(job) for job in draw_workload(seed, workload)]
+        emulator = Emulator(seed, EmulatorOptions(workload), jobs)
+        emulator.checks.is_undisturbed = False
+        emulator.faults.late_order_share = rng.choice([0.0, 0.05])
+        emulator.faults.lost_answer_share = rng.choice([0.0, 0.1])
+        at = 0.0
+        while at < CUT_DAY_SECONDS:
+            at += rng.uniform(2.0, 5.0)
+            emulator.run_until(at)
+            claim_s = rng.uniform(0.3, 2.0)
+            lives = [life for life, model in emulator.workers.items() if model.is_up]
+            group = rng.sample(lives, rng.randint(1, len(lives) // 2))
+            emulator.cut_off_leader(group, claim_s + ISOLATION_TIMEOUT_SECONDS + excess_s)
+            emulator.run_until(at + claim_s)
+            emulator.elect_leader()
+            if rng.random() < RESTART_SHARE:
+                emulator.fleet.restart(rng.choice(lives), rng.uniform(0.1, 6.0))
+            at += claim_s + rng.uniform(0.5, 12.0)
+            emulator.run_until(at)
+            emulator.end_cut()
+        emulator.faults.late_order_share = emulator.faults.lost_answer_share = 0.0
+        emulator.run_until(at + SETTLE_SECONDS)
+        self.unended = find_unended_jobs(emulator, jobs)
+        return emulator
+
+    def test_tasks_run_twice_after_a_group_cut(self) -> None:
+        """No task runs twice while the leader that was cut off keeps to its authority."""
+        for seed in CUT_SEEDS:
+            with self.subTest(seed=seed):
+                emulator = self.run_with_cuts(seed, 0.0)
+                self.assertEqual((emulator.checks.violations, self.unended), ([], []))
+
+    def test_leader_that_exceeds_its_authority_is_noticed(self) -> None:
+        """The checks see runs at once, and starts after acknowledged ends."""
+        details = set()
+        for seed in CUT_SEEDS:
+            for each in self.run_with_cuts(seed, 6.0).checks.violations:
+                if each.rule == "twice":
+                    details.add(each.detail.split()[0])
+        self.assertLessEqual({"also", "started"}, details)
+
+
 if __name__ == "__main__":
     unittest.main()
