--- a/src/snowdock/emulator/worker_model.py
+++ b/src/snowdock/emulator/worker_model.py
@@ -46,6 +46,8 @@
     gangs_share_pace
         Whether all members of a gang run at the pace of the slowest; otherwise the first member
         that ends completes the gang.
+    clock_rate
+        Rate of the workers' steady clocks.
     """
 
     lease_limit_s: float = 6.0
@@ -55,6 +57,7 @@
     cancel_s: float = 3.0
     forgets_ends_on_each_renewal: bool = True
     gangs_share_pace: bool = False
+    clock_rate: float = 1.0
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -182,6 +185,7 @@
         self.successor = ""
         self._crash = crash
         self._clock_offset = clock_began - timeline.now
+        self._began_at = timeline.now
         self._timeline = timeline
         self._timings = timings
         self._gangs = gangs
@@ -201,7 +205,9 @@
     @property
     def clock_ms(self) -> float:
         """The worker's steady clock in ms; never 0."""
-        return (self._timeline.now + self._clock_offset) * 1000
+        now = self._timeline.now
+        lag = (now - self._began_at) * (1 - self._timings.clock_rate)
+        return (now + self._clock_offset - lag) * 1000
 
     @property
     def accepts_runs(self) -> bool:
@@ -358,9 +364,8 @@
     def _extend_lease(self, until_ms: float) -> None:
         latest_ms = self.clock_ms + self._timings.lease_limit_s * 1000
         self._lease_until = max(self._lease_until, min(until_ms, latest_ms))
-        self._timeline.call_after(
-            (self._lease_until - self.clock_ms) / 1000 + 0.001, self._check_lease
-        )
+        remaining_s = (self._lease_until - self.clock_ms) / 1000 / self._timings.clock_rate
+        self._timeline.call_after(remaining_s + 0.001, self._check_lease)
 
     def _check_lease(self) -> None:
         if self._lease_until < self.clock_ms:
--- a/tests/test_jobs_second_runs.py
+++ b/tests/test_jobs_second_runs.py
@@ -10,6 +10,7 @@
 from snowdock.declarations import Size
 from snowdock.emulator import Emulator, EmulatorOptions, WorkloadOptions, draw_workload
 from snowdock.emulator.checks import InvariantChecker
+from snowdock.emulator.worker_model import WorkerTimings
 from snowdock.emulator.workload import DrawnJob, default_mixes
 from snowdock.entry.leadership import Leadership
 from snowdock.jobs.events import (
@@ -44,6 +45,7 @@
 CUT_SEEDS = range(6)
 CUT_DAY_SECONDS = 40
 SETTLE_SECONDS = 150
+SLOW_CLOCK_RATE = 0.98
 RESTART_SHARE = 0.5
 """Share of cuts in which a worker restarts under its id."""
 
@@ -385,7 +387,8 @@
         rng = random.Random(seed)
         workload = WorkloadOptions(CUT_DAY_SECONDS, 0.1, default_mixes(seed % 2 == 0))
         jobs = [lengthen(job) for job in draw_workload(seed, workload)]
-        emulator = Emulator(seed, EmulatorOptions(workload), jobs)
+        options = EmulatorOptions(workload, timings=WorkerTimings(clock_rate=SLOW_CLOCK_RATE))
+        emulator = Emulator(seed, options, jobs)
         emulator.checks.is_undisturbed = False
         emulator.faults.late_order_share = rng.choice([0.0, 0.05])
         emulator.faults.lost_answer_share = rng.choice([0.0, 0.1])
