--- a/src/snowdock/emulator/emulator.py
+++ b/src/snowdock/emulator/emulator.py
@@ -46,7 +46,7 @@
 from ..jobs.reducer import reduce
 from ..jobs.takeover import RecordedJobs, restore
 from ..jobs.timeouts import (
-    ISOLATION_TIMEOUT_SECONDS,
+    AUTHORITY_SECONDS,
     RETENTION_FACTOR,
     TICK_SECONDS,
     lease_expiry_after_claim_seconds,
@@ -236,7 +236,7 @@
         self,
         lives: Collection[str],
         claim_after_s: float,
-        authority_s: float = ISOLATION_TIMEOUT_SECONDS,
+        authority_s: float = AUTHORITY_SECONDS,
         exceeds_authority: bool = False,
     ) -> None:
         """Cut the newest leader and some workers off from all else, and elect another leader.
@@ -284,7 +284,7 @@
         settings = CellSettings(
             lease_s=options.lease_s,
             unreached_run_expiry_s=lease_expiry_after_claim_seconds(
-                options.lease_s, max(ISOLATION_TIMEOUT_SECONDS, self._authority_ends_at - now)
+                options.lease_s, max(AUTHORITY_SECONDS, self._authority_ends_at - now)
             ),
             gang_wait_s=options.timings.gang_wait_s,
             early_s=0.25,
--- a/tests/test_jobs_group_cuts.py
+++ b/tests/test_jobs_group_cuts.py
@@ -6,7 +6,7 @@
 
 from snowdock.emulator import Emulator, EmulatorOptions, WorkloadOptions, draw_workload
 from snowdock.emulator.workload import DrawnJob, default_mixes
-from snowdock.jobs.timeouts import ISOLATION_TIMEOUT_SECONDS
+from snowdock.jobs.timeouts import AUTHORITY_SECONDS, OUTAGE_AUTHORITY_SECONDS
 from tests.jobs_tools import find_unended_jobs
 
 SECONDS = 30
@@ -18,7 +18,7 @@
 SEEDS = range(500, 536)
 EXCEEDING_SEEDS = range(500, 504)
 
-AUTHORITIES = (ISOLATION_TIMEOUT_SECONDS, 12.0)
+AUTHORITIES = (AUTHORITY_SECONDS, OUTAGE_AUTHORITY_SECONDS)
 """How long after its successor's claim an old leader may send orders, in seconds."""
 
 
