--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 
 # Tests of decisions and codecs: no processes, no waiting, no emulated days, and no long backlogs.
 QUICK_TESTS := \
-	active_nodes adaptive_timeout admission admission_gate decisions declarations explain \
+	active_nodes adaptive_timeout authority admission admission_gate decisions declarations explain \
 	jobs_failed_runs jobs_lives jobs_long_running jobs_long_running_bounds jobs_long_running_rank \
 	jobs_placement.TestAdviceRequests jobs_placement.TestExpiredTickets jobs_preemption \
 	jobs_reducer jobs_reservations jobs_starving known_red leader_settings load load_summary load_view logs \
--- /dev/null
+++ b/tests/test_authority.py
@@ -0,0 +1,202 @@
+"""Tests of a leader's authority and of what a claimant may assume of it."""
+
+import unittest
+
+from snowdock.entry.authority import Authority, Basis, RosterPlace
+from snowdock.entry.leader_record import LeaderRecord, NodeIdentity
+from snowdock.entry.messages import Statement
+from snowdock.jobs.timeouts import AUTHORITY_SECONDS, OUTAGE_AUTHORITY_SECONDS
+
+EPOCH = 7
+CLAIMED_AT = 100.0
+RENEWED_AT = CLAIMED_AT + 1.0
+OUTAGE_AT = RENEWED_AT + AUTHORITY_SECONDS
+
+
+class TestAuthority(unittest.TestCase):
+    def setUp(self) -> None:
+        self.authority = Authority("leader-1")
+        self.authority.start_term(EPOCH, CLAIMED_AT)
+
+    def hear(
+        self,
+        node: str,
+        echoed_at: float,
+        now: float | None = None,
+        reaches_store: bool = True,
+        **changes: object,
+    ) -> None:
+        """Record a statement that echoes the leader's heartbeat of a time."""
+        now = echoed_at if now is None else now
+        fields = {
+            "incarnation": f"{node}-1",
+            "sent_at": now,
+            "heard_incarnation": "leader-1",
+            "heard_at": echoed_at,
+            "newest_epoch": EPOCH,
+            "may_have_claimed": False,
+        }
+        statement = Statement(**(fields | changes))
+        self.authority.record_statement(node, statement, reaches_store, now)
+
+    def renew(self, at: float) -> int:
+        """Record a renewal, and return the version of the roster that it states."""
+        roster = self.authority.next_roster(at)
+        self.authority.record_renewal(at, roster)
+        return roster
+
+    def assert_ends(self, last: float, basis: Basis) -> None:
+        """Check that the authority has a basis just before a time, and none from it on."""
+        self.assertIs(self.authority.basis_at(last - 0.01), basis)
+        self.assertIs(self.authority.basis_at(last), Basis.NONE)
+
+    def test_claim_alone(self) -> None:
+        """A claim gives no authority before the first renewal."""
+        self.assertIs(self.authority.basis_at(CLAIMED_AT), Basis.NONE)
+
+    def test_renewal(self) -> None:
+        """A renewal counts from when it was sent; then a member that is not heard ends it."""
+        self.hear("a", RENEWED_AT)
+        self.hear("b", RENEWED_AT)
+        self.renew(RENEWED_AT)
+        self.hear("a", OUTAGE_AT)
+        self.assert_ends(OUTAGE_AT, Basis.RENEWAL)
+
+    def test_statements(self) -> None:
+        """Statements of all members extend the authority, up to the longest bound."""
+        self.hear("a", RENEWED_AT)
+        self.renew(RENEWED_AT)
+        self.hear("a", OUTAGE_AT)
+        self.assert_ends(OUTAGE_AT + AUTHORITY_SECONDS, Basis.STATEMENTS)
+        last = RENEWED_AT + OUTAGE_AUTHORITY_SECONDS
+        self.hear("a", last)
+        self.assert_ends(last, Basis.STATEMENTS)
+
+    def test_late_statement_proves_its_arrival(self) -> None:
+        """A statement that was queued for seconds counts from the heartbeat that it echoes."""
+        self.hear("a", RENEWED_AT)
+        self.renew(RENEWED_AT)
+        self.hear("a", RENEWED_AT + 0.1, now=OUTAGE_AT + 3.0)
+        self.assertIs(self.authority.basis_at(OUTAGE_AT + 3.0), Basis.NONE)
+
+    def test_statement_that_proves_nothing_extends_authority(self) -> None:
+        """Neither an open claim, an echo of another process nor an echo of the future counts."""
+        for changes in (
+            {"may_have_claimed": True},
+            {"heard_incarnation": "leader-0"},
+            {"heard_at": OUTAGE_AT + 9.0},
+            {"heard_at": CLAIMED_AT - 1.0},
+        ):
+            with self.subTest(changes=changes):
+                self.setUp()
+                self.hear("a", RENEWED_AT)
+                self.renew(RENEWED_AT)
+                self.hear("a", OUTAGE_AT, **changes)
+                self.assertIs(self.authority.basis_at(OUTAGE_AT), Basis.NONE)
+
+    def test_later_epoch(self) -> None:
+        """A peer that knows of a later epoch ends the authority, whatever the last renewal."""
+        self.renew(RENEWED_AT)
+        self.hear("a", RENEWED_AT, newest_epoch=EPOCH + 1)
+        self.assertIs(self.authority.basis_at(RENEWED_AT), Basis.NONE)
+
+    def test_member_without_the_store_falls_silent(self) -> None:
+        """A member may fall silent once it has said that it does not reach the store."""
+        self.hear("a", RENEWED_AT)
+        self.renew(RENEWED_AT)
+        self.hear("a", RENEWED_AT + 0.5, reaches_store=False)
+        self.assertEqual(self.authority.place_of("a")[0], 0)
+        self.assert_ends(RENEWED_AT + OUTAGE_AUTHORITY_SECONDS, Basis.STATEMENTS)
+
+    def test_member_down_before_the_outage_ends_authority(self) -> None:
+        """A silent member counts until a renewal without it is on record."""
+        self.hear("a", CLAIMED_AT)
+        self.assertEqual(self.renew(RENEWED_AT), 1)
+        removed = self.authority.next_roster(RENEWED_AT + 1.0)
+        self.assertEqual(removed, 2)
+        self.assertIs(self.authority.basis_at(OUTAGE_AT), Basis.NONE)
+        self.authority.record_renewal(RENEWED_AT, removed)
+        self.assertIs(self.authority.basis_at(OUTAGE_AT), Basis.STATEMENTS)
+
+    def test_member_that_answers_before_its_removal_is_recorded(self) -> None:
+        """A member that is heard again stays, and is told the new version."""
+        self.hear("a", CLAIMED_AT)
+        removed = self.authority.next_roster(RENEWED_AT + 1.0)
+        self.assertEqual(self.authority.place_of("a")[0], 0)
+        self.hear("a", RENEWED_AT + 1.0)
+        self.authority.record_renewal(RENEWED_AT, removed)
+        self.assertEqual(self.authority.place_of("a")[0], removed)
+        self.assertIs(self.authority.basis_at(RENEWED_AT + 3.0), Basis.NONE)
+
+    def test_place_names_the_accepted_statement(self) -> None:
+        """The place names the newest statement that counts, not one that came later."""
+        self.hear("a", RENEWED_AT)
+        self.hear("a", RENEWED_AT + 1.0, may_have_claimed=True)
+        self.assertEqual(self.authority.place_of("a"), (1, "a-1", RENEWED_AT))
+        self.assertEqual(self.authority.place_of("unknown"), (0, "", 0.0))
+
+
+class TestRosterPlace(unittest.TestCase):
+    def setUp(self) -> None:
+        self.place = RosterPlace()
+
+    def make_record(self, roster: int, **changes: object) -> LeaderRecord:
+        return NodeIdentity("l", "l-1", "a:1").make_record(EPOCH, roster=roster, **changes)
+
+    def bound(self, record: LeaderRecord | None, node: str = "c") -> float:
+        bound_s = self.place.begin_claim(record, node)
+        self.place.end_claim()
+        return bound_s
+
+    def test_claimant_on_the_roster(self) -> None:
+        """A member of the version on record, or of a later one, has the shorter bound."""
+        self.place.record_place(EPOCH, 3, 1.0)
+        for roster, expected_s in ((2, AUTHORITY_SECONDS), (3, AUTHORITY_SECONDS)):
+            self.assertEqual(self.bound(self.make_record(roster)), expected_s)
+        self.assertEqual(self.bound(self.make_record(4)), OUTAGE_AUTHORITY_SECONDS)
+
+    def test_claimant_without_a_place_starts_tasks_too_early(self) -> None:
+        """A claimant that the leader does not count has the longer bound."""
+        self.assertEqual(self.bound(self.make_record(1)), OUTAGE_AUTHORITY_SECONDS)
+        self.place.record_place(EPOCH - 1, 9, 1.0)
+        self.assertEqual(self.bound(self.make_record(1)), OUTAGE_AUTHORITY_SECONDS)
+
+    def test_blind_statement_forfeits_the_place(self) -> None:
+        """Only a place that answers a later statement counts after one without the store."""
+        self.place.record_place(EPOCH, 1, 1.0)
+        self.assertFalse(self.place.begin_statement(2.0, reaches_store=False))
+        self.assertEqual(self.bound(self.make_record(1)), OUTAGE_AUTHORITY_SECONDS)
+        self.place.record_place(EPOCH, 1, 1.5)
+        self.assertEqual(self.bound(self.make_record(1)), OUTAGE_AUTHORITY_SECONDS)
+        self.place.record_place(EPOCH, 1, 2.5)
+        self.assertEqual(self.bound(self.make_record(1)), AUTHORITY_SECONDS)
+
+    def test_leader_that_has_ended(self) -> None:
+        """A leader without a roster, that resigned, or of this node has the shorter bound."""
+        self.assertEqual(self.bound(None), AUTHORITY_SECONDS)
+        self.assertEqual(self.bound(self.make_record(0)), AUTHORITY_SECONDS)
+        self.assertEqual(self.bound(self.make_record(1, resigned=True)), AUTHORITY_SECONDS)
+        self.assertEqual(self.bound(self.make_record(1), node="l"), AUTHORITY_SECONDS)
+
+    def test_leaders_before_the_last_one(self) -> None:
+        """What is left of the bound of earlier leaders counts, too."""
+        record = self.make_record(0, earlier_authority_s=9.0)
+        self.assertEqual(self.bound(record), 9.0)
+
+    def test_record_of_an_earlier_release(self) -> None:
+        """A record without a roster has the longer bound, or the one that it states."""
+        for authority_s in (1.5, 60.0):
+            record = LeaderRecord("l", "l-1", "a:1", EPOCH, authority_s=authority_s)
+            expected_s = max(authority_s, OUTAGE_AUTHORITY_SECONDS)
+            self.assertEqual(self.bound(record), expected_s)
+
+    def test_statement_during_a_claim(self) -> None:
+        """Statements tell of a claim until its outcome is known."""
+        self.place.begin_claim(None, "c")
+        self.assertTrue(self.place.begin_statement(1.0, reaches_store=True))
+        self.place.end_claim()
+        self.assertFalse(self.place.begin_statement(2.0, reaches_store=True))
+
+
+if __name__ == "__main__":
+    unittest.main()
