Test runs through an outage of the store, and a leader frozen past its successor's claim

Change: the stand-in of the store can show a node nothing that is appended later; that of the workers keeps the ends of the leases that renewals give.

--- a/tests/standins/group_cuts.py
+++ b/tests/standins/group_cuts.py
@@ -19,7 +19,7 @@
 from tests.standins.hidden_peer_daemon import PEER_LISTEN_VARIABLE
 from tests.standins.ports import free_port
 
-__all__ = ["STORE", "CutCluster", "Network", "cut_between", "cut_group"]
+__all__ = ["STORE", "CutCluster", "CutProcess", "Network", "cut_apart", "cut_between", "cut_group"]
 
 STORE = "store"
 """The store's name as an endpoint; nodes and workers have their own names."""
@@ -38,6 +38,13 @@
     return lambda sender, receiver: sender in senders and receiver in receivers
 
 
+def cut_apart(some: Collection[str], others: Collection[str]) -> IsCut:
+    """Cut the paths between some endpoints and others, in both directions."""
+    return lambda sender, receiver: (
+        (sender in some and receiver in others) or (sender in others and receiver in some)
+    )
+
+
 def cut_group(group: Collection[str], sends: bool = False, hears: bool = False) -> IsCut:
     """Cut a group of endpoints off from all others.
 
@@ -260,6 +267,11 @@
         for life, proxy in zip(self.workers.models, self.workers.proxies, strict=True):
             proxy.name = life
 
+    @property
+    def endpoints(self) -> set[str]:
+        """The names of all endpoints."""
+        return {STORE, *(node.node for node in self.nodes), *self.workers.models}
+
     def close(self) -> None:
         self.network.cut()
         super().close()
--- a/tests/standins/platform.py
+++ b/tests/standins/platform.py
@@ -125,6 +125,14 @@
     def end(self) -> int:
         return self.first + len(self.records)
 
+    def copy(self) -> "Partition":
+        """Return a partition with the same records."""
+        copied = Partition()
+        copied.first = self.first
+        copied.records = list(self.records)
+        copied.newest = dict(self.newest)
+        return copied
+
 
 _MAX_NEWEST_ITEMS = 50
 """Fewer than the platform's 500, so that a test gets several pages from few records."""
@@ -141,6 +149,7 @@
 
     Faults: with ``refuse``, calls are refused; with ``silent``, they hang; with ``lose``, appends
     are executed but not answered in time; with ``hides_new_records``, reads return no records.
+    After `show_no_changes_to`, a node's reads return nothing that was appended later.
     ``part_faults`` has the fault of a topic's partition: "refuse" and "silent" as above, "reset"
     closes connections, and "late" executes calls only after their callers have given up.
 
@@ -154,6 +163,7 @@
         self.silent = False
         self.lose = False
         self.refused_agents: set[str] = set()
+        self._outdated: dict[str, dict[tuple[str, int], Partition]] = {}
         self.part_faults: dict[tuple[str, int], str] = {}
         self.calls: list[str] = []
         self.record_bytes = 262_144
@@ -187,6 +197,13 @@
             parts = [part for (name, _), part in self._parts.items() if name == topic]
             return {key.decode(errors="replace") for part in parts for key in part.newest}
 
+    def show_no_changes_to(self, node: str) -> None:
+        """Answer all further reads of a node with what the store has now."""
+        with self._changed:
+            self._outdated[f"snowdock/{node}"] = {
+                key: part.copy() for key, part in self._parts.items()
+            }
+
     def discard_history(self, topic: str) -> None:
         with self._changed:
             part = self.part(topic)
@@ -226,9 +243,9 @@
             if path == "/v1/log-append":
                 reply = self._handle_append(part, query, body)
             elif path == "/v1/log-read":
-                return self._read(part, query)
+                return self._read(self._part_shown_to(environ, topic, number, part), query)
             else:
-                return self._read_newest(part, query)
+                return self._read_newest(self._part_shown_to(environ, topic, number, part), query)
         if self.lose:
             time.sleep(3)
         return reply
@@ -276,6 +293,10 @@
             return json_reply({"reason": "seq"}, 409)
         return None
 
+    def _part_shown_to(self, environ, topic: str, number: int, part: Partition) -> Partition:
+        shown = self._outdated.get(environ.get("HTTP_USER_AGENT"))
+        return part if shown is None else shown.get((topic, number), Partition())
+
     def _read(self, part: Partition, query) -> Reply:
         start = int(query["from"])
         wait = int(query.get("wait_ms", 0)) / 1000
@@ -333,7 +354,9 @@
     first task of a job in ``crashing_jobs`` crashes each worker that starts it; the worker is
     replaced after a delay. All runs of a job in ``failing_jobs`` fail. Runs of long-running steps
     last until they are stopped, unless ``plan_long_running`` is replaced. ``starvation`` checks the
-    jobs in ``accepted_jobs``.
+    jobs in ``accepted_jobs``. ``starts`` has the task, run and worker of each start, and
+    ``renewals`` the worker of each accepted renewal and the end of its lease, in ms of the worker's
+    clock.
     """
 
     def __init__(
@@ -355,6 +378,7 @@
         self._replacement_numbers = itertools.count()
         self.steps: dict[str, list[StepSpec]] = {}
         self.starts: list[tuple[str, int, str]] = []
+        self.renewals: list[tuple[str, float]] = []
         self._timeline = Timeline()
         self._started_at = time.monotonic()
         self._gangs = GangRegistry()
@@ -564,6 +588,8 @@
         with self._lock:
             self._timeline.run_until(time.monotonic() - self._started_at)
             model.renew(order, answers.append)
+            if Refusal.FENCED not in answers and order.lease_until_ms:
+                self.renewals.append((model.entry.life, order.lease_until_ms))
         end = time.monotonic() + order.wait_ms / 1000 + 1
         while not answers and time.monotonic() < end:
             time.sleep(0.002)
--- a/tests/test_group_cuts.py
+++ b/tests/test_group_cuts.py
@@ -1,10 +1,17 @@
-"""Tests of entry daemons that are cut off from the others as a group, with or without the store."""
+"""Tests of entry daemons of which a group is cut off from the store, from workers or from others.
 
+Unless they say otherwise, four nodes lead a task on one of three workers, which only those inside
+the cut reach.
+"""
+
+import signal
+import time
 import unittest
 
 from snowdock.jobs.model import TaskId
+from snowdock.jobs.timeouts import AUTHORITY_SECONDS, LEASE_SECONDS
 from tests.standins.entry_cluster import EntryProcess, wait_until
-from tests.standins.group_cuts import CutCluster, cut_group
+from tests.standins.group_cuts import STORE, CutCluster, cut_apart, cut_group
 
 LONG_WORK_SECONDS = 120.0
 """Longer than any of the tests, so that a run ends only when its lease expires."""
@@ -12,57 +19,82 @@
 TAKEOVER_SECONDS = 60.0
 """The longest wait for a claim, the leases of runs that are out of reach, and their next starts."""
 
+OUTAGE_SECONDS = 7.0
+"""Longer than a lease and the interval of its renewals."""
+
+OUTLASTING_WORK_SECONDS = 10.0
+"""The work of runs that start before an outage of the store and end after it."""
+
+NOTICE_SECONDS = 4.0
+"""The time after which a leader certainly goes on without a node that fell silent."""
+
 
 class GroupCutCase(unittest.TestCase):
-    """Base of the tests: four nodes, and a job with one task on one of three workers."""
+    """Base of the tests: starts the cluster."""
+
+    WORK_SECONDS = LONG_WORK_SECONDS
 
     def setUp(self) -> None:
-        self.cluster = CutCluster(4, work_s=LONG_WORK_SECONDS)
+        self.cluster = CutCluster(4, work_s=self.WORK_SECONDS)
         self.addCleanup(self.cluster.close)
+        self.network = self.cluster.network
         self.assertTrue(self.cluster.wait_ready())
         self.leader = self.cluster.leader
         self.others = [node for node in self.cluster.nodes if node is not self.leader]
 
-    def start_task(self) -> TaskId:
-        """Submit a job with one task and wait until its run starts."""
-        step = {"count": 1, "cpu": 100, "mem_mb": 10, "estimate_ms": LONG_WORK_SECONDS * 1000}
+    def start_job(self, count: int = 1) -> str:
+        """Submit a job, wait until all its tasks run, and return its path."""
+        estimate_ms = self.WORK_SECONDS * 1000
+        step = {"count": count, "cpu": 100, "mem_mb": 10, "estimate_ms": estimate_ms}
         path, body = self.cluster.make_job([step])
-        self.assertTrue(
-            wait_until(lambda: self.cluster.nodes[0].call("POST", path, body)[0] == 200)
+        self.assertTrue(wait_until(lambda: self.leader.call("POST", path, body)[0] == 200))
+        self.assertTrue(wait_until(lambda: self.count_starts(path) == count))
+        return path
+
+    def start_task(self) -> tuple[str, str]:
+        """Submit a job of one task; return its path and the worker, once its lease is renewed."""
+        path = self.start_job()
+        (worker,) = self.cluster.workers.find_workers_running(
+            TaskId(path.rpartition("/")[2], 0, 0, 0)
         )
-        task = TaskId(path.rpartition("/")[2], 0, 0, 0)
-        self.assertTrue(wait_until(lambda: self.cluster.workers.find_workers_running(task)))
-        return task
+        self.assertTrue(wait_until(lambda: self.lease_ends_ms(worker)))
+        return path, worker
 
-    def find_worker(self, task: TaskId) -> str:
-        (worker,) = self.cluster.workers.find_workers_running(task)
-        return worker
+    def lease_ends_ms(self, worker: str) -> list[float]:
+        """Return the ends of the leases that renewals gave a worker, by its clock."""
+        return [end for life, end in list(self.cluster.workers.renewals) if life == worker]
 
-    def count_starts(self, task: TaskId) -> int:
+    def count_starts(self, path: str) -> int:
+        """Count the runs that have started, each once, however often it was ordered."""
+        job = path.rpartition("/")[2]
         starts = list(self.cluster.workers.starts)
-        return sum(started.startswith(f"{task.job}.") for started, _, _ in starts)
-
-    def wait_second_start(self, task: TaskId) -> None:
-        """Wait until another leader has started a task whose worker is out of its reach."""
-        self.assertTrue(wait_until(lambda: self.count_starts(task) > 1, TAKEOVER_SECONDS))
+        return len({(task, run) for task, run, _ in starts if task.startswith(job)})
 
     def assert_led_by(self, nodes: list[EntryProcess]) -> None:
-        self.assertTrue(wait_until(lambda: any(node.is_leader for node in nodes), TAKEOVER_SECONDS))
+        self.assertTrue(
+            wait_until(lambda: any(node.is_leader for node in nodes), TAKEOVER_SECONDS),
+            f"none of {[node.node for node in nodes]} leads",
+        )
+
+    def assert_one_run_after_the_other(self, path: str) -> None:
+        """Wait for a task's second start, and check that the first run had ended by then."""
+        self.assertTrue(wait_until(lambda: self.count_starts(path) > 1, TAKEOVER_SECONDS))
+        self.assert_no_violations()
 
     def assert_no_violations(self) -> None:
         self.assertEqual(self.cluster.workers.checks.violations, [])
 
 
 class TestLeaderCutOff(GroupCutCase):
+    """The leader and the worker are cut off from all others, some followers with them."""
+
     def check_cut(self, followers: int) -> None:
-        """Cut the leader off with some followers and the worker of a task."""
-        task = self.start_task()
+        path, worker = self.start_task()
         inside, outside = self.others[:followers], self.others[followers:]
         nodes = {node.node for node in (self.leader, *inside)}
-        self.cluster.network.cut(cut_group({*nodes, self.find_worker(task)}))
+        self.network.cut(cut_group({*nodes, worker}))
         self.assert_led_by(outside)
-        self.wait_second_start(task)
-        self.assert_no_violations()
+        self.assert_one_run_after_the_other(path)
 
     def test_task_runs_twice_while_leader_is_cut_off_alone(self) -> None:
         """A task on a worker that only the old leader reaches starts again after its run ended."""
@@ -73,5 +105,63 @@
         self.check_cut(followers=1)
 
 
+class TestStoreAwayFromAllNodes(GroupCutCase):
+    """The store is out of reach of all nodes for longer than a lease, while three tasks run."""
+
+    WORK_SECONDS = OUTLASTING_WORK_SECONDS
+
+    def check_outage(self, absent: EntryProcess | None = None) -> None:
+        path = self.start_job(count=3)
+        self.network.cut(cut_group({STORE}))
+        time.sleep(OUTAGE_SECONDS)
+        self.network.cut()
+        present = [node for node in self.cluster.nodes if node is not absent]
+        self.assertTrue(
+            wait_until(
+                lambda: any(self.cluster.state(node, path) == "completed" for node in present),
+                TAKEOVER_SECONDS,
+            )
+        )
+        self.assertEqual(self.count_starts(path), 3)
+        self.assert_no_violations()
+
+    def test_running_tasks_are_lost_while_no_node_reaches_the_store(self) -> None:
+        """With all nodes up, each run goes on and its job completes."""
+        self.check_outage()
+
+    def test_running_tasks_are_lost_without_the_store_after_a_follower_was_killed(self) -> None:
+        """With one follower killed before, each run goes on and its job completes."""
+        self.others[0].kill()
+        time.sleep(NOTICE_SECONDS)
+        self.check_outage(self.others[0])
+
+    def test_running_tasks_are_lost_without_the_store_while_a_follower_is_frozen(self) -> None:
+        """With one follower frozen before, each run goes on and its job completes."""
+        self.others[0].signal(signal.SIGSTOP)
+        time.sleep(NOTICE_SECONDS)
+        self.check_outage(self.others[0])
+
+
+class TestFrozenLeader(GroupCutCase):
+    """The leader, which alone reaches the worker, is frozen and wakes after another's claim."""
+
+    def test_frozen_leader_renews_leases_after_its_successors_claim(self) -> None:
+        """A leader that wakes after another's claim renews no lease at a worker."""
+        path, worker = self.start_task()
+        self.network.cut(cut_apart({worker}, [node.node for node in self.others]))
+        model = self.cluster.workers.models[worker]
+        self.leader.signal(signal.SIGSTOP)
+        last_lease_end_ms = model.clock_ms + LEASE_SECONDS * 1000
+        self.assert_led_by(self.others)
+        time.sleep(AUTHORITY_SECONDS)
+        self.leader.signal(signal.SIGCONT)
+        self.assert_one_run_after_the_other(path)
+        self.assertLessEqual(max(self.lease_ends_ms(worker)), last_lease_end_ms)
+
+
+if __name__ == "__main__":
+    unittest.main()
+
+
 if __name__ == "__main__":
     unittest.main()
