Bound the wait for a leader that was silent for long before

Seen: with the followers cut off for 9 s, and the leader 2 s after that, callers had no leader for as long again.

Cause: the limits for heartbeats, and with them the wait for a renewal, follow the longest recent gap up to 16 times their base, though the gap was the network's and the leader not late.

Change: limits that follow gaps are at most 3.4 s, the time of a takeover. The factor after short terms is unbounded by this. The new test failed before.

--- a/src/snowdock/entry/leader_liveness.py
+++ b/src/snowdock/entry/leader_liveness.py
@@ -7,7 +7,6 @@
 from .leader_record import LeaderRecord, NodeIdentity
 from .messages import Heartbeat
 from .renewals import OVERDUE_SECONDS
-from .turnover import MAX_TIMEOUT_FACTOR
 
 __all__ = ["LeaderLiveness", "find_end_evidence"]
 
@@ -27,6 +26,10 @@
 _GAP_FACTOR = 1.5
 """Limits are at least this multiple of the longest recent gap that ended."""
 
+_MAX_ADAPTED_LIMIT_SECONDS = 3.4
+"""Upper bound of the limits that follow gaps: a takeover takes no longer, so replacing the leader
+costs callers less than any longer wait for it."""
+
 _GAP_DECAY_PER_SECOND = 0.1
 """Linear decay of the longest recent gap, in seconds per second."""
 
@@ -93,19 +96,16 @@
         )
 
     def _silence_limit(self, now: float, factor: float) -> float:
-        base_limit = self._base_silence_limit
-        adaptive_factor = _GAP_FACTOR * self._longest_heartbeat_gap.value_at(now) / base_limit
-        return base_limit * max(factor, min(adaptive_factor, MAX_TIMEOUT_FACTOR))
+        adapted_limit = _adapted_limit(self._longest_heartbeat_gap.value_at(now))
+        return max(self._base_silence_limit * factor, adapted_limit)
 
     @property
     def _base_silence_limit(self) -> float:
         return _SILENCE_HEARTBEATS * self._due_s
 
     def _renewal_age_limit(self, now: float, factor: float) -> float:
-        adaptive_factor = (
-            _GAP_FACTOR * self._longest_renewal_gap.value_at(now) / _MAX_RENEWAL_AGE_SECONDS
-        )
-        return _MAX_RENEWAL_AGE_SECONDS * max(factor, min(adaptive_factor, MAX_TIMEOUT_FACTOR))
+        adapted_limit = _adapted_limit(self._longest_renewal_gap.value_at(now))
+        return max(_MAX_RENEWAL_AGE_SECONDS * factor, adapted_limit)
 
     @property
     def renewal_is_overdue(self) -> bool:
@@ -163,6 +163,11 @@
         self._renewals_rejected = False
 
 
+def _adapted_limit(longest_gap_s: float) -> float:
+    """Return the limit that follows from the longest recent gap, in seconds."""
+    return min(_GAP_FACTOR * longest_gap_s, _MAX_ADAPTED_LIMIT_SECONDS)
+
+
 def find_end_evidence(
     leader: LeaderRecord,
     identity: NodeIdentity,
--- a/tests/test_turnover.py
+++ b/tests/test_turnover.py
@@ -127,6 +127,16 @@
             self.receive_heartbeat(0.2)
         self.assertFalse(self.is_alive_after(0.41))
 
+    def test_leader_is_awaited_for_as_long_as_an_earlier_cut(self) -> None:
+        """A gap of 9 s extends no limit beyond the time of a takeover."""
+        self.receive_heartbeat(0.2)
+        self.receive_heartbeat(9.0, renewal_age_s=9.0)
+        self.receive_heartbeat(0.2)
+        self.assertTrue(self.is_alive_after(3.3))
+        self.assertFalse(self.is_alive_after(3.5))
+        self.receive_heartbeat(0.2, renewal_age_s=3.5)
+        self.assertFalse(self.liveness.is_alive())
+
     def test_renewal_age_limit_grows_after_late_renewal(self) -> None:
         """A late renewal extends the limit for renewals only after it has arrived."""
         self.receive_heartbeat(0.2, renewal_age_s=0.1)
