Count an earlier leader's lease on a worker that falls silent after its first report

Cause: once a worker had reported to a new leader, only that leader's leases counted. The earlier leader may have renewed just before the report, by an estimate of the worker's clock as old as its last answer; a clock that is 2 % slow makes that lease end later than the new leader's own, by up to 0.06 s after three seconds without an answer. If the worker fell silent with its first report, its runs were placed again while that lease might still hold.

What callers saw: nothing known; the overlap is at most some hundredths of a second.

Change: the first report counts as the beginning of a lease that is longer by 0.1 s. Only a worker that falls silent within 0.1 s of its first report to a new leader is waited for longer.

--- a/src/snowdock/jobs/worker_reports.py
+++ b/src/snowdock/jobs/worker_reports.py
@@ -26,6 +26,10 @@
 _IDLE_RENEW_SECONDS = 2.0
 """Interval of renewals for a worker without runs, which needs no lease."""
 
+_EARLIER_LEASE_SLACK_SECONDS = 0.1
+"""How much later an earlier leader's lease may end than one that begins with the first report: its
+estimate of a clock that is 2 % slow is off by 0.06 s after 3 s without an answer."""
+
 _RELISTING_SECONDS = 3.0
 """Time after which an entry that expired in a store outage is missing for good: workers restore
 theirs within about two seconds."""
@@ -95,7 +99,7 @@
         cell.log_decision("ends_omitted", worker.life, listed=len(report.ended))
     else:
         _check_missing(cell, worker, listed, event.order.sent_at, now)
-        _mark_synced(cell, worker)
+        _mark_synced(cell, worker, now)
     if has_new_ends:
         acknowledge_ends(cell, worker)
     elif worker.last_processed_end == worker.last_recorded_end:
@@ -113,11 +117,13 @@
     worker.has_left = now - worker.delisted_at >= waits_s
 
 
-def _mark_synced(cell: Cell, worker: Worker) -> None:
+def _mark_synced(cell: Cell, worker: Worker, now: float) -> None:
     """Allow new runs on a worker, after its first report that lists all its runs."""
     if worker.is_synced:
         return
     worker.is_synced = True
+    # An earlier leader may have renewed just before this report, but not after it.
+    worker.extend_lease(now, cell.settings.lease_s + _EARLIER_LEASE_SLACK_SECONDS)
     cell.needs_placement = True
     cell.log_decision(
         "worker_settled", worker.life, runs=len(worker.runs), clock_ms=worker.clock_ms
--- a/tests/test_jobs_second_runs.py
+++ b/tests/test_jobs_second_runs.py
@@ -28,9 +28,11 @@
 from snowdock.jobs.recorded_progress import read_progress
 from snowdock.jobs.takeover import RecordedJobs
 from snowdock.jobs.timeouts import ISOLATION_TIMEOUT_SECONDS
+from snowdock.jobs.worker_watch import run_expiry_on_worker
 from snowdock.node.metrics import Metrics
 from tests.jobs_tools import (
     DONE,
+    SETTINGS,
     SMALL,
     Bench,
     disconnect_worker,
@@ -46,6 +48,9 @@
 CUT_DAY_SECONDS = 40
 SETTLE_SECONDS = 150
 SLOW_CLOCK_RATE = 0.98
+IDLE_GAP_SECONDS = 3.0
+"""Time between answers of a worker without runs: its renewals' interval, and their timeout."""
+
 RESTART_SHARE = 0.5
 """Share of cuts in which a worker restarts under its id."""
 
@@ -328,6 +333,28 @@
         self.assertEqual(bench.new_starts(), [])
 
 
+class TestLeases(unittest.TestCase):
+    """Leases of silent workers, at the lowest rate of their clocks."""
+
+    def test_lease_of_an_earlier_leader_outlasts_that_of_the_next_one(self) -> None:
+        """An earlier leader may have renewed just before the first report, by an old estimate."""
+        before = Bench()
+        before.add_worker("w")
+        job = before.submit()
+        (start,) = before.new_starts()
+        before.confirm(start)
+        on_record = read_progress([before.recorded.items()])
+        bench = Bench(token=2)
+        bench.now = before.now + 0.5
+        bench.restore(RecordedJobs({job: make_accepted_job()}, set(), on_record.progress))
+        bench.add_worker("w", is_synced=False)
+        bench.report("w", running=[(start.order.task, 1, 10)])
+        lease_s = SETTINGS.lease_s + IDLE_GAP_SECONDS * (1 - SLOW_CLOCK_RATE)
+        expires_at = bench.now + lease_s / SLOW_CLOCK_RATE
+        worker = bench.cell.workers["w"]
+        self.assertGreaterEqual(run_expiry_on_worker(bench.cell, worker), expires_at)
+
+
 class TestChecks(unittest.TestCase):
     """The emulator's checks notice each way in which a task may run twice."""
 
