Count the processes of peers as members of a roster, not their nodes

Cause: a statement of a node's next process replaced the member that was its previous one. The previous one may have claimed as a member, with the short wait, and ended; its claim may be on record or still be on its way. The next process does not know of it if it cannot read the store, states that it has claimed nothing, and a leader without the store goes on for up to 12 s. Also, a late statement of the ended process that it was without the store could excuse the next one.

Change: members are keyed by process. An ended one is dropped like any silent one: by a record with a higher version, or because it was without the store before. A member that restarts in an outage, before it has stated that it misses the store, ends the leader's outage authority.

--- a/src/snowdock/entry/authority.py
+++ b/src/snowdock/entry/authority.py
@@ -5,8 +5,9 @@
 the statements of its peers prove it together: each says that it has claimed nothing and knows of no
 later leader, as of the leader's heartbeat that it echoes.
 
-The peers that are consulted are the members of the *roster*. A member is removed only by a record
-of the leader that states a higher version of the roster, or if it has said before that it does not
+The peers that are consulted are the members of the *roster*. Each is one process: the next process
+of its node does not know what the first one has claimed. A member is removed only by a record of
+the leader that states a higher version of the roster, or if it has said before that it does not
 reach the store. A node that claims the leadership knows from the leader's heartbeats whether it is
 a member in the version on record. If it is, the leader stops `AUTHORITY_SECONDS` after the claim.
 Otherwise the leader may not have missed its statements, and stops `OUTAGE_AUTHORITY_SECONDS` after
@@ -43,8 +44,8 @@
 
     Attributes
     ----------
-    incarnation, stated_at
-        The member's process, and when it made the statement by its own clock, in seconds.
+    node, stated_at
+        The member's node, and when it made the statement by its own clock, in seconds.
     confirmed_at, heard_at
         When the heartbeat was sent that the statement echoes, and when the statement arrived, in
         seconds of this node's steady clock.
@@ -54,7 +55,7 @@
         The version of the roster without this member; None while it is to stay.
     """
 
-    incarnation: str
+    node: str
     stated_at: float
     confirmed_at: float
     heard_at: float
@@ -74,6 +75,8 @@
     def __init__(self, incarnation: str) -> None:
         self._incarnation = incarnation
         self._lock = threading.Lock()
+        # By process: a claim may be recorded after its process has ended, and the next process of
+        # the node does not know of it.
         self._members: dict[str, _Member] = {}
         self._reset(0, 0.0)
 
@@ -96,9 +99,9 @@
         with self._lock:
             self._renewed_at = max(self._renewed_at, started_at)
             self._recorded_roster = max(self._recorded_roster, roster)
-            for node, member in list(self._members.items()):
+            for incarnation, member in list(self._members.items()):
                 if member.left_with is not None and member.left_with <= self._recorded_roster:
-                    del self._members[node]
+                    del self._members[incarnation]
 
     def next_roster(self, now: float) -> int:
         """Return the version of the roster to record next, without members that are silent."""
@@ -126,11 +129,16 @@
             The peer's process and its newest accepted statement, by the peer's clock.
         """
         with self._lock:
-            member = self._members.get(node)
-            if member is None:
+            incarnation = max(
+                (name for name, member in self._members.items() if member.node == node),
+                key=lambda name: self._members[name].heard_at,
+                default="",
+            )
+            if not incarnation:
                 return 0, "", 0.0
+            member = self._members[incarnation]
             counts = member.reaches_store and member.left_with is None
-            return self._roster if counts else 0, member.incarnation, member.stated_at
+            return self._roster if counts else 0, incarnation, member.stated_at
 
     def record_statement(
         self, node: str, statement: Statement, reaches_store: bool, now: float
@@ -145,14 +153,11 @@
             if not self._started_at <= statement.heard_at <= now:
                 # An echo from before this term proves nothing of it.
                 return
-            member = self._members.get(node)
-            if member is not None and (
-                member.incarnation == statement.incarnation
-                and statement.sent_at <= member.stated_at
-            ):
+            member = self._members.get(statement.incarnation)
+            if member is not None and statement.sent_at <= member.stated_at:
                 return
-            self._members[node] = _Member(
-                statement.incarnation, statement.sent_at, statement.heard_at, now, reaches_store
+            self._members[statement.incarnation] = _Member(
+                node, statement.sent_at, statement.heard_at, now, reaches_store
             )
 
     def basis_at(self, now: float) -> Basis:
@@ -174,8 +179,8 @@
 
     def _find_missing(self, now: float) -> list[str]:
         return [
-            node
-            for node, member in self._members.items()
+            member.node
+            for member in self._members.values()
             if member.reaches_store and now - member.confirmed_at >= AUTHORITY_SECONDS
         ]
 
