Keep the wait for earlier leaders when a leader claims over its own resignation

Cause: a leader that hands over and is not succeeded claims again over its own resignation. The record that it knows of is the one that it made when its term began, which lacks how long earlier leaders may act, and the resignation's bound is the short one. So it forgot a wait of up to 12 s, and its next record no longer passed it on.

Change: a claim over a record of this process keeps what is left of its own wait.

What callers would see: a task started a second time while its first run's lease is renewed by the leader before.

--- a/src/snowdock/entry/election.py
+++ b/src/snowdock/entry/election.py
@@ -653,8 +653,11 @@
         now = steady_seconds()
         self._claimed_at = now
         self._predecessor = predecessor
-        self._earlier_authority_until = now + bound_s
         chain_s = 0.0 if predecessor is None else predecessor.earlier_authority_s
+        if predecessor is not None and predecessor.incarnation == self._identity.incarnation:
+            # The known record of this node's own term lacks what its last record passed on.
+            chain_s = max(chain_s, self._earlier_authority_until - now)
+        self._earlier_authority_until = now + max(bound_s, chain_s)
         self._chain_authority_until = now + chain_s
 
     def _start_term(self, record: LeaderRecord) -> None:
--- a/tests/test_election.py
+++ b/tests/test_election.py
@@ -440,6 +440,18 @@
         self.assertGreater(record.earlier_authority_s, OUTAGE_AUTHORITY_SECONDS / 2)
         self.assertGreaterEqual(record.authority_s, record.earlier_authority_s)
 
+    def test_leader_that_claims_again_forgets_the_wait_for_its_predecessors(self) -> None:
+        """A leader whose named successor does not claim passes on what is left of its own wait."""
+        old = msgspec.msgpack.encode(["old", "old-1", "127.0.0.1:1", 1, False, "", 0])
+        self.store.put_raw(LEADERS_TOPIC, LEADER_KEY, old)
+        weak = self.add_candidate("weak", 0.4)
+        self.assertIs(self.wait_for_leader(), weak)
+        until = weak.election.earlier_authority_until
+        strong = self.add_candidate("strong")
+        strong.election._claim = lambda: time.sleep(5.0)
+        self.assertTrue(wait_until(lambda: len(weak.epochs) == 2, 15.0))
+        self.assertGreaterEqual(weak.election.earlier_authority_until, until)
+
 
 if __name__ == "__main__":
     unittest.main()
