--- a/src/snowdock/entry/election.py
+++ b/src/snowdock/entry/election.py
@@ -18,6 +18,7 @@
     PlatformError,
     StoreRefused,
 )
+from ..jobs.timeouts import OUTAGE_AUTHORITY_SECONDS
 from ..logs import log_error, log_event
 from ..platform.store import StoreClient
 from ..threads import ServiceThread
@@ -650,11 +651,17 @@
         """Note that a claim may be on record from now on, and until when earlier leaders act."""
         self._claim_offset = self._log.next_epoch - 1
         bound_s = self._place.begin_claim(predecessor, self._identity.node)
+        if predecessor is None and self._log.next_epoch > 1:
+            # The newest record cannot be read, so its leader may act for as long as any.
+            bound_s = OUTAGE_AUTHORITY_SECONDS
         now = steady_seconds()
         self._claimed_at = now
         self._predecessor = predecessor
-        self._earlier_authority_until = now + bound_s
         chain_s = 0.0 if predecessor is None else predecessor.earlier_authority_s
+        if predecessor is not None and predecessor.incarnation == self._identity.incarnation:
+            # The known record of this node's own term lacks what its last record passed on.
+            chain_s = max(chain_s, self._earlier_authority_until - now)
+        self._earlier_authority_until = now + max(bound_s, chain_s)
         self._chain_authority_until = now + chain_s
 
     def _start_term(self, record: LeaderRecord) -> None:
--- a/tests/test_authority.py
+++ b/tests/test_authority.py
@@ -135,6 +135,21 @@
         self.assertEqual(self.authority.place_of("a"), (1, "a-1", RENEWED_AT))
         self.assertEqual(self.authority.place_of("unknown"), (0, "", 0.0))
 
+    def test_restarted_member_vouches_for_the_claim_of_its_earlier_process(self) -> None:
+        """A member's next process does not stand for the one that was on the roster."""
+        self.hear("a", RENEWED_AT)
+        self.renew(RENEWED_AT)
+        # The first process may have claimed here, as a member, and ended.
+        self.hear("a", OUTAGE_AT, incarnation="a-2")
+        self.assertIs(self.authority.basis_at(OUTAGE_AT), Basis.NONE)
+
+    def test_late_statement_of_an_ended_process_makes_a_member_blind(self) -> None:
+        """A late statement of an ended process does not count for the one after it."""
+        self.hear("a", RENEWED_AT, incarnation="a-2")
+        self.renew(RENEWED_AT)
+        self.hear("a", RENEWED_AT + 0.1, reaches_store=False)
+        self.assertIs(self.authority.basis_at(OUTAGE_AT), Basis.NONE)
+
 
 class TestRosterPlace(unittest.TestCase):
     def setUp(self) -> None:
