--- a/tests/test_load_view.py
+++ b/tests/test_load_view.py
@@ -7,7 +7,7 @@
 
 from snowdock.entry import load_view
 from snowdock.entry.load_view import LoadView
-from snowdock.entry.messages import ENTRY_MESSAGES, Heartbeat
+from snowdock.entry.messages import ENTRY_MESSAGES, Heartbeat, Statement
 from snowdock.jobs.load_summary import LoadSummary, encode_summary
 
 
@@ -92,11 +92,16 @@
 class TestHeartbeat(unittest.TestCase):
     def test_versions_decode_each_other(self) -> None:
         """Guards against nodes of two releases that do not hear each other."""
-        heartbeat = Heartbeat("n", "a:1", 3, 0.0, load=encoded(3, 50.0), callers=b"c")
+        statement = Statement("n-1", 1.0, "m-1", 2.0, 3, False, 4)
+        heartbeat = Heartbeat(
+            "n", "a:1", 3, 0.0, load=encoded(3, 50.0), callers=b"c", statement=statement
+        )
         self.assertEqual(ENTRY_MESSAGES.decode(ENTRY_MESSAGES.encode(heartbeat)), heartbeat)
         fields = msgspec.msgpack.decode(ENTRY_MESSAGES.encode(heartbeat))
-        without_callers = msgspec.structs.replace(heartbeat, callers=b"")
-        without_both = msgspec.structs.replace(without_callers, load=b"")
-        for left_out, expected in ((1, without_callers), (2, without_both)):
+        without_statement = msgspec.structs.replace(heartbeat, statement=None)
+        without_callers = msgspec.structs.replace(without_statement, callers=b"")
+        without_load = msgspec.structs.replace(without_callers, load=b"")
+        earlier = (without_statement, without_callers, without_load)
+        for left_out, expected in enumerate(earlier, start=1):
             older = ENTRY_MESSAGES.decode(msgspec.msgpack.encode(fields[:-left_out]))
             self.assertEqual(older, expected)
