Refuse configurations with numbers that no message or wait can hold

The numbers of a configuration had no bounds. A version of 400 digits came into force, and did not fit into the next heartbeat: OverflowError ended the thread of the peers, and the node with it (status 70); of two nodes one was gone within 0.2 s. Durations of 1e300 ms and factors of that size were taken too, which waits do not take and whose products are infinite.

Integers have 62 bits, durations end at 31 years and factors at 1e9. Such a configuration is unusable, and the one before it stays in force.

Both tests failed before: test_configuration_with_an_odd_version, for the nodes never took the valid version that followed, and test_numbers_out_of_range. They pass, as do the tests of codecs, quotas, keys, tails, the entry node and the decoders.

--- a/src/snowdock/jobs/model.py
+++ b/src/snowdock/jobs/model.py
@@ -15,12 +15,14 @@
     "AdviceTerms",
     "Amount",
     "Configuration",
+    "DurationMs",
     "JobId",
     "JobSpec",
     "JobStatus",
     "Limits",
     "Queue",
     "Service",
+    "SettingCount",
     "StepKey",
     "StepSpec",
     "StepTaskCount",
@@ -49,6 +51,12 @@
 TimeMs = Annotated[int, Meta(ge=0, le=2**53)]
 """A duration or a time since 1970 in ms, which a float represents exactly."""
 
+DurationMs = Annotated[float, Meta(ge=-1e12, le=1e12)]
+"""A duration in ms of at most 31 years; waits for more than 292 years raise OverflowError."""
+
+SettingCount = Annotated[int, Meta(ge=-(2**62), le=2**62)]
+"""A count in a configuration; messages and records have 64 bits for an integer."""
+
 
 def is_job_id(text: str) -> bool:
     """Return whether a text has the form of a job id."""
@@ -213,9 +221,9 @@
         Time for which the tickets in an answer are valid.
     """
 
-    decide_ms: float
-    each_ms: float
-    valid_ms: float
+    decide_ms: DurationMs
+    each_ms: DurationMs
+    valid_ms: DurationMs
 
 
 class Queue(msgspec.Struct, frozen=True):
@@ -282,10 +290,10 @@
 class Limits(msgspec.Struct, frozen=True):
     """Limits on callers' requests, in bytes and ms; 0 selects the default of the node."""
 
-    max_header_bytes: int = 0
-    max_body_bytes: int = 0
-    header_timeout_ms: int = 0
-    idle_timeout_ms: int = 0
+    max_header_bytes: SettingCount = 0
+    max_body_bytes: SettingCount = 0
+    header_timeout_ms: SettingCount = 0
+    idle_timeout_ms: SettingCount = 0
 
 
 class Configuration(msgspec.Struct, frozen=True):
--- a/src/snowdock/platform/configuration.py
+++ b/src/snowdock/platform/configuration.py
@@ -1,9 +1,20 @@
 """Decoding of the operators' configuration from its JSON form in the store."""
 
+from typing import Annotated
+
 import msgspec
+from msgspec import Meta
 
 from ..declarations import Size
-from ..jobs.model import AdviceTerms, Configuration, Limits, Queue, Service
+from ..jobs.model import (
+    AdviceTerms,
+    Configuration,
+    DurationMs,
+    Limits,
+    Queue,
+    Service,
+    SettingCount,
+)
 from ..teams import UNBOUNDED, Team, TeamRegistry, digest_key
 from ._json import decode_json
 
@@ -12,37 +23,40 @@
 OPERATOR_TOPIC = "keyed.op"
 CONFIGURATION_KEY = "config"
 
+_Factor = Annotated[float, Meta(ge=-1e9, le=1e9)]
+"""A factor or weight, of which products and sums stay finite."""
+
 
 class _Route(msgspec.Struct):
     name: str
     service: str
     host: str = ""
     path_prefix: str = "/"
-    timeout_ms: float = 0
-    target_latency_ms: float = 0
-    priority: int = 0
-    max_attempts: int = 1
-    stretch: float = 1.0
+    timeout_ms: DurationMs = 0
+    target_latency_ms: DurationMs = 0
+    priority: Annotated[int, Meta(ge=-1_000_000_000, le=1_000_000_000)] = 0
+    max_attempts: SettingCount = 1
+    stretch: _Factor = 1.0
     advice: AdviceTerms | None = None
     public: bool = False
 
 
 class _Amounts(msgspec.Struct):
-    cpu: int = 0
-    mem_mb: int = 0
-    gpu: int = 0
+    cpu: SettingCount = 0
+    mem_mb: SettingCount = 0
+    gpu: SettingCount = 0
 
 
 class _Tenant(msgspec.Struct):
     # The platform also sends an undocumented priority, which is ignored.
     name: str
     api_keys: list[str] = []
-    weight: float = 1.0
+    weight: _Factor = 1.0
     max_count: _Amounts = msgspec.field(default_factory=_Amounts)
 
 
 class _Configuration(msgspec.Struct):
-    version: int
+    version: SettingCount
     # Called queues elsewhere in this project.
     routes: list[_Route] = []
     services: list[Service] = []
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -21,12 +21,13 @@
     decode_accepted,
     encode,
 )
+from snowdock.platform.configuration import decode_configuration
 from snowdock.platform.store import KeyedRecord, StoreClient, StorePage
 from snowdock.platform.worker_calls import worker_headers
 from snowdock.platform.worker_entries import decode_worker_entry
 from tests.jobs_tools import Bench, make_accepted_job
 from tests.odd_values import ODD_ADDRESSES, ODD_KEYS, ODD_VALUES, replace_field
-from tests.standins.entry_cluster import EntryCluster, wait_until
+from tests.standins.entry_cluster import CONFIGURATION, EntryCluster, wait_until
 from tests.standins.platform import Server, StoreStandin
 from tests.test_worker_link import REPORT
 
@@ -52,6 +53,18 @@
 )
 TOO_LARGE = ("400_digits", "5000_digits", "2**63", "2**64", "1e300")
 
+CONFIGURATION_NUMBERS = (
+    ("version",),
+    *(("routes", 0, name) for name in ("max_attempts", "stretch", "target_latency_ms")),
+    *(("routes", 0, name) for name in ("timeout_ms", "priority")),
+    *(("routes", 1, "advice", name) for name in ("decide_ms", "each_ms", "valid_ms")),
+    *(("limits", name) for name in ("max_header_bytes", "max_body_bytes", "idle_timeout_ms")),
+)
+VALID_CONFIGURATION_VALUES = {
+    *("null", "empty", "text", "text_of_a_number", "text_of_400_digits", "text_of_5000_digits"),
+    *("text_of_nan", "nul", "line_breaks", "long_text", "empty_list", "object"),
+}
+
 ODD_ENTRIES = (
     *ODD_VALUES.values(),
     *(replace_field(ENTRY, path, value) for path in ENTRY_PATHS for value in ODD_VALUES.values()),
@@ -290,6 +303,30 @@
             StoreClient("127.0.0.1:9", 1).append("t", 0, [KeyedRecord("x" * 256, b"x")], 1.0)
 
 
+ODD_CONFIGURATIONS = (
+    *ODD_VALUES.values(),
+    *(
+        replace_field({**CONFIGURATION, "version": 8}, path, ODD_VALUES[name])
+        for path in CONFIGURATION_NUMBERS
+        for name in TOO_LARGE
+    ),
+    *(
+        replace_field({**CONFIGURATION, "version": 8}, path, value)
+        for path in (("routes",), ("services", 0, "name"), ("tenants",), ("limits",))
+        for name, value in ODD_VALUES.items()
+        if name not in VALID_CONFIGURATION_VALUES
+    ),
+)
+
+
+class TestConfigurations(unittest.TestCase):
+    def test_numbers_out_of_range(self) -> None:
+        """Numbers that no message, record or wait can hold were taken."""
+        for data in ODD_CONFIGURATIONS:
+            with self.assertRaises(PlatformError, msg=data[:300]):
+                decode_configuration(data)
+
+
 class TestProcesses(unittest.TestCase):
     """Nodes as real processes, beside odd entries and workers that answer oddly."""
 
@@ -328,6 +365,24 @@
         self.assertTrue(wait_until(lambda: node.log_lines("renewal_unanswered")))
         self.check_processes()
 
+    def test_configuration_with_an_odd_version(self) -> None:
+        """The version did not fit into a heartbeat, and a node ended."""
+        store = self.cluster.store
+        self.assertTrue(self.cluster.wait_ready())
+        for data in ODD_CONFIGURATIONS:
+            store.put_raw("keyed.op", "config", data)
+        store.put("keyed.op", "config", {**CONFIGURATION, "version": 9})
+        for node in self.cluster.nodes:
+            self.assertTrue(
+                wait_until(
+                    lambda node=node: any(
+                        "version=9 " in line for line in node.log_lines("configuration_in_force")
+                    )
+                )
+            )
+        self.run_job()
+        self.check_processes()
+
     def test_odd_entries_among_the_workers(self) -> None:
         """Workers beside odd entries are used, and changes after those are followed."""
         store = self.cluster.store
