Skip leader records with an address or numbers that no leader states

Other programs may write to the topic of leaders. A record whose address has no port, or is no address, was taken for the leader's: the look whether a process listens there raised ValueError in each round of the election (election_failed, ten times a second), so no node claimed. For the 30 s that were watched, two nodes had no leader. An epoch of 2**64 - 1, a negative turnover, and an isolation timeout of 1e300 s or NaN, for which a successor would wait, were taken too.

decode_leader_record checks the values, and the look takes an unusable address for no evidence, as peers may pass on a leader that is not on record. The module of addresses is named without an underscore, since it is used outside platform.

--- a/src/snowdock/entry/leader_liveness.py
+++ b/src/snowdock/entry/leader_liveness.py
@@ -4,6 +4,8 @@
 from collections.abc import Callable
 
 from ..clocks import steady_seconds
+from ..errors import PlatformError
+from ..platform.addresses import split_address
 from .leader_record import LeaderRecord, NodeIdentity
 from .messages import Heartbeat
 from .renewals import OVERDUE_SECONDS
@@ -200,12 +202,14 @@
 
 def _refuses_connections(leader: LeaderRecord) -> bool:
     """Check whether the leader's host refuses connections to the leader's port."""
-    host, _, port = leader.address.rpartition(":")
     try:
-        with socket.create_connection((host, int(port)), _CONNECT_TIMEOUT_SECONDS):
+        with socket.create_connection(split_address(leader.address), _CONNECT_TIMEOUT_SECONDS):
             return False
     except ConnectionRefusedError:
         return True
     except OSError:
         # A timeout is no evidence: the VM may be partitioned, and its process still running.
         return False
+    except PlatformError:
+        # An address that cannot be connected to is no evidence either.
+        return False
--- a/src/snowdock/entry/leader_record.py
+++ b/src/snowdock/entry/leader_record.py
@@ -6,6 +6,7 @@
 
 from ..errors import DECODE_ERRORS, PlatformError
 from ..jobs.timeouts import ISOLATION_TIMEOUT_SECONDS
+from ..platform.addresses import split_address
 from ..platform.store import KeyedRecord
 
 __all__ = ["LeaderRecord", "NodeIdentity", "decode_leader_record", "encode_leader_record"]
@@ -13,6 +14,13 @@
 _UNSTATED_ISOLATION_SECONDS = 3.0
 """Isolation timeout of the releases whose records do not state it."""
 
+_MAX_ISOLATION_SECONDS = 60.0
+"""Longest isolation timeout taken from a record; a successor waits for it, and no release states
+more than a quarter of it."""
+
+_MAX_COUNT = 2**53
+"""Highest epoch or turnover taken from a record, so that later ones fit into 64 bits too."""
+
 
 class LeaderRecord(msgspec.Struct, frozen=True, array_like=True):
     """The leader as recorded in the store by a claim, a renewal or a resignation.
@@ -92,6 +100,23 @@
         If the record is malformed.
     """
     try:
-        return msgspec.msgpack.decode(record.value, type=LeaderRecord)
+        leader = msgspec.msgpack.decode(record.value, type=LeaderRecord)
     except DECODE_ERRORS as error:
         raise PlatformError(f"malformed leader record: {error}") from error
+    _check_values(leader)
+    return leader
+
+
+def _check_values(leader: LeaderRecord) -> None:
+    """Check what the types of a leader's record leave open.
+
+    Raises
+    ------
+    PlatformError
+        If its address, epoch, turnover or isolation timeout cannot be a leader's.
+    """
+    split_address(leader.address)
+    if not (0 <= leader.epoch <= _MAX_COUNT and 0 <= leader.turnover <= _MAX_COUNT):
+        raise PlatformError(f"leader record with epoch {leader.epoch}, turnover {leader.turnover}")
+    if not 0 <= leader.isolation_s <= _MAX_ISOLATION_SECONDS:
+        raise PlatformError(f"leader record with an isolation timeout of {leader.isolation_s} s")
--- a/src/snowdock/platform/http_channel.py
+++ b/src/snowdock/platform/http_channel.py
@@ -14,7 +14,7 @@
 
 from ..clocks import steady_seconds
 from ..errors import CallUnanswered, PlatformError
-from ._addresses import split_address
+from .addresses import split_address
 from .call_loop import CallLoop
 
 __all__ = ["CallOutcome", "Handshake", "HttpChannel", "Reply"]
--- a/src/snowdock/platform/worker_entries.py
+++ b/src/snowdock/platform/worker_entries.py
@@ -14,8 +14,8 @@
 from ..errors import PlatformError
 from ..jobs.lives import format_life, worker_id_of
 from ..jobs.workers import WorkerEntry
-from ._addresses import split_address
 from ._json import MAX_STORED_INT, BornMs, decode_born_ms, decode_json
+from .addresses import split_address
 
 __all__ = ["WORKER_TOPIC", "decode_worker_entry"]
 
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -10,6 +10,11 @@
 from snowdock.declarations import Size
 from snowdock.entry.job_status_table import JobStatusTable
 from snowdock.entry.leader_handle import LeaderHandle
+from snowdock.entry.leader_record import (
+    NodeIdentity,
+    decode_leader_record,
+    encode_leader_record,
+)
 from snowdock.entry.takeover import fence_and_read
 from snowdock.errors import AppendRejected, InvalidInput, PlatformError
 from snowdock.jobs.events import WorkerListed
@@ -319,6 +324,30 @@
 )
 
 
+def odd_leader_records() -> list[bytes]:
+    """Return leader records that no leader has written."""
+    record = NodeIdentity("other", "i9", "127.0.0.1:1").make_record(7)
+    array = msgspec.msgpack.decode(encode_leader_record(record))
+    odd: list[tuple[int, object]] = [(2, address) for address in ODD_ADDRESSES]
+    odd += [(3, epoch) for epoch in (-1, 2**63, 2**64 - 1, 1.5, "7")]
+    odd += [(6, turnover) for turnover in (-(2**63), -1, 2**64 - 1)]
+    odd += [(7, seconds) for seconds in (-1.0, 1e300, math.inf, math.nan, "x")]
+    odd += [(position, None) for position in (0, 1, 2, 3, 4, 5)]
+    encoded = [
+        msgspec.msgpack.encode([*array[:position], value, *array[position + 1 :]])
+        for position, value in odd
+    ]
+    return [*encoded, b"\x91" * 100_000, b"\xc1", b"\x99\xa2\xff\xfe", b"[]"]
+
+
+class TestLeaderRecords(unittest.TestCase):
+    def test_odd_values(self) -> None:
+        """Values that no leader has written were taken for a leader's."""
+        for data in odd_leader_records():
+            with self.assertRaises(PlatformError, msg=data[:300]):
+                decode_leader_record(KeyedRecord("leader", data))
+
+
 class TestConfigurations(unittest.TestCase):
     def test_numbers_out_of_range(self) -> None:
         """Numbers that no message, record or wait can hold were taken."""
@@ -383,6 +412,21 @@
         self.run_job()
         self.check_processes()
 
+    def test_odd_leader_record_leaves_no_leader(self) -> None:
+        """No node claimed the leadership after a record whose address has no port."""
+        self.assertTrue(self.cluster.wait_ready())
+        for data in reversed(odd_leader_records()):
+            self.cluster.store.put_raw("keyed.leaders", "leader", data)
+        self.assertTrue(
+            wait_until(
+                lambda: any(n.log_lines("leader_record_unusable") for n in self.cluster.nodes)
+            )
+        )
+        self.run_job()
+        self.check_processes()
+        for node in self.cluster.nodes:
+            self.assertEqual(node.log_lines("election_failed"), [])
+
     def test_odd_entries_among_the_workers(self) -> None:
         """Workers beside odd entries are used, and changes after those are followed."""
         store = self.cluster.store
