Test odd records of jobs beside real processes and a change of leader

Odd submissions, cancellations and progress, some under odd keys, are appended to the topics of two nodes; a job has to complete before and after the leader is killed, and no thread may fail.

--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -385,6 +385,36 @@
             for event in ("thread_lost", "leader_failed", "tail_failed", "record_skipped"):
                 self.assertEqual(node.log_lines(event), [], event)
 
+    def replace_leader(self) -> None:
+        """Kill the leader, and wait for another node to lead."""
+        before = self.cluster.leader
+        before.kill()
+        self.cluster.nodes.remove(before)
+        self.addCleanup(before.kill)
+        self.assertTrue(wait_until(lambda: self.cluster.leader is not None))
+
+    def put_odd_job_records(self) -> None:
+        """Append odd submissions, cancellations and progress, some under odd keys."""
+        put = self.cluster.store.put_raw
+        for number, (path, value) in enumerate(ODD_SUBMISSIONS):
+            put("keyed.jobs", f"{number:016x}", encode_odd(ACCEPTED, path, value))
+        for number, (path, value) in enumerate(ODD_PROGRESS):
+            put("keyed.jobs", f"{number:015x}a", encode(ACCEPTED))
+            put("keyed.progress", f"{number:015x}a", encode_odd(PROGRESS, path, value))
+        for key in (*ODD_KEYS, b"x" * 255, b"a.b"):
+            for topic in ("keyed.jobs", "keyed.progress"):
+                put(topic, key, encode(ACCEPTED))
+            put("keyed.jobs", b"cancel." + key[:200], b"x")
+
+    def test_odd_job_records(self) -> None:
+        """Odd records of jobs end neither the leader that follows them nor the next one."""
+        self.assertTrue(self.cluster.wait_ready())
+        self.put_odd_job_records()
+        self.run_job()
+        self.replace_leader()
+        self.run_job()
+        self.check_processes()
+
     def test_worker_with_an_odd_report_ends_the_leader(self) -> None:
         """A number in place of a task's name ended the process of each leader in turn."""
         self.put_odd_workers([replace_field(REPORT, ("running", 0, 0), b"1")])
@@ -439,10 +469,7 @@
         self.assertTrue(
             wait_until(lambda: any("later" in x for x in before.log_lines("worker_listed")))
         )
-        before.kill()
-        self.cluster.nodes.remove(before)
-        self.addCleanup(before.kill)
-        self.assertTrue(wait_until(lambda: self.cluster.leader is not None))
+        self.replace_leader()
         self.run_job()
         self.cluster.workers.record("later", "draining")
         after = self.cluster.leader
