Escape characters that end a line, and lone surrogates, in log values

Only a line feed was escaped. Other programs' text, such as the service or the key of an entry, can have a carriage return or U+2028, at which readers of the log begin a new line, or NUL; a lone surrogate raised UnicodeEncodeError in the formatting.

A value that is not printable is written as JSON in ASCII.

test_control_characters_end_a_line failed before with UnicodeEncodeError, and 'a\rb' was written as it is. The nine tests of logs and threads pass.

--- a/src/snowdock/logs.py
+++ b/src/snowdock/logs.py
@@ -4,6 +4,7 @@
 or a burst of events drops lines but never blocks the node.
 """
 
+import json
 import queue
 import sys
 import threading
@@ -39,9 +40,10 @@
         return str(value)
     if not isinstance(value, str):
         value = msgspec.json.encode(value, enc_hook=str).decode()
-    if value and not any(character in value for character in ' "=\n'):
+    if value and value.isprintable() and not any(character in value for character in ' "='):
         return value
-    return msgspec.json.encode(value).decode()
+    # Escapes all line separators, and lone surrogates, which the stream does not take.
+    return json.dumps(value)
 
 
 def format_line(message: dict) -> str:
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -1,5 +1,6 @@
 """Tests of logging: it is rate-limited and never blocks on a slow reader."""
 
+import json
 import os
 import threading
 import unittest
@@ -49,6 +50,16 @@
         )
         self.assertEqual(line, 'time=1.500 event=placed a="x y" b=0.123 c="d\\ne"')
 
+    def test_control_characters_end_a_line(self) -> None:
+        """Text of other programs with a carriage return began a line of its own."""
+        text = "a\r\x0b\x0c\x1c\x85\u2028time=1.0\x00\ud800"
+        line = format_line(
+            {"timestamp": 1.5, "message_type": "placed", "a": text, "b": [text[:-1]]}
+        )
+        self.assertEqual(len(line.splitlines()), 1)
+        self.assertTrue(line.replace(" ", "").isprintable())
+        self.assertEqual(json.loads(line.partition(" a=")[2].partition(" b=")[0]), text)
+
 
 if __name__ == "__main__":
     unittest.main()
