Limit the length of a worker's answer

The parts of a response were collected without limit, and the time limit counts from the last part, so one worker could fill the memory of each leader in turn. A response of more than 64 MiB fails its call, and its connection is closed.

test_answer_that_is_too_long, with a lower limit set by the test, failed before: the long report was taken. The 26 tests of tests.test_worker_link pass. An endless answer was not tried against a node.

--- a/src/snowdock/platform/http_channel.py
+++ b/src/snowdock/platform/http_channel.py
@@ -26,6 +26,10 @@
 _READ_BYTES = 65_536
 """Most bytes read by one call of ``recv``; most responses have a few hundred bytes."""
 
+_MAX_REPLY_BYTES = 64 * 1024 * 1024
+"""Longest body of a response; 500 ends with a checkpoint of 128 KiB each fit. An endless one would
+fill the node's memory."""
+
 _MAX_LABEL_CHARS = 80
 """Length to which the address and the path of a call are truncated in messages."""
 
@@ -106,6 +110,7 @@
         self._unsent = b""
         self._parser: httptools.HttpResponseParser | None = None
         self._body: list[bytes] = []
+        self._body_bytes = 0
         self._is_complete = False
         self._keeps_alive = False
         self._on_outcome: Callable[[CallOutcome], None] | None = None
@@ -254,6 +259,7 @@
 
     def _send_request(self, request: bytes) -> None:
         self._body = []
+        self._body_bytes = 0
         self._is_complete = False
         self._parser = httptools.HttpResponseParser(self)
         self._unsent = request
@@ -297,7 +303,9 @@
         except httptools.HttpParserError as error:
             self._fail(f"invalid HTTP response: {error}", unsent=False)
             return
-        if self._is_complete:
+        if self._body_bytes > _MAX_REPLY_BYTES:
+            self._fail(f"response is longer than {_MAX_REPLY_BYTES} bytes", unsent=False)
+        elif self._is_complete:
             self._handle_reply()
 
     def _handle_connection_end(self, reason: str) -> None:
@@ -352,6 +360,7 @@
     def on_body(self, data: bytes) -> None:
         """Append a part of the response's body."""
         self._body.append(data)
+        self._body_bytes += len(data)
 
     def on_message_complete(self) -> None:
         """Mark the response as complete and record whether the connection is kept alive."""
--- a/tests/test_worker_link.py
+++ b/tests/test_worker_link.py
@@ -15,6 +15,7 @@
 from snowdock.jobs.model import TaskId
 from snowdock.jobs.orders import Refusal, RenewOrder, StartOrder, StopOrder, WorkerReport
 from snowdock.node.metrics import Metrics
+from snowdock.platform import http_channel
 from snowdock.platform.call_loop import CallLoop
 from tests.odd_values import ODD_ADDRESSES, ODD_VALUES, replace_field
 from tests.standins.platform import Server, json_reply
@@ -311,6 +312,17 @@
         self.order(START)
         self.assertIsNone(self.next_event().result.refusal)
 
+    def test_answer_that_is_too_long(self) -> None:
+        """The answer was collected without limit; the call fails, and the next one is made."""
+        long_report = json.dumps(EMPTY_REPORT).encode() + b" " * 300_000
+        self.answers = [(200, long_report), json_reply(EMPTY_REPORT)]
+        with mock.patch.object(http_channel, "_MAX_REPLY_BYTES", 200_000):
+            self.renew(RENEW)
+            self.assertIsNone(self.next_event().outcome)
+            self.renew(RENEW)
+            self.assertIsInstance(self.next_event().outcome, WorkerReport)
+        self.assertEqual(len(self.greetings), 2)
+
     def test_percent_beyond_100(self) -> None:
         """A percent outside 0 to 100 is limited to that range."""
         for value, expected in ((b"1e300", 100.0), (b"-1", 0.0), (b"41", 41.0)):
