--- a/src/snowdock/entry/leader_record.py
+++ b/src/snowdock/entry/leader_record.py
@@ -6,6 +6,7 @@
 
 from ..errors import DECODE_ERRORS, PlatformError
 from ..jobs.timeouts import AUTHORITY_SECONDS, OUTAGE_AUTHORITY_SECONDS
+from ..platform.addresses import split_address
 from ..platform.store import KeyedRecord
 
 __all__ = ["LeaderRecord", "NodeIdentity", "decode_leader_record", "encode_leader_record"]
@@ -16,6 +17,13 @@
 _UNSTATED_ROSTER = -1
 """Stands for the roster in records of releases without one."""
 
+_MAX_AUTHORITY_SECONDS = 60.0
+"""Longest bound taken from a record; a successor waits for it, and no release states more than a
+quarter of it."""
+
+_MAX_COUNT = 2**53
+"""Highest epoch, turnover or roster taken from a record, so that later ones fit into 64 bits."""
+
 
 class LeaderRecord(msgspec.Struct, frozen=True, array_like=True):
     """The leader as recorded in the store by a claim, a renewal or a resignation.
@@ -105,6 +113,27 @@
         If the record is malformed.
     """
     try:
-        return msgspec.msgpack.decode(record.value, type=LeaderRecord)
+        leader = msgspec.msgpack.decode(record.value, type=LeaderRecord)
     except DECODE_ERRORS as error:
         raise PlatformError(f"malformed leader record: {error}") from error
+    _check_values(leader)
+    return leader
+
+
+def _check_values(leader: LeaderRecord) -> None:
+    """Check what the types of a leader's record leave open.
+
+    Raises
+    ------
+    PlatformError
+        If its address, a number or a bound cannot be a leader's.
+    """
+    split_address(leader.address)
+    for name, least in (("epoch", 0), ("turnover", 0), ("roster", _UNSTATED_ROSTER)):
+        value = getattr(leader, name)
+        if not least <= value <= _MAX_COUNT:
+            raise PlatformError(f"leader record with {name} {value}")
+    for name in ("authority_s", "earlier_authority_s"):
+        value = getattr(leader, name)
+        if not 0 <= value <= _MAX_AUTHORITY_SECONDS:
+            raise PlatformError(f"leader record with {name} {value}")
