--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -13,6 +13,11 @@
 SECONDS = 8.0
 OVERLAPPING_SECONDS = 4.0
 
+GROUP_CUT_SEED = 6073
+"""A seed that first cuts the leader off with two followers and two workers, for 11.5 s."""
+
+GROUP_CUT_SECONDS = 2.0
+
 
 class TestSoak(unittest.TestCase):
     def test_promises_hold(self) -> None:
@@ -29,6 +34,12 @@
         self.assertEqual(soak.run(), [])
 
 
+class TestSoakWithGroupCuts(unittest.TestCase):
+    def test_tasks_run_twice_after_their_leader_was_cut_off(self) -> None:
+        """No task runs on both sides of a cut, and all accepted jobs end after it."""
+        self.assertEqual(Soak(GROUP_CUT_SEED, GROUP_CUT_SECONDS, nodes=4).run(), [])
+
+
 class TestSoakWithOverlappingFaults(unittest.TestCase):
     soak: Soak
     violations: list[str]
