Test cut groups with misled followers, cuts in one direction and a leader that wakes cut off

Change: a follower that is cut off with the leader and takes the store for reached, since it is shown outdated records or its reads hang; a group that is still heard or still hears; a follower without the store that reaches both sides; and a leader that wakes, cut off, after its successor's claim, with heartbeats from before in its sockets.

--- a/tests/test_group_cuts.py
+++ b/tests/test_group_cuts.py
@@ -11,7 +11,7 @@
 from snowdock.jobs.model import TaskId
 from snowdock.jobs.timeouts import AUTHORITY_SECONDS, LEASE_SECONDS
 from tests.standins.entry_cluster import EntryProcess, wait_until
-from tests.standins.group_cuts import STORE, CutCluster, cut_apart, cut_group
+from tests.standins.group_cuts import STORE, CutCluster, cut_apart, cut_between, cut_group
 
 LONG_WORK_SECONDS = 120.0
 """Longer than any of the tests, so that a run ends only when its lease expires."""
@@ -70,6 +70,9 @@
         starts = list(self.cluster.workers.starts)
         return len({(task, run) for task, run, _ in starts if task.startswith(job)})
 
+    def endpoints_but(self, *names: str) -> set[str]:
+        return self.cluster.endpoints - set(names)
+
     def assert_led_by(self, nodes: list[EntryProcess]) -> None:
         self.assertTrue(
             wait_until(lambda: any(node.is_leader for node in nodes), TAKEOVER_SECONDS),
@@ -105,6 +108,49 @@
         self.check_cut(followers=1)
 
 
+class TestFollowerTakesStoreForReached(GroupCutCase):
+    """One follower is cut off with the leader, but not from the store, which misleads it."""
+
+    def cut(self) -> tuple[EntryProcess, str]:
+        """Cut the group off; return the follower in it and the path of the job."""
+        path, worker = self.start_task()
+        inside, *self.outside = self.others
+        outside = self.endpoints_but(self.leader.node, inside.node, worker, STORE)
+        self.network.cut(
+            cut_apart({self.leader.node, inside.node, worker}, outside),
+            cut_apart({self.leader.node, worker}, {STORE}),
+            *self.store_cuts(inside),
+        )
+        return path
+
+    def store_cuts(self, follower: EntryProcess) -> list:
+        return []
+
+    def check_cut(self) -> None:
+        path = self.cut()
+        self.assert_led_by(self.outside)
+        self.assert_one_run_after_the_other(path)
+
+
+class TestFollowerWithOutdatedReads(TestFollowerTakesStoreForReached):
+    def store_cuts(self, follower: EntryProcess) -> list:
+        self.cluster.store.show_no_changes_to(follower.node)
+        return []
+
+    def test_task_runs_twice_while_a_follower_reads_outdated_records(self) -> None:
+        """A follower to which the store shows no new leader does not keep its leader at work."""
+        self.check_cut()
+
+
+class TestFollowerWithHangingReads(TestFollowerTakesStoreForReached):
+    def store_cuts(self, follower: EntryProcess) -> list:
+        return [cut_between({STORE}, {follower.node})]
+
+    def test_task_runs_twice_while_reads_of_a_follower_hang(self) -> None:
+        """A follower whose reads get no answer does not keep its leader at work."""
+        self.check_cut()
+
+
 class TestStoreAwayFromAllNodes(GroupCutCase):
     """The store is out of reach of all nodes for longer than a lease, while three tasks run."""
 
@@ -142,25 +188,68 @@
         self.check_outage(self.others[0])
 
 
+class TestOneWayCut(GroupCutCase):
+    """The leader is cut off with a follower and the worker, in one direction only."""
+
+    def check_cut(self, **directions: bool) -> None:
+        path, worker = self.start_task()
+        inside, *outside = self.others
+        group = {self.leader.node, inside.node, worker}
+        self.network.cut(cut_group(group, **directions))
+        self.assert_led_by(outside)
+        self.assert_one_run_after_the_other(path)
+
+    def test_task_runs_twice_while_a_cut_group_is_still_heard(self) -> None:
+        """A leader whose renewals and heartbeats arrive, but that hears nothing, stops in time."""
+        self.check_cut(sends=True)
+
+    def test_task_runs_twice_while_a_cut_group_still_hears(self) -> None:
+        """A leader that hears the nodes outside, but reaches none of them, stops in time."""
+        self.check_cut(hears=True)
+
+
+class TestFollowerBetweenBothSides(GroupCutCase):
+    def test_task_runs_twice_while_a_follower_reaches_both_sides(self) -> None:
+        """A follower without the store, which reaches all nodes, does not keep a leader at work."""
+        path, worker = self.start_task()
+        between, *outside = self.others
+        inside = {self.leader.node, worker}
+        self.network.cut(
+            cut_apart(inside, self.endpoints_but(*inside, between.node)),
+            cut_apart({between.node}, {STORE}),
+        )
+        self.assert_led_by(outside)
+        self.assert_one_run_after_the_other(path)
+
+
 class TestFrozenLeader(GroupCutCase):
     """The leader, which alone reaches the worker, is frozen and wakes after another's claim."""
 
-    def test_frozen_leader_renews_leases_after_its_successors_claim(self) -> None:
-        """A leader that wakes after another's claim renews no lease at a worker."""
+    def check_freeze(self, inside_after: set[str] | None = None) -> None:
+        """Check the leases that the leader renews after it woke, cut off if a group is given."""
         path, worker = self.start_task()
-        self.network.cut(cut_apart({worker}, [node.node for node in self.others]))
+        others = [node.node for node in self.others]
+        self.network.cut(cut_apart({worker}, others))
         model = self.cluster.workers.models[worker]
         self.leader.signal(signal.SIGSTOP)
         last_lease_end_ms = model.clock_ms + LEASE_SECONDS * 1000
         self.assert_led_by(self.others)
         time.sleep(AUTHORITY_SECONDS)
+        cuts = [cut_apart({worker}, others)]
+        if inside_after is not None:
+            cuts.append(cut_group({self.leader.node, worker, *inside_after}))
+        self.network.cut(*cuts)
         self.leader.signal(signal.SIGCONT)
         self.assert_one_run_after_the_other(path)
         self.assertLessEqual(max(self.lease_ends_ms(worker)), last_lease_end_ms)
 
+    def test_frozen_leader_renews_leases_after_its_successors_claim(self) -> None:
+        """A leader that wakes after another's claim renews no lease at a worker."""
+        self.check_freeze()
 
-if __name__ == "__main__":
-    unittest.main()
+    def test_frozen_leader_that_wakes_cut_off_renews_leases(self) -> None:
+        """Heartbeats from before the freeze do not let a leader renew that wakes cut off."""
+        self.check_freeze(inside_after=set())
 
 
 if __name__ == "__main__":
