Keep a busy machine from hiding rejected renewals in a test of the election

A refusal that takes over 0.1 s does not count as a rejection, and a late heartbeat makes the follower wait for a renewal, for the 60 s to which the test extends that wait.

Change: the test also extends the limits for heartbeats, renewals and refusals, so that only the reported rejections can make the follower claim. It asks for no less: nothing else leads to a claim in its 15 s.

--- a/tests/test_election.py
+++ b/tests/test_election.py
@@ -10,7 +10,9 @@
 import msgspec
 
 from snowdock.clocks import steady_seconds
+from snowdock.entry import leader_liveness as leader_liveness_module
 from snowdock.entry import leader_watch as leader_watch_module
+from snowdock.entry import renewals as renewals_module
 from snowdock.entry.election import Election
 from snowdock.entry.lag_monitor import LagMonitor
 from snowdock.entry.leader_log import LeaderLog
@@ -183,7 +185,13 @@
         self.wait_for_leader()
         second = self.add_candidate("second")
         self.wait_until_followed(second)
-        with mock.patch.object(leader_watch_module, "_RENEWAL_WAIT_SECONDS", 60.0):
+        # On a busy machine, neither late heartbeats nor slow refusals are to hide the rejections.
+        with (
+            mock.patch.object(leader_watch_module, "_RENEWAL_WAIT_SECONDS", 60.0),
+            mock.patch.object(leader_liveness_module, "_SILENCE_HEARTBEATS", 300.0),
+            mock.patch.object(leader_liveness_module, "_MAX_RENEWAL_AGE_SECONDS", 60.0),
+            mock.patch.object(renewals_module, "_REJECTION_SECONDS", 1.0),
+        ):
             first.election._log._store.set_address("127.0.0.1:1")
             self.assertTrue(wait_until(lambda: second.leads))
 
