--- a/src/snowdock/entry/authority.py
+++ b/src/snowdock/entry/authority.py
@@ -226,7 +226,7 @@
             return self._has_open_claim
 
     def begin_claim(self, leader: LeaderRecord | None, node: str) -> float:
-        """Begin a claim over the newest record, and return the bound on earlier authority.
+        """Begin a claim over the newest record, and return the bound on its leader's authority.
 
         Parameters
         ----------
@@ -238,7 +238,7 @@
         Returns
         -------
         float
-            Seconds after now until which an earlier leader may act.
+            Seconds after now until which the leader of that record may act.
         """
         with self._lock:
             self._has_open_claim = True
@@ -246,7 +246,7 @@
                 return AUTHORITY_SECONDS
             has_place = leader.epoch == self._epoch and 0 < leader.roster <= self._roster
             if has_place or leader.roster == 0 or leader.resigned or leader.node == node:
-                return max(AUTHORITY_SECONDS, leader.earlier_authority_s)
+                return AUTHORITY_SECONDS
             return max(OUTAGE_AUTHORITY_SECONDS, leader.authority_s)
 
     def end_claim(self) -> None:
--- a/src/snowdock/entry/election.py
+++ b/src/snowdock/entry/election.py
@@ -23,6 +23,7 @@
 from ..platform.store import StoreClient
 from ..threads import ServiceThread
 from .authority import Authority, Basis, RosterPlace
+from .earlier_leaders import EarlierLeaders
 from .known_leader import KnownLeader
 from .lag_monitor import LagMonitor
 from .leader_lag import HandoverLimiter
@@ -128,11 +129,7 @@
         self._turnover = 0
         self._authority = Authority(identity.incarnation)
         self._place = RosterPlace()
-        self._predecessor: LeaderRecord | None = None
-        # Until when earlier leaders may act, the last one and those before it.
-        self._earlier_authority_until = 0.0
-        self._chain_authority_until = 0.0
-        self._claimed_at = 0.0
+        self._earlier_leaders = EarlierLeaders(identity)
         self._claim_offset: int | None = None
         self._newest_epoch = 0
         # By peer: its process and the newest time of its clock that this node has heard of.
@@ -170,7 +167,7 @@
     @property
     def earlier_authority_until(self) -> float:
         """Until when leaders before this node's last term may act, in steady-clock seconds."""
-        return self._earlier_authority_until
+        return self._earlier_leaders.until
 
     @property
     def renewed_s(self) -> float:
@@ -239,6 +236,7 @@
     def _make_statement(self, peer: str, reaches_store: bool) -> Statement:
         """Return what this node knows of the leaders on record, for a peer."""
         now = steady_seconds()
+        # Before the newest epoch is read, which a claim that has succeeded meanwhile is part of.
         may_have_claimed = self._place.begin_statement(now, reaches_store)
         roster = 0
         heard_incarnation, heard_at = self._heard.get(peer, ("", 0.0))
@@ -282,21 +280,10 @@
         is_echo = statement.heard_incarnation == self._identity.incarnation
         if heartbeat.epoch and is_echo:
             self._place.record_place(heartbeat.epoch, statement.roster, statement.heard_at)
-        if is_echo and statement.heard_at >= self._claimed_at and self._own_epoch:
-            self._note_predecessor(heartbeat, statement, now)
-
-    def _note_predecessor(self, heartbeat: Heartbeat, statement: Statement, now: float) -> None:
-        """End the wait for the predecessor once its node, asked after the claim, leads no more."""
-        predecessor = self._predecessor
-        if predecessor is None or heartbeat.node != predecessor.node:
-            return
-        is_same_process = statement.incarnation == predecessor.incarnation
-        if is_same_process and heartbeat.epoch == predecessor.epoch:
-            return
-        self._predecessor = None
-        until = max(now, self._chain_authority_until)
-        self._earlier_authority_until = min(self._earlier_authority_until, until)
-        log_event("predecessor_ended", leader=predecessor.node, epoch=predecessor.epoch)
+        if self._own_epoch:
+            ended = self._earlier_leaders.handle_statement(heartbeat, statement, now)
+            if ended is not None:
+                log_event("predecessor_ended", leader=ended.node, epoch=ended.epoch)
 
     def handle_referral(self, sender: str, leader: str, address: str, epoch: int) -> None:
         """Handle the reply of a peer, asked as the leader, that it does not lead.
@@ -417,7 +404,7 @@
             self._turnover,
             was_behind,
             roster,
-            max(0.0, self._earlier_authority_until - steady_seconds()),
+            self._earlier_leaders.remaining_s(steady_seconds()),
         )
         self._log.append(record, seconds)
 
@@ -641,7 +628,7 @@
             turnover=self._turnover,
             predecessor="" if predecessor is None else predecessor.node,
             predecessor_epoch=0 if predecessor is None else predecessor.epoch,
-            earlier_authority_s=self._earlier_authority_until - steady_seconds(),
+            earlier_authority_s=self._earlier_leaders.remaining_s(steady_seconds()),
         )
         self._start_term(self._identity.make_record(epoch, turnover=self._turnover))
         self._claim_offset = None
@@ -654,15 +641,7 @@
         if predecessor is None and self._log.next_epoch > 1:
             # The newest record cannot be read, so its leader may act for as long as any.
             bound_s = OUTAGE_AUTHORITY_SECONDS
-        now = steady_seconds()
-        self._claimed_at = now
-        self._predecessor = predecessor
-        chain_s = 0.0 if predecessor is None else predecessor.earlier_authority_s
-        if predecessor is not None and predecessor.incarnation == self._identity.incarnation:
-            # The known record of this node's own term lacks what its last record passed on.
-            chain_s = max(chain_s, self._earlier_authority_until - now)
-        self._earlier_authority_until = now + max(bound_s, chain_s)
-        self._chain_authority_until = now + chain_s
+        self._earlier_leaders.begin_claim(predecessor, bound_s, steady_seconds())
 
     def _start_term(self, record: LeaderRecord) -> None:
         self._known_leader.update(record)
--- a/tests/test_authority.py
+++ b/tests/test_authority.py
@@ -3,8 +3,9 @@
 import unittest
 
 from snowdock.entry.authority import Authority, Basis, RosterPlace
+from snowdock.entry.earlier_leaders import EarlierLeaders
 from snowdock.entry.leader_record import LeaderRecord, NodeIdentity
-from snowdock.entry.messages import Statement
+from snowdock.entry.messages import Heartbeat, Statement
 from snowdock.jobs.timeouts import AUTHORITY_SECONDS, OUTAGE_AUTHORITY_SECONDS
 
 EPOCH = 7
@@ -193,11 +194,6 @@
         self.assertEqual(self.bound(self.make_record(1, resigned=True)), AUTHORITY_SECONDS)
         self.assertEqual(self.bound(self.make_record(1), node="l"), AUTHORITY_SECONDS)
 
-    def test_leaders_before_the_last_one(self) -> None:
-        """What is left of the bound of earlier leaders counts, too."""
-        record = self.make_record(0, earlier_authority_s=9.0)
-        self.assertEqual(self.bound(record), 9.0)
-
     def test_record_of_an_earlier_release(self) -> None:
         """A record without a roster has the longer bound, or the one that it states."""
         for authority_s in (1.5, 60.0):
@@ -213,5 +209,47 @@
         self.assertFalse(self.place.begin_statement(2.0, reaches_store=True))
 
 
+class TestEarlierLeaders(unittest.TestCase):
+    NOW = 100.0
+
+    def setUp(self) -> None:
+        self.earlier = EarlierLeaders(NodeIdentity("me", "me-1", "a:1"))
+
+    def claim(self, incarnation: str = "l-1", earlier_authority_s: float = 0.0) -> None:
+        identity = NodeIdentity("l", incarnation, "a:1")
+        record = identity.make_record(EPOCH, earlier_authority_s=earlier_authority_s)
+        self.earlier.begin_claim(record, AUTHORITY_SECONDS, self.NOW)
+
+    def hear(self, node: str, incarnation: str, epoch: int, echoed_at: float) -> bool:
+        """Handle a heartbeat a second after the claim; return whether the last leader ended."""
+        now = self.NOW + 1.0
+        statement = Statement(incarnation, now, "me-1", echoed_at, EPOCH, False)
+        heartbeat = Heartbeat(node, "a:2", epoch, 0.0, statement=statement)
+        return self.earlier.handle_statement(heartbeat, statement, now) is not None
+
+    def test_leaders_before_the_last_one(self) -> None:
+        """What is left of the bound of leaders before the last one counts, too."""
+        self.claim(earlier_authority_s=9.0)
+        self.assertEqual(self.earlier.until, self.NOW + 9.0)
+        self.assertTrue(self.hear("l", "l-1", 0, self.NOW))
+        self.assertEqual(self.earlier.until, self.NOW + 9.0)
+
+    def test_last_leader_is_heard_to_lead_no_more(self) -> None:
+        """The wait ends with a heartbeat of another process, or that no longer leads."""
+        for incarnation, epoch in (("l-2", 0), ("l-1", 0), ("l-1", EPOCH + 5)):
+            with self.subTest(incarnation=incarnation, epoch=epoch):
+                self.claim()
+                self.assertTrue(self.hear("l", incarnation, epoch, self.NOW))
+                self.assertEqual(self.earlier.until, self.NOW + 1.0)
+
+    def test_wait_ends_without_proof(self) -> None:
+        """Neither another node, the leader itself nor an answer to an earlier heartbeat counts."""
+        for node, epoch, echoed_at in (("k", 0, 100.0), ("l", EPOCH, 100.0), ("l", 0, 99.9)):
+            with self.subTest(node=node, epoch=epoch, echoed_at=echoed_at):
+                self.claim()
+                self.assertFalse(self.hear(node, "l-1", epoch, echoed_at))
+                self.assertEqual(self.earlier.until, self.NOW + AUTHORITY_SECONDS)
+
+
 if __name__ == "__main__":
     unittest.main()
