--- a/specs/check.py
+++ b/specs/check.py
@@ -13,6 +13,7 @@
 from minicheck import check_liveness, check_safety
 
 from . import (
+    authority_model,
     configuration_model,
     crash_model,
     election_model,
@@ -29,7 +30,7 @@
 __all__ = ["SMALL_BOUNDS", "Result", "check", "main"]
 
 _MAX_STATES = 500_000
-_REFUTATION_STATE_LIMITS = (10_000, 40_000, 150_000)
+_REFUTATION_STATE_LIMITS = (2_000, 10_000, 40_000, 150_000)
 """State limits of successive searches; a counterexample is valid in an incomplete search, too."""
 
 
@@ -65,6 +66,7 @@
     starvation_model: starvation_model.Bounds(),
     life_model: life_model.Bounds(),
     progress_model: progress_model.Bounds(),
+    authority_model: authority_model.Bounds(),
 }
 
 SMALL_BOUNDS = {
@@ -79,6 +81,7 @@
     starvation_model: starvation_model.Bounds(takeovers=0, failures=3),
     life_model: life_model.Bounds(restarts=1, takeovers=1, runs=2),
     progress_model: progress_model.Bounds(batches=2, switches=2),
+    authority_model: authority_model.Bounds(blind_spells=0),
 }
 """Bounds that are small enough for each run of the test suite."""
 
--- a/tests/test_specs.py
+++ b/tests/test_specs.py
@@ -31,6 +31,7 @@
 from snowdock.request_ids import new_request_id
 from snowdock.state import State, TaskState, VmState
 from specs import (
+    authority_model,
     configuration_model,
     crash_model,
     life_model,
@@ -71,6 +72,7 @@
             *((life_model, rule) for rule in life_model.RULES),
             *((quota_model, rule) for rule in quota_model.RULES),
             *((progress_model, rule) for rule in progress_model.RULES),
+            *((authority_model, rule) for rule in authority_model.RULES),
         ):
             with self.subTest(rule):
                 bounds = module.Bounds()
