Let a claim that was certainly not appended leave its node's statements valid

What callers saw: in an outage in which followers still read the leaders' records and the store refuses appends, or in which the connection goes between the read and the claim, a follower may state for the whole outage that it may have claimed. Its statements then count for nothing, the leader stops 1.5 s later, and running tasks are lost with their leases. By reading; the test shows the statement, not the loss.

Cause: Election._claim closed a claim only once it had won, or once something was read behind its position. A refusal by the store, a call that was never sent and a conflict followed by a failed read left it open, although nothing can have been appended.

Change: the three (and AppendRejected) end the claim, unless an earlier claim of the node is without an answer.

test_claim_that_was_not_made_ends_the_authority_of_the_leader failed before in all three cases (True is not false). test_refused_claim_hides_one_without_an_answer passed before and guards the other direction.

--- a/src/snowdock/entry/election.py
+++ b/src/snowdock/entry/election.py
@@ -14,6 +14,7 @@
 from ..clocks import steady_seconds
 from ..errors import (
     AppendConflict,
+    AppendRejected,
     CallUnanswered,
     PlatformError,
     StoreRefused,
@@ -583,8 +584,7 @@
         self._apply_newest_record(records)
         if self._claim_offset is not None and self._log.next_epoch > self._claim_offset + 1:
             # What was appended behind the claim's position decides it, also one on its way.
-            self._claim_offset = None
-            self._place.end_claim()
+            self._end_claim()
 
     def _apply_newest_record(self, records: list[LeaderRecord]) -> None:
         leader = records[-1] if records else None
@@ -628,9 +628,8 @@
         epoch = self._log.next_epoch
         self._turnover = self._known_leader.next_turnover()
         predecessor = self._known_leader.record
-        self._begin_claim(predecessor)
         try:
-            self._append(epoch, False)
+            self._append_claim(epoch, predecessor)
         except AppendConflict:
             log_event("claim_lost", epoch=epoch)
             self._watch.wait_for_leader()
@@ -644,6 +643,22 @@
             earlier_authority_s=self._earlier_authority_until - steady_seconds(),
         )
         self._start_term(self._identity.make_record(epoch, turnover=self._turnover))
+        self._end_claim()
+
+    def _append_claim(self, epoch: int, predecessor: LeaderRecord | None) -> None:
+        """Append a claim; the node has no open claim if none can have been appended."""
+        has_open_claim = self._claim_offset is not None
+        self._begin_claim(predecessor)
+        try:
+            self._append(epoch, False)
+        except (AppendConflict, AppendRejected, StoreRefused, CallUnanswered) as error:
+            may_be_appended = isinstance(error, CallUnanswered) and not error.unsent
+            if not has_open_claim and not may_be_appended:
+                self._end_claim()
+            raise
+
+    def _end_claim(self) -> None:
+        """Note that the outcome of all claims of this node is known."""
         self._claim_offset = None
         self._place.end_claim()
 
