Keep a claim without an answer open beside a claim at an earlier end

What callers saw: nothing yet; found by review. A node whose claim at one end had no answer, and which then read an outdated end before it and claimed there, counted the first claim as decided once it had read the records between. Its statements could keep a leader in authority beside its own claim, so that a task could run twice.

Cause: Election._begin_claim overwrote the position of the open claim with a lower one. Change: the highest position of an open claim counts.

test_claim_at_an_outdated_end_hides_a_later_one failed before (False is not true).

--- a/src/snowdock/entry/election.py
+++ b/src/snowdock/entry/election.py
@@ -664,7 +664,9 @@
 
     def _begin_claim(self, predecessor: LeaderRecord | None) -> None:
         """Note that a claim may be on record from now on, and until when earlier leaders act."""
-        self._claim_offset = self._log.next_epoch - 1
+        # An outdated read may state an earlier end than that of a claim without an answer.
+        offset = self._log.next_epoch - 1
+        self._claim_offset = max(offset, self._claim_offset or 0)
         bound_s = self._place.begin_claim(predecessor, self._identity.node)
         if predecessor is None and self._log.next_epoch > 1:
             # The newest record cannot be read, so its leader may act for as long as any.
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -60,6 +60,17 @@
         unanswered = CallUnanswered("no answer", unsent=False)
         self.assertTrue(self.claim(unanswered, StoreRefused("status 503")))
 
+    def test_claim_at_an_outdated_end_hides_a_later_one(self) -> None:
+        """A claim without an answer stays open although an earlier end was read and claimed at."""
+        self.put(LeaderRecord("leader", "leader-1", "127.0.0.1:1", 1, roster=1))
+        self.election._watch.read_new(0.0)
+        self.assertTrue(self.claim(CallUnanswered("no answer", unsent=False)))
+        self.store.refuse = False
+        self.election._log._next_offset -= 1
+        self.election._claim()
+        statement = self.election.make_heartbeat("leader", 0.2, None).statement
+        self.assertTrue(statement.may_have_claimed)
+
 
 if __name__ == "__main__":
     unittest.main()
