Wait the longest bound also if an unreadable record follows a readable one

What callers saw: nothing yet; found by review.

Cause: Election._begin_claim took the newest readable record for the newest one. The longest bound applied only if no record had been readable at all, while docs/design/authority.md states it for each newest record that cannot be read. Change: LeaderLog states whether the newest record could be decoded.

test_leader_behind_an_unreadable_record_is_waited_for_too_briefly failed before (1.498 not greater than 6.0).

--- a/src/snowdock/entry/election.py
+++ b/src/snowdock/entry/election.py
@@ -668,9 +668,10 @@
         offset = self._log.next_epoch - 1
         self._claim_offset = max(offset, self._claim_offset or 0)
         bound_s = self._place.begin_claim(predecessor, self._identity.node)
-        if predecessor is None and self._log.next_epoch > 1:
+        is_unknown = predecessor is None and self._log.next_epoch > 1
+        if is_unknown or not self._log.newest_is_readable:
             # The newest record cannot be read, so its leader may act for as long as any.
-            bound_s = OUTAGE_AUTHORITY_SECONDS
+            bound_s = max(bound_s, OUTAGE_AUTHORITY_SECONDS)
         now = steady_seconds()
         self._claimed_at = now
         self._predecessor = predecessor
--- a/src/snowdock/entry/leader_log.py
+++ b/src/snowdock/entry/leader_log.py
@@ -21,6 +21,12 @@
     def __init__(self, store: StoreClient) -> None:
         self._store = store
         self._next_offset: int | None = None
+        self._newest_is_readable = True
+
+    @property
+    def newest_is_readable(self) -> bool:
+        """Whether the newest record read or appended could be decoded; true if there was none."""
+        return self._newest_is_readable
 
     @property
     def has_position(self) -> bool:
@@ -40,7 +46,7 @@
         """Return the newest record, if there is one, and move the position behind it."""
         page = self._store.newest(LEADERS_TOPIC, DEFAULT_PARTITION, seconds)
         self._next_offset = page.next_offset
-        return _decode_records(page.records)
+        return self._decode(page.records)
 
     def read_new(self, seconds: float) -> list[LeaderRecord] | None:
         """Return all records after the position, and move the position behind them.
@@ -71,7 +77,7 @@
             self._next_offset = page.next_offset
             records += page.records
             is_cut = page.is_cut
-        return _decode_records(records)
+        return self._decode(records)
 
     def append(self, record: LeaderRecord, seconds: float) -> None:
         """Append a record, provided that the partition ends at the position.
@@ -95,16 +101,18 @@
             expected_end=self._next_offset,
         )
         self._next_offset = offset + 1
+        self._newest_is_readable = True
 
-
-def _decode_records(records: list[KeyedRecord]) -> list[LeaderRecord]:
-    leaders = []
-    for record in records:
-        if record.key != LEADER_KEY or not record.value:
-            continue
-        try:
-            leaders.append(decode_leader_record(record))
-        except PlatformError as error:
-            # The record is skipped; the leader's next renewal conflicts, and a node claims.
-            log_error("leader_record_unusable", error, offset=record.offset)
-    return leaders
+    def _decode(self, records: list[KeyedRecord]) -> list[LeaderRecord]:
+        leaders = []
+        for record in records:
+            if record.key != LEADER_KEY or not record.value:
+                continue
+            try:
+                leaders.append(decode_leader_record(record))
+                self._newest_is_readable = True
+            except PlatformError as error:
+                # The record is skipped; the leader's next renewal conflicts, and a node claims.
+                log_error("leader_record_unusable", error, offset=record.offset)
+                self._newest_is_readable = False
+        return leaders
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -5,11 +5,13 @@
 
 import msgspec
 
+from snowdock.clocks import steady_seconds
 from snowdock.entry.election import Election
 from snowdock.entry.lag_monitor import LagMonitor
 from snowdock.entry.leader_record import LeaderRecord, NodeIdentity
 from snowdock.entry.topics import LEADER_KEY, LEADERS_TOPIC
 from snowdock.errors import AppendConflict, CallUnanswered, PlatformError, StoreRefused
+from snowdock.jobs.timeouts import OUTAGE_AUTHORITY_SECONDS
 from snowdock.node.metrics import Metrics
 from snowdock.platform.store import StoreClient
 from tests.standins.platform import StoreStandin
@@ -71,6 +73,15 @@
         statement = self.election.make_heartbeat("leader", 0.2, None).statement
         self.assertTrue(statement.may_have_claimed)
 
+    def test_leader_behind_an_unreadable_record_is_waited_for_too_briefly(self) -> None:
+        """A place on the roster of the last readable record says nothing of a later leader."""
+        self.election._place.record_place(1, 1, steady_seconds())
+        self.store.put_raw(LEADERS_TOPIC, LEADER_KEY, b"odd")
+        self.election._watch.read_new(0.0)
+        self.election._claim()
+        waits_s = self.election.earlier_authority_until - steady_seconds()
+        self.assertGreater(waits_s, OUTAGE_AUTHORITY_SECONDS / 2)
+
 
 if __name__ == "__main__":
     unittest.main()
