Pass on the wait for a leader behind one of an earlier release that ended

What callers saw: nothing yet; found by review. While nodes are updated one after the other, a leader of this release is cut off, one of an earlier release succeeds it, and resigns or ends for its update within 12 s. The next leader of this release waited 6.6 s for runs out of reach, while the first one may act for 12 s, so a task could run twice.

Cause: an earlier release passes the bound of its predecessors on as its own (isolation_s, here authority_s). After a resignation, or an earlier process of the own node, only earlier_authority_s counted, which it does not state. Change: LeaderRecord.earlier_bound_s takes authority_s for records of releases without a roster. A resignation of such a release costs its successor the bound that it states (1.5 s, or 3 s if none) in place of 1.5 s.

test_resignation_of_an_earlier_release_hides_the_leader_before_it failed before (1.5 != 12.0).

--- a/src/snowdock/entry/authority.py
+++ b/src/snowdock/entry/authority.py
@@ -246,7 +246,7 @@
                 return AUTHORITY_SECONDS
             has_place = leader.epoch == self._epoch and 0 < leader.roster <= self._roster
             if has_place or leader.roster == 0 or leader.resigned or leader.node == node:
-                return max(AUTHORITY_SECONDS, leader.earlier_authority_s)
+                return max(AUTHORITY_SECONDS, leader.earlier_bound_s)
             return max(OUTAGE_AUTHORITY_SECONDS, leader.authority_s)
 
     def end_claim(self) -> None:
--- a/src/snowdock/entry/election.py
+++ b/src/snowdock/entry/election.py
@@ -675,7 +675,7 @@
         now = steady_seconds()
         self._claimed_at = now
         self._predecessor = predecessor
-        chain_s = 0.0 if predecessor is None else predecessor.earlier_authority_s
+        chain_s = 0.0 if predecessor is None else predecessor.earlier_bound_s
         if predecessor is not None and predecessor.incarnation == self._identity.incarnation:
             # The known record of this node's own term lacks what its last record passed on.
             chain_s = max(chain_s, self._earlier_authority_until - now)
--- a/src/snowdock/entry/leader_record.py
+++ b/src/snowdock/entry/leader_record.py
@@ -63,6 +63,16 @@
     roster: int = _UNSTATED_ROSTER
     earlier_authority_s: float = 0.0
 
+    @property
+    def earlier_bound_s(self) -> float:
+        """How long after this record the leaders before this one may act at most, in seconds.
+
+        Releases without a roster pass their predecessors' bound on as their own.
+        """
+        if self.roster == _UNSTATED_ROSTER:
+            return self.authority_s
+        return self.earlier_authority_s
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class NodeIdentity:
--- a/tests/test_authority.py
+++ b/tests/test_authority.py
@@ -2,6 +2,8 @@
 
 import unittest
 
+import msgspec
+
 from snowdock.entry.authority import Authority, Basis, RosterPlace
 from snowdock.entry.leader_record import LeaderRecord, NodeIdentity
 from snowdock.entry.messages import Statement
@@ -205,6 +207,13 @@
             expected_s = max(authority_s, OUTAGE_AUTHORITY_SECONDS)
             self.assertEqual(self.bound(record), expected_s)
 
+    def test_resignation_of_an_earlier_release_hides_the_leader_before_it(self) -> None:
+        """A leader of an earlier release that has ended passes its predecessors' bound on."""
+        record = LeaderRecord("l", "l-1", "a:1", EPOCH, authority_s=12.0)
+        resignation = msgspec.structs.replace(record, resigned=True)
+        self.assertEqual(self.bound(resignation), 12.0)
+        self.assertEqual(self.bound(record, node="l"), 12.0)
+
     def test_statement_during_a_claim(self) -> None:
         """Statements tell of a claim until its outcome is known."""
         self.place.begin_claim(None, "c")
