Bound the time in two tests of lost authority

Cause: test_leader_without_store_and_peers_loses_its_authority and test_peer_with_an_unanswered_claim_keeps_the_leader_ordering waited up to 15 s for the authority to end. It ends after 12 s in any case, so neither could fail for the reason in its name.

Change: both check, as the test beside them does, that the last renewal was then less than 12 s old.

--- a/tests/test_election.py
+++ b/tests/test_election.py
@@ -398,6 +398,7 @@
         leader, _ = self.start_outage("second")
         self.heartbeats_enabled = False
         self.assertTrue(wait_until(lambda: not leader.election.has_authority))
+        self.assertLess(leader.election.renewed_s, OUTAGE_AUTHORITY_SECONDS)
 
     def test_peer_cut_off_with_the_leader_keeps_it_ordering(self) -> None:
         """A leader without the store stops although one of its two peers is heard."""
@@ -411,6 +412,7 @@
         leader, (second,) = self.start_outage("second")
         second.election._place.begin_claim(None, "second")
         self.assertTrue(wait_until(lambda: not leader.election.has_authority))
+        self.assertLess(leader.election.renewed_s, OUTAGE_AUTHORITY_SECONDS)
 
     def test_leader_with_a_later_epoch_known_to_a_peer_goes_on_ordering(self) -> None:
         """A heartbeat that knows of a later epoch ends the authority at once."""
