Keep the wait for an unreadable leader when the one before it is known to have ended

What callers saw: nothing yet; found by review. After a claim over an unreadable record, the answer of the last readable leader's node ended the wait at once, though another leader may act.

Cause: the longest bound for an unreadable record was a bound on the predecessor, which predecessor_ended ends. Change: it counts among the bounds of the leaders before the predecessor, which that proof leaves alone.

test_end_of_the_last_readable_leader_hides_a_later_one failed before (-0.0002 not greater than 6.0).

--- a/src/snowdock/entry/election.py
+++ b/src/snowdock/entry/election.py
@@ -668,10 +668,6 @@
         offset = self._log.next_epoch - 1
         self._claim_offset = max(offset, self._claim_offset or 0)
         bound_s = self._place.begin_claim(predecessor, self._identity.node)
-        is_unknown = predecessor is None and self._log.next_epoch > 1
-        if is_unknown or not self._log.newest_is_readable:
-            # The newest record cannot be read, so its leader may act for as long as any.
-            bound_s = max(bound_s, OUTAGE_AUTHORITY_SECONDS)
         now = steady_seconds()
         self._claimed_at = now
         self._predecessor = predecessor
@@ -679,6 +675,10 @@
         if predecessor is not None and predecessor.incarnation == self._identity.incarnation:
             # The known record of this node's own term lacks what its last record passed on.
             chain_s = max(chain_s, self._earlier_authority_until - now)
+        is_unknown = predecessor is None and self._log.next_epoch > 1
+        if is_unknown or not self._log.newest_is_readable:
+            # The newest record cannot be read, so its leader may act for as long as any.
+            chain_s = max(chain_s, OUTAGE_AUTHORITY_SECONDS)
         self._earlier_authority_until = now + max(bound_s, chain_s)
         self._chain_authority_until = now + chain_s
 
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -9,6 +9,7 @@
 from snowdock.entry.election import Election
 from snowdock.entry.lag_monitor import LagMonitor
 from snowdock.entry.leader_record import LeaderRecord, NodeIdentity
+from snowdock.entry.messages import Heartbeat, Statement
 from snowdock.entry.topics import LEADER_KEY, LEADERS_TOPIC
 from snowdock.errors import AppendConflict, CallUnanswered, PlatformError, StoreRefused
 from snowdock.jobs.timeouts import OUTAGE_AUTHORITY_SECONDS
@@ -82,6 +83,18 @@
         waits_s = self.election.earlier_authority_until - steady_seconds()
         self.assertGreater(waits_s, OUTAGE_AUTHORITY_SECONDS / 2)
 
+    def test_end_of_the_last_readable_leader_hides_a_later_one(self) -> None:
+        """The wait for a leader whose record cannot be read outlasts the one before it."""
+        self.store.put_raw(LEADERS_TOPIC, LEADER_KEY, b"odd")
+        self.election._watch.read_new(0.0)
+        self.election._claim()
+        statement = Statement("leader-2", 1.0, "node-1", steady_seconds(), 1, False)
+        self.election.handle_heartbeat(
+            Heartbeat("leader", "127.0.0.1:1", 0, 0.0, statement=statement)
+        )
+        waits_s = self.election.earlier_authority_until - steady_seconds()
+        self.assertGreater(waits_s, OUTAGE_AUTHORITY_SECONDS / 2)
+
 
 if __name__ == "__main__":
     unittest.main()
