--- a/src/snowdock/entry/authority.py
+++ b/src/snowdock/entry/authority.py
@@ -140,14 +140,18 @@
             counts = member.reaches_store and member.left_with is None
             return self._roster if counts else 0, incarnation, member.stated_at
 
+    def record_epoch(self, epoch: int) -> None:
+        """Record that a peer leads in an epoch or knows of it; a later one ends the authority."""
+        with self._lock:
+            if epoch > self._epoch:
+                self._is_superseded = True
+
     def record_statement(
         self, node: str, statement: Statement, reaches_store: bool, now: float
     ) -> None:
         """Record what a peer's heartbeat states of the leaders on record."""
+        self.record_epoch(statement.newest_epoch)
         with self._lock:
-            if statement.newest_epoch > self._epoch:
-                self._is_superseded = True
-                return
             if statement.may_have_claimed or statement.heard_incarnation != self._incarnation:
                 return
             if not self._started_at <= statement.heard_at <= now:
@@ -242,13 +246,19 @@
         """
         with self._lock:
             self._has_open_claim = True
-            if leader is None:
-                return AUTHORITY_SECONDS
-            has_place = leader.epoch == self._epoch and 0 < leader.roster <= self._roster
-            if has_place or leader.roster == 0 or leader.resigned or leader.node == node:
+            if leader is None or self._is_bound(leader, node):
                 return AUTHORITY_SECONDS
             return max(OUTAGE_AUTHORITY_SECONDS, leader.authority_s)
 
+    def has_short_bound(self, leader: LeaderRecord, node: str) -> bool:
+        """Check whether a claim over a record would have the shorter bound; see `begin_claim`."""
+        with self._lock:
+            return self._is_bound(leader, node)
+
+    def _is_bound(self, leader: LeaderRecord, node: str) -> bool:
+        has_place = leader.epoch == self._epoch and 0 < leader.roster <= self._roster
+        return has_place or leader.roster == 0 or leader.resigned or leader.node == node
+
     def end_claim(self) -> None:
         """Note that the outcome of all claims of this node is known."""
         with self._lock:
--- a/src/snowdock/entry/earlier_leaders.py
+++ b/src/snowdock/entry/earlier_leaders.py
@@ -1,5 +1,6 @@
 """Until when the leaders before a node's claim may act: the last one, and those before that one."""
 
+from ..jobs.timeouts import OUTAGE_AUTHORITY_SECONDS
 from .leader_record import LeaderRecord, NodeIdentity
 from .messages import Heartbeat, Statement
 
@@ -33,7 +34,9 @@
         """Return for how long after a time they may act, in seconds."""
         return max(0.0, self._until - now)
 
-    def begin_claim(self, last: LeaderRecord | None, bound_s: float, now: float) -> None:
+    def begin_claim(
+        self, last: LeaderRecord | None, bound_s: float, now: float, is_readable: bool = True
+    ) -> None:
         """Note a claim that begins now.
 
         Parameters
@@ -44,11 +47,16 @@
             How long the leader of that record may act, in seconds.
         now
             The steady clock in seconds.
+        is_readable
+            Whether the newest record could be read. If not, its leader may act for as long as any,
+            and is not known.
         """
-        others_s = 0.0 if last is None else last.earlier_authority_s
+        others_s = 0.0 if last is None else last.earlier_bound_s
         if last is not None and last.incarnation == self._identity.incarnation:
             # The known record of this node's own term lacks what its last record passed on.
             others_s = max(others_s, self.remaining_s(now))
+        if not is_readable:
+            others_s = max(others_s, OUTAGE_AUTHORITY_SECONDS)
         self._last = last
         self._claimed_at = now
         self._until = now + max(bound_s, others_s)
--- a/src/snowdock/entry/election.py
+++ b/src/snowdock/entry/election.py
@@ -14,11 +14,11 @@
 from ..clocks import steady_seconds
 from ..errors import (
     AppendConflict,
+    AppendRejected,
     CallUnanswered,
     PlatformError,
     StoreRefused,
 )
-from ..jobs.timeouts import OUTAGE_AUTHORITY_SECONDS
 from ..logs import log_error, log_event
 from ..platform.store import StoreClient
 from ..threads import ServiceThread
@@ -46,6 +46,10 @@
 _MAX_CLAIM_JITTER_SECONDS = 0.08
 """Upper bound of the random delay that spreads the claims of several nodes."""
 
+_LONG_BOUND_DELAY_SECONDS = 0.8
+"""Additional delay of a claim after which lost runs would be placed again later than after one of a
+node that the leader counts. The latter is delayed by 0.48 s at most, unless its node is behind."""
+
 _MIN_TERM_SECONDS = 3.0
 """A leader hands over only after this time, since each change of leader stops the
 placement of tasks for some tenths of a second."""
@@ -255,6 +259,7 @@
     def handle_heartbeat(self, heartbeat: Heartbeat) -> None:
         """Handle a heartbeat of a peer."""
         now = steady_seconds()
+        self._authority.record_epoch(heartbeat.epoch)
         if heartbeat.statement is not None:
             self._handle_statement(heartbeat, heartbeat.statement, now)
         self._successors.record_heartbeat(heartbeat, now, self._lag.is_late)
@@ -528,11 +533,18 @@
             self._head_start_seconds()
         ):
             return 0.0
-        claim_delay_s = self._claim_delay_s + self._lag.held_delay_s
+        claim_delay_s = self._claim_delay_s + self._lag.held_delay_s + self._long_bound_delay_s()
         self._stopped.wait(claim_delay_s + random.uniform(0, _MAX_CLAIM_JITTER_SECONDS))
         self._claim()
         return 0.0
 
+    def _long_bound_delay_s(self) -> float:
+        """Return how long this node leaves its claim to others that would have a shorter wait."""
+        leader = self._known_leader.record
+        if leader is None or self._place.has_short_bound(leader, self._identity.node):
+            return 0.0
+        return _LONG_BOUND_DELAY_SECONDS
+
     def _leader_is_gone(self) -> bool:
         """Check whether there is evidence that the leader is gone.
 
@@ -570,8 +582,7 @@
         self._apply_newest_record(records)
         if self._claim_offset is not None and self._log.next_epoch > self._claim_offset + 1:
             # What was appended behind the claim's position decides it, also one on its way.
-            self._claim_offset = None
-            self._place.end_claim()
+            self._end_claim()
 
     def _apply_newest_record(self, records: list[LeaderRecord]) -> None:
         leader = records[-1] if records else None
@@ -615,9 +626,8 @@
         epoch = self._log.next_epoch
         self._turnover = self._known_leader.next_turnover()
         predecessor = self._known_leader.record
-        self._begin_claim(predecessor)
         try:
-            self._append(epoch, False)
+            self._append_claim(epoch, predecessor)
         except AppendConflict:
             log_event("claim_lost", epoch=epoch)
             self._watch.wait_for_leader()
@@ -631,17 +641,38 @@
             earlier_authority_s=self._earlier_leaders.remaining_s(steady_seconds()),
         )
         self._start_term(self._identity.make_record(epoch, turnover=self._turnover))
+        self._end_claim()
+
+    def _append_claim(self, epoch: int, predecessor: LeaderRecord | None) -> None:
+        """Append a claim; the node has no open claim if none can have been appended."""
+        has_open_claim = self._claim_offset is not None
+        self._begin_claim(predecessor)
+        try:
+            self._append(epoch, False)
+        except (AppendConflict, AppendRejected, StoreRefused, CallUnanswered) as error:
+            may_be_appended = isinstance(error, CallUnanswered) and not error.unsent
+            if not has_open_claim and not may_be_appended:
+                self._end_claim()
+            raise
+
+    def _end_claim(self) -> None:
+        """Note that the outcome of all claims of this node is known."""
         self._claim_offset = None
         self._place.end_claim()
 
     def _begin_claim(self, predecessor: LeaderRecord | None) -> None:
         """Note that a claim may be on record from now on, and until when earlier leaders act."""
-        self._claim_offset = self._log.next_epoch - 1
+        # An outdated read may state an earlier end than that of a claim without an answer.
+        offset = self._log.next_epoch - 1
+        self._claim_offset = max(offset, self._claim_offset or 0)
         bound_s = self._place.begin_claim(predecessor, self._identity.node)
-        if predecessor is None and self._log.next_epoch > 1:
-            # The newest record cannot be read, so its leader may act for as long as any.
-            bound_s = OUTAGE_AUTHORITY_SECONDS
-        self._earlier_leaders.begin_claim(predecessor, bound_s, steady_seconds())
+        is_unknown = predecessor is None and self._log.next_epoch > 1
+        self._earlier_leaders.begin_claim(
+            predecessor,
+            bound_s,
+            steady_seconds(),
+            is_readable=self._log.newest_is_readable and not is_unknown,
+        )
 
     def _start_term(self, record: LeaderRecord) -> None:
         self._known_leader.update(record)
--- a/tests/test_authority.py
+++ b/tests/test_authority.py
@@ -2,6 +2,8 @@
 
 import unittest
 
+import msgspec
+
 from snowdock.entry.authority import Authority, Basis, RosterPlace
 from snowdock.entry.earlier_leaders import EarlierLeaders
 from snowdock.entry.leader_record import LeaderRecord, NodeIdentity
@@ -234,6 +236,18 @@
         self.assertTrue(self.hear("l", "l-1", 0, self.NOW))
         self.assertEqual(self.earlier.until, self.NOW + 9.0)
 
+    def test_resignation_of_an_earlier_release_hides_the_leader_before_it(self) -> None:
+        """A leader of an earlier release that has ended passes its predecessors' bound on."""
+        record = LeaderRecord("l", "l-1", "a:1", EPOCH, resigned=True, authority_s=12.0)
+        self.earlier.begin_claim(record, AUTHORITY_SECONDS, self.NOW)
+        self.assertEqual(self.earlier.until, self.NOW + 12.0)
+
+    def test_leader_whose_record_cannot_be_read(self) -> None:
+        """An unreadable record stands for the longest bound, and no node ends the wait for it."""
+        self.earlier.begin_claim(None, AUTHORITY_SECONDS, self.NOW, is_readable=False)
+        self.assertFalse(self.hear("l", "l-1", 0, self.NOW))
+        self.assertEqual(self.earlier.until, self.NOW + OUTAGE_AUTHORITY_SECONDS)
+
     def test_last_leader_is_heard_to_lead_no_more(self) -> None:
         """The wait ends with a heartbeat of another process, or that no longer leads."""
         for incarnation, epoch in (("l-2", 0), ("l-1", 0), ("l-1", EPOCH + 5)):
--- a/tests/test_authority_replay.py
+++ b/tests/test_authority_replay.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from snowdock.entry.authority import Authority, Basis, RosterPlace
+from snowdock.entry.earlier_leaders import EarlierLeaders
 from snowdock.entry.leader_record import LeaderRecord, NodeIdentity
 from snowdock.entry.messages import Statement
 from snowdock.jobs.timeouts import AUTHORITY_SECONDS
@@ -49,6 +50,7 @@
         self.identity = NodeIdentity(name, f"{name}-{start}", f"{name}:1")
         self.offset_s = offset_s
         self.place = place
+        self.earlier = EarlierLeaders(self.identity)
         self.heard_at = -math.inf
         self.newest_epoch = EPOCH
         self.claim: Claim | None = None
@@ -188,7 +190,8 @@
         if not is_due or len(self._claims) >= _MAX_SUCCESSORS:
             return
         bound_s = node.place.begin_claim(self._record, name)
-        claim = node.claim = Claim(self._position, self._now + bound_s)
+        node.earlier.begin_claim(self._record, bound_s, self._now)
+        claim = node.claim = Claim(self._position, node.earlier.until)
         epoch = self._record.epoch + 1
         self._send(lambda: self._apply_claim(node, claim, epoch))
 
@@ -284,7 +287,7 @@
 
     def begin_claim(self, leader: LeaderRecord | None, node: str) -> float:
         super().begin_claim(leader, node)
-        return max(AUTHORITY_SECONDS, leader.earlier_authority_s)
+        return AUTHORITY_SECONDS
 
 
 class TestSchedules(unittest.TestCase):
--- a/tests/test_election.py
+++ b/tests/test_election.py
@@ -406,6 +406,7 @@
         leader, _ = self.start_outage("second")
         self.heartbeats_enabled = False
         self.assertTrue(wait_until(lambda: not leader.election.has_authority))
+        self.assertLess(leader.election.renewed_s, OUTAGE_AUTHORITY_SECONDS)
 
     def test_peer_cut_off_with_the_leader_keeps_it_ordering(self) -> None:
         """A leader without the store stops although one of its two peers is heard."""
@@ -419,6 +420,7 @@
         leader, (second,) = self.start_outage("second")
         second.election._place.begin_claim(None, "second")
         self.assertTrue(wait_until(lambda: not leader.election.has_authority))
+        self.assertLess(leader.election.renewed_s, OUTAGE_AUTHORITY_SECONDS)
 
     def test_leader_with_a_later_epoch_known_to_a_peer_goes_on_ordering(self) -> None:
         """A heartbeat that knows of a later epoch ends the authority at once."""
@@ -448,6 +450,21 @@
         self.assertGreater(record.earlier_authority_s, OUTAGE_AUTHORITY_SECONDS / 2)
         self.assertGreaterEqual(record.authority_s, record.earlier_authority_s)
 
+    def test_node_unknown_to_the_leader_claims_before_one_that_it_counts(self) -> None:
+        """Of two nodes, the one claims whose wait for the silent leader is shorter."""
+        first = self.add_candidate("first")
+        self.wait_for_leader()
+        member = self.add_candidate("member", 0.2)
+        self.wait_until_followed(member)
+        other = self.add_candidate("other")
+        self.assertTrue(wait_until(lambda: self.read_record().roster > 0))
+        self.assertTrue(wait_until(lambda: other.election.leader is not None))
+        other.election._place.begin_statement(steady_seconds() + 60.0, reaches_store=False)
+        first.election.stop()
+        self.candidates.remove(first)
+        self.assertTrue(wait_until(lambda: member.leads))
+        self.assertEqual(other.epochs, [])
+
     def test_leader_whose_record_cannot_be_read_is_waited_for_too_briefly(self) -> None:
         """A claim over a record that cannot be decoded has the longest bound."""
         self.store.put_raw(LEADERS_TOPIC, LEADER_KEY, b"odd")
