--- a/tests/test_authority.py
+++ b/tests/test_authority.py
@@ -2,8 +2,6 @@
 
 import unittest
 
-import msgspec
-
 from snowdock.entry.authority import Authority, Basis, RosterPlace
 from snowdock.entry.earlier_leaders import EarlierLeaders
 from snowdock.entry.leader_record import LeaderRecord, NodeIdentity
