--- a/tests/standins/group_cuts.py
+++ b/tests/standins/group_cuts.py
@@ -77,9 +77,6 @@
     def add_node(self, ip: str, node: str) -> None:
         self._nodes[ip] = node
 
-    def is_cut(self, sender: str, receiver: str) -> bool:
-        return self._is_cut(sender, receiver)
-
     def wait_open(self, sender: str, receiver: str, seconds: float | None = None) -> bool:
         """Wait until a path is open; return whether it is."""
         with self._changed:
