Name the leaders that a successor waits for in its records

Cause: a record passed on how long earlier leaders may act, but not which. So their nodes could not end the wait, not even by claiming themselves.

Five long-running tasks stood for 12.2 s beside room.

Change: LeaderRecord.earlier has the node, process, epoch and bound of each leader that is waited for. An answer of its node after the claim ends the wait for it, and a claimant does not wait for leaders that were on its own node. Records of earlier releases name nobody, as before.

Result: test_wait_is_passed_on_for_a_leader_that_has_ended needs the new field, so it was not run on the code before. tests.test_authority, _authority_replay, _claims, test_leader_log, test_malformed_records: 48 tests pass.

--- a/src/snowdock/entry/earlier_leaders.py
+++ b/src/snowdock/entry/earlier_leaders.py
@@ -1,14 +1,29 @@
 """Until when the leaders before a node's claim may act: the last one, and those before that one."""
 
+import dataclasses
+
+import msgspec
+
 from ..jobs.timeouts import OUTAGE_AUTHORITY_SECONDS
-from .leader_record import LeaderRecord, NodeIdentity
+from .leader_record import EarlierLeader, LeaderRecord, NodeIdentity
 from .messages import Heartbeat, Statement
 
 __all__ = ["EarlierLeaders"]
 
+_UNKNOWN_LEADER = EarlierLeader("", "", 0, 0.0)
+"""Stands for a leader whose node is not known, so that no node's answer ends the wait for it."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Wait:
+    """A leader and the time until which it may act, in steady-clock seconds."""
+
+    leader: EarlierLeader
+    until: float
+
 
 class EarlierLeaders:
-    """The bound on the authority of the leaders before this node's newest claim.
+    """The bounds on the authority of the leaders before this node's newest claim.
 
     Written by the election thread as a claim begins, and by the peer thread during the term.
 
@@ -20,19 +35,21 @@
 
     def __init__(self, identity: NodeIdentity) -> None:
         self._identity = identity
-        self._last: LeaderRecord | None = None
         self._claimed_at = 0.0
-        self._until = 0.0
-        self._until_of_others = 0.0
+        self._waits: list[_Wait] = []
 
     @property
     def until(self) -> float:
         """The time from which none of them acts, in steady-clock seconds."""
-        return self._until
+        return max((wait.until for wait in self._waits), default=self._claimed_at)
 
-    def remaining_s(self, now: float) -> float:
-        """Return for how long after a time they may act, in seconds."""
-        return max(0.0, self._until - now)
+    def list_at(self, now: float) -> tuple[EarlierLeader, ...]:
+        """Return those that may act after a time, and for how long."""
+        return tuple(
+            msgspec.structs.replace(wait.leader, authority_s=wait.until - now)
+            for wait in self._waits
+            if wait.until > now
+        )
 
     def begin_claim(
         self, last: LeaderRecord | None, bound_s: float, now: float, is_readable: bool = True
@@ -51,32 +68,44 @@
             Whether the newest record could be read. If not, its leader may act for as long as any,
             and is not known.
         """
-        others_s = 0.0 if last is None else last.earlier_bound_s
-        if last is not None and last.incarnation == self._identity.incarnation:
+        waits = []
+        if last is None:
+            waits.append(_Wait(_UNKNOWN_LEADER, now + bound_s))
+        elif last.incarnation == self._identity.incarnation:
             # The known record of this node's own term lacks what its last record passed on.
-            others_s = max(others_s, self.remaining_s(now))
+            waits += self._waits
+        else:
+            # Leaders on this node have ended, as this process leads no more.
+            waits += [
+                _Wait(leader, now + leader.authority_s)
+                for leader in last.list_earlier()
+                if leader.node != self._identity.node
+            ]
+        if last is not None:
+            leader = EarlierLeader(last.node, last.incarnation, last.epoch, bound_s)
+            waits.append(_Wait(leader, now + bound_s))
         if not is_readable:
-            others_s = max(others_s, OUTAGE_AUTHORITY_SECONDS)
-        self._last = last
+            waits.append(_Wait(_UNKNOWN_LEADER, now + OUTAGE_AUTHORITY_SECONDS))
         self._claimed_at = now
-        self._until = now + max(bound_s, others_s)
-        self._until_of_others = now + others_s
+        self._waits = [wait for wait in waits if wait.until > now]
 
     def handle_statement(
         self, heartbeat: Heartbeat, statement: Statement, now: float
-    ) -> LeaderRecord | None:
-        """Return the last leader if its node states, asked after the claim, that it leads no more.
+    ) -> list[EarlierLeader]:
+        """Return the leaders whose node states, asked after the claim, that they lead no more.
 
-        The wait for it ends then.
+        The waits for them end then.
         """
-        last = self._last
-        if last is None or heartbeat.node != last.node:
-            return None
         is_echo = statement.heard_incarnation == self._identity.incarnation
         if not is_echo or statement.heard_at < self._claimed_at:
-            return None
-        if statement.incarnation == last.incarnation and heartbeat.epoch == last.epoch:
-            return None
-        self._last = None
-        self._until = min(self._until, max(now, self._until_of_others))
-        return last
+            return []
+        ended = [
+            wait
+            for wait in self._waits
+            if wait.until > now
+            and wait.leader.node == heartbeat.node
+            and (wait.leader.incarnation, wait.leader.epoch)
+            != (statement.incarnation, heartbeat.epoch)
+        ]
+        self._waits = [_Wait(wait.leader, now) if wait in ended else wait for wait in self._waits]
+        return [wait.leader for wait in ended]
--- a/src/snowdock/entry/election.py
+++ b/src/snowdock/entry/election.py
@@ -286,8 +286,7 @@
         if heartbeat.epoch and is_echo:
             self._place.record_place(heartbeat.epoch, statement.roster, statement.heard_at)
         if self._own_epoch:
-            ended = self._earlier_leaders.handle_statement(heartbeat, statement, now)
-            if ended is not None:
+            for ended in self._earlier_leaders.handle_statement(heartbeat, statement, now):
                 log_event("predecessor_ended", leader=ended.node, epoch=ended.epoch)
 
     def handle_referral(self, sender: str, leader: str, address: str, epoch: int) -> None:
@@ -409,7 +408,7 @@
             self._turnover,
             was_behind,
             roster,
-            self._earlier_leaders.remaining_s(steady_seconds()),
+            self._earlier_leaders.list_at(steady_seconds()),
         )
         self._log.append(record, seconds)
 
@@ -638,7 +637,7 @@
             turnover=self._turnover,
             predecessor="" if predecessor is None else predecessor.node,
             predecessor_epoch=0 if predecessor is None else predecessor.epoch,
-            earlier_authority_s=self._earlier_leaders.remaining_s(steady_seconds()),
+            earlier_authority_s=max(0.0, self._earlier_leaders.until - steady_seconds()),
         )
         self._start_term(self._identity.make_record(epoch, turnover=self._turnover))
         self._end_claim()
--- a/src/snowdock/entry/leader_record.py
+++ b/src/snowdock/entry/leader_record.py
@@ -9,7 +9,13 @@
 from ..platform.addresses import split_address
 from ..platform.store import KeyedRecord
 
-__all__ = ["LeaderRecord", "NodeIdentity", "decode_leader_record", "encode_leader_record"]
+__all__ = [
+    "EarlierLeader",
+    "LeaderRecord",
+    "NodeIdentity",
+    "decode_leader_record",
+    "encode_leader_record",
+]
 
 _UNSTATED_AUTHORITY_SECONDS = 3.0
 """The bound of the releases whose records do not state it."""
@@ -25,6 +31,23 @@
 """Highest epoch, turnover or roster taken from a record, so that later ones fit into 64 bits."""
 
 
+class EarlierLeader(msgspec.Struct, frozen=True, array_like=True):
+    """A leader before another one, which may still act.
+
+    Attributes
+    ----------
+    node, incarnation, epoch
+        Its node and process, and the epoch in which it led; empty and 0 if unknown.
+    authority_s
+        For how long it may act, in seconds.
+    """
+
+    node: str
+    incarnation: str
+    epoch: int
+    authority_s: float
+
+
 class LeaderRecord(msgspec.Struct, frozen=True, array_like=True):
     """The leader as recorded in the store by a claim, a renewal or a resignation.
 
@@ -47,8 +70,8 @@
         Whether it resigned because it had fallen behind; see `leader_lag`.
     roster
         The version of the leader's roster; 0 if it has no authority beyond its renewals.
-    earlier_authority_s
-        How long after this record the leaders before this one may act, in seconds.
+    earlier
+        The leaders before this one that may act after this record.
     """
 
     node: str
@@ -61,17 +84,16 @@
     authority_s: float = _UNSTATED_AUTHORITY_SECONDS
     was_behind: bool = False
     roster: int = _UNSTATED_ROSTER
-    earlier_authority_s: float = 0.0
+    earlier: tuple[EarlierLeader, ...] = ()
 
-    @property
-    def earlier_bound_s(self) -> float:
-        """How long after this record the leaders before this one may act at most, in seconds.
+    def list_earlier(self) -> tuple[EarlierLeader, ...]:
+        """Return the leaders before this one that may act after this record.
 
         Releases without a roster pass their predecessors' bound on as their own.
         """
         if self.roster == _UNSTATED_ROSTER:
-            return self.authority_s
-        return self.earlier_authority_s
+            return (EarlierLeader("", "", 0, self.authority_s),)
+        return self.earlier
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -90,7 +112,7 @@
         turnover: int = 0,
         was_behind: bool = False,
         roster: int = 0,
-        earlier_authority_s: float = 0.0,
+        earlier: tuple[EarlierLeader, ...] = (),
     ) -> LeaderRecord:
         """Return a record that this node leads or, with ``resigned``, has resigned."""
         authority_s = OUTAGE_AUTHORITY_SECONDS if roster else AUTHORITY_SECONDS
@@ -102,10 +124,10 @@
             resigned,
             successor,
             turnover,
-            max(authority_s, earlier_authority_s),
+            max([authority_s, *(leader.authority_s for leader in earlier)]),
             was_behind,
             roster,
-            earlier_authority_s,
+            earlier,
         )
 
 
@@ -143,7 +165,6 @@
         value = getattr(leader, name)
         if not least <= value <= _MAX_COUNT:
             raise PlatformError(f"leader record with {name} {value}")
-    for name in ("authority_s", "earlier_authority_s"):
-        value = getattr(leader, name)
-        if not 0 <= value <= _MAX_AUTHORITY_SECONDS:
-            raise PlatformError(f"leader record with {name} {value}")
+    for bound_s in (leader.authority_s, *(each.authority_s for each in leader.earlier)):
+        if not 0 <= bound_s <= _MAX_AUTHORITY_SECONDS:
+            raise PlatformError(f"leader record with a bound of {bound_s} s")
--- a/tests/test_authority.py
+++ b/tests/test_authority.py
@@ -4,7 +4,7 @@
 
 from snowdock.entry.authority import Authority, Basis, RosterPlace
 from snowdock.entry.earlier_leaders import EarlierLeaders
-from snowdock.entry.leader_record import LeaderRecord, NodeIdentity
+from snowdock.entry.leader_record import EarlierLeader, LeaderRecord, NodeIdentity
 from snowdock.entry.messages import Heartbeat, Statement
 from snowdock.jobs.timeouts import AUTHORITY_SECONDS, OUTAGE_AUTHORITY_SECONDS
 
@@ -215,9 +215,9 @@
     def setUp(self) -> None:
         self.earlier = EarlierLeaders(NodeIdentity("me", "me-1", "a:1"))
 
-    def claim(self, incarnation: str = "l-1", earlier_authority_s: float = 0.0) -> None:
+    def claim(self, incarnation: str = "l-1", earlier: tuple[EarlierLeader, ...] = ()) -> None:
         identity = NodeIdentity("l", incarnation, "a:1")
-        record = identity.make_record(EPOCH, earlier_authority_s=earlier_authority_s)
+        record = identity.make_record(EPOCH, earlier=earlier)
         self.earlier.begin_claim(record, AUTHORITY_SECONDS, self.NOW)
 
     def hear(self, node: str, incarnation: str, epoch: int, echoed_at: float) -> bool:
@@ -225,11 +225,11 @@
         now = self.NOW + 1.0
         statement = Statement(incarnation, now, "me-1", echoed_at, EPOCH, False)
         heartbeat = Heartbeat(node, "a:2", epoch, 0.0, statement=statement)
-        return self.earlier.handle_statement(heartbeat, statement, now) is not None
+        return bool(self.earlier.handle_statement(heartbeat, statement, now))
 
     def test_leaders_before_the_last_one(self) -> None:
         """What is left of the bound of leaders before the last one counts, too."""
-        self.claim(earlier_authority_s=9.0)
+        self.claim(earlier=(EarlierLeader("k", "k-1", 3, 9.0),))
         self.assertEqual(self.earlier.until, self.NOW + 9.0)
         self.assertTrue(self.hear("l", "l-1", 0, self.NOW))
         self.assertEqual(self.earlier.until, self.NOW + 9.0)
@@ -246,6 +246,15 @@
         self.assertFalse(self.hear("l", "l-1", 0, self.NOW))
         self.assertEqual(self.earlier.until, self.NOW + OUTAGE_AUTHORITY_SECONDS)
 
+    def test_wait_is_passed_on_for_a_leader_that_has_ended(self) -> None:
+        """The node of a leader before the last one ends the wait for it, also as the claimant."""
+        self.claim(earlier=(EarlierLeader("k", "k-1", 3, 9.0),))
+        self.assertTrue(self.hear("k", "k-2", 0, self.NOW))
+        self.assertEqual(self.earlier.until, self.NOW + AUTHORITY_SECONDS)
+        self.assertEqual([each.node for each in self.earlier.list_at(self.NOW + 1.1)], ["l"])
+        self.claim(earlier=(EarlierLeader("me", "me-0", 3, 9.0),))
+        self.assertEqual(self.earlier.until, self.NOW + AUTHORITY_SECONDS)
+
     def test_last_leader_is_heard_to_lead_no_more(self) -> None:
         """The wait ends with a heartbeat of another process, or that no longer leads."""
         for incarnation, epoch in (("l-2", 0), ("l-1", 0), ("l-1", EPOCH + 5)):
--- a/tests/test_authority_replay.py
+++ b/tests/test_authority_replay.py
@@ -196,10 +196,8 @@
         self._send(lambda: self._apply_claim(node, claim, epoch))
 
     def _apply_claim(self, node: Node, claim: Claim, epoch: int) -> None:
-        left_s = max(0.0, claim.authority_until - self._now)
-        if self._append(
-            node.identity.make_record(epoch, earlier_authority_s=left_s), claim.position
-        ):
+        earlier = node.earlier.list_at(self._now)
+        if self._append(node.identity.make_record(epoch, earlier=earlier), claim.position):
             self._claims.append(claim)
 
     # -- heartbeats and orders ---------------------------------------------------------------
--- a/tests/test_election.py
+++ b/tests/test_election.py
@@ -447,8 +447,9 @@
         self.assertGreater(waits_s, OUTAGE_AUTHORITY_SECONDS / 2)
         record = self.read_record()
         self.assertEqual(record.node, "new")
-        self.assertGreater(record.earlier_authority_s, OUTAGE_AUTHORITY_SECONDS / 2)
-        self.assertGreaterEqual(record.authority_s, record.earlier_authority_s)
+        waits_s = [leader.authority_s for leader in record.earlier if leader.node == "old"]
+        self.assertGreater(max(waits_s), OUTAGE_AUTHORITY_SECONDS / 2)
+        self.assertGreaterEqual(record.authority_s, max(waits_s))
 
     def test_node_unknown_to_the_leader_claims_before_one_that_it_counts(self) -> None:
         """Of two nodes, the one claims whose wait for the silent leader is shorter."""
