Compute the wait for runs out of reach from the bound in one place

Cause: the daemon combined lease and bound into the wait a second time beside cell_settings, and the context had None for no change.

Change: the context states the bound; the leader's handle derives the wait from the settings' lease. No behaviour changes: test_leader_settings, test_jobs_early_advice, test_takeover, test_leader_queries and test_entry_node.TestThreeNodes pass.

--- a/src/snowdock/entry/daemon.py
+++ b/src/snowdock/entry/daemon.py
@@ -14,7 +14,6 @@
 from ..clocks import steady_seconds
 from ..errors import SettingsUnreadable
 from ..jobs.model import Configuration
-from ..jobs.timeouts import lease_expiry_after_claim_seconds
 from ..logs import log_event, start_logging
 from ..node.metrics import Metrics
 from ..node.peer_links import HeartbeatPlan
@@ -34,7 +33,7 @@
 from .leader_links import LeaderLinks
 from .leader_queries import LeaderQueries
 from .leader_record import LeaderRecord, NodeIdentity
-from .leader_settings import cell_settings, claim_delay_seconds, lease_seconds
+from .leader_settings import cell_settings, claim_delay_seconds
 from .leadership import Leadership
 from .listener import apply_limits, create_listener
 from .load_view import LoadView
@@ -282,9 +281,7 @@
             metrics=self._metrics,
             peers_read_all_progress=self._peer_directory.all_read_progress,
             publish_load=self._load_view.publish,
-            unreached_run_expiry_s=lambda: lease_expiry_after_claim_seconds(
-                lease_seconds(environment), earlier_authority_s()
-            ),
+            earlier_authority_s=earlier_authority_s,
         )
 
     def _handle_new_leader(self, leader: LeaderRecord) -> None:
--- a/src/snowdock/entry/leader.py
+++ b/src/snowdock/entry/leader.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import dataclasses
+import math
 import time
 from collections.abc import Callable
 
@@ -88,9 +89,9 @@
         Publishes a load summary to this node and its peers.
     peers_read_all_progress
         Returns whether all known peers would read all partitions of the progress as the leader.
-    unreached_run_expiry_s
-        Returns how long after the claim runs on workers that were never reached may last, which
-        becomes shorter once earlier leaders are known to have stopped; None for no change.
+    earlier_authority_s
+        Returns how long after the claim earlier leaders may act, in seconds, which becomes shorter
+        once they are known to have stopped.
     """
 
     store: StoreClient
@@ -107,7 +108,7 @@
     metrics: Metrics
     publish_load: Callable[[LoadSummary], None]
     peers_read_all_progress: Callable[[], bool] = lambda: True
-    unreached_run_expiry_s: Callable[[], float | None] = lambda: None
+    earlier_authority_s: Callable[[], float] = lambda: math.inf
 
 
 class Leader(pykka.ThreadingActor):
--- a/src/snowdock/entry/leader_handle.py
+++ b/src/snowdock/entry/leader_handle.py
@@ -20,7 +20,7 @@
 )
 from ..jobs.model import Configuration, JobId
 from ..jobs.progress import CANCEL_PREFIX, decode_accepted, is_job_key, parse_job_id
-from ..jobs.timeouts import TICK_SECONDS
+from ..jobs.timeouts import TICK_SECONDS, lease_expiry_after_claim_seconds
 from ..logs import log_error, log_event
 from ..platform.store import KeyedRecord
 from ..platform.worker_entries import WORKER_TOPIC, decode_worker_entry
@@ -177,8 +177,10 @@
         context = self._context
         expiry_s = context.settings.unreached_run_expiry_s
         while not self._stopped.wait(TICK_SECONDS):
-            newest_expiry_s = context.unreached_run_expiry_s()
-            if newest_expiry_s is not None and newest_expiry_s < expiry_s:
+            newest_expiry_s = lease_expiry_after_claim_seconds(
+                context.settings.lease_s, context.earlier_authority_s()
+            )
+            if newest_expiry_s < expiry_s:
                 expiry_s = newest_expiry_s
                 self._post(EarlierLeadersEnded(expiry_s))
             self._post(Ticked(context.count_advice_nodes(), steady_seconds()))
--- a/src/snowdock/entry/leader_settings.py
+++ b/src/snowdock/entry/leader_settings.py
@@ -9,7 +9,7 @@
 )
 from ..platform.node_settings import PRESSURE, NodeEnvironment
 
-__all__ = ["cell_settings", "claim_delay_seconds", "lease_seconds"]
+__all__ = ["cell_settings", "claim_delay_seconds"]
 
 _LEADER_CORES = 1.5
 """Cores that a leader of a large deployment needs, bursts included."""
@@ -45,7 +45,7 @@
     earlier_authority_s
         How long after its claim earlier leaders may act, in seconds.
     """
-    lease_s = lease_seconds(environment)
+    lease_s = min(LEASE_SECONDS, environment.lease_limit_s)
     return CellSettings(
         lease_s=lease_s,
         unreached_run_expiry_s=lease_expiry_after_claim_seconds(lease_s, earlier_authority_s),
@@ -62,11 +62,6 @@
     )
 
 
-def lease_seconds(environment: NodeEnvironment) -> float:
-    """Return the length of the leases that a leader requests, in seconds of a worker's clock."""
-    return min(LEASE_SECONDS, environment.lease_limit_s)
-
-
 def _pass_time_share(cpu_cores: float) -> float:
     """Return the maximum fraction of the time that a leader spends in placement passes."""
     surplus = cpu_cores / _LEADER_CORES - _MIN_PASS_CORE_SHARE
