Answer calls that a leader does not make in one place

Cause: the emulator repeated what entry/leader.py answers for orders without a connection or authority, in three methods.

Change: jobs/unsent_calls.py, which both call.

--- a/src/snowdock/emulator/emulator.py
+++ b/src/snowdock/emulator/emulator.py
@@ -28,18 +28,15 @@
     PublishLoad,
     PublishStatus,
     RecordPrediction,
-    RenewAnswered,
     SendRenewal,
     SendStart,
     SendStop,
-    StartAnswered,
     StepDown,
-    StopAnswered,
     Ticked,
     WorkerListed,
 )
 from ..jobs.model import JobStatus, StepSpec, TaskId
-from ..jobs.orders import AdviceResult, Refusal, StartOrder, StartResult
+from ..jobs.orders import AdviceResult, StartOrder
 from ..jobs.policy import make_policy
 from ..jobs.progress import AcceptedJob, parse_job_id, record_name
 from ..jobs.recorded_progress import read_progress
@@ -51,6 +48,7 @@
     TICK_SECONDS,
     lease_expiry_after_claim_seconds,
 )
+from ..jobs.unsent_calls import answer_unsent
 from ..teams import Team, TeamRegistry
 from .checks import InvariantChecker
 from .fleet import Fleet
@@ -74,6 +72,9 @@
 """The longest time after a cut heals until the old leader reads of its successor."""
 
 
+_Call = SendStart | SendStop | SendRenewal
+
+
 class _Leader:
     """One leadership.
 
@@ -164,9 +165,11 @@
         )
         self._handlers: dict[type, Callable] = {
             Persist: self._persist,
-            SendStart: self._send_start,
-            SendStop: self._send_stop,
-            SendRenewal: self._send_renewal,
+            SendStart: lambda leader, effect: self._send(leader, effect, leader.calls.send_start),
+            SendStop: lambda leader, effect: self._send(leader, effect, leader.calls.send_stop),
+            SendRenewal: lambda leader, effect: self._send(
+                leader, effect, leader.calls.send_renewal
+            ),
             AskAdvice: self._ask_advice,
             PublishStatus: self._publish,
             StepDown: lambda leader, _: self._end_leadership(leader),
@@ -457,33 +460,14 @@
         for key in effect.keys:
             self._progress.pop(key, None)
 
-    def _send_start(self, leader: _Leader, effect: SendStart) -> None:
-        order = effect.order
-        if self._may_send_orders(leader):
-            leader.calls.send_start(self._make_post(leader), effect)
-        else:
-            result = StartResult(Refusal.UNREACHABLE)
-            self._post_soon(leader, StartAnswered(effect.life, order.task, order.run, result))
-
-    def _send_stop(self, leader: _Leader, effect: SendStop) -> None:
-        order = effect.order
-        if self._may_send_orders(leader):
-            leader.calls.send_stop(self._make_post(leader), effect)
-        else:
-            self._post_soon(leader, StopAnswered(effect.life, order.task, order.run, False))
-
-    def _send_renewal(self, leader: _Leader, effect: SendRenewal) -> None:
-        if self._may_send_orders(leader):
-            leader.calls.send_renewal(self._make_post(leader), effect)
-        else:
-            self._post_soon(leader, RenewAnswered(effect.life, effect.order, None))
-
-    def _may_send_orders(self, leader: _Leader) -> bool:
-        return self.timeline.now < leader.authority_ends_at
-
-    def _post_soon(self, leader: _Leader, event: Event) -> None:
-        """Post an event after a call's typical duration, outside the handling of another event."""
-        self.timeline.call_after(self._options.typical_call_s, lambda: self._post(leader, event))
+    def _send(self, leader: _Leader, effect: _Call, send: Callable[[Post, _Call], None]) -> None:
+        if self.timeline.now < leader.authority_ends_at:
+            send(self._make_post(leader), effect)
+            return
+        # Outside the handling of another event, as the answer to a call would come.
+        self.timeline.call_after(
+            self._options.typical_call_s, lambda: self._post(leader, answer_unsent(effect))
+        )
 
     def _find_step(self, order: StartOrder) -> StepSpec:
         return self._jobs[order.task.job].spec.steps[order.task.step]
--- a/src/snowdock/entry/leader.py
+++ b/src/snowdock/entry/leader.py
@@ -25,23 +25,20 @@
     PublishLoad,
     PublishStatus,
     RecordPrediction,
-    RenewAnswered,
     SendRenewal,
     SendStart,
     SendStop,
-    StartAnswered,
     StepDown,
-    StopAnswered,
     Ticked,
 )
 from ..jobs.load_history import prediction_ratio
 from ..jobs.load_summary import LoadSummary
 from ..jobs.model import Configuration
-from ..jobs.orders import Refusal, StartResult
 from ..jobs.policy import make_policy
 from ..jobs.reducer import reduce
 from ..jobs.takeover import RecordedJobs, restore
 from ..jobs.timeouts import TICK_SECONDS
+from ..jobs.unsent_calls import answer_unsent
 from ..logs import log_error, log_event
 from ..node.metrics import Metrics
 from ..platform.call_loop import CallLoop
@@ -308,14 +305,10 @@
 
     def _send_order(self, effect: SendStart | SendStop) -> None:
         link = self._links.get(effect.life)
-        order = effect.order
         if link is not None and self._context.may_send_orders():
-            link.order(order)
-        elif isinstance(effect, SendStart):
-            result = StartResult(Refusal.UNREACHABLE)
-            self._post(StartAnswered(effect.life, order.task, order.run, result))
+            link.order(effect.order)
         else:
-            self._post(StopAnswered(effect.life, order.task, order.run, False))
+            self._post(answer_unsent(effect))
 
     def _send_renewal(self, effect: SendRenewal) -> None:
         link = self._links.get(effect.life)
@@ -324,7 +317,7 @@
         if self._context.may_send_orders():
             link.renew(effect.order)
         else:
-            self._post(RenewAnswered(effect.life, effect.order, None))
+            self._post(answer_unsent(effect))
 
     def _drop_jobs(self, effect: DropJobs) -> None:
         self._statuses.forget(effect.jobs)
