Look up a peer's place on the roster without a search for each heartbeat

Cause: a leader searched all members for each heartbeat that it sent, work that grows with the square of the number of nodes.

Change: the process of each node's newest accepted statement is kept by node; it is the one that the search found, as statements are accepted in the order in which they arrive. No behaviour changes: test_authority and test_authority_replay pass.

--- a/src/snowdock/entry/authority.py
+++ b/src/snowdock/entry/authority.py
@@ -78,6 +78,8 @@
         # By process: a claim may be recorded after its process has ended, and the next process of
         # the node does not know of it.
         self._members: dict[str, _Member] = {}
+        # By node: the process of its newest accepted statement, which each heartbeat looks up.
+        self._processes: dict[str, str] = {}
         self._reset(0, 0.0)
 
     def _reset(self, epoch: int, now: float) -> None:
@@ -88,6 +90,7 @@
         self._roster = 1
         self._recorded_roster = 0
         self._members.clear()
+        self._processes.clear()
 
     def start_term(self, epoch: int, now: float) -> None:
         """Begin an epoch; the authority begins with its first renewal."""
@@ -129,14 +132,10 @@
             The peer's process and its newest accepted statement, by the peer's clock.
         """
         with self._lock:
-            incarnation = max(
-                (name for name, member in self._members.items() if member.node == node),
-                key=lambda name: self._members[name].heard_at,
-                default="",
-            )
-            if not incarnation:
+            incarnation = self._processes.get(node, "")
+            member = self._members.get(incarnation)
+            if member is None:
                 return 0, "", 0.0
-            member = self._members[incarnation]
             counts = member.reaches_store and member.left_with is None
             return self._roster if counts else 0, incarnation, member.stated_at
 
@@ -163,6 +162,7 @@
             self._members[statement.incarnation] = _Member(
                 node, statement.sent_at, statement.heard_at, now, reaches_store
             )
+            self._processes[node] = statement.incarnation
 
     def basis_at(self, now: float) -> Basis:
         """Return on what the authority rests at a time, in seconds of the steady clock."""
