Check and log the keys of other programs in one place

Cause: three modules truncated keys for logs by a constant of their own, and a takeover checked the keys of the jobs topic beside the check of records that come later.

Change: KeyedRecord.short_key, and has_job_key for both. No behaviour changes: test_tails, test_takeover, test_malformed_records, test_odd_entries, test_store_client, test_leader_queries and test_operations_page pass (83 tests).

--- a/src/snowdock/entry/leader_handle.py
+++ b/src/snowdock/entry/leader_handle.py
@@ -30,10 +30,7 @@
 from .tails import Tail, handle_each
 from .topics import DEFAULT_PARTITION, JOBS_TOPIC, job_partition
 
-__all__ = ["LeaderHandle"]
-
-_MAX_LOGGED_KEY_CHARS = 60
-"""Length to which the key of an unusable record is truncated in logs."""
+__all__ = ["LeaderHandle", "has_job_key"]
 
 _JOBS_WAIT_SECONDS = 1.0
 """How long one read of new jobs waits, which bounds how outdated "no such job" may be."""
@@ -129,7 +126,7 @@
 
     def apply_job_record(self, record: KeyedRecord) -> None:
         """Send the leader a job's record or its cancellation; known ones have no effect."""
-        if record.value is None or not _has_job_key(record):
+        if record.value is None or not has_job_key(record):
             return
         if record.key.startswith(CANCEL_PREFIX):
             self._post(JobCancelled(record.key.removeprefix(CANCEL_PREFIX)))
@@ -145,7 +142,7 @@
         """Tell the leader of a job's record that is about to be appended."""
         if record.value is None or record.key.startswith(CANCEL_PREFIX):
             return
-        if not _has_job_key(record):
+        if not has_job_key(record):
             return
         try:
             accepted = decode_accepted(record.value)
@@ -211,7 +208,7 @@
 
     def _delist_unusable(self, record: KeyedRecord, error: PlatformError) -> None:
         """Delist a worker whose entry is unusable; its runs remain monitored."""
-        log_error("worker_entry_unusable", error, worker=record.key[:_MAX_LOGGED_KEY_CHARS])
+        log_error("worker_entry_unusable", error, worker=record.short_key)
         self._context.metrics.count(
             "entries_unusable_total", "Entries of others that cannot be used.", table="workers"
         )
@@ -226,9 +223,9 @@
         handle_each(records, self._apply_worker_record)
 
 
-def _has_job_key(record: KeyedRecord) -> bool:
+def has_job_key(record: KeyedRecord) -> bool:
     """Check whether a record of the jobs topic has a key of snowdock's; log any other key."""
     if is_job_key(record.key):
         return True
-    log_event("job_key_unusable", key=record.key[:_MAX_LOGGED_KEY_CHARS])
+    log_event("job_key_unusable", key=record.short_key)
     return False
--- a/src/snowdock/entry/tails.py
+++ b/src/snowdock/entry/tails.py
@@ -26,9 +26,6 @@
 """After an outage of the store longer than this, the newest records of all keys are read again,
 since entries that expired meanwhile may have left no record."""
 
-_MAX_LOGGED_KEY_CHARS = 60
-"""Length to which the key of a skipped record is truncated in logs."""
-
 
 def handle_each(records: Iterable[KeyedRecord], handle: Callable[[KeyedRecord], None]) -> None:
     """Handle records in order; one whose handling fails is logged and skipped."""
@@ -36,8 +33,7 @@
         try:
             handle(record)
         except Exception as error:
-            key = record.key[:_MAX_LOGGED_KEY_CHARS]
-            log_error("record_skipped", error, key=key, offset=record.offset)
+            log_error("record_skipped", error, key=record.short_key, offset=record.offset)
 
 
 class Tail:
--- a/src/snowdock/entry/takeover.py
+++ b/src/snowdock/entry/takeover.py
@@ -14,7 +14,6 @@
     AcceptedJob,
     JobProgress,
     decode_accepted,
-    is_job_key,
     is_progress_key,
     parse_job_id,
 )
@@ -25,7 +24,7 @@
 from ..platform.store import KeyedRecord, StoreClient, StorePage
 from .job_status_table import JobStatusTable
 from .leader import Leader, LeaderContext
-from .leader_handle import LeaderHandle
+from .leader_handle import LeaderHandle, has_job_key
 from .progress_writer import fence_progress
 from .topics import JOBS_TOPIC, PROGRESS_TOPIC, progress_partition_count
 
@@ -37,9 +36,6 @@
 _TAKEOVER_RETRY_SECONDS = 0.1
 """Pause before a takeover is retried after the store did not answer."""
 
-_MAX_LOGGED_KEY_CHARS = 60
-"""Length to which the key of an unusable record is truncated in logs."""
-
 _READ_THREADS = 12
 """Number of partitions read concurrently, since a call to a slow store takes about 0.4 s."""
 
@@ -101,7 +97,7 @@
     listed = []
     for record in records:
         if not is_progress_key(record.key):
-            log_event("progress_key_unusable", key=record.key[:_MAX_LOGGED_KEY_CHARS])
+            log_event("progress_key_unusable", key=record.short_key)
         elif record.value:
             listed.append((record.key, record.value))
     return listed
@@ -124,9 +120,9 @@
     unstartable = set()
     mismatched = set()
     for record in records:
-        if not is_job_key(record.key):
-            log_event("job_key_unusable", key=record.key[:_MAX_LOGGED_KEY_CHARS])
-        elif record.key.startswith(CANCEL_PREFIX):
+        if not has_job_key(record):
+            continue
+        if record.key.startswith(CANCEL_PREFIX):
             cancelled.add(record.key.removeprefix(CANCEL_PREFIX))
         elif record.value:
             job = parse_job_id(record.key)
--- a/src/snowdock/platform/store.py
+++ b/src/snowdock/platform/store.py
@@ -41,6 +41,9 @@
 _MAX_KEY_BYTES = 255
 """Longest key, since a record states its length in one byte."""
 
+_MAX_LOGGED_KEY_CHARS = 60
+"""Length to which keys are truncated in logs."""
+
 _REPLACEMENT = "\ufffd"
 _LONE_SURROGATE = re.compile("[\ud800-\udfff]")
 
@@ -67,6 +70,11 @@
     value: bytes | None
     offset: int = -1
 
+    @property
+    def short_key(self) -> str:
+        """The key, truncated for logs; other programs may write long ones."""
+        return self.key[:_MAX_LOGGED_KEY_CHARS]
+
     @property
     def size(self) -> int:
         """The record's length in bytes, as the store counts it."""
