State the bounds of a leader's record in its types

Cause: a function compared five fields by name after decoding, beside the decoder, which checks ranges in all other records; the stand-in for an unknown leader stood in two modules.

Change: annotated types, as in jobs/progress.py, and unknown_leader. The same values are refused, NaN among them, with the decoder's message. test_authority, _authority_replay, _claims, test_leader_log, test_malformed_records, test_odd_entries, test_turnover and the models pass (81 tests).

--- a/src/snowdock/entry/earlier_leaders.py
+++ b/src/snowdock/entry/earlier_leaders.py
@@ -5,14 +5,11 @@
 import msgspec
 
 from ..jobs.timeouts import OUTAGE_AUTHORITY_SECONDS
-from .leader_record import EarlierLeader, LeaderRecord, NodeIdentity
+from .leader_record import EarlierLeader, LeaderRecord, NodeIdentity, unknown_leader
 from .messages import Heartbeat, Statement
 
 __all__ = ["EarlierLeaders"]
 
-_UNKNOWN_LEADER = EarlierLeader("", "", 0, 0.0)
-"""Stands for a leader whose node is not known, so that no node's answer ends the wait for it."""
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Wait:
@@ -70,7 +67,7 @@
         """
         waits = []
         if last is None:
-            waits.append(_Wait(_UNKNOWN_LEADER, now + bound_s))
+            waits.append(_Wait(unknown_leader(bound_s), now + bound_s))
         elif last.incarnation == self._identity.incarnation:
             # The known record of this node's own term lacks what its last record passed on.
             waits += self._waits
@@ -85,7 +82,8 @@
             leader = EarlierLeader(last.node, last.incarnation, last.epoch, bound_s)
             waits.append(_Wait(leader, now + bound_s))
         if not is_readable:
-            waits.append(_Wait(_UNKNOWN_LEADER, now + OUTAGE_AUTHORITY_SECONDS))
+            leader = unknown_leader(OUTAGE_AUTHORITY_SECONDS)
+            waits.append(_Wait(leader, now + leader.authority_s))
         self._claimed_at = now
         self._waits = [wait for wait in waits if wait.until > now]
 
--- a/src/snowdock/entry/leader_record.py
+++ b/src/snowdock/entry/leader_record.py
@@ -1,8 +1,10 @@
 """The leader's record as it is kept in the store, and the identity of a node."""
 
 import dataclasses
+from typing import Annotated
 
 import msgspec
+from msgspec import Meta
 
 from ..errors import DECODE_ERRORS, PlatformError
 from ..jobs.timeouts import AUTHORITY_SECONDS, OUTAGE_AUTHORITY_SECONDS
@@ -15,6 +17,7 @@
     "NodeIdentity",
     "decode_leader_record",
     "encode_leader_record",
+    "unknown_leader",
 ]
 
 _UNSTATED_AUTHORITY_SECONDS = 3.0
@@ -30,6 +33,10 @@
 _MAX_COUNT = 2**53
 """Highest epoch, turnover or roster taken from a record, so that later ones fit into 64 bits."""
 
+_Count = Annotated[int, Meta(ge=0, le=_MAX_COUNT)]
+_Roster = Annotated[int, Meta(ge=_UNSTATED_ROSTER, le=_MAX_COUNT)]
+_Bound = Annotated[float, Meta(ge=0, le=_MAX_AUTHORITY_SECONDS)]
+
 
 class EarlierLeader(msgspec.Struct, frozen=True, array_like=True):
     """A leader before another one, which may still act.
@@ -45,7 +52,12 @@
     node: str
     incarnation: str
     epoch: int
-    authority_s: float
+    authority_s: _Bound
+
+
+def unknown_leader(authority_s: float) -> EarlierLeader:
+    """Return a leader whose node is not known, so that no node can tell that it has ended."""
+    return EarlierLeader("", "", 0, authority_s)
 
 
 class LeaderRecord(msgspec.Struct, frozen=True, array_like=True):
@@ -77,13 +89,13 @@
     node: str
     incarnation: str
     address: str
-    epoch: int
+    epoch: _Count
     resigned: bool = False
     successor: str = ""
-    turnover: int = 0
-    authority_s: float = _UNSTATED_AUTHORITY_SECONDS
+    turnover: _Count = 0
+    authority_s: _Bound = _UNSTATED_AUTHORITY_SECONDS
     was_behind: bool = False
-    roster: int = _UNSTATED_ROSTER
+    roster: _Roster = _UNSTATED_ROSTER
     earlier: tuple[EarlierLeader, ...] = ()
 
     def list_earlier(self) -> tuple[EarlierLeader, ...]:
@@ -92,7 +104,7 @@
         Releases without a roster pass their predecessors' bound on as their own.
         """
         if self.roster == _UNSTATED_ROSTER:
-            return (EarlierLeader("", "", 0, self.authority_s),)
+            return (unknown_leader(self.authority_s),)
         return self.earlier
 
 
@@ -142,29 +154,11 @@
     Raises
     ------
     PlatformError
-        If the record is malformed.
+        If the record is malformed, or its address cannot be a leader's.
     """
     try:
         leader = msgspec.msgpack.decode(record.value, type=LeaderRecord)
     except DECODE_ERRORS as error:
         raise PlatformError(f"malformed leader record: {error}") from error
-    _check_values(leader)
-    return leader
-
-
-def _check_values(leader: LeaderRecord) -> None:
-    """Check what the types of a leader's record leave open.
-
-    Raises
-    ------
-    PlatformError
-        If its address, a number or a bound cannot be a leader's.
-    """
     split_address(leader.address)
-    for name, least in (("epoch", 0), ("turnover", 0), ("roster", _UNSTATED_ROSTER)):
-        value = getattr(leader, name)
-        if not least <= value <= _MAX_COUNT:
-            raise PlatformError(f"leader record with {name} {value}")
-    for bound_s in (leader.authority_s, *(each.authority_s for each in leader.earlier)):
-        if not 0 <= bound_s <= _MAX_AUTHORITY_SECONDS:
-            raise PlatformError(f"leader record with a bound of {bound_s} s")
+    return leader
