Use one bound for amounts, priorities and live peers, and one valid entry

Cause: the limit of an amount stood in four places, that of a priority in two, the silence after which a peer is not live in two, and two test modules wrote out the same entry of a worker.

Change: Amount, MAX_AMOUNT and Priority of jobs/model.py, LIVE_SECONDS of peer_directory.py, and VALID_ENTRY.

--- a/src/snowdock/entry/authority.py
+++ b/src/snowdock/entry/authority.py
@@ -22,13 +22,10 @@
 from ..jobs.timeouts import AUTHORITY_SECONDS, OUTAGE_AUTHORITY_SECONDS
 from .leader_record import LeaderRecord
 from .messages import Statement
+from .peer_directory import LIVE_SECONDS
 
 __all__ = ["Authority", "Basis", "RosterPlace"]
 
-_SILENCE_SECONDS = 1.3
-"""Silence after which a member is removed from the roster while the store takes renewals; two
-infrequent heartbeats are due in this time."""
-
 
 class Basis(enum.Enum):
     """On what a leader's authority rests."""
@@ -112,7 +109,7 @@
             silent = [
                 member
                 for member in self._members.values()
-                if member.left_with is None and now - member.heard_at > _SILENCE_SECONDS
+                if member.left_with is None and now - member.heard_at > LIVE_SECONDS
             ]
             if silent:
                 self._roster += 1
--- a/src/snowdock/entry/peer_directory.py
+++ b/src/snowdock/entry/peer_directory.py
@@ -7,9 +7,9 @@
 from ..clocks import steady_seconds
 from .messages import Heartbeat
 
-__all__ = ["PeerDirectory"]
+__all__ = ["LIVE_SECONDS", "PeerDirectory"]
 
-_LIVE_SECONDS = 1.3
+LIVE_SECONDS = 1.3
 """A peer without a heartbeat for this long is not live; two are due in this time."""
 
 _FORGET_SECONDS = 10.0
@@ -75,7 +75,7 @@
         return {node for node, _ in strongest}
 
     def _live_peer_delays(self) -> list[tuple[str, float]]:
-        oldest = steady_seconds() - _LIVE_SECONDS
+        oldest = steady_seconds() - LIVE_SECONDS
         with self._lock:
             return [
                 (node, peer.claim_delay_s)
--- a/src/snowdock/jobs/model.py
+++ b/src/snowdock/jobs/model.py
@@ -11,6 +11,7 @@
 from ..teams import TeamRegistry
 
 __all__ = [
+    "MAX_AMOUNT",
     "MAX_STEPS",
     "AdviceTerms",
     "Amount",
@@ -20,6 +21,7 @@
     "JobSpec",
     "JobStatus",
     "Limits",
+    "Priority",
     "Queue",
     "Service",
     "SettingCount",
@@ -42,9 +44,15 @@
 _MAX_STEP_TASKS = 10_000
 """Most tasks of a step."""
 
-Amount = Annotated[int, Meta(ge=0, le=1_000_000_000)]
+MAX_AMOUNT = 1_000_000_000
+"""The largest amount."""
+
+Amount = Annotated[int, Meta(ge=0, le=MAX_AMOUNT)]
 """An amount of resources, or a count; sums over all runs of a cluster stay far below 64 bits."""
 
+Priority = Annotated[int, Meta(ge=-MAX_AMOUNT, le=MAX_AMOUNT)]
+"""The priority of a queue's jobs; 0 goes first."""
+
 StepTaskCount = Annotated[int, Meta(ge=1, le=_MAX_STEP_TASKS)]
 """The number of tasks of a step."""
 
--- a/src/snowdock/jobs/progress.py
+++ b/src/snowdock/jobs/progress.py
@@ -9,7 +9,7 @@
 
 from ..errors import DECODE_ERRORS, InvalidInput
 from .evidence import Evidence
-from .model import Amount, JobId, JobSpec, JobStatus, StepSpec, TimeMs
+from .model import MAX_AMOUNT, Amount, JobId, JobSpec, JobStatus, Priority, StepSpec, TimeMs
 
 __all__ = [
     "CANCEL_PREFIX",
@@ -55,9 +55,6 @@
 _PROGRESS_KEY = re.compile(r"[0-9a-f]{16}(\.[0-9]{1,10}){0,3}")
 """Keys of progress: a job, for a block with three numbers."""
 
-_MAX_AMOUNT = 1_000_000_000
-"""Most of a resource that a task may need, as for `Amount`."""
-
 _MAX_RUN = 2**53
 """Highest number of a run, so that later ones fit into 64 bits too."""
 
@@ -88,7 +85,7 @@
     spec: JobSpec
     accepted_ms: TimeMs
     service: str
-    priority: Annotated[int, Meta(ge=-1_000_000_000, le=1_000_000_000)]
+    priority: Priority
     max_attempts: Annotated[int, Meta(ge=0, le=2**63 - 1)]
     team: str = ""
     first_seen_ms: TimeMs = 0
@@ -315,7 +312,7 @@
         raise InvalidInput(f"step {number} comes after steps {step.after[:10]}")
     size = step.size
     for amount in (size.cpu, size.memory, size.accelerators):
-        if not 0 <= amount <= _MAX_AMOUNT:
+        if not 0 <= amount <= MAX_AMOUNT:
             raise InvalidInput(f"step {number} has an amount of resources of {amount}")
 
 
--- a/src/snowdock/platform/configuration.py
+++ b/src/snowdock/platform/configuration.py
@@ -11,6 +11,7 @@
     Configuration,
     DurationMs,
     Limits,
+    Priority,
     Queue,
     Service,
     SettingCount,
@@ -34,7 +35,7 @@
     path_prefix: str = "/"
     timeout_ms: DurationMs = 0
     target_latency_ms: DurationMs = 0
-    priority: Annotated[int, Meta(ge=-1_000_000_000, le=1_000_000_000)] = 0
+    priority: Priority = 0
     max_attempts: SettingCount = 1
     stretch: _Factor = 1.0
     advice: AdviceTerms | None = None
--- a/src/snowdock/platform/worker_entries.py
+++ b/src/snowdock/platform/worker_entries.py
@@ -13,6 +13,7 @@
 from ..declarations import Size
 from ..errors import PlatformError
 from ..jobs.lives import format_life, worker_id_of
+from ..jobs.model import Amount
 from ..jobs.workers import WorkerEntry
 from ._json import MAX_STORED_INT, BornMs, decode_born_ms, decode_json
 from .addresses import split_address
@@ -21,7 +22,6 @@
 
 WORKER_TOPIC = "keyed.servers"
 
-_Amount = Annotated[int, Meta(ge=0, le=1_000_000_000)]
 _Name = Annotated[str, Meta(min_length=1, max_length=255)]
 
 _WORKER_ID = re.compile(r"[!-~]{1,255}")
@@ -29,9 +29,9 @@
 
 
 class _Capacity(msgspec.Struct):
-    cpu: _Amount
-    mem_mb: _Amount
-    gpu: _Amount
+    cpu: Amount
+    mem_mb: Amount
+    gpu: Amount
 
 
 class _Entry(msgspec.Struct):
@@ -39,7 +39,7 @@
     address: str
     zone: str
     version: str
-    slots: _Amount
+    slots: Amount
     # A draining worker accepts no new tasks.
     state: Literal["ready", "draining"]
     cold_left_ms: Annotated[float, Meta(ge=0)]
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -34,22 +34,10 @@
 from tests.odd_values import ODD_ADDRESSES, ODD_KEYS, ODD_VALUES, replace_field
 from tests.standins.entry_cluster import CONFIGURATION, EntryCluster, wait_until
 from tests.standins.platform import Server, StoreStandin
+from tests.test_malformed_records import VALID_ENTRY
 from tests.test_worker_link import REPORT
 
-ENTRY = {
-    "service": "pool",
-    "address": "10.1.2.3:8709",
-    "zone": "hall",
-    "version": "v1",
-    "slots": 8,
-    "state": "ready",
-    "cold_left_ms": 0,
-    "capacity": {"cpu": 16_000, "mem_mb": 65_536, "gpu": 0},
-    "labels": ["a", "r1-3"],
-    "seq": 4,
-    "born": 1_700_000_000_000,
-    "remaining_ms": 500,
-}
+ENTRY = VALID_ENTRY | {"born": 1_700_000_000_000, "remaining_ms": 500}
 ENTRY_PATHS = (
     *((name,) for name in ENTRY),
     *(("capacity", name) for name in ENTRY["capacity"]),
