--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -26,6 +26,13 @@
         with self.assertRaises(ValueError):
             known_red.read_known_red(self.write(*(f"t{n}: x" for n in range(4))))
 
+    def test_cap_leaves_out_tests_of_hostile_clients(self) -> None:
+        """Tests of hostile clients are listed without a cap; the cap holds for all others."""
+        hostile = [f"tests.test_hostile_clients.TestX.test_{n}: x" for n in range(9)]
+        self.assertEqual(len(known_red.read_known_red(self.write(LINE, *hostile))), 10)
+        with self.assertRaises(ValueError):
+            known_red.read_known_red(self.write(*hostile, *(f"t{n}: x" for n in range(4))))
+
     def failure_outcome(self, test: str) -> str:
         """Return the outcome that is recorded for a failure of a test."""
         listed = known_red.read_known_red(self.write(LINE))
