Bound what callers' unfinished requests keep, and for how long

What callers saw: a process that ran out of memory and was gone, or one whose I/O thread parsed small chunks and answered nobody; behind more connections than a node serves, no answer at all; 413 for a body of the largest legal size.

Cause: waitress bounds one request. Nothing bounded the sum of bodies, chunk lines, trailers, parsed header fields, pipelined requests and unread answers, nor the time that they may take; header_timeout_ms and idle_timeout_ms were never applied. Its chunk parser copies the rest of a block for each chunk, and counts framing as body.

Change: snowdock.http_server, a waitress server with derived channel and parser. A budget of an eighth of memory_mb for all that is not answered, at four times its size for a whole body; when it is spent, the connection that keeps most and advances least is refused, none that is handled or about to be whole. Deadlines for head, body, unread answers and silence. A new connection above the limit displaces another. httptools decodes chunks; long requests are read in turns, 16 a round. No temporary files. Refusals say "not-run", which is decided under the lock that hands requests on.

It is replaced by two: such a caller is served, and one that arrives while all connections are handled gets 503, with a Retry-After, and is not run.

--- a/src/snowdock/errors.py
+++ b/src/snowdock/errors.py
@@ -16,6 +16,7 @@
     "DeclarationErrors",
     "Draining",
     "Forbidden",
+    "HeadTooLarge",
     "InvalidInput",
     "JobRefused",
     "JobTooLate",
@@ -25,10 +26,12 @@
     "LogUnavailable",
     "MethodNotAllowed",
     "NotFound",
+    "NotImplementedHere",
     "Overloaded",
     "PlatformError",
     "PolicyError",
     "ProducerFenced",
+    "RequestTimedOut",
     "ServiceOverloaded",
     "SettingsErrors",
     "SettingsUnreadable",
@@ -78,6 +81,20 @@
     status = 413
 
 
+class HeadTooLarge(InvalidInput):
+    """The head of a request is larger than the limit, or has too many fields."""
+
+    code = "head_too_large"
+    status = 431
+
+
+class NotImplementedHere(InvalidInput):
+    """A request uses a part of HTTP that the server does not implement."""
+
+    code = "not_implemented"
+    status = 501
+
+
 class UnsupportedMedia(InvalidInput):
     """A body has a content type that the call does not accept."""
 
@@ -151,6 +168,15 @@
         self.retry_after_seconds = retry_after_seconds
 
 
+class RequestTimedOut(Overloaded):
+    """A request did not arrive in time.
+
+    Callers take status 503 as a promise that nothing was run, which 408 is not to them.
+    """
+
+    code = "request_timed_out"
+
+
 class Draining(Overloaded):
     """The node is draining and accepts no new work."""
 
--- a/src/snowdock/node/http_models.py
+++ b/src/snowdock/node/http_models.py
@@ -8,14 +8,21 @@
 from ..errors import DeclarationErrors, SnowdockError
 
 __all__ = [
+    "NOT_RUN",
+    "OUTCOME_HEADER",
     "HttpRequest",
     "HttpResponse",
     "Problem",
     "format_retry_after",
     "json_response",
+    "not_run_response",
     "problem_response",
 ]
 
+NOT_RUN = "not-run"
+OUTCOME_HEADER = "Snowdock-Outcome"
+"""Header, and its value, that state that a request was not run."""
+
 _JSON = "application/json"
 
 
@@ -68,6 +75,13 @@
     return HttpResponse(error.status, body, headers=headers)
 
 
+def not_run_response(error: SnowdockError) -> HttpResponse:
+    """Build the response for a request that was refused before it was handled."""
+    answer = problem_response(error)
+    body = msgspec.json.encode(Problem(error.code, str(error), outcome=NOT_RUN))
+    return HttpResponse(answer.status, body, headers={**answer.headers, OUTCOME_HEADER: NOT_RUN})
+
+
 def format_retry_after(seconds: float) -> str:
     """Format seconds for ``Retry-After``: rounded up, at least 1."""
     return str(max(1, -int(-seconds // 1)))
--- a/src/snowdock/platform/node_settings.py
+++ b/src/snowdock/platform/node_settings.py
@@ -47,12 +47,17 @@
 
 class _Limits(msgspec.Struct):
     max_fds: int = 1024
+    memory_mb: Annotated[float, msgspec.Meta(ge=1)] = 300.0
     # Share of a core that is "cores" times as fast as a reference core.
     cpu_share: float = 1.0
     cores: float = 1.0
     link_mbps: float = 1000.0
 
 
+class _Callers(msgspec.Struct):
+    body_timeout_ms: Annotated[float, msgspec.Meta(ge=100, le=3_600_000)] = 30_000
+
+
 class StoreSettings(msgspec.Struct, frozen=True):
     """Address and limits of the platform's store.
 
@@ -81,6 +86,7 @@
     port_range: tuple[int, int]
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
     limits: _Limits = msgspec.field(default_factory=_Limits)
+    callers: _Callers = msgspec.field(default_factory=_Callers)
     advice: str = ""
     bootstrap: bool = False
     heartbeat_ms: float = 1500
@@ -122,6 +128,10 @@
         Interval at which a worker renews its entry in the store, in seconds.
     max_descriptors
         Most open files and sockets of the process.
+    memory_mb
+        Memory of the process, in MB.
+    body_timeout_s
+        How long the body of a caller's request may take to arrive, in seconds.
     cpu_cores
         Processor capacity, in reference cores.
     link_mbps
@@ -150,6 +160,8 @@
     max_descriptors: int
     cpu_cores: float
     link_mbps: float
+    memory_mb: float = 300.0
+    body_timeout_s: float = 30.0
     contracts: tuple[str, ...] = ()
 
 
@@ -188,6 +200,8 @@
         key_trust_s=file.bounds.revoke_ms / 1000 if file.bounds.strict_revoke else math.inf,
         worker_heartbeat_s=file.heartbeat_ms / 1000,
         max_descriptors=file.limits.max_fds,
+        memory_mb=file.limits.memory_mb,
+        body_timeout_s=file.callers.body_timeout_ms / 1000,
         cpu_cores=file.limits.cpu_share * file.limits.cores,
         link_mbps=file.limits.link_mbps,
         contracts=file.contracts,
