Serve probes and metrics within the bounds of the callers' listener

What the balancer saw: no readiness behind 190 silent connections; the process grew to 188 MB by large bodies to ports that take none.

Cause: both listeners had waitress's defaults: bodies of 1 GB, in files above 512 KiB, heads of 256 KiB, 100 connections and then nobody.

Change: they use the bounded server, with 50 connections, 2 MB, heads of 8 KiB and bodies of 1 KiB each.

Evidence: three tests of TestOtherListeners failed before and pass now, at 53 MB.

--- a/src/snowdock/entry/probe_server.py
+++ b/src/snowdock/entry/probe_server.py
@@ -3,8 +3,7 @@
 import os
 from collections.abc import Callable, Iterable
 
-import waitress
-
+from ..http_server import ConnectionLimits, create_server
 from ..node.http_models import HttpResponse, json_response
 from ..node.metrics import Metrics
 from ..platform.job_bodies import READY_PATH
@@ -22,6 +21,18 @@
 _THREADS = 2
 """Requests handled at once: one probe and one scrape of the metrics."""
 
+_LIMITS = ConnectionLimits(
+    connections=50,
+    budget_bytes=2_000_000,
+    header_bytes=8192,
+    body_bytes=1024,
+    header_timeout_s=5.0,
+    body_timeout_s=5.0,
+    idle_timeout_s=60.0,
+)
+"""Limits of each of the two listeners. A prober and a few collectors connect, and their requests
+have no body; the budget is for metrics that are not read yet, of some 100 KB each."""
+
 
 class ProbeServer:
     """The WSGI application for the load balancer's probes and the operators' metrics.
@@ -41,13 +52,8 @@
         self._metrics = metrics
         host = ready_address.rpartition(":")[0]
         port = os.environ.get(METRICS_PORT_VARIABLE, METRICS_PORT)
-        self._server = waitress.create_server(
-            self,
-            listen=f"{ready_address} {host}:{port}",
-            threads=_THREADS,
-            # `select` is limited to descriptors below 1,024; the leader may have more.
-            asyncore_use_poll=True,
-            ident=None,
+        self._server = create_server(
+            self, [ready_address, f"{host}:{port}"], _LIMITS, metrics, "probes", _THREADS
         )
 
     def start(self) -> None:
