Limit requests of peers to the longest one that a peer sends

What was seen: 95 connections that began a message of 60 MB took 341 MB.

Cause: the peers' listener accepted messages of 64 MiB, which only a response may have, and ZeroMQ keeps what has arrived of one.

Change: a request is at most four records of the store long, and the handshake of a connection takes at most 5 s. The sum over many connections stays unbounded, which docs/SECURITY.md says.

--- a/src/snowdock/entry/daemon.py
+++ b/src/snowdock/entry/daemon.py
@@ -64,6 +64,10 @@
 """Pooled connections to the store: one for each of the 20 threads that the listener always has for
 new jobs, and a few more."""
 
+_PEER_REQUEST_RECORDS = 4
+"""Longest request of a peer, in the longest record of the store. Peers pass on one record, or a
+configuration, which is one as well; a heartbeat with a load summary is shorter."""
+
 _DRAIN_SECONDS = 2.5
 """How long a stopping node still accepts requests. The load balancer probes once a second, and
 needs two failed probes to stop sending new connections."""
@@ -120,6 +124,7 @@
                 _HEARTBEAT_SECONDS,
                 plan=HeartbeatPlan(_INFREQUENT_HEARTBEAT_FACTOR, self._frequent_peers),
                 confirms_links=True,
+                max_request_bytes=_PEER_REQUEST_RECORDS * environment.store.record_bytes,
             ),
             ENTRY_MESSAGES,
             lambda question: self._answer_peer(question),
--- a/src/snowdock/node/peers.py
+++ b/src/snowdock/node/peers.py
@@ -24,6 +24,8 @@
 
 MAX_QUEUED_MESSAGES = 1000
 _MAX_MESSAGE_BYTES = 64 * 1024 * 1024
+"""Longest response of a peer, which may be the state of the cluster."""
+
 _MAX_ANSWER_THREADS = 160
 """Maximum number of threads that process requests of peers. With a slow store, each may be blocked
 for a second or two, and 100 jobs a second may arrive. Threads are started on demand."""
@@ -44,6 +46,9 @@
 """Time without ZeroMQ heartbeats after which a connection is replaced. TCP alone would take
 minutes to detect a peer that lost power."""
 
+_HANDSHAKE_TIMEOUT_MS = 5000
+"""Time for the handshake of a new connection, after which it is closed; peers need milliseconds."""
+
 _KEEPALIVE_SECONDS = 5
 _KEEPALIVE_PROBES = 3
 """TCP keepalive interval, and the number of missed probes after which a connection is closed."""
@@ -73,6 +78,8 @@
         The cluster's CURVE keys in Z85; empty for unauthenticated connections.
     plan
         How often each peer is sent a heartbeat.
+    max_request_bytes
+        Longest heartbeat or request of a peer; its connection is closed at a longer one.
     confirms_links
         Whether heartbeats report when the receiver's last heartbeat arrived, which detects dead
         connections. Otherwise ZeroMQ heartbeats are used, which cost more processor time.
@@ -84,6 +91,7 @@
     secret_key: str = ""
     plan: HeartbeatPlan = _UNIFORM_PLAN
     confirms_links: bool = False
+    max_request_bytes: int = _MAX_MESSAGE_BYTES
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -222,6 +230,9 @@
         self._wake_sender.connect("inproc://wake")
         self._authenticator = self._start_authenticator()
         self._listener = self._make_socket(zmq.ROUTER)
+        # Whoever reaches the port may begin a message, for which ZeroMQ allocates all of its size.
+        self._listener.maxmsgsize = options.max_request_bytes
+        self._listener.handshake_ivl = _HANDSHAKE_TIMEOUT_MS
         self._listener.bind(f"tcp://{options.listen}")
         self._poller = zmq.Poller()
         self._poller.register(self._listener, zmq.POLLIN)
