Serve the API of snowdockd within a budget

Cause: the API had waitress's defaults: 100 connections and then nobody, files for bodies above 512 KiB, no sum.

Change: the bounded server, with the section [clients] for its limits. Their defaults are those of a VM of 300 MB.

--- a/src/snowdock/node/daemon.py
+++ b/src/snowdock/node/daemon.py
@@ -3,6 +3,7 @@
 import argparse
 import contextlib
 import os
+import resource
 import secrets
 import signal
 import sys
@@ -11,10 +12,10 @@
 from collections.abc import Callable
 
 import pykka
-import waitress
 
 from ..clocks import steady_seconds
 from ..errors import InvalidInput, PlatformError, SettingsErrors, TokensUnreadable
+from ..http_server import ConnectionLimits, budget_bytes, create_server, max_connections
 from ..logs import log_error, log_event, start_logging
 from ..platform._http import HttpClient
 from ..platform.logs import LogClient
@@ -41,6 +42,14 @@
 
 __all__ = ["Node", "main"]
 
+_CLIENTS_DESCRIPTOR_SHARE = 0.5
+"""Share of the process's descriptors that clients' connections may use. The rest is for the log,
+workers, minions and peers."""
+
+_FORWARDED_HEAD_BYTES = 262_144
+"""What a forwarded call has beside its body: its path, query and headers, which are limited by the
+largest head of a request, and their encoding."""
+
 _TICK_INTERVAL_SECONDS = 0.25
 _CONNECTIONS_PER_MINION = 64
 _SEED_TIMEOUT_SECONDS = 2.0
@@ -76,13 +85,13 @@
         self._api = Api(self._context, self._requests, metrics, tokens)
         self._api.request_drain = self._stopping.set
         host, _, port = node.api.rpartition(":")
-        self._server = waitress.create_server(
+        self._server = create_server(
             self._api,
-            host=host,
-            port=int(port),
-            threads=node.threads,
-            max_request_body_size=node.max_body_bytes,
-            clear_untrusted_proxy_headers=True,
+            [f"{host}:{int(port)}"],
+            _connection_limits(settings),
+            metrics,
+            "api",
+            node.threads,
         )
         self._context.api_address = f"{host}:{self._server.effective_port}"
         self._context.on_fatal_error = self._fail
@@ -92,6 +101,7 @@
                 heartbeat_interval_s=timing.heartbeat_ms / 1000,
                 public_key=settings.security.peer_public_key,
                 secret_key=settings.security.peer_secret_key,
+                max_request_bytes=node.max_body_bytes + _FORWARDED_HEAD_BYTES,
             ),
             NODE_MESSAGES,
             self._answer_peer,
@@ -257,6 +267,24 @@
             log_event("left_silently", reason="no answer from the log")
 
 
+def _connection_limits(settings: Settings) -> ConnectionLimits:
+    clients = settings.clients
+    descriptors, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    return ConnectionLimits(
+        connections=min(
+            clients.max_connections,
+            max_connections(clients.memory_mb),
+            int(descriptors * _CLIENTS_DESCRIPTOR_SHARE),
+        ),
+        budget_bytes=budget_bytes(clients.memory_mb),
+        header_bytes=clients.max_header_bytes,
+        body_bytes=settings.node.max_body_bytes,
+        header_timeout_s=clients.header_timeout_ms / 1000,
+        body_timeout_s=clients.body_timeout_ms / 1000,
+        idle_timeout_s=clients.idle_timeout_ms / 1000,
+    )
+
+
 def main() -> None:
     """Run the daemon."""
     parser = argparse.ArgumentParser(prog="snowdockd", description=__doc__)
--- a/src/snowdock/settings.py
+++ b/src/snowdock/settings.py
@@ -11,6 +11,7 @@
 from .errors import DeclarationError, SettingsErrors
 
 __all__ = [
+    "ClientSettings",
     "NodeSettings",
     "PlatformSettings",
     "SecuritySettings",
@@ -118,6 +119,34 @@
     snapshot_entries: Annotated[int, Meta(ge=10, le=1_000_000)] = 20_000
 
 
+class ClientSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Section ``[clients]``: what the clients of the API may make the node keep.
+
+    Attributes
+    ----------
+    memory_mb
+        Memory of the VM. An eighth of it is for requests that are not answered yet, a quarter for
+        connections.
+    max_connections
+        Connections that are served at once.
+    max_header_bytes
+        The largest head of a request that is accepted.
+    header_timeout_ms
+        Time from the first byte of a request to the end of its head.
+    body_timeout_ms
+        Time from the end of a request's head to that of its body, and for reading an answer.
+    idle_timeout_ms
+        Time without any bytes after which a connection is closed.
+    """
+
+    memory_mb: Annotated[int, Meta(ge=64, le=1_000_000)] = 300
+    max_connections: Annotated[int, Meta(ge=10, le=100_000)] = 1000
+    max_header_bytes: Annotated[int, Meta(ge=1024, le=1_000_000)] = 65_536
+    header_timeout_ms: Milliseconds = 10_000
+    body_timeout_ms: Milliseconds = 30_000
+    idle_timeout_ms: Milliseconds = 60_000
+
+
 class SecuritySettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Section ``[security]``: authentication of callers, operators and peers.
 
@@ -142,6 +171,7 @@
     node: NodeSettings
     platform: PlatformSettings
     timing: TimingSettings = TimingSettings()
+    clients: ClientSettings = ClientSettings()
     security: SecuritySettings = SecuritySettings()
 
 
@@ -149,6 +179,7 @@
     "node": NodeSettings,
     "platform": PlatformSettings,
     "timing": TimingSettings,
+    "clients": ClientSettings,
     "security": SecuritySettings,
 }
 
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -7,6 +7,7 @@
 
 from snowdock.errors import SettingsErrors
 from snowdock.settings import (
+    ClientSettings,
     NodeSettings,
     PlatformSettings,
     SecuritySettings,
@@ -51,7 +52,13 @@
     def test_settings_page_lists_every_default(self) -> None:
         """The reference page lists the defaults that the code has."""
         page = (ROOT / "docs" / "settings.md").read_text(encoding="utf-8")
-        for model in (NodeSettings, PlatformSettings, TimingSettings, SecuritySettings):
+        for model in (
+            NodeSettings,
+            PlatformSettings,
+            TimingSettings,
+            ClientSettings,
+            SecuritySettings,
+        ):
             for field in msgspec.structs.fields(model):
                 default = "needed" if field.required else f"`{field.default}`"
                 if field.default == "":
