Limit the list of earlier steps to as many as a job can have

Cause: "after" took any length, so 256 KiB of text, legal for its size, kept a list and a tuple of 131,072 entries of eight bytes each, eight times its size, for as long as the job was being recorded.

Change: at most 100 entries, which is the number of steps that a job can have. test_longest_list_of_earlier_steps failed before: 101 entries were accepted.

--- a/src/snowdock/platform/job_bodies.py
+++ b/src/snowdock/platform/job_bodies.py
@@ -50,7 +50,8 @@
     mem_mb: Amount = 0
     gpu: Amount = 0
     estimate_ms: _FloatMs = 0
-    after: list[Amount] = []
+    # Numbers of distinct earlier steps; a longer list would keep many times its text.
+    after: Annotated[list[Amount], Meta(max_length=MAX_STEPS)] = []
     checkpointing: bool = False
     gang: bool = False
     same_rack: bool = False
--- a/tests/test_platform_codecs.py
+++ b/tests/test_platform_codecs.py
@@ -72,6 +72,17 @@
                 "q", json.dumps({"spec": "", "steps": [STEP], "initial_delay_ms": 10**400}).encode()
             )
 
+    def test_longest_list_of_earlier_steps(self) -> None:
+        """A step names as many earlier steps as a job can have, and no more."""
+        for count, is_valid in ((100, True), (101, False)):
+            steps = [{"count": 1}, {"count": 1, "after": [0] * count}]
+            body = json.dumps({"spec": "", "steps": steps}).encode()
+            if is_valid:
+                self.assertEqual(len(decode_job("q", body).steps[1].after), count)
+            else:
+                with self.assertRaises(InvalidInput):
+                    decode_job("q", body)
+
     def test_job_ids(self) -> None:
         """A job id has exactly 16 lower-case hexadecimal digits."""
         self.assertTrue(is_job_id("0123456789abcdef"))
