Count short terms from one whose start all candidates saw

Change: a fourth candidate; the test counts from the second term on, which all have seen, as its wait until they follow the leader ensures.

--- a/tests/test_election.py
+++ b/tests/test_election.py
@@ -346,15 +346,20 @@
 
     def test_consecutive_short_terms_are_counted(self) -> None:
         """Each short term is counted on record, and extends the timeout for the next leader."""
-        for name in ("first", "second", "third"):
+        for name in ("first", "second", "third", "fourth"):
             self.add_candidate(name)
+        # A candidate that starts after the first claim has not seen that term's start.
         self.silence_leader(self.wait_for_leader())
-        self.silence_leader(self.wait_for_leader())
-        last = self.wait_for_leader()
-        self.assertEqual(last.election.leader.turnover, 2)
-        fourth = self.add_candidate("fourth").election
-        self.assertTrue(wait_until(lambda: fourth.leader is not None))
-        self.assertEqual(fourth._known_leader.timeout_factor, 4.0)
+        counts = []
+        for _ in range(2):
+            leader = self.wait_for_leader()
+            counts.append(leader.election.leader.turnover)
+            self.silence_leader(leader)
+        counts.append(self.wait_for_leader().election.leader.turnover)
+        self.assertEqual(counts, [counts[0], counts[0] + 1, counts[0] + 2])
+        fifth = self.add_candidate("fifth").election
+        self.assertTrue(wait_until(lambda: fifth.leader is not None))
+        self.assertEqual(fifth._known_leader.timeout_factor, 2.0 ** counts[-1])
 
     def silence_leader(self, candidate: Candidate) -> None:
         """Stop a leader once the others follow it, but keep its port open."""
