Keep the limit of peers' requests above their heartbeats

Cause: the limit is four records of the store. With a store of short records, which the settings may state, it would be shorter than a heartbeat with a load summary, and such a heartbeat closes its connection.

Change: at least 1 MiB, which is four records of the usual store.

--- a/src/snowdock/entry/daemon.py
+++ b/src/snowdock/entry/daemon.py
@@ -66,7 +66,10 @@
 
 _PEER_REQUEST_RECORDS = 4
 """Longest request of a peer, in the longest record of the store. Peers pass on one record, or a
-configuration, which is one as well; a heartbeat with a load summary is shorter."""
+configuration, which is one as well."""
+
+_MIN_PEER_REQUEST_BYTES = 1_048_576
+"""Lower bound of the longest request, for heartbeats with a load summary beside short records."""
 
 _DRAIN_SECONDS = 2.5
 """How long a stopping node still accepts requests. The load balancer probes once a second, and
@@ -124,7 +127,10 @@
                 _HEARTBEAT_SECONDS,
                 plan=HeartbeatPlan(_INFREQUENT_HEARTBEAT_FACTOR, self._frequent_peers),
                 confirms_links=True,
-                max_request_bytes=_PEER_REQUEST_RECORDS * environment.store.record_bytes,
+                max_request_bytes=max(
+                    _MIN_PEER_REQUEST_BYTES,
+                    _PEER_REQUEST_RECORDS * environment.store.record_bytes,
+                ),
             ),
             ENTRY_MESSAGES,
             lambda question: self._answer_peer(question),
