Start the waiting records of a test before the store is silent

Cause: two, both in the test. It gave five threads 1.0 s of real time, of which the store's silence takes 0.7 s.

Change: the silence begins once all five wait, and their own wait is 15 s, so that a refusal in half of it can only come from the silence.

--- a/tests/test_store_health.py
+++ b/tests/test_store_health.py
@@ -1,5 +1,6 @@
 """Tests of judging the store from the outcomes of a node's calls, by a clock set by the test."""
 
+import math
 import threading
 import unittest
 
@@ -12,6 +13,9 @@
 from snowdock.platform.store import KeyedRecord
 from tests.standins.entry_cluster import wait_until
 
+LONG_WAIT_SECONDS = 15.0
+"""A wait of callers far beyond the time after which a store counts as silent."""
+
 
 class TestSilence(unittest.TestCase):
     def setUp(self) -> None:
@@ -126,19 +130,24 @@
         for thread in self.threads:
             thread.join(5.0)
 
-    def record(self, name: str) -> RecordOutcome:
-        self.outcomes[name] = self.recorder.record("0" * 16, KeyedRecord(name, b"x"), 2.0)
+    def record(self, name: str, wait_s: float = 2.0) -> RecordOutcome:
+        self.outcomes[name] = self.recorder.record("0" * 16, KeyedRecord(name, b"x"), wait_s)
         return self.outcomes[name]
 
-    def start(self, name: str) -> None:
-        self.threads.append(threading.Thread(target=self.record, args=(name,)))
+    def start(self, name: str, wait_s: float = 2.0) -> None:
+        self.threads.append(threading.Thread(target=self.record, args=(name, wait_s)))
         self.threads[-1].start()
 
     def test_waiting_records_are_withdrawn(self) -> None:
-        """What waits for a hanging append is refused within a second, and never sent."""
+        """What waits for a hanging append is refused long before its wait ends, and never sent."""
+        self.store.answered_at = math.inf
         for number in range(5):
-            self.start(f"waiting {number}")
-        self.assertTrue(wait_until(lambda: len(self.outcomes) == 5, 1.0))
+            self.start(f"waiting {number}", LONG_WAIT_SECONDS)
+        # One that comes once the store is silent would be its probe.
+        partition = self.recorder._partitions[0]
+        self.assertTrue(wait_until(lambda: len(partition.pending) == 5))
+        self.store.answered_at = steady_seconds()
+        self.assertTrue(wait_until(lambda: len(self.outcomes) == 5, LONG_WAIT_SECONDS / 2))
         self.assertEqual(set(self.outcomes.values()), {RecordOutcome.NOT_DONE})
         self.assertEqual(self.store.sent, ["first"])
         self.store.released.set()
