Say in one place that a closed connection keeps nothing

Cause: BoundedServer.release wrote what Channel.account already does for a closed connection, and two classes of the tests of hostile clients wrote the same three checks, with parameters that nobody passed.

Change: the former is gone, the checks are one function with the same assertions.

--- a/src/snowdock/http_server/channel.py
+++ b/src/snowdock/http_server/channel.py
@@ -19,7 +19,6 @@
 """How long a refused client may go on sending; a connection that is closed before would be reset,
 and the client might not get its answer."""
 
-
 _MIN_POLLS = 2
 """Rounds after which a request that arrived with a new connection has been read."""
 
@@ -150,7 +149,7 @@
         """Close the connection and release what it keeps."""
         super().handle_close()
         self._release_request()
-        self.server.release(self)
+        self.account()
 
     def received(self, data: bytes) -> bool:
         """Parse bytes, up to the end of a request."""
@@ -223,7 +222,7 @@
                 self._parse(arrived=False)
 
     def account(self) -> None:
-        """Tell the budget what the connection keeps."""
+        """Tell the budget what the connection keeps; a closed one keeps nothing."""
         self.server.account(self, self.kept_bytes if self.connected else 0)
 
     # -- refusals, on the I/O thread -------------------------------------------------------
--- a/src/snowdock/http_server/server.py
+++ b/src/snowdock/http_server/server.py
@@ -170,10 +170,6 @@
         """Set the bytes that a connection keeps."""
         self._budget.set(id(channel), kept)
 
-    def release(self, channel: Channel) -> None:
-        """Forget a closed connection."""
-        self._budget.set(id(channel), 0)
-
     def has_room(self, channel: Channel, kept: int, makes_room: bool) -> bool:
         """Return whether a whole request may be handled.
 
--- a/tests/test_hostile_clients.py
+++ b/tests/test_hostile_clients.py
@@ -65,24 +65,33 @@
 CHUNKED_HEAD = head("Transfer-Encoding: chunked") + b"\r\n"
 
 
+def check_outcome(
+    test: unittest.TestCase, is_running: bool, footprint: Footprint, answered: bool
+) -> None:
+    """Check that a process lives, stayed within its bounds and answered a request."""
+    test.assertTrue(is_running, "the process ended")
+    test.assertFalse(
+        footprint.is_exceeded,
+        f"{footprint.memory_mb:.0f} MB, {footprint.descriptors} descriptors",
+    )
+    test.assertTrue(answered, "no ordinary request was answered")
+
+
 class HostileCase(unittest.TestCase):
     """Runs one daemon, and checks its footprint and an ordinary request."""
 
-    def start(
-        self, limits: dict = LIMITS, callers: str = "", memory_mb: int = MEMORY_MB
-    ) -> EntryProcess:
+    def start(self, limits: dict = LIMITS, callers: str = "") -> EntryProcess:
         metrics_port = free_port("127.0.1.1")
 
         class Process(EntryProcess):
             def write_settings(self) -> None:
                 super().write_settings()
                 text = self.settings.read_text()
-                stated = f"[limits]\nmemory_mb = {memory_mb}\n"
+                stated = f"[limits]\nmemory_mb = {MEMORY_MB}\n"
                 self.settings.write_text(text.replace("[limits]\n", stated) + callers)
 
             def environment(self) -> dict[str, str]:
-                variables = {**os.environ, **super().environment()}
-                return {**variables, "SNOWDOCK_METRICS_PORT": str(metrics_port)}
+                return {**super().environment(), "SNOWDOCK_METRICS_PORT": str(metrics_port)}
 
         self.cluster = EntryCluster(1, 1, make_process=Process)
         self.addCleanup(self.cluster.close)
@@ -94,13 +103,13 @@
         self.assertTrue(wait_until(self.submit), "the node accepts no job in calm")
         return self.node
 
-    def submit(self, body: bytes | None = None, headers: dict | None = None) -> bool:
+    def submit(self, body: bytes | None = None) -> bool:
         """Submit an ordinary job and return whether it was accepted."""
         path, job = self.cluster.make_job([{"count": 1, "cpu": 10, "mem_mb": 10}])
-        return self.node.call("POST", path, body or job, headers)[0] == 200
+        return self.node.call("POST", path, body or job)[0] == 200
 
-    def footprint(self, memory_mb: float = MEMORY_MB) -> Footprint:
-        found = Footprint(self.node.process.pid, memory_mb, MAX_DESCRIPTORS)
+    def footprint(self) -> Footprint:
+        found = Footprint(self.node.process.pid, MEMORY_MB, MAX_DESCRIPTORS)
         return self.enterContext(found)
 
     def crowd(self, size: int = CROWD, port: int | None = None) -> Crowd:
@@ -113,12 +122,7 @@
         answered = not footprint.is_exceeded and any(
             (ask or self.submit)() for _ in range(_ATTEMPTS)
         )
-        self.assertIsNone(self.node.process.poll(), "the process ended")
-        self.assertFalse(
-            footprint.is_exceeded,
-            f"{footprint.memory_mb:.0f} MB, {footprint.descriptors} descriptors",
-        )
-        self.assertTrue(answered, "no ordinary request was answered")
+        check_outcome(self, self.node.process.poll() is None, footprint, answered)
 
     def check_crowd(self, data: bytes, limits: dict = LIMITS, size: int = CROWD) -> None:
         """Check a daemon whose front listener gets the same bytes from a whole crowd."""
@@ -307,12 +311,7 @@
             answered = not footprint.is_exceeded and any(
                 self.is_answered() for _ in range(_ATTEMPTS)
             )
-        self.assertTrue(self.process.is_running, "the process ended")
-        self.assertFalse(
-            footprint.is_exceeded,
-            f"{footprint.memory_mb:.0f} MB, {footprint.descriptors} descriptors",
-        )
-        self.assertTrue(answered, "no ordinary request was answered")
+        check_outcome(self, self.process.is_running, footprint, answered)
 
     def test_bodies_to_the_api_fill_temporary_files(self) -> None:
         """Bodies of legal size that lack their last byte."""
