--- a/review/small_platform.py
+++ b/review/small_platform.py
@@ -12,7 +12,6 @@
 import json
 import os
 import pathlib
-import random
 import secrets
 import shlex
 import signal
@@ -66,7 +65,6 @@
 
 _PARTS = 12
 _HEARTBEAT_SECONDS = 1.5
-_SILENCE_SECONDS = 3.0
 _RESTART_SECONDS = 0.3
 _MEMORY_POLL_SECONDS = 0.05
 _PAGE_ITEMS = 500
@@ -299,23 +297,11 @@
         Gets a line for each start, end and stop.
     work_s
         How long each task works.
-
-    Attributes
-    ----------
-    starts
-        Each start: task, run and spec.
-    started_at
-        When a run started on an order that was carried out at once.
-    late_share
-        The share of orders that get no answer and are carried out 2 to 12 s later.
     """
 
     def __init__(self, store: Store, worker_id: str, record: Record, work_s: float = 0.3) -> None:
         self.worker_id = worker_id
         self.starts: list[tuple[str, int, str]] = []
-        self.started_at: dict[tuple[str, int], float] = {}
-        self.late_share = 0.0
-        self._random = random.Random(worker_id)
         self._store = store
         self._record = record
         self._work_s = work_s
@@ -383,34 +369,17 @@
         self._record.write(f"{self.worker_id} ends {task} run {run}: {how}")
         self._changed.notify_all()
 
-    def _handle(self, method: str, path: str, query: dict, headers, body: bytes) -> Reply | None:
+    def _handle(self, method: str, path: str, query: dict, headers, body: bytes) -> Reply:
         if headers.get("X-Expected-Instance") != self.worker_id:
             return 421, b""
         call = json.loads(body)
-        is_order = path != "/v1/hold"
-        if is_order and self._random.random() < self.late_share:
-            self._leave_unanswered(path, call)
-            return None
-        return self._carry_out(path, call)
-
-    def _leave_unanswered(self, path: str, call: dict) -> None:
-        """Leave an order without an answer, and carry it out 2 to 12 s later."""
-        delay_s = self._random.uniform(2.0, 12.0)
-        order = f"{path} {call['task']} run {call['run']}"
-        self._record.write(f"{self.worker_id} leaves {order} unanswered for {delay_s:.1f} s")
-        timer = threading.Timer(delay_s, lambda: self._carry_out(path, call, is_late=True))
-        timer.daemon = True
-        timer.start()
-        time.sleep(_SILENCE_SECONDS)
-
-    def _carry_out(self, path: str, call: dict, is_late: bool = False) -> Reply:
         token = call.get("fencing_token", 0)
         with self._changed:
             if token < self._token:
                 return self._refuse("fence")
             self._token = token
             if path == "/v1/run-start":
-                return self._handle_start(call, is_late)
+                return self._handle_start(call)
             if path == "/v1/run-stop":
                 return self._handle_stop(call)
             if path == "/v1/hold":
@@ -424,7 +393,7 @@
         limit = self._clock_ms + BOUNDS["hold_max_ms"]
         self._deadline_ms = max(self._deadline_ms, min(deadline_ms, limit))
 
-    def _handle_start(self, call: dict, is_late: bool) -> Reply:
+    def _handle_start(self, call: dict) -> Reply:
         task, run = call["task"], call["run"]
         if (task, run) in self._running:
             return _json_reply({"clock_ms": self._clock_ms})
@@ -435,12 +404,7 @@
             return self._refuse("late")
         self._running[task, run] = time.monotonic() + self._work_s
         self.starts.append((task, run, call["spec"]))
-        if not is_late:
-            self.started_at[task, run] = time.monotonic()
-        how = " (carried out late)" if is_late else ""
-        self._record.write(
-            f"{self.worker_id} starts {task} run {run}, spec {call['spec'][:40]!r}{how}"
-        )
+        self._record.write(f"{self.worker_id} starts {task} run {run}, spec {call['spec'][:40]!r}")
         return _json_reply({"clock_ms": self._clock_ms})
 
     def _handle_stop(self, call: dict) -> Reply:
