--- a/src/snowdock/jobs/announced_jobs.py
+++ b/src/snowdock/jobs/announced_jobs.py
@@ -6,12 +6,14 @@
 
 from .cell import Cell
 from .events import JobAnnounced
+from .expansion import expand_job
+from .job_objects import release_objects
 from .job_state import Job, Phase
 from .load import predict_job
 from .model import JobId
 from .progress import AcceptedJob
 from .reservations import release_claim
-from .runs import create_repetition, enqueue_ready_steps, stop_run
+from .runs import stop_run
 
 __all__ = ["announce_job", "confirm_job", "withdraw_expired_jobs", "withdraw_job"]
 
@@ -20,7 +22,7 @@
 seconds, and a record that is appended later makes the job known again."""
 
 
-def announce_job(cell: Cell, event: JobAnnounced, now: float) -> None:
+def announce_job(cell: Cell, event: JobAnnounced, now: float, wall_ms: float) -> None:
     """Add a job whose record is being appended, unless it is known or scheduled for later."""
     job_id, accepted = event.job, event.accepted
     is_known = job_id in cell.jobs or job_id in cell.job_ended_at
@@ -28,10 +30,10 @@
     if is_known or has_unknown_runs or accepted.spec.repetitions:
         return
     job = Job(job_id, accepted, now - accepted.waited_s, announced_at=now)
-    cell.jobs[job_id] = job
+    cell.add_job(job)
     cell.held_starts[job_id] = []
     predict_job(cell, job)
-    enqueue_ready_steps(cell, create_repetition(job, 0))
+    expand_job(cell, job, wall_ms)
 
 
 def confirm_job(cell: Cell, job: Job, recorded: AcceptedJob, now: float) -> bool:
@@ -60,14 +62,16 @@
         if task.phase is Phase.RECORDED:
             stop_run(cell, task, now)
     for step in job.all_steps():
-        cell.waiting_steps.pop(step.key, None)
+        cell.dequeue(step)
         release_claim(cell, step.key)
     # Its progress may be on record already. Without a submission, a takeover ignores it.
     cell.dirty_jobs.pop(job_id, None)
     if cell.change_set is not None:
         cell.change_set.jobs.pop(job_id, None)
     cell.held_starts.pop(job_id, None)
-    del cell.jobs[job_id]
+    cell.unexpanded_jobs.pop(job_id, None)
+    release_objects(cell, job)
+    cell.remove_job(job_id)
     cell.needs_placement = True
     cell.log_decision("job_withdrawn", job_id, queue=job.queue, announced_s=now - job.announced_at)
 
--- a/src/snowdock/jobs/cell.py
+++ b/src/snowdock/jobs/cell.py
@@ -73,6 +73,8 @@
         Whether the load is summarized and waits are predicted (contract `pressure`).
     max_record_bytes, max_append_bytes
         Length of the longest record, and of the longest append, that the store takes.
+    max_job_objects
+        Maximum number of steps and tasks of all jobs in memory; see `job_objects`.
     """
 
     lease_s: float
@@ -87,6 +89,7 @@
     summarizes_load: bool = False
     max_record_bytes: int = 262_144
     max_append_bytes: int = 2_097_152
+    max_job_objects: int = 100_000
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -307,8 +310,18 @@
         Parts of quotas that are reserved for waiting gangs, by team.
     waiting_steps
         Steps with unplaced tasks, in the order in which they were last ranked.
-    scheduled_jobs
-        Jobs with repetitions that are not due yet.
+    unexpanded_jobs
+        Jobs with repetitions that are not created yet, those that have waited longest first.
+    held_steps
+        Steps that may run and wait to be among the waiting steps, those held longest first.
+    partial_steps
+        Steps that may run and of which some tasks are not created yet.
+    object_count
+        Number of steps and tasks of all jobs in memory.
+    created_in_event
+        Number of steps and tasks that the current event has created.
+    recorded_ends
+        Ended jobs in memory whose end is recorded and of which nothing runs, in this order.
     charged_lives
         The charged runs of unended jobs, by the life of their worker.
     crashed_at
@@ -397,7 +410,12 @@
         self.team_usage = TeamUsage()
         self.quota_reservations: dict[str, QuotaReservation] = {}
         self.waiting_steps: dict[StepKey, Step] = {}
-        self.scheduled_jobs: dict[JobId, Job] = {}
+        self.unexpanded_jobs: dict[JobId, Job] = {}
+        self.held_steps: dict[StepKey, Step] = {}
+        self.partial_steps: dict[StepKey, Step] = {}
+        self.object_count = 0
+        self.created_in_event = 0
+        self.recorded_ends: dict[JobId, Job] = {}
         self.charged_lives: dict[str, set[tuple[TaskId, int]]] = {}
         self.crashed_at: dict[str, float] = {}
         self.failing_step_share: dict[str, float] = {}
@@ -458,15 +476,38 @@
         """Publish a job's status to callers immediately."""
         self.effects.append(PublishStatus(job.id, job.queue, job.status, job.team))
 
+    def enqueue(self, step: Step) -> None:
+        """Add a step to the waiting steps."""
+        self.held_steps.pop(step.key, None)
+        if step.key not in self.waiting_steps:
+            self.waiting_steps[step.key] = step
+            step.job.waiting_steps += 1
+
+    def dequeue(self, step: Step) -> None:
+        """Remove a step from the waiting steps, or from those that are held."""
+        self.held_steps.pop(step.key, None)
+        if self.waiting_steps.pop(step.key, None) is not None:
+            step.job.waiting_steps -= 1
+
+    def add_job(self, job: Job) -> None:
+        """Add a job."""
+        self.jobs[job.id] = job
+
+    def remove_job(self, job_id: JobId) -> Job | None:
+        """Remove and return a job; None if it is unknown."""
+        return self.jobs.pop(job_id, None)
+
     def find_task(self, task: TaskId) -> Task | None:
-        """Return a task, or None if its job, repetition, step or index is unknown."""
-        job = self.jobs.get(task.job)
-        if job is None or task.repetition >= len(job.repetitions):
-            return None
-        steps = job.repetitions[task.repetition]
-        if task.step >= len(steps) or task.index >= len(steps[task.step].tasks):
-            return None
-        return steps[task.step].tasks[task.index]
+        """Return a task, or None if it is unknown or not in memory."""
+        step = self.find_step((task.job, task.repetition, task.step))
+        return None if step is None else step.find_task(task.index)
+
+    def find_step(self, key: StepKey) -> Step | None:
+        """Return a step, or None if it is unknown or not in memory."""
+        job_id, repetition, number = key
+        job = self.jobs.get(job_id)
+        steps = None if job is None else job.repetitions.get(repetition)
+        return steps[number] if steps is not None and 0 <= number < len(steps) else None
 
     def queue_of(self, job: Job) -> Queue:
         """Return a job's queue, or one with the terms at its acceptance if it was removed."""
--- a/src/snowdock/jobs/charges.py
+++ b/src/snowdock/jobs/charges.py
@@ -23,6 +23,7 @@
     "charges_on",
     "drop_charges",
     "forget_charges",
+    "forget_task_charges",
     "is_on_hold",
     "may_have_ended_early",
     "restore_charges",
@@ -110,8 +111,13 @@
 def forget_charges(cell: Cell, job: Job) -> None:
     """Stop looking for evidence about the charged runs of a job that has ended."""
     for task in job.all_tasks():
-        for charge in task.charges:
-            _remove_from_index(cell, task, charge)
+        forget_task_charges(cell, task)
+
+
+def forget_task_charges(cell: Cell, task: Task) -> None:
+    """Stop looking for evidence about the charged runs of a task that is done."""
+    for charge in task.charges:
+        _remove_from_index(cell, task, charge)
 
 
 def restore_charges(cell: Cell, task: Task, charges: tuple[Charge, ...]) -> None:
--- /dev/null
+++ b/src/snowdock/jobs/job_objects.py
@@ -0,0 +1,157 @@
+"""Creation and removal of the objects of jobs, within a limit on all of them together.
+
+A job of a few bytes may expand to millions of tasks. A step and a task take memory, and time in
+each event that looks at them, only from when they may start; until then they are numbers.
+
+Each job may use an eighth of what is free, so that some is left for any further job (dynamic
+thresholds, Choudhury and Hahne 1998). A quarter of all is reserved for the first objects of each
+job, so that a small job starts beside any number of large ones that hold what they have.
+"""
+
+import math
+from collections.abc import Iterable
+
+from .cell import Cell
+from .charges import forget_task_charges
+from .job_state import Job, Step, Task
+from .model import TaskId
+
+__all__ = [
+    "MAX_CREATED_PER_EVENT",
+    "add_tasks",
+    "free_objects",
+    "has_place",
+    "may_open_repetition",
+    "open_repetition",
+    "release_objects",
+    "restore_task",
+]
+
+_JOB_SHARE = 8
+"""Each job may use the free objects divided by this."""
+
+_MAX_JOB_SHARE = 16
+"""Each job may use the limit divided by this: all of its tasks are looked at when one changes."""
+
+_RESERVED_SHARE = 4
+_RESERVED_OBJECTS_PER_JOB = 128
+"""The limit divided by this is reserved for the first so many objects of each job."""
+
+MAX_CREATED_PER_EVENT = 2_000
+"""Number of steps and tasks after which one event creates no more: some milliseconds."""
+
+_CROWDED_STEP_COUNT = 50
+_MAX_WAITING_STEPS = ((_CROWDED_STEP_COUNT, 32), (1_000, 6), (math.inf, 1))
+"""While fewer steps than the first number wait, the maximum number of waiting steps of one job.
+Each of them takes time in each placement pass, and delays the searches for the others."""
+
+
+def free_objects(cell: Cell) -> int:
+    """Return how many more steps and tasks may be held; may be negative after a takeover."""
+    return cell.settings.max_job_objects - cell.object_count
+
+
+def _allowance(cell: Cell, job: Job) -> int:
+    """Return how many more objects a job may create."""
+    max_objects = cell.settings.max_job_objects
+    free = free_objects(cell)
+    unreserved = free - max_objects // _RESERVED_SHARE
+    share = min(unreserved // _JOB_SHARE, max_objects // _MAX_JOB_SHARE)
+    first = min(free // _JOB_SHARE, _RESERVED_OBJECTS_PER_JOB)
+    return max(share, first) - job.object_count
+
+
+# -- waiting steps -------------------------------------------------------------------------
+
+
+def has_place(cell: Cell, job: Job) -> bool:
+    """Check whether a further step of a job may be among the waiting steps."""
+    return job.waiting_steps < next(
+        places for limit, places in _MAX_WAITING_STEPS if len(cell.waiting_steps) < limit
+    )
+
+
+# -- repetitions ---------------------------------------------------------------------------
+
+
+def may_open_repetition(cell: Cell, job: Job) -> bool:
+    """Check whether a job may get a further repetition."""
+    step_count = len(job.accepted.spec.steps)
+    if all(step.is_done for step in job.all_steps()):
+        return free_objects(cell) // _JOB_SHARE >= step_count
+    return has_place(cell, job) and _allowance(cell, job) >= step_count
+
+
+def open_repetition(cell: Cell, job: Job, repetition: int, wall_ms: float) -> list[Step]:
+    """Create the steps of a repetition, without their tasks."""
+    overdue_s = max(0.0, wall_ms - job.due_ms(repetition)) / 1000
+    submitted_at = max(job.submitted_at, cell.now - overdue_s)
+    steps = []
+    first_position = 0
+    for number, spec in enumerate(job.accepted.spec.steps):
+        steps.append(Step(job, repetition, number, spec, submitted_at, first_position))
+        first_position += spec.count
+    job.repetitions[repetition] = steps
+    _count(cell, job, len(steps))
+    return steps
+
+
+# -- tasks ---------------------------------------------------------------------------------
+
+
+def add_tasks(cell: Cell, step: Step) -> int:
+    """Create the tasks of a step that are not in memory; return how many."""
+    if not step.uncreated_count:
+        cell.partial_steps.pop(step.key, None)
+        return 0
+    count = step.uncreated_count
+    job = step.job
+    for _ in range(count):
+        index = step.next_uncreated_index()
+        step.tasks.append(Task(TaskId(job.id, step.repetition, step.number, index), step))
+        step.next_index = index + 1
+    if step.is_restored and count:
+        step.tasks.sort(key=lambda task: task.id.index)
+    _count(cell, job, count)
+    if step.uncreated_count:
+        cell.partial_steps[step.key] = step
+    else:
+        cell.partial_steps.pop(step.key, None)
+    return count
+
+
+def restore_task(cell: Cell, step: Step, index: int) -> Task | None:
+    """Create a task that is on record, or return None if the step has none of this index.
+
+    Tasks are restored in ascending order, before any other of the step is created.
+    """
+    if not 0 <= index < step.spec.count:
+        return None
+    task = Task(TaskId(step.job.id, step.repetition, step.number, index), step)
+    step.tasks.append(task)
+    _count(cell, step.job, 1)
+    return task
+
+
+# -- removal -------------------------------------------------------------------------------
+
+
+def release_objects(cell: Cell, job: Job) -> None:
+    """Remove all steps and tasks of a job that has ended and of which nothing runs."""
+    _forget_steps(cell, job.all_steps())
+    job.repetitions.clear()
+    _count(cell, job, -job.object_count)
+
+
+def _forget_steps(cell: Cell, steps: Iterable[Step]) -> None:
+    for step in steps:
+        cell.partial_steps.pop(step.key, None)
+        cell.held_steps.pop(step.key, None)
+        for task in step.tasks:
+            forget_task_charges(cell, task)
+
+
+def _count(cell: Cell, job: Job, change: int) -> None:
+    job.object_count += change
+    cell.object_count += change
+    cell.created_in_event += max(0, change)
--- a/src/snowdock/jobs/job_state.py
+++ b/src/snowdock/jobs/job_state.py
@@ -1,17 +1,22 @@
 """Leader-side state of jobs, their steps and tasks, and the advice about their placement."""
 
+import bisect
 import dataclasses
 import enum
-from collections.abc import Mapping
+from collections.abc import Iterator, Mapping
 
 from .evidence import Charge, Evidence
 from .load_history import WaitPrediction
 from .model import AdviceTerms, JobId, JobStatus, StepKey, StepSpec, TaskId
+from .number_ranges import Range, add_number, contains, next_outside
 from .orders import AdviceRequest
 from .progress import AcceptedJob, record_name
 from .progress_layout import ProgressLayout
 
-__all__ = ["Advice", "AskObstacle", "Job", "Phase", "Step", "Task"]
+__all__ = ["Advice", "AskObstacle", "Job", "Phase", "Step", "Task", "drop_done_tasks"]
+
+_MANY_TASKS = 512
+"""Number of tasks up to which a job's progress is one record and its tasks are kept in memory."""
 
 
 class Phase(enum.Enum):
@@ -161,7 +166,7 @@
     life: str = ""
     address: str = ""
     is_confirmed: bool = False
-    failed_runs: set[int] = dataclasses.field(default_factory=set)
+    failed_runs: frozenset[int] = frozenset()
     charges: tuple[Charge, ...] = ()
     checkpoint: str = ""
     phase_since: float = 0.0
@@ -214,14 +219,28 @@
 
     Attributes
     ----------
+    submitted_at
+        Time of the job's submission or, if that is later, at which the repetition was due.
+    first_position
+        Position of its first task among all tasks of the repetition.
+    tasks
+        The tasks in memory, in ascending order; see `job_objects`.
+    next_index
+        Index from which further tasks are created.
+    is_restored
+        Whether an earlier leader may have created any of its tasks.
+    finished
+        Ranges of the tasks that are done and were dropped from memory.
+    dropped_count
+        Number of these tasks.
     done_count
         Number of tasks that are done.
     advice
         Answers of the advice service; None if the queue needs no advice.
     rank, ranked_at
         Rank of the step, and time of its computation; steps with higher ranks are placed first.
-    queued_at
-        Time at which the step was enqueued.
+    queued_at, placed_at
+        Time at which the step was enqueued, and of the last placement of any of its tasks.
     not_before
         Earliest time of the next attempt after a failure.
     next_search_at, last_search_at
@@ -257,12 +276,19 @@
     repetition: int
     number: int
     spec: StepSpec
+    submitted_at: float
+    first_position: int = 0
     tasks: list[Task] = dataclasses.field(default_factory=list)
+    next_index: int = 0
+    is_restored: bool = False
+    finished: list[Range] = dataclasses.field(default_factory=list)
+    dropped_count: int = 0
     done_count: int = 0
     advice: Advice | None = None
     rank: float = 0.0
     ranked_at: float = 0.0
     queued_at: float = 0.0
+    placed_at: float = 0.0
     not_before: float = 0.0
     next_search_at: float = 0.0
     next_claim_at: float = 0.0
@@ -284,9 +310,48 @@
         """Identifier of the step."""
         return (self.job.id, self.repetition, self.number)
 
+    @property
+    def uncreated_count(self) -> int:
+        """Number of tasks that are not in memory yet."""
+        return self.spec.count - self.dropped_count - len(self.tasks)
+
+    def find_task(self, index: int) -> Task | None:
+        """Return a task, or None if it is not in memory."""
+        tasks = self.tasks
+        if 0 <= index < len(tasks) and tasks[index].id.index == index:
+            return tasks[index]
+        position = bisect.bisect_left(tasks, index, key=lambda task: task.id.index)
+        if position < len(tasks) and tasks[position].id.index == index:
+            return tasks[position]
+        return None
+
+    def tasks_between(self, first: int, end: int) -> list[Task]:
+        """Return the tasks in memory with an index from ``first`` to before ``end``."""
+        low = bisect.bisect_left(self.tasks, first, key=lambda task: task.id.index)
+        high = bisect.bisect_left(self.tasks, end, key=lambda task: task.id.index)
+        return self.tasks[low:high]
+
+    def add_finished(self, index: int) -> None:
+        """Record that a task that is not in memory is done."""
+        if 0 <= index < self.spec.count and not contains(self.finished, index):
+            add_number(self.finished, index)
+            self.dropped_count += 1
+
+    def next_uncreated_index(self) -> int:
+        """Return the lowest index of a task that has not been created; there must be one."""
+        index = self.next_index
+        while self.is_restored:
+            following = next_outside(self.finished, index)
+            if self.find_task(following) is not None:
+                following += 1
+            if following == index:
+                break
+            index = following
+        return index
+
     @property
     def waiting_tasks(self) -> list[Task]:
-        """Tasks that wait for a placement."""
+        """Tasks in memory that wait for a placement."""
         return [task for task in self.tasks if task.phase is Phase.WAITING]
 
     @property
@@ -312,7 +377,7 @@
     @property
     def is_done(self) -> bool:
         """Whether all tasks are done."""
-        return self.done_count == len(self.tasks)
+        return self.done_count == self.spec.count
 
 
 def compute_critical_paths_ms(specs: tuple[StepSpec, ...]) -> tuple[float, ...]:
@@ -332,6 +397,16 @@
     ----------
     submitted_at
         Time of the caller's first attempt to submit the job, in steady-clock seconds.
+    repetitions
+        By number, the steps of the repetitions in memory.
+    next_repetition
+        Number from which further repetitions are created.
+    waiting_steps
+        Number of its steps among the leader's waiting steps.
+    object_count
+        Number of steps and tasks in memory.
+    has_many_tasks
+        Whether its tasks are dropped from memory once they are done.
     critical_paths_ms
         Estimated length of the critical path that starts at each step.
     announced_at
@@ -347,7 +422,11 @@
     accepted: AcceptedJob
     submitted_at: float
     status: JobStatus = JobStatus.PENDING
-    repetitions: list[list[Step]] = dataclasses.field(default_factory=list)
+    repetitions: dict[int, list[Step]] = dataclasses.field(default_factory=dict)
+    next_repetition: int = 0
+    waiting_steps: int = 0
+    object_count: int = 0
+    has_many_tasks: bool = False
     critical_paths_ms: tuple[float, ...] = ()
     announced_at: float | None = None
     wait_prediction: WaitPrediction | None = None
@@ -355,6 +434,7 @@
 
     def __post_init__(self) -> None:
         self.critical_paths_ms = compute_critical_paths_ms(self.accepted.spec.steps)
+        self.has_many_tasks = self.accepted.spec.task_count > _MANY_TASKS
 
     @property
     def is_recorded(self) -> bool:
@@ -381,12 +461,54 @@
         """Name of the job's submission record."""
         return record_name(self.id, self.team)
 
-    def all_steps(self):
-        """Yield all steps of all repetitions created so far."""
-        for steps in self.repetitions:
+    @property
+    def repetition_count(self) -> int:
+        """Number of times that the steps run."""
+        return max(1, self.accepted.spec.repetitions)
+
+    def due_ms(self, repetition: int) -> float:
+        """Return when a repetition is due, in ms since 1970; 0 for a job that runs once."""
+        spec = self.accepted.spec
+        return spec.first_due_ms + repetition * spec.interval_ms if spec.repetitions else 0
+
+    def find_next_repetition(self) -> int | None:
+        """Return the lowest number of a repetition that has not been created, or None."""
+        number = self.next_repetition
+        finished = () if self.layout is None else self.layout.finished
+        while True:
+            following = next_outside(finished, number)
+            if following in self.repetitions:
+                following += 1
+            if following == number:
+                break
+            number = following
+        self.next_repetition = number
+        return number if number < self.repetition_count else None
+
+    def all_steps(self) -> Iterator[Step]:
+        """Yield all steps in memory."""
+        for steps in self.repetitions.values():
             yield from steps
 
-    def all_tasks(self):
-        """Yield all tasks of all repetitions created so far."""
+    def all_tasks(self) -> Iterator[Task]:
+        """Yield all tasks in memory."""
         for step in self.all_steps():
             yield from step.tasks
+
+
+def drop_done_tasks(job: Job) -> list[Task]:
+    """Remove the tasks of a job that are done and do not run any more, and return them.
+
+    They remain in the ranges of finished tasks of their steps.
+    """
+    dropped = []
+    for step in job.all_steps():
+        done = [task for task in step.tasks if task.phase is Phase.DONE and not task.life]
+        if not done:
+            continue
+        step.tasks = [task for task in step.tasks if task.phase is not Phase.DONE or task.life]
+        for task in done:
+            step.add_finished(task.id.index)
+        job.object_count -= len(done)
+        dropped += done
+    return dropped
--- a/src/snowdock/jobs/load.py
+++ b/src/snowdock/jobs/load.py
@@ -192,7 +192,8 @@
         job = step.job
         if step.spec.long_running:
             continue
-        core_s = len(step.waiting_tasks) * _task_core_s(step)
+        waiting = len(step.waiting_tasks) + step.uncreated_count
+        core_s = waiting * _task_core_s(step)
         by_team[job.team] += core_s
         total = sums[job.queue]
         total.steps += 1
--- a/src/snowdock/jobs/model.py
+++ b/src/snowdock/jobs/model.py
@@ -210,6 +210,11 @@
     first_due_ms: TimeMs = 0
     interval_ms: Amount = 0
 
+    @property
+    def task_count(self) -> int:
+        """Number of tasks of all repetitions."""
+        return max(1, self.repetitions) * sum(step.count for step in self.steps)
+
     @property
     def work_core_s(self) -> float:
         """Estimated work of one execution of the steps, in core-seconds."""
--- a/src/snowdock/jobs/placement.py
+++ b/src/snowdock/jobs/placement.py
@@ -129,7 +129,7 @@
     tasks, isolation = next_tasks(step, now)
     if not tasks:
         if not step.waiting_tasks:
-            del cell.waiting_steps[step.key]
+            cell.dequeue(step)
         step.ask_obstacle = AskObstacle.PAUSE
         return 1
     tasks = tasks[: _limit_to_quota(cell, step, len(tasks))]
@@ -362,6 +362,7 @@
         begin_probation_run(worker, (task.id, task.run), now)
         cell.deferred.append(DeferredStart(task, task.run))
     step.blocked_since = None
+    step.placed_at = now
     mark_dirty(cell, step.job)
     record_started(cell, step, len(chosen))
     record_first_wait(cell, step.job, now)
@@ -377,7 +378,7 @@
     )
     remaining = step.waiting_tasks
     if not remaining:
-        del cell.waiting_steps[step.key]
+        cell.dequeue(step)
         release_expired_claims(cell, now)
     elif any(task.charges for task in remaining):
         # These tasks have another isolation level and were not considered in this search.
--- a/src/snowdock/jobs/placement_advice.py
+++ b/src/snowdock/jobs/placement_advice.py
@@ -225,9 +225,4 @@
 
 
 def _find_step(cell: Cell, request: AdviceRequest) -> Step | None:
-    job = cell.jobs.get(request.job)
-    if job is None or request.repetition >= len(job.repetitions):
-        return None
-    steps = job.repetitions[request.repetition]
-    # A finished repetition may have dropped its steps.
-    return steps[request.step] if request.step < len(steps) else None
+    return cell.find_step((request.job, request.repetition, request.step))
--- a/src/snowdock/jobs/policy.py
+++ b/src/snowdock/jobs/policy.py
@@ -53,7 +53,7 @@
         )
 
     def backoff_seconds(step: Step, failures: int) -> float:
-        work = _describe_step(current_cell(), step, step.job.submitted_at)
+        work = _describe_step(current_cell(), step, step.submitted_at)
         return policies.call(_policy_kind(step), "backoff_seconds", work, failures)
 
     def may_preempt(step: Step, other: Step, now: float) -> bool:
@@ -73,7 +73,7 @@
 def _describe_step(cell: Cell, step: Step, now: float) -> dict[str, object]:
     spec = step.spec
     queue = cell.queue_of(step.job)
-    waited = now - step.job.submitted_at
+    waited = now - step.submitted_at
     objective = max(0.001, cell.objective_seconds(step.job))
     return {
         "kind": _policy_kind(step),
@@ -98,7 +98,7 @@
 
     Sizes and times are rounded up to powers of two and are part of the name.
     """
-    work = _describe_step(cell, step, step.job.submitted_at)
+    work = _describe_step(cell, step, step.submitted_at)
     for field in ("tasks", "cpu", "memory_gb", "run_seconds"):
         work[field] = _next_power_of_two(work[field])
     work["slack_seconds"] = work["overdue"] = work["share_used"] = 0.0
--- a/src/snowdock/jobs/preemption.py
+++ b/src/snowdock/jobs/preemption.py
@@ -195,7 +195,7 @@
         "room_claimed",
         step.job.id,
         step=step.number,
-        tasks=len(step.tasks),
+        tasks=step.spec.count,
         stopped=stopped,
         workers=len(lives),
         rank=step.rank,
--- a/src/snowdock/jobs/progress.py
+++ b/src/snowdock/jobs/progress.py
@@ -12,10 +12,12 @@
 from .model import MAX_AMOUNT, Amount, JobId, JobSpec, JobStatus, Priority, StepSpec, TimeMs
 
 __all__ = [
+    "BLOCK_TASKS",
     "CANCEL_PREFIX",
     "AcceptedJob",
     "ChargeRecord",
     "JobProgress",
+    "PartialProgress",
     "SplitProgress",
     "TaskBlock",
     "TaskProgress",
@@ -30,7 +32,7 @@
     "is_block_key",
     "is_job_key",
     "is_progress_key",
-    "parse_block_repetition",
+    "parse_block_position",
     "parse_job_id",
     "parse_progress_key",
     "record_name",
@@ -48,6 +50,10 @@
 
 _BLOCK_SEPARATOR = "."
 
+BLOCK_TASKS = 64
+"""Tasks in a block, of some 40 bytes each; all of them are written when one changes. Part of the
+format of records, since finished blocks are recorded by their numbers."""
+
 _JOB_KEY = re.compile(r"(cancel\.)?[0-9a-f]{16}(@[0-9a-f]{12})?")
 """Keys of submissions and cancellations; the store takes keys of 255 bytes at most, and other
 programs may write any."""
@@ -202,6 +208,21 @@
         return self.epoch, self.batch
 
 
+class PartialProgress(SplitProgress, tag="partial"):
+    """Progress of a job of which also blocks are left out, since all their tasks are done.
+
+    Earlier versions cannot decode it, so that they do not start these tasks again.
+
+    Attributes
+    ----------
+    finished_blocks
+        Ranges of blocks of which all tasks are done: the repetition, and their first and last
+        numbers.
+    """
+
+    finished_blocks: list[tuple[Amount, Amount, Amount]] = []
+
+
 class TaskBlock(msgspec.Struct, array_like=True, tag="block"):
     """Progress of some tasks of a job; see `SplitProgress`.
 
@@ -243,8 +264,8 @@
     return key.partition(_BLOCK_SEPARATOR)[0]
 
 
-def parse_block_repetition(key: str) -> int:
-    """Return the repetition that a block belongs to, from its key.
+def parse_block_position(key: str) -> tuple[int, int]:
+    """Return the repetition that a block belongs to, and the block's number, from its key.
 
     Raises
     ------
@@ -253,8 +274,8 @@
     """
     try:
         _, repetition, block, part = key.split(_BLOCK_SEPARATOR)
-        int(block), int(part)
-        return int(repetition)
+        int(part)
+        return int(repetition), int(block)
     except ValueError as error:
         raise InvalidInput(f"malformed key of a block: {key[:60]!r}") from error
 
@@ -327,7 +348,7 @@
     return _decode(data, JobProgress)
 
 
-def decode_split_progress(data: bytes) -> SplitProgress:
+def decode_split_progress(data: bytes) -> SplitProgress | PartialProgress:
     """Decode the progress of a job whose tasks are in blocks.
 
     Raises
@@ -335,7 +356,7 @@
     InvalidInput
         If the record cannot be decoded.
     """
-    return _decode(data, SplitProgress)
+    return _decode(data, SplitProgress | PartialProgress)
 
 
 def decode_task_block(data: bytes) -> TaskBlock:
@@ -349,8 +370,9 @@
     return _decode(data, TaskBlock)
 
 
-def _decode(data: bytes, kind: type):
+def _decode(data: bytes, kind):
     try:
         return msgspec.msgpack.decode(data, type=kind)
     except DECODE_ERRORS as error:
-        raise InvalidInput(f"cannot decode record as {kind.__name__}: {error}") from error
+        name = getattr(kind, "__name__", str(kind))
+        raise InvalidInput(f"cannot decode record as {name}: {error}") from error
--- a/src/snowdock/jobs/progress_batches.py
+++ b/src/snowdock/jobs/progress_batches.py
@@ -8,6 +8,7 @@
 import collections
 
 from .cell import Cell, ChangeSet, Deferred, DeferredRenewal, DeferredStart
+from .charges import forget_task_charges
 from .durability import RENEW_WAIT_MS, send_renewal
 from .events import DropProgress, ForgetAccepted, Persist, ProgressRecord, SendStart
 from .job_state import Job, Phase, Task
@@ -75,8 +76,12 @@
     job_id = next(iter(changes.jobs))
     job = changes.jobs.pop(job_id)
     was_split = job.is_split
+    object_count = job.object_count
     max_bytes = min(cell.max_record_bytes, cell.max_append_bytes)
     encoded = encode_progress(job, (cell.token, cell.batch_number + 1), max_bytes)
+    cell.object_count += job.object_count - object_count
+    for task in encoded.dropped_tasks:
+        forget_task_charges(cell, task)
     if job.is_split and not was_split:
         cell.log_decision("progress_split", job_id, records=len(encoded.records))
     for task, size in encoded.long_checkpoints:
@@ -84,6 +89,7 @@
     if job.status.is_final and not encoded.has_tasks:
         # A takeover reads all submission records, so keep only those of open jobs.
         changes.deferred.append(ForgetAccepted((job.record_name,)))
+        cell.recorded_ends[job.id] = job
     if encoded.obsolete_keys:
         changes.deferred.append(DropProgress(tuple(encoded.obsolete_keys)))
     changes.records.extend(encoded.records)
--- a/src/snowdock/jobs/progress_encoding.py
+++ b/src/snowdock/jobs/progress_encoding.py
@@ -1,22 +1,26 @@
 """Encoding of a job's progress as records that the store takes, whatever the job's size.
 
 The progress of most jobs is a single record. A job with many tasks gets a record of its own state
-and one for each block of tasks, and only those that have changed are written. Repetitions of which
-all tasks are done are reduced to ranges of numbers, so that the progress of a timed job does not
-grow with its age.
+and one for each block of tasks, and only those that have changed are written. Repetitions and
+blocks of which all tasks are done are reduced to ranges of numbers, so that the progress of a job
+does not grow with what is done of it.
 """
 
 import dataclasses
-from collections.abc import Iterator
+import math
+from collections.abc import Iterator, Sequence
 
 import msgspec
 
 from .events import ProgressRecord
-from .job_state import Job, Phase, Step, Task
+from .job_state import Job, Phase, Step, Task, drop_done_tasks
 from .model import TaskId
+from .number_ranges import Range, numbers_between
 from .progress import (
+    BLOCK_TASKS,
     ChargeRecord,
     JobProgress,
+    PartialProgress,
     SplitProgress,
     TaskBlock,
     TaskProgress,
@@ -32,9 +36,6 @@
 """Share of the longest record up to which a job's progress is one record. The whole record is
 written at each change of the job, and a batch has room for those of several jobs."""
 
-_BLOCK_TASKS = 64
-"""Tasks in a block, of some 40 bytes each; all of them are written when one changes."""
-
 _BLOCK_OVERHEAD_BYTES = 96
 """Upper bound of what a block's key, version and list add to the lengths of its tasks."""
 
@@ -44,6 +45,11 @@
 _RANGES_SHARE = 0.5
 """Share of the longest record that ranges of finished repetitions may take."""
 
+_BLOCK_RANGE_BYTES = 24
+_BLOCK_RANGES_SHARE = 0.25
+"""Upper bound of the length of an encoded range of finished blocks, and their share of the longest
+record."""
+
 _NO_TASKS = msgspec.msgpack.encode([])
 
 
@@ -62,12 +68,15 @@
     long_checkpoints
         Tasks, each with the length in bytes of a checkpoint that is too long for a record. Without
         it the task starts from the beginning after a takeover.
+    dropped_tasks
+        Tasks that were dropped from memory since they are done.
     """
 
     records: list[ProgressRecord]
     has_tasks: bool
     obsolete_keys: list[str] = dataclasses.field(default_factory=list)
     long_checkpoints: list[tuple[TaskId, int]] = dataclasses.field(default_factory=list)
+    dropped_tasks: list[Task] = dataclasses.field(default_factory=list)
 
 
 def encode_progress(job: Job, version: Version, max_record_bytes: int) -> EncodedProgress:
@@ -86,7 +95,8 @@
     if layout is None or layout.since is None:
         progress = _build_progress(job, version)
         data = encode(progress)
-        if len(data) <= max_record_bytes * _SINGLE_RECORD_SHARE:
+        is_short = len(data) <= max_record_bytes * _SINGLE_RECORD_SHARE
+        if is_short and not job.has_many_tasks:
             obsolete_keys = [] if layout is None or progress.tasks else layout.keys
             return EncodedProgress(
                 [ProgressRecord(job.id, data)], bool(progress.tasks), obsolete_keys
@@ -98,7 +108,9 @@
 
 
 def _build_progress(job: Job, version: Version) -> JobProgress:
-    tasks = [_make_record(task) for task in job.all_tasks() if _is_recorded(task)]
+    tasks = []
+    for step in job.all_steps():
+        tasks += _list_records(step, 0, step.spec.count)
     return JobProgress(job.status, tasks, job.team, *version)
 
 
@@ -108,6 +120,16 @@
     return not task.step.job.status.is_final and bool(task.run or task.phase is Phase.DONE)
 
 
+def _list_records(step: Step, first: int, end: int) -> list[TaskProgress]:
+    """Return the records of a step's tasks in a range, those of dropped tasks included."""
+    records = [_make_record(task) for task in step.tasks_between(first, end) if _is_recorded(task)]
+    if step.finished and not step.job.status.is_final:
+        for index in numbers_between(step.finished, first, end):
+            records.append(TaskProgress(step.repetition, step.number, index, 1, done=True))
+        records.sort(key=lambda record: record.index)
+    return records
+
+
 def _make_record(task: Task) -> TaskProgress:
     return TaskProgress(
         task.id.repetition,
@@ -132,7 +154,11 @@
     job: Job, layout: ProgressLayout, version: Version, max_record_bytes: int
 ) -> EncodedProgress:
     max_ranges = max(1, int(max_record_bytes * _RANGES_SHARE / _RANGE_BYTES))
-    obsolete_keys = _close_repetitions(job, layout, max_ranges)
+    dropped_tasks: list[Task] = []
+    obsolete_keys = _close_repetitions(job, layout, max_ranges, dropped_tasks)
+    dropped_tasks += drop_done_tasks(job)
+    max_ranges = max(1, int(max_record_bytes * _BLOCK_RANGES_SHARE / _BLOCK_RANGE_BYTES))
+    obsolete_keys += _close_blocks(job, layout, max_ranges)
     payloads: dict[int, dict[str, bytes]] = {}
     long_checkpoints: list[tuple[TaskId, int]] = []
     for repetition in sorted(layout.open_repetitions):
@@ -148,21 +174,36 @@
             ProgressRecord(key, _encode_block(version, payload))
             for key, payload in _replace_payloads(layout, payloads)
         ]
-    head = SplitProgress(job.status, job.team, *version, layout.since, layout.finished)
-    records.append(ProgressRecord(job.id, encode(head)))
-    return EncodedProgress(records, has_tasks, obsolete_keys, long_checkpoints)
+    records.append(ProgressRecord(job.id, encode(_make_head(job, layout, version))))
+    return EncodedProgress(records, has_tasks, obsolete_keys, long_checkpoints, dropped_tasks)
 
 
-def _close_repetitions(job: Job, layout: ProgressLayout, max_ranges: int) -> list[str]:
+def _make_head(job: Job, layout: ProgressLayout, version: Version) -> SplitProgress:
+    blocks = [
+        (repetition, first, last)
+        for repetition, ranges in sorted(layout.finished_blocks.items())
+        for first, last in ranges
+    ]
+    common = (job.status, job.team, *version, layout.since, layout.finished)
+    return PartialProgress(*common, blocks) if blocks else SplitProgress(*common)
+
+
+def _close_repetitions(
+    job: Job, layout: ProgressLayout, max_ranges: int, dropped_tasks: list[Task]
+) -> list[str]:
     """Reduce the repetitions that have become finished to ranges; return the keys of their blocks.
 
     Their steps are dropped, so that a timed job takes no more memory the longer it runs.
     """
-    layout.open_created(len(job.repetitions))
+    layout.add_open(job.repetitions)
     obsolete_keys = []
     for number in sorted(layout.open_repetitions):
-        if _is_finished(job.repetitions[number]) and layout.finish(number, max_ranges):
-            job.repetitions[number] = []
+        steps = job.repetitions.get(number, [])
+        if _is_finished(steps) and layout.finish(number, max_ranges):
+            tasks = [task for step in steps for task in step.tasks]
+            dropped_tasks += tasks
+            job.object_count -= len(steps) + len(tasks)
+            job.repetitions.pop(number, None)
             obsolete_keys += layout.blocks.pop(number, {})
     return obsolete_keys
 
@@ -173,15 +214,79 @@
     )
 
 
+def _close_blocks(job: Job, layout: ProgressLayout, max_ranges: int) -> list[str]:
+    """Reduce the blocks that have become finished to ranges; return their keys."""
+    layout.finished_blocks = {}
+    layout.partial_blocks = {}
+    for repetition, steps in job.repetitions.items():
+        finished, partial = _find_finished_blocks(steps, max_ranges)
+        max_ranges -= len(finished)
+        if finished:
+            layout.finished_blocks[repetition] = finished
+        layout.partial_blocks[repetition] = partial
+    return layout.drop_finished()
+
+
+def _find_finished_blocks(steps: list[Step], max_ranges: int) -> tuple[list[Range], set[int]]:
+    """Return ranges of finished blocks, and the other blocks with tasks that were dropped."""
+    end = steps[-1].first_position + steps[-1].spec.count
+    finished, partial = [], set()
+    for first, last in _merge_finished(steps):
+        first_block = math.ceil(first / BLOCK_TASKS)
+        end_block = math.ceil(end / BLOCK_TASKS) if last + 1 == end else (last + 1) // BLOCK_TASKS
+        touched = range(first // BLOCK_TASKS, last // BLOCK_TASKS + 1)
+        if first_block >= end_block or len(finished) >= max_ranges:
+            partial.update(touched)
+            continue
+        finished.append((first_block, end_block - 1))
+        partial.update(range(touched.start, first_block))
+        partial.update(range(end_block, touched.stop))
+    return finished, partial
+
+
+def _merge_finished(steps: list[Step]) -> Iterator[Range]:
+    """Yield the ranges of dropped tasks by their positions in the repetition."""
+    pending: Range | None = None
+    for step in steps:
+        for low, last in step.finished:
+            first, end = step.first_position + low, step.first_position + last
+            if pending is not None and pending[1] + 1 == first:
+                pending = (pending[0], end)
+                continue
+            if pending is not None:
+                yield pending
+            pending = (first, end)
+    if pending is not None:
+        yield pending
+
+
+def _parts_of(steps: Sequence[Step], block: int) -> Iterator[tuple[Step, int, int]]:
+    """Yield the steps with tasks in a block, with the first index and the one after the last."""
+    for step in steps:
+        first = max(0, block * BLOCK_TASKS - step.first_position)
+        end = min(step.spec.count, (block + 1) * BLOCK_TASKS - step.first_position)
+        if first < end:
+            yield step, first, end
+
+
+def _block_of(step: Step, task: Task) -> int:
+    return (step.first_position + task.id.index) // BLOCK_TASKS
+
+
 def _encode_blocks(
     job: Job, repetition: int, max_record_bytes: int, long_checkpoints: list[tuple[TaskId, int]]
 ) -> dict[str, bytes]:
     """Encode the tasks of a repetition as blocks; return the lists of tasks by key."""
     blocks: dict[int, list[TaskProgress]] = {}
-    tasks = (task for step in job.repetitions[repetition] for task in step.tasks)
-    for position, task in enumerate(tasks):
-        if _is_recorded(task):
-            blocks.setdefault(position // _BLOCK_TASKS, []).append(_make_record(task))
+    steps = job.repetitions.get(repetition, ())
+    recorded = {
+        _block_of(step, task) for step in steps for task in step.tasks if _is_recorded(task)
+    }
+    if not job.status.is_final:
+        recorded |= job.layout.partial_blocks.get(repetition, set())
+    for block in sorted(recorded):
+        for step, first, end in _parts_of(steps, block):
+            blocks.setdefault(block, []).extend(_list_records(step, first, end))
     max_bytes = max_record_bytes - _BLOCK_OVERHEAD_BYTES
     payloads = {}
     for block, records in blocks.items():
--- a/src/snowdock/jobs/recorded_progress.py
+++ b/src/snowdock/jobs/recorded_progress.py
@@ -1,12 +1,15 @@
 """Reading of the progress of jobs from the records of one or several partitions."""
 
 import dataclasses
+import math
 from collections.abc import Iterable
 
 from ..errors import InvalidInput
 from .model import JobId, JobSpec
 from .progress import (
+    BLOCK_TASKS,
     JobProgress,
+    PartialProgress,
     SplitProgress,
     TaskBlock,
     TaskProgress,
@@ -14,7 +17,7 @@
     decode_split_progress,
     decode_task_block,
     is_block_key,
-    parse_block_repetition,
+    parse_block_position,
     parse_progress_key,
 )
 from .progress_layout import ProgressLayout
@@ -97,7 +100,7 @@
         if isinstance(head, JobProgress):
             progress[job] = head
         elif head is not None:
-            tasks = _merge_blocks(head, layouts[job], [newest[key] for key in keys])
+            tasks = _merge_blocks(head, layouts[job], {key: newest[key] for key in keys})
             progress[job] = JobProgress(head.status, tasks, head.team, head.epoch, head.batch)
     return ProgressOnRecord(progress, layouts, unreadable, key_partitions, malformed)
 
@@ -125,11 +128,25 @@
         if not following <= first <= last < count:
             raise InvalidInput(f"no repetitions from {first} to {last} in the job")
         following = last + 1
+    if layout is not None:
+        _check_finished_blocks(spec, layout)
+
+
+def _check_finished_blocks(spec: JobSpec, layout: ProgressLayout) -> None:
+    block_count = math.ceil(sum(step.count for step in spec.steps) / BLOCK_TASKS)
+    for repetition, ranges in layout.finished_blocks.items():
+        if repetition >= max(1, spec.repetitions) or layout.is_finished(repetition):
+            raise InvalidInput(f"no open repetition {repetition} in the job")
+        following = 0
+        for first, last in ranges:
+            if not following <= first <= last < block_count:
+                raise InvalidInput(f"no blocks from {first} to {last} in the job's tasks")
+            following = last + 1
 
 
 def _decode(key: str, data: bytes) -> _Record:
     if is_block_key(key):
-        parse_block_repetition(key)
+        parse_block_position(key)
         return decode_task_block(data)
     try:
         return decode_progress(data)
@@ -142,18 +159,21 @@
     if isinstance(head, SplitProgress):
         layout.since = head.since
         layout.finished = list(head.finished)
+    if isinstance(head, PartialProgress):
+        for repetition, first, last in head.finished_blocks:
+            layout.finished_blocks.setdefault(repetition, []).append((first, last))
     for key in keys:
-        layout.add_known(parse_block_repetition(key), [key])
+        layout.add_known(parse_block_position(key)[0], [key])
     return layout
 
 
 def _merge_blocks(
-    head: SplitProgress, layout: ProgressLayout, blocks: list[TaskBlock]
+    head: SplitProgress, layout: ProgressLayout, blocks: dict[str, TaskBlock]
 ) -> list[TaskProgress]:
     """Return the newest progress of each task of a job, in their order."""
     tasks: dict[tuple[int, int, int], TaskProgress] = {}
-    for block in sorted(blocks, key=lambda block: block.version):
-        if block.version < head.since:
+    for key, block in sorted(blocks.items(), key=lambda entry: entry[1].version):
+        if block.version < head.since or layout.is_block_finished(key):
             continue
         for task in block.tasks:
             if not layout.is_finished(task.repetition):
--- a/src/snowdock/jobs/reducer.py
+++ b/src/snowdock/jobs/reducer.py
@@ -28,6 +28,8 @@
     WorkerDelisted,
     WorkerListed,
 )
+from .expansion import expand_job, expand_waiting, release_ended_jobs
+from .job_objects import release_objects
 from .job_state import Job, Phase
 from .load import predict_job, summarize_load
 from .order_answers import handle_start_answer, handle_stop_answer
@@ -44,7 +46,7 @@
 from .quarantine import release_expired
 from .restored_jobs import restore_late_job
 from .room_use import log_room_use
-from .runs import abort_gang, cancel_job, create_repetition, enqueue_ready_steps
+from .runs import abort_gang, cancel_job
 from .shares import log_team_usage, sum_capacity
 from .starving import log_starving_jobs
 from .worker_lives import handle_worker_delisted, handle_worker_listed, list_pending_workers
@@ -82,6 +84,7 @@
         so that one pass covers several events.
     """
     cell.now = now
+    cell.created_in_event = 0
     _apply(cell, event, now, wall_ms)
     is_due = is_last or now - cell.last_placement_at >= _MAX_PLACEMENT_DELAY_SECONDS
     if (cell.needs_placement and is_due) or isinstance(event, Ticked):
@@ -110,7 +113,7 @@
         case JobAccepted():
             accept_job(cell, event, now, wall_ms)
         case JobAnnounced():
-            announce_job(cell, event, now)
+            announce_job(cell, event, now, wall_ms)
         case JobWithdrawn(job):
             withdraw_job(cell, job, now)
         case JobCancelled(name):
@@ -167,16 +170,13 @@
         _accept_late_job(cell, event, unsubmitted, now, wall_ms)
         return
     job = Job(event.job, event.accepted, now - event.accepted.waited_s - recorded_s)
-    cell.jobs[job.id] = job
+    cell.add_job(job)
     _publish_accepted_job(cell, job)
     predict_job(cell, job)
     if job.record_name in cell.early_cancellations:
         cancel_job(cell, job, now)
-    elif event.accepted.spec.repetitions:
-        cell.scheduled_jobs[job.id] = job
-        _start_due_repetitions(cell, job, wall_ms)
     else:
-        enqueue_ready_steps(cell, create_repetition(job, 0))
+        expand_job(cell, job, wall_ms)
 
 
 def _accept_late_job(
@@ -212,16 +212,6 @@
         cell.emit(ForgetAccepted((record_name(job.id, resubmitted.team),)))
 
 
-def _start_due_repetitions(cell: Cell, job: Job, wall_ms: float) -> None:
-    spec = job.accepted.spec
-    while len(job.repetitions) < spec.repetitions:
-        due_ms = spec.first_due_ms + len(job.repetitions) * spec.interval_ms
-        if wall_ms < due_ms:
-            return
-        enqueue_ready_steps(cell, create_repetition(job, len(job.repetitions)))
-    cell.scheduled_jobs.pop(job.id, None)
-
-
 def _handle_cancellation(cell: Cell, name: str, now: float) -> None:
     job = cell.jobs.get(parse_job_id(name))
     if job is None or not job.is_recorded:
@@ -237,8 +227,8 @@
     release_expired(cell, now)
     expire_requests(cell, now)
     cell.capacity = sum_capacity(cell)
-    for job in list(cell.scheduled_jobs.values()):
-        _start_due_repetitions(cell, job, wall_ms)
+    expand_waiting(cell, wall_ms)
+    release_ended_jobs(cell)
     _abort_late_gangs(cell, now)
     _drop_expired_jobs(cell, now)
     withdraw_expired_jobs(cell, now)
@@ -270,7 +260,10 @@
     blocks = []
     for job_id in expired:
         del cell.job_ended_at[job_id]
-        job = cell.jobs.pop(job_id, None)
+        job = cell.remove_job(job_id)
+        if job is not None:
+            cell.recorded_ends.pop(job_id, None)
+            release_objects(cell, job)
         name = job_id if job is None else job.record_name
         if job is not None and job.layout is not None:
             blocks += job.layout.keys
--- a/src/snowdock/jobs/restored_jobs.py
+++ b/src/snowdock/jobs/restored_jobs.py
@@ -4,15 +4,17 @@
 from .charges import restore_charges
 from .events import DropProgress, ForgetAccepted
 from .evidence import Charge, Evidence
+from .expansion import expand_job
+from .job_objects import open_repetition, restore_task
 from .job_state import Job, Phase, Task
 from .lives import worker_id_of
-from .model import JobId, TaskId
-from .progress import AcceptedJob, JobProgress, TaskProgress
+from .model import JobId
+from .number_ranges import count_numbers
+from .progress import BLOCK_TASKS, AcceptedJob, JobProgress, TaskProgress
 from .progress_layout import ProgressLayout
 from .runs import (
     apply_run_end,
     complete_job_if_done,
-    create_repetition,
     enqueue_ready_steps,
     stop_run,
     void_run,
@@ -83,44 +85,56 @@
     """Restore a job from its submission and its progress on record."""
     age_s = recorded_seconds(accepted, wall_ms) + accepted.waited_s
     job = Job(job_id, accepted, now - age_s, progress.status, layout=layout)
-    cell.jobs[job_id] = job
+    cell.add_job(job)
     if job.status.is_final:
         cell.job_ended_at[job_id] = now
     obsolete_keys = [] if layout is None else layout.drop_finished()
     if obsolete_keys:
         cell.emit(DropProgress(tuple(obsolete_keys)))
-    spec = accepted.spec
-    reached = max((record.repetition + 1 for record in progress.tasks), default=0)
-    reached = max(reached, 0 if layout is None else layout.finished_end)
-    while len(job.repetitions) < max(reached, 0 if spec.repetitions else 1):
-        if layout is not None and layout.is_finished(len(job.repetitions)):
-            job.repetitions.append([])
-        else:
-            create_repetition(job, len(job.repetitions))
-    for record in progress.tasks:
-        _restore_task(cell, job, record)
+    _restore_repetitions(cell, job, progress, wall_ms)
     cell.publish_status(job)
     if job.status.is_final:
         if not progress.tasks:
             cell.emit(ForgetAccepted((job.record_name,)))
         return
-    if spec.repetitions:
-        cell.scheduled_jobs[job_id] = job
-    for steps in job.repetitions:
+    for steps in job.repetitions.values():
         for step in steps:
-            step.done_count = sum(task.phase is Phase.DONE for task in step.tasks)
+            done_count = sum(task.phase is Phase.DONE for task in step.tasks)
+            step.done_count = step.dropped_count + done_count
         enqueue_ready_steps(cell, steps)
+    expand_job(cell, job, wall_ms)
     # The earlier leader may have recorded the last end, but not yet that of the job.
     complete_job_if_done(cell, job, now)
 
 
+def _restore_repetitions(cell: Cell, job: Job, progress: JobProgress, wall_ms: float) -> None:
+    """Create the repetitions and tasks that are on record and not finished."""
+    finished_blocks = {} if job.layout is None else job.layout.finished_blocks
+    for number in sorted({record.repetition for record in progress.tasks} | finished_blocks.keys()):
+        for step in open_repetition(cell, job, number, wall_ms):
+            step.is_restored = True
+            for first, last in finished_blocks.get(number, ()):
+                first_index = max(0, first * BLOCK_TASKS - step.first_position)
+                end = min(step.spec.count, (last + 1) * BLOCK_TASKS - step.first_position)
+                if first_index < end:
+                    step.finished.append((first_index, end - 1))
+            step.dropped_count = count_numbers(step.finished)
+    for record in sorted(progress.tasks, key=lambda each: (each.repetition, each.step, each.index)):
+        _restore_task(cell, job, record)
+
+
 def _restore_task(cell: Cell, job: Job, record: TaskProgress) -> None:
-    task = cell.find_task(TaskId(job.id, record.repetition, record.step, record.index))
+    step = cell.find_step((job.id, record.repetition, record.step))
+    is_dropped = (job.has_many_tasks or job.is_split) and record.done and not record.life
+    if step is not None and is_dropped:
+        step.add_finished(record.index)
+        return
+    task = None if step is None else restore_task(cell, step, record.index)
     if task is None:
         # The progress of an announced job that was recorded with fewer tasks; none has started.
         return
     task.run = record.run
-    task.failed_runs = set(record.failed_runs)
+    task.failed_runs = frozenset(record.failed_runs)
     restore_charges(cell, task, _read_charges(record))
     task.checkpoint = record.checkpoint
     # The start of the phase is not recorded. If it were left at 0, the first report would clear a
--- a/src/snowdock/jobs/runs.py
+++ b/src/snowdock/jobs/runs.py
@@ -8,6 +8,7 @@
 from .durability import mark_dirty
 from .events import PublishStatus, SendStop
 from .failed_runs import record_failed_run, record_success
+from .job_objects import add_tasks, has_place
 from .job_state import Job, Phase, Step, Task
 from .load import record_completed
 from .model import JobStatus, TaskId
@@ -23,7 +24,6 @@
     "apply_run_end",
     "cancel_job",
     "complete_job_if_done",
-    "create_repetition",
     "enqueue_ready_steps",
     "fail_job",
     "mark_job_running",
@@ -61,23 +61,16 @@
     """The store has a record that cancels the job."""
 
 
-def create_repetition(job: Job, repetition: int) -> list[Step]:
-    """Create the steps and tasks of one repetition."""
-    steps = []
-    for number, spec in enumerate(job.accepted.spec.steps):
-        step = Step(job, repetition, number, spec)
-        step.tasks = [
-            Task(TaskId(job.id, repetition, number, index), step) for index in range(spec.count)
-        ]
-        steps.append(step)
-    job.repetitions.append(steps)
-    return steps
-
-
 def enqueue_ready_steps(cell: Cell, steps: list[Step]) -> None:
     """Enqueue the steps of a repetition whose predecessors are done."""
     for step in steps:
-        if not step.is_done and step.waiting_tasks:
+        if step.job.status.is_final or step.is_done or not _is_ready(step):
+            continue
+        if step.key not in cell.waiting_steps and not has_place(cell, step.job):
+            cell.held_steps[step.key] = step
+            continue
+        add_tasks(cell, step)
+        if step.waiting_tasks:
             _enqueue_step(cell, step)
 
 
@@ -87,18 +80,18 @@
     After a takeover a step may have a run without that: the earlier leader had recorded the run,
     but not yet the ends before it, which are in another record. No such run was started.
     """
-    steps = step.job.repetitions[step.repetition]
     # A finished repetition has dropped its steps.
-    return bool(steps) and all(steps[earlier].is_done for earlier in step.spec.after)
+    steps = step.job.repetitions.get(step.repetition)
+    return steps is not None and all(steps[earlier].is_done for earlier in step.spec.after)
 
 
 def _enqueue_step(cell: Cell, step: Step) -> None:
     if step.job.status.is_final or not _is_ready(step):
         return
-    if step.spec.gang and any(task.is_placed for task in step.tasks):
+    if step.spec.gang and (step.uncreated_count or any(task.is_placed for task in step.tasks)):
         return
     if step.key not in cell.waiting_steps:
-        cell.waiting_steps[step.key] = step
+        cell.enqueue(step)
         step.queued_at = cell.now
         update_rank(cell, step, cell.now)
     step.next_search_at = 0.0
@@ -204,7 +197,7 @@
             record_completed(cell, each)
     if not step.is_done or step.job.status.is_final:
         return
-    cell.waiting_steps.pop(step.key, None)
+    cell.dequeue(step)
     job = step.job
     steps = job.repetitions[step.repetition]
     if all(each.is_done for each in steps):
@@ -215,8 +208,7 @@
 
 def complete_job_if_done(cell: Cell, job: Job, now: float) -> None:
     """Complete a job if all tasks of all its repetitions are done."""
-    repetition_count = max(1, job.accepted.spec.repetitions)
-    if len(job.repetitions) < repetition_count:
+    if job.find_next_repetition() is not None:
         return
     if all(step.is_done for step in job.all_steps()):
         _end_job(cell, job, JobStatus.COMPLETED, EndCause.DONE, now)
@@ -228,7 +220,7 @@
     _avoid_worker(task, life)
     # All members share the failure count: a gang's run fails once, however many members fail.
     for each in step.tasks if step.spec.gang else [task]:
-        each.failed_runs.add(run)
+        each.failed_runs |= {run}
     step.not_before = now + cell.policy.backoff_seconds(step, task.failures)
     max_attempts = cell.queue_of(step.job).max_attempts
     if task.failures >= max_attempts:
@@ -361,9 +353,10 @@
     job.status = status
     forget_charges(cell, job)
     cell.job_ended_at[job.id] = now
-    cell.scheduled_jobs.pop(job.id, None)
+    cell.unexpanded_jobs.pop(job.id, None)
     for step in job.all_steps():
-        cell.waiting_steps.pop(step.key, None)
+        cell.dequeue(step)
+        cell.partial_steps.pop(step.key, None)
     for task in job.all_tasks():
         if task.phase is not Phase.DONE:
             stop_run(cell, task, now)
--- a/src/snowdock/jobs/stragglers.py
+++ b/src/snowdock/jobs/stragglers.py
@@ -80,7 +80,7 @@
 
 
 def _has_room_elsewhere(cell: Cell, worker: Worker, step: Step) -> bool:
-    wanted = len(step.tasks) if step.spec.gang else 1
+    wanted = step.spec.count if step.spec.gang else 1
     room = step.spec.room
     slots = 0
     for other in cell.workers.values():
--- a/src/snowdock/jobs/takeover.py
+++ b/src/snowdock/jobs/takeover.py
@@ -45,6 +45,7 @@
     cell.now = now
     cell.unreadable_jobs = set(recorded.unreadable)
     for job_id, accepted in recorded.accepted.items():
+        cell.created_in_event = 0
         progress = recorded.progress.get(job_id)
         if progress is None:
             # Without the contract, jobs that never started count as new after a takeover.
