Create the tasks of a step only when they can start

Cause: an object for each task of a job was made at its acceptance and at each takeover. count and steps are bounded each, their product and the sum over jobs were not.

Change: a step's tasks are created in a window (256 that wait, 32 while many steps wait) within the limit on all steps and tasks; what is created while a pass places is bounded to 2,000 objects, and a pass starts at most 500 tasks. A job of more than 512 tasks that is later than three objectives ranks behind all others, since its tasks would hold up each later job for as long as it runs.

Tests: TestWideJobs is new (random jobs, limits and leaders included).

--- a/src/snowdock/jobs/cell.py
+++ b/src/snowdock/jobs/cell.py
@@ -373,6 +373,8 @@
         Services of the waiting steps that may request advice soon, as of the last placement pass.
     needs_placement
         Whether a change since the last placement pass may allow a waiting step to be placed.
+    placed_in_pass
+        Number of tasks placed in the current or last placement pass.
     last_placement_at, next_placement_at, last_ranking_at
         Time of the last placement pass, earliest time of the next one, and time of the last
         ranking.
@@ -444,6 +446,7 @@
         self.reserved_requests: collections.Counter[bool] = collections.Counter()
         self.advised_services: frozenset[str] = frozenset()
         self.needs_placement = False
+        self.placed_in_pass = 0
         self.last_placement_at = 0.0
         self.next_placement_at = 0.0
         self.last_ranking_at = 0.0
--- a/src/snowdock/jobs/job_objects.py
+++ b/src/snowdock/jobs/job_objects.py
@@ -13,7 +13,7 @@
 
 from .cell import Cell
 from .charges import forget_task_charges
-from .job_state import Job, Step, Task
+from .job_state import Job, Phase, Step, Task, drop_done_tasks
 from .model import TaskId
 
 __all__ = [
@@ -40,6 +40,11 @@
 MAX_CREATED_PER_EVENT = 2_000
 """Number of steps and tasks after which one event creates no more: some milliseconds."""
 
+_MAX_WAITING_TASKS = 256
+_MAX_WAITING_TASKS_IN_CROWD = 32
+"""Maximum number of a large job's tasks that wait in memory for each step, and while many steps
+wait. Each search looks at all of them."""
+
 _CROWDED_STEP_COUNT = 50
 _MAX_WAITING_STEPS = ((_CROWDED_STEP_COUNT, 32), (1_000, 6), (math.inf, 1))
 """While fewer steps than the first number wait, the maximum number of waiting steps of one job.
@@ -100,11 +105,14 @@
 
 
 def add_tasks(cell: Cell, step: Step) -> int:
-    """Create the tasks of a step that are not in memory; return how many."""
+    """Create as many further tasks of a step as may be; return how many.
+
+    A step of which some are left is kept in ``cell.partial_steps``.
+    """
     if not step.uncreated_count:
         cell.partial_steps.pop(step.key, None)
         return 0
-    count = step.uncreated_count
+    count = _count_addable(cell, step)
     job = step.job
     for _ in range(count):
         index = step.next_uncreated_index()
@@ -120,6 +128,26 @@
     return count
 
 
+def _count_addable(cell: Cell, step: Step) -> int:
+    wanted = step.uncreated_count
+    allowed = _allowance(cell, step.job)
+    if step.spec.gang:
+        # Its tasks start together or not at all.
+        return wanted if wanted <= max(allowed, free_objects(cell) // 2) else 0
+    if allowed < wanted and not step.job.has_many_tasks:
+        # The tasks of larger jobs are dropped whenever their progress is recorded.
+        allowed += _drop_done_tasks(cell, step.job)
+    allowed = min(allowed, MAX_CREATED_PER_EVENT - cell.created_in_event)
+    if allowed <= 0:
+        return 0
+    if not step.job.has_many_tasks:
+        return min(wanted, allowed)
+    waiting = sum(task.phase is Phase.WAITING for task in step.tasks)
+    is_crowd = len(cell.waiting_steps) >= _CROWDED_STEP_COUNT
+    max_waiting = _MAX_WAITING_TASKS_IN_CROWD if is_crowd else _MAX_WAITING_TASKS
+    return max(0, min(wanted, max_waiting - waiting, allowed))
+
+
 def restore_task(cell: Cell, step: Step, index: int) -> Task | None:
     """Create a task that is on record, or return None if the step has none of this index.
 
@@ -151,6 +179,14 @@
             forget_task_charges(cell, task)
 
 
+def _drop_done_tasks(cell: Cell, job: Job) -> int:
+    dropped = drop_done_tasks(job)
+    for task in dropped:
+        forget_task_charges(cell, task)
+    cell.object_count -= len(dropped)
+    return len(dropped)
+
+
 def _count(cell: Cell, job: Job, change: int) -> None:
     job.object_count += change
     cell.object_count += change
--- a/src/snowdock/jobs/placement.py
+++ b/src/snowdock/jobs/placement.py
@@ -11,6 +11,7 @@
 from .durability import mark_dirty
 from .expected_finish import order_by_speed, prefer_by_finish, withhold_slow_workers
 from .failed_runs import begin_probation_run
+from .job_objects import add_tasks
 from .job_state import AskObstacle, Phase, Step, Task
 from .load import record_first_wait, record_started
 from .occupancy import occupy
@@ -39,6 +40,10 @@
 long: about 15 ms. Half of them are examined for the steps with the highest rank, half for the
 steps whose last search is the oldest."""
 
+_MAX_PLACED_PER_PASS = 500
+"""Number of tasks after which a pass places no more: each of them is recorded, ordered and answered
+in the events that follow. A gang is placed as a whole."""
+
 _MAX_BLOCKED_SECONDS = 1.5
 """Time after which a step that runs nothing, and that only reservations block, may place one task
 on reserved room. Users allow three seconds beside free room, and tickets take up to half a second
@@ -64,6 +69,7 @@
         return
     cell.needs_placement = False
     cell.last_placement_at = now
+    cell.placed_in_pass = 0
     release_expired_claims(cell, now)
     refresh_ranks(cell, now)
     reserve_quotas(cell)
@@ -89,6 +95,7 @@
     examined += _search_steps(cell, in_turn, pools, now, _MAX_EXAMINED_PER_PASS // 4)
     pause = examined * cell.settings.examination_s / cell.settings.pass_time_share
     cell.next_placement_at = now + max(_MIN_PASS_INTERVAL_SECONDS, pause)
+    cell.needs_placement |= cell.placed_in_pass >= _MAX_PLACED_PER_PASS
 
 
 def _find_neglected_steps(cell: Cell, is_limit_reached: bool, now: float) -> list[Step]:
@@ -111,11 +118,12 @@
 ) -> int:
     """Search workers for steps, in order, and return the number of workers examined.
 
-    No further step is searched once ``max_examined`` workers have been examined.
+    No further step is searched once ``max_examined`` workers have been examined, or the pass has
+    placed `_MAX_PLACED_PER_PASS` tasks.
     """
     examined = 0
     for step in steps:
-        if examined >= max_examined:
+        if examined >= max_examined or cell.placed_in_pass >= _MAX_PLACED_PER_PASS:
             break
         if step.not_before <= now and step.next_search_at <= now:
             step.last_search_at = now
@@ -363,6 +371,7 @@
         cell.deferred.append(DeferredStart(task, task.run))
     step.blocked_since = None
     step.placed_at = now
+    cell.placed_in_pass += len(chosen)
     mark_dirty(cell, step.job)
     record_started(cell, step, len(chosen))
     record_first_wait(cell, step.job, now)
@@ -376,6 +385,8 @@
         rank=step.rank,
         waited_s=now - step.job.submitted_at,
     )
+    if add_tasks(cell, step):
+        cell.needs_placement = True
     remaining = step.waiting_tasks
     if not remaining:
         cell.dequeue(step)
--- a/src/snowdock/jobs/ranking.py
+++ b/src/snowdock/jobs/ranking.py
@@ -16,6 +16,12 @@
 that has run before, and one that has not. Otherwise it might not run for as long as higher-ranked
 work keeps arriving."""
 
+_LATE_FACTOR = 3.0
+_MIN_OBJECTIVE_SECONDS = 1.0
+_LATE_RANK_PENALTY = 1e6
+"""A job of many tasks that is later than this multiple of its objective ranks behind all others: it
+would hold up each later job for as long as it runs. The penalty exceeds any rank of the policy."""
+
 _REFRESH_INTERVAL_SECONDS = 0.05
 _MAX_STEPS_PER_REFRESH = 20
 """Minimum time between two refreshes, and the maximum number of steps of one: these bound the
@@ -45,6 +51,13 @@
     step.ranked_at = now
     is_aged = step.spec.long_running and any(_has_aged(task, now) for task in step.waiting_tasks)
     step.rank = math.inf if is_aged else cell.policy.rank(step, now)
+    if step.job.has_many_tasks and _is_late(cell, step, now):
+        step.rank -= _LATE_RANK_PENALTY
+
+
+def _is_late(cell: Cell, step: Step, now: float) -> bool:
+    objective_s = max(_MIN_OBJECTIVE_SECONDS, cell.objective_seconds(step.job))
+    return now - step.submitted_at > _LATE_FACTOR * objective_s
 
 
 def _has_aged(task: Task, now: float) -> bool:
--- a/src/snowdock/jobs/starving.py
+++ b/src/snowdock/jobs/starving.py
@@ -11,7 +11,7 @@
 from .candidates import Caution, caution_for, count_slots, max_additional_tasks
 from .cell import Cell
 from .failed_runs import has_probation_run, is_doubtful
-from .job_state import Step, Task
+from .job_state import Job, Step, Task
 from .room_use import used_share
 from .suspects import may_share_worker, next_tasks
 from .workers import Worker
@@ -57,7 +57,10 @@
     if not idle:
         return
     free = {service for service, workers in services.items() if _is_mostly_free(workers)}
-    starving = [step for step in idle if cell.queue_of(step.job).service in free and _is_idle(step)]
+    # A job of many steps is looked at once.
+    jobs = {step.job.id: step.job for step in idle if cell.queue_of(step.job).service in free}
+    idle_jobs = {job_id for job_id, job in jobs.items() if _is_idle(job)}
+    starving = [step for step in idle if step.job.id in idle_jobs]
     starving.sort(key=lambda step: step.waiting_since)
     logged = 0
     for step in starving:
@@ -92,8 +95,8 @@
     return max(step.waiting_tasks, key=lambda task: task.waited_seconds(now), default=None)
 
 
-def _is_idle(step: Step) -> bool:
-    return not any(task.is_placed for task in step.job.all_tasks())
+def _is_idle(job: Job) -> bool:
+    return not any(task.is_placed for task in job.all_tasks())
 
 
 def _is_mostly_free(workers: list[Worker]) -> bool:
@@ -102,7 +105,7 @@
 
 
 def _has_spare_room(step: Step, workers: list[Worker]) -> bool:
-    wanted = len(step.tasks) if step.spec.gang else 1
+    wanted = step.spec.count if step.spec.gang else 1
     slots = 0
     for worker in workers:
         slots += count_slots(step, worker, worker.free)
@@ -136,7 +139,7 @@
         step.job.id,
         task=task.id,
         waiting_s=task.waited_seconds(now),
-        tasks=len(step.waiting_tasks),
+        tasks=len(step.waiting_tasks) + step.uncreated_count,
         running=sum(each.is_placed for each in step.tasks),
         losses=len(task.charges),
         at_quota=step.is_at_quota,
--- a/src/snowdock/jobs/suspects.py
+++ b/src/snowdock/jobs/suspects.py
@@ -83,13 +83,14 @@
     waiting tasks are paused or on hold.
     """
     waiting = step.waiting_tasks
-    if any(is_on_hold(task, now) for task in waiting):
+    has_charges = any(task.charges for task in waiting)
+    if has_charges and any(is_on_hold(task, now) for task in waiting):
         waiting = [] if step.spec.gang else [x for x in waiting if not is_on_hold(x, now)]
     if step.spec.long_running and not step.spec.gang:
         waiting = [task for task in waiting if task.not_before <= now]
         # Otherwise a task whose runs fail at once takes each slot before the others.
         waiting.sort(key=lambda task: -task.waited_seconds(now))
-    if not any(task.charges for task in waiting):
+    if not has_charges or not any(task.charges for task in waiting):
         return waiting, IsolationLevel.NONE
     levels = [_isolation_level(task, now) for task in waiting]
     if step.spec.gang:
--- a/tests/test_jobs_expansion.py
+++ b/tests/test_jobs_expansion.py
@@ -4,19 +4,28 @@
 import random
 import unittest
 
+import msgspec
+
+from snowdock.declarations import Size
+from snowdock.errors import InvalidInput
 from snowdock.jobs.cell import Cell
 from snowdock.jobs.events import JobAccepted, JobCancelled, SendStart
 from snowdock.jobs.job_state import Phase
-from snowdock.jobs.model import JobStatus, TaskId
+from snowdock.jobs.model import JobSpec, JobStatus, StepSpec, TaskId
 from snowdock.jobs.progress import (
     AcceptedJob,
     JobProgress,
+    SplitProgress,
+    TaskBlock,
     TaskProgress,
+    block_key,
     encode,
 )
+from snowdock.jobs.progress_layout import ProgressLayout
+from snowdock.jobs.recorded_progress import check_progress
 from snowdock.jobs.takeover import RecordedJobs
 from tests.jobs_tools import DONE, FAILED, SMALL, Bench, filter_by_type
-from tests.test_progress_encoding import JOB, Leaders, make_timed_job
+from tests.test_progress_encoding import JOB, TINY, Leaders, make_timed_job, make_wide_job
 
 _MINUTES_OF_TWO_YEARS = 1_051_200
 _MILLION_TASKS = (10_000,) * 100
@@ -141,6 +150,99 @@
         self.run_through_leaders(leaders, seed=1, max_objects=2 * 400)
 
 
+class TestWideJobs(ExpansionTestCase):
+    def test_million_tasks_exhaust_memory(self) -> None:
+        """A job of a million tasks ended each leader that read it."""
+        accepted = make_wide_job(*_MILLION_TASKS)
+        self.check_bounded_beside_small_job(accepted)
+        self.check_takeover(accepted)
+
+    def test_million_tasks_at_once(self) -> None:
+        """The same with steps that all may start at once, on workers that hold any number."""
+        accepted = make_job(*[msgspec.structs.replace(TINY, count=10_000)] * 100)
+        self.check_bounded_beside_small_job(accepted)
+        self.check_takeover(accepted)
+
+    def test_tasks_of_many_jobs(self) -> None:
+        """Wide jobs that never end leave room for each further one to start."""
+        bench = self.make_bench(cpu=1_000_000, max_job_objects=10_000)
+        step = msgspec.structs.replace(TINY, count=10_000, size=Size(0, 0))
+        jobs = [f"{number:016x}" for number in range(60)]
+        for job in jobs:
+            self.submit(bench, make_job(step, step), job)
+            bench.tick(0.5)
+        self.check_objects(bench.cell)
+        started = {start.order.task.job for start in filter_by_type(bench.all_effects, SendStart)}
+        self.assertEqual(started, set(jobs))
+
+    def test_each_task_gets_its_turn(self) -> None:
+        """Each task runs once, in a window that moves on as tasks end."""
+        for seed in range(3):
+            with self.subTest(seed=seed):
+                leaders = Leaders(make_wide_job(1500, 10, 900), 4000, 100_000, max_job_objects=1600)
+                self.run_through_leaders(leaders, seed, max_objects=1600)
+
+    def test_random_jobs_get_their_turn(self) -> None:
+        """Any mixture of steps, gangs and times runs once, whichever leader and limit it meets."""
+        for seed in range(20):
+            with self.subTest(seed=seed):
+                rng = random.Random(seed)
+                limit = rng.choice((500, 2000, 100_000))
+                leaders = Leaders(_draw_job(rng), 4000, 100_000, max_job_objects=limit)
+                self.run_through_leaders(leaders, seed, max_objects=limit)
+
+    def test_records_do_not_grow_with_what_is_done(self) -> None:
+        """The progress of tasks that are done is reduced to ranges while others run."""
+        leaders = Leaders(make_wide_job(4000), 4000, 100_000)
+        sizes = []
+        while len(leaders.done) < 3000:
+            leaders.record_all()
+            leaders.report(DONE, *sorted(leaders.running)[:500])
+            leaders.tick(0.3)
+            leaders.record_all()
+            sizes.append(sum(map(len, leaders.recorded.values())))
+        self.assertLess(sizes[-1], 2 * sizes[0])
+
+    def test_tasks_on_record_with_gaps(self) -> None:
+        """An earlier version may have recorded any of the tasks, with others before them."""
+        tasks = [TaskProgress(0, 0, index, 1, "", True) for index in range(0, 640, 2)]
+        blocks = {
+            block_key(JOB, 0, number, 0): encode(
+                TaskBlock(1, 2, [task for task in tasks if task.index // 64 == number])
+            )
+            for number in range(10)
+        }
+        head = SplitProgress(JobStatus.RUNNING, "", 1, 2, (1, 1))
+        leaders = Leaders(make_wide_job(640), 4000, 100_000, recorded={JOB: encode(head), **blocks})
+        leaders.done = {TaskId(JOB, 0, 0, task.index) for task in tasks}
+        self.run_through_leaders(leaders, seed=1, max_objects=700)
+
+    def test_finished_blocks_that_do_not_exist(self) -> None:
+        """Progress that names blocks beyond the job's last one does not match the job."""
+        spec = make_wide_job(100).spec
+        progress = JobProgress(JobStatus.RUNNING, [])
+        cases = ({0: [(0, 2)]}, {0: [(1, 0)]}, {0: [(0, 0), (0, 1)]}, {1: [(0, 0)]})
+        for finished in cases:
+            layout = ProgressLayout((1, 1), finished_blocks=finished)
+            with self.subTest(finished=finished), self.assertRaises(InvalidInput):
+                check_progress(spec, progress, layout)
+        check_progress(spec, progress, ProgressLayout((1, 1), finished_blocks={0: [(0, 1)]}))
+
+    def test_gang_beside_jobs_that_hold_their_share(self) -> None:
+        """A gang that is larger than a job's share starts whole beside jobs that never end."""
+        bench = self.make_bench(cpu=1_000_000, max_job_objects=10_000)
+        step = msgspec.structs.replace(TINY, count=10_000, size=Size(0, 0))
+        for number in range(20):
+            self.submit(bench, make_job(step), f"{number:016x}")
+            bench.tick(0.5)
+        gang = msgspec.structs.replace(step, count=1000, gang=True)
+        bench.new_starts()
+        self.submit(bench, make_job(gang), "f" * 16)
+        bench.tick(1.0)
+        started = {start.order.task for start in bench.new_starts()}
+        self.assertEqual(sum(task.job == "f" * 16 for task in started), 1000)
+
+
 def _complete_gangs(leaders: Leaders, tasks: list[TaskId]) -> list[TaskId]:
     """Return tasks that may end: the members of a gang all together, once all of them run."""
     chosen = set()
@@ -151,3 +253,17 @@
         if members <= leaders.running.keys():
             chosen |= members
     return sorted(chosen)
+
+
+def make_job(*steps: StepSpec, times: int = 0) -> AcceptedJob:
+    return AcceptedJob(JobSpec("q", "payload", steps, repetitions=times), 1, "pool", 0, 3)
+
+
+def _draw_job(rng: random.Random) -> AcceptedJob:
+    steps = []
+    for number in range(rng.randint(1, 4)):
+        after = tuple(earlier for earlier in range(number) if rng.random() < 0.5)
+        gang = rng.random() < 0.3
+        count = rng.randint(1, 60) if gang else rng.choice((1, 7, 64, 65, 300))
+        steps.append(msgspec.structs.replace(TINY, count=count, gang=gang, after=after))
+    return make_job(*steps, times=rng.choice((0, 1, 3, 40)))
