Search no room for tasks that are larger than any worker

Cause: such tasks count as bulky, so that each placement pass searched the earliest slots for each of their steps on each worker, two milliseconds a step.

Change: a step whose task exceeds the largest capacity of the open workers is passed over, and no slots are computed where a worker may run none of its tasks.

Tests: TestUnholdableTasks failed before (slots were searched).

--- a/src/snowdock/jobs/reservations.py
+++ b/src/snowdock/jobs/reservations.py
@@ -138,6 +138,8 @@
 ) -> list[float]:
     """Return the expected times at which a worker has resources for each further task."""
     max_tasks = min(wanted, max_additional_tasks(step, worker))
+    if max_tasks <= 0:
+        return []
     free = worker.free_for(step.key, step.rank)
     times = [now] * min(max_tasks, count_fitting(free, step.spec.room))
     for at, room in upcoming_free_room(cell, worker, now):
--- a/src/snowdock/jobs/worker_pools.py
+++ b/src/snowdock/jobs/worker_pools.py
@@ -72,7 +72,9 @@
         return self._by_speed[slow_first]
 
     def may_hold(self, step: Step) -> bool:
-        """Check whether a worker might have enough free room for a task of a step."""
+        """Check whether a worker might have enough free room for a task of a step, now or later."""
+        if not self.capacity.holds(step.spec.room):
+            return False
         max_free = Size(self.max_free_cpu, self.max_free_memory, self.max_free_accelerators)
         return step.is_bulky or max_free.holds(step.spec.room)
 
--- a/tests/test_jobs_reservations.py
+++ b/tests/test_jobs_reservations.py
@@ -2,10 +2,12 @@
 
 import dataclasses
 import unittest
+from unittest import mock
 
 import msgspec
 
 from snowdock.declarations import Size
+from snowdock.jobs import reservations
 from snowdock.jobs.events import AdviceAnswered, AskAdvice, SendStart, SendStop
 from snowdock.jobs.model import AdviceTerms
 from snowdock.jobs.orders import AdviceResult
@@ -256,3 +258,18 @@
         lower = self.submit(msgspec.structs.replace(self.LONG, estimate_ms=100_000), "w1")
         self.advance(4.0)
         self.assertIn(lower, self.started)
+
+
+class TestUnholdableTasks(unittest.TestCase):
+    def test_jobs_that_no_worker_can_hold(self) -> None:
+        """Room was searched for tasks larger than any worker, which took up each placement pass."""
+        bench = Bench()
+        bench.add_worker("w1", cpu=4000)
+        with mock.patch.object(reservations, "find_earliest_slots", return_value=[]) as find:
+            for _ in range(3):
+                bench.submit(msgspec.structs.replace(BULKY, size=Size(10**9, 1)))
+            bench.tick(1.0)
+        find.assert_not_called()
+        small = bench.submit(BULKY)
+        bench.tick(0.2)
+        self.assertEqual([start.order.task.job for start in bench.new_starts()], [small])
