Refuse jobs that the leader has no room for, before they are recorded

Callers saw: any number of jobs of any size was accepted, whatever they expanded to; the leader's memory for their specifications had no bound, and a gang was accepted that could only start as a whole.

Cause: the budget of callers' requests ends once a body is decoded; no node knew how much the leader holds.

Change: the leader states in its heartbeats which share of its limits is in use and how fast it falls (JobRoom). Nodes refuse large jobs with 503 from three quarters on, all from seven eighths on, with the Retry-After that follows, and gangs of more than max_gang_tasks (1,000) with 400. They ask the leader first, so that a job on record is not refused. A recorded end drops the specification.

--- a/src/snowdock/entry/admission_gate.py
+++ b/src/snowdock/entry/admission_gate.py
@@ -32,18 +32,21 @@
 from ..admission.token_bucket import TokenBucket
 from ..clocks import steady_seconds
 from ..errors import (
+    GangTooLarge,
     InvalidInput,
     JobRefused,
     JobTooLate,
     JobUnplaceable,
     LoadUnknown,
+    NoRoomForJob,
     ServiceOverloaded,
     SnowdockError,
     TeamBeyondShare,
     VerdictUnknown,
 )
+from ..jobs.job_room import JobRoom, find_room_delay
 from ..jobs.load_summary import LoadSummary
-from ..jobs.model import JobId, Queue
+from ..jobs.model import JobId, JobSpec, Queue
 from ..jobs.progress import AcceptedJob, record_name
 from ..logs import log_error, log_event
 from ..node.metrics import Metrics
@@ -130,6 +133,10 @@
         Returns the number of live nodes that this node knows of, at least 1.
     metrics
         Counts refusals.
+    find_room
+        Returns the leader's newest statement about its room for open jobs, or None.
+    max_gang_tasks
+        Returns the most tasks of a gang.
     """
 
     def __init__(
@@ -139,7 +146,11 @@
         is_recorded: Callable[[JobId, str, float], bool | None],
         count_nodes: Callable[[], int],
         metrics: Metrics,
+        find_room: Callable[[], JobRoom | None] = lambda: None,
+        max_gang_tasks: Callable[[], int] = lambda: 1_000,
     ) -> None:
+        self._find_room = find_room
+        self._max_gang_tasks = max_gang_tasks
         self._is_enabled = is_enabled
         self._find_load = find_load
         self._is_recorded = is_recorded
@@ -177,11 +188,13 @@
 
         Raises
         ------
-        JobRefused
+        JobRefused, GangTooLarge
             If the job is refused; the leader is certain that no earlier attempt was accepted.
         VerdictUnknown
             If it was not recorded now, but may have been by an earlier attempt.
         """
+        if self._is_known_beyond_limits(submission):
+            return False
         if not self._is_enabled():
             record(submission.accepted)
             return True
@@ -204,6 +217,72 @@
                     del self._recording[submission.key]
         return True
 
+    def _is_known_beyond_limits(self, submission: Submission) -> bool:
+        """Check whether the leader knows a job that it has no room for, or that is too large.
+
+        Raises
+        ------
+        NoRoomForJob, GangTooLarge
+            If the leader does not know it.
+        """
+        error = self._find_excess(submission.accepted.spec)
+        if error is None:
+            return False
+        is_recorded = self._is_recorded(submission.job, submission.accepted.team, _LOOKUP_SECONDS)
+        if is_recorded is None:
+            # An earlier attempt may have been accepted, so that a refusal could be wrong.
+            log_event("refusal_unconfirmed", job=submission.job, reason=error.code)
+            if isinstance(error, GangTooLarge):
+                raise VerdictUnknown("an earlier attempt may be recorded; repeat it") from error
+        if is_recorded is False:
+            self._count_excess(submission, error)
+            raise error
+        return bool(is_recorded)
+
+    def _find_excess(self, spec: JobSpec) -> GangTooLarge | NoRoomForJob | None:
+        """Return why a job can't be carried at all, or not now; None if it can."""
+        max_gang_tasks = self._max_gang_tasks()
+        for number, step in enumerate(spec.steps):
+            if step.gang and step.count > max_gang_tasks:
+                return GangTooLarge(
+                    f"step {number} is a gang with a count of {step.count}; "
+                    f"at most {max_gang_tasks} tasks can start together"
+                )
+        room = self._find_room()
+        delay_s = None if room is None else find_room_delay(room, spec)
+        if delay_s is None:
+            return None
+        return NoRoomForJob(
+            f"open jobs use {room.used:.0%} of their room on the leader, too much for one of "
+            f"{len(spec.steps)} steps and {spec.task_count} tasks; the job was not accepted",
+            delay_s,
+        )
+
+    def _count_excess(self, submission: Submission, error: GangTooLarge | NoRoomForJob) -> None:
+        now = steady_seconds()
+        team = submission.accepted.team
+        self._metrics.count(
+            "refusals_total",
+            "Jobs that admission control refused.",
+            reason=error.code,
+            team=team,
+        )
+        with self._lock:
+            is_logged = not self._log_bucket.wait_s(now)
+            if is_logged:
+                self._log_bucket.spend(1.0, now)
+        if is_logged:
+            log_event(
+                "job_refused",
+                job=submission.job,
+                queue=submission.queue.name,
+                team=team,
+                reason=error.code,
+                status=error.status,
+                text=str(error),
+                retry_after_s=getattr(error, "retry_after_seconds", None),
+            )
+
     def _admit(self, submission: Submission) -> AcceptedJob | None:
         """Return the record of an admitted job, or None if it was recorded by an earlier attempt.
 
--- a/src/snowdock/entry/daemon.py
+++ b/src/snowdock/entry/daemon.py
@@ -28,6 +28,7 @@
 from .configuration_watcher import ConfigurationWatcher
 from .election import Election
 from .held_lookups import HeldLookups
+from .job_room_view import JobRoomView
 from .lag_monitor import LagMonitor
 from .leader import LeaderContext
 from .leader_links import LeaderLinks
@@ -98,6 +99,7 @@
         self._lost_thread = ""
         self._peer_directory = PeerDirectory()
         self._load_view = LoadView()
+        self._job_room = JobRoomView()
         self._store = StoreClient(
             environment.store.address,
             _STORE_CONNECTIONS,
@@ -166,6 +168,8 @@
             queries.is_recorded,
             lambda: len(self._peer_directory.live_peers()) + 1,
             self._metrics,
+            self._job_room.read,
+            lambda: self._environment.jobs.max_gang_tasks,
         )
         self._caller_api = CallerApi(
             CallerApiDependencies(
@@ -292,6 +296,7 @@
             metrics=self._metrics,
             peers_read_all_progress=self._peer_directory.all_read_progress,
             publish_load=self._load_view.publish,
+            publish_job_room=lambda room: self._job_room.receive(epoch, room),
             earlier_authority_s=earlier_authority_s,
         )
 
@@ -319,12 +324,14 @@
             reads_all_progress=True,
             load=self._load_view.data_for(peer, heartbeat.epoch),
             callers=self._admission.make_news(due_s, leads=bool(heartbeat.epoch)),
+            job_room=self._job_room.data_for(heartbeat.epoch),
         )
 
     def _handle_heartbeat(self, heartbeat: Heartbeat) -> None:
         self._election.handle_heartbeat(heartbeat)
         self._configuration_watcher.handle_heartbeat(heartbeat)
         self._load_view.receive(heartbeat.load)
+        self._job_room.receive(heartbeat.epoch, heartbeat.job_room)
         self._admission.handle_heartbeat(heartbeat)
         is_new = self._peer_directory.record_heartbeat(heartbeat)
         if self._election.own_epoch and is_new:
--- a/src/snowdock/entry/leader.py
+++ b/src/snowdock/entry/leader.py
@@ -22,6 +22,7 @@
     LogDecision,
     OpenWorker,
     Persist,
+    PublishJobRoom,
     PublishLoad,
     PublishStatus,
     RecordPrediction,
@@ -31,6 +32,7 @@
     StepDown,
     Ticked,
 )
+from ..jobs.job_room import JobRoom
 from ..jobs.load_history import prediction_ratio
 from ..jobs.load_summary import LoadSummary
 from ..jobs.model import Configuration
@@ -84,6 +86,8 @@
         The node's metrics.
     publish_load
         Publishes a load summary to this node and its peers.
+    publish_job_room
+        Publishes the room for open jobs in the same way.
     peers_read_all_progress
         Returns whether all known peers would read all partitions of the progress as the leader.
     earlier_authority_s
@@ -105,6 +109,7 @@
     metrics: Metrics
     publish_load: Callable[[LoadSummary], None]
     peers_read_all_progress: Callable[[], bool] = lambda: True
+    publish_job_room: Callable[[JobRoom], None] = lambda room: None
     earlier_authority_s: Callable[[], float] = lambda: math.inf
 
 
@@ -168,6 +173,7 @@
             DropProgress: self._cleaner.clean,
             StepDown: lambda effect: self._step_down(effect.reason),
             LogDecision: self._record_decision,
+            PublishJobRoom: self._publish_job_room,
             PublishLoad: lambda effect: context.publish_load(effect.summary),
             RecordPrediction: self._record_prediction,
         }
@@ -270,6 +276,19 @@
             queue=effect.queue,
         )
 
+    def _publish_job_room(self, effect: PublishJobRoom) -> None:
+        self._context.publish_job_room(effect.room)
+        metrics = self._context.metrics
+        metrics.set("job_objects", "Steps and tasks in memory.", effect.objects)
+        metrics.set(
+            "job_bytes", "Approximate bytes of open jobs' specifications.", effect.held_bytes
+        )
+        metrics.set(
+            "jobs_unexpanded",
+            "Jobs with repetitions that are not due, or that wait for room.",
+            effect.unexpanded_jobs,
+        )
+
     def _record_team_use(self, team: str, fields: dict[str, object]) -> None:
         metrics = self._context.metrics
         metrics.set(
--- a/src/snowdock/entry/leader_settings.py
+++ b/src/snowdock/entry/leader_settings.py
@@ -59,6 +59,8 @@
         summarizes_load=PRESSURE in environment.contracts,
         max_record_bytes=environment.store.record_bytes,
         max_append_bytes=environment.store.call_bytes,
+        max_job_objects=environment.max_job_objects,
+        max_job_bytes=environment.max_job_bytes,
     )
 
 
--- a/src/snowdock/entry/messages.py
+++ b/src/snowdock/entry/messages.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from ..errors import DECODE_ERRORS, InvalidInput
+from ..jobs.job_room import JobRoom
 from ..jobs.model import JobId, JobStatus
 from ..node.peers import PeerMessages
 
@@ -94,6 +95,8 @@
         Encoded news of callers that were refused, or whose job may be recorded; empty if none.
     statement
         What the sender knows of the leaders on record; None from earlier releases.
+    job_room
+        For a leader: its room for open jobs; None if it is not known yet, or from earlier releases.
     """
 
     node: str
@@ -112,6 +115,7 @@
     load: bytes = b""
     callers: bytes = b""
     statement: Statement | None = None
+    job_room: JobRoom | None = None
 
 
 class StatusRequest(_EntryMessage, tag="s"):
--- a/src/snowdock/errors.py
+++ b/src/snowdock/errors.py
@@ -16,6 +16,7 @@
     "DeclarationErrors",
     "Draining",
     "Forbidden",
+    "GangTooLarge",
     "HeadTooLarge",
     "InvalidInput",
     "JobRefused",
@@ -25,6 +26,7 @@
     "LogExpired",
     "LogUnavailable",
     "MethodNotAllowed",
+    "NoRoomForJob",
     "NotFound",
     "NotImplementedHere",
     "Overloaded",
@@ -232,6 +234,18 @@
     code = "no_summary"
 
 
+class NoRoomForJob(JobRefused):
+    """The leader's memory for open jobs has no room for the job now."""
+
+    code = "no_room"
+
+
+class GangTooLarge(InvalidInput):
+    """A gang has more tasks than can be started together."""
+
+    code = "gang_too_large"
+
+
 class VerdictUnknown(SnowdockError):
     """The record may be on the log, but its verdict was not read in time."""
 
--- a/src/snowdock/jobs/cell.py
+++ b/src/snowdock/jobs/cell.py
@@ -8,6 +8,7 @@
 
 from ..declarations import ZERO_SIZE, Size
 from .events import Effect, LogDecision, ProgressRecord, PublishStatus
+from .job_room import RoomHistory
 from .job_state import Job, Step, Task
 from .load_history import LoadHistory
 from .model import Configuration, JobId, Queue, StepKey, TaskId
@@ -75,6 +76,8 @@
         Length of the longest record, and of the longest append, that the store takes.
     max_job_objects
         Maximum number of steps and tasks of all jobs in memory; see `job_objects`.
+    max_job_bytes
+        Memory of all specifications of open jobs, in bytes, from which no further job is accepted.
     """
 
     lease_s: float
@@ -90,6 +93,7 @@
     max_record_bytes: int = 262_144
     max_append_bytes: int = 2_097_152
     max_job_objects: int = 100_000
+    max_job_bytes: int = 40_000_000
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -318,6 +322,10 @@
         Steps that may run and of which some tasks are not created yet.
     object_count
         Number of steps and tasks of all jobs in memory.
+    held_bytes
+        Approximate memory of the specifications of open jobs, in bytes.
+    room_history
+        The recent use of the room for open jobs.
     created_in_event
         Number of steps and tasks that the current event has created.
     recorded_ends
@@ -416,6 +424,8 @@
         self.held_steps: dict[StepKey, Step] = {}
         self.partial_steps: dict[StepKey, Step] = {}
         self.object_count = 0
+        self.held_bytes = 0
+        self.room_history = RoomHistory()
         self.created_in_event = 0
         self.recorded_ends: dict[JobId, Job] = {}
         self.charged_lives: dict[str, set[tuple[TaskId, int]]] = {}
@@ -495,10 +505,14 @@
     def add_job(self, job: Job) -> None:
         """Add a job."""
         self.jobs[job.id] = job
+        self.held_bytes += job.held_bytes
 
     def remove_job(self, job_id: JobId) -> Job | None:
         """Remove and return a job; None if it is unknown."""
-        return self.jobs.pop(job_id, None)
+        job = self.jobs.pop(job_id, None)
+        if job is not None:
+            self.held_bytes -= job.held_bytes
+        return job
 
     def find_task(self, task: TaskId) -> Task | None:
         """Return a task, or None if it is unknown or not in memory."""
--- a/src/snowdock/jobs/events.py
+++ b/src/snowdock/jobs/events.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from .job_room import JobRoom
 from .load_summary import LoadSummary
 from .model import Configuration, JobId, JobStatus, TaskId
 from .orders import (
@@ -40,6 +41,7 @@
     "Persist",
     "Persisted",
     "ProgressRecord",
+    "PublishJobRoom",
     "PublishLoad",
     "PublishStatus",
     "RecordPrediction",
@@ -362,6 +364,25 @@
     summary: LoadSummary
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class PublishJobRoom:
+    """Publish to all nodes how much of the room for open jobs is in use.
+
+    Attributes
+    ----------
+    room
+        The statement.
+    objects, held_bytes, unexpanded_jobs
+        Steps and tasks in memory, approximate bytes of specifications, and jobs with repetitions
+        that are not created yet.
+    """
+
+    room: JobRoom
+    objects: int
+    held_bytes: int
+    unexpanded_jobs: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class RecordPrediction:
     """Record the wait that was predicted for a job, and the one observed at its first placement."""
@@ -396,5 +417,6 @@
     | StepDown
     | LogDecision
     | PublishLoad
+    | PublishJobRoom
     | RecordPrediction
 )
--- a/src/snowdock/jobs/expansion.py
+++ b/src/snowdock/jobs/expansion.py
@@ -6,6 +6,7 @@
 import itertools
 
 from .cell import Cell
+from .events import PublishJobRoom
 from .job_objects import (
     MAX_CREATED_PER_EVENT,
     add_tasks,
@@ -16,7 +17,7 @@
 from .job_state import Job, Step
 from .runs import enqueue_ready_steps
 
-__all__ = ["expand_job", "expand_waiting", "release_ended_jobs"]
+__all__ = ["expand_job", "expand_waiting", "publish_job_room", "release_ended_jobs"]
 
 _MAX_STEPS_PER_EVENT = 500
 """Number of steps with tasks left that one event looks at."""
@@ -96,3 +97,13 @@
     max_objects = cell.settings.max_job_objects * _MAX_ENDED_SHARE
     while cell.object_count > max_objects and cell.recorded_ends:
         release_objects(cell, cell.recorded_ends.pop(next(iter(cell.recorded_ends))))
+
+
+def publish_job_room(cell: Cell, now: float) -> None:
+    """Publish how much of the room for open jobs is in use."""
+    settings = cell.settings
+    used = max(
+        cell.object_count / settings.max_job_objects, cell.held_bytes / settings.max_job_bytes
+    )
+    room = cell.room_history.add(used, now)
+    cell.emit(PublishJobRoom(room, cell.object_count, cell.held_bytes, len(cell.unexpanded_jobs)))
--- a/src/snowdock/jobs/job_objects.py
+++ b/src/snowdock/jobs/job_objects.py
@@ -19,6 +19,7 @@
 __all__ = [
     "MAX_CREATED_PER_EVENT",
     "add_tasks",
+    "drop_spec",
     "free_objects",
     "has_place",
     "may_open_repetition",
@@ -171,6 +172,12 @@
     _count(cell, job, -job.object_count)
 
 
+def drop_spec(cell: Cell, job: Job) -> None:
+    """Drop the specification of a job whose end is recorded."""
+    cell.held_bytes -= job.held_bytes
+    job.drop_spec()
+
+
 def _forget_steps(cell: Cell, steps: Iterable[Step]) -> None:
     for step in steps:
         cell.partial_steps.pop(step.key, None)
--- a/src/snowdock/jobs/job_state.py
+++ b/src/snowdock/jobs/job_state.py
@@ -5,6 +5,8 @@
 import enum
 from collections.abc import Iterator, Mapping
 
+import msgspec
+
 from .evidence import Charge, Evidence
 from .load_history import WaitPrediction
 from .model import AdviceTerms, JobId, JobStatus, StepKey, StepSpec, TaskId
@@ -405,6 +407,8 @@
         Number of its steps among the leader's waiting steps.
     object_count
         Number of steps and tasks in memory.
+    held_bytes
+        Approximate memory of its specification, in bytes; 0 once that is dropped.
     has_many_tasks
         Whether its tasks are dropped from memory once they are done.
     critical_paths_ms
@@ -426,6 +430,7 @@
     next_repetition: int = 0
     waiting_steps: int = 0
     object_count: int = 0
+    held_bytes: int = 0
     has_many_tasks: bool = False
     critical_paths_ms: tuple[float, ...] = ()
     announced_at: float | None = None
@@ -434,6 +439,7 @@
 
     def __post_init__(self) -> None:
         self.critical_paths_ms = compute_critical_paths_ms(self.accepted.spec.steps)
+        self.held_bytes = self.accepted.spec.held_bytes
         self.has_many_tasks = self.accepted.spec.task_count > _MANY_TASKS
 
     @property
@@ -466,6 +472,12 @@
         """Number of times that the steps run."""
         return max(1, self.accepted.spec.repetitions)
 
+    def drop_spec(self) -> None:
+        """Drop the payload and the steps of the specification, once the job's end is recorded."""
+        spec = msgspec.structs.replace(self.accepted.spec, payload="", steps=())
+        self.accepted = msgspec.structs.replace(self.accepted, spec=spec)
+        self.held_bytes = 0
+
     def due_ms(self, repetition: int) -> float:
         """Return when a repetition is due, in ms since 1970; 0 for a job that runs once."""
         spec = self.accepted.spec
--- a/src/snowdock/jobs/model.py
+++ b/src/snowdock/jobs/model.py
@@ -66,6 +66,12 @@
 """A count in a configuration; messages and records have 64 bits for an integer."""
 
 
+_JOB_BYTES = 2_000
+_STEP_BYTES = 250
+_REFERENCE_BYTES = 8
+"""Approximate memory of a job, of a step's specification, and of the number of an earlier step."""
+
+
 def is_job_id(text: str) -> bool:
     """Return whether a text has the form of a job id."""
     return _JOB_ID.fullmatch(text) is not None
@@ -215,6 +221,20 @@
         """Number of tasks of all repetitions."""
         return max(1, self.repetitions) * sum(step.count for step in self.steps)
 
+    @property
+    def object_count(self) -> int:
+        """Number of steps and tasks of all repetitions."""
+        return max(1, self.repetitions) * len(self.steps) + self.task_count
+
+    @property
+    def held_bytes(self) -> int:
+        """Approximate memory of the specification, in bytes."""
+        texts = len(self.payload) + sum(
+            len(step.label) + len(step.data_rack) + len(step.image) for step in self.steps
+        )
+        references = sum(len(step.after) for step in self.steps)
+        return _JOB_BYTES + _STEP_BYTES * len(self.steps) + _REFERENCE_BYTES * references + texts
+
     @property
     def work_core_s(self) -> float:
         """Estimated work of one execution of the steps, in core-seconds."""
--- a/src/snowdock/jobs/progress_batches.py
+++ b/src/snowdock/jobs/progress_batches.py
@@ -11,6 +11,7 @@
 from .charges import forget_task_charges
 from .durability import RENEW_WAIT_MS, send_renewal
 from .events import DropProgress, ForgetAccepted, Persist, ProgressRecord, SendStart
+from .job_objects import drop_spec
 from .job_state import Job, Phase, Task
 from .model import JobId
 from .orders import StartOrder
@@ -90,6 +91,7 @@
         # A takeover reads all submission records, so keep only those of open jobs.
         changes.deferred.append(ForgetAccepted((job.record_name,)))
         cell.recorded_ends[job.id] = job
+        drop_spec(cell, job)
     if encoded.obsolete_keys:
         changes.deferred.append(DropProgress(tuple(encoded.obsolete_keys)))
     changes.records.extend(encoded.records)
--- a/src/snowdock/jobs/reducer.py
+++ b/src/snowdock/jobs/reducer.py
@@ -28,7 +28,7 @@
     WorkerDelisted,
     WorkerListed,
 )
-from .expansion import expand_job, expand_waiting, release_ended_jobs
+from .expansion import expand_job, expand_waiting, publish_job_room, release_ended_jobs
 from .job_objects import release_objects
 from .job_state import Job, Phase
 from .load import predict_job, summarize_load
@@ -237,6 +237,7 @@
     log_starving_jobs(cell, now)
     log_overdue_runs(cell, now)
     summarize_load(cell, now)
+    publish_job_room(cell, now)
 
 
 def _abort_late_gangs(cell: Cell, now: float) -> None:
--- a/src/snowdock/jobs/restored_jobs.py
+++ b/src/snowdock/jobs/restored_jobs.py
@@ -5,7 +5,7 @@
 from .events import DropProgress, ForgetAccepted
 from .evidence import Charge, Evidence
 from .expansion import expand_job
-from .job_objects import open_repetition, restore_task
+from .job_objects import drop_spec, open_repetition, restore_task
 from .job_state import Job, Phase, Task
 from .lives import worker_id_of
 from .model import JobId
@@ -96,6 +96,7 @@
     if job.status.is_final:
         if not progress.tasks:
             cell.emit(ForgetAccepted((job.record_name,)))
+            drop_spec(cell, job)
         return
     for steps in job.repetitions.values():
         for step in steps:
--- a/src/snowdock/platform/node_settings.py
+++ b/src/snowdock/platform/node_settings.py
@@ -13,6 +13,7 @@
 __all__ = [
     "PRESSURE",
     "SETTINGS_VARIABLE",
+    "JobLimits",
     "NodeEnvironment",
     "StoreSettings",
     "read_node_environment",
@@ -58,6 +59,37 @@
     body_timeout_ms: Annotated[float, msgspec.Meta(ge=100, le=3_600_000)] = 30_000
 
 
+_MIN_JOB_OBJECTS = 10_000
+_OBJECT_BYTES = 800
+"""Approximate memory of a step or task with all that is kept about its run."""
+
+_JOB_OBJECTS_SHARE = 0.25
+_JOB_BYTES_SHARE = 0.125
+"""Default shares of the VM's memory for steps and tasks, and for the specifications of jobs."""
+
+
+class JobLimits(msgspec.Struct, frozen=True):
+    """Limits on what jobs may expand to; 0 for a limit that follows from the VM's memory.
+
+    Attributes
+    ----------
+    max_objects
+        Most steps and tasks in the leader's memory.
+    max_bytes
+        Bytes of the specifications of open jobs from which no further job is accepted.
+    max_gang_tasks
+        Most tasks of a gang.
+    """
+
+    max_objects: Annotated[int, msgspec.Meta(ge=0, le=10_000_000)] = 0
+    max_bytes: Annotated[int, msgspec.Meta(ge=0)] = 0
+    max_gang_tasks: Annotated[int, msgspec.Meta(ge=1, le=10_000)] = 1_000
+
+    def __post_init__(self) -> None:
+        if 0 < self.max_objects < _MIN_JOB_OBJECTS:
+            raise ValueError(f"max_objects = {self.max_objects} is less than {_MIN_JOB_OBJECTS}")
+
+
 class StoreSettings(msgspec.Struct, frozen=True):
     """Address and limits of the platform's store.
 
@@ -87,6 +119,7 @@
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
     limits: _Limits = msgspec.field(default_factory=_Limits)
     callers: _Callers = msgspec.field(default_factory=_Callers)
+    jobs: JobLimits = JobLimits()
     advice: str = ""
     bootstrap: bool = False
     heartbeat_ms: float = 1500
@@ -138,6 +171,8 @@
         Bandwidth of the network link, in Mbit/s.
     contracts
         Names of the optional behaviour that the settings call for, such as `pressure`.
+    jobs
+        Limits on what jobs may expand to.
     """
 
     node: str
@@ -163,6 +198,18 @@
     memory_mb: float = 300.0
     body_timeout_s: float = 30.0
     contracts: tuple[str, ...] = ()
+    jobs: JobLimits = JobLimits()
+
+    @property
+    def max_job_objects(self) -> int:
+        """Most steps and tasks in the leader's memory."""
+        share = int(self.memory_mb * 1_000_000 * _JOB_OBJECTS_SHARE / _OBJECT_BYTES)
+        return self.jobs.max_objects or max(_MIN_JOB_OBJECTS, share)
+
+    @property
+    def max_job_bytes(self) -> int:
+        """Bytes of the specifications of open jobs from which no further job is accepted."""
+        return self.jobs.max_bytes or int(self.memory_mb * 1_000_000 * _JOB_BYTES_SHARE)
 
 
 def read_node_environment(path: str | None = None) -> NodeEnvironment:
@@ -205,4 +252,5 @@
         cpu_cores=file.limits.cpu_share * file.limits.cores,
         link_mbps=file.limits.link_mbps,
         contracts=file.contracts,
+        jobs=file.jobs,
     )
--- a/tests/test_admission_gate.py
+++ b/tests/test_admission_gate.py
@@ -11,13 +11,16 @@
 from snowdock.entry.load_view import LoadReading, LoadView
 from snowdock.entry.messages import Heartbeat
 from snowdock.errors import (
+    GangTooLarge,
     JobUnplaceable,
     LoadUnknown,
     LogUnavailable,
+    NoRoomForJob,
     ServiceOverloaded,
     TeamBeyondShare,
     VerdictUnknown,
 )
+from snowdock.jobs.job_room import JobRoom
 from snowdock.jobs.load_summary import LoadSummary, QueueLoad, ServiceLoad, TeamLoad, encode_summary
 from snowdock.jobs.model import JobSpec, Queue, StepSpec
 from snowdock.jobs.progress import AcceptedJob
@@ -56,12 +59,15 @@
         self.records: list[AcceptedJob] = []
         self.failure: Exception | None = None
         self.metrics = Metrics()
+        self.room: JobRoom | None = None
         self.gate = AdmissionGate(
             lambda: is_enabled,
             lambda: self.find_load(),
             self.find_recorded,
             lambda: self.node_count,
             self.metrics,
+            lambda: self.room,
+            lambda: 100,
         )
 
     def find_load(self) -> LoadReading | None:
@@ -80,6 +86,63 @@
         return self.gate.submit(submission(*arguments, **named), self.record)
 
 
+class TestRoom(unittest.TestCase):
+    """Jobs that the leader could not carry were accepted, whatever they expanded to."""
+
+    def submit(self, fixture: Fixture, spec: JobSpec) -> bool:
+        accepted = AcceptedJob(spec, ACCEPTED_MS, "pool", 0, 1, "other")
+        return fixture.gate.submit(
+            Submission("a" * 16, accepted, QUEUE, steady_seconds(), 3.0), fixture.record
+        )
+
+    def test_large_gang_is_refused(self) -> None:
+        """A gang that could only start as a whole is refused for good, and not recorded."""
+        for is_enabled in (True, False):
+            fixture = Fixture(is_enabled)
+            step = StepSpec(101, Size(1, 1), gang=True)
+            with self.assertRaises(GangTooLarge) as refused:
+                self.submit(fixture, JobSpec("q", "", (StepSpec(101, Size(1, 1)), step)))
+            self.assertEqual(refused.exception.status, 400)
+            self.assertIn("step 1 is a gang with a count of 101", str(refused.exception))
+            self.assertEqual(fixture.records, [])
+            smaller = msgspec.structs.replace(step, count=100)
+            self.assertTrue(self.submit(fixture, JobSpec("q", "", (smaller,))))
+
+    def test_large_job_is_refused_while_room_is_short(self) -> None:
+        """The refusal names the quantity and the time; a small job is accepted meanwhile."""
+        for is_enabled in (True, False):
+            fixture = Fixture(is_enabled)
+            fixture.room = JobRoom(0.8, 0.01)
+            step = StepSpec(1, Size(1, 1))
+            timed = JobSpec("q", "", (step,), repetitions=5000)
+            with self.assertRaises(NoRoomForJob) as refused:
+                self.submit(fixture, timed)
+            self.assertEqual(refused.exception.status, 503)
+            self.assertAlmostEqual(refused.exception.retry_after_seconds, 5.0)
+            self.assertIn("80%", str(refused.exception))
+            self.assertIn("5000 tasks", str(refused.exception))
+            self.assertTrue(self.submit(fixture, JobSpec("q", "", (step,))))
+            fixture.room = None
+            self.assertTrue(self.submit(fixture, timed))
+            self.assertEqual(len(fixture.records), 2)
+            text = fixture.metrics.render()[0].decode()
+            self.assertIn('snowdock_refusals_total{reason="no_room",team="other"} 1', text)
+
+    def test_repeated_submission_of_an_accepted_job(self) -> None:
+        """A job that is on record is not refused, and neither is one of which that is unknown."""
+        fixture = Fixture()
+        fixture.room = JobRoom(1.0)
+        step = StepSpec(1, Size(1, 1))
+        fixture.recorded = True
+        self.assertFalse(self.submit(fixture, JobSpec("q", "", (step,))))
+        self.assertEqual(fixture.records, [])
+        fixture.recorded = None
+        self.assertTrue(self.submit(fixture, JobSpec("q", "", (step,))))
+        gang = msgspec.structs.replace(step, count=101, gang=True)
+        with self.assertRaises(VerdictUnknown):
+            self.submit(fixture, JobSpec("q", "", (gang,)))
+
+
 class TestAdmissionGate(unittest.TestCase):
     def test_errors_carry_status_and_retry_time(self) -> None:
         """Guards against a refusal without its status, or with a job that is recorded."""
--- a/tests/test_leader_settings.py
+++ b/tests/test_leader_settings.py
@@ -82,12 +82,15 @@
                 quota_overage=0.0,
                 contracts=(),
                 store=StoreSettings("127.0.0.1:1", record_bytes=1000, call_bytes=5000),
+                max_job_objects=20_000,
+                max_job_bytes=30_000,
             )
             settings = cell_settings(environment)
             self.assertAlmostEqual(settings.pass_time_share, share)
             self.assertAlmostEqual(settings.examination_s, 10e-6 / max(1.0, cores))
             limits = (settings.max_record_bytes, settings.max_append_bytes)
             self.assertEqual(limits, (1000, 5000))
+            self.assertEqual((settings.max_job_objects, settings.max_job_bytes), (20_000, 30_000))
 
 
 class TestRunExpiryAfterClaim(unittest.TestCase):
--- a/tests/test_load_view.py
+++ b/tests/test_load_view.py
@@ -8,6 +8,7 @@
 from snowdock.entry import load_view
 from snowdock.entry.load_view import LoadView
 from snowdock.entry.messages import ENTRY_MESSAGES, Heartbeat, Statement
+from snowdock.jobs.job_room import JobRoom
 from snowdock.jobs.load_summary import LoadSummary, encode_summary
 
 
@@ -94,14 +95,22 @@
         """Guards against nodes of two releases that do not hear each other."""
         statement = Statement("n-1", 1.0, "m-1", 2.0, 3, False, 4)
         heartbeat = Heartbeat(
-            "n", "a:1", 3, 0.0, load=encoded(3, 50.0), callers=b"c", statement=statement
+            "n",
+            "a:1",
+            3,
+            0.0,
+            load=encoded(3, 50.0),
+            callers=b"c",
+            statement=statement,
+            job_room=JobRoom(0.5, 0.25),
         )
         self.assertEqual(ENTRY_MESSAGES.decode(ENTRY_MESSAGES.encode(heartbeat)), heartbeat)
         fields = msgspec.msgpack.decode(ENTRY_MESSAGES.encode(heartbeat))
-        without_statement = msgspec.structs.replace(heartbeat, statement=None)
+        without_room = msgspec.structs.replace(heartbeat, job_room=None)
+        without_statement = msgspec.structs.replace(without_room, statement=None)
         without_callers = msgspec.structs.replace(without_statement, callers=b"")
         without_load = msgspec.structs.replace(without_callers, load=b"")
-        earlier = (without_statement, without_callers, without_load)
+        earlier = (without_room, without_statement, without_callers, without_load)
         for left_out, expected in enumerate(earlier, start=1):
             older = ENTRY_MESSAGES.decode(msgspec.msgpack.encode(fields[:-left_out]))
             self.assertEqual(older, expected)
--- a/tests/test_platform_codecs.py
+++ b/tests/test_platform_codecs.py
@@ -14,7 +14,7 @@
 from snowdock.jobs.progress import AcceptedJob, decode_accepted, decode_progress, encode
 from snowdock.platform.configuration import decode_configuration
 from snowdock.platform.job_bodies import decode_job, encode_status, is_job_id
-from snowdock.platform.node_settings import read_node_environment
+from snowdock.platform.node_settings import JobLimits, read_node_environment
 from snowdock.platform.worker_calls import format_task, parse_task
 from snowdock.platform.worker_entries import decode_worker_entry
 from tests.standins.entry_cluster import CONFIGURATION
@@ -192,6 +192,38 @@
         self.assertEqual((found.peer_address, found.cpu_cores), ("10.0.0.1:7720", 1.0))
         self.assertEqual((found.lease_limit_s, found.worker_heartbeat_s), (6.0, 1.5))
         self.assertEqual(found.store.address, "10.0.0.9:3")
+        self.assertEqual(found.jobs, JobLimits())
+
+    def test_limits_on_jobs(self) -> None:
+        """Limits follow from the memory unless they are stated; unusable ones are rejected."""
+        text = """
+node = "n"
+ip = "10.0.0.1"
+zone = "z"
+port_range = [7720, 7735]
+[listen]
+[platform]
+address = "10.0.0.9:3"
+[limits]
+memory_mb = {}
+[jobs]
+{}
+"""
+
+        def read(memory_mb: int, jobs: str) -> tuple[int, int, int]:
+            path.write_text(text.format(memory_mb, jobs))
+            found = read_node_environment(str(path))
+            return found.max_job_objects, found.max_job_bytes, found.jobs.max_gang_tasks
+
+        with tempfile.TemporaryDirectory() as folder:
+            path = pathlib.Path(folder, "settings.toml")
+            self.assertEqual(read(160, ""), (50_000, 20_000_000, 1000))
+            self.assertEqual(read(1, ""), (10_000, 125_000, 1000))
+            stated = "max_objects = 10000\nmax_bytes = 7\nmax_gang_tasks = 20"
+            self.assertEqual(read(160, stated), (10_000, 7, 20))
+            for unusable in ("max_objects = 9999", "max_bytes = -1", "max_gang_tasks = 0"):
+                with self.subTest(unusable), self.assertRaises(SettingsUnreadable):
+                    read(160, unusable)
 
 
 class TestRecords(unittest.TestCase):
