--- a/src/snowdock/emulator/checks.py
+++ b/src/snowdock/emulator/checks.py
@@ -65,6 +65,7 @@
 
     def __init__(self, quota_overage: float = 0.0) -> None:
         self._tasks: dict[TaskId, _TaskHistory] = {}
+        self._job_histories: dict[str, list[_TaskHistory]] = {}
         self._jobs: dict[str, tuple[JobSpec, int]] = {}
         self._cancelled: dict[str, float] = {}
         self.is_undisturbed = True
@@ -94,12 +95,11 @@
 
     def has_ended(self, job: str) -> bool:
         """Return whether a job was cancelled or one of its tasks has used up its attempts."""
-        spec, max_attempts = self._jobs[job]
+        _, max_attempts = self._jobs[job]
         if job in self._cancelled:
             return True
         return any(
-            len(self._history(task).failed_runs) >= max_attempts
-            for task in iterate_tasks(job, spec)
+            len(history.failed_runs) >= max_attempts for history in self._job_histories.get(job, ())
         )
 
     def may_fail_after_crashes(self, job: str) -> bool:
@@ -114,7 +114,11 @@
         self.violations.append(Violation(rule, at, task, detail))
 
     def _history(self, task: TaskId) -> _TaskHistory:
-        return self._tasks.setdefault(task, _TaskHistory())
+        history = self._tasks.get(task)
+        if history is None:
+            history = self._tasks[task] = _TaskHistory()
+            self._job_histories.setdefault(task.job, []).append(history)
+        return history
 
     def check_start(
         self,
--- a/src/snowdock/emulator/workload.py
+++ b/src/snowdock/emulator/workload.py
@@ -16,6 +16,7 @@
     "WorkloadOptions",
     "crowded_mixes",
     "default_mixes",
+    "draw_expanding_jobs",
     "draw_workload",
     "log_mixes",
     "make_mix",
@@ -433,3 +434,24 @@
     weights = [team.weight * (factor if team.name == hot else 1.0) for team in options.teams]
     owners = random.Random(f"teams of {seed}").choices(names, weights, k=len(drawn))
     return [dataclasses.replace(job, team=owner) for job, owner in zip(drawn, owners, strict=True)]
+
+
+def draw_expanding_jobs(seed: int, options: WorkloadOptions, count: int) -> list[DrawnJob]:
+    """Return jobs that expand to a million tasks each, and are never done.
+
+    They are timed jobs whose times are all past, jobs of many wide steps, and the latter with tasks
+    that no worker can hold, in turn.
+    """
+    rng = random.Random(f"expanding jobs of {seed}")
+    jobs = []
+    for number in range(count):
+        mix = rng.choice(options.mixes)
+        is_timed, is_held = number % 3 == 0, number % 3 != 2
+        size = Size(mix.cpu if is_held else 10**9, mix.memory)
+        step = StepSpec(1 if is_timed else 10_000, size, estimate_ms=round(mix.work_s * 1000))
+        steps = (step,) if is_timed else (step,) * 100
+        spec = JobSpec(mix.queue.name, "expands", steps, repetitions=is_timed * 1_000_000)
+        work_s = ((mix.work_s,) * step.count,) * len(steps)
+        at = rng.uniform(0.0, options.seconds)
+        jobs.append(DrawnJob(f"e{number:015x}", at, mix, spec, work_s, is_hopeless=False))
+    return jobs
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -3,6 +3,7 @@
 import unittest
 
 from tests.soak import (
+    EXPANDING_FROM_SEED,
     FAILED_SEEDS,
     LONG_RUNNING_FROM_SEED,
     SHORT_RECORDS_FROM_SEED,
@@ -34,6 +35,12 @@
         self.assertEqual(soak.run(), [])
 
 
+class TestSoakWithExpandingJobs(unittest.TestCase):
+    def test_jobs_that_expand_to_millions_of_tasks(self) -> None:
+        """Beside such jobs accepted ones end, through changes of leader and cuts."""
+        self.assertEqual(Soak(EXPANDING_FROM_SEED, OVERLAPPING_SECONDS).run(), [])
+
+
 class TestSoakWithGroupCuts(unittest.TestCase):
     def test_tasks_run_twice_after_their_leader_was_cut_off(self) -> None:
         """No task runs on both sides of a cut, and all accepted jobs end after it."""
