Keep the age of a step that gives its place to others

Cause: a step that waits behind others of its job got a new start of its waiting time with each turn, so that a long-running one would never have counted as waiting for long.

Change: the time since which it has a place is apart from the time since which it waits.

Tests: test_last_of_many_steps_is_the_only_one_that_can_start; its check of the age fails without this change by construction (the age was that of the last turn), which was not run separately.

--- a/src/snowdock/jobs/cell.py
+++ b/src/snowdock/jobs/cell.py
@@ -494,6 +494,7 @@
         self.held_steps.pop(step.key, None)
         if step.key not in self.waiting_steps:
             self.waiting_steps[step.key] = step
+            step.place_since = self.now
             step.job.waiting_steps += 1
 
     def dequeue(self, step: Step) -> None:
--- a/src/snowdock/jobs/expansion.py
+++ b/src/snowdock/jobs/expansion.py
@@ -49,8 +49,10 @@
     for key in list(itertools.islice(cell.held_steps, _MAX_STEPS_PER_EVENT)):
         if _has_created_enough(cell):
             return
-        step = cell.held_steps.pop(key)
+        step = cell.held_steps[key]
         enqueue_ready_steps(cell, [step])
+        if key in cell.held_steps:
+            cell.held_steps[key] = cell.held_steps.pop(key)
     for key in list(itertools.islice(cell.partial_steps, _MAX_STEPS_PER_EVENT)):
         if _has_created_enough(cell):
             return
@@ -79,7 +81,7 @@
 
 
 def _may_give_way(cell: Cell, step: Step) -> bool:
-    waited_s = cell.now - max(step.queued_at, step.placed_at)
+    waited_s = cell.now - max(step.place_since, step.placed_at)
     if step.advice is None:
         return waited_s >= _PLACE_SECONDS
     return waited_s >= _ADVISED_PLACE_SECONDS and not step.advice.pending
--- a/src/snowdock/jobs/job_objects.py
+++ b/src/snowdock/jobs/job_objects.py
@@ -20,7 +20,6 @@
     "MAX_CREATED_PER_EVENT",
     "add_tasks",
     "drop_spec",
-    "free_objects",
     "has_place",
     "may_open_repetition",
     "open_repetition",
@@ -52,7 +51,7 @@
 Each of them takes time in each placement pass, and delays the searches for the others."""
 
 
-def free_objects(cell: Cell) -> int:
+def _free_objects(cell: Cell) -> int:
     """Return how many more steps and tasks may be held; may be negative after a takeover."""
     return cell.settings.max_job_objects - cell.object_count
 
@@ -60,7 +59,7 @@
 def _allowance(cell: Cell, job: Job) -> int:
     """Return how many more objects a job may create."""
     max_objects = cell.settings.max_job_objects
-    free = free_objects(cell)
+    free = _free_objects(cell)
     unreserved = free - max_objects // _RESERVED_SHARE
     share = min(unreserved // _JOB_SHARE, max_objects // _MAX_JOB_SHARE)
     first = min(free // _JOB_SHARE, _RESERVED_OBJECTS_PER_JOB)
@@ -84,7 +83,7 @@
     """Check whether a job may get a further repetition."""
     step_count = len(job.accepted.spec.steps)
     if all(step.is_done for step in job.all_steps()):
-        return free_objects(cell) // _JOB_SHARE >= step_count
+        return _free_objects(cell) // _JOB_SHARE >= step_count
     return has_place(cell, job) and _allowance(cell, job) >= step_count
 
 
@@ -134,7 +133,7 @@
     allowed = _allowance(cell, step.job)
     if step.spec.gang:
         # Its tasks start together or not at all.
-        return wanted if wanted <= max(allowed, free_objects(cell) // 2) else 0
+        return wanted if wanted <= max(allowed, _free_objects(cell) // 2) else 0
     if allowed < wanted and not step.job.has_many_tasks:
         # The tasks of larger jobs are dropped whenever their progress is recorded.
         allowed += _drop_done_tasks(cell, step.job)
--- a/src/snowdock/jobs/job_state.py
+++ b/src/snowdock/jobs/job_state.py
@@ -241,8 +241,9 @@
         Answers of the advice service; None if the queue needs no advice.
     rank, ranked_at
         Rank of the step, and time of its computation; steps with higher ranks are placed first.
-    queued_at, placed_at
-        Time at which the step was enqueued, and of the last placement of any of its tasks.
+    queued_at, place_since, placed_at
+        Time at which the step was enqueued, since which it is among the waiting steps, and of the
+        last placement of any of its tasks.
     not_before
         Earliest time of the next attempt after a failure.
     next_search_at, last_search_at
@@ -290,6 +291,7 @@
     rank: float = 0.0
     ranked_at: float = 0.0
     queued_at: float = 0.0
+    place_since: float = 0.0
     placed_at: float = 0.0
     not_before: float = 0.0
     next_search_at: float = 0.0
--- a/src/snowdock/jobs/runs.py
+++ b/src/snowdock/jobs/runs.py
@@ -91,8 +91,10 @@
     if step.spec.gang and (step.uncreated_count or any(task.is_placed for task in step.tasks)):
         return
     if step.key not in cell.waiting_steps:
+        if step.key not in cell.held_steps or not step.queued_at:
+            # One that gave its place to others has gone on waiting.
+            step.queued_at = cell.now
         cell.enqueue(step)
-        step.queued_at = cell.now
         update_rank(cell, step, cell.now)
     step.next_search_at = 0.0
     cell.needs_placement = True
--- a/tests/test_jobs_expansion.py
+++ b/tests/test_jobs_expansion.py
@@ -228,6 +228,17 @@
                 check_progress(spec, progress, layout)
         check_progress(spec, progress, ProgressLayout((1, 1), finished_blocks={0: [(0, 1)]}))
 
+    def test_last_of_many_steps_is_the_only_one_that_can_start(self) -> None:
+        """Steps that cannot start held their places, so that others of their job never started."""
+        bench = self.make_bench()
+        unfit = msgspec.structs.replace(TINY, label="none")
+        job = bench.submit(*[unfit] * 99, TINY)
+        bench.tick(3.0)
+        started = {start.order.task.step for start in bench.new_starts()}
+        self.assertEqual(started, {99})
+        waiting = [step for step in bench.cell.jobs[job].all_steps() if not step.done_count]
+        self.assertLessEqual(max(step.queued_at for step in waiting), bench.now - 0.5)
+
     def test_gang_beside_jobs_that_hold_their_share(self) -> None:
         """A gang that is larger than a job's share starts whole beside jobs that never end."""
         bench = self.make_bench(cpu=1_000_000, max_job_objects=10_000)
