Drop a step from those that are held once it has nothing to wait for

Cause: a held step that was done or had all tasks placed by the time of its turn stayed among the held ones, took time in each timer event and had other steps of its job give up their places.

Change: a step leaves the held ones whenever it is offered a place.

--- a/src/snowdock/jobs/runs.py
+++ b/src/snowdock/jobs/runs.py
@@ -64,14 +64,16 @@
 def enqueue_ready_steps(cell: Cell, steps: list[Step]) -> None:
     """Enqueue the steps of a repetition whose predecessors are done."""
     for step in steps:
-        if step.job.status.is_final or step.is_done or not _is_ready(step):
-            continue
-        if step.key not in cell.waiting_steps and not has_place(cell, step.job):
+        can_start = not (step.job.status.is_final or step.is_done) and _is_ready(step)
+        is_waiting = step.key in cell.waiting_steps
+        if can_start and not is_waiting and not has_place(cell, step.job):
             cell.held_steps[step.key] = step
             continue
-        add_tasks(cell, step)
-        if step.waiting_tasks:
-            _enqueue_step(cell, step)
+        if can_start:
+            add_tasks(cell, step)
+            if step.waiting_tasks:
+                _enqueue_step(cell, step)
+        cell.held_steps.pop(step.key, None)
 
 
 def _is_ready(step: Step) -> bool:
--- a/tests/test_jobs_expansion.py
+++ b/tests/test_jobs_expansion.py
@@ -236,6 +236,7 @@
         bench.tick(3.0)
         started = {start.order.task.step for start in bench.new_starts()}
         self.assertEqual(started, {99})
+        self.assertNotIn((job, 0, 99), bench.cell.held_steps)
         waiting = [step for step in bench.cell.jobs[job].all_steps() if not step.done_count]
         self.assertLessEqual(max(step.queued_at for step in waiting), bench.now - 0.5)
 
