Look up tasks in memory without further calls

Cause: the look-up of a task by its index, which forecasts of room make for each run of each worker, had become two calls deeper.

Change: the usual case is handled in place.

--- a/src/snowdock/jobs/cell.py
+++ b/src/snowdock/jobs/cell.py
@@ -517,8 +517,18 @@
 
     def find_task(self, task: TaskId) -> Task | None:
         """Return a task, or None if it is unknown or not in memory."""
-        step = self.find_step((task.job, task.repetition, task.step))
-        return None if step is None else step.find_task(task.index)
+        # Without further calls in the usual case, as each forecast looks up all runs of a worker.
+        job = self.jobs.get(task.job)
+        steps = None if job is None else job.repetitions.get(task.repetition)
+        if steps is None or not 0 <= task.step < len(steps):
+            return None
+        step = steps[task.step]
+        index = task.index
+        if 0 <= index < len(step.tasks):
+            found = step.tasks[index]
+            if found.id.index == index:
+                return found
+        return step.find_task(index)
 
     def find_step(self, key: StepKey) -> Step | None:
         """Return a step, or None if it is unknown or not in memory."""
