Have one place for each rule about ranges and blocks

Cause: the search for the next free number, the check of ranges on record and the indices of a block's tasks each stood twice; the blocks that are partly done were kept in the layout only to hand them from one function to the next.

Change: next_free, find_misplaced and Step.indices_in_blocks serve both places, and the partial blocks are a value. Behaviour and messages are the same.

--- a/src/snowdock/jobs/job_state.py
+++ b/src/snowdock/jobs/job_state.py
@@ -10,9 +10,9 @@
 from .evidence import Charge, Evidence
 from .load_history import WaitPrediction
 from .model import AdviceTerms, JobId, JobStatus, StepKey, StepSpec, TaskId
-from .number_ranges import Range, add_number, contains, next_outside
+from .number_ranges import Range, add_number, contains, next_free
 from .orders import AdviceRequest
-from .progress import AcceptedJob, record_name
+from .progress import BLOCK_TASKS, AcceptedJob, record_name
 from .progress_layout import ProgressLayout
 
 __all__ = ["Advice", "AskObstacle", "Job", "Phase", "Step", "Task", "drop_done_tasks"]
@@ -343,15 +343,16 @@
 
     def next_uncreated_index(self) -> int:
         """Return the lowest index of a task that has not been created; there must be one."""
-        index = self.next_index
-        while self.is_restored:
-            following = next_outside(self.finished, index)
-            if self.find_task(following) is not None:
-                following += 1
-            if following == index:
-                break
-            index = following
-        return index
+        if not self.is_restored:
+            return self.next_index
+        return next_free(
+            self.finished, self.next_index, lambda index: self.find_task(index) is not None
+        )
+
+    def indices_in_blocks(self, first: int, last: int) -> range:
+        """Return the indices of its tasks in a range of blocks, by their numbers."""
+        start = max(0, first * BLOCK_TASKS - self.first_position)
+        return range(start, min(self.spec.count, (last + 1) * BLOCK_TASKS - self.first_position))
 
     @property
     def waiting_tasks(self) -> list[Task]:
@@ -487,17 +488,11 @@
 
     def find_next_repetition(self) -> int | None:
         """Return the lowest number of a repetition that has not been created, or None."""
-        number = self.next_repetition
         finished = () if self.layout is None else self.layout.finished
-        while True:
-            following = next_outside(finished, number)
-            if following in self.repetitions:
-                following += 1
-            if following == number:
-                break
-            number = following
-        self.next_repetition = number
-        return number if number < self.repetition_count else None
+        self.next_repetition = next_free(
+            finished, self.next_repetition, self.repetitions.__contains__
+        )
+        return self.next_repetition if self.next_repetition < self.repetition_count else None
 
     def all_steps(self) -> Iterator[Step]:
         """Yield all steps in memory."""
--- a/src/snowdock/jobs/number_ranges.py
+++ b/src/snowdock/jobs/number_ranges.py
@@ -2,9 +2,18 @@
 
 import bisect
 import math
-from collections.abc import Iterable, Iterator, Sequence
-
-__all__ = ["Range", "add_number", "contains", "count_numbers", "next_outside", "numbers_between"]
+from collections.abc import Callable, Iterable, Iterator, Sequence
+
+__all__ = [
+    "Range",
+    "add_number",
+    "contains",
+    "count_numbers",
+    "find_misplaced",
+    "next_free",
+    "next_outside",
+    "numbers_between",
+]
 
 Range = tuple[int, int]
 
@@ -23,6 +32,24 @@
     return number
 
 
+def next_free(ranges: Sequence[Range], number: int, is_taken: Callable[[int], bool]) -> int:
+    """Return the smallest number from a given one on that is in no range and not taken."""
+    following = next_outside(ranges, number)
+    while is_taken(following):
+        following = next_outside(ranges, following + 1)
+    return following
+
+
+def find_misplaced(ranges: Iterable[Range], end: int) -> Range | None:
+    """Return the first range that is out of order or reaches ``end``, or None."""
+    following = 0
+    for first, last in ranges:
+        if not following <= first <= last < end:
+            return first, last
+        following = last + 1
+    return None
+
+
 def count_numbers(ranges: Iterable[Range]) -> int:
     """Return how many numbers are in the ranges."""
     return sum(last + 1 - first for first, last in ranges)
--- a/src/snowdock/jobs/progress_encoding.py
+++ b/src/snowdock/jobs/progress_encoding.py
@@ -8,7 +8,7 @@
 
 import dataclasses
 import math
-from collections.abc import Iterator, Sequence
+from collections.abc import Iterator
 
 import msgspec
 
@@ -110,7 +110,7 @@
 def _build_progress(job: Job, version: Version) -> JobProgress:
     tasks = []
     for step in job.all_steps():
-        tasks += _list_records(step, 0, step.spec.count)
+        tasks += _list_records(step, range(step.spec.count))
     return JobProgress(job.status, tasks, job.team, *version)
 
 
@@ -120,11 +120,12 @@
     return not task.step.job.status.is_final and bool(task.run or task.phase is Phase.DONE)
 
 
-def _list_records(step: Step, first: int, end: int) -> list[TaskProgress]:
-    """Return the records of a step's tasks in a range, those of dropped tasks included."""
-    records = [_make_record(task) for task in step.tasks_between(first, end) if _is_recorded(task)]
+def _list_records(step: Step, indices: range) -> list[TaskProgress]:
+    """Return the records of some tasks of a step, those of dropped tasks included."""
+    tasks = step.tasks_between(indices.start, indices.stop)
+    records = [_make_record(task) for task in tasks if _is_recorded(task)]
     if step.finished and not step.job.status.is_final:
-        for index in numbers_between(step.finished, first, end):
+        for index in numbers_between(step.finished, indices.start, indices.stop):
             records.append(TaskProgress(step.repetition, step.number, index, 1, done=True))
         records.sort(key=lambda record: record.index)
     return records
@@ -158,11 +159,15 @@
     obsolete_keys = _close_repetitions(job, layout, max_ranges, dropped_tasks)
     dropped_tasks += drop_done_tasks(job)
     max_ranges = max(1, int(max_record_bytes * _BLOCK_RANGES_SHARE / _BLOCK_RANGE_BYTES))
-    obsolete_keys += _close_blocks(job, layout, max_ranges)
+    partial_blocks = _close_blocks(job, layout, max_ranges)
+    obsolete_keys += layout.drop_finished()
     payloads: dict[int, dict[str, bytes]] = {}
     long_checkpoints: list[tuple[TaskId, int]] = []
     for repetition in sorted(layout.open_repetitions):
-        payloads[repetition] = _encode_blocks(job, repetition, max_record_bytes, long_checkpoints)
+        partial = partial_blocks.get(repetition, set())
+        payloads[repetition] = _encode_blocks(
+            job, repetition, partial, max_record_bytes, long_checkpoints
+        )
     has_tasks = any(payloads.values())
     if job.status.is_final and not has_tasks:
         # What is left of the blocks until they are deleted must not count.
@@ -214,17 +219,20 @@
     )
 
 
-def _close_blocks(job: Job, layout: ProgressLayout, max_ranges: int) -> list[str]:
-    """Reduce the blocks that have become finished to ranges; return their keys."""
+def _close_blocks(job: Job, layout: ProgressLayout, max_ranges: int) -> dict[int, set[int]]:
+    """Reduce the blocks that have become finished to ranges.
+
+    Returns the other blocks with tasks that were dropped, by repetition.
+    """
     layout.finished_blocks = {}
-    layout.partial_blocks = {}
+    partial_blocks = {}
     for repetition, steps in job.repetitions.items():
         finished, partial = _find_finished_blocks(steps, max_ranges)
         max_ranges -= len(finished)
         if finished:
             layout.finished_blocks[repetition] = finished
-        layout.partial_blocks[repetition] = partial
-    return layout.drop_finished()
+        partial_blocks[repetition] = partial
+    return partial_blocks
 
 
 def _find_finished_blocks(steps: list[Step], max_ranges: int) -> tuple[list[Range], set[int]]:
@@ -260,21 +268,16 @@
         yield pending
 
 
-def _parts_of(steps: Sequence[Step], block: int) -> Iterator[tuple[Step, int, int]]:
-    """Yield the steps with tasks in a block, with the first index and the one after the last."""
-    for step in steps:
-        first = max(0, block * BLOCK_TASKS - step.first_position)
-        end = min(step.spec.count, (block + 1) * BLOCK_TASKS - step.first_position)
-        if first < end:
-            yield step, first, end
-
-
 def _block_of(step: Step, task: Task) -> int:
     return (step.first_position + task.id.index) // BLOCK_TASKS
 
 
 def _encode_blocks(
-    job: Job, repetition: int, max_record_bytes: int, long_checkpoints: list[tuple[TaskId, int]]
+    job: Job,
+    repetition: int,
+    partial_blocks: set[int],
+    max_record_bytes: int,
+    long_checkpoints: list[tuple[TaskId, int]],
 ) -> dict[str, bytes]:
     """Encode the tasks of a repetition as blocks; return the lists of tasks by key."""
     blocks: dict[int, list[TaskProgress]] = {}
@@ -283,10 +286,13 @@
         _block_of(step, task) for step in steps for task in step.tasks if _is_recorded(task)
     }
     if not job.status.is_final:
-        recorded |= job.layout.partial_blocks.get(repetition, set())
+        recorded |= partial_blocks
     for block in sorted(recorded):
-        for step, first, end in _parts_of(steps, block):
-            blocks.setdefault(block, []).extend(_list_records(step, first, end))
+        blocks[block] = [
+            record
+            for step in steps
+            for record in _list_records(step, step.indices_in_blocks(block, block))
+        ]
     max_bytes = max_record_bytes - _BLOCK_OVERHEAD_BYTES
     payloads = {}
     for block, records in blocks.items():
--- a/src/snowdock/jobs/progress_layout.py
+++ b/src/snowdock/jobs/progress_layout.py
@@ -24,9 +24,6 @@
         Numbers of the repetitions created so far that are in no range.
     finished_blocks
         By number of an open repetition, ranges of its blocks of which all tasks are done.
-    partial_blocks
-        By number of an open repetition, the other blocks with tasks that were dropped from memory
-        since they are done.
     blocks
         By repetition and key, the encoded tasks that were last written to a block; None if they are
         unknown.
@@ -36,7 +33,6 @@
     finished: list[Range] = dataclasses.field(default_factory=list)
     open_repetitions: set[int] = dataclasses.field(default_factory=set)
     finished_blocks: dict[int, list[Range]] = dataclasses.field(default_factory=dict)
-    partial_blocks: dict[int, set[int]] = dataclasses.field(default_factory=dict)
     blocks: dict[int, dict[str, bytes | None]] = dataclasses.field(default_factory=dict)
 
     @property
--- a/src/snowdock/jobs/recorded_progress.py
+++ b/src/snowdock/jobs/recorded_progress.py
@@ -6,6 +6,7 @@
 
 from ..errors import InvalidInput
 from .model import JobId, JobSpec
+from .number_ranges import find_misplaced
 from .progress import (
     BLOCK_TASKS,
     JobProgress,
@@ -123,25 +124,23 @@
             and task.index < spec.steps[task.step].count
         ):
             raise InvalidInput(f"no task {task.repetition}.{task.step}.{task.index} in the job")
-    following = 0
-    for first, last in () if layout is None else layout.finished:
-        if not following <= first <= last < count:
-            raise InvalidInput(f"no repetitions from {first} to {last} in the job")
-        following = last + 1
     if layout is not None:
-        _check_finished_blocks(spec, layout)
+        _check_finished(spec, layout, count)
 
 
-def _check_finished_blocks(spec: JobSpec, layout: ProgressLayout) -> None:
+def _check_finished(spec: JobSpec, layout: ProgressLayout, count: int) -> None:
+    misplaced = find_misplaced(layout.finished, count)
+    if misplaced is not None:
+        raise InvalidInput(f"no repetitions from {misplaced[0]} to {misplaced[1]} in the job")
     block_count = math.ceil(sum(step.count for step in spec.steps) / BLOCK_TASKS)
     for repetition, ranges in layout.finished_blocks.items():
-        if repetition >= max(1, spec.repetitions) or layout.is_finished(repetition):
+        if repetition >= count or layout.is_finished(repetition):
             raise InvalidInput(f"no open repetition {repetition} in the job")
-        following = 0
-        for first, last in ranges:
-            if not following <= first <= last < block_count:
-                raise InvalidInput(f"no blocks from {first} to {last} in the job's tasks")
-            following = last + 1
+        misplaced = find_misplaced(ranges, block_count)
+        if misplaced is not None:
+            raise InvalidInput(
+                f"no blocks from {misplaced[0]} to {misplaced[1]} in the job's tasks"
+            )
 
 
 def _decode(key: str, data: bytes) -> _Record:
--- a/src/snowdock/jobs/restored_jobs.py
+++ b/src/snowdock/jobs/restored_jobs.py
@@ -10,7 +10,7 @@
 from .lives import worker_id_of
 from .model import JobId
 from .number_ranges import count_numbers
-from .progress import BLOCK_TASKS, AcceptedJob, JobProgress, TaskProgress
+from .progress import AcceptedJob, JobProgress, TaskProgress
 from .progress_layout import ProgressLayout
 from .runs import (
     apply_run_end,
@@ -115,10 +115,8 @@
         for step in open_repetition(cell, job, number, wall_ms):
             step.is_restored = True
             for first, last in finished_blocks.get(number, ()):
-                first_index = max(0, first * BLOCK_TASKS - step.first_position)
-                end = min(step.spec.count, (last + 1) * BLOCK_TASKS - step.first_position)
-                if first_index < end:
-                    step.finished.append((first_index, end - 1))
+                if indices := step.indices_in_blocks(first, last):
+                    step.finished.append((indices[0], indices[-1]))
             step.dropped_count = count_numbers(step.finished)
     for record in sorted(progress.tasks, key=lambda each: (each.repetition, each.step, each.index)):
         _restore_task(cell, job, record)
