Count and log refusals of jobs in one place

Cause: the refusal for a lack of room had its own copy of the count, the limit of log lines and the line's common fields.

Change: _record_refusal serves both kinds. The gate's two new dependencies have no defaults, of which one repeated that of the settings. Answers, metrics and fields are the same.

--- a/src/snowdock/entry/admission_gate.py
+++ b/src/snowdock/entry/admission_gate.py
@@ -146,8 +146,8 @@
         is_recorded: Callable[[JobId, str, float], bool | None],
         count_nodes: Callable[[], int],
         metrics: Metrics,
-        find_room: Callable[[], JobRoom | None] = lambda: None,
-        max_gang_tasks: Callable[[], int] = lambda: 1_000,
+        find_room: Callable[[], JobRoom | None],
+        max_gang_tasks: Callable[[], int],
     ) -> None:
         self._find_room = find_room
         self._max_gang_tasks = max_gang_tasks
@@ -235,7 +235,13 @@
             if isinstance(error, GangTooLarge):
                 raise VerdictUnknown("an earlier attempt may be recorded; repeat it") from error
         if is_recorded is False:
-            self._count_excess(submission, error)
+            retry_after_s = getattr(error, "retry_after_seconds", None)
+            self._record_refusal(
+                submission,
+                error.code,
+                error.status,
+                lambda: {"text": str(error), "retry_after_s": retry_after_s},
+            )
             raise error
         return bool(is_recorded)
 
@@ -258,14 +264,14 @@
             delay_s,
         )
 
-    def _count_excess(self, submission: Submission, error: GangTooLarge | NoRoomForJob) -> None:
+    def _record_refusal(
+        self, submission: Submission, reason: str, status: int, describe: Callable[[], dict]
+    ) -> None:
+        """Count a refusal and log it, with more fields, within the limit of such lines."""
         now = steady_seconds()
         team = submission.accepted.team
         self._metrics.count(
-            "refusals_total",
-            "Jobs that admission control refused.",
-            reason=error.code,
-            team=team,
+            "refusals_total", "Jobs that admission control refused.", reason=reason, team=team
         )
         with self._lock:
             is_logged = not self._log_bucket.wait_s(now)
@@ -277,10 +283,9 @@
                 job=submission.job,
                 queue=submission.queue.name,
                 team=team,
-                reason=error.code,
-                status=error.status,
-                text=str(error),
-                retry_after_s=getattr(error, "retry_after_seconds", None),
+                reason=reason,
+                status=status,
+                **describe(),
             )
 
     def _admit(self, submission: Submission) -> AcceptedJob | None:
@@ -375,36 +380,23 @@
                 random.random(),
                 now,
             )
-            is_logged = not self._log_bucket.wait_s(now)
-            if is_logged:
-                self._log_bucket.spend(1.0, now)
-        team = submission.accepted.team
-        self._metrics.count(
-            "refusals_total",
-            "Jobs that admission control refused.",
-            reason=decision.reason.value,
-            team=team,
-        )
         self._metrics.time(
             "retry_after_seconds", "Retry-After sent to refused callers.", retry_after_s
         )
-        if is_logged:
-            use = view.teams.get(team)
+
+        def describe() -> dict[str, object]:
+            use = view.teams.get(submission.accepted.team)
             total = sum(each.core_s for each in view.teams.values())
-            log_event(
-                "job_refused",
-                job=submission.job,
-                queue=submission.queue.name,
-                team=team,
-                reason=decision.reason.value,
-                status=decision.status,
-                share=use.share if use else None,
-                use=use.core_s / total if use and total else 0.0,
-                predicted_wait_s=view.predicted_wait_s,
-                summary_age_s=None if view.made_at is None else now - view.made_at,
-                caller_age_s=now - caller.first_seen,
-                retry_after_s=retry_after_s,
-            )
+            return {
+                "share": use.share if use else None,
+                "use": use.core_s / total if use and total else 0.0,
+                "predicted_wait_s": view.predicted_wait_s,
+                "summary_age_s": None if view.made_at is None else now - view.made_at,
+                "caller_age_s": now - caller.first_seen,
+                "retry_after_s": retry_after_s,
+            }
+
+        self._record_refusal(submission, decision.reason.value, decision.status, describe)
         error, message = _REFUSALS[decision.reason]
         return error(f"{message}; the job was not accepted", float(retry_after_s))
 
