Check once whether a step is ready, and share the mark of a crowd

Cause: each step that was enqueued had its predecessors checked twice, and its key made up to eight times, on each end of a step; a look-up that missed its usual place tried it twice. Two modules had the same number of steps for a crowd.

Change: the check and the adding are apart; the fallback look-up goes to the search at once; release_objects uses forget_charges; CROWDED_STEP_COUNT stands once. Behaviour is the same.

--- a/src/snowdock/jobs/job_objects.py
+++ b/src/snowdock/jobs/job_objects.py
@@ -9,14 +9,14 @@
 """
 
 import math
-from collections.abc import Iterable
 
 from .cell import Cell
-from .charges import forget_task_charges
+from .charges import forget_charges, forget_task_charges
 from .job_state import Job, Phase, Step, Task, drop_done_tasks
 from .model import TaskId
 
 __all__ = [
+    "CROWDED_STEP_COUNT",
     "MAX_CREATED_PER_EVENT",
     "add_tasks",
     "drop_spec",
@@ -45,8 +45,8 @@
 """Maximum number of a large job's tasks that wait in memory for each step, and while many steps
 wait. Each search looks at all of them."""
 
-_CROWDED_STEP_COUNT = 50
-_MAX_WAITING_STEPS = ((_CROWDED_STEP_COUNT, 32), (1_000, 6), (math.inf, 1))
+CROWDED_STEP_COUNT = 50
+_MAX_WAITING_STEPS = ((CROWDED_STEP_COUNT, 32), (1_000, 6), (math.inf, 1))
 """While fewer steps than the first number wait, the maximum number of waiting steps of one job.
 Each of them takes time in each placement pass, and delays the searches for the others."""
 
@@ -110,7 +110,6 @@
     A step of which some are left is kept in ``cell.partial_steps``.
     """
     if not step.uncreated_count:
-        cell.partial_steps.pop(step.key, None)
         return 0
     count = _count_addable(cell, step)
     job = step.job
@@ -143,7 +142,7 @@
     if not step.job.has_many_tasks:
         return min(wanted, allowed)
     waiting = sum(task.phase is Phase.WAITING for task in step.tasks)
-    is_crowd = len(cell.waiting_steps) >= _CROWDED_STEP_COUNT
+    is_crowd = len(cell.waiting_steps) >= CROWDED_STEP_COUNT
     max_waiting = _MAX_WAITING_TASKS_IN_CROWD if is_crowd else _MAX_WAITING_TASKS
     return max(0, min(wanted, max_waiting - waiting, allowed))
 
@@ -166,7 +165,10 @@
 
 def release_objects(cell: Cell, job: Job) -> None:
     """Remove all steps and tasks of a job that has ended and of which nothing runs."""
-    _forget_steps(cell, job.all_steps())
+    for step in job.all_steps():
+        cell.partial_steps.pop(step.key, None)
+        cell.held_steps.pop(step.key, None)
+    forget_charges(cell, job)
     job.repetitions.clear()
     _count(cell, job, -job.object_count)
 
@@ -177,14 +179,6 @@
     job.drop_spec()
 
 
-def _forget_steps(cell: Cell, steps: Iterable[Step]) -> None:
-    for step in steps:
-        cell.partial_steps.pop(step.key, None)
-        cell.held_steps.pop(step.key, None)
-        for task in step.tasks:
-            forget_task_charges(cell, task)
-
-
 def _drop_done_tasks(cell: Cell, job: Job) -> int:
     dropped = drop_done_tasks(job)
     for task in dropped:
--- a/src/snowdock/jobs/job_state.py
+++ b/src/snowdock/jobs/job_state.py
@@ -322,8 +322,6 @@
     def find_task(self, index: int) -> Task | None:
         """Return a task, or None if it is not in memory."""
         tasks = self.tasks
-        if 0 <= index < len(tasks) and tasks[index].id.index == index:
-            return tasks[index]
         position = bisect.bisect_left(tasks, index, key=lambda task: task.id.index)
         if position < len(tasks) and tasks[position].id.index == index:
             return tasks[position]
--- a/src/snowdock/jobs/placement.py
+++ b/src/snowdock/jobs/placement.py
@@ -11,7 +11,7 @@
 from .durability import mark_dirty
 from .expected_finish import order_by_speed, prefer_by_finish, withhold_slow_workers
 from .failed_runs import begin_probation_run
-from .job_objects import add_tasks
+from .job_objects import CROWDED_STEP_COUNT, add_tasks
 from .job_state import AskObstacle, Phase, Step, Task
 from .load import record_first_wait, record_started
 from .occupancy import occupy
@@ -49,14 +49,13 @@
 on reserved room. Users allow three seconds beside free room, and tickets take up to half a second
 of them."""
 
-_CROWDED_STEP_COUNT = 50
 _SEARCH_RETRY_SECONDS = 0.05
-"""While more steps than this are waiting, a step that could not be placed is not searched again
-for this time, so that other steps are."""
+"""While more than `CROWDED_STEP_COUNT` steps are waiting, a step that could not be placed is not
+searched again for this time, so that other steps are."""
 
 _MAX_SEARCH_GAP_SECONDS = 1.0
 """Time after which a step is searched although steps of higher rank use up each pass, while fewer
-steps than `_CROWDED_STEP_COUNT` are waiting."""
+steps than `CROWDED_STEP_COUNT` are waiting."""
 
 
 def place_waiting_steps(cell: Cell, now: float) -> None:
@@ -104,7 +103,7 @@
     Without a crowd of waiting steps there are none unless that search reached its limit.
     """
     neglected = list(cell.waiting_steps.values())
-    if len(neglected) <= _CROWDED_STEP_COUNT:
+    if len(neglected) <= CROWDED_STEP_COUNT:
         if not is_limit_reached:
             return []
         latest = now - _MAX_SEARCH_GAP_SECONDS
@@ -325,7 +324,7 @@
 
 
 def _defer_search(cell: Cell, step: Step, now: float) -> None:
-    if len(cell.waiting_steps) > _CROWDED_STEP_COUNT:
+    if len(cell.waiting_steps) > CROWDED_STEP_COUNT:
         step.next_search_at = now + _SEARCH_RETRY_SECONDS
 
 
--- a/src/snowdock/jobs/runs.py
+++ b/src/snowdock/jobs/runs.py
@@ -64,16 +64,16 @@
 def enqueue_ready_steps(cell: Cell, steps: list[Step]) -> None:
     """Enqueue the steps of a repetition whose predecessors are done."""
     for step in steps:
-        can_start = not (step.job.status.is_final or step.is_done) and _is_ready(step)
-        is_waiting = step.key in cell.waiting_steps
-        if can_start and not is_waiting and not has_place(cell, step.job):
-            cell.held_steps[step.key] = step
-            continue
-        if can_start:
+        key = step.key
+        if step.job.status.is_final or step.is_done or not _is_ready(step):
+            cell.held_steps.pop(key, None)
+        elif key not in cell.waiting_steps and not has_place(cell, step.job):
+            cell.held_steps[key] = step
+        else:
             add_tasks(cell, step)
             if step.waiting_tasks:
-                _enqueue_step(cell, step)
-        cell.held_steps.pop(step.key, None)
+                _add_to_queue(cell, step)
+            cell.held_steps.pop(key, None)
 
 
 def _is_ready(step: Step) -> bool:
@@ -88,8 +88,12 @@
 
 
 def _enqueue_step(cell: Cell, step: Step) -> None:
-    if step.job.status.is_final or not _is_ready(step):
-        return
+    if not step.job.status.is_final and _is_ready(step):
+        _add_to_queue(cell, step)
+
+
+def _add_to_queue(cell: Cell, step: Step) -> None:
+    """Add a step that may start to the waiting steps; a gang only as a whole."""
     if step.spec.gang and (step.uncreated_count or any(task.is_placed for task in step.tasks)):
         return
     if step.key not in cell.waiting_steps:
