Share the bodies and the submission of expanding jobs among the tests

Cause: the tests with real daemons and the soak each had their own bodies and their own registration of a job with the stand-ins beside EntryCluster.make_job; three tests collected the started jobs the same way; one of two checks of the emulator still went through all tasks of a job, started or not.

Change: tests/standins/expanding_jobs.py, make_job with further fields, started_jobs, and the histories of a job serve all. Assertions are the same; the soak's expanding jobs now count failed runs like others.

--- a/src/snowdock/emulator/checks.py
+++ b/src/snowdock/emulator/checks.py
@@ -104,7 +104,7 @@
 
     def may_fail_after_crashes(self, job: str) -> bool:
         """Return whether a task of a job has crashed two workers, so that the job may fail."""
-        return any(self.count_crashes(task) > 1 for task in iterate_tasks(job, self.find_spec(job)))
+        return any(history.crashes > 1 for history in self._job_histories.get(job, ()))
 
     def record_cancellation(self, job: str, at: float) -> None:
         """Record an acknowledged cancellation."""
--- a/tests/soak_expanding.py
+++ b/tests/soak_expanding.py
@@ -1,26 +1,18 @@
 """A caller of the soak test whose jobs expand to a million tasks, which are never done."""
 
-import json
 import random
-import secrets
-import sys
 import threading
 
 import urllib3
 
-from snowdock.platform.job_bodies import decode_job
 from tests.soak_callers import Connections, Submission
 from tests.soak_threads import CheckedThread
 from tests.standins.entry_cluster import EntryCluster, wait_until
+from tests.standins.expanding_jobs import MILLION_TASKS, OVERDUE_TIMES, UNHELD_TASKS
 
 EXPANDING_FROM_SEED = 7000
 
-_STEP = {"count": 1, "cpu": 100, "mem_mb": 16, "estimate_ms": 200}
-_BODIES = (
-    {"steps": [_STEP], "max_runs": 1_000_000, "interval_ms": 60_000},
-    {"steps": [{**_STEP, "count": 10_000}] * 100},
-    {"steps": [{**_STEP, "count": 10_000, "cpu": 10**9}] * 100},
-)
+_BODIES = (OVERDUE_TIMES, MILLION_TASKS, UNHELD_TASKS)
 _JOBS = 6
 _PAUSE_SECONDS = 0.3
 
@@ -62,12 +54,7 @@
         return [f"expanding job not shown as cancelled: {path}" for path in sorted(open_paths)]
 
     def _make_submission(self) -> Submission:
-        body = {"spec": "expands", **self._source.choice(_BODIES)}
-        job = secrets.token_hex(8)
-        spec = decode_job("jobs", json.dumps(body).encode())
-        self._cluster.workers.steps[job] = list(spec.steps)
-        self._cluster.workers.checks.record_submission(job, spec, sys.maxsize)
-        return Submission(f"/jobs/{job}", body)
+        return Submission(*self._cluster.make_job(**self._source.choice(_BODIES)))
 
     def _submit(self, submission: Submission) -> bool:
         submission.accepted = self._call("POST", submission, json=submission.body) == 200
--- a/tests/standins/entry_cluster.py
+++ b/tests/standins/entry_cluster.py
@@ -224,15 +224,19 @@
         found = [n for n in self.nodes if n.process.poll() is None and n.is_leader]
         return found[-1] if found else None
 
-    def make_job(self, steps: list[dict], prefix: str = "/jobs/") -> tuple[str, dict]:
+    def make_job(
+        self, steps: list[dict], prefix: str = "/jobs/", **fields: object
+    ) -> tuple[str, dict]:
         """Make a job's path and body, and register it with the workers' stand-ins and checks.
 
+        ``fields`` are further ones of the body, such as the times of a timed job.
+
         A job with a long-running step may have any number of failed runs.
         """
         from snowdock.platform.job_bodies import decode_job
 
         job = secrets.token_hex(8)
-        body = {"spec": f"payload of {job}", "steps": steps}
+        body = {"spec": f"payload of {job}", "steps": steps, **fields}
         spec = decode_job("jobs", json.dumps(body).encode())
         self.workers.steps[job] = list(spec.steps)
         is_long_running = any(step.long_running for step in spec.steps)
--- a/tests/test_expanding_jobs.py
+++ b/tests/test_expanding_jobs.py
@@ -1,19 +1,13 @@
 """Tests with real daemons and jobs of a few bytes that expand to millions of tasks."""
 
-import json
 import secrets
 import unittest
 
-from snowdock.platform.job_bodies import decode_job
 from tests.standins.entry_cluster import EntryProcess, wait_until
+from tests.standins.expanding_jobs import MILLION_TASKS, OVERDUE_TIMES, STEP, UNHELD_TASKS
 from tests.standins.hostile_clients import Footprint
 from tests.test_hostile_clients import MAX_DESCRIPTORS, MEMORY_MB, HostileCase
 
-_STEP = {"count": 1, "cpu": 100, "mem_mb": 16}
-_OVERDUE_TIMES = {"steps": [_STEP], "max_runs": 1_051_200, "interval_ms": 60_000}
-_MILLION_TASKS = {"steps": [{**_STEP, "count": 10_000}] * 100}
-_UNHELD_TASKS = {"steps": [{**_STEP, "count": 10_000, "cpu": 10**9}] * 100}
-
 _JOBS = 40
 _WAIT_SECONDS = 20.0
 
@@ -23,11 +17,8 @@
 
     def submit_expanding(self, body: dict) -> tuple[int, str]:
         """Submit a job that the stand-in workers can run; return the status and its path."""
-        job = secrets.token_hex(8)
-        body = {"spec": "expands", **body}
-        spec = decode_job("jobs", json.dumps(body).encode())
-        self.cluster.workers.steps[job] = list(spec.steps)
-        return self.node.call("POST", f"/jobs/{job}", body)[0], f"/jobs/{job}"
+        path, job = self.cluster.make_job(**body)
+        return self.node.call("POST", path, job)[0], path
 
     def run_small_job(self) -> bool:
         path, job = self.cluster.make_job([{"count": 1, "cpu": 10, "mem_mb": 10}])
@@ -66,20 +57,20 @@
 
     def test_overdue_times(self) -> None:
         """Timed jobs of which a million times are past."""
-        self.check_jobs(_OVERDUE_TIMES)
+        self.check_jobs(OVERDUE_TIMES)
 
     def test_million_tasks(self) -> None:
         """Jobs of a million tasks, all of which may start."""
-        self.check_jobs(_MILLION_TASKS)
+        self.check_jobs(MILLION_TASKS)
 
     def test_mixture(self) -> None:
         """Jobs of both kinds, and of tasks that no worker can hold."""
-        self.check_jobs(_OVERDUE_TIMES, _MILLION_TASKS, _UNHELD_TASKS)
+        self.check_jobs(OVERDUE_TIMES, MILLION_TASKS, UNHELD_TASKS)
 
     def test_gang_of_ten_thousand(self) -> None:
         """A gang that can't be carried is refused in words that name the quantity."""
         self.start()
-        step = {**_STEP, "count": 10_000, "gang": True}
+        step = {**STEP, "count": 10_000, "gang": True}
         job = f"/jobs/{secrets.token_hex(8)}"
         status, answer, _ = self.node.call("POST", job, {"spec": "gang", "steps": [step]})
         self.assertEqual((status, answer["code"]), (400, "gang_too_large"))
--- a/tests/test_jobs_expansion.py
+++ b/tests/test_jobs_expansion.py
@@ -40,6 +40,11 @@
     return len(steps) + sum(len(step.tasks) for step in steps)
 
 
+def started_jobs(bench: Bench) -> set[str]:
+    """Return the jobs of which a task was started."""
+    return {start.order.task.job for start in filter_by_type(bench.all_effects, SendStart)}
+
+
 class ExpansionTestCase(unittest.TestCase):
     def make_bench(self, workers: int = 4, cpu: int = 4000, **limits: int) -> Bench:
         bench = Bench()
@@ -67,7 +72,7 @@
             if tick == 20:
                 small = bench.submit(SMALL)
             bench.tick(0.1)
-        started = {start.order.task.job for start in filter_by_type(bench.all_effects, SendStart)}
+        started = started_jobs(bench)
         self.assertIn(small, started)
 
     def check_takeover(self, accepted: AcceptedJob) -> None:
@@ -129,7 +134,7 @@
             self.submit(bench, make_timed_job(_MINUTES_OF_TWO_YEARS, 2), job)
         bench.tick(5.0)
         self.check_objects(bench.cell)
-        started = {start.order.task.job for start in filter_by_type(bench.all_effects, SendStart)}
+        started = started_jobs(bench)
         self.assertEqual(started, set(jobs))
 
     def test_each_time_gets_its_turn(self) -> None:
@@ -172,7 +177,7 @@
             self.submit(bench, make_job(step, step), job)
             bench.tick(0.5)
         self.check_objects(bench.cell)
-        started = {start.order.task.job for start in filter_by_type(bench.all_effects, SendStart)}
+        started = started_jobs(bench)
         self.assertEqual(started, set(jobs))
 
     def test_each_task_gets_its_turn(self) -> None:
